--- /dev/null
+++ b/cmd/lemonarch/main.go
@@ -0,0 +1,4 @@
+// Command lemonarch is the operator's desk.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/almanac/almanac.go
@@ -0,0 +1,177 @@
+// Package almanac holds every constant of the project, each with its unit and
+// the reason for its value. Values marked (ours) are defaults to be measured.
+package almanac
+
+import "time"
+
+// Between our processes.
+const (
+	// PortForeman, PortForge and PortLocker are offsets from the first internal
+	// port: two processes share a machine's ports, so each role has its own.
+	PortForeman = 0
+	PortForge   = 1
+	PortLocker  = 2
+	// FrameLimit bounds one frame in bytes: a lot of the largest allowed body
+	// plus its framing must fit.
+	FrameLimit = 48 << 20
+	// FrameVersion is told in each frame, so that mixed versions can work.
+	FrameVersion = 1
+	// DialTime bounds a connection attempt between our processes: links are a
+	// few ms long, so silence for longer means a cut (ours).
+	DialTime = 400 * time.Millisecond
+	// CallTime bounds an ordinary call between our processes (ours): under the
+	// second in which an outside caller moves on.
+	CallTime = 800 * time.Millisecond
+	// PushTime bounds the wait for peers to take a push before a worker's call
+	// is acknowledged; the worker waits a second at most.
+	PushTime = 350 * time.Millisecond
+	// SilentPipe is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
+	// nothing answers, and a hung connection must not hold a caller.
+	SilentPipe = 1500 * time.Millisecond
+	// BulkCallTime bounds calls that carry lots or long stretches of records.
+	BulkCallTime = 3 * time.Second
+)
+
+// Membership.
+const (
+	// ShufflePeriod is the time between two shuffles of views (ours).
+	ShufflePeriod = time.Second
+	// ShuffleSize is how many entries one shuffle carries (ours).
+	ShuffleSize = 24
+	// ViewLimit bounds a view (ours): the deployments have under 30 processes.
+	ViewLimit = 96
+	// SilentAfter is the silence after which a process is taken for silent.
+	SilentAfter = 3 * time.Second
+	// ForgetAfter is the silence after which an entry leaves the view.
+	ForgetAfter = 45 * time.Second
+	// ReplaceAfter is the silence after which a standing-by process may take a
+	// silent member's place in the acceptor or store set (ours): longer than a
+	// process takes to be started again.
+	ReplaceAfter = 6 * time.Second
+)
+
+// Register and holds.
+const (
+	// RoundTime bounds one round of the register (ours): a sync, even on a slow
+	// disk, and a link there and back.
+	RoundTime = 500 * time.Millisecond
+	// RegisterTime bounds a whole change including repeats.
+	RegisterTime = 2500 * time.Millisecond
+	// BackoffBase is the least pause before a proposer tries again.
+	BackoffBase = 8 * time.Millisecond
+	// BackoffSpread is the random part of that pause: it parts two duelists.
+	BackoffSpread = 60 * time.Millisecond
+	// HistoryLength is how many acknowledged versions the register remembers, so
+	// that a call resent after an unclear answer is known again.
+	HistoryLength = 32
+	// HoldTime is the length of a hold on a duty (ours): long enough for a slow
+	// sync, short enough that lots wait little after a crash.
+	HoldTime = 1500 * time.Millisecond
+	// HoldMargin is how much earlier than its end a holder stops.
+	HoldMargin = 300 * time.Millisecond
+	// HoldRenewal is the time between renewals.
+	HoldRenewal = 350 * time.Millisecond
+)
+
+// Workers.
+const (
+	// BeatsMissed is how many heartbeats a worker may miss before it is suspect.
+	BeatsMissed = 3
+	// BeatsGone is how many make it gone for good.
+	BeatsGone = 10
+	// RosterPeriod is the time between two roster messages to each peer.
+	RosterPeriod = 700 * time.Millisecond
+)
+
+// Placement.
+const (
+	// GossipPeriod is the period of utilization and weight gossip (the source's 1 s).
+	GossipPeriod = time.Second
+	// GossipStale is the age at which a peer's word counts no more: three periods.
+	GossipStale = 3 * GossipPeriod
+	// DowngradeAlert is the share of placements above which downgrades are
+	// logged as over-discounting (ours).
+	DowngradeAlert = 0.02
+	// IndexNodes bounds the prefix index in leaves (ours, memory is priced).
+	IndexNodes = 4000
+	// ReadRate is the first guess of prompt tokens read in a ms, until streams
+	// teach better.
+	ReadRate = 120.0
+	// StepGuess is the first guess, in ms, of what one running request costs the
+	// others in waiting.
+	StepGuess = 0.9
+	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
+	FailurePenalty = 4000.0
+	// SuspectFor is how long a failure counts against a worker.
+	SuspectFor = 1200 * time.Millisecond
+)
+
+// Data plane.
+const (
+	// PumpPeriod is how often those that wait are looked at without a cause (ours).
+	PumpPeriod = 15 * time.Millisecond
+	// LeastPipes is the fewest connections to a worker that a node may open.
+	LeastPipes = 4
+	// RequestLimit is used for bodies and heads until a configuration says.
+	RequestLimit = 4 << 20
+	// HeadLimit is used for heads until a configuration says.
+	HeadLimit = 64 << 10
+	// BufferedAnswer is the largest plain answer held whole, so that a cut can be
+	// mended by another run before the client has seen a byte.
+	BufferedAnswer = 256 << 10
+	// WorkerDial bounds a connection to a worker: links are short.
+	WorkerDial = 250 * time.Millisecond
+	// SilentWorker is the silence after which a repeatable stream goes on at
+	// another worker: clients give up at two seconds.
+	SilentWorker = 900 * time.Millisecond
+	// SilentPlain is the same for plain requests, in multiples of the aim.
+	SilentPlain = 3
+	// PipeIdle is how long an idle pipe is kept when the worker names no time.
+	PipeIdle = 4 * time.Second
+	// PipeShare is the part of a worker's connection limit all nodes use.
+	PipeShare = 0.8
+	// DrainLinger is how long a leaving node still takes new connections: the
+	// platform needs two missed probes, a second apart, to see it leave.
+	DrainLinger = 2600 * time.Millisecond
+	// RoomAhead is how many requests may wait at a worker beyond its capacity.
+	RoomAhead = 2
+	// QueueShare is the part of a request's aim that it may wait for room (ours):
+	// a refusal within a quarter still earns something when it comes back.
+	QueueShare = 0.22
+)
+
+// Lots.
+const (
+	// RunningItems bounds how many items one holder runs at a time (ours): its
+	// processor has to keep up with their events.
+	RunningItems = 400
+	// RetryItem is the pause before an item that was set back is placed again.
+	RetryItem = 60 * time.Millisecond
+	// SetChange bounds the copying to a newcomer; what was copied stays there.
+	SetChange = 20 * time.Second
+	// FirstMeeting is how long lockers wait for each other at the first start
+	// before they make do with fewer.
+	FirstMeeting = 4 * time.Second
+	// LotItems is the largest number of items in a lot (PROTOCOL).
+	LotItems = 200
+	// PageBytes is the most a read returns in results (PROTOCOL: 1 MB).
+	PageBytes = 900 << 10
+	// AppendBytes bounds one stretch of records sent to a store.
+	AppendBytes = 1 << 20
+	// BulkShare is the part of a worker's places that items may fill when no
+	// live request wants them (ours).
+	BulkShare = 0.75
+	// TickPeriod is the period of the locker's own upkeep.
+	TickPeriod = 50 * time.Millisecond
+	// RewriteBytes is the least size at which a file of records is rewritten.
+	RewriteBytes = 24 << 20
+)
+
+// Processes.
+const (
+	// MemoryShare is the part of the memory limit the collector may use.
+	MemoryShare = 0.8
+	// CollectPercent is the collector's target growth (ours): memory is dear, and
+	// the live heap is small.
+	CollectPercent = 60
+)
--- /dev/null
+++ b/internal/carriage/events.go
@@ -0,0 +1,98 @@
+package carriage
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// Splitter cuts the bytes of an event stream into whole events, so that a cut
+// never leaves half an event with the client, and follows their ids.
+type Splitter struct {
+	rest []byte
+	// Last is the id of the last whole event, if any carried one.
+	Last    int64
+	Started bool
+	// Next, where above 0, is the id that the first event must have: a stream
+	// that goes on must go on exactly.
+	Next int64
+}
+
+var blank = []byte("\n\n")
+
+// Feed takes bytes and gives the whole events among them; false means that the
+// ids do not follow each other.
+func (splitter *Splitter) Feed(text []byte) (whole []byte, follows bool) {
+	splitter.rest = append(splitter.rest, text...)
+	end := 0
+	for {
+		at := bytes.Index(splitter.rest[end:], blank)
+		if at < 0 {
+			break
+		}
+		event := splitter.rest[end : end+at+len(blank)]
+		if !splitter.follow(event) {
+			return splitter.take(end), false
+		}
+		end += at + len(blank)
+	}
+	return splitter.take(end), true
+}
+
+func (splitter *Splitter) take(end int) []byte {
+	whole := splitter.rest[:end:end]
+	splitter.rest = append([]byte(nil), splitter.rest[end:]...)
+	return whole
+}
+
+func (splitter *Splitter) follow(event []byte) bool {
+	id, known := eventID(event)
+	if !known {
+		return true
+	}
+	if splitter.Next > 0 && id != splitter.Next {
+		return false
+	}
+	if splitter.Started && id != splitter.Last+1 {
+		return false
+	}
+	splitter.Next, splitter.Last, splitter.Started = 0, id, true
+	return true
+}
+
+// Rest gives what has come of an unfinished event.
+func (splitter *Splitter) Rest() []byte { return splitter.rest }
+
+func eventID(event []byte) (int64, bool) {
+	for len(event) > 0 {
+		line := event
+		if at := bytes.IndexByte(event, '\n'); at >= 0 {
+			line, event = event[:at], event[at+1:]
+		} else {
+			event = nil
+		}
+		if name, value, found := bytes.Cut(line, []byte(":")); found && string(name) == "id" {
+			id, failure := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			return id, failure == nil
+		}
+	}
+	return 0, false
+}
+
+// Data joins the data lines of whole events, each event's own line by line feeds.
+func Data(events []byte) [][]byte {
+	var pieces [][]byte
+	for _, event := range bytes.Split(events, blank) {
+		var lines [][]byte
+		found := false
+		for _, line := range bytes.Split(event, []byte("\n")) {
+			if name, value, cut := bytes.Cut(line, []byte(":")); cut && string(name) == "data" {
+				lines = append(lines, bytes.TrimPrefix(value, []byte(" ")))
+				found = true
+			}
+		}
+		if found {
+			pieces = append(pieces, bytes.Join(lines, []byte("\n")))
+		}
+	}
+	return pieces
+}
--- /dev/null
+++ b/internal/clamp/clamp.go
@@ -0,0 +1,85 @@
+// Package clamp grants the hold on a duty (the lease): a majority of acceptors
+// grants it for a bounded time, and its holder stops before that ends. A step
+// function without I/O; what fences a holder that overslept is the epoch in the
+// register, the clamp only decides who may try.
+package clamp
+
+import (
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Grants is an acceptor's side.
+type Grants struct {
+	holder  string
+	life    int64
+	until   watch.Moment
+	silence watch.Moment
+}
+
+// NewGrants starts a side. One that may have granted a hold before it restarted
+// grants nothing until that has run out.
+func NewGrants(now watch.Moment, first bool) *Grants {
+	grants := &Grants{}
+	if !first {
+		grants.silence = now.Plus(almanac.HoldTime)
+	}
+	return grants
+}
+
+// Ask answers a candidate or a holder that renews.
+func (grants *Grants) Ask(question pattern.HoldAsk, duty pattern.Duty, now watch.Moment) pattern.HoldAnswer {
+	answer := pattern.HoldAnswer{Epoch: duty.Epoch}
+	if question.Release {
+		grants.Release(question.Candidate, question.Life)
+		answer.Granted = true
+		return answer
+	}
+	renews := duty.Epoch > 0 && duty.Holder == question.Candidate && question.Epoch == duty.Epoch && duty.Life == question.Life
+	if duty.Epoch > question.Epoch && !renews {
+		// Somebody took the duty since: the asker has to learn of it first.
+		answer.WaitMs = 1
+		return answer
+	}
+	free := now >= grants.until && now >= grants.silence
+	// A new life of the same process shows that the old one is over; an old life
+	// that woke up gets nothing back.
+	same := grants.holder == question.Candidate && question.Life >= grants.life
+	restarted := duty.Holder == question.Candidate && question.Life >= duty.Life && grants.holder == ""
+	if !free && !same && !restarted {
+		answer.WaitMs = max(grants.until.Since(now), grants.silence.Since(now)).Milliseconds() + 1
+		return answer
+	}
+	grants.holder, grants.life = question.Candidate, question.Life
+	grants.until = now.Plus(almanac.HoldTime)
+	answer.Granted = true
+	return answer
+}
+
+// Release ends a hold early, when its holder leaves in order.
+func (grants *Grants) Release(holder string, life int64) {
+	if grants.holder == holder && grants.life == life {
+		grants.until = 0
+	}
+}
+
+// Hold is the holder's side.
+type Hold struct {
+	until watch.Moment
+}
+
+// Renewed notes that a majority granted what was asked at a moment. The hold
+// counts from the asking, and ends a margin early.
+func (hold *Hold) Renewed(asked watch.Moment) {
+	end := asked.Plus(almanac.HoldTime - almanac.HoldMargin)
+	if end > hold.until {
+		hold.until = end
+	}
+}
+
+// Stands tells whether the holder may act.
+func (hold *Hold) Stands(now watch.Moment) bool { return now < hold.until }
+
+// Drop gives the hold up.
+func (hold *Hold) Drop() { hold.until = 0 }
--- /dev/null
+++ b/internal/errand/errand.go
@@ -0,0 +1,27 @@
+// Package errand wraps context: an errand is a piece of work that can be called off.
+package errand
+
+import (
+	"context"
+	"time"
+)
+
+// Errand is a piece of work that can be called off.
+type Errand = context.Context
+
+// Background is the errand that is never called off.
+func Background() Errand { return context.Background() }
+
+// Cancellable gives an errand with its own way to call it off.
+func Cancellable(parent Errand) (Errand, func()) { return context.WithCancel(parent) }
+
+// AfterEnd runs a function once the errand is called off; halt undoes it.
+func AfterEnd(one Errand, function func()) (halt func()) {
+	stop := context.AfterFunc(one, function)
+	return func() { stop() }
+}
+
+// Timed gives an errand that is called off after a span.
+func Timed(parent Errand, span time.Duration) (Errand, func()) {
+	return context.WithTimeout(parent, span)
+}
--- /dev/null
+++ b/internal/foreman/foreman.go
@@ -0,0 +1,237 @@
+// Package foreman is the control plane: the register of the configuration, the
+// registration of workers, and the operator's calls.
+package foreman
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/boot"
+	"lemonarch/internal/caliper"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/roster"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/trestle"
+	"lemonarch/internal/watch"
+	"lemonarch/internal/whetstone"
+)
+
+// firstDisk is the identity of every seed's disk at the system's first start, so
+// that all of them begin with one and the same set.
+const firstDisk = "first"
+
+// Foreman is one control process.
+type Foreman struct {
+	Stand    *trestle.Trestle
+	Register *Register
+	caliper  *caliper.Caliper
+	checking sync.Mutex
+	lock     sync.Mutex
+	roster   *roster.Roster
+	beaten   map[string]bool
+	behind   map[string]bool
+	met      map[string]int64
+	begun    watch.Moment
+	server   *http.Server
+}
+
+// New opens the disk and prepares the process.
+func New(settings *boot.Boot, log hclog.Logger) (*Foreman, error) {
+	if failure := os.MkdirAll(settings.DataDir, 0o755); failure != nil {
+		return nil, Damaged.Wrap(failure, "data-dir")
+	}
+	identity := randomName()
+	var first []pattern.Member
+	own := settings.InternalAddress(settings.Address, almanac.PortForeman)
+	if settings.Bootstrap {
+		for _, address := range settings.SeedAddresses(almanac.PortForeman) {
+			first = append(first, pattern.Member{Disk: firstDisk, Address: address})
+			if address == own {
+				identity = firstDisk
+			}
+		}
+	}
+	register, failure := OpenRegister(whetstone.Folder(settings.DataDir), first, identity)
+	if failure != nil {
+		return nil, failure
+	}
+	checker, failure := caliper.New()
+	if failure != nil {
+		return nil, failure
+	}
+	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, register.acceptor.Disk(), log)
+	register.stand = stand
+	foreman := &Foreman{Stand: stand, Register: register, caliper: checker, roster: roster.New(settings.Heartbeat()),
+		beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}, begun: watch.Now()}
+	register.accepted = foreman.accepted
+	foreman.answerers()
+	return foreman, nil
+}
+
+func randomName() string {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
+
+func answer[Question any, Pointer interface {
+	*Question
+	tongs.Readable
+}](function func(question Pointer) (tongs.Writable, error)) trestle.Answerer {
+	return func(body []byte) ([]byte, error) {
+		question := Pointer(new(Question))
+		if failure := tongs.Read(body, question); failure != nil {
+			return nil, failure
+		}
+		back, failure := function(question)
+		if failure != nil {
+			return nil, failure
+		}
+		return tongs.Write(back)
+	}
+}
+
+func (foreman *Foreman) answerers() {
+	stand := foreman.Stand
+	stand.Answer(pattern.KindPrepare, answer(func(question *pattern.Prepare) (tongs.Writable, error) {
+		back, failure := foreman.Register.Prepare(question)
+		return &back, failure
+	}))
+	stand.Answer(pattern.KindAccept, answer(func(question *pattern.Accept) (tongs.Writable, error) {
+		back, failure := foreman.Register.Accept(question)
+		return &back, failure
+	}))
+	stand.Answer(pattern.KindAsk, answer(func(question *pattern.HoldAsk) (tongs.Writable, error) {
+		back := foreman.Register.Hold(*question)
+		return &back, nil
+	}))
+	stand.Answer(pattern.KindConfigPull, answer(foreman.pulled))
+	stand.Answer(pattern.KindRegisterRead, answer(func(_ *pattern.Nothing) (tongs.Writable, error) {
+		value, failure := foreman.Register.Read()
+		if failure != nil {
+			// The sets last known still help a newcomer to find the acceptors.
+			value = foreman.Register.Known()
+		}
+		value.Body = nil
+		return &pattern.DutyChanged{Done: failure == nil, Known: true, Value: value}, nil
+	}))
+	stand.Answer(pattern.KindDutyChange, answer(foreman.changeDuty))
+	stand.Answer(pattern.KindRosterPush, answer(func(question *pattern.RosterPush) (tongs.Writable, error) {
+		foreman.lock.Lock()
+		for _, worker := range question.Workers {
+			foreman.roster.Merge(worker, watch.Now())
+		}
+		foreman.lock.Unlock()
+		stand.Touched(question.From)
+		return &pattern.Nothing{Taken: true}, nil
+	}))
+	stand.Answer(pattern.KindRosterPull, answer(func(_ *pattern.RosterPull) (tongs.Writable, error) {
+		foreman.lock.Lock()
+		defer foreman.lock.Unlock()
+		return &pattern.RosterPush{From: bellows.Key(stand.Own), Workers: foreman.roster.All(watch.Now())}, nil
+	}))
+}
+
+// Run serves until told to stop.
+func (foreman *Foreman) Run() error {
+	stand := foreman.Stand
+	if failure := stand.Start(); failure != nil {
+		return failure
+	}
+	go foreman.relearn()
+	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.tellRoster)
+	go watch.Every(almanac.ShufflePeriod, stand.Stop, foreman.tendSet)
+	foreman.server = &http.Server{Addr: stand.Boot.Bind.Control, Handler: foreman.calls(), ReadHeaderTimeout: almanac.BulkCallTime}
+	stand.Log.Info("serving", "control", stand.Boot.Bind.Control, "disk", stand.Own.Disk)
+	failure := foreman.server.ListenAndServe()
+	if failure == http.ErrServerClosed {
+		return nil
+	}
+	return trestle.Unable.Wrap(failure, "control")
+}
+
+// Leave stops in order: calls under way are answered first.
+func (foreman *Foreman) Leave() {
+	foreman.Stand.Leave()
+	errandStop(foreman.server)
+	foreman.Stand.End()
+}
+
+// relearn gets from peers what this process can't know after its start.
+func (foreman *Foreman) relearn() {
+	stand := foreman.Stand
+	for _, address := range stand.Boot.SeedAddresses(almanac.PortForeman) {
+		if address == stand.Own.Address {
+			continue
+		}
+		back := &pattern.RosterPush{}
+		if tongs.Ask(stand.Wire, address, pattern.KindRosterPull, &pattern.RosterPull{}, back, almanac.CallTime) == nil {
+			foreman.lock.Lock()
+			for _, worker := range back.Workers {
+				foreman.roster.Merge(worker, watch.Now())
+			}
+			foreman.lock.Unlock()
+		}
+	}
+	for round := 0; ; round++ {
+		select {
+		case <-stand.Stop:
+			return
+		default:
+		}
+		foreman.learnSets()
+		if len(foreman.Register.Known().Acceptors) > 0 {
+			if value, failure := foreman.Register.Read(); failure == nil {
+				foreman.chosen(value, false)
+				return
+			}
+		}
+		watch.Sleep(almanac.CallTime / 2)
+	}
+}
+
+// learnSets asks other foremen who the acceptors are: one with an empty disk, or
+// one that was away for long, knows of none or of old ones.
+func (foreman *Foreman) learnSets() {
+	stand := foreman.Stand
+	addresses := stand.Boot.SeedAddresses(almanac.PortForeman)
+	for _, entry := range stand.Live(bellows.RoleForeman) {
+		addresses = append(addresses, entry.Address)
+	}
+	asked := map[string]bool{stand.Own.Address: true}
+	for _, address := range addresses {
+		if asked[address] {
+			continue
+		}
+		asked[address] = true
+		back := &pattern.DutyChanged{}
+		if tongs.Ask(stand.Wire, address, pattern.KindRegisterRead, &pattern.Nothing{}, back, almanac.CallTime) == nil {
+			value := back.Value
+			// Without its body this value is good for its sets only.
+			foreman.Register.LearnSets(value)
+		}
+	}
+}
+
+func (foreman *Foreman) pulled(question *pattern.ConfigPull) (tongs.Writable, error) {
+	if question.Known < 0 || foreman.Stand.Config() == nil {
+		value, failure := foreman.Register.Read()
+		if failure != nil {
+			return nil, failure
+		}
+		foreman.chosen(value, false)
+		return &pattern.ConfigPush{Generation: value.Current.Generation, Body: value.Body}, nil
+	}
+	config := foreman.Stand.Config()
+	return &pattern.ConfigPush{Generation: config.Generation, Body: config.Body}, nil
+}
+
+func trimKey(key string) string { return key[strings.IndexByte(key, '/')+1:] }
--- /dev/null
+++ b/internal/jig/jig.go
@@ -0,0 +1,196 @@
+// Package jig is the configuration as the programs use it: routes, services and
+// limits, with the choice of a route by host and path.
+package jig
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"sort"
+	"strings"
+
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Unreadable is the mishap of a body that is no configuration.
+var Unreadable = mishap.Define("configuration")
+
+// Share is one part of a weighted route.
+type Share struct {
+	Backend string  `json:"backend"`
+	Share   float64 `json:"share"`
+}
+
+// Route is one channel of the configuration.
+type Route struct {
+	Name       string  `json:"name"`
+	Host       string  `json:"host"`
+	Prefix     string  `json:"path-prefix"`
+	KindName   string  `json:"route-kind"`
+	CutoffMs   float64 `json:"cutoff-ms"`
+	SetpointMs float64 `json:"setpoint-ms"`
+	ResultMs   float64 `json:"result-setpoint-ms"`
+	RetainS    float64 `json:"retain-s"`
+	BacklogCap int64   `json:"backlog-cap"`
+	Priority   int     `json:"priority"`
+	Backend    string  `json:"backend"`
+	Weighted   []Share `json:"weighted"`
+	Tries      int     `json:"tries"`
+	Affine     bool    `json:"affine"`
+	Resumable  bool    `json:"resumable"`
+	GapMs      float64 `json:"gap-setpoint-ms"`
+}
+
+// Engine describes the workers of a service that runs a model.
+type Engine struct {
+	Capacity    int   `json:"capacity"`
+	CacheTokens int64 `json:"cache-tokens"`
+}
+
+// Service is one backend of the configuration.
+type Service struct {
+	Name      string  `json:"name"`
+	Probe     string  `json:"probe"`
+	ConnLimit int     `json:"conn-limit"`
+	Engine    *Engine `json:"engine"`
+}
+
+// Limits bounds what a client may send.
+type Limits struct {
+	HeaderBytes  int     `json:"max-header-bytes"`
+	BodyBytes    int64   `json:"max-body-bytes"`
+	HeaderWaitMs float64 `json:"header-wait-ms"`
+	IdleMs       float64 `json:"idle-ms"`
+}
+
+// Config is a configuration, ready for use.
+type Config struct {
+	Generation int64     `json:"generation"`
+	Routes     []Route   `json:"channels"`
+	Services   []Service `json:"backends"`
+	Limits     Limits    `json:"limits"`
+
+	Body    []byte `json:"-"`
+	byHost  map[string][]*Route
+	service map[string]*Service
+}
+
+// Parse reads a body that was checked before it was taken.
+func Parse(body []byte) (*Config, error) {
+	config := &Config{}
+	if failure := json.Unmarshal(body, config); failure != nil {
+		return nil, Unreadable.Wrap(failure, "can't be read")
+	}
+	config.Body = body
+	config.byHost = map[string][]*Route{}
+	config.service = map[string]*Service{}
+	for index := range config.Routes {
+		route := &config.Routes[index]
+		if route.Tries < 1 {
+			route.Tries = 1
+		}
+		host := strings.ToLower(route.Host)
+		config.byHost[host] = append(config.byHost[host], route)
+	}
+	for _, routes := range config.byHost {
+		// The longest prefix that begins the path wins, so they are tried first.
+		sort.SliceStable(routes, func(left, right int) bool { return len(routes[left].Prefix) > len(routes[right].Prefix) })
+	}
+	for index := range config.Services {
+		config.service[config.Services[index].Name] = &config.Services[index]
+	}
+	return config, nil
+}
+
+// Hash names a body.
+func Hash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// Match finds the route of a request; nil where there is none.
+func (config *Config) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	routes, found := config.byHost[host]
+	if !found {
+		if bare, _, failure := net.SplitHostPort(host); failure == nil {
+			routes = config.byHost[bare]
+		}
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// RouteNamed finds the route of a host and prefix, or nil.
+func (config *Config) RouteNamed(host, prefix string) *Route {
+	for _, route := range config.byHost[strings.ToLower(host)] {
+		if route.Prefix == prefix {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service finds a service by name, or nil.
+func (config *Config) Service(name string) *Service { return config.service[name] }
+
+// Kind says what may be repeated on the route.
+func (route *Route) Kind() pattern.RouteKind {
+	switch route.KindName {
+	case "idempotent":
+		return pattern.RouteIdempotent
+	case "streaming":
+		return pattern.RouteStreaming
+	case "bulk":
+		return pattern.RouteBulk
+	}
+	// Unknown kinds are treated with the greatest care.
+	return pattern.RouteEffectful
+}
+
+// Nominate draws the service of one request: draw lies in [0, 1).
+func (route *Route) Nominate(draw float64) string {
+	if len(route.Weighted) == 0 {
+		return route.Backend
+	}
+	total := 0.0
+	for _, share := range route.Weighted {
+		total += share.Share
+	}
+	draw *= total
+	chosen := ""
+	for _, share := range route.Weighted {
+		if share.Share <= 0 {
+			continue
+		}
+		chosen = share.Backend
+		if draw < share.Share {
+			break
+		}
+		draw -= share.Share
+	}
+	return chosen
+}
+
+// Cutoff is the longest the operator wants a request held.
+func (route *Route) Cutoff() watch.Span {
+	if route.CutoffMs <= 0 {
+		return watch.Milliseconds(3_600_000)
+	}
+	return watch.Milliseconds(route.CutoffMs)
+}
+
+// Setpoint is the time within which an answer earns its full worth.
+func (route *Route) Setpoint() watch.Span {
+	if route.SetpointMs <= 0 {
+		return watch.Milliseconds(1000)
+	}
+	return watch.Milliseconds(route.SetpointMs)
+}
--- /dev/null
+++ b/internal/ledgerbox/book.go
@@ -0,0 +1,163 @@
+package ledgerbox
+
+import (
+	"sort"
+
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/pattern"
+)
+
+// Unreadable is the mishap of a record that can't be understood.
+var Unreadable = mishap.Define("lot record")
+
+// ItemState is where an item stands.
+type ItemState int
+
+// The states of an item.
+const (
+	// ItemWaiting: to be run.
+	ItemWaiting ItemState = iota
+	// ItemRunning: at a worker now.
+	ItemRunning
+	// ItemFinished: its output is being made durable.
+	ItemFinished
+	// ItemListed: at a position for good.
+	ItemListed
+)
+
+// Item is one item of a lot.
+type Item struct {
+	pattern.LotItem
+	State ItemState
+	// Pieces are the events gathered so far; LastID is the last one's id.
+	Pieces  [][]byte
+	LastID  int64
+	Fails   int
+	SetBack int
+	Lot     *Lot
+}
+
+// Listing is one position.
+type Listing struct {
+	Item    string
+	Dropped bool
+	Index   int64
+}
+
+// Lot is one lot.
+type Lot struct {
+	ID       string
+	Host     string
+	Path     string
+	SentMs   int64
+	Index    int64
+	Items    []*Item
+	Listings []Listing
+	Ended    bool
+	sum      int
+	open     int
+}
+
+// Sum is the number of items.
+func (lot *Lot) Sum() int { return lot.sum }
+
+// Open tells whether results may still come.
+func (lot *Lot) Open() bool { return !lot.Ended && lot.open > 0 }
+
+// Book is what the durable records say.
+type Book struct {
+	lots  map[string]*Lot
+	order []*Lot
+}
+
+// NewBook makes an empty book.
+func NewBook() *Book { return &Book{lots: map[string]*Lot{}} }
+
+// Lot finds a lot, or nil.
+func (book *Book) Lot(id string) *Lot { return book.lots[id] }
+
+// Lots gives all lots, the oldest first.
+func (book *Book) Lots() []*Lot { return book.order }
+
+// Apply takes a durable record.
+func (book *Book) Apply(record *pattern.Record) error {
+	switch record.Kind {
+	case pattern.RecordLot:
+		return book.addLot(record)
+	case pattern.RecordOutput:
+		lot := book.lots[record.Lot]
+		if lot == nil || record.Position != len(lot.Listings) {
+			return Unreadable.New("output out of place in lot " + record.Lot)
+		}
+		lot.Listings = append(lot.Listings, Listing{Item: record.Item, Dropped: record.Dropped, Index: record.Index})
+		for _, item := range lot.Items {
+			if item.ID == record.Item && item.State != ItemListed {
+				item.State = ItemListed
+				// What is listed is read from disk: the rest is given back.
+				item.Body, item.Pieces, item.Headers = nil, nil, nil
+				lot.open--
+			}
+		}
+	case pattern.RecordEnd:
+		if lot := book.lots[record.Lot]; lot != nil {
+			lot.Ended = true
+			for _, item := range lot.Items {
+				item.Body, item.Pieces, item.Headers = nil, nil, nil
+			}
+		}
+	case pattern.RecordForget:
+		delete(book.lots, record.Lot)
+		kept := book.order[:0]
+		for _, lot := range book.order {
+			if lot.ID != record.Lot {
+				kept = append(kept, lot)
+			}
+		}
+		book.order = kept
+	}
+	return nil
+}
+
+func (book *Book) addLot(record *pattern.Record) error {
+	if book.lots[record.Lot] != nil {
+		return nil
+	}
+	body := &pattern.LotBody{}
+	if _, failure := body.UnmarshalMsg(record.Body); failure != nil {
+		return Unreadable.Wrap(failure, "lot "+record.Lot)
+	}
+	lot := &Lot{ID: record.Lot, Host: record.Host, Path: body.Path, SentMs: record.AtMs, Index: record.Index, sum: len(body.Items), open: len(body.Items)}
+	for place := range body.Items {
+		lot.Items = append(lot.Items, &Item{LotItem: body.Items[place], Lot: lot})
+	}
+	book.lots[lot.ID] = lot
+	book.order = append(book.order, lot)
+	sort.SliceStable(book.order, func(left, right int) bool { return book.order[left].SentMs < book.order[right].SentMs })
+	return nil
+}
+
+// Waiting adds up the tokens of a route's items that no worker has finished.
+func (book *Book) Waiting(belongs func(lot *Lot) bool) int64 {
+	total := int64(0)
+	for _, lot := range book.order {
+		if lot.Ended || !belongs(lot) {
+			continue
+		}
+		for _, item := range lot.Items {
+			if item.State == ItemWaiting || item.State == ItemRunning {
+				total += item.Tokens
+			}
+		}
+	}
+	return total
+}
+
+// Find gives an item of a lot, or nil.
+func (lot *Lot) Find(id string) *Item {
+	for _, item := range lot.Items {
+		if item.ID == id {
+			return item
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/locker/run.go
@@ -0,0 +1,267 @@
+package locker
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/carriage"
+	"lemonarch/internal/chisel"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/ledgerbox"
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/plumbline"
+	"lemonarch/internal/watch"
+	"lemonarch/internal/workbench"
+)
+
+// dispatch starts items wherever live traffic leaves room.
+func (reign *reign) dispatch() {
+	for !reign.over() {
+		if reign.locker.holds() {
+			reign.startSome()
+		}
+		reign.lock.Lock()
+		bell := reign.bell
+		reign.lock.Unlock()
+		select {
+		case <-bell:
+			// Many bells ring at once: look at the places a little later, together.
+			watch.Sleep(almanac.PumpPeriod / 2)
+		case <-watch.After(almanac.TickPeriod):
+		case <-reign.stop:
+		}
+	}
+}
+
+// startSome starts waiting items, the lots due soonest first.
+func (reign *reign) startSome() {
+	config := reign.locker.Stand.Config()
+	if config == nil {
+		return
+	}
+	now, wall := watch.Now(), watch.Wall()/1_000_000
+	full := map[string]bool{}
+	for _, late := range []bool{false, true} {
+		reign.lock.Lock()
+		var ready []*ledgerbox.Item
+		for _, lot := range reign.book.Lots() {
+			if !lot.Open() || reign.ending[lot.ID] {
+				continue
+			}
+			route := routeOf(config, lot.Host, lot.Path)
+			// What can still be in time goes before what is late already.
+			if past := route != nil && float64(wall-lot.SentMs) > route.ResultMs; past != late {
+				continue
+			}
+			for _, item := range lot.Items {
+				if item.State != ledgerbox.ItemWaiting {
+					continue
+				}
+				if route == nil || float64(wall-lot.SentMs) > route.RetainS*1000 {
+					reign.finish(item, nil, true)
+				} else if len(reign.running) < almanac.RunningItems && now >= reign.retry[item] {
+					ready = append(ready, item)
+				}
+			}
+		}
+		reign.lock.Unlock()
+		for _, item := range ready {
+			if !reign.start(config, item, full) && len(full) > 0 && len(full) >= len(config.Services) {
+				break
+			}
+		}
+	}
+}
+
+// start places one item; false when there is no room for it now.
+func (reign *reign) start(config *jig.Config, item *ledgerbox.Item, full map[string]bool) bool {
+	route := routeOf(config, item.Lot.Host, item.Lot.Path)
+	if own := routeOf(config, item.Lot.Host, item.Path); own != nil {
+		route = own
+	}
+	if route == nil {
+		return false
+	}
+	service := route.Nominate(watch.Draw())
+	if full[service] {
+		return false
+	}
+	now := watch.Now()
+	ask := &workbench.Ask{Service: service, Affine: route.Affine, Bulk: true, Priority: route.Priority, Setpoint: route.Setpoint(),
+		Prompt: plumbline.ParsePrompt(item.Headers["Lemonarch-Model"], item.Headers["Lemonarch-Token-Count"], item.Headers["Lemonarch-Prompt-Prefix"])}
+	answer, _ := reign.locker.Jointer.Bench.Admit(ask, nil, now)
+	if answer.Verdict != workbench.VerdictGranted {
+		full[service] = true
+		return false
+	}
+	reign.lock.Lock()
+	if item.State != ledgerbox.ItemWaiting || item.Lot.Ended || reign.ending[item.Lot.ID] || len(reign.running) >= almanac.RunningItems {
+		reign.lock.Unlock()
+		answer.Grant.End(workbench.OutcomeCalledOff, now)
+		return false
+	}
+	item.State = ledgerbox.ItemRunning
+	reign.running[item] = nil
+	if item.LastID > 0 {
+		reign.counts.resumed++
+	}
+	reign.lock.Unlock()
+	go reign.run(route, item, answer.Grant)
+	return true
+}
+
+// letter writes an item's request.
+func (reign *reign) letter(route *jig.Route, item *ledgerbox.Item, worker string) *carriage.Letter {
+	header := http.Header{}
+	for name, value := range item.Headers {
+		header.Set(name, value)
+	}
+	own := map[string]string{"Lemonarch-Attempt-Id": item.ID, "Lemonarch-Target-Worker": worker}
+	if item.LastID > 0 {
+		own["Last-Event-Id"] = strconv.FormatInt(item.LastID, 10)
+	}
+	left := item.Lot.SentMs + int64(route.RetainS*1000) - watch.Wall()/1_000_000
+	return &carriage.Letter{Method: http.MethodPost, Attempt: item.ID, Seal: true, Patience: 2 * almanac.SilentWorker,
+		Text:  carriage.Head(http.MethodPost, item.Path, item.Lot.Host, carriage.Passed(header), own, item.Body),
+		Until: watch.Now().Plus(watch.Milliseconds(float64(max(left, 1000)))),
+		Halt: func(pipe *chisel.Pipe) {
+			reign.lock.Lock()
+			defer reign.lock.Unlock()
+			if _, still := reign.running[item]; still {
+				reign.running[item] = pipe
+			}
+		}}
+}
+
+// run takes one item to one worker and gathers its events.
+func (reign *reign) run(route *jig.Route, item *ledgerbox.Item, grant *workbench.Grant) {
+	courier := &reign.locker.Jointer.Courier
+	letter := reign.letter(route, item, grant.Worker.ID)
+	delivery, _, failure := courier.Carry(grant, letter)
+	if failure != nil {
+		outcome := workbench.OutcomeFailed
+		if mishap.Of(failure, carriage.NotSent) {
+			outcome = workbench.OutcomeTurnedAway
+		}
+		reign.setBack(item, grant, outcome, failure.Error())
+		return
+	}
+	grant.First(delivery.Load, watch.Now())
+	status := delivery.Answer.StatusCode
+	if delivery.NotRun || status >= 300 {
+		_, whole, failure := courier.ReadBody(delivery, almanac.BufferedAnswer)
+		reign.letGo(item)
+		if failure == nil && whole {
+			courier.Finish(delivery)
+		} else {
+			courier.Abandon(delivery)
+		}
+		reign.workerRefused(route, item, grant, delivery.NotRun, status)
+		return
+	}
+	splitter := &carriage.Splitter{}
+	if item.LastID > 0 {
+		splitter.Next = item.LastID + 1
+	}
+	failure = courier.Stream(delivery, splitter, letter.Until, letter.Patience, func(events []byte) error {
+		reign.lock.Lock()
+		defer reign.lock.Unlock()
+		if reign.over() || item.Lot.Ended {
+			return carriage.NotSent.New("called off")
+		}
+		item.Pieces = append(item.Pieces, carriage.Data(events)...)
+		if splitter.Started {
+			item.LastID = splitter.Last
+		}
+		return nil
+	})
+	if failure != nil {
+		reign.letGo(item)
+		courier.Abandon(delivery)
+		reign.setBack(item, grant, workbench.OutcomeFailed, failure.Error())
+		return
+	}
+	reign.letGo(item)
+	courier.Finish(delivery)
+	grant.End(workbench.OutcomeServed, watch.Now())
+	reign.lock.Lock()
+	defer reign.lock.Unlock()
+	reign.finish(item, bytes.Join(item.Pieces, []byte("\n")), false)
+}
+
+// letGo takes a pipe out of reach before it may serve somebody else.
+func (reign *reign) letGo(item *ledgerbox.Item) {
+	reign.lock.Lock()
+	defer reign.lock.Unlock()
+	if _, still := reign.running[item]; still {
+		reign.running[item] = nil
+	}
+}
+
+// workerRefused handles an answer that is no stream of events.
+func (reign *reign) workerRefused(route *jig.Route, item *ledgerbox.Item, grant *workbench.Grant, notRun bool, status int) {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		reign.setBack(item, grant, workbench.OutcomeGoneAway, "another worker answers")
+	case notRun:
+		reign.setBack(item, grant, workbench.OutcomeTurnedAway, "worker is full")
+	case status == http.StatusUnprocessableEntity:
+		grant.End(workbench.OutcomeServed, watch.Now())
+		reign.lock.Lock()
+		defer reign.lock.Unlock()
+		reign.finish(item, nil, true)
+	case status == http.StatusInternalServerError:
+		reign.lock.Lock()
+		item.Fails++
+		over := item.Fails >= route.Tries
+		if over {
+			reign.finish(item, nil, true)
+		}
+		reign.lock.Unlock()
+		if over {
+			grant.End(workbench.OutcomeServed, watch.Now())
+			return
+		}
+		reign.setBack(item, grant, workbench.OutcomeServed, "worker failed")
+	default:
+		reign.setBack(item, grant, workbench.OutcomeFailed, "unexpected status "+strconv.Itoa(status))
+	}
+}
+
+// setBack gives an item its place in the queue again, with what was gathered.
+func (reign *reign) setBack(item *ledgerbox.Item, grant *workbench.Grant, outcome workbench.Outcome, why string) {
+	now := watch.Now()
+	grant.End(outcome, now)
+	reign.lock.Lock()
+	defer reign.lock.Unlock()
+	delete(reign.running, item)
+	reign.counts.setBack++
+	item.SetBack++
+	if item.State == ledgerbox.ItemRunning {
+		item.State = ledgerbox.ItemWaiting
+		reign.retry[item] = now.Plus(almanac.RetryItem)
+	}
+	reign.locker.Stand.Log.Debug("item set back", "item", item.ID, "worker", grant.Worker.ID, "last", item.LastID, "why", why)
+}
+
+// finish has an item's result made durable at the next position. The lock is held.
+func (reign *reign) finish(item *ledgerbox.Item, text []byte, dropped bool) {
+	delete(reign.running, item)
+	delete(reign.retry, item)
+	if reign.over() || item.State == ledgerbox.ItemFinished || item.State == ledgerbox.ItemListed || item.Lot.Ended || reign.ending[item.Lot.ID] {
+		return
+	}
+	item.State = ledgerbox.ItemFinished
+	if dropped {
+		reign.counts.dropped++
+	} else {
+		reign.counts.settled++
+	}
+	lot := item.Lot
+	position := len(lot.Listings) + reign.filling[lot.ID]
+	reign.filling[lot.ID]++
+	reign.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID, Position: position, Dropped: dropped, Body: text})
+}
--- /dev/null
+++ b/internal/locker/sets.go
@@ -0,0 +1,183 @@
+package locker
+
+import (
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+// tendSet keeps the store set whole: a member that is to be emptied, that came
+// back with an empty disk, or that stays silent is replaced by one that first gets
+// a copy of everything.
+func (reign *reign) tendSet() {
+	locker := reign.locker
+	if !locker.holds() {
+		return
+	}
+	reign.lock.Lock()
+	members, busy := reign.press.Members, reign.press.Next != nil
+	reign.lock.Unlock()
+	if busy {
+		return
+	}
+	if watch.Now().Since(locker.readAt()) > almanac.GossipPeriod && !locker.readRegister() {
+		return
+	}
+	retired := map[string]bool{}
+	locker.lock.Lock()
+	for _, name := range locker.value.Retired {
+		retired[name] = true
+	}
+	locker.lock.Unlock()
+	if retired[locker.Stand.Own.Name] {
+		// Another has to lead the way out: this machine's copies go elsewhere.
+		reign.end("this machine is to be emptied")
+		locker.release()
+		return
+	}
+	entries := map[string]pattern.Entry{}
+	for _, entry := range locker.Stand.All(bellows.RoleLocker) {
+		entries[entry.Name] = entry
+	}
+	out, newcomer := locker.nextChange(members, entries, retired)
+	if newcomer == nil {
+		return
+	}
+	next := make([]pattern.Member, 0, len(members)+1)
+	for _, member := range members {
+		if out == nil || vise.Identity(member) != vise.Identity(*out) {
+			next = append(next, member)
+		}
+	}
+	reign.changeSet(members, append(next, *newcomer), out, *newcomer)
+}
+
+func (locker *Locker) readAt() watch.Moment {
+	locker.lock.Lock()
+	defer locker.lock.Unlock()
+	return locker.read
+}
+
+// nextChange names the member to be replaced and who takes its place; a nil
+// member with a newcomer means that the set is too small.
+func (locker *Locker) nextChange(members []pattern.Member, entries map[string]pattern.Entry, retired map[string]bool) (out, newcomer *pattern.Member) {
+	own := vise.Identity(locker.member())
+	for index := range members {
+		member := &members[index]
+		if vise.Identity(*member) == own {
+			continue
+		}
+		entry, known := entries[member.Name]
+		if known && entry.Disk != member.Disk && entry.Disk != "" && !retired[member.Name] && entry.AgeMs < almanac.SilentAfter.Milliseconds() {
+			// The same machine with an empty disk takes its own place again.
+			return member, &pattern.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Hall: entry.Hall}
+		}
+	}
+	spare := func(hall string) *pattern.Member {
+		var found *pattern.Member
+		inSet, halls := map[string]bool{}, map[string]bool{}
+		for _, member := range members {
+			inSet[member.Name] = true
+			halls[member.Hall] = true
+		}
+		best := -1
+		for name, entry := range entries {
+			if inSet[name] || retired[name] || entry.Leaving || entry.Disk == "" || entry.AgeMs >= almanac.SilentAfter.Milliseconds() {
+				continue
+			}
+			worth := 0
+			if entry.Hall == hall {
+				worth = 2
+			} else if !halls[entry.Hall] {
+				worth = 1
+			}
+			if worth > best || (worth == best && name < found.Name) {
+				best = worth
+				found = &pattern.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Hall: entry.Hall}
+			}
+		}
+		return found
+	}
+	for index := range members {
+		if retired[members[index].Name] {
+			return &members[index], spare(members[index].Hall)
+		}
+	}
+	if len(members) < 2*locker.budget()+1 {
+		return nil, spare("")
+	}
+	if watch.Now().Since(locker.begun) < almanac.ReplaceAfter {
+		return nil, nil
+	}
+	for index := range members {
+		entry, known := entries[members[index].Name]
+		if vise.Identity(members[index]) != own && (!known || entry.AgeMs > almanac.ReplaceAfter.Milliseconds()) {
+			return &members[index], spare(members[index].Hall)
+		}
+	}
+	return nil, nil
+}
+
+// changeSet copies everything to the newcomer, then counts its copies as well as
+// the old set's, then has the register name the new set.
+func (reign *reign) changeSet(members, next []pattern.Member, out *pattern.Member, newcomer pattern.Member) {
+	locker := reign.locker
+	identity := vise.Identity(newcomer)
+	reign.lock.Lock()
+	reign.feed(newcomer, 0)
+	target := reign.press.Last()
+	reign.lock.Unlock()
+	end := watch.Now().Plus(almanac.SetChange)
+	caught := func() bool {
+		reign.lock.Lock()
+		defer reign.lock.Unlock()
+		return reign.press.MatchOf(identity) >= target
+	}
+	for !caught() {
+		if reign.over() || watch.Now() > end {
+			reign.lock.Lock()
+			reign.unfeed(newcomer)
+			reign.lock.Unlock()
+			return
+		}
+		watch.Sleep(almanac.TickPeriod)
+	}
+	// From here on a record is durable only where it is in both sets.
+	reign.lock.Lock()
+	reign.press.Next = next
+	index := reign.submit(pattern.Record{Kind: pattern.RecordNothing})
+	reign.lock.Unlock()
+	for !reign.durable(index, almanac.HoldTime) {
+		if reign.over() {
+			return
+		}
+	}
+	for !reign.over() {
+		changed, known := locker.changeDuty(&pattern.DutyChange{Holder: reign.duty, Stores: next})
+		if !known {
+			// It may be in force: both sets count until that is known.
+			watch.Sleep(almanac.TickPeriod * 2)
+			continue
+		}
+		if !changed.Done {
+			reign.end("the set was changed under another epoch")
+			return
+		}
+		locker.lock.Lock()
+		locker.value, locker.read = changed.Value, watch.Now()
+		locker.lock.Unlock()
+		reign.lock.Lock()
+		reign.press.Members, reign.press.Next = next, nil
+		if out != nil {
+			reign.unfeed(*out)
+		}
+		reign.press.Settle()
+		reign.applyDone()
+		reign.ring()
+		reign.lock.Unlock()
+		locker.Stand.Log.Info("store set changed", "in", newcomer.Name, "stores", len(next), "epoch", reign.duty.Epoch)
+		return
+	}
+}
--- /dev/null
+++ b/internal/locker/takeover.go
@@ -0,0 +1,172 @@
+package locker
+
+import (
+	"sync"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/ledgerbox"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+// takeOver makes a new epoch ready: raise it at all stores but the fault budget,
+// go on from the best copy, and make one record of our own durable.
+func (reign *reign) takeOver() {
+	locker := reign.locker
+	own := vise.Identity(locker.member())
+	var copies map[string]pattern.Raised
+	for {
+		copies = reign.raise()
+		if ledgerbox.Enough(len(reign.press.Members), len(copies), locker.budget()) && copies[own].Granted {
+			break
+		}
+		if reign.over() {
+			return
+		}
+		watch.Sleep(almanac.TickPeriod * 2)
+	}
+	best := ledgerbox.Best(copies)
+	if best != own && !reign.catchUp(best, copies) {
+		reign.end("best copy can't be read")
+		return
+	}
+	last, stretches := locker.Store.State()
+	reign.lock.Lock()
+	reign.press = ledgerbox.NewPress(reign.duty.Epoch, reign.press.Members, locker.budget(), last+1)
+	reign.applied = last
+	if failure := reign.rebuild(last); failure != nil {
+		reign.lock.Unlock()
+		locker.Stand.Log.Error("records can't be read", "why", failure.Error())
+		reign.end("records can't be read")
+		return
+	}
+	for _, member := range reign.press.Members {
+		common := last
+		if one, known := copies[vise.Identity(member)]; known {
+			common = ledgerbox.Common(stretches, last, one.Stretches, one.Last)
+		}
+		if vise.Identity(member) == own {
+			common = last
+		}
+		reign.feed(member, common)
+	}
+	index := reign.submit(pattern.Record{Kind: pattern.RecordNothing})
+	reign.lock.Unlock()
+	for !reign.durable(index, almanac.HoldTime) {
+		if reign.over() {
+			return
+		}
+	}
+	reign.lock.Lock()
+	reign.serving = true
+	lots := len(reign.book.Lots())
+	reign.ring()
+	reign.lock.Unlock()
+	locker.Stand.Log.Info("duty served", "epoch", reign.duty.Epoch, "records", last, "lots", lots)
+	go watch.Every(almanac.HoldRenewal, reign.stop, reign.tell)
+	go watch.Every(almanac.GossipPeriod/2, reign.stop, reign.tendSet)
+	go watch.Every(almanac.GossipPeriod, reign.stop, reign.forget)
+	go reign.dispatch()
+	reign.tell()
+}
+
+// raise asks every store of the set to take orders of this epoch only.
+func (reign *reign) raise() map[string]pattern.Raised {
+	copies := map[string]pattern.Raised{}
+	var lock sync.Mutex
+	var group sync.WaitGroup
+	for _, member := range reign.press.Members {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			question := &pattern.Raise{Epoch: reign.duty.Epoch, Disk: member.Disk}
+			answer := &pattern.Raised{}
+			var failure error
+			if member.Address == reign.locker.Stand.Own.Address {
+				*answer, failure = reign.locker.Store.Raise(question)
+			} else {
+				failure = tongs.Ask(reign.locker.Stand.Wire, member.Address, pattern.KindRaise, question, answer, almanac.RoundTime)
+			}
+			if failure != nil || !answer.Granted {
+				return
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			copies[vise.Identity(member)] = *answer
+		}()
+	}
+	group.Wait()
+	return copies
+}
+
+// catchUp cuts our own copy where it parts from the best one and fetches the rest.
+func (reign *reign) catchUp(best string, copies map[string]pattern.Raised) bool {
+	locker := reign.locker
+	address := ""
+	for _, member := range reign.press.Members {
+		if vise.Identity(member) == best {
+			address = member.Address
+		}
+	}
+	last, stretches := locker.Store.State()
+	target := copies[best]
+	next := ledgerbox.Common(stretches, last, target.Stretches, target.Last) + 1
+	for next <= target.Last {
+		if reign.over() {
+			return false
+		}
+		fetched := &pattern.Fetched{}
+		if tongs.Ask(locker.Stand.Wire, address, pattern.KindFetch, &pattern.Fetch{First: next}, fetched, almanac.BulkCallTime) != nil || len(fetched.Records) == 0 {
+			return false
+		}
+		order := &pattern.Append{Epoch: reign.duty.Epoch, Disk: locker.Store.Disk(), PreviousIndex: next - 1,
+			PreviousEpoch: locker.Store.EpochAt(next - 1), Records: fetched.Records}
+		answer, failure := locker.Store.Append(order)
+		if failure != nil || !answer.Granted {
+			return false
+		}
+		next = fetched.Records[len(fetched.Records)-1].Index + 1
+	}
+	return true
+}
+
+// rebuild makes the book from all records. The lock is held.
+func (reign *reign) rebuild(last int64) error {
+	forgotten := map[string]bool{}
+	var records []*pattern.Record
+	for index := int64(1); index <= last; index++ {
+		record, failure := reign.locker.Store.Read(index)
+		if failure != nil {
+			return failure
+		}
+		if record.Kind == pattern.RecordForget {
+			forgotten[record.Lot] = true
+		}
+		if record.Kind == pattern.RecordOutput {
+			// Its text is read from disk when it is asked for.
+			record.Body = nil
+		}
+		records = append(records, record)
+	}
+	for _, record := range records {
+		if record.Lot == "" || forgotten[record.Lot] {
+			continue
+		}
+		if failure := reign.book.Apply(record); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+// tell makes known who holds the duty.
+func (reign *reign) tell() {
+	if !reign.locker.holds() {
+		return
+	}
+	peers := append(reign.locker.Stand.Live(bellows.RoleForge), reign.locker.Stand.Live(bellows.RoleLocker)...)
+	reign.locker.Stand.Spread(peers, pattern.KindHolderTold, &pattern.HolderTold{Duty: reign.duty}, almanac.HoldRenewal, nil)
+}
--- /dev/null
+++ b/internal/mishap/mishap.go
@@ -0,0 +1,59 @@
+// Package mishap wraps and names every error of the project. Each layer has its
+// own kinds and turns those from below into them.
+package mishap
+
+import "github.com/rotisserie/eris"
+
+// Kind names a class of mishaps of one layer.
+type Kind struct {
+	name string
+}
+
+// Mishap is an error of a kind, with what caused it.
+type Mishap struct {
+	kind  *Kind
+	text  string
+	cause error
+}
+
+// Define makes a new kind; it is also a sentinel without a stack for hot paths.
+func Define(name string) *Kind { return &Kind{name: name} }
+
+// Error gives the name of the kind.
+func (kind *Kind) Error() string { return kind.name }
+
+// New makes a mishap of this kind.
+func (kind *Kind) New(text string) error { return &Mishap{kind: kind, text: text} }
+
+// Wrap turns an error from below into one of this kind; nil stays nil.
+func (kind *Kind) Wrap(cause error, text string) error {
+	if cause == nil {
+		return nil
+	}
+	return &Mishap{kind: kind, text: text, cause: cause}
+}
+
+// Error gives kind, text and cause on one line.
+func (one *Mishap) Error() string {
+	line := one.kind.name + ": " + one.text
+	if one.cause != nil {
+		line += ": " + one.cause.Error()
+	}
+	return line
+}
+
+// Unwrap gives the cause.
+func (one *Mishap) Unwrap() error { return one.cause }
+
+// Is tells whether the target is this mishap's kind.
+func (one *Mishap) Is(target error) bool {
+	kind, isKind := target.(*Kind)
+	return isKind && kind == one.kind
+}
+
+// Of tells whether any mishap in the chain is of the kind.
+func Of(chain error, kind *Kind) bool { return eris.Is(chain, kind) }
+
+// Named wraps an error with a name and a stack, for start-up paths where the
+// cost of the stack does not matter.
+func Named(cause error, text string) error { return eris.Wrap(cause, text) }
--- /dev/null
+++ b/internal/pattern/kinds.go
@@ -0,0 +1,69 @@
+// Package pattern holds the messages between our processes and the enums they use.
+// The code that writes and reads them is generated.
+package pattern
+
+//go:generate go tool msgp -o members_gen.go -file members.go -tests=false -io=false
+//go:generate go tool msgp -o lots_gen.go -file lots.go -tests=false -io=false
+//go:generate go tool msgp -o kinds_gen.go -file kinds.go -tests=false -io=false
+//go:generate go tool stringer -type=Kind,Phase,RecordKind,RouteKind -output=kinds_string.go
+
+// Kind names a message between our processes.
+type Kind uint16
+
+// The kinds. New ones are added at the end; unknown ones are skipped and counted.
+const (
+	KindNone Kind = iota
+	KindShuffle
+	KindPrepare
+	KindAccept
+	KindRenew
+	KindAsk
+	KindConfigPush
+	KindConfigPull
+	KindRosterPush
+	KindRosterPull
+	KindGossip
+	KindLotCall
+	KindRaise
+	KindAppend
+	KindFetch
+	KindHolderTold
+	KindStatus
+	KindRegisterRead
+	KindHandOver
+	KindDutyChange
+	KindRetire
+)
+
+// Phase is a worker's phase.
+type Phase uint8
+
+// The phases, in the order in which a life goes through them.
+const (
+	PhaseSteady Phase = iota
+	PhaseDraining
+	PhaseGone
+)
+
+// RecordKind names a record of lots.
+type RecordKind uint8
+
+// The record kinds.
+const (
+	RecordNothing RecordKind = iota
+	RecordLot
+	RecordOutput
+	RecordEnd
+	RecordForget
+)
+
+// RouteKind says what may be repeated.
+type RouteKind uint8
+
+// The route kinds.
+const (
+	RouteIdempotent RouteKind = iota
+	RouteEffectful
+	RouteStreaming
+	RouteBulk
+)
--- /dev/null
+++ b/internal/pattern/members.go
@@ -0,0 +1,207 @@
+package pattern
+
+// Entry is what a process tells of itself and of others.
+type Entry struct {
+	Name       string `msg:"n"`
+	Life       int64  `msg:"l"`
+	Role       string `msg:"r"`
+	Hall       string `msg:"h"`
+	Address    string `msg:"a"`
+	Disk       string `msg:"d"`
+	AgeMs      int64  `msg:"g"`
+	Leaving    bool   `msg:"x"`
+	Generation int64  `msg:"c"`
+}
+
+// Shuffle carries a part of a view, the sender first.
+type Shuffle struct {
+	Entries []Entry `msg:"e"`
+}
+
+// Ballot orders the rounds of the register.
+type Ballot struct {
+	Counter uint64 `msg:"c"`
+	Node    string `msg:"n"`
+}
+
+// Member is one of the acceptor or store set: a name with the identity of its disk.
+type Member struct {
+	Name    string `msg:"n"`
+	Disk    string `msg:"d"`
+	Address string `msg:"a"`
+	Hall    string `msg:"h"`
+}
+
+// Version is one acknowledged configuration in the register's history.
+type Version struct {
+	Generation int64  `msg:"g"`
+	Base       int64  `msg:"b"`
+	Hash       string `msg:"h"`
+}
+
+// Duty says which process holds the lots, fenced by its epoch.
+type Duty struct {
+	Holder  string `msg:"h"`
+	Life    int64  `msg:"l"`
+	Address string `msg:"a"`
+	Epoch   uint64 `msg:"e"`
+}
+
+// Register is the value that the acceptors agree on.
+type Register struct {
+	Current   Version   `msg:"c"`
+	Body      []byte    `msg:"b"`
+	History   []Version `msg:"y"`
+	Acceptors []Member  `msg:"a"`
+	Previous  []Member  `msg:"p"`
+	SetEpoch  uint64    `msg:"e"`
+	Stores    []Member  `msg:"s"`
+	Retired   []string  `msg:"r"`
+	Duty      Duty      `msg:"d"`
+}
+
+// Prepare opens a round; Query only reads and promises nothing.
+type Prepare struct {
+	Ballot Ballot `msg:"b"`
+	Disk   string `msg:"d"`
+	Query  bool   `msg:"q"`
+}
+
+// Promise answers Prepare.
+type Promise struct {
+	Granted  bool     `msg:"k"`
+	Promised Ballot   `msg:"p"`
+	Accepted Ballot   `msg:"a"`
+	Value    Register `msg:"v"`
+}
+
+// Accept asks an acceptor to take a value.
+type Accept struct {
+	Ballot Ballot   `msg:"b"`
+	Disk   string   `msg:"d"`
+	Value  Register `msg:"v"`
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	Granted  bool   `msg:"k"`
+	Promised Ballot `msg:"p"`
+}
+
+// HoldAsk asks an acceptor to grant or renew the hold on a duty.
+type HoldAsk struct {
+	Candidate string `msg:"c"`
+	Life      int64  `msg:"l"`
+	Epoch     uint64 `msg:"e"`
+	// Release gives back what was granted.
+	Release bool `msg:"r"`
+}
+
+// HoldAnswer grants it or says for how long it will not.
+type HoldAnswer struct {
+	Granted bool   `msg:"k"`
+	WaitMs  int64  `msg:"w"`
+	Epoch   uint64 `msg:"e"`
+}
+
+// DutyChange asks a foreman to change the duty or the store set in the register.
+type DutyChange struct {
+	Take        bool     `msg:"t"`
+	Holder      Duty     `msg:"h"`
+	ExpectEpoch uint64   `msg:"x"`
+	Stores      []Member `msg:"s"`
+}
+
+// DutyChanged answers with the register as it then stood, without the body.
+type DutyChanged struct {
+	Done  bool     `msg:"k"`
+	Known bool     `msg:"n"`
+	Value Register `msg:"v"`
+}
+
+// AcceptorRecord is what an acceptor keeps on disk. Each replaces the one before.
+type AcceptorRecord struct {
+	Disk     string   `msg:"d"`
+	First    []Member `msg:"f"`
+	Promised Ballot   `msg:"p"`
+	Accepted Ballot   `msg:"a"`
+	HasValue bool     `msg:"h"`
+	Value    Register `msg:"v"`
+}
+
+// ConfigPush carries a chosen configuration.
+type ConfigPush struct {
+	Generation int64  `msg:"g"`
+	Body       []byte `msg:"b"`
+}
+
+// ConfigPull asks for the newest one; it is answered by ConfigPush.
+type ConfigPull struct {
+	Known int64 `msg:"k"`
+}
+
+// Worker is a registered worker.
+type Worker struct {
+	ID       string `msg:"i"`
+	Backend  string `msg:"b"`
+	Address  string `msg:"a"`
+	Hall     string `msg:"h"`
+	Capacity int    `msg:"c"`
+	Phase    Phase  `msg:"p"`
+	WarmupMs int64  `msg:"w"`
+	Count    int64  `msg:"n"`
+	AgeMs    int64  `msg:"g"`
+	Software string `msg:"s"`
+}
+
+// RosterPull asks for all workers known.
+type RosterPull struct {
+	From string `msg:"f"`
+}
+
+// RetireAsk asks a foreman for the state of a store machine's emptying.
+type RetireAsk struct {
+	Name string `msg:"n"`
+}
+
+// RosterPush tells of workers.
+type RosterPush struct {
+	From    string   `msg:"f"`
+	Workers []Worker `msg:"w"`
+}
+
+// Nothing is an empty answer.
+type Nothing struct {
+	Taken bool `msg:"t"`
+}
+
+// Weight is what one node has under way at a worker.
+type Weight struct {
+	ID      string `msg:"i"`
+	Live    int    `msg:"l"`
+	Bulk    int    `msg:"b"`
+	Tokens  int64  `msg:"t"`
+	Turned  int64  `msg:"u"`
+	Suspect bool   `msg:"s"`
+}
+
+// Residency is a node's word on how likely a worker still holds a prefix.
+type Residency struct {
+	Path   []byte  `msg:"p"`
+	Tokens int     `msg:"t"`
+	Worker string  `msg:"w"`
+	Chance float32 `msg:"c"`
+	AgeMs  int64   `msg:"a"`
+}
+
+// Gossip carries utilization and residency weights, once a period. Fields added
+// later are skipped by readers that do not know them.
+type Gossip struct {
+	Format      int         `msg:"v"`
+	From        string      `msg:"f"`
+	Life        int64       `msg:"l"`
+	Generation  int64       `msg:"g"`
+	Weights     []Weight    `msg:"w"`
+	Residencies []Residency `msg:"r"`
+	Pressure    []int       `msg:"p"`
+}
--- /dev/null
+++ b/internal/plumbline/index.go
@@ -0,0 +1,191 @@
+package plumbline
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"sort"
+	"strconv"
+	"strings"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	Name   uint64
+	Tokens int
+}
+
+// Prompt is what a request says of its prompt.
+type Prompt struct {
+	Parts  []Part
+	Tokens int
+	Out    int
+}
+
+// Index is one node's own view of which worker holds what.
+type Index struct {
+	tree       Tree
+	turns      map[string]*turnover
+	Placements int64
+	Downgrades int64
+	Hits       int64
+	rate       float64
+}
+
+// NewIndex makes an empty index.
+func NewIndex() *Index { return &Index{turns: map[string]*turnover{}, rate: almanac.ReadRate} }
+
+// ParsePrompt reads the headers that describe a prompt.
+func ParsePrompt(model, counts, prefix string) Prompt {
+	prompt := Prompt{}
+	fields := strings.Split(counts, ",")
+	prompt.Tokens, _ = strconv.Atoi(strings.TrimSpace(fields[0]))
+	if len(fields) > 1 {
+		prompt.Out, _ = strconv.Atoi(strings.TrimSpace(fields[1]))
+	}
+	if prefix == "" {
+		return prompt
+	}
+	for _, piece := range strings.Split(prefix, ",") {
+		name, count, _ := strings.Cut(strings.TrimSpace(piece), ":")
+		tokens, _ := strconv.Atoi(count)
+		// Weights of one model are of no use to another, so the model is in the name.
+		sum := fnv.New64a()
+		sum.Write([]byte(model))
+		sum.Write([]byte{0})
+		sum.Write([]byte(name))
+		prompt.Parts = append(prompt.Parts, Part{Name: sum.Sum64(), Tokens: tokens})
+	}
+	return prompt
+}
+
+func (prompt *Prompt) key() []byte {
+	key := make([]byte, 0, 8*len(prompt.Parts))
+	for _, part := range prompt.Parts {
+		key = binary.BigEndian.AppendUint64(key, part.Name)
+	}
+	return key
+}
+
+// Placed notes that a prompt goes to a worker, and gives the tokens that had to
+// be read there anew by our reckoning.
+func (index *Index) Placed(prompt *Prompt, worker string, now watch.Moment) int {
+	index.Placements++
+	key := prompt.key()
+	held := 0.0
+	tokens := 0
+	turn := index.turn(worker)
+	for position := range prompt.Parts {
+		tokens += prompt.Parts[position].Tokens
+		leaf := index.tree.Leaf(key[:8*(position+1)])
+		leaf.tokens, leaf.used = tokens, now
+		chance := index.residency(leaf, worker, now)
+		held = max(held, chance*float64(tokens))
+	}
+	fresh := max(prompt.Tokens, tokens) - int(held)
+	turn.own += int64(fresh + prompt.Out/2)
+	for position := range prompt.Parts {
+		leaf := index.tree.Leaf(key[:8*(position+1)])
+		if leaf.stays == nil {
+			leaf.stays = map[string]stay{}
+		}
+		leaf.stays[worker] = stay{at: now, turned: turn.total(), trust: 1, life: turn.life}
+	}
+	if index.tree.Size() > almanac.IndexNodes {
+		index.shrink()
+	}
+	return fresh
+}
+
+// FirstEvent confirms or lowers what was believed: a first event that came as
+// late as a whole reading takes shows that the prefix was not there.
+func (index *Index) FirstEvent(prompt *Prompt, worker string, fresh int, waited watch.Span, alone bool, now watch.Moment) {
+	saved := max(prompt.Tokens, 1) - fresh
+	whole := float64(prompt.Tokens) / index.rate
+	short := float64(fresh) / index.rate
+	took := watch.ToMilliseconds(waited)
+	// Small prompts and busy workers tell nothing: the wait hides the reading.
+	const worthKnowing, muchOf = 2000, 0.8
+	if saved < worthKnowing {
+		if alone && fresh > worthKnowing && took > 0 {
+			measured := float64(fresh) / took
+			index.rate = 0.95*index.rate + 0.05*min(max(measured, 20), 2000)
+		}
+		return
+	}
+	if took > short+muchOf*(whole-short) && alone {
+		key := prompt.key()
+		index.tree.Walk(key, func(_ int, leaf *Leaf) {
+			if one, known := leaf.stays[worker]; known {
+				// It is there now, since it was just read; but our estimate of how
+				// long it stays was too good, and that is what peers should hear.
+				one.trust = max(one.trust*0.7, 0.3)
+				leaf.stays[worker] = one
+			}
+		})
+	}
+}
+
+// shrink drops the eighth of the leaves that were unused for longest.
+func (index *Index) shrink() {
+	var leaves []*Leaf
+	index.tree.Each(func(leaf *Leaf) { leaves = append(leaves, leaf) })
+	sort.Slice(leaves, func(left, right int) bool { return leaves[left].used < leaves[right].used })
+	for _, leaf := range leaves[:len(leaves)/8] {
+		index.tree.Remove(leaf.key)
+	}
+}
+
+// Words gives what we tell peers: our own evidence on the long prefixes used
+// lately, the newest first.
+func (index *Index) Words(now watch.Moment, limit, least int) []pattern.Residency {
+	var leaves []*Leaf
+	index.tree.Each(func(leaf *Leaf) {
+		if leaf.tokens >= least && len(leaf.stays) > 0 && now.Since(leaf.used) < 30*almanac.GossipPeriod {
+			leaves = append(leaves, leaf)
+		}
+	})
+	sort.Slice(leaves, func(left, right int) bool { return leaves[left].used > leaves[right].used })
+	var words []pattern.Residency
+	for _, leaf := range leaves {
+		for worker, one := range leaf.stays {
+			if len(words) >= limit {
+				return words
+			}
+			turn := index.turn(worker)
+			if one.life != turn.life {
+				continue
+			}
+			chance := one.trust * retained(turn.total()-one.turned, turn.cache)
+			words = append(words, pattern.Residency{Path: leaf.key, Tokens: leaf.tokens, Worker: worker,
+				Chance: float32(chance), AgeMs: now.Since(one.at).Milliseconds()})
+		}
+	}
+	return words
+}
+
+// Told takes a peer's words.
+func (index *Index) Told(words []pattern.Residency, now watch.Moment) {
+	for _, word := range words {
+		if len(word.Path) == 0 || len(word.Path)%8 != 0 {
+			continue
+		}
+		leaf := index.tree.Leaf(word.Path)
+		leaf.tokens = max(leaf.tokens, word.Tokens)
+		leaf.used = max(leaf.used, now-watch.Moment(word.AgeMs)*1_000_000)
+		seen := now - watch.Moment(word.AgeMs)*1_000_000
+		if have, known := leaf.told[word.Worker]; known && have.seen > seen {
+			continue
+		}
+		if leaf.told == nil {
+			leaf.told = map[string]told{}
+		}
+		leaf.told[word.Worker] = told{chance: float64(word.Chance), at: now, seen: seen, life: index.turn(word.Worker).life}
+	}
+	if index.tree.Size() > almanac.IndexNodes {
+		index.shrink()
+	}
+}
--- /dev/null
+++ b/internal/plumbline/residency.go
@@ -0,0 +1,131 @@
+// Package plumbline is the residency-weighted prefix index that decides where a
+// request is placed: a tree of prompt parts, an estimate of what workers still
+// hold, and one score. A step function without I/O.
+package plumbline
+
+import (
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/watch"
+)
+
+// Leaf is what is known of one prefix.
+type Leaf struct {
+	key    []byte
+	tokens int
+	used   watch.Moment
+	stays  map[string]stay
+	told   map[string]told
+}
+
+// stay is our own evidence: we placed this prefix at a worker.
+type stay struct {
+	at     watch.Moment
+	turned int64
+	trust  float64
+	life   int
+}
+
+// told is a peer's word.
+type told struct {
+	chance float64
+	at     watch.Moment
+	seen   watch.Moment
+	life   int
+}
+
+// turnover follows how many tokens have entered a worker's cache.
+type turnover struct {
+	own   int64
+	peers map[string]int64
+	life  int
+	cache int64
+}
+
+func (turn *turnover) total() int64 {
+	total := turn.own
+	for _, count := range turn.peers {
+		total += count
+	}
+	return total
+}
+
+// retained estimates, from what has entered the cache since, the chance that a
+// prefix is still there. A cache lets go of what was unused for longest; running
+// requests take part of it, so the last fifth is never counted on.
+func retained(entered, cache int64) float64 {
+	if cache <= 0 {
+		// Without an engine's figures nothing is known to be evicted.
+		return 1
+	}
+	share := float64(entered) / float64(cache)
+	const full, empty = 0.5, 0.9
+	switch {
+	case share <= full:
+		return 1
+	case share >= empty:
+		return 0
+	}
+	return (empty - share) / (empty - full)
+}
+
+// residency is the chance that a worker still holds the leaf's prefix. The
+// newest evidence wins; a peer's word that is older than three gossip periods
+// counts for nothing, so a paused or cut-off peer misleads nobody.
+func (index *Index) residency(leaf *Leaf, worker string, now watch.Moment) float64 {
+	turn := index.turns[worker]
+	life := 0
+	if turn != nil {
+		life = turn.life
+	}
+	chance, at := 0.0, watch.Moment(-1)
+	if own, known := leaf.stays[worker]; known && own.life == life {
+		chance, at = own.trust, own.at
+		if turn != nil {
+			chance *= retained(turn.total()-own.turned, turn.cache)
+		}
+	}
+	if word, known := leaf.told[worker]; known && word.life == life && now.Since(word.at) < almanac.GossipStale && word.seen > at {
+		chance = word.chance
+	}
+	return chance
+}
+
+// Turned notes tokens that we put into a worker's cache.
+func (index *Index) Turned(worker string, tokens int64) { index.turn(worker).own += tokens }
+
+// PeerTurned notes a peer's running count of the same.
+func (index *Index) PeerTurned(peer, worker string, count int64) {
+	turn := index.turn(worker)
+	if turn.peers == nil {
+		turn.peers = map[string]int64{}
+	}
+	turn.peers[peer] = max(turn.peers[peer], count)
+}
+
+// OwnTurned gives our count, for gossip.
+func (index *Index) OwnTurned(worker string) int64 { return index.turn(worker).own }
+
+// SetCache notes the size of a worker's cache, in tokens.
+func (index *Index) SetCache(worker string, tokens int64) { index.turn(worker).cache = tokens }
+
+// Drop forgets all that was known of a worker's cache: it was started anew,
+// reloaded, or drained and came back.
+func (index *Index) Drop(worker string) { index.turn(worker).life++ }
+
+// Forget takes a worker that is gone out of the books.
+func (index *Index) Forget(worker string) {
+	delete(index.turns, worker)
+	index.tree.Each(func(leaf *Leaf) {
+		delete(leaf.stays, worker)
+		delete(leaf.told, worker)
+	})
+}
+
+func (index *Index) turn(worker string) *turnover {
+	turn := index.turns[worker]
+	if turn == nil {
+		turn = &turnover{}
+		index.turns[worker] = turn
+	}
+	return turn
+}
--- /dev/null
+++ b/internal/plumbline/score.go
@@ -0,0 +1,97 @@
+package plumbline
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+
+	"lemonarch/internal/watch"
+)
+
+// Candidate is a worker that may take the request, with what its vitals say.
+type Candidate struct {
+	Worker string
+	// WaitMs is the expected wait from its load; RiskMs what its troubles cost.
+	WaitMs float64
+	RiskMs float64
+}
+
+// Choice is a nomination.
+type Choice struct {
+	Place int
+	Score float64
+	// Held is the part of the prompt, in tokens, expected to be there.
+	Held float64
+	// Downgraded tells that the residency weight changed the choice.
+	Downgraded bool
+}
+
+// Nominate folds match, residency and load into one score, in ms of waiting
+// saved, and gives the best candidate. A prompt without parts is placed by load.
+func (index *Index) Nominate(prompt *Prompt, candidates []Candidate, now watch.Moment) Choice {
+	type matched struct{ full, weighted float64 }
+	matches := make([]matched, len(candidates))
+	if len(prompt.Parts) > 0 {
+		index.tree.Walk(prompt.key(), func(_ int, leaf *Leaf) {
+			for place := range candidates {
+				chance := index.residency(leaf, candidates[place].Worker, now)
+				if _, known := leaf.stays[candidates[place].Worker]; !known && chance == 0 {
+					continue
+				}
+				tokens := float64(leaf.tokens)
+				matches[place].full = max(matches[place].full, tokens)
+				// The longest match that pays most by its chance.
+				matches[place].weighted = max(matches[place].weighted, tokens*chance)
+			}
+		})
+	}
+	best, believing := -1, -1
+	bestScore, believingScore := 0.0, 0.0
+	for place := range candidates {
+		candidate := &candidates[place]
+		load := -candidate.WaitMs - candidate.RiskMs + index.leaning(prompt, candidate.Worker)
+		score := matches[place].weighted/index.rate + load
+		if best < 0 || score > bestScore {
+			best, bestScore = place, score
+		}
+		if full := matches[place].full/index.rate + load; believing < 0 || full > believingScore {
+			believing, believingScore = place, full
+		}
+	}
+	if best < 0 {
+		return Choice{Place: -1}
+	}
+	choice := Choice{Place: best, Score: bestScore, Held: matches[best].weighted}
+	choice.Downgraded = believing != best && matches[believing].full > matches[believing].weighted
+	if choice.Downgraded {
+		index.Downgrades++
+	}
+	if choice.Held > 0 {
+		index.Hits++
+	}
+	return choice
+}
+
+// leaning breaks ties: nodes that know nothing of a prefix yet should come to the
+// same workers, so each prefix leans to a few, by a hash. It is far smaller than
+// a warm prefix is worth and grows with what the prefix would save.
+func (index *Index) leaning(prompt *Prompt, worker string) float64 {
+	if len(prompt.Parts) < 2 {
+		return 0
+	}
+	shared := 0
+	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
+		shared += part.Tokens
+	}
+	sum := fnv.New64a()
+	var name [8]byte
+	// The last part is the request's own; the one before it is the shared prefix.
+	binary.BigEndian.PutUint64(name[:], prompt.Parts[len(prompt.Parts)-2].Name)
+	sum.Write(name[:])
+	sum.Write([]byte(worker))
+	draw := float64(sum.Sum64()>>11) / float64(1<<53)
+	const mostOf = 0.35
+	return draw * mostOf * float64(shared) / index.rate
+}
+
+// Rate is the reading rate in tokens a ms, as streams have taught it.
+func (index *Index) Rate() float64 { return index.rate }
--- /dev/null
+++ b/internal/reply/reply.go
@@ -0,0 +1,56 @@
+// Package reply holds the answers of the system's own: small wrappers so that
+// few files write statuses and bodies by hand.
+package reply
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"lemonarch/internal/watch"
+)
+
+// Writer is where an answer is written.
+type Writer = http.ResponseWriter
+
+// JSON writes a body with a status.
+func JSON(writer Writer, status int, value any) {
+	body, mishap := json.Marshal(value)
+	if mishap != nil {
+		// An own value that can't be written is a fault of ours, and says so.
+		Text(writer, http.StatusInternalServerError, "answer can't be written")
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body)
+}
+
+// Reason writes a status with a reason in a JSON body.
+func Reason(writer Writer, status int, reason string) {
+	JSON(writer, status, map[string]string{"error": reason})
+}
+
+// Text writes a short plain body.
+func Text(writer Writer, status int, text string) {
+	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write([]byte(text))
+}
+
+// Later refuses with the promise that nothing ran or will run, and says when to
+// come back.
+func Later(writer Writer, status int, span watch.Span) {
+	writer.Header().Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
+	Text(writer, status, "no room now")
+}
+
+// Bytes writes a body as it stands.
+func Bytes(writer Writer, status int, kind string, body []byte) {
+	writer.Header().Set("Content-Type", kind)
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body)
+}
--- /dev/null
+++ b/internal/tongs/memory.go
@@ -0,0 +1,85 @@
+package tongs
+
+import (
+	"sync"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Room is the in-memory world that joins twins of the transport in tests.
+type Room struct {
+	lock     sync.Mutex
+	handlers map[string]Handler
+	cut      map[string]bool
+}
+
+// NewRoom makes an empty room.
+func NewRoom() *Room { return &Room{handlers: map[string]Handler{}, cut: map[string]bool{}} }
+
+// Cut makes an address silent or lets it speak again.
+func (room *Room) Cut(address string, silent bool) {
+	room.lock.Lock()
+	defer room.lock.Unlock()
+	room.cut[address] = silent
+}
+
+// Transport gives the twin that serves at an address.
+func (room *Room) Transport(address string) *Twin { return &Twin{room: room, own: address} }
+
+// Twin is a transport in memory.
+type Twin struct {
+	room *Room
+	own  string
+}
+
+// Serve registers the handler.
+func (twin *Twin) Serve(handler Handler) error {
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	if twin.room.handlers[twin.own] != nil {
+		return Unreached.New("address taken: " + twin.own)
+	}
+	twin.room.handlers[twin.own] = handler
+	return nil
+}
+
+// Call runs the other side's handler at once.
+func (twin *Twin) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+	twin.room.lock.Lock()
+	handler, silent := twin.room.handlers[address], twin.room.cut[address] || twin.room.cut[twin.own]
+	twin.room.lock.Unlock()
+	if handler == nil {
+		return nil, Unreached.New(address)
+	}
+	if silent {
+		return nil, Unanswered.New(address + " silent")
+	}
+	type outcome struct {
+		body    []byte
+		failure error
+	}
+	answered := make(chan outcome, 1)
+	go func() {
+		answer, failure := handler(kind, body)
+		answered <- outcome{answer, failure}
+	}()
+	timer := watch.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case one := <-answered:
+		if one.failure != nil || one.body == nil {
+			return nil, Refused.New(address)
+		}
+		return one.body, nil
+	case <-timer.C:
+		return nil, Unanswered.New(address + " silent")
+	}
+}
+
+// Close takes the handler out of the room.
+func (twin *Twin) Close() {
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	delete(twin.room.handlers, twin.own)
+}
--- /dev/null
+++ b/internal/tongs/wire.go
@@ -0,0 +1,129 @@
+package tongs
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// userTimeout is TCP_USER_TIMEOUT, which the syscall package does not name.
+const userTimeout = 0x12
+
+// Dial opens a connection whose silence under unacknowledged bytes is bounded.
+func Dial(address string, span, silence watch.Span) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: span, KeepAlive: -1}
+	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			// Behind a cut nothing comes back: the kernel gives up for us.
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, userTimeout, int(silence.Milliseconds()))
+		})
+	}
+	return dialer.Dial("tcp4", address)
+}
+
+// Wire is the transport over TCP.
+type Wire struct {
+	own      string
+	lock     sync.Mutex
+	peers    map[string]*peer
+	listener net.Listener
+	number   atomic.Uint64
+	unknown  atomic.Int64
+	closed   bool
+}
+
+// NewWire makes a transport that listens on its own address when it serves.
+func NewWire(own string) *Wire { return &Wire{own: own, peers: map[string]*peer{}} }
+
+// Unknown counts frames of unknown kinds that were skipped.
+func (wire *Wire) Unknown() int64 { return wire.unknown.Load() }
+
+// Serve listens and hands calls to the handler.
+func (wire *Wire) Serve(handler Handler) error {
+	listener, failure := net.Listen("tcp4", wire.own)
+	if failure != nil {
+		return Unreached.Wrap(failure, "can't listen on "+wire.own)
+	}
+	wire.lock.Lock()
+	wire.listener = listener
+	wire.lock.Unlock()
+	go func() {
+		for {
+			connection, failure := listener.Accept()
+			if failure != nil {
+				wire.lock.Lock()
+				closed := wire.closed
+				wire.lock.Unlock()
+				if closed {
+					return
+				}
+				// Out of descriptors, say: wait a little rather than spin.
+				watch.Sleep(almanac.BackoffBase)
+				continue
+			}
+			go wire.serveOne(connection, handler)
+		}
+	}()
+	return nil
+}
+
+func (wire *Wire) serveOne(connection net.Conn, handler Handler) {
+	defer connection.Close()
+	reader := bufio.NewReaderSize(connection, 8<<10)
+	var writing sync.Mutex
+	for {
+		one, failure := readFrame(reader)
+		if failure != nil {
+			return
+		}
+		if one.sort != sortCall {
+			wire.unknown.Add(1)
+			continue
+		}
+		go func() {
+			body, failure := handler(one.kind, one.body)
+			answer := frame{sort: sortAnswer, kind: one.kind, number: one.number, body: body}
+			if failure != nil || body == nil {
+				wire.unknown.Add(1)
+				answer.sort, answer.body = sortUnknown, nil
+			}
+			writing.Lock()
+			defer writing.Unlock()
+			_ = connection.SetWriteDeadline(watch.Deadline(almanac.BulkCallTime))
+			if _, failure := connection.Write(appendFrame(nil, answer)); failure != nil {
+				connection.Close()
+			}
+		}()
+	}
+}
+
+// Call sends one call and waits.
+func (wire *Wire) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+	wire.lock.Lock()
+	one := wire.peers[address]
+	if one == nil {
+		one = &peer{address: address, wire: wire}
+		wire.peers[address] = one
+	}
+	wire.lock.Unlock()
+	return one.call(frame{sort: sortCall, kind: kind, number: wire.number.Add(1), body: body}, span)
+}
+
+// Close ends the listener and all connections.
+func (wire *Wire) Close() {
+	wire.lock.Lock()
+	defer wire.lock.Unlock()
+	wire.closed = true
+	if wire.listener != nil {
+		wire.listener.Close()
+	}
+	for _, one := range wire.peers {
+		one.drop()
+	}
+}
--- /dev/null
+++ b/internal/trestle/trestle.go
@@ -0,0 +1,210 @@
+// Package trestle is what every process of ours stands on: its transport, its
+// view of the others, the newest configuration, and the loops that keep them.
+package trestle
+
+import (
+	"math/rand"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/boot"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// Unable is the mishap of a process that can't do what it was asked.
+var Unable = mishap.Define("process unable")
+
+// Answerer answers one kind of call.
+type Answerer func(body []byte) ([]byte, error)
+
+// Trestle is the stand of one process.
+type Trestle struct {
+	Boot *boot.Boot
+	Own  pattern.Entry
+	Wire tongs.Transport
+	Log  hclog.Logger
+	Stop chan struct{}
+
+	lock      sync.Mutex
+	view      *bellows.View
+	answerers map[pattern.Kind]Answerer
+	config    *jig.Config
+	onConfig  []func(*jig.Config)
+	pulling   bool
+	ended     sync.Once
+}
+
+// Prepare sets the limits that the machine gives, before anything is allocated.
+func Prepare(settings *boot.Boot) {
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(almanac.CollectPercent)
+	debug.SetMemoryLimit(int64(almanac.MemoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
+}
+
+// NewLog makes the log: one line of key=value pairs for each event.
+func NewLog(name string) hclog.Logger {
+	level := hclog.Info
+	if os.Getenv("LEMONARCH_LOG") == "debug" {
+		level = hclog.Debug
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: level, Output: os.Stdout, DisableTime: true})
+}
+
+// New makes a stand for a process of a role.
+func New(settings *boot.Boot, role string, port int, disk string, log hclog.Logger) *Trestle {
+	own := pattern.Entry{Name: settings.NodeName, Life: watch.Wall(), Role: role, Hall: settings.Hall,
+		Address: settings.InternalAddress(settings.Address, port), Disk: disk}
+	trestle := &Trestle{Boot: settings, Own: own, Wire: tongs.NewWire(own.Address), Log: log, Stop: make(chan struct{}),
+		view: bellows.NewView(own, own.Life), answerers: map[pattern.Kind]Answerer{}}
+	trestle.Answer(pattern.KindShuffle, trestle.shuffled)
+	trestle.Answer(pattern.KindConfigPush, trestle.pushed)
+	return trestle
+}
+
+// Answer registers who answers a kind of call.
+func (trestle *Trestle) Answer(kind pattern.Kind, answerer Answerer) {
+	trestle.answerers[kind] = answerer
+}
+
+// Start serves calls and begins the loops.
+func (trestle *Trestle) Start() error {
+	failure := trestle.Wire.Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
+		answerer := trestle.answerers[kind]
+		if answerer == nil {
+			// A later version's call: skipped, and counted by the transport.
+			return nil, nil
+		}
+		return answerer(body)
+	})
+	if failure != nil {
+		return Unable.Wrap(failure, "serve")
+	}
+	go trestle.meet()
+	go watch.Every(almanac.ShufflePeriod, trestle.Stop, trestle.shuffle)
+	return nil
+}
+
+// End stops the loops.
+func (trestle *Trestle) End() { trestle.ended.Do(func() { close(trestle.Stop) }) }
+
+// meet asks the seeds until some process is known.
+func (trestle *Trestle) meet() {
+	for round := 0; ; round++ {
+		for _, seed := range trestle.Boot.SeedAddresses(almanac.PortForeman) {
+			if seed != trestle.Own.Address {
+				go trestle.shuffleWith(seed)
+			}
+		}
+		watch.Sleep(almanac.CallTime / 4)
+		if len(trestle.Live(bellows.RoleForeman)) > 0 && round > 4 {
+			return
+		}
+	}
+}
+
+func (trestle *Trestle) shuffle() {
+	trestle.lock.Lock()
+	partner := trestle.view.Partner(watch.Now())
+	trestle.lock.Unlock()
+	if partner == "" || rand.Intn(8) == 0 {
+		// Seeds are asked now and then, so that two parts that lost each other join.
+		seeds := trestle.Boot.SeedAddresses(almanac.PortForeman)
+		partner = seeds[rand.Intn(len(seeds))]
+	}
+	if partner != trestle.Own.Address {
+		trestle.shuffleWith(partner)
+	}
+}
+
+func (trestle *Trestle) shuffleWith(address string) {
+	trestle.lock.Lock()
+	question := &pattern.Shuffle{Entries: trestle.view.Offer(watch.Now())}
+	trestle.lock.Unlock()
+	answer := &pattern.Shuffle{}
+	if tongs.Ask(trestle.Wire, address, pattern.KindShuffle, question, answer, almanac.CallTime) == nil {
+		trestle.heard(answer.Entries)
+	}
+}
+
+func (trestle *Trestle) shuffled(body []byte) ([]byte, error) {
+	question := &pattern.Shuffle{}
+	if failure := tongs.Read(body, question); failure != nil {
+		return nil, failure
+	}
+	trestle.heard(question.Entries)
+	trestle.lock.Lock()
+	answer := &pattern.Shuffle{Entries: trestle.view.Offer(watch.Now())}
+	trestle.lock.Unlock()
+	return tongs.Write(answer)
+}
+
+func (trestle *Trestle) heard(entries []pattern.Entry) {
+	newest := int64(0)
+	trestle.lock.Lock()
+	trestle.view.Heard(entries, watch.Now())
+	for _, entry := range entries {
+		newest = max(newest, entry.Generation)
+	}
+	trestle.lock.Unlock()
+	trestle.SawGeneration(newest)
+}
+
+// Touched notes direct word from a process.
+func (trestle *Trestle) Touched(key string) {
+	trestle.lock.Lock()
+	defer trestle.lock.Unlock()
+	trestle.view.Touched(key, watch.Now())
+}
+
+// Live gives the processes of a role that were heard lately.
+func (trestle *Trestle) Live(role string) []pattern.Entry {
+	trestle.lock.Lock()
+	defer trestle.lock.Unlock()
+	return trestle.view.Live(role, watch.Now())
+}
+
+// All gives every known process of a role.
+func (trestle *Trestle) All(role string) []pattern.Entry {
+	trestle.lock.Lock()
+	defer trestle.lock.Unlock()
+	return trestle.view.All(role, watch.Now())
+}
+
+// Leave marks this process as going away, and tells it in the next shuffles.
+func (trestle *Trestle) Leave() {
+	trestle.lock.Lock()
+	defer trestle.lock.Unlock()
+	trestle.view.SetLeaving()
+}
+
+// Spread sends one message to each process of the list at the same time and
+// waits for all answers or for the span.
+func (trestle *Trestle) Spread(entries []pattern.Entry, kind pattern.Kind, message tongs.Writable, span watch.Span, failed func(pattern.Entry)) {
+	body, failure := message.MarshalMsg(nil)
+	if failure != nil {
+		return
+	}
+	var group sync.WaitGroup
+	for _, entry := range entries {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if _, failure := trestle.Wire.Call(entry.Address, kind, body, span); failure == nil {
+				trestle.Touched(bellows.Key(entry))
+			} else if failed != nil {
+				failed(entry)
+			}
+		}()
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/internal/vise/proposal.go
@@ -0,0 +1,200 @@
+package vise
+
+import "lemonarch/internal/pattern"
+
+// Verdict is what a change function says of the value it was shown.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictWrite: write the value that was returned.
+	VerdictWrite Verdict = iota
+	// VerdictKeep: nothing to write, the value as shown answers the question.
+	VerdictKeep
+)
+
+// Change turns the current value into the next one.
+type Change func(current pattern.Register) (pattern.Register, Verdict)
+
+// Stage is where a proposal stands.
+type Stage int
+
+// The stages.
+const (
+	StagePrepare Stage = iota
+	StageAccept
+	StageDone
+	// StageLost: a higher ballot or a newer set was met; begin again.
+	StageLost
+)
+
+// Send is one message of a proposal to a member.
+type Send struct {
+	Member  pattern.Member
+	Prepare *pattern.Prepare
+	Accept  *pattern.Accept
+}
+
+// Proposal is one attempt to read or change the register.
+type Proposal struct {
+	ballot   pattern.Ballot
+	known    pattern.Register
+	change   Change
+	stage    Stage
+	promises map[string]pattern.Promise
+	answered map[string]bool
+	next     pattern.Register
+	highest  pattern.Ballot
+	newer    *pattern.Register
+	keep     bool
+}
+
+// Begin opens an attempt against the sets of the newest value known.
+func Begin(ballot pattern.Ballot, known pattern.Register, change Change) (*Proposal, []Send) {
+	proposal := &Proposal{ballot: ballot, known: known, change: change, highest: ballot,
+		promises: map[string]pattern.Promise{}, answered: map[string]bool{}}
+	var sends []Send
+	for _, member := range Targets(&known) {
+		sends = append(sends, Send{Member: member, Prepare: &pattern.Prepare{Ballot: ballot, Disk: member.Disk}})
+	}
+	return proposal, sends
+}
+
+// Stage tells where the proposal stands.
+func (proposal *Proposal) Stage() Stage { return proposal.stage }
+
+// Sent tells whether the second round was begun: from then on the outcome of a
+// change without an answer is unclear.
+func (proposal *Proposal) Sent() bool {
+	return proposal.stage == StageAccept || len(proposal.next.Acceptors) > 0
+}
+
+// Highest is the highest ballot met, for the next attempt.
+func (proposal *Proposal) Highest() pattern.Ballot { return proposal.highest }
+
+// Newer is a value with newer sets that was met, if any.
+func (proposal *Proposal) Newer() *pattern.Register { return proposal.newer }
+
+// Value is the value that is now in force, once done.
+func (proposal *Proposal) Value() pattern.Register { return proposal.next }
+
+// Promised takes an answer to the first round.
+func (proposal *Proposal) Promised(member pattern.Member, answer pattern.Promise) []Send {
+	if proposal.stage != StagePrepare {
+		return nil
+	}
+	if answer.Value.SetEpoch > proposal.known.SetEpoch {
+		// The sets have moved on: majorities of the old ones decide nothing now.
+		value := answer.Value
+		proposal.newer, proposal.stage = &value, StageLost
+		return nil
+	}
+	if !answer.Granted {
+		if Less(proposal.highest, answer.Promised) {
+			proposal.highest, proposal.stage = answer.Promised, StageLost
+		}
+		return nil
+	}
+	proposal.promises[Identity(member)] = answer
+	proposal.answered[Identity(member)] = true
+	if !Quorum(&proposal.known, proposal.answered) {
+		return nil
+	}
+	return proposal.secondRound()
+}
+
+func (proposal *Proposal) secondRound() []Send {
+	current, highest := proposal.known, pattern.Ballot{}
+	found := false
+	for _, promise := range proposal.promises {
+		if promise.Accepted.Counter > 0 && (!found || Less(highest, promise.Accepted)) {
+			// An unfinished value is finished first: it may have been chosen.
+			current, highest, found = promise.Value, promise.Accepted, true
+		}
+	}
+	if !found {
+		current = pattern.Register{Acceptors: proposal.known.Acceptors}
+	}
+	next, verdict := proposal.change(current)
+	if verdict == VerdictKeep {
+		next = current
+		proposal.keep = true
+	}
+	proposal.next = next
+	proposal.stage = StageAccept
+	proposal.answered = map[string]bool{}
+	var sends []Send
+	for _, member := range Targets(&next) {
+		sends = append(sends, Send{Member: member, Accept: &pattern.Accept{Ballot: proposal.ballot, Disk: member.Disk, Value: next}})
+	}
+	return sends
+}
+
+// Taken takes an answer to the second round.
+func (proposal *Proposal) Taken(member pattern.Member, answer pattern.Accepted) {
+	if proposal.stage != StageAccept {
+		return
+	}
+	if !answer.Granted {
+		if Less(proposal.highest, answer.Promised) {
+			proposal.highest, proposal.stage = answer.Promised, StageLost
+		}
+		return
+	}
+	proposal.answered[Identity(member)] = true
+	if Quorum(&proposal.next, proposal.answered) {
+		proposal.stage = StageDone
+	}
+}
+
+// Reading is a quick look: if a majority holds one and the same ballot and none
+// a higher one, its value is in force and nothing needs to be written.
+type Reading struct {
+	known    pattern.Register
+	answers  map[string]pattern.Promise
+	answered map[string]bool
+}
+
+// BeginReading opens a quick look.
+func BeginReading(known pattern.Register) (*Reading, []Send) {
+	reading := &Reading{known: known, answers: map[string]pattern.Promise{}, answered: map[string]bool{}}
+	var sends []Send
+	for _, member := range Targets(&known) {
+		sends = append(sends, Send{Member: member, Prepare: &pattern.Prepare{Disk: member.Disk, Query: true}})
+	}
+	return reading, sends
+}
+
+// Heard takes an answer; settled means that no more are needed, and the value is
+// nil where a full round has to decide.
+func (reading *Reading) Heard(member pattern.Member, answer pattern.Promise) (value *pattern.Register, settled bool) {
+	if answer.Value.SetEpoch > reading.known.SetEpoch {
+		return nil, true
+	}
+	if !answer.Granted {
+		return nil, false
+	}
+	reading.answers[Identity(member)] = answer
+	reading.answered[Identity(member)] = true
+	if !Quorum(&reading.known, reading.answered) {
+		return nil, false
+	}
+	var newest pattern.Ballot
+	for _, one := range reading.answers {
+		if Less(newest, one.Accepted) {
+			newest = one.Accepted
+		}
+	}
+	same := map[string]bool{}
+	var found pattern.Register
+	for identity, one := range reading.answers {
+		if one.Accepted == newest {
+			same[identity] = true
+			found = one.Value
+		}
+	}
+	if !Quorum(&reading.known, same) || (newest.Counter > 0 && found.SetEpoch != reading.known.SetEpoch) {
+		return nil, len(reading.answered) == len(Targets(&reading.known))
+	}
+	return &found, true
+}
--- /dev/null
+++ b/internal/vise/set.go
@@ -0,0 +1,47 @@
+package vise
+
+import "lemonarch/internal/pattern"
+
+// Join gives a change of the acceptor set by which a newcomer takes the place of
+// a member, or a new place where out is nil. The old set stays beside the new
+// one until Settle, so that majorities of both must agree in between.
+func Join(newcomer pattern.Member, out *pattern.Member) Change {
+	return func(current pattern.Register) (pattern.Register, Verdict) {
+		if len(current.Previous) > 0 {
+			// One change at a time.
+			return current, VerdictKeep
+		}
+		var next []pattern.Member
+		removed := false
+		for _, member := range current.Acceptors {
+			if Identity(member) == Identity(newcomer) {
+				return current, VerdictKeep
+			}
+			if out != nil && Identity(member) == Identity(*out) {
+				removed = true
+				continue
+			}
+			next = append(next, member)
+		}
+		if out != nil && !removed {
+			return current, VerdictKeep
+		}
+		current.Previous = current.Acceptors
+		current.Acceptors = append(next, newcomer)
+		current.SetEpoch++
+		return current, VerdictWrite
+	}
+}
+
+// Settle ends a change of the set.
+func Settle(current pattern.Register) (pattern.Register, Verdict) {
+	if len(current.Previous) == 0 {
+		return current, VerdictKeep
+	}
+	current.Previous = nil
+	current.SetEpoch++
+	return current, VerdictWrite
+}
+
+// Look changes nothing.
+func Look(current pattern.Register) (pattern.Register, Verdict) { return current, VerdictKeep }
--- /dev/null
+++ b/internal/workbench/place.go
@@ -0,0 +1,212 @@
+package workbench
+
+import (
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/plumbline"
+	"lemonarch/internal/roster"
+	"lemonarch/internal/watch"
+)
+
+type pressureWord struct {
+	at      watch.Moment
+	waiting []int
+}
+
+// place nominates a worker that has room.
+func (bench *Workbench) place(ask *Ask, now watch.Moment) Answer {
+	listening := bench.listening > 0 && now.Since(bench.listening) < almanac.SilentAfter
+	engine := false
+	var cacheTokens int64
+	if bench.config != nil {
+		if service := bench.config.Service(ask.Service); service != nil && service.Engine != nil {
+			engine, cacheTokens = true, service.Engine.CacheTokens
+		}
+	}
+	var workers []pattern.Worker
+	var candidates []plumbline.Candidate
+	known, open := 0, 0
+	// The suspects are asked only where nobody else can be.
+	for _, worst := range []roster.Standing{roster.StandingGood, roster.StandingSuspect} {
+		for _, worker := range bench.Roster.Named(ask.Service) {
+			standing := bench.Roster.Standing(worker.ID, now, listening)
+			if standing == roster.StandingOut || standing > worst || excluded(ask, worker.ID) {
+				continue
+			}
+			known++
+			vitals := bench.Gauge.Of(worker.ID)
+			running := vitals.Running(now)
+			suspect := vitals.Suspect(now) || standing == roster.StandingSuspect
+			if suspect && worst == roster.StandingGood {
+				continue
+			}
+			open++
+			if running >= bench.room(ask, worker, now) {
+				continue
+			}
+			candidate := plumbline.Candidate{Worker: worker.ID, WaitMs: bench.cost(worker.Hall)}
+			if engine {
+				bench.Index.SetCache(worker.ID, cacheTokens)
+				candidate.WaitMs += float64(vitals.Pending())/bench.Index.Rate() + float64(running)*almanac.StepGuess
+			} else {
+				// A plain worker's wait grows with how full it is and how slow it has been.
+				candidate.WaitMs += vitals.TookMs() * (1 + 2*float64(running)/float64(max(worker.Capacity, 1)))
+			}
+			if worker.WarmupMs > 0 {
+				candidate.RiskMs += float64(worker.WarmupMs) / 10
+			}
+			if suspect {
+				candidate.RiskMs += almanac.FailurePenalty
+			}
+			workers = append(workers, worker)
+			candidates = append(candidates, candidate)
+		}
+		if open > 0 {
+			break
+		}
+	}
+	if known == 0 {
+		return Answer{Verdict: VerdictNoWorker, Retry: almanac.GossipPeriod / 2}
+	}
+	if len(candidates) == 0 {
+		return Answer{Verdict: VerdictNoRoom}
+	}
+	prompt := ask.Prompt
+	if !ask.Affine {
+		// Routes that are not affine use load alone.
+		prompt = plumbline.Prompt{}
+	}
+	choice := bench.Index.Nominate(&prompt, candidates, now)
+	worker := workers[choice.Place]
+	grant := &Grant{Worker: worker, ask: ask, begun: now, bench: bench}
+	vitals := bench.Gauge.Of(worker.ID)
+	grant.alone = vitals.Pending() == 0
+	if ask.Affine {
+		grant.Fresh = bench.Index.Placed(&ask.Prompt, worker.ID, now)
+	}
+	vitals.Begin(ask.Bulk, grant.Fresh)
+	return Answer{Verdict: VerdictGranted, Grant: grant}
+}
+
+// room is how many requests a worker may have for this ask to be placed there.
+func (bench *Workbench) room(ask *Ask, worker pattern.Worker, now watch.Moment) int {
+	if !ask.Bulk {
+		return worker.Capacity + almanac.RoomAhead
+	}
+	share := almanac.BulkShare
+	if bench.pressed(now) {
+		// Live requests wait somewhere: items take no new places.
+		share = 0
+	}
+	return int(share * float64(worker.Capacity))
+}
+
+// pressed tells whether live requests wait for room, here or at a peer.
+func (bench *Workbench) pressed(now watch.Moment) bool {
+	for _, word := range bench.pressure {
+		if now.Since(word.at) < almanac.GossipStale/2 {
+			for _, waiting := range word.waiting {
+				if waiting > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func excluded(ask *Ask, worker string) bool {
+	for _, one := range ask.Excluded {
+		if one == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// Allowed tells whether a request may still be sent to the worker: a drain that
+// was acknowledged since the grant forbids it.
+func (bench *Workbench) Allowed(worker string, now watch.Moment) bool {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	return bench.Roster.Standing(worker, now, false) != roster.StandingOut
+}
+
+// First notes the first event or the head of an answer.
+func (grant *Grant) First(load string, now watch.Moment) {
+	bench := grant.bench
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	vitals := bench.Gauge.Of(grant.Worker.ID)
+	if load != "" {
+		vitals.Load(load, now)
+	}
+	if grant.read {
+		return
+	}
+	grant.read = true
+	vitals.Read(grant.Fresh)
+	vitals.Answered(now.Since(grant.begun))
+	if grant.ask.Affine {
+		bench.Index.FirstEvent(&grant.ask.Prompt, grant.Worker.ID, grant.Fresh, now.Since(grant.begun), grant.alone, now)
+	}
+}
+
+// Outcome is how a grant ended, for the vitals.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeServed Outcome = iota
+	// OutcomeFailed: reset, silence, spoilt bytes.
+	OutcomeFailed
+	// OutcomeTurnedAway: the worker was full.
+	OutcomeTurnedAway
+	// OutcomeGoneAway: another service answers at that address.
+	OutcomeGoneAway
+	// OutcomeCalledOff: our client or we gave up.
+	OutcomeCalledOff
+)
+
+// End gives the entry back.
+func (grant *Grant) End(outcome Outcome, now watch.Moment) {
+	bench := grant.bench
+	bench.lock.Lock()
+	vitals := bench.Gauge.Of(grant.Worker.ID)
+	if !grant.read {
+		grant.read = true
+		vitals.Read(grant.Fresh)
+	}
+	vitals.End(grant.ask.Bulk)
+	switch outcome {
+	case OutcomeFailed:
+		vitals.Failed(now)
+	case OutcomeTurnedAway:
+		// It is full whatever we believed: let others be asked for a moment.
+		vitals.Full(grant.Worker.Capacity, now)
+	case OutcomeGoneAway:
+		vitals.Failed(now)
+		bench.Index.Drop(grant.Worker.ID)
+	case OutcomeServed:
+		bench.finished(grant.ask.Service, now)
+	}
+	bench.lock.Unlock()
+	bench.Pump(now)
+}
+
+func (bench *Workbench) finished(service string, now watch.Moment) {
+	pace := bench.rates[service]
+	if pace == nil {
+		pace = &rate{since: now}
+		bench.rates[service] = pace
+	}
+	pace.count++
+	if span := now.Since(pace.since); span > almanac.GossipPeriod/2 {
+		fresh := pace.count / span.Seconds()
+		if pace.perS == 0 {
+			pace.perS = fresh
+		}
+		pace.perS += 0.4 * (fresh - pace.perS)
+		pace.count, pace.since = 0, now
+	}
+}
--- /dev/null
+++ b/internal/workbench/workbench.go
@@ -0,0 +1,249 @@
+// Package workbench admits requests: it keeps the queues by priority, asks the
+// index where to place, and resumes the continuations of those that waited. Its
+// state stands behind one short lock; no call blocks inside it.
+package workbench
+
+import (
+	"sort"
+	"sync"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/gauge"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/plumbline"
+	"lemonarch/internal/roster"
+	"lemonarch/internal/watch"
+)
+
+// Ask is a request that wants a worker.
+type Ask struct {
+	Service  string
+	Prompt   plumbline.Prompt
+	Affine   bool
+	Bulk     bool
+	Priority int
+	Setpoint watch.Span
+	// Deadline is when the client stops waiting; Patience when we stop queueing.
+	Deadline watch.Moment
+	Patience watch.Moment
+	Excluded []string
+	arrived  watch.Moment
+}
+
+// Grant is an entry to a worker.
+type Grant struct {
+	Worker pattern.Worker
+	Fresh  int
+	ask    *Ask
+	begun  watch.Moment
+	read   bool
+	bench  *Workbench
+	alone  bool
+}
+
+// Verdict is how an ask came out.
+type Verdict int
+
+// The verdicts.
+const (
+	VerdictGranted Verdict = iota
+	// VerdictNoRoom: refuse now, and say when to come back.
+	VerdictNoRoom
+	// VerdictNoWorker: the service has no worker that can be asked.
+	VerdictNoWorker
+	// VerdictQueued: the continuation will be resumed.
+	VerdictQueued
+)
+
+// Answer is what a continuation is resumed with.
+type Answer struct {
+	Verdict Verdict
+	Grant   *Grant
+	Retry   watch.Span
+}
+
+type waiter struct {
+	ask    *Ask
+	resume func(Answer)
+	handle Handle
+}
+
+// Workbench is the admission of one process.
+type Workbench struct {
+	lock      sync.Mutex
+	Roster    *roster.Roster
+	Gauge     *gauge.Gauge
+	Index     *plumbline.Index
+	config    *jig.Config
+	slab      Slab[*waiter]
+	queues    map[string][]Handle
+	rates     map[string]*rate
+	listening watch.Moment
+	own       pattern.Entry
+	cost      func(hall string) float64
+	pressure  map[string]pressureWord
+}
+
+// rate follows how many requests a service finishes a second, as seen from here.
+type rate struct {
+	since watch.Moment
+	count float64
+	perS  float64
+}
+
+// New makes a workbench for a process.
+func New(own pattern.Entry, heartbeat watch.Span) *Workbench {
+	bench := &Workbench{Roster: roster.New(heartbeat), Gauge: gauge.New(), Index: plumbline.NewIndex(),
+		queues: map[string][]Handle{}, rates: map[string]*rate{}, own: own, pressure: map[string]pressureWord{}}
+	bench.cost = func(hall string) float64 {
+		// Another hall is a longer way, and bytes between halls are dear.
+		if hall == own.Hall {
+			return 0
+		}
+		return 2
+	}
+	return bench
+}
+
+// Locked runs a function under the workbench's lock.
+func (bench *Workbench) Locked(function func()) {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	function()
+}
+
+// SetConfig takes a newer configuration.
+func (bench *Workbench) SetConfig(config *jig.Config) {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	bench.config = config
+}
+
+// Listening notes that a foreman was heard from.
+func (bench *Workbench) Listening(now watch.Moment) { bench.listening = now }
+
+// Merge takes word of workers and places what waited for them.
+func (bench *Workbench) Merge(workers []pattern.Worker, now watch.Moment) {
+	bench.lock.Lock()
+	bench.Listening(now)
+	for _, worker := range workers {
+		bench.Roster.Merge(worker, now)
+		if worker.Phase == pattern.PhaseGone {
+			bench.Gauge.Forget(worker.ID)
+			bench.Index.Forget(worker.ID)
+		}
+	}
+	bench.lock.Unlock()
+	bench.Pump(now)
+}
+
+// Admit places an ask at once, queues it, or refuses it.
+func (bench *Workbench) Admit(ask *Ask, resume func(Answer), now watch.Moment) (Answer, Handle) {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	ask.arrived = now
+	// Those that waited longer in the same rank or a higher one go first.
+	if !bench.aheadWaiting(ask) {
+		if answer := bench.place(ask, now); answer.Verdict != VerdictNoRoom {
+			return answer, Handle{}
+		}
+	}
+	if resume == nil {
+		return Answer{Verdict: VerdictNoRoom, Retry: bench.retryAfter(ask, now)}, Handle{}
+	}
+	if wait, known := bench.expectedWait(ask, now); known && now.Plus(wait) > ask.Patience {
+		// It can't be served in its time: said at once, not after a wait.
+		return Answer{Verdict: VerdictNoRoom, Retry: bench.retryAfter(ask, now)}, Handle{}
+	}
+	one := &waiter{ask: ask, resume: resume}
+	one.handle = bench.slab.Put(one)
+	queue := append(bench.queues[ask.Service], one.handle)
+	sort.SliceStable(queue, func(left, right int) bool {
+		first, _ := bench.slab.Get(queue[left])
+		second, _ := bench.slab.Get(queue[right])
+		return first != nil && second != nil && first.ask.Priority < second.ask.Priority
+	})
+	bench.queues[ask.Service] = queue
+	return Answer{Verdict: VerdictQueued}, one.handle
+}
+
+func (bench *Workbench) aheadWaiting(ask *Ask) bool {
+	for _, handle := range bench.queues[ask.Service] {
+		if one, found := bench.slab.Get(handle); found && one.ask.Priority <= ask.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// Withdraw takes a waiting ask back; false means it was resumed already.
+func (bench *Workbench) Withdraw(handle Handle) bool {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	_, found := bench.slab.Take(handle)
+	return found
+}
+
+// Pump resumes what can be placed now, in order of rank and age, and refuses
+// what can wait no longer.
+func (bench *Workbench) Pump(now watch.Moment) {
+	type resumption struct {
+		one    *waiter
+		answer Answer
+	}
+	var resumed []resumption
+	bench.lock.Lock()
+	for service, queue := range bench.queues {
+		kept := queue[:0]
+		blocked := false
+		for _, handle := range queue {
+			one, found := bench.slab.Get(handle)
+			if !found {
+				continue
+			}
+			answer := Answer{Verdict: VerdictNoRoom}
+			if !blocked {
+				answer = bench.place(one.ask, now)
+			}
+			if answer.Verdict == VerdictNoRoom && now < one.ask.Patience {
+				blocked = true
+				kept = append(kept, handle)
+				continue
+			}
+			if answer.Verdict == VerdictNoRoom {
+				answer.Retry = bench.retryAfter(one.ask, now)
+			}
+			bench.slab.Take(handle)
+			resumed = append(resumed, resumption{one, answer})
+		}
+		bench.queues[service] = kept
+	}
+	bench.lock.Unlock()
+	for _, each := range resumed {
+		each.one.resume(each.answer)
+	}
+}
+
+// retryAfter tells when room is expected.
+func (bench *Workbench) retryAfter(ask *Ask, now watch.Moment) watch.Span {
+	wait, known := bench.expectedWait(ask, now)
+	if !known {
+		wait = ask.Setpoint
+	}
+	return min(max(wait, 50*1_000_000), almanac.GossipPeriod)
+}
+
+func (bench *Workbench) expectedWait(ask *Ask, now watch.Moment) (watch.Span, bool) {
+	pace := bench.rates[ask.Service]
+	if pace == nil || pace.perS <= 0 {
+		return 0, false
+	}
+	ahead := 1.0
+	for _, handle := range bench.queues[ask.Service] {
+		if one, found := bench.slab.Get(handle); found && one.ask.Priority <= ask.Priority {
+			ahead++
+		}
+	}
+	return watch.Milliseconds(1000 * ahead / pace.perS), true
+}
