--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -133,6 +133,8 @@
 	// DrainLinger is how long a leaving node still takes new connections: the
 	// platform needs two missed probes, a second apart, to see it leave.
 	DrainLinger = 2600 * time.Millisecond
+	// LeaveMargin is how long before SIGKILL a leaving node ends by itself.
+	LeaveMargin = 600 * time.Millisecond
 	// RoomAhead is how many requests may wait at a worker beyond its capacity.
 	RoomAhead = 2
 	// QueueShare is the part of a request's aim that it may wait for room (ours):
--- /dev/null
+++ b/internal/carriage/carriage_test.go
@@ -0,0 +1,208 @@
+package carriage
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func write(connection net.Conn, text string) { _, _ = io.WriteString(connection, text) }
+
+func TestRequestGoesThroughUnchanged(test *testing.T) {
+	worker := newStandIn(test, "w1", func(_ int, request *http.Request, connection net.Conn) {
+		write(connection, wellDone(request, "hello"))
+	})
+	server, _ := edge(test, worker)
+	answer, body, failure := ask(test, server, "/safe/a//b/../c%2Fd?x=1&&y", map[string]string{"X-Other": "kept", headerTimeLeft: "900"})
+	if failure != nil || answer.StatusCode != 200 || body != "hello" || answer.Header.Get(headerSeal) != "seal" {
+		test.Fatal(answer, body, failure)
+	}
+	got := worker.requests[0]
+	sent, _ := io.ReadAll(got.Body)
+	if got.RequestURI != "/safe/a//b/../c%2Fd?x=1&&y" || string(sent) != "the body" || got.Host != "h.example" ||
+		got.Header.Get("X-Other") != "kept" || got.Header.Get(headerTarget) != "w1" || got.Header.Get(headerAttempt) != "attempt-1" {
+		test.Fatal(got.RequestURI, string(sent), got.Header)
+	}
+}
+
+// An effectful request that met silence, a reset or a cut at any byte of the
+// answer is never sent to a second worker, and never refused as if it had not run.
+func TestEffectfulAtEveryByte(test *testing.T) {
+	whole := wellDone(&http.Request{Header: http.Header{headerAttempt: {"attempt-1"}}}, "hello")
+	for cut := 0; cut < len(whole); cut++ {
+		script := func(_ int, _ *http.Request, connection net.Conn) {
+			write(connection, whole[:cut])
+			connection.Close()
+		}
+		first, second := newStandIn(test, "w1", script), newStandIn(test, "w2", script)
+		server, _ := edge(test, first, second)
+		answer, _, failure := ask(test, server, "/once/x", nil)
+		if first.seen()+second.seen() != 1 {
+			test.Fatalf("cut at %d: run %d times", cut, first.seen()+second.seen())
+		}
+		if failure == nil && (answer.StatusCode == 503 || answer.StatusCode == 429 || answer.StatusCode < 300) {
+			test.Fatalf("cut at %d: status %d", cut, answer.StatusCode)
+		}
+	}
+}
+
+func TestEffectfulMetBySilence(test *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	script := func(int, *http.Request, net.Conn) { <-hold }
+	first, second := newStandIn(test, "w1", script), newStandIn(test, "w2", script)
+	server, _ := edge(test, first, second)
+	answer, _, failure := ask(test, server, "/once/x", nil)
+	if failure != nil || answer.StatusCode != http.StatusGatewayTimeout || first.seen()+second.seen() != 1 {
+		test.Fatal(answer, failure, first.seen(), second.seen())
+	}
+}
+
+// Only the worker's own word that it did not run frees an effectful request.
+func TestEffectfulFreedByTheWorkersWord(test *testing.T) {
+	full := newStandIn(test, "w1", func(_ int, _ *http.Request, connection net.Conn) {
+		write(connection, "HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	other := newStandIn(test, "w2", func(_ int, _ *http.Request, connection net.Conn) {
+		write(connection, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+	})
+	good := newStandIn(test, "w3", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "done")) })
+	server, _ := edge(test, full, other, good)
+	answer, body, failure := ask(test, server, "/once/x", nil)
+	if failure != nil || answer.StatusCode != 200 || body != "done" || good.seen() != 1 {
+		test.Fatal(answer, body, failure)
+	}
+}
+
+func TestPromiseWhenNobodyHasRoom(test *testing.T) {
+	full := newStandIn(test, "w1", func(_ int, _ *http.Request, connection net.Conn) {
+		write(connection, "HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	server, _ := edge(test, full)
+	answer, _, failure := ask(test, server, "/once/x", nil)
+	if failure != nil || answer.StatusCode != 503 || answer.Header.Get("Retry-After") == "" {
+		test.Fatal(answer, failure)
+	}
+}
+
+// A cut, spoilt or doubled answer to a repeatable request is mended elsewhere.
+func TestSpoiltAnswersAreMended(test *testing.T) {
+	for name, text := range map[string]string{
+		"garbled":  "not an answer at all\r\n\r\n",
+		"no stamp": "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: attempt-1\r\nContent-Length: 2\r\n\r\nno",
+		"encoded":  "HTTP/1.1 200 OK\r\nLemonarch-Server-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno",
+		"cut":      "HTTP/1.1 200 OK\r\nLemonarch-Server-Seal: s\r\nContent-Length: 20\r\n\r\nno",
+	} {
+		bad := newStandIn(test, "w1", func(_ int, _ *http.Request, connection net.Conn) {
+			write(connection, text)
+			connection.Close()
+		})
+		good := newStandIn(test, "w2", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "done")) })
+		server, _ := edge(test, bad, good)
+		answer, body, failure := ask(test, server, "/safe/x", nil)
+		if failure != nil || answer.StatusCode != 200 || body != "done" {
+			test.Fatal(name, answer, body, failure)
+		}
+	}
+}
+
+// Bytes after a whole answer belong to nobody: the next request must not get them.
+func TestSurplusAnswerIsNobodys(test *testing.T) {
+	worker := newStandIn(test, "w1", func(_ int, request *http.Request, connection net.Conn) {
+		text := wellDone(request, "for "+request.Header.Get(headerAttempt))
+		write(connection, text+text)
+	})
+	server, _ := edge(test, worker)
+	for count := 0; count < 5; count++ {
+		attempt := fmt.Sprint("attempt-", count)
+		answer, body, failure := ask(test, server, "/safe/x", map[string]string{headerAttempt: attempt})
+		if failure != nil || answer.StatusCode != 200 || body != "for "+attempt {
+			test.Fatal(answer, body, failure)
+		}
+	}
+}
+
+// A late answer of an earlier request is read past, and ours comes behind it.
+func TestLateAnswerIsReadPast(test *testing.T) {
+	worker := newStandIn(test, "w1", func(count int, request *http.Request, connection net.Conn) {
+		old := strings.Replace(wellDone(request, "old"), "attempt-1", "attempt-0", 1)
+		write(connection, old+wellDone(request, "mine"))
+	})
+	server, _ := edge(test, worker)
+	answer, body, failure := ask(test, server, "/once/x", nil)
+	if failure != nil || answer.StatusCode != 200 || body != "mine" || worker.seen() != 1 {
+		test.Fatal(answer, body, failure)
+	}
+}
+
+// A resumable stream that is cut after any event goes on at another worker, with
+// the first one's head, and every event comes once.
+func TestResumeAtEveryEvent(test *testing.T) {
+	const events = 6
+	for cut := 0; cut <= events; cut++ {
+		script := func(limit int) func(int, *http.Request, net.Conn) {
+			return func(_ int, request *http.Request, connection net.Conn) {
+				from := 0
+				fmt.Sscan(request.Header.Get(headerLastEvent), &from)
+				write(connection, streamHead(request))
+				for id := from + 1; id <= events; id++ {
+					if id > limit {
+						// Half an event, then nothing more.
+						write(connection, chunk(event(id)[:5]))
+						connection.Close()
+						return
+					}
+					write(connection, chunk(event(id)))
+				}
+				write(connection, "0\r\n\r\n")
+			}
+		}
+		first, second := newStandIn(test, "w1", script(cut)), newStandIn(test, "w2", script(events))
+		server, _ := edge(test, first, second)
+		answer, body, failure := ask(test, server, "/stream/x", nil)
+		want := ""
+		for id := 1; id <= events; id++ {
+			want += event(id)
+		}
+		seal := "seal-w1"
+		if cut == 0 {
+			seal = "seal-w2"
+		}
+		if failure != nil || answer.StatusCode != 200 || body != want || answer.Header.Get(headerSeal) != seal {
+			test.Fatalf("cut at %d: %v %q %v", cut, answer, body, failure)
+		}
+	}
+}
+
+// A stream that may not be resumed is cut for the client too, never ended cleanly.
+func TestRigidStreamIsCutAsACut(test *testing.T) {
+	worker := newStandIn(test, "w1", func(_ int, request *http.Request, connection net.Conn) {
+		write(connection, streamHead(request)+chunk(event(1)))
+		connection.Close()
+	})
+	second := newStandIn(test, "w2", func(int, *http.Request, net.Conn) {})
+	server, _ := edge(test, worker, second)
+	answer, body, failure := ask(test, server, "/rigid/x", nil)
+	if failure == nil || answer == nil || body != event(1) || second.seen() != 0 {
+		test.Fatal(answer, body, failure, second.seen())
+	}
+}
+
+func TestWhatIsNeverPassedOn(test *testing.T) {
+	worker := newStandIn(test, "w1", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "x")) })
+	server, _ := edge(test, worker)
+	if answer, _, _ := ask(test, server, "/nowhere/", nil); answer.StatusCode != 404 {
+		test.Fatal(answer.StatusCode)
+	}
+	request, _ := http.NewRequest(http.MethodPost, server.URL+"/safe/x", strings.NewReader(strings.Repeat("x", 2000)))
+	request.Host = "h.example"
+	if answer, failure := http.DefaultClient.Do(request); failure != nil || answer.StatusCode != 413 {
+		test.Fatal(answer, failure)
+	}
+	if worker.seen() != 0 {
+		test.Fatal("passed on")
+	}
+}
--- /dev/null
+++ b/internal/carriage/core_test.go
@@ -0,0 +1,89 @@
+package carriage
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"lemonarch/internal/pattern"
+)
+
+// No evidence lets an effectful request run twice, and nobody gets two runs
+// joined that do not follow each other.
+func TestMay(test *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 2000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("decisions", prop.ForAll(func(kind uint8, resumable, sent, notRun, events, head bool) bool {
+		route := pattern.RouteKind(kind % 4)
+		head = head || events
+		sent = sent || head
+		notRun = notRun && sent
+		decision := May(route, resumable, Evidence{Sent: sent, NotRun: notRun, Events: events, Head: head})
+		streams := route == pattern.RouteStreaming || route == pattern.RouteBulk
+		repeatable := route == pattern.RouteIdempotent || (streams && resumable)
+		switch {
+		case decision == RepeatAnew && head:
+			return false
+		case decision == RepeatAnew && sent && !notRun && !repeatable:
+			return false
+		case decision == RepeatFrom:
+			return streams && resumable && head
+		case decision == RepeatNever && !head && (!sent || notRun || repeatable):
+			return false
+		}
+		return true
+	}, gen.UInt8(), gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool()))
+	properties.TestingRun(test)
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+// However the bytes are cut, the same whole events come out.
+func TestSplitterAtEveryCut(test *testing.T) {
+	text := "lemonarch-weight-versions: 3\n" + event(4) + event(5) + event(6)
+	for cut := 0; cut <= len(text); cut++ {
+		splitter := &Splitter{Next: 4}
+		first, follows := splitter.Feed([]byte(text[:cut]))
+		second, alsoFollows := splitter.Feed([]byte(text[cut:]))
+		if !follows || !alsoFollows || string(first)+string(second) != text || len(splitter.Rest()) > 0 || splitter.Last != 6 {
+			test.Fatalf("cut at %d: %q %q", cut, first, second)
+		}
+	}
+}
+
+func TestSplitterRefusesWhatDoesNotFollow(test *testing.T) {
+	for _, text := range []string{event(5), event(3), event(4) + event(6), event(4) + event(4)} {
+		splitter := &Splitter{Next: 4}
+		if _, follows := splitter.Feed([]byte(text)); follows {
+			test.Fatalf("%q was taken to follow event 3", text)
+		}
+	}
+}
+
+func TestData(test *testing.T) {
+	pieces := Data([]byte(event(1) + "id: 2\ndata: a\ndata: b\n\n"))
+	if len(pieces) != 2 || string(pieces[0]) != "piece 1" || string(pieces[1]) != "a\nb" {
+		test.Fatalf("%q", pieces)
+	}
+}
+
+func TestHeaderRules(test *testing.T) {
+	header := http.Header{}
+	header.Set("Connection", "close, X-Hop, Lemonarch-Attempt-Id")
+	header.Set("X-Hop", "1")
+	header.Set("X-Kept", "2")
+	header.Set("Te", "trailers")
+	header.Set("Transfer-Encoding", "chunked")
+	header.Set("Lemonarch-Time-Left-Ms", "50")
+	header.Set("Lemonarch-Target-Worker", "smuggled")
+	header.Set("Lemonarch-Attempt-Id", "id")
+	passed := Passed(header)
+	if len(passed) != 2 || passed.Get("X-Kept") != "2" || passed.Get("Lemonarch-Attempt-Id") != "id" {
+		test.Fatal(passed)
+	}
+}
--- a/internal/carriage/journey.go
+++ b/internal/carriage/journey.go
@@ -10,7 +10,6 @@
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/errand"
 	"lemonarch/internal/jig"
-	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/reply"
 	"lemonarch/internal/watch"
@@ -194,43 +193,6 @@
 	one.carriage.Courier.Finish(delivery)
 }
 
-// turnedAway handles a worker that did not run the request.
-func (one *journey) turnedAway(grant *workbench.Grant, delivery *Delivery) (Repeat, bool) {
-	body, whole, failure := one.carriage.Courier.ReadBody(delivery, almanac.BufferedAnswer)
-	outcome := workbench.OutcomeTurnedAway
-	if delivery.Answer.StatusCode == http.StatusMisdirectedRequest {
-		// Somebody else answers at this address now.
-		outcome = workbench.OutcomeGoneAway
-		one.carriage.Courier.Abandon(delivery)
-	} else if failure != nil || !whole {
-		one.carriage.Courier.Abandon(delivery)
-	} else {
-		one.finish(delivery)
-		one.last = &workerAnswer{delivery.Answer.StatusCode, delivery.Answer.Header, body}
-	}
-	grant.End(outcome, watch.Now())
-	return one.judge(Evidence{Sent: true, NotRun: true}), false
-}
-
-// refusedByWorker handles a worker's own failure: it has run.
-func (one *journey) refusedByWorker(grant *workbench.Grant, delivery *Delivery) (Repeat, bool) {
-	body, whole, failure := one.carriage.Courier.ReadBody(delivery, almanac.BufferedAnswer)
-	if failure != nil || !whole {
-		one.carriage.Courier.Abandon(delivery)
-		grant.End(workbench.OutcomeFailed, watch.Now())
-		return one.judge(Evidence{Sent: true}), false
-	}
-	one.finish(delivery)
-	grant.End(workbench.OutcomeServed, watch.Now())
-	one.last = &workerAnswer{delivery.Answer.StatusCode, delivery.Answer.Header, body}
-	repeat := one.judge(Evidence{Sent: true})
-	if delivery.Answer.StatusCode < 500 {
-		// A worker's 4xx is its word on the request: another would say the same.
-		repeat = RepeatNever
-	}
-	return repeat, false
-}
-
 // giveUp ends the request with the one outcome that is true.
 func (one *journey) giveUp(answer workbench.Answer) {
 	carriage := one.carriage
@@ -260,6 +222,3 @@
 		reply.Later(one.writer, http.StatusServiceUnavailable, answer.Retry)
 	}
 }
-
-// isOf keeps the import of the helper in one place.
-func isOf(failure error, kind *mishap.Kind) bool { return mishap.Of(failure, kind) }
--- a/internal/carriage/relay.go
+++ b/internal/carriage/relay.go
@@ -102,7 +102,7 @@
 	}
 	courier.Abandon(delivery)
 	outcome := workbench.OutcomeFailed
-	if isOf(failure, clientGone) || one.request.Context().Err() != nil || watch.Now() >= one.deadline {
+	if mishap.Of(failure, clientGone) || one.request.Context().Err() != nil || watch.Now() >= one.deadline {
 		outcome = workbench.OutcomeCalledOff
 	}
 	grant.End(outcome, watch.Now())
--- /dev/null
+++ b/internal/carriage/standin_test.go
@@ -0,0 +1,139 @@
+package carriage
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/chisel"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+	"lemonarch/internal/workbench"
+)
+
+// standIn is a worker of ours for tests: each request is handed to a script that
+// may write anything, or nothing.
+type standIn struct {
+	id       string
+	listener net.Listener
+	lock     sync.Mutex
+	requests []*http.Request
+	script   func(count int, request *http.Request, connection net.Conn)
+}
+
+func newStandIn(test *testing.T, id string, script func(count int, request *http.Request, connection net.Conn)) *standIn {
+	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	worker := &standIn{id: id, listener: listener, script: script}
+	test.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			connection, failure := listener.Accept()
+			if failure != nil {
+				return
+			}
+			go worker.serve(connection)
+		}
+	}()
+	return worker
+}
+
+func (worker *standIn) serve(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, failure := http.ReadRequest(reader)
+		if failure != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		request.Body = io.NopCloser(strings.NewReader(string(body)))
+		worker.lock.Lock()
+		worker.requests = append(worker.requests, request)
+		count := len(worker.requests)
+		worker.lock.Unlock()
+		worker.script(count, request, connection)
+	}
+}
+
+func (worker *standIn) seen() int {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	return len(worker.requests)
+}
+
+func wellDone(request *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: %s\r\nLemonarch-Server-Seal: seal\r\nContent-Length: %d\r\n\r\n%s",
+		request.Header.Get(headerAttempt), len(body), body)
+}
+
+func streamHead(request *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: %s\r\nLemonarch-Server-Seal: seal-%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		request.Header.Get(headerAttempt), request.Header.Get(headerTarget))
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const testConfig = `{"generation":1,"channels":[
+{"name":"safe","host":"h.example","path-prefix":"/safe/","route-kind":"idempotent","cutoff-ms":3000,"setpoint-ms":60,"backend":"s","tries":3},
+{"name":"once","host":"h.example","path-prefix":"/once/","route-kind":"effectful","cutoff-ms":700,"setpoint-ms":100,"backend":"s","tries":3},
+{"name":"stream","host":"h.example","path-prefix":"/stream/","route-kind":"streaming","resumable":true,"cutoff-ms":4000,"setpoint-ms":100,"backend":"s","tries":3},
+{"name":"rigid","host":"h.example","path-prefix":"/rigid/","route-kind":"streaming","cutoff-ms":2000,"setpoint-ms":100,"backend":"s","tries":3}
+],"backends":[{"name":"s","conn-limit":50}],"limits":{"max-header-bytes":8192,"max-body-bytes":1000,"header-wait-ms":3000,"idle-ms":5000}}`
+
+// edge starts a data plane in front of stand-ins; the first listed is preferred.
+func edge(test *testing.T, workers ...*standIn) (*httptest.Server, *Carriage) {
+	bench := workbench.New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, 1_200_000_000)
+	courier := Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(string) int { return 20 }}
+	carriage := New(courier, nil, hclog.NewNullLogger())
+	config, failure := jig.Parse([]byte(testConfig))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	carriage.SetConfig(config)
+	var list []pattern.Worker
+	for place, worker := range workers {
+		// The others stand in another hall, which costs them the tie.
+		hall := "h"
+		if place > 0 {
+			hall = "far" + fmt.Sprint(place)
+		}
+		list = append(list, pattern.Worker{ID: worker.id, Backend: "s", Address: worker.listener.Addr().String(), Hall: hall, Capacity: 4, Count: 1})
+	}
+	bench.Merge(list, watch.Now())
+	server := httptest.NewServer(carriage)
+	test.Cleanup(server.Close)
+	return server, carriage
+}
+
+// ask sends one request over a connection of its own and gives what came back.
+func ask(test *testing.T, server *httptest.Server, path string, header map[string]string) (*http.Response, string, error) {
+	request, failure := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader("the body"))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	request.Host = "h.example"
+	request.Header.Set(headerAttempt, "attempt-1")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	answer, failure := client.Do(request)
+	if failure != nil {
+		return nil, "", failure
+	}
+	defer answer.Body.Close()
+	body, failure := io.ReadAll(answer.Body)
+	return answer, string(body), failure
+}
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -92,7 +92,7 @@
 	forge.Carriage.Leaving.Store(true)
 	forge.Stand.Leave()
 	begun := watch.Now()
-	end := begun.Plus(forge.Stand.Boot.Grace() - almanac.HoldMargin*2)
+	end := begun.Plus(forge.Stand.Boot.Grace() - almanac.LeaveMargin)
 	for watch.Now() < end {
 		if watch.Now().Since(begun) > almanac.DrainLinger && forge.Carriage.Active() == 0 {
 			break
--- /dev/null
+++ b/internal/ledgerbox/ledgerbox_test.go
@@ -0,0 +1,125 @@
+package ledgerbox
+
+import (
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+)
+
+func member(name string) pattern.Member {
+	return pattern.Member{Name: name, Address: name, Disk: name}
+}
+
+func stretches(epochs []uint64) []pattern.Stretch {
+	shelf := NewShelf("d")
+	for place, epoch := range epochs {
+		shelf.Put(&pattern.Record{Index: int64(place + 1), Epoch: epoch}, 0)
+	}
+	return shelf.Stretches()
+}
+
+// Common is exactly the length of the shared beginning of two copies that one
+// holder each epoch wrote.
+func TestCommon(test *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(3))
+	properties.Property("common", prop.ForAll(func(shared, left, right []bool) bool {
+		epoch := uint64(1)
+		grow := func(steps []bool, from []uint64, step uint64) []uint64 {
+			epochs, now := append([]uint64(nil), from...), epoch
+			for _, next := range steps {
+				if next {
+					now += step
+				}
+				epochs = append(epochs, now)
+			}
+			return epochs
+		}
+		base := grow(shared, nil, 1)
+		if len(base) > 0 {
+			epoch = base[len(base)-1]
+		}
+		// After the parting the two never write under the same epoch.
+		epoch += 2
+		first := grow(left, base, 2)
+		epoch++
+		second := grow(right, base, 2)
+		return Common(stretches(first), int64(len(first)), stretches(second), int64(len(second))) == int64(len(base))
+	}, gen.SliceOf(gen.Bool()), gen.SliceOf(gen.Bool()), gen.SliceOf(gen.Bool())))
+	properties.TestingRun(test)
+}
+
+func TestDurableNeedsCopiesAndOwnEpoch(test *testing.T) {
+	press := NewPress(4, []pattern.Member{member("a"), member("b"), member("c")}, 1, 11)
+	press.Take()
+	identity := func(name string) string { return vise.Identity(member(name)) }
+	// Copies of earlier records decide nothing by their number.
+	if press.Matched(identity("a"), 10) || press.Matched(identity("b"), 10) {
+		test.Fatal("an earlier epoch's record was called durable")
+	}
+	if press.Matched(identity("a"), 11) {
+		test.Fatal("durable with one copy")
+	}
+	if !press.Matched(identity("c"), 11) || press.Done() != 11 {
+		test.Fatal("not durable with two copies")
+	}
+	// While the set changes, both sets have to have it.
+	press.Next = []pattern.Member{member("a"), member("c"), member("d")}
+	press.Take()
+	press.Matched(identity("a"), 12)
+	if press.Matched(identity("b"), 12) {
+		test.Fatal("durable without the next set")
+	}
+	if !press.Matched(identity("d"), 12) {
+		test.Fatal("not durable in both sets")
+	}
+}
+
+func TestFenceAndIdentity(test *testing.T) {
+	shelf := NewShelf("disk")
+	if answer, _ := shelf.Raise(&pattern.Raise{Epoch: 5, Disk: "other"}); answer.Granted {
+		test.Fatal("another disk's order was taken")
+	}
+	if answer, keep := shelf.Raise(&pattern.Raise{Epoch: 5, Disk: "disk"}); !answer.Granted || !keep {
+		test.Fatal("not raised")
+	}
+	if _, answer := shelf.Append(&pattern.Append{Epoch: 4, Disk: "disk", Records: []pattern.Record{{Index: 1, Epoch: 4}}}); answer.Granted {
+		test.Fatal("a fenced holder's order was taken")
+	}
+}
+
+func TestPositionsNeverChange(test *testing.T) {
+	book := NewBook()
+	body := &pattern.LotBody{Items: []pattern.LotItem{{ID: "x", Tokens: 5}, {ID: "y", Tokens: 7}}}
+	packed, _ := body.MarshalMsg(nil)
+	apply := func(record pattern.Record) error { return book.Apply(&record) }
+	if apply(pattern.Record{Kind: pattern.RecordLot, Lot: "l", Body: packed}) != nil {
+		test.Fatal("lot refused")
+	}
+	all := func(*Lot) bool { return true }
+	if book.Waiting(all) != 12 {
+		test.Fatal(book.Waiting(all))
+	}
+	if apply(pattern.Record{Kind: pattern.RecordOutput, Lot: "l", Item: "y"}) != nil || book.Waiting(all) != 5 {
+		test.Fatal("output refused")
+	}
+	if apply(pattern.Record{Kind: pattern.RecordOutput, Lot: "l", Item: "x", Position: 0}) == nil {
+		test.Fatal("a position was given twice")
+	}
+	if apply(pattern.Record{Kind: pattern.RecordEnd, Lot: "l"}) != nil || book.Lot("l").Open() || book.Waiting(all) != 0 {
+		test.Fatal("an ended lot is open")
+	}
+	if got := book.Lot("l").Listings; len(got) != 1 || got[0].Item != "y" {
+		test.Fatal(got)
+	}
+}
+
+func TestEnough(test *testing.T) {
+	if Enough(3, 1, 1) || !Enough(3, 2, 1) || Enough(4, 2, 1) || !Enough(4, 3, 1) || !Enough(1, 1, 1) || Enough(2, 0, 1) {
+		test.Fatal("wrong read quorum")
+	}
+}
--- /dev/null
+++ b/internal/locker/lots_test.go
@@ -0,0 +1,197 @@
+package locker
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+// work hands lots in and lists their items, as a holder does.
+func (fleet *simFleet) work(rounds int) {
+	for round := 0; round < rounds; round++ {
+		holder := fleet.holder
+		if holder != nil && holder.ready && !fleet.stores[holder.at].down {
+			fleet.number++
+			id := fmt.Sprintf("lot%d", fleet.number)
+			body := &pattern.LotBody{Path: "/p/"}
+			for item := 0; item < 3; item++ {
+				body.Items = append(body.Items, pattern.LotItem{ID: fmt.Sprintf("%s-%d", id, item), Tokens: 10})
+			}
+			packed, _ := body.MarshalMsg(nil)
+			holder.submit(pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed})
+			// The items end in another order each time.
+			for position, item := range fleet.world.Random.Perm(3) {
+				holder.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: id, Position: position, Item: fmt.Sprintf("%s-%d", id, item)})
+			}
+		}
+		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(60)))
+	}
+}
+
+func (fleet *simFleet) live() []string {
+	var names []string
+	for _, member := range fleet.set {
+		one := fleet.stores[member.Address]
+		if !one.down && vise.Identity(one.member) == vise.Identity(member) {
+			names = append(names, member.Address)
+		}
+	}
+	return names
+}
+
+// takeAny lets a random live member take over and checks what it knows.
+func (fleet *simFleet) takeAny() {
+	names := fleet.live()
+	for try := 0; try < 12; try++ {
+		epoch := fleet.epoch + 1
+		fleet.take(names[fleet.world.Random.Intn(len(names))])
+		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(400)))
+		if fleet.holder != nil && fleet.holder.epoch == epoch && fleet.holder.ready {
+			fleet.check(fleet.holder)
+			return
+		}
+	}
+	fleet.test.Fatal("nobody could take over although the budget was kept")
+}
+
+// swap replaces a member by another store, as the holder's changeSet does.
+func (fleet *simFleet) swap(out, newcomer pattern.Member) {
+	holder := fleet.holder
+	var next []pattern.Member
+	for _, member := range fleet.set {
+		if vise.Identity(member) != vise.Identity(out) {
+			next = append(next, member)
+		}
+	}
+	next = append(next, newcomer)
+	holder.next[vise.Identity(newcomer)] = 1
+	holder.feed(newcomer)
+	target := holder.press.Last()
+	for try := 0; try < 200 && holder.press.MatchOf(vise.Identity(newcomer)) < target; try++ {
+		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(30)))
+	}
+	holder.press.Next = next
+	index := holder.submit(pattern.Record{Kind: pattern.RecordNothing})
+	for try := 0; try < 200 && holder.press.Done() < index; try++ {
+		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(30)))
+	}
+	if holder.press.Done() < index {
+		fleet.test.Fatal("both sets never agreed")
+	}
+	fleet.set = next
+	holder.press.Members, holder.press.Next = next, nil
+}
+
+func TestLotsUnderTrouble(test *testing.T) {
+	told := 0
+	for seed := int64(1); seed <= 60; seed++ {
+		fleet := newSimFleet(test, seed, 4)
+		fleet.world.Loss, fleet.world.Double = 0.05, 0.05
+		fleet.takeAny()
+		for round := 0; round < 6; round++ {
+			fleet.work(6)
+			victim := fleet.set[fleet.world.Random.Intn(len(fleet.set))]
+			one := fleet.stores[victim.Address]
+			switch fleet.world.Random.Intn(4) {
+			case 0:
+				// Power is lost: what was synced stays.
+				one.down = true
+				one.disk.PowerLoss()
+				fleet.takeAny()
+				fleet.work(3)
+				fleet.open(one)
+			case 1:
+				// The disk is lost: the machine comes back as somebody else, and
+				// gets its place again once it has everything.
+				one.down = true
+				one.disk.Wipe()
+				fleet.takeAny()
+				fleet.work(3)
+				one.member.Disk = fmt.Sprintf("%s-%d", one.member.Name, round+1)
+				fleet.open(one)
+				fleet.swap(victim, one.member)
+			case 2:
+				// The holder is cut off and does not know that another took over.
+				if fleet.holder != nil {
+					cut := fleet.holder.at
+					var names []string
+					for name := range fleet.stores {
+						names = append(names, name)
+					}
+					old := fleet.holder
+					fleet.world.Isolate(cut, names, true)
+					fleet.stores[cut].down = false
+					others := fleet.live()
+					for place, name := range others {
+						if name == cut {
+							others = append(others[:place], others[place+1:]...)
+							break
+						}
+					}
+					for try := 0; try < 12 && (fleet.holder == old || !fleet.holder.ready); try++ {
+						fleet.take(others[fleet.world.Random.Intn(len(others))])
+						fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(400)))
+					}
+					fleet.check(fleet.holder)
+					old.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: "lot1", Position: 9, Item: "stale"})
+					fleet.work(3)
+					fleet.world.Isolate(cut, names, false)
+				}
+			case 3:
+				// A member is retired to the spare; the holder itself never is.
+				if victim.Address != fleet.holder.at {
+					for _, name := range []string{"s0", "s1", "s2", "s3"} {
+						spare := fleet.stores[name]
+						inSet := false
+						for _, member := range fleet.set {
+							inSet = inSet || member.Address == name
+						}
+						if !inSet {
+							fleet.swap(victim, spare.member)
+							break
+						}
+					}
+				}
+			}
+			fleet.work(3)
+		}
+		// At the end all lose power, and one its disk.
+		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(500)))
+		wiped := fleet.set[fleet.world.Random.Intn(3)].Address
+		for name, one := range fleet.stores {
+			one.down = true
+			one.disk.PowerLoss()
+			if name == wiped {
+				one.disk.Wipe()
+				one.member.Disk = "last"
+			}
+		}
+		fleet.holder = nil
+		for _, one := range fleet.stores {
+			fleet.open(one)
+		}
+		fleet.takeAny()
+		told += len(fleet.told)
+	}
+	if told < 1000 {
+		test.Fatalf("only %d results were told in all", told)
+	}
+}
+
+func TestLotsSameSeedSameHistory(test *testing.T) {
+	sum := func() uint64 {
+		fleet := newSimFleet(test, 5, 3)
+		fleet.world.Loss = 0.1
+		fleet.takeAny()
+		fleet.work(10)
+		fleet.takeAny()
+		fleet.work(10)
+		return fleet.world.Sum()
+	}
+	if sum() != sum() {
+		test.Fatal("one seed gave two histories")
+	}
+}
--- /dev/null
+++ b/internal/locker/simulation_test.go
@@ -0,0 +1,247 @@
+package locker
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/ledgerbox"
+	"lemonarch/internal/model"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+// simStore is a store on a fake disk; simHolder is the holder of one epoch, made
+// of the same cores as the real one, driven by events instead of threads.
+type simStore struct {
+	member pattern.Member
+	disk   *model.Disk
+	store  *Store
+	down   bool
+}
+
+type simHolder struct {
+	fleet   *simFleet
+	at      string
+	epoch   uint64
+	press   *ledgerbox.Press
+	book    *ledgerbox.Book
+	records []pattern.Record
+	applied int64
+	next    map[string]int64
+	ready   bool
+	first   int64
+}
+
+type simFleet struct {
+	test   *testing.T
+	world  *model.World
+	stores map[string]*simStore
+	// The register, whose own agreement is tested elsewhere.
+	epoch   uint64
+	set     []pattern.Member
+	holder  *simHolder
+	told    map[string]string
+	toldAt  map[string]uint64
+	number  int
+	promise int
+}
+
+const simBudget = 1
+
+func newSimFleet(test *testing.T, seed int64, count int) *simFleet {
+	fleet := &simFleet{test: test, world: model.NewWorld(seed), stores: map[string]*simStore{}, told: map[string]string{}, toldAt: map[string]uint64{}}
+	for place := 0; place < count; place++ {
+		name := fmt.Sprintf("s%d", place)
+		one := &simStore{disk: model.NewDisk(seed*31 + int64(place))}
+		one.member = pattern.Member{Name: name, Address: name, Disk: name + "-0"}
+		fleet.open(one)
+		fleet.stores[name] = one
+		if place < 3 {
+			fleet.set = append(fleet.set, one.member)
+		}
+	}
+	return fleet
+}
+
+func (fleet *simFleet) open(one *simStore) {
+	store, failure := OpenStore(one.disk, one.member.Disk)
+	if failure != nil {
+		fleet.test.Fatal(failure)
+	}
+	one.store, one.down = store, false
+	one.member.Disk = store.Disk()
+}
+
+// take makes a process the holder of a new epoch; the one before may not notice.
+func (fleet *simFleet) take(name string) {
+	fleet.epoch++
+	holder := &simHolder{fleet: fleet, at: name, epoch: fleet.epoch, next: map[string]int64{}}
+	set := append([]pattern.Member(nil), fleet.set...)
+	copies := map[string]pattern.Raised{}
+	started := false
+	for _, member := range set {
+		target := fleet.stores[member.Address]
+		fleet.world.Send(name, member.Address, func() {
+			if target.down {
+				return
+			}
+			answer, failure := target.store.Raise(&pattern.Raise{Epoch: holder.epoch, Disk: member.Disk})
+			fleet.world.Send(member.Address, name, func() {
+				if failure != nil || !answer.Granted || fleet.stores[name].down {
+					return
+				}
+				copies[vise.Identity(member)] = answer
+				own := copies[vise.Identity(fleet.stores[name].member)].Granted
+				if !started && own && ledgerbox.Enough(len(set), len(copies), simBudget) {
+					started = true
+					holder.begin(set, copies)
+				}
+			})
+		})
+	}
+}
+
+// begin goes on from the best copy. Fetching is done in one step here.
+func (holder *simHolder) begin(set []pattern.Member, copies map[string]pattern.Raised) {
+	own := holder.fleet.stores[holder.at]
+	best := ledgerbox.Best(copies)
+	if best != vise.Identity(own.member) {
+		for _, member := range set {
+			if vise.Identity(member) != best {
+				continue
+			}
+			source := holder.fleet.stores[member.Address]
+			last, stretches := own.store.State()
+			for next := ledgerbox.Common(stretches, last, copies[best].Stretches, copies[best].Last) + 1; next <= copies[best].Last; {
+				fetched, failure := source.store.Fetch(&pattern.Fetch{First: next})
+				if failure != nil || source.down || len(fetched.Records) == 0 {
+					return
+				}
+				answer, failure := own.store.Append(&pattern.Append{Epoch: holder.epoch, Disk: own.member.Disk, PreviousIndex: next - 1,
+					PreviousEpoch: own.store.EpochAt(next - 1), Records: fetched.Records})
+				if failure != nil || !answer.Granted {
+					return
+				}
+				next = fetched.Records[len(fetched.Records)-1].Index + 1
+			}
+		}
+	}
+	last, _ := own.store.State()
+	holder.press = ledgerbox.NewPress(holder.epoch, set, simBudget, last+1)
+	holder.book, holder.first, holder.applied = ledgerbox.NewBook(), last+1, last
+	for index := int64(1); index <= last; index++ {
+		record, failure := own.store.Read(index)
+		if failure != nil {
+			holder.fleet.test.Fatal(failure)
+		}
+		if failure = holder.book.Apply(record); failure != nil {
+			holder.fleet.test.Fatal(failure)
+		}
+	}
+	holder.fleet.holder = holder
+	holder.submit(pattern.Record{Kind: pattern.RecordNothing})
+	for _, member := range set {
+		holder.next[vise.Identity(member)] = last + 1
+		holder.feed(member)
+	}
+}
+
+func (holder *simHolder) submit(record pattern.Record) int64 {
+	record.Index, record.Epoch = holder.press.Take(), holder.epoch
+	holder.records = append(holder.records, record)
+	return record.Index
+}
+
+// feed sends a store what it lacks, again and again.
+func (holder *simHolder) feed(member pattern.Member) {
+	fleet, identity := holder.fleet, vise.Identity(member)
+	if fleet.stores[holder.at].down {
+		return
+	}
+	defer fleet.world.After(watch.Milliseconds(30), func() { holder.feed(member) })
+	next := holder.next[identity]
+	if next > holder.press.Last() {
+		return
+	}
+	order := &pattern.Append{Epoch: holder.epoch, Disk: member.Disk, PreviousIndex: next - 1, Done: holder.press.Done()}
+	if next >= holder.first {
+		order.Records = append(order.Records, holder.records[next-holder.first:]...)
+	} else {
+		fetched, failure := fleet.stores[holder.at].store.Fetch(&pattern.Fetch{First: next})
+		if failure != nil {
+			return
+		}
+		for _, record := range fetched.Records {
+			if record.Index < holder.first {
+				order.Records = append(order.Records, record)
+			}
+		}
+	}
+	if next-1 >= holder.first {
+		order.PreviousEpoch = holder.epoch
+	} else {
+		order.PreviousEpoch = fleet.stores[holder.at].store.EpochAt(next - 1)
+	}
+	target := fleet.stores[member.Address]
+	fleet.world.Send(holder.at, member.Address, func() {
+		if target.down {
+			return
+		}
+		answer, failure := target.store.Append(order)
+		if failure != nil {
+			return
+		}
+		fleet.world.Send(member.Address, holder.at, func() {
+			switch {
+			case answer.Granted:
+				holder.next[identity] = max(holder.next[identity], answer.Last+1)
+				if holder.press.Matched(identity, answer.Last) {
+					holder.apply()
+				}
+			case answer.Epoch <= holder.epoch && answer.Stretches != nil:
+				last, stretches := fleet.stores[holder.at].store.State()
+				holder.next[identity] = min(ledgerbox.Common(stretches, last, answer.Stretches, answer.Last), next-1) + 1
+			}
+		})
+	})
+}
+
+// apply tells clients of what is durable; that binds every later holder.
+func (holder *simHolder) apply() {
+	holder.ready = true
+	fleet := holder.fleet
+	for holder.applied < holder.press.Done() {
+		record := holder.records[holder.applied+1-holder.first]
+		if failure := holder.book.Apply(&record); failure != nil {
+			fleet.test.Fatal(failure)
+		}
+		holder.applied++
+		if record.Kind != pattern.RecordOutput {
+			continue
+		}
+		place := fmt.Sprintf("%s/%d", record.Lot, record.Position)
+		if other, known := fleet.told[place]; known && other != record.Item {
+			fleet.test.Fatalf("position %s held %s and now holds %s", place, other, record.Item)
+		}
+		fleet.told[place] = record.Item
+		fleet.world.Note("told %s %s", place, record.Item)
+	}
+}
+
+// check compares a holder's book with all that was ever told.
+func (fleet *simFleet) check(holder *simHolder) {
+	for _, place := range model.Keys(fleet.told) {
+		var lot string
+		var position int
+		if _, failure := fmt.Sscanf(place, "lot%s", &lot); failure != nil {
+			fleet.test.Fatal(failure)
+		}
+		fmt.Sscanf(lot[len(lot)-1:], "%d", &position)
+		lotID := "lot" + lot[:len(lot)-2]
+		found := holder.book.Lot(lotID)
+		if found == nil || position >= len(found.Listings) || found.Listings[position].Item != fleet.told[place] {
+			fleet.test.Fatalf("holder of epoch %d lacks %s", holder.epoch, place)
+		}
+	}
+}
--- a/internal/plumbline/index.go
+++ b/internal/plumbline/index.go
@@ -81,6 +81,8 @@
 	for position := range prompt.Parts {
 		tokens += prompt.Parts[position].Tokens
 		leaf := index.tree.Leaf(key[:8*(position+1)])
+		// The last part is the request's own until another request has it too.
+		leaf.shared = leaf.shared || position < len(prompt.Parts)-1 || leaf.used > 0
 		leaf.tokens, leaf.used = tokens, now
 		chance := index.residency(leaf, worker, now)
 		held = max(held, chance*float64(tokens))
@@ -144,7 +146,7 @@
 func (index *Index) Words(now watch.Moment, limit, least int) []pattern.Residency {
 	var leaves []*Leaf
 	index.tree.Each(func(leaf *Leaf) {
-		if leaf.tokens >= least && len(leaf.stays) > 0 && now.Since(leaf.used) < 30*almanac.GossipPeriod {
+		if leaf.shared && leaf.tokens >= least && len(leaf.stays) > 0 && now.Since(leaf.used) < 30*almanac.GossipPeriod {
 			leaves = append(leaves, leaf)
 		}
 	})
--- /dev/null
+++ b/internal/plumbline/plumbline_test.go
@@ -0,0 +1,198 @@
+package plumbline
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+func prompt(shared, own string, tokens int) *Prompt {
+	one := ParsePrompt("m", fmt.Sprintf("%d,80", tokens+200), fmt.Sprintf("%s:%d,%s:200", shared, tokens, own))
+	return &one
+}
+
+func pair(waitFirst, waitSecond float64) []Candidate {
+	return []Candidate{{Worker: "first", WaitMs: waitFirst}, {Worker: "second", WaitMs: waitSecond}}
+}
+
+// The tree against a map: every key that was put in is found on the walk of any
+// longer key, whatever was removed in between.
+func TestTreeAgainstMap(test *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(42)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("walk finds exactly the prefixes that are there", prop.ForAll(func(numbers []uint16) bool {
+		tree, known := Tree{}, map[string]bool{}
+		random := rand.New(rand.NewSource(int64(len(numbers))))
+		key := func(number uint16) []byte {
+			var text []byte
+			for part := 0; part <= int(number%3); part++ {
+				text = binary.BigEndian.AppendUint64(text, uint64(number>>(4*part))%97)
+			}
+			return text
+		}
+		for _, number := range numbers {
+			if random.Intn(3) == 0 {
+				tree.Remove(key(number))
+				delete(known, string(key(number)))
+			} else {
+				tree.Leaf(key(number))
+				known[string(key(number))] = true
+			}
+		}
+		for _, number := range numbers {
+			text := key(number)
+			want := 0
+			for end := 8; end <= len(text); end += 8 {
+				if known[string(text[:end])] {
+					want++
+				}
+			}
+			got := 0
+			tree.Walk(text, func(length int, leaf *Leaf) {
+				if known[string(text[:length])] && string(leaf.key) == string(text[:length]) {
+					got++
+				}
+			})
+			if got != want {
+				return false
+			}
+		}
+		return tree.Size() == len(known)
+	}, gen.SliceOf(gen.UInt16())))
+	properties.TestingRun(test)
+}
+
+func TestBranchesGrowAndShrink(test *testing.T) {
+	var tree Tree
+	for value := 0; value < 256; value++ {
+		tree.Leaf([]byte{1, byte(value)})
+	}
+	count := 0
+	tree.Each(func(*Leaf) { count++ })
+	if count != 256 {
+		test.Fatal(count)
+	}
+	for value := 0; value < 255; value++ {
+		tree.Remove([]byte{1, byte(value)})
+	}
+	found := 0
+	tree.Walk([]byte{1, 255}, func(int, *Leaf) { found++ })
+	if found != 1 || tree.Size() != 1 {
+		test.Fatal(found, tree.Size())
+	}
+}
+
+// A residency downgrade changes a real placement: the worker that had the prefix
+// has since turned its whole cache over.
+func TestDowngradeChangesPlacement(test *testing.T) {
+	index := NewIndex()
+	index.SetCache("first", 100_000)
+	index.SetCache("second", 100_000)
+	asked := prompt("aa", "x1", 12_000)
+	index.Placed(asked, "first", 0)
+	if choice := index.Nominate(prompt("aa", "x2", 12_000), pair(20, 0), 1); choice.Place != 0 || choice.Downgraded {
+		test.Fatalf("a warm prefix was not followed: %+v", choice)
+	}
+	index.Turned("first", 95_000)
+	choice := index.Nominate(prompt("aa", "x3", 12_000), pair(60, 0), 2)
+	if choice.Place != 1 || !choice.Downgraded || index.Downgrades != 1 {
+		test.Fatalf("a prefix that must be gone was followed: %+v", choice)
+	}
+}
+
+// It must not where the prefix is still there: over-discounting steals warm hits.
+func TestNoDowngradeWhileResident(test *testing.T) {
+	index := NewIndex()
+	index.SetCache("first", 100_000)
+	index.Placed(prompt("aa", "x1", 12_000), "first", 0)
+	index.Turned("first", 30_000)
+	choice := index.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 1)
+	if choice.Place != 0 || choice.Downgraded || index.Downgrades != 0 {
+		test.Fatalf("%+v", choice)
+	}
+}
+
+func TestLoadOutweighsAShortPrefix(test *testing.T) {
+	index := NewIndex()
+	index.Placed(prompt("aa", "x1", 300), "first", 0)
+	if choice := index.Nominate(prompt("aa", "x2", 300), pair(40, 0), 1); choice.Place != 1 || choice.Downgraded {
+		test.Fatalf("%+v", choice)
+	}
+}
+
+func TestRestartedWorkerHoldsNothing(test *testing.T) {
+	index := NewIndex()
+	index.Placed(prompt("aa", "x1", 12_000), "first", 0)
+	index.Drop("first")
+	if choice := index.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 1); choice.Place != 1 || choice.Held != 0 {
+		test.Fatalf("a lost cache was believed in: %+v", choice)
+	}
+}
+
+func TestPeersWordCountsAndAges(test *testing.T) {
+	far, near := NewIndex(), NewIndex()
+	far.SetCache("first", 100_000)
+	far.Placed(prompt("aa", "x1", 12_000), "first", 0)
+	words := far.Words(1, 10, 1000)
+	if len(words) != 1 {
+		test.Fatalf("told %d words", len(words))
+	}
+	near.Told(words, 1)
+	if choice := near.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 2); choice.Place != 0 {
+		test.Fatalf("a peer's word was not followed: %+v", choice)
+	}
+	stale := watch.Moment(1).Plus(almanac.GossipStale)
+	if choice := near.Nominate(prompt("aa", "x3", 12_000), pair(60, 0), stale); choice.Place != 1 {
+		test.Fatalf("a silent peer's word counted after three periods: %+v", choice)
+	}
+}
+
+func TestOwnNewerEvidenceBeatsAPeersOlderWord(test *testing.T) {
+	index := NewIndex()
+	index.SetCache("first", 100_000)
+	asked := prompt("aa", "x1", 12_000)
+	index.Placed(asked, "first", 1000)
+	index.Told([]pattern.Residency{{Path: asked.key()[:8], Tokens: 12_000, Worker: "first", Chance: 0, AgeMs: 500}}, 2000)
+	if choice := index.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 3000); choice.Place != 0 {
+		test.Fatalf("%+v", choice)
+	}
+}
+
+func TestIndexIsBounded(test *testing.T) {
+	index := NewIndex()
+	for count := 0; count < 3*almanac.IndexNodes; count++ {
+		index.Placed(prompt("aa", fmt.Sprintf("%x", count), 100), "first", watch.Moment(count))
+	}
+	if index.tree.Size() > almanac.IndexNodes {
+		test.Fatalf("%d leaves", index.tree.Size())
+	}
+	// The one in use all the time is still there.
+	found := 0
+	index.tree.Walk(prompt("aa", "zz", 100).key(), func(int, *Leaf) { found++ })
+	if found == 0 {
+		test.Fatal("the shared prefix was dropped")
+	}
+}
+
+func TestWordOfSlowFirstEventsLowersTrust(test *testing.T) {
+	index := NewIndex()
+	index.SetCache("first", 100_000)
+	asked := prompt("aa", "x1", 12_000)
+	index.Placed(asked, "first", 0)
+	next := prompt("aa", "x2", 12_000)
+	fresh := index.Placed(next, "first", 1)
+	before := index.Words(2, 10, 1000)[0].Chance
+	index.FirstEvent(next, "first", fresh, watch.Milliseconds(12_200/almanac.ReadRate), true, 2)
+	if after := index.Words(3, 10, 1000)[0].Chance; after >= before {
+		test.Fatalf("trust %v then %v", before, after)
+	}
+}
--- a/internal/plumbline/residency.go
+++ b/internal/plumbline/residency.go
@@ -12,6 +12,8 @@
 type Leaf struct {
 	key    []byte
 	tokens int
+	// shared: more than one request had this prefix, or it is no request's whole.
+	shared bool
 	used   watch.Moment
 	stays  map[string]stay
 	told   map[string]told
--- /dev/null
+++ b/internal/vise/register_test.go
@@ -0,0 +1,167 @@
+package vise_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/model"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+// foreman is one simulated process with an acceptor on a disk.
+type foreman struct {
+	member  pattern.Member
+	disk    pattern.AcceptorRecord
+	live    *vise.Acceptor
+	down    bool
+	counter uint64
+	known   pattern.Register
+}
+
+type fleet struct {
+	world   *model.World
+	foremen map[string]*foreman
+	acked   map[int64]string
+	onBase  map[int64]int64
+	test    *testing.T
+}
+
+func newFleet(test *testing.T, seed int64, names ...string) *fleet {
+	one := &fleet{world: model.NewWorld(seed), foremen: map[string]*foreman{}, acked: map[int64]string{}, onBase: map[int64]int64{}, test: test}
+	var first []pattern.Member
+	for _, name := range names {
+		first = append(first, pattern.Member{Name: name, Address: name, Disk: "first"})
+	}
+	for _, member := range first {
+		record := pattern.AcceptorRecord{Disk: member.Disk, First: first}
+		one.foremen[member.Address] = &foreman{member: member, disk: record, live: vise.NewAcceptor(record), known: pattern.Register{Acceptors: first}}
+	}
+	return one
+}
+
+// wipe gives a machine an empty disk and a new identity.
+func (one *fleet) wipe(name string) {
+	node := one.foremen[name]
+	node.member.Disk = fmt.Sprintf("new-%d", one.world.Random.Int63())
+	node.disk = pattern.AcceptorRecord{Disk: node.member.Disk}
+	node.live = vise.NewAcceptor(node.disk)
+}
+
+// restart reads the disk again: only what was kept is known.
+func (one *fleet) restart(name string) {
+	node := one.foremen[name]
+	node.live, node.down = vise.NewAcceptor(node.disk), false
+}
+
+// change drives one change from a node; ended is called once with the outcome.
+func (one *fleet) change(from string, change vise.Change, tries int, ended func(value pattern.Register, done bool)) {
+	node := one.foremen[from]
+	if node.down || tries == 0 {
+		ended(pattern.Register{}, false)
+		return
+	}
+	node.counter++
+	proposal, sends := vise.Begin(pattern.Ballot{Counter: node.counter, Node: from}, node.known, change)
+	over := false
+	finish := func() {
+		if over {
+			return
+		}
+		switch proposal.Stage() {
+		case vise.StageDone:
+			over = true
+			node.known = proposal.Value()
+			ended(proposal.Value(), true)
+		case vise.StageLost:
+			over = true
+			node.counter = max(node.counter, proposal.Highest().Counter)
+			if newer := proposal.Newer(); newer != nil {
+				node.known = *newer
+			}
+			one.world.After(watch.Milliseconds(5+60*one.world.Random.Float64()), func() { one.change(from, change, tries-1, ended) })
+		}
+	}
+	var carry func(list []vise.Send)
+	carry = func(list []vise.Send) {
+		for _, send := range list {
+			target := one.foremen[send.Member.Address]
+			one.world.Send(from, send.Member.Address, func() {
+				if target == nil || target.down {
+					return
+				}
+				if send.Prepare != nil {
+					answer, keep := target.live.Prepare(send.Prepare)
+					if keep {
+						target.disk = target.live.Record()
+					}
+					one.world.Send(send.Member.Address, from, func() {
+						if !over {
+							carry(proposal.Promised(send.Member, answer))
+							finish()
+						}
+					})
+					return
+				}
+				answer, keep := target.live.Accept(send.Accept)
+				if keep {
+					target.disk = target.live.Record()
+				}
+				one.world.Send(send.Member.Address, from, func() {
+					if !over {
+						proposal.Taken(send.Member, answer)
+						finish()
+					}
+				})
+			})
+		}
+	}
+	carry(sends)
+	one.world.After(watch.Milliseconds(400), func() {
+		if !over {
+			over = true
+			one.change(from, change, tries-1, ended)
+		}
+	})
+}
+
+// replace sends a configuration and checks what an acknowledgement promises.
+func (one *fleet) replace(from string, generation, base int64, mark string) {
+	version := pattern.Version{Generation: generation, Base: base, Hash: mark}
+	var outcome vise.Outcome
+	one.change(from, vise.Replace(version, []byte(mark), &outcome), 8, func(value pattern.Register, done bool) {
+		if !done {
+			return
+		}
+		one.world.Note("%s %d on %d: %d", from, generation, base, outcome)
+		if outcome == vise.OutcomeTaken || outcome == vise.OutcomeAlready {
+			if other, known := one.onBase[base]; known && other != generation {
+				one.test.Fatalf("two changes on base %d acknowledged: %d and %d", base, other, generation)
+			}
+			one.onBase[base] = generation
+			one.acked[generation] = mark
+		}
+	})
+}
+
+// newest reads the register and checks that nothing acknowledged is gone.
+func (one *fleet) newest(from string) int64 {
+	var found int64 = -1
+	one.change(from, vise.Look, 12, func(value pattern.Register, done bool) {
+		if !done {
+			return
+		}
+		found = value.Current.Generation
+		for generation, mark := range one.acked {
+			if generation > found {
+				one.test.Fatalf("acknowledged %d (%s) is gone, newest is %d", generation, mark, found)
+			}
+			if generation == found && string(value.Body) != mark {
+				one.test.Fatalf("version %d holds another body", generation)
+			}
+		}
+	})
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(8000)))
+	return found
+}
--- /dev/null
+++ b/internal/vise/trouble_test.go
@@ -0,0 +1,124 @@
+package vise_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+func TestRegisterUnderTrouble(test *testing.T) {
+	names := []string{"a", "b", "c"}
+	for seed := int64(1); seed <= 150; seed++ {
+		one := newFleet(test, seed, names...)
+		one.world.Loss, one.world.Double = 0.05, 0.05
+		generation, base := int64(0), int64(0)
+		for round := 0; round < 12; round++ {
+			// Two operators build on the same version from different nodes.
+			for racer := 0; racer < 2; racer++ {
+				generation += 1 + int64(one.world.Random.Intn(3))
+				from := names[one.world.Random.Intn(3)]
+				next, on := generation, base
+				one.world.After(watch.Milliseconds(30*one.world.Random.Float64()), func() { one.replace(from, next, on, fmt.Sprint(next)) })
+			}
+			trouble := names[one.world.Random.Intn(3)]
+			switch one.world.Random.Intn(3) {
+			case 0:
+				one.world.Isolate(trouble, names, true)
+				one.world.After(watch.Milliseconds(300), func() { one.world.Isolate(trouble, names, false) })
+			case 1:
+				one.foremen[trouble].down = true
+				one.world.After(watch.Milliseconds(300), func() { one.restart(trouble) })
+			}
+			one.world.Run(one.world.Now.Plus(watch.Milliseconds(6000)))
+			if found := one.newest(names[one.world.Random.Intn(3)]); found >= 0 {
+				base = found
+			}
+		}
+		if len(one.acked) < 4 {
+			test.Fatalf("seed %d: only %d versions were acknowledged", seed, len(one.acked))
+		}
+	}
+}
+
+func TestSameSeedSameHistory(test *testing.T) {
+	sum := func() uint64 {
+		one := newFleet(test, 7, "a", "b", "c")
+		one.world.Loss = 0.1
+		for step := int64(1); step < 6; step++ {
+			one.replace("a", step, step-1, "x")
+			one.replace("b", step, step-1, "y")
+			one.world.Run(one.world.Now.Plus(watch.Milliseconds(3000)))
+		}
+		return one.world.Sum()
+	}
+	if sum() != sum() {
+		test.Fatal("one seed gave two histories")
+	}
+}
+
+// A value stands on a and b; a loses its disk; then b and c lose power. The
+// amnesiac must neither vote in its old place nor make anybody forget.
+func TestAmnesia(test *testing.T) {
+	one := newFleet(test, 3, "a", "b", "c")
+	one.world.Isolate("c", []string{"a", "b"}, true)
+	one.replace("a", 5, 0, "five")
+	one.world.Run(watch.Moment(2_000_000_000))
+	if one.acked[5] == "" {
+		test.Fatal("not acknowledged at a majority")
+	}
+	one.wipe("a")
+	one.foremen["a"].known = one.foremen["c"].known
+	one.world.Isolate("c", []string{"a", "b"}, false)
+	// With b away the wiped a and the outdated c must not make a majority.
+	one.foremen["b"].down = true
+	decided := false
+	one.change("c", vise.Look, 4, func(_ pattern.Register, done bool) { decided = done })
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
+	if decided {
+		test.Fatal("an amnesiac helped a majority")
+	}
+	one.restart("b")
+	one.restart("c")
+	if found := one.newest("c"); found != 5 {
+		test.Fatalf("found %d after the power loss, want 5", found)
+	}
+	// a takes its own place again under its new identity, then counts.
+	joined := false
+	old := pattern.Member{Address: "a", Disk: "first"}
+	one.change("a", vise.Join(one.foremen["a"].member, &old), 10, func(_ pattern.Register, done bool) { joined = done })
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
+	settled := false
+	one.change("a", vise.Settle, 10, func(value pattern.Register, done bool) { settled = done && len(value.Previous) == 0 })
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
+	if !joined || !settled {
+		test.Fatal("the newcomer did not join")
+	}
+	one.foremen["b"].down = true
+	if found := one.newest("c"); found != 5 {
+		test.Fatalf("found %d with the newcomer's vote, want 5", found)
+	}
+}
+
+// An unfinished value is finished by whoever meets it, and a version resent after
+// an unclear answer is acknowledged, never refused.
+func TestLostAcknowledgementThenResend(test *testing.T) {
+	one := newFleet(test, 11, "a", "b", "c")
+	one.replace("a", 2, 0, "two")
+	one.world.Run(watch.Moment(1_000_000_000))
+	one.replace("b", 4, 2, "four")
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(1000)))
+	var outcome vise.Outcome
+	one.change("c", vise.Replace(pattern.Version{Generation: 2, Hash: "two"}, []byte("two"), &outcome), 5, func(pattern.Register, bool) {})
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(2000)))
+	if outcome != vise.OutcomeAlready {
+		test.Fatalf("resent version got outcome %d", outcome)
+	}
+	one.change("c", vise.Replace(pattern.Version{Generation: 6, Base: 2, Hash: "six"}, []byte("six"), &outcome), 5, func(pattern.Register, bool) {})
+	one.world.Run(one.world.Now.Plus(watch.Milliseconds(2000)))
+	if outcome != vise.OutcomeOther {
+		test.Fatalf("change on an old base got outcome %d", outcome)
+	}
+}
--- /dev/null
+++ b/internal/workbench/workbench_test.go
@@ -0,0 +1,151 @@
+package workbench
+
+import (
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+func bench(test *testing.T, capacity int, workers ...string) *Workbench {
+	one := New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, 1_200_000_000)
+	config, failure := jig.Parse([]byte(`{"generation":1,"backends":[{"name":"s"}]}`))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	one.SetConfig(config)
+	var list []pattern.Worker
+	for _, name := range workers {
+		list = append(list, pattern.Worker{ID: name, Backend: "s", Address: "a", Hall: "h", Capacity: capacity, Count: 1})
+	}
+	one.Merge(list, 1)
+	return one
+}
+
+func ask(priority int) *Ask {
+	return &Ask{Service: "s", Priority: priority, Setpoint: 200_000_000, Patience: 1_000_000_000}
+}
+
+func TestSlabKnowsLateHandles(test *testing.T) {
+	slab := Slab[string]{}
+	first := slab.Put("one")
+	if value, found := slab.Take(first); !found || value != "one" {
+		test.Fatal(value, found)
+	}
+	second := slab.Put("two")
+	if _, found := slab.Take(first); found {
+		test.Fatal("a late handle found another's value")
+	}
+	if value, _ := slab.Get(second); value != "two" || slab.Len() != 1 {
+		test.Fatal(value)
+	}
+}
+
+// When a place becomes free the highest rank that waits gets it, and every one
+// that waits is resumed exactly once.
+func TestQueuesByRank(test *testing.T) {
+	one := bench(test, 1, "w")
+	var grants []*Grant
+	for count := 0; count < 1+almanac.RoomAhead; count++ {
+		answer, _ := one.Admit(ask(0), nil, 2)
+		if answer.Verdict != VerdictGranted {
+			test.Fatal(answer.Verdict)
+		}
+		grants = append(grants, answer.Grant)
+	}
+	var order []int
+	wait := func(priority int) {
+		answer, _ := one.Admit(ask(priority), func(late Answer) {
+			if late.Verdict == VerdictGranted {
+				order = append(order, priority)
+			} else {
+				order = append(order, -priority)
+			}
+		}, 3)
+		if answer.Verdict != VerdictQueued {
+			test.Fatal(answer.Verdict)
+		}
+	}
+	wait(2)
+	wait(0)
+	wait(1)
+	grants[0].End(OutcomeServed, 4)
+	grants[1].End(OutcomeServed, 5)
+	if len(order) != 2 || order[0] != 0 || order[1] != 1 {
+		test.Fatal(order)
+	}
+	one.Pump(1_000_000_001)
+	if len(order) != 3 || order[2] != -2 {
+		test.Fatal("what can wait no longer must be refused: ", order)
+	}
+	one.Pump(1_000_000_002)
+	if len(order) != 3 {
+		test.Fatal("resumed twice")
+	}
+}
+
+func TestWithdrawnIsNeverResumed(test *testing.T) {
+	one := bench(test, 1, "w")
+	var grants []*Grant
+	for count := 0; count < 1+almanac.RoomAhead; count++ {
+		answer, _ := one.Admit(ask(0), nil, 2)
+		grants = append(grants, answer.Grant)
+	}
+	_, handle := one.Admit(ask(0), func(Answer) { test.Fatal("resumed") }, 3)
+	if !one.Withdraw(handle) || one.Withdraw(handle) {
+		test.Fatal("a withdrawal holds once")
+	}
+	grants[0].End(OutcomeServed, 4)
+}
+
+func TestDrainedWorkerIsNeitherPlacedOnNorSentTo(test *testing.T) {
+	one := bench(test, 4, "w", "v")
+	one.Merge([]pattern.Worker{{ID: "w", Backend: "s", Count: 2, Phase: pattern.PhaseDraining, Capacity: 4}}, 2)
+	if one.Allowed("w", 3) || !one.Allowed("v", 3) {
+		test.Fatal("a drain does not bind")
+	}
+	for count := 0; count < 6; count++ {
+		answer, _ := one.Admit(ask(0), nil, 3)
+		if answer.Verdict == VerdictGranted && answer.Grant.Worker.ID == "w" {
+			test.Fatal("placed on a draining worker")
+		}
+	}
+}
+
+// Items of lots leave places to live requests, and take none while any live
+// request waits at a peer.
+func TestItemsLeaveRoom(test *testing.T) {
+	one := bench(test, 8, "w")
+	item := func() Verdict {
+		answer, _ := one.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 3)
+		return answer.Verdict
+	}
+	count := 0
+	for item() == VerdictGranted {
+		count++
+	}
+	if want := int(almanac.BulkShare * 8); count != want {
+		test.Fatalf("%d items placed, want %d", count, want)
+	}
+	other := bench(test, 8, "w")
+	other.Heard(&pattern.Gossip{From: "forge/x", Pressure: []int{3}}, 2)
+	answer, _ := other.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 3)
+	if answer.Verdict == VerdictGranted {
+		test.Fatal("an item took a place that live requests wait for")
+	}
+}
+
+// A paused peer's word counts no more after three periods.
+func TestStaleGossipIsIgnored(test *testing.T) {
+	one := bench(test, 1, "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Weights: []pattern.Weight{{ID: "w", Live: 50}}}, 2)
+	if answer, _ := one.Admit(ask(0), nil, 3); answer.Verdict == VerdictGranted {
+		test.Fatal("placed on a worker that is full by a peer's word")
+	}
+	later := watch.Moment(2).Plus(almanac.GossipStale)
+	if answer, _ := one.Admit(ask(0), nil, later); answer.Verdict != VerdictGranted {
+		test.Fatal("a stale word still counts")
+	}
+}
