--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -112,6 +112,7 @@
 	worker, _ = foreman.roster.Get(worker.ID)
 	foreman.lock.Unlock()
 	if changed {
+		foreman.memory.remember(worker)
 		foreman.Stand.Log.Info("worker", "id", worker.ID, "service", worker.Backend, "phase", worker.Phase.String(), "address", worker.Address)
 		foreman.tellWorkers([]pattern.Worker{worker}, almanac.PushTime)
 	}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -41,6 +41,7 @@
 	met      map[string]int64
 	begun    watch.Moment
 	server   *http.Server
+	memory   *memory
 }
 
 // New opens the disk and prepares the process.
@@ -67,10 +68,17 @@
 	if failure != nil {
 		return nil, failure
 	}
+	kept, workers, failure := openMemory(whetstone.Folder(settings.DataDir))
+	if failure != nil {
+		return nil, failure
+	}
 	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, register.acceptor.Disk(), log)
 	register.stand = stand
 	foreman := &Foreman{Stand: stand, Register: register, caliper: checker, roster: roster.New(settings.Heartbeat()),
-		beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}, begun: watch.Now()}
+		beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}, begun: watch.Now(), memory: kept}
+	for _, worker := range workers {
+		foreman.roster.Merge(worker, watch.Now())
+	}
 	register.accepted = foreman.accepted
 	foreman.answerers()
 	return foreman, nil
@@ -127,7 +135,9 @@
 	stand.Answer(pattern.KindRosterPush, answer(func(question *pattern.RosterPush) (tongs.Writable, error) {
 		foreman.lock.Lock()
 		for _, worker := range question.Workers {
-			foreman.roster.Merge(worker, watch.Now())
+			if foreman.roster.Merge(worker, watch.Now()) {
+				foreman.memory.remember(worker)
+			}
 		}
 		foreman.lock.Unlock()
 		stand.Touched(question.From)
@@ -147,6 +157,7 @@
 		return failure
 	}
 	go foreman.relearn()
+	go foreman.remembering()
 	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.tellRoster)
 	go watch.Every(almanac.ShufflePeriod, stand.Stop, foreman.tendSet)
 	foreman.server = &http.Server{Addr: stand.Boot.Bind.Control, Handler: foreman.calls(), ReadHeaderTimeout: almanac.BulkCallTime}
