Read items one after the other at a worker, so that live prompts get between

Ruled out: too few places (running stayed under capacity), slow start after the closing fault (other seconds). Change: at most 2,000 tokens of items wait to be read at a worker.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -163,6 +163,10 @@
 	// BulkShare is the part of a worker's places that items may fill when no
 	// live request wants them (ours).
 	BulkShare = 0.75
+	// BulkReading is how many prompt tokens of items may wait at a worker to be
+	// read (ours): workers read in the order of arrival, so each one more is time
+	// that a live request waits for its first event.
+	BulkReading = 2000
 	// TickPeriod is the period of the locker's own upkeep.
 	TickPeriod = 50 * time.Millisecond
 	// RewriteBytes is the least size at which a file of records is rewritten.
--- a/internal/locker/item.go
+++ b/internal/locker/item.go
@@ -41,6 +41,9 @@
 		reign.workerRefused(route, item, grant, delivery.NotRun, status)
 		return
 	}
+	reign.lock.Lock()
+	reign.ring()
+	reign.lock.Unlock()
 	splitter := &carriage.Splitter{}
 	if item.LastID > 0 {
 		splitter.Next = item.LastID + 1
--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -44,6 +44,10 @@
 			if running >= bench.room(ask, worker, now) {
 				continue
 			}
+			if ask.Bulk && vitals.Pending() > 0 && vitals.Pending()+int64(ask.Prompt.Tokens) > almanac.BulkReading {
+				// Items are read one after the other, so that live prompts get between.
+				continue
+			}
 			candidate := plumbline.Candidate{Worker: worker.ID, WaitMs: bench.cost(worker.Hall)}
 			if engine {
 				bench.Index.SetCache(worker.ID, cacheTokens)
