Let first events set the pace of items; decide holds as soon as a majority has

Cause: after a holder lost its disk the next one waited out time-outs of the dead members (0.4 s of 2 s), and the hold of 1.5 s was long against a due time of 8 s.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -22,6 +22,9 @@
 	// CallTime bounds an ordinary call between our processes (ours): under the
 	// second in which an outside caller moves on.
 	CallTime = 800 * time.Millisecond
+	// StartPause is the pause between two tries of a starting process to learn what
+	// it needs (ours): each is time in which it can't serve.
+	StartPause = 40 * time.Millisecond
 	// PushTime bounds the wait for peers to take a push before a worker's call
 	// is acknowledged; the worker waits a second at most.
 	PushTime = 350 * time.Millisecond
@@ -66,11 +69,11 @@
 	HistoryLength = 32
 	// HoldTime is the length of a hold on a duty (ours): long enough for a slow
 	// sync, short enough that lots wait little after a crash.
-	HoldTime = 1500 * time.Millisecond
+	HoldTime = time.Second
 	// HoldMargin is how much earlier than its end a holder stops.
-	HoldMargin = 300 * time.Millisecond
+	HoldMargin = 200 * time.Millisecond
 	// HoldRenewal is the time between renewals.
-	HoldRenewal = 350 * time.Millisecond
+	HoldRenewal = 250 * time.Millisecond
 )
 
 // Workers.
@@ -97,6 +100,9 @@
 	// ReadRate is the first guess of prompt tokens read in a ms, until streams
 	// teach better.
 	ReadRate = 120.0
+	// FirstGuess is the first guess, in ms, of the time to a first event once the
+	// prompt is read: an event holds several tokens.
+	FirstGuess = 30.0
 	// StepGuess is the first guess, in ms, of what one running request costs the
 	// others in waiting.
 	StepGuess = 0.9
@@ -163,10 +169,11 @@
 	// BulkShare is the part of a worker's places that items may fill when no
 	// live request wants them (ours).
 	BulkShare = 0.75
-	// BulkReading is how many prompt tokens of items may wait at a worker to be
-	// read (ours): workers read in the order of arrival, so each one more is time
-	// that a live request waits for its first event.
-	BulkReading = 2000
+	// BulkUnread is how many items may wait at a worker for their first event when
+	// one more is placed there (ours): workers read in the order of arrival, so each
+	// is time that a live request waits. Letting first events set the pace measured
+	// better than reckoning the reading time.
+	BulkUnread = 1
 	// TickPeriod is the period of the locker's own upkeep.
 	TickPeriod = 50 * time.Millisecond
 	// RewriteBytes is the least size at which a file of records is rewritten.
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -205,7 +205,7 @@
 				return
 			}
 		}
-		watch.Sleep(almanac.CallTime / 2)
+		watch.Sleep(almanac.StartPause)
 	}
 }
 
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -17,7 +17,6 @@
 
 type peerWord struct {
 	live, bulk int
-	pending    int64
 	suspect    bool
 	at         watch.Moment
 }
@@ -26,6 +25,7 @@
 type Vitals struct {
 	live, bulk   int
 	pending      int64
+	unread       int
 	told         int
 	toldAt       watch.Moment
 	toldOwn      int
@@ -65,10 +65,21 @@
 		vitals.live++
 	}
 	vitals.pending += int64(fresh)
+	vitals.unread++
 }
 
 // Read notes that a prompt was read: its first event has come.
-func (vitals *Vitals) Read(fresh int) { vitals.pending = max(0, vitals.pending-int64(fresh)) }
+func (vitals *Vitals) Read(fresh int) {
+	vitals.pending -= int64(fresh)
+	vitals.unread--
+}
+
+// Pending is how many prompt tokens of ours wait to be read there, and Unread how
+// many requests.
+func (vitals *Vitals) Pending() int64 { return vitals.pending }
+
+// Unread is how many requests of ours have had no first event yet.
+func (vitals *Vitals) Unread() int { return vitals.unread }
 
 // End notes that a request of ours is over.
 func (vitals *Vitals) End(bulk bool) {
@@ -84,7 +95,7 @@
 
 // Weight is what we tell peers.
 func (vitals *Vitals) Weight(worker string, now watch.Moment) pattern.Weight {
-	return pattern.Weight{ID: worker, Live: vitals.live, Bulk: vitals.bulk, Tokens: vitals.pending, Suspect: now < vitals.suspectUntil}
+	return pattern.Weight{ID: worker, Live: vitals.live, Bulk: vitals.bulk, Suspect: now < vitals.suspectUntil}
 }
 
 // Idle tells that there is nothing to tell.
@@ -94,7 +105,7 @@
 
 // Peer takes a peer's word.
 func (vitals *Vitals) Peer(peer string, weight pattern.Weight, now watch.Moment) {
-	vitals.peers[peer] = peerWord{live: weight.Live, bulk: weight.Bulk, pending: weight.Tokens, suspect: weight.Suspect, at: now}
+	vitals.peers[peer] = peerWord{live: weight.Live, bulk: weight.Bulk, suspect: weight.Suspect, at: now}
 }
 
 // Load takes the load header of an answer: running, waiting, slots.
@@ -136,9 +147,6 @@
 	return count
 }
 
-// Pending is how many prompt tokens of ours wait to be read there.
-func (vitals *Vitals) Pending() int64 { return vitals.pending }
-
 // Failed notes a reset, a refusal to connect, or silence.
 func (vitals *Vitals) Failed(now watch.Moment) {
 	vitals.failures++
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -77,7 +77,7 @@
 				return
 			}
 		}
-		watch.Sleep(almanac.CallTime / 4)
+		watch.Sleep(almanac.StartPause)
 	}
 }
 
--- a/internal/locker/duty.go
+++ b/internal/locker/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand"
-	"sync"
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
@@ -133,29 +132,37 @@
 }
 
 // ask puts a question to every acceptor and tells whether a majority granted it.
+// It does not wait for those that stay silent once the others have decided.
 func (locker *Locker) ask(question pattern.HoldAsk) (granted bool, latest uint64) {
 	locker.lock.Lock()
 	acceptors := locker.value.Acceptors
 	locker.lock.Unlock()
-	answered := map[string]bool{}
-	var lock sync.Mutex
-	var group sync.WaitGroup
+	type heard struct {
+		identity string
+		answer   pattern.HoldAnswer
+		failed   bool
+	}
+	answers := make(chan heard, len(acceptors))
 	for _, member := range acceptors {
-		group.Add(1)
 		go func() {
-			defer group.Done()
-			answer := &pattern.HoldAnswer{}
-			if tongs.Ask(locker.Stand.Wire, member.Address, pattern.KindAsk, &question, answer, almanac.HoldRenewal) != nil {
-				return
-			}
-			lock.Lock()
-			defer lock.Unlock()
-			latest = max(latest, answer.Epoch)
-			answered[vise.Identity(member)] = answer.Granted
+			one := heard{identity: vise.Identity(member)}
+			one.failed = tongs.Ask(locker.Stand.Wire, member.Address, pattern.KindAsk, &question, &one.answer, almanac.HoldRenewal) != nil
+			answers <- one
 		}()
 	}
-	group.Wait()
-	return vise.Majority(acceptors, answered), latest
+	answered := map[string]bool{}
+	for range acceptors {
+		one := <-answers
+		if one.failed {
+			continue
+		}
+		latest = max(latest, one.answer.Epoch)
+		answered[one.identity] = one.answer.Granted
+		if vise.Majority(acceptors, answered) {
+			return true, latest
+		}
+	}
+	return false, latest
 }
 
 // renew extends our hold; it is given up when it can't be.
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -1,8 +1,6 @@
 package locker
 
 import (
-	"sync"
-
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/ledgerbox"
@@ -73,32 +71,42 @@
 	reign.tell()
 }
 
-// raise asks every store of the set to take orders of this epoch only.
+// raise asks every store of the set to take orders of this epoch only. It returns
+// once enough have answered; those that answer later are fed all the same.
 func (reign *reign) raise() map[string]pattern.Raised {
-	copies := map[string]pattern.Raised{}
-	var lock sync.Mutex
-	var group sync.WaitGroup
-	for _, member := range reign.press.Members {
-		group.Add(1)
+	locker := reign.locker
+	type heard struct {
+		identity string
+		answer   pattern.Raised
+	}
+	members := reign.press.Members
+	answers := make(chan heard, len(members))
+	for _, member := range members {
 		go func() {
-			defer group.Done()
 			question := &pattern.Raise{Epoch: reign.duty.Epoch, Disk: member.Disk}
-			answer := &pattern.Raised{}
+			one := heard{identity: vise.Identity(member)}
 			var failure error
-			if member.Address == reign.locker.Stand.Own.Address {
-				*answer, failure = reign.locker.Store.Raise(question)
+			if member.Address == locker.Stand.Own.Address {
+				one.answer, failure = locker.Store.Raise(question)
 			} else {
-				failure = tongs.Ask(reign.locker.Stand.Wire, member.Address, pattern.KindRaise, question, answer, almanac.RoundTime)
+				failure = tongs.Ask(locker.Stand.Wire, member.Address, pattern.KindRaise, question, &one.answer, almanac.RoundTime)
 			}
-			if failure != nil || !answer.Granted {
-				return
+			if failure != nil {
+				one.answer.Granted = false
 			}
-			lock.Lock()
-			defer lock.Unlock()
-			copies[vise.Identity(member)] = *answer
+			answers <- one
 		}()
 	}
-	group.Wait()
+	copies := map[string]pattern.Raised{}
+	for range members {
+		one := <-answers
+		if one.answer.Granted {
+			copies[one.identity] = one.answer
+		}
+		if ledgerbox.Enough(len(members), len(copies), locker.budget()) && copies[vise.Identity(locker.member())].Granted {
+			break
+		}
+	}
 	return copies
 }
 
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -180,7 +180,6 @@
 	ID      string `msg:"i"`
 	Live    int    `msg:"l"`
 	Bulk    int    `msg:"b"`
-	Tokens  int64  `msg:"t"`
 	Turned  int64  `msg:"u"`
 	Suspect bool   `msg:"s"`
 }
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -2423,9 +2423,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Weight) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 5
 	// string "i"
-	o = append(o, 0x86, 0xa1, 0x69)
+	o = append(o, 0x85, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -2433,9 +2433,6 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendInt(o, z.Bulk)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Tokens)
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendInt64(o, z.Turned)
@@ -2481,12 +2478,6 @@
 				err = msgp.WrapError(err, "Bulk")
 				return
 			}
-		case "t":
-			z.Tokens, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
 		case "u":
 			z.Turned, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2513,7 +2504,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Weight) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/plumbline/index.go
+++ b/internal/plumbline/index.go
@@ -33,10 +33,11 @@
 	Downgrades int64
 	Hits       int64
 	rate       float64
+	first      float64
 }
 
 // NewIndex makes an empty index.
-func NewIndex() *Index { return &Index{turns: map[string]*turnover{}, rate: almanac.ReadRate} }
+func NewIndex() *Index { return &Index{turns: map[string]*turnover{}, rate: almanac.ReadRate, first: almanac.FirstGuess} }
 
 // ParsePrompt reads the headers that describe a prompt.
 func ParsePrompt(model, counts, prefix string) Prompt {
@@ -108,13 +109,16 @@
 	saved := max(prompt.Tokens, 1) - fresh
 	whole := float64(prompt.Tokens) / index.rate
 	short := float64(fresh) / index.rate
-	took := watch.ToMilliseconds(waited)
+	// What is left once the prompt was read is the making of the first event.
+	took := watch.ToMilliseconds(waited) - index.first
 	// Small prompts and busy workers tell nothing: the wait hides the reading.
-	const worthKnowing, muchOf = 2000, 0.8
+	const worthKnowing, muchOf, little = 2000, 0.8, 300
 	if saved < worthKnowing {
-		if alone && fresh > worthKnowing && took > 0 {
-			measured := float64(fresh) / took
-			index.rate = 0.95*index.rate + 0.05*min(max(measured, 20), 2000)
+		switch {
+		case alone && fresh > worthKnowing && took > 0:
+			index.rate += 0.05 * (min(max(float64(fresh)/took, 20), 2000) - index.rate)
+		case alone && fresh < little:
+			index.first += 0.02 * (min(watch.ToMilliseconds(waited), 4*almanac.FirstGuess) - index.first)
 		}
 		return
 	}
--- a/internal/tongs/peer.go
+++ b/internal/tongs/peer.go
@@ -47,7 +47,7 @@
 		return current, nil
 	}
 	// A peer that has just been out of reach is not dialled by every caller anew.
-	if failed != 0 && watch.Now().Since(failed) < almanac.DialTime/4 {
+	if failed != 0 && watch.Now().Since(failed) < almanac.StartPause/2 {
 		return nil, Unreached.New(one.address)
 	}
 	one.dialing.Lock()
--- a/internal/trestle/config.go
+++ b/internal/trestle/config.go
@@ -132,6 +132,6 @@
 			done()
 			return
 		}
-		watch.Sleep(almanac.CallTime / 4)
+		watch.Sleep(almanac.StartPause)
 	}
 }
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -105,8 +105,8 @@
 				go trestle.shuffleWith(seed)
 			}
 		}
-		watch.Sleep(almanac.CallTime / 4)
-		if len(trestle.Live(bellows.RoleForeman)) > 0 && round > 4 {
+		watch.Sleep(almanac.StartPause * 2)
+		if len(trestle.Live(bellows.RoleForeman)) > 0 && round > 10 {
 			return
 		}
 	}
