--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -105,7 +105,7 @@
 	FirstGuess = 30.0
 	// StepGuess is the first guess, in ms, of what one running request costs the
 	// others in waiting.
-	StepGuess = 0.9
+	StepGuess = 0.4
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
 	FailurePenalty = 4000.0
 	// SuspectFor is how long a failure counts against a worker.
--- a/internal/plumbline/score.go
+++ b/internal/plumbline/score.go
@@ -44,11 +44,18 @@
 			}
 		})
 	}
+	first, second, worth := index.homes(prompt, candidates)
 	best, believing := -1, -1
 	bestScore, believingScore := 0.0, 0.0
 	for place := range candidates {
 		candidate := &candidates[place]
-		load := -candidate.WaitMs - candidate.RiskMs + index.leaning(prompt, candidate.Worker)
+		load := -candidate.WaitMs - candidate.RiskMs
+		switch place {
+		case first:
+			load += firstHome * worth
+		case second:
+			load += secondHome * worth
+		}
 		score := matches[place].weighted/index.rate + load
 		if best < 0 || score > bestScore {
 			best, bestScore = place, score
@@ -71,27 +78,43 @@
 	return choice
 }
 
-// leaning breaks ties: nodes that know nothing of a prefix yet should come to the
-// same workers, so each prefix leans to a few, by a hash. It is far smaller than
-// a warm prefix is worth and grows with what the prefix would save.
-func (index *Index) leaning(prompt *Prompt, worker string) float64 {
+// homes gives each candidate's bonus for being the home of a prefix: nodes that
+// know nothing of a prefix yet should come to the same workers, so each prefix has
+// two homes, by a hash. A home is worth less than a warm prefix, and more than
+// small differences of load.
+func (index *Index) homes(prompt *Prompt, candidates []Candidate) (first, second int, worth float64) {
+	first, second = -1, -1
 	if len(prompt.Parts) < 2 {
-		return 0
+		return first, second, 0
 	}
 	shared := 0
 	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
 		shared += part.Tokens
 	}
-	sum := fnv.New64a()
-	var name [8]byte
-	// The last part is the request's own; the one before it is the shared prefix.
-	binary.BigEndian.PutUint64(name[:], prompt.Parts[len(prompt.Parts)-2].Name)
-	sum.Write(name[:])
-	sum.Write([]byte(worker))
-	draw := float64(sum.Sum64()>>11) / float64(1<<53)
-	const mostOf = 0.35
-	return draw * mostOf * float64(shared) / index.rate
+	var best, next uint64
+	for place := range candidates {
+		sum := fnv.New64a()
+		sum.Write([]byte(candidates[place].Worker))
+		var name [8]byte
+		// The last part is the request's own; the one before it is the shared prefix.
+		binary.BigEndian.PutUint64(name[:], prompt.Parts[len(prompt.Parts)-2].Name)
+		sum.Write(name[:])
+		switch draw := sum.Sum64(); {
+		case first < 0 || draw > best:
+			second, next = first, best
+			first, best = place, draw
+		case second < 0 || draw > next:
+			second, next = place, draw
+		}
+	}
+	return first, second, float64(shared) / index.rate
 }
 
+// The parts of a prefix's worth that its first and second home get (ours).
+const (
+	firstHome  = 0.6
+	secondHome = 0.4
+)
+
 // Rate is the reading rate in tokens a ms, as streams have taught it.
 func (index *Index) Rate() float64 { return index.rate }
