--- /dev/null
+++ b/cmd/lemonarch/check.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"lemonarch/internal/boot"
+	"lemonarch/internal/caliper"
+	"lemonarch/internal/stencil"
+)
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE", Args: cobra.ExactArgs(1),
+		Short: "Check a settings file (TOML) or a configuration (JSON) as the daemons do",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			text, failure := os.ReadFile(arguments[0])
+			if failure != nil {
+				return coded{exitUnusable, failure.Error()}
+			}
+			findings := findingsOf(text)
+			for _, finding := range findings {
+				fmt.Fprintln(command.OutOrStdout(), arguments[0]+": "+finding)
+			}
+			if len(findings) > 0 {
+				return coded{exitInvalid, fmt.Sprintf("%s is not valid, findings=%d", arguments[0], len(findings))}
+			}
+			fmt.Fprintln(command.OutOrStdout(), arguments[0]+": valid")
+			return nil
+		}}
+}
+
+// findingsOf tells JSON from TOML by its first byte.
+func findingsOf(text []byte) []string {
+	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
+		checker, failure := caliper.New()
+		if failure != nil {
+			return []string{failure.Error()}
+		}
+		_, findings := checker.Check(text)
+		return findings
+	}
+	settings, failure := boot.Parse(text)
+	if settings == nil {
+		return []string{strings.ReplaceAll(failure.Error(), "\n", " ")}
+	}
+	return settings.Check()
+}
+
+func importCommand() *cobra.Command {
+	options := stencil.Options{}
+	group := &cobra.Command{Use: "import", Short: "Make a configuration from other formats"}
+	from := &cobra.Command{Use: "openapi FILE", Args: cobra.ExactArgs(1), Short: "Turn the paths of an OpenAPI file into routes",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			text, failure := os.ReadFile(arguments[0])
+			if failure != nil {
+				return coded{exitUnusable, failure.Error()}
+			}
+			routes, findings, failure := stencil.Import(text, options)
+			if failure != nil {
+				return coded{exitInvalid, strings.ReplaceAll(failure.Error(), "\n", " ")}
+			}
+			body, failure := json.MarshalIndent(map[string]any{"generation": 1, "channels": routes,
+				"backends": []map[string]string{{"name": options.Backend}}, "limits": struct{}{}}, "", "  ")
+			if failure != nil {
+				return failure
+			}
+			fmt.Fprintln(command.OutOrStdout(), string(body))
+			if len(findings) == 0 {
+				// What is written must be what the daemons would take.
+				findings = findingsOf(body)
+			}
+			for _, finding := range findings {
+				fmt.Fprintln(command.ErrOrStderr(), arguments[0]+": "+finding)
+			}
+			if len(findings) > 0 {
+				return coded{exitInvalid, fmt.Sprintf("not all of %s could be mapped, findings=%d", arguments[0], len(findings))}
+			}
+			return nil
+		}}
+	from.Flags().StringVar(&options.Backend, "backend", "service", "name of the service that the routes go to")
+	from.Flags().StringVar(&options.Host, "host", "", "host of the routes, where the file names no server")
+	from.Flags().IntVar(&options.CutoffMs, "cutoff-ms", 5000, "cutoff-ms of the routes")
+	group.AddCommand(from)
+	return group
+}
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -1,4 +1,39 @@
-// Command lemonarch is the operator's desk.
+// Command lemonarch is the operator's desk: it checks files, asks the fleet for its
+// state, and imports routes.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// exit codes: what was asked holds, does not hold, or can't be asked so.
+const (
+	exitInvalid  = 1
+	exitUnusable = 2
+)
+
+// coded is a failure with its exit code.
+type coded struct {
+	code int
+	text string
+}
+
+func (one coded) Error() string { return one.text }
+
+func main() {
+	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes",
+		SilenceUsage: true, SilenceErrors: true}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(checkCommand(), shellCommand(), importCommand())
+	if failure := root.Execute(); failure != nil {
+		fmt.Fprintln(os.Stderr, "lemonarch: "+failure.Error())
+		code := exitUnusable
+		if one, is := failure.(coded); is {
+			code = one.code
+		}
+		os.Exit(code)
+	}
+}
--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -112,6 +112,23 @@
 	SuspectFor = 1200 * time.Millisecond
 )
 
+// Displacement.
+const (
+	// DisplaceFloor is the part of a service's places that items keep whatever
+	// waits (ours): the low tier must not starve for good.
+	DisplaceFloor = 0.08
+	// DisplaceLimit is how often one item may be displaced before it keeps its
+	// place (ours): ageing, for the same reason.
+	DisplaceLimit = 3
+	// PressurePeriod is the least time between two words of pressure (ours), and
+	// PressureStale the age at which a word counts no more.
+	PressurePeriod = 100 * time.Millisecond
+	PressureStale  = 400 * time.Millisecond
+	// StreamReserve is the time that a displaced stream must still have beyond its
+	// aim, to end in time elsewhere (ours).
+	StreamReserve = 1500 * time.Millisecond
+)
+
 // Data plane.
 const (
 	// PumpPeriod is how often those that wait are looked at without a cause (ours).
@@ -180,6 +197,14 @@
 	RewriteBytes = 24 << 20
 )
 
+// Operator's tools.
+const (
+	// StatusRows bounds what one process says to a query of the shell (ours).
+	StatusRows = 200
+	// StatusTime is how long the shell waits for one process unless told otherwise.
+	StatusTime = 700 * time.Millisecond
+)
+
 // Processes.
 const (
 	// MemoryShare is the part of the memory limit the collector may use.
--- a/internal/carriage/journey.go
+++ b/internal/carriage/journey.go
@@ -10,6 +10,7 @@
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/errand"
 	"lemonarch/internal/jig"
+	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/reply"
 	"lemonarch/internal/watch"
@@ -40,6 +41,11 @@
 	hasEvent bool
 	pipe     atomic.Pointer[chisel.Pipe]
 	last     *workerAnswer
+	// displaced is set by whoever asks for our place; setBack holds until the next
+	// try, wasDisplaced to the end.
+	displaced    atomic.Bool
+	wasDisplaced bool
+	setBack      bool
 }
 
 // workerAnswer is an answer of a worker's own that may be given when no other
@@ -78,6 +84,12 @@
 			one.giveUp(workbench.Answer{Verdict: workbench.VerdictNoRoom, Retry: one.ask.Setpoint / 2})
 			return
 		}
+		if one.setBack {
+			// Its worker did nothing wrong and may be asked again.
+			one.setBack = false
+			one.carriage.Bench.Tally(one.route.Name).Resumed.Add(1)
+			continue
+		}
 		one.ask.Excluded = append(one.ask.Excluded, answer.Grant.Worker.ID)
 	}
 }
@@ -140,8 +152,12 @@
 	delivery, evidence, failure := courier.Carry(grant, one.letter(grant))
 	if failure != nil {
 		outcome := workbench.OutcomeFailed
-		if one.request.Context().Err() != nil {
+		switch {
+		case one.request.Context().Err() != nil:
 			outcome = workbench.OutcomeCalledOff
+		case mishap.Of(failure, chisel.Spent):
+			// Nothing is wrong with the worker; we have too many pipes to it.
+			outcome = workbench.OutcomeTurnedAway
 		}
 		grant.End(outcome, watch.Now())
 		one.carriage.Log.Debug("try failed", "worker", grant.Worker.ID, "why", failure.Error())
--- a/internal/carriage/relay.go
+++ b/internal/carriage/relay.go
@@ -73,6 +73,7 @@
 	if one.headSent {
 		one.carriage.Counts.Resumed.Add(1)
 	}
+	one.mayYield(grant, delivery)
 	failure := courier.Stream(delivery, splitter, one.deadline, patience, func(events []byte) error {
 		if !one.headSent {
 			copyBack(one.writer.Header(), delivery.Answer.Header)
@@ -98,10 +99,20 @@
 		one.finish(delivery)
 		grant.End(workbench.OutcomeServed, watch.Now())
 		one.carriage.Counts.Served.Add(1)
+		if one.setBack {
+			// Its worker did nothing wrong and may be asked again.
+			one.setBack = false
+			one.carriage.Bench.Tally(one.route.Name).Finished.Add(1)
+		}
 		return RepeatNever, true
 	}
 	courier.Abandon(delivery)
 	outcome := workbench.OutcomeFailed
+	if one.displaced.Swap(false) {
+		outcome = workbench.OutcomeCalledOff
+		one.wasDisplaced, one.setBack = true, true
+		one.carriage.Bench.Tally(one.route.Name).Displaced.Add(1)
+	}
 	if mishap.Of(failure, clientGone) || one.request.Context().Err() != nil || watch.Now() >= one.deadline {
 		outcome = workbench.OutcomeCalledOff
 	}
@@ -109,3 +120,17 @@
 	one.carriage.Log.Debug("stream broke", "worker", grant.Worker.ID, "last", one.lastID, "why", failure.Error())
 	return one.judge(Evidence{Sent: true}), false
 }
+
+// mayYield lets a running stream of a lower rank make room, where it may go on at
+// another worker within the same answer and still end in time. What must not run
+// twice never yields.
+func (one *journey) mayYield(grant *workbench.Grant, delivery *Delivery) {
+	left := one.deadline.Since(watch.Now())
+	if !one.repeatable() || one.sent+1 >= one.route.Tries || left < one.route.Setpoint()+almanac.StreamReserve {
+		return
+	}
+	grant.MayYield(func() {
+		one.displaced.Store(true)
+		delivery.Pipe.Close()
+	})
+}
--- a/internal/chisel/chisel.go
+++ b/internal/chisel/chisel.go
@@ -24,6 +24,8 @@
 var (
 	// NoPipe means that nothing was sent.
 	NoPipe = mishap.Define("no pipe to worker")
+	// Spent means that nothing was sent, for want of a place in the budget.
+	Spent = mishap.Define("connection budget spent")
 	// Broken means that the request was sent, in part or whole, and may have run.
 	Broken = mishap.Define("pipe broken")
 	// Silent means that the worker said nothing in time.
@@ -74,7 +76,7 @@
 		if count == 0 {
 			if budget > 0 && pipes.open >= budget {
 				chest.lock.Unlock()
-				return nil, NoPipe.New("connection budget used up")
+				return nil, Spent.New(worker.ID)
 			}
 			pipes.open++
 			chest.lock.Unlock()
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -81,6 +81,7 @@
 	}
 	register.accepted = foreman.accepted
 	foreman.answerers()
+	foreman.reports()
 	return foreman, nil
 }
 
--- a/internal/forge/forge.go
+++ b/internal/forge/forge.go
@@ -66,9 +66,9 @@
 	}
 	limits := stand.Config().Limits
 	forge.ingress = &http.Server{Handler: forge.Carriage, MaxHeaderBytes: max(limits.HeaderBytes, 4096),
-		ReadHeaderTimeout: watch.Milliseconds(limits.HeaderWaitMs), IdleTimeout: watch.Milliseconds(limits.IdleMs)}
+		ReadHeaderTimeout: watch.Milliseconds(limits.HeaderWaitMs), IdleTimeout: watch.Milliseconds(limits.IdleMs), ConnState: noteState}
 	stand.Log.Info("serving", "ingress", stand.Boot.Bind.Ingress)
-	if failure = forge.ingress.Serve(listener); failure == http.ErrServerClosed {
+	if failure = forge.ingress.Serve(patient{listener}); failure == http.ErrServerClosed {
 		return nil
 	}
 	return trestle.Unable.Wrap(failure, "ingress")
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -93,6 +93,9 @@
 // Own is how many requests of ours are there.
 func (vitals *Vitals) Own() int { return vitals.live + vitals.bulk }
 
+// OwnBulk is how many of them are items of lots.
+func (vitals *Vitals) OwnBulk() int { return vitals.bulk }
+
 // Weight is what we tell peers.
 func (vitals *Vitals) Weight(worker string, now watch.Moment) pattern.Weight {
 	return pattern.Weight{ID: worker, Live: vitals.live, Bulk: vitals.bulk, Suspect: now < vitals.suspectUntil}
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -22,14 +22,19 @@
 	Chest   *chisel.Chest
 	Courier carriage.Courier
 	alerted bool
+	logged  map[string]int64
 }
 
 // New makes the placing part and registers what it answers.
 func New(stand *trestle.Trestle) *Jointer {
-	jointer := &Jointer{Stand: stand, Bench: workbench.New(stand.Own, stand.Boot.Heartbeat()), Chest: chisel.NewChest()}
+	jointer := &Jointer{Stand: stand, Bench: workbench.New(stand.Own, stand.Boot.Heartbeat()), Chest: chisel.NewChest(),
+		logged: map[string]int64{}}
 	jointer.Courier = carriage.Courier{Bench: jointer.Bench, Chest: jointer.Chest, Budget: jointer.budget}
 	stand.Answer(pattern.KindRosterPush, jointer.rosterPushed)
 	stand.Answer(pattern.KindGossip, jointer.gossiped)
+	stand.Answer(pattern.KindPressure, jointer.pressed)
+	jointer.Bench.OnPressure(jointer.press)
+	jointer.reports()
 	stand.OnConfig(func(config *jig.Config) { jointer.Bench.SetConfig(config) })
 	return jointer
 }
@@ -102,6 +107,27 @@
 	return tongs.Write(&pattern.Nothing{Taken: true})
 }
 
+// press tells at once that requests wait here, so that work of a lower rank makes
+// room on every node well before the next gossip.
+func (jointer *Jointer) press(words []pattern.Pressure) {
+	peers := append(jointer.Stand.Live(bellows.RoleLocker), jointer.Stand.Live(bellows.RoleForge)...)
+	told := &pattern.PressureTold{From: bellows.Key(jointer.Stand.Own), Words: words}
+	go jointer.Stand.Spread(peers, pattern.KindPressure, told, almanac.CallTime, nil)
+}
+
+func (jointer *Jointer) pressed(body []byte) ([]byte, error) {
+	told := &pattern.PressureTold{}
+	if failure := tongs.Read(body, told); failure != nil {
+		return nil, failure
+	}
+	sharers := 1
+	if jointer.Stand.Own.Role == bellows.RoleForge {
+		sharers = len(jointer.Stand.Live(bellows.RoleForge)) + 1
+	}
+	jointer.Bench.Pressed(told, sharers, watch.Now())
+	return tongs.Write(&pattern.Nothing{Taken: true})
+}
+
 // gossip tells utilization and weights to the peers that place work.
 func (jointer *Jointer) gossip() {
 	packet := jointer.Bench.Gossip(watch.Now())
@@ -113,4 +139,5 @@
 		jointer.Stand.Log.Warn("residency downgrades above threshold", "residency_route_downgrades", downgrades, "placements", placements)
 	}
 	jointer.alerted = alert
+	jointer.logDisplacement()
 }
--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -10,33 +10,6 @@
 // Unreadable is the mishap of a record that can't be understood.
 var Unreadable = mishap.Define("lot record")
 
-// ItemState is where an item stands.
-type ItemState int
-
-// The states of an item.
-const (
-	// ItemWaiting: to be run.
-	ItemWaiting ItemState = iota
-	// ItemRunning: at a worker now.
-	ItemRunning
-	// ItemFinished: its output is being made durable.
-	ItemFinished
-	// ItemListed: at a position for good.
-	ItemListed
-)
-
-// Item is one item of a lot.
-type Item struct {
-	pattern.LotItem
-	State ItemState
-	// Pieces are the events gathered so far; LastID is the last one's id.
-	Pieces  [][]byte
-	LastID  int64
-	Fails   int
-	SetBack int
-	Lot     *Lot
-}
-
 // Listing is one position.
 type Listing struct {
 	Item    string
--- a/internal/locker/item.go
+++ b/internal/locker/item.go
@@ -7,6 +7,7 @@
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/carriage"
+	"lemonarch/internal/chisel"
 	"lemonarch/internal/jig"
 	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/mishap"
@@ -16,16 +17,16 @@
 )
 
 // run takes one item to one worker and gathers its events.
-func (reign *reign) run(route *jig.Route, item *ledgerbox.Item, grant *workbench.Grant) {
+func (reign *reign) run(route *jig.Route, item *ledgerbox.Item, run int, grant *workbench.Grant) {
 	courier := &reign.locker.Jointer.Courier
 	letter := reign.letter(route, item, grant.Worker.ID)
 	delivery, _, failure := courier.Carry(grant, letter)
 	if failure != nil {
 		outcome := workbench.OutcomeFailed
-		if mishap.Of(failure, carriage.NotSent) {
+		if mishap.Of(failure, chisel.Spent) {
 			outcome = workbench.OutcomeTurnedAway
 		}
-		reign.setBack(item, grant, outcome, failure.Error())
+		reign.setBack(route, item, run, grant, outcome, failure.Error())
 		return
 	}
 	grant.First(delivery.Load, watch.Now())
@@ -38,7 +39,7 @@
 		} else {
 			courier.Abandon(delivery)
 		}
-		reign.workerRefused(route, item, grant, delivery.NotRun, status)
+		reign.workerRefused(route, item, run, grant, delivery.NotRun, status)
 		return
 	}
 	reign.lock.Lock()
@@ -51,19 +52,15 @@
 	failure = courier.Stream(delivery, splitter, letter.Until, letter.Patience, func(events []byte) error {
 		reign.lock.Lock()
 		defer reign.lock.Unlock()
-		if reign.over() || item.Lot.Ended {
+		if reign.over() || !item.Gather(run, carriage.Data(events), splitter.Last) {
 			return carriage.NotSent.New("called off")
 		}
-		item.Pieces = append(item.Pieces, carriage.Data(events)...)
-		if splitter.Started {
-			item.LastID = splitter.Last
-		}
 		return nil
 	})
 	if failure != nil {
 		reign.letGo(item)
 		courier.Abandon(delivery)
-		reign.setBack(item, grant, workbench.OutcomeFailed, failure.Error())
+		reign.setBack(route, item, run, grant, workbench.OutcomeFailed, failure.Error())
 		return
 	}
 	reign.letGo(item)
@@ -71,7 +68,7 @@
 	grant.End(workbench.OutcomeServed, watch.Now())
 	reign.lock.Lock()
 	defer reign.lock.Unlock()
-	reign.finish(item, bytes.Join(item.Pieces, []byte("\n")), false)
+	reign.finish(route, item, run, bytes.Join(item.Pieces, []byte("\n")), false)
 }
 
 // letGo takes a pipe out of reach before it may serve somebody else.
@@ -84,59 +81,84 @@
 }
 
 // workerRefused handles an answer that is no stream of events.
-func (reign *reign) workerRefused(route *jig.Route, item *ledgerbox.Item, grant *workbench.Grant, notRun bool, status int) {
+func (reign *reign) workerRefused(route *jig.Route, item *ledgerbox.Item, run int, grant *workbench.Grant, notRun bool, status int) {
 	switch {
 	case status == http.StatusMisdirectedRequest:
-		reign.setBack(item, grant, workbench.OutcomeGoneAway, "another worker answers")
+		reign.setBack(route, item, run, grant, workbench.OutcomeGoneAway, "another worker answers")
 	case notRun:
-		reign.setBack(item, grant, workbench.OutcomeTurnedAway, "worker is full")
+		reign.setBack(route, item, run, grant, workbench.OutcomeTurnedAway, "worker is full")
 	case status == http.StatusUnprocessableEntity:
 		grant.End(workbench.OutcomeServed, watch.Now())
 		reign.lock.Lock()
 		defer reign.lock.Unlock()
-		reign.finish(item, nil, true)
+		reign.finish(route, item, run, nil, true)
 	case status == http.StatusInternalServerError:
 		reign.lock.Lock()
 		item.Fails++
 		over := item.Fails >= route.Tries
 		if over {
-			reign.finish(item, nil, true)
+			reign.finish(route, item, run, nil, true)
 		}
 		reign.lock.Unlock()
 		if over {
 			grant.End(workbench.OutcomeServed, watch.Now())
 			return
 		}
-		reign.setBack(item, grant, workbench.OutcomeServed, "worker failed")
+		reign.setBack(route, item, run, grant, workbench.OutcomeServed, "worker failed")
 	default:
-		reign.setBack(item, grant, workbench.OutcomeFailed, "unexpected status "+strconv.Itoa(status))
+		reign.setBack(route, item, run, grant, workbench.OutcomeFailed, "unexpected status "+strconv.Itoa(status))
+	}
+}
+
+// yield breaks off a run that has to make room; the run itself sets the item back.
+func (reign *reign) yield(item *ledgerbox.Item, run int) {
+	reign.lock.Lock()
+	defer reign.lock.Unlock()
+	if !item.Yield(run) {
+		return
+	}
+	if pipe := reign.running[item]; pipe != nil {
+		pipe.Close()
 	}
 }
 
 // setBack gives an item its place in the queue again, with what was gathered.
-func (reign *reign) setBack(item *ledgerbox.Item, grant *workbench.Grant, outcome workbench.Outcome, why string) {
+func (reign *reign) setBack(route *jig.Route, item *ledgerbox.Item, run int, grant *workbench.Grant, outcome workbench.Outcome, why string) {
 	now := watch.Now()
-	grant.End(outcome, now)
 	reign.lock.Lock()
-	defer reign.lock.Unlock()
-	delete(reign.running, item)
-	reign.counts.setBack++
-	item.SetBack++
-	if item.State == ledgerbox.ItemRunning {
-		item.State = ledgerbox.ItemWaiting
+	displaced := item.Yielding()
+	if item.SetBack(run) {
+		delete(reign.running, item)
 		reign.retry[item] = now.Plus(almanac.RetryItem)
 	}
-	reign.locker.Stand.Log.Debug("item set back", "item", item.ID, "worker", grant.Worker.ID, "last", item.LastID, "why", why)
+	if displaced {
+		// Our own doing: it says nothing against the worker.
+		outcome = workbench.OutcomeCalledOff
+		reign.tally(route.Name).Displaced.Add(1)
+	}
+	reign.lock.Unlock()
+	grant.End(outcome, now)
+	reign.locker.Stand.Log.Debug("item set back", "item", item.ID, "worker", grant.Worker.ID, "displaced", displaced, "why", why)
 }
 
 // finish has an item's result made durable at the next position. The lock is held.
-func (reign *reign) finish(item *ledgerbox.Item, text []byte, dropped bool) {
+func (reign *reign) finish(route *jig.Route, item *ledgerbox.Item, run int, text []byte, dropped bool) {
+	if reign.over() || reign.ending[item.Lot.ID] {
+		delete(reign.running, item)
+		return
+	}
+	if (dropped && !item.GiveUp(run)) || (!dropped && !item.Finish(run)) {
+		// It was asked to make room in its last moment: its run counts as set back.
+		if item.SetBack(run) {
+			delete(reign.running, item)
+		}
+		return
+	}
 	delete(reign.running, item)
 	delete(reign.retry, item)
-	if reign.over() || item.State == ledgerbox.ItemFinished || item.State == ledgerbox.ItemListed || item.Lot.Ended || reign.ending[item.Lot.ID] {
-		return
+	if route != nil && item.Displaced > 0 {
+		reign.tally(route.Name).Finished.Add(1)
 	}
-	item.State = ledgerbox.ItemFinished
 	if dropped {
 		reign.counts.dropped++
 	} else {
@@ -147,3 +169,8 @@
 	reign.filling[lot.ID]++
 	reign.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID, Position: position, Dropped: dropped, Body: text})
 }
+
+// tally gives the counts of a route for the operator. The lock is held.
+func (reign *reign) tally(route string) *workbench.Tally {
+	return reign.locker.Jointer.Bench.Tally(route)
+}
--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -55,6 +55,7 @@
 	stand := trestle.New(settings, bellows.RoleLocker, almanac.PortLocker, store.Disk(), log)
 	locker := &Locker{Stand: stand, Jointer: jointer.New(stand), Store: store, begun: watch.Now(), done: make(chan struct{})}
 	locker.answerers()
+	locker.reports()
 	return locker, nil
 }
 
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -34,7 +34,7 @@
 }
 
 type runCounts struct {
-	settled, dropped, resumed, again, setBack int64
+	settled, dropped int64
 }
 
 func newReign(locker *Locker, duty pattern.Duty, stores []pattern.Member, first int64) *reign {
--- a/internal/locker/run.go
+++ b/internal/locker/run.go
@@ -58,7 +58,7 @@
 					continue
 				}
 				if route == nil || float64(wall-lot.SentMs) > route.RetainS*1000 {
-					reign.finish(item, nil, true)
+					reign.finish(route, item, 0, nil, true)
 				} else if len(reign.running) < almanac.RunningItems && now >= reign.retry[item] {
 					ready = append(ready, item)
 				}
@@ -95,18 +95,25 @@
 		return false
 	}
 	reign.lock.Lock()
-	if item.State != ledgerbox.ItemWaiting || item.Lot.Ended || reign.ending[item.Lot.ID] || len(reign.running) >= almanac.RunningItems {
+	run := 0
+	if !reign.over() && !reign.ending[item.Lot.ID] && len(reign.running) < almanac.RunningItems {
+		run = item.Begin()
+	}
+	if run == 0 {
 		reign.lock.Unlock()
 		answer.Grant.End(workbench.OutcomeCalledOff, now)
 		return false
 	}
-	item.State = ledgerbox.ItemRunning
 	reign.running[item] = nil
-	if item.LastID > 0 {
-		reign.counts.resumed++
+	if run > 1 {
+		reign.tally(route.Name).Resumed.Add(1)
 	}
+	displaceable := item.Displaced < almanac.DisplaceLimit
 	reign.lock.Unlock()
-	go reign.run(route, item, answer.Grant)
+	if displaceable {
+		answer.Grant.MayYield(func() { reign.yield(item, run) })
+	}
+	go reign.run(route, item, run, answer.Grant)
 	return true
 }
 
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -33,6 +33,7 @@
 	KindHandOver
 	KindDutyChange
 	KindRetire
+	KindPressure
 )
 
 // Phase is a worker's phase.
--- a/internal/pattern/kinds_string.go
+++ b/internal/pattern/kinds_string.go
@@ -29,11 +29,12 @@
 	_ = x[KindHandOver-18]
 	_ = x[KindDutyChange-19]
 	_ = x[KindRetire-20]
+	_ = x[KindPressure-21]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindRenewKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindHandOverKindDutyChangeKindRetire"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindRenewKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindHandOverKindDutyChangeKindRetireKindPressure"
 
-var _Kind_index = [...]uint8{0, 8, 19, 30, 40, 49, 56, 70, 84, 98, 112, 122, 133, 142, 152, 161, 175, 185, 201, 213, 227, 237}
+var _Kind_index = [...]uint8{0, 8, 19, 30, 40, 49, 56, 70, 84, 98, 112, 122, 133, 142, 152, 161, 175, 185, 201, 213, 227, 237, 249}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -202,5 +202,18 @@
 	Generation  int64       `msg:"g"`
 	Weights     []Weight    `msg:"w"`
 	Residencies []Residency `msg:"r"`
-	Pressure    []int       `msg:"p"`
+	Pressure    []Pressure  `msg:"p"`
+}
+
+// Pressure says that requests of a rank wait for room at a service.
+type Pressure struct {
+	Service  string `msg:"s"`
+	Priority int    `msg:"p"`
+	Waiting  int    `msg:"w"`
+}
+
+// PressureTold carries it at once, ahead of the next gossip.
+type PressureTold struct {
+	From  string     `msg:"f"`
+	Words []Pressure `msg:"w"`
 }
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -1003,7 +1003,16 @@
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Pressure)))
 	for za0003 := range z.Pressure {
-		o = msgp.AppendInt(o, z.Pressure[za0003])
+		// map header, size 3
+		// string "s"
+		o = append(o, 0x83, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.Pressure[za0003].Service)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Pressure[za0003].Priority)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt(o, z.Pressure[za0003].Waiting)
 	}
 	return
 }
@@ -1098,14 +1107,49 @@
 			if cap(z.Pressure) >= int(zb0004) {
 				z.Pressure = (z.Pressure)[:zb0004]
 			} else {
-				z.Pressure = make([]int, zb0004)
+				z.Pressure = make([]Pressure, zb0004)
 			}
 			for za0003 := range z.Pressure {
-				z.Pressure[za0003], bts, err = msgp.ReadIntBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Pressure", za0003)
 					return
 				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Pressure", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Pressure[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pressure", za0003, "Service")
+							return
+						}
+					case "p":
+						z.Pressure[za0003].Priority, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pressure", za0003, "Priority")
+							return
+						}
+					case "w":
+						z.Pressure[za0003].Waiting, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pressure", za0003, "Waiting")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pressure", za0003)
+							return
+						}
+					}
+				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1129,7 +1173,10 @@
 	for za0002 := range z.Residencies {
 		s += z.Residencies[za0002].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Pressure) * (msgp.IntSize))
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Pressure {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Pressure[za0003].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
 	return
 }
 
@@ -1518,6 +1565,200 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Pressure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "s"
+	o = append(o, 0x83, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Waiting)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Pressure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "p":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "w":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Pressure) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PressureTold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "f"
+	o = append(o, 0x82, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Words)))
+	for za0001 := range z.Words {
+		// map header, size 3
+		// string "s"
+		o = append(o, 0x83, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.Words[za0001].Service)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Words[za0001].Priority)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt(o, z.Words[za0001].Waiting)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PressureTold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Words")
+				return
+			}
+			if cap(z.Words) >= int(zb0002) {
+				z.Words = (z.Words)[:zb0002]
+			} else {
+				z.Words = make([]Pressure, zb0002)
+			}
+			for za0001 := range z.Words {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Words", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Words", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Words[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Words", za0001, "Service")
+							return
+						}
+					case "p":
+						z.Words[za0001].Priority, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Words", za0001, "Priority")
+							return
+						}
+					case "w":
+						z.Words[za0001].Waiting, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Words", za0001, "Waiting")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Words", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PressureTold) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Words {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Words[za0001].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Promise) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/plumbline/index.go
+++ b/internal/plumbline/index.go
@@ -37,7 +37,9 @@
 }
 
 // NewIndex makes an empty index.
-func NewIndex() *Index { return &Index{turns: map[string]*turnover{}, rate: almanac.ReadRate, first: almanac.FirstGuess} }
+func NewIndex() *Index {
+	return &Index{turns: map[string]*turnover{}, rate: almanac.ReadRate, first: almanac.FirstGuess}
+}
 
 // ParsePrompt reads the headers that describe a prompt.
 func ParsePrompt(model, counts, prefix string) Prompt {
--- a/internal/plumbline/score.go
+++ b/internal/plumbline/score.go
@@ -118,3 +118,6 @@
 
 // Rate is the reading rate in tokens a ms, as streams have taught it.
 func (index *Index) Rate() float64 { return index.rate }
+
+// Prefixes is how many prefixes are known.
+func (index *Index) Prefixes() int { return index.tree.Size() }
--- /dev/null
+++ b/internal/stencil/stencil.go
@@ -0,0 +1,158 @@
+// Package stencil makes routes of a configuration from an OpenAPI file.
+package stencil
+
+import (
+	"fmt"
+	"net/url"
+	"sort"
+	"strings"
+
+	"github.com/getkin/kin-openapi/openapi3"
+
+	"lemonarch/internal/mishap"
+)
+
+// Unreadable is the mishap of a file that is no OpenAPI document.
+var Unreadable = mishap.Define("openapi")
+
+// Route is one route as it is written to a configuration.
+type Route struct {
+	Name     string `json:"name"`
+	Host     string `json:"host"`
+	Prefix   string `json:"path-prefix"`
+	Kind     string `json:"route-kind"`
+	CutoffMs int    `json:"cutoff-ms"`
+	Priority int    `json:"priority"`
+	Backend  string `json:"backend"`
+	Tries    int    `json:"tries"`
+}
+
+// Options are what the document does not say.
+type Options struct {
+	Host     string
+	Backend  string
+	CutoffMs int
+}
+
+// Import reads a document; what can't be mapped is named.
+func Import(text []byte, options Options) (routes []Route, findings []string, failure error) {
+	document, failure := openapi3.NewLoader().LoadFromData(text)
+	if failure != nil {
+		return nil, nil, Unreadable.Wrap(failure, "can't be read")
+	}
+	if document.Paths == nil || document.Paths.Len() == 0 {
+		return nil, nil, Unreadable.New("no paths")
+	}
+	host, base, finding := place(document, options.Host)
+	if finding != "" {
+		findings = append(findings, finding)
+	}
+	byPrefix := map[string]*Route{}
+	var order []string
+	paths := document.Paths.Map()
+	var names []string
+	for path := range paths {
+		names = append(names, path)
+	}
+	sort.Strings(names)
+	for _, path := range names {
+		prefix, mapped := prefixOf(base + path)
+		if !mapped {
+			findings = append(findings, "path "+path+" has no fixed beginning of its own")
+			continue
+		}
+		kind := kindOf(paths[path])
+		if kind == "" {
+			findings = append(findings, "path "+path+" has no operation")
+			continue
+		}
+		if have := byPrefix[prefix]; have != nil {
+			if have.Kind != kind {
+				findings = append(findings, fmt.Sprintf("path %s is %s, but its prefix %s is %s already", path, kind, prefix, have.Kind))
+			}
+			continue
+		}
+		byPrefix[prefix] = &Route{Name: nameOf(prefix), Host: host, Prefix: prefix, Kind: kind, CutoffMs: options.CutoffMs, Backend: options.Backend, Tries: triesOf(kind)}
+		order = append(order, prefix)
+	}
+	for _, prefix := range order {
+		routes = append(routes, *byPrefix[prefix])
+	}
+	return routes, findings, nil
+}
+
+// place gives the host and the base path, from the option or the one server.
+func place(document *openapi3.T, host string) (string, string, string) {
+	base := ""
+	if len(document.Servers) > 0 {
+		if parsed, failure := url.Parse(document.Servers[0].URL); failure == nil && !strings.Contains(document.Servers[0].URL, "{") {
+			base = strings.TrimSuffix(parsed.Path, "/")
+			if host == "" {
+				host = parsed.Hostname()
+			}
+		} else {
+			return host, "", "server " + document.Servers[0].URL + " has variables or is no address"
+		}
+	}
+	if host == "" {
+		return host, base, "no host: the document names no server, so --host is needed"
+	}
+	return host, base, ""
+}
+
+// prefixOf gives the fixed folders that a path begins with.
+func prefixOf(path string) (string, bool) {
+	fixed := path
+	if at := strings.IndexByte(path, '{'); at >= 0 {
+		fixed = path[:at]
+	} else {
+		fixed += "/"
+	}
+	fixed = fixed[:strings.LastIndexByte(fixed, '/')+1]
+	for strings.HasSuffix(fixed, "//") {
+		fixed = fixed[:len(fixed)-1]
+	}
+	return fixed, fixed != "/" && fixed != ""
+}
+
+// kindOf is the most careful kind that fits all operations of a path.
+func kindOf(item *openapi3.PathItem) string {
+	kind := ""
+	for method, operation := range item.Operations() {
+		next := "idempotent"
+		if method == "POST" || method == "PATCH" {
+			next = "effectful"
+		}
+		if streams(operation) {
+			next = "streaming"
+		}
+		if kind == "" || next != "idempotent" {
+			kind = next
+		}
+	}
+	return kind
+}
+
+func streams(operation *openapi3.Operation) bool {
+	if operation.Responses == nil {
+		return false
+	}
+	for _, response := range operation.Responses.Map() {
+		if response.Value != nil && response.Value.Content.Get("text/event-stream") != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func triesOf(kind string) int {
+	if kind == "idempotent" {
+		return 2
+	}
+	// What must not run twice gets one try unless the operator says more.
+	return 1
+}
+
+func nameOf(prefix string) string {
+	return "r-" + strings.ReplaceAll(strings.Trim(prefix, "/"), "/", "-")
+}
--- /dev/null
+++ b/internal/stencil/stencil_test.go
@@ -0,0 +1,48 @@
+package stencil
+
+import (
+	"strings"
+	"testing"
+)
+
+const document = `openapi: 3.0.3
+info: {title: t, version: "1"}
+servers: [{url: "https://api.example/v1"}]
+paths:
+  /orders/{id}:
+    get: {responses: {"200": {description: ok}}}
+  /answers:
+    post:
+      responses:
+        "200":
+          description: ok
+          content: {text/event-stream: {schema: {type: string}}}
+  /payments:
+    get: {responses: {"200": {description: ok}}}
+    post: {responses: {"201": {description: made}}}
+`
+
+func TestImport(test *testing.T) {
+	routes, findings, failure := Import([]byte(document), Options{Backend: "s", CutoffMs: 1000})
+	if failure != nil || len(findings) != 0 || len(routes) != 3 {
+		test.Fatal(routes, findings, failure)
+	}
+	want := map[string]string{"/v1/answers/": "streaming", "/v1/orders/": "idempotent", "/v1/payments/": "effectful"}
+	for _, route := range routes {
+		if want[route.Prefix] != route.Kind || route.Host != "api.example" || route.Backend != "s" {
+			test.Error(route)
+		}
+	}
+}
+
+func TestWhatCantBeMappedIsNamed(test *testing.T) {
+	text := strings.Replace(document, "/orders/{id}", "/{anything}", 1)
+	text = strings.Replace(text, `"https://api.example/v1"`, `"/"`, 1)
+	_, findings, failure := Import([]byte(text), Options{})
+	if failure != nil || len(findings) != 2 || !strings.Contains(findings[0], "--host") || !strings.Contains(findings[1], "/{anything}") {
+		test.Fatal(findings, failure)
+	}
+	if _, _, failure = Import([]byte("nothing: here"), Options{}); failure == nil {
+		test.Fatal("no document was taken")
+	}
+}
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -41,6 +41,7 @@
 	config    *jig.Config
 	onConfig  []func(*jig.Config)
 	pulling   bool
+	reports   map[string]func() *pattern.Status
 	ended     sync.Once
 }
 
@@ -65,9 +66,13 @@
 	own := pattern.Entry{Name: settings.NodeName, Life: watch.Wall(), Role: role, Hall: settings.Hall,
 		Address: settings.InternalAddress(settings.Address, port), Disk: disk}
 	trestle := &Trestle{Boot: settings, Own: own, Wire: tongs.NewWire(own.Address), Log: log, Stop: make(chan struct{}),
-		view: bellows.NewView(own, own.Life), answerers: map[pattern.Kind]Answerer{}}
+		view: bellows.NewView(own, own.Life), answerers: map[pattern.Kind]Answerer{},
+		reports: map[string]func() *pattern.Status{}}
 	trestle.Answer(pattern.KindShuffle, trestle.shuffled)
 	trestle.Answer(pattern.KindConfigPush, trestle.pushed)
+	trestle.Answer(pattern.KindStatus, trestle.reported)
+	trestle.Report("nodes", trestle.reportNodes)
+	trestle.Report("config", trestle.reportSelf)
 	return trestle
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -74,3 +74,9 @@
 
 // Draw gives a random number in [0, 1).
 func Draw() float64 { return rand.Float64() }
+
+// Time is a point that sockets know.
+type Time = time.Time
+
+// Ahead tells whether a deadline is set and lies ahead.
+func Ahead(at Time) bool { return !at.IsZero() && time.Until(at) > 0 }
