--- /dev/null
+++ b/internal/ledgerbox/item_test.go
@@ -0,0 +1,95 @@
+package ledgerbox
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Whatever order begin, gather, yield, set back and finish come in, late ones of
+// earlier runs included: an item has at most one result, its events are 1..n once
+// each, and it can always be begun again until it has its result.
+func TestSetBackState(test *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(11)
+	parameters.MinSuccessfulTests = 3000
+	properties := gopter.NewProperties(parameters)
+	const whole = 4
+	properties.Property("one outcome", prop.ForAll(func(steps []uint8) bool {
+		item := &Item{Lot: &Lot{}}
+		var runs []int
+		outcomes := 0
+		position := map[int]int64{}
+		for _, step := range steps {
+			run := 0
+			if len(runs) > 0 {
+				run = runs[int(step>>3)%len(runs)]
+			}
+			switch step % 6 {
+			case 0:
+				if next := item.Begin(); next > 0 {
+					runs = append(runs, next)
+					position[next] = item.LastID
+				}
+			case 1:
+				// The worker's stream goes on from where the run began.
+				if next := position[run] + 1; run > 0 && next <= whole && item.Gather(run, [][]byte{[]byte(fmt.Sprint(next))}, next) {
+					position[run] = next
+				}
+			case 2:
+				item.Yield(run)
+			case 3:
+				item.SetBack(run)
+			case 4:
+				if run > 0 && position[run] == whole && item.Finish(run) {
+					outcomes++
+				}
+			case 5:
+				if step > 250 && item.GiveUp(run) {
+					outcomes++
+				}
+			}
+			for place, piece := range item.Pieces {
+				if string(piece) != fmt.Sprint(place+1) {
+					return false
+				}
+			}
+		}
+		if outcomes == 1 {
+			return item.State == ItemFinished && item.Begin() == 0
+		}
+		// Without a result there is always a way on: no path ends without one.
+		for _, run := range runs {
+			item.SetBack(run)
+		}
+		run := item.Begin()
+		for next := item.LastID + 1; next <= whole; next++ {
+			if !item.Gather(run, [][]byte{[]byte(fmt.Sprint(next))}, next) {
+				return false
+			}
+		}
+		return outcomes == 0 && run > 0 && len(item.Pieces) == whole && item.Finish(run)
+	}, gen.SliceOf(gen.UInt8())))
+	properties.TestingRun(test)
+}
+
+func TestEventsWithoutIdsAreNotGoneOnFrom(test *testing.T) {
+	item := &Item{Lot: &Lot{}}
+	run := item.Begin()
+	item.Gather(run, [][]byte{[]byte("a")}, 0)
+	item.SetBack(run)
+	if len(item.Pieces) != 0 {
+		test.Fatal("events that nobody can continue were kept")
+	}
+}
+
+func TestEndedLotRunsNothing(test *testing.T) {
+	item := &Item{Lot: &Lot{}}
+	run := item.Begin()
+	item.Lot.Ended = true
+	if item.Gather(run, [][]byte{[]byte("a")}, 1) || item.Finish(run) || !item.SetBack(run) || item.Begin() != 0 {
+		test.Fatal("an ended lot goes on")
+	}
+}
--- a/internal/locker/simulation_test.go
+++ b/internal/locker/simulation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 
 	"lemonarch/internal/ledgerbox"
@@ -232,14 +234,9 @@
 // check compares a holder's book with all that was ever told.
 func (fleet *simFleet) check(holder *simHolder) {
 	for _, place := range model.Keys(fleet.told) {
-		var lot string
-		var position int
-		if _, failure := fmt.Sscanf(place, "lot%s", &lot); failure != nil {
-			fleet.test.Fatal(failure)
-		}
-		fmt.Sscanf(lot[len(lot)-1:], "%d", &position)
-		lotID := "lot" + lot[:len(lot)-2]
-		found := holder.book.Lot(lotID)
+		lot, number, _ := strings.Cut(place, "/")
+		position, _ := strconv.Atoi(number)
+		found := holder.book.Lot(lot)
 		if found == nil || position >= len(found.Listings) || found.Listings[position].Item != fleet.told[place] {
 			fleet.test.Fatalf("holder of epoch %d lacks %s", holder.epoch, place)
 		}
--- a/internal/workbench/displace.go
+++ b/internal/workbench/displace.go
@@ -65,7 +65,7 @@
 	bench.pressure[ownPressure] = pressureWord{at: now, words: words}
 	yields := bench.victims(words, 1)
 	tell := bench.tell
-	if tell != nil && now.Since(bench.toldAt) >= almanac.PressurePeriod {
+	if tell != nil && (bench.toldAt == 0 || now.Since(bench.toldAt) >= almanac.PressurePeriod) {
 		bench.toldAt = now
 	} else {
 		tell = nil
--- /dev/null
+++ b/internal/workbench/displace_test.go
@@ -0,0 +1,125 @@
+package workbench
+
+import (
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// fill takes places for work that may be displaced and counts who yields.
+func fill(test *testing.T, bench *Workbench, count, priority int, bulk bool, yielded *[]int) []*Grant {
+	var grants []*Grant
+	for place := 0; place < count; place++ {
+		answer, _ := bench.Admit(&Ask{Service: "s", Bulk: bulk, Priority: priority, Setpoint: 1}, nil, watch.Moment(10+place))
+		if answer.Verdict != VerdictGranted {
+			test.Fatal("no place for number ", place)
+		}
+		answer.Grant.MayYield(func() { *yielded = append(*yielded, place) })
+		grants = append(grants, answer.Grant)
+	}
+	return grants
+}
+
+// A request of a higher rank that finds no room makes the youngest item yield,
+// and gets its place.
+func TestHigherRankDisplacesTheYoungestItem(test *testing.T) {
+	bench := bench(test, 20, "w")
+	var yielded []int
+	items := fill(test, bench, int(almanac.BulkShare*20), 2, true, &yielded)
+	for count := 0; count < 20+almanac.RoomAhead-len(items); count++ {
+		if answer, _ := bench.Admit(ask(0), nil, 100); answer.Verdict != VerdictGranted {
+			test.Fatal("no room for live requests beside the items")
+		}
+	}
+	served := 0
+	answer, _ := bench.Admit(ask(0), func(late Answer) {
+		if late.Verdict == VerdictGranted {
+			served++
+		}
+	}, 101)
+	if answer.Verdict != VerdictQueued || len(yielded) != 1 || yielded[0] != len(items)-1 {
+		test.Fatal(answer.Verdict, yielded)
+	}
+	// Asked once; its place is on the way and no second one is taken for it.
+	bench.PumpWaiting(102)
+	if len(yielded) != 1 {
+		test.Fatal("displaced twice for one request: ", yielded)
+	}
+	items[yielded[0]].End(OutcomeCalledOff, 103)
+	if served != 1 {
+		test.Fatal("the place did not go to the one that waited")
+	}
+}
+
+func TestEqualAndHigherRanksAreNeverDisplaced(test *testing.T) {
+	bench := bench(test, 4, "w")
+	var yielded []int
+	fill(test, bench, 4+almanac.RoomAhead, 1, false, &yielded)
+	bench.Admit(ask(1), func(Answer) {}, 100)
+	bench.Admit(ask(2), func(Answer) {}, 100)
+	if len(yielded) != 0 {
+		test.Fatal(yielded)
+	}
+	bench.Admit(ask(0), func(Answer) {}, 101)
+	if len(yielded) != 1 {
+		test.Fatal("a stream of a lower rank did not yield")
+	}
+}
+
+// Items yield before streams, whatever their ranks.
+func TestItemsYieldBeforeStreams(test *testing.T) {
+	bench := bench(test, 8, "w")
+	var items, streams []int
+	fill(test, bench, 6, 1, true, &items)
+	fill(test, bench, 2+almanac.RoomAhead, 3, false, &streams)
+	bench.Admit(ask(0), func(Answer) {}, 100)
+	if len(items) != 1 || len(streams) != 0 {
+		test.Fatal(items, streams)
+	}
+}
+
+// A peer's pressure makes this node yield its share, but never below the floor.
+func TestPeersPressureAndTheFloor(test *testing.T) {
+	bench := bench(test, 40, "w")
+	var yielded []int
+	const items = 20
+	fill(test, bench, items, 2, true, &yielded)
+	word := &pattern.PressureTold{From: "forge/x", Words: []pattern.Pressure{{Service: "s", Priority: 0, Waiting: 6}}}
+	bench.Pressed(word, 3, 100)
+	if len(yielded) != 2 {
+		test.Fatal("want a third of six, got ", yielded)
+	}
+	word.Words[0].Waiting = 1000
+	bench.Pressed(word, 1, 101)
+	share, capacity := almanac.DisplaceFloor, 40.0
+	floor := int(share*capacity) + 1
+	if len(yielded) != items-floor {
+		test.Fatalf("%d of %d yielded, the floor is %d", len(yielded), items, floor)
+	}
+	// While the pressure lasts no new items start; once it is stale they do.
+	if answer, _ := bench.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 102); answer.Verdict == VerdictGranted {
+		test.Fatal("an item started under pressure")
+	}
+	later := watch.Moment(101).Plus(almanac.PressureStale)
+	if answer, _ := bench.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, later); answer.Verdict != VerdictGranted {
+		test.Fatal("items wait for ever")
+	}
+}
+
+func TestPressureIsToldOnceAPeriod(test *testing.T) {
+	bench := bench(test, 1, "w")
+	told := 0
+	bench.OnPressure(func([]pattern.Pressure) { told++ })
+	for count := 0; count < 10; count++ {
+		bench.Admit(ask(0), func(Answer) {}, 100)
+	}
+	if told != 1 {
+		test.Fatal("told ", told)
+	}
+	bench.PumpWaiting(watch.Moment(100).Plus(almanac.PressurePeriod))
+	if told != 2 {
+		test.Fatal("told ", told)
+	}
+}
