--- a/internal/foreman/sets.go
+++ b/internal/foreman/sets.go
@@ -66,20 +66,28 @@
 	}
 }
 
-// silentMember finds a member that nobody has heard for long.
+// silentMember finds a member that nobody has heard for long. One in our own hall
+// is taken for replaced by us, and sooner: until we have its place, the set bears
+// one loss less.
 func (foreman *Foreman) silentMember(members []pattern.Member) *pattern.Member {
-	if watch.Now().Since(foreman.begun) < almanac.ReplaceAfter {
-		return nil
-	}
-	ages := map[string]int64{}
+	seen := map[string]pattern.Entry{}
 	for _, entry := range foreman.Stand.All(bellows.RoleForeman) {
-		if age, seen := ages[entry.Address]; !seen || entry.AgeMs < age {
-			ages[entry.Address] = entry.AgeMs
+		if have, known := seen[entry.Address]; !known || entry.AgeMs < have.AgeMs {
+			seen[entry.Address] = entry
 		}
 	}
+	up := watch.Now().Since(foreman.begun)
 	for index := range members {
-		age, seen := ages[members[index].Address]
-		if seen && age < almanac.ReplaceAfter.Milliseconds() {
+		entry, known := seen[members[index].Address]
+		patience := almanac.ReplaceAfter
+		if known && entry.Hall == foreman.Stand.Own.Hall {
+			patience = almanac.SilentAfter
+		}
+		if known && entry.AgeMs < patience.Milliseconds() {
+			continue
+		}
+		// Who has just started knows too little of who was silent for how long.
+		if (!known && up < almanac.ReplaceAfter) || up < almanac.HoldTime {
 			continue
 		}
 		// The last word is its own: one that answers now is not gone.
--- a/internal/ledgerbox/ledgerbox_test.go
+++ b/internal/ledgerbox/ledgerbox_test.go
@@ -123,3 +123,20 @@
 		test.Fatal("wrong read quorum")
 	}
 }
+
+// A short copy of a later epoch outranks a long one of an earlier epoch: the rest
+// of the long one was never durable.
+func TestBestCopy(test *testing.T) {
+	copies := map[string]pattern.Raised{
+		"long":  {Last: 9, Stretches: []pattern.Stretch{{Epoch: 3, First: 1}}},
+		"late":  {Last: 6, Stretches: []pattern.Stretch{{Epoch: 3, First: 1}, {Epoch: 5, First: 6}}},
+		"empty": {},
+	}
+	if got := Best(copies); got != "late" {
+		test.Fatal(got)
+	}
+	copies["longer"] = pattern.Raised{Last: 7, Stretches: []pattern.Stretch{{Epoch: 3, First: 1}, {Epoch: 5, First: 6}}}
+	if got := Best(copies); got != "longer" {
+		test.Fatal(got)
+	}
+}
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -108,14 +108,19 @@
 	if len(members) < 2*locker.budget()+1 {
 		return nil, spare("")
 	}
-	if watch.Now().Since(locker.begun) < almanac.ReplaceAfter {
-		return nil, nil
-	}
+	up := watch.Now().Since(locker.begun)
 	for index := range members {
 		entry, known := entries[members[index].Name]
-		if vise.Identity(members[index]) != own && (!known || entry.AgeMs > almanac.ReplaceAfter.Milliseconds()) {
-			return &members[index], spare(members[index].Hall)
+		stand := spare(members[index].Hall)
+		patience := almanac.ReplaceAfter
+		if stand != nil && stand.Hall == members[index].Hall {
+			// A store in the same hall was most likely set up in its place.
+			patience = almanac.SilentAfter
+		}
+		if vise.Identity(members[index]) == own || (known && entry.AgeMs < patience.Milliseconds()) || (!known && up < almanac.ReplaceAfter) {
+			continue
 		}
+		return &members[index], stand
 	}
 	return nil, nil
 }
