--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -113,6 +113,9 @@
 		locker.lock.Lock()
 		if told.Duty.Epoch >= locker.told.Epoch {
 			locker.told, locker.toldAt = told.Duty, watch.Now()
+			if told.Over {
+				locker.toldAt, locker.read = 0, 0
+			}
 		}
 		locker.lock.Unlock()
 		locker.fenced(told.Duty.Epoch)
@@ -168,8 +171,8 @@
 	locker.Stand.Leave()
 	if current := locker.current(); current != nil {
 		current.end("leaving")
+		current.giveUp()
 	}
-	locker.release()
 	locker.Stand.End()
 	watch.Sleep(almanac.TickPeriod)
 }
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -34,7 +34,7 @@
 	if retired[locker.Stand.Own.Name] {
 		// Another has to lead the way out: this machine's copies go elsewhere.
 		reign.end("this machine is to be emptied")
-		locker.release()
+		reign.giveUp()
 		return
 	}
 	entries := map[string]pattern.Entry{}
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -170,6 +170,14 @@
 	return nil
 }
 
+// giveUp frees the hold and tells the other lockers, so that one of them takes the
+// duty at once.
+func (reign *reign) giveUp() {
+	reign.locker.release()
+	told := &pattern.HolderTold{Duty: reign.duty, Over: true}
+	reign.locker.Stand.Spread(reign.locker.Stand.Live(bellows.RoleLocker), pattern.KindHolderTold, told, almanac.HoldRenewal, nil)
+}
+
 // tell makes known who holds the duty.
 func (reign *reign) tell() {
 	if !reign.locker.holds() {
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -95,6 +95,8 @@
 // HolderTold tells who holds the duty.
 type HolderTold struct {
 	Duty Duty `msg:"d"`
+	// Over says that the holder has given its duty up: others need not wait.
+	Over bool `msg:"o"`
 }
 
 // StatusAsk asks a process for a part of its state.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -415,14 +415,17 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HolderTold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "d"
-	o = append(o, 0x81, 0xa1, 0x64)
+	o = append(o, 0x82, 0xa1, 0x64)
 	o, err = z.Duty.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Duty")
 		return
 	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBool(o, z.Over)
 	return
 }
 
@@ -450,6 +453,12 @@
 				err = msgp.WrapError(err, "Duty")
 				return
 			}
+		case "o":
+			z.Over, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Over")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -464,7 +473,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HolderTold) Msgsize() (s int) {
-	s = 1 + 2 + z.Duty.Msgsize()
+	s = 1 + 2 + z.Duty.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
