Name the life in a ballot: a restarted proposer reused one for another value

Ruled out: quick reads, set changes, lost syncs. Test: TestTwoLivesOneCounter fails without the life in the name.

--- a/internal/foreman/propose.go
+++ b/internal/foreman/propose.go
@@ -74,7 +74,8 @@
 func (register *Register) attempt(change vise.Change, end watch.Moment) *vise.Proposal {
 	register.lock.Lock()
 	register.counter++
-	ballot := pattern.Ballot{Counter: register.counter, Node: register.stand.Own.Name + register.stand.Own.Disk}
+	own := register.stand.Own
+	ballot := vise.NewBallot(register.counter, own.Name, own.Disk, own.Life)
 	known := register.known
 	register.lock.Unlock()
 	proposal, sends := vise.Begin(ballot, known, change)
--- a/internal/vise/ballot.go
+++ b/internal/vise/ballot.go
@@ -4,6 +4,8 @@
 package vise
 
 import (
+	"strconv"
+
 	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
 )
@@ -16,6 +18,13 @@
 	NoMajority = mishap.Define("register without a majority")
 )
 
+// NewBallot names an attempt. The life is part of the name: a proposer that is
+// started again has forgotten which counters it used, and two values under one
+// ballot could both be taken for chosen.
+func NewBallot(counter uint64, name, disk string, life int64) pattern.Ballot {
+	return pattern.Ballot{Counter: counter, Node: name + "#" + disk + "#" + strconv.FormatInt(life, 10)}
+}
+
 // Less orders ballots.
 func Less(left, right pattern.Ballot) bool {
 	if left.Counter != right.Counter {
--- a/internal/vise/register_test.go
+++ b/internal/vise/register_test.go
@@ -17,6 +17,7 @@
 	live    *vise.Acceptor
 	down    bool
 	counter uint64
+	life    int64
 	known   pattern.Register
 }
 
@@ -41,6 +42,14 @@
 	return one
 }
 
+// outsider adds a process that proposes and does not vote.
+func (one *fleet) outsider(name string) {
+	first := one.foremen["a"].disk.First
+	record := pattern.AcceptorRecord{Disk: name, First: first}
+	member := pattern.Member{Name: name, Address: name, Disk: name}
+	one.foremen[name] = &foreman{member: member, disk: record, live: vise.NewAcceptor(record), known: pattern.Register{Acceptors: first}}
+}
+
 // wipe gives a machine an empty disk and a new identity.
 func (one *fleet) wipe(name string) {
 	node := one.foremen[name]
@@ -53,6 +62,10 @@
 func (one *fleet) restart(name string) {
 	node := one.foremen[name]
 	node.live, node.down = vise.NewAcceptor(node.disk), false
+	// A new life knows what its disk says, and nothing of what it proposed.
+	node.counter = 0
+	node.life++
+	node.known = node.live.Value()
 }
 
 // change drives one change from a node; ended is called once with the outcome.
@@ -63,10 +76,13 @@
 		return
 	}
 	node.counter++
-	proposal, sends := vise.Begin(pattern.Ballot{Counter: node.counter, Node: from}, node.known, change)
+	proposal, sends := vise.Begin(vise.NewBallot(node.counter, from, node.member.Disk, node.life), node.known, change)
 	over := false
+	life := node.life
+	// Answers to a life that is over reach nobody.
+	dead := func() bool { return node.down || life != node.life }
 	finish := func() {
-		if over {
+		if over || dead() {
 			return
 		}
 		switch proposal.Stage() {
@@ -80,7 +96,11 @@
 			if newer := proposal.Newer(); newer != nil {
 				node.known = *newer
 			}
-			one.world.After(watch.Milliseconds(5+60*one.world.Random.Float64()), func() { one.change(from, change, tries-1, ended) })
+			one.world.After(watch.Milliseconds(5+60*one.world.Random.Float64()), func() {
+				if !dead() {
+					one.change(from, change, tries-1, ended)
+				}
+			})
 		}
 	}
 	var carry func(list []vise.Send)
@@ -97,7 +117,7 @@
 						target.disk = target.live.Record()
 					}
 					one.world.Send(send.Member.Address, from, func() {
-						if !over {
+						if !over && !dead() {
 							carry(proposal.Promised(send.Member, answer))
 							finish()
 						}
@@ -109,7 +129,7 @@
 					target.disk = target.live.Record()
 				}
 				one.world.Send(send.Member.Address, from, func() {
-					if !over {
+					if !over && !dead() {
 						proposal.Taken(send.Member, answer)
 						finish()
 					}
@@ -119,7 +139,7 @@
 	}
 	carry(sends)
 	one.world.After(watch.Milliseconds(400), func() {
-		if !over {
+		if !over && !dead() {
 			over = true
 			one.change(from, change, tries-1, ended)
 		}
--- a/internal/vise/trouble_test.go
+++ b/internal/vise/trouble_test.go
@@ -122,3 +122,64 @@
 		test.Fatalf("change on an old base got outcome %d", outcome)
 	}
 }
+
+// A process that only proposes is killed in the middle of its rounds and started
+// again at once, while others resend what it had sent. Its new life may not use a
+// ballot of the old one for another value.
+func TestRestartedProposerUsesNoBallotTwice(test *testing.T) {
+	acked := 0
+	for seed := int64(1); seed <= 300; seed++ {
+		one := newFleet(test, seed, "a", "b", "c")
+		one.outsider("d")
+		one.world.Loss = 0.3
+		one.replace("a", 1, 0, "1")
+		one.world.Run(watch.Moment(3_000_000_000))
+		base := one.newest("a")
+		for round := 0; round < 3 && base > 0; round++ {
+			first, second := base+1, base+2
+			one.replace("d", first, base, fmt.Sprint(first))
+			one.world.Run(one.world.Now.Plus(watch.Milliseconds(20 + 90*one.world.Random.Float64())))
+			one.foremen["d"].down = true
+			one.restart("d")
+			one.replace("d", second, base, fmt.Sprint(second))
+			one.world.After(watch.Milliseconds(100*one.world.Random.Float64()), func() { one.replace("b", first, base, fmt.Sprint(first)) })
+			one.world.Run(one.world.Now.Plus(watch.Milliseconds(6000)))
+			base = one.newest("c")
+		}
+		acked += len(one.acked)
+	}
+	if acked < 500 {
+		test.Fatalf("only %d versions were acknowledged", acked)
+	}
+}
+
+// The history behind it, step by step: d sent X under a ballot that a and b had
+// promised, and only a took it when d was killed. Its new life came to the same
+// counter by way of c, which had heard nothing, and had Y chosen by b and c. Who
+// reads at a and b must find Y.
+func TestTwoLivesOneCounter(test *testing.T) {
+	one := newFleet(test, 1, "a", "b", "c")
+	accept := func(name string, ballot pattern.Ballot, mark string) bool {
+		value := pattern.Register{Acceptors: one.foremen["a"].disk.First, Current: pattern.Version{Hash: mark}}
+		answer, _ := one.foremen[name].live.Accept(&pattern.Accept{Ballot: ballot, Disk: "first", Value: value})
+		return answer.Granted
+	}
+	prepare := func(name string, ballot pattern.Ballot) pattern.Promise {
+		answer, _ := one.foremen[name].live.Prepare(&pattern.Prepare{Ballot: ballot, Disk: "first"})
+		return answer
+	}
+	old, young := vise.NewBallot(6, "d", "disk", 1), vise.NewBallot(6, "d", "disk", 2)
+	prepare("a", old)
+	prepare("b", old)
+	accept("a", old, "X")
+	if !prepare("b", young).Granted || !prepare("c", young).Granted || !accept("b", young, "Y") || !accept("c", young, "Y") {
+		test.Fatal("the later life was refused, so this history says nothing")
+	}
+	proposal, _ := vise.Begin(vise.NewBallot(9, "e", "disk", 1), pattern.Register{Acceptors: one.foremen["a"].disk.First}, vise.Look)
+	for _, name := range []string{"a", "b"} {
+		proposal.Promised(one.foremen[name].member, prepare(name, vise.NewBallot(9, "e", "disk", 1)))
+	}
+	if got := proposal.Value().Current.Hash; got != "Y" {
+		test.Fatalf("read %q, although Y was chosen", got)
+	}
+}
