--- a/internal/jointer/report.go
+++ b/internal/jointer/report.go
@@ -71,8 +71,8 @@
 func (jointer *Jointer) logDisplacement() {
 	for route, tally := range jointer.Bench.Tallies() {
 		displaced := tally.Displaced.Load()
-		if displaced != jointer.logged[route] {
-			jointer.logged[route] = displaced
+		if sum := displaced + tally.Resumed.Load() + tally.Finished.Load(); sum != jointer.logged[route] {
+			jointer.logged[route] = sum
 			jointer.Stand.Log.Info("displacement", "route", route, "displaced", displaced, "resumed", tally.Resumed.Load(), "finished", tally.Finished.Load())
 		}
 	}
--- a/internal/ledgerbox/item.go
+++ b/internal/ledgerbox/item.go
@@ -29,8 +29,10 @@
 	// Displaced counts how often it made room; Runs how often it was begun.
 	Displaced int
 	Runs      int
-	Lot       *Lot
-	yielding  bool
+	// Owed says that it made room and was not begun again yet.
+	Owed     bool
+	Lot      *Lot
+	yielding bool
 }
 
 // Begin starts a run and names it; zero when there is nothing to run.
@@ -78,6 +80,7 @@
 	if item.State != ItemRunning || item.Runs != run {
 		return false
 	}
+	item.Owed = item.Owed || item.yielding
 	item.State, item.yielding = ItemWaiting, false
 	if item.LastID == 0 {
 		item.Pieces = nil
--- a/internal/locker/run.go
+++ b/internal/locker/run.go
@@ -105,7 +105,8 @@
 		return false
 	}
 	reign.running[item] = nil
-	if run > 1 {
+	if item.Owed {
+		item.Owed = false
 		reign.tally(route.Name).Resumed.Add(1)
 	}
 	displaceable := item.Displaced < almanac.DisplaceLimit
