Tell peers of long prompts at once, so that nobody is placed behind them

Change: a placement that takes over 12 ms to read is told to all placing nodes; it counts as wait there until read, and items keep away.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -106,6 +106,9 @@
 	// StepGuess is the first guess, in ms, of what one running request costs the
 	// others in waiting.
 	StepGuess = 0.4
+	// LongReading, in ms, is the reading time from which a prompt is told to peers at
+	// once (ours): others would wait behind it for longer than gossip takes.
+	LongReading = 12.0
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
 	FailurePenalty = 4000.0
 	// SuspectFor is how long a failure counts against a worker.
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -26,6 +26,7 @@
 	live, bulk   int
 	pending      int64
 	unread       int
+	peersRead    watch.Moment
 	told         int
 	toldAt       watch.Moment
 	toldOwn      int
@@ -81,6 +82,16 @@
 // Unread is how many requests of ours have had no first event yet.
 func (vitals *Vitals) Unread() int { return vitals.unread }
 
+// PeerReads notes that a peer gave the worker a prompt that takes a time to read.
+func (vitals *Vitals) PeerReads(span watch.Span, now watch.Moment) {
+	vitals.peersRead = max(vitals.peersRead, now).Plus(span)
+}
+
+// PeersReading is how long the worker still reads what peers told of.
+func (vitals *Vitals) PeersReading(now watch.Moment) watch.Span {
+	return max(0, vitals.peersRead.Since(now))
+}
+
 // End notes that a request of ours is over.
 func (vitals *Vitals) End(bulk bool) {
 	if bulk {
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -34,6 +34,8 @@
 	stand.Answer(pattern.KindGossip, jointer.gossiped)
 	stand.Answer(pattern.KindPressure, jointer.pressed)
 	jointer.Bench.OnPressure(jointer.press)
+	stand.Answer(pattern.KindReading, jointer.reads)
+	jointer.Bench.OnReading(jointer.tellReading)
 	jointer.reports()
 	stand.OnConfig(func(config *jig.Config) { jointer.Bench.SetConfig(config) })
 	return jointer
@@ -128,6 +130,24 @@
 	return tongs.Write(&pattern.Nothing{Taken: true})
 }
 
+// tellReading tells peers at once that a worker reads a long prompt.
+func (jointer *Jointer) tellReading(worker string, milliseconds float64) {
+	told := &pattern.ReadingTold{From: bellows.Key(jointer.Stand.Own), Worker: worker, Reading: milliseconds}
+	go func() {
+		peers := append(jointer.Stand.Live(bellows.RoleForge), jointer.Stand.Live(bellows.RoleLocker)...)
+		jointer.Stand.Spread(peers, pattern.KindReading, told, almanac.CallTime, nil)
+	}()
+}
+
+func (jointer *Jointer) reads(body []byte) ([]byte, error) {
+	told := &pattern.ReadingTold{}
+	if failure := tongs.Read(body, told); failure != nil {
+		return nil, failure
+	}
+	jointer.Bench.PeerReads(told, watch.Now())
+	return tongs.Write(&pattern.Nothing{Taken: true})
+}
+
 // gossip tells utilization and weights to the peers that place work.
 func (jointer *Jointer) gossip() {
 	packet := jointer.Bench.Gossip(watch.Now())
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -34,6 +34,7 @@
 	KindDutyChange
 	KindRetire
 	KindPressure
+	KindReading
 )
 
 // Phase is a worker's phase.
--- a/internal/pattern/kinds_string.go
+++ b/internal/pattern/kinds_string.go
@@ -30,11 +30,12 @@
 	_ = x[KindDutyChange-19]
 	_ = x[KindRetire-20]
 	_ = x[KindPressure-21]
+	_ = x[KindReading-22]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindRenewKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindHandOverKindDutyChangeKindRetireKindPressure"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindRenewKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindHandOverKindDutyChangeKindRetireKindPressureKindReading"
 
-var _Kind_index = [...]uint8{0, 8, 19, 30, 40, 49, 56, 70, 84, 98, 112, 122, 133, 142, 152, 161, 175, 185, 201, 213, 227, 237, 249}
+var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 49, 56, 70, 84, 98, 112, 122, 133, 142, 152, 161, 175, 185, 201, 213, 227, 237, 249, 260}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -217,3 +217,10 @@
 	From  string     `msg:"f"`
 	Words []Pressure `msg:"w"`
 }
+
+// ReadingTold says that a worker has a long prompt to read, ahead of the next gossip.
+type ReadingTold struct {
+	From    string  `msg:"f"`
+	Worker  string  `msg:"w"`
+	Reading float64 `msg:"r"`
+}
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -1912,6 +1912,76 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ReadingTold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "f"
+	o = append(o, 0x83, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Worker)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendFloat64(o, z.Reading)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReadingTold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "w":
+			z.Worker, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Worker")
+				return
+			}
+		case "r":
+			z.Reading, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reading")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReadingTold) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Worker) + 2 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Register) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/workbench/displace_test.go
+++ b/internal/workbench/displace_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"lemonarch/internal/almanac"
+	"lemonarch/internal/jig"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 )
@@ -123,3 +124,29 @@
 		test.Fatal("told ", told)
 	}
 }
+
+// A long prompt that a peer gave a worker counts as waiting there until it is read,
+// and items keep away from it.
+func TestPeersLongPromptIsAvoided(test *testing.T) {
+	one := bench(test, 8, "v", "w")
+	config, failure := jig.Parse([]byte(`{"generation":2,"backends":[{"name":"s","engine":{"capacity":8,"cache-tokens":1000}}]}`))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	one.SetConfig(config)
+	told := ""
+	one.OnReading(func(worker string, _ float64) { told = worker })
+	one.PeerReads(&pattern.ReadingTold{Worker: "v", Reading: 100}, 10)
+	for count := 0; count < 4; count++ {
+		if answer, _ := one.Admit(ask(0), nil, 11); answer.Grant == nil || answer.Grant.Worker.ID != "w" {
+			test.Fatal("placed behind a long prompt")
+		}
+	}
+	later := watch.Moment(10).Plus(watch.Milliseconds(100))
+	long := ask(0)
+	long.Affine, long.Prompt.Tokens = true, 10_000
+	answer, _ := one.Admit(long, nil, later)
+	if answer.Grant == nil || answer.Grant.Worker.ID != "v" || told != "v" {
+		test.Fatal("not placed on the free worker, or not told: ", told)
+	}
+}
--- a/internal/workbench/gossip.go
+++ b/internal/workbench/gossip.go
@@ -71,3 +71,18 @@
 		bench.press(now)
 	}
 }
+
+// OnReading names who is told of long prompts; it must not block.
+func (bench *Workbench) OnReading(tell func(worker string, milliseconds float64)) {
+	bench.tellReading = tell
+}
+
+// PeerReads takes a peer's word of a long prompt.
+func (bench *Workbench) PeerReads(told *pattern.ReadingTold, now watch.Moment) {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	// A word of more than a gossip period is no reading time but a mistake.
+	if _, known := bench.Roster.Get(told.Worker); known && told.Reading > 0 && told.Reading < watch.ToMilliseconds(almanac.GossipPeriod) {
+		bench.Gauge.Of(told.Worker).PeerReads(watch.Milliseconds(told.Reading), now)
+	}
+}
--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -39,14 +39,14 @@
 			if running >= bench.room(ask, worker, now) {
 				continue
 			}
-			if ask.Bulk && engine && vitals.Unread() >= almanac.BulkUnread {
+			if ask.Bulk && engine && (vitals.Unread() >= almanac.BulkUnread || vitals.PeersReading(now) > 0) {
 				// Items are read one after the other, so that live prompts get between.
 				continue
 			}
 			candidate := plumbline.Candidate{Worker: worker.ID, WaitMs: bench.cost(worker.Hall)}
 			if engine {
 				bench.Index.SetCache(worker.ID, cacheTokens)
-				candidate.WaitMs += float64(vitals.Pending())/bench.Index.Rate() + float64(running)*almanac.StepGuess
+				candidate.WaitMs += float64(vitals.Pending())/bench.Index.Rate() + watch.ToMilliseconds(vitals.PeersReading(now)) + float64(running)*almanac.StepGuess
 			} else {
 				// A plain worker's wait grows with how full it is and how slow it has been.
 				candidate.WaitMs += vitals.TookMs() * (1 + 2*float64(running)/float64(max(worker.Capacity, 1)))
@@ -85,6 +85,9 @@
 		grant.Fresh = bench.Index.Placed(&ask.Prompt, worker.ID, now)
 	}
 	vitals.Begin(ask.Bulk, grant.Fresh)
+	if reading := float64(grant.Fresh) / bench.Index.Rate(); engine && reading > almanac.LongReading && bench.tellReading != nil {
+		bench.tellReading(worker.ID, reading)
+	}
 	return Answer{Verdict: VerdictGranted, Grant: grant}
 }
 
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -86,9 +86,11 @@
 	yields    map[*Grant]*yielding
 	tell      func(words []pattern.Pressure)
 	toldAt    watch.Moment
-	number    int64
-	tallyLock sync.Mutex
-	tallies   map[string]*Tally
+	// tellReading must not block: it is called under the lock.
+	tellReading func(worker string, milliseconds float64)
+	number      int64
+	tallyLock   sync.Mutex
+	tallies     map[string]*Tally
 	// Displaced counts the work that was asked to yield.
 	Displaced int64
 }
