--- a/internal/forge/gate.go
+++ b/internal/forge/gate.go
@@ -17,29 +17,73 @@
 	stand *trestle.Trestle
 	lock  sync.Mutex
 	duty  pattern.Duty
+	// changed closes when another takes the duty; shunned is when the known holder
+	// last failed to answer.
+	changed chan struct{}
+	shunned watch.Moment
 }
 
 func newGate(stand *trestle.Trestle) *gate {
-	one := &gate{stand: stand}
+	one := &gate{stand: stand, changed: make(chan struct{})}
 	stand.Answer(pattern.KindHolderTold, func(body []byte) ([]byte, error) {
 		told := &pattern.HolderTold{}
 		if failure := tongs.Read(body, told); failure != nil {
 			return nil, failure
 		}
-		one.lock.Lock()
-		if told.Duty.Epoch >= one.duty.Epoch {
-			one.duty = told.Duty
-		}
-		one.lock.Unlock()
+		one.learn(told)
 		return tongs.Write(&pattern.Nothing{Taken: true})
 	})
 	return one
 }
 
-func (one *gate) holder() string {
+// learn takes word of who holds the duty.
+func (one *gate) learn(told *pattern.HolderTold) {
 	one.lock.Lock()
 	defer one.lock.Unlock()
-	return one.duty.Address
+	if told.Duty.Epoch > one.duty.Epoch && !told.Over {
+		close(one.changed)
+		one.changed = make(chan struct{})
+	}
+	if told.Duty.Epoch >= one.duty.Epoch {
+		one.duty, one.shunned = told.Duty, 0
+	}
+}
+
+// holder gives who is believed to hold the duty, unless it has just failed to
+// answer, and what closes when that changes.
+func (one *gate) holder() (string, chan struct{}) {
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	if one.shunned > 0 && watch.Now().Since(one.shunned) < almanac.HoldTime {
+		return "", one.changed
+	}
+	return one.duty.Address, one.changed
+}
+
+// ask puts a call to one locker. It does not wait on for one whose duty another
+// has taken since.
+func (one *gate) ask(address string, call *pattern.LotCall, wait watch.Span, changed chan struct{}) (*pattern.LotAnswer, error) {
+	type outcome struct {
+		answer  *pattern.LotAnswer
+		failure error
+	}
+	back := make(chan outcome, 1)
+	go func() {
+		answer := &pattern.LotAnswer{}
+		failure := tongs.Ask(one.stand.Wire, address, pattern.KindLotCall, call, answer, wait)
+		back <- outcome{answer, failure}
+	}()
+	select {
+	case got := <-back:
+		return got.answer, got.failure
+	case <-changed:
+		if current, _ := one.holder(); current == address {
+			got := <-back
+			return got.answer, got.failure
+		}
+		// It may still answer, and it may have taken the call: nothing is promised.
+		return nil, tongs.Unanswered.New(address + " lost its duty")
+	}
 }
 
 // Pass asks the holder. The second result says whether the call may have had an
@@ -49,7 +93,7 @@
 	maybe := false
 	asked := map[string]bool{}
 	for watch.Now() < end {
-		address := one.holder()
+		address, changed := one.holder()
 		if address == "" || asked[address] {
 			address = one.another(asked)
 		}
@@ -60,18 +104,22 @@
 			continue
 		}
 		asked[address] = true
-		answer := &pattern.LotAnswer{}
 		// A holder that is gone must not use up the whole time.
 		wait := min(end.Since(watch.Now()), almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
-		failure := tongs.Ask(one.stand.Wire, address, pattern.KindLotCall, call, answer, wait)
+		answer, failure := one.ask(address, call, wait, changed)
 		if failure != nil {
 			maybe = maybe || !mishap.Of(failure, tongs.Unreached)
+			one.lock.Lock()
+			if one.duty.Address == address {
+				one.shunned = watch.Now()
+			}
+			one.lock.Unlock()
 			continue
 		}
 		if answer.Elsewhere {
 			if answer.Holder != "" && !asked[answer.Holder] {
 				one.lock.Lock()
-				one.duty.Address = answer.Holder
+				one.duty.Address, one.shunned = answer.Holder, 0
 				one.lock.Unlock()
 			}
 			continue
