A forge that reaches no locker has another forge pass its calls on lots on

Ruled out: the duty changing hands (it did not), the quota (1 refused). Change: after two lockers failed to answer, up to two other forges are asked to pass the call on, once. Tests: TestCutOffForgeRelays, TestCallsFollowTheDuty.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -106,6 +106,9 @@
 	// StepGuess is the first guess, in ms, of what one running request costs the
 	// others in waiting.
 	StepGuess = 0.4
+	// RelayAfter is how many lockers have failed to answer when another forge is
+	// asked, and how many forges are (ours).
+	RelayAfter = 2
 	// LongReading, in ms, is the reading time from which a prompt is told to peers at
 	// once (ours): others would wait behind it for longer than gossip takes.
 	LongReading = 12.0
--- a/internal/forge/gate.go
+++ b/internal/forge/gate.go
@@ -1,6 +1,7 @@
 package forge
 
 import (
+	"net/http"
 	"sync"
 
 	"lemonarch/internal/almanac"
@@ -33,6 +34,7 @@
 		one.learn(told)
 		return tongs.Write(&pattern.Nothing{Taken: true})
 	})
+	stand.Answer(pattern.KindLotCall, one.relayed)
 	return one
 }
 
@@ -90,12 +92,20 @@
 // effect although no answer came.
 func (one *gate) Pass(call *pattern.LotCall, span watch.Span) (*pattern.LotAnswer, bool) {
 	end := watch.Now().Plus(span)
-	maybe := false
+	maybe, failures, relays := false, 0, map[string]bool{}
 	asked := map[string]bool{}
 	for watch.Now() < end {
+		// A node that is cut off from the lockers may still reach a forge that is not.
+		if failures >= almanac.RelayAfter && !call.Relayed && len(relays) < almanac.RelayAfter {
+			answer, reached := one.relay(call, end, relays)
+			if answer != nil {
+				return answer, true
+			}
+			maybe = maybe || reached
+		}
 		address, changed := one.holder()
 		if address == "" || asked[address] {
-			address = one.another(asked)
+			address = one.another(bellows.RoleLocker, asked)
 		}
 		if address == "" {
 			// Everybody was asked: the duty is changing hands, so wait a little.
@@ -108,6 +118,7 @@
 		wait := min(end.Since(watch.Now()), almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
 		answer, failure := one.ask(address, call, wait, changed)
 		if failure != nil {
+			failures++
 			maybe = maybe || !mishap.Of(failure, tongs.Unreached)
 			one.lock.Lock()
 			if one.duty.Address == address {
@@ -129,8 +140,52 @@
 	return nil, maybe
 }
 
-func (one *gate) another(asked map[string]bool) string {
-	for _, entry := range one.stand.Live(bellows.RoleLocker) {
+// relay has another forge pass the call on. reached says that it may have.
+func (one *gate) relay(call *pattern.LotCall, end watch.Moment, tried map[string]bool) (answer *pattern.LotAnswer, reached bool) {
+	address := one.another(bellows.RoleForge, tried)
+	if address == "" {
+		return nil, false
+	}
+	tried[address] = true
+	relayed := *call
+	relayed.Relayed = true
+	wait := min(end.Since(watch.Now()), almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
+	back := &pattern.LotAnswer{}
+	if failure := tongs.Ask(one.stand.Wire, address, pattern.KindLotCall, &relayed, back, wait); failure != nil {
+		return nil, !mishap.Of(failure, tongs.Unreached)
+	}
+	if back.Elsewhere {
+		return nil, false
+	}
+	return back, true
+}
+
+// relayed answers a call that another forge could not pass on itself.
+func (one *gate) relayed(body []byte) ([]byte, error) {
+	call := &pattern.LotCall{}
+	if failure := tongs.Read(body, call); failure != nil {
+		return nil, failure
+	}
+	// Whatever the sender says: a call is passed on by two forges at most.
+	call.Relayed = true
+	// It must say what it knows before the sender stops waiting.
+	answer, maybe := one.Pass(call, almanac.CallTime*3/4+watch.Milliseconds(float64(call.HoldMs)))
+	switch {
+	case answer != nil:
+	case maybe:
+		answer = &pattern.LotAnswer{Status: http.StatusGatewayTimeout, Body: []byte("{}")}
+	default:
+		answer = &pattern.LotAnswer{Elsewhere: true}
+	}
+	return tongs.Write(answer)
+}
+
+func (one *gate) another(role string, asked map[string]bool) string {
+	entries := one.stand.Live(role)
+	// Not always the same one: it may be cut off as well.
+	offset := int(watch.Draw() * float64(len(entries)))
+	for place := range entries {
+		entry := entries[(place+offset)%len(entries)]
 		if !asked[entry.Address] {
 			return entry.Address
 		}
--- a/internal/forge/gate_test.go
+++ b/internal/forge/gate_test.go
@@ -58,3 +58,43 @@
 		test.Fatal(address)
 	}
 }
+
+// A forge that reaches no locker has another forge pass its calls on, once.
+func TestCutOffForgeRelays(test *testing.T) {
+	room := tongs.NewRoom()
+	gates := map[string]*gate{}
+	for _, name := range []string{"cut", "near"} {
+		settings := &boot.Boot{NodeName: name, Address: "10.0.0.1", InternalPorts: []int{1, 9}}
+		stand := trestle.New(settings, bellows.RoleForge, 1, "", hclog.NewNullLogger())
+		stand.Wire = room.Transport(name)
+		gates[name] = newGate(stand)
+		_ = stand.Wire.Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
+			if kind != pattern.KindLotCall {
+				return nil, nil
+			}
+			return gates[name].relayed(body)
+		})
+	}
+	var calls []bool
+	_ = room.Transport("locker").Serve(func(_ pattern.Kind, body []byte) ([]byte, error) {
+		call := &pattern.LotCall{}
+		_ = tongs.Read(body, call)
+		calls = append(calls, call.Relayed)
+		return tongs.Write(&pattern.LotAnswer{Status: 202})
+	})
+	// The cut one knows lockers that it can't reach, and one forge that it can.
+	know := func(name string, entries ...pattern.Entry) { gates[name].stand.Hear(entries) }
+	know("cut", pattern.Entry{Name: "x", Role: bellows.RoleLocker, Address: "nowhere-1"},
+		pattern.Entry{Name: "y", Role: bellows.RoleLocker, Address: "nowhere-2"},
+		pattern.Entry{Name: "near", Role: bellows.RoleForge, Address: "near"})
+	know("near", pattern.Entry{Name: "z", Role: bellows.RoleLocker, Address: "locker"})
+	answer, _ := gates["cut"].Pass(&pattern.LotCall{Method: "POST", Lot: "l"}, watch.Milliseconds(5000))
+	if answer == nil || answer.Status != 202 || len(calls) != 1 || !calls[0] {
+		test.Fatal(answer, calls)
+	}
+	// Where the other forge can't either, nothing ran and nothing is claimed.
+	room.Transport("locker").Close()
+	if answer, maybe := gates["cut"].Pass(&pattern.LotCall{Method: "POST", Lot: "l"}, watch.Milliseconds(1500)); answer != nil || maybe {
+		test.Fatal(answer, maybe)
+	}
+}
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -10,6 +10,8 @@
 	Cursor int    `msg:"c"`
 	HoldMs int    `msg:"w"`
 	Body   []byte `msg:"b"`
+	// Relayed says that another forge passed it on, which happens once at most.
+	Relayed bool `msg:"y"`
 }
 
 // LotAnswer is what the holder says to it.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -661,9 +661,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LotCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "m"
-	o = append(o, 0x88, 0xa1, 0x6d)
+	o = append(o, 0x89, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Method)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
@@ -686,6 +686,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendBool(o, z.Relayed)
 	return
 }
 
@@ -755,6 +758,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "y":
+			z.Relayed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -769,7 +778,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LotCall) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -153,6 +153,9 @@
 	return tongs.Write(answer)
 }
 
+// Hear takes entries as a shuffle brings them.
+func (trestle *Trestle) Hear(entries []pattern.Entry) { trestle.heard(entries) }
+
 func (trestle *Trestle) heard(entries []pattern.Entry) {
 	newest := int64(0)
 	trestle.lock.Lock()
