--- /dev/null
+++ b/internal/foreman/calls_test.go
@@ -0,0 +1,124 @@
+package foreman
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/boot"
+	"lemonarch/internal/pattern"
+)
+
+func settings(folder string, bootstrap bool) *boot.Boot {
+	return &boot.Boot{NodeName: "m", Address: "127.0.0.1", Hall: "h", InternalPorts: []int{21100, 21110},
+		Seeds: []string{"127.0.0.1:21000"}, Bootstrap: bootstrap, DataDir: folder, HeartbeatMs: 1200}
+}
+
+func open(test *testing.T, folder string, bootstrap bool) (*Foreman, *httptest.Server) {
+	foreman, failure := New(settings(folder, bootstrap), hclog.NewNullLogger())
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	server := httptest.NewServer(foreman.calls())
+	test.Cleanup(server.Close)
+	return foreman, server
+}
+
+func call(test *testing.T, server *httptest.Server, method, path, base, body string) (int, string) {
+	request, _ := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	if base != "" {
+		request.Header.Set(headerBase, base)
+	}
+	answer, failure := http.DefaultClient.Do(request)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(text)
+}
+
+func config(generation int) string {
+	return fmt.Sprintf(`{"generation":%d,"channels":[{"name":"a","host":"h","path-prefix":"/a/","route-kind":"idempotent","cutoff-ms":5,"backend":"s"}],"backends":[{"name":"s"}],"limits":{}}`, generation)
+}
+
+// What PROTOCOL says of changes, over a real disk, and again after a restart.
+func TestReplaceAndRead(test *testing.T) {
+	folder := test.TempDir()
+	_, server := open(test, folder, true)
+	steps := []struct {
+		name, base, body string
+		status           int
+	}{
+		{"first", "0", config(2), 200},
+		{"resent", "0", config(2), 200},
+		{"lost its race", "0", config(3), 412},
+		{"old generation", "2", config(2) + " ", 400},
+		{"cut short", "2", config(3)[:40], 400},
+		{"unknown service", "2", strings.Replace(config(3), `"backend":"s"`, `"backend":"t"`, 1), 400},
+		{"no base", "", config(3), 400},
+		{"too large", "2", strings.Repeat(" ", 17<<20), 413},
+		{"next", "2", config(5), 200},
+		{"resent late", "0", config(2), 200},
+	}
+	for _, step := range steps {
+		if status, body := call(test, server, "POST", "/-/Configuration.Replace", step.base, step.body); status != step.status {
+			test.Errorf("%s: %d %s, want %d", step.name, status, body, step.status)
+		}
+	}
+	if status, body := call(test, server, "GET", "/-/Configuration.Read", "", ""); status != 200 || body != config(5) {
+		test.Fatal(status, body)
+	}
+	_, again := open(test, folder, false)
+	if status, body := call(test, again, "GET", "/-/Configuration.Read", "", ""); status != 200 || body != config(5) {
+		test.Fatal("after a restart: ", status, body)
+	}
+}
+
+func TestWorkersCalls(test *testing.T) {
+	folder := test.TempDir()
+	foreman, server := open(test, folder, true)
+	beat := `{"backend":"s","address":"a:1","zone":"h","generation":"v1","capacity":4,"phase":"%s","call-count":%d}`
+	for _, step := range []struct {
+		path, body string
+		status     int
+		phase      pattern.Phase
+	}{
+		{"Workers.Heartbeat/w", fmt.Sprintf(beat, "steady", 3), 200, pattern.PhaseSteady},
+		{"Workers.Heartbeat/w", fmt.Sprintf(beat, "draining", 5), 200, pattern.PhaseDraining},
+		{"Workers.Heartbeat/w", fmt.Sprintf(beat, "steady", 4), 200, pattern.PhaseDraining},
+		{"Workers.Heartbeat/w", "{", 400, pattern.PhaseDraining},
+		{"Workers.Heartbeat/w", `{"call-count":9}`, 400, pattern.PhaseDraining},
+		{"Workers.Depart/w", `{"call-count":6}`, 200, pattern.PhaseGone},
+		{"Workers.Heartbeat/w", fmt.Sprintf(beat, "steady", 7), 200, pattern.PhaseGone},
+	} {
+		status, body := call(test, server, "POST", "/-/"+step.path, "", step.body)
+		worker, _ := foreman.roster.Get("w")
+		if status != step.status || worker.Phase != step.phase {
+			test.Fatalf("%s %s: %d %s, phase %s", step.path, step.body, status, body, worker.Phase)
+		}
+	}
+}
+
+func TestRetireOfUnknownAndOfTooMany(test *testing.T) {
+	foreman, server := open(test, test.TempDir(), true)
+	if status, _ := call(test, server, "POST", "/-/Retire.Open/store-1", "", "{}"); status != 503 {
+		test.Fatal("a foreman that has just started can't know: ", status)
+	}
+	foreman.begun -= 60_000_000_000
+	if status, _ := call(test, server, "POST", "/-/Retire.Open/store-1", "", "{}"); status != 404 {
+		test.Fatal(status)
+	}
+	foreman.Stand.Hear([]pattern.Entry{{Name: "store-1", Role: "locker", Address: "x:1"}})
+	if status, _ := call(test, server, "POST", "/-/Retire.Open/store-1", "", "{}"); status != 409 {
+		test.Fatal("the last store was to be emptied: ", status)
+	}
+	if status, _ := call(test, server, "GET", "/-/Retire.Read/store-1", "", ""); status != 404 {
+		test.Fatal(status)
+	}
+}
