--- a/internal/jig/jig.go
+++ b/internal/jig/jig.go
@@ -187,6 +187,15 @@
 	return watch.Milliseconds(route.CutoffMs)
 }
 
+// Retain is how long after its lot was sent an item may still be run.
+func (route *Route) Retain() watch.Span {
+	if route.RetainS <= 0 {
+		// Not stated: nothing may be given up for its age.
+		return watch.Milliseconds(24 * 3_600_000)
+	}
+	return watch.Milliseconds(route.RetainS * 1000)
+}
+
 // Setpoint is the time within which an answer earns its full worth.
 func (route *Route) Setpoint() watch.Span {
 	if route.SetpointMs <= 0 {
--- a/internal/locker/run.go
+++ b/internal/locker/run.go
@@ -57,7 +57,7 @@
 				if item.State != ledgerbox.ItemWaiting {
 					continue
 				}
-				if route == nil || float64(wall-lot.SentMs) > route.RetainS*1000 {
+				if route == nil || wall-lot.SentMs > route.Retain().Milliseconds() {
 					reign.finish(route, item, 0, nil, true)
 				} else if len(reign.running) < almanac.RunningItems && now >= reign.retry[item] {
 					ready = append(ready, item)
@@ -128,7 +128,7 @@
 	if item.LastID > 0 {
 		own["Last-Event-Id"] = strconv.FormatInt(item.LastID, 10)
 	}
-	left := item.Lot.SentMs + int64(route.RetainS*1000) - watch.Wall()/1_000_000
+	left := item.Lot.SentMs + route.Retain().Milliseconds() - watch.Wall()/1_000_000
 	return &carriage.Letter{Method: http.MethodPost, Attempt: item.ID, Seal: true, Patience: 2 * almanac.SilentWorker,
 		Text:  carriage.Head(http.MethodPost, item.Path, item.Lot.Host, carriage.Passed(header), own, item.Body),
 		Until: watch.Now().Plus(watch.Milliseconds(float64(max(left, 1000)))),
