--- a/internal/carriage/carriage_test.go
+++ b/internal/carriage/carriage_test.go
@@ -206,3 +206,34 @@
 		test.Fatal("passed on")
 	}
 }
+
+// A node that leaves still answers what it has, and tells its clients to go.
+func TestDrainUnderLoad(test *testing.T) {
+	begun, hold := make(chan struct{}), make(chan struct{})
+	worker := newStandIn(test, "w1", func(count int, request *http.Request, connection net.Conn) {
+		if count == 1 {
+			close(begun)
+			<-hold
+		}
+		write(connection, wellDone(request, "done"))
+	})
+	server, carriage := edge(test, worker)
+	ended := make(chan string, 1)
+	go func() {
+		answer, body, failure := ask(test, server, "/once/x", nil)
+		ended <- fmt.Sprint(answer != nil && answer.StatusCode == 200, body, failure)
+	}()
+	<-begun
+	carriage.Leaving.Store(true)
+	if carriage.Active() != 1 {
+		test.Fatal("a request under way is not counted")
+	}
+	answer, body, failure := ask(test, server, "/safe/y", nil)
+	if failure != nil || answer.StatusCode != 200 || body != "done" || !answer.Close {
+		test.Fatal(answer, body, failure)
+	}
+	close(hold)
+	if got := <-ended; got != "true done <nil>" && got != "truedone<nil>" && got != "truedone <nil>" {
+		test.Fatal(got)
+	}
+}
--- a/internal/vise/register_test.go
+++ b/internal/vise/register_test.go
@@ -27,6 +27,17 @@
 	acked   map[int64]string
 	onBase  map[int64]int64
 	test    *testing.T
+	// slow is how many ms a sync may take beyond the usual.
+	slow float64
+}
+
+// synced runs a function once a disk has synced.
+func (one *fleet) synced(function func()) {
+	if one.slow == 0 {
+		function()
+		return
+	}
+	one.world.After(watch.Milliseconds(one.slow*one.world.Random.Float64()), function)
 }
 
 func newFleet(test *testing.T, seed int64, names ...string) *fleet {
@@ -68,6 +79,11 @@
 	node.known = node.live.Value()
 }
 
+// answer sends an answer once the disk behind it has synced.
+func (one *fleet) answer(from, to string, function func()) {
+	one.synced(func() { one.world.Send(from, to, function) })
+}
+
 // change drives one change from a node; ended is called once with the outcome.
 func (one *fleet) change(from string, change vise.Change, tries int, ended func(value pattern.Register, done bool)) {
 	node := one.foremen[from]
@@ -116,7 +132,7 @@
 					if keep {
 						target.disk = target.live.Record()
 					}
-					one.world.Send(send.Member.Address, from, func() {
+					one.answer(send.Member.Address, from, func() {
 						if !over && !dead() {
 							carry(proposal.Promised(send.Member, answer))
 							finish()
@@ -128,7 +144,7 @@
 				if keep {
 					target.disk = target.live.Record()
 				}
-				one.world.Send(send.Member.Address, from, func() {
+				one.answer(send.Member.Address, from, func() {
 					if !over && !dead() {
 						proposal.Taken(send.Member, answer)
 						finish()
--- a/internal/vise/trouble_test.go
+++ b/internal/vise/trouble_test.go
@@ -183,3 +183,50 @@
 		test.Fatalf("read %q, although Y was chosen", got)
 	}
 }
+
+// Members join and take each other's places while links are cut in one direction
+// or both and disks are slow; whatever was acknowledged stays.
+func TestSetChangesUnderCutsAndSlowDisks(test *testing.T) {
+	joins := 0
+	for seed := int64(1); seed <= 80; seed++ {
+		one := newFleet(test, seed, "a", "b", "c")
+		one.outsider("d")
+		one.world.Loss = 0.03
+		one.slow = 120
+		names := []string{"a", "b", "c", "d"}
+		generation, base := int64(0), int64(0)
+		for round := 0; round < 5; round++ {
+			from := names[one.world.Random.Intn(4)]
+			generation += 2
+			one.replace(from, generation, base, fmt.Sprint(generation))
+			// One direction of one link is cut, then joined again.
+			left, right := names[one.world.Random.Intn(4)], names[one.world.Random.Intn(4)]
+			one.world.Cut(left, right, true)
+			one.world.After(watch.Milliseconds(900), func() { one.world.Cut(left, right, false) })
+			// Whoever stands by takes a member's place.
+			known := one.foremen["a"].known.Acceptors
+			voting := map[string]bool{}
+			for _, member := range known {
+				voting[member.Address] = true
+			}
+			for _, name := range names {
+				if !voting[name] && len(known) == 3 {
+					out := known[one.world.Random.Intn(3)]
+					one.change(name, vise.Join(one.foremen[name].member, &out), 10, func(_ pattern.Register, done bool) {
+						if done {
+							joins++
+							one.change(name, vise.Settle, 10, func(pattern.Register, bool) {})
+						}
+					})
+				}
+			}
+			one.world.Run(one.world.Now.Plus(watch.Milliseconds(9000)))
+			if found := one.newest(names[one.world.Random.Intn(4)]); found >= 0 {
+				base = found
+			}
+		}
+	}
+	if joins < 80 {
+		test.Fatalf("only %d changes of the set", joins)
+	}
+}
