--- a/internal/errand/errand.go
+++ b/internal/errand/errand.go
@@ -12,9 +12,6 @@
 // Background is the errand that is never called off.
 func Background() Errand { return context.Background() }
 
-// Cancellable gives an errand with its own way to call it off.
-func Cancellable(parent Errand) (Errand, func()) { return context.WithCancel(parent) }
-
 // AfterEnd runs a function once the errand is called off; halt undoes it.
 func AfterEnd(one Errand, function func()) (halt func()) {
 	stop := context.AfterFunc(one, function)
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -245,5 +244,3 @@
 	config := foreman.Stand.Config()
 	return &pattern.ConfigPush{Generation: config.Generation, Body: config.Body}, nil
 }
-
-func trimKey(key string) string { return key[strings.IndexByte(key, '/')+1:] }
--- a/internal/mishap/mishap.go
+++ b/internal/mishap/mishap.go
@@ -53,7 +53,3 @@
 
 // Of tells whether any mishap in the chain is of the kind.
 func Of(chain error, kind *Kind) bool { return eris.Is(chain, kind) }
-
-// Named wraps an error with a name and a stack, for start-up paths where the
-// cost of the stack does not matter.
-func Named(cause error, text string) error { return eris.Wrap(cause, text) }
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -16,7 +16,6 @@
 	KindShuffle
 	KindPrepare
 	KindAccept
-	KindRenew
 	KindAsk
 	KindConfigPush
 	KindConfigPull
@@ -30,9 +29,7 @@
 	KindHolderTold
 	KindStatus
 	KindRegisterRead
-	KindHandOver
 	KindDutyChange
-	KindRetire
 	KindPressure
 	KindReading
 )
--- a/internal/pattern/kinds_string.go
+++ b/internal/pattern/kinds_string.go
@@ -12,30 +12,27 @@
 	_ = x[KindShuffle-1]
 	_ = x[KindPrepare-2]
 	_ = x[KindAccept-3]
-	_ = x[KindRenew-4]
-	_ = x[KindAsk-5]
-	_ = x[KindConfigPush-6]
-	_ = x[KindConfigPull-7]
-	_ = x[KindRosterPush-8]
-	_ = x[KindRosterPull-9]
-	_ = x[KindGossip-10]
-	_ = x[KindLotCall-11]
-	_ = x[KindRaise-12]
-	_ = x[KindAppend-13]
-	_ = x[KindFetch-14]
-	_ = x[KindHolderTold-15]
-	_ = x[KindStatus-16]
-	_ = x[KindRegisterRead-17]
-	_ = x[KindHandOver-18]
-	_ = x[KindDutyChange-19]
-	_ = x[KindRetire-20]
-	_ = x[KindPressure-21]
-	_ = x[KindReading-22]
+	_ = x[KindAsk-4]
+	_ = x[KindConfigPush-5]
+	_ = x[KindConfigPull-6]
+	_ = x[KindRosterPush-7]
+	_ = x[KindRosterPull-8]
+	_ = x[KindGossip-9]
+	_ = x[KindLotCall-10]
+	_ = x[KindRaise-11]
+	_ = x[KindAppend-12]
+	_ = x[KindFetch-13]
+	_ = x[KindHolderTold-14]
+	_ = x[KindStatus-15]
+	_ = x[KindRegisterRead-16]
+	_ = x[KindDutyChange-17]
+	_ = x[KindPressure-18]
+	_ = x[KindReading-19]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindRenewKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindHandOverKindDutyChangeKindRetireKindPressureKindReading"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReading"
 
-var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 49, 56, 70, 84, 98, 112, 122, 133, 142, 152, 161, 175, 185, 201, 213, 227, 237, 249, 260}
+var _Kind_index = [...]uint8{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -159,11 +159,6 @@
 	From string `msg:"f"`
 }
 
-// RetireAsk asks a foreman for the state of a store machine's emptying.
-type RetireAsk struct {
-	Name string `msg:"n"`
-}
-
 // RosterPush tells of workers.
 type RosterPush struct {
 	From    string   `msg:"f"`
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -2398,58 +2398,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z RetireAsk) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "n"
-	o = append(o, 0x81, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *RetireAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "n":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RetireAsk) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name)
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z RosterPull) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -39,9 +39,6 @@
 // Deadline gives the wall deadline that sockets want.
 func Deadline(span Span) time.Time { return time.Now().Add(span) }
 
-// Never is the deadline that clears a socket's.
-func Never() time.Time { return time.Time{} }
-
 // Timer fires once.
 type Timer = time.Timer
 
