--- /dev/null
+++ b/internal/clamp/simulation_test.go
@@ -0,0 +1,86 @@
+package clamp_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/clamp"
+	"lemonarch/internal/model"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Three acceptors grant one duty to three candidates under loss, delay, doubled
+// messages, cuts and restarts of acceptors: at no moment do two holds stand.
+func TestOneHoldStandsUnderTrouble(test *testing.T) {
+	taken := 0
+	for seed := int64(1); seed <= 80; seed++ {
+		world := model.NewWorld(seed)
+		world.Loss, world.Double = 0.1, 0.05
+		nodes := []string{"a", "b", "c"}
+		grants := map[string]*clamp.Grants{}
+		holds := map[string]*clamp.Hold{}
+		for _, name := range nodes {
+			grants[name] = clamp.NewGrants(world.Now, true)
+			holds[name] = &clamp.Hold{}
+		}
+		duty := pattern.Duty{}
+		var campaign func(name string)
+		campaign = func(name string) {
+			pause := almanac.HoldRenewal + watch.Span(world.Random.Int63n(int64(almanac.HoldRenewal)))
+			world.After(pause, func() { campaign(name) })
+			asked, granted, over := world.Now, map[string]bool{}, false
+			question := pattern.HoldAsk{Candidate: name, Life: 1, Epoch: duty.Epoch}
+			for _, acceptor := range nodes {
+				world.Send(name, acceptor, func() {
+					answer := grants[acceptor].Ask(question, duty, world.Now)
+					world.Send(acceptor, name, func() {
+						if !answer.Granted || over {
+							return
+						}
+						if granted[acceptor] = true; len(granted) == 2 {
+							over = true
+							if duty.Holder != name {
+								// The register raises the epoch; an older question loses there.
+								if question.Epoch != duty.Epoch {
+									return
+								}
+								duty = pattern.Duty{Holder: name, Life: 1, Epoch: duty.Epoch + 1}
+								taken++
+							}
+							holds[name].Renewed(asked)
+						}
+					})
+				})
+			}
+		}
+		for _, name := range nodes {
+			world.After(watch.Span(world.Random.Int63n(int64(almanac.HoldTime))), func() { campaign(name) })
+		}
+		for step := 0; step < 400; step++ {
+			world.Run(world.Now.Plus(watch.Milliseconds(50)))
+			standing := 0
+			for _, name := range nodes {
+				if holds[name].Stands(world.Now) {
+					standing++
+				}
+			}
+			if standing > 1 {
+				test.Fatalf("seed %d: %d holds stand at once", seed, standing)
+			}
+			switch world.Random.Intn(40) {
+			case 0:
+				// An acceptor forgets what it granted; it is silent for one hold.
+				grants[nodes[world.Random.Intn(3)]] = clamp.NewGrants(world.Now, false)
+			case 1:
+				cut := nodes[world.Random.Intn(3)]
+				world.Isolate(cut, nodes, true)
+				world.After(3*almanac.HoldTime, func() { world.Isolate(cut, nodes, false) })
+			}
+		}
+	}
+	if taken < 160 {
+		test.Fatal(fmt.Sprint("the duty changed hands only ", taken, " times"))
+	}
+}
