--- /dev/null
+++ b/internal/carriage/displace_test.go
@@ -0,0 +1,50 @@
+package carriage
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// A running stream of a lower rank makes room and goes on within the same answer:
+// every event comes once, the head stays, and the worker is not held to have failed.
+func TestDisplacedStreamGoesOnInTheSameAnswer(test *testing.T) {
+	reached, hold := make(chan struct{}), make(chan struct{})
+	defer close(hold)
+	worker := newStandIn(test, "w1", func(count int, request *http.Request, connection net.Conn) {
+		from := 0
+		fmt.Sscan(request.Header.Get(headerLastEvent), &from)
+		write(connection, streamHead(request))
+		for id := from + 1; id <= 5; id++ {
+			if count == 1 && id == 3 {
+				close(reached)
+				<-hold
+				return
+			}
+			write(connection, chunk(event(id)))
+		}
+		write(connection, "0\r\n\r\n")
+	})
+	server, carriage := edge(test, worker)
+	go func() {
+		<-reached
+		// The first two events may still be on their way: press until it yields.
+		for carriage.Bench.Tally("stream").Displaced.Load() == 0 {
+			carriage.Bench.Pressed(&pattern.PressureTold{From: "x", Words: []pattern.Pressure{{Service: "s", Waiting: 1}}}, 1, watch.Now())
+		}
+	}()
+	answer, body, failure := ask(test, server, "/stream/x", nil)
+	want := ""
+	for id := 1; id <= 5; id++ {
+		want += event(id)
+	}
+	tally := carriage.Bench.Tally("stream")
+	if failure != nil || answer.StatusCode != 200 || body != want || worker.seen() != 2 ||
+		tally.Displaced.Load() != 1 || tally.Resumed.Load() != 1 || tally.Finished.Load() != 1 {
+		test.Fatal(answer, body, failure, worker.seen(), tally.Displaced.Load(), tally.Resumed.Load(), tally.Finished.Load())
+	}
+}
--- a/internal/carriage/relay.go
+++ b/internal/carriage/relay.go
@@ -99,9 +99,7 @@
 		one.finish(delivery)
 		grant.End(workbench.OutcomeServed, watch.Now())
 		one.carriage.Counts.Served.Add(1)
-		if one.setBack {
-			// Its worker did nothing wrong and may be asked again.
-			one.setBack = false
+		if one.wasDisplaced {
 			one.carriage.Bench.Tally(one.route.Name).Finished.Add(1)
 		}
 		return RepeatNever, true
--- a/internal/carriage/standin_test.go
+++ b/internal/carriage/standin_test.go
@@ -88,7 +88,7 @@
 const testConfig = `{"generation":1,"channels":[
 {"name":"safe","host":"h.example","path-prefix":"/safe/","route-kind":"idempotent","cutoff-ms":3000,"setpoint-ms":60,"backend":"s","tries":3},
 {"name":"once","host":"h.example","path-prefix":"/once/","route-kind":"effectful","cutoff-ms":700,"setpoint-ms":100,"backend":"s","tries":3},
-{"name":"stream","host":"h.example","path-prefix":"/stream/","route-kind":"streaming","resumable":true,"cutoff-ms":4000,"setpoint-ms":100,"backend":"s","tries":3},
+{"name":"stream","host":"h.example","path-prefix":"/stream/","route-kind":"streaming","resumable":true,"priority":1,"cutoff-ms":4000,"setpoint-ms":100,"backend":"s","tries":3},
 {"name":"rigid","host":"h.example","path-prefix":"/rigid/","route-kind":"streaming","cutoff-ms":2000,"setpoint-ms":100,"backend":"s","tries":3}
 ],"backends":[{"name":"s","conn-limit":50}],"limits":{"max-header-bytes":8192,"max-body-bytes":1000,"header-wait-ms":3000,"idle-ms":5000}}`
 
