A displaced stream closes its own pipe only, by the way that a leaving client does

A yield closed the pipe of the delivery directly. Picked just before its stream ended, it could close a pipe that was given back and carried another request. A counter that nobody read is gone.

--- a/internal/carriage/journey.go
+++ b/internal/carriage/journey.go
@@ -193,12 +193,19 @@
 // whenGone closes the pipe once the client is gone: the worker then stops.
 func (one *journey) whenGone() (halt func()) {
 	return errand.AfterEnd(one.request.Context(), func() {
-		if pipe := one.pipe.Swap(nil); pipe != nil {
-			pipe.Close()
-		}
+		one.closePipe()
 	})
 }
 
+// closePipe breaks the present try off from outside, unless its pipe was given
+// back already and may carry somebody else's request.
+func (one *journey) closePipe() {
+	pipe := one.pipe.Swap(nil)
+	if pipe != nil {
+		pipe.Close()
+	}
+}
+
 // finish gives the pipe back, out of reach of a client that leaves just now: the
 // pipe may already carry somebody else's request.
 func (one *journey) finish(delivery *Delivery) {
--- a/internal/carriage/relay.go
+++ b/internal/carriage/relay.go
@@ -73,7 +73,7 @@
 	if one.headSent {
 		one.carriage.Counts.Resumed.Add(1)
 	}
-	one.mayYield(grant, delivery)
+	one.mayYield(grant)
 	failure := courier.Stream(delivery, splitter, one.deadline, patience, func(events []byte) error {
 		if !one.headSent {
 			copyBack(one.writer.Header(), delivery.Answer.Header)
@@ -122,13 +122,14 @@
 // mayYield lets a running stream of a lower rank make room, where it may go on at
 // another worker within the same answer and still end in time. What must not run
 // twice never yields.
-func (one *journey) mayYield(grant *workbench.Grant, delivery *Delivery) {
+func (one *journey) mayYield(grant *workbench.Grant) {
 	left := one.deadline.Since(watch.Now())
 	if !one.repeatable() || one.sent+1 >= one.route.Tries || left < one.route.Setpoint()+almanac.StreamReserve {
 		return
 	}
 	grant.MayYield(func() {
+		// Told before the reader can wake; of no effect once the answer is whole.
 		one.displaced.Store(true)
-		delivery.Pipe.Close()
+		one.closePipe()
 	})
 }
--- a/internal/workbench/displace.go
+++ b/internal/workbench/displace.go
@@ -139,7 +139,6 @@
 			}
 			wanted--
 			bench.yields[grant].asked = true
-			bench.Displaced++
 			yields = append(yields, bench.yields[grant].yield)
 		}
 	}
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -91,8 +91,6 @@
 	number      int64
 	tallyLock   sync.Mutex
 	tallies     map[string]*Tally
-	// Displaced counts the work that was asked to yield.
-	Displaced int64
 }
 
 // rate follows how many requests a service finishes a second, as seen from here.
