A try that ends before its first event gives back what it had the worker read

Cause: Grant.End marked the grant as read before it looked, so unread requests and pending tokens of tries that failed, were turned away or called off stayed counted for ever. Items are placed only at workers with nothing of ours unread, so each such try took a worker out of a node's reach for items, and live placement leaned away from it. Found by reading. The test fails without the change (seen red).

--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -163,9 +163,7 @@
 	delete(bench.yields, grant)
 	vitals := bench.Gauge.Of(grant.Worker.ID)
 	if !grant.read {
-		grant.read = true
-	}
-	if !grant.read {
+		// No event came: what we gave it to read is not waited for any more.
 		grant.read = true
 		vitals.Read(grant.Fresh)
 	}
