Count messages and bytes by kind and hall; neighbours and population of a view

Cause: nobody could tell which kind of message costs what, in the own hall and to others. Change: both transports count calls and answers with their encoded bytes; the shell shows them (traffic), a leaving process logs one line, and one every 10 s at debug level. Views name steady neighbours and a population for callers that must not know everybody.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -209,6 +209,8 @@
 	StatusRows = 200
 	// StatusTime is how long the shell waits for one process unless told otherwise.
 	StatusTime = 700 * time.Millisecond
+	// TrafficPeriod is the time between two lines of counters in a log at debug level.
+	TrafficPeriod = 10 * time.Second
 )
 
 // Processes.
--- /dev/null
+++ b/internal/bellows/neighbours.go
@@ -0,0 +1,69 @@
+package bellows
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// weigh is the rendezvous hash of two processes. Whoever keeps the lightest of all
+// that it hears of keeps a random and yet steady sample (a min-wise sample): how
+// often somebody is named does not count.
+func weigh(own, other string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(own))
+	_, _ = sum.Write([]byte{0})
+	_, _ = sum.Write([]byte(other))
+	// The last bytes move only the low bits of this sum: mix it once more.
+	mixed := sum.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	return mixed
+}
+
+// Neighbours gives up to count live processes of a role, the lightest first: one in
+// another hall where there is one, the rest in the owner's own hall, and others only
+// where that has too few.
+func (view *View) Neighbours(role string, count int, now watch.Moment) []pattern.Entry {
+	var near, far []pattern.Entry
+	for _, entry := range view.Live(role, now) {
+		if entry.Leaving {
+			continue
+		}
+		if entry.Hall == view.own.Hall {
+			near = append(near, entry)
+		} else {
+			far = append(far, entry)
+		}
+	}
+	view.sort(near)
+	view.sort(far)
+	if count < 1 {
+		return nil
+	}
+	if len(far) > 0 && len(near) > 0 {
+		room := max(min(len(near), count-1), count-len(far))
+		near = near[:min(len(near), room)]
+	}
+	found := append(near, far...)
+	return found[:min(len(found), count)]
+}
+
+func (view *View) sort(entries []pattern.Entry) {
+	own := Key(view.own)
+	sort.Slice(entries, func(left, right int) bool {
+		return weigh(own, Key(entries[left])) < weigh(own, Key(entries[right]))
+	})
+}
+
+// Population is how many live processes of a role there are, the owner included.
+func (view *View) Population(role string, now watch.Moment) int {
+	count := len(view.Live(role, now))
+	if view.own.Role == role {
+		count++
+	}
+	return count
+}
--- a/internal/loupe/loupe.go
+++ b/internal/loupe/loupe.go
@@ -34,6 +34,7 @@
 	"lots":         {[]string{"locker"}, "lots and backlog, at the holder"},
 	"stores":       {[]string{"locker"}, "copies and what is missing of them"},
 	"index":        {[]string{"forge", "locker"}, "prefix index and residency downgrades"},
+	"traffic":      {[]string{"forge", "foreman", "locker"}, "messages and bytes by kind, in the own hall and to others"},
 	"displacement": {[]string{"forge", "locker"}, "displaced, resumed and finished work by route"},
 }
 
--- a/internal/tongs/memory.go
+++ b/internal/tongs/memory.go
@@ -12,10 +12,13 @@
 	lock     sync.Mutex
 	handlers map[string]Handler
 	cut      map[string]bool
+	meters   map[string]*Meter
 }
 
 // NewRoom makes an empty room.
-func NewRoom() *Room { return &Room{handlers: map[string]Handler{}, cut: map[string]bool{}} }
+func NewRoom() *Room {
+	return &Room{handlers: map[string]Handler{}, cut: map[string]bool{}, meters: map[string]*Meter{}}
+}
 
 // Cut makes an address silent or lets it speak again.
 func (room *Room) Cut(address string, silent bool) {
@@ -25,14 +28,30 @@
 }
 
 // Transport gives the twin that serves at an address.
-func (room *Room) Transport(address string) *Twin { return &Twin{room: room, own: address} }
+func (room *Room) Transport(address string) *Twin {
+	return &Twin{room: room, own: address, meter: room.meter(address)}
+}
+
+// meter gives the meter of an address: it counts on when a process there starts anew.
+func (room *Room) meter(address string) *Meter {
+	room.lock.Lock()
+	defer room.lock.Unlock()
+	if room.meters[address] == nil {
+		room.meters[address] = NewMeter()
+	}
+	return room.meters[address]
+}
 
 // Twin is a transport in memory.
 type Twin struct {
-	room *Room
-	own  string
+	room  *Room
+	own   string
+	meter *Meter
 }
 
+// Meter counts what this process says and hears.
+func (twin *Twin) Meter() *Meter { return twin.meter }
+
 // Serve registers the handler.
 func (twin *Twin) Serve(handler Handler) error {
 	twin.room.lock.Lock()
@@ -52,6 +71,7 @@
 	if handler == nil {
 		return nil, Unreached.New(address)
 	}
+	twin.meter.sent(kind, address, len(body))
 	if silent {
 		return nil, Unanswered.New(address + " silent")
 	}
@@ -60,14 +80,18 @@
 		failure error
 	}
 	answered := make(chan outcome, 1)
+	other := twin.room.meter(address)
+	other.received(kind, twin.own, len(body))
 	go func() {
 		answer, failure := handler(kind, body)
+		other.sent(kind, twin.own, len(answer))
 		answered <- outcome{answer, failure}
 	}()
 	timer := watch.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case one := <-answered:
+		twin.meter.received(kind, address, len(one.body))
 		if one.failure != nil || one.body == nil {
 			return nil, Refused.New(address)
 		}
--- /dev/null
+++ b/internal/tongs/meter.go
@@ -0,0 +1,140 @@
+package tongs
+
+import (
+	"net"
+	"sort"
+	"sync"
+
+	"lemonarch/internal/pattern"
+)
+
+// Place is where the other side of a message stands.
+type Place int
+
+// The places.
+const (
+	// PlaceUnknown: the caller has not said where that host stands.
+	PlaceUnknown Place = iota
+	PlaceOwnHall
+	PlaceOtherHall
+	places
+)
+
+var placeNames = [places]string{"unknown", "own-hall", "other-hall"}
+
+// String names a place in reports.
+func (place Place) String() string { return placeNames[place] }
+
+// Count is a number of messages with their encoded bytes, heads included.
+type Count struct {
+	Messages, Bytes int64
+}
+
+// Flow is what went both ways. Calls and their answers both count.
+type Flow struct {
+	Sent, Received Count
+}
+
+// Metered is a transport that counts its traffic.
+type Metered interface {
+	Meter() *Meter
+}
+
+// Meter counts messages by kind and place. What a process sends to itself counts
+// as its own hall's.
+type Meter struct {
+	lock  sync.Mutex
+	hosts map[string]Place
+	flows map[pattern.Kind]*[places]Flow
+}
+
+// NewMeter makes a meter that knows of no host yet.
+func NewMeter() *Meter {
+	return &Meter{hosts: map[string]Place{}, flows: map[pattern.Kind]*[places]Flow{}}
+}
+
+func hostOf(address string) string {
+	if host, _, failure := net.SplitHostPort(address); failure == nil {
+		return host
+	}
+	return address
+}
+
+// Learn says whether the host of an address stands in the own hall.
+func (meter *Meter) Learn(address string, own bool) {
+	place := PlaceOtherHall
+	if own {
+		place = PlaceOwnHall
+	}
+	meter.lock.Lock()
+	defer meter.lock.Unlock()
+	meter.hosts[hostOf(address)] = place
+}
+
+func (meter *Meter) flow(kind pattern.Kind, address string) *Flow {
+	one := meter.flows[kind]
+	if one == nil {
+		one = &[places]Flow{}
+		meter.flows[kind] = one
+	}
+	return &one[meter.hosts[hostOf(address)]]
+}
+
+func (meter *Meter) sent(kind pattern.Kind, address string, body int) {
+	meter.lock.Lock()
+	defer meter.lock.Unlock()
+	flow := meter.flow(kind, address)
+	flow.Sent.Messages++
+	flow.Sent.Bytes += int64(headBytes + body)
+}
+
+func (meter *Meter) received(kind pattern.Kind, address string, body int) {
+	meter.lock.Lock()
+	defer meter.lock.Unlock()
+	flow := meter.flow(kind, address)
+	flow.Received.Messages++
+	flow.Received.Bytes += int64(headBytes + body)
+}
+
+// Reading is one line of a meter.
+type Reading struct {
+	Kind  pattern.Kind
+	Place Place
+	Flow
+}
+
+// Readings gives what was counted since the start, the busiest first.
+func (meter *Meter) Readings() []Reading {
+	meter.lock.Lock()
+	defer meter.lock.Unlock()
+	var readings []Reading
+	for kind, flows := range meter.flows {
+		for place, flow := range flows {
+			if flow != (Flow{}) {
+				readings = append(readings, Reading{Kind: kind, Place: Place(place), Flow: flow})
+			}
+		}
+	}
+	sort.Slice(readings, func(left, right int) bool {
+		one, other := readings[left], readings[right]
+		if one.Sent.Bytes != other.Sent.Bytes {
+			return one.Sent.Bytes > other.Sent.Bytes
+		}
+		return one.Kind < other.Kind || (one.Kind == other.Kind && one.Place < other.Place)
+	})
+	return readings
+}
+
+// Total sums the readings of a place; PlaceUnknown sums all.
+func (meter *Meter) Total(place Place) Flow {
+	var total Flow
+	for _, one := range meter.Readings() {
+		if place == PlaceUnknown || one.Place == place {
+			total.Sent.Messages += one.Sent.Messages
+			total.Sent.Bytes += one.Sent.Bytes
+			total.Received.Messages += one.Received.Messages
+			total.Received.Bytes += one.Received.Bytes
+		}
+	}
+	return total
+}
--- a/internal/tongs/peer.go
+++ b/internal/tongs/peer.go
@@ -79,6 +79,7 @@
 		if failure != nil {
 			break
 		}
+		one.wire.meter.received(answer.kind, one.address, len(answer.body))
 		current.lock.Lock()
 		waiter := current.waiting[answer.number]
 		delete(current.waiting, answer.number)
@@ -124,6 +125,7 @@
 	}
 	current.waiting[question.number] = waiter
 	current.lock.Unlock()
+	one.wire.meter.sent(question.kind, one.address, len(question.body))
 	begun := watch.Now()
 	current.writing.Lock()
 	_ = current.connection.SetWriteDeadline(watch.Deadline(span))
--- a/internal/tongs/wire.go
+++ b/internal/tongs/wire.go
@@ -30,6 +30,7 @@
 // Wire is the transport over TCP.
 type Wire struct {
 	own      string
+	meter    *Meter
 	lock     sync.Mutex
 	peers    map[string]*peer
 	listener net.Listener
@@ -39,7 +40,10 @@
 }
 
 // NewWire makes a transport that listens on its own address when it serves.
-func NewWire(own string) *Wire { return &Wire{own: own, peers: map[string]*peer{}} }
+func NewWire(own string) *Wire { return &Wire{own: own, meter: NewMeter(), peers: map[string]*peer{}} }
+
+// Meter counts what this process says and hears.
+func (wire *Wire) Meter() *Meter { return wire.meter }
 
 // Unknown counts frames of unknown kinds that were skipped.
 func (wire *Wire) Unknown() int64 { return wire.unknown.Load() }
@@ -76,12 +80,14 @@
 func (wire *Wire) serveOne(connection net.Conn, handler Handler) {
 	defer connection.Close()
 	reader := bufio.NewReaderSize(connection, 8<<10)
+	caller := connection.RemoteAddr().String()
 	var writing sync.Mutex
 	for {
 		one, failure := readFrame(reader)
 		if failure != nil {
 			return
 		}
+		wire.meter.received(one.kind, caller, len(one.body))
 		if one.sort != sortCall {
 			wire.unknown.Add(1)
 			continue
@@ -93,6 +99,7 @@
 				wire.unknown.Add(1)
 				answer.sort, answer.body = sortUnknown, nil
 			}
+			wire.meter.sent(one.kind, caller, len(answer.body))
 			writing.Lock()
 			defer writing.Unlock()
 			_ = connection.SetWriteDeadline(watch.Deadline(almanac.BulkCallTime))
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -73,6 +73,8 @@
 	trestle.Answer(pattern.KindStatus, trestle.reported)
 	trestle.Report("nodes", trestle.reportNodes)
 	trestle.Report("config", trestle.reportSelf)
+	trestle.Report("traffic", trestle.reportTraffic)
+	trestle.learnPlaces([]pattern.Entry{own})
 	return trestle
 }
 
@@ -95,6 +97,7 @@
 		return Unable.Wrap(failure, "serve")
 	}
 	go trestle.meet()
+	go trestle.countTraffic()
 	go watch.Every(almanac.ShufflePeriod, trestle.Stop, trestle.shuffle)
 	return nil
 }
@@ -159,6 +162,7 @@
 func (trestle *Trestle) heard(entries []pattern.Entry) {
 	newest := int64(0)
 	trestle.lock.Lock()
+	trestle.learnPlaces(entries)
 	trestle.view.Heard(entries, watch.Now())
 	for _, entry := range entries {
 		newest = max(newest, entry.Generation)
@@ -190,6 +194,7 @@
 
 // Leave marks this process as going away, and tells it in the next shuffles.
 func (trestle *Trestle) Leave() {
+	trestle.logTraffic(hclog.Info)
 	trestle.lock.Lock()
 	defer trestle.lock.Unlock()
 	trestle.view.SetLeaving()
