State instead of events, a tree over the halls, and bounded views

Cause: each foreman told each process every 700 ms who had beaten (W x N), every process kept a list of all, and a configuration left one machine N times. Change: a plain heartbeat changes nothing and is told to foremen only, as a short mark; changes are versioned entries that join, pushed down a tree (one foreman a hall, which tells its hall; others or direct calls where it does not answer), and a worker's call is acknowledged once the tree has confirmed or after 650 ms. Processes report to a foreman of their hall once a second and get, in the same answer, the ages they ask for, whom they should know, who of the workers is silent, and a digest of the table so that a missed change is pulled. Foremen keep all processes, others a bounded part (16 + 2 log2 N of a role). Configurations go through a few processes of a hall.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -28,6 +28,17 @@
 	// PushTime bounds the wait for peers to take a push before a worker's call
 	// is acknowledged; the worker waits a second at most.
 	PushTime = 350 * time.Millisecond
+	// TreeTime bounds the wait for the whole fleet to take word of a worker before the
+	// worker's call is acknowledged (ours): it waits a second at most.
+	TreeTime = 650 * time.Millisecond
+	// RelayPatience is how long a foreman may take to say that it tells its hall, and
+	// HallTime how long that may take (ours): then another way is gone. Both, twice,
+	// must fit into the bound above.
+	RelayPatience = 120 * time.Millisecond
+	HallTime      = 180 * time.Millisecond
+	// BodyFan is how many processes a process sends a configuration to (ours): with a
+	// link of 30 Mbit/s, a body of 100 KB takes 27 ms each.
+	BodyFan = 3
 	// SilentPipe is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
 	// nothing answers, and a hung connection must not hold a caller.
 	SilentPipe = 1500 * time.Millisecond
@@ -41,8 +52,20 @@
 	ShufflePeriod = time.Second
 	// ShuffleSize is how many entries one shuffle carries (ours).
 	ShuffleSize = 24
-	// ViewLimit bounds a view (ours): the deployments have under 30 processes.
-	ViewLimit = 96
+	// ViewBase is the constant part of a bounded view, to which twice the logarithm of
+	// the population comes (ours): up to 25 of a role the view is still whole.
+	ViewBase = 16
+	// FarLinks is how many processes of each other hall a bounded view keeps at least
+	// (ours): one may be lost.
+	FarLinks = 2
+	// FarShuffle: one shuffle in so many leaves the hall (ours); those bytes are dear.
+	FarShuffle = 4
+	// FreshReport is the age below which a foreman tells a process as just heard (ours):
+	// a report a second, and a word between foremen.
+	FreshReport = 1800 * time.Millisecond
+	// NeighbourRounds: in one round of so many a process shuffles with a neighbour
+	// besides its word with a foreman (ours): that matters only once foremen are gone.
+	NeighbourRounds = 5
 	// SilentAfter is the silence after which a process is taken for silent.
 	SilentAfter = 3 * time.Second
 	// ForgetAfter is the silence after which an entry leaves the view.
--- a/internal/bellows/neighbours.go
+++ b/internal/bellows/neighbours.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"sort"
 
+	"lemonarch/internal/almanac"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 )
@@ -59,9 +60,18 @@
 	})
 }
 
-// Population is how many live processes of a role there are, the owner included.
+// Population is how many live processes of a role there are, the owner included: as a
+// foreman last told, or as many as are in view.
 func (view *View) Population(role string, now watch.Moment) int {
-	count := len(view.Live(role, now))
+	if told := view.heads[role]; told > 0 && view.own.Role != RoleForeman {
+		return told
+	}
+	count, reference := 0, view.reference(now)
+	for _, known := range view.entries {
+		if known.entry.Role == role && reference.Since(known.heard) < almanac.SilentAfter {
+			count++
+		}
+	}
 	if view.own.Role == role {
 		count++
 	}
--- /dev/null
+++ b/internal/bellows/table.go
@@ -0,0 +1,83 @@
+package bellows
+
+import (
+	"hash/fnv"
+	"sort"
+	"strconv"
+
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// MarkOf is the short hash by which one life of a process is named between processes.
+// One that leaves gets another mark, so that whoever knows it as staying is told.
+func MarkOf(entry pattern.Entry) uint32 {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(Key(entry) + "/" + strconv.FormatInt(entry.Life, 36) + "/" + strconv.FormatBool(entry.Leaving)))
+	return sum.Sum32()
+}
+
+func sumOf(entry pattern.Entry) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(Key(entry) + "/" + strconv.FormatInt(entry.Life, 36) + "/" + strconv.FormatBool(entry.Leaving)))
+	return sum.Sum64()
+}
+
+// put keeps a changed entry. The table's sum moves with it.
+func (view *View) put(known *seen, entry pattern.Entry) {
+	if known.change > 0 {
+		view.sum ^= sumOf(known.entry)
+		delete(view.marks, MarkOf(known.entry))
+	}
+	view.clock++
+	known.entry, known.change = entry, view.clock
+	view.sum ^= sumOf(entry)
+	view.marks[MarkOf(entry)] = Key(entry)
+}
+
+func (view *View) drop(key string) {
+	known := view.entries[key]
+	view.sum ^= sumOf(known.entry)
+	delete(view.marks, MarkOf(known.entry))
+	delete(view.shunned, known.entry.Address)
+	delete(view.entries, key)
+	view.sorted = nil
+}
+
+// Digest stands for the entries and the owner: its sum is alike at two foremen that
+// know the same processes.
+func (view *View) Digest() pattern.Digest {
+	return pattern.Digest{Life: view.own.Life, Clock: view.clock, Sum: view.sum ^ sumOf(view.own), Count: len(view.entries) + 1}
+}
+
+// Since gives the owner and the entries changed after a clock.
+func (view *View) Since(clock uint64, now watch.Moment) []pattern.Entry {
+	found := []pattern.Entry{view.own}
+	for _, key := range view.keys() {
+		if known := view.entries[key]; known.change > clock {
+			found = append(found, view.aged(known, now))
+		}
+	}
+	return found
+}
+
+// MetSince gives the marks of the processes that spoke to this one after a moment.
+func (view *View) MetSince(moment watch.Moment) []uint32 {
+	var marks []uint32
+	for _, known := range view.entries {
+		if known.direct > moment {
+			marks = append(marks, MarkOf(known.entry))
+		}
+	}
+	sort.Slice(marks, func(left, right int) bool { return marks[left] < marks[right] })
+	return marks
+}
+
+// Vouched takes another foreman's word on who has spoken to it.
+func (view *View) Vouched(marks []uint32, now watch.Moment) {
+	for _, mark := range marks {
+		if known := view.entries[view.marks[mark]]; known != nil {
+			known.heard = max(known.heard, now)
+		}
+	}
+}
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -104,17 +104,16 @@
 	reply.JSON(writer, http.StatusOK, struct{}{})
 }
 
-// noteWorker applies a call and tells everybody before it is acknowledged.
+// noteWorker applies a call and tells everybody of a change before it is acknowledged.
 func (foreman *Foreman) noteWorker(worker pattern.Worker) {
 	foreman.lock.Lock()
-	changed := foreman.roster.Merge(worker, watch.Now())
-	foreman.beaten[worker.ID] = true
+	changed := foreman.roster.Beat(worker, watch.Now())
 	worker, _ = foreman.roster.Get(worker.ID)
 	foreman.lock.Unlock()
 	if changed {
 		foreman.memory.remember(worker)
 		foreman.Stand.Log.Info("worker", "id", worker.ID, "service", worker.Backend, "phase", worker.Phase.String(), "address", worker.Address)
-		foreman.tellWorkers([]pattern.Worker{worker}, almanac.PushTime)
+		foreman.spread(&pattern.Relay{Workers: []pattern.Worker{worker}}, almanac.TreeTime)
 	}
 }
 
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -35,9 +36,9 @@
 	checking sync.Mutex
 	lock     sync.Mutex
 	roster   *roster.Roster
-	beaten   map[string]bool
-	behind   map[string]bool
-	met      map[string]int64
+	peers    map[string]*peer
+	relays   map[string]*delivery
+	number   atomic.Uint64
 	begun    watch.Moment
 	server   *http.Server
 	memory   *memory
@@ -74,11 +75,13 @@
 	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, register.acceptor.Disk(), log)
 	register.stand = stand
 	foreman := &Foreman{Stand: stand, Register: register, caliper: checker, roster: roster.New(settings.Heartbeat()),
-		beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}, begun: watch.Now(), memory: kept}
+		peers: map[string]*peer{}, relays: map[string]*delivery{}, begun: watch.Now(), memory: kept}
 	for _, worker := range workers {
 		foreman.roster.Merge(worker, watch.Now())
 	}
 	register.accepted = foreman.accepted
+	// Numbers of words must differ from those of an earlier life.
+	foreman.number.Store(uint64(stand.Own.Life))
 	foreman.answerers()
 	foreman.reports()
 	return foreman, nil
@@ -132,22 +135,7 @@
 		return &pattern.DutyChanged{Done: failure == nil, Known: true, Value: value}, nil
 	}))
 	stand.Answer(pattern.KindDutyChange, answer(foreman.changeDuty))
-	stand.Answer(pattern.KindRosterPush, answer(func(question *pattern.RosterPush) (tongs.Writable, error) {
-		foreman.lock.Lock()
-		for _, worker := range question.Workers {
-			if foreman.roster.Merge(worker, watch.Now()) {
-				foreman.memory.remember(worker)
-			}
-		}
-		foreman.lock.Unlock()
-		stand.Touched(question.From)
-		return &pattern.Nothing{Taken: true}, nil
-	}))
-	stand.Answer(pattern.KindRosterPull, answer(func(_ *pattern.RosterPull) (tongs.Writable, error) {
-		foreman.lock.Lock()
-		defer foreman.lock.Unlock()
-		return &pattern.RosterPush{From: bellows.Key(stand.Own), Workers: foreman.roster.All(watch.Now())}, nil
-	}))
+	foreman.tableAnswerers()
 }
 
 // Run serves until told to stop.
@@ -158,7 +146,7 @@
 	}
 	go foreman.relearn()
 	go foreman.remembering()
-	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.tellRoster)
+	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.beatOthers)
 	go watch.Every(almanac.ShufflePeriod, stand.Stop, foreman.tendSet)
 	foreman.server = &http.Server{Addr: stand.Boot.Bind.Control, Handler: foreman.calls(), ReadHeaderTimeout: almanac.BulkCallTime}
 	stand.Log.Info("serving", "control", stand.Boot.Bind.Control, "disk", stand.Own.Disk)
@@ -179,19 +167,7 @@
 // relearn gets from peers what this process can't know after its start.
 func (foreman *Foreman) relearn() {
 	stand := foreman.Stand
-	for _, address := range stand.Boot.SeedAddresses(almanac.PortForeman) {
-		if address == stand.Own.Address {
-			continue
-		}
-		back := &pattern.RosterPush{}
-		if tongs.Ask(stand.Wire, address, pattern.KindRosterPull, &pattern.RosterPull{}, back, almanac.CallTime) == nil {
-			foreman.lock.Lock()
-			for _, worker := range back.Workers {
-				foreman.roster.Merge(worker, watch.Now())
-			}
-			foreman.lock.Unlock()
-		}
-	}
+	foreman.beatOthers()
 	for round := 0; ; round++ {
 		select {
 		case <-stand.Stop:
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -23,14 +23,16 @@
 	Courier carriage.Courier
 	alerted bool
 	logged  map[string]int64
+	tables  tables
 }
 
 // New makes the placing part and registers what it answers.
 func New(stand *trestle.Trestle) *Jointer {
 	jointer := &Jointer{Stand: stand, Bench: workbench.New(stand.Own, stand.Boot.Heartbeat()), Chest: chisel.NewChest(),
-		logged: map[string]int64{}}
+		logged: map[string]int64{}, tables: tables{read: map[string]pattern.Digest{}}}
 	jointer.Courier = carriage.Courier{Bench: jointer.Bench, Chest: jointer.Chest, Budget: jointer.budget}
 	stand.Answer(pattern.KindRosterPush, jointer.rosterPushed)
+	stand.OnWord(jointer.heardForeman)
 	stand.Answer(pattern.KindGossip, jointer.gossiped)
 	stand.Answer(pattern.KindPressure, jointer.pressed)
 	jointer.Bench.OnPressure(jointer.press)
@@ -69,35 +71,6 @@
 	return max(share, almanac.LeastPipes)
 }
 
-// learnWorkers gets the roster from a foreman when the process starts.
-func (jointer *Jointer) learnWorkers() {
-	for {
-		addresses := jointer.Stand.Boot.SeedAddresses(almanac.PortForeman)
-		for _, entry := range jointer.Stand.Live(bellows.RoleForeman) {
-			addresses = append(addresses, entry.Address)
-		}
-		for _, address := range addresses {
-			back := &pattern.RosterPush{}
-			question := &pattern.RosterPull{From: bellows.Key(jointer.Stand.Own)}
-			if tongs.Ask(jointer.Stand.Wire, address, pattern.KindRosterPull, question, back, almanac.CallTime) == nil {
-				jointer.Bench.Merge(back.Workers, watch.Now())
-				return
-			}
-		}
-		watch.Sleep(almanac.StartPause)
-	}
-}
-
-func (jointer *Jointer) rosterPushed(body []byte) ([]byte, error) {
-	push := &pattern.RosterPush{}
-	if failure := tongs.Read(body, push); failure != nil {
-		return nil, failure
-	}
-	jointer.Bench.Merge(push.Workers, watch.Now())
-	jointer.Stand.Touched(push.From)
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
 func (jointer *Jointer) gossiped(body []byte) ([]byte, error) {
 	packet := &pattern.Gossip{}
 	if failure := tongs.Read(body, packet); failure != nil {
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -3,6 +3,7 @@
 package pattern
 
 //go:generate go tool msgp -o members_gen.go -file members.go -tests=false -io=false
+//go:generate go tool msgp -o views_gen.go -file views.go -tests=false -io=false
 //go:generate go tool msgp -o lots_gen.go -file lots.go -tests=false -io=false
 //go:generate go tool msgp -o kinds_gen.go -file kinds.go -tests=false -io=false
 //go:generate go tool stringer -type=Kind,Phase,RecordKind,RouteKind -output=kinds_string.go
@@ -32,6 +33,10 @@
 	KindDutyChange
 	KindPressure
 	KindReading
+	KindForemanBeat
+	KindDirectoryPull
+	KindRelay
+	KindRelayWait
 )
 
 // Phase is a worker's phase.
--- a/internal/pattern/kinds_string.go
+++ b/internal/pattern/kinds_string.go
@@ -28,11 +28,15 @@
 	_ = x[KindDutyChange-17]
 	_ = x[KindPressure-18]
 	_ = x[KindReading-19]
+	_ = x[KindForemanBeat-20]
+	_ = x[KindDirectoryPull-21]
+	_ = x[KindRelay-22]
+	_ = x[KindRelayWait-23]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReading"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReadingKindForemanBeatKindDirectoryPullKindRelayKindRelayWait"
 
-var _Kind_index = [...]uint8{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229}
+var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229, 244, 261, 270, 283}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -13,11 +13,6 @@
 	Generation int64  `msg:"c"`
 }
 
-// Shuffle carries a part of a view, the sender first.
-type Shuffle struct {
-	Entries []Entry `msg:"e"`
-}
-
 // Ballot orders the rounds of the register.
 type Ballot struct {
 	Counter uint64 `msg:"c"`
@@ -133,6 +128,8 @@
 type ConfigPush struct {
 	Generation int64  `msg:"g"`
 	Body       []byte `msg:"b"`
+	// Pass names the addresses to which the receiver passes it on.
+	Pass []string `msg:"p"`
 }
 
 // ConfigPull asks for the newest one; it is answered by ConfigPush.
@@ -154,17 +151,6 @@
 	Software string `msg:"s"`
 }
 
-// RosterPull asks for all workers known.
-type RosterPull struct {
-	From string `msg:"f"`
-}
-
-// RosterPush tells of workers.
-type RosterPush struct {
-	From    string   `msg:"f"`
-	Workers []Worker `msg:"w"`
-}
-
 // Nothing is an empty answer.
 type Nothing struct {
 	Taken bool `msg:"t"`
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -522,13 +522,19 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigPush) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "g"
-	o = append(o, 0x82, 0xa1, 0x67)
+	o = append(o, 0x83, 0xa1, 0x67)
 	o = msgp.AppendInt64(o, z.Generation)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pass)))
+	for za0001 := range z.Pass {
+		o = msgp.AppendString(o, z.Pass[za0001])
+	}
 	return
 }
 
@@ -562,6 +568,25 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pass")
+				return
+			}
+			if cap(z.Pass) >= int(zb0002) {
+				z.Pass = (z.Pass)[:zb0002]
+			} else {
+				z.Pass = make([]string, zb0002)
+			}
+			for za0001 := range z.Pass {
+				z.Pass[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pass", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -576,7 +601,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigPush) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Pass {
+		s += msgp.StringPrefixSize + len(z.Pass[za0001])
+	}
 	return
 }
 
@@ -2398,217 +2426,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z RosterPull) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "f"
-	o = append(o, 0x81, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *RosterPull) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RosterPull) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From)
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *RosterPush) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
-	for za0001 := range z.Workers {
-		o, err = z.Workers[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Workers", za0001)
-			return
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *RosterPush) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "w":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Workers")
-				return
-			}
-			if cap(z.Workers) >= int(zb0002) {
-				z.Workers = (z.Workers)[:zb0002]
-			} else {
-				z.Workers = make([]Worker, zb0002)
-			}
-			for za0001 := range z.Workers {
-				bts, err = z.Workers[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Workers", za0001)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RosterPush) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Workers {
-		s += z.Workers[za0001].Msgsize()
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Shuffle) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "e"
-	o = append(o, 0x81, 0xa1, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0001 := range z.Entries {
-		o, err = z.Entries[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Entries", za0001)
-			return
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Shuffle) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "e":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Entries")
-				return
-			}
-			if cap(z.Entries) >= int(zb0002) {
-				z.Entries = (z.Entries)[:zb0002]
-			} else {
-				z.Entries = make([]Entry, zb0002)
-			}
-			for za0001 := range z.Entries {
-				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Entries", za0001)
-					return
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Shuffle) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Entries {
-		s += z.Entries[za0001].Msgsize()
-	}
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Version) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,70 +11,74 @@
 )
 
 type known struct {
+	// worker holds the last change; its count is the version.
 	worker pattern.Worker
-	heard  watch.Moment
-	change uint64
+	// latest is the count of the last call, heard the last beat known of, direct the
+	// last one that was taken here.
+	latest        int64
+	heard, direct watch.Moment
+	change        uint64
 }
 
 // Roster is the soft state of registration.
 type Roster struct {
 	workers   map[string]*known
+	marks     map[uint32]string
 	heartbeat watch.Span
 	clock     uint64
+	sum       uint64
+	// overdue are the marks on the last list of silent workers, confirmed its moment.
+	overdue   map[uint32]bool
+	confirmed watch.Moment
 }
 
 // New makes an empty roster.
 func New(heartbeat watch.Span) *Roster {
-	return &Roster{workers: map[string]*known{}, heartbeat: heartbeat}
+	return &Roster{workers: map[string]*known{}, marks: map[uint32]string{}, heartbeat: heartbeat, overdue: map[uint32]bool{}}
 }
 
-// Merge takes word of a worker and tells whether anything but its age is new.
-// What is late is known by its count; a life's phase never goes back.
+// Merge takes a versioned entry and tells whether it changed the table. Entries join:
+// the description of the highest count and the furthest phase win, in whatever order
+// and however often they come, so that all tables end alike.
 func (roster *Roster) Merge(worker pattern.Worker, now watch.Moment) bool {
-	heard := now - watch.Moment(worker.AgeMs)*1_000_000
+	age := watch.Span(worker.AgeMs) * 1_000_000
+	heard := now - watch.Moment(age)
 	worker.AgeMs = 0
 	have := roster.workers[worker.ID]
 	if have == nil {
-		roster.clock++
-		roster.workers[worker.ID] = &known{worker: worker, heard: heard, change: roster.clock}
+		if age > almanac.ForgetAfter {
+			// Forgotten here, and not yet where it comes from.
+			return false
+		}
+		have = &known{heard: heard}
+		roster.workers[worker.ID], roster.marks[MarkOf(worker.ID)] = have, worker.ID
+		roster.put(have, worker)
 		return true
 	}
-	if worker.Phase < have.worker.Phase {
-		worker.Phase = have.worker.Phase
+	was := have.worker
+	if worker.Backend == "" || (worker.Count <= was.Count && was.Backend != "") {
+		// A departure carries no description, and what is late has an old one.
+		late := worker
+		worker = was
+		worker.Count, worker.Phase = max(was.Count, late.Count), max(was.Phase, late.Phase)
 	}
-	if worker.Count <= have.worker.Count {
-		if worker.Phase > have.worker.Phase {
-			// Two calls crossed: the end is kept, whatever its count.
-			have.worker.Phase = worker.Phase
-			roster.clock++
-			have.change = roster.clock
-			return true
-		}
+	worker.Phase = max(worker.Phase, was.Phase)
+	worker.Count = max(worker.Count, was.Count)
+	have.heard = max(have.heard, heard)
+	if worker == was {
 		return false
 	}
-	if worker.Backend == "" {
-		// A departure carries no description.
-		kept := have.worker
-		kept.Count, kept.Phase = worker.Count, worker.Phase
-		worker = kept
-	}
-	changed := worker.Phase != have.worker.Phase || worker.Address != have.worker.Address || worker.Backend != have.worker.Backend || worker.Capacity != have.worker.Capacity
-	have.worker, have.heard = worker, max(have.heard, heard)
-	roster.clock++
-	have.change = roster.clock
-	return changed
+	roster.put(have, worker)
+	return true
 }
 
-// Clock counts the changes, beats included.
-func (roster *Roster) Clock() uint64 { return roster.clock }
-
 // Since gives the workers changed after a count, aged.
 func (roster *Roster) Since(clock uint64, now watch.Moment) []pattern.Worker {
 	var found []pattern.Worker
-	for _, have := range roster.workers {
+	for id, have := range roster.workers {
 		if have.change > clock {
 			worker := have.worker
-			worker.AgeMs = now.Since(have.heard).Milliseconds()
+			worker.AgeMs = roster.silence(id, have, now).Milliseconds()
 			found = append(found, worker)
 		}
 	}
@@ -110,7 +114,7 @@
 	if have == nil || have.worker.Phase != pattern.PhaseSteady {
 		return StandingOut
 	}
-	silence := now.Since(have.heard)
+	silence := roster.silence(id, have, now)
 	switch {
 	case !listening:
 		return StandingGood
@@ -122,15 +126,6 @@
 	return StandingGood
 }
 
-// Forget drops what was gone for long.
-func (roster *Roster) Forget(now watch.Moment) {
-	for id, have := range roster.workers {
-		if now.Since(have.heard) > almanac.ForgetAfter {
-			delete(roster.workers, id)
-		}
-	}
-}
-
 // All gives every worker, aged, in order.
 func (roster *Roster) All(now watch.Moment) []pattern.Worker { return roster.Since(0, now) }
 
--- a/internal/trestle/config.go
+++ b/internal/trestle/config.go
@@ -6,6 +6,7 @@
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/jig"
+	"lemonarch/internal/manifold"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
 	"lemonarch/internal/watch"
@@ -57,12 +58,34 @@
 	if failure := tongs.Read(body, push); failure != nil {
 		return nil, failure
 	}
+	if len(push.Pass) > 0 {
+		go trestle.passOn(push)
+	}
 	if push.Generation > trestle.Generation() {
 		trestle.Take(push.Body)
 	}
 	return tongs.Write(&pattern.Nothing{Taken: true})
 }
 
+// passOn sends a configuration on to the part of the hall that came with it, through a
+// few of that part, so that no single link carries it all. Whoever is missed pulls it on
+// seeing the newer generation.
+func (trestle *Trestle) passOn(push *pattern.ConfigPush) {
+	for _, send := range manifold.Split(push.Pass, almanac.BodyFan) {
+		go func() {
+			for {
+				part := &pattern.ConfigPush{Generation: push.Generation, Body: push.Body, Pass: send.Pass}
+				failure := tongs.Ask(trestle.Wire, send.Address, pattern.KindConfigPush, part, &pattern.Nothing{}, almanac.CallTime)
+				if failure == nil || len(send.Pass) == 0 {
+					return
+				}
+				// The next of the part takes the place of one that does not answer.
+				send.Address, send.Pass = send.Pass[0], send.Pass[1:]
+			}
+		}()
+	}
+}
+
 // SawGeneration pulls a configuration that somebody was seen to have.
 func (trestle *Trestle) SawGeneration(generation int64) {
 	trestle.lock.Lock()
--- a/internal/trestle/neighbours.go
+++ b/internal/trestle/neighbours.go
@@ -21,4 +21,3 @@
 	defer trestle.lock.Unlock()
 	return trestle.view.Population(role, watch.Now())
 }
-
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -3,7 +3,6 @@
 package trestle
 
 import (
-	"math/rand"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -42,6 +41,9 @@
 	onConfig  []func(*jig.Config)
 	pulling   bool
 	reports   map[string]func() *pattern.Status
+	onAnswer  func(answer *pattern.Shuffle)
+	onWord    func(address string, answer *pattern.Shuffle)
+	rounds    int
 	ended     sync.Once
 }
 
@@ -98,79 +100,12 @@
 	}
 	go trestle.meet()
 	go trestle.countTraffic()
-	go watch.Every(almanac.ShufflePeriod, trestle.Stop, trestle.shuffle)
 	return nil
 }
 
 // End stops the loops.
 func (trestle *Trestle) End() { trestle.ended.Do(func() { close(trestle.Stop) }) }
 
-// meet asks the seeds until some process is known.
-func (trestle *Trestle) meet() {
-	for round := 0; ; round++ {
-		for _, seed := range trestle.Boot.SeedAddresses(almanac.PortForeman) {
-			if seed != trestle.Own.Address {
-				go trestle.shuffleWith(seed)
-			}
-		}
-		watch.Sleep(almanac.StartPause * 2)
-		if len(trestle.Live(bellows.RoleForeman)) > 0 && round > 10 {
-			return
-		}
-	}
-}
-
-func (trestle *Trestle) shuffle() {
-	trestle.lock.Lock()
-	partner := trestle.view.Partner(watch.Now())
-	trestle.lock.Unlock()
-	if partner == "" || rand.Intn(8) == 0 {
-		// Seeds are asked now and then, so that two parts that lost each other join.
-		seeds := trestle.Boot.SeedAddresses(almanac.PortForeman)
-		partner = seeds[rand.Intn(len(seeds))]
-	}
-	if partner != trestle.Own.Address {
-		trestle.shuffleWith(partner)
-	}
-}
-
-func (trestle *Trestle) shuffleWith(address string) {
-	trestle.lock.Lock()
-	question := &pattern.Shuffle{Entries: trestle.view.Offer(watch.Now())}
-	trestle.lock.Unlock()
-	answer := &pattern.Shuffle{}
-	if tongs.Ask(trestle.Wire, address, pattern.KindShuffle, question, answer, almanac.CallTime) == nil {
-		trestle.heard(answer.Entries)
-	}
-}
-
-func (trestle *Trestle) shuffled(body []byte) ([]byte, error) {
-	question := &pattern.Shuffle{}
-	if failure := tongs.Read(body, question); failure != nil {
-		return nil, failure
-	}
-	trestle.heard(question.Entries)
-	trestle.lock.Lock()
-	answer := &pattern.Shuffle{Entries: trestle.view.Offer(watch.Now())}
-	trestle.lock.Unlock()
-	return tongs.Write(answer)
-}
-
-// Hear takes entries as a shuffle brings them.
-func (trestle *Trestle) Hear(entries []pattern.Entry) { trestle.heard(entries) }
-
-func (trestle *Trestle) heard(entries []pattern.Entry) {
-	newest := int64(0)
-	trestle.lock.Lock()
-	trestle.learnPlaces(entries)
-	trestle.view.Heard(entries, watch.Now())
-	for _, entry := range entries {
-		newest = max(newest, entry.Generation)
-	}
-	trestle.lock.Unlock()
-	trestle.SawGeneration(newest)
-}
-
 // Touched notes direct word from a process.
 func (trestle *Trestle) Touched(key string) {
 	trestle.lock.Lock()
@@ -192,12 +127,15 @@
 	return trestle.view.All(role, watch.Now())
 }
 
-// Leave marks this process as going away, and tells it in the next shuffles.
+// Leave marks this process as going away, and tells a foreman at once.
 func (trestle *Trestle) Leave() {
 	trestle.logTraffic(hclog.Info)
 	trestle.lock.Lock()
-	defer trestle.lock.Unlock()
 	trestle.view.SetLeaving()
+	trestle.lock.Unlock()
+	if trestle.Own.Role != bellows.RoleForeman {
+		go trestle.exchange()
+	}
 }
 
 // Spread sends one message to each process of the list at the same time and
