A lot is refused only where none of its questions can still be taken

Cause: a forge asked one locker for a hand-in, got no clear answer, asked the next within the same call and handed that one's 429 on as a promise. A relay by another forge had the same gap.

Change: the gate follows every question of one call; once one of them may have arrived unanswered, 429, 503, 408 and 421 become 504 (outcome unknown). Each question has a name, and a locker or relaying forge works on the first copy only, so a doubled or late frame can't end otherwise than what was told. A hand-in carries its time to live, counted down by each hop's steady clock, and is not taken after it; a relay stops with it. Refusals that the forge makes itself before it asks anybody (size, method, route, no configuration) were read through: nothing has been sent then.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -14,6 +14,10 @@
 	// FrameLimit bounds one frame in bytes: a lot of the largest allowed body
 	// plus its framing must fit.
 	FrameLimit = 48 << 20
+	// FrameLife is how long a frame may still come after it was sent (ours): our
+	// connections end after SilentPipe without an answer, and a process may be
+	// frozen for seconds with frames unread.
+	FrameLife = 40 * time.Second
 	// FrameVersion is told in each frame, so that mixed versions can work.
 	FrameVersion = 1
 	// DialTime bounds a connection attempt between our processes: links are a
--- a/internal/forge/gate.go
+++ b/internal/forge/gate.go
@@ -1,12 +1,11 @@
 package forge
 
 import (
-	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
-	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
 	"lemonarch/internal/trestle"
@@ -22,10 +21,17 @@
 	// last failed to answer.
 	changed chan struct{}
 	shunned watch.Moment
+	// asks numbers the questions; once knows those that were relayed through us.
+	asks atomic.Uint64
+	once tongs.Once
+	// now, pause and draw are the clock and the dice, so that tests can set them.
+	now   func() watch.Moment
+	pause func(watch.Span)
+	draw  func() float64
 }
 
 func newGate(stand *trestle.Trestle) *gate {
-	one := &gate{stand: stand, changed: make(chan struct{})}
+	one := &gate{stand: stand, changed: make(chan struct{}), now: watch.Now, pause: watch.Sleep, draw: watch.Draw}
 	stand.Answer(pattern.KindHolderTold, func(body []byte) ([]byte, error) {
 		told := &pattern.HolderTold{}
 		if failure := tongs.Read(body, told); failure != nil {
@@ -56,7 +62,7 @@
 func (one *gate) holder() (string, chan struct{}) {
 	one.lock.Lock()
 	defer one.lock.Unlock()
-	if one.shunned > 0 && watch.Now().Since(one.shunned) < almanac.HoldTime {
+	if one.shunned > 0 && one.now().Since(one.shunned) < almanac.HoldTime {
 		return "", one.changed
 	}
 	return one.duty.Address, one.changed
@@ -91,17 +97,17 @@
 // Pass asks the holder. The second result says whether the call may have had an
 // effect although no answer came.
 func (one *gate) Pass(call *pattern.LotCall, span watch.Span) (*pattern.LotAnswer, bool) {
-	end := watch.Now().Plus(span)
-	maybe, failures, relays := false, 0, map[string]bool{}
+	end := one.now().Plus(span)
+	given, failures, relays := promise{}, 0, map[string]bool{}
 	asked := map[string]bool{}
-	for watch.Now() < end {
+	for one.now() < end {
 		// A node that is cut off from the lockers may still reach a forge that is not.
 		if failures >= almanac.RelayAfter && !call.Relayed && len(relays) < almanac.RelayAfter {
-			answer, reached := one.relay(call, end, relays)
+			answer, failure := one.relay(call, end, relays)
+			given.heard(failure)
 			if answer != nil {
-				return answer, true
+				return given.tell(call, answer), true
 			}
-			maybe = maybe || reached
 		}
 		address, changed := one.holder()
 		if address == "" || asked[address] {
@@ -109,20 +115,21 @@
 		}
 		if address == "" {
 			// Everybody was asked: the duty is changing hands, so wait a little.
-			watch.Sleep(almanac.HoldRenewal / 2)
+			one.pause(almanac.HoldRenewal / 2)
 			asked = map[string]bool{}
 			continue
 		}
 		asked[address] = true
 		// A holder that is gone must not use up the whole time.
-		wait := min(end.Since(watch.Now()), almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
-		answer, failure := one.ask(address, call, wait, changed)
+		left := end.Since(one.now())
+		wait := min(left, almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
+		answer, failure := one.ask(address, one.question(call, left), wait, changed)
+		given.heard(failure)
 		if failure != nil {
 			failures++
-			maybe = maybe || !mishap.Of(failure, tongs.Unreached)
 			one.lock.Lock()
 			if one.duty.Address == address {
-				one.shunned = watch.Now()
+				one.shunned = one.now()
 			}
 			one.lock.Unlock()
 			continue
@@ -135,29 +142,31 @@
 			}
 			continue
 		}
-		return answer, true
+		return given.tell(call, answer), true
 	}
-	return nil, maybe
+	return nil, given.unclear
 }
 
-// relay has another forge pass the call on. reached says that it may have.
-func (one *gate) relay(call *pattern.LotCall, end watch.Moment, tried map[string]bool) (answer *pattern.LotAnswer, reached bool) {
+// relay has another forge pass the call on. No answer and no failure mean that the
+// other could not either, and that nothing was taken.
+func (one *gate) relay(call *pattern.LotCall, end watch.Moment, tried map[string]bool) (*pattern.LotAnswer, error) {
 	address := one.another(bellows.RoleForge, tried)
 	if address == "" {
-		return nil, false
+		return nil, nil
 	}
 	tried[address] = true
-	relayed := *call
+	left := end.Since(one.now())
+	relayed := one.question(call, left)
 	relayed.Relayed = true
-	wait := min(end.Since(watch.Now()), almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
+	wait := min(left, almanac.CallTime+watch.Milliseconds(float64(call.HoldMs)))
 	back := &pattern.LotAnswer{}
-	if failure := tongs.Ask(one.stand.Wire, address, pattern.KindLotCall, &relayed, back, wait); failure != nil {
-		return nil, !mishap.Of(failure, tongs.Unreached)
+	if failure := tongs.Ask(one.stand.Wire, address, pattern.KindLotCall, relayed, back, wait); failure != nil {
+		return nil, failure
 	}
 	if back.Elsewhere {
-		return nil, false
+		return nil, nil
 	}
-	return back, true
+	return back, nil
 }
 
 // relayed answers a call that another forge could not pass on itself.
@@ -166,14 +175,23 @@
 	if failure := tongs.Read(body, call); failure != nil {
 		return nil, failure
 	}
+	if !one.once.First(call.Ask, one.now()) {
+		// The first copy is answered, or will be; a second might end otherwise.
+		return tongs.Write(unknownOutcome())
+	}
 	// Whatever the sender says: a call is passed on by two forges at most.
 	call.Relayed = true
-	// It must say what it knows before the sender stops waiting.
-	answer, maybe := one.Pass(call, almanac.CallTime*3/4+watch.Milliseconds(float64(call.HoldMs)))
+	// It must say what it knows before the sender stops waiting, and go on no longer
+	// than the call may live.
+	span := almanac.CallTime*3/4 + watch.Milliseconds(float64(call.HoldMs))
+	if call.LiveMs > 0 {
+		span = min(span, watch.Milliseconds(float64(call.LiveMs)))
+	}
+	answer, maybe := one.Pass(call, span)
 	switch {
 	case answer != nil:
 	case maybe:
-		answer = &pattern.LotAnswer{Status: http.StatusGatewayTimeout, Body: []byte("{}")}
+		answer = unknownOutcome()
 	default:
 		answer = &pattern.LotAnswer{Elsewhere: true}
 	}
@@ -183,7 +201,7 @@
 func (one *gate) another(role string, asked map[string]bool) string {
 	entries := one.stand.Live(role)
 	// Not always the same one: it may be cut off as well.
-	offset := int(watch.Draw() * float64(len(entries)))
+	offset := int(one.draw() * float64(len(entries)))
 	for place := range entries {
 		entry := entries[(place+offset)%len(entries)]
 		if !asked[entry.Address] {
--- /dev/null
+++ b/internal/forge/promise.go
@@ -0,0 +1,58 @@
+package forge
+
+import (
+	"net/http"
+	"strconv"
+
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// promise follows the questions that one call was put in, and keeps a refusal from
+// being told while any of them may still have an effect: 429, 503, 408 and 421 say
+// that nothing of a lot runs, now or later.
+type promise struct {
+	// unclear says that a question may have arrived and got no answer.
+	unclear bool
+}
+
+// heard notes how a question ended.
+func (one *promise) heard(failure error) {
+	one.unclear = one.unclear || (failure != nil && !mishap.Of(failure, tongs.Unreached))
+}
+
+// tell gives what may be said to the asker of what one process answered.
+func (one *promise) tell(call *pattern.LotCall, answer *pattern.LotAnswer) *pattern.LotAnswer {
+	if call.Method == http.MethodPost && one.unclear && promises(answer.Status) {
+		return unknownOutcome()
+	}
+	return answer
+}
+
+// promises tells whether a status says that nothing ran and nothing will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// unknownOutcome promises nothing: the asker may hand the same lot in again.
+func unknownOutcome() *pattern.LotAnswer {
+	return &pattern.LotAnswer{Status: http.StatusGatewayTimeout, Body: []byte(`{"error":"outcome unknown"}`)}
+}
+
+// question makes the copy of a call that goes to one process. It has a name of its
+// own, and a hand-in says for how long it may be taken.
+func (one *gate) question(call *pattern.LotCall, left watch.Span) *pattern.LotCall {
+	copied := *call
+	if call.Method == http.MethodPost {
+		own := one.stand.Own
+		copied.Ask = own.Name + "#" + strconv.FormatInt(own.Life, 36) + "#" + strconv.FormatUint(one.asks.Add(1), 36)
+		copied.LiveMs = max(left.Milliseconds(), 1)
+	}
+	return &copied
+}
--- /dev/null
+++ b/internal/forge/promise_test.go
@@ -0,0 +1,240 @@
+package forge
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/boot"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/trestle"
+	"lemonarch/internal/watch"
+)
+
+// rough is a world in which calls come late, twice, or not at all, and answers get
+// lost. One seed gives one history: nothing in it waits.
+type rough struct {
+	random  *rand.Rand
+	now     watch.Moment
+	gates   map[string]*gate
+	lockers map[string]*keeper
+	// late holds the frames that are still under way.
+	late []func()
+	// taken says by which try each lot came to stand.
+	taken map[string]string
+	// calm makes trouble rarer, the more the higher.
+	calm int
+	// vacant says that nobody gets the duty in this history's time.
+	vacant bool
+}
+
+// keeper is a locker as far as hand-ins see it.
+type keeper struct {
+	holds, full bool
+	once        tongs.Once
+}
+
+func (world *rough) deliver(address string, body []byte) []byte {
+	if one := world.gates[address]; one != nil {
+		answer, _ := one.relayed(body)
+		return answer
+	}
+	call := &pattern.LotCall{}
+	_ = tongs.Read(body, call)
+	one, answer := world.lockers[address], &pattern.LotAnswer{}
+	switch {
+	case !one.once.First(call.Ask, world.now):
+		answer.Status = 504
+	case !one.holds:
+		answer.Elsewhere = true
+	case world.taken[call.Lot] != "":
+		answer.Status = 202
+	case one.full:
+		answer.Status = 429
+	default:
+		world.taken[call.Lot] = string(call.Body)
+		answer.Status = 202
+	}
+	packed, _ := tongs.Write(answer)
+	return packed
+}
+
+// turn lets the duty and the room change, and late frames arrive.
+func (world *rough) turn() {
+	names := []string{"l0", "l1", "l2"}
+	if world.random.Intn(3) == 0 {
+		holder := names[world.random.Intn(3)]
+		for _, name := range names {
+			world.lockers[name].holds = !world.vacant && name == holder && world.random.Intn(4) > 0
+			world.lockers[name].full = world.random.Intn(2) == 0
+		}
+	}
+	for len(world.late) > 0 && world.random.Intn(2) == 0 {
+		place := world.random.Intn(len(world.late))
+		frame := world.late[place]
+		world.late = append(world.late[:place], world.late[place+1:]...)
+		frame()
+	}
+}
+
+// pipe is one forge's transport.
+type pipe struct{ world *rough }
+
+func (one pipe) Serve(tongs.Handler) error { return nil }
+func (one pipe) Close()                    {}
+
+func (one pipe) Call(address string, _ pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+	world := one.world
+	world.turn()
+	again := func() { world.deliver(address, body) }
+	switch world.random.Intn(8 + world.calm) {
+	case 0:
+		world.now = world.now.Plus(span)
+		return nil, tongs.Unanswered.New("lost")
+	case 1:
+		world.now = world.now.Plus(span)
+		world.late = append(world.late, again)
+		return nil, tongs.Unanswered.New("slow")
+	case 2:
+		world.now = world.now.Plus(span)
+		world.deliver(address, body)
+		return nil, tongs.Unanswered.New("answer lost")
+	case 3:
+		return nil, tongs.Unreached.New("nobody there")
+	case 4:
+		world.late = append(world.late, again)
+	}
+	return world.deliver(address, body), nil
+}
+
+func newRough(seed int64) *rough {
+	world := &rough{random: rand.New(rand.NewSource(seed)), now: 1, gates: map[string]*gate{}, lockers: map[string]*keeper{}, taken: map[string]string{}}
+	world.calm, world.vacant = world.random.Intn(3)*60, world.random.Intn(4) == 0
+	entries := []pattern.Entry{}
+	for number := 0; number < 3; number++ {
+		name := fmt.Sprint("l", number)
+		world.lockers[name] = &keeper{}
+		entries = append(entries, pattern.Entry{Name: name, Role: bellows.RoleLocker, Address: name})
+		entries = append(entries, pattern.Entry{Name: fmt.Sprint("f", number), Role: bellows.RoleForge, Address: fmt.Sprint("f", number)})
+	}
+	for number := 0; number < 3; number++ {
+		name := fmt.Sprint("f", number)
+		settings := &boot.Boot{NodeName: name, Address: "10.0.0.1", InternalPorts: []int{1, 9}}
+		stand := trestle.New(settings, bellows.RoleForge, 1, "", hclog.NewNullLogger())
+		stand.Wire = pipe{world}
+		stand.Hear(entries)
+		one := newGate(stand)
+		one.now = func() watch.Moment { return world.now }
+		one.pause = func(span watch.Span) { world.now = world.now.Plus(span); world.turn() }
+		one.draw = world.random.Float64
+		world.gates[name] = one
+	}
+	return world
+}
+
+// A lot is handed in at one node after the other while calls are slow, lost and
+// doubled in every order. A try that was told 429 or 503 never leaves a record.
+func TestRefusedLotsNeverStand(test *testing.T) {
+	told := map[int]int{}
+	for seed := int64(1); seed <= 1500; seed++ {
+		world := newRough(seed)
+		refused := map[string]int{}
+		for lot := 0; lot < 2; lot++ {
+			for try := 0; try < 3; try++ {
+				name, mark := fmt.Sprint("lot", lot), fmt.Sprint(lot, "/", try)
+				call := &pattern.LotCall{Method: "POST", Lot: name, Body: []byte(mark)}
+				answer, maybe := world.gates[fmt.Sprint("f", try)].Pass(call, watch.Milliseconds(3000))
+				status := 503
+				if answer != nil {
+					status = answer.Status
+				} else if maybe {
+					status = 504
+				}
+				told[status]++
+				if status == 202 && world.taken[name] == "" {
+					test.Fatalf("seed %d: %s was told 202 and does not stand", seed, mark)
+				}
+				if promises(status) {
+					refused[mark] = status
+				}
+				world.turn()
+			}
+		}
+		// Whatever is still under way arrives in the end.
+		for _, one := range world.lockers {
+			one.holds, one.full = true, false
+		}
+		for len(world.late) > 0 {
+			frame := world.late[0]
+			world.late = world.late[1:]
+			frame()
+		}
+		for lot, mark := range world.taken {
+			if status := refused[mark]; status > 0 {
+				test.Fatalf("seed %d: %s was told %d and then taken by that very try", seed, lot, status)
+			}
+		}
+	}
+	for _, status := range []int{202, 429, 503, 504} {
+		if told[status] < 50 {
+			test.Error("too few to say anything: ", status, told)
+		}
+	}
+	test.Log(told)
+}
+
+// The call that waited on a silent holder may still be taken there: a refusal by
+// the one after it is no promise.
+func TestRefusalAfterSilenceIsNoPromise(test *testing.T) {
+	room := tongs.NewRoom()
+	settings := &boot.Boot{NodeName: "n", Address: "10.0.0.1", InternalPorts: []int{1, 9}}
+	stand := trestle.New(settings, bellows.RoleForge, 1, "", hclog.NewNullLogger())
+	stand.Wire = room.Transport("forge")
+	one := newGate(stand)
+	asked, hold := make(chan struct{}), make(chan struct{})
+	defer close(hold)
+	_ = room.Transport("old").Serve(func(pattern.Kind, []byte) ([]byte, error) {
+		close(asked)
+		<-hold
+		return nil, nil
+	})
+	_ = room.Transport("new").Serve(func(pattern.Kind, []byte) ([]byte, error) {
+		return tongs.Write(&pattern.LotAnswer{Status: 429})
+	})
+	one.duty = pattern.Duty{Epoch: 1, Address: "old"}
+	back := make(chan *pattern.LotAnswer, 1)
+	go func() {
+		answer, _ := one.Pass(&pattern.LotCall{Method: "POST", Lot: "l"}, watch.Milliseconds(60_000))
+		back <- answer
+	}()
+	<-asked
+	one.learn(&pattern.HolderTold{Duty: pattern.Duty{Epoch: 2, Address: "new"}})
+	if answer := <-back; answer == nil || answer.Status != 504 {
+		test.Fatal(answer)
+	}
+}
+
+// A relay that met silence says so: the first forge, which reached nobody itself,
+// has nothing to promise.
+func TestSilenceBehindARelayIsNoPromise(test *testing.T) {
+	world := newRough(1)
+	room := tongs.NewRoom()
+	cut, near := world.gates["f0"], world.gates["f1"]
+	for _, one := range []*gate{cut, near} {
+		one.stand.Wire = room.Transport(one.stand.Own.Name)
+	}
+	_ = near.stand.Wire.Serve(func(_ pattern.Kind, body []byte) ([]byte, error) { return near.relayed(body) })
+	// The lockers are known under addresses at which the first forge finds nobody,
+	// and the second finds one that stays silent.
+	near.duty = pattern.Duty{Epoch: 1, Address: "silent"}
+	_ = room.Transport("silent").Serve(func(pattern.Kind, []byte) ([]byte, error) { return nil, nil })
+	room.Cut("silent", true)
+	answer, maybe := cut.Pass(&pattern.LotCall{Method: "POST", Lot: "l"}, watch.Milliseconds(3000))
+	if !maybe || (answer != nil && answer.Status != 504) {
+		test.Fatal(answer, maybe)
+	}
+}
--- a/internal/locker/calls.go
+++ b/internal/locker/calls.go
@@ -17,6 +17,10 @@
 	if failure := tongs.Read(body, call); failure != nil {
 		return nil, failure
 	}
+	if !locker.fresh(call, watch.Now()) {
+		// The first copy is answered, or will be; a second might end otherwise.
+		return tongs.Write(refuse(http.StatusGatewayTimeout, "outcome unknown"))
+	}
 	current := locker.current()
 	if current == nil {
 		return tongs.Write(locker.elsewhere())
--- a/internal/locker/handin.go
+++ b/internal/locker/handin.go
@@ -98,6 +98,11 @@
 		reign.lock.Unlock()
 		return reign.awaitTaken(taking, accepted)
 	}
+	if expired(call, watch.Now()) {
+		// Whoever asked has given up, or was told that this one counts for nothing.
+		reign.lock.Unlock()
+		return &pattern.LotAnswer{Elsewhere: true}
+	}
 	if route.BacklogCap > 0 && reign.waiting(config, route)+tokens > route.BacklogCap {
 		reign.lock.Unlock()
 		return &pattern.LotAnswer{Status: http.StatusTooManyRequests, Body: reason("backlog is full"), RetryMs: int(almanac.GossipPeriod.Milliseconds())}
@@ -110,6 +115,20 @@
 	return reign.awaitTaken(index, accepted)
 }
 
+// fresh tells whether a question comes for the first time, and turns the span that
+// it brought into a moment of our own clock.
+func (locker *Locker) fresh(call *pattern.LotCall, now watch.Moment) bool {
+	if call.LiveMs > 0 {
+		call.Until = int64(now.Plus(watch.Milliseconds(float64(call.LiveMs))))
+	}
+	return locker.once.First(call.Ask, now)
+}
+
+// expired tells whether the time in which a hand-in may be taken is over.
+func expired(call *pattern.LotCall, now watch.Moment) bool {
+	return call.Until > 0 && int64(now) >= call.Until
+}
+
 func (reign *reign) awaitTaken(index int64, accepted *pattern.LotAnswer) *pattern.LotAnswer {
 	if reign.durable(index, almanac.RegisterTime) {
 		return accepted
--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -39,6 +39,8 @@
 	begun   watch.Moment
 	leaving atomic.Bool
 	done    chan struct{}
+	// once knows the hand-ins that have come, so that a second copy of one is seen.
+	once tongs.Once
 }
 
 // New opens the disk and prepares the process.
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -12,6 +12,14 @@
 	Body   []byte `msg:"b"`
 	// Relayed says that another forge passed it on, which happens once at most.
 	Relayed bool `msg:"y"`
+	// Ask names one question to one process, so that a second copy of it is known.
+	Ask string `msg:"k"`
+	// LiveMs is how long from its arrival a hand-in may still be taken; each hop
+	// counts it down by its own steady clock. Zero sets no bound.
+	LiveMs int64 `msg:"t"`
+	// Until is the moment on the receiver's own steady clock that follows from it,
+	// in ns; zero sets no bound.
+	Until int64 `msg:"-"`
 }
 
 // LotAnswer is what the holder says to it.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -661,9 +661,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LotCall) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "m"
-	o = append(o, 0x89, 0xa1, 0x6d)
+	o = append(o, 0x8b, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Method)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
@@ -689,6 +689,12 @@
 	// string "y"
 	o = append(o, 0xa1, 0x79)
 	o = msgp.AppendBool(o, z.Relayed)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Ask)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.LiveMs)
 	return
 }
 
@@ -764,6 +770,18 @@
 				err = msgp.WrapError(err, "Relayed")
 				return
 			}
+		case "k":
+			z.Ask, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ask")
+				return
+			}
+		case "t":
+			z.LiveMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LiveMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -778,7 +796,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LotCall) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Ask) + 2 + msgp.Int64Size
 	return
 }
 
