--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -88,9 +88,12 @@
 	toldAt    watch.Moment
 	// tellReading must not block: it is called under the lock.
 	tellReading func(worker string, milliseconds float64)
-	number      int64
-	tallyLock   sync.Mutex
-	tallies     map[string]*Tally
+	gossip      gossipState
+	// waits speaks when something begins to wait.
+	waits     chan struct{}
+	number    int64
+	tallyLock sync.Mutex
+	tallies   map[string]*Tally
 }
 
 // rate follows how many requests a service finishes a second, as seen from here.
@@ -104,7 +107,8 @@
 func New(own pattern.Entry, heartbeat watch.Span) *Workbench {
 	bench := &Workbench{Roster: roster.New(heartbeat), Gauge: gauge.New(), Index: plumbline.NewIndex(),
 		queues: map[string][]Handle{}, rates: map[string]*rate{}, own: own,
-		pressure: map[string]pressureWord{}, yields: map[*Grant]*yielding{}, tallies: map[string]*Tally{}}
+		pressure: map[string]pressureWord{}, yields: map[*Grant]*yielding{}, tallies: map[string]*Tally{},
+		waits: make(chan struct{}, 1)}
 	bench.cost = func(hall string) float64 {
 		// Another hall is a longer way, and bytes between halls are dear.
 		if hall == own.Hall {
@@ -183,6 +187,7 @@
 		return first != nil && second != nil && first.ask.Priority < second.ask.Priority
 	})
 	bench.queues[ask.Service] = queue
+	bench.someWait()
 	return Answer{Verdict: VerdictQueued}, one.handle
 }
 
