Emulated workers: an engine as a step function, and a rim that speaks HTTP/1.1

Why: a newcomer has no way to see the system serve without model workers. The engine batches, reads prompts in pieces, keeps prefixes and puts the newest request back when memory runs out; the rim registers by heartbeats, stamps answers, keeps a record of runs and can be put in trouble.

--- /dev/null
+++ b/internal/almanac/lab.go
@@ -0,0 +1,60 @@
+package almanac
+
+import "time"
+
+// The lab: figures of the emulated workers, of the fleets on loopback, and of the
+// load on them. All are ours; none describes a real machine.
+const (
+	// AnvilEventLimit: most steps of an engine done in one go after a late timer, so
+	// that a stalled machine does not spin.
+	AnvilEventLimit = 1000
+	// AnvilOutLimit: most tokens that one request may ask for.
+	AnvilOutLimit = 1 << 20
+	// AnvilRunLimit: runs that a record keeps; 200 bytes each.
+	AnvilRunLimit = 200_000
+	// AnvilIdle: an idle connection to an emulated worker is closed after it, and
+	// Keep-Alive says so in whole seconds.
+	AnvilIdle = 10 * time.Second
+	// AnvilBeatWait: how long a worker waits for the answer to a call (protocol).
+	AnvilBeatWait = time.Second
+	// AnvilBeatBytes: the largest answer to a call that a worker reads (protocol).
+	AnvilBeatBytes = 4 << 10
+	// AnvilReportAge: a report tells how things stood so long ago (protocol: some
+	// hundred ms).
+	AnvilReportAge = 200 * time.Millisecond
+	// AnvilLeaveSlack: how much longer than drain-ms a leaving worker serves.
+	AnvilLeaveSlack = 300 * time.Millisecond
+
+	// LabStartLimit: a fleet that does not serve by then has failed to start.
+	LabStartLimit = 30 * time.Second
+	// LabRetry: pause between two looks at something that is starting.
+	LabRetry = 100 * time.Millisecond
+	// LabGrace: between SIGTERM and SIGKILL of a fleet's process.
+	LabGrace = 5 * time.Second
+	// LabRestart: pause before a killed process is started again.
+	LabRestart = 500 * time.Millisecond
+	// LabProcesses: most real processes in one fleet.
+	LabProcesses = 40
+	// LabMemoryMB and LabDiskMB: what the settings files grant each process.
+	LabMemoryMB = 256
+	LabDiskMB   = 256
+	// LabBeat: pause between two heartbeats of an emulated worker.
+	LabBeat = time.Second
+	// LabDrainMs: drain-ms of a fleet's settings.
+	LabDrainMs = 2000
+
+	// LoadCount, LoadTime, LoadRate: bounds of one load run.
+	LoadCount = 1_000_000
+	LoadTime  = time.Hour
+	LoadRate  = 5000
+	// LoadOpen: requests under way at once; what would go beyond is counted as not sent.
+	LoadOpen = 4000
+	// LoadLate: share of the worth of an answer that comes after its aim.
+	LoadLate = 0.3
+	// LoadDrain: how long a run waits for answers and lots once it has sent everything.
+	LoadDrain = 20 * time.Second
+	// LoadSilence: a downstream gives a stream up after this silence at least (protocol).
+	LoadSilence = 2 * time.Second
+	// LoadPollPause: between two reads of a lot (protocol: about twice a second).
+	LoadPollPause = 500 * time.Millisecond
+)
--- /dev/null
+++ b/internal/anvil/beats.go
@@ -0,0 +1,151 @@
+package anvil
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/errand"
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/watch"
+)
+
+// Unheard is the mishap of a call that nobody acknowledged.
+var Unheard = mishap.Define("call not acknowledged")
+
+// redirects is how many 307 a caller follows (protocol).
+const redirects = 2
+
+// Beater registers a worker by its calls.
+type Beater struct {
+	Worker *Worker
+	// Address is where the worker serves; Controls are those who may be called.
+	Address  string
+	Controls []string
+
+	lock   sync.Mutex
+	target string
+	turn   int
+	count  int64
+	client http.Client
+}
+
+// NewBeater makes one.
+func NewBeater(worker *Worker, address string, controls []string) *Beater {
+	beater := &Beater{Worker: worker, Address: address, Controls: controls}
+	beater.client = http.Client{Timeout: almanac.AnvilBeatWait, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > redirects {
+			return Unheard.New("redirected too often")
+		}
+		return nil
+	}}
+	return beater
+}
+
+type beatBody struct {
+	Backend    string        `json:"backend"`
+	Address    string        `json:"address"`
+	Hall       string        `json:"zone"`
+	Generation string        `json:"generation"`
+	Capacity   int           `json:"capacity"`
+	Phase      string        `json:"phase"`
+	WarmupMs   float64       `json:"warmup-left-ms"`
+	Stage      string        `json:"stage"`
+	Models     []modelReport `json:"models"`
+	Count      int64         `json:"call-count"`
+}
+
+// Beat sends one heartbeat. The target of an earlier answer is called first, and is
+// forgotten once a beat fails there; then the controls come, by turns.
+func (beater *Beater) Beat() error { return beater.call("/-/Workers.Heartbeat/") }
+
+// Depart says that the worker has gone.
+func (beater *Beater) Depart() error { return beater.call("/-/Workers.Depart/") }
+
+func (beater *Beater) call(path string) error {
+	beater.lock.Lock()
+	beater.count++
+	addresses := []string{}
+	if beater.target != "" {
+		addresses = append(addresses, beater.target)
+	}
+	for place := range beater.Controls {
+		addresses = append(addresses, beater.Controls[(beater.turn+place)%len(beater.Controls)])
+	}
+	beater.turn++
+	count, target := beater.count, beater.target
+	beater.lock.Unlock()
+	settings := &beater.Worker.Settings
+	body := beatBody{Backend: settings.Service, Address: beater.Address, Hall: settings.Hall, Generation: "v1", Capacity: settings.Shape.Capacity,
+		Phase: "steady", Stage: "both", Models: beater.Worker.models(), Count: count}
+	beater.Worker.lock.Lock()
+	if beater.Worker.leaving {
+		body.Phase = "draining"
+	}
+	beater.Worker.lock.Unlock()
+	text, failure := json.Marshal(body)
+	if failure != nil {
+		return Unheard.Wrap(failure, "body")
+	}
+	failure = Unheard.New("nobody to call")
+	for _, address := range addresses {
+		var next string
+		if next, failure = beater.send("http://"+address+path+settings.ID, text); failure == nil {
+			beater.lock.Lock()
+			if next != "" {
+				beater.target = next
+			}
+			beater.lock.Unlock()
+			return nil
+		}
+		if address == target {
+			beater.lock.Lock()
+			beater.target = ""
+			beater.lock.Unlock()
+		}
+	}
+	return failure
+}
+
+// send makes one call; an acknowledgement is a 2xx of bounded size in time.
+func (beater *Beater) send(url string, text []byte) (target string, failure error) {
+	answer, failure := beater.client.Post(url, "application/json", bytes.NewReader(text))
+	if failure != nil {
+		return "", Unheard.Wrap(failure, "call")
+	}
+	defer answer.Body.Close()
+	body, failure := io.ReadAll(io.LimitReader(answer.Body, almanac.AnvilBeatBytes+1))
+	if failure != nil {
+		return "", Unheard.Wrap(failure, "answer")
+	}
+	if answer.StatusCode < 200 || answer.StatusCode > 299 || len(body) > almanac.AnvilBeatBytes {
+		return "", Unheard.New(answer.Status)
+	}
+	var told struct {
+		Target string `json:"beat-target"`
+	}
+	// An answer need not hold anything.
+	_ = json.Unmarshal(body, &told)
+	return told.Target, nil
+}
+
+// Keep sends heartbeats until the errand ends.
+func (beater *Beater) Keep(until errand.Errand, period watch.Span) {
+	_ = beater.Beat()
+	watch.Every(period, until.Done(), func() { _ = beater.Beat() })
+}
+
+// LeaveInOrder says that the worker is draining, serves on for a while after that
+// was acknowledged, departs and ends.
+func (beater *Beater) LeaveInOrder(drain watch.Span) {
+	beater.Worker.Leave()
+	for tries := 0; beater.Beat() != nil && tries < len(beater.Controls)+2; tries++ {
+		watch.Sleep(almanac.LabRetry)
+	}
+	watch.Sleep(drain + almanac.AnvilLeaveSlack)
+	_ = beater.Depart()
+	beater.Worker.End(almanac.LabGrace)
+}
--- /dev/null
+++ b/internal/anvil/cache.go
@@ -0,0 +1,174 @@
+package anvil
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Part is one part of a prompt, named by model and id.
+type Part struct {
+	Key    string
+	Tokens int64
+}
+
+type entry struct {
+	tokens int64
+	pins   int
+	// whole tells that some request has read all of it.
+	whole bool
+	used  int64
+}
+
+// cache is the memory of an engine: parts held by running requests, and parts kept.
+type cache struct {
+	limit int64
+	// held counts all tokens in memory, pinned those that running requests hold.
+	held    int64
+	pinned  int64
+	entries map[string]*entry
+	clock   int64
+}
+
+func newCache(limit int64) *cache { return &cache{limit: limit, entries: map[string]*entry{}} }
+
+// partsOf gives the parts of a prompt; what no part names belongs to the request alone.
+func partsOf(ask Ask) []Part {
+	var parts []Part
+	seen := map[string]bool{}
+	for _, part := range ask.Parts {
+		// A part named twice is in memory once.
+		if key := ask.Model + "/" + part.Key; !seen[key] {
+			seen[key] = true
+			parts = append(parts, Part{Key: key, Tokens: part.Tokens})
+		}
+	}
+	if rest := ask.In - total(parts); rest > 0 {
+		parts = append(parts, Part{Key: "~" + strconv.FormatInt(ask.Ticket, 10), Tokens: rest})
+	}
+	return parts
+}
+
+func total(parts []Part) int64 {
+	sum := int64(0)
+	for _, part := range parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// whole tells that a part need not be read.
+func (cache *cache) whole(part Part) bool {
+	one := cache.entries[part.Key]
+	return one != nil && one.whole
+}
+
+// read notes that a part was read to its end.
+func (cache *cache) read(part Part) {
+	if one := cache.entries[part.Key]; one != nil {
+		one.whole = true
+	}
+}
+
+// pin takes memory for parts, extra tokens included, next to what outputs hold.
+func (cache *cache) pin(parts []Part, extra, outputs int64) bool {
+	need := extra
+	for _, part := range parts {
+		if one := cache.entries[part.Key]; one != nil {
+			cache.grip(one, 1)
+		} else {
+			need += part.Tokens
+		}
+	}
+	fits := cache.room(need, outputs)
+	for _, part := range parts {
+		one := cache.entries[part.Key]
+		switch {
+		case one != nil && !fits:
+			cache.grip(one, -1)
+		case one == nil && fits:
+			one = &entry{tokens: part.Tokens}
+			cache.entries[part.Key] = one
+			cache.held += part.Tokens
+			cache.grip(one, 1)
+		}
+	}
+	return fits
+}
+
+// unpin lets parts go; those that were read stay kept until room is needed.
+func (cache *cache) unpin(parts []Part) {
+	for place := len(parts) - 1; place >= 0; place-- {
+		one := cache.entries[parts[place].Key]
+		if one == nil {
+			continue
+		}
+		cache.grip(one, -1)
+		cache.clock++
+		one.used = cache.clock
+		if one.pins == 0 && (!one.whole || strings.HasPrefix(parts[place].Key, "~")) {
+			cache.drop(parts[place].Key, one)
+		}
+	}
+}
+
+// room makes room for tokens; the parts unused for longest give way.
+func (cache *cache) room(tokens, outputs int64) bool {
+	if cache.limit <= 0 {
+		return true
+	}
+	if cache.pinned+outputs+tokens > cache.limit {
+		return false
+	}
+	for cache.held+outputs+tokens > cache.limit {
+		oldest := ""
+		for key, one := range cache.entries {
+			if one.pins == 0 && (oldest == "" || one.used < cache.entries[oldest].used) {
+				oldest = key
+			}
+		}
+		cache.drop(oldest, cache.entries[oldest])
+	}
+	return true
+}
+
+func (cache *cache) drop(key string, one *entry) {
+	cache.held -= one.tokens
+	delete(cache.entries, key)
+}
+
+// grip counts who holds a part; what somebody holds can't give way.
+func (cache *cache) grip(one *entry, change int) {
+	before := one.pins > 0
+	one.pins += change
+	switch after := one.pins > 0; {
+	case after && !before:
+		cache.pinned += one.tokens
+	case before && !after:
+		cache.pinned -= one.tokens
+	}
+}
+
+// ParsePrompt reads Lemonarch-Token-Count and Lemonarch-Prompt-Prefix.
+func ParsePrompt(count, prefix string) (in, out int64, parts []Part, readable bool) {
+	before, after, _ := strings.Cut(count, ",")
+	in, failure := strconv.ParseInt(strings.TrimSpace(before), 10, 64)
+	if failure != nil || in < 0 {
+		return 0, 0, nil, false
+	}
+	out, failure = strconv.ParseInt(strings.TrimSpace(after), 10, 64)
+	if failure != nil || out < 0 {
+		return 0, 0, nil, false
+	}
+	for _, field := range strings.Split(prefix, ",") {
+		if field = strings.TrimSpace(field); field == "" {
+			continue
+		}
+		id, size, _ := strings.Cut(field, ":")
+		tokens, failure := strconv.ParseInt(size, 10, 64)
+		if failure != nil || tokens < 0 || id == "" {
+			return 0, 0, nil, false
+		}
+		parts = append(parts, Part{Key: id, Tokens: tokens})
+	}
+	return in, out, parts, true
+}
--- /dev/null
+++ b/internal/anvil/engine_test.go
@@ -0,0 +1,217 @@
+package anvil
+
+import (
+	"math/rand"
+	"strconv"
+	"testing"
+	"time"
+
+	"lemonarch/internal/watch"
+)
+
+var smallShape = Shape{Capacity: 4, Queue: 2, CacheTokens: 1000, ReadPerMs: 100, Step: time.Millisecond, StepEach: time.Millisecond / 2, Stride: 4}
+
+// drive runs an engine until nothing is under way, and notes when what happened.
+type told struct {
+	Effect
+	at watch.Moment
+}
+
+func drive(engine *Engine, events map[watch.Moment][]Event, limit watch.Moment) []told {
+	var all []told
+	note := func(effects []Effect, now watch.Moment) {
+		for _, effect := range effects {
+			all = append(all, told{effect, now})
+		}
+	}
+	for now := watch.Moment(0); now <= limit; now += watch.Moment(time.Millisecond / 4) {
+		for _, event := range events[now] {
+			note(engine.Step(event, now), now)
+		}
+		if at, some := engine.Next(); some && at <= now {
+			note(engine.Step(Event{Kind: EventTick}, now), now)
+		}
+	}
+	return all
+}
+
+func of(all []told, ticket int64, kind EffectKind) []told {
+	var some []told
+	for _, one := range all {
+		if one.Ticket == ticket && one.Kind == kind {
+			some = append(some, one)
+		}
+	}
+	return some
+}
+
+func arrive(ticket, in, out int64, parts ...Part) Event {
+	return Event{Kind: EventArrive, Ask: Ask{Ticket: ticket, Model: "m", In: in, Out: out, Parts: parts}}
+}
+
+func milliseconds(count float64) watch.Moment { return watch.Moment(watch.Milliseconds(count)) }
+
+// Each token comes more slowly as more requests run.
+func TestTokensSlowDownWithTheBatch(test *testing.T) {
+	alone := drive(NewEngine(smallShape), map[watch.Moment][]Event{0: {arrive(1, 10, 40)}}, milliseconds(500))
+	full := drive(NewEngine(smallShape), map[watch.Moment][]Event{0: {arrive(1, 10, 40), arrive(2, 10, 40), arrive(3, 10, 40), arrive(4, 10, 40)}}, milliseconds(500))
+	first, second := of(alone, 1, EffectFinish), of(full, 1, EffectFinish)
+	if len(first) != 1 || len(second) != 1 || second[0].at < first[0].at*3/2 {
+		test.Fatal(first, second)
+	}
+}
+
+// A long prompt is read in pieces, between the tokens of others.
+func TestReadingGoesOnBetweenTokens(test *testing.T) {
+	shape := smallShape
+	shape.ReadPerMs = 10
+	all := drive(NewEngine(shape), map[watch.Moment][]Event{0: {arrive(1, 10, 80)}, milliseconds(20): {arrive(2, 800, 4)}}, milliseconds(900))
+	begun := of(all, 2, EffectBegin)
+	if len(begun) != 1 || begun[0].at < milliseconds(90) {
+		test.Fatal("800 tokens at 10 a ms were read too soon", begun)
+	}
+	between := 0
+	for _, event := range of(all, 1, EffectEvent) {
+		if event.at > milliseconds(20) && event.at < begun[0].at {
+			between++
+		}
+	}
+	if between < 5 {
+		test.Fatal("the other stream stood still while the prompt was read", between)
+	}
+}
+
+// Kept parts are not read again, provided that all before them are kept.
+func TestKeptPrefixIsNotReadAgain(test *testing.T) {
+	engine := NewEngine(smallShape)
+	shared, own := Part{"a", 300}, Part{"b", 100}
+	drive(engine, map[watch.Moment][]Event{0: {arrive(1, 400, 4, shared, own)}}, milliseconds(100))
+	if engine.ReadTokens != 400 || engine.Reused != 0 {
+		test.Fatal(engine.ReadTokens, engine.Reused)
+	}
+	engine.Step(arrive(2, 400, 4, shared, Part{"c", 100}), milliseconds(101))
+	engine.Step(Event{}, milliseconds(200))
+	if engine.ReadTokens != 500 || engine.Reused != 300 {
+		test.Fatal("the shared part was read again", engine.ReadTokens, engine.Reused)
+	}
+	// b is kept, but what stands before it here is not.
+	engine.Step(arrive(3, 150, 4, Part{"d", 50}, own), milliseconds(201))
+	engine.Step(Event{}, milliseconds(300))
+	if engine.ReadTokens != 650 || engine.Reused != 300 {
+		test.Fatal("a part counted as kept behind one that is not", engine.ReadTokens, engine.Reused)
+	}
+}
+
+// The parts unused for longest give way.
+func TestOldestPartGivesWay(test *testing.T) {
+	engine := NewEngine(smallShape)
+	for place, key := range []string{"a", "b", "c", "a", "d"} {
+		engine.Step(arrive(int64(place), 300, 4, Part{key, 300}), milliseconds(float64(100*place)))
+		engine.Step(Event{}, milliseconds(float64(100*place+90)))
+	}
+	if !engine.cache.whole(Part{Key: "m/a"}) || engine.cache.whole(Part{Key: "m/b"}) || !engine.cache.whole(Part{Key: "m/d"}) {
+		test.Fatal(engine.cache.entries)
+	}
+}
+
+// When memory runs out, the newest is put back, goes on later, and no event of its
+// stream is missing or doubled.
+func TestNewestIsPutBackAndGoesOn(test *testing.T) {
+	engine := NewEngine(smallShape)
+	all := drive(engine, map[watch.Moment][]Event{0: {arrive(1, 400, 200), arrive(2, 400, 200)}}, milliseconds(3000))
+	if engine.PutBacks == 0 || len(of(all, 1, EffectPutBack)) > 0 {
+		test.Fatal("the newest was not put back", engine.PutBacks)
+	}
+	for _, ticket := range []int64{1, 2} {
+		follow(test, of(all, ticket, EffectEvent), 1, 50)
+		if len(of(all, ticket, EffectFinish)) != 1 || len(of(all, ticket, EffectBegin)) != 1 {
+			test.Fatal("ticket", ticket, "did not finish once")
+		}
+	}
+}
+
+func follow(test *testing.T, events []told, first, last int64) {
+	test.Helper()
+	for place, event := range events {
+		if event.Number != first+int64(place) {
+			test.Fatal("event", event.Number, "at place", place)
+		}
+	}
+	if int64(len(events)) != last-first+1 {
+		test.Fatal("events", len(events))
+	}
+}
+
+func TestResumeGoesOnBehindTheLastEvent(test *testing.T) {
+	event := arrive(1, 100, 40)
+	event.Ask.From = 3
+	all := drive(NewEngine(smallShape), map[watch.Moment][]Event{0: {event}}, milliseconds(300))
+	follow(test, of(all, 1, EffectEvent), 4, 10)
+	event.Ask.From = 10
+	all = drive(NewEngine(smallShape), map[watch.Moment][]Event{0: {event}}, milliseconds(300))
+	if len(of(all, 1, EffectEvent)) != 0 || len(of(all, 1, EffectFinish)) != 1 {
+		test.Fatal("nothing was left, and yet something came", all)
+	}
+}
+
+func TestFullTooLargeAndLate(test *testing.T) {
+	var events []Event
+	for ticket := int64(1); ticket <= 7; ticket++ {
+		events = append(events, arrive(ticket, 10, 40))
+	}
+	large := arrive(8, 2000, 4)
+	late := arrive(9, 10, 800)
+	late.Ask.Until = milliseconds(300)
+	all := drive(NewEngine(smallShape), map[watch.Moment][]Event{0: events, milliseconds(200): {large, late}}, milliseconds(400))
+	if len(of(all, 7, EffectRefuse)) != 1 || len(of(all, 6, EffectFinish)) != 1 || len(of(all, 8, EffectRefuse)) != 1 || len(of(all, 9, EffectExpire)) != 1 {
+		test.Fatal(all)
+	}
+}
+
+// Whatever comes in whatever order: places and memory keep their bounds, and every
+// request ends once, with all its events in order.
+func TestAnythingKeepsItsBounds(test *testing.T) {
+	for seed := int64(0); seed < 30; seed++ {
+		random := rand.New(rand.NewSource(seed))
+		engine := NewEngine(smallShape)
+		ends, last := map[int64]int{}, map[int64]int64{}
+		begun := map[int64]bool{}
+		take := func(effects []Effect) {
+			for _, effect := range effects {
+				switch effect.Kind {
+				case EffectEvent:
+					if effect.Number != last[effect.Ticket]+1 || !begun[effect.Ticket] {
+						test.Fatal("seed", seed, effect)
+					}
+					last[effect.Ticket] = effect.Number
+				case EffectBegin:
+					begun[effect.Ticket] = true
+				case EffectFinish, EffectRefuse, EffectExpire:
+					ends[effect.Ticket]++
+				}
+			}
+			running, waiting, used := engine.State()
+			if running > 4 || running+waiting > 6+1 || used > 1000 || engine.cache.held+engine.outputs() > 1000 {
+				test.Fatal("seed", seed, running, waiting, used, engine.cache.held)
+			}
+		}
+		now, count := watch.Moment(0), int64(0)
+		for round := 0; round < 2000; round++ {
+			now += watch.Moment(random.Int63n(int64(2 * time.Millisecond)))
+			if random.Intn(8) == 0 && round < 1500 {
+				count++
+				event := arrive(count, 20+random.Int63n(300), 1+random.Int63n(60), Part{strconv.Itoa(random.Intn(4)), 20})
+				if random.Intn(5) == 0 {
+					event.Ask.Work = time.Millisecond * 10
+				}
+				take(engine.Step(event, now))
+			}
+			take(engine.Step(Event{Kind: EventTick}, now))
+		}
+		for ticket := int64(1); ticket <= count; ticket++ {
+			if ends[ticket] != 1 {
+				test.Fatal("seed", seed, "ticket", ticket, "ended", ends[ticket], "times")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/anvil/faults.go
@@ -0,0 +1,56 @@
+package anvil
+
+import "lemonarch/internal/watch"
+
+// Faults are the troubles of one worker that can be switched on and off. A share is
+// the part of the requests, from 0 to 1, that it concerns.
+type Faults struct {
+	// Fail: a 500 comes instead of an answer, after the run.
+	Fail float64 `json:"fail,omitempty"`
+	// Full: turned away although there is room.
+	Full float64 `json:"full,omitempty"`
+	// Hang: nothing more comes, and the connection stays.
+	Hang float64 `json:"hang,omitempty"`
+	// Cut: the answer breaks off in its midst.
+	Cut float64 `json:"cut,omitempty"`
+	// Garble: bytes come that form no answer.
+	Garble float64 `json:"garble,omitempty"`
+	// Surplus: a second answer follows a whole one on the same connection.
+	Surplus float64 `json:"surplus,omitempty"`
+	// Twice: the worker claims one run more than there was. It breaks the record on
+	// purpose, so that the check of the load can be seen to catch it.
+	Twice float64 `json:"twice,omitempty"`
+	// Skip: one event of a stream is left out, for the same purpose.
+	Skip float64 `json:"skip,omitempty"`
+	// Forge: the stamp is another's, for the same purpose.
+	Forge float64 `json:"forge,omitempty"`
+	// LateMs: each answer begins so much later.
+	LateMs float64 `json:"late-ms,omitempty"`
+	// Slow: steps take so many times as long; 0 is as usual.
+	Slow float64 `json:"slow,omitempty"`
+	// Lying: health answers say the contrary.
+	Lying bool `json:"lying,omitempty"`
+	// ForgetMs: an idle connection is forgotten after it, without a word; what comes
+	// on it next meets a reset.
+	ForgetMs float64 `json:"forget-ms,omitempty"`
+}
+
+func (faults *Faults) late() watch.Span   { return watch.Milliseconds(faults.LateMs) }
+func (faults *Faults) forget() watch.Span { return watch.Milliseconds(faults.ForgetMs) }
+
+// Check lists senseless values.
+func (faults *Faults) Check() []string {
+	var findings []string
+	for name, share := range map[string]float64{"fail": faults.Fail, "full": faults.Full, "hang": faults.Hang, "cut": faults.Cut,
+		"garble": faults.Garble, "surplus": faults.Surplus, "twice": faults.Twice, "skip": faults.Skip, "forge": faults.Forge} {
+		if !(share >= 0 && share <= 1) {
+			findings = append(findings, name+" must lie between 0 and 1")
+		}
+	}
+	for name, value := range map[string]float64{"late-ms": faults.LateMs, "slow": faults.Slow, "forget-ms": faults.ForgetMs} {
+		if !(value >= 0) {
+			findings = append(findings, name+" must not be below 0")
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/anvil/worker.go
@@ -0,0 +1,206 @@
+package anvil
+
+import (
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/errand"
+	"lemonarch/internal/watch"
+)
+
+// Clock is the time of a worker; tests hand in one that does not wait.
+type Clock interface {
+	Now() watch.Moment
+	After(span watch.Span, function func())
+}
+
+// RealClock is the machine's.
+type RealClock struct{}
+
+// Now gives the present moment.
+func (RealClock) Now() watch.Moment { return watch.Now() }
+
+// After calls a function once a span is over.
+func (RealClock) After(span watch.Span, function func()) { time.AfterFunc(span, function) }
+
+// Settings describe one worker.
+type Settings struct {
+	ID, Service, Hall string
+	// Model is empty for a worker of plain requests; these take Work each.
+	Model     string
+	Work      watch.Span
+	Shape     Shape
+	ConnLimit int
+	// Probe is the path of health questions.
+	Probe string
+	// Revision is the version of its weights.
+	Revision int64
+}
+
+// waiter is what one connection waits for.
+type waiter struct {
+	effects chan Effect
+	run     *Run
+	about   Run
+}
+
+// Worker is one life of an emulated worker.
+type Worker struct {
+	Settings Settings
+
+	clock    Clock
+	record   *Record
+	lock     sync.Mutex
+	random   *rand.Rand
+	engine   *Engine
+	waiters  map[int64]*waiter
+	ticket   int64
+	timer    watch.Moment
+	faults   Faults
+	leaving  bool
+	ended    bool
+	handled  int64
+	server   *http.Server
+	listener *limitedListener
+	history  []moment
+}
+
+// NewWorker makes a worker; the seed decides which requests its faults meet.
+func NewWorker(settings Settings, record *Record, clock Clock, seed int64) *Worker {
+	worker := &Worker{Settings: settings, clock: clock, record: record, random: rand.New(rand.NewSource(seed)),
+		engine: NewEngine(settings.Shape), waiters: map[int64]*waiter{}}
+	tree := chi.NewRouter()
+	tree.Get("/-/report", worker.answerReport)
+	if settings.Probe != "" {
+		tree.Get(settings.Probe, worker.answerProbe)
+	}
+	tree.NotFound(worker.answer)
+	tree.MethodNotAllowed(worker.answer)
+	worker.server = &http.Server{Handler: tree, IdleTimeout: almanac.AnvilIdle, ReadHeaderTimeout: almanac.AnvilIdle}
+	return worker
+}
+
+// Serve takes connections until the worker ends.
+func (worker *Worker) Serve(listener net.Listener) {
+	limited := newLimitedListener(listener, worker)
+	worker.lock.Lock()
+	worker.listener = limited
+	worker.lock.Unlock()
+	_ = worker.server.Serve(limited)
+}
+
+// SetFaults switches troubles on and off.
+func (worker *Worker) SetFaults(faults Faults) {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	worker.faults = faults
+	slow := max(faults.Slow, 1)
+	shape := worker.Settings.Shape
+	worker.engine.shape.Step, worker.engine.shape.StepEach = watch.Span(float64(shape.Step)*slow), watch.Span(float64(shape.StepEach)*slow)
+	worker.engine.shape.ReadPerMs = shape.ReadPerMs / slow
+}
+
+// Crash ends a worker without a word: every connection is reset.
+func (worker *Worker) Crash() {
+	worker.lock.Lock()
+	worker.ended = true
+	listener := worker.listener
+	worker.lock.Unlock()
+	if listener != nil {
+		listener.reset()
+	}
+	worker.server.Close()
+}
+
+// End closes a worker that has left in order; what still runs may finish within the span.
+func (worker *Worker) End(span watch.Span) {
+	limited, release := errand.Timed(errand.Background(), span)
+	defer release()
+	if worker.server.Shutdown(limited) != nil {
+		worker.server.Close()
+	}
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	worker.ended = true
+}
+
+// Leave makes it say Connection: close, and say that it is draining.
+func (worker *Worker) Leave() {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	worker.leaving = true
+}
+
+// chance draws whether a fault meets a request. The lock is held.
+func (worker *Worker) chance(share float64) bool { return share > 0 && worker.random.Float64() < share }
+
+// enter hands a request to the engine and gives where its effects come.
+func (worker *Worker) enter(ask Ask, about Run) (int64, *waiter) {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	worker.ticket++
+	ask.Ticket = worker.ticket
+	// Room for all effects of one request: the engine never waits for a connection.
+	one := &waiter{effects: make(chan Effect, 8+Events(ask.Out, worker.engine.shape.Stride)), about: about}
+	worker.waiters[ask.Ticket] = one
+	worker.step(Event{Kind: EventArrive, Ask: ask})
+	return ask.Ticket, one
+}
+
+// leave takes a request back whose connection has closed.
+func (worker *Worker) leave(ticket int64) {
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	delete(worker.waiters, ticket)
+	worker.step(Event{Kind: EventCancel, Ticket: ticket})
+}
+
+// step runs the engine and hands out its effects. The lock is held.
+func (worker *Worker) step(event Event) {
+	for _, effect := range worker.engine.Step(event, worker.clock.Now()) {
+		one := worker.waiters[effect.Ticket]
+		if one == nil || effect.Kind == EffectPutBack {
+			continue
+		}
+		if effect.Kind == EffectBegin && one.about.Attempt != "" {
+			one.run = worker.record.Begin(one.about)
+			if worker.chance(worker.faults.Twice) {
+				worker.record.Begin(one.about)
+			}
+		}
+		one.effects <- effect
+		switch effect.Kind {
+		case EffectFinish, EffectRefuse, EffectExpire:
+			delete(worker.waiters, effect.Ticket)
+		}
+	}
+	worker.note()
+	worker.arm()
+}
+
+// arm sets a timer for the engine's next tick, if none rings by then. The lock is held.
+func (worker *Worker) arm() {
+	at, some := worker.engine.Next()
+	if !some || worker.ended || (worker.timer > 0 && worker.timer <= at) {
+		return
+	}
+	now := worker.clock.Now()
+	worker.timer = max(at, now+1)
+	mine := worker.timer
+	worker.clock.After(worker.timer.Since(now), func() {
+		worker.lock.Lock()
+		defer worker.lock.Unlock()
+		if worker.timer != mine || worker.ended {
+			// A later call asked for an earlier tick, and that one has taken over.
+			return
+		}
+		worker.timer = 0
+		worker.step(Event{Kind: EventTick})
+	})
+}
--- /dev/null
+++ b/internal/anvil/worker_test.go
@@ -0,0 +1,217 @@
+package anvil
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lemonarch/internal/watch"
+)
+
+// hasty is a clock that does not wait: whatever is to happen later happens at once,
+// with the clock set forward.
+type hasty struct {
+	lock sync.Mutex
+	now  watch.Moment
+}
+
+func (clock *hasty) Now() watch.Moment {
+	clock.lock.Lock()
+	defer clock.lock.Unlock()
+	return clock.now
+}
+
+func (clock *hasty) After(span watch.Span, function func()) {
+	clock.lock.Lock()
+	clock.now = clock.now.Plus(span)
+	clock.lock.Unlock()
+	go function()
+}
+
+var engineSettings = Settings{ID: "w1", Service: "s", Model: "m", Probe: "/health", Revision: 1, Shape: smallShape}
+var plainSettings = Settings{ID: "w1", Service: "s", Probe: "/health", Work: 10 * time.Millisecond, Shape: smallShape}
+
+func start(test *testing.T, settings Settings) (*Worker, *Record, string, *hasty) {
+	test.Helper()
+	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	record, clock := &Record{}, &hasty{now: watch.Moment(time.Second)}
+	worker := NewWorker(settings, record, clock, 1)
+	go worker.Serve(listener)
+	test.Cleanup(worker.Crash)
+	return worker, record, listener.Addr().String(), clock
+}
+
+func ask(address, attempt string, header ...string) (*http.Response, string, error) {
+	request, _ := http.NewRequest(http.MethodPost, "http://"+address+"/a/b", strings.NewReader("body"))
+	request.Header.Set(headerAttempt, attempt)
+	for place := 0; place+1 < len(header); place += 2 {
+		request.Header.Set(header[place], header[place+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, failure := client.Do(request)
+	if failure != nil {
+		return nil, "", failure
+	}
+	defer answer.Body.Close()
+	body, failure := io.ReadAll(answer.Body)
+	return answer, string(body), failure
+}
+
+func TestStreamSealAndRecord(test *testing.T) {
+	_, record, address, _ := start(test, engineSettings)
+	answer, body, failure := ask(address, "one", headerTokens, "20,12", headerPrefix, "a:10", headerModel, "m", headerTarget, "w1", headerLast, "1")
+	want := fmt.Sprintf("id: 2\ndata: %s\n\nid: 3\ndata: %s\n\n", EventData("one", 2), EventData("one", 3))
+	if failure != nil || body != want || answer.Header.Get(headerAttempt) != "one" || answer.Header.Get(headerLoad) == "" || answer.Header.Get("Keep-Alive") == "" {
+		test.Fatal(answer, body, failure)
+	}
+	if worker, holds := Sealed(answer.Header.Get(headerSeal), "one"); !holds || worker != "w1" {
+		test.Fatal(answer.Header)
+	}
+	runs, _ := record.Of("on")
+	if len(runs) != 1 || runs[0].From != 1 || runs[0].Path != "/a/b" || runs[0].Body != BodySum([]byte("body")) {
+		test.Fatal(runs)
+	}
+}
+
+func TestWhatDidNotRunSaysSo(test *testing.T) {
+	worker, record, address, _ := start(test, plainSettings)
+	for name, header := range map[string][]string{
+		"target": {headerTarget, "w2"}, "revision": {headerRevision, "7"}, "late": {headerTimeLeft, "0"},
+	} {
+		answer, _, failure := ask(address, "one", header...)
+		if failure != nil || answer.Header.Get(headerNotRun) == "" {
+			test.Fatal(name, answer, failure)
+		}
+	}
+	worker.SetFaults(Faults{Full: 1})
+	if answer, _, failure := ask(address, "one"); failure != nil || answer.StatusCode != 503 || answer.Header.Get(headerNotRun) == "" {
+		test.Fatal(answer, failure)
+	}
+	if answer, _, failure := ask(address, ""); failure != nil || answer.StatusCode != 400 {
+		test.Fatal(answer, failure)
+	}
+	if runs, _ := record.Of(""); len(runs) != 0 {
+		test.Fatal("something ran", runs)
+	}
+}
+
+func TestProbeAndItsLies(test *testing.T) {
+	worker, _, address, _ := start(test, plainSettings)
+	get := func(path string) (int, string, http.Header) {
+		answer, failure := http.Get("http://" + address + path)
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		defer answer.Body.Close()
+		body, _ := io.ReadAll(answer.Body)
+		return answer.StatusCode, string(body), answer.Header
+	}
+	if status, _, header := get("/health"); status != 200 || header.Get(headerID) != "w1" || header.Get(headerLoad) == "" {
+		test.Fatal(status, header)
+	}
+	worker.SetFaults(Faults{Lying: true})
+	if status, _, _ := get("/health"); status != 503 {
+		test.Fatal(status)
+	}
+	worker.Leave()
+	if status, _, _ := get("/health"); status != 200 {
+		test.Fatal("a lying worker that leaves says that it is well", status)
+	}
+	var told report
+	if _, body, _ := get("/-/report"); json.Unmarshal([]byte(body), &told) != nil || told.Stage != "both" {
+		test.Fatal(body)
+	}
+}
+
+// Each broken answer is broken in the way that its name says.
+func TestBrokenAnswers(test *testing.T) {
+	worker, record, address, _ := start(test, plainSettings)
+	worker.SetFaults(Faults{Fail: 1})
+	if answer, _, failure := ask(address, "fail"); failure != nil || answer.StatusCode != 500 || answer.Header.Get(headerNotRun) != "" {
+		test.Fatal(answer, failure)
+	}
+	worker.SetFaults(Faults{Cut: 1})
+	if _, body, failure := ask(address, "cut"); failure == nil {
+		test.Fatal("a cut answer looked whole", body)
+	}
+	worker.SetFaults(Faults{Garble: 1})
+	if answer, _, failure := ask(address, "garble"); failure == nil {
+		test.Fatal(answer)
+	}
+	worker.SetFaults(Faults{Surplus: 1})
+	connection, failure := net.Dial("tcp4", address)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer connection.Close()
+	fmt.Fprintf(connection, "POST /x HTTP/1.1\r\nHost: h\r\n%s: twice\r\nContent-Length: 0\r\n\r\n", headerAttempt)
+	reader := bufio.NewReader(connection)
+	for count := 0; count < 2; count++ {
+		answer, failure := http.ReadResponse(reader, nil)
+		if failure != nil || answer.Header.Get(headerAttempt) != "twice" {
+			test.Fatal(count, answer, failure)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+	}
+	if runs, _ := record.Of(""); len(runs) != 4 {
+		test.Fatal("a broken answer counts as run", runs)
+	}
+}
+
+// Bytes on a connection that the worker has silently forgotten meet a reset.
+func TestForgottenConnection(test *testing.T) {
+	worker, record, address, clock := start(test, plainSettings)
+	worker.SetFaults(Faults{ForgetMs: 500})
+	connection, failure := net.Dial("tcp4", address)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	send := func() error {
+		fmt.Fprintf(connection, "POST /x HTTP/1.1\r\nHost: h\r\n%s: one\r\nContent-Length: 0\r\n\r\n", headerAttempt)
+		answer, failure := http.ReadResponse(reader, nil)
+		if failure == nil {
+			_, failure = io.Copy(io.Discard, answer.Body)
+		}
+		return failure
+	}
+	if failure := send(); failure != nil {
+		test.Fatal(failure)
+	}
+	clock.After(time.Second, func() {})
+	if failure := send(); failure == nil {
+		test.Fatal("a forgotten connection answered")
+	}
+	if runs, _ := record.Of(""); len(runs) != 1 {
+		test.Fatal(runs)
+	}
+}
+
+func TestConnectionsBeyondTheLimitAreReset(test *testing.T) {
+	settings := plainSettings
+	settings.ConnLimit = 1
+	_, _, address, _ := start(test, settings)
+	first, failure := net.Dial("tcp4", address)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer first.Close()
+	fmt.Fprintf(first, "GET /-/report HTTP/1.1\r\nHost: h\r\n\r\n")
+	if answer, failure := http.ReadResponse(bufio.NewReader(first), nil); failure != nil || answer.StatusCode != 200 {
+		test.Fatal(answer, failure)
+	}
+	if answer, _, failure := ask(address, "one"); failure == nil {
+		test.Fatal(answer)
+	}
+}
