lemonarch lab up: a fleet of the real programs on loopback, with emulated workers

Why: README's quick start builds and checks files only; nobody could see it serve. Each node has a loopback address of its own. Children are in groups of their own, are ended by id, and end with the lab even where that is killed. A plain worker without a stride divided by zero; its test was seen red without the mend.

--- a/internal/almanac/lab.go
+++ b/internal/almanac/lab.go
@@ -25,6 +25,22 @@
 	// AnvilLeaveSlack: how much longer than drain-ms a leaving worker serves.
 	AnvilLeaveSlack = 300 * time.Millisecond
 
+	// The ports of a lab's fleet: every node has an address of its own on loopback, so
+	// ports may be alike. All lie below those that the kernel gives out itself.
+	LabIngressPort  = 7101
+	LabReadyPort    = 7102
+	LabControlPort  = 7103
+	LabDeskPort     = 7100
+	LabWorkerPort   = 7110
+	LabInternalPort = 7660
+	// LabNetwork: the first three bytes of the addresses, where none are named.
+	LabNetwork = "127.0.71"
+	// LabEdgeHost, LabStoreHost, LabWorkerHost: the last byte of the first of each.
+	LabDeskHost   = 1
+	LabEdgeHost   = 11
+	LabStoreHost  = 61
+	LabWorkerHost = 101
+
 	// LabStartLimit: a fleet that does not serve by then has failed to start.
 	LabStartLimit = 30 * time.Second
 	// LabRetry: pause between two looks at something that is starting.
--- a/internal/anvil/worker.go
+++ b/internal/anvil/worker.go
@@ -73,6 +73,7 @@
 
 // NewWorker makes a worker; the seed decides which requests its faults meet.
 func NewWorker(settings Settings, record *Record, clock Clock, seed int64) *Worker {
+	settings.Shape.Stride = max(settings.Shape.Stride, 1)
 	worker := &Worker{Settings: settings, clock: clock, record: record, random: rand.New(rand.NewSource(seed)),
 		engine: NewEngine(settings.Shape), waiters: map[int64]*waiter{}}
 	tree := chi.NewRouter()
--- a/internal/anvil/worker_test.go
+++ b/internal/anvil/worker_test.go
@@ -36,7 +36,7 @@
 }
 
 var engineSettings = Settings{ID: "w1", Service: "s", Model: "m", Probe: "/health", Revision: 1, Shape: smallShape}
-var plainSettings = Settings{ID: "w1", Service: "s", Probe: "/health", Work: 10 * time.Millisecond, Shape: smallShape}
+var plainSettings = Settings{ID: "w1", Service: "s", Probe: "/health", Work: 10 * time.Millisecond, Shape: Shape{Capacity: 4, Queue: 2}}
 
 func start(test *testing.T, settings Settings) (*Worker, *Record, string, *hasty) {
 	test.Helper()
--- a/internal/errand/errand.go
+++ b/internal/errand/errand.go
@@ -22,3 +22,6 @@
 func Timed(parent Errand, span time.Duration) (Errand, func()) {
 	return context.WithTimeout(parent, span)
 }
+
+// Stoppable gives an errand that its maker may call off.
+func Stoppable(parent Errand) (Errand, func()) { return context.WithCancel(parent) }
--- /dev/null
+++ b/internal/sawhorse/operator.go
@@ -0,0 +1,112 @@
+package sawhorse
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/jig"
+)
+
+// refused is the refusal of an order that would not be taken the next time either.
+type refused string
+
+// Error gives the reason.
+func (one refused) Error() string { return string(one) }
+
+// operator sends configurations, one on top of the other.
+type operator struct {
+	controls []string
+	lock     sync.Mutex
+	config   *jig.Config
+}
+
+type answered struct {
+	status int
+	body   []byte
+}
+
+var operatorClient = http.Client{Timeout: almanac.LabGrace}
+
+func (operator *operator) ask(method, url string, body []byte, base int64) (answered, error) {
+	request, failure := http.NewRequest(method, url, bytes.NewReader(body))
+	if failure != nil {
+		return answered{}, Unfit.Wrap(failure, "call")
+	}
+	if body != nil {
+		request.Header.Set("Lemonarch-Base-Revision", strconv.FormatInt(base, 10))
+		request.Header.Set("Content-Type", "application/json")
+	}
+	answer, failure := operatorClient.Do(request)
+	if failure != nil {
+		return answered{}, Unfit.New(lastWords(failure))
+	}
+	defer answer.Body.Close()
+	text, failure := io.ReadAll(io.LimitReader(answer.Body, 64<<10))
+	return answered{answer.StatusCode, text}, Unfit.Wrap(failure, "answer")
+}
+
+// first sends the first configuration.
+func (operator *operator) first(body []byte) error { return operator.send(body, 0) }
+
+// change sends the next one: what the function makes of the present one.
+func (operator *operator) change(edit func(config map[string]any)) (int64, error) {
+	operator.lock.Lock()
+	present := operator.config
+	operator.lock.Unlock()
+	if present == nil {
+		return 0, Unfit.New("there is no configuration yet")
+	}
+	whole := map[string]any{}
+	if failure := json.Unmarshal(present.Body, &whole); failure != nil {
+		return 0, Unfit.Wrap(failure, "configuration")
+	}
+	next := present.Generation + 1
+	whole["generation"] = next
+	edit(whole)
+	body, failure := json.Marshal(whole)
+	if failure != nil {
+		return 0, Unfit.Wrap(failure, "configuration")
+	}
+	return next, operator.send(body, present.Generation)
+}
+
+// send sends a whole configuration to one control after the other until it is taken.
+func (operator *operator) send(body []byte, base int64) error {
+	var failure error
+	for _, address := range operator.controls {
+		var answer answered
+		answer, failure = operator.ask(http.MethodPost, "http://"+address+"/-/Configuration.Replace", body, base)
+		switch {
+		case failure != nil:
+		case answer.status == http.StatusOK:
+			config, unreadable := jig.Parse(body)
+			if unreadable != nil {
+				return unreadable
+			}
+			operator.lock.Lock()
+			operator.config = config
+			operator.lock.Unlock()
+			return nil
+		case answer.status >= 400 && answer.status < 500 && answer.status != http.StatusTooManyRequests && answer.status != http.StatusRequestTimeout:
+			return refused("configuration refused with " + strconv.Itoa(answer.status) + ": " + strings.TrimSpace(string(answer.body)))
+		default:
+			failure = Unfit.New(address + " answered " + strconv.Itoa(answer.status))
+		}
+	}
+	return failure
+}
+
+func (operator *operator) routes() []jig.Route {
+	operator.lock.Lock()
+	defer operator.lock.Unlock()
+	if operator.config == nil {
+		return nil
+	}
+	return operator.config.Routes
+}
--- /dev/null
+++ b/internal/sawhorse/process.go
@@ -0,0 +1,160 @@
+package sawhorse
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/boot"
+	"lemonarch/internal/watch"
+)
+
+// starter starts every process of a fleet on one thread that lives as long as the
+// lab: the kernel ends a child when the thread that began it ends, so nothing stays
+// behind even where the lab itself is killed.
+type starter struct {
+	orders chan func()
+}
+
+func newStarter() *starter {
+	starter := &starter{orders: make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for order := range starter.orders {
+			order()
+		}
+	}()
+	return starter
+}
+
+func (starter *starter) start(command *exec.Cmd) error {
+	done := make(chan error)
+	starter.orders <- func() { done <- command.Start() }
+	return <-done
+}
+
+// process is one real program of the fleet.
+type process struct {
+	node    node
+	starter *starter
+	program string
+	path    string
+	log     string
+
+	lock    sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// expected tells that the lab ends it itself.
+	expected bool
+}
+
+// run starts the program; died is told where it ends unexpectedly.
+func (one *process) run(died func(error)) error {
+	log, failure := os.OpenFile(one.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if failure != nil {
+		return Unfit.Wrap(failure, "log of "+one.node.name)
+	}
+	command := exec.Command(one.program)
+	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), boot.Variable+"="+one.path)
+	// A group of its own: a Ctrl-C at the terminal reaches the lab alone, which then
+	// ends the others in order.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	failure = one.starter.start(command)
+	log.Close()
+	if failure != nil {
+		return Unfit.Wrap(failure, one.node.name)
+	}
+	ended := make(chan struct{})
+	one.lock.Lock()
+	one.command, one.ended, one.expected = command, ended, false
+	one.lock.Unlock()
+	go func() {
+		failure := command.Wait()
+		one.lock.Lock()
+		expected := one.expected
+		one.lock.Unlock()
+		close(ended)
+		if !expected {
+			died(Unfit.New(one.node.name + " ended by itself (" + outcomeOf(failure) + "): " + one.lastLine()))
+		}
+	}()
+	return nil
+}
+
+func outcomeOf(failure error) string {
+	if failure == nil {
+		return "exit status 0"
+	}
+	return failure.Error()
+}
+
+func (one *process) lastLine() string {
+	text, _ := os.ReadFile(one.log)
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// signal sends a signal to this process alone, by its id.
+func (one *process) signal(signal os.Signal, expected bool) {
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	if one.command == nil {
+		return
+	}
+	one.expected = one.expected || expected
+	select {
+	case <-one.ended:
+	default:
+		_ = one.command.Process.Signal(signal)
+	}
+}
+
+// stop ends the process in order, and by force once its grace is over.
+func (one *process) stop() {
+	one.signal(syscall.SIGTERM, true)
+	// A frozen process can't heed anything but SIGKILL.
+	one.signal(syscall.SIGCONT, true)
+	one.lock.Lock()
+	ended := one.ended
+	one.lock.Unlock()
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-watch.After(almanac.LabGrace):
+		one.signal(syscall.SIGKILL, true)
+		<-ended
+	}
+}
+
+// kill ends the process at once.
+func (one *process) kill() {
+	one.signal(syscall.SIGKILL, true)
+	one.lock.Lock()
+	ended := one.ended
+	one.lock.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// id is the process id, or 0.
+func (one *process) id() int {
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	if one.command == nil {
+		return 0
+	}
+	return one.command.Process.Pid
+}
+
+func newProcess(plan *Plan, one node, folder string, starter *starter) *process {
+	return &process{node: one, starter: starter, program: filepath.Join(plan.Programs, one.role), log: filepath.Join(folder, one.name+".log")}
+}
