lemonarch lots: hand in, follow, read and end lots

Why: users had no client for lots. A lot is sent again unchanged, to the next node, after anything unclear, and is called refused only where every try was.

--- /dev/null
+++ b/cmd/lemonarch/lots.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lemonarch/internal/errand"
+	"lemonarch/internal/hopper"
+	"lemonarch/internal/sawhorse"
+	"lemonarch/internal/watch"
+)
+
+// lotFlags are what every call on a lot needs.
+type lotFlags struct {
+	edges []string
+	host  string
+	limit watch.Span
+}
+
+// lotsCommand is the client for lots.
+func lotsCommand() *cobra.Command {
+	flags := &lotFlags{}
+	group := &cobra.Command{Use: "lots", Short: "Hand in, follow, read and end lots"}
+	group.PersistentFlags().StringSliceVar(&flags.edges, "edge", nil, "addresses of edge nodes, host:port (several: the next is taken after a failure)")
+	group.PersistentFlags().StringVar(&flags.host, "host", sawhorse.Host, "host of the lots' route")
+	group.PersistentFlags().DurationVar(&flags.limit, "limit", time.Minute, "how long to try")
+	group.AddCommand(handInCommand(flags), followCommand(flags), readCommand(flags), endCommand(flags))
+	return group
+}
+
+// run gives a client and an errand that ends with the limit or a signal.
+func (flags *lotFlags) run(function func(until errand.Errand, client *hopper.Client) error) error {
+	if len(flags.edges) == 0 {
+		return coded{exitUnusable, "--edge is missing"}
+	}
+	for _, edge := range flags.edges {
+		if _, _, failure := net.SplitHostPort(edge); failure != nil {
+			return coded{exitUnusable, "--edge: " + strconv.Quote(edge) + " is no host:port"}
+		}
+	}
+	if flags.limit <= 0 {
+		return coded{exitUnusable, "--limit must be above 0"}
+	}
+	limited, release := errand.Timed(errand.Background(), flags.limit)
+	defer release()
+	until, halt := signal.NotifyContext(limited, syscall.SIGINT, syscall.SIGTERM)
+	defer halt()
+	failure := function(until, &hopper.Client{Edges: flags.edges, Host: flags.host})
+	if failure != nil {
+		if _, is := failure.(coded); is {
+			return failure
+		}
+		return coded{exitInvalid, oneLine(failure)}
+	}
+	return nil
+}
+
+func handInCommand(flags *lotFlags) *cobra.Command {
+	id, path, sample, follow := "", "/batch/lot", 0, false
+	command := &cobra.Command{Use: "hand-in [FILE]", Args: cobra.MaximumNArgs(1),
+		Short: "Hand in a lot from a file ({\"requests\":[...]}, as the protocol has it) or of samples",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if id == "" {
+				id = newID()
+			}
+			lot := sampleLot(id, sample)
+			switch {
+			case len(arguments) == 1 && sample > 0, len(arguments) == 0 && sample <= 0:
+				return coded{exitUnusable, "give either a FILE or --sample COUNT"}
+			case len(arguments) == 1:
+				text, failure := os.ReadFile(arguments[0])
+				if failure != nil {
+					return coded{exitUnusable, failure.Error()}
+				}
+				lot = hopper.Lot{}
+				if failure = json.Unmarshal(text, &lot); failure != nil {
+					return coded{exitUnusable, arguments[0] + ": " + oneLine(failure)}
+				}
+			}
+			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+				tries, failure := client.HandIn(until, id, path, lot)
+				if failure != nil {
+					return failure
+				}
+				fmt.Fprintf(command.ErrOrStderr(), "taken: lot=%s items=%d tries=%d\n", id, len(lot.Requests), tries)
+				if follow {
+					return followLot(command, until, client, id)
+				}
+				fmt.Fprintln(command.OutOrStdout(), id)
+				return nil
+			})
+		}}
+	command.Flags().StringVar(&id, "id", "", "id of the lot (default: drawn)")
+	command.Flags().StringVar(&path, "path", path, "path under the route's prefix")
+	command.Flags().IntVar(&sample, "sample", 0, "make a lot of so many sample items for the lab's own configuration")
+	command.Flags().BoolVar(&follow, "follow", false, "follow the lot to its end")
+	return command
+}
+
+func followCommand(flags *lotFlags) *cobra.Command {
+	return &cobra.Command{Use: "follow LOT", Args: cobra.ExactArgs(1), Short: "Follow a lot to its end, with progress",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+				return followLot(command, until, client, arguments[0])
+			})
+		}}
+}
+
+func followLot(command *cobra.Command, until errand.Errand, client *hopper.Client, id string) error {
+	begun, settled, abandoned := watch.Now(), 0, 0
+	failure := client.Follow(until, id, 0, func(page *hopper.Page) error {
+		for _, output := range page.Outputs {
+			if output.Phase == hopper.Settled {
+				settled++
+			} else {
+				abandoned++
+			}
+		}
+		if len(page.Outputs) > 0 || page.Sum == 0 {
+			fmt.Fprintf(command.OutOrStdout(), "lot=%s listed=%d/%d settled=%d abandoned=%d after=%s\n", id, page.Next, page.Sum, settled, abandoned,
+				watch.Now().Since(begun).Round(10*time.Millisecond))
+		}
+		return nil
+	})
+	if failure == nil && abandoned > 0 {
+		return coded{exitInvalid, fmt.Sprintf("lot %s is finished, abandoned=%d", id, abandoned)}
+	}
+	return failure
+}
+
+func readCommand(flags *lotFlags) *cobra.Command {
+	from := 0
+	command := &cobra.Command{Use: "read LOT", Args: cobra.ExactArgs(1), Short: "Print what is listed of a lot, one output a line, as JSON",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if from < 0 {
+				return coded{exitUnusable, "--from must not be below 0"}
+			}
+			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+				writer := json.NewEncoder(command.OutOrStdout())
+				for cursor := from; ; {
+					page, failure := client.Read(until, arguments[0], cursor, 0)
+					if failure != nil && hopper.Again(failure) && until.Err() == nil {
+						watch.Sleep(watch.Milliseconds(200))
+						continue
+					}
+					if failure != nil {
+						return failure
+					}
+					for _, output := range page.Outputs {
+						if failure = writer.Encode(output); failure != nil {
+							return failure
+						}
+					}
+					cursor = page.Next
+					if len(page.Outputs) == 0 {
+						fmt.Fprintf(command.ErrOrStderr(), "listed=%d sum=%d\n", cursor, page.Sum)
+						return nil
+					}
+				}
+			})
+		}}
+	command.Flags().IntVar(&from, "from", 0, "first position")
+	return command
+}
+
+func endCommand(flags *lotFlags) *cobra.Command {
+	return &cobra.Command{Use: "end LOT", Args: cobra.ExactArgs(1), Short: "End a lot: nothing more of it is run",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+				for {
+					failure := client.End(until, arguments[0])
+					if failure == nil {
+						fmt.Fprintln(command.OutOrStdout(), "ended: lot="+arguments[0])
+						return nil
+					}
+					if !hopper.Again(failure) || until.Err() != nil {
+						return failure
+					}
+					watch.Sleep(watch.Milliseconds(200))
+				}
+			})
+		}}
+}
+
+func newID() string {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
+
+// sampleLot makes items that the lab's own configuration can run.
+func sampleLot(id string, count int) hopper.Lot {
+	lot := hopper.Lot{}
+	for number := 0; number < count; number++ {
+		lot.Requests = append(lot.Requests, hopper.Item{ID: id + "-" + strconv.Itoa(number), Path: "/batch/" + strconv.Itoa(number), Tokens: 640,
+			Body: []byte("sample " + strconv.Itoa(number)), Headers: map[string]string{"Lemonarch-Model": sawhorse.ModelName,
+				"Lemonarch-Token-Count": "600,40", "Lemonarch-Prompt-Prefix": fmt.Sprintf("5a5a:400,%x:200", 0x10000+number)}})
+	}
+	return lot
+}
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -1,5 +1,5 @@
-// Command lemonarch is the operator's desk: it checks files, asks the fleet for its
-// state, and imports routes.
+// Command lemonarch is the desk of operators and users: it checks files, asks the fleet for its
+// state, imports routes, handles lots, and tries all of it in a lab on one machine.
 package main
 
 import (
@@ -24,10 +24,10 @@
 func (one coded) Error() string { return one.text }
 
 func main() {
-	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes",
+	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, try it all in a lab",
 		SilenceUsage: true, SilenceErrors: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand())
+	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand(), lotsCommand())
 	if failure := root.Execute(); failure != nil {
 		fmt.Fprintln(os.Stderr, "lemonarch: "+failure.Error())
 		code := exitUnusable
--- a/internal/almanac/lab.go
+++ b/internal/almanac/lab.go
@@ -59,6 +59,14 @@
 	// LabDrainMs: drain-ms of a fleet's settings.
 	LabDrainMs = 2000
 
+	// LotAnswerLimit: the largest answer read; a page holds 1 MB of texts (protocol),
+	// and a text may grow sixfold as JSON.
+	LotAnswerLimit = 8 << 20
+	// LotCallTime: how long a call on a lot may take before it is made elsewhere.
+	LotCallTime = 5 * time.Second
+	// LotReadSlack: how much longer than it allows a reader waits (protocol).
+	LotReadSlack = 1500 * time.Millisecond
+
 	// LoadCount, LoadTime, LoadRate: bounds of one load run.
 	LoadCount = 1_000_000
 	LoadTime  = time.Hour
--- /dev/null
+++ b/internal/hopper/hopper.go
@@ -0,0 +1,245 @@
+// Package hopper is a client for lots: it hands them in, reads and follows them, and
+// ends them, by the calls that any edge node takes.
+package hopper
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/errand"
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/watch"
+)
+
+// The mishaps of calls on lots.
+var (
+	// Unheard: nothing clear came back; the call may be made again, elsewhere.
+	Unheard = mishap.Define("no clear answer")
+	// Refused: it is promised that nothing of the lot runs.
+	Refused = mishap.Define("lot refused")
+	// Wrong: the call will not be taken the next time either.
+	Wrong = mishap.Define("call not taken")
+	// Spoilt: the answer is not what the protocol says.
+	Spoilt = mishap.Define("answer spoilt")
+)
+
+// Item is one request of a lot.
+type Item struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    []byte            `json:"body"`
+	Tokens  int64             `json:"tokens"`
+}
+
+// Lot is many requests that are handed in at once; at most 200.
+type Lot struct {
+	Requests []Item `json:"requests"`
+}
+
+// Output is the result of one item.
+type Output struct {
+	ID    string `json:"id"`
+	Phase string `json:"phase"`
+	Text  string `json:"text"`
+}
+
+// Settled and Abandoned are the phases of an output.
+const (
+	Settled   = "settled"
+	Abandoned = "abandoned"
+)
+
+// Page is what one read gives.
+type Page struct {
+	Sum     int      `json:"sum"`
+	Next    int      `json:"next-token"`
+	Outputs []Output `json:"outputs"`
+}
+
+// Client calls the edge nodes of a fleet, each call on a new connection.
+type Client struct {
+	// Edges are addresses, host:port; the next is taken after a failure.
+	Edges []string
+	// Host is that of the lots' route.
+	Host string
+	turn int
+	// Transport may be replaced in tests.
+	Transport http.RoundTripper
+	// Pause waits between two tries; nil is a real wait.
+	Pause func(watch.Span)
+}
+
+func (client *Client) pause(span watch.Span) {
+	if client.Pause != nil {
+		client.Pause(span)
+		return
+	}
+	watch.Sleep(span)
+}
+
+type answer struct {
+	status int
+	body   []byte
+	after  watch.Span
+}
+
+func (client *Client) call(until errand.Errand, method, path string, header map[string]string, body []byte, limit watch.Span) (answer, error) {
+	limited, release := errand.Timed(until, limit)
+	defer release()
+	edge := client.Edges[client.turn%len(client.Edges)]
+	request, failure := http.NewRequestWithContext(limited, method, "http://"+edge+path, bytes.NewReader(body))
+	if failure != nil {
+		return answer{}, Wrong.Wrap(failure, path)
+	}
+	request.Host, request.Close = client.Host, true
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	transport := client.Transport
+	if transport == nil {
+		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	}
+	got, failure := transport.RoundTrip(request)
+	if failure != nil {
+		client.turn++
+		return answer{}, Unheard.Wrap(failure, edge)
+	}
+	defer got.Body.Close()
+	text, failure := io.ReadAll(io.LimitReader(got.Body, almanac.LotAnswerLimit))
+	if failure != nil {
+		client.turn++
+		return answer{}, Unheard.Wrap(failure, edge)
+	}
+	if got.StatusCode >= 500 || got.StatusCode == http.StatusTooManyRequests {
+		client.turn++
+	}
+	seconds, _ := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+	return answer{got.StatusCode, text, watch.Milliseconds(max(seconds, 0) * 1000)}, nil
+}
+
+// HandIn sends a lot under its id until it is taken or the errand ends. What may
+// have been taken is sent again unchanged: the system takes it once.
+func (client *Client) HandIn(until errand.Errand, id, path string, lot Lot) (tries int, failure error) {
+	if len(lot.Requests) == 0 || len(lot.Requests) > almanac.LotItems {
+		return 0, Wrong.New("a lot holds 1 to " + strconv.Itoa(almanac.LotItems) + " items")
+	}
+	body, failure := json.Marshal(lot)
+	if failure != nil {
+		return 0, Wrong.Wrap(failure, "lot")
+	}
+	maybe := false
+	for {
+		tries++
+		got, failure := client.call(until, http.MethodPost, path, map[string]string{"Lemonarch-Attempt-Id": id, "Content-Type": "application/json"}, body, almanac.LotCallTime)
+		pause := max(got.after, almanac.LabRetry)
+		switch {
+		case failure != nil:
+			maybe = true
+		case got.status == http.StatusAccepted:
+			return tries, nil
+		case got.status == http.StatusTooManyRequests || got.status == http.StatusServiceUnavailable:
+			failure = Refused.New(strconv.Itoa(got.status))
+		case got.status >= 400 && got.status < 500:
+			return tries, Wrong.New(strconv.Itoa(got.status) + " " + string(got.body))
+		default:
+			maybe = true
+			failure = Unheard.New(strconv.Itoa(got.status))
+		}
+		if until.Err() == nil {
+			client.pause(pause)
+		}
+		if until.Err() != nil {
+			if maybe {
+				// One unclear answer is enough: nothing may be said of the lot.
+				return tries, Unheard.New("the lot may have been taken; the last try: " + failure.Error())
+			}
+			return tries, failure
+		}
+	}
+}
+
+// Read gives one page from a position on; hold lets the system wait for an output.
+func (client *Client) Read(until errand.Errand, id string, cursor int, hold watch.Span) (*Page, error) {
+	header := map[string]string{}
+	if hold > 0 {
+		header["Lemonarch-Hold-Ms"] = strconv.FormatInt(hold.Milliseconds(), 10)
+	}
+	got, failure := client.call(until, http.MethodGet, "/-/lots/"+url.PathEscape(id)+"?page-cursor="+strconv.Itoa(cursor), header, nil, hold+almanac.LotReadSlack)
+	if failure != nil {
+		return nil, failure
+	}
+	if failure = client.clear(got, id); failure != nil {
+		return nil, failure
+	}
+	page := &Page{}
+	if failure = json.Unmarshal(got.body, page); failure != nil {
+		return nil, Spoilt.Wrap(failure, "page of lot "+id)
+	}
+	if page.Next != cursor+len(page.Outputs) || page.Next > page.Sum {
+		return nil, Spoilt.New("page of lot " + id + " does not add up")
+	}
+	return page, nil
+}
+
+// End ends a lot; calls may be repeated.
+func (client *Client) End(until errand.Errand, id string) error {
+	got, failure := client.call(until, http.MethodDelete, "/-/lots/"+url.PathEscape(id), nil, nil, almanac.LotCallTime)
+	if failure != nil {
+		return failure
+	}
+	return client.clear(got, id)
+}
+
+// Body gives the body of an item that is not listed yet.
+func (client *Client) Body(until errand.Errand, id, item string) ([]byte, error) {
+	got, failure := client.call(until, http.MethodGet, "/-/items/"+url.PathEscape(id)+"?id="+url.QueryEscape(item), nil, nil, almanac.LotCallTime)
+	if failure != nil {
+		return nil, failure
+	}
+	return got.body, client.clear(got, id)
+}
+
+func (client *Client) clear(got answer, id string) error {
+	switch {
+	case got.status == http.StatusOK:
+		return nil
+	case got.status >= 500 || got.status == http.StatusTooManyRequests || got.status == http.StatusRequestTimeout:
+		return Unheard.New(strconv.Itoa(got.status))
+	case got.status == http.StatusNotFound:
+		return Wrong.New("no lot " + id + " (404)")
+	}
+	return Wrong.New(strconv.Itoa(got.status) + " " + string(got.body))
+}
+
+// Again tells whether a call may be made again.
+func Again(failure error) bool { return mishap.Of(failure, Unheard) }
+
+// Follow reads a lot to its end and hands each page on; from is the first position.
+func (client *Client) Follow(until errand.Errand, id string, from int, each func(page *Page) error) error {
+	for cursor := from; ; {
+		page, failure := client.Read(until, id, cursor, time.Second)
+		if failure != nil {
+			if !Again(failure) || until.Err() != nil {
+				return failure
+			}
+			client.pause(almanac.LoadPollPause)
+			continue
+		}
+		if failure = each(page); failure != nil {
+			return failure
+		}
+		if cursor = page.Next; cursor >= page.Sum {
+			return nil
+		}
+		if until.Err() != nil {
+			return Unheard.Wrap(until.Err(), "lot "+id+" is not finished")
+		}
+	}
+}
--- /dev/null
+++ b/internal/hopper/hopper_test.go
@@ -0,0 +1,125 @@
+package hopper
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"lemonarch/internal/errand"
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/watch"
+)
+
+// script answers calls one after the other, without sockets.
+type script struct {
+	test  *testing.T
+	steps []func(request *http.Request, body []byte) (int, string)
+	calls int
+	hosts []string
+}
+
+func (script *script) RoundTrip(request *http.Request) (*http.Response, error) {
+	body, _ := io.ReadAll(request.Body)
+	if script.calls >= len(script.steps) {
+		script.test.Fatal("one call too many", request.Method, request.URL)
+	}
+	step := script.steps[script.calls]
+	script.calls++
+	script.hosts = append(script.hosts, request.URL.Host)
+	status, text := step(request, body)
+	if status == 0 {
+		return nil, io.ErrUnexpectedEOF
+	}
+	recorder := httptest.NewRecorder()
+	recorder.WriteHeader(status)
+	_, _ = recorder.WriteString(text)
+	return recorder.Result(), nil
+}
+
+func says(status int, text string) func(*http.Request, []byte) (int, string) {
+	return func(*http.Request, []byte) (int, string) { return status, text }
+}
+
+func client(test *testing.T, steps ...func(*http.Request, []byte) (int, string)) (*Client, *script) {
+	play := &script{test: test, steps: steps}
+	return &Client{Edges: []string{"a:1", "b:1"}, Host: "h", Transport: play, Pause: func(watch.Span) {}}, play
+}
+
+var oneItem = Lot{Requests: []Item{{ID: "i", Path: "/batch/1", Body: []byte{1, 2, 250}, Tokens: 3}}}
+
+// After an unclear answer the same lot goes to another node, unchanged.
+func TestHandInSendsTheSameElsewhere(test *testing.T) {
+	var first []byte
+	one, play := client(test,
+		func(_ *http.Request, body []byte) (int, string) { first = body; return 0, "" },
+		says(503, ""),
+		func(request *http.Request, body []byte) (int, string) {
+			var lot Lot
+			if string(body) != string(first) || json.Unmarshal(body, &lot) != nil || string(lot.Requests[0].Body) != "\x01\x02\xfa" ||
+				request.Host != "h" || request.Header.Get("Lemonarch-Attempt-Id") != "lot" {
+				test.Error("not the same lot", string(body))
+			}
+			return 202, ""
+		})
+	tries, failure := one.HandIn(errand.Background(), "lot", "/batch/x", oneItem)
+	if failure != nil || tries != 3 || play.hosts[0] == play.hosts[1] || play.hosts[1] == play.hosts[2] {
+		test.Fatal(tries, failure, play.hosts)
+	}
+}
+
+// Refused means that every try was refused: one unclear answer forbids to say so.
+func TestRefusedOnlyWhereEveryTryWas(test *testing.T) {
+	for _, unclear := range []bool{false, true} {
+		until, halt := errand.Stoppable(errand.Background())
+		status := 429
+		if unclear {
+			status = 504
+		}
+		one, _ := client(test, says(status, ""), func(*http.Request, []byte) (int, string) { halt(); return 429, "" })
+		_, failure := one.HandIn(until, "lot", "/batch/x", oneItem)
+		if mishap.Of(failure, Refused) == unclear || mishap.Of(failure, Unheard) != unclear {
+			test.Fatal(unclear, failure)
+		}
+	}
+}
+
+func TestWhatIsWrongIsNotSentAgain(test *testing.T) {
+	one, _ := client(test, says(400, "no"))
+	if _, failure := one.HandIn(errand.Background(), "lot", "/x", oneItem); !mishap.Of(failure, Wrong) {
+		test.Fatal(failure)
+	}
+	if _, failure := one.HandIn(errand.Background(), "lot", "/x", Lot{}); !mishap.Of(failure, Wrong) {
+		test.Fatal(failure)
+	}
+}
+
+func TestFollowReadsToTheEnd(test *testing.T) {
+	one, _ := client(test,
+		says(200, `{"sum":2,"next-token":1,"outputs":[{"id":"i","phase":"settled","text":"x"}]}`),
+		says(503, ""),
+		says(200, `{"sum":2,"next-token":1,"outputs":[]}`),
+		says(200, `{"sum":2,"next-token":2,"outputs":[{"id":"j","phase":"abandoned","text":""}]}`))
+	var seen []string
+	failure := one.Follow(errand.Background(), "lot", 0, func(page *Page) error {
+		for _, output := range page.Outputs {
+			seen = append(seen, output.ID+output.Phase)
+		}
+		return nil
+	})
+	if failure != nil || len(seen) != 2 || seen[1] != "jabandoned" {
+		test.Fatal(failure, seen)
+	}
+}
+
+func TestPageThatDoesNotAddUp(test *testing.T) {
+	one, _ := client(test, says(200, `{"sum":2,"next-token":2,"outputs":[{"id":"i","phase":"settled","text":"x"}]}`), says(404, ""))
+	if _, failure := one.Read(errand.Background(), "lot", 0, time.Second); !mishap.Of(failure, Spoilt) {
+		test.Fatal(failure)
+	}
+	if _, failure := one.Read(errand.Background(), "lot", 0, 0); !mishap.Of(failure, Wrong) {
+		test.Fatal(failure)
+	}
+}
