--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -26,6 +26,9 @@
 	// CallTime bounds an ordinary call between our processes (ours): under the
 	// second in which an outside caller moves on.
 	CallTime = 800 * time.Millisecond
+	// ReportTime bounds the periodic word with a foreman (ours): another one is asked
+	// then, well before the next period.
+	ReportTime = 400 * time.Millisecond
 	// StartPause is the pause between two tries of a starting process to learn what
 	// it needs (ours): each is time in which it can't serve.
 	StartPause = 40 * time.Millisecond
@@ -64,6 +67,9 @@
 	FarLinks = 2
 	// FarShuffle: one shuffle in so many leaves the hall (ours); those bytes are dear.
 	FarShuffle = 4
+	// DrawAfter is how long a foreman goes by what it reckoned of whom a process should
+	// know, while nobody came or went (ours).
+	DrawAfter = 5 * time.Second
 	// FreshReport is the age below which a foreman tells a process as just heard (ours):
 	// a report a second, and a word between foremen.
 	FreshReport = 1800 * time.Millisecond
