Acceptors bear a budget of two: the set grows to its size before anything is told

Cause: with a budget of two a set has five members, but the seeds are three; what was acknowledged among those three could be lost with two of them. Several newcomers that saw the same gap could also make the set larger than its size. A foreman without data-dir failed at once (mkdir of an empty path).

Change: the decision on the set is a step function (vise.Tending). Join takes nobody into a set that has its size. A foreman without a disk runs, answers and has no vote; a seat that the seed list gave to one goes to a machine with a disk, and nothing is told before.

The calls of vise.Join in existing tests got the size (3) as an argument.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -71,6 +71,10 @@
 	// HistoryLength is how many acknowledged versions the register remembers, so
 	// that a call resent after an unclear answer is known again.
 	HistoryLength = 32
+	// GrowTime is how long after its start a foreman holds acknowledgements back while
+	// the set of acceptors can't yet bear the fault budget and others could join it
+	// (ours): joining takes well under a second each.
+	GrowTime = 10 * time.Second
 	// HoldTime is the length of a hold on a duty (ours): long enough for a slow
 	// sync, short enough that lots wait little after a crash.
 	HoldTime = time.Second
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -134,8 +134,8 @@
 			need(addressValid(settings.Bind.Ingress), "bind-addresses.ingress is missing or no address")
 			need(addressValid(settings.Bind.Readiness), "bind-addresses.readiness is missing or no address")
 		case "controller":
+			// Without data-dir it answers calls and has no vote.
 			need(addressValid(settings.Bind.Control), "bind-addresses.control is missing or no address")
-			need(settings.DataDir != "", "data-dir is missing")
 		case "storage":
 			need(settings.DataDir != "", "data-dir is missing")
 		}
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -139,6 +139,17 @@
 	version := pattern.Version{Generation: config.Generation, Base: base, Hash: jig.Hash(body)}
 	var outcome vise.Outcome
 	value, failure := foreman.Register.Change(vise.Replace(version, body, &outcome))
+	stands := func() bool { return outcome == vise.OutcomeTaken || outcome == vise.OutcomeAlready }
+	for end := watch.Now().Plus(almanac.CallTime); failure == nil && stands() && !foreman.bears(&value); {
+		if watch.Now() > end {
+			reply.Reason(writer, http.StatusGatewayTimeout, "the set of acceptors is still growing")
+			return
+		}
+		// It stands, yet two losses could take it away again: told only once the set
+		// is whole, which takes the value along.
+		watch.Sleep(almanac.TickPeriod)
+		value, failure = foreman.Register.Change(vise.Replace(version, body, &outcome))
+	}
 	if failure != nil {
 		// Not in force for certain only without a second round; both are 5xx, and
 		// neither is a refusal.
@@ -146,7 +157,7 @@
 		reply.Reason(writer, http.StatusGatewayTimeout, failure.Error())
 		return
 	}
-	foreman.chosen(value, outcome == vise.OutcomeTaken || outcome == vise.OutcomeAlready)
+	foreman.chosen(value, stands())
 	switch outcome {
 	case vise.OutcomeTaken, vise.OutcomeAlready:
 		foreman.Stand.Log.Info("configuration acknowledged", "generation", config.Generation)
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
-	"os"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,7 +19,6 @@
 	"lemonarch/internal/tongs"
 	"lemonarch/internal/trestle"
 	"lemonarch/internal/watch"
-	"lemonarch/internal/whetstone"
 )
 
 // firstDisk is the identity of every seed's disk at the system's first start, so
@@ -45,8 +43,9 @@
 
 // New opens the disk and prepares the process.
 func New(settings *boot.Boot, log hclog.Logger) (*Foreman, error) {
-	if failure := os.MkdirAll(settings.DataDir, 0o755); failure != nil {
-		return nil, Damaged.Wrap(failure, "data-dir")
+	disk, failure := openDisk(settings)
+	if failure != nil {
+		return nil, failure
 	}
 	identity := randomName()
 	var first []pattern.Member
@@ -59,7 +58,7 @@
 			}
 		}
 	}
-	register, failure := OpenRegister(whetstone.Folder(settings.DataDir), first, identity)
+	register, failure := OpenRegister(disk, first, identity)
 	if failure != nil {
 		return nil, failure
 	}
@@ -67,11 +66,16 @@
 	if failure != nil {
 		return nil, failure
 	}
-	kept, workers, failure := openMemory(whetstone.Folder(settings.DataDir))
+	kept, workers, failure := openMemory(disk)
 	if failure != nil {
 		return nil, failure
 	}
-	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, register.acceptor.Disk(), log)
+	told := register.acceptor.Disk()
+	if !votes(settings) {
+		// Told so, that those with a disk take the place that a seed list gave us.
+		told = ""
+	}
+	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, told, log)
 	register.stand = stand
 	foreman := &Foreman{Stand: stand, Register: register, caliper: checker, roster: roster.New(settings.Heartbeat()),
 		beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}, begun: watch.Now(), memory: kept}
--- a/internal/foreman/register.go
+++ b/internal/foreman/register.go
@@ -143,7 +143,7 @@
 // Identity is this process as an acceptor.
 func (register *Register) Identity() pattern.Member {
 	own := register.stand.Own
-	return pattern.Member{Name: own.Name, Disk: own.Disk, Address: own.Address, Hall: own.Hall}
+	return pattern.Member{Name: own.Name, Disk: register.acceptor.Disk(), Address: own.Address, Hall: own.Hall}
 }
 
 // Hold answers a candidate for a duty.
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -81,16 +81,19 @@
 	trestle.answerers[kind] = answerer
 }
 
+// Handle answers one call; what nobody answers is a later version's, skipped and
+// counted by the transport.
+func (trestle *Trestle) Handle(kind pattern.Kind, body []byte) ([]byte, error) {
+	answerer := trestle.answerers[kind]
+	if answerer == nil {
+		return nil, nil
+	}
+	return answerer(body)
+}
+
 // Start serves calls and begins the loops.
 func (trestle *Trestle) Start() error {
-	failure := trestle.Wire.Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
-		answerer := trestle.answerers[kind]
-		if answerer == nil {
-			// A later version's call: skipped, and counted by the transport.
-			return nil, nil
-		}
-		return answerer(body)
-	})
+	failure := trestle.Wire.Serve(trestle.Handle)
 	if failure != nil {
 		return Unable.Wrap(failure, "serve")
 	}
--- a/internal/vise/register_test.go
+++ b/internal/vise/register_test.go
@@ -29,6 +29,10 @@
 	test    *testing.T
 	// slow is how many ms a sync may take beyond the usual.
 	slow float64
+	// size, where it is set, is how many acceptors bear the fault budget: nothing
+	// is acknowledged in a smaller set. told hears of each acknowledgement.
+	size int
+	told func(generation int64)
 }
 
 // synced runs a function once a disk has synced.
@@ -87,7 +91,7 @@
 // change drives one change from a node; ended is called once with the outcome.
 func (one *fleet) change(from string, change vise.Change, tries int, ended func(value pattern.Register, done bool)) {
 	node := one.foremen[from]
-	if node.down || tries == 0 {
+	if node == nil || node.down || tries == 0 {
 		ended(pattern.Register{}, false)
 		return
 	}
@@ -171,12 +175,19 @@
 			return
 		}
 		one.world.Note("%s %d on %d: %d", from, generation, base, outcome)
+		if one.size > 0 && !vise.Bears(&value, one.size, len(one.foremen)-len(value.Acceptors)) {
+			// Not told yet: two losses could take it away again.
+			return
+		}
 		if outcome == vise.OutcomeTaken || outcome == vise.OutcomeAlready {
 			if other, known := one.onBase[base]; known && other != generation {
 				one.test.Fatalf("two changes on base %d acknowledged: %d and %d", base, other, generation)
 			}
 			one.onBase[base] = generation
 			one.acked[generation] = mark
+			if one.told != nil {
+				one.told(generation)
+			}
 		}
 	})
 }
--- a/internal/vise/set.go
+++ b/internal/vise/set.go
@@ -4,13 +4,18 @@
 
 // Join gives a change of the acceptor set by which a newcomer takes the place of
 // a member, or a new place where out is nil. The old set stays beside the new
-// one until Settle, so that majorities of both must agree in between.
-func Join(newcomer pattern.Member, out *pattern.Member) Change {
+// one until Settle, so that majorities of both must agree in between. A set that
+// has its size takes nobody without giving somebody up: several newcomers may have
+// seen the same gap.
+func Join(newcomer pattern.Member, out *pattern.Member, size int) Change {
 	return func(current pattern.Register) (pattern.Register, Verdict) {
 		if len(current.Previous) > 0 {
 			// One change at a time.
 			return current, VerdictKeep
 		}
+		if out == nil && len(current.Acceptors) >= size {
+			return current, VerdictKeep
+		}
 		var next []pattern.Member
 		removed := false
 		for _, member := range current.Acceptors {
--- /dev/null
+++ b/internal/vise/tend.go
@@ -0,0 +1,65 @@
+package vise
+
+import "lemonarch/internal/pattern"
+
+// Tending is what a process knows when it looks after the acceptor set.
+type Tending struct {
+	Own pattern.Member
+	// Votes says that this process may take a place: it has a disk of its own.
+	Votes bool
+	// Size is how many members bear the loss of the fault budget (2f + 1).
+	Size int
+	// Blank says of a member that it has no disk, and Gone that it was silent for
+	// long; Gone is asked only where nothing else is to be done.
+	Blank func(member pattern.Member) bool
+	Gone  func(member pattern.Member) bool
+}
+
+// Step gives the change of the set that this process should propose, or nil. Each
+// process proposes only itself, and one change at a time.
+func (tending Tending) Step(known pattern.Register) Change {
+	if len(known.Acceptors) == 0 {
+		return nil
+	}
+	if len(known.Previous) > 0 {
+		// Somebody's change was left half done.
+		return Settle
+	}
+	if !tending.Votes {
+		return nil
+	}
+	var blank *pattern.Member
+	for index := range known.Acceptors {
+		member := known.Acceptors[index]
+		if Identity(member) == Identity(tending.Own) {
+			return nil
+		}
+		if member.Address == tending.Own.Address {
+			// The same machine with another disk: that member has no memory left.
+			return Join(tending.Own, &member, tending.Size)
+		}
+		if blank == nil && tending.Blank != nil && tending.Blank(member) {
+			blank = &member
+		}
+	}
+	if blank != nil {
+		return Join(tending.Own, blank, tending.Size)
+	}
+	if len(known.Acceptors) < tending.Size {
+		return Join(tending.Own, nil, tending.Size)
+	}
+	for index := range known.Acceptors {
+		if member := known.Acceptors[index]; tending.Gone(member) {
+			return Join(tending.Own, &member, tending.Size)
+		}
+	}
+	return nil
+}
+
+// Bears tells whether the loss of the fault budget leaves a majority: what a
+// smaller set acknowledged could be lost within the budget. Others is how many
+// processes with a disk stand outside and could still join.
+func Bears(value *pattern.Register, size, others int) bool {
+	whole := min(size, len(value.Acceptors)+others)
+	return len(value.Acceptors) >= whole && (len(value.Previous) == 0 || len(value.Previous) >= whole)
+}
--- a/internal/vise/trouble_test.go
+++ b/internal/vise/trouble_test.go
@@ -88,7 +88,7 @@
 	// a takes its own place again under its new identity, then counts.
 	joined := false
 	old := pattern.Member{Address: "a", Disk: "first"}
-	one.change("a", vise.Join(one.foremen["a"].member, &old), 10, func(_ pattern.Register, done bool) { joined = done })
+	one.change("a", vise.Join(one.foremen["a"].member, &old, 3), 10, func(_ pattern.Register, done bool) { joined = done })
 	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
 	settled := false
 	one.change("a", vise.Settle, 10, func(value pattern.Register, done bool) { settled = done && len(value.Previous) == 0 })
@@ -212,7 +212,7 @@
 			for _, name := range names {
 				if !voting[name] && len(known) == 3 {
 					out := known[one.world.Random.Intn(3)]
-					one.change(name, vise.Join(one.foremen[name].member, &out), 10, func(_ pattern.Register, done bool) {
+					one.change(name, vise.Join(one.foremen[name].member, &out, 3), 10, func(_ pattern.Register, done bool) {
 						if done {
 							joins++
 							one.change(name, vise.Settle, 10, func(pattern.Register, bool) {})
