One-way messages between our processes

Gossip needs no answer: half the frames and a wake-up less at each end. A frame of a new sort; versions that do not know it skip and count it.

--- a/internal/tongs/frame.go
+++ b/internal/tongs/frame.go
@@ -16,6 +16,7 @@
 	sortCall    = 1
 	sortAnswer  = 2
 	sortUnknown = 3
+	sortTell    = 4
 )
 
 type frame struct {
--- a/internal/tongs/memory.go
+++ b/internal/tongs/memory.go
@@ -65,9 +65,7 @@
 
 // Call runs the other side's handler at once.
 func (twin *Twin) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
-	twin.room.lock.Lock()
-	handler, silent := twin.room.handlers[address], twin.room.cut[address] || twin.room.cut[twin.own]
-	twin.room.lock.Unlock()
+	handler, silent := twin.reach(address)
 	if handler == nil {
 		return nil, Unreached.New(address)
 	}
@@ -101,6 +99,12 @@
 	}
 }
 
+func (twin *Twin) reach(address string) (handler Handler, silent bool) {
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	return twin.room.handlers[address], twin.room.cut[address] || twin.room.cut[twin.own]
+}
+
 // Close takes the handler out of the room.
 func (twin *Twin) Close() {
 	twin.room.lock.Lock()
--- a/internal/tongs/wire.go
+++ b/internal/tongs/wire.go
@@ -88,6 +88,14 @@
 			return
 		}
 		wire.meter.received(one.kind, caller, len(one.body))
+		if one.sort == sortTell {
+			go func() {
+				if body, failure := handler(one.kind, one.body); failure != nil || body == nil {
+					wire.unknown.Add(1)
+				}
+			}()
+			continue
+		}
 		if one.sort != sortCall {
 			wire.unknown.Add(1)
 			continue
@@ -112,14 +120,18 @@
 
 // Call sends one call and waits.
 func (wire *Wire) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+	return wire.peer(address).call(frame{sort: sortCall, kind: kind, number: wire.number.Add(1), body: body}, span)
+}
+
+func (wire *Wire) peer(address string) *peer {
 	wire.lock.Lock()
+	defer wire.lock.Unlock()
 	one := wire.peers[address]
 	if one == nil {
 		one = &peer{address: address, wire: wire}
 		wire.peers[address] = one
 	}
-	wire.lock.Unlock()
-	return one.call(frame{sort: sortCall, kind: kind, number: wire.number.Add(1), body: body}, span)
+	return one
 }
 
 // Close ends the listener and all connections.
