--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -7,30 +7,20 @@
 	"strings"
 
 	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 )
 
-// headerFresh is how long a load told in an answer is better than gossip (ours):
-// a few requests' length.
-const headerFresh = 350 * 1_000_000
-
-type peerWord struct {
-	live, bulk int
-	suspect    bool
-	at         watch.Moment
-}
-
 // Vitals is what is known of one worker.
 type Vitals struct {
 	live, bulk   int
 	pending      int64
 	unread       int
 	peersRead    watch.Moment
-	told         int
-	toldAt       watch.Moment
-	toldOwn      int
-	peers        map[string]peerWord
+	seen         observation
+	steps        [ownSteps]ownStep
+	stepped      int
+	full         observation
+	suspects     map[string]watch.Moment
 	suspectUntil watch.Moment
 	tookMs       float64
 	failures     int64
@@ -49,7 +39,7 @@
 func (gauge *Gauge) Of(worker string) *Vitals {
 	vitals := gauge.workers[worker]
 	if vitals == nil {
-		vitals = &Vitals{peers: map[string]peerWord{}}
+		vitals = &Vitals{}
 		gauge.workers[worker] = vitals
 	}
 	return vitals
@@ -59,7 +49,7 @@
 func (gauge *Gauge) Forget(worker string) { delete(gauge.workers, worker) }
 
 // Begin notes a request of ours on its way.
-func (vitals *Vitals) Begin(bulk bool, fresh int) {
+func (vitals *Vitals) Begin(bulk bool, fresh int, now watch.Moment) {
 	if bulk {
 		vitals.bulk++
 	} else {
@@ -67,6 +57,7 @@
 	}
 	vitals.pending += int64(fresh)
 	vitals.unread++
+	vitals.step(now)
 }
 
 // Read notes that a prompt was read: its first event has come.
@@ -93,12 +84,13 @@
 }
 
 // End notes that a request of ours is over.
-func (vitals *Vitals) End(bulk bool) {
+func (vitals *Vitals) End(bulk bool, now watch.Moment) {
 	if bulk {
 		vitals.bulk--
 	} else {
 		vitals.live--
 	}
+	vitals.step(now)
 }
 
 // Own is how many requests of ours are there.
@@ -107,21 +99,6 @@
 // OwnBulk is how many of them are items of lots.
 func (vitals *Vitals) OwnBulk() int { return vitals.bulk }
 
-// Weight is what we tell peers.
-func (vitals *Vitals) Weight(worker string, now watch.Moment) pattern.Weight {
-	return pattern.Weight{ID: worker, Live: vitals.live, Bulk: vitals.bulk, Suspect: now < vitals.suspectUntil}
-}
-
-// Idle tells that there is nothing to tell.
-func (vitals *Vitals) Idle(now watch.Moment) bool {
-	return vitals.live == 0 && vitals.bulk == 0 && now >= vitals.suspectUntil
-}
-
-// Peer takes a peer's word.
-func (vitals *Vitals) Peer(peer string, weight pattern.Weight, now watch.Moment) {
-	vitals.peers[peer] = peerWord{live: weight.Live, bulk: weight.Bulk, suspect: weight.Suspect, at: now}
-}
-
 // Load takes the load header of an answer: running, waiting, slots.
 func (vitals *Vitals) Load(header string, now watch.Moment) {
 	fields := strings.Split(header, ",")
@@ -133,32 +110,7 @@
 	if first != nil || second != nil {
 		return
 	}
-	vitals.told, vitals.toldAt, vitals.toldOwn = running+waiting, now, vitals.Own()
-}
-
-// Running estimates how many requests of all nodes are at the worker.
-func (vitals *Vitals) Running(now watch.Moment) int {
-	count := vitals.Own()
-	if vitals.toldAt > 0 && now.Since(vitals.toldAt) < headerFresh {
-		return max(count, vitals.told+count-vitals.toldOwn)
-	}
-	for _, word := range vitals.peers {
-		if now.Since(word.at) < almanac.GossipStale {
-			count += word.live + word.bulk
-		}
-	}
-	return count
-}
-
-// Bulk estimates how many of them are items of lots.
-func (vitals *Vitals) Bulk(now watch.Moment) int {
-	count := vitals.bulk
-	for _, word := range vitals.peers {
-		if now.Since(word.at) < almanac.GossipStale {
-			count += word.bulk
-		}
-	}
-	return count
+	vitals.observe(running+waiting, now)
 }
 
 // Failed notes a reset, a refusal to connect, or silence.
@@ -180,16 +132,7 @@
 
 // Suspect tells whether the worker has just failed, here or at several peers.
 func (vitals *Vitals) Suspect(now watch.Moment) bool {
-	if now < vitals.suspectUntil {
-		return true
-	}
-	count := 0
-	for _, word := range vitals.peers {
-		if word.suspect && now.Since(word.at) < almanac.GossipPeriod+almanac.GossipPeriod/2 {
-			count++
-		}
-	}
-	return count >= 2
+	return now < vitals.suspectUntil || vitals.suspected(now)
 }
 
 // TookMs is the usual time of an answer.
@@ -200,5 +143,7 @@
 
 // Full notes that the worker turned a request away for want of room.
 func (vitals *Vitals) Full(capacity int, now watch.Moment) {
-	vitals.told, vitals.toldAt, vitals.toldOwn = max(capacity+almanac.RoomAhead, vitals.told), now, vitals.Own()
+	// Our own finding, for a moment: it may be our connections that are spent, so
+	// peers are not told.
+	vitals.full = observation{known: true, count: capacity + almanac.RoomAhead, at: now, own: vitals.Own()}
 }
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -3,13 +3,14 @@
 package jointer
 
 import (
+	"sync"
+
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/carriage"
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/jig"
 	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
 	"lemonarch/internal/trestle"
 	"lemonarch/internal/watch"
 	"lemonarch/internal/workbench"
@@ -24,6 +25,10 @@
 	alerted bool
 	logged  map[string]int64
 	tables  tables
+
+	lock     sync.Mutex
+	circle   circle
+	passedAt watch.Moment
 }
 
 // New makes the placing part and registers what it answers.
@@ -70,67 +75,3 @@
 	}
 	return max(share, almanac.LeastPipes)
 }
-
-func (jointer *Jointer) gossiped(body []byte) ([]byte, error) {
-	packet := &pattern.Gossip{}
-	if failure := tongs.Read(body, packet); failure != nil {
-		return nil, failure
-	}
-	jointer.Bench.Heard(packet, watch.Now())
-	jointer.Stand.Touched(packet.From)
-	jointer.Stand.SawGeneration(packet.Generation)
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-// press tells at once that requests wait here, so that work of a lower rank makes
-// room on every node well before the next gossip.
-func (jointer *Jointer) press(words []pattern.Pressure) {
-	peers := append(jointer.Stand.Live(bellows.RoleLocker), jointer.Stand.Live(bellows.RoleForge)...)
-	told := &pattern.PressureTold{From: bellows.Key(jointer.Stand.Own), Words: words}
-	go jointer.Stand.Spread(peers, pattern.KindPressure, told, almanac.CallTime, nil)
-}
-
-func (jointer *Jointer) pressed(body []byte) ([]byte, error) {
-	told := &pattern.PressureTold{}
-	if failure := tongs.Read(body, told); failure != nil {
-		return nil, failure
-	}
-	sharers := 1
-	if jointer.Stand.Own.Role == bellows.RoleForge {
-		sharers = len(jointer.Stand.Live(bellows.RoleForge)) + 1
-	}
-	jointer.Bench.Pressed(told, sharers, watch.Now())
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-// tellReading tells peers at once that a worker reads a long prompt.
-func (jointer *Jointer) tellReading(worker string, milliseconds float64) {
-	told := &pattern.ReadingTold{From: bellows.Key(jointer.Stand.Own), Worker: worker, Reading: milliseconds}
-	go func() {
-		peers := append(jointer.Stand.Live(bellows.RoleForge), jointer.Stand.Live(bellows.RoleLocker)...)
-		jointer.Stand.Spread(peers, pattern.KindReading, told, almanac.CallTime, nil)
-	}()
-}
-
-func (jointer *Jointer) reads(body []byte) ([]byte, error) {
-	told := &pattern.ReadingTold{}
-	if failure := tongs.Read(body, told); failure != nil {
-		return nil, failure
-	}
-	jointer.Bench.PeerReads(told, watch.Now())
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-// gossip tells utilization and weights to the peers that place work.
-func (jointer *Jointer) gossip() {
-	packet := jointer.Bench.Gossip(watch.Now())
-	packet.Generation = jointer.Stand.Generation()
-	peers := append(jointer.Stand.Live(bellows.RoleForge), jointer.Stand.Live(bellows.RoleLocker)...)
-	jointer.Stand.Spread(peers, pattern.KindGossip, packet, almanac.CallTime, nil)
-	placements, downgrades, alert := jointer.Bench.Alert()
-	if alert && !jointer.alerted {
-		jointer.Stand.Log.Warn("residency downgrades above threshold", "residency_route_downgrades", downgrades, "placements", placements)
-	}
-	jointer.alerted = alert
-	jointer.logDisplacement()
-}
--- /dev/null
+++ b/internal/jointer/words.go
@@ -0,0 +1,126 @@
+package jointer
+
+import (
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// tell sends one way; each in its own goroutine, since one that must be dialled must
+// not hold the others up.
+func (jointer *Jointer) tell(entries []pattern.Entry, kind pattern.Kind, message tongs.Writable) {
+	for _, entry := range entries {
+		go func() { _ = tongs.Tell(jointer.Stand.Wire, entry.Address, kind, message) }()
+	}
+}
+
+// gossip tells what changed most to a few neighbours, and now and then to another hall.
+func (jointer *Jointer) gossip() {
+	packet := jointer.Bench.Gossip(watch.Now())
+	packet.Generation = jointer.Stand.Generation()
+	circle := jointer.lookAround()
+	told := circle.gossip
+	if entry, drawn := circle.across(draw); drawn {
+		told = append(told[:len(told):len(told)], entry)
+	}
+	jointer.tell(told, pattern.KindGossip, packet)
+	placements, downgrades, alert := jointer.Bench.Alert()
+	if alert && !jointer.alerted {
+		jointer.Stand.Log.Warn("residency downgrades above threshold", "residency_route_downgrades", downgrades, "placements", placements)
+	}
+	jointer.alerted = alert
+	jointer.logDisplacement()
+}
+
+func (jointer *Jointer) gossiped(body []byte) ([]byte, error) {
+	packet := &pattern.Gossip{}
+	if failure := tongs.Read(body, packet); failure != nil {
+		return nil, failure
+	}
+	jointer.Bench.Heard(packet, watch.Now())
+	jointer.Stand.Touched(packet.From)
+	jointer.Stand.SawGeneration(packet.Generation)
+	return tongs.Write(&pattern.Nothing{Taken: true})
+}
+
+// press tells at once that requests wait here, so that work of a lower rank makes
+// room well before the next gossip: a few lockers, which pass it on among themselves,
+// and the neighbours.
+func (jointer *Jointer) press(words []pattern.Pressure) {
+	circle := jointer.about()
+	told := &pattern.PressureTold{From: bellows.Key(jointer.Stand.Own), Words: words, Hops: almanac.PressureHops}
+	jointer.tell(someLockers(circle.near, circle.far, draw), pattern.KindPressure, told)
+	shared := *told
+	shared.Hops, shared.Sharers = 0, len(circle.forges)+1
+	jointer.tell(circle.forges, pattern.KindPressure, &shared)
+}
+
+func (jointer *Jointer) pressed(body []byte) ([]byte, error) {
+	told := &pattern.PressureTold{}
+	if failure := tongs.Read(body, told); failure != nil {
+		return nil, failure
+	}
+	now := watch.Now()
+	jointer.Bench.Pressed(told, max(told.Sharers, 1), now)
+	if told.Hops > 0 && jointer.mayPass(now) {
+		circle := jointer.about()
+		further := *told
+		further.Hops = told.Hops - 1
+		jointer.tell(someLockers(circle.near, circle.far, draw), pattern.KindPressure, &further)
+	}
+	return tongs.Write(&pattern.Nothing{Taken: true})
+}
+
+// mayPass bounds how much of others' pressure a process passes on, whatever their
+// number.
+func (jointer *Jointer) mayPass(now watch.Moment) bool {
+	jointer.lock.Lock()
+	defer jointer.lock.Unlock()
+	if jointer.passedAt != 0 && now.Since(jointer.passedAt) < almanac.PressurePeriod/2 {
+		return false
+	}
+	jointer.passedAt = now
+	return true
+}
+
+// someLockers draws a few lockers, those of the own hall first: they run items on the
+// workers there.
+func someLockers(near, far []pattern.Entry, draw func() float64) []pattern.Entry {
+	var chosen []pattern.Entry
+	for _, from := range [][]pattern.Entry{only(near, bellows.RoleLocker), only(far, bellows.RoleLocker)} {
+		for len(from) > 0 && len(chosen) < almanac.PressureFanout {
+			place := int(draw() * float64(len(from)))
+			chosen = append(chosen, from[place])
+			from[place] = from[len(from)-1]
+			from = from[:len(from)-1]
+		}
+	}
+	return chosen
+}
+
+func only(entries []pattern.Entry, role string) []pattern.Entry {
+	var found []pattern.Entry
+	for _, entry := range entries {
+		if entry.Role == role {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// tellReading tells neighbours at once that a worker reads a long prompt.
+func (jointer *Jointer) tellReading(worker string, milliseconds float64) {
+	told := &pattern.ReadingTold{From: bellows.Key(jointer.Stand.Own), Worker: worker, Reading: milliseconds}
+	jointer.tell(jointer.about().readings, pattern.KindReading, told)
+}
+
+func (jointer *Jointer) reads(body []byte) ([]byte, error) {
+	told := &pattern.ReadingTold{}
+	if failure := tongs.Read(body, told); failure != nil {
+		return nil, failure
+	}
+	jointer.Bench.PeerReads(told, watch.Now())
+	return tongs.Write(&pattern.Nothing{Taken: true})
+}
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -156,34 +156,27 @@
 	Taken bool `msg:"t"`
 }
 
-// Weight is what one node has under way at a worker.
-type Weight struct {
-	ID      string `msg:"i"`
-	Live    int    `msg:"l"`
-	Bulk    int    `msg:"b"`
-	Turned  int64  `msg:"u"`
-	Suspect bool   `msg:"s"`
-}
-
 // Residency is a node's word on how likely a worker still holds a prefix.
 type Residency struct {
 	Path   []byte  `msg:"p"`
 	Tokens int     `msg:"t"`
 	Worker string  `msg:"w"`
 	Chance float32 `msg:"c"`
-	AgeMs  int64   `msg:"a"`
+	// AgeMs is the age of the evidence, WordMs that of the word itself.
+	AgeMs  int64 `msg:"a"`
+	WordMs int64 `msg:"m"`
 }
 
-// Gossip carries utilization and residency weights, once a period. Fields added
-// later are skipped by readers that do not know them.
+// Gossip carries what changed most, once a period. Loads and Prefixes are packed
+// words (words.go), so that a packet is bounded. Fields added later are skipped by
+// readers that do not know them.
 type Gossip struct {
-	Format      int         `msg:"v"`
-	From        string      `msg:"f"`
-	Life        int64       `msg:"l"`
-	Generation  int64       `msg:"g"`
-	Weights     []Weight    `msg:"w"`
-	Residencies []Residency `msg:"r"`
-	Pressure    []Pressure  `msg:"p"`
+	Format     int        `msg:"v"`
+	From       string     `msg:"f"`
+	Generation int64      `msg:"g"`
+	Loads      []byte     `msg:"o"`
+	Prefixes   []byte     `msg:"x"`
+	Pressure   []Pressure `msg:"p"`
 }
 
 // Pressure says that requests of a rank wait for room at a service.
@@ -197,6 +190,9 @@
 type PressureTold struct {
 	From  string     `msg:"f"`
 	Words []Pressure `msg:"w"`
+	// Hops is how often it may still be passed on; Sharers is how many got it.
+	Hops    int `msg:"h"`
+	Sharers int `msg:"s"`
 }
 
 // ReadingTold says that a worker has a long prompt to read, ahead of the next gossip.
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -994,53 +994,36 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Gossip) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x87, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendInt(o, z.Format)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendInt64(o, z.Life)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendInt64(o, z.Generation)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Weights)))
-	for za0001 := range z.Weights {
-		o, err = z.Weights[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Weights", za0001)
-			return
-		}
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Residencies)))
-	for za0002 := range z.Residencies {
-		o, err = z.Residencies[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Residencies", za0002)
-			return
-		}
-	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBytes(o, z.Loads)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Prefixes)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Pressure)))
-	for za0003 := range z.Pressure {
+	for za0001 := range z.Pressure {
 		// map header, size 3
 		// string "s"
 		o = append(o, 0x83, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.Pressure[za0003].Service)
+		o = msgp.AppendString(o, z.Pressure[za0001].Service)
 		// string "p"
 		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Pressure[za0003].Priority)
+		o = msgp.AppendInt(o, z.Pressure[za0001].Priority)
 		// string "w"
 		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt(o, z.Pressure[za0003].Waiting)
+		o = msgp.AppendInt(o, z.Pressure[za0001].Waiting)
 	}
 	return
 }
@@ -1075,105 +1058,73 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "l":
-			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Life")
-				return
-			}
 		case "g":
 			z.Generation, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Generation")
 				return
 			}
-		case "w":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "o":
+			z.Loads, bts, err = msgp.ReadBytesBytes(bts, z.Loads)
 			if err != nil {
-				err = msgp.WrapError(err, "Weights")
+				err = msgp.WrapError(err, "Loads")
 				return
 			}
-			if cap(z.Weights) >= int(zb0002) {
-				z.Weights = (z.Weights)[:zb0002]
-			} else {
-				z.Weights = make([]Weight, zb0002)
-			}
-			for za0001 := range z.Weights {
-				bts, err = z.Weights[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Weights", za0001)
-					return
-				}
-			}
-		case "r":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "x":
+			z.Prefixes, bts, err = msgp.ReadBytesBytes(bts, z.Prefixes)
 			if err != nil {
-				err = msgp.WrapError(err, "Residencies")
+				err = msgp.WrapError(err, "Prefixes")
 				return
 			}
-			if cap(z.Residencies) >= int(zb0003) {
-				z.Residencies = (z.Residencies)[:zb0003]
-			} else {
-				z.Residencies = make([]Residency, zb0003)
-			}
-			for za0002 := range z.Residencies {
-				bts, err = z.Residencies[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Residencies", za0002)
-					return
-				}
-			}
 		case "p":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Pressure")
 				return
 			}
-			if cap(z.Pressure) >= int(zb0004) {
-				z.Pressure = (z.Pressure)[:zb0004]
+			if cap(z.Pressure) >= int(zb0002) {
+				z.Pressure = (z.Pressure)[:zb0002]
 			} else {
-				z.Pressure = make([]Pressure, zb0004)
+				z.Pressure = make([]Pressure, zb0002)
 			}
-			for za0003 := range z.Pressure {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.Pressure {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Pressure", za0003)
+					err = msgp.WrapError(err, "Pressure", za0001)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Pressure", za0003)
+						err = msgp.WrapError(err, "Pressure", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "s":
-						z.Pressure[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
+						z.Pressure[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Pressure", za0003, "Service")
+							err = msgp.WrapError(err, "Pressure", za0001, "Service")
 							return
 						}
 					case "p":
-						z.Pressure[za0003].Priority, bts, err = msgp.ReadIntBytes(bts)
+						z.Pressure[za0001].Priority, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Pressure", za0003, "Priority")
+							err = msgp.WrapError(err, "Pressure", za0001, "Priority")
 							return
 						}
 					case "w":
-						z.Pressure[za0003].Waiting, bts, err = msgp.ReadIntBytes(bts)
+						z.Pressure[za0001].Waiting, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Pressure", za0003, "Waiting")
+							err = msgp.WrapError(err, "Pressure", za0001, "Waiting")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Pressure", za0003)
+							err = msgp.WrapError(err, "Pressure", za0001)
 							return
 						}
 					}
@@ -1193,17 +1144,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Gossip) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Weights {
-		s += z.Weights[za0001].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Residencies {
-		s += z.Residencies[za0002].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Pressure {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Pressure[za0003].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Int64Size + 2 + msgp.BytesPrefixSize + len(z.Loads) + 2 + msgp.BytesPrefixSize + len(z.Prefixes) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Pressure {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Pressure[za0001].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
 	return
 }
@@ -1666,9 +1609,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PressureTold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
+	o = append(o, 0x84, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -1685,6 +1628,12 @@
 		o = append(o, 0xa1, 0x77)
 		o = msgp.AppendInt(o, z.Words[za0001].Waiting)
 	}
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendInt(o, z.Hops)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt(o, z.Sharers)
 	return
 }
 
@@ -1766,6 +1715,18 @@
 					}
 				}
 			}
+		case "h":
+			z.Hops, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hops")
+				return
+			}
+		case "s":
+			z.Sharers, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sharers")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1784,6 +1745,7 @@
 	for za0001 := range z.Words {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Words[za0001].Service) + 2 + msgp.IntSize + 2 + msgp.IntSize
 	}
+	s += 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
@@ -2341,9 +2303,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Residency) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "p"
-	o = append(o, 0x85, 0xa1, 0x70)
+	o = append(o, 0x86, 0xa1, 0x70)
 	o = msgp.AppendBytes(o, z.Path)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -2357,6 +2319,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.AgeMs)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt64(o, z.WordMs)
 	return
 }
 
@@ -2408,6 +2373,12 @@
 				err = msgp.WrapError(err, "AgeMs")
 				return
 			}
+		case "m":
+			z.WordMs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WordMs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2422,7 +2393,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Residency) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Path) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Worker) + 2 + msgp.Float32Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Path) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Worker) + 2 + msgp.Float32Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
@@ -2496,94 +2467,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Weight) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "i"
-	o = append(o, 0x85, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendInt(o, z.Live)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt(o, z.Bulk)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.Turned)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendBool(o, z.Suspect)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Weight) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "l":
-			z.Live, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Live")
-				return
-			}
-		case "b":
-			z.Bulk, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Bulk")
-				return
-			}
-		case "u":
-			z.Turned, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Turned")
-				return
-			}
-		case "s":
-			z.Suspect, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Suspect")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Weight) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Worker) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/plumbline/index.go
+++ b/internal/plumbline/index.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 )
 
@@ -146,54 +145,3 @@
 		index.tree.Remove(leaf.key)
 	}
 }
-
-// Words gives what we tell peers: our own evidence on the long prefixes used
-// lately, the newest first.
-func (index *Index) Words(now watch.Moment, limit, least int) []pattern.Residency {
-	var leaves []*Leaf
-	index.tree.Each(func(leaf *Leaf) {
-		if leaf.shared && leaf.tokens >= least && len(leaf.stays) > 0 && now.Since(leaf.used) < 30*almanac.GossipPeriod {
-			leaves = append(leaves, leaf)
-		}
-	})
-	sort.Slice(leaves, func(left, right int) bool { return leaves[left].used > leaves[right].used })
-	var words []pattern.Residency
-	for _, leaf := range leaves {
-		for worker, one := range leaf.stays {
-			if len(words) >= limit {
-				return words
-			}
-			turn := index.turn(worker)
-			if one.life != turn.life {
-				continue
-			}
-			chance := one.trust * retained(turn.total()-one.turned, turn.cache)
-			words = append(words, pattern.Residency{Path: leaf.key, Tokens: leaf.tokens, Worker: worker,
-				Chance: float32(chance), AgeMs: now.Since(one.at).Milliseconds()})
-		}
-	}
-	return words
-}
-
-// Told takes a peer's words.
-func (index *Index) Told(words []pattern.Residency, now watch.Moment) {
-	for _, word := range words {
-		if len(word.Path) == 0 || len(word.Path)%8 != 0 {
-			continue
-		}
-		leaf := index.tree.Leaf(word.Path)
-		leaf.tokens = max(leaf.tokens, word.Tokens)
-		leaf.used = max(leaf.used, now-watch.Moment(word.AgeMs)*1_000_000)
-		seen := now - watch.Moment(word.AgeMs)*1_000_000
-		if have, known := leaf.told[word.Worker]; known && have.seen > seen {
-			continue
-		}
-		if leaf.told == nil {
-			leaf.told = map[string]told{}
-		}
-		leaf.told[word.Worker] = told{chance: float64(word.Chance), at: now, seen: seen, life: index.turn(word.Worker).life}
-	}
-	if index.tree.Size() > almanac.IndexNodes {
-		index.shrink()
-	}
-}
--- a/internal/plumbline/residency.go
+++ b/internal/plumbline/residency.go
@@ -25,31 +25,29 @@
 	turned int64
 	trust  float64
 	life   int
+	// spoken is the chance last told to neighbours, and when.
+	spoken   float64
+	spokenAt watch.Moment
 }
 
-// told is a peer's word.
+// told is a peer's word: at is when it was said, seen when its evidence was met.
 type told struct {
 	chance float64
 	at     watch.Moment
 	seen   watch.Moment
 	life   int
+	passed bool
 }
 
 // turnover follows how many tokens have entered a worker's cache.
 type turnover struct {
-	own   int64
-	peers map[string]int64
-	life  int
-	cache int64
+	own    int64
+	others float64
+	life   int
+	cache  int64
 }
 
-func (turn *turnover) total() int64 {
-	total := turn.own
-	for _, count := range turn.peers {
-		total += count
-	}
-	return total
-}
+func (turn *turnover) total() int64 { return turn.own + int64(turn.others) }
 
 // retained estimates, from what has entered the cache since, the chance that a
 // prefix is still there. A cache lets go of what was unused for longest; running
@@ -95,17 +93,13 @@
 // Turned notes tokens that we put into a worker's cache.
 func (index *Index) Turned(worker string, tokens int64) { index.turn(worker).own += tokens }
 
-// PeerTurned notes a peer's running count of the same.
-func (index *Index) PeerTurned(peer, worker string, count int64) {
-	turn := index.turn(worker)
-	if turn.peers == nil {
-		turn.peers = map[string]int64{}
-	}
-	turn.peers[peer] = max(turn.peers[peer], count)
+// OthersTurned adds an estimate of what all other callers have put in since.
+func (index *Index) OthersTurned(worker string, tokens float64) {
+	index.turn(worker).others += max(tokens, 0)
 }
 
-// OwnTurned gives our count, for gossip.
-func (index *Index) OwnTurned(worker string) int64 { return index.turn(worker).own }
+// OthersIn is that estimate, in tokens since the worker was first known.
+func (index *Index) OthersIn(worker string) float64 { return index.turn(worker).others }
 
 // SetCache notes the size of a worker's cache, in tokens.
 func (index *Index) SetCache(worker string, tokens int64) { index.turn(worker).cache = tokens }
--- /dev/null
+++ b/internal/plumbline/words.go
@@ -0,0 +1,118 @@
+package plumbline
+
+import (
+	"bytes"
+	"math"
+	"sort"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// spokenChange is the least change in what neighbours believe that is worth a word (ours).
+const spokenChange = 0.05
+
+// agesRounded is by how much the same evidence may seem older on another way: each
+// hop rounds ages up.
+const agesRounded = 8 * pattern.AgeUnitMs * 1_000_000
+
+// word is a residency word that may be told, with what it would change.
+type word struct {
+	leaf   *Leaf
+	worker string
+	chance float64
+	change float64
+	said   watch.Moment
+	seen   watch.Moment
+	own    bool
+}
+
+// Words gives what changed most since it was last told, of the long shared
+// prefixes: our own evidence first by how far it is from what neighbours still
+// believe of it, then what was heard and not yet passed on, each once and with its age.
+func (index *Index) Words(now watch.Moment, limit, least int) []pattern.Residency {
+	var found []word
+	index.tree.Each(func(leaf *Leaf) {
+		if !leaf.shared || leaf.tokens < least || now.Since(leaf.used) >= 30*almanac.GossipPeriod {
+			return
+		}
+		for worker, one := range leaf.stays {
+			turn := index.turn(worker)
+			if one.life != turn.life {
+				continue
+			}
+			chance := one.trust * retained(turn.total()-one.turned, turn.cache)
+			// Who was told forgets it at the age limit.
+			believed := one.spoken * max(0, 1-float64(now.Since(one.spokenAt))/float64(almanac.GossipStale))
+			if change := math.Abs(chance - believed); change >= spokenChange {
+				found = append(found, word{leaf, worker, chance, change, now, one.at, true})
+			}
+		}
+		for worker, one := range leaf.told {
+			age := now.Since(one.at)
+			if one.passed || one.life != index.turn(worker).life || age >= almanac.GossipStale {
+				continue
+			}
+			if own, known := leaf.stays[worker]; known && own.at >= one.seen {
+				continue
+			}
+			found = append(found, word{leaf, worker, one.chance, one.chance * (1 - float64(age)/float64(almanac.GossipStale)), one.at, one.seen, false})
+		}
+	})
+	sort.Slice(found, func(left, right int) bool { return found[left].before(&found[right]) })
+	var words []pattern.Residency
+	for _, one := range found[:min(limit, len(found))] {
+		if one.own {
+			kept := one.leaf.stays[one.worker]
+			kept.spoken, kept.spokenAt = one.chance, now
+			one.leaf.stays[one.worker] = kept
+		} else {
+			kept := one.leaf.told[one.worker]
+			kept.passed = true
+			one.leaf.told[one.worker] = kept
+		}
+		words = append(words, pattern.Residency{Path: one.leaf.key, Tokens: one.leaf.tokens, Worker: one.worker,
+			Chance: float32(one.chance), AgeMs: now.Since(one.seen).Milliseconds(), WordMs: now.Since(one.said).Milliseconds()})
+	}
+	return words
+}
+
+// before orders words; ties are broken by name, so that no order depends on chance.
+func (one *word) before(other *word) bool {
+	switch {
+	case one.change != other.change:
+		return one.change > other.change
+	case one.seen != other.seen:
+		return one.seen > other.seen
+	case one.worker != other.worker:
+		return one.worker < other.worker
+	}
+	return bytes.Compare(one.leaf.key, other.leaf.key) < 0
+}
+
+// Told takes a peer's words. The age limit is that of the word, wherever it came by.
+func (index *Index) Told(words []pattern.Residency, now watch.Moment) {
+	for _, word := range words {
+		said := now - watch.Moment(word.WordMs)*1_000_000
+		if len(word.Path) == 0 || len(word.Path)%8 != 0 || now.Since(said) >= almanac.GossipStale {
+			continue
+		}
+		seen := now - watch.Moment(word.AgeMs)*1_000_000
+		leaf := index.tree.Leaf(word.Path)
+		leaf.tokens = max(leaf.tokens, word.Tokens)
+		leaf.used = max(leaf.used, seen)
+		leaf.shared = true
+		have, known := leaf.told[word.Worker]
+		if known && (have.seen > seen.Plus(agesRounded) || (have.seen >= seen && have.at >= said)) {
+			continue
+		}
+		if leaf.told == nil {
+			leaf.told = map[string]told{}
+		}
+		leaf.told[word.Worker] = told{chance: float64(word.Chance), at: said, seen: seen, life: index.turn(word.Worker).life}
+	}
+	if index.tree.Size() > almanac.IndexNodes {
+		index.shrink()
+	}
+}
--- a/internal/workbench/displace.go
+++ b/internal/workbench/displace.go
@@ -86,7 +86,7 @@
 // of our role got the same word.
 func (bench *Workbench) Pressed(told *pattern.PressureTold, sharers int, now watch.Moment) {
 	bench.lock.Lock()
-	bench.pressure[told.From] = pressureWord{at: now, words: told.Words}
+	bench.hearPressure(told.From, told.Words, now)
 	yields := bench.victims(told.Words, max(sharers, 1))
 	bench.lock.Unlock()
 	for _, yield := range yields {
@@ -178,3 +178,17 @@
 	}
 	return false
 }
+
+// hearPressure takes a peer's word and drops those that count no more. The lock is held.
+func (bench *Workbench) hearPressure(from string, words []pattern.Pressure, now watch.Moment) {
+	for peer, one := range bench.pressure {
+		if now.Since(one.at) >= almanac.PressureStale {
+			delete(bench.pressure, peer)
+		}
+	}
+	if len(words) > 0 {
+		bench.pressure[from] = pressureWord{at: now, words: words}
+	} else {
+		delete(bench.pressure, from)
+	}
+}
--- a/internal/workbench/gossip.go
+++ b/internal/workbench/gossip.go
@@ -1,38 +1,85 @@
 package workbench
 
 import (
+	"sort"
+
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 )
 
 // gossipFormat is the version of the gossip packet; later ones may add fields.
-const gossipFormat = 1
+const gossipFormat = 2
 
-// wordsLimit and wordsLeast bound what is told of prefixes (ours): only long
-// prefixes are worth the bytes between halls.
-const (
-	wordsLimit = 48
-	wordsLeast = 1000
-)
+// spoken is what was last told of a worker.
+type spoken struct {
+	at   watch.Moment
+	seen watch.Moment
+}
+
+// gossipState is what the gossip of one node remembers.
+type gossipState struct {
+	spoken map[string]spoken
+	// names leads from short names back to workers; a name that two of them share is
+	// nobody's.
+	names   map[uint32]string
+	namesAt watch.Moment
+	flows   map[string]*flow
+	turned  watch.Moment
+}
 
-// Gossip makes this node's packet.
+// loadWord is a word that may be told, with how long the last one is old.
+type loadWord struct {
+	worker string
+	word   pattern.LoadWord
+	wait   watch.Span
+}
+
+// Gossip makes this node's packet. It is bounded whatever the size of the fleet:
+// what neighbours were told longest ago goes first, and what failed here before it.
 func (bench *Workbench) Gossip(now watch.Moment) *pattern.Gossip {
 	bench.lock.Lock()
 	defer bench.lock.Unlock()
-	packet := &pattern.Gossip{Format: gossipFormat, From: bench.own.Role + "/" + bench.own.Name, Life: bench.own.Life}
+	packet := &pattern.Gossip{Format: gossipFormat, From: bench.own.Role + "/" + bench.own.Name}
 	if bench.config != nil {
 		packet.Generation = bench.config.Generation
 	}
+	bench.turnOthers(now)
+	state := &bench.gossip
+	if state.spoken == nil {
+		state.spoken = map[string]spoken{}
+	}
+	var found []loadWord
 	for _, worker := range bench.Roster.All(now) {
 		vitals := bench.Gauge.Of(worker.ID)
-		weight := vitals.Weight(worker.ID, now)
-		weight.Turned = bench.Index.OwnTurned(worker.ID)
-		if worker.Phase != pattern.PhaseGone {
-			packet.Weights = append(packet.Weights, weight)
+		word, told := vitals.Word(now)
+		if !told || worker.Phase == pattern.PhaseGone {
+			delete(state.spoken, worker.ID)
+			continue
 		}
+		last, before := state.spoken[worker.ID]
+		_, seen := vitals.Observed()
+		if before && word.Trust == pattern.TrustNone && seen <= last.seen {
+			// They have heard this very observation from us.
+			continue
+		}
+		wait := now.Since(last.at)
+		if word.Trust == pattern.TrustSuspect {
+			// Like one that was never told of.
+			wait = now.Since(0)
+		}
+		found = append(found, loadWord{worker.ID, word, wait})
+	}
+	sort.SliceStable(found, func(left, right int) bool { return found[left].wait > found[right].wait })
+	for _, one := range found[:min(len(found), almanac.GossipLoads)] {
+		one.word.Name = pattern.WorkerName(one.worker)
+		packet.Loads = pattern.AppendLoad(packet.Loads, one.word)
+		_, seen := bench.Gauge.Of(one.worker).Observed()
+		state.spoken[one.worker] = spoken{at: now, seen: seen}
+	}
+	for _, word := range bench.Index.Words(now, almanac.GossipPrefixes, almanac.GossipPrefixLeast) {
+		packet.Prefixes = pattern.AppendPrefix(packet.Prefixes, word)
 	}
-	packet.Residencies = bench.Index.Words(now, wordsLimit, wordsLeast)
 	packet.Pressure = bench.waitingWords()
 	return packet
 }
@@ -41,15 +88,31 @@
 func (bench *Workbench) Heard(packet *pattern.Gossip, now watch.Moment) {
 	bench.lock.Lock()
 	defer bench.lock.Unlock()
-	for _, weight := range packet.Weights {
-		if _, known := bench.Roster.Get(weight.ID); !known {
-			continue
+	for _, word := range pattern.Loads(packet.Loads) {
+		if worker := bench.named(word.Name, now); worker != "" {
+			bench.Gauge.Of(worker).Peer(packet.From, word, now)
+		}
+	}
+	name := func(short uint32) string { return bench.named(short, now) }
+	bench.Index.Told(pattern.Prefixes(packet.Prefixes, name), now)
+	bench.hearPressure(packet.From, packet.Pressure, now)
+}
+
+// named gives the worker of a short name. The lock is held.
+func (bench *Workbench) named(short uint32, now watch.Moment) string {
+	state := &bench.gossip
+	if state.names == nil || now.Since(state.namesAt) >= almanac.GossipPeriod {
+		state.names, state.namesAt = map[uint32]string{}, now
+		for _, worker := range bench.Roster.All(now) {
+			name := pattern.WorkerName(worker.ID)
+			if _, taken := state.names[name]; taken {
+				state.names[name] = ""
+				continue
+			}
+			state.names[name] = worker.ID
 		}
-		bench.Gauge.Of(weight.ID).Peer(packet.From, weight, now)
-		bench.Index.PeerTurned(packet.From, weight.ID, weight.Turned)
 	}
-	bench.Index.Told(packet.Residencies, now)
-	bench.pressure[packet.From] = pressureWord{at: now, words: packet.Pressure}
+	return state.names[short]
 }
 
 // Alert tells whether more placements are downgraded than the source finds sound.
--- /dev/null
+++ b/internal/workbench/gossip_test.go
@@ -0,0 +1,187 @@
+package workbench
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// load packs one word on a worker's load.
+func load(worker string, running int, age watch.Span) []byte {
+	return pattern.AppendLoad(nil, pattern.LoadWord{Name: pattern.WorkerName(worker), Running: running,
+		AgeMs: age.Milliseconds(), Trust: pattern.TrustNone})
+}
+
+// second is a moment in whole seconds.
+func second(count int) watch.Moment { return watch.Moment(count) * 1_000_000_000 }
+
+// The age limit holds for the evidence, however often and by however fresh a packet
+// it was passed on.
+func TestAgeLimitHoldsUnderRelaying(test *testing.T) {
+	near, far := bench(test, 1, "w"), bench(test, 1, "w")
+	near.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, second(10))
+	packet := near.Gossip(second(12))
+	words := pattern.Loads(packet.Loads)
+	if len(words) != 1 || words[0].Running != 50 || words[0].AgeMs < 2000 {
+		test.Fatalf("not passed on with its age: %+v", words)
+	}
+	far.Heard(packet, second(12))
+	if answer, _ := far.Admit(ask(0), nil, second(12)+1); answer.Verdict == VerdictGranted {
+		test.Fatal("a relayed word did not count")
+	}
+	late := second(10).Plus(almanac.GossipStale)
+	if answer, _ := far.Admit(ask(0), nil, late); answer.Verdict != VerdictGranted {
+		test.Fatal("relaying made a stale word young")
+	}
+	if again := near.Gossip(late + 1); len(again.Loads) > 0 {
+		test.Fatal("a stale word was passed on")
+	}
+}
+
+// A peer that was paused with its packet in hand: what it then says is told with the
+// age that it has, and a word older than the limit never counts.
+func TestWordBeyondTheLimitNeverCounts(test *testing.T) {
+	one := bench(test, 1, "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, almanac.GossipStale)}, second(10))
+	if answer, _ := one.Admit(ask(0), nil, second(10)); answer.Verdict != VerdictGranted {
+		test.Fatal("a word beyond the age limit counted")
+	}
+}
+
+// Of two words the younger counts, whichever comes last.
+func TestFreshestObservationWins(test *testing.T) {
+	one := bench(test, 4, "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 1, watch.Milliseconds(100))}, second(10))
+	one.Heard(&pattern.Gossip{From: "forge/y", Loads: load("w", 200, watch.Milliseconds(2000))}, second(10)+1)
+	if answer, _ := one.Admit(ask(0), nil, second(10)+2); answer.Verdict != VerdictGranted {
+		test.Fatal("an older word counted over a younger one")
+	}
+	one.Heard(&pattern.Gossip{From: "forge/z", Loads: load("w", 200, 0)}, second(10)+3)
+	if answer, _ := one.Admit(ask(0), nil, second(10)+4); answer.Verdict == VerdictGranted {
+		test.Fatal("the younger word did not count")
+	}
+}
+
+// An observation is corrected by what was begun here since it was made.
+func TestOwnRequestsSinceTheObservationCount(test *testing.T) {
+	one := bench(test, 4, "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 4, 0)}, second(10))
+	granted := 0
+	for ; granted < 20; granted++ {
+		if answer, _ := one.Admit(ask(0), nil, second(10)+watch.Moment(granted)+1); answer.Verdict != VerdictGranted {
+			break
+		}
+	}
+	if granted != almanac.RoomAhead {
+		test.Fatalf("%d placed on a worker that had its four, want %d", granted, almanac.RoomAhead)
+	}
+	// A later observation holds them already.
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 4, 0)}, second(11))
+	if answer, _ := one.Admit(ask(0), nil, second(11)+1); answer.Verdict != VerdictGranted {
+		test.Fatal("our own were counted twice")
+	}
+}
+
+// A packet is bounded whatever the size of the fleet, and what waited longest to be
+// told goes first, so every worker has its turn.
+func TestPacketIsBounded(test *testing.T) {
+	var names []string
+	for count := 0; count < 600; count++ {
+		names = append(names, fmt.Sprint("worker-", count))
+	}
+	one := bench(test, 16, names...)
+	told := map[uint32]int{}
+	largest := 0
+	for round := 1; round <= 7; round++ {
+		now := second(10 + round)
+		for _, name := range names {
+			one.Heard(&pattern.Gossip{From: "forge/x", Loads: load(name, round, 0)}, now)
+		}
+		packet := one.Gossip(now)
+		for _, word := range pattern.Loads(packet.Loads) {
+			told[word.Name]++
+		}
+		body, _ := packet.MarshalMsg(nil)
+		largest = max(largest, len(body))
+	}
+	if len(told) != len(names) {
+		test.Fatalf("%d of %d workers were told of in seven periods", len(told), len(names))
+	}
+	if largest > 1000 {
+		test.Fatalf("a packet has %d bytes", largest)
+	}
+}
+
+// What a neighbour has heard from us is not said again while nothing is new.
+func TestNothingNewIsNotSaid(test *testing.T) {
+	one := bench(test, 4, "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 2, 0)}, second(10))
+	if len(one.Gossip(second(10)).Loads) == 0 {
+		test.Fatal("news was not told")
+	}
+	if len(one.Gossip(second(11)).Loads) != 0 {
+		test.Fatal("the same observation was told twice")
+	}
+}
+
+// Words of a later version are longer; what this one knows of them counts.
+func TestLongerWordsAreRead(test *testing.T) {
+	words := []byte{9}
+	for _, worker := range []string{"v", "w"} {
+		words = append(words, load(worker, 50, 0)[1:]...)
+		words = append(words, 0xEE, 0xFF)
+	}
+	one := bench(test, 1, "v", "w")
+	one.Heard(&pattern.Gossip{Format: 3, From: "forge/x", Loads: append(words, 1, 2)}, second(10))
+	if answer, _ := one.Admit(ask(0), nil, second(10)); answer.Verdict == VerdictGranted {
+		test.Fatal("words with trailing bytes were not read")
+	}
+}
+
+// One neighbour's suspicion may be its own trouble, two are evidence; and neither is
+// passed on as if it were ours.
+func TestSuspicionIsFirstHand(test *testing.T) {
+	one := bench(test, 4, "v", "w")
+	word := pattern.AppendLoad(nil, pattern.LoadWord{Name: pattern.WorkerName("v"), Running: pattern.RunningUnknown, Trust: pattern.TrustSuspect})
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: word}, second(10))
+	suspect := func() (answer bool) {
+		one.Locked(func() { answer = one.Gauge.Of("v").Suspect(second(10) + 1) })
+		return answer
+	}
+	if suspect() {
+		test.Fatal("one neighbour's word was enough")
+	}
+	one.Heard(&pattern.Gossip{From: "forge/y", Loads: word}, second(10))
+	if !suspect() {
+		test.Fatal("two neighbours' words were not enough")
+	}
+	if loads := one.Gossip(second(10) + 1).Loads; len(loads) != 0 {
+		test.Fatal("hearsay was passed on: ", loads)
+	}
+}
+
+// Turnover by Little's law comes near the true count, though nobody counts it.
+func TestTurnoverOfOthersIsEstimated(test *testing.T) {
+	one := bench(test, 100, "w")
+	asked := ask(0)
+	asked.Affine, asked.Prompt.Tokens = true, 1000
+	for count := 0; count < 50; count++ {
+		answer, _ := one.Admit(asked, nil, second(10))
+		answer.Grant.End(OutcomeServed, second(10).Plus(watch.Milliseconds(500)))
+	}
+	one.Gossip(second(20))
+	// Others have 10 requests there at any time, each 1000 tokens in half a second:
+	// twenty thousand tokens a second.
+	for now := second(20); now < second(30); now = now.Plus(almanac.GossipPeriod) {
+		one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 10, 0)}, now.Plus(almanac.GossipPeriod)-1)
+		one.Gossip(now.Plus(almanac.GossipPeriod))
+	}
+	total := 0.0
+	one.Locked(func() { total = one.Index.OthersIn("w") })
+	if total < 180_000 || total > 220_000 {
+		test.Fatalf("%.0f tokens reckoned, 200000 came", total)
+	}
+}
--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -84,7 +84,7 @@
 	if ask.Affine {
 		grant.Fresh = bench.Index.Placed(&ask.Prompt, worker.ID, now)
 	}
-	vitals.Begin(ask.Bulk, grant.Fresh)
+	vitals.Begin(ask.Bulk, grant.Fresh, now)
 	if reading := float64(grant.Fresh) / bench.Index.Rate(); engine && reading > almanac.LongReading && bench.tellReading != nil {
 		bench.tellReading(worker.ID, reading)
 	}
@@ -167,7 +167,7 @@
 		grant.read = true
 		vitals.Read(grant.Fresh)
 	}
-	vitals.End(grant.ask.Bulk)
+	vitals.End(grant.ask.Bulk, now)
 	switch outcome {
 	case OutcomeFailed:
 		vitals.Failed(now)
@@ -179,6 +179,7 @@
 		bench.Index.Drop(grant.Worker.ID)
 	case OutcomeServed:
 		bench.finished(grant.ask.Service, now)
+		bench.flowed(grant, now)
 	}
 	bench.lock.Unlock()
 	bench.Pump(now)
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -88,9 +88,12 @@
 	toldAt    watch.Moment
 	// tellReading must not block: it is called under the lock.
 	tellReading func(worker string, milliseconds float64)
-	number      int64
-	tallyLock   sync.Mutex
-	tallies     map[string]*Tally
+	gossip      gossipState
+	// waits speaks when something begins to wait.
+	waits     chan struct{}
+	number    int64
+	tallyLock sync.Mutex
+	tallies   map[string]*Tally
 }
 
 // rate follows how many requests a service finishes a second, as seen from here.
--- a/internal/workbench/workbench_test.go
+++ b/internal/workbench/workbench_test.go
@@ -143,7 +143,7 @@
 // A paused peer's word counts no more after three periods.
 func TestStaleGossipIsIgnored(test *testing.T) {
 	one := bench(test, 1, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Weights: []pattern.Weight{{ID: "w", Live: 50}}}, 2)
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, 2)
 	if answer, _ := one.Admit(ask(0), nil, 3); answer.Verdict == VerdictGranted {
 		test.Fatal("placed on a worker that is full by a peer's word")
 	}
