The pump sleeps while nobody waits

An idle process woke up 67 times a second to find an empty queue. Now whoever queues wakes the pump.

--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -53,7 +53,7 @@
 	stop := jointer.Stand.Stop
 	go jointer.learnWorkers()
 	go watch.Every(almanac.GossipPeriod, stop, jointer.gossip)
-	go watch.Every(almanac.PumpPeriod, stop, func() { jointer.Bench.PumpWaiting(watch.Now()) })
+	go jointer.Bench.KeepPumping(stop)
 	go watch.Every(almanac.GossipPeriod/2, stop, func() { carriage.SweepPipes(jointer.Chest, jointer.Bench) })
 }
 
--- a/internal/workbench/gossip.go
+++ b/internal/workbench/gossip.go
@@ -124,17 +124,6 @@
 	return placements, downgrades, placements > enough && float64(downgrades) > almanac.DowngradeAlert*float64(placements)
 }
 
-// PumpWaiting pumps where anything waits: patience may have run out.
-func (bench *Workbench) PumpWaiting(now watch.Moment) {
-	bench.lock.Lock()
-	waiting := bench.slab.Len() > 0
-	bench.lock.Unlock()
-	if waiting {
-		bench.Pump(now)
-		bench.press(now)
-	}
-}
-
 // OnReading names who is told of long prompts; it must not block.
 func (bench *Workbench) OnReading(tell func(worker string, milliseconds float64)) {
 	bench.tellReading = tell
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -107,7 +107,8 @@
 func New(own pattern.Entry, heartbeat watch.Span) *Workbench {
 	bench := &Workbench{Roster: roster.New(heartbeat), Gauge: gauge.New(), Index: plumbline.NewIndex(),
 		queues: map[string][]Handle{}, rates: map[string]*rate{}, own: own,
-		pressure: map[string]pressureWord{}, yields: map[*Grant]*yielding{}, tallies: map[string]*Tally{}}
+		pressure: map[string]pressureWord{}, yields: map[*Grant]*yielding{}, tallies: map[string]*Tally{},
+		waits: make(chan struct{}, 1)}
 	bench.cost = func(hall string) float64 {
 		// Another hall is a longer way, and bytes between halls are dear.
 		if hall == own.Hall {
@@ -186,6 +187,7 @@
 		return first != nil && second != nil && first.ask.Priority < second.ask.Priority
 	})
 	bench.queues[ask.Service] = queue
+	bench.someWait()
 	return Answer{Verdict: VerdictQueued}, one.handle
 }
 
