A node weighs a small stable subset of a large service's workers

Cause: each placement weighed every worker, and each node kept pipes to all. Above 24 workers a node now weighs eight that it draws by rendezvous, its own hall's first, those of them that are not full; a long prefix also its four homes and the holders that are known; whoever finds no room there asks all. Items are still placed among all. Homes come from one function for the score and for reach.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -154,6 +154,12 @@
 	// LongReading, in ms, is the reading time from which a prompt is told to peers at
 	// once (ours): others would wait behind it for longer than gossip takes.
 	LongReading = 12.0
+	// ReachWhole is the number of a service's workers up to which a node weighs them
+	// all; ReachSubset is how many it weighs of more, and ReachHomes how many homes and
+	// holders of a long prefix beside these (ours).
+	ReachWhole  = 24
+	ReachSubset = 8
+	ReachHomes  = 4
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
 	FailurePenalty = 4000.0
 	// SuspectFor is how long a failure counts against a worker.
--- a/internal/jointer/neighbours.go
+++ b/internal/jointer/neighbours.go
@@ -7,6 +7,7 @@
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/pattern"
+	"lemonarch/internal/plumbline"
 	"lemonarch/internal/watch"
 )
 
@@ -22,12 +23,7 @@
 // ring is the place in one of the rings. Names differ in their last bytes only, so
 // these must move the whole number.
 func ring(name uint64, number int) uint64 {
-	name += uint64(number+1) * 0x9e3779b97f4a7c15
-	name ^= name >> 33
-	name *= 0xff51afd7ed558ccd
-	name ^= name >> 33
-	name *= 0xc4ceb9fe1a85ec53
-	return name ^ name>>33
+	return plumbline.Mix(name + uint64(number+1)*0x9e3779b97f4a7c15)
 }
 
 // Neighbours gives whom a process tells: its successor in each of so many rings, in
--- a/internal/plumbline/score.go
+++ b/internal/plumbline/score.go
@@ -1,11 +1,6 @@
 package plumbline
 
-import (
-	"encoding/binary"
-	"hash/fnv"
-
-	"lemonarch/internal/watch"
-)
+import "lemonarch/internal/watch"
 
 // Candidate is a worker that may take the request, with what its vitals say.
 type Candidate struct {
@@ -87,19 +82,11 @@
 	if len(prompt.Parts) < 2 {
 		return first, second, 0
 	}
-	shared := 0
-	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
-		shared += part.Tokens
-	}
 	var best, next uint64
+	// The last part is the request's own; the one before it is the shared prefix.
+	prefix := prompt.Parts[len(prompt.Parts)-2].Name
 	for place := range candidates {
-		sum := fnv.New64a()
-		sum.Write([]byte(candidates[place].Worker))
-		var name [8]byte
-		// The last part is the request's own; the one before it is the shared prefix.
-		binary.BigEndian.PutUint64(name[:], prompt.Parts[len(prompt.Parts)-2].Name)
-		sum.Write(name[:])
-		switch draw := sum.Sum64(); {
+		switch draw := homeDraw(candidates[place].Worker, prefix); {
 		case first < 0 || draw > best:
 			second, next = first, best
 			first, best = place, draw
@@ -107,7 +94,7 @@
 			second, next = place, draw
 		}
 	}
-	return first, second, float64(shared) / index.rate
+	return first, second, float64(prompt.Shared()) / index.rate
 }
 
 // The parts of a prefix's worth that its first and second home get (ours).
--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -8,8 +8,19 @@
 	"lemonarch/internal/watch"
 )
 
-// place nominates a worker that has room.
+// place nominates a worker that has room, within reach or else among all.
 func (bench *Workbench) place(ask *Ask, now watch.Moment) Answer {
+	all := bench.Roster.Named(ask.Service)
+	some, more := bench.reach(ask, all, now)
+	answer := bench.placeAmong(ask, some, now)
+	if more && answer.Verdict != VerdictGranted {
+		answer = bench.placeAmong(ask, all, now)
+	}
+	return answer
+}
+
+// placeAmong nominates one of these workers.
+func (bench *Workbench) placeAmong(ask *Ask, among []pattern.Worker, now watch.Moment) Answer {
 	listening := bench.listening > 0 && now.Since(bench.listening) < almanac.SilentAfter
 	engine := false
 	var cacheTokens int64
@@ -23,7 +34,7 @@
 	known, open := 0, 0
 	// The suspects are asked only where nobody else can be.
 	for _, worst := range []roster.Standing{roster.StandingGood, roster.StandingSuspect} {
-		for _, worker := range bench.Roster.Named(ask.Service) {
+		for _, worker := range among {
 			standing := bench.Roster.Standing(worker.ID, now, listening)
 			if standing == roster.StandingOut || standing > worst || excluded(ask, worker.ID) {
 				continue
--- /dev/null
+++ b/internal/workbench/reach_test.go
@@ -0,0 +1,106 @@
+package workbench
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/plumbline"
+	"lemonarch/internal/watch"
+)
+
+// manyWorkers registers sixty workers in four halls.
+func manyWorkers(one *Workbench, capacity int) {
+	var list []pattern.Worker
+	for place := 0; place < 60; place++ {
+		list = append(list, pattern.Worker{ID: fmt.Sprintf("i-%04d", place), Backend: "s", Address: "a",
+			Hall: fmt.Sprint("h", place%4), Capacity: capacity, Count: 1})
+	}
+	one.Merge(list, 1)
+}
+
+func node(name, hall string, capacity int) *Workbench {
+	one := New(pattern.Entry{Name: name, Role: "forge", Hall: hall}, 1_200_000_000)
+	config, failure := jig.Parse([]byte(`{"generation":2,"backends":[{"name":"s","engine":{"capacity":4,"cache-tokens":200000}}]}`))
+	if failure != nil {
+		panic(failure)
+	}
+	one.SetConfig(config)
+	manyWorkers(one, capacity)
+	return one
+}
+
+// What has no warm prefix goes to a few workers of the own hall, and to others only
+// once these are full.
+func TestShortPromptsStayInTheSubset(test *testing.T) {
+	one := node("n", "h1", 4)
+	used := map[string]int{}
+	for count := 0; count < 4*almanac.ReachSubset; count++ {
+		answer, _ := one.Admit(ask(0), nil, second(2)+watch.Moment(count))
+		if answer.Verdict != VerdictGranted || answer.Grant.Worker.Hall != "h1" {
+			test.Fatalf("number %d: %+v", count, answer)
+		}
+		used[answer.Grant.Worker.ID]++
+	}
+	if len(used) != almanac.ReachSubset {
+		test.Fatalf("%d workers were used", len(used))
+	}
+	answer, _ := one.Admit(ask(0), nil, second(2)+100)
+	if answer.Verdict != VerdictGranted || used[answer.Grant.Worker.ID] > 0 {
+		test.Fatalf("waits behind its own few while others are free: %+v", answer)
+	}
+}
+
+// All workers are drawn by about as many nodes.
+func TestSubsetsSpread(test *testing.T) {
+	drawn := map[string]int{}
+	const nodes = 72
+	for place := 0; place < nodes; place++ {
+		one := node(fmt.Sprint("edge-", place), fmt.Sprint("h", place%4), 4)
+		for _, worker := range one.subset("s", one.Roster.Named("s"), second(2)) {
+			drawn[worker.ID]++
+		}
+	}
+	mean := float64(nodes*almanac.ReachSubset) / 60
+	for place := 0; place < 60; place++ {
+		if count := float64(drawn[fmt.Sprintf("i-%04d", place)]); count < 0.4*mean || count > 1.7*mean {
+			test.Fatalf("worker %d is drawn by %.0f nodes, the mean is %.1f", place, count, mean)
+		}
+	}
+}
+
+// A long prefix is at home at the same workers for every node, in reach or not; a
+// worker that fails leaves the subset.
+func TestLongPrefixGoesHome(test *testing.T) {
+	long := func() *Ask {
+		return &Ask{Service: "s", Affine: true, Setpoint: 200_000_000, Patience: second(9), Prompt: plumbline.Prompt{Tokens: 20_000,
+			Parts: []plumbline.Part{{Name: 77, Tokens: 18_000}, {Name: 78, Tokens: 2_000}}}}
+	}
+	home := ""
+	for place := 0; place < 12; place++ {
+		answer, _ := node(fmt.Sprint("edge-", place), fmt.Sprint("h", place%4), 4).Admit(long(), nil, second(2))
+		if home == "" {
+			home = answer.Grant.Worker.ID
+		}
+		if answer.Grant.Worker.ID != home {
+			test.Fatalf("node %d places at %s, others at %s", place, answer.Grant.Worker.ID, home)
+		}
+	}
+	// Where a peer's word says that it is held, it goes there rather than home.
+	one := node("edge-0", "h0", 4)
+	other := "i-0033"
+	word := pattern.AppendPrefix(nil, pattern.Residency{Path: []byte{0, 0, 0, 0, 0, 0, 0, 77}, Tokens: 18_000, Worker: other, Chance: 1})
+	one.Heard(&pattern.Gossip{From: "forge/x", Prefixes: word}, second(2))
+	if answer, _ := one.Admit(long(), nil, second(2)+1); answer.Grant.Worker.ID != other {
+		test.Fatal("placed at ", answer.Grant.Worker.ID)
+	}
+	failed := one.subset("s", one.Roster.Named("s"), second(2))[0].ID
+	one.Locked(func() { one.Gauge.Of(failed).Failed(second(4)) })
+	for _, worker := range one.subset("s", one.Roster.Named("s"), second(4)) {
+		if worker.ID == failed {
+			test.Fatal("a failing worker stays in the subset")
+		}
+	}
+}
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -89,6 +89,7 @@
 	// tellReading must not block: it is called under the lock.
 	tellReading func(worker string, milliseconds float64)
 	gossip      gossipState
+	subsets     map[string]subset
 	// waits speaks when something begins to wait.
 	waits     chan struct{}
 	number    int64
