--- a/internal/tongs/tell.go
+++ b/internal/tongs/tell.go
@@ -34,6 +34,7 @@
 	if failure != nil {
 		return failure
 	}
+	wire.meter.sent(kind, address, len(body))
 	told := frame{sort: sortTell, kind: kind, number: wire.number.Add(1), body: body}
 	current.writing.Lock()
 	_ = current.connection.SetWriteDeadline(watch.Deadline(almanac.DialTime))
@@ -43,7 +44,6 @@
 		one.forget(current)
 		return Unanswered.Wrap(failure, address)
 	}
-	wire.meter.sent(kind, address, len(body))
 	return nil
 }
 
