lemonarch lab load: load for lab fleets, every answer checked, experiments in TOML

Why: a fleet that serves needs something to serve, and a change needs a comparison. Open arrivals from a seed; worth, latency by percentile (HDR histogram), failures by cause; stamps, order, whole bodies and the workers' record of runs are compared.

--- a/internal/almanac/lab.go
+++ b/internal/almanac/lab.go
@@ -75,6 +75,8 @@
 	LoadOpen = 4000
 	// LoadLate: share of the worth of an answer that comes after its aim.
 	LoadLate = 0.3
+	// LoadFindings: broken promises that a report names; the others are counted.
+	LoadFindings = 20
 	// LoadDrain: how long a run waits for answers and lots once it has sent everything.
 	LoadDrain = 20 * time.Second
 	// LoadSilence: a downstream gives a stream up after this silence at least (protocol).
--- a/internal/sawhorse/trouble.go
+++ b/internal/sawhorse/trouble.go
@@ -1,6 +1,7 @@
 package sawhorse
 
 import (
+	"sort"
 	"strconv"
 	"strings"
 	"syscall"
@@ -202,3 +203,13 @@
 		}
 	}
 }
+
+// KindNames lists the kinds of trouble in order.
+func KindNames() []string {
+	names := make([]string, 0, len(Kinds))
+	for name := range Kinds {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/treadle/check.go
@@ -0,0 +1,171 @@
+package treadle
+
+import (
+	"fmt"
+	"strings"
+
+	"lemonarch/internal/anvil"
+	"lemonarch/internal/hopper"
+)
+
+// sent is what is known of one attempt that a downstream sent.
+type sent struct {
+	attempt    string
+	path, body string
+	services   []string
+	// once: may not run twice. promised: it was answered that it has not run.
+	once, promised, succeeded, item bool
+}
+
+// checkPlain holds a plain success against what the worker must have said.
+func checkPlain(attempt string, body []byte, seal, echoed string, got []byte) *Finding {
+	if finding := checkStamp(attempt, seal, echoed); finding != nil {
+		return finding
+	}
+	if string(got) != anvil.PlainBody(attempt, body) {
+		return &Finding{"MIXED", attempt, "the body is not the worker's whole body"}
+	}
+	return nil
+}
+
+func checkStamp(attempt, seal, echoed string) *Finding {
+	if echoed != attempt {
+		return &Finding{"MIXED", attempt, "the answer names another attempt: " + echoed}
+	}
+	if _, holds := anvil.Sealed(seal, attempt); !holds {
+		return &Finding{"MIXED", attempt, "the stamp is not a worker's for this attempt"}
+	}
+	return nil
+}
+
+// follower checks a stream, event by event.
+type follower struct {
+	attempt string
+	// last is the id of the last event; all is how many there must be.
+	last, all int64
+	finding   *Finding
+}
+
+// event takes one event; false once the order is broken.
+func (one *follower) event(text string) bool {
+	var id int64
+	data := ""
+	for _, line := range strings.Split(text, "\n") {
+		if rest, found := strings.CutPrefix(line, "id:"); found {
+			_, _ = fmt.Sscan(rest, &id)
+		} else if rest, found := strings.CutPrefix(line, "data:"); found {
+			data = strings.TrimPrefix(rest, " ")
+		}
+	}
+	switch {
+	case id != one.last+1:
+		one.finding = &Finding{"ORDER", one.attempt, fmt.Sprintf("event %d follows event %d", id, one.last)}
+	case data != anvil.EventData(one.attempt, id):
+		one.finding = &Finding{"MIXED", one.attempt, fmt.Sprintf("event %d is not the worker's", id)}
+	case id > one.all:
+		one.finding = &Finding{"ORDER", one.attempt, fmt.Sprintf("event %d of %d", id, one.all)}
+	}
+	one.last = id
+	return one.finding == nil
+}
+
+// end takes the clean end of a stream.
+func (one *follower) end() *Finding {
+	if one.finding == nil && one.last != one.all {
+		one.finding = &Finding{"ORDER", one.attempt, fmt.Sprintf("ends as complete behind event %d of %d", one.last, one.all)}
+	}
+	return one.finding
+}
+
+// checkRuns holds what was sent against what the workers ran.
+func checkRuns(all map[string]*sent, runs []anvil.Run) []Finding {
+	var findings []Finding
+	count := map[string]int{}
+	ended := map[string]bool{}
+	for _, run := range runs {
+		one := all[run.Attempt]
+		if one == nil {
+			findings = append(findings, Finding{"UNASKED", run.Attempt, "ran at " + run.Worker + ", and nobody sent it"})
+			continue
+		}
+		count[run.Attempt]++
+		ended[run.Attempt] = ended[run.Attempt] || run.Ended
+		if run.Path != one.path || run.Body != one.body || run.Method != "POST" {
+			findings = append(findings, Finding{"UNASKED", run.Attempt, "ran with another method, path or body: " + run.Method + " " + run.Path})
+		}
+		fits := false
+		for _, service := range one.services {
+			fits = fits || service == run.Service
+		}
+		if !fits {
+			findings = append(findings, Finding{"ROUTE", run.Attempt, "ran at service " + run.Service})
+		}
+		if one.once && count[run.Attempt] == 2 {
+			findings = append(findings, Finding{"TWICE", run.Attempt, "ran again at " + run.Worker})
+		}
+		if (one.once || one.item) && one.promised && count[run.Attempt] == 1 {
+			findings = append(findings, Finding{"REFUSED", run.Attempt, "was promised not to run, and ran at " + run.Worker})
+		}
+	}
+	for attempt, one := range all {
+		if one.succeeded && !ended[attempt] {
+			findings = append(findings, Finding{"MIXED", attempt, "a success that no worker gave"})
+		}
+	}
+	return findings
+}
+
+// lotCheck follows one lot through its reads.
+type lotCheck struct {
+	id string
+	// events is how many events each item has; listed is what stands at each position.
+	events   map[string]int64
+	listed   []hopper.Output
+	position map[string]int
+}
+
+func newLotCheck(id string) *lotCheck {
+	return &lotCheck{id: id, events: map[string]int64{}, position: map[string]int{}}
+}
+
+// page takes what one read gave from a position on.
+func (one *lotCheck) page(cursor int, page *hopper.Page) []Finding {
+	var findings []Finding
+	add := func(rule, what string) { findings = append(findings, Finding{rule, one.id, what}) }
+	if page.Sum != len(one.events) {
+		add("MIXED", fmt.Sprintf("sum is %d, items are %d", page.Sum, len(one.events)))
+	}
+	for place, output := range page.Outputs {
+		at := cursor + place
+		if at < len(one.listed) {
+			if one.listed[at] != output {
+				add("TWICE", fmt.Sprintf("position %d holds another result than before", at))
+			}
+			continue
+		}
+		if before, twice := one.position[output.ID]; twice {
+			add("TWICE", fmt.Sprintf("item %s stands at positions %d and %d", output.ID, before, at))
+		}
+		one.position[output.ID] = at
+		one.listed = append(one.listed, output)
+		events, known := one.events[output.ID]
+		switch {
+		case !known:
+			add("MIXED", "item "+output.ID+" belongs to another lot")
+		case output.Phase == hopper.Settled && output.Text != wholeText(output.ID, events):
+			add("MIXED", "the text of item "+output.ID+" is not its whole output")
+		case output.Phase != hopper.Settled && output.Phase != hopper.Abandoned:
+			add("MIXED", "item "+output.ID+" has the phase "+output.Phase)
+		}
+	}
+	return findings
+}
+
+// wholeText is what a settled item must hold.
+func wholeText(item string, events int64) string {
+	lines := make([]string, 0, events)
+	for number := int64(1); number <= events; number++ {
+		lines = append(lines, anvil.EventData(item, number))
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/treadle/options.go
@@ -0,0 +1,99 @@
+package treadle
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/sawhorse"
+	"lemonarch/internal/watch"
+)
+
+// Options say what load is sent.
+type Options struct {
+	// Rate is requests a second, LotRate lots a second, of so many Items each.
+	Rate, LotRate float64
+	Items         int
+	Mix           []Share
+	For           watch.Span
+	// Count bounds the requests; 0 is up to the time.
+	Count int
+	// Tries is how often a downstream tries in all.
+	Tries int
+	Seed  int64
+}
+
+// NewOptions gives what is used where nothing else is said.
+func NewOptions() Options {
+	mix, _ := ParseMix("query=6,review=1,confirm=2,status=3")
+	return Options{Rate: 40, LotRate: 0.3, Items: 10, Mix: mix, For: 15 * time.Second, Tries: 2, Seed: 1}
+}
+
+// Check gives the first thing that stands in the way.
+func (options *Options) Check() error {
+	switch {
+	case !(options.Rate > 0 && options.Rate <= almanac.LoadRate):
+		return Unfit.New(fmt.Sprintf("rate must be above 0 and at most %d", almanac.LoadRate))
+	case !(options.LotRate >= 0 && options.LotRate <= almanac.LoadRate):
+		return Unfit.New(fmt.Sprintf("lots must lie between 0 and %d", almanac.LoadRate))
+	case options.Items < 1 || options.Items > almanac.LotItems:
+		return Unfit.New(fmt.Sprintf("items must lie between 1 and %d", almanac.LotItems))
+	case options.For <= 0 || options.For > almanac.LoadTime:
+		return Unfit.New(fmt.Sprintf("for must be above 0 and at most %s", almanac.LoadTime))
+	case options.Count < 0 || options.Count > almanac.LoadCount:
+		return Unfit.New(fmt.Sprintf("count must lie between 0 and %d", almanac.LoadCount))
+	case options.Tries < 1 || options.Tries > 5:
+		return Unfit.New("tries must lie between 1 and 5")
+	}
+	return nil
+}
+
+// routesOf finds the route of each kind that the options name.
+func (options *Options) routesOf(card *sawhorse.Card) (map[string]*jig.Route, error) {
+	routes := map[string]*jig.Route{}
+	for place := range card.Routes {
+		routes[card.Routes[place].Name] = &card.Routes[place]
+	}
+	wanted := []string{}
+	for _, share := range options.Mix {
+		wanted = append(wanted, share.Kind)
+	}
+	if options.LotRate > 0 {
+		wanted = append(wanted, "batch")
+	}
+	for _, name := range wanted {
+		if routes[name] == nil {
+			return nil, Unfit.New("the fleet's configuration has no route called " + name)
+		}
+	}
+	return routes, nil
+}
+
+// Experiment is what a TOML file says: the load, the fleets side by side, and what
+// breaks when.
+type Experiment struct {
+	Rate    float64            `toml:"rate"`
+	LotRate float64            `toml:"lots"`
+	Items   int                `toml:"items"`
+	Mix     string             `toml:"mix"`
+	ForS    float64            `toml:"for-s"`
+	Count   int                `toml:"count"`
+	Tries   int                `toml:"tries"`
+	Seed    int64              `toml:"seed"`
+	Fleets  []sawhorse.Plan    `toml:"fleet"`
+	Trouble []sawhorse.Trouble `toml:"trouble"`
+}
+
+// Finding is one broken promise.
+type Finding struct {
+	Rule    string `json:"rule"`
+	Attempt string `json:"attempt"`
+	What    string `json:"what"`
+}
+
+// String gives it on one line.
+func (one Finding) String() string {
+	return strings.TrimSpace(one.Rule + " " + one.Attempt + ": " + one.What)
+}
--- /dev/null
+++ b/internal/treadle/result.go
@@ -0,0 +1,205 @@
+package treadle
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/watch"
+)
+
+// Kind is what came of one kind of request.
+type Kind struct {
+	Name string `json:"kind"`
+	// Sent counts orders (of lots: items), InTime and Late those served, Failed the others.
+	Sent   int `json:"sent"`
+	InTime int `json:"in-time"`
+	Late   int `json:"late"`
+	Failed int `json:"failed"`
+	// Worth is what was earned of what was owed, 0 to 1.
+	Worth  float64 `json:"worth"`
+	earned float64
+	owed   float64
+	// The percentiles are in ms: to the first event of a stream, to the end of a plain
+	// answer, from the handing in of a lot to the reading of an item.
+	P50 float64 `json:"p50-ms"`
+	P90 float64 `json:"p90-ms"`
+	P99 float64 `json:"p99-ms"`
+	Max float64 `json:"max-ms"`
+
+	times *hdrhistogram.Histogram
+}
+
+// Result is what came of one load on one fleet.
+type Result struct {
+	Label string `json:"label"`
+	// Worth is what was earned of what was owed, over all kinds.
+	Worth   float64        `json:"worth"`
+	Kinds   []*Kind        `json:"kinds"`
+	Causes  map[string]int `json:"failures-by-cause"`
+	Retried map[string]int `json:"tries-again-by-cause"`
+	// Findings holds the broken promises, at most almanac.LoadFindings of them;
+	// Broken counts all.
+	Findings []Finding `json:"findings"`
+	Broken   int       `json:"broken"`
+	Notes    []string  `json:"notes"`
+	NotSent  int       `json:"not-sent"`
+	Runs     int       `json:"runs-at-workers"`
+	Took     float64   `json:"took-s"`
+
+	lock  sync.Mutex
+	kinds map[string]*Kind
+}
+
+func newResult(label string) *Result {
+	return &Result{Label: label, Causes: map[string]int{}, Retried: map[string]int{}, Findings: []Finding{}, Notes: []string{}, kinds: map[string]*Kind{}}
+}
+
+// kind finds the counts of a kind. The lock is held.
+func (result *Result) kind(name string) *Kind {
+	one := result.kinds[name]
+	if one == nil {
+		const digits = 3
+		one = &Kind{Name: name, times: hdrhistogram.New(1, almanac.LoadTime.Microseconds(), digits)}
+		result.kinds[name] = one
+		result.Kinds = append(result.Kinds, one)
+		sort.Slice(result.Kinds, func(left, right int) bool { return result.Kinds[left].Name < result.Kinds[right].Name })
+	}
+	return one
+}
+
+func (one *Kind) record(span watch.Span) { _ = one.times.RecordValue(max(span.Microseconds(), 1)) }
+
+// count adds a share of the worth to what was earned. The lock is held.
+func (result *Result) count(name string, inTime, served bool) *Kind {
+	one, worth := result.kind(name), profiles[name].worth
+	one.Sent++
+	one.owed += worth
+	switch {
+	case inTime:
+		one.InTime++
+		one.earned += worth
+	case served:
+		one.Late++
+		one.earned += worth * almanac.LoadLate
+	default:
+		one.Failed++
+	}
+	return one
+}
+
+// serve counts an order that was served whole.
+func (result *Result) serve(order *order, state *served, now watch.Moment) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	first := state.first
+	if first == 0 {
+		first = now
+	}
+	took := first.Since(state.begun)
+	inTime := took <= order.route.Setpoint() && (order.route.GapMs <= 0 || state.gap <= watch.Milliseconds(order.route.GapMs))
+	result.count(order.kind, inTime, true).record(took)
+}
+
+// fail counts an order that was not served.
+func (result *Result) fail(order *order, cause string) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	result.count(order.kind, false, false)
+	result.Causes[order.kind+": "+cause]++
+}
+
+// again counts a try that failed and is followed by another.
+func (result *Result) again(cause string) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	result.Retried[cause]++
+}
+
+// handIn notes how long the handing in of a lot took.
+func (result *Result) handIn(took watch.Span) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	one := result.kind(handInKind)
+	one.Sent++
+	one.InTime++
+	one.record(took)
+}
+
+// handInKind is the line of the report on accepted lots; it earns nothing itself.
+const handInKind = "batch-202"
+
+// item counts one listed item.
+func (result *Result) item(settled bool, took watch.Span, inTime bool) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	one := result.count("batch", settled && inTime, settled)
+	if settled {
+		one.record(took)
+	} else {
+		result.Causes["batch: item abandoned"]++
+	}
+}
+
+// failItems counts items that were never listed.
+func (result *Result) failItems(count int, cause string) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	for ; count > 0; count-- {
+		result.count("batch", false, false)
+		result.Causes["batch: "+cause]++
+	}
+}
+
+func (result *Result) notSent() {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	result.NotSent++
+}
+
+func (result *Result) note(text string) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	result.Notes = append(result.Notes, text)
+}
+
+// find keeps a broken promise.
+func (result *Result) find(finding Finding) {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	result.Broken++
+	if len(result.Findings) < almanac.LoadFindings {
+		result.Findings = append(result.Findings, finding)
+	}
+}
+
+// Close works out worth and percentiles.
+func (result *Result) Close() {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	earned, owed := 0.0, 0.0
+	for _, one := range result.Kinds {
+		earned, owed = earned+one.earned, owed+one.owed
+		if one.owed > 0 {
+			one.Worth = one.earned / one.owed
+		}
+		at := func(percent float64) float64 { return float64(one.times.ValueAtPercentile(percent)) / 1000 }
+		one.P50, one.P90, one.P99, one.Max = at(50), at(90), at(99), float64(one.times.Max())/1000
+	}
+	if owed > 0 {
+		result.Worth = earned / owed
+	}
+}
+
+// Served counts what was served at all, in time or late.
+func (result *Result) Served() int {
+	count := 0
+	for _, one := range result.Kinds {
+		if one.Name != handInKind {
+			count += one.InTime + one.Late
+		}
+	}
+	return count
+}
