Items are dispatched by a share group to drivers on all lockers

Cause: the holder of the one duty ran all items itself, so a change of holder broke every run off and one process carried all events.

Change: the holder dispatches. Per item: available, acquired (driver, life, number, locked until), closing, settled or archived; deliveries, lapses, releases and 500s counted apart. Drivers (all lockers) acquire what they have places for at the workers they own (rendezvous hash, own zone first) and derive ACCEPT, RELEASE, REJECT, RENEW from the stream. ACCEPT carries the whole text and is one record with the output; a counted 500 is a record too. A new holder takes every item of earlier lots for perhaps acquired until one lock has passed or its driver shows its number. The old running of items on the holder is gone.

Guards broken once and seen red: takeover wait, lock reckoned from the asking, renewal without margin, no lapse, second result for a closing item, single acquisition, 500 counted per repeat, given up at lapses, answered before durable, no stop at lock end, forgotten acknowledgements, acquired after the end, lock beyond cancel-ms, fewer events taken back, late release under another run, adoption at any time, no adoption. TestCancelDuringHandOver now acquires and accepts through the dispatcher (the functions it called are gone), and also checks the repeat and the acquisition after the end.

--- /dev/null
+++ b/internal/apprentice/apprentice_test.go
@@ -0,0 +1,105 @@
+package apprentice
+
+import (
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+const lock = 2 * watch.Span(1_000_000_000)
+
+func ms(count float64) watch.Moment { return watch.Moment(watch.Milliseconds(count)) }
+
+func given(numbers ...uint64) *pattern.Acquired {
+	answer := &pattern.Acquired{LockMs: watch.ToMilliseconds(lock), HeldMs: 500}
+	for _, number := range numbers {
+		answer.Items = append(answer.Items, pattern.AcquiredItem{Number: number, Lot: "l", Item: pattern.LotItem{ID: "i"}})
+	}
+	return answer
+}
+
+// However late an answer comes, the lock ends here before it does at the dispatcher.
+func TestLockIsReckonedFromTheAsking(test *testing.T) {
+	one := New()
+	if tasks := one.Take(given(1), ms(0), ms(2500)); len(tasks) != 0 {
+		test.Fatal("taken after its lock had ended")
+	}
+	task := one.Take(given(2), ms(0), ms(2000))[0]
+	end := ms(2500).Plus(-almanac.LockMargin)
+	if !task.May(end-1) || task.May(end) || len(one.Lapsed(end-1)) != 0 {
+		test.Fatal("the lock ends at another time")
+	}
+	if stopped := one.Lapsed(end); len(stopped) != 1 || len(one.Lapsed(end)) != 0 || len(one.Renewals(end)) != 0 {
+		test.Fatal("a lapsed run goes on")
+	}
+}
+
+func TestRenewalCountsFromItsAsking(test *testing.T) {
+	one := New()
+	task := one.Take(given(1), ms(0), ms(500))[0]
+	entries := one.Renewals(ms(1000))
+	one.Renewed(entries, []pattern.AckVerdict{pattern.AckRenewed}, ms(1000), lock)
+	if !task.May(ms(2800)) || task.May(ms(3000)) {
+		test.Fatal("renewed for another time")
+	}
+	if stopped := one.Renewed(entries, []pattern.AckVerdict{pattern.AckUnknown}, ms(1500), lock); len(stopped) != 0 || task.May(ms(3000)) {
+		test.Fatal("an unclear answer renewed or stopped it")
+	}
+	if stopped := one.Renewed(entries, []pattern.AckVerdict{pattern.AckStopped}, ms(1500), lock); len(stopped) != 1 || !task.Stopped() {
+		test.Fatal("not stopped")
+	}
+}
+
+// An acknowledgement is repeated until it is answered, under the same number.
+func TestAcknowledgementsAreRepeated(test *testing.T) {
+	one := New()
+	for _, task := range one.Take(given(1, 2, 3), ms(0), ms(500)) {
+		kind := pattern.AckAccept
+		if task.Number == 3 {
+			kind = pattern.AckRelease
+			task.Item.Gather(task.Run, [][]byte{[]byte("x")}, 1)
+		}
+		one.Done(task, pattern.Acknowledgement{Kind: kind})
+		one.Done(task, pattern.Acknowledgement{Kind: pattern.AckReject})
+	}
+	batch := one.Results()
+	if len(batch) != 2 || one.Owing() != 3 {
+		test.Fatal(len(batch), one.Owing())
+	}
+	one.Answered(batch, nil)
+	one.Answered(batch, []pattern.AckVerdict{pattern.AckUnknown, pattern.AckTerminal})
+	if batch = one.Results(); len(batch) != 1 || batch[0].Number != 1 || batch[0].Kind != pattern.AckAccept {
+		test.Fatal(batch)
+	}
+	if back := one.Returns(); len(back) != 1 || back[0].LastID != 1 || len(back[0].Pieces) != 1 {
+		test.Fatal(back)
+	}
+	one.Answered(batch, []pattern.AckVerdict{pattern.AckTaken})
+	if len(one.Results()) != 0 || one.Owing() != 1 {
+		test.Fatal("answered, and repeated")
+	}
+}
+
+func TestStopOfALot(test *testing.T) {
+	one := New()
+	one.Take(given(1, 2), ms(0), ms(500))
+	if len(one.StopLot("other")) != 0 || len(one.StopLot("l")) != 2 || len(one.StopLot("l")) != 0 {
+		test.Fatal("not each run once")
+	}
+}
+
+func TestBatchesAreBounded(test *testing.T) {
+	one := New()
+	var numbers []uint64
+	for number := uint64(1); number <= almanac.AckEntries+5; number++ {
+		numbers = append(numbers, number)
+	}
+	for _, task := range one.Take(given(numbers...), ms(0), ms(500)) {
+		one.Done(task, pattern.Acknowledgement{Kind: pattern.AckAccept, Text: make([]byte, 10)})
+	}
+	if len(one.Results()) != almanac.AckEntries {
+		test.Fatal(len(one.Results()))
+	}
+}
--- a/internal/jig/jig.go
+++ b/internal/jig/jig.go
@@ -179,6 +179,20 @@
 	return chosen
 }
 
+// Services names the services that requests of the route may go to.
+func (route *Route) Services() []string {
+	if len(route.Weighted) == 0 {
+		return []string{route.Backend}
+	}
+	var names []string
+	for _, share := range route.Weighted {
+		if share.Share > 0 {
+			names = append(names, share.Backend)
+		}
+	}
+	return names
+}
+
 // Cutoff is the longest the operator wants a request held.
 func (route *Route) Cutoff() watch.Span {
 	if route.CutoffMs <= 0 {
--- /dev/null
+++ b/internal/ledgerbox/acquire.go
@@ -0,0 +1,146 @@
+package ledgerbox
+
+import (
+	"sort"
+	"strings"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/watch"
+)
+
+// Terms is what the configuration says of a lot at this moment.
+type Terms struct {
+	// Due is when its results are due, in ms of the time of day.
+	Due int64
+	// Late: it can't be in time any more, however soon it is run.
+	Late bool
+	// Over: its route is gone, or its retain-s has passed.
+	Over bool
+}
+
+// AcquireAsk is a driver's question.
+type AcquireAsk struct {
+	Driver Driver
+	// Room is how many places the driver has at each service.
+	Room map[string]int
+	// Terms gives the terms of a lot, Service the service of an item.
+	Terms   func(lot *Lot) Terms
+	Service func(item *Item) string
+}
+
+// home is the driver that a shared prefix was handed to last.
+type home struct {
+	driver string
+	at     watch.Moment
+}
+
+// windowFactor is how many candidates are weighed for each place (ours): among
+// those due soonest, items whose shared prefix the driver has come first.
+const windowFactor = 4
+
+// homesLimit bounds what is remembered of prefixes (ours).
+const homesLimit = 4096
+
+// Acquire hands out items by due time, those that can still be in time first, and
+// among those due soonest the ones whose shared prefix the driver had before.
+func (dispatcher *Dispatcher) Acquire(ask *AcquireAsk, now watch.Moment) []*Acquisition {
+	room := 0
+	for _, count := range ask.Room {
+		room += count
+	}
+	var taken []*Acquisition
+	var lots [2][]dueLot
+	for _, lot := range dispatcher.Book.Lots() {
+		if !lot.Open() || dispatcher.Closed(lot) {
+			continue
+		}
+		terms := ask.Terms(lot)
+		if terms.Over {
+			continue
+		}
+		rank := 0
+		if terms.Late {
+			rank = 1
+		}
+		lots[rank] = append(lots[rank], dueLot{lot, terms.Due})
+	}
+	for _, some := range lots {
+		sort.SliceStable(some, func(left, right int) bool { return some[left].due < some[right].due })
+		for _, item := range dispatcher.window(some, ask.Driver, room*windowFactor, now) {
+			if room == 0 {
+				return taken
+			}
+			service := ask.Service(item)
+			if ask.Room[service] == 0 {
+				continue
+			}
+			one := dispatcher.grant(item, ask.Driver, 0, now)
+			if one == nil {
+				continue
+			}
+			ask.Room[service]--
+			room--
+			dispatcher.Counts.Deliveries++
+			dispatcher.settleHome(item, ask.Driver.Name, now)
+			taken = append(taken, one)
+		}
+	}
+	return taken
+}
+
+type dueLot struct {
+	lot *Lot
+	due int64
+}
+
+// window gives the free items due soonest, the driver's own prefixes first. An item
+// whose prefix another driver has is left to that one for a moment, so that shared
+// parts are read by few workers.
+func (dispatcher *Dispatcher) window(lots []dueLot, driver Driver, limit int, now watch.Moment) []*Item {
+	var own, others []*Item
+	for _, one := range lots {
+		for _, item := range one.lot.Items {
+			if !dispatcher.free(item, now) {
+				continue
+			}
+			if item.seen == 0 {
+				item.seen = now
+			}
+			switch at, known := dispatcher.homes[prefixOf(item)]; {
+			case known && at.driver == driver.Name:
+				own = append(own, item)
+			case known && now.Since(item.seen) < almanac.HomePatience && now.Since(at.at) < almanac.HomeStale:
+			default:
+				others = append(others, item)
+			}
+			if len(own)+len(others) >= limit {
+				return append(own, others...)
+			}
+		}
+	}
+	return append(own, others...)
+}
+
+func (dispatcher *Dispatcher) settleHome(item *Item, driver string, now watch.Moment) {
+	prefix := prefixOf(item)
+	if prefix == "" {
+		return
+	}
+	if len(dispatcher.homes) >= homesLimit {
+		dispatcher.homes = map[string]home{}
+	}
+	at, known := dispatcher.homes[prefix]
+	if !known || at.driver == driver || now.Since(at.at) >= almanac.HomeStale {
+		dispatcher.homes[prefix] = home{driver, now}
+	}
+}
+
+// prefixOf names the shared part of an item's prompt: all parts but its own last.
+func prefixOf(item *Item) string {
+	parts := item.Headers["Lemonarch-Prompt-Prefix"]
+	at := strings.LastIndexByte(parts, ',')
+	if at < 0 {
+		return ""
+	}
+	return parts[:at]
+}
--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -29,8 +29,13 @@
 	Ended    bool
 	sum      int
 	open     int
+	// giving counts positions that were given and are not yet durable.
+	giving int
 }
 
+// Giving counts the positions that are on their way to the stores.
+func (lot *Lot) Giving() int { return lot.giving }
+
 // Sum is the number of items.
 func (lot *Lot) Sum() int { return lot.sum }
 
@@ -63,14 +68,25 @@
 			return Unreadable.New("output out of place in lot " + record.Lot)
 		}
 		lot.Listings = append(lot.Listings, Listing{Item: record.Item, Dropped: record.Dropped, Index: record.Index})
+		lot.giving = max(lot.giving-1, 0)
 		for _, item := range lot.Items {
-			if item.ID == record.Item && item.State != ItemListed {
-				item.State = ItemListed
+			if item.ID == record.Item && !item.Terminal() {
+				item.State = ItemSettled
+				if record.Dropped {
+					item.State = ItemArchived
+				}
+				item.closer = record.Acquisition
 				// What is listed is read from disk: the rest is given back.
 				item.Body, item.Pieces, item.Headers = nil, nil, nil
 				lot.open--
 			}
 		}
+	case pattern.RecordFailure:
+		if lot := book.lots[record.Lot]; lot != nil {
+			if item := lot.Find(record.Item); item != nil {
+				item.fail(record.Acquisition)
+			}
+		}
 	case pattern.RecordEnd:
 		if lot := book.lots[record.Lot]; lot != nil {
 			lot.Ended = true
@@ -117,7 +133,7 @@
 			continue
 		}
 		for _, item := range lot.Items {
-			if item.State == ItemWaiting || item.State == ItemRunning {
+			if item.State == ItemAvailable || item.State == ItemAcquired {
 				total += item.Tokens
 			}
 		}
--- /dev/null
+++ b/internal/ledgerbox/dispatch.go
@@ -0,0 +1,215 @@
+package ledgerbox
+
+import (
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Driver is a process that runs items, in one life.
+type Driver struct {
+	Name    string
+	Life    int64
+	Address string
+}
+
+// Acquisition is one item with one driver, for the length of a lock.
+type Acquisition struct {
+	// Number is unique over all epochs.
+	Number uint64
+	Driver Driver
+	Item   *Item
+	run    int
+	begun  watch.Moment
+	until  watch.Moment
+	// fresh says that the run began at the first event, so that its time teaches.
+	fresh bool
+}
+
+// Dispatcher decides which driver may run an item now. It is a share group over the
+// book: acquisitions are soft, terminal states are records. Steps without I/O; its
+// owner guards it with a lock and gives it the time and a way to submit records.
+// Several can live in one process, each with a book of its own.
+type Dispatcher struct {
+	Book *Book
+	// Lock is how long an acquisition stands without an acknowledgement.
+	Lock watch.Span
+	// Closed tells whether a lot's end is on its way: nothing of it is acquired.
+	Closed func(lot *Lot) bool
+	// Submit has a record made durable and gives its index.
+	Submit func(record pattern.Record) int64
+	// Tries is how many answers of 500 end an item.
+	Tries func(item *Item) int
+	// TookMs is the usual time of a whole run.
+	TookMs float64
+	Counts DispatchCounts
+
+	epoch  uint64
+	serial uint64
+	live   map[uint64]*Acquisition
+	// before is the index of the first record of this epoch: items of earlier lots
+	// may be with drivers until unsure.
+	before int64
+	unsure watch.Moment
+	homes  map[string]home
+}
+
+// DispatchCounts are for the operator.
+type DispatchCounts struct {
+	Deliveries, Lapses, Releases, Failures, Renewals, Adopted, Settled, Dropped, Late int64
+}
+
+// serialBits is the part of an acquisition number that counts within an epoch.
+const serialBits = 40
+
+// NewDispatcher starts the dispatcher of an epoch. Lots with records before the
+// index may be acquired from earlier holders until a lock length after the moment
+// at which the last of them can have handed anything out.
+func NewDispatcher(book *Book, epoch uint64, before int64, lock watch.Span, taken watch.Moment) *Dispatcher {
+	return &Dispatcher{Book: book, Lock: lock, epoch: epoch, before: before, unsure: taken.Plus(lock),
+		live: map[uint64]*Acquisition{}, homes: map[string]home{},
+		Closed: func(*Lot) bool { return false }, Tries: func(*Item) int { return 1 }}
+}
+
+// Live is how many acquisitions stand.
+func (dispatcher *Dispatcher) Live() int { return len(dispatcher.live) }
+
+// Holding lists the drivers that hold acquisitions of a lot.
+func (dispatcher *Dispatcher) Holding(lot *Lot) []Driver {
+	var drivers []Driver
+	seen := map[Driver]bool{}
+	for _, item := range lot.Items {
+		if item.held != nil && !seen[item.held.Driver] {
+			seen[item.held.Driver] = true
+			drivers = append(drivers, item.held.Driver)
+		}
+	}
+	return drivers
+}
+
+// Unsure tells whether earlier holders' acquisitions may still stand somewhere.
+func (dispatcher *Dispatcher) Unsure(now watch.Moment) bool { return now < dispatcher.unsure }
+
+// perhapsHeld tells whether an earlier holder may have handed the item out.
+func (dispatcher *Dispatcher) perhapsHeld(item *Item, now watch.Moment) bool {
+	return item.Lot.Index < dispatcher.before && now < dispatcher.unsure
+}
+
+// free tells whether an item may be acquired now.
+func (dispatcher *Dispatcher) free(item *Item, now watch.Moment) bool {
+	return item.State == ItemAvailable && item.held == nil && now >= item.pause && !dispatcher.perhapsHeld(item, now)
+}
+
+// grant acquires an item for a driver; the number is new, or one that its driver
+// has shown after a takeover.
+func (dispatcher *Dispatcher) grant(item *Item, driver Driver, number uint64, now watch.Moment) *Acquisition {
+	fresh := item.LastID == 0 && number == 0
+	run := item.Begin()
+	if run == 0 {
+		return nil
+	}
+	if number == 0 {
+		dispatcher.serial++
+		number = dispatcher.epoch<<serialBits | dispatcher.serial
+	}
+	one := &Acquisition{Number: number, Driver: driver, Item: item, run: run, begun: now, until: now.Plus(dispatcher.Lock), fresh: fresh}
+	item.held, item.seen = one, 0
+	dispatcher.live[number] = one
+	return one
+}
+
+// drop ends an acquisition, whatever comes next.
+func (dispatcher *Dispatcher) drop(one *Acquisition) {
+	if one == nil {
+		return
+	}
+	delete(dispatcher.live, one.Number)
+	if one.Item.held == one {
+		one.Item.held = nil
+	}
+}
+
+// setBack makes an item available again after a pause.
+func (dispatcher *Dispatcher) setBack(one *Acquisition, pause watch.Span, now watch.Moment) {
+	dispatcher.drop(one)
+	one.Item.SetBack(one.run)
+	one.Item.pause = now.Plus(pause)
+}
+
+// Lapse makes items available whose lock ran out unacknowledged. A lapse never ends
+// an item: it waits longer each time, so that one that kills drivers costs little.
+func (dispatcher *Dispatcher) Lapse(now watch.Moment) int {
+	count := 0
+	for _, one := range dispatcher.live {
+		if now < one.until {
+			continue
+		}
+		one.Item.Lapses++
+		count++
+		dispatcher.setBack(one, growing(one.Item.Lapses), now)
+	}
+	dispatcher.Counts.Lapses += int64(count)
+	return count
+}
+
+// growing is the pause after so many lapses or releases.
+func growing(count int) watch.Span {
+	const doublings = 5
+	return almanac.RetryItem << min(max(count-1, 0), doublings)
+}
+
+// Stop ends all acquisitions of a lot whose end is decided, and names the drivers
+// that have to stop.
+func (dispatcher *Dispatcher) Stop(lot *Lot) []Driver {
+	drivers := dispatcher.Holding(lot)
+	for _, item := range lot.Items {
+		if one := item.held; one != nil {
+			dispatcher.drop(one)
+			item.SetBack(one.run)
+		}
+	}
+	return drivers
+}
+
+// Expire archives what waits and has come to a terminal ground: its route is gone
+// or its retain-s is over, as the terms of its lot say, or its tries are spent.
+func (dispatcher *Dispatcher) Expire(terms func(lot *Lot) Terms, now watch.Moment) int {
+	count := 0
+	for _, lot := range dispatcher.Book.Lots() {
+		if !lot.Open() || dispatcher.Closed(lot) {
+			continue
+		}
+		over := terms(lot).Over
+		for _, item := range lot.Items {
+			// A whole output that a driver may still bring is an output.
+			if item.State != ItemAvailable || dispatcher.perhapsHeld(item, now) {
+				continue
+			}
+			if over || (len(item.FailedBy) > 0 && len(item.FailedBy) >= dispatcher.Tries(item)) {
+				dispatcher.archive(item, 0, 0)
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// archive ends an item with the result that it is abandoned.
+func (dispatcher *Dispatcher) archive(item *Item, run int, number uint64) bool {
+	if !item.GiveUp(run) {
+		return false
+	}
+	dispatcher.Counts.Dropped++
+	dispatcher.close(item, number, nil, true)
+	return true
+}
+
+// close submits the one terminal record of an item, at the next position.
+func (dispatcher *Dispatcher) close(item *Item, number uint64, text []byte, dropped bool) {
+	lot := item.Lot
+	position := len(lot.Listings) + lot.giving
+	lot.giving++
+	item.closer = number
+	item.closing = dispatcher.Submit(pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID,
+		Position: position, Dropped: dropped, Body: text, Acquisition: number})
+}
--- a/internal/ledgerbox/item.go
+++ b/internal/ledgerbox/item.go
@@ -1,53 +1,68 @@
 package ledgerbox
 
-import "lemonarch/internal/pattern"
+import (
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
 
-// ItemState is where an item stands.
+// ItemState is where an item stands in its share group.
 type ItemState int
 
 // The states of an item.
 const (
-	// ItemWaiting: to be run.
-	ItemWaiting ItemState = iota
-	// ItemRunning: at a worker now.
-	ItemRunning
-	// ItemFinished: its output is being made durable.
-	ItemFinished
-	// ItemListed: at a position for good.
-	ItemListed
+	// ItemAvailable: to be run.
+	ItemAvailable ItemState = iota
+	// ItemAcquired: with one driver, under a lock.
+	ItemAcquired
+	// ItemClosing: its terminal record is being made durable.
+	ItemClosing
+	// ItemSettled: its output stands at a position for good.
+	ItemSettled
+	// ItemArchived: it is listed as abandoned for good.
+	ItemArchived
 )
 
-// Item is one item of a lot. Its steps are guarded: a run that was displaced,
-// called off or overtaken can neither add events nor finish it.
+// Item is one item of a lot, as the dispatcher keeps it and as a driver that
+// acquired it does. Its steps are guarded: a run that was displaced, called off or
+// overtaken can neither add events nor finish it.
 type Item struct {
 	pattern.LotItem
 	State ItemState
 	// Pieces are the events gathered so far; LastID is the last one's id.
 	Pieces [][]byte
 	LastID int64
-	Fails  int
-	// Displaced counts how often it made room; Runs how often it was begun.
+	// FailedBy names the acquisitions that ended with a 500, each counted once.
+	FailedBy []uint64
+	// Displaced counts how often it made room; Runs how often it was delivered.
 	Displaced int
 	Runs      int
+	// Lapses, Releases and Renewals count what befell its acquisitions.
+	Lapses, Releases, Renewals int
 	// Owed says that it made room and was not begun again yet.
 	Owed     bool
 	Lot      *Lot
 	yielding bool
+	// closer is the acquisition whose record ends the item, closing its index.
+	closer  uint64
+	closing int64
+	held    *Acquisition
+	// pause is when it may be acquired again; seen is when it was first free.
+	pause, seen watch.Moment
 }
 
 // Begin starts a run and names it; zero when there is nothing to run.
 func (item *Item) Begin() int {
-	if item.State != ItemWaiting || item.Lot.Ended {
+	if item.State != ItemAvailable || item.Lot.Ended {
 		return 0
 	}
-	item.State, item.yielding = ItemRunning, false
+	item.State, item.yielding = ItemAcquired, false
 	item.Runs++
 	return item.Runs
 }
 
 // running tells whether a run is the one that goes on now.
 func (item *Item) running(run int) bool {
-	return item.State == ItemRunning && item.Runs == run && !item.Lot.Ended
+	return item.State == ItemAcquired && item.Runs == run && !item.Lot.Ended
 }
 
 // Gather adds events of a run, up to an id. What follows a yield is not taken:
@@ -77,11 +92,11 @@
 // SetBack ends a run without a result: the item keeps its place by age and all
 // events that carry an id; what can't be gone on from is dropped.
 func (item *Item) SetBack(run int) bool {
-	if item.State != ItemRunning || item.Runs != run {
+	if item.State != ItemAcquired || item.Runs != run {
 		return false
 	}
 	item.Owed = item.Owed || item.yielding
-	item.State, item.yielding = ItemWaiting, false
+	item.State, item.yielding = ItemAvailable, false
 	if item.LastID == 0 {
 		item.Pieces = nil
 	}
@@ -93,19 +108,33 @@
 	if !item.running(run) || item.yielding {
 		return false
 	}
-	item.State = ItemFinished
+	item.State = ItemClosing
 	return true
 }
 
 // GiveUp ends an item that waits, or the run that found it hopeless, with the
 // result that it is abandoned.
 func (item *Item) GiveUp(run int) bool {
-	if item.Lot.Ended || !(item.State == ItemWaiting || item.running(run)) {
+	if item.Lot.Ended || !(item.State == ItemAvailable || item.running(run)) {
 		return false
 	}
-	item.State = ItemFinished
+	item.State = ItemClosing
 	return true
 }
 
 // Waits tells whether no worker has finished the item.
-func (item *Item) Waits() bool { return item.State == ItemWaiting || item.State == ItemRunning }
+func (item *Item) Waits() bool { return item.State == ItemAvailable || item.State == ItemAcquired }
+
+// Terminal tells whether the item's one result stands durably.
+func (item *Item) Terminal() bool { return item.State == ItemSettled || item.State == ItemArchived }
+
+// fail counts a 500 of an acquisition; false when it was counted before.
+func (item *Item) fail(number uint64) bool {
+	for _, one := range item.FailedBy {
+		if one == number {
+			return false
+		}
+	}
+	item.FailedBy = append(item.FailedBy, number)
+	return true
+}
--- a/internal/ledgerbox/item_test.go
+++ b/internal/ledgerbox/item_test.go
@@ -58,7 +58,7 @@
 			}
 		}
 		if outcomes == 1 {
-			return item.State == ItemFinished && item.Begin() == 0
+			return item.State == ItemClosing && item.Begin() == 0
 		}
 		// Without a result there is always a way on: no path ends without one.
 		for _, run := range runs {
--- a/internal/locker/calls.go
+++ b/internal/locker/calls.go
@@ -214,11 +214,7 @@
 	}
 	// Nothing of it is begun any more, and what runs is broken off at once.
 	reign.ending[lot.ID] = true
-	for item, pipe := range reign.running {
-		if item.Lot == lot && pipe != nil {
-			pipe.Close()
-		}
-	}
+	reign.stopRuns(lot)
 	index := reign.submit(pattern.Record{Kind: pattern.RecordEnd, Lot: lot.ID})
 	reign.lock.Unlock()
 	if !reign.durable(index, almanac.CallTime) {
@@ -237,7 +233,7 @@
 	reign.lock.Lock()
 	defer reign.lock.Unlock()
 	for _, lot := range reign.book.Lots() {
-		if !lot.Open() && now-lot.SentMs > keep && !reign.ending["forget "+lot.ID] && reign.filling[lot.ID] == 0 {
+		if !lot.Open() && now-lot.SentMs > keep && !reign.ending["forget "+lot.ID] && lot.Giving() == 0 {
 			reign.ending["forget "+lot.ID] = true
 			reign.submit(pattern.Record{Kind: pattern.RecordForget, Lot: lot.ID})
 		}
--- a/internal/locker/displacement_test.go
+++ b/internal/locker/displacement_test.go
@@ -138,7 +138,7 @@
 	}
 	for _, lot := range holder.book.Lots() {
 		for _, item := range lot.Items {
-			if item.State == ledgerbox.ItemWaiting {
+			if item.State == ledgerbox.ItemAvailable {
 				yard.start(holder, name, item)
 			}
 		}
--- a/internal/locker/handin_test.go
+++ b/internal/locker/handin_test.go
@@ -9,7 +9,6 @@
 
 	"lemonarch/internal/boot"
 	"lemonarch/internal/jointer"
-	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/model"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
@@ -29,6 +28,7 @@
 	stand := trestle.New(settings, "locker", 2, store.Disk(), hclog.NewNullLogger())
 	stand.Wire = tongs.NewRoom().Transport("m")
 	locker := &Locker{Stand: stand, Jointer: jointer.New(stand), Store: store, begun: watch.Now()}
+	locker.driver = newDriver(locker)
 	stand.Take([]byte(quotaConfig))
 	locker.hold.Renewed(watch.Now().Plus(watch.Milliseconds(600_000)))
 	return locker
@@ -96,25 +96,27 @@
 	if answer := one.handIn(lotCallOf("lot", 3)); answer.Status != 202 {
 		test.Fatal(answer.Status)
 	}
-	one.lock.Lock()
-	item := one.book.Lot("lot").Items[0]
-	run := item.Begin()
-	item.Gather(run, [][]byte{[]byte("text")}, 1)
-	one.finish(nil, item, run, []byte("text"), false)
-	index := one.press.Last()
-	late := one.book.Lot("lot").Items[1]
-	lateRun := late.Begin()
-	one.lock.Unlock()
-	if !one.durable(index, watch.Milliseconds(5000)) {
-		test.Fatal("output not durable")
+	question := &pattern.Acquire{Driver: "d", Life: 1, Room: []pattern.ServiceRoom{{Service: "s", Count: 2}}}
+	given := one.acquire(question).Items
+	if len(given) != 2 {
+		test.Fatal("acquired ", len(given))
+	}
+	accept := func(place int, text string) pattern.AckVerdict {
+		entry := pattern.Acknowledgement{Kind: pattern.AckAccept, Number: given[place].Number, Lot: "lot", Item: given[place].Item.ID, Text: []byte(text)}
+		return one.acknowledge(&pattern.Acknowledge{Driver: "d", Life: 1, Entries: []pattern.Acknowledgement{entry}}).Verdicts[0]
+	}
+	item := given[0].Item
+	// Told again it is answered the same, and counts once.
+	if accept(0, "text") != pattern.AckTaken || accept(0, "text") != pattern.AckTaken {
+		test.Fatal("output not taken")
 	}
 	if answer := one.endLot(&pattern.LotCall{Lot: "lot"}); answer.Status != 200 {
 		test.Fatal(answer.Status)
 	}
 	// A run that was under way brings nothing any more.
-	one.lock.Lock()
-	one.finish(nil, late, lateRun, []byte("late"), false)
-	one.lock.Unlock()
+	if accept(1, "late") != pattern.AckTerminal || len(one.acquire(question).Items) != 0 {
+		test.Fatal("an ended lot goes on")
+	}
 	one.end("another takes over")
 	disk.PowerLoss()
 	next := rule(test, soleLocker(test, disk), 2)
@@ -123,7 +125,7 @@
 		test.Fatalf("%+v", lot)
 	}
 	for _, each := range lot.Items {
-		if each.State != ledgerbox.ItemListed && each.Begin() != 0 {
+		if !each.Terminal() && each.Begin() != 0 {
 			test.Fatal("an item of an ended lot would run: ", each.ID)
 		}
 	}
--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -38,6 +38,7 @@
 	toldAt  watch.Moment
 	begun   watch.Moment
 	leaving atomic.Bool
+	driver  *driver
 	done    chan struct{}
 }
 
@@ -54,7 +55,9 @@
 	}
 	stand := trestle.New(settings, bellows.RoleLocker, almanac.PortLocker, store.Disk(), log)
 	locker := &Locker{Stand: stand, Jointer: jointer.New(stand), Store: store, begun: watch.Now(), done: make(chan struct{})}
+	locker.driver = newDriver(locker)
 	locker.answerers()
+	locker.driverAnswerers()
 	locker.reports()
 	return locker, nil
 }
@@ -154,6 +157,7 @@
 		return failure
 	}
 	locker.Jointer.Start()
+	locker.driver.run()
 	go locker.Stand.PullFirst(func() {})
 	go watch.Every(almanac.GossipPeriod*2, locker.Stand.Stop, func() {
 		if failure := locker.Store.Tidy(); failure != nil {
@@ -173,6 +177,8 @@
 		current.end("leaving")
 		current.giveUp()
 	}
+	// What runs here goes back with its events, to whoever holds the duty next.
+	locker.driver.leave()
 	locker.Stand.End()
 	watch.Sleep(almanac.TickPeriod)
 }
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"lemonarch/internal/chisel"
 	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/vise"
@@ -22,28 +21,21 @@
 	taking  map[string]int64
 	pending map[string]int64
 	ending  map[string]bool
-	filling map[string]int
-	running map[*ledgerbox.Item]*chisel.Pipe
-	retry   map[*ledgerbox.Item]watch.Moment
 	feeders map[string]chan struct{}
 	bell    chan struct{}
-	stop    chan struct{}
-	ended   sync.Once
-	serving bool
-	// took is the usual time of an item's run, in ms.
-	took   float64
-	counts runCounts
-}
-
-type runCounts struct {
-	settled, dropped int64
+	// fresh wakes drivers that wait for items; begun is when the duty was taken.
+	fresh      chan struct{}
+	begun      watch.Moment
+	dispatcher *ledgerbox.Dispatcher
+	stop       chan struct{}
+	ended      sync.Once
+	serving    bool
 }
 
 func newReign(locker *Locker, duty pattern.Duty, stores []pattern.Member, first int64) *reign {
 	return &reign{locker: locker, duty: duty, press: ledgerbox.NewPress(duty.Epoch, stores, locker.budget(), first),
 		book: ledgerbox.NewBook(), applied: first - 1, taking: map[string]int64{}, pending: map[string]int64{}, ending: map[string]bool{},
-		filling: map[string]int{}, running: map[*ledgerbox.Item]*chisel.Pipe{}, retry: map[*ledgerbox.Item]watch.Moment{},
-		feeders: map[string]chan struct{}{}, bell: make(chan struct{}), stop: make(chan struct{})}
+		feeders: map[string]chan struct{}{}, bell: make(chan struct{}), fresh: make(chan struct{}), stop: make(chan struct{}), begun: watch.Now()}
 }
 
 // end closes the reign: nothing is told, run or written under its epoch any more.
@@ -54,12 +46,8 @@
 		reign.lock.Lock()
 		defer reign.lock.Unlock()
 		reign.serving = false
-		for _, pipe := range reign.running {
-			if pipe != nil {
-				pipe.Close()
-			}
-		}
 		reign.ring()
+		reign.freshen()
 	})
 }
 
@@ -144,8 +132,7 @@
 		case pattern.RecordLot:
 			delete(reign.taking, record.Lot)
 			delete(reign.pending, record.Lot)
-		case pattern.RecordOutput:
-			reign.filling[record.Lot]--
+			reign.freshen()
 		}
 		reign.applied++
 	}
--- a/internal/locker/report.go
+++ b/internal/locker/report.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/vise"
 	"lemonarch/internal/watch"
@@ -39,7 +40,7 @@
 }
 
 func (locker *Locker) reportLots() *pattern.Status {
-	status := &pattern.Status{Columns: []string{"lot", "path", "age-s", "items", "listed", "running", "waiting-tokens", "state"}}
+	status := &pattern.Status{Columns: []string{"lot", "path", "age-s", "items", "listed", "acquired", "waiting-tokens", "deliveries", "lapses", "releases", "failures", "renewals", "state"}}
 	current := locker.current()
 	if current == nil {
 		return status
@@ -47,10 +48,6 @@
 	now := watch.Wall() / 1_000_000
 	current.lock.Lock()
 	defer current.lock.Unlock()
-	running := map[string]int{}
-	for item := range current.running {
-		running[item.Lot.ID]++
-	}
 	for _, lot := range current.book.Lots() {
 		state, tokens := "open", int64(0)
 		if lot.Ended {
@@ -58,13 +55,22 @@
 		} else if !lot.Open() {
 			state = "done"
 		}
+		acquired, deliveries, lapses, releases, failures, renewals := 0, 0, 0, 0, 0, 0
 		for _, item := range lot.Items {
 			if lot.Open() && item.Waits() {
 				tokens += item.Tokens
 			}
+			if item.State == ledgerbox.ItemAcquired {
+				acquired++
+			}
+			deliveries += item.Runs
+			lapses += item.Lapses
+			releases += item.Releases
+			failures += len(item.FailedBy)
+			renewals += item.Renewals
 		}
 		status.Rows = append(status.Rows, []string{lot.ID, lot.Path, number((now - lot.SentMs) / 1000), number(lot.Sum()),
-			number(len(lot.Listings)), number(running[lot.ID]), number(tokens), state})
+			number(len(lot.Listings)), number(acquired), number(tokens), number(deliveries), number(lapses), number(releases), number(failures), number(renewals), state})
 	}
 	return status
 }
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -41,6 +41,7 @@
 		reign.end("records can't be read")
 		return
 	}
+	reign.openDispatcher(last + 1)
 	for _, member := range reign.press.Members {
 		common := last
 		if one, known := copies[vise.Identity(member)]; known {
@@ -67,7 +68,7 @@
 	go watch.Every(almanac.HoldRenewal, reign.stop, reign.tell)
 	go watch.Every(almanac.GossipPeriod/2, reign.stop, reign.tendSet)
 	go watch.Every(almanac.GossipPeriod, reign.stop, reign.forget)
-	go reign.dispatch()
+	go reign.tendItems()
 	reign.tell()
 }
 
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -4,8 +4,9 @@
 
 //go:generate go tool msgp -o members_gen.go -file members.go -tests=false -io=false
 //go:generate go tool msgp -o lots_gen.go -file lots.go -tests=false -io=false
+//go:generate go tool msgp -o dispatch_gen.go -file dispatch.go -tests=false -io=false
 //go:generate go tool msgp -o kinds_gen.go -file kinds.go -tests=false -io=false
-//go:generate go tool stringer -type=Kind,Phase,RecordKind,RouteKind -output=kinds_string.go
+//go:generate go tool stringer -type=Kind,Phase,RecordKind,RouteKind,AckKind,AckVerdict -output=kinds_string.go
 
 // Kind names a message between our processes.
 type Kind uint16
@@ -32,6 +33,9 @@
 	KindDutyChange
 	KindPressure
 	KindReading
+	KindAcquire
+	KindAcknowledge
+	KindStopRuns
 )
 
 // Phase is a worker's phase.
@@ -54,6 +58,8 @@
 	RecordOutput
 	RecordEnd
 	RecordForget
+	// RecordFailure: an acquisition of an item ended with a 500, which counts.
+	RecordFailure
 )
 
 // RouteKind says what may be repeated.
@@ -66,3 +72,31 @@
 	RouteStreaming
 	RouteBulk
 )
+
+// AckKind is a driver's acknowledgement of an acquisition.
+type AckKind uint8
+
+// The acknowledgements, named as in the source.
+const (
+	AckAccept AckKind = iota
+	AckRelease
+	AckReject
+	AckRenew
+)
+
+// AckVerdict is what the dispatcher says to one.
+type AckVerdict uint8
+
+// The verdicts.
+const (
+	// AckUnknown: nothing is known; the driver repeats it.
+	AckUnknown AckVerdict = iota
+	// AckTaken: recorded, durably where it has to be.
+	AckTaken
+	// AckRenewed: the lock runs anew.
+	AckRenewed
+	// AckStopped: the acquisition is over; the run must stop.
+	AckStopped
+	// AckTerminal: the item ended otherwise, or its lot did.
+	AckTerminal
+)
--- a/internal/pattern/kinds_gen.go
+++ b/internal/pattern/kinds_gen.go
@@ -6,6 +6,62 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z AckKind) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AckKind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = AckKind(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AckKind) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z AckVerdict) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AckVerdict) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = AckVerdict(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AckVerdict) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -39,6 +39,8 @@
 	Route    string     `msg:"r"`
 	Host     string     `msg:"h"`
 	Body     []byte     `msg:"b"`
+	// Acquisition is the acquisition whose acknowledgement this records, if any.
+	Acquisition uint64 `msg:"a"`
 }
 
 // Stretch says that records from First on were written under Epoch.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -1097,9 +1097,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 12
 	// string "x"
-	o = append(o, 0x8b, 0xa1, 0x78)
+	o = append(o, 0x8c, 0xa1, 0x78)
 	o = msgp.AppendInt64(o, z.Index)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -1135,6 +1135,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendUint64(o, z.Acquisition)
 	return
 }
 
@@ -1222,6 +1225,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "a":
+			z.Acquisition, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Acquisition")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1236,7 +1245,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + z.Kind.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + z.Kind.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -10,7 +10,7 @@
 
 // place nominates a worker that has room.
 func (bench *Workbench) place(ask *Ask, now watch.Moment) Answer {
-	listening := bench.listening > 0 && now.Since(bench.listening) < almanac.SilentAfter
+	listening := bench.hears(now)
 	engine := false
 	var cacheTokens int64
 	if bench.config != nil {
@@ -103,7 +103,15 @@
 	return int(almanac.BulkShare * float64(worker.Capacity))
 }
 
+// hears tells whether a foreman was heard from lately.
+func (bench *Workbench) hears(now watch.Moment) bool {
+	return bench.listening > 0 && now.Since(bench.listening) < almanac.SilentAfter
+}
+
 func excluded(ask *Ask, worker string) bool {
+	if ask.Among != nil && !ask.Among[worker] {
+		return true
+	}
 	for _, one := range ask.Excluded {
 		if one == worker {
 			return true
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -27,7 +27,9 @@
 	Deadline watch.Moment
 	Patience watch.Moment
 	Excluded []string
-	arrived  watch.Moment
+	// Among, where not nil, names the only workers that may be asked.
+	Among   map[string]bool
+	arrived watch.Moment
 }
 
 // Grant is an entry to a worker.
