--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -26,6 +26,9 @@
 	// CallTime bounds an ordinary call between our processes (ours): under the
 	// second in which an outside caller moves on.
 	CallTime = 800 * time.Millisecond
+	// ReportTime bounds the periodic word with a foreman (ours): another one is asked
+	// then, well before the next period.
+	ReportTime = 400 * time.Millisecond
 	// StartPause is the pause between two tries of a starting process to learn what
 	// it needs (ours): each is time in which it can't serve.
 	StartPause = 40 * time.Millisecond
--- a/internal/foreman/tables.go
+++ b/internal/foreman/tables.go
@@ -37,8 +37,11 @@
 		return back, nil
 	}))
 	stand.Answer(pattern.KindForemanBeat, answer(func(question *pattern.ForemanBeat) (tongs.Writable, error) {
-		go foreman.heardBeat(question, watch.Now())
-		return foreman.word(bellows.Key(question.From), watch.Now()), nil
+		// What is told here is chosen before it counts as told.
+		now := watch.Now()
+		back := foreman.word(bellows.Key(question.From))
+		go foreman.heardBeat(question, now)
+		return back, nil
 	}))
 	stand.Answer(pattern.KindRelay, answer(foreman.relayed))
 	stand.Answer(pattern.KindRelayWait, answer(foreman.relayWaited))
@@ -74,7 +77,7 @@
 }
 
 // word is what another foreman is told: digests, and who was heard here directly.
-func (foreman *Foreman) word(key string, now watch.Moment) *pattern.ForemanBeat {
+func (foreman *Foreman) word(key string) *pattern.ForemanBeat {
 	foreman.lock.Lock()
 	since := watch.Moment(0)
 	if one := foreman.peers[key]; one != nil {
@@ -116,7 +119,7 @@
 	for address, key := range addresses {
 		go func() {
 			back := &pattern.ForemanBeat{}
-			if tongs.Ask(stand.Wire, address, pattern.KindForemanBeat, foreman.word(key, now), back, almanac.CallTime) == nil {
+			if tongs.Ask(stand.Wire, address, pattern.KindForemanBeat, foreman.word(key), back, almanac.CallTime) == nil {
 				foreman.heardBeat(back, now)
 			}
 		}()
--- a/internal/trestle/config.go
+++ b/internal/trestle/config.go
@@ -111,13 +111,16 @@
 		question.Known = -1
 	}
 	var addresses []string
-	for _, entry := range trestle.All(bellows.RoleForeman) {
-		addresses = append(addresses, entry.Address)
-	}
+	trestle.Viewed(func(view *bellows.View) {
+		// Those that have just failed to answer come last.
+		for _, entry := range view.Foremen(watch.Now()) {
+			addresses = append(addresses, entry.Address)
+		}
+	})
 	if len(addresses) == 0 {
 		addresses = trestle.Boot.SeedAddresses(almanac.PortForeman)
+		rand.Shuffle(len(addresses), func(left, right int) { addresses[left], addresses[right] = addresses[right], addresses[left] })
 	}
-	rand.Shuffle(len(addresses), func(left, right int) { addresses[left], addresses[right] = addresses[right], addresses[left] })
 	for _, address := range addresses {
 		answer := &pattern.ConfigPush{}
 		span := almanac.CallTime
@@ -125,6 +128,7 @@
 			span = almanac.RegisterTime
 		}
 		if tongs.Ask(trestle.Wire, address, pattern.KindConfigPull, question, answer, span) != nil {
+			trestle.Viewed(func(view *bellows.View) { view.Failed(address, watch.Now()) })
 			continue
 		}
 		if answer.Generation > 0 {
--- a/internal/trestle/exchange.go
+++ b/internal/trestle/exchange.go
@@ -83,7 +83,7 @@
 	question := trestle.view.Question()
 	trestle.lock.Unlock()
 	answer := &pattern.Shuffle{}
-	if tongs.Ask(trestle.Wire, address, pattern.KindShuffle, question, answer, almanac.CallTime) != nil {
+	if tongs.Ask(trestle.Wire, address, pattern.KindShuffle, question, answer, almanac.ReportTime) != nil {
 		trestle.lock.Lock()
 		trestle.view.Failed(address, watch.Now())
 		trestle.lock.Unlock()
