A starting foreman learns before it takes calls; reads of starting processes are shared

Change: 503 to workers until another foreman gave its tables (1.5 s at most); those that ask at one time share a read begun after they asked; the pause grows to 320 ms.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -26,26 +26,14 @@
 	// CallTime bounds an ordinary call between our processes (ours): under the
 	// second in which an outside caller moves on.
 	CallTime = 800 * time.Millisecond
-	// ReportTime bounds the periodic word with a foreman (ours): another one is asked
-	// then, well before the next period.
-	ReportTime = 400 * time.Millisecond
 	// StartPause is the pause between two tries of a starting process to learn what
 	// it needs (ours): each is time in which it can't serve.
 	StartPause = 40 * time.Millisecond
+	// StartPauseMost is what that pause grows to (ours).
+	StartPauseMost = 320 * time.Millisecond
 	// PushTime bounds the wait for peers to take a push before a worker's call
 	// is acknowledged; the worker waits a second at most.
 	PushTime = 350 * time.Millisecond
-	// TreeTime bounds the wait for the whole fleet to take word of a worker before the
-	// worker's call is acknowledged (ours): it waits a second at most.
-	TreeTime = 650 * time.Millisecond
-	// RelayPatience is how long a foreman may take to say that it tells its hall, and
-	// HallTime how long that may take (ours): then another way is gone. Both, twice,
-	// must fit into the bound above.
-	RelayPatience = 120 * time.Millisecond
-	HallTime      = 180 * time.Millisecond
-	// BodyFan is how many processes a process sends a configuration to (ours): with a
-	// link of 30 Mbit/s, a body of 100 KB takes 27 ms each.
-	BodyFan = 3
 	// SilentPipe is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
 	// nothing answers, and a hung connection must not hold a caller.
 	SilentPipe = 1500 * time.Millisecond
@@ -53,39 +41,6 @@
 	BulkCallTime = 3 * time.Second
 )
 
-// Membership.
-const (
-	// ShufflePeriod is the time between two shuffles of views (ours).
-	ShufflePeriod = time.Second
-	// ShuffleSize is how many entries one shuffle carries (ours).
-	ShuffleSize = 24
-	// ViewBase is the constant part of a bounded view, to which twice the logarithm of
-	// the population comes (ours): up to 25 of a role the view is still whole.
-	ViewBase = 16
-	// FarLinks is how many processes of each other hall a bounded view keeps at least
-	// (ours): one may be lost.
-	FarLinks = 2
-	// FarShuffle: one shuffle in so many leaves the hall (ours); those bytes are dear.
-	FarShuffle = 4
-	// DrawAfter is how long a foreman goes by what it reckoned of whom a process should
-	// know, while nobody came or went (ours).
-	DrawAfter = 5 * time.Second
-	// FreshReport is the age below which a foreman tells a process as just heard (ours):
-	// a report a second, and a word between foremen.
-	FreshReport = 1800 * time.Millisecond
-	// NeighbourRounds: in one round of so many a process shuffles with a neighbour
-	// besides its word with a foreman (ours): that matters only once foremen are gone.
-	NeighbourRounds = 5
-	// SilentAfter is the silence after which a process is taken for silent.
-	SilentAfter = 3 * time.Second
-	// ForgetAfter is the silence after which an entry leaves the view.
-	ForgetAfter = 45 * time.Second
-	// ReplaceAfter is the silence after which a standing-by process may take a
-	// silent member's place in the acceptor or store set (ours): longer than a
-	// process takes to be started again.
-	ReplaceAfter = 6 * time.Second
-)
-
 // Register and holds.
 const (
 	// RoundTime bounds one round of the register (ours): a sync, even on a slow
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -62,6 +62,10 @@
 }
 
 func (foreman *Foreman) beat(writer http.ResponseWriter, request *http.Request) {
+	if foreman.learning() {
+		reply.Later(writer, http.StatusServiceUnavailable, almanac.RoundTime)
+		return
+	}
 	body, whole := readBody(writer, request, almanac.HeadLimit)
 	if !whole {
 		return
@@ -85,6 +89,10 @@
 }
 
 func (foreman *Foreman) depart(writer http.ResponseWriter, request *http.Request) {
+	if foreman.learning() {
+		reply.Later(writer, http.StatusServiceUnavailable, almanac.RoundTime)
+		return
+	}
 	body, whole := readBody(writer, request, almanac.HeadLimit)
 	if !whole {
 		return
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -39,6 +39,8 @@
 	peers    map[string]*peer
 	relays   map[string]*delivery
 	number   atomic.Uint64
+	met      atomic.Bool
+	shared   sharedRead
 	begun    watch.Moment
 	server   *http.Server
 	memory   *memory
@@ -167,7 +169,12 @@
 // relearn gets from peers what this process can't know after its start.
 func (foreman *Foreman) relearn() {
 	stand := foreman.Stand
-	foreman.beatOthers()
+	// Whoever does not know the fleet can't tell it of a drain: peers are asked until one
+	// has given its tables.
+	for foreman.learning() {
+		foreman.beatOthers()
+		watch.Sleep(2 * almanac.StartPause)
+	}
 	for round := 0; ; round++ {
 		select {
 		case <-stand.Stop:
@@ -210,7 +217,7 @@
 
 func (foreman *Foreman) pulled(question *pattern.ConfigPull) (tongs.Writable, error) {
 	if question.Known < 0 || foreman.Stand.Config() == nil {
-		value, failure := foreman.Register.Read()
+		value, failure := foreman.shared.Read(foreman.Register.Read)
 		if failure != nil {
 			return nil, failure
 		}
--- /dev/null
+++ b/internal/foreman/shared_test.go
@@ -0,0 +1,59 @@
+package foreman
+
+import (
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"lemonarch/internal/pattern"
+)
+
+// Many that ask at once share a read, and none gets a value read before it asked.
+func TestReadsAreSharedButNeverOlderThanTheQuestion(test *testing.T) {
+	const rounds, callers = 50, 20
+	var shared sharedRead
+	var register, reads atomic.Int64
+	begun, release := make(chan struct{}), make(chan struct{})
+	read := func() (pattern.Register, error) {
+		value := pattern.Register{SetEpoch: uint64(register.Load())}
+		reads.Add(1)
+		begun <- struct{}{}
+		<-release
+		return value, nil
+	}
+	var group sync.WaitGroup
+	ask := func() {
+		least := uint64(register.Load())
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if value, _ := shared.Read(read); value.SetEpoch < least {
+				test.Errorf("asked at %d, got %d", least, value.SetEpoch)
+			}
+		}()
+	}
+	ask()
+	<-begun
+	for round := 0; round < rounds; round++ {
+		// A read is under way; all who come now share the one after it.
+		register.Add(1)
+		for caller := 0; caller < callers; caller++ {
+			ask()
+		}
+		for waiting := 0; waiting < callers; runtime.Gosched() {
+			shared.lock.Lock()
+			if shared.next != nil {
+				waiting = shared.next.shares
+			}
+			shared.lock.Unlock()
+		}
+		release <- struct{}{}
+		<-begun
+	}
+	release <- struct{}{}
+	group.Wait()
+	if reads.Load() != rounds+1 {
+		test.Fatalf("%d reads for %d callers", reads.Load(), rounds*callers+1)
+	}
+}
--- a/internal/foreman/tables.go
+++ b/internal/foreman/tables.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// learning tells whether this process has just started and has not had the tables of
+// another foreman yet: till then it takes no calls of workers, who go to the next.
+func (foreman *Foreman) learning() bool {
+	alone := true
+	for _, address := range foreman.Stand.Boot.SeedAddresses(almanac.PortForeman) {
+		alone = alone && address == foreman.Stand.Own.Address
+	}
+	return !alone && !foreman.met.Load() && watch.Now().Since(foreman.begun) < almanac.RelearnTime
+}
+
 // addWorkers adds the word on workers to the answer that a process gets: a digest of
 // the table, and who is silent, as far as this foreman can judge.
 func (foreman *Foreman) addWorkers(answer *pattern.Shuffle) {
@@ -168,6 +178,7 @@
 			foreman.lock.Unlock()
 		}
 	}
+	foreman.met.Store(true)
 }
 
 // behind tells whether another's table may hold something beyond ours, and from which
--- a/internal/trestle/config.go
+++ b/internal/trestle/config.go
@@ -143,7 +143,7 @@
 // and only where none can be had for long, from whatever a foreman knows.
 func (trestle *Trestle) PullFirst(done func()) {
 	const enough = 5_000_000_000
-	begun := watch.Now()
+	begun, pause := watch.Now(), almanac.StartPause
 	for {
 		select {
 		case <-trestle.Stop:
@@ -159,6 +159,12 @@
 			done()
 			return
 		}
-		watch.Sleep(almanac.StartPause)
+		// The whole fleet may be asking a few foremen: the pause grows, and ends early
+		// when a configuration is pushed.
+		had := trestle.Config() != nil
+		for slept := watch.Span(0); slept < pause && (had || trestle.Config() == nil); slept += almanac.StartPause {
+			watch.Sleep(almanac.StartPause)
+		}
+		pause = min(2*pause, almanac.StartPauseMost)
 	}
 }
