The shell finds the fleet through a foreman, and asks it hall by hall

Cause: with bounded views the seed no longer knows everybody, and an answer of 200 rows dropped the rest. Change: a foreman names the halls and then each hall's processes (the ask may name a hall); halls are asked in turn.

--- a/internal/loupe/loupe.go
+++ b/internal/loupe/loupe.go
@@ -6,7 +6,6 @@
 	"net"
 	"sort"
 	"strings"
-	"sync"
 
 	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
@@ -28,6 +27,7 @@
 	Shows string
 }{
 	"nodes":        {nil, "the processes that the seed knows, and when each was heard"},
+	"halls":        {[]string{"foreman"}, "how many processes each foreman knows in each hall"},
 	"config":       {[]string{"forge", "foreman", "locker"}, "the generation that each process follows"},
 	"workers":      {[]string{"forge", "foreman", "locker"}, "workers and their vitals, as each process sees them"},
 	"duty":         {[]string{"foreman", "locker"}, "acceptors, holders and epochs"},
@@ -85,28 +85,5 @@
 	if len(known.Roles) == 0 {
 		return []Answer{{Process: "seed", Status: *seen}}, nil
 	}
-	var answers []Answer
-	addresses := map[string]string{}
-	for _, row := range seen.Rows {
-		role, _, _ := strings.Cut(row[0], "/")
-		for _, wanted := range known.Roles {
-			if role == wanted && len(row) > 2 {
-				answers = append(answers, Answer{Process: row[0]})
-				addresses[row[0]] = row[2]
-			}
-		}
-	}
-	sort.Slice(answers, func(left, right int) bool { return answers[left].Process < answers[right].Process })
-	var group sync.WaitGroup
-	for place := range answers {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			one := &answers[place]
-			question := &pattern.StatusAsk{Query: query}
-			one.Silent = tongs.Ask(loupe.Transport, addresses[one.Process], pattern.KindStatus, question, &one.Status, loupe.Limit) != nil
-		}()
-	}
-	group.Wait()
-	return answers, nil
+	return loupe.askHalls(loupe.fleet(seen), query, known.Roles), nil
 }
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -112,6 +112,8 @@
 // StatusAsk asks a process for a part of its state.
 type StatusAsk struct {
 	Query string `msg:"q"`
+	// Hall, where it is set, keeps the rows of one hall only.
+	Hall string `msg:"h"`
 }
 
 // Status answers with rows for people and tools.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -1481,10 +1481,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z StatusAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "q"
-	o = append(o, 0x81, 0xa1, 0x71)
+	o = append(o, 0x82, 0xa1, 0x71)
 	o = msgp.AppendString(o, z.Query)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Hall)
 	return
 }
 
@@ -1512,6 +1515,12 @@
 				err = msgp.WrapError(err, "Query")
 				return
 			}
+		case "h":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1526,7 +1535,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z StatusAsk) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Query)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Query) + 2 + msgp.StringPrefixSize + len(z.Hall)
 	return
 }
 
--- a/internal/trestle/status.go
+++ b/internal/trestle/status.go
@@ -1,6 +1,7 @@
 package trestle
 
 import (
+	"sort"
 	"strconv"
 
 	"lemonarch/internal/almanac"
@@ -25,6 +26,9 @@
 	if report := trestle.reports[question.Query]; report != nil {
 		answer = report()
 	}
+	if question.Hall != "" {
+		answer.Rows = ofHall(answer, question.Hall)
+	}
 	if len(answer.Rows) > almanac.StatusRows {
 		// A bounded answer costs a node little; the cut is told.
 		left := len(answer.Rows) - almanac.StatusRows
@@ -36,6 +40,39 @@
 	return tongs.Write(answer)
 }
 
+// ofHall keeps the rows that name a hall in their column of that name.
+func ofHall(status *pattern.Status, hall string) [][]string {
+	var kept [][]string
+	for place, column := range status.Columns {
+		if column != "hall" {
+			continue
+		}
+		for _, row := range status.Rows {
+			if place < len(row) && row[place] == hall {
+				kept = append(kept, row)
+			}
+		}
+	}
+	return kept
+}
+
+// reportHalls counts the processes that this one knows by hall.
+func (trestle *Trestle) reportHalls() *pattern.Status {
+	counts, halls := map[string]int{}, []string{}
+	for _, entry := range append([]pattern.Entry{trestle.Own}, trestle.All("")...) {
+		if counts[entry.Hall] == 0 {
+			halls = append(halls, entry.Hall)
+		}
+		counts[entry.Hall]++
+	}
+	sort.Strings(halls)
+	status := &pattern.Status{Columns: []string{"hall", "processes"}}
+	for _, hall := range halls {
+		status.Rows = append(status.Rows, []string{hall, strconv.Itoa(counts[hall])})
+	}
+	return status
+}
+
 // reportNodes lists the view of this process, itself first.
 func (trestle *Trestle) reportNodes() *pattern.Status {
 	status := &pattern.Status{Columns: []string{"process", "hall", "address", "heard-ms", "generation", "leaving"}}
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -74,6 +74,7 @@
 	trestle.Answer(pattern.KindConfigPush, trestle.pushed)
 	trestle.Answer(pattern.KindStatus, trestle.reported)
 	trestle.Report("nodes", trestle.reportNodes)
+	trestle.Report("halls", trestle.reportHalls)
 	trestle.Report("config", trestle.reportSelf)
 	trestle.Report("traffic", trestle.reportTraffic)
 	trestle.learnPlaces([]pattern.Entry{own})
