--- a/internal/foreman/sets.go
+++ b/internal/foreman/sets.go
@@ -1,6 +1,7 @@
 package foreman
 
 import (
+	"math"
 	"math/rand"
 
 	"lemonarch/internal/almanac"
@@ -92,7 +93,7 @@
 		}
 		// The last word is its own: one that answers now is not gone.
 		back := &pattern.Nothing{}
-		if tongs.Ask(foreman.Stand.Wire, members[index].Address, pattern.KindRosterPull, &pattern.RosterPull{}, back, almanac.RoundTime) != nil {
+		if tongs.Ask(foreman.Stand.Wire, members[index].Address, pattern.KindRosterPull, &pattern.RosterPull{Since: math.MaxUint64}, back, almanac.RoundTime) != nil {
 			return &members[index]
 		}
 	}
