A node's pipes follow what a worker takes at once, not a count of nodes

A budget by the number of live nodes shrinks to nothing in a large fleet and needs everybody to be known. Requests are placed by the load that all see, so the pipes in use follow the worker's places; one node may have an eighth of the connections at most, one that runs items a fifth. Two tests' stand-ins of the budget take the worker instead of its service's name; what they check is as it was.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -190,8 +190,10 @@
 	SilentPlain = 3
 	// PipeIdle is how long an idle pipe is kept when the worker names no time.
 	PipeIdle = 4 * time.Second
-	// PipeShare is the part of a worker's connection limit all nodes use.
-	PipeShare = 0.8
+	// PipePart is the part of a worker's connections that one node may have, and
+	// PipePartItems that of one which runs items (ours).
+	PipePart      = 0.125
+	PipePartItems = 0.2
 	// DrainLinger is how long a leaving node still takes new connections: the
 	// platform needs two missed probes, a second apart, to see it leave.
 	DrainLinger = 2600 * time.Millisecond
--- a/internal/anvil/courier_test.go
+++ b/internal/anvil/courier_test.go
@@ -27,7 +27,7 @@
 // edge puts the real data plane in front of emulated workers; the first is preferred.
 func edge(test *testing.T, addresses ...string) string {
 	bench := workbench.New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, time.Second)
-	courier := carriage.Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(string) int { return 20 }}
+	courier := carriage.Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(pattern.Worker) int { return 20 }}
 	plane := carriage.New(courier, nil, hclog.NewNullLogger())
 	config, failure := jig.Parse([]byte(courierConfig))
 	if failure != nil {
--- a/internal/carriage/courier.go
+++ b/internal/carriage/courier.go
@@ -6,6 +6,7 @@
 
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/mishap"
+	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 	"lemonarch/internal/workbench"
 )
@@ -22,9 +23,10 @@
 
 // Courier carries one request to one worker. Forges and lockers share it.
 type Courier struct {
-	Bench  *workbench.Workbench
-	Chest  *chisel.Chest
-	Budget func(service string) int
+	Bench *workbench.Workbench
+	Chest *chisel.Chest
+	// Budget is how many pipes this process may have to a worker.
+	Budget func(worker pattern.Worker) int
 }
 
 // Letter is what is carried.
@@ -57,7 +59,7 @@
 	if !courier.Bench.Allowed(grant.Worker.ID, watch.Now()) {
 		return nil, Evidence{}, NotSent.New("worker is leaving")
 	}
-	pipe, failure := courier.Chest.Get(grant.Worker, courier.Budget(grant.Worker.Backend))
+	pipe, failure := courier.Chest.Get(grant.Worker, courier.Budget(grant.Worker))
 	if failure != nil {
 		return nil, Evidence{}, NotSent.Wrap(failure, grant.Worker.ID)
 	}
--- a/internal/carriage/standin_test.go
+++ b/internal/carriage/standin_test.go
@@ -95,7 +95,7 @@
 // edge starts a data plane in front of stand-ins; the first listed is preferred.
 func edge(test *testing.T, workers ...*standIn) (*httptest.Server, *Carriage) {
 	bench := workbench.New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, 1_200_000_000)
-	courier := Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(string) int { return 20 }}
+	courier := Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(pattern.Worker) int { return 20 }}
 	carriage := New(courier, nil, hclog.NewNullLogger())
 	config, failure := jig.Parse([]byte(testConfig))
 	if failure != nil {
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"lemonarch/internal/almanac"
-	"lemonarch/internal/bellows"
 	"lemonarch/internal/carriage"
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/jig"
@@ -57,22 +56,3 @@
 	go jointer.Bench.KeepPumping(stop)
 	go watch.Every(almanac.GossipPeriod/2, stop, func() { carriage.SweepPipes(jointer.Chest, jointer.Bench) })
 }
-
-// budget shares a service's connection limit among the nodes that place work.
-func (jointer *Jointer) budget(service string) int {
-	config := jointer.Stand.Config()
-	if config == nil {
-		return 0
-	}
-	one := config.Service(service)
-	if one == nil || one.ConnLimit == 0 {
-		return 0
-	}
-	nodes := max(1, jointer.Stand.Population(bellows.RoleForge)+jointer.Stand.Population(bellows.RoleLocker))
-	share := int(almanac.PipeShare * float64(one.ConnLimit) / float64(nodes))
-	if jointer.Stand.Own.Role == bellows.RoleLocker {
-		// Whoever holds the lots runs all items of a route; the others run none.
-		share *= 3
-	}
-	return max(share, almanac.LeastPipes)
-}
