Place adapters by rules: lemonarch assign, with the smallest set that collides

Operators ask which nodes may carry which adapters, and to be told which of their rules collide. The answer is the first in a fixed order, so the same rules in any order give the same bytes; an earlier answer is kept as far as can be.

--- /dev/null
+++ b/cmd/lemonarch/assign.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/fixture"
+	"lemonarch/internal/mishap"
+	"lemonarch/internal/watch"
+)
+
+// assignOptions are the flags of assign.
+type assignOptions struct {
+	window, keep, format string
+}
+
+func assignCommand() *cobra.Command {
+	options := assignOptions{}
+	command := &cobra.Command{Use: "assign FILE", Args: cobra.ExactArgs(1),
+		Short: "Turn placement rules for adapters into assignments to nodes, or name the rules that collide"}
+	command.Flags().StringVar(&options.window, "window", "", "plan only this window")
+	command.Flags().StringVar(&options.keep, "keep", "", "an earlier answer (JSON), of which as much stays as can")
+	command.Flags().StringVar(&options.format, "output", "json", "table or json")
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		var only *string
+		if command.Flags().Changed("window") {
+			only = &options.window
+		}
+		return assign(command.OutOrStdout(), command.ErrOrStderr(), arguments[0], only, options)
+	}
+	return command
+}
+
+// readRules gives the rules of a file; findings go to the writer, one a line.
+func readRules(path string, complaints io.Writer) (*fixture.Rules, []byte, error) {
+	text, failure := os.ReadFile(path)
+	if failure != nil {
+		return nil, nil, coded{exitUnusable, failure.Error()}
+	}
+	rules, findings := fixture.Read(text)
+	for _, finding := range findings {
+		fmt.Fprintln(complaints, path+": "+finding)
+	}
+	if len(findings) > 0 {
+		return nil, nil, coded{exitInvalid, fmt.Sprintf("%s is not valid, findings=%d", path, len(findings))}
+	}
+	for _, note := range rules.Notes() {
+		fmt.Fprintln(complaints, path+": note: "+note)
+	}
+	return rules, text, nil
+}
+
+func assign(writer, complaints io.Writer, path string, only *string, options assignOptions) error {
+	if options.format != "table" && options.format != "json" {
+		return coded{exitUnusable, "--output must be table or json"}
+	}
+	var earlier *fixture.Answer
+	if options.keep != "" {
+		text, failure := os.ReadFile(options.keep)
+		if failure == nil {
+			earlier, failure = fixture.ReadAnswer(text)
+		}
+		if failure != nil {
+			return coded{exitUnusable, "--keep " + options.keep + ": " + strings.ReplaceAll(failure.Error(), "\n", " ")}
+		}
+	}
+	rules, _, failure := readRules(path, complaints)
+	if failure != nil {
+		return failure
+	}
+	answer, refusal, failure := planned(rules, only, earlier)
+	if failure != nil {
+		return failure
+	}
+	return tellPlan(writer, answer, refusal, options.format)
+}
+
+// planned plans within a bound of time: the question is as hard as questions get,
+// and an operator before a window needs to be told so in time.
+func planned(rules *fixture.Rules, only *string, earlier *fixture.Answer) (*fixture.Answer, *fixture.Refusal, error) {
+	type result struct {
+		answer  *fixture.Answer
+		refusal *fixture.Refusal
+		failure error
+	}
+	done := make(chan result, 1)
+	go func() {
+		one := result{}
+		one.answer, one.refusal, _, one.failure = fixture.Plan(rules, only, earlier)
+		done <- one
+	}()
+	timer := watch.NewTimer(almanac.PlanTime)
+	defer timer.Stop()
+	select {
+	case one := <-done:
+		if mishap.Of(one.failure, fixture.BadCall) {
+			return nil, nil, coded{exitUnusable, "--window: " + one.failure.Error()}
+		}
+		if one.failure != nil {
+			return nil, nil, coded{exitUnusable, one.failure.Error()}
+		}
+		return one.answer, one.refusal, nil
+	case <-timer.C:
+		return nil, nil, coded{exitUnusable, "not decided within " + almanac.PlanTime.String()}
+	}
+}
+
+// tellPlan writes the answer, or the refusal with its exit code.
+func tellPlan(writer io.Writer, answer *fixture.Answer, refusal *fixture.Refusal, format string) error {
+	if refusal != nil {
+		if format == "table" {
+			refusal.Table(writer)
+		} else if failure := fixture.JSON(writer, refusal); failure != nil {
+			return failure
+		}
+		return coded{exitInvalid, fmt.Sprintf("the rules can't all be met, collisions=%d", len(refusal.Collisions))}
+	}
+	if format == "table" {
+		answer.Table(writer)
+		return nil
+	}
+	return fixture.JSON(writer, answer)
+}
--- /dev/null
+++ b/cmd/lemonarch/assign_test.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const exampleRules = "../../docs/assign/rules.toml"
+
+// called runs assign and gives what it writes and its exit code.
+func called(arguments ...string) (told, complaints string, code int, line string) {
+	command := assignCommand()
+	command.SilenceUsage, command.SilenceErrors = true, true
+	out, problems := &bytes.Buffer{}, &bytes.Buffer{}
+	command.SetOut(out)
+	command.SetErr(problems)
+	command.SetArgs(arguments)
+	if failure := command.Execute(); failure != nil {
+		code, line = exitUnusable, failure.Error()
+		if one, is := failure.(coded); is {
+			code = one.code
+		}
+	}
+	return out.String(), problems.String(), code, line
+}
+
+func written(test *testing.T, name, text string) string {
+	path := filepath.Join(test.TempDir(), name)
+	if failure := os.WriteFile(path, []byte(text), 0o600); failure != nil {
+		test.Fatal(failure)
+	}
+	return path
+}
+
+func TestAssignAnswers(test *testing.T) {
+	told, complaints, code, _ := called(exampleRules)
+	if code != 0 || complaints != "" || !strings.HasPrefix(told, `{"generation":4,"windows":[{"window":"morning"`) {
+		test.Fatal(code, told, complaints)
+	}
+	earlier := written(test, "earlier.json", told)
+	for range 3 {
+		if again, _, _, _ := called(exampleRules, "--output", "json"); again != told {
+			test.Fatal("another answer from the same file", again)
+		}
+	}
+	if kept, _, _, _ := called(exampleRules, "--keep", earlier); !strings.Contains(kept, `"moves":0`) {
+		test.Fatal(kept)
+	}
+	if table, _, _, _ := called(exampleRules, "--keep", earlier, "--output", "table"); !strings.Contains(table, "moves in all: 0") {
+		test.Fatal(table)
+	}
+	if one, _, _, _ := called(exampleRules, "--window", "nightly"); strings.Contains(one, "morning") || !strings.Contains(one, "nightly") {
+		test.Fatal(one)
+	}
+}
+
+func TestAssignRefuses(test *testing.T) {
+	text, _ := os.ReadFile(exampleRules)
+	path := written(test, "rules.toml", strings.Replace(string(text), `name = "n3"`+"\n"+`zone = "oslo-b"`, `name = "n3"`+"\n"+`zone = "oslo-b"`+"\nlabels = [\"large\"]", 1)+
+		"\n[[rules]]\nname = \"no-second-slot\"\nkind = \"never\"\nadapters = [\"battery-fault-reader\"]\nnodes = [\"n1\", \"n2\", \"n3\"]\n")
+	told, complaints, code, line := called(path)
+	want := `{"collisions":[{"window":"morning","rules":["no-second-slot"],"adapters":["battery-fault-reader"],"nodes":["n1","n2","n3"],"reason":"`
+	if code != exitInvalid || complaints != "" || !strings.HasPrefix(told, want) || strings.Contains(line, "\n") {
+		test.Fatal(code, told, complaints, line)
+	}
+	if table, _, code, _ := called(path, "--output", "table"); code != exitInvalid || !strings.Contains(table, "rules:    no-second-slot") {
+		test.Fatal(code, table)
+	}
+	// A window that can be met is not held back by one that can't, if asked for alone.
+	if _, _, code, _ = called(path, "--window", "nightly"); code != 0 {
+		test.Fatal(code)
+	}
+}
+
+func TestAssignUnusable(test *testing.T) {
+	invalid := written(test, "invalid.toml", "generation = 1\n[[nodes]]\nname = 'n'\nzone = 'z'\nadapter-slot = 1\n")
+	told, complaints, code, _ := called(invalid)
+	if code != exitInvalid || told != "" || !strings.Contains(complaints, "nodes[0].adapter-slot:") || !strings.Contains(complaints, "nodes[0].adapter-slots:") {
+		test.Fatal(code, told, complaints)
+	}
+	for name, arguments := range map[string][]string{
+		"no file":        {},
+		"two files":      {exampleRules, exampleRules},
+		"missing file":   {"/nowhere/rules.toml"},
+		"unknown format": {exampleRules, "--output", "yaml"},
+		"unknown window": {exampleRules, "--window", "noon"},
+		"unknown flag":   {exampleRules, "--fast"},
+		"keep missing":   {exampleRules, "--keep", "/nowhere/answer.json"},
+		"keep no answer": {exampleRules, "--keep", invalid},
+	} {
+		if told, _, code, line := called(arguments...); code != exitUnusable || told != "" || line == "" || strings.Contains(line, "\n") {
+			test.Errorf("%s: code %d, %q, %q", name, code, told, line)
+		}
+	}
+}
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -24,10 +24,10 @@
 func (one coded) Error() string { return one.text }
 
 func main() {
-	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, try it all in a lab",
+	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, place adapters, try it all in a lab",
 		SilenceUsage: true, SilenceErrors: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand(), lotsCommand())
+	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand(), lotsCommand(), assignCommand())
 	if failure := root.Execute(); failure != nil {
 		fmt.Fprintln(os.Stderr, "lemonarch: "+failure.Error())
 		code := exitUnusable
