--- a/internal/anvil/worker.go
+++ b/internal/anvil/worker.go
@@ -87,6 +87,9 @@
 	return worker
 }
 
+// Handler answers requests without any socket, for tests of what stands in front.
+func (worker *Worker) Handler() http.Handler { return worker.server.Handler }
+
 // Serve takes connections until the worker ends.
 func (worker *Worker) Serve(listener net.Listener) {
 	limited := newLimitedListener(listener, worker)
--- a/internal/treadle/drive.go
+++ b/internal/treadle/drive.go
@@ -20,7 +20,8 @@
 	card    *sawhorse.Card
 	routes  map[string]*jig.Route
 	prefix  string
-	client  *http.Transport
+	client  http.RoundTripper
+	pause   func(watch.Span)
 	result  *Result
 
 	lock sync.Mutex
@@ -65,7 +66,9 @@
 	}
 	one.orders(until, begun)
 	group.Wait()
-	one.client.CloseIdleConnections()
+	if transport, is := one.client.(*http.Transport); is {
+		transport.CloseIdleConnections()
+	}
 	one.result.Took = watch.Now().Since(begun).Seconds()
 	runs, failure := desk.Runs(one.prefix)
 	if failure != nil {
@@ -80,7 +83,7 @@
 
 func newRun(options Options, card *sawhorse.Card, routes map[string]*jig.Route, prefix string) *run {
 	dialer := &net.Dialer{Timeout: almanac.AnvilBeatWait}
-	return &run{options: options, card: card, routes: routes, prefix: prefix, result: newResult(card.Label), sent: map[string]*sent{},
+	return &run{options: options, card: card, routes: routes, prefix: prefix, result: newResult(card.Label), sent: map[string]*sent{}, pause: watch.Sleep,
 		client: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: almanac.LoadOpen, DialContext: dialer.DialContext}}
 }
 
--- /dev/null
+++ b/internal/treadle/drive_test.go
@@ -0,0 +1,199 @@
+package treadle
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lemonarch/internal/anvil"
+	"lemonarch/internal/jig"
+	"lemonarch/internal/sawhorse"
+	"lemonarch/internal/watch"
+)
+
+// hasty is a clock that does not wait.
+type hasty struct {
+	lock sync.Mutex
+	now  watch.Moment
+}
+
+func (clock *hasty) Now() watch.Moment {
+	clock.lock.Lock()
+	defer clock.lock.Unlock()
+	return clock.now
+}
+
+func (clock *hasty) After(span watch.Span, function func()) {
+	clock.lock.Lock()
+	clock.now = clock.now.Plus(span)
+	clock.lock.Unlock()
+	go function()
+}
+
+// direct leads requests to workers in this process, without a fleet or a socket.
+type direct struct {
+	model, plain *anvil.Worker
+	// before may answer in the worker's place.
+	before func(request *http.Request) *http.Response
+}
+
+func (direct *direct) RoundTrip(request *http.Request) (*http.Response, error) {
+	if direct.before != nil {
+		if answer := direct.before(request); answer != nil {
+			return answer, nil
+		}
+	}
+	request.RequestURI = request.URL.RequestURI()
+	worker := direct.plain
+	if request.Header.Get("Lemonarch-Token-Count") != "" {
+		worker = direct.model
+	}
+	recorder := httptest.NewRecorder()
+	worker.Handler().ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+var testRoutes = []jig.Route{
+	{Name: "query", Host: "h", Prefix: "/query/", KindName: "streaming", Resumable: true, Backend: "model", CutoffMs: 60000, SetpointMs: 60000, GapMs: 60000},
+	{Name: "review", Host: "h", Prefix: "/review/", KindName: "streaming", Backend: "model", CutoffMs: 60000, SetpointMs: 60000, GapMs: 60000},
+	{Name: "confirm", Host: "h", Prefix: "/confirm/", KindName: "effectful", Backend: "clerk", CutoffMs: 60000, SetpointMs: 60000},
+	{Name: "status", Host: "h", Prefix: "/status/", KindName: "idempotent", Backend: "clerk", CutoffMs: 60000, SetpointMs: 60000},
+}
+
+// driven serves the orders of a short run one by one and compares the records.
+func driven(test *testing.T, faults anvil.Faults, before func(request *http.Request) *http.Response) *Result {
+	test.Helper()
+	shape := anvil.Shape{Capacity: 8, Queue: 4, CacheTokens: 60_000, ReadPerMs: 100, Step: time.Millisecond, Stride: 4}
+	record, clock := &anvil.Record{}, &hasty{now: watch.Moment(time.Second)}
+	front := &direct{before: before}
+	front.model = anvil.NewWorker(anvil.Settings{ID: "w1", Service: "model", Model: "m", Shape: shape}, record, clock, 1)
+	front.plain = anvil.NewWorker(anvil.Settings{ID: "w2", Service: "clerk", Work: time.Millisecond, Shape: anvil.Shape{Capacity: 8}}, record, clock, 2)
+	front.model.SetFaults(faults)
+	front.plain.SetFaults(faults)
+	options := NewOptions()
+	options.Count, options.For = 60, time.Hour
+	card := &sawhorse.Card{Label: "test", Ingress: []string{"n1", "n2"}, Stride: 4, Routes: testRoutes}
+	options.LotRate = 0
+	routes, failure := options.routesOf(card)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	one := newRun(options, card, routes, "t-")
+	one.client, one.pause = front, func(watch.Span) {}
+	for _, due := range schedule(&options, routes, 2) {
+		one.serve(due.order)
+	}
+	runs, _ := record.Of("t-")
+	one.compare(runs)
+	one.result.Close()
+	return one.result
+}
+
+func found(result *Result, rule string) int {
+	count := 0
+	for _, finding := range result.Findings {
+		if finding.Rule == rule {
+			count++
+		}
+	}
+	return count
+}
+
+func TestSoundWorkersBreakNothing(test *testing.T) {
+	result := driven(test, anvil.Faults{}, nil)
+	if result.Broken != 0 || result.Served() != 60 || result.Worth != 1 || result.Runs != 60 {
+		test.Fatal(result.Findings, result.Served(), result.Worth, result.Runs, result.Causes)
+	}
+}
+
+// Each guard of the whole path, from the worker to the report, can fail.
+func TestBrokenWorkersAreCaught(test *testing.T) {
+	for rule, faults := range map[string]anvil.Faults{"TWICE": {Twice: 1}, "ORDER": {Skip: 1}, "MIXED": {Forge: 1}} {
+		result := driven(test, faults, nil)
+		if result.Broken == 0 || found(result, rule) == 0 {
+			test.Error(rule, result.Findings)
+		}
+	}
+}
+
+func answering(status int, header ...string) *http.Response {
+	recorder := httptest.NewRecorder()
+	for place := 0; place+1 < len(header); place += 2 {
+		recorder.Header().Set(header[place], header[place+1])
+	}
+	recorder.WriteHeader(status)
+	return recorder.Result()
+}
+
+// A promise frees every kind for another try, a 502 only what may be repeated; each
+// try has an id of its own.
+func TestWhoTriesAgain(test *testing.T) {
+	for status, want := range map[int]string{503: "failed 0", 502: "failed confirm review", 400: "failed confirm query review status"} {
+		seen := map[string]bool{}
+		result := driven(test, anvil.Faults{}, func(request *http.Request) *http.Response {
+			attempt := request.Header.Get("Lemonarch-Attempt-Id")
+			if seen[attempt] {
+				test.Error("an attempt was sent twice", attempt)
+			}
+			seen[attempt] = true
+			if strings.HasSuffix(attempt, "-1") {
+				return answering(status)
+			}
+			return nil
+		})
+		got := "failed"
+		for _, kind := range result.Kinds {
+			if kind.Failed == kind.Sent {
+				got += " " + kind.Name
+			}
+		}
+		if got == "failed" {
+			got = fmt.Sprint("failed ", 60-result.Served())
+		}
+		if got != want || result.Broken != 0 {
+			test.Error(status, got, result.Findings)
+		}
+	}
+}
+
+// A success that no worker gave is caught by the record.
+func TestInventedSuccess(test *testing.T) {
+	result := driven(test, anvil.Faults{}, func(request *http.Request) *http.Response {
+		attempt := request.Header.Get("Lemonarch-Attempt-Id")
+		if !strings.HasPrefix(request.URL.Path, "/status/") {
+			return nil
+		}
+		recorder := httptest.NewRecorder()
+		recorder.Header().Set("Lemonarch-Attempt-Id", attempt)
+		recorder.Header().Set("Lemonarch-Server-Seal", anvil.Seal("w2", attempt))
+		_, _ = recorder.WriteString(anvil.PlainBody(attempt, []byte("order "+strings.TrimPrefix(request.URL.Path, "/status/"))))
+		return recorder.Result()
+	})
+	if found(result, "MIXED") == 0 {
+		test.Fatal("nobody missed the runs")
+	}
+}
+
+// The same seed gives the same orders, whatever the fleet.
+func TestScheduleFollowsItsSeed(test *testing.T) {
+	options := NewOptions()
+	routes := map[string]*jig.Route{}
+	text := func(seed int64) string {
+		options.Seed = seed
+		all := ""
+		for _, due := range schedule(&options, routes, 3) {
+			all += fmt.Sprint(due.at, due.order.kind, due.order.node, due.order.prompt)
+		}
+		return all
+	}
+	if text(1) != text(1) || text(1) == text(2) {
+		test.Fatal("the schedule does not follow its seed")
+	}
+	if count := len(schedule(&options, routes, 3)); count < 500 || count > 700 {
+		test.Fatal("40 a second for 15 s made", count)
+	}
+}
--- /dev/null
+++ b/internal/treadle/options_test.go
@@ -0,0 +1,90 @@
+package treadle
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// programs makes a folder that looks as if the programs were in it.
+func programs(test *testing.T) string {
+	folder := test.TempDir()
+	for _, name := range []string{"forge", "foreman", "locker"} {
+		if failure := os.WriteFile(filepath.Join(folder, name), nil, 0o755); failure != nil {
+			test.Fatal(failure)
+		}
+	}
+	return folder
+}
+
+// Each senseless file gets one line that names what is wrong.
+func TestExperimentsThatCanNotBe(test *testing.T) {
+	folder := programs(test)
+	for text, want := range map[string]string{
+		"rate = 0.0":                      "rate",
+		"rate = nan":                      "rate",
+		"rte = 1.0":                       "rte",
+		"x =":                             "can't be read",
+		"items = 500":                     "items",
+		"for-s = 0.0":                     "for",
+		"count = -1":                      "count",
+		"tries = 9":                       "tries",
+		"mix = \"query=x\"":               "mix",
+		"mix = \"query=0\"":               "mix",
+		"mix = \"other=1\"":               "mix",
+		"[[fleet]]\nforges = 0":           "forges",
+		"[[fleet]]\nforges = 50":          "processes",
+		"[[fleet]]\nnetwork = \"10.0.0\"": "network",
+		"[[fleet]]\nlabel = \"a\"\n[[fleet]]\nlabel = \"a\"":                      "same label",
+		"[[fleet]]\nprograms = \"nowhere\"":                                       "no program",
+		"[[trouble]]\nkind = \"melt\"":                                            "melt",
+		"[[trouble]]\nkind = \"kill\"\ntarget = \"worker-1\"":                     "does not fit",
+		"[[trouble]]\nkind = \"freeze\"\ntarget = \"forge-1\"":                    "for-s",
+		"[[trouble]]\nkind = \"kill\"\ntarget = \"forge-1\"\nat-s = 99.0":         "behind the end",
+		"[[trouble]]\nkind = \"faults\"\ntarget=\"worker\"\nfaults = {cut = 2.0}": "cut",
+	} {
+		_, _, failure := ReadExperiment(text, folder)
+		if failure == nil || !strings.Contains(failure.Error(), want) || strings.Contains(failure.Error(), "\n") {
+			test.Errorf("%q: %v", text, failure)
+		}
+	}
+}
+
+func TestExperimentTakesWhatIsUsual(test *testing.T) {
+	folder := programs(test)
+	one, options, failure := ReadExperiment("rate = 7.0\n[[fleet]]\nforges = 1\n[[fleet]]\nlabel = \"b\"\ncapacity = 2\n", folder)
+	if failure != nil || options.Rate != 7 || options.Items != NewOptions().Items || len(one.Fleets) != 2 {
+		test.Fatal(one, options, failure)
+	}
+	first, second := one.Fleets[0], one.Fleets[1]
+	if first.Forges != 1 || second.Forges != 2 || second.Capacity != 2 || first.Capacity == 2 || second.Label != "b" || first.Network == second.Network || first.Programs != folder {
+		test.Fatal(first, second)
+	}
+}
+
+// The experiments that the documents name are sound.
+func TestExperimentsOfTheDocuments(test *testing.T) {
+	files, _ := filepath.Glob("../../docs/experiments/*.toml")
+	if len(files) == 0 {
+		test.Fatal("there are none")
+	}
+	for _, file := range files {
+		text, failure := os.ReadFile(file)
+		if failure == nil {
+			_, _, failure = ReadExperiment(string(text), programs(test))
+		}
+		if failure != nil {
+			test.Error(file, failure)
+		}
+	}
+}
+
+func TestOnlyLoopbackIsLoaded(test *testing.T) {
+	for address, allowed := range map[string]bool{"127.0.0.1:1": true, "http://127.9.0.1:7100/": true, "10.0.0.1:80": false, "0.0.0.0:80": false,
+		"example.com:80": false, "nonsense": false} {
+		if _, failure := OpenDesk(address); (failure == nil) != allowed {
+			test.Error(address, failure)
+		}
+	}
+}
--- a/internal/treadle/send.go
+++ b/internal/treadle/send.go
@@ -23,6 +23,8 @@
 	// cause is empty for a success.
 	cause   string
 	promise bool
+	// unread: no node can have read it, so that any kind may be sent again.
+	unread  bool
 	final   bool
 	after   watch.Span
 	finding *Finding
@@ -50,13 +52,13 @@
 			return
 		}
 		wait := min(max(got.after, almanac.LabRetry/4), state.deadline.Since(watch.Now())/3)
-		mayAgain := !got.final && (repeatable(order.route) || got.promise)
+		mayAgain := !got.final && (repeatable(order.route) || got.promise || got.unread)
 		if !mayAgain || try >= one.options.Tries || wait <= 0 {
 			one.result.fail(order, got.cause)
 			return
 		}
 		one.result.again(got.cause)
-		watch.Sleep(wait)
+		one.pause(wait)
 	}
 }
 
@@ -89,7 +91,8 @@
 	}
 	answer, failure := one.client.RoundTrip(request)
 	if failure != nil {
-		return outcome{cause: causeOf(failure, limited)}
+		cause := causeOf(failure, limited)
+		return outcome{cause: cause, unread: cause == causeRefused}
 	}
 	defer answer.Body.Close()
 	var got outcome
@@ -120,13 +123,16 @@
 	return got
 }
 
+// causeRefused: nobody listened.
+const causeRefused = "connection refused"
+
 func causeOf(failure error, limited errand.Errand) string {
 	text := failure.Error()
 	switch {
 	case limited.Err() != nil:
 		return "silence"
 	case strings.Contains(text, "refused"):
-		return "connection refused"
+		return causeRefused
 	case strings.Contains(text, "reset"), strings.Contains(text, "EOF"), strings.Contains(text, "closed"):
 		return "connection cut"
 	}
