--- a/internal/anvil/faults.go
+++ b/internal/anvil/faults.go
@@ -6,33 +6,33 @@
 // the part of the requests, from 0 to 1, that it concerns.
 type Faults struct {
 	// Fail: a 500 comes instead of an answer, after the run.
-	Fail float64 `json:"fail,omitempty"`
+	Fail float64 `toml:"fail" json:"fail,omitempty"`
 	// Full: turned away although there is room.
-	Full float64 `json:"full,omitempty"`
+	Full float64 `toml:"full" json:"full,omitempty"`
 	// Hang: nothing more comes, and the connection stays.
-	Hang float64 `json:"hang,omitempty"`
+	Hang float64 `toml:"hang" json:"hang,omitempty"`
 	// Cut: the answer breaks off in its midst.
-	Cut float64 `json:"cut,omitempty"`
+	Cut float64 `toml:"cut" json:"cut,omitempty"`
 	// Garble: bytes come that form no answer.
-	Garble float64 `json:"garble,omitempty"`
+	Garble float64 `toml:"garble" json:"garble,omitempty"`
 	// Surplus: a second answer follows a whole one on the same connection.
-	Surplus float64 `json:"surplus,omitempty"`
+	Surplus float64 `toml:"surplus" json:"surplus,omitempty"`
 	// Twice: the worker claims one run more than there was. It breaks the record on
 	// purpose, so that the check of the load can be seen to catch it.
-	Twice float64 `json:"twice,omitempty"`
+	Twice float64 `toml:"twice" json:"twice,omitempty"`
 	// Skip: one event of a stream is left out, for the same purpose.
-	Skip float64 `json:"skip,omitempty"`
+	Skip float64 `toml:"skip" json:"skip,omitempty"`
 	// Forge: the stamp is another's, for the same purpose.
-	Forge float64 `json:"forge,omitempty"`
+	Forge float64 `toml:"forge" json:"forge,omitempty"`
 	// LateMs: each answer begins so much later.
-	LateMs float64 `json:"late-ms,omitempty"`
+	LateMs float64 `toml:"late-ms" json:"late-ms,omitempty"`
 	// Slow: steps take so many times as long; 0 is as usual.
-	Slow float64 `json:"slow,omitempty"`
+	Slow float64 `toml:"slow" json:"slow,omitempty"`
 	// Lying: health answers say the contrary.
-	Lying bool `json:"lying,omitempty"`
+	Lying bool `toml:"lying" json:"lying,omitempty"`
 	// ForgetMs: an idle connection is forgotten after it, without a word; what comes
 	// on it next meets a reset.
-	ForgetMs float64 `json:"forget-ms,omitempty"`
+	ForgetMs float64 `toml:"forget-ms" json:"forget-ms,omitempty"`
 }
 
 func (faults *Faults) late() watch.Span   { return watch.Milliseconds(faults.LateMs) }
--- a/internal/sawhorse/fleet.go
+++ b/internal/sawhorse/fleet.go
@@ -100,7 +100,25 @@
 	if failure := fleet.until(end, "the first configuration", func() error { return fleet.operator.first(configuration) }); failure != nil {
 		return failure
 	}
-	return fleet.until(end, "every forge ready", fleet.ready)
+	if failure := fleet.until(end, "every forge ready", fleet.ready); failure != nil {
+		return failure
+	}
+	return fleet.until(end, "a locker on duty", fleet.lotsReady)
+}
+
+// lotsReady asks for a lot that nobody handed in: only where the lockers can be sure
+// is the answer 404, and from then on lots are taken.
+func (fleet *Fleet) lotsReady() error {
+	for _, address := range fleet.Plan.Ingress() {
+		answer, failure := fleet.operator.ask(http.MethodGet, "http://"+address+"/-/lots/lab-start", nil, 0)
+		if failure != nil {
+			return failure
+		}
+		if answer.status != http.StatusNotFound {
+			return Unfit.New(address + " can't answer for lots yet")
+		}
+	}
+	return nil
 }
 
 // died keeps the first death; a fleet that is being stopped has none.
--- a/internal/treadle/options_test.go
+++ b/internal/treadle/options_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"lemonarch/internal/anvil"
+	"lemonarch/internal/sawhorse"
 )
 
 // programs makes a folder that looks as if the programs were in it.
@@ -63,6 +66,23 @@
 	}
 }
 
+// Every field of a trouble can be set by its name in the file.
+func TestTroublesAreReadWhole(test *testing.T) {
+	one, _, failure := ReadExperiment(`[[trouble]]
+at-s = 1.0
+kind = "faults"
+target = "worker-1"
+for-s = 2.0
+back-s = 3.0
+faults = { fail = 0.1, full = 0.2, hang = 0.3, cut = 0.4, garble = 0.5, surplus = 0.6, twice = 0.7, skip = 0.8, forge = 0.9, late-ms = 1.0, slow = 2.0, lying = true, forget-ms = 3.0 }
+`, programs(test))
+	want := sawhorse.Trouble{AtS: 1, Kind: "faults", Target: "worker-1", ForS: 2, BackS: 3, Faults: anvil.Faults{Fail: 0.1, Full: 0.2, Hang: 0.3,
+		Cut: 0.4, Garble: 0.5, Surplus: 0.6, Twice: 0.7, Skip: 0.8, Forge: 0.9, LateMs: 1, Slow: 2, Lying: true, ForgetMs: 3}}
+	if failure != nil || len(one.Trouble) != 1 || one.Trouble[0] != want {
+		test.Fatal(one, failure)
+	}
+}
+
 // The experiments that the documents name are sound.
 func TestExperimentsOfTheDocuments(test *testing.T) {
 	files, _ := filepath.Glob("../../docs/experiments/*.toml")
