--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -27,7 +27,7 @@
 	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes",
 		SilenceUsage: true, SilenceErrors: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand(), shellCommand(), importCommand())
+	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand())
 	if failure := root.Execute(); failure != nil {
 		fmt.Fprintln(os.Stderr, "lemonarch: "+failure.Error())
 		code := exitUnusable
