lemonarch lab hollow: a fleet of real cores without a data plane

Cause: capacity at 390 nodes was guessed. The cores of membership, roster, gossip, register, holds and lots now run by the hundred in one process, on the transport in memory, which counts encoded bytes and delivers on the simulated clock (Post), with processor time measured round each step and slopes fitted over sizes.

Change: internal/maquette (mechanisms as small adapters), lab hollow with bad flags in one line and exit 2, plots by gonum.org/v1/plot. golang.org/x/sys becomes a direct need (clock of a thread), at v0.50.0.

Guards shown able to fail: an unseeded first pause made TestSameSeedSameResult red, a call that is not counted made TestPostTakesItsTimeAndCounts red, always the simplest shape made TestFitRecoversSlopes red.

--- /dev/null
+++ b/internal/maquette/copies.go
@@ -0,0 +1,125 @@
+package maquette
+
+import (
+	"fmt"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/ledgerbox"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// feed sends a store what it lacks, one order at a time.
+func (lots *lots) feed(node *Node, own *drawer, member pattern.Member, identity string) {
+	next := own.press.MatchOf(identity) + 1
+	if own.sending[identity] || next > own.press.Last() {
+		return
+	}
+	own.sending[identity] = true
+	order := &pattern.Append{Epoch: lotEpoch, Disk: member.Disk, PreviousIndex: next - 1, Done: own.press.Done()}
+	if next > 1 {
+		order.PreviousEpoch = lotEpoch
+	}
+	size := 0
+	for place := next - own.first; place < int64(len(own.recent)) && size < almanac.AppendBytes; place++ {
+		order.Records = append(order.Records, own.recent[place])
+		size += len(own.recent[place].Body) + 128
+	}
+	matched := func(answer pattern.Appended) {
+		own.sending[identity] = false
+		if answer.Granted {
+			node.step(CoreLots, func() {
+				if own.press.Matched(identity, answer.Last) {
+					lots.apply(node, own)
+				}
+			})
+			lots.feed(node, own, member, identity)
+		}
+	}
+	if member.Address == node.own.Address {
+		var answer pattern.Appended
+		node.step(CoreLots, func() { answer = own.append(order) })
+		// A sync of our own disk, as long as one in the zone.
+		node.after(watch.Milliseconds(5), func() { matched(answer) })
+		return
+	}
+	var body []byte
+	node.step(CoreLots, func() { body, _ = order.MarshalMsg(nil) })
+	node.post(member.Address, pattern.KindAppend, body, almanac.BulkCallTime, func(back []byte, failure error) {
+		answer := pattern.Appended{}
+		if failure == nil {
+			node.step(CoreLots, func() { failure = tongs.Read(back, &answer) })
+		}
+		if failure != nil {
+			own.sending[identity] = false
+			node.after(almanac.TickPeriod*2, func() { lots.feed(node, own, member, identity) })
+			return
+		}
+		matched(answer)
+	})
+}
+
+// apply takes what became durable into the book.
+func (lots *lots) apply(node *Node, own *drawer) {
+	for own.applied < own.press.Done() {
+		record := own.recent[own.applied+1-own.first]
+		_ = own.book.Apply(&record)
+		switch record.Kind {
+		case pattern.RecordLot:
+			lots.waits = append(lots.waits, watch.ToMilliseconds(node.now().Since(own.begun[record.Lot])))
+			delete(own.begun, record.Lot)
+		case pattern.RecordOutput:
+			lots.listed++
+			own.filling[record.Lot]--
+			if lot := own.book.Lot(record.Lot); lot != nil && len(lot.Listings) == lot.Sum() {
+				// Read by its client at once, in this world.
+				lots.submit(node, own, pattern.Record{Kind: pattern.RecordForget, Lot: record.Lot})
+			}
+		}
+		own.applied++
+	}
+	// What is on all stores is given back; one that lags keeps it here.
+	keep := own.applied
+	for _, member := range lots.members {
+		keep = min(keep, own.press.MatchOf(member.Address+"#"+member.Disk))
+	}
+	if excess := keep + 1 - own.first; excess > 0 {
+		own.recent = append([]pattern.Record(nil), own.recent[excess:]...)
+		own.first += excess
+	}
+}
+
+// run begins items into the room there is, and ends each after its time.
+func (lots *lots) run(node *Node, own *drawer) {
+	var items []*ledgerbox.Item
+	node.step(CoreLots, func() {
+		for _, lot := range own.book.Lots() {
+			for _, item := range lot.Items {
+				if own.running+len(items) >= almanac.RunningItems {
+					return
+				}
+				if item.State == ledgerbox.ItemWaiting {
+					items = append(items, item)
+				}
+			}
+		}
+	})
+	for _, item := range items {
+		run := item.Begin()
+		own.running++
+		node.after(watch.Milliseconds(lots.fleet.Plan.HeldMs*(0.5+node.random.Float64())), func() {
+			own.running--
+			node.step(CoreLots, func() {
+				if !item.Finish(run) {
+					return
+				}
+				lot := item.Lot
+				position := len(lot.Listings) + own.filling[lot.ID]
+				own.filling[lot.ID]++
+				lots.submit(node, own, pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID, Position: position,
+					Body: []byte(fmt.Sprintf("%*d", lots.fleet.Plan.ItemBytes, position))})
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/maquette/fleet.go
@@ -0,0 +1,157 @@
+package maquette
+
+import (
+	"io"
+	"runtime"
+
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/model"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// Mechanism is one way in which processes keep each other informed: a small adapter
+// between the fleet and the cores, so that a mechanism can be replaced by another.
+type Mechanism interface {
+	// Begin starts the mechanism in a process, registers what it answers and its
+	// periods, and gives what it keeps there.
+	Begin(node *Node) any
+	// Drop lets go of what it keeps there, so that its memory can be measured.
+	Drop(node *Node)
+	// Name names it in results.
+	Name() string
+}
+
+// Fleet is a hollow fleet.
+type Fleet struct {
+	Plan       Plan
+	world      *model.World
+	room       *tongs.Room
+	nodes      []*Node
+	byAddress  map[string]*Node
+	mechanisms []Mechanism
+	members    *membership
+	workers    *workers
+	gossip     *gossip
+	register   *register
+	lots       *lots
+	troubles   *troubles
+	counting   bool
+	kinds      map[pattern.Kind]*[ways]Traffic
+	inner      int64
+	parted     bool
+	seeds      []string
+	progress   io.Writer
+}
+
+// New builds a fleet; progress, where not nil, is told how far long runs are.
+func New(plan Plan, progress io.Writer) *Fleet {
+	plan.Scale()
+	fleet := &Fleet{Plan: plan, world: model.NewWorld(plan.Seed), room: tongs.NewRoom(), byAddress: map[string]*Node{},
+		kinds: map[pattern.Kind]*[ways]Traffic{}, progress: progress}
+	fleet.room.OnFrame(fleet.count)
+	fleet.room.Simulate(tongs.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
+	manned := map[int]bool{}
+	for machine := 0; machine < plan.Nodes; machine++ {
+		role := bellows.RoleForge
+		if machine%plan.LockerEach == plan.LockerEach-1 {
+			role = bellows.RoleLocker
+		}
+		fleet.add(machine, role)
+		if role == bellows.RoleForge && !manned[machine%plan.Zones] {
+			manned[machine%plan.Zones] = true
+			fleet.seeds = append(fleet.seeds, fleet.add(machine, bellows.RoleForeman).own.Address)
+		}
+	}
+	fleet.members, fleet.workers, fleet.gossip = &membership{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
+	fleet.register, fleet.lots = newRegister(fleet), newLots(fleet)
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.workers, fleet.gossip, fleet.register, fleet.lots}
+	fleet.troubles = newTroubles(fleet)
+	return fleet
+}
+
+func (fleet *Fleet) add(machine int, role string) *Node {
+	node := newNode(fleet, machine, role)
+	fleet.nodes = append(fleet.nodes, node)
+	fleet.byAddress[node.own.Address] = node
+	return node
+}
+
+// Run plays the plan and gives what came of it.
+func (fleet *Fleet) Run() *Result {
+	// Processor time is that of one thread, so the fleet stays on it.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for _, node := range fleet.nodes {
+		node.begin()
+	}
+	fleet.workers.begin()
+	warm, whole := watch.Moment(seconds(fleet.Plan.WarmS)), watch.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
+	fleet.play(warm, whole)
+	fleet.counting = true
+	for _, node := range fleet.nodes {
+		node.costs, node.out, node.in = [cores]Cost{}, [ways]Traffic{}, [ways]Traffic{}
+	}
+	fleet.troubles.begin()
+	fleet.gossip.sample()
+	fleet.play(whole, whole)
+	return fleet.result()
+}
+
+// play runs the world in pieces and tells how far it is.
+func (fleet *Fleet) play(until, whole watch.Moment) {
+	teller := newTeller(fleet.progress)
+	for fleet.world.Now < until {
+		fleet.world.Run(min(until, fleet.world.Now+watch.Moment(seconds(1))))
+		teller.tell(fleet, whole)
+	}
+}
+
+func (fleet *Fleet) way(from, to string) Way {
+	one, other := fleet.byAddress[from], fleet.byAddress[to]
+	switch {
+	case one.zone == other.zone:
+		return WayWithin
+	case one.region == other.region:
+		return WayZones
+	}
+	return WayRegions
+}
+
+func (fleet *Fleet) delay(from, to string) watch.Span {
+	base := [ways]float64{fleet.Plan.NearMs, fleet.Plan.ZonesMs, fleet.Plan.RegionMs}[fleet.way(from, to)]
+	return watch.Milliseconds(base * (1 + 0.2*fleet.world.Random.Float64()))
+}
+
+func (fleet *Fleet) reach(from, to string) bool {
+	one, other := fleet.byAddress[from], fleet.byAddress[to]
+	return !one.down && !other.down && (!fleet.parted || one.region == other.region)
+}
+
+// count is told of every frame.
+func (fleet *Fleet) count(frame tongs.Frame) {
+	if !fleet.counting {
+		return
+	}
+	way := fleet.way(frame.From, frame.To)
+	fleet.byAddress[frame.From].out[way].add(frame.Bytes)
+	fleet.byAddress[frame.To].in[way].add(frame.Bytes)
+	one := fleet.kinds[frame.Kind]
+	if one == nil {
+		one = &[ways]Traffic{}
+		fleet.kinds[frame.Kind] = one
+	}
+	one[way].add(frame.Bytes)
+}
+
+// live gives the processes of a role that run, or of all roles.
+func (fleet *Fleet) live(role string) []*Node {
+	var found []*Node
+	for _, node := range fleet.nodes {
+		if !node.down && (role == "" || node.own.Role == role) {
+			found = append(found, node)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/maquette/maquette_test.go
@@ -0,0 +1,147 @@
+package maquette
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand"
+	"os"
+	"strings"
+	"testing"
+)
+
+// small is a fleet that plays in a moment, with something of everything.
+func small(seed int64) Plan {
+	plan := Usual()
+	plan.Nodes, plan.Workers, plan.Zones, plan.LockerEach = 12, 18, 4, 3
+	plan.WarmS, plan.DurationS, plan.Seed = 4, 12, seed
+	plan.Changes, plan.Turns, plan.Lots, plan.LotItems, plan.Failures, plan.DownS = 30, 30, 20, 20, 15, 5
+	plan.ConfigBytes, plan.ZoneS, plan.PartS = 2000, 1, 2
+	return plan
+}
+
+func told(test *testing.T, result *Result) string {
+	text, failure := json.Marshal(result.Simulated)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	return string(text)
+}
+
+func TestSameSeedSameResult(test *testing.T) {
+	first, again, other := New(small(3), nil).Run(), New(small(3), nil).Run(), New(small(4), nil).Run()
+	if told(test, first) != told(test, again) {
+		test.Fatalf("one seed, two results:\n%s\n%s", told(test, first), told(test, again))
+	}
+	if told(test, first) == told(test, other) {
+		test.Fatal("two seeds, one result")
+	}
+}
+
+func TestEverybodyLearns(test *testing.T) {
+	plan := small(5)
+	plan.ZoneS, plan.PartS, plan.Failures = 0, 0, 0
+	result := New(plan, nil).Run()
+	for _, kind := range []string{"configuration", "worker drains"} {
+		times := result.Simulated.Known[kind]
+		if times.Count == 0 || times.Unfinished > 0 || times.WorstMs > 1000 {
+			test.Errorf("%s: %+v", kind, times)
+		}
+	}
+	if result.Simulated.Lots.HandedIn == 0 || result.Simulated.Lots.Listed == 0 || result.Simulated.Lots.Durable.Count == 0 {
+		test.Errorf("lots: %+v", result.Simulated.Lots)
+	}
+	for _, role := range roleNames {
+		traffic, cost := result.Simulated.Roles[role], result.Measured.Roles[role]
+		if traffic.Processes == 0 || traffic.Out.Bytes <= 0 || traffic.In.Bytes <= 0 || cost.control() <= 0 || sum(cost.HeapKB) <= 0 {
+			test.Errorf("%s: %+v %+v", role, traffic, cost)
+		}
+	}
+}
+
+// What goes out of one process comes into another, or is on its way to one that is
+// gone; the kinds add up to the same.
+func TestBytesAddUp(test *testing.T) {
+	plan := small(6)
+	plan.ZoneS, plan.PartS, plan.Failures = 0, 0, 0
+	result := New(plan, nil).Run()
+	out, in, kinds := 0.0, 0.0, 0.0
+	for _, traffic := range result.Simulated.Roles {
+		out += traffic.Out.Bytes * float64(traffic.Processes)
+		in += traffic.In.Bytes * float64(traffic.Processes)
+	}
+	for _, rates := range result.Simulated.Kinds {
+		for _, rate := range rates {
+			kinds += rate.Bytes
+		}
+	}
+	if math.Abs(out-in) > 1e-6*out || math.Abs(out-kinds) > 1e-6*out {
+		test.Fatalf("out %f in %f by kind %f", out, in, kinds)
+	}
+}
+
+func TestFitRecoversSlopes(test *testing.T) {
+	random := rand.New(rand.NewSource(1))
+	for _, one := range []struct {
+		shape Shape
+		of    func(float64) float64
+	}{
+		{ShapeConstant, func(float64) float64 { return 40 }},
+		{ShapeLogarithmic, func(size float64) float64 { return 5 + 3*math.Log2(size) }},
+		{ShapeLinear, func(size float64) float64 { return 7 + 0.5*size }},
+		{ShapeQuadratic, func(size float64) float64 { return 100 + 0.25*size*size }},
+	} {
+		var points []Point
+		for _, size := range []float64{25, 50, 100, 200, 390} {
+			points = append(points, Point{size, one.of(size) * (1 + 0.01*random.NormFloat64())})
+		}
+		best, all := BestFit(points)
+		if best.Shape != one.shape || len(all) != 4 {
+			test.Errorf("%s taken for %s", one.shape, best.Shape)
+		}
+		if want := one.of(800); math.Abs(best.At(800)-want) > 0.06*want {
+			test.Errorf("%s: %f at 800, want %f", one.shape, best.At(800), want)
+		}
+		if best.Error > 0.05 {
+			test.Errorf("%s: error %f", one.shape, best.Error)
+		}
+	}
+}
+
+func TestPlanNamesWhatIsSenseless(test *testing.T) {
+	for flag, spoil := range map[string]func(*Plan){
+		"--nodes":        func(plan *Plan) { plan.Nodes = 1 },
+		"--zones":        func(plan *Plan) { plan.Zones = 51 },
+		"--regions":      func(plan *Plan) { plan.Regions = 9 },
+		"--workers":      func(plan *Plan) { plan.Workers = 0 },
+		"--part":         func(plan *Plan) { plan.PartS, plan.Regions = 5, 1 },
+		"--zone":         func(plan *Plan) { plan.ZoneS = 100 },
+		"--duration":     func(plan *Plan) { plan.DurationS = 0 },
+		"--lot-items":    func(plan *Plan) { plan.LotItems = 0 },
+		"--config-bytes": func(plan *Plan) { plan.ConfigBytes = 10 },
+		"--failures":     func(plan *Plan) { plan.Failures = -1 },
+	} {
+		plan := Usual()
+		spoil(&plan)
+		findings := plan.Check()
+		if len(findings) == 0 || !strings.HasPrefix(findings[0], flag+" ") {
+			test.Errorf("%s: %q", flag, findings)
+		}
+	}
+	if plan := Usual(); len(plan.Check()) > 0 {
+		test.Error(plan.Check())
+	}
+}
+
+func TestChartIsDrawnSmall(test *testing.T) {
+	folder := test.TempDir()
+	points := []Point{{25, 10}, {50, 20}, {100, 41}}
+	best, _ := BestFit(points)
+	chart := Chart{Title: "Some Title", Budget: 30, Lines: map[string]Slope{"forge": {Unit: "ms", Points: points, Best: best}}}
+	if failure := chart.Draw(folder); failure != nil {
+		test.Fatal(failure)
+	}
+	found, failure := os.Stat(folder + "/some-title.svg")
+	if failure != nil || found.Size() < 1000 || found.Size() > 60<<10 {
+		test.Fatal(found, failure)
+	}
+}
--- /dev/null
+++ b/internal/maquette/node.go
@@ -0,0 +1,154 @@
+package maquette
+
+import (
+	"fmt"
+	"math/rand"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// Node is one hollow process.
+type Node struct {
+	fleet     *Fleet
+	own       pattern.Entry
+	machine   int
+	zone      int
+	region    int
+	down      bool
+	life      int
+	twin      *tongs.Twin
+	random    *rand.Rand
+	answerers map[pattern.Kind]func([]byte) tongs.Writable
+	costs     [cores]Cost
+	out, in   [ways]Traffic
+	// What the mechanisms keep for this process, by their place in the fleet.
+	state []any
+	// The configuration in force here.
+	generation int64
+	takenAt    watch.Moment
+}
+
+// role gives a process's role, and the port that goes with it.
+func portOf(role string) int {
+	return map[string]int{bellows.RoleForeman: almanac.PortForeman, bellows.RoleForge: almanac.PortForge, bellows.RoleLocker: almanac.PortLocker}[role]
+}
+
+func newNode(fleet *Fleet, machine int, role string) *Node {
+	zone := machine % fleet.Plan.Zones
+	node := &Node{fleet: fleet, machine: machine, zone: zone, region: zone * fleet.Plan.Regions / fleet.Plan.Zones,
+		random: rand.New(rand.NewSource(fleet.Plan.Seed*7919 + int64(machine)*3 + int64(portOf(role))))}
+	node.own = pattern.Entry{Name: fmt.Sprintf("node-%04d", machine), Life: 1_700_000_000_000_000_000 + int64(machine), Role: role,
+		Hall: fmt.Sprintf("region-%d-zone-%d", node.region, zone), Address: fmt.Sprintf("10.%d.%d.%d:%d", zone, machine/250, machine%250, 7000+portOf(role))}
+	if role != bellows.RoleForge {
+		node.own.Disk = fmt.Sprintf("%016x", node.own.Life*2654435761)
+	}
+	return node
+}
+
+// begin starts a life of the process: empty cores, timers, answers.
+func (node *Node) begin() {
+	node.down = false
+	node.life++
+	node.own.Life += 1_000_000_000
+	node.generation, node.takenAt = 0, 0
+	node.answerers = map[pattern.Kind]func([]byte) tongs.Writable{}
+	node.state = make([]any, len(node.fleet.mechanisms))
+	node.twin = node.fleet.room.Transport(node.own.Address)
+	for place, mechanism := range node.fleet.mechanisms {
+		node.state[place] = mechanism.Begin(node)
+	}
+	_ = node.twin.Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
+		answerer := node.answerers[kind]
+		if answerer == nil {
+			return nil, nil
+		}
+		answer := answerer(body)
+		if answer == nil {
+			return nil, nil
+		}
+		return tongs.Write(answer)
+	})
+}
+
+// end stops the process without a word; the machine is silent from now on.
+func (node *Node) end() {
+	node.down = true
+	node.life++
+	node.twin.Close()
+	node.state = nil
+}
+
+// places tells whether the process places work at workers.
+func (node *Node) places() bool { return node.own.Role != bellows.RoleForeman }
+
+// now is the simulated moment.
+func (node *Node) now() watch.Moment { return node.fleet.world.Now }
+
+// after runs a function later, unless this life is over by then.
+func (node *Node) after(span watch.Span, function func()) {
+	life := node.life
+	node.fleet.world.After(span, func() {
+		if node.life == life {
+			function()
+		}
+	})
+}
+
+// every runs a function each period, from a random part of the first on.
+func (node *Node) every(period watch.Span, function func()) {
+	var again func()
+	again = func() {
+		function()
+		node.after(period, again)
+	}
+	node.after(watch.Span(node.random.Int63n(int64(period))), again)
+}
+
+// post sends a call; then may be nil, and is run only in this life.
+func (node *Node) post(address string, kind pattern.Kind, body []byte, span watch.Span, then func([]byte, error)) {
+	life := node.life
+	node.twin.Post(address, kind, body, span, func(answer []byte, failure error) {
+		if then != nil && node.life == life {
+			then(answer, failure)
+		}
+	})
+}
+
+// spread sends one message to each entry; then is told how each came out.
+func (node *Node) spread(entries []pattern.Entry, core Core, kind pattern.Kind, message tongs.Writable, span watch.Span, then func(pattern.Entry, bool)) {
+	var body []byte
+	node.step(core, func() { body, _ = message.MarshalMsg(nil) })
+	for _, entry := range entries {
+		node.post(entry.Address, kind, body, span, func(_ []byte, failure error) {
+			if failure == nil {
+				node.fleet.members.touched(node, bellows.Key(entry))
+			}
+			if then != nil {
+				then(entry, failure == nil)
+			}
+		})
+	}
+}
+
+// reads makes an answerer of a function that takes a message.
+func reads[Message any, Pointer interface {
+	*Message
+	tongs.Readable
+}](node *Node, core Core, function func(Pointer) tongs.Writable) func([]byte) tongs.Writable {
+	return func(body []byte) (answer tongs.Writable) {
+		node.step(core, func() {
+			message := Pointer(new(Message))
+			if tongs.Read(body, message) == nil {
+				answer = function(message)
+			}
+		})
+		return answer
+	}
+}
+
+// taken is the empty answer.
+func taken() tongs.Writable { return &pattern.Nothing{Taken: true} }
--- /dev/null
+++ b/internal/maquette/plot.go
@@ -0,0 +1,90 @@
+package maquette
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"lemonarch/internal/mishap"
+)
+
+// Unplotted is the mishap of a plot that can't be made.
+var Unplotted = mishap.Define("plot")
+
+// Chart is one picture: slopes by name, from one series or several.
+type Chart struct {
+	Title string
+	// Budget, where above 0, is drawn as a line.
+	Budget float64
+	Lines  map[string]Slope
+}
+
+// Draw writes a chart as SVG into a folder, named after its title.
+func (chart Chart) Draw(folder string) error {
+	picture := plot.New()
+	picture.Title.Text = chart.Title
+	picture.X.Label.Text = "nodes"
+	picture.X.Min, picture.Y.Min = 0, 0
+	picture.Legend.Top, picture.Legend.Left = true, true
+	place := 0
+	for _, name := range sortedKeys(chart.Lines) {
+		slope := chart.Lines[name]
+		picture.Y.Label.Text = slope.Unit
+		points := plotter.XYs{}
+		for _, point := range slope.Points {
+			points = append(points, plotter.XY{X: point.Size, Y: point.Value})
+		}
+		dots, failure := plotter.NewScatter(points)
+		if failure != nil {
+			return Unplotted.Wrap(failure, name)
+		}
+		dots.Color, dots.Shape = plotutil.Color(place), plotutil.Shape(place)
+		line := plotter.NewFunction(slope.Best.At)
+		line.Color, line.XMin, line.XMax = plotutil.Color(place), points[0].X, PageNodes
+		picture.Add(dots, line)
+		picture.Legend.Add(name+" ("+string(slope.Best.Shape)+")", dots)
+		picture.X.Max, picture.Y.Max = PageNodes, max(picture.Y.Max, slope.Best.At(PageNodes))
+		place++
+	}
+	if chart.Budget > 0 {
+		budget := plotter.NewFunction(func(float64) float64 { return chart.Budget })
+		budget.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		picture.Add(budget)
+		picture.Legend.Add("budget", budget)
+		picture.Y.Max = max(picture.Y.Max, chart.Budget*1.1)
+	}
+	if failure := os.MkdirAll(folder, 0o755); failure != nil {
+		return Unplotted.Wrap(failure, folder)
+	}
+	path := filepath.Join(folder, strings.ReplaceAll(strings.ToLower(chart.Title), " ", "-")+".svg")
+	return Unplotted.Wrap(picture.Save(16*vg.Centimeter, 10*vg.Centimeter, path), path)
+}
+
+// Draw writes the charts of a series.
+func (series *Series) Draw(folder, prefix string) error {
+	for title, names := range map[string][]string{
+		"bytes":     {"forge bytes", "locker bytes", "foreman bytes"},
+		"processor": {"forge processor", "locker processor", "foreman processor"},
+		"heap":      {"forge heap", "locker heap", "foreman heap"},
+	} {
+		chart := Chart{Title: prefix + " " + title, Lines: map[string]Slope{}}
+		for _, name := range names {
+			if slope, known := series.Slopes[name]; known {
+				chart.Lines[name] = slope
+			}
+		}
+		if len(chart.Lines) == 0 {
+			continue
+		}
+		chart.Budget = map[string]float64{"bytes": BudgetBytes, "processor": BudgetProcessorMs, "heap": BudgetHeapKB}[title]
+		if failure := chart.Draw(folder); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/maquette/troubles.go
@@ -0,0 +1,196 @@
+package maquette
+
+import (
+	"math/rand"
+
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/watch"
+)
+
+// troubles breaks machines, racks, zones and the way between regions, changes the
+// configuration and turns workers, and follows until all know.
+type troubles struct {
+	fleet  *Fleet
+	random *rand.Rand
+	open   []*track
+	taken  map[string][]float64
+	missed map[string][]float64
+	acked  map[string][]float64
+	refuse map[string]int
+	failed int
+	looks  int
+}
+
+// track follows one piece of news until every process it concerns has it.
+type track struct {
+	kind    string
+	begun   watch.Moment
+	left    map[*Node]int
+	count   int
+	knows   func(*Node) bool
+	patient watch.Span
+	// slow says that asking is dear, and is done at every tenth look.
+	slow bool
+}
+
+// trackPeriod is how often processes are looked at, and trackLimit when news that has
+// not come round is given up.
+const (
+	trackPeriod = 10 * 1_000_000
+	trackLimit  = 60
+)
+
+func newTroubles(fleet *Fleet) *troubles {
+	return &troubles{fleet: fleet, random: rand.New(rand.NewSource(fleet.Plan.Seed + 101)), taken: map[string][]float64{},
+		missed: map[string][]float64{}, acked: map[string][]float64{}, refuse: map[string]int{}}
+}
+
+// at runs something at a rate a minute, until the run ends.
+func (troubles *troubles) at(perMinute float64, function func()) {
+	if perMinute <= 0 {
+		return
+	}
+	var next func()
+	next = func() {
+		function()
+		troubles.fleet.world.After(seconds(60/perMinute*(0.5+troubles.random.Float64())), next)
+	}
+	troubles.fleet.world.After(seconds(60/perMinute*troubles.random.Float64()), next)
+}
+
+func (troubles *troubles) begin() {
+	fleet, plan := troubles.fleet, troubles.fleet.Plan
+	troubles.at(plan.Changes, func() {
+		if foremen := fleet.live(bellows.RoleForeman); len(foremen) > 0 {
+			fleet.register.change(foremen[troubles.random.Intn(len(foremen))])
+		}
+	})
+	troubles.at(plan.Turns, fleet.workers.turn)
+	troubles.at(plan.Lots, fleet.lots.handIn)
+	troubles.at(plan.Failures, func() {
+		machine := troubles.random.Intn(plan.Nodes)
+		troubles.lose("machine", func(node *Node) bool { return node.machine == machine }, plan.DownS)
+	})
+	quarter := plan.DurationS / 4
+	once := func(lost, at float64, function func()) {
+		if lost > 0 {
+			fleet.world.After(seconds(min(at, plan.DurationS-lost)), function)
+		}
+	}
+	// A rack is a twentieth of a zone's machines, two at least.
+	once(plan.RackS, quarter/2, func() {
+		size := max(2, plan.Nodes/plan.Zones/20)
+		zone := troubles.random.Intn(plan.Zones)
+		troubles.lose("rack", func(node *Node) bool { return node.zone == zone && node.machine/plan.Zones < size }, plan.RackS)
+	})
+	once(plan.ZoneS, quarter, func() {
+		zone := troubles.random.Intn(plan.Zones)
+		troubles.lose("zone", func(node *Node) bool { return node.zone == zone }, plan.ZoneS)
+	})
+	once(plan.PartS, quarter*2, func() {
+		fleet.parted = true
+		fleet.world.After(seconds(plan.PartS), func() { fleet.parted = false })
+	})
+	troubles.look()
+}
+
+// lose takes machines away, and brings them back as new lives.
+func (troubles *troubles) lose(kind string, among func(*Node) bool, forS float64) {
+	fleet := troubles.fleet
+	var lost []*Node
+	gone := map[string]bool{}
+	for _, node := range fleet.nodes {
+		if among(node) && !node.down && node != fleet.lots.holder {
+			lost = append(lost, node)
+			gone[bellows.Key(node.own)] = true
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	troubles.failed += len(lost)
+	for _, node := range lost {
+		node.end()
+	}
+	troubles.track(kind+" lost", nil, func(node *Node) bool {
+		for key := range gone {
+			if fleet.members.trusts(node, key) {
+				return false
+			}
+		}
+		return true
+	})
+	fleet.world.After(seconds(forS), func() {
+		for _, node := range lost {
+			node.begin()
+		}
+	})
+}
+
+// track follows news from a process (or from nobody, where it is a silence).
+func (troubles *troubles) track(kind string, from *Node, knows func(*Node) bool) {
+	one := &track{kind: kind, begun: troubles.fleet.world.Now, left: map[*Node]int{}, knows: knows, patient: seconds(trackLimit), slow: from == nil}
+	for _, node := range troubles.fleet.live("") {
+		if from == nil || !troubles.fleet.parted || node.region == from.region {
+			one.left[node] = node.life
+		}
+	}
+	one.count = len(one.left)
+	troubles.open = append(troubles.open, one)
+	if from != nil && troubles.fleet.parted {
+		troubles.afterParting(kind, from, knows)
+	}
+}
+
+// afterParting follows the same news on the other side, from the moment of joining on.
+func (troubles *troubles) afterParting(kind string, from *Node, knows func(*Node) bool) {
+	fleet := troubles.fleet
+	if fleet.parted {
+		fleet.world.After(seconds(0.1), func() { troubles.afterParting(kind, from, knows) })
+		return
+	}
+	one := &track{kind: kind + ", once regions met again", begun: fleet.world.Now, left: map[*Node]int{}, knows: knows, patient: seconds(trackLimit)}
+	for _, node := range fleet.live("") {
+		if node.region != from.region {
+			one.left[node] = node.life
+		}
+	}
+	one.count = len(one.left)
+	troubles.open = append(troubles.open, one)
+}
+
+// look sees who has learnt what; it repeats itself.
+func (troubles *troubles) look() {
+	now := troubles.fleet.world.Now
+	kept := troubles.open[:0]
+	troubles.looks++
+	for _, one := range troubles.open {
+		if one.slow && troubles.looks%10 != 0 {
+			kept = append(kept, one)
+			continue
+		}
+		for node, life := range one.left {
+			if node.life != life || one.knows(node) {
+				delete(one.left, node)
+			}
+		}
+		switch {
+		case len(one.left) == 0:
+			troubles.taken[one.kind] = append(troubles.taken[one.kind], watch.ToMilliseconds(now.Since(one.begun)))
+		case now.Since(one.begun) > one.patient:
+			troubles.missed[one.kind] = append(troubles.missed[one.kind], float64(len(one.left))/float64(max(one.count, 1)))
+		default:
+			kept = append(kept, one)
+		}
+	}
+	troubles.open = kept
+	troubles.fleet.world.After(trackPeriod, troubles.look)
+}
+
+func (troubles *troubles) acknowledged(kind string, took watch.Span) {
+	if troubles.fleet.counting {
+		troubles.acked[kind] = append(troubles.acked[kind], watch.ToMilliseconds(took))
+	}
+}
+
+func (troubles *troubles) refused(kind string) { troubles.refuse[kind]++ }
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -100,6 +100,9 @@
 	world.Now = until
 }
 
+// Forget drops every event that is still to come.
+func (world *World) Forget() { world.queue = nil }
+
 // Note writes a line of history.
 func (world *World) Note(format string, values ...any) {
 	world.history = append(world.history, fmt.Sprintf("%d ", world.Now)+fmt.Sprintf(format, values...))
--- a/internal/tongs/memory.go
+++ b/internal/tongs/memory.go
@@ -12,6 +12,9 @@
 	lock     sync.Mutex
 	handlers map[string]Handler
 	cut      map[string]bool
+	// seen is told of every frame; surroundings is what Post works in.
+	seen         func(Frame)
+	surroundings Surroundings
 }
 
 // NewRoom makes an empty room.
@@ -46,9 +49,7 @@
 
 // Call runs the other side's handler at once.
 func (twin *Twin) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
-	twin.room.lock.Lock()
-	handler, silent := twin.room.handlers[address], twin.room.cut[address] || twin.room.cut[twin.own]
-	twin.room.lock.Unlock()
+	handler, silent := twin.room.serving(twin.own, address)
 	if handler == nil {
 		return nil, Unreached.New(address)
 	}
@@ -60,8 +61,13 @@
 		failure error
 	}
 	answered := make(chan outcome, 1)
+	twin.room.note(twin.own, address, kind, false, body)
 	go func() {
 		answer, failure := handler(kind, body)
+		if failure != nil || answer == nil {
+			answer = nil
+		}
+		twin.room.note(address, twin.own, kind, true, answer)
 		answered <- outcome{answer, failure}
 	}()
 	timer := watch.NewTimer(span)
