lab hollow: lots of a size, real processes at rest, tables, witnesses

Cause: the fleet tells nothing of one large lot, nor of sockets and timers; and playing 390 nodes with all their cores takes an hour on a busy machine.

--- a/cmd/lemonarch/hollow.go
+++ b/cmd/lemonarch/hollow.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -65,11 +63,13 @@
 	set.DurationVar(&flags.duration, "duration", time.Minute, "simulated time that is counted")
 	set.DurationVar(&flags.warm, "warm", 20*time.Second, "simulated time before it")
 	set.Int64Var(&plan.Seed, "seed", plan.Seed, "seed; the same one repeats a run")
+	set.IntVar(&plan.Witnesses, "witnesses", 0, "processes of each role that take gossip in with all their cores; 0 takes all, fewer is faster")
 	set.StringVar(&flags.out, "out", "", "file for the JSON; standard output where empty")
 	set.StringVar(&flags.plots, "plots", "", "folder for plots of the slopes")
 	set.StringVar(&flags.title, "title", "hollow", "beginning of the names of plots")
 	set.StringVar(&flags.mechanism, "mechanism", "", "a note in the result on what was measured")
 	set.BoolVar(&flags.quiet, "quiet", false, "no progress on standard error")
+	command.AddCommand(hollowLotsCommand(), hollowRealCommand(), hollowTableCommand())
 	return command
 }
 
@@ -103,17 +103,11 @@
 	}
 	series := maquette.Play(plan, flags.sizes, flags.workersEach, progress)
 	series.Command, series.Mechanism = "lemonarch "+strings.Join(os.Args[1:], " "), flags.mechanism
-	text, failure := json.MarshalIndent(series, "", " ")
-	if failure != nil {
-		return coded{exitInvalid, failure.Error()}
-	}
-	if flags.out == "" {
-		fmt.Fprintln(command.OutOrStdout(), string(text))
-	} else if failure = os.WriteFile(flags.out, append(text, '\n'), 0o644); failure != nil {
-		return coded{exitUnusable, failure.Error()}
+	if failure := writeJSON(command, flags.out, series); failure != nil {
+		return failure
 	}
 	if flags.plots != "" {
-		if failure = series.Draw(flags.plots, flags.title); failure != nil {
+		if failure := series.Draw(flags.plots, flags.title); failure != nil {
 			return coded{exitUnusable, failure.Error()}
 		}
 	}
--- /dev/null
+++ b/cmd/lemonarch/hollow_table.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"lemonarch/internal/maquette"
+)
+
+func hollowTableCommand() *cobra.Command {
+	return &cobra.Command{Use: "table FILE...", Args: cobra.MinimumNArgs(1), Short: "Write the slopes of results as tables in Markdown",
+		RunE: func(command *cobra.Command, arguments []string) error {
+			for _, path := range arguments {
+				text, failure := os.ReadFile(path)
+				if failure != nil {
+					return coded{exitUnusable, failure.Error()}
+				}
+				series := &maquette.Series{}
+				if failure = json.Unmarshal(text, series); failure != nil || len(series.Runs) == 0 {
+					return coded{exitUnusable, path + " holds no runs of a hollow fleet"}
+				}
+				fmt.Fprintf(command.OutOrStdout(), "\n`%s` (%s)\n\n", series.Command, series.Mechanism)
+				series.Table(command.OutOrStdout(), filepath.Base(path))
+			}
+			return nil
+		}}
+}
--- a/cmd/lemonarch/hollow_test.go
+++ b/cmd/lemonarch/hollow_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"github.com/spf13/cobra"
+
 	"lemonarch/internal/maquette"
 )
 
@@ -52,3 +54,25 @@
 		test.Fatal(plots)
 	}
 }
+
+func TestHollowPartsRefuseInOneLine(test *testing.T) {
+	for _, one := range []struct {
+		command   *cobra.Command
+		arguments []string
+	}{
+		{hollowLotsCommand(), []string{"--items", "0"}},
+		{hollowLotsCommand(), []string{"--item-bytes", "-4"}},
+		{hollowRealCommand(), []string{"--programs", test.TempDir()}},
+		{hollowRealCommand(), []string{"--forges", "900"}},
+		{hollowRealCommand(), []string{"--foremen", "21"}},
+		{hollowTableCommand(), []string{"no-such-file.json"}},
+		{hollowTableCommand(), []string{"hollow_test.go"}},
+	} {
+		one.command.SilenceUsage, one.command.SilenceErrors = true, true
+		one.command.SetArgs(one.arguments)
+		failure := one.command.Execute()
+		if is, known := failure.(coded); !known || is.code != exitUnusable || strings.Contains(is.text, "\n") {
+			test.Errorf("%s %v: %v", one.command.Use, one.arguments, failure)
+		}
+	}
+}
--- a/internal/maquette/fleet.go
+++ b/internal/maquette/fleet.go
@@ -68,9 +68,29 @@
 	fleet.register, fleet.lots = newRegister(fleet), newLots(fleet)
 	fleet.mechanisms = []Mechanism{fleet.members, fleet.workers, fleet.gossip, fleet.register, fleet.lots}
 	fleet.troubles = newTroubles(fleet)
+	fleet.appoint()
 	return fleet
 }
 
+// appoint picks the witnesses of each role, spread evenly over the machines.
+func (fleet *Fleet) appoint() {
+	for _, role := range roleNames {
+		var among []*Node
+		for _, node := range fleet.nodes {
+			if fleet.roleOf(node) == role {
+				among = append(among, node)
+			}
+		}
+		stride := 1
+		if fleet.Plan.Witnesses > 0 {
+			stride = max(1, len(among)/fleet.Plan.Witnesses)
+		}
+		for place, node := range among {
+			node.witness = place%stride == 0
+		}
+	}
+}
+
 func (fleet *Fleet) add(machine int, role string) *Node {
 	node := newNode(fleet, machine, role)
 	fleet.nodes = append(fleet.nodes, node)
--- a/internal/maquette/gossip.go
+++ b/internal/maquette/gossip.go
@@ -23,11 +23,12 @@
 	ages   ages
 	tenant *rand.Zipf
 	random *rand.Rand
+	heads  map[*byte]packetHead
 }
 
 func newGossip(fleet *Fleet) *gossip {
 	random := rand.New(rand.NewSource(fleet.Plan.Seed + 31))
-	return &gossip{fleet: fleet, heard: map[string]map[string]watch.Moment{}, random: random,
+	return &gossip{fleet: fleet, heard: map[string]map[string]watch.Moment{}, heads: map[*byte]packetHead{}, random: random,
 		tenant: rand.NewZipf(random, 1.1, 8, uint64(fleet.Plan.Tenants-1))}
 }
 
@@ -43,13 +44,20 @@
 	key := bellows.Key(node.own)
 	heard := map[string]watch.Moment{}
 	gossip.heard[key] = heard
-	node.answerers[pattern.KindGossip] = reads(node, CoreGossip, func(packet *pattern.Gossip) tongs.Writable {
+	whole := reads(node, CoreGossip, func(packet *pattern.Gossip) tongs.Writable {
 		bench.Heard(packet, node.now())
-		heard[packet.From] = node.now()
-		gossip.fleet.members.touched(node, packet.From)
-		gossip.fleet.register.saw(node, packet.Generation)
 		return taken()
 	})
+	node.answerers[pattern.KindGossip] = func(body []byte) tongs.Writable {
+		from, generation := gossip.head(body)
+		heard[from] = node.now()
+		gossip.fleet.members.touched(node, from)
+		gossip.fleet.register.saw(node, generation)
+		if node.witness {
+			return whole(body)
+		}
+		return taken()
+	}
 	node.answerers[pattern.KindReading] = reads(node, CoreReadings, func(told *pattern.ReadingTold) tongs.Writable {
 		bench.PeerReads(told, node.now())
 		return taken()
@@ -68,6 +76,31 @@
 	return nil
 }
 
+// packetHead is what every process needs of a packet.
+type packetHead struct {
+	from       string
+	generation int64
+}
+
+// headsKept bounds the packets whose heads are kept for their other receivers.
+const headsKept = 4000
+
+// head reads the head of a packet, once for all its receivers: only witnesses pay for
+// reading it whole.
+func (gossip *gossip) head(body []byte) (string, int64) {
+	one, known := gossip.heads[&body[0]]
+	if !known {
+		packet := &pattern.Gossip{}
+		_ = tongs.Read(body, packet)
+		one = packetHead{packet.From, packet.Generation}
+		if len(gossip.heads) >= headsKept {
+			clear(gossip.heads)
+		}
+		gossip.heads[&body[0]] = one
+	}
+	return one.from, one.generation
+}
+
 // Drop has nothing of its own: gauge and index go with the roster.
 func (*gossip) Drop(*Node) {}
 
--- a/internal/maquette/maquette_test.go
+++ b/internal/maquette/maquette_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// Who is no witness sends and gets the same frames; only its costs are left out. Its
+// index believes in fewer prefixes, so that counts of tokens, and with them the length
+// of their encoding, differ by a byte here and there.
+func TestWitnessesChangeNoTraffic(test *testing.T) {
+	all, few := small(7), small(7)
+	few.Witnesses = 2
+	whole, part := New(all, nil).Run(), New(few, nil).Run()
+	for _, role := range roleNames {
+		one, other := whole.Simulated.Roles[role], part.Simulated.Roles[role]
+		if one.Out.Frames != other.Out.Frames || one.In.Frames != other.In.Frames ||
+			math.Abs(one.Out.Bytes-other.Out.Bytes) > 0.001*one.Out.Bytes || math.Abs(one.In.Bytes-other.In.Bytes) > 0.001*one.In.Bytes {
+			test.Errorf("%s: %+v with all, %+v with few", role, one, other)
+		}
+	}
+	if forge := part.Measured.Roles["forge"]; forge.Witnesses >= whole.Measured.Roles["forge"].Witnesses || forge.Processor["gossip"] <= 0 {
+		test.Errorf("%+v", forge)
+	}
+}
+
 func TestEverybodyLearns(test *testing.T) {
 	plan := small(5)
 	plan.ZoneS, plan.PartS, plan.Failures = 0, 0, 0
--- a/internal/maquette/node.go
+++ b/internal/maquette/node.go
@@ -19,6 +19,7 @@
 	zone      int
 	region    int
 	down      bool
+	witness   bool
 	life      int
 	twin      *tongs.Twin
 	random    *rand.Rand
--- a/internal/maquette/plan.go
+++ b/internal/maquette/plan.go
@@ -53,6 +53,11 @@
 	WarmS     float64 `json:"warm-s"`
 	DurationS float64 `json:"duration-s"`
 	Seed      int64   `json:"seed"`
+	// Witnesses is how many processes of each role take gossip in with all their cores;
+	// the others get its bytes and drop them, which changes the frames that are sent by
+	// nothing and the bytes by under a thousandth; they are left out of processor time and
+	// memory. 0 is all.
+	Witnesses int `json:"witnesses"`
 }
 
 // Usual is the plan that flags change: rates in proportion to its nodes, as the page
@@ -73,6 +78,8 @@
 	PageChanges  = 2300.0
 	PageItems    = 11e6
 	PageLots     = 1300.0
+	// PageLargestLot is the most items in one lot.
+	PageLargestLot = 420_000.0
 )
 
 // Scale sets requests, in proportion to the nodes, where none are given.
@@ -95,6 +102,7 @@
 	need(plan.Regions >= 1 && plan.Regions <= plan.Zones, "--regions must be 1 to the number of zones, not %d", plan.Regions)
 	need(plan.Workers >= 1 && plan.Workers <= 20000, "--workers must be 1 to 20000, not %d", plan.Workers)
 	need(plan.LockerEach >= 2, "--locker-each must be 2 or more, not %d", plan.LockerEach)
+	need(plan.Witnesses >= 0, "--witnesses must not be below 0")
 	need(plan.Models >= 1, "--models must be 1 or more, not %d", plan.Models)
 	need(plan.LotItems >= 1 && plan.LotItems <= 1_000_000, "--lot-items must be 1 to 1000000, not %d", plan.LotItems)
 	need(plan.ItemBytes >= 1 && plan.ItemBytes <= 1<<20, "--item-bytes must be 1 to 1048576, not %d", plan.ItemBytes)
--- /dev/null
+++ b/internal/maquette/probe.go
@@ -0,0 +1,134 @@
+package maquette
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/ledgerbox"
+	"lemonarch/internal/pattern"
+)
+
+// LotProbe is what one lot of a size costs the cores that keep it.
+type LotProbe struct {
+	Items     int `json:"items"`
+	BodyBytes int `json:"body-bytes"`
+	// TakeMs is the step that takes the lot, OutputUs the one that lists an output (the
+	// mean over outputs drawn evenly), WaitingMs that which adds up what waits.
+	TakeMs    float64 `json:"take-ms"`
+	OutputUs  float64 `json:"output-us"`
+	WaitingMs float64 `json:"waiting-ms"`
+	// AllOutputsS is OutputUs times the items, in s.
+	AllOutputsS float64 `json:"all-outputs-s"`
+	// HeapMB is what the open lot keeps at its holder, ShelfKB its slots at a store
+	// once all outputs are there.
+	HeapMB  float64 `json:"heap-mb"`
+	ShelfKB float64 `json:"shelf-kb"`
+	// Fits tells whether one frame and one store's append can carry the lot at all.
+	Fits bool `json:"fits-a-frame"`
+}
+
+// LotSeries is that for lots of several sizes, with slopes over the items.
+type LotSeries struct {
+	Command   string           `json:"command"`
+	Mechanism string           `json:"mechanism"`
+	ItemBytes int              `json:"item-bytes"`
+	Probes    []LotProbe       `json:"probes"`
+	Slopes    map[string]Slope `json:"slopes"`
+}
+
+// sampledOutputs is how many outputs of a large lot are listed to learn the mean.
+const sampledOutputs = 1500
+
+// ProbeLots measures one lot of each size at its holder and at a store.
+func ProbeLots(sizes []int, itemBytes int, progress io.Writer) *LotSeries {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	series := &LotSeries{ItemBytes: itemBytes, Slopes: map[string]Slope{}}
+	for _, size := range sizes {
+		series.Probes = append(series.Probes, probeLot(size, itemBytes))
+		if progress != nil {
+			fmt.Fprintf(progress, "lot items=%d output-us=%.1f\n", size, series.Probes[len(series.Probes)-1].OutputUs)
+		}
+	}
+	for name, one := range map[string]struct {
+		unit string
+		of   func(LotProbe) float64
+	}{
+		"take":        {"ms", func(probe LotProbe) float64 { return probe.TakeMs }},
+		"output":      {"us", func(probe LotProbe) float64 { return probe.OutputUs }},
+		"all outputs": {"s", func(probe LotProbe) float64 { return probe.AllOutputsS }},
+		"waiting":     {"ms", func(probe LotProbe) float64 { return probe.WaitingMs }},
+		"heap":        {"MB", func(probe LotProbe) float64 { return probe.HeapMB }},
+		"shelf":       {"KB", func(probe LotProbe) float64 { return probe.ShelfKB }},
+	} {
+		slope := Slope{Unit: one.unit}
+		for _, probe := range series.Probes {
+			slope.Points = append(slope.Points, Point{float64(probe.Items), one.of(probe)})
+		}
+		if len(slope.Points) >= 3 {
+			slope.Best, slope.All = BestFit(slope.Points)
+			slope.AtLot = slope.Best.At(PageLargestLot)
+			series.Slopes[name] = slope
+		}
+	}
+	return series
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func probeLot(size, itemBytes int) LotProbe {
+	probe := LotProbe{Items: size}
+	record := lotRecord(size, itemBytes)
+	probe.BodyBytes = len(record.Body)
+	probe.Fits = len(record.Body) < almanac.FrameLimit
+	before := heapBytes()
+	book := ledgerbox.NewBook()
+	probe.TakeMs = timed(func() { _ = book.Apply(record) }) / 1e6
+	probe.HeapMB = (heapBytes() - before) / (1 << 20)
+	probe.WaitingMs = timed(func() { book.Waiting(func(*ledgerbox.Lot) bool { return true }) }) / 1e6
+	lot := book.Lot(record.Lot)
+	stride := max(1, size/sampledOutputs)
+	count, spent := 0, 0.0
+	for place := 0; place < size; place += stride {
+		output := &pattern.Record{Kind: pattern.RecordOutput, Lot: record.Lot, Item: lot.Items[place].ID, Position: len(lot.Listings)}
+		spent += timed(func() { _ = book.Apply(output) })
+		count++
+	}
+	probe.OutputUs = spent / float64(count) / 1e3
+	probe.AllOutputsS = probe.OutputUs * float64(size) / 1e6
+	before = heapBytes()
+	shelf := ledgerbox.NewShelf("disk")
+	for place := 0; place <= size; place++ {
+		shelf.Put(&pattern.Record{Epoch: lotEpoch, Kind: pattern.RecordOutput, Lot: record.Lot}, int64(place))
+	}
+	probe.ShelfKB = (heapBytes() - before) / 1024
+	runtime.KeepAlive(shelf)
+	runtime.KeepAlive(book)
+	runtime.KeepAlive(record)
+	return probe
+}
+
+// lotRecord makes the record of a lot.
+func lotRecord(size, itemBytes int) *pattern.Record {
+	body := &pattern.LotBody{Path: "/v1/batch"}
+	text := make([]byte, itemBytes)
+	for place := 0; place < size; place++ {
+		body.Items = append(body.Items, pattern.LotItem{ID: fmt.Sprintf("item-%06d", place), Path: "/v1/generate", Tokens: 600, Body: text})
+	}
+	whole, _ := body.MarshalMsg(nil)
+	return &pattern.Record{Kind: pattern.RecordLot, Lot: "lot-00000001", Index: 1, Epoch: lotEpoch, Body: whole}
+}
+
+// timed is a function's processor time in ns.
+func timed(function func()) float64 {
+	begun := threadTime()
+	function()
+	return float64(threadTime() - begun)
+}
--- /dev/null
+++ b/internal/maquette/realplan.go
@@ -0,0 +1,70 @@
+package maquette
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/mishap"
+)
+
+// Unstarted is the mishap of real processes that can't be played.
+var Unstarted = mishap.Define("real processes")
+
+// RealPlan is a small fleet of the real programs on loopback, at rest: no request, no
+// lot, workers that beat. It is the check of what the hollow fleet leaves out, sockets
+// and timers.
+type RealPlan struct {
+	// Programs is the folder of the built programs.
+	Programs string  `json:"-"`
+	Forges   int     `json:"forges"`
+	Lockers  int     `json:"lockers"`
+	Foremen  int     `json:"foremen"`
+	Workers  int     `json:"workers"`
+	SettleS  float64 `json:"settle-s"`
+	CountS   float64 `json:"count-s"`
+}
+
+// RealRole is what one real process of a role costs at rest.
+type RealRole struct {
+	Processes int `json:"processes"`
+	// ProcessorMs is processor ms a second, the kernel's part included.
+	ProcessorMs float64 `json:"processor-ms-a-second"`
+	SystemMs    float64 `json:"of-it-in-the-kernel"`
+	// ResidentMB is its resident memory, OwnMB that which it shares with nobody.
+	ResidentMB float64 `json:"resident-mb"`
+	OwnMB      float64 `json:"own-mb"`
+	WorstMs    float64 `json:"worst-processor-ms-a-second"`
+}
+
+// RealResult is what came of it.
+type RealResult struct {
+	Command   string              `json:"command"`
+	Mechanism string              `json:"mechanism"`
+	Plan      RealPlan            `json:"plan"`
+	Roles     map[string]RealRole `json:"roles"`
+}
+
+// realLimit bounds the processes that are started at a time.
+const realLimit = 64
+
+// Check gives one line for each senseless value.
+func (plan *RealPlan) Check() []string {
+	var findings []string
+	need := func(holds bool, format string, values ...any) {
+		if !holds {
+			findings = append(findings, fmt.Sprintf(format, values...))
+		}
+	}
+	need(plan.Forges >= 1 && plan.Lockers >= 0 && plan.Foremen >= 1, "--forges and --foremen must be 1 or more, --lockers 0 or more")
+	need(plan.Forges+plan.Lockers+plan.Foremen <= realLimit, "no more than %d processes in all", realLimit)
+	need(plan.Foremen <= plan.Forges, "--foremen must not be above --forges: each stands beside a forge")
+	need(plan.Workers >= 1 && plan.Workers <= 2000, "--workers must be 1 to 2000")
+	need(plan.SettleS >= 0 && plan.CountS > 0, "--settle must be 0 or more and --duration above 0")
+	for _, name := range []string{bellows.RoleForge, bellows.RoleForeman, bellows.RoleLocker} {
+		_, failure := os.Stat(filepath.Join(plan.Programs, name))
+		need(failure == nil, "--programs has no %s: build them first", name)
+	}
+	return findings
+}
--- a/internal/maquette/result.go
+++ b/internal/maquette/result.go
@@ -1,8 +1,6 @@
 package maquette
 
 import (
-	"runtime"
-
 	"lemonarch/internal/bellows"
 )
 
@@ -67,6 +65,7 @@
 	// Processor is processor ms a second by core, with reading and writing of messages
 	// but without sockets; Worst is the largest sum at one process. StepMicros is the
 	// mean of one step.
+	Witnesses  int                `json:"witnesses"`
 	Processor  map[string]float64 `json:"processor-ms-a-second"`
 	StepMicros map[string]float64 `json:"step-us"`
 	Worst      float64            `json:"worst-processor-ms-a-second"`
@@ -140,6 +139,10 @@
 		traffic.OutZones += float64(node.out[WayZones].Bytes+node.out[WayRegions].Bytes) * perSecond
 		traffic.OutRegions += float64(node.out[WayRegions].Bytes) * perSecond
 		traffic.Worst = max(traffic.Worst, both)
+		if !node.witness {
+			continue
+		}
+		cost.Witnesses++
 		for core := range cores {
 			spent := float64(node.costs[core].Nanoseconds) / 1e6 * perSecond
 			cost.Processor[core.String()] += spent
@@ -154,14 +157,14 @@
 	if traffic.Processes == 0 {
 		return
 	}
-	count := float64(traffic.Processes)
+	count, witnesses := float64(traffic.Processes), float64(cost.Witnesses)
 	for core := range cores {
 		name := core.String()
 		if steps[core] > 0 {
 			cost.StepMicros[name] = cost.Processor[name] * 1000 / (float64(steps[core]) * perSecond)
 		}
-		cost.Processor[name] /= count
-		traffic.Steps[name] /= count
+		cost.Processor[name] /= witnesses
+		traffic.Steps[name] /= witnesses
 	}
 	traffic.Out = Rate{traffic.Out.Frames / count, traffic.Out.Bytes / count}
 	traffic.In = Rate{traffic.In.Frames / count, traffic.In.Bytes / count}
@@ -173,13 +176,7 @@
 // weigh measures what processes keep, by letting go of one mechanism after the other.
 // The fleet is of no use afterwards.
 func (fleet *Fleet) weigh(result *Result) {
-	heap := func() float64 {
-		runtime.GC()
-		var stats runtime.MemStats
-		runtime.ReadMemStats(&stats)
-		return float64(stats.HeapAlloc)
-	}
-	before := heap()
+	before := heapBytes()
 	result.Measured.HeapMB = before / (1 << 20)
 	for _, role := range roleNames {
 		cost, known := result.Measured.Roles[role]
@@ -189,7 +186,7 @@
 		for _, mechanism := range fleet.mechanisms {
 			running := 0
 			for _, node := range fleet.nodes {
-				if !node.down && fleet.roleOf(node) == role {
+				if !node.down && node.witness && fleet.roleOf(node) == role {
 					running++
 					node.answerers = nil
 					node.life++
@@ -198,7 +195,7 @@
 			}
 			// What waits for these processes holds on to them as well.
 			fleet.world.Forget()
-			after := heap()
+			after := heapBytes()
 			cost.HeapKB[mechanism.Name()] = max(0, before-after) / 1024 / float64(max(running, 1))
 			before = after
 		}
--- a/internal/maquette/series.go
+++ b/internal/maquette/series.go
@@ -21,7 +21,8 @@
 	Unit   string  `json:"unit"`
 	Points []Point `json:"points"`
 	Best   Fit     `json:"best"`
-	AtPage float64 `json:"fitted-at-390"`
+	AtPage float64 `json:"fitted-at-390,omitempty"`
+	AtLot  float64 `json:"fitted-at-420000-items,omitempty"`
 	All    []Fit   `json:"all"`
 }
 
--- /dev/null
+++ b/internal/maquette/spent.go
@@ -0,0 +1,80 @@
+package maquette
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// spent is what a process had used by a moment.
+type spent struct {
+	user, system float64
+	resident     float64
+	own          float64
+}
+
+// ticksASecond is the unit of processor time in the kernel's tables.
+const ticksASecond = 100
+
+// spentBy reads the kernel's tables for a process; zero where it is gone.
+func spentBy(process int) spent {
+	found := spent{}
+	text, failure := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process))
+	if failure != nil {
+		return found
+	}
+	// The name in brackets may hold blanks; what follows it does not.
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) > 12 {
+		user, _ := strconv.ParseFloat(fields[11], 64)
+		system, _ := strconv.ParseFloat(fields[12], 64)
+		found.user, found.system = user*1000/ticksASecond, system*1000/ticksASecond
+	}
+	text, _ = os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", process))
+	for _, line := range strings.Split(string(text), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) < 2 {
+			continue
+		}
+		kilobytes, _ := strconv.ParseFloat(fields[1], 64)
+		switch fields[0] {
+		case "Rss:":
+			found.resident = kilobytes / 1024
+		case "Private_Clean:", "Private_Dirty:":
+			found.own += kilobytes / 1024
+		}
+	}
+	return found
+}
+
+func (fleet *realFleet) spent() []spent {
+	var all []spent
+	for _, child := range fleet.children {
+		all = append(all, spentBy(child.Process.Pid))
+	}
+	return all
+}
+
+// sumUp gives the mean of each role.
+func (fleet *realFleet) sumUp(before, after []spent) *RealResult {
+	result := &RealResult{Plan: fleet.plan, Roles: map[string]RealRole{}}
+	for place, role := range fleet.roles {
+		one := result.Roles[role]
+		system := (after[place].system - before[place].system) / fleet.plan.CountS
+		busy := (after[place].user-before[place].user)/fleet.plan.CountS + system
+		one.Processes++
+		one.ProcessorMs += busy
+		one.SystemMs += system
+		one.WorstMs = max(one.WorstMs, busy)
+		one.ResidentMB += after[place].resident
+		one.OwnMB += after[place].own
+		result.Roles[role] = one
+	}
+	for role, one := range result.Roles {
+		count := float64(one.Processes)
+		one.ProcessorMs, one.SystemMs, one.ResidentMB, one.OwnMB = one.ProcessorMs/count, one.SystemMs/count, one.ResidentMB/count, one.OwnMB/count
+		result.Roles[role] = one
+	}
+	return result
+}
