--- a/cmd/lemonarch/hollow.go
+++ b/cmd/lemonarch/hollow.go
@@ -63,7 +63,6 @@
 	set.DurationVar(&flags.duration, "duration", time.Minute, "simulated time that is counted")
 	set.DurationVar(&flags.warm, "warm", 20*time.Second, "simulated time before it")
 	set.Int64Var(&plan.Seed, "seed", plan.Seed, "seed; the same one repeats a run")
-	set.IntVar(&plan.Witnesses, "witnesses", 0, "processes of each role that take gossip in with all their cores; 0 takes all, fewer is faster")
 	set.StringVar(&flags.out, "out", "", "file for the JSON; standard output where empty")
 	set.StringVar(&flags.plots, "plots", "", "folder for plots of the slopes")
 	set.StringVar(&flags.title, "title", "hollow", "beginning of the names of plots")
--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -14,6 +14,10 @@
 	// FrameLimit bounds one frame in bytes: a lot of the largest allowed body
 	// plus its framing must fit.
 	FrameLimit = 48 << 20
+	// FrameLife is how long a frame may still come after it was sent (ours): our
+	// connections end after SilentPipe without an answer, and a process may be
+	// frozen for seconds with frames unread.
+	FrameLife = 40 * time.Second
 	// FrameVersion is told in each frame, so that mixed versions can work.
 	FrameVersion = 1
 	// DialTime bounds a connection attempt between our processes: links are a
@@ -22,12 +26,26 @@
 	// CallTime bounds an ordinary call between our processes (ours): under the
 	// second in which an outside caller moves on.
 	CallTime = 800 * time.Millisecond
+	// ReportTime bounds the periodic word with a foreman (ours): another one is asked
+	// then, well before the next period.
+	ReportTime = 400 * time.Millisecond
 	// StartPause is the pause between two tries of a starting process to learn what
 	// it needs (ours): each is time in which it can't serve.
 	StartPause = 40 * time.Millisecond
 	// PushTime bounds the wait for peers to take a push before a worker's call
 	// is acknowledged; the worker waits a second at most.
 	PushTime = 350 * time.Millisecond
+	// TreeTime bounds the wait for the whole fleet to take word of a worker before the
+	// worker's call is acknowledged (ours): it waits a second at most.
+	TreeTime = 650 * time.Millisecond
+	// RelayPatience is how long a foreman may take to say that it tells its hall, and
+	// HallTime how long that may take (ours): then another way is gone. Both, twice,
+	// must fit into the bound above.
+	RelayPatience = 120 * time.Millisecond
+	HallTime      = 180 * time.Millisecond
+	// BodyFan is how many processes a process sends a configuration to (ours): with a
+	// link of 30 Mbit/s, a body of 100 KB takes 27 ms each.
+	BodyFan = 3
 	// SilentPipe is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
 	// nothing answers, and a hung connection must not hold a caller.
 	SilentPipe = 1500 * time.Millisecond
@@ -41,8 +59,23 @@
 	ShufflePeriod = time.Second
 	// ShuffleSize is how many entries one shuffle carries (ours).
 	ShuffleSize = 24
-	// ViewLimit bounds a view (ours): the deployments have under 30 processes.
-	ViewLimit = 96
+	// ViewBase is the constant part of a bounded view, to which twice the logarithm of
+	// the population comes (ours): up to 25 of a role the view is still whole.
+	ViewBase = 16
+	// FarLinks is how many processes of each other hall a bounded view keeps at least
+	// (ours): one may be lost.
+	FarLinks = 2
+	// FarShuffle: one shuffle in so many leaves the hall (ours); those bytes are dear.
+	FarShuffle = 4
+	// DrawAfter is how long a foreman goes by what it reckoned of whom a process should
+	// know, while nobody came or went (ours).
+	DrawAfter = 5 * time.Second
+	// FreshReport is the age below which a foreman tells a process as just heard (ours):
+	// a report a second, and a word between foremen.
+	FreshReport = 1800 * time.Millisecond
+	// NeighbourRounds: in one round of so many a process shuffles with a neighbour
+	// besides its word with a foreman (ours): that matters only once foremen are gone.
+	NeighbourRounds = 5
 	// SilentAfter is the silence after which a process is taken for silent.
 	SilentAfter = 3 * time.Second
 	// ForgetAfter is the silence after which an entry leaves the view.
@@ -67,6 +100,10 @@
 	// HistoryLength is how many acknowledged versions the register remembers, so
 	// that a call resent after an unclear answer is known again.
 	HistoryLength = 32
+	// GrowTime is how long after its start a foreman holds acknowledgements back while
+	// the set of acceptors can't yet bear the fault budget and others could join it
+	// (ours): joining takes well under a second each.
+	GrowTime = 10 * time.Second
 	// HoldTime is the length of a hold on a duty (ours): long enough for a slow
 	// sync, short enough that lots wait little after a crash.
 	HoldTime = time.Second
@@ -92,6 +129,21 @@
 	GossipPeriod = time.Second
 	// GossipStale is the age at which a peer's word counts no more: three periods.
 	GossipStale = 3 * GossipPeriod
+	// GossipLoads bounds the load words of a packet (ours): with three packets a
+	// second, each of 600 workers is spoken of within two.
+	GossipLoads = 96
+	// GossipPrefixes bounds its residency words, and GossipPrefixLeast, in tokens, is
+	// the length from which a prefix is worth one (ours).
+	GossipPrefixes    = 16
+	GossipPrefixLeast = 1000
+	// GossipFanout is how many neighbours of the own zone a packet goes to (ours).
+	GossipFanout = 3
+	// NeighbourAge is the age of a process's word, over others, up to which it may be
+	// drawn as a neighbour (ours): shuffles take some seconds round a large fleet.
+	NeighbourAge = 10 * time.Second
+	// ReadingFanout bounds who is told of a long reading (ours): a small fleet whole,
+	// and of a large one those near by.
+	ReadingFanout = 12
 	// DowngradeAlert is the share of placements above which downgrades are
 	// logged as over-discounting (ours).
 	DowngradeAlert = 0.02
@@ -112,6 +164,12 @@
 	// LongReading, in ms, is the reading time from which a prompt is told to peers at
 	// once (ours): others would wait behind it for longer than gossip takes.
 	LongReading = 12.0
+	// ReachWhole is the number of a service's workers up to which a node weighs them
+	// all; ReachSubset is how many it weighs of more, and ReachHomes how many homes and
+	// holders of a long prefix beside these (ours).
+	ReachWhole  = 24
+	ReachSubset = 8
+	ReachHomes  = 4
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
 	FailurePenalty = 4000.0
 	// SuspectFor is how long a failure counts against a worker.
@@ -130,6 +188,10 @@
 	// PressureStale the age at which a word counts no more.
 	PressurePeriod = 100 * time.Millisecond
 	PressureStale  = 400 * time.Millisecond
+	// PressureFanout is how many lockers a word of pressure goes to, and PressureHops
+	// how often it is passed on by them (ours): the cost is the same in any fleet.
+	PressureFanout = 3
+	PressureHops   = 1
 	// StreamReserve is the time that a displaced stream must still have beyond its
 	// aim, to end in time elsewhere (ours).
 	StreamReserve = 1500 * time.Millisecond
@@ -209,6 +271,8 @@
 	StatusRows = 200
 	// StatusTime is how long the shell waits for one process unless told otherwise.
 	StatusTime = 700 * time.Millisecond
+	// TrafficPeriod is the time between two lines of counters in a log at debug level.
+	TrafficPeriod = 10 * time.Second
 )
 
 // Processes.
--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -104,17 +104,16 @@
 	reply.JSON(writer, http.StatusOK, struct{}{})
 }
 
-// noteWorker applies a call and tells everybody before it is acknowledged.
+// noteWorker applies a call and tells everybody of a change before it is acknowledged.
 func (foreman *Foreman) noteWorker(worker pattern.Worker) {
 	foreman.lock.Lock()
-	changed := foreman.roster.Merge(worker, watch.Now())
-	foreman.beaten[worker.ID] = true
+	changed := foreman.roster.Beat(worker, watch.Now())
 	worker, _ = foreman.roster.Get(worker.ID)
 	foreman.lock.Unlock()
 	if changed {
 		foreman.memory.remember(worker)
 		foreman.Stand.Log.Info("worker", "id", worker.ID, "service", worker.Backend, "phase", worker.Phase.String(), "address", worker.Address)
-		foreman.tellWorkers([]pattern.Worker{worker}, almanac.PushTime)
+		foreman.spread(&pattern.Relay{Workers: []pattern.Worker{worker}}, almanac.TreeTime)
 	}
 }
 
@@ -139,6 +138,17 @@
 	version := pattern.Version{Generation: config.Generation, Base: base, Hash: jig.Hash(body)}
 	var outcome vise.Outcome
 	value, failure := foreman.Register.Change(vise.Replace(version, body, &outcome))
+	stands := func() bool { return outcome == vise.OutcomeTaken || outcome == vise.OutcomeAlready }
+	for end := watch.Now().Plus(almanac.CallTime); failure == nil && stands() && !foreman.bears(&value); {
+		if watch.Now() > end {
+			reply.Reason(writer, http.StatusGatewayTimeout, "the set of acceptors is still growing")
+			return
+		}
+		// It stands, yet two losses could take it away again: told only once the set
+		// is whole, which takes the value along.
+		watch.Sleep(almanac.TickPeriod)
+		value, failure = foreman.Register.Change(vise.Replace(version, body, &outcome))
+	}
 	if failure != nil {
 		// Not in force for certain only without a second round; both are 5xx, and
 		// neither is a refusal.
@@ -146,7 +156,7 @@
 		reply.Reason(writer, http.StatusGatewayTimeout, failure.Error())
 		return
 	}
-	foreman.chosen(value, outcome == vise.OutcomeTaken || outcome == vise.OutcomeAlready)
+	foreman.chosen(value, stands())
 	switch outcome {
 	case vise.OutcomeTaken, vise.OutcomeAlready:
 		foreman.Stand.Log.Info("configuration acknowledged", "generation", config.Generation)
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -6,8 +6,8 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
-	"os"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -20,7 +20,6 @@
 	"lemonarch/internal/tongs"
 	"lemonarch/internal/trestle"
 	"lemonarch/internal/watch"
-	"lemonarch/internal/whetstone"
 )
 
 // firstDisk is the identity of every seed's disk at the system's first start, so
@@ -35,9 +34,9 @@
 	checking sync.Mutex
 	lock     sync.Mutex
 	roster   *roster.Roster
-	beaten   map[string]bool
-	behind   map[string]bool
-	met      map[string]int64
+	peers    map[string]*peer
+	relays   map[string]*delivery
+	number   atomic.Uint64
 	begun    watch.Moment
 	server   *http.Server
 	memory   *memory
@@ -45,8 +44,9 @@
 
 // New opens the disk and prepares the process.
 func New(settings *boot.Boot, log hclog.Logger) (*Foreman, error) {
-	if failure := os.MkdirAll(settings.DataDir, 0o755); failure != nil {
-		return nil, Damaged.Wrap(failure, "data-dir")
+	disk, failure := openDisk(settings)
+	if failure != nil {
+		return nil, failure
 	}
 	identity := randomName()
 	var first []pattern.Member
@@ -59,7 +59,7 @@
 			}
 		}
 	}
-	register, failure := OpenRegister(whetstone.Folder(settings.DataDir), first, identity)
+	register, failure := OpenRegister(disk, first, identity)
 	if failure != nil {
 		return nil, failure
 	}
@@ -67,18 +67,25 @@
 	if failure != nil {
 		return nil, failure
 	}
-	kept, workers, failure := openMemory(whetstone.Folder(settings.DataDir))
+	kept, workers, failure := openMemory(disk)
 	if failure != nil {
 		return nil, failure
 	}
-	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, register.acceptor.Disk(), log)
+	told := register.acceptor.Disk()
+	if !votes(settings) {
+		// Told so, that those with a disk take the place that a seed list gave us.
+		told = ""
+	}
+	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, told, log)
 	register.stand = stand
 	foreman := &Foreman{Stand: stand, Register: register, caliper: checker, roster: roster.New(settings.Heartbeat()),
-		beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}, begun: watch.Now(), memory: kept}
+		peers: map[string]*peer{}, relays: map[string]*delivery{}, begun: watch.Now(), memory: kept}
 	for _, worker := range workers {
 		foreman.roster.Merge(worker, watch.Now())
 	}
 	register.accepted = foreman.accepted
+	// Numbers of words must differ from those of an earlier life.
+	foreman.number.Store(uint64(stand.Own.Life))
 	foreman.answerers()
 	foreman.reports()
 	return foreman, nil
@@ -132,22 +139,7 @@
 		return &pattern.DutyChanged{Done: failure == nil, Known: true, Value: value}, nil
 	}))
 	stand.Answer(pattern.KindDutyChange, answer(foreman.changeDuty))
-	stand.Answer(pattern.KindRosterPush, answer(func(question *pattern.RosterPush) (tongs.Writable, error) {
-		foreman.lock.Lock()
-		for _, worker := range question.Workers {
-			if foreman.roster.Merge(worker, watch.Now()) {
-				foreman.memory.remember(worker)
-			}
-		}
-		foreman.lock.Unlock()
-		stand.Touched(question.From)
-		return &pattern.Nothing{Taken: true}, nil
-	}))
-	stand.Answer(pattern.KindRosterPull, answer(func(_ *pattern.RosterPull) (tongs.Writable, error) {
-		foreman.lock.Lock()
-		defer foreman.lock.Unlock()
-		return &pattern.RosterPush{From: bellows.Key(stand.Own), Workers: foreman.roster.All(watch.Now())}, nil
-	}))
+	foreman.tableAnswerers()
 }
 
 // Run serves until told to stop.
@@ -158,7 +150,7 @@
 	}
 	go foreman.relearn()
 	go foreman.remembering()
-	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.tellRoster)
+	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.beatOthers)
 	go watch.Every(almanac.ShufflePeriod, stand.Stop, foreman.tendSet)
 	foreman.server = &http.Server{Addr: stand.Boot.Bind.Control, Handler: foreman.calls(), ReadHeaderTimeout: almanac.BulkCallTime}
 	stand.Log.Info("serving", "control", stand.Boot.Bind.Control, "disk", stand.Own.Disk)
@@ -179,19 +171,7 @@
 // relearn gets from peers what this process can't know after its start.
 func (foreman *Foreman) relearn() {
 	stand := foreman.Stand
-	for _, address := range stand.Boot.SeedAddresses(almanac.PortForeman) {
-		if address == stand.Own.Address {
-			continue
-		}
-		back := &pattern.RosterPush{}
-		if tongs.Ask(stand.Wire, address, pattern.KindRosterPull, &pattern.RosterPull{}, back, almanac.CallTime) == nil {
-			foreman.lock.Lock()
-			for _, worker := range back.Workers {
-				foreman.roster.Merge(worker, watch.Now())
-			}
-			foreman.lock.Unlock()
-		}
-	}
+	foreman.beatOthers()
 	for round := 0; ; round++ {
 		select {
 		case <-stand.Stop:
--- a/internal/maquette/copies.go
+++ b/internal/maquette/copies.go
@@ -6,7 +6,6 @@
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
 	"lemonarch/internal/watch"
 )
 
@@ -44,19 +43,14 @@
 		node.after(watch.Milliseconds(5), func() { matched(answer) })
 		return
 	}
-	var body []byte
-	node.step(CoreLots, func() { body, _ = order.MarshalMsg(nil) })
-	node.post(member.Address, pattern.KindAppend, body, almanac.BulkCallTime, func(back []byte, failure error) {
-		answer := pattern.Appended{}
-		if failure == nil {
-			node.step(CoreLots, func() { failure = tongs.Read(back, &answer) })
-		}
-		if failure != nil {
+	back := &pattern.Appended{}
+	node.ask(CoreLots, member.Address, pattern.KindAppend, order, back, almanac.BulkCallTime, func(reached bool) {
+		if !reached {
 			own.sending[identity] = false
 			node.after(almanac.TickPeriod*2, func() { lots.feed(node, own, member, identity) })
 			return
 		}
-		matched(answer)
+		matched(*back)
 	})
 }
 
--- a/internal/maquette/fleet.go
+++ b/internal/maquette/fleet.go
@@ -34,6 +34,7 @@
 	members    *membership
 	workers    *workers
 	gossip     *gossip
+	traffic    *traffic
 	register   *register
 	lots       *lots
 	troubles   *troubles
@@ -65,32 +66,12 @@
 		}
 	}
 	fleet.members, fleet.workers, fleet.gossip = &membership{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
-	fleet.register, fleet.lots = newRegister(fleet), newLots(fleet)
-	fleet.mechanisms = []Mechanism{fleet.members, fleet.workers, fleet.gossip, fleet.register, fleet.lots}
+	fleet.register, fleet.lots, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.workers, fleet.gossip, fleet.register, fleet.lots, fleet.traffic}
 	fleet.troubles = newTroubles(fleet)
-	fleet.appoint()
 	return fleet
 }
 
-// appoint picks the witnesses of each role, spread evenly over the machines.
-func (fleet *Fleet) appoint() {
-	for _, role := range roleNames {
-		var among []*Node
-		for _, node := range fleet.nodes {
-			if fleet.roleOf(node) == role {
-				among = append(among, node)
-			}
-		}
-		stride := 1
-		if fleet.Plan.Witnesses > 0 {
-			stride = max(1, len(among)/fleet.Plan.Witnesses)
-		}
-		for place, node := range among {
-			node.witness = place%stride == 0
-		}
-	}
-}
-
 func (fleet *Fleet) add(machine int, role string) *Node {
 	node := newNode(fleet, machine, role)
 	fleet.nodes = append(fleet.nodes, node)
@@ -107,6 +88,8 @@
 		node.begin()
 	}
 	fleet.workers.begin()
+	// There is a first configuration before anything is counted.
+	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.register.change(fleet.live(bellows.RoleForeman)[0]) })
 	warm, whole := watch.Moment(seconds(fleet.Plan.WarmS)), watch.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
 	fleet.play(warm, whole)
 	fleet.counting = true
--- a/internal/maquette/gossip.go
+++ b/internal/maquette/gossip.go
@@ -1,201 +1,141 @@
 package maquette
 
 import (
-	"fmt"
-	"hash/fnv"
-	"math/rand"
+	"math"
+	"sort"
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
+	"lemonarch/internal/jointer"
 	"lemonarch/internal/pattern"
-	"lemonarch/internal/plumbline"
 	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
 	"lemonarch/internal/workbench"
 )
 
 // gossip drives the utilization and weights of workbench, gauge and plumbline as
-// jointer does: each placing process tells all it knows, once a period.
+// jointer does: bounded packets to a few neighbours, one way, once a period.
 type gossip struct {
 	fleet *Fleet
-	// heard is when a process last had word from another, by their keys.
-	heard  map[string]map[string]watch.Moment
-	ages   ages
-	tenant *rand.Zipf
-	random *rand.Rand
-	heads  map[*byte]packetHead
+	ages  ages
+	// off adds up how many requests words are off from what workers really have.
+	off, offCount float64
 }
 
-func newGossip(fleet *Fleet) *gossip {
-	random := rand.New(rand.NewSource(fleet.Plan.Seed + 31))
-	return &gossip{fleet: fleet, heard: map[string]map[string]watch.Moment{}, heads: map[*byte]packetHead{}, random: random,
-		tenant: rand.NewZipf(random, 1.1, 8, uint64(fleet.Plan.Tenants-1))}
-}
+func newGossip(fleet *Fleet) *gossip { return &gossip{fleet: fleet} }
 
 // Name names it.
 func (*gossip) Name() string { return "gossip" }
 
+// circle is whom a process tells.
+type circle struct {
+	near, far        []pattern.Entry
+	halls            [][]pattern.Entry
+	gossip, readings []pattern.Entry
+}
+
 // Begin starts the gossip of a process that places work.
 func (gossip *gossip) Begin(node *Node) any {
 	if !node.places() {
 		return nil
 	}
-	bench := node.state[1].(*workbench.Workbench)
-	key := bellows.Key(node.own)
-	heard := map[string]watch.Moment{}
-	gossip.heard[key] = heard
-	whole := reads(node, CoreGossip, func(packet *pattern.Gossip) tongs.Writable {
-		bench.Heard(packet, node.now())
+	own := node.state[1].(*placing)
+	node.answerers[pattern.KindGossip] = reads(node, CoreGossip, func(packet *pattern.Gossip) tongs.Writable {
+		own.bench.Heard(packet, node.now())
+		gossip.fleet.members.touched(node, packet.From)
+		gossip.fleet.register.saw(node, packet.Generation)
 		return taken()
 	})
-	node.answerers[pattern.KindGossip] = func(body []byte) tongs.Writable {
-		from, generation := gossip.head(body)
-		heard[from] = node.now()
-		gossip.fleet.members.touched(node, from)
-		gossip.fleet.register.saw(node, generation)
-		if node.witness {
-			return whole(body)
-		}
-		return taken()
-	}
 	node.answerers[pattern.KindReading] = reads(node, CoreReadings, func(told *pattern.ReadingTold) tongs.Writable {
-		bench.PeerReads(told, node.now())
+		own.bench.PeerReads(told, node.now())
 		return taken()
 	})
-	node.every(almanac.GossipPeriod, func() {
-		var packet *pattern.Gossip
-		node.step(CoreGossip, func() {
-			packet = bench.Gossip(node.now())
-			packet.Generation = node.generation
-		})
-		node.spread(gossip.peers(node), CoreGossip, pattern.KindGossip, packet, almanac.CallTime, nil)
+	node.answerers[pattern.KindPressure] = reads(node, CoreReadings, func(told *pattern.PressureTold) tongs.Writable {
+		own.bench.Pressed(told, max(told.Sharers, 1), node.now())
+		return taken()
 	})
-	if node.own.Role == bellows.RoleForge {
-		gossip.serve(node, bench)
-	}
+	own.bench.OnReading(func(worker string, milliseconds float64) {
+		told := &pattern.ReadingTold{From: bellows.Key(node.own), Worker: worker, Reading: milliseconds}
+		node.tell(own.around.readings, CoreReadings, pattern.KindReading, told)
+	})
+	node.every(almanac.GossipPeriod, func() { gossip.period(node, own) })
 	return nil
 }
 
-// packetHead is what every process needs of a packet.
-type packetHead struct {
-	from       string
-	generation int64
-}
-
-// headsKept bounds the packets whose heads are kept for their other receivers.
-const headsKept = 4000
-
-// head reads the head of a packet, once for all its receivers: only witnesses pay for
-// reading it whole.
-func (gossip *gossip) head(body []byte) (string, int64) {
-	one, known := gossip.heads[&body[0]]
-	if !known {
-		packet := &pattern.Gossip{}
-		_ = tongs.Read(body, packet)
-		one = packetHead{packet.From, packet.Generation}
-		if len(gossip.heads) >= headsKept {
-			clear(gossip.heads)
-		}
-		gossip.heads[&body[0]] = one
-	}
-	return one.from, one.generation
-}
-
 // Drop has nothing of its own: gauge and index go with the roster.
 func (*gossip) Drop(*Node) {}
 
-func (gossip *gossip) peers(node *Node) []pattern.Entry {
-	return append(gossip.fleet.members.known(node, bellows.RoleForge), gossip.fleet.members.known(node, bellows.RoleLocker)...)
-}
-
-// serve places requests at workers, so that there is something to gossip about. No
-// bytes of them are moved: what is measured as placement is the index alone.
-func (gossip *gossip) serve(node *Node, bench *workbench.Workbench) {
-	forges := 0
-	for _, one := range gossip.fleet.nodes {
-		if one.own.Role == bellows.RoleForge {
-			forges++
+func (gossip *gossip) period(node *Node, own *placing) {
+	var packet *pattern.Gossip
+	var told []pattern.Entry
+	node.step(CoreGossip, func() {
+		packet = own.bench.Gossip(node.now())
+		packet.Generation = node.generation
+		own.around = around(node.own, gossip.fleet.members.view(node).All("", node.now()))
+		told = append([]pattern.Entry(nil), own.around.gossip...)
+		// Each zone tells each other about once a period, however many it has.
+		if halls := own.around.halls; len(halls) > 0 && node.random.Float64() < float64(len(halls))/float64(len(own.around.near)+1) {
+			there := halls[node.random.Intn(len(halls))]
+			told = append(told, there[node.random.Intn(len(there))])
 		}
-	}
-	rate := gossip.fleet.Plan.Requests / float64(forges)
-	if rate <= 0 {
-		return
-	}
-	var next func()
-	next = func() {
-		gossip.request(node, bench)
-		node.after(seconds(node.random.ExpFloat64()/rate), next)
-	}
-	node.after(seconds(node.random.ExpFloat64()/rate), next)
+	})
+	node.tell(told, CoreGossip, pattern.KindGossip, packet)
 }
 
-func (gossip *gossip) request(node *Node, bench *workbench.Workbench) {
-	model := gossip.random.Intn(gossip.fleet.Plan.Models)
-	prompt, long := gossip.prompt(node, model)
-	var worker string
-	fresh := 0
-	node.step(CorePlacement, func() {
-		named := bench.Roster.Named(fmt.Sprintf("model-%02d", model))
-		if len(named) == 0 {
-			return
+// around finds whom a process tells, as jointer does.
+func around(own pattern.Entry, known []pattern.Entry) circle {
+	found := circle{}
+	for _, entry := range known {
+		switch {
+		case entry.Role != bellows.RoleForge && entry.Role != bellows.RoleLocker,
+			entry.Leaving || entry.AgeMs >= almanac.NeighbourAge.Milliseconds():
+		case entry.Hall == own.Hall:
+			found.near = append(found.near, entry)
+		default:
+			found.far = append(found.far, entry)
 		}
-		worker = named[node.random.Intn(len(named))].ID
-		fresh = bench.Index.Placed(&prompt, worker, node.now())
-		bench.Gauge.Of(worker).Begin(false, fresh)
-	})
-	if worker == "" {
-		return
 	}
-	if long {
-		reading := float64(fresh) / almanac.ReadRate
-		told := &pattern.ReadingTold{From: bellows.Key(node.own), Worker: worker, Reading: reading}
-		node.spread(gossip.peers(node), CoreReadings, pattern.KindReading, told, almanac.CallTime, nil)
-	}
-	node.after(watch.Milliseconds(gossip.fleet.Plan.HeldMs*node.random.ExpFloat64()), func() {
-		node.step(CorePlacement, func() {
-			vitals := bench.Gauge.Of(worker)
-			vitals.Read(fresh)
-			vitals.End(false)
-		})
-	})
-}
-
-// prompt draws a prompt: a part that a model's requests share, a part of the tenant,
-// and the request's own. The lengths are assumed.
-func (gossip *gossip) prompt(node *Node, model int) (plumbline.Prompt, bool) {
-	long := node.random.Float64() < gossip.fleet.Plan.LongShare
-	tenant := gossip.tenant.Uint64()
-	shared, kept, own := 430, 600, 300
-	if long {
-		kept, own = 6000, 3000
+	places := map[string]int{}
+	for _, entry := range found.far {
+		place, known := places[entry.Hall]
+		if !known {
+			place = len(found.halls)
+			places[entry.Hall] = place
+			found.halls = append(found.halls, nil)
+		}
+		found.halls[place] = append(found.halls[place], entry)
 	}
-	prompt := plumbline.Prompt{Tokens: shared + kept + own, Out: 200}
-	for _, part := range []struct {
-		name   string
-		tokens int
-	}{{fmt.Sprint("model", model), shared}, {fmt.Sprint("model", model, "tenant", tenant, long), kept}, {fmt.Sprint(node.own.Name, node.random.Int63()), own}} {
-		sum := fnv.New64a()
-		sum.Write([]byte(part.name))
-		prompt.Parts = append(prompt.Parts, plumbline.Part{Name: sum.Sum64(), Tokens: part.tokens})
+	sort.Slice(found.halls, func(left, right int) bool { return found.halls[left][0].Hall < found.halls[right][0].Hall })
+	found.gossip = jointer.Neighbours(own, found.near, almanac.GossipFanout)
+	found.readings = jointer.Neighbours(own, found.near, almanac.ReadingFanout)
+	if left := almanac.ReadingFanout - len(found.readings); left > 0 {
+		found.readings = append(found.readings, jointer.Neighbours(own, found.far, left)...)
 	}
-	return prompt, long
+	return found
 }
 
-// sample looks now and then at how old the word is that processes have of each other.
+// sample looks now and then at how old the word is that processes have of workers, and
+// how far it is from what these really have.
 func (gossip *gossip) sample() {
-	live := gossip.fleet.live("")
-	for _, node := range live {
+	now := gossip.fleet.world.Now
+	for _, node := range gossip.fleet.live("") {
 		if !node.places() {
 			continue
 		}
-		heard := gossip.heard[bellows.Key(node.own)]
-		for _, other := range live {
-			if other == node || !other.places() {
+		own := gossip.fleet.workers.placing(node)
+		for _, worker := range gossip.fleet.workers.all {
+			if worker.Phase != pattern.PhaseSteady {
 				continue
 			}
-			at, known := heard[bellows.Key(other.own)]
-			gossip.ages.add(gossip.fleet.world.Now.Since(at), known)
+			gossip.look(own.bench, worker.ID)
+			_, at := own.bench.Gauge.Of(worker.ID).Observed()
+			gossip.ages.add(now.Since(at), at > 0)
 		}
 	}
 	gossip.fleet.world.After(seconds(5.3), gossip.sample)
 }
+
+func (gossip *gossip) look(bench *workbench.Workbench, worker string) {
+	believed := bench.Gauge.Of(worker).Running(gossip.fleet.world.Now)
+	gossip.off += math.Abs(float64(believed - gossip.fleet.traffic.running[worker]))
+	gossip.offCount++
+}
--- a/internal/maquette/lots.go
+++ b/internal/maquette/lots.go
@@ -95,7 +95,11 @@
 	})
 	node.every(almanac.HoldRenewal, func() { lots.renew(node) })
 	node.every(almanac.HoldRenewal, func() {
-		node.spread(lots.fleet.gossip.peers(node), CoreHolds, pattern.KindHolderTold, &pattern.HolderTold{Duty: lots.duty()}, almanac.HoldRenewal, nil)
+		for _, entry := range lots.fleet.members.all(node) {
+			if entry.Role != bellows.RoleForeman {
+				node.ask(CoreHolds, entry.Address, pattern.KindHolderTold, &pattern.HolderTold{Duty: lots.duty()}, &pattern.Nothing{}, almanac.HoldRenewal, func(bool) {})
+			}
+		}
 	})
 	node.every(almanac.TickPeriod, func() { lots.run(node, own) })
 	return own
@@ -112,14 +116,8 @@
 // renew asks every acceptor for the hold again.
 func (lots *lots) renew(node *Node) {
 	own := node.own
-	var body []byte
-	node.step(CoreHolds, func() { body, _ = (&pattern.HoldAsk{Candidate: own.Name, Life: own.Life}).MarshalMsg(nil) })
 	for _, seed := range lots.fleet.seeds {
-		node.post(seed, pattern.KindAsk, body, almanac.HoldRenewal, func(answer []byte, failure error) {
-			if failure == nil {
-				node.step(CoreHolds, func() { _ = tongs.Read(answer, &pattern.HoldAnswer{}) })
-			}
-		})
+		node.ask(CoreHolds, seed, pattern.KindAsk, &pattern.HoldAsk{Candidate: own.Name, Life: own.Life}, &pattern.HoldAnswer{}, almanac.HoldRenewal, func(bool) {})
 	}
 }
 
@@ -153,9 +151,7 @@
 		return
 	}
 	call := &pattern.LotCall{Method: "POST", Host: "tenant.example", Path: "/v1/batch", Lot: name, Body: text}
-	var question []byte
-	node.step(CoreLots, func() { question, _ = call.MarshalMsg(nil) })
-	node.post(lots.holder.own.Address, pattern.KindLotCall, question, almanac.BulkCallTime, nil)
+	node.ask(CoreLots, lots.holder.own.Address, pattern.KindLotCall, call, &pattern.LotAnswer{}, almanac.BulkCallTime, func(bool) {})
 }
 
 // submit makes a record at the holder and has it copied.
--- a/internal/maquette/node.go
+++ b/internal/maquette/node.go
@@ -11,6 +11,9 @@
 	"lemonarch/internal/watch"
 )
 
+// answerer answers one kind of call, at once or later.
+type answerer func(body []byte, reply func(tongs.Writable))
+
 // Node is one hollow process.
 type Node struct {
 	fleet     *Fleet
@@ -19,21 +22,18 @@
 	zone      int
 	region    int
 	down      bool
-	witness   bool
 	life      int
 	twin      *tongs.Twin
 	random    *rand.Rand
-	answerers map[pattern.Kind]func([]byte) tongs.Writable
+	answerers map[pattern.Kind]answerer
 	costs     [cores]Cost
 	out, in   [ways]Traffic
 	// What the mechanisms keep for this process, by their place in the fleet.
 	state []any
 	// The configuration in force here.
 	generation int64
-	takenAt    watch.Moment
 }
 
-// role gives a process's role, and the port that goes with it.
 func portOf(role string) int {
 	return map[string]int{bellows.RoleForeman: almanac.PortForeman, bellows.RoleForge: almanac.PortForge, bellows.RoleLocker: almanac.PortLocker}[role]
 }
@@ -55,23 +55,29 @@
 	node.down = false
 	node.life++
 	node.own.Life += 1_000_000_000
-	node.generation, node.takenAt = 0, 0
-	node.answerers = map[pattern.Kind]func([]byte) tongs.Writable{}
+	node.generation = 0
+	node.answerers = map[pattern.Kind]answerer{}
 	node.state = make([]any, len(node.fleet.mechanisms))
 	node.twin = node.fleet.room.Transport(node.own.Address)
 	for place, mechanism := range node.fleet.mechanisms {
 		node.state[place] = mechanism.Begin(node)
 	}
-	_ = node.twin.Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
-		answerer := node.answerers[kind]
-		if answerer == nil {
-			return nil, nil
-		}
-		answer := answerer(body)
-		if answer == nil {
-			return nil, nil
+	_ = node.twin.ServeLater(func(kind pattern.Kind, body []byte, reply func([]byte, error)) {
+		one := node.answerers[kind]
+		if one == nil {
+			reply(nil, nil)
+			return
 		}
-		return tongs.Write(answer)
+		life := node.life
+		one(body, func(answer tongs.Writable) {
+			switch {
+			case node.life != life:
+			case answer == nil:
+				reply(nil, nil)
+			default:
+				reply(tongs.Write(answer))
+			}
+		})
 	})
 }
 
@@ -119,35 +125,44 @@
 	})
 }
 
-// spread sends one message to each entry; then is told how each came out.
-func (node *Node) spread(entries []pattern.Entry, core Core, kind pattern.Kind, message tongs.Writable, span watch.Span, then func(pattern.Entry, bool)) {
+// ask sends a message and reads the answer into another; then is told whether that
+// went well. Writing and reading are charged to the core, as is what then does.
+func (node *Node) ask(core Core, address string, kind pattern.Kind, question tongs.Writable, answer tongs.Readable, span watch.Span, then func(reached bool)) {
 	var body []byte
-	node.step(core, func() { body, _ = message.MarshalMsg(nil) })
-	for _, entry := range entries {
-		node.post(entry.Address, kind, body, span, func(_ []byte, failure error) {
+	node.step(core, func() { body, _ = question.MarshalMsg(nil) })
+	node.post(address, kind, body, span, func(back []byte, failure error) {
+		node.step(core, func() {
 			if failure == nil {
-				node.fleet.members.touched(node, bellows.Key(entry))
-			}
-			if then != nil {
-				then(entry, failure == nil)
+				failure = tongs.Read(back, answer)
 			}
+			then(failure == nil)
 		})
+	})
+}
+
+// tell sends one message one way to each entry.
+func (node *Node) tell(entries []pattern.Entry, core Core, kind pattern.Kind, message tongs.Writable) {
+	var body []byte
+	node.step(core, func() { body, _ = message.MarshalMsg(nil) })
+	for _, entry := range entries {
+		node.twin.PostTell(entry.Address, kind, body)
 	}
 }
 
-// reads makes an answerer of a function that takes a message.
+// reads makes an answerer of a function that takes a message and answers at once.
 func reads[Message any, Pointer interface {
 	*Message
 	tongs.Readable
-}](node *Node, core Core, function func(Pointer) tongs.Writable) func([]byte) tongs.Writable {
-	return func(body []byte) (answer tongs.Writable) {
+}](node *Node, core Core, function func(Pointer) tongs.Writable) answerer {
+	return func(body []byte, reply func(tongs.Writable)) {
+		var answer tongs.Writable
 		node.step(core, func() {
 			message := Pointer(new(Message))
 			if tongs.Read(body, message) == nil {
 				answer = function(message)
 			}
 		})
-		return answer
+		reply(answer)
 	}
 }
 
--- a/internal/maquette/plan.go
+++ b/internal/maquette/plan.go
@@ -53,18 +53,13 @@
 	WarmS     float64 `json:"warm-s"`
 	DurationS float64 `json:"duration-s"`
 	Seed      int64   `json:"seed"`
-	// Witnesses is how many processes of each role take gossip in with all their cores;
-	// the others get its bytes and drop them, which changes the frames that are sent by
-	// nothing and the bytes by under a thousandth; they are left out of processor time and
-	// memory. 0 is all.
-	Witnesses int `json:"witnesses"`
 }
 
 // Usual is the plan that flags change: rates in proportion to its nodes, as the page
 // gives them for 390.
 func Usual() Plan {
 	return Plan{Nodes: 50, LockerEach: 6, Zones: 8, Regions: 2, Workers: 77, Models: 24, Tenants: 22000,
-		HeldMs: 3000, LongShare: 0.08, LotItems: 200, ItemBytes: 1200, ConfigBytes: 64 << 10, HeartbeatMs: 1000, DownS: 20,
+		HeldMs: 900, LongShare: 0.08, LotItems: 200, ItemBytes: 1200, ConfigBytes: 64 << 10, HeartbeatMs: 1000, DownS: 20,
 		NearMs: 0.25, ZonesMs: 1, RegionMs: 10, WarmS: 20, DurationS: 60, Seed: 1}
 }
 
@@ -102,7 +97,6 @@
 	need(plan.Regions >= 1 && plan.Regions <= plan.Zones, "--regions must be 1 to the number of zones, not %d", plan.Regions)
 	need(plan.Workers >= 1 && plan.Workers <= 20000, "--workers must be 1 to 20000, not %d", plan.Workers)
 	need(plan.LockerEach >= 2, "--locker-each must be 2 or more, not %d", plan.LockerEach)
-	need(plan.Witnesses >= 0, "--witnesses must not be below 0")
 	need(plan.Models >= 1, "--models must be 1 or more, not %d", plan.Models)
 	need(plan.LotItems >= 1 && plan.LotItems <= 1_000_000, "--lot-items must be 1 to 1000000, not %d", plan.LotItems)
 	need(plan.ItemBytes >= 1 && plan.ItemBytes <= 1<<20, "--item-bytes must be 1 to 1048576, not %d", plan.ItemBytes)
--- a/internal/maquette/propose.go
+++ b/internal/maquette/propose.go
@@ -11,7 +11,7 @@
 // propose runs a change at the register until it is in force (then gets its value) or
 // its time is over (then gets nil).
 func (register *register) propose(node *Node, change vise.Change, end watch.Moment, then func(*pattern.Register)) {
-	own := register.seat(node)
+	own := register.office(node)
 	own.counter++
 	var proposal *vise.Proposal
 	var sends []vise.Send
@@ -64,7 +64,7 @@
 
 // carry takes one message of a proposal to its member.
 func (register *register) carry(node *Node, send vise.Send, then func(*pattern.Promise, *pattern.Accepted)) {
-	own := register.seat(node)
+	own := register.office(node)
 	if send.Member.Address == node.own.Address {
 		if send.Prepare != nil {
 			var answer pattern.Promise
@@ -81,21 +81,15 @@
 	if send.Prepare != nil {
 		kind, message = pattern.KindPrepare, send.Prepare
 	}
-	var body []byte
-	node.step(CoreRegister, func() { body, _ = message.MarshalMsg(nil) })
-	node.post(send.Member.Address, kind, body, almanac.RoundTime, func(back []byte, failure error) {
-		if failure != nil {
-			return
-		}
-		promise, accepted := &pattern.Promise{}, &pattern.Accepted{}
-		var read tongs.Readable = accepted
-		if send.Prepare != nil {
-			read, accepted = promise, nil
-		} else {
-			promise = nil
-		}
-		node.step(CoreRegister, func() { failure = tongs.Read(back, read) })
-		if failure == nil {
+	promise, accepted := &pattern.Promise{}, &pattern.Accepted{}
+	var answer tongs.Readable = accepted
+	if send.Prepare != nil {
+		answer, accepted = promise, nil
+	} else {
+		promise = nil
+	}
+	node.ask(CoreRegister, send.Member.Address, kind, message, answer, almanac.RoundTime, func(reached bool) {
+		if reached {
 			then(promise, accepted)
 		}
 	})
--- a/internal/maquette/register.go
+++ b/internal/maquette/register.go
@@ -8,6 +8,7 @@
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/clamp"
 	"lemonarch/internal/jig"
+	"lemonarch/internal/manifold"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
 	"lemonarch/internal/vise"
@@ -27,8 +28,8 @@
 	changes   int
 }
 
-// seat is what a foreman keeps of the register.
-type seat struct {
+// office is what a foreman keeps of the register.
+type office struct {
 	acceptor *vise.Acceptor
 	grants   *clamp.Grants
 	known    pattern.Register
@@ -57,15 +58,18 @@
 // Name names it.
 func (*register) Name() string { return "configuration" }
 
-func (register *register) seat(node *Node) *seat {
-	seat, _ := node.state[3].(*seat)
-	return seat
+func (register *register) office(node *Node) *office {
+	own, _ := node.state[3].(*office)
+	return own
 }
 
 // Begin starts a foreman's seat, or a follower.
 func (register *register) Begin(node *Node) any {
 	node.answerers[pattern.KindConfigPush] = reads(node, CoreConfig, func(push *pattern.ConfigPush) tongs.Writable {
-		register.take(node, push)
+		if len(push.Pass) > 0 {
+			node.after(0, func() { register.passOn(node, push) })
+		}
+		register.take(node, push.Generation, push.Body)
 		return taken()
 	})
 	acceptor := register.acceptors[node.own.Address]
@@ -73,7 +77,7 @@
 		node.after(almanac.StartPause*2, func() { register.pull(node) })
 		return &follower{}
 	}
-	own := &seat{acceptor: acceptor, grants: clamp.NewGrants(node.now(), node.life == 1), known: register.first}
+	own := &office{acceptor: acceptor, grants: clamp.NewGrants(node.now(), node.life == 1), known: register.first}
 	node.answerers[pattern.KindPrepare] = reads(node, CoreRegister, func(question *pattern.Prepare) tongs.Writable {
 		answer, _ := acceptor.Prepare(question)
 		return &answer
@@ -97,22 +101,43 @@
 func (register *register) Drop(node *Node) { node.state[3] = nil }
 
 // take puts a newer configuration in force.
-func (register *register) take(node *Node, push *pattern.ConfigPush) {
-	if push.Generation <= node.generation || len(push.Body) == 0 {
+func (register *register) take(node *Node, generation int64, body []byte) {
+	if generation <= node.generation || len(body) == 0 {
 		return
 	}
-	config, failure := jig.Parse(push.Body)
-	if failure != nil {
-		return
-	}
-	node.generation, node.takenAt = config.Generation, node.now()
-	if own := register.seat(node); own != nil {
-		own.body = push.Body
-	} else if other, is := node.state[3].(*follower); is {
-		other.config, other.body = config, push.Body
-		if bench := register.fleet.workers.bench(node); bench != nil {
-			bench.SetConfig(config)
+	node.step(CoreConfig, func() {
+		config, failure := jig.Parse(body)
+		if failure != nil {
+			return
+		}
+		node.generation = config.Generation
+		if view := register.fleet.members.viewOf(node); view != nil {
+			view.SetGeneration(config.Generation)
+		}
+		if own := register.office(node); own != nil {
+			own.body = body
+		} else if other, is := node.state[3].(*follower); is {
+			other.config, other.body = config, body
+			if own := register.fleet.workers.placing(node); own != nil {
+				own.bench.SetConfig(config)
+			}
+		}
+	})
+}
+
+// passOn sends a configuration on to the part of the zone that came with it.
+func (register *register) passOn(node *Node, push *pattern.ConfigPush) {
+	for _, send := range manifold.Split(push.Pass, almanac.BodyFan) {
+		var try func(address string, pass []string)
+		try = func(address string, pass []string) {
+			part := &pattern.ConfigPush{Generation: push.Generation, Body: push.Body, Pass: pass}
+			node.ask(CoreConfig, address, pattern.KindConfigPush, part, &pattern.Nothing{}, almanac.CallTime, func(reached bool) {
+				if !reached && len(pass) > 0 {
+					try(pass[0], pass[1:])
+				}
+			})
 		}
+		try(send.Address, send.Pass)
 	}
 }
 
@@ -123,30 +148,31 @@
 		register.pull(node)
 		return
 	}
-	if register.seat(node) != nil && generation > node.generation {
+	if register.office(node) != nil && generation > node.generation {
 		register.pull(node)
 	}
 }
 
-// pull asks foremen until one answers.
+// pull asks foremen, the nearest that answer first, until one does.
 func (register *register) pull(node *Node) {
-	var body []byte
-	node.step(CoreConfig, func() { body, _ = (&pattern.ConfigPull{Known: node.generation}).MarshalMsg(nil) })
+	var foremen []pattern.Entry
+	node.step(CoreConfig, func() { foremen = register.fleet.members.view(node).Foremen(node.now()) })
 	address := register.fleet.seeds[node.random.Intn(len(register.fleet.seeds))]
+	if len(foremen) > 0 {
+		address = foremen[0].Address
+	}
 	if address == node.own.Address {
 		node.after(almanac.StartPause, func() { register.pull(node) })
 		return
 	}
-	node.post(address, pattern.KindConfigPull, body, almanac.CallTime, func(answer []byte, failure error) {
-		push := &pattern.ConfigPush{}
-		if failure == nil {
-			node.step(CoreConfig, func() {
-				if tongs.Read(answer, push) == nil {
-					register.take(node, push)
-				}
-			})
+	push := &pattern.ConfigPush{}
+	node.ask(CoreConfig, address, pattern.KindConfigPull, &pattern.ConfigPull{Known: node.generation}, push, almanac.CallTime, func(reached bool) {
+		if reached {
+			register.take(node, push.Generation, push.Body)
+		} else {
+			register.fleet.members.view(node).Failed(address, node.now())
 		}
-		if failure != nil && node.generation < register.chosen {
+		if !reached && node.generation < register.chosen {
 			node.after(almanac.StartPause, func() { register.pull(node) })
 			return
 		}
@@ -172,23 +198,11 @@
 		}
 		register.chosen = max(register.chosen, value.Current.Generation)
 		fleet.troubles.track("configuration", node, func(one *Node) bool { return one.generation >= value.Current.Generation })
-		message := &pattern.ConfigPush{Generation: value.Current.Generation, Body: value.Body}
-		node.step(CoreConfig, func() { register.take(node, message) })
+		register.take(node, value.Current.Generation, value.Body)
 		// The call is acknowledged when all have it or the time for it is over.
-		others, acknowledged := fleet.workers.others(node), false
-		left := len(others)
-		tell := func() {
-			if !acknowledged {
-				acknowledged = true
-				fleet.troubles.acknowledged("configuration", fleet.world.Now.Since(begun))
-			}
-		}
-		node.spread(others, CoreConfig, pattern.KindConfigPush, message, almanac.PushTime, func(pattern.Entry, bool) {
-			if left--; left == 0 {
-				tell()
-			}
+		fleet.workers.spread(node, CoreConfig, &pattern.Relay{Generation: value.Current.Generation, Body: value.Body}, almanac.PushTime, func() {
+			fleet.troubles.acknowledged("configuration", fleet.world.Now.Since(begun))
 		})
-		node.after(almanac.PushTime, tell)
 	})
 }
 
--- a/internal/maquette/result.go
+++ b/internal/maquette/result.go
@@ -23,8 +23,13 @@
 	Acknowledged map[string]Times `json:"acknowledged"`
 	Refused      map[string]int   `json:"refused"`
 	Weights      Ages             `json:"age-of-weights"`
-	Lots         LotSums          `json:"lots"`
-	Lost         int              `json:"processes-lost"`
+	// LoadsOff is by how many requests what a process believes of a worker is off from
+	// what the worker really has, in the mean; Turned is the part of requests that found
+	// no room.
+	LoadsOff float64 `json:"loads-off-by"`
+	Turned   float64 `json:"turned-away-share"`
+	Lots     LotSums `json:"lots"`
+	Lost     int     `json:"processes-lost"`
 }
 
 // Rate is frames and bytes a second.
@@ -65,7 +70,6 @@
 	// Processor is processor ms a second by core, with reading and writing of messages
 	// but without sockets; Worst is the largest sum at one process. StepMicros is the
 	// mean of one step.
-	Witnesses  int                `json:"witnesses"`
 	Processor  map[string]float64 `json:"processor-ms-a-second"`
 	StepMicros map[string]float64 `json:"step-us"`
 	Worst      float64            `json:"worst-processor-ms-a-second"`
@@ -92,6 +96,8 @@
 		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(),
 		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lots.made, Listed: fleet.lots.listed, Durable: timesOf(fleet.lots.waits, nil)}},
 		Measured: Measured{Roles: map[string]RoleCost{}}}
+	result.Simulated.LoadsOff = fleet.gossip.off / max(fleet.gossip.offCount, 1)
+	result.Simulated.Turned = float64(fleet.traffic.turned) / max(float64(fleet.traffic.asked), 1)
 	perSecond := 1 / fleet.Plan.DurationS
 	for kind, found := range fleet.kinds {
 		rates := map[string]Rate{}
@@ -139,10 +145,6 @@
 		traffic.OutZones += float64(node.out[WayZones].Bytes+node.out[WayRegions].Bytes) * perSecond
 		traffic.OutRegions += float64(node.out[WayRegions].Bytes) * perSecond
 		traffic.Worst = max(traffic.Worst, both)
-		if !node.witness {
-			continue
-		}
-		cost.Witnesses++
 		for core := range cores {
 			spent := float64(node.costs[core].Nanoseconds) / 1e6 * perSecond
 			cost.Processor[core.String()] += spent
@@ -157,14 +159,14 @@
 	if traffic.Processes == 0 {
 		return
 	}
-	count, witnesses := float64(traffic.Processes), float64(cost.Witnesses)
+	count := float64(traffic.Processes)
 	for core := range cores {
 		name := core.String()
 		if steps[core] > 0 {
 			cost.StepMicros[name] = cost.Processor[name] * 1000 / (float64(steps[core]) * perSecond)
 		}
-		cost.Processor[name] /= witnesses
-		traffic.Steps[name] /= witnesses
+		cost.Processor[name] /= count
+		traffic.Steps[name] /= count
 	}
 	traffic.Out = Rate{traffic.Out.Frames / count, traffic.Out.Bytes / count}
 	traffic.In = Rate{traffic.In.Frames / count, traffic.In.Bytes / count}
@@ -186,7 +188,7 @@
 		for _, mechanism := range fleet.mechanisms {
 			running := 0
 			for _, node := range fleet.nodes {
-				if !node.down && node.witness && fleet.roleOf(node) == role {
+				if !node.down && fleet.roleOf(node) == role {
 					running++
 					node.answerers = nil
 					node.life++
--- a/internal/maquette/troubles.go
+++ b/internal/maquette/troubles.go
@@ -129,6 +129,9 @@
 
 // track follows news from a process (or from nobody, where it is a silence).
 func (troubles *troubles) track(kind string, from *Node, knows func(*Node) bool) {
+	if !troubles.fleet.counting {
+		return
+	}
 	one := &track{kind: kind, begun: troubles.fleet.world.Now, left: map[*Node]int{}, knows: knows, patient: seconds(trackLimit), slow: from == nil}
 	for _, node := range troubles.fleet.live("") {
 		if from == nil || !troubles.fleet.parted || node.region == from.region {
--- a/internal/maquette/workers.go
+++ b/internal/maquette/workers.go
@@ -13,21 +13,35 @@
 	"lemonarch/internal/workbench"
 )
 
-// workers drives the roster as foremen and placing processes do: workers beat at a
-// foreman, and each foreman tells every process it knows.
+// workers drives the roster: workers beat at a foreman; what changed goes down the
+// tree, and what was missed is pulled by digests.
 type workers struct {
 	fleet  *Fleet
 	random *rand.Rand
 	all    []pattern.Worker
 	turned int
+	number uint64
 }
 
-// register of a foreman's workers, beside what it has told to whom.
-type shelfOfWorkers struct {
+// placing is what a process keeps that places work.
+type placing struct {
+	bench *workbench.Workbench
+	read  map[string]pattern.Digest
+	// around is whom it tells, running how many requests of it are under way.
+	around circle
+}
+
+// table is what a foreman keeps.
+type table struct {
 	roster *roster.Roster
-	beaten map[string]bool
-	behind map[string]bool
-	met    map[string]int64
+	peers  map[string]*peer
+	relays map[string]*delivery
+}
+
+// peer is what a foreman remembers of another one.
+type peer struct {
+	workers, processes pattern.Digest
+	told               watch.Moment
 }
 
 func newWorkers(fleet *Fleet) *workers {
@@ -49,144 +63,129 @@
 // Name names it.
 func (*workers) Name() string { return "roster and weights" }
 
-// bench gives the placing part of a process, shelf the foreman's part.
-func (*workers) bench(node *Node) *workbench.Workbench {
-	bench, _ := node.state[1].(*workbench.Workbench)
-	return bench
+func (*workers) placing(node *Node) *placing {
+	own, _ := node.state[1].(*placing)
+	return own
 }
 
-func (*workers) shelf(node *Node) *shelfOfWorkers {
-	shelf, _ := node.state[1].(*shelfOfWorkers)
-	return shelf
+func (*workers) table(node *Node) *table {
+	own, _ := node.state[1].(*table)
+	return own
 }
 
 // Begin starts the roster of a process.
 func (workers *workers) Begin(node *Node) any {
 	heartbeat := watch.Milliseconds(workers.fleet.Plan.HeartbeatMs)
 	if node.places() {
-		bench := workbench.New(node.own, heartbeat)
+		own := &placing{bench: workbench.New(node.own, heartbeat), read: map[string]pattern.Digest{}}
 		node.answerers[pattern.KindRosterPush] = reads(node, CoreRoster, func(push *pattern.RosterPush) tongs.Writable {
-			bench.Merge(push.Workers, node.now())
+			own.bench.Merge(push.Workers, node.now())
 			workers.fleet.members.touched(node, push.From)
 			return taken()
 		})
-		node.after(almanac.StartPause, func() { workers.pull(node, bench) })
-		return bench
+		node.after(almanac.StartPause, func() { workers.pullFirst(node, own) })
+		return own
 	}
-	shelf := &shelfOfWorkers{roster: roster.New(heartbeat), beaten: map[string]bool{}, behind: map[string]bool{}, met: map[string]int64{}}
+	own := &table{roster: roster.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*delivery{}}
 	node.answerers[pattern.KindRosterPush] = reads(node, CoreRoster, func(push *pattern.RosterPush) tongs.Writable {
-		for _, worker := range push.Workers {
-			shelf.roster.Merge(worker, node.now())
-		}
+		workers.merge(node, own, push.Workers)
 		workers.fleet.members.touched(node, push.From)
 		return taken()
 	})
-	node.answerers[pattern.KindRosterPull] = reads(node, CoreRoster, func(*pattern.RosterPull) tongs.Writable {
-		return &pattern.RosterPush{From: bellows.Key(node.own), Workers: shelf.roster.All(node.now())}
+	node.answerers[pattern.KindRosterPull] = reads(node, CoreRoster, func(question *pattern.RosterPull) tongs.Writable {
+		return &pattern.RosterPush{From: bellows.Key(node.own), Workers: own.roster.Since(question.Since, node.now()), Table: own.roster.Digest(node.own.Life)}
 	})
-	node.every(almanac.RosterPeriod, func() { workers.tellRoster(node, shelf) })
-	return shelf
+	workers.beginBeats(node, own)
+	workers.beginRelays(node, own)
+	return own
 }
 
 // Drop lets go of the roster, and of the gauge and index beside it.
 func (workers *workers) Drop(node *Node) { node.state[1] = nil }
 
-func (workers *workers) pull(node *Node, bench *workbench.Workbench) {
-	body, _ := (&pattern.RosterPull{From: bellows.Key(node.own)}).MarshalMsg(nil)
+func (workers *workers) merge(node *Node, own *table, list []pattern.Worker) {
+	for _, worker := range list {
+		own.roster.Merge(worker, node.now())
+	}
+}
+
+func (workers *workers) pullFirst(node *Node, own *placing) {
 	seed := workers.fleet.seeds[node.random.Intn(len(workers.fleet.seeds))]
-	node.post(seed, pattern.KindRosterPull, body, almanac.CallTime, func(answer []byte, failure error) {
-		if failure != nil {
-			node.after(almanac.StartPause, func() { workers.pull(node, bench) })
-			return
+	workers.pull(node, own, seed, 0, func(reached bool) {
+		if !reached {
+			node.after(almanac.StartPause, func() { workers.pullFirst(node, own) })
 		}
-		node.step(CoreRoster, func() {
-			push := &pattern.RosterPush{}
-			if tongs.Read(answer, push) == nil {
-				bench.Merge(push.Workers, node.now())
-			}
-		})
 	})
 }
 
-// others is whom a foreman tells.
-func (workers *workers) others(node *Node) []pattern.Entry {
-	var found []pattern.Entry
-	for _, entry := range workers.fleet.members.all(node) {
-		if entry.AgeMs < 4*almanac.SilentAfter.Milliseconds() {
-			found = append(found, entry)
+func (workers *workers) pull(node *Node, own *placing, address string, since uint64, then func(bool)) {
+	back := &pattern.RosterPush{}
+	question := &pattern.RosterPull{From: bellows.Key(node.own), Since: since}
+	node.ask(CoreRoster, address, pattern.KindRosterPull, question, back, almanac.CallTime, func(reached bool) {
+		if reached {
+			own.bench.Merge(back.Workers, node.now())
+			own.read[address] = back.Table
 		}
-	}
-	return found
+		then(reached)
+	})
 }
 
-// tellRoster is a foreman's periodic word.
-func (workers *workers) tellRoster(node *Node, shelf *shelfOfWorkers) {
-	others, now := workers.others(node), node.now()
-	var all, lately []pattern.Worker
-	var whole, part []pattern.Entry
+// heardForeman takes what a foreman's periodic answer says of workers.
+func (workers *workers) heardForeman(node *Node, address string, answer *pattern.Shuffle) {
+	own := workers.placing(node)
+	if own == nil || answer.Workers.Life == 0 {
+		return
+	}
 	node.step(CoreRoster, func() {
-		shelf.roster.Forget(now)
-		all = shelf.roster.All(now)
-		for _, worker := range all {
-			if shelf.beaten[worker.ID] {
-				lately = append(lately, worker)
-			}
+		read := own.read[address]
+		since, ask := behind(&read, answer.Workers, own.bench.Table())
+		own.read[address] = read
+		if ask {
+			workers.pull(node, own, address, since, func(bool) {})
 		}
-		shelf.beaten = map[string]bool{}
-		for _, entry := range others {
-			key := bellows.Key(entry)
-			if shelf.behind[key] || shelf.met[key] != entry.Life {
-				whole = append(whole, entry)
-				delete(shelf.behind, key)
-				shelf.met[key] = entry.Life
-			} else {
-				part = append(part, entry)
-			}
+		if answer.Judging {
+			own.bench.Judged(answer.Overdue, node.now())
 		}
 	})
-	missed := func(entry pattern.Entry, reached bool) {
-		if !reached {
-			shelf.behind[bellows.Key(entry)] = true
-		}
+}
+
+// behind tells whether another's table may hold something beyond ours, and from which
+// clock on to ask.
+func behind(read *pattern.Digest, told, own pattern.Digest) (since uint64, ask bool) {
+	if told.Sum == own.Sum {
+		*read = told
+		return 0, false
 	}
-	own := bellows.Key(node.own)
-	if len(whole) > 0 {
-		node.spread(whole, CoreRoster, pattern.KindRosterPush, &pattern.RosterPush{From: own, Workers: all}, almanac.CallTime, missed)
+	if read.Life != told.Life {
+		return 0, true
 	}
-	node.spread(part, CoreRoster, pattern.KindRosterPush, &pattern.RosterPush{From: own, Workers: lately}, almanac.CallTime, missed)
+	return read.Clock, told.Clock > read.Clock
+}
+
+// addWorkers adds the word on workers to a foreman's answer.
+func (workers *workers) addWorkers(node *Node, answer *pattern.Shuffle) {
+	own := workers.table(node)
+	node.step(CoreRoster, func() {
+		answer.Workers = own.roster.Digest(node.own.Life)
+		if answer.Judging = len(workers.fleet.members.view(node).Live(bellows.RoleForeman, node.now())) > 0; answer.Judging {
+			answer.Overdue = own.roster.Overdue(node.now())
+		}
+	})
 }
 
 // note takes a worker's call at a foreman; done is told when it is acknowledged.
 func (workers *workers) note(node *Node, worker pattern.Worker, done func()) {
-	shelf := workers.shelf(node)
+	own := workers.table(node)
 	changed := false
 	node.step(CoreRoster, func() {
-		changed = shelf.roster.Merge(worker, node.now())
-		shelf.beaten[worker.ID] = true
-		worker, _ = shelf.roster.Get(worker.ID)
+		changed = own.roster.Beat(worker, node.now())
+		worker, _ = own.roster.Get(worker.ID)
 	})
 	if !changed {
 		done()
 		return
 	}
-	others := workers.others(node)
-	left, told := len(others), false
-	tell := func() {
-		if !told {
-			told = true
-			done()
-		}
-	}
-	node.spread(others, CoreRoster, pattern.KindRosterPush, &pattern.RosterPush{From: bellows.Key(node.own), Workers: []pattern.Worker{worker}},
-		almanac.PushTime, func(entry pattern.Entry, reached bool) {
-			if !reached {
-				shelf.behind[bellows.Key(entry)] = true
-			}
-			if left--; left == 0 {
-				tell()
-			}
-		})
-	node.after(almanac.PushTime, tell)
+	workers.spread(node, CoreRoster, &pattern.Relay{Workers: []pattern.Worker{worker}}, almanac.TreeTime, done)
 }
 
 // foreman gives the foreman that a worker calls: its zone's, or any that runs.
@@ -203,13 +202,13 @@
 	return live[workers.random.Intn(len(live))]
 }
 
-// knows gives the phase of a worker as a process knows it.
+// knows gives a worker as a process knows it.
 func (workers *workers) knows(node *Node, id string) (pattern.Worker, bool) {
-	if bench := workers.bench(node); bench != nil {
-		return bench.Roster.Get(id)
+	if own := workers.placing(node); own != nil {
+		return own.bench.Roster.Get(id)
 	}
-	if shelf := workers.shelf(node); shelf != nil {
-		return shelf.roster.Get(id)
+	if own := workers.table(node); own != nil {
+		return own.roster.Get(id)
 	}
 	return pattern.Worker{}, false
 }
--- a/internal/tongs/post.go
+++ b/internal/tongs/post.go
@@ -5,8 +5,9 @@
 	"lemonarch/internal/watch"
 )
 
-// Frame is one frame as a room saw it pass: a call or the answer to one. Bytes are
-// those that the wire would carry, head included; what TCP and IP add is not in it.
+// Frame is one frame as a room saw it pass: a call, the answer to one, or what nobody
+// answers. Bytes are those that the wire would carry, head included; what TCP and IP
+// add is not in it.
 type Frame struct {
 	From, To string
 	Kind     pattern.Kind
@@ -27,6 +28,9 @@
 	Reach func(from, to string) bool
 }
 
+// Later answers a call on the simulated clock, at once or later; reply is run once.
+type Later func(kind pattern.Kind, body []byte, reply func([]byte, error))
+
 // OnFrame names who is told of every frame; it must not block.
 func (room *Room) OnFrame(seen func(Frame)) {
 	room.lock.Lock()
@@ -51,50 +55,88 @@
 	}
 }
 
-// serving gives who serves at an address, and whether either side is silent.
-func (room *Room) serving(from, to string) (handler Handler, silent bool) {
-	room.lock.Lock()
-	defer room.lock.Unlock()
-	return room.handlers[to], room.cut[to] || room.cut[from]
+// ServeLater registers who answers what is posted to this address, instead of Serve.
+func (twin *Twin) ServeLater(later Later) error {
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	if twin.room.handlers[twin.own] != nil || twin.room.laters[twin.own] != nil {
+		return Unreached.New("address taken: " + twin.own)
+	}
+	twin.room.laters[twin.own] = later
+	return nil
+}
+
+// later gives who answers at an address, nil where nobody does.
+func (twin *Twin) later(address string) (later Later, silent bool) {
+	handler, silent := twin.reach(address)
+	if handler != nil {
+		return func(kind pattern.Kind, body []byte, reply func([]byte, error)) { reply(handler(kind, body)) }, silent
+	}
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	return twin.room.laters[address], silent
 }
 
 // Post is Call on the simulated clock: nothing waits, then is run once with what came
 // of it. Like on the wire, a process that is not there is told apart from silence.
 func (twin *Twin) Post(address string, kind pattern.Kind, body []byte, span watch.Span, then func([]byte, error)) {
-	room, own := twin.room, twin.own
-	around := room.surroundings
+	room, own, around, ended := twin.room, twin.own, twin.room.surroundings, false
+	end := func(answer []byte, failure error) {
+		if !ended {
+			ended = true
+			then(answer, failure)
+		}
+	}
+	// Most calls are answered in time: the clock is asked only for those that may not be.
 	lost := func(gone watch.Span) {
-		around.Clock.After(max(0, span-gone), func() { then(nil, Unanswered.New(address+" silent")) })
+		around.Clock.After(max(0, span-gone), func() { end(nil, Unanswered.New(address+" silent")) })
 	}
 	room.note(own, address, kind, false, body)
 	there := around.Delay(own, address)
 	around.Clock.After(there, func() {
-		handler, silent := room.serving(own, address)
+		later, silent := twin.later(address)
 		if silent || !around.Reach(own, address) {
 			lost(there)
 			return
 		}
-		if handler == nil {
-			around.Clock.After(there, func() { then(nil, Unreached.New(address)) })
+		if later == nil {
+			around.Clock.After(there, func() { end(nil, Unreached.New(address)) })
 			return
 		}
-		answer, failure := handler(kind, body)
-		refused := failure != nil || answer == nil
-		if refused {
-			answer = nil
-		}
-		room.note(address, own, kind, true, answer)
-		back := around.Delay(address, own)
-		around.Clock.After(back, func() {
-			if _, silent := room.serving(address, own); silent || !around.Reach(address, own) {
-				lost(there + back)
-				return
-			}
+		replied := false
+		later(kind, body, func(answer []byte, failure error) {
+			replied = true
+			refused := failure != nil || answer == nil
 			if refused {
-				then(nil, Refused.New(address))
-				return
+				answer = nil
 			}
-			then(answer, nil)
+			room.note(address, own, kind, true, answer)
+			back := around.Delay(address, own)
+			around.Clock.After(back, func() {
+				if _, silent := twin.later(address); silent || !around.Reach(address, own) {
+					lost(there + back)
+					return
+				}
+				if refused {
+					end(nil, Refused.New(address))
+					return
+				}
+				end(answer, nil)
+			})
 		})
+		if !replied {
+			lost(there)
+		}
+	})
+}
+
+// PostTell is Tell on the simulated clock: one frame that nobody answers.
+func (twin *Twin) PostTell(address string, kind pattern.Kind, body []byte) {
+	room, own, around := twin.room, twin.own, twin.room.surroundings
+	room.note(own, address, kind, false, body)
+	around.Clock.After(around.Delay(own, address), func() {
+		if later, silent := twin.later(address); later != nil && !silent && around.Reach(own, address) {
+			later(kind, body, func([]byte, error) {})
+		}
 	})
 }
--- a/internal/trestle/config.go
+++ b/internal/trestle/config.go
@@ -6,6 +6,7 @@
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/jig"
+	"lemonarch/internal/manifold"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
 	"lemonarch/internal/watch"
@@ -57,12 +58,34 @@
 	if failure := tongs.Read(body, push); failure != nil {
 		return nil, failure
 	}
+	if len(push.Pass) > 0 {
+		go trestle.passOn(push)
+	}
 	if push.Generation > trestle.Generation() {
 		trestle.Take(push.Body)
 	}
 	return tongs.Write(&pattern.Nothing{Taken: true})
 }
 
+// passOn sends a configuration on to the part of the hall that came with it, through a
+// few of that part, so that no single link carries it all. Whoever is missed pulls it on
+// seeing the newer generation.
+func (trestle *Trestle) passOn(push *pattern.ConfigPush) {
+	for _, send := range manifold.Split(push.Pass, almanac.BodyFan) {
+		go func() {
+			for {
+				part := &pattern.ConfigPush{Generation: push.Generation, Body: push.Body, Pass: send.Pass}
+				failure := tongs.Ask(trestle.Wire, send.Address, pattern.KindConfigPush, part, &pattern.Nothing{}, almanac.CallTime)
+				if failure == nil || len(send.Pass) == 0 {
+					return
+				}
+				// The next of the part takes the place of one that does not answer.
+				send.Address, send.Pass = send.Pass[0], send.Pass[1:]
+			}
+		}()
+	}
+}
+
 // SawGeneration pulls a configuration that somebody was seen to have.
 func (trestle *Trestle) SawGeneration(generation int64) {
 	trestle.lock.Lock()
@@ -88,13 +111,16 @@
 		question.Known = -1
 	}
 	var addresses []string
-	for _, entry := range trestle.All(bellows.RoleForeman) {
-		addresses = append(addresses, entry.Address)
-	}
+	trestle.Viewed(func(view *bellows.View) {
+		// Those that have just failed to answer come last.
+		for _, entry := range view.Foremen(watch.Now()) {
+			addresses = append(addresses, entry.Address)
+		}
+	})
 	if len(addresses) == 0 {
 		addresses = trestle.Boot.SeedAddresses(almanac.PortForeman)
+		rand.Shuffle(len(addresses), func(left, right int) { addresses[left], addresses[right] = addresses[right], addresses[left] })
 	}
-	rand.Shuffle(len(addresses), func(left, right int) { addresses[left], addresses[right] = addresses[right], addresses[left] })
 	for _, address := range addresses {
 		answer := &pattern.ConfigPush{}
 		span := almanac.CallTime
@@ -102,6 +128,7 @@
 			span = almanac.RegisterTime
 		}
 		if tongs.Ask(trestle.Wire, address, pattern.KindConfigPull, question, answer, span) != nil {
+			trestle.Viewed(func(view *bellows.View) { view.Failed(address, watch.Now()) })
 			continue
 		}
 		if answer.Generation > 0 {
