--- /dev/null
+++ b/internal/maquette/traffic.go
@@ -0,0 +1,107 @@
+package maquette
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+
+	"lemonarch/internal/bellows"
+	"lemonarch/internal/plumbline"
+	"lemonarch/internal/watch"
+	"lemonarch/internal/workbench"
+)
+
+// traffic places requests at workers, so that there is something to gossip about. No
+// byte of them is moved; workers tell how many they have in each answer, and take the
+// time of the plan.
+type traffic struct {
+	fleet   *Fleet
+	tenant  *rand.Zipf
+	random  *rand.Rand
+	running map[string]int
+	// asked and turned count requests, and those that found no room.
+	asked, turned int64
+}
+
+func newTraffic(fleet *Fleet) *traffic {
+	random := rand.New(rand.NewSource(fleet.Plan.Seed + 31))
+	return &traffic{fleet: fleet, random: random, running: map[string]int{}, tenant: rand.NewZipf(random, 1.1, 8, uint64(max(fleet.Plan.Tenants, 2)-1))}
+}
+
+// Name names it.
+func (*traffic) Name() string { return "traffic" }
+
+// Begin lets requests come to an edge process.
+func (traffic *traffic) Begin(node *Node) any {
+	if node.own.Role != bellows.RoleForge {
+		return nil
+	}
+	forges := 0
+	for _, one := range traffic.fleet.nodes {
+		if one.own.Role == bellows.RoleForge {
+			forges++
+		}
+	}
+	rate := traffic.fleet.Plan.Requests / float64(forges)
+	if rate <= 0 {
+		return nil
+	}
+	var next func()
+	next = func() {
+		traffic.request(node, node.state[1].(*placing).bench)
+		node.after(seconds(node.random.ExpFloat64()/rate), next)
+	}
+	node.after(seconds(1+node.random.ExpFloat64()/rate), next)
+	return nil
+}
+
+// Drop has nothing.
+func (*traffic) Drop(*Node) {}
+
+func (traffic *traffic) request(node *Node, bench *workbench.Workbench) {
+	model := traffic.random.Intn(traffic.fleet.Plan.Models)
+	ask := &workbench.Ask{Service: fmt.Sprintf("model-%02d", model), Prompt: traffic.prompt(node, model), Affine: true,
+		Setpoint: watch.Milliseconds(470), Deadline: node.now().Plus(seconds(20)), Patience: node.now().Plus(seconds(1))}
+	var answer workbench.Answer
+	node.step(CorePlacement, func() { answer, _ = bench.Admit(ask, nil, node.now()) })
+	traffic.asked++
+	if answer.Grant == nil {
+		traffic.turned++
+		return
+	}
+	grant := answer.Grant
+	worker := grant.Worker.ID
+	traffic.running[worker]++
+	held := watch.Milliseconds(traffic.fleet.Plan.HeldMs * node.random.ExpFloat64())
+	load := func() string { return fmt.Sprintf("%d,0,%d", traffic.running[worker], grant.Worker.Capacity) }
+	node.after(held/10, func() { node.step(CorePlacement, func() { grant.First(load(), node.now()) }) })
+	// The worker ends the request also where its process is gone by then.
+	life := node.life
+	traffic.fleet.world.After(held, func() {
+		traffic.running[worker]--
+		if node.life == life {
+			node.step(CorePlacement, func() { grant.End(workbench.OutcomeServed, node.now()) })
+		}
+	})
+}
+
+// prompt draws a prompt: a part that a model's requests share, a part of the tenant,
+// and the request's own. The lengths are assumed.
+func (traffic *traffic) prompt(node *Node, model int) plumbline.Prompt {
+	long := node.random.Float64() < traffic.fleet.Plan.LongShare
+	tenant := traffic.tenant.Uint64()
+	shared, kept, own := 430, 600, 300
+	if long {
+		kept, own = 6000, 3000
+	}
+	prompt := plumbline.Prompt{Tokens: shared + kept + own, Out: 200}
+	for _, part := range []struct {
+		name   string
+		tokens int
+	}{{fmt.Sprint("model", model), shared}, {fmt.Sprint("model", model, "tenant", tenant, long), kept}, {fmt.Sprint(node.own.Name, node.random.Int63()), own}} {
+		sum := fnv.New64a()
+		sum.Write([]byte(part.name))
+		prompt.Parts = append(prompt.Parts, plumbline.Part{Name: sum.Sum64(), Tokens: part.tokens})
+	}
+	return prompt
+}
--- a/internal/tongs/memory.go
+++ b/internal/tongs/memory.go
@@ -12,12 +12,16 @@
 	lock     sync.Mutex
 	handlers map[string]Handler
 	cut      map[string]bool
-	meters   map[string]*Meter
+	// seen is told of every frame; surroundings is what Post works in.
+	seen         func(Frame)
+	surroundings Surroundings
+	meters       map[string]*Meter
+	laters       map[string]Later
 }
 
 // NewRoom makes an empty room.
 func NewRoom() *Room {
-	return &Room{handlers: map[string]Handler{}, cut: map[string]bool{}, meters: map[string]*Meter{}}
+	return &Room{handlers: map[string]Handler{}, cut: map[string]bool{}, meters: map[string]*Meter{}, laters: map[string]Later{}}
 }
 
 // Cut makes an address silent or lets it speak again.
@@ -80,9 +84,11 @@
 	answered := make(chan outcome, 1)
 	other := twin.room.meter(address)
 	other.received(kind, twin.own, len(body))
+	twin.room.note(twin.own, address, kind, false, body)
 	go func() {
 		answer, failure := handler(kind, body)
 		other.sent(kind, twin.own, len(answer))
+		twin.room.note(address, twin.own, kind, true, answer)
 		answered <- outcome{answer, failure}
 	}()
 	timer := watch.NewTimer(span)
@@ -110,4 +116,5 @@
 	twin.room.lock.Lock()
 	defer twin.room.lock.Unlock()
 	delete(twin.room.handlers, twin.own)
+	delete(twin.room.laters, twin.own)
 }
--- /dev/null
+++ b/internal/tongs/post.go
@@ -0,0 +1,142 @@
+package tongs
+
+import (
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// Frame is one frame as a room saw it pass: a call, the answer to one, or what nobody
+// answers. Bytes are those that the wire would carry, head included; what TCP and IP
+// add is not in it.
+type Frame struct {
+	From, To string
+	Kind     pattern.Kind
+	Answer   bool
+	Bytes    int
+}
+
+// Clock runs a function after a span: the simulated world of tests and hollow fleets.
+type Clock interface {
+	After(span watch.Span, function func())
+}
+
+// Surroundings is what a simulated room needs: a clock, how long a frame is under way
+// between two addresses, and whether it arrives at all.
+type Surroundings struct {
+	Clock Clock
+	Delay func(from, to string) watch.Span
+	Reach func(from, to string) bool
+}
+
+// Later answers a call on the simulated clock, at once or later; reply is run once.
+type Later func(kind pattern.Kind, body []byte, reply func([]byte, error))
+
+// OnFrame names who is told of every frame; it must not block.
+func (room *Room) OnFrame(seen func(Frame)) {
+	room.lock.Lock()
+	defer room.lock.Unlock()
+	room.seen = seen
+}
+
+// Simulate gives the room surroundings, which Post needs.
+func (room *Room) Simulate(surroundings Surroundings) {
+	room.lock.Lock()
+	defer room.lock.Unlock()
+	room.surroundings = surroundings
+}
+
+// note tells of a frame with a body.
+func (room *Room) note(from, to string, kind pattern.Kind, answer bool, body []byte) {
+	room.lock.Lock()
+	seen := room.seen
+	room.lock.Unlock()
+	if seen != nil {
+		seen(Frame{From: from, To: to, Kind: kind, Answer: answer, Bytes: headBytes + len(body)})
+	}
+}
+
+// ServeLater registers who answers what is posted to this address, instead of Serve.
+func (twin *Twin) ServeLater(later Later) error {
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	if twin.room.handlers[twin.own] != nil || twin.room.laters[twin.own] != nil {
+		return Unreached.New("address taken: " + twin.own)
+	}
+	twin.room.laters[twin.own] = later
+	return nil
+}
+
+// later gives who answers at an address, nil where nobody does.
+func (twin *Twin) later(address string) (later Later, silent bool) {
+	handler, silent := twin.reach(address)
+	if handler != nil {
+		return func(kind pattern.Kind, body []byte, reply func([]byte, error)) { reply(handler(kind, body)) }, silent
+	}
+	twin.room.lock.Lock()
+	defer twin.room.lock.Unlock()
+	return twin.room.laters[address], silent
+}
+
+// Post is Call on the simulated clock: nothing waits, then is run once with what came
+// of it. Like on the wire, a process that is not there is told apart from silence.
+func (twin *Twin) Post(address string, kind pattern.Kind, body []byte, span watch.Span, then func([]byte, error)) {
+	room, own, around, ended := twin.room, twin.own, twin.room.surroundings, false
+	end := func(answer []byte, failure error) {
+		if !ended {
+			ended = true
+			then(answer, failure)
+		}
+	}
+	// Most calls are answered in time: the clock is asked only for those that may not be.
+	lost := func(gone watch.Span) {
+		around.Clock.After(max(0, span-gone), func() { end(nil, Unanswered.New(address+" silent")) })
+	}
+	room.note(own, address, kind, false, body)
+	there := around.Delay(own, address)
+	around.Clock.After(there, func() {
+		later, silent := twin.later(address)
+		if silent || !around.Reach(own, address) {
+			lost(there)
+			return
+		}
+		if later == nil {
+			around.Clock.After(there, func() { end(nil, Unreached.New(address)) })
+			return
+		}
+		replied := false
+		later(kind, body, func(answer []byte, failure error) {
+			replied = true
+			refused := failure != nil || answer == nil
+			if refused {
+				answer = nil
+			}
+			room.note(address, own, kind, true, answer)
+			back := around.Delay(address, own)
+			around.Clock.After(back, func() {
+				if _, silent := twin.later(address); silent || !around.Reach(address, own) {
+					lost(there + back)
+					return
+				}
+				if refused {
+					end(nil, Refused.New(address))
+					return
+				}
+				end(answer, nil)
+			})
+		})
+		if !replied {
+			lost(there)
+		}
+	})
+}
+
+// PostTell is Tell on the simulated clock: one frame that nobody answers.
+func (twin *Twin) PostTell(address string, kind pattern.Kind, body []byte) {
+	room, own, around := twin.room, twin.own, twin.room.surroundings
+	room.note(own, address, kind, false, body)
+	around.Clock.After(around.Delay(own, address), func() {
+		if later, silent := twin.later(address); later != nil && !silent && around.Reach(own, address) {
+			later(kind, body, func([]byte, error) {})
+		}
+	})
+}
--- a/internal/tongs/tell.go
+++ b/internal/tongs/tell.go
@@ -54,6 +54,7 @@
 		return Unreached.New(address)
 	}
 	twin.meter.sent(kind, address, len(body))
+	twin.room.note(twin.own, address, kind, false, body)
 	if !silent {
 		twin.room.meter(address).received(kind, twin.own, len(body))
 		go func() { _, _ = handler(kind, body) }()
