--- a/internal/maquette/copies.go
+++ b/internal/maquette/copies.go
@@ -93,7 +93,7 @@
 				if own.running+len(items) >= almanac.RunningItems {
 					return
 				}
-				if item.State == ledgerbox.ItemWaiting {
+				if item.State == ledgerbox.ItemAvailable {
 					items = append(items, item)
 				}
 			}
--- a/internal/workbench/pump.go
+++ b/internal/workbench/pump.go
@@ -48,3 +48,43 @@
 		}
 	}
 }
+
+// Pump resumes what can be placed now, in order of rank and age, and refuses
+// what can wait no longer.
+func (bench *Workbench) Pump(now watch.Moment) {
+	type resumption struct {
+		one    *waiter
+		answer Answer
+	}
+	var resumed []resumption
+	bench.lock.Lock()
+	for service, queue := range bench.queues {
+		kept := queue[:0]
+		blocked := false
+		for _, handle := range queue {
+			one, found := bench.slab.Get(handle)
+			if !found {
+				continue
+			}
+			answer := Answer{Verdict: VerdictNoRoom}
+			if !blocked {
+				answer = bench.place(one.ask, now)
+			}
+			if answer.Verdict == VerdictNoRoom && now < one.ask.Patience {
+				blocked = true
+				kept = append(kept, handle)
+				continue
+			}
+			if answer.Verdict == VerdictNoRoom {
+				answer.Retry = bench.retryAfter(one.ask, now)
+			}
+			bench.slab.Take(handle)
+			resumed = append(resumed, resumption{one, answer})
+		}
+		bench.queues[service] = kept
+	}
+	bench.lock.Unlock()
+	for _, each := range resumed {
+		each.one.resume(each.answer)
+	}
+}
