--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -3,13 +3,14 @@
 package jointer
 
 import (
+	"sync"
+
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/carriage"
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/jig"
 	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
 	"lemonarch/internal/trestle"
 	"lemonarch/internal/watch"
 	"lemonarch/internal/workbench"
@@ -23,14 +24,20 @@
 	Courier carriage.Courier
 	alerted bool
 	logged  map[string]int64
+	tables  tables
+
+	lock     sync.Mutex
+	circle   circle
+	passedAt watch.Moment
 }
 
 // New makes the placing part and registers what it answers.
 func New(stand *trestle.Trestle) *Jointer {
 	jointer := &Jointer{Stand: stand, Bench: workbench.New(stand.Own, stand.Boot.Heartbeat()), Chest: chisel.NewChest(),
-		logged: map[string]int64{}}
+		logged: map[string]int64{}, tables: tables{read: map[string]pattern.Digest{}}}
 	jointer.Courier = carriage.Courier{Bench: jointer.Bench, Chest: jointer.Chest, Budget: jointer.budget}
 	stand.Answer(pattern.KindRosterPush, jointer.rosterPushed)
+	stand.OnWord(jointer.heardForeman)
 	stand.Answer(pattern.KindGossip, jointer.gossiped)
 	stand.Answer(pattern.KindPressure, jointer.pressed)
 	jointer.Bench.OnPressure(jointer.press)
@@ -46,7 +53,7 @@
 	stop := jointer.Stand.Stop
 	go jointer.learnWorkers()
 	go watch.Every(almanac.GossipPeriod, stop, jointer.gossip)
-	go watch.Every(almanac.PumpPeriod, stop, func() { jointer.Bench.PumpWaiting(watch.Now()) })
+	go jointer.Bench.KeepPumping(stop)
 	go watch.Every(almanac.GossipPeriod/2, stop, func() { carriage.SweepPipes(jointer.Chest, jointer.Bench) })
 }
 
@@ -60,7 +67,7 @@
 	if one == nil || one.ConnLimit == 0 {
 		return 0
 	}
-	nodes := 1 + len(jointer.Stand.Live(bellows.RoleForge)) + len(jointer.Stand.Live(bellows.RoleLocker))
+	nodes := max(1, jointer.Stand.Population(bellows.RoleForge)+jointer.Stand.Population(bellows.RoleLocker))
 	share := int(almanac.PipeShare * float64(one.ConnLimit) / float64(nodes))
 	if jointer.Stand.Own.Role == bellows.RoleLocker {
 		// Whoever holds the lots runs all items of a route; the others run none.
@@ -68,96 +75,3 @@
 	}
 	return max(share, almanac.LeastPipes)
 }
-
-// learnWorkers gets the roster from a foreman when the process starts.
-func (jointer *Jointer) learnWorkers() {
-	for {
-		addresses := jointer.Stand.Boot.SeedAddresses(almanac.PortForeman)
-		for _, entry := range jointer.Stand.Live(bellows.RoleForeman) {
-			addresses = append(addresses, entry.Address)
-		}
-		for _, address := range addresses {
-			back := &pattern.RosterPush{}
-			question := &pattern.RosterPull{From: bellows.Key(jointer.Stand.Own)}
-			if tongs.Ask(jointer.Stand.Wire, address, pattern.KindRosterPull, question, back, almanac.CallTime) == nil {
-				jointer.Bench.Merge(back.Workers, watch.Now())
-				return
-			}
-		}
-		watch.Sleep(almanac.StartPause)
-	}
-}
-
-func (jointer *Jointer) rosterPushed(body []byte) ([]byte, error) {
-	push := &pattern.RosterPush{}
-	if failure := tongs.Read(body, push); failure != nil {
-		return nil, failure
-	}
-	jointer.Bench.Merge(push.Workers, watch.Now())
-	jointer.Stand.Touched(push.From)
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-func (jointer *Jointer) gossiped(body []byte) ([]byte, error) {
-	packet := &pattern.Gossip{}
-	if failure := tongs.Read(body, packet); failure != nil {
-		return nil, failure
-	}
-	jointer.Bench.Heard(packet, watch.Now())
-	jointer.Stand.Touched(packet.From)
-	jointer.Stand.SawGeneration(packet.Generation)
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-// press tells at once that requests wait here, so that work of a lower rank makes
-// room on every node well before the next gossip.
-func (jointer *Jointer) press(words []pattern.Pressure) {
-	peers := append(jointer.Stand.Live(bellows.RoleLocker), jointer.Stand.Live(bellows.RoleForge)...)
-	told := &pattern.PressureTold{From: bellows.Key(jointer.Stand.Own), Words: words}
-	go jointer.Stand.Spread(peers, pattern.KindPressure, told, almanac.CallTime, nil)
-}
-
-func (jointer *Jointer) pressed(body []byte) ([]byte, error) {
-	told := &pattern.PressureTold{}
-	if failure := tongs.Read(body, told); failure != nil {
-		return nil, failure
-	}
-	sharers := 1
-	if jointer.Stand.Own.Role == bellows.RoleForge {
-		sharers = len(jointer.Stand.Live(bellows.RoleForge)) + 1
-	}
-	jointer.Bench.Pressed(told, sharers, watch.Now())
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-// tellReading tells peers at once that a worker reads a long prompt.
-func (jointer *Jointer) tellReading(worker string, milliseconds float64) {
-	told := &pattern.ReadingTold{From: bellows.Key(jointer.Stand.Own), Worker: worker, Reading: milliseconds}
-	go func() {
-		peers := append(jointer.Stand.Live(bellows.RoleForge), jointer.Stand.Live(bellows.RoleLocker)...)
-		jointer.Stand.Spread(peers, pattern.KindReading, told, almanac.CallTime, nil)
-	}()
-}
-
-func (jointer *Jointer) reads(body []byte) ([]byte, error) {
-	told := &pattern.ReadingTold{}
-	if failure := tongs.Read(body, told); failure != nil {
-		return nil, failure
-	}
-	jointer.Bench.PeerReads(told, watch.Now())
-	return tongs.Write(&pattern.Nothing{Taken: true})
-}
-
-// gossip tells utilization and weights to the peers that place work.
-func (jointer *Jointer) gossip() {
-	packet := jointer.Bench.Gossip(watch.Now())
-	packet.Generation = jointer.Stand.Generation()
-	peers := append(jointer.Stand.Live(bellows.RoleForge), jointer.Stand.Live(bellows.RoleLocker)...)
-	jointer.Stand.Spread(peers, pattern.KindGossip, packet, almanac.CallTime, nil)
-	placements, downgrades, alert := jointer.Bench.Alert()
-	if alert && !jointer.alerted {
-		jointer.Stand.Log.Warn("residency downgrades above threshold", "residency_route_downgrades", downgrades, "placements", placements)
-	}
-	jointer.alerted = alert
-	jointer.logDisplacement()
-}
