--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -26,6 +26,9 @@
 	// CallTime bounds an ordinary call between our processes (ours): under the
 	// second in which an outside caller moves on.
 	CallTime = 800 * time.Millisecond
+	// ReportTime bounds the periodic word with a foreman (ours): another one is asked
+	// then, well before the next period.
+	ReportTime = 400 * time.Millisecond
 	// StartPause is the pause between two tries of a starting process to learn what
 	// it needs (ours): each is time in which it can't serve.
 	StartPause = 40 * time.Millisecond
@@ -64,6 +67,9 @@
 	FarLinks = 2
 	// FarShuffle: one shuffle in so many leaves the hall (ours); those bytes are dear.
 	FarShuffle = 4
+	// DrawAfter is how long a foreman goes by what it reckoned of whom a process should
+	// know, while nobody came or went (ours).
+	DrawAfter = 5 * time.Second
 	// FreshReport is the age below which a foreman tells a process as just heard (ours):
 	// a report a second, and a word between foremen.
 	FreshReport = 1800 * time.Millisecond
@@ -94,6 +100,10 @@
 	// HistoryLength is how many acknowledged versions the register remembers, so
 	// that a call resent after an unclear answer is known again.
 	HistoryLength = 32
+	// GrowTime is how long after its start a foreman holds acknowledgements back while
+	// the set of acceptors can't yet bear the fault budget and others could join it
+	// (ours): joining takes well under a second each.
+	GrowTime = 10 * time.Second
 	// HoldTime is the length of a hold on a duty (ours): long enough for a slow
 	// sync, short enough that lots wait little after a crash.
 	HoldTime = time.Second
@@ -154,6 +164,12 @@
 	// LongReading, in ms, is the reading time from which a prompt is told to peers at
 	// once (ours): others would wait behind it for longer than gossip takes.
 	LongReading = 12.0
+	// ReachWhole is the number of a service's workers up to which a node weighs them
+	// all; ReachSubset is how many it weighs of more, and ReachHomes how many homes and
+	// holders of a long prefix beside these (ours).
+	ReachWhole  = 24
+	ReachSubset = 8
+	ReachHomes  = 4
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
 	FailurePenalty = 4000.0
 	// SuspectFor is how long a failure counts against a worker.
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -27,7 +27,9 @@
 	Deadline watch.Moment
 	Patience watch.Moment
 	Excluded []string
-	arrived  watch.Moment
+	// Among, where not nil, names the only workers that may be asked.
+	Among   map[string]bool
+	arrived watch.Moment
 }
 
 // Grant is an entry to a worker.
@@ -89,6 +91,7 @@
 	// tellReading must not block: it is called under the lock.
 	tellReading func(worker string, milliseconds float64)
 	gossip      gossipState
+	subsets     map[string]subset
 	// waits speaks when something begins to wait.
 	waits     chan struct{}
 	number    int64
