--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,11 +30,14 @@
 	// overdue are the marks on the last list of silent workers, confirmed its moment.
 	overdue   map[uint32]bool
 	confirmed watch.Moment
+	// named are the lists by service, empty after a change.
+	named map[string][]pattern.Worker
 }
 
 // New makes an empty roster.
 func New(heartbeat watch.Span) *Roster {
-	return &Roster{workers: map[string]*known{}, marks: map[uint32]string{}, heartbeat: heartbeat, overdue: map[uint32]bool{}}
+	return &Roster{workers: map[string]*known{}, marks: map[uint32]string{}, heartbeat: heartbeat, overdue: map[uint32]bool{},
+		named: map[string][]pattern.Worker{}}
 }
 
 // Merge takes a versioned entry and tells whether it changed the table. Entries join:
@@ -129,14 +132,19 @@
 // All gives every worker, aged, in order.
 func (roster *Roster) All(now watch.Moment) []pattern.Worker { return roster.Since(0, now) }
 
-// Named gives the workers of a service, in order of their ids.
+// Named gives the steady workers of a service, in order of their ids. The list is kept
+// until the table changes, and must not be written to.
 func (roster *Roster) Named(service string) []pattern.Worker {
-	var found []pattern.Worker
+	found, kept := roster.named[service]
+	if kept {
+		return found
+	}
 	for _, have := range roster.workers {
 		if have.worker.Backend == service && have.worker.Phase == pattern.PhaseSteady {
 			found = append(found, have.worker)
 		}
 	}
 	sort.Slice(found, func(left, right int) bool { return found[left].ID < found[right].ID })
+	roster.named[service] = found
 	return found
 }
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -32,6 +32,7 @@
 		roster.sum ^= sumOf(have.worker)
 	}
 	roster.clock++
+	clear(roster.named)
 	have.worker, have.change = worker, roster.clock
 	roster.sum ^= sumOf(worker)
 }
@@ -40,6 +41,7 @@
 func (roster *Roster) drop(id string) {
 	have := roster.workers[id]
 	roster.sum ^= sumOf(have.worker)
+	clear(roster.named)
 	delete(roster.workers, id)
 	delete(roster.marks, MarkOf(id))
 	delete(roster.overdue, MarkOf(id))
