--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 )
@@ -23,11 +24,20 @@
 
 func (one coded) Error() string { return one.text }
 
-func main() {
+// rootCommand gathers all that the desk can do.
+func rootCommand() *cobra.Command {
 	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, place adapters, try it all in a lab",
 		SilenceUsage: true, SilenceErrors: true}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand(), lotsCommand(), assignCommand())
+	info, known := debug.ReadBuildInfo()
+	root.Version = version(info, known)
+	root.SetVersionTemplate("{{.Name}} {{.Version}}\n")
+	return root
+}
+
+func main() {
+	root := rootCommand()
 	if failure := root.Execute(); failure != nil {
 		fmt.Fprintln(os.Stderr, "lemonarch: "+failure.Error())
 		code := exitUnusable
