A slow holder gives its duty up, and repair takes no slow store

Cause: store machines that turn slow. A record needs the f+1 quickest copies, so a slow store holds nobody up, but a slow holder holds up everything, and repair could choose a slow newcomer, or replace a member only because word of it was late.

Change: a locker measures a fixed piece of work four times a second against the best it took, and the holder compares its own disk's syncs with what the other stores take. A holder whose machine or disk is slow gives its duty up, tells the others, and holds back for 2 s, at most once in 10 s; a slow machine holds back once before it stands. A newcomer is asked for its pace before everything is copied to it, and a silent member for a last word. The shell shows the pace of the lockers (query: pace).

--- /dev/null
+++ b/internal/almanac/pace.go
@@ -0,0 +1,27 @@
+package almanac
+
+import "time"
+
+// Slow machines and disks.
+const (
+	// PacePeriod is the time between two measurements of a machine's pace (ours).
+	PacePeriod = 250 * time.Millisecond
+	// PaceWindow is how many measurements must all be long (ours): a second's.
+	PaceWindow = 4
+	// PaceFactor is how many times the best time counts as slow (ours).
+	PaceFactor = 3
+	// LagWeight is the weight of a store's newest time in its mean (ours).
+	LagWeight = 0.2
+	// LagLeast is how many times must be known of a store (ours).
+	LagLeast = 6
+	// LagFactor is how many times the usual counts as slow, and LagFloorMs, in ms, the
+	// least that does (ours): below it a takeover costs more than it brings.
+	LagFactor  = 4.0
+	LagFloorMs = 25.0
+	// GiveUpPause is the least time between two times that a process gives its duty
+	// up for being slow (ours).
+	GiveUpPause = 10 * time.Second
+	// DeferTime is how long a slow process leaves the duty to others (ours); after
+	// that a slow holder is better than none.
+	DeferTime = 2 * time.Second
+)
--- a/internal/locker/duty.go
+++ b/internal/locker/duty.go
@@ -43,7 +43,7 @@
 			return almanac.TickPeriod * 4
 		}
 	}
-	if !locker.eligible() {
+	if !locker.eligible() || locker.defers(now) {
 		return almanac.TickPeriod * 4
 	}
 	return locker.stand()
--- a/internal/locker/feed.go
+++ b/internal/locker/feed.go
@@ -45,6 +45,7 @@
 		}
 		answer := &pattern.Appended{}
 		var failure error
+		begun := watch.Now()
 		if own {
 			*answer, failure = reign.locker.Store.Append(batch)
 		} else {
@@ -62,6 +63,7 @@
 			}
 		case answer.Granted:
 			next = answer.Last + 1
+			reign.lagged(vise.Identity(member), watch.Now().Since(begun))
 			reign.matched(vise.Identity(member), answer.Last)
 		case answer.Epoch > reign.duty.Epoch:
 			reign.end("a later epoch was raised")
--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -42,6 +42,9 @@
 	done    chan struct{}
 	// once knows the hand-ins that have come, so that a second copy of one is seen.
 	once tongs.Once
+	// pace is this machine's, gaveUp when it last left the duty to others for it.
+	pace   pace
+	gaveUp watch.Moment
 }
 
 // New opens the disk and prepares the process.
@@ -160,6 +163,7 @@
 	}
 	locker.Jointer.Start()
 	locker.driver.run()
+	go locker.pacing()
 	go locker.Stand.PullFirst(func() {})
 	go watch.Every(almanac.GossipPeriod*2, locker.Stand.Stop, func() {
 		if failure := locker.Store.Tidy(); failure != nil {
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -20,6 +20,7 @@
 	applied int64
 	taking  map[string]int64
 	quota   quota
+	lags    lags
 	ending  map[string]bool
 	feeders map[string]chan struct{}
 	bell    chan struct{}
@@ -34,7 +35,7 @@
 
 func newReign(locker *Locker, duty pattern.Duty, stores []pattern.Member, first int64) *reign {
 	return &reign{locker: locker, duty: duty, press: ledgerbox.NewPress(duty.Epoch, stores, locker.budget(), first),
-		book: ledgerbox.NewBook(), applied: first - 1, taking: map[string]int64{}, quota: newQuota(), ending: map[string]bool{},
+		book: ledgerbox.NewBook(), applied: first - 1, taking: map[string]int64{}, quota: newQuota(), lags: newLags(), ending: map[string]bool{},
 		feeders: map[string]chan struct{}{}, bell: make(chan struct{}), fresh: make(chan struct{}), stop: make(chan struct{}), begun: watch.Now()}
 }
 
--- a/internal/locker/report.go
+++ b/internal/locker/report.go
@@ -18,6 +18,7 @@
 	locker.Stand.Report("duty", locker.reportDuty)
 	locker.Stand.Report("lots", locker.reportLots)
 	locker.Stand.Report("stores", locker.reportStores)
+	locker.Stand.Report("pace", locker.reportPace)
 }
 
 func (locker *Locker) reportDuty() *pattern.Status {
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -4,6 +4,7 @@
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
 	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
 	"lemonarch/internal/vise"
 	"lemonarch/internal/watch"
 )
@@ -19,6 +20,11 @@
 	reign.lock.Lock()
 	members, busy := reign.press.Members, reign.press.Next != nil
 	reign.lock.Unlock()
+	if reign.tooSlow(watch.Now()) {
+		reign.end("this machine or its disk is slow")
+		reign.giveUp()
+		return
+	}
 	if busy {
 		return
 	}
@@ -41,7 +47,7 @@
 	for _, entry := range locker.Stand.All(bellows.RoleLocker) {
 		entries[entry.Name] = entry
 	}
-	out, newcomer := locker.nextChange(members, entries, retired)
+	out, newcomer := locker.quickChange(members, entries, retired)
 	if newcomer == nil {
 		return
 	}
@@ -60,6 +66,31 @@
 	return locker.read
 }
 
+// quickChange names the next change whose newcomer is not slow, and asks a member
+// that seems silent for a last word.
+func (locker *Locker) quickChange(members []pattern.Member, entries map[string]pattern.Entry, retired map[string]bool) (out, newcomer *pattern.Member) {
+	for range entries {
+		out, newcomer = locker.nextChange(members, entries, retired)
+		switch {
+		case newcomer == nil || (out != nil && out.Name == newcomer.Name):
+			return out, newcomer
+		case locker.sluggish(*newcomer):
+			// A store that everything must be copied to first had better be quick.
+			delete(entries, newcomer.Name)
+		case out != nil && !retired[out.Name] && !locker.silent(*out):
+			return nil, nil
+		default:
+			return out, newcomer
+		}
+	}
+	return nil, nil
+}
+
+// silent asks a member itself: one that answers now is not gone.
+func (locker *Locker) silent(member pattern.Member) bool {
+	return tongs.Ask(locker.Stand.Wire, member.Address, pattern.KindStatus, &pattern.StatusAsk{Query: "pace"}, &pattern.Status{}, almanac.RoundTime) != nil
+}
+
 // nextChange names the member to be replaced and who takes its place; a nil
 // member with a newcomer means that the set is too small.
 func (locker *Locker) nextChange(members []pattern.Member, entries map[string]pattern.Entry, retired map[string]bool) (out, newcomer *pattern.Member) {
--- a/internal/loupe/loupe.go
+++ b/internal/loupe/loupe.go
@@ -33,6 +33,7 @@
 	"duty":         {[]string{"foreman", "locker"}, "acceptors, holders and epochs"},
 	"lots":         {[]string{"locker"}, "lots and backlog, at the holder"},
 	"stores":       {[]string{"locker"}, "copies and what is missing of them"},
+	"pace":         {[]string{"locker"}, "whether a storage machine is slow now, by its own measure"},
 	"index":        {[]string{"forge", "locker"}, "prefix index and residency downgrades"},
 	"traffic":      {[]string{"forge", "foreman", "locker"}, "messages and bytes by kind, in the own hall and to others"},
 	"displacement": {[]string{"forge", "locker"}, "displaced, resumed and finished work by route"},
