Lab: warm-up, 422, progress of a load, a start that can be called off

Why: workers of the protocol tell warmup-left-ms and may answer 422, a load of minutes said nothing until its end, and Ctrl-C during a start waited for it.

--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -45,8 +45,9 @@
 		defer halt()
 		var results []*treadle.Result
 		var failure error
+		options.Progress = func(line string) { fmt.Fprintln(command.ErrOrStderr(), line) }
 		if experiment != "" {
-			results, failure = conduct(command, until, experiment)
+			results, failure = conduct(until, experiment, options.Progress)
 		} else if options.Mix, failure = treadle.ParseMix(mix); failure == nil {
 			results, failure = drive(until, options, desks)
 		}
@@ -67,7 +68,7 @@
 }
 
 // conduct runs the experiment of a file.
-func conduct(command *cobra.Command, until errand.Errand, path string) ([]*treadle.Result, error) {
+func conduct(until errand.Errand, path string, progress func(string)) ([]*treadle.Result, error) {
 	text, failure := os.ReadFile(path)
 	if failure != nil {
 		return nil, failure
@@ -76,7 +77,8 @@
 	if failure != nil {
 		return nil, failure
 	}
-	return one.Run(until, options, func(line string) { fmt.Fprintln(command.ErrOrStderr(), line) })
+	options.Progress = progress
+	return one.Run(until, options)
 }
 
 // drive loads fleets that are up already, all at the same time.
--- a/cmd/lemonarch/lab_up.go
+++ b/cmd/lemonarch/lab_up.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"lemonarch/internal/errand"
 	"lemonarch/internal/sawhorse"
 )
 
@@ -23,54 +24,27 @@
 		Long: "Starts forges, foremen and lockers found beside this program, and emulated workers,\n" +
 			"each node on a loopback address of its own. Ctrl-C (SIGINT) or SIGTERM ends everything.",
 		RunE: func(command *cobra.Command, _ []string) error {
-			signals := make(chan os.Signal, 2)
-			signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-			started := make(chan startOutcome, 1)
-			go func() {
-				fleet, failure := sawhorse.Start(plan, folder)
-				started <- startOutcome{fleet, failure}
-			}()
-			return serveUntil(command.OutOrStdout(), started, signals)
+			until, halt := signal.NotifyContext(errand.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer halt()
+			fleet, failure := sawhorse.Start(until, plan, folder)
+			if failure != nil {
+				return coded{exitInvalid, oneLine(failure)}
+			}
+			defer fleet.Stop()
+			describe(command.OutOrStdout(), fleet)
+			select {
+			case <-until.Done():
+				fmt.Fprintln(command.OutOrStdout(), "stopping")
+				return nil
+			case failure := <-fleet.Died:
+				return coded{exitInvalid, oneLine(failure)}
+			}
 		}}
 	planFlags(command, &plan)
 	command.Flags().StringVar(&folder, "folder", "", "keep settings, logs and data in this folder (default: a temporary one that goes away)")
 	return command
 }
 
-type startOutcome struct {
-	fleet   *sawhorse.Fleet
-	failure error
-}
-
-// serveUntil waits for a signal or for the death of a process, and ends the fleet.
-func serveUntil(writer io.Writer, started chan startOutcome, signals chan os.Signal) error {
-	stopped := false
-	var outcome startOutcome
-	select {
-	case outcome = <-started:
-	case <-signals:
-		// A start is short and bounded: let it come to its end, then end it all.
-		stopped = true
-		outcome = <-started
-	}
-	if outcome.failure != nil {
-		return coded{exitInvalid, oneLine(outcome.failure)}
-	}
-	fleet := outcome.fleet
-	defer fleet.Stop()
-	if stopped {
-		return nil
-	}
-	describe(writer, fleet)
-	select {
-	case <-signals:
-		fmt.Fprintln(writer, "stopping")
-		return nil
-	case failure := <-fleet.Died:
-		return coded{exitInvalid, oneLine(failure)}
-	}
-}
-
 func oneLine(failure error) string { return strings.ReplaceAll(failure.Error(), "\n", " ") }
 
 // describe prints where to call.
--- a/internal/almanac/lab.go
+++ b/internal/almanac/lab.go
@@ -75,6 +75,8 @@
 	LoadOpen = 4000
 	// LoadLate: share of the worth of an answer that comes after its aim.
 	LoadLate = 0.3
+	// LoadProgress: pause between two lines of progress.
+	LoadProgress = 5 * time.Second
 	// LoadFindings: broken promises that a report names; the others are counted.
 	LoadFindings = 20
 	// LoadDrain: how long a run waits for answers and lots once it has sent everything.
--- a/internal/anvil/answer.go
+++ b/internal/anvil/answer.go
@@ -30,19 +30,19 @@
 
 // fate is which troubles one request meets.
 type fate struct {
-	fail, full, hang, cut, garble, surplus, skip, forge bool
-	late                                                watch.Span
-	leaving                                             bool
+	fail, full, hang, cut, garble, surplus, skip, forge, never bool
+	late                                                       watch.Span
+	leaving                                                    bool
 }
 
-func (worker *Worker) draw() fate {
+func (worker *Worker) draw(attempt string) fate {
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	worker.handled++
 	faults := &worker.faults
 	return fate{fail: worker.chance(faults.Fail), full: worker.chance(faults.Full), hang: worker.chance(faults.Hang),
 		cut: worker.chance(faults.Cut), garble: worker.chance(faults.Garble), surplus: worker.chance(faults.Surplus),
-		skip: worker.chance(faults.Skip), forge: worker.chance(faults.Forge), late: faults.late(), leaving: worker.leaving}
+		skip: worker.chance(faults.Skip), forge: worker.chance(faults.Forge), late: faults.late(), leaving: worker.leaving, never: hopeless(attempt, faults.Never)}
 }
 
 // notRun answers that the request did not run and never will.
@@ -59,7 +59,7 @@
 	if failure != nil {
 		panic(http.ErrAbortHandler)
 	}
-	fate := worker.draw()
+	fate := worker.draw(attempt)
 	if fate.leaving {
 		writer.Header().Set("Connection", "close")
 	} else {
@@ -169,6 +169,10 @@
 			if talk.garbled() {
 				return
 			}
+			if talk.fate.never {
+				reply.Reason(talk.writer, http.StatusUnprocessableEntity, "can never be done")
+				return
+			}
 			if talk.fate.fail {
 				reply.Reason(talk.writer, http.StatusInternalServerError, "failed")
 				return
--- a/internal/anvil/beats.go
+++ b/internal/anvil/beats.go
@@ -82,6 +82,7 @@
 	body := beatBody{Backend: settings.Service, Address: beater.Address, Hall: settings.Hall, Generation: "v1", Capacity: settings.Shape.Capacity,
 		Phase: "steady", Stage: "both", Models: beater.Worker.models(), Count: count}
 	beater.Worker.lock.Lock()
+	body.WarmupMs = max(watch.ToMilliseconds(beater.Worker.warm.Since(beater.Worker.clock.Now())), 0)
 	if beater.Worker.leaving {
 		body.Phase = "draining"
 	}
--- a/internal/anvil/faults.go
+++ b/internal/anvil/faults.go
@@ -24,6 +24,8 @@
 	Skip float64 `toml:"skip" json:"skip,omitempty"`
 	// Forge: the stamp is another's, for the same purpose.
 	Forge float64 `toml:"forge" json:"forge,omitempty"`
+	// Never: a 422, for the same requests at every worker: they can never be done.
+	Never float64 `toml:"never" json:"never,omitempty"`
 	// LateMs: each answer begins so much later.
 	LateMs float64 `toml:"late-ms" json:"late-ms,omitempty"`
 	// Slow: steps take so many times as long; 0 is as usual.
@@ -42,7 +44,7 @@
 func (faults *Faults) Check() []string {
 	var findings []string
 	for name, share := range map[string]float64{"fail": faults.Fail, "full": faults.Full, "hang": faults.Hang, "cut": faults.Cut,
-		"garble": faults.Garble, "surplus": faults.Surplus, "twice": faults.Twice, "skip": faults.Skip, "forge": faults.Forge} {
+		"garble": faults.Garble, "surplus": faults.Surplus, "twice": faults.Twice, "skip": faults.Skip, "forge": faults.Forge, "never": faults.Never} {
 		if !(share >= 0 && share <= 1) {
 			findings = append(findings, name+" must lie between 0 and 1")
 		}
--- a/internal/anvil/record.go
+++ b/internal/anvil/record.go
@@ -85,6 +85,12 @@
 	return worker, worker != "" && seal == Seal(worker, attempt)
 }
 
+// hopeless tells whether an attempt belongs to the share that can never be done.
+func hopeless(attempt string, share float64) bool {
+	digest := sha256.Sum256([]byte("never" + attempt))
+	return float64(digest[0])/256 < share
+}
+
 // PlainBody is the whole answer to a plain request.
 func PlainBody(attempt string, body []byte) string {
 	return fmt.Sprintf("answer to %s, %s\n", attempt, sum("plain", attempt, string(body)))
--- /dev/null
+++ b/internal/anvil/warmup_test.go
@@ -0,0 +1,38 @@
+package anvil
+
+import (
+	"testing"
+	"time"
+
+	"lemonarch/internal/watch"
+)
+
+// A worker is slow for its warm-up, says so in its beats, and is itself afterwards.
+func TestWarmup(test *testing.T) {
+	settings := engineSettings
+	settings.Warmup = time.Second
+	clock := &hasty{now: watch.Moment(time.Second)}
+	var later func()
+	worker := NewWorker(settings, &Record{}, holding{clock, &later}, 1)
+	if worker.engine.shape.Step != 2*smallShape.Step || worker.warm.Since(clock.Now()) != time.Second {
+		test.Fatal(worker.engine.shape, worker.warm)
+	}
+	worker.SetFaults(Faults{Slow: 3})
+	if worker.engine.shape.Step != 6*smallShape.Step {
+		test.Fatal("trouble and warm-up do not add up", worker.engine.shape)
+	}
+	worker.SetFaults(Faults{})
+	clock.now = watch.Moment(2 * time.Second)
+	later()
+	if worker.engine.shape.Step != smallShape.Step || worker.engine.shape.ReadPerMs != smallShape.ReadPerMs {
+		test.Fatal("slow for ever", worker.engine.shape)
+	}
+}
+
+// holding is a clock that keeps what is to happen later.
+type holding struct {
+	*hasty
+	later *func()
+}
+
+func (clock holding) After(_ watch.Span, function func()) { *clock.later = function }
--- a/internal/anvil/worker.go
+++ b/internal/anvil/worker.go
@@ -39,10 +39,15 @@
 	ConnLimit int
 	// Probe is the path of health questions.
 	Probe string
+	// Warmup is how long a life is slow from its start, by half.
+	Warmup watch.Span
 	// Revision is the version of its weights.
 	Revision int64
 }
 
+// warmupSlow is how many times as long a step takes while a worker warms up.
+const warmupSlow = 2
+
 // waiter is what one connection waits for.
 type waiter struct {
 	effects chan Effect
@@ -63,6 +68,7 @@
 	ticket   int64
 	timer    watch.Moment
 	faults   Faults
+	warm     watch.Moment
 	leaving  bool
 	ended    bool
 	handled  int64
@@ -74,8 +80,16 @@
 // NewWorker makes a worker; the seed decides which requests its faults meet.
 func NewWorker(settings Settings, record *Record, clock Clock, seed int64) *Worker {
 	settings.Shape.Stride = max(settings.Shape.Stride, 1)
-	worker := &Worker{Settings: settings, clock: clock, record: record, random: rand.New(rand.NewSource(seed)),
+	worker := &Worker{warm: clock.Now().Plus(settings.Warmup), Settings: settings, clock: clock, record: record, random: rand.New(rand.NewSource(seed)),
 		engine: NewEngine(settings.Shape), waiters: map[int64]*waiter{}}
+	worker.pace()
+	if settings.Warmup > 0 {
+		clock.After(settings.Warmup, func() {
+			worker.lock.Lock()
+			defer worker.lock.Unlock()
+			worker.pace()
+		})
+	}
 	tree := chi.NewRouter()
 	tree.Get("/-/report", worker.answerReport)
 	if settings.Probe != "" {
@@ -104,7 +118,15 @@
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	worker.faults = faults
-	slow := max(faults.Slow, 1)
+	worker.pace()
+}
+
+// pace sets how fast the engine is just now. The lock is held.
+func (worker *Worker) pace() {
+	slow := max(worker.faults.Slow, 1)
+	if worker.clock.Now() < worker.warm {
+		slow *= warmupSlow
+	}
 	shape := worker.Settings.Shape
 	worker.engine.shape.Step, worker.engine.shape.StepEach = watch.Span(float64(shape.Step)*slow), watch.Span(float64(shape.StepEach)*slow)
 	worker.engine.shape.ReadPerMs = shape.ReadPerMs / slow
--- a/internal/anvil/worker_test.go
+++ b/internal/anvil/worker_test.go
@@ -140,6 +140,10 @@
 	if answer, _, failure := ask(address, "fail"); failure != nil || answer.StatusCode != 500 || answer.Header.Get(headerNotRun) != "" {
 		test.Fatal(answer, failure)
 	}
+	worker.SetFaults(Faults{Never: 1})
+	if answer, _, failure := ask(address, "never"); failure != nil || answer.StatusCode != 422 || answer.Header.Get(headerNotRun) != "" {
+		test.Fatal(answer, failure)
+	}
 	worker.SetFaults(Faults{Cut: 1})
 	if _, body, failure := ask(address, "cut"); failure == nil {
 		test.Fatal("a cut answer looked whole", body)
@@ -163,7 +167,7 @@
 		}
 		_, _ = io.Copy(io.Discard, answer.Body)
 	}
-	if runs, _ := record.Of(""); len(runs) != 4 {
+	if runs, _ := record.Of(""); len(runs) != 5 {
 		test.Fatal("a broken answer counts as run", runs)
 	}
 }
--- a/internal/sawhorse/crew.go
+++ b/internal/sawhorse/crew.go
@@ -18,6 +18,7 @@
 	connLimit  = 200
 	plainWork  = 15 * time.Millisecond
 	plainSlots = 6
+	warmup     = 2 * time.Second
 )
 
 // shape is the engine of the fleet's model workers.
@@ -50,7 +51,7 @@
 				address: plan.host(almanac.LabWorkerHost, len(all), almanac.LabWorkerPort)})
 		}
 	}
-	add("worker", plan.Workers, anvil.Settings{Service: ModelService, Model: ModelName, Shape: plan.shape(), ConnLimit: connLimit, Probe: ProbePath, Revision: 1})
+	add("worker", plan.Workers, anvil.Settings{Service: ModelService, Model: ModelName, Shape: plan.shape(), ConnLimit: connLimit, Probe: ProbePath, Revision: 1, Warmup: warmup})
 	add("plain", plan.Plain, anvil.Settings{Service: PlainService, Work: plainWork, ConnLimit: connLimit, Probe: ProbePath,
 		Shape: anvil.Shape{Capacity: plainSlots, Queue: plainSlots}})
 	return all
--- a/internal/sawhorse/fleet.go
+++ b/internal/sawhorse/fleet.go
@@ -8,6 +8,7 @@
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/anvil"
+	"lemonarch/internal/errand"
 	"lemonarch/internal/jig"
 	"lemonarch/internal/watch"
 )
@@ -32,9 +33,9 @@
 }
 
 // Start carries a plan out and returns once every forge is ready. Where anything
-// goes wrong, all that was started is ended before it returns. An empty folder
+// goes wrong or the errand is called off, all that was started is ended before it returns. An empty folder
 // makes it use one of its own, which goes away with the fleet.
-func Start(plan Plan, folder string) (*Fleet, error) {
+func Start(called errand.Errand, plan Plan, folder string) (*Fleet, error) {
 	if failure := plan.Check(); failure != nil {
 		return nil, failure
 	}
@@ -65,7 +66,7 @@
 		return nil, Unfit.Wrap(failure, "folder")
 	}
 	if fleet.Folder, failure = filepath.Abs(fleet.Folder); failure == nil {
-		failure = fleet.start(configuration)
+		failure = fleet.start(called, configuration)
 	}
 	if failure != nil {
 		fleet.Stop()
@@ -74,7 +75,7 @@
 	return fleet, nil
 }
 
-func (fleet *Fleet) start(configuration []byte) error {
+func (fleet *Fleet) start(called errand.Errand, configuration []byte) error {
 	for _, node := range fleet.Plan.nodes() {
 		one := newProcess(&fleet.Plan, node, fleet.Folder, fleet.starter)
 		path, failure := fleet.Plan.write(node, fleet.Folder, true)
@@ -97,13 +98,13 @@
 		return failure
 	}
 	end := watch.Now().Plus(almanac.LabStartLimit)
-	if failure := fleet.until(end, "the first configuration", func() error { return fleet.operator.first(configuration) }); failure != nil {
+	if failure := fleet.until(called, end, "the first configuration", func() error { return fleet.operator.first(configuration) }); failure != nil {
 		return failure
 	}
-	if failure := fleet.until(end, "every forge ready", fleet.ready); failure != nil {
+	if failure := fleet.until(called, end, "every forge ready", fleet.ready); failure != nil {
 		return failure
 	}
-	return fleet.until(end, "a locker on duty", fleet.lotsReady)
+	return fleet.until(called, end, "a locker on duty", fleet.lotsReady)
 }
 
 // lotsReady asks for a lot that nobody handed in: only where the lockers can be sure
@@ -131,7 +132,7 @@
 }
 
 // until tries again and again, and tells of a death or of the last failure.
-func (fleet *Fleet) until(end watch.Moment, what string, function func() error) error {
+func (fleet *Fleet) until(called errand.Errand, end watch.Moment, what string, function func() error) error {
 	for {
 		failure := function()
 		if failure == nil {
@@ -143,6 +144,8 @@
 		select {
 		case failure = <-fleet.Died:
 			return failure
+		case <-called.Done():
+			return Unfit.New("stopped while starting")
 		case <-watch.After(almanac.LabRetry):
 		}
 	}
--- a/internal/sawhorse/sawhorse_test.go
+++ b/internal/sawhorse/sawhorse_test.go
@@ -12,6 +12,7 @@
 
 	"lemonarch/internal/boot"
 	"lemonarch/internal/caliper"
+	"lemonarch/internal/errand"
 	"lemonarch/internal/jig"
 )
 
@@ -94,7 +95,7 @@
 		test.Skip("this machine has no such address: " + failure.Error())
 	}
 	defer listener.Close()
-	fleet, failure := Start(plan, test.TempDir())
+	fleet, failure := Start(errand.Background(), plan, test.TempDir())
 	if failure == nil {
 		fleet.Stop()
 	}
@@ -118,7 +119,7 @@
 		test.Skip("this machine has no such address: " + failure.Error())
 	}
 	probe.Close()
-	fleet, failure := Start(plan, folder)
+	fleet, failure := Start(errand.Background(), plan, folder)
 	if failure == nil {
 		fleet.Stop()
 	}
@@ -131,6 +132,29 @@
 	}
 }
 
+// A start that is called off ends what it has begun.
+func TestStartThatIsCalledOff(test *testing.T) {
+	plan := NewPlan()
+	plan.Network, plan.Programs = "127.0.213", programs(test, "exec sleep 60")
+	if probe, failure := net.Listen("tcp4", plan.Desk()); failure != nil {
+		test.Skip("this machine has no such address: " + failure.Error())
+	} else {
+		probe.Close()
+	}
+	called, halt := errand.Stoppable(errand.Background())
+	halt()
+	fleet, failure := Start(called, plan, test.TempDir())
+	if failure == nil {
+		fleet.Stop()
+	}
+	if failure == nil || !strings.Contains(failure.Error(), "stopped") {
+		test.Fatal(failure)
+	}
+	if failure = plan.free(); failure != nil {
+		test.Fatal(failure)
+	}
+}
+
 func TestStoppedProcessesAreGone(test *testing.T) {
 	plan := NewPlan()
 	plan.Programs = programs(test, "exec sleep 60")
--- a/internal/treadle/drive.go
+++ b/internal/treadle/drive.go
@@ -64,8 +64,13 @@
 			one.lots(until, begun)
 		}()
 	}
+	done := make(chan struct{})
+	if options.Progress != nil {
+		go watch.Every(almanac.LoadProgress, done, func() { options.Progress(one.result.sofar(watch.Now().Since(begun))) })
+	}
 	one.orders(until, begun)
 	group.Wait()
+	close(done)
 	if transport, is := one.client.(*http.Transport); is {
 		transport.CloseIdleConnections()
 	}
--- a/internal/treadle/experiment.go
+++ b/internal/treadle/experiment.go
@@ -96,7 +96,7 @@
 
 // Run starts the fleets, sends the same load to all of them at the same time with
 // the same troubles, and ends them.
-func (one *Experiment) Run(until errand.Errand, options Options, progress func(string)) ([]*Result, error) {
+func (one *Experiment) Run(until errand.Errand, options Options) ([]*Result, error) {
 	var fleets []*sawhorse.Fleet
 	defer func() {
 		var group sync.WaitGroup
@@ -113,12 +113,14 @@
 		if until.Err() != nil {
 			return nil, Unfit.New("stopped")
 		}
-		fleet, failure := sawhorse.Start(plan, "")
+		fleet, failure := sawhorse.Start(until, plan, "")
 		if failure != nil {
 			return nil, Unfit.New(plan.Label + ": " + failure.Error())
 		}
 		fleets = append(fleets, fleet)
-		progress(plan.Label + " is ready")
+		if options.Progress != nil {
+			options.Progress(plan.Label + " is ready")
+		}
 	}
 	// A death ends the whole experiment: what is left would be compared unequally.
 	inner, halt := errand.Stoppable(until)
--- a/internal/treadle/mix.go
+++ b/internal/treadle/mix.go
@@ -122,7 +122,7 @@
 }
 
 // schedule draws the orders of a run: open arrivals at a rate, the same for a seed
-// whatever the fleet does.
+// whatever the fleet does and however many nodes it has.
 func schedule(options *Options, routes map[string]*jig.Route, nodes int) []planned {
 	random := rand.New(rand.NewSource(options.Seed))
 	var all []planned
@@ -133,7 +133,7 @@
 			break
 		}
 		kind := draw(options.Mix, random)
-		one := &order{kind: kind, route: routes[kind], number: number, node: random.Intn(nodes), body: []byte("order " + strconv.Itoa(number))}
+		one := &order{kind: kind, route: routes[kind], number: number, node: int(random.Float64() * float64(nodes)), body: []byte("order " + strconv.Itoa(number))}
 		if profiles[kind].heads > 0 {
 			one.prompt = profiles[kind].prompt(random)
 		}
--- a/internal/treadle/options.go
+++ b/internal/treadle/options.go
@@ -23,6 +23,8 @@
 	// Tries is how often a downstream tries in all.
 	Tries int
 	Seed  int64
+	// Progress, where set, is told now and then how far the load is.
+	Progress func(line string)
 }
 
 // NewOptions gives what is used where nothing else is said.
--- a/internal/treadle/options_test.go
+++ b/internal/treadle/options_test.go
@@ -74,10 +74,10 @@
 target = "worker-1"
 for-s = 2.0
 back-s = 3.0
-faults = { fail = 0.1, full = 0.2, hang = 0.3, cut = 0.4, garble = 0.5, surplus = 0.6, twice = 0.7, skip = 0.8, forge = 0.9, late-ms = 1.0, slow = 2.0, lying = true, forget-ms = 3.0 }
+faults = { fail = 0.1, full = 0.2, hang = 0.3, cut = 0.4, garble = 0.5, surplus = 0.6, twice = 0.7, skip = 0.8, forge = 0.9, late-ms = 1.0, never = 0.25, slow = 2.0, lying = true, forget-ms = 3.0 }
 `, programs(test))
 	want := sawhorse.Trouble{AtS: 1, Kind: "faults", Target: "worker-1", ForS: 2, BackS: 3, Faults: anvil.Faults{Fail: 0.1, Full: 0.2, Hang: 0.3,
-		Cut: 0.4, Garble: 0.5, Surplus: 0.6, Twice: 0.7, Skip: 0.8, Forge: 0.9, LateMs: 1, Slow: 2, Lying: true, ForgetMs: 3}}
+		Cut: 0.4, Garble: 0.5, Surplus: 0.6, Twice: 0.7, Skip: 0.8, Forge: 0.9, Never: 0.25, LateMs: 1, Slow: 2, Lying: true, ForgetMs: 3}}
 	if failure != nil || len(one.Trouble) != 1 || one.Trouble[0] != want {
 		test.Fatal(one, failure)
 	}
--- a/internal/treadle/result.go
+++ b/internal/treadle/result.go
@@ -1,6 +1,7 @@
 package treadle
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 
@@ -175,6 +176,19 @@
 	}
 }
 
+// sofar is one line of progress.
+func (result *Result) sofar(span watch.Span) string {
+	result.lock.Lock()
+	defer result.lock.Unlock()
+	inTime, late, failed := 0, 0, 0
+	for _, one := range result.Kinds {
+		if one.Name != handInKind {
+			inTime, late, failed = inTime+one.InTime, late+one.Late, failed+one.Failed
+		}
+	}
+	return fmt.Sprintf("%s after=%.0fs in-time=%d late=%d failed=%d broken=%d", result.Label, span.Seconds(), inTime, late, failed, result.Broken)
+}
+
 // Close works out worth and percentiles.
 func (result *Result) Close() {
 	result.lock.Lock()
