Changes of workers that come close together are told together; drains leave at once

Cause: at a start each worker's first call was told down the whole tree by itself, W x N messages within one beat. Change: a new worker waits 120 ms for others and its call for nobody; a drain or departure leaves at once and takes along what waits; 8 such words may be under way.

--- a/internal/almanac/views.go
+++ b/internal/almanac/views.go
@@ -46,6 +46,10 @@
 	// TreeTime bounds the wait for the whole fleet to take word of a worker before the
 	// worker's call is acknowledged (ours): it waits a second at most.
 	TreeTime = 650 * time.Millisecond
+	// BatchWindow is how long a new worker waits for others, so that all are told
+	// together, and BatchesAtOnce how many words that bind may be under way (ours).
+	BatchWindow   = 120 * time.Millisecond
+	BatchesAtOnce = 8
 	// RelayPatience is how long a foreman may take to say that it tells its hall, and
 	// HallTime how long that may take (ours): then another way is gone. Both, twice,
 	// must fit into the bound above.
--- /dev/null
+++ b/internal/foreman/batch.go
@@ -0,0 +1,93 @@
+package foreman
+
+import (
+	"sync"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// batches gathers changes of workers that come close together, so that a fleet whose
+// workers all start at once is told a few times and not once a worker. A change that
+// binds (a drain, a departure) leaves at once, with whatever else waits.
+type batches struct {
+	lock sync.Mutex
+	next *batch
+	// flying is how many batches are under way.
+	flying int
+	spread func(workers []pattern.Worker)
+	// later runs a function once the window is over.
+	later func(function func())
+}
+
+// batch is changes that go together.
+type batch struct {
+	workers []pattern.Worker
+	urgent  bool
+	done    chan struct{}
+}
+
+// add puts a change into the next batch. done closes once the fleet was told.
+func (batches *batches) add(worker pattern.Worker, urgent bool) (done chan struct{}) {
+	batches.lock.Lock()
+	defer batches.lock.Unlock()
+	if batches.next == nil {
+		one := &batch{done: make(chan struct{})}
+		batches.next = one
+		batches.later(func() {
+			batches.lock.Lock()
+			defer batches.lock.Unlock()
+			if batches.next == one {
+				batches.launch()
+			}
+		})
+	}
+	one := batches.next
+	one.workers, one.urgent = append(one.workers, worker), one.urgent || urgent
+	if one.urgent && batches.flying < almanac.BatchesAtOnce {
+		batches.launch()
+	}
+	return one.done
+}
+
+// launch sends the next batch on its way. The lock is held.
+func (batches *batches) launch() {
+	one := batches.next
+	batches.next = nil
+	batches.flying++
+	go func() {
+		batches.spread(one.workers)
+		close(one.done)
+		batches.lock.Lock()
+		defer batches.lock.Unlock()
+		batches.flying--
+		if batches.next != nil && batches.next.urgent {
+			batches.launch()
+		}
+	}()
+}
+
+// afterWindow runs a function once the window is over.
+func afterWindow(function func()) {
+	go func() {
+		watch.Sleep(almanac.BatchWindow)
+		function()
+	}()
+}
+
+// tell spreads a change. It waits for the fleet only where the caller's acknowledgement
+// binds it: a worker that is new may be known a moment later.
+func (foreman *Foreman) tell(worker pattern.Worker) {
+	binding := worker.Phase != pattern.PhaseSteady
+	done := foreman.batches.add(worker, binding)
+	if !binding {
+		return
+	}
+	timer := watch.NewTimer(almanac.TreeTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -39,6 +39,7 @@
 	number   atomic.Uint64
 	met      atomic.Bool
 	shared   sharedRead
+	batches  batches
 	begun    watch.Moment
 	server   *http.Server
 	memory   *memory
@@ -86,6 +87,10 @@
 		foreman.roster.Merge(worker, watch.Now())
 	}
 	register.accepted = foreman.accepted
+	foreman.batches.later = afterWindow
+	foreman.batches.spread = func(workers []pattern.Worker) {
+		foreman.spread(&pattern.Relay{Workers: workers}, almanac.TreeTime)
+	}
 	// Numbers of words must differ from those of an earlier life.
 	foreman.number.Store(uint64(stand.Own.Life))
 	foreman.answerers()
--- a/internal/foreman/workers.go
+++ b/internal/foreman/workers.go
@@ -84,6 +84,6 @@
 	if changed {
 		foreman.memory.remember(worker)
 		foreman.Stand.Log.Info("worker", "id", worker.ID, "service", worker.Backend, "phase", worker.Phase.String(), "address", worker.Address)
-		foreman.spread(&pattern.Relay{Workers: []pattern.Worker{worker}}, almanac.TreeTime)
+		foreman.tell(worker)
 	}
 }
