--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -30,8 +30,8 @@
 		}
 	}
 	neutral := bench.neutral(among, now)
-	var workers []pattern.Worker
-	var candidates []plumbline.Candidate
+	// The lists are used again by the next placement: all of it is under the lock.
+	workers, candidates := bench.scratch.workers[:0], bench.scratch.candidates[:0]
 	known, open := 0, 0
 	// The suspects are asked only where nobody else can be.
 	for _, worst := range []roster.Standing{roster.StandingGood, roster.StandingSuspect} {
@@ -90,6 +90,7 @@
 		// Routes that are not affine use load alone.
 		prompt = plumbline.Prompt{}
 	}
+	bench.scratch.workers, bench.scratch.candidates = workers, candidates
 	choice := bench.Index.Nominate(&prompt, candidates, now)
 	worker := workers[choice.Place]
 	bench.number++
--- a/internal/workbench/reach.go
+++ b/internal/workbench/reach.go
@@ -16,6 +16,13 @@
 // warm prefix goes to a small stable subset, the own hall's first; a long prefix goes
 // wherever it is at home or was seen; and whoever finds no room there asks all.
 
+// scratch are lists that are filled anew by each placement.
+type scratch struct {
+	workers    []pattern.Worker
+	candidates []plumbline.Candidate
+	reach      []pattern.Worker
+}
+
 // subset is the stable part of a service's workers for this node, found anew each
 // period from those in good standing.
 type subset struct {
@@ -30,6 +37,7 @@
 		// Items are placed by few processes, each of which needs the room of all.
 		return all, false
 	}
+	some = bench.scratch.reach[:0]
 	for _, worker := range bench.subset(ask.Service, all, now) {
 		// A full one is no reason to wait while others are free elsewhere.
 		if bench.Gauge.Of(worker.ID).Running(now) < worker.Capacity && !excluded(ask, worker.ID) {
@@ -39,6 +47,7 @@
 	if ask.Affine && ask.Prompt.Shared() >= almanac.GossipPrefixLeast {
 		some = bench.atHome(ask, all, some)
 	}
+	bench.scratch.reach = some
 	return some, true
 }
 
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -92,6 +92,7 @@
 	tellReading func(worker string, milliseconds float64)
 	gossip      gossipState
 	subsets     map[string]subset
+	scratch     scratch
 	// waits speaks when something begins to wait.
 	waits     chan struct{}
 	number    int64
