A second of gossip reads the kept table of workers instead of sorting copies

Names are found anew when the table changes, not each second, so a new worker's word counts at once.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,8 +30,9 @@
 	// overdue are the marks on the last list of silent workers, confirmed its moment.
 	overdue   map[uint32]bool
 	confirmed watch.Moment
-	// named are the lists by service, empty after a change.
-	named map[string][]pattern.Worker
+	// named are the lists by service and entries all, empty after a change.
+	named   map[string][]pattern.Worker
+	entries []pattern.Worker
 }
 
 // New makes an empty roster.
@@ -132,6 +133,19 @@
 // All gives every worker, aged, in order.
 func (roster *Roster) All(now watch.Moment) []pattern.Worker { return roster.Since(0, now) }
 
+// Entries gives all workers in order of their ids, without ages. The list is kept until
+// the table changes, and must not be written to.
+func (roster *Roster) Entries() []pattern.Worker {
+	if roster.entries == nil {
+		roster.entries = make([]pattern.Worker, 0, len(roster.workers))
+		for _, have := range roster.workers {
+			roster.entries = append(roster.entries, have.worker)
+		}
+		sort.Slice(roster.entries, func(left, right int) bool { return roster.entries[left].ID < roster.entries[right].ID })
+	}
+	return roster.entries
+}
+
 // Named gives the steady workers of a service, in order of their ids. The list is kept
 // until the table changes, and must not be written to.
 func (roster *Roster) Named(service string) []pattern.Worker {
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -32,16 +32,22 @@
 		roster.sum ^= sumOf(have.worker)
 	}
 	roster.clock++
-	clear(roster.named)
+	roster.changed()
 	have.worker, have.change = worker, roster.clock
 	roster.sum ^= sumOf(worker)
 }
 
+// changed drops the lists that were kept.
+func (roster *Roster) changed() {
+	clear(roster.named)
+	roster.entries = nil
+}
+
 // drop forgets an entry.
 func (roster *Roster) drop(id string) {
 	have := roster.workers[id]
 	roster.sum ^= sumOf(have.worker)
-	clear(roster.named)
+	roster.changed()
 	delete(roster.workers, id)
 	delete(roster.marks, MarkOf(id))
 	delete(roster.overdue, MarkOf(id))
--- a/internal/workbench/gossip.go
+++ b/internal/workbench/gossip.go
@@ -22,10 +22,12 @@
 	spoken map[string]spoken
 	// names leads from short names back to workers; a name that two of them share is
 	// nobody's.
-	names   map[uint32]string
-	namesAt watch.Moment
-	flows   map[string]*flow
-	turned  watch.Moment
+	names  map[uint32]string
+	asOf   uint64
+	count  int
+	found  []loadWord
+	flows  map[string]*flow
+	turned watch.Moment
 }
 
 // loadWord is a word that may be told, with how long the last one is old.
@@ -47,11 +49,12 @@
 	}
 	bench.turnOthers(now)
 	state := &bench.gossip
-	if state.spoken == nil {
-		state.spoken = map[string]spoken{}
+	if all := bench.Roster.Entries(); state.spoken == nil || len(state.spoken) > 2*len(all) {
+		// Workers that were forgotten leave their entries behind.
+		state.spoken = make(map[string]spoken, len(all))
 	}
-	var found []loadWord
-	for _, worker := range bench.Roster.All(now) {
+	found := state.found[:0]
+	for _, worker := range bench.Roster.Entries() {
 		vitals := bench.Gauge.Of(worker.ID)
 		word, told := vitals.Word(now)
 		if !told || worker.Phase == pattern.PhaseGone {
@@ -74,6 +77,7 @@
 		}
 		found = append(found, loadWord{worker.ID, word, worker.Hall == bench.own.Hall, wait})
 	}
+	state.found = found
 	sort.SliceStable(found, func(left, right int) bool {
 		// Neighbours place in their own hall first.
 		if found[left].near != found[right].near {
@@ -99,21 +103,22 @@
 	bench.lock.Lock()
 	defer bench.lock.Unlock()
 	for _, word := range pattern.Loads(packet.Loads) {
-		if worker := bench.named(word.Name, now); worker != "" {
+		if worker := bench.named(word.Name); worker != "" {
 			bench.Gauge.Of(worker).Peer(packet.From, word, now)
 		}
 	}
-	name := func(short uint32) string { return bench.named(short, now) }
-	bench.Index.Told(pattern.Prefixes(packet.Prefixes, name), now)
+	bench.Index.Told(pattern.Prefixes(packet.Prefixes, bench.named), now)
 	bench.hearPressure(packet.From, packet.Pressure, now)
 }
 
 // named gives the worker of a short name. The lock is held.
-func (bench *Workbench) named(short uint32, now watch.Moment) string {
+func (bench *Workbench) named(short uint32) string {
 	state := &bench.gossip
-	if state.names == nil || now.Since(state.namesAt) >= almanac.GossipPeriod {
-		state.names, state.namesAt = map[uint32]string{}, now
-		for _, worker := range bench.Roster.All(now) {
+	// A change of the table is rare, and a list of other length is another list too.
+	all := bench.Roster.Entries()
+	if clock := bench.Roster.Clock(); state.names == nil || state.asOf != clock || state.count != len(all) {
+		state.names, state.asOf, state.count = make(map[uint32]string, len(all)), clock, len(all)
+		for _, worker := range all {
 			name := pattern.WorkerName(worker.ID)
 			if _, taken := state.names[name]; taken {
 				state.names[name] = ""
