Silent drivers' workers are shared at once; a lagging holder gives its duty up

Cause: a driver that died kept its workers idle until the views took it for silent (3 s). A holder whose own disk is slow went on, though reads of lots and a later takeover wait for that disk.

Change: the dispatcher lists the drivers that said something in the last 1.1 s; drivers share the workers by that list. A newer life of a driver gives the old one's items back at once. A holder whose store has not reached for 2 s what the others had synced rests for 10 s. No item is kept for the driver that has its prefix: it only comes first in its order.

--- a/internal/almanac/dispatch.go
+++ b/internal/almanac/dispatch.go
@@ -26,9 +26,6 @@
 	// BeginPatience is how long an acquired item may wait for a place before it is
 	// released for another driver (ours).
 	BeginPatience = 400 * time.Millisecond
-	// HomePatience is how long an item is left to the driver that has its shared
-	// prefix (ours): reading the shared part again costs about as much.
-	HomePatience = 120 * time.Millisecond
 	// HomeStale is the age at which a prefix belongs to no driver any more (ours).
 	HomeStale = 4 * time.Second
 	// AckEntries and AckBytes bound one message of acknowledgements.
@@ -39,6 +36,9 @@
 	// AckGather is how long acknowledgements gather before they are sent (ours): a
 	// batch costs one sync.
 	AckGather = 4 * time.Millisecond
+	// DriverSilent is the silence after which a driver's workers are shared among the
+	// others (ours): it asks or renews at least every half second.
+	DriverSilent = 1100 * time.Millisecond
 	// OwnPeriod is how often a driver looks anew which workers are its own (ours).
 	OwnPeriod = 200 * time.Millisecond
 	// ExpirePeriod is how often items are looked at that no driver asks for (ours).
--- a/internal/ledgerbox/acquire.go
+++ b/internal/ledgerbox/acquire.go
@@ -93,9 +93,9 @@
 	due int64
 }
 
-// window gives the free items due soonest, the driver's own prefixes first. An item
-// whose prefix another driver has is left to that one for a moment, so that shared
-// parts are read by few workers.
+// window gives the free items due soonest, the driver's own prefixes first, so
+// that shared parts are read by few workers. No item is kept for a driver: a place
+// that stands empty meanwhile cost more than the reading (measured).
 func (dispatcher *Dispatcher) window(lots []dueLot, driver Driver, limit int, now watch.Moment) []*Item {
 	var own, others []*Item
 	for _, one := range lots {
@@ -103,14 +103,9 @@
 			if !dispatcher.free(item, now) {
 				continue
 			}
-			if item.seen == 0 {
-				item.seen = now
-			}
-			switch at, known := dispatcher.homes[prefixOf(item)]; {
-			case known && at.driver == driver.Name:
+			if at, known := dispatcher.homes[prefixOf(item)]; known && at.driver == driver.Name {
 				own = append(own, item)
-			case known && now.Since(item.seen) < almanac.HomePatience && now.Since(at.at) < almanac.HomeStale:
-			default:
+			} else {
 				others = append(others, item)
 			}
 			if len(own)+len(others) >= limit {
--- a/internal/ledgerbox/dispatch.go
+++ b/internal/ledgerbox/dispatch.go
@@ -11,6 +11,7 @@
 	Name    string
 	Life    int64
 	Address string
+	Hall    string
 }
 
 // Acquisition is one item with one driver, for the length of a lock.
@@ -52,6 +53,9 @@
 	before int64
 	unsure watch.Moment
 	homes  map[string]home
+	// drivers are those that were heard lately; version counts their changes.
+	drivers map[string]*seenDriver
+	version uint64
 }
 
 // DispatchCounts are for the operator.
@@ -67,7 +71,7 @@
 // at which the last of them can have handed anything out.
 func NewDispatcher(book *Book, epoch uint64, before int64, lock watch.Span, taken watch.Moment) *Dispatcher {
 	return &Dispatcher{Book: book, Lock: lock, epoch: epoch, before: before, unsure: taken.Plus(lock),
-		live: map[uint64]*Acquisition{}, homes: map[string]home{},
+		live: map[uint64]*Acquisition{}, homes: map[string]home{}, drivers: map[string]*seenDriver{},
 		Closed: func(*Lot) bool { return false }, Tries: func(*Item) int { return 1 }}
 }
 
@@ -113,7 +117,7 @@
 		number = dispatcher.epoch<<serialBits | dispatcher.serial
 	}
 	one := &Acquisition{Number: number, Driver: driver, Item: item, run: run, begun: now, until: now.Plus(dispatcher.Lock), fresh: fresh}
-	item.held, item.seen = one, 0
+	item.held = one
 	dispatcher.live[number] = one
 	return one
 }
--- a/internal/ledgerbox/dispatch_test.go
+++ b/internal/ledgerbox/dispatch_test.go
@@ -178,6 +178,9 @@
 	}
 	// The count outlives the holder, and so does what was counted.
 	next := newDesk(test, 2, desk.records, ms(1000))
+	if item := next.Book.Lot("l").Find("a"); len(item.FailedBy) != 1 {
+		test.Fatal("the count was lost with its holder")
+	}
 	next.say("x", pattern.AckRelease, first, "a", ms(1001), failed)
 	if item := next.Book.Lot("l").Find("a"); len(item.FailedBy) != 1 || item.State != ItemAvailable {
 		test.Fatal("after a takeover it counts as ", len(item.FailedBy))
--- /dev/null
+++ b/internal/ledgerbox/drivers.go
@@ -0,0 +1,75 @@
+package ledgerbox
+
+import (
+	"sort"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// seenDriver is a driver that has asked for items or acknowledged lately.
+type seenDriver struct {
+	life  int64
+	hall  string
+	heard watch.Moment
+}
+
+// Heard notes word from a driver. A newer life says that the process of the one
+// before is gone, and its runs with it: its locks lapse at once.
+func (dispatcher *Dispatcher) Heard(driver Driver, now watch.Moment) {
+	seen := dispatcher.drivers[driver.Name]
+	if seen == nil {
+		seen = &seenDriver{life: driver.Life, hall: driver.Hall}
+		dispatcher.drivers[driver.Name] = seen
+		dispatcher.version++
+	}
+	if driver.Life > seen.life {
+		seen.life = driver.Life
+		for _, one := range dispatcher.live {
+			if one.Driver.Name == driver.Name && one.Driver.Life < driver.Life {
+				one.until = now
+			}
+		}
+	}
+	if driver.Life == seen.life {
+		seen.heard = now
+	}
+}
+
+// Left notes that a driver goes away and will ask no more.
+func (dispatcher *Dispatcher) Left(driver Driver) {
+	if dispatcher.drivers[driver.Name] != nil {
+		delete(dispatcher.drivers, driver.Name)
+		dispatcher.version++
+	}
+}
+
+// Quiet drops drivers that say nothing; what they hold waits for its locks.
+func (dispatcher *Dispatcher) Quiet(now watch.Moment) bool {
+	dropped := false
+	for name, seen := range dispatcher.drivers {
+		if now.Since(seen.heard) >= almanac.DriverSilent {
+			delete(dispatcher.drivers, name)
+			dispatcher.version++
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Drivers lists the drivers that say something, so that they share the workers,
+// with the version of the list, which rises over all epochs. There is none where the
+// asker knows it, nor before every driver had the time to speak.
+func (dispatcher *Dispatcher) Drivers(known uint64, now watch.Moment) (uint64, []pattern.DriverAt) {
+	version := dispatcher.epoch<<serialBits | dispatcher.version
+	if version == known || now.Since(dispatcher.unsure.Plus(-dispatcher.Lock)) < 2*almanac.DriverSilent {
+		return 0, nil
+	}
+	var found []pattern.DriverAt
+	for name, seen := range dispatcher.drivers {
+		found = append(found, pattern.DriverAt{Name: name, Hall: seen.hall})
+	}
+	sort.Slice(found, func(left, right int) bool { return found[left].Name < found[right].Name })
+	return version, found
+}
--- a/internal/locker/dispatch.go
+++ b/internal/locker/dispatch.go
@@ -60,7 +60,7 @@
 		return &pattern.Acquired{Elsewhere: true}
 	}
 	end := begun.Plus(min(watch.Milliseconds(float64(question.HoldMs)), almanac.AcquireHold))
-	ask := &ledgerbox.AcquireAsk{Driver: ledgerbox.Driver{Name: question.Driver, Life: question.Life, Address: question.Address},
+	ask := &ledgerbox.AcquireAsk{Driver: ledgerbox.Driver{Name: question.Driver, Life: question.Life, Address: question.Address, Hall: question.Hall},
 		Service: func(item *ledgerbox.Item) string {
 			if route := itemRoute(reign.locker.Stand.Config(), item); route != nil {
 				return route.Nominate(watch.Draw())
@@ -79,10 +79,12 @@
 		}
 		reign.lock.Lock()
 		ask.Terms = reign.terms(config)
+		reign.dispatcher.Heard(ask.Driver, now)
 		answer := reign.handOut(reign.dispatcher.Acquire(ask, now))
 		fresh := reign.fresh
+		answer.Version, answer.Drivers = reign.dispatcher.Drivers(question.Known, now)
 		reign.lock.Unlock()
-		if len(answer.Items) > 0 || now >= end {
+		if len(answer.Items) > 0 || now >= end || len(answer.Drivers) > 0 {
 			answer.HeldMs = watch.ToMilliseconds(now.Since(begun))
 			return answer
 		}
@@ -116,12 +118,19 @@
 	if !reign.waitServing(almanac.CallTime / 2) {
 		return &pattern.Acknowledged{Elsewhere: true}
 	}
-	driver := ledgerbox.Driver{Name: question.Driver, Life: question.Life, Address: question.Address}
+	driver := ledgerbox.Driver{Name: question.Driver, Life: question.Life, Address: question.Address, Hall: question.Hall}
 	answer := &pattern.Acknowledged{}
 	steps := make([]ledgerbox.Step, len(question.Entries))
 	last := int64(0)
 	now := watch.Now()
 	reign.lock.Lock()
+	if question.Leaving {
+		reign.dispatcher.Left(driver)
+		reign.freshen()
+	} else {
+		reign.dispatcher.Heard(driver, now)
+	}
+	answer.Version, answer.Drivers = reign.dispatcher.Drivers(question.Known, now)
 	for place := range question.Entries {
 		entry := &question.Entries[place]
 		steps[place] = reign.dispatcher.Acknowledge(driver, entry, now)
@@ -162,7 +171,7 @@
 		}
 		reign.lock.Lock()
 		defer reign.lock.Unlock()
-		if reign.dispatcher.Lapse(now) > 0 {
+		if quiet, lapsed := reign.dispatcher.Quiet(now), reign.dispatcher.Lapse(now); quiet || lapsed > 0 {
 			reign.freshen()
 		}
 		if now.Since(looked) >= almanac.ExpirePeriod {
--- a/internal/locker/drive.go
+++ b/internal/locker/drive.go
@@ -166,6 +166,7 @@
 			driver.pipes[task] = pipe
 			if !task.May(watch.Now()) || task.Item.Yielding() {
 				// Stopped while its pipe was being opened: nothing is sent.
+				driver.core.Stop(task)
 				pipe.Close()
 			}
 		}}
--- a/internal/locker/driver.go
+++ b/internal/locker/driver.go
@@ -28,6 +28,10 @@
 	renewing bool
 	leaving  bool
 	owned    ownership
+	// drivers is the dispatcher's list, as of a version and a moment.
+	drivers   []pattern.DriverAt
+	version   uint64
+	driversAt watch.Moment
 }
 
 func newDriver(locker *Locker) *driver {
@@ -89,7 +93,8 @@
 // acquire asks once; false when the dispatcher could not be asked.
 func (driver *driver) acquire(holder string, room []pattern.ServiceRoom) bool {
 	own := driver.locker.Stand.Own
-	question := &pattern.Acquire{Driver: own.Name, Life: own.Life, Address: own.Address, Room: room, HoldMs: int(almanac.AcquireHold.Milliseconds())}
+	question := &pattern.Acquire{Driver: own.Name, Life: own.Life, Address: own.Address, Hall: own.Hall, Room: room,
+		HoldMs: int(almanac.AcquireHold.Milliseconds()), Known: driver.known()}
 	answer := &pattern.Acquired{}
 	asked := watch.Now()
 	if holder == own.Address {
@@ -101,6 +106,7 @@
 		return false
 	}
 	now := watch.Now()
+	driver.listed(answer.Version, answer.Drivers, now)
 	driver.lock.Lock()
 	driver.lockSpan = watch.Milliseconds(answer.LockMs)
 	driver.waiting = append(driver.waiting, driver.core.Take(answer, asked, now)...)
@@ -117,12 +123,13 @@
 	due := !driver.renewing && now.Since(driver.renewed) >= driver.lockSpan/almanac.RenewPart
 	var entries []pattern.Acknowledgement
 	if due {
+		// With nothing to renew it still says that this driver is there.
 		entries = driver.core.Renewals(now)
 		driver.renewed = now
-		driver.renewing = len(entries) > 0
+		driver.renewing = true
 	}
 	driver.lock.Unlock()
-	if len(entries) > 0 {
+	if due {
 		go driver.renew(entries)
 	}
 	driver.place()
@@ -162,7 +169,11 @@
 // acknowledge carries a batch to the dispatcher; nil when it was not answered.
 func (driver *driver) acknowledge(entries []pattern.Acknowledgement, span watch.Span) *pattern.Acknowledged {
 	own, holder := driver.locker.Stand.Own, driver.locker.holder()
-	question := &pattern.Acknowledge{Driver: own.Name, Life: own.Life, Address: own.Address, Entries: entries}
+	driver.lock.Lock()
+	leaving := driver.leaving
+	driver.lock.Unlock()
+	question := &pattern.Acknowledge{Driver: own.Name, Life: own.Life, Address: own.Address, Hall: own.Hall, Entries: entries,
+		Known: driver.known(), Leaving: leaving}
 	answer := &pattern.Acknowledged{}
 	if holder == own.Address {
 		answer = driver.locker.acknowledge(question)
@@ -172,6 +183,7 @@
 	if answer.Elsewhere {
 		return nil
 	}
+	driver.listed(answer.Version, answer.Drivers, watch.Now())
 	return answer
 }
 
--- a/internal/locker/duty.go
+++ b/internal/locker/duty.go
@@ -55,7 +55,7 @@
 	locker.lock.Lock()
 	value := locker.value
 	locker.lock.Unlock()
-	if locker.leaving.Load() {
+	if locker.leaving.Load() || locker.rests() {
 		return false
 	}
 	for _, name := range value.Retired {
--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -39,6 +39,7 @@
 	begun   watch.Moment
 	leaving atomic.Bool
 	driver  *driver
+	resting watch.Moment
 	done    chan struct{}
 	// once knows the hand-ins that have come, so that a second copy of one is seen.
 	once tongs.Once
--- a/internal/locker/place.go
+++ b/internal/locker/place.go
@@ -46,16 +46,18 @@
 // own gives the workers that are ours now.
 func (driver *driver) own(now watch.Moment) map[string]bool {
 	driver.lock.Lock()
-	if driver.owned.workers != nil && now.Since(driver.owned.at) < almanac.OwnPeriod {
+	if driver.owned.workers != nil && driver.owned.at > 0 && now.Since(driver.owned.at) < almanac.OwnPeriod {
 		defer driver.lock.Unlock()
 		return driver.owned.workers
 	}
 	driver.lock.Unlock()
 	stand := driver.locker.Stand
 	lockers := map[string]string{stand.Own.Name: stand.Own.Hall}
-	for _, entry := range stand.Live(bellows.RoleLocker) {
-		if !entry.Leaving {
-			lockers[entry.Name] = entry.Hall
+	if !driver.shared(lockers, now) {
+		for _, entry := range stand.Live(bellows.RoleLocker) {
+			if !entry.Leaving {
+				lockers[entry.Name] = entry.Hall
+			}
 		}
 	}
 	workers := map[string]bool{}
@@ -70,6 +72,38 @@
 	return workers
 }
 
+// known is the version of the list of drivers that we have.
+func (driver *driver) known() uint64 {
+	driver.lock.Lock()
+	defer driver.lock.Unlock()
+	return driver.version
+}
+
+// listed takes the dispatcher's list of drivers, which comes where it is new.
+func (driver *driver) listed(version uint64, drivers []pattern.DriverAt, now watch.Moment) {
+	driver.lock.Lock()
+	defer driver.lock.Unlock()
+	if version > driver.version {
+		driver.version, driver.drivers, driver.owned.at = version, drivers, 0
+	}
+	driver.driversAt = now
+}
+
+// shared adds the drivers on the dispatcher's list; false when it is old. The
+// dispatcher hears every driver twice a second, well before others take it for
+// silent.
+func (driver *driver) shared(lockers map[string]string, now watch.Moment) bool {
+	driver.lock.Lock()
+	defer driver.lock.Unlock()
+	if driver.version == 0 || now.Since(driver.driversAt) >= almanac.SilentAfter {
+		return false
+	}
+	for _, one := range driver.drivers {
+		lockers[one.Name] = one.Hall
+	}
+	return true
+}
+
 // room is how many items to ask for: one for each worker of ours with a place left,
 // beside those that wait already.
 func (driver *driver) room() []pattern.ServiceRoom {
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -30,6 +30,7 @@
 	stop       chan struct{}
 	ended      sync.Once
 	serving    bool
+	lag        ledgerbox.Lag
 }
 
 func newReign(locker *Locker, duty pattern.Duty, stores []pattern.Member, first int64) *reign {
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -69,6 +69,7 @@
 	go watch.Every(almanac.GossipPeriod/2, reign.stop, reign.tendSet)
 	go watch.Every(almanac.GossipPeriod, reign.stop, reign.forget)
 	go reign.tendItems()
+	go reign.tendLag()
 	reign.tell()
 }
 
--- a/internal/pattern/dispatch.go
+++ b/internal/pattern/dispatch.go
@@ -6,6 +6,12 @@
 	Count   int    `msg:"c"`
 }
 
+// DriverAt is a driver that the dispatcher has heard lately.
+type DriverAt struct {
+	Name string `msg:"n"`
+	Hall string `msg:"h"`
+}
+
 // Acquire asks the dispatcher for items; it may be held until there are some.
 type Acquire struct {
 	Driver  string        `msg:"d"`
@@ -13,6 +19,9 @@
 	Address string        `msg:"a"`
 	Room    []ServiceRoom `msg:"r"`
 	HoldMs  int           `msg:"h"`
+	Hall    string        `msg:"z"`
+	// Known is the version of the list of drivers that the asker has.
+	Known uint64 `msg:"k"`
 }
 
 // AcquiredItem is one item under a lock.
@@ -39,6 +48,9 @@
 	HeldMs float64        `msg:"w"`
 	LockMs float64        `msg:"k"`
 	Items  []AcquiredItem `msg:"i"`
+	// Version names the list of drivers; it comes only where it is new to the asker.
+	Version uint64     `msg:"v"`
+	Drivers []DriverAt `msg:"d"`
 }
 
 // Acknowledgement is one driver's word on one acquisition.
@@ -65,6 +77,10 @@
 	Life    int64             `msg:"l"`
 	Address string            `msg:"a"`
 	Entries []Acknowledgement `msg:"e"`
+	Hall    string            `msg:"z"`
+	Known   uint64            `msg:"k"`
+	// Leaving says that the driver will ask no more.
+	Leaving bool `msg:"g"`
 }
 
 // Acknowledged answers entry by entry, ACCEPT and REJECT once they are durable.
@@ -72,6 +88,8 @@
 	Elsewhere bool         `msg:"e"`
 	Holder    string       `msg:"h"`
 	Verdicts  []AckVerdict `msg:"v"`
+	Version   uint64       `msg:"n"`
+	Drivers   []DriverAt   `msg:"d"`
 }
 
 // StopRuns tells a driver that a lot has ended.
--- a/internal/pattern/dispatch_gen.go
+++ b/internal/pattern/dispatch_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Acknowledge) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 7
 	// string "d"
-	o = append(o, 0x84, 0xa1, 0x64)
+	o = append(o, 0x87, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Driver)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -29,6 +29,15 @@
 			return
 		}
 	}
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Hall)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Known)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -87,6 +96,24 @@
 					return
 				}
 			}
+		case "z":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
+		case "k":
+			z.Known, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "g":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -105,15 +132,16 @@
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
+	s += 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Acknowledged) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
+	o = append(o, 0x85, 0xa1, 0x65)
 	o = msgp.AppendBool(o, z.Elsewhere)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
@@ -128,6 +156,21 @@
 			return
 		}
 	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Drivers)))
+	for za0002 := range z.Drivers {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Drivers[za0002].Name)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Drivers[za0002].Hall)
+	}
 	return
 }
 
@@ -180,6 +223,60 @@
 					return
 				}
 			}
+		case "n":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "d":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Drivers")
+				return
+			}
+			if cap(z.Drivers) >= int(zb0003) {
+				z.Drivers = (z.Drivers)[:zb0003]
+			} else {
+				z.Drivers = make([]DriverAt, zb0003)
+			}
+			for za0002 := range z.Drivers {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Drivers", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Drivers", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Drivers[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Drivers", za0002, "Name")
+							return
+						}
+					case "h":
+						z.Drivers[za0002].Hall, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Drivers", za0002, "Hall")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Drivers", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -198,6 +295,10 @@
 	for za0001 := range z.Verdicts {
 		s += z.Verdicts[za0001].Msgsize()
 	}
+	s += 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Drivers {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Drivers[za0002].Name) + 2 + msgp.StringPrefixSize + len(z.Drivers[za0002].Hall)
+	}
 	return
 }
 
@@ -361,9 +462,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Acquire) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "d"
-	o = append(o, 0x85, 0xa1, 0x64)
+	o = append(o, 0x87, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Driver)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -386,6 +487,12 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendInt(o, z.HoldMs)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Hall)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Known)
 	return
 }
 
@@ -479,6 +586,18 @@
 				err = msgp.WrapError(err, "HoldMs")
 				return
 			}
+		case "z":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
+		case "k":
+			z.Known, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -497,16 +616,16 @@
 	for za0001 := range z.Room {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Room[za0001].Service) + 2 + msgp.IntSize
 	}
-	s += 2 + msgp.IntSize
+	s += 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Acquired) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "e"
-	o = append(o, 0x85, 0xa1, 0x65)
+	o = append(o, 0x87, 0xa1, 0x65)
 	o = msgp.AppendBool(o, z.Elsewhere)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
@@ -527,6 +646,21 @@
 			return
 		}
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Drivers)))
+	for za0002 := range z.Drivers {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Drivers[za0002].Name)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Drivers[za0002].Hall)
+	}
 	return
 }
 
@@ -591,6 +725,60 @@
 					return
 				}
 			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "d":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Drivers")
+				return
+			}
+			if cap(z.Drivers) >= int(zb0003) {
+				z.Drivers = (z.Drivers)[:zb0003]
+			} else {
+				z.Drivers = make([]DriverAt, zb0003)
+			}
+			for za0002 := range z.Drivers {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Drivers", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Drivers", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Drivers[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Drivers", za0002, "Name")
+							return
+						}
+					case "h":
+						z.Drivers[za0002].Hall, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Drivers", za0002, "Hall")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Drivers", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -609,6 +797,10 @@
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
+	s += 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Drivers {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Drivers[za0002].Name) + 2 + msgp.StringPrefixSize + len(z.Drivers[za0002].Hall)
+	}
 	return
 }
 
@@ -769,6 +961,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z DriverAt) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Hall)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DriverAt) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "h":
+			z.Hall, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hall")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z DriverAt) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Hall)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ServiceRoom) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
