--- a/internal/almanac/dispatch.go
+++ b/internal/almanac/dispatch.go
@@ -26,6 +26,9 @@
 	// BeginPatience is how long an acquired item may wait for a place before it is
 	// released for another driver (ours).
 	BeginPatience = 400 * time.Millisecond
+	// HomePatience is how long items may be passed over for those whose shared prefix
+	// a driver has (ours); then they go first, by their due time.
+	HomePatience = 150 * time.Millisecond
 	// HomeStale is the age at which a prefix belongs to no driver any more (ours).
 	HomeStale = 4 * time.Second
 	// AckEntries and AckBytes bound one message of acknowledgements.
--- a/internal/ledgerbox/acquire.go
+++ b/internal/ledgerbox/acquire.go
@@ -97,23 +97,31 @@
 // that shared parts are read by few workers. No item is kept for a driver: a place
 // that stands empty meanwhile cost more than the reading (measured).
 func (dispatcher *Dispatcher) window(lots []dueLot, driver Driver, limit int, now watch.Moment) []*Item {
-	var own, others []*Item
+	var first, own, others []*Item
+	all := func() []*Item { return append(append(first, own...), others...) }
 	for _, one := range lots {
 		for _, item := range one.lot.Items {
 			if !dispatcher.free(item, now) {
 				continue
 			}
-			if at, known := dispatcher.homes[prefixOf(item)]; known && at.driver == driver.Name {
+			if item.seen == 0 {
+				item.seen = now
+			}
+			switch at, known := dispatcher.homes[prefixOf(item)]; {
+			case now.Since(item.seen) >= almanac.HomePatience:
+				// Passed over long enough: the driver that has its prefix may have no room.
+				first = append(first, item)
+			case known && at.driver == driver.Name:
 				own = append(own, item)
-			} else {
+			default:
 				others = append(others, item)
 			}
-			if len(own)+len(others) >= limit {
-				return append(own, others...)
+			if len(first)+len(own)+len(others) >= limit {
+				return all()
 			}
 		}
 	}
-	return append(own, others...)
+	return all()
 }
 
 func (dispatcher *Dispatcher) settleHome(item *Item, driver string, now watch.Moment) {
--- a/internal/ledgerbox/dispatch.go
+++ b/internal/ledgerbox/dispatch.go
@@ -117,7 +117,7 @@
 		number = dispatcher.epoch<<serialBits | dispatcher.serial
 	}
 	one := &Acquisition{Number: number, Driver: driver, Item: item, run: run, begun: now, until: now.Plus(dispatcher.Lock), fresh: fresh}
-	item.held = one
+	item.held, item.seen = one, 0
 	dispatcher.live[number] = one
 	return one
 }
--- a/internal/ledgerbox/item.go
+++ b/internal/ledgerbox/item.go
@@ -46,8 +46,8 @@
 	closer  uint64
 	closing int64
 	held    *Acquisition
-	// pause is when it may be acquired again.
-	pause watch.Moment
+	// pause is when it may be acquired again; seen is when it was first found free.
+	pause, seen watch.Moment
 }
 
 // Begin starts a run and names it; zero when there is nothing to run.
