A new holder hands items out once every driver is accounted for

Cause: after each change of holder the items of earlier lots waited for a whole lock length, also where all drivers had shown what they hold or had been started anew (all machines without power).

Change: a driver's life is on record before it is handed anything in an epoch. A new holder is sure once each driver on record has shown all that it holds under its epoch, taking nothing of earlier ones from then on, or was outlived by a newer life; else one lock after the duty was taken.

--- a/internal/apprentice/apprentice.go
+++ b/internal/apprentice/apprentice.go
@@ -32,6 +32,8 @@
 	tasks   map[uint64]*Task
 	durable queue
 	soft    queue
+	// fence is the epoch below which nothing handed out is taken any more.
+	fence uint64
 }
 
 // New makes one without tasks.
@@ -55,7 +57,7 @@
 	var taken []*Task
 	for place := range answer.Items {
 		one := &answer.Items[place]
-		if apprentice.tasks[one.Number] != nil || now >= until {
+		if apprentice.tasks[one.Number] != nil || now >= until || ledgerbox.EpochOf(one.Number) < apprentice.fence {
 			continue
 		}
 		lot := &ledgerbox.Lot{ID: one.Lot, Host: one.Host, Path: one.Path, SentMs: one.SentMs}
@@ -80,6 +82,10 @@
 	return tasks
 }
 
+// Fence says that a holder of an epoch is told all that is held here: answers of
+// earlier holders that are still on their way are not taken any more.
+func (apprentice *Apprentice) Fence(epoch uint64) { apprentice.fence = max(apprentice.fence, epoch) }
+
 // Renewals asks for all locks to run anew, in one message. What brings no tokens
 // any more has been ended by its patience, so whatever is here goes on.
 func (apprentice *Apprentice) Renewals(now watch.Moment) []pattern.Acknowledgement {
--- a/internal/apprentice/apprentice_test.go
+++ b/internal/apprentice/apprentice_test.go
@@ -103,3 +103,13 @@
 		test.Fatal(len(one.Results()))
 	}
 }
+
+// Once a later holder was told what is held here, an earlier one's answer is late.
+func TestFence(test *testing.T) {
+	one := New()
+	one.Take(given(5<<40|1), ms(0), ms(100))
+	one.Fence(6)
+	if len(one.Take(given(5<<40|2), ms(0), ms(100))) != 0 || len(one.Take(given(6<<40|1), ms(0), ms(100))) != 1 || len(one.Renewals(ms(100))) != 2 {
+		test.Fatal("what an earlier holder handed out was taken, or what is held was dropped")
+	}
+}
--- a/internal/ledgerbox/acknowledge.go
+++ b/internal/ledgerbox/acknowledge.go
@@ -139,7 +139,7 @@
 	if held == nil || held.Number != entry.Number {
 		// Of two that were handed out by earlier holders the later number is the one
 		// that stands: the other's lock has lapsed.
-		adopt := dispatcher.perhapsHeld(item, now) && entry.Number>>serialBits < dispatcher.epoch &&
+		adopt := dispatcher.perhapsHeld(item, now) && EpochOf(entry.Number) < dispatcher.epoch &&
 			(held == nil || held.Number < entry.Number)
 		if !adopt {
 			return Step{Verdict: pattern.AckStopped}
@@ -150,6 +150,7 @@
 		if held = dispatcher.grant(item, driver, entry.Number, now); held == nil {
 			return Step{Verdict: pattern.AckStopped}
 		}
+		dispatcher.Enter(driver)
 		dispatcher.Counts.Adopted++
 	}
 	if held.Driver.Name != driver.Name || held.Driver.Life != driver.Life || now >= held.until {
--- a/internal/ledgerbox/acquire.go
+++ b/internal/ledgerbox/acquire.go
@@ -44,6 +44,9 @@
 // Acquire hands out items by due time, those that can still be in time first, and
 // among those due soonest the ones whose shared prefix the driver had before.
 func (dispatcher *Dispatcher) Acquire(ask *AcquireAsk, now watch.Moment) []*Acquisition {
+	if dispatcher.Enter(ask.Driver) > 0 {
+		return nil
+	}
 	room := 0
 	for _, count := range ask.Room {
 		room += count
--- a/internal/ledgerbox/acquire_test.go
+++ b/internal/ledgerbox/acquire_test.go
@@ -16,7 +16,7 @@
 	}
 	packed, _ := body.MarshalMsg(nil)
 	desk.Submit(pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed, AtMs: int64(len(desk.records))})
-	desk.settle(len(desk.records) - 1)
+	desk.settle()
 }
 
 func names(given []*Acquisition) string {
@@ -60,6 +60,8 @@
 	desk.lot("c", "c")
 	order := map[string]Terms{"a": {Due: 1, Late: true}, "b": {Due: 9}, "c": {Due: 5}, "d": {Over: true}}
 	desk.lot("d", "d")
+	desk.Enter(Driver{Name: "x"})
+	desk.settle()
 	given := desk.Acquire(&AcquireAsk{Driver: Driver{Name: "x"}, Room: map[string]int{"s": 9},
 		Terms: func(lot *Lot) Terms { return order[lot.ID] }, Service: func(*Item) string { return "s" }}, ms(1))
 	if names(given) != "c b a " {
--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -46,10 +46,12 @@
 type Book struct {
 	lots  map[string]*Lot
 	order []*Lot
+	// entrants are the drivers that may hold acquisitions, with their epoch.
+	entrants map[entrant]uint64
 }
 
 // NewBook makes an empty book.
-func NewBook() *Book { return &Book{lots: map[string]*Lot{}} }
+func NewBook() *Book { return &Book{lots: map[string]*Lot{}, entrants: map[entrant]uint64{}} }
 
 // Lot finds a lot, or nil.
 func (book *Book) Lot(id string) *Lot { return book.lots[id] }
@@ -81,6 +83,10 @@
 				lot.open--
 			}
 		}
+	case pattern.RecordDriver:
+		book.enter(record)
+	case pattern.RecordSure:
+		book.clear(record.Epoch)
 	case pattern.RecordFailure:
 		if lot := book.lots[record.Lot]; lot != nil {
 			if item := lot.Find(record.Item); item != nil {
--- a/internal/ledgerbox/dispatch.go
+++ b/internal/ledgerbox/dispatch.go
@@ -52,10 +52,16 @@
 	// may be with drivers until unsure.
 	before int64
 	unsure watch.Moment
+	taken  watch.Moment
 	homes  map[string]home
 	// drivers are those that were heard lately; version counts their changes.
 	drivers map[string]*seenDriver
 	version uint64
+	// entering are drivers whose record is on its way; unheard are those of earlier
+	// epochs that have not shown what they hold.
+	entering map[entrant]int64
+	unheard  map[entrant]bool
+	sure     bool
 }
 
 // DispatchCounts are for the operator.
@@ -66,13 +72,22 @@
 // serialBits is the part of an acquisition number that counts within an epoch.
 const serialBits = 40
 
+// EpochOf gives the epoch in which an acquisition was handed out.
+func EpochOf(number uint64) uint64 { return number >> serialBits }
+
 // NewDispatcher starts the dispatcher of an epoch. Lots with records before the
 // index may be acquired from earlier holders until a lock length after the moment
 // at which the last of them can have handed anything out.
 func NewDispatcher(book *Book, epoch uint64, before int64, lock watch.Span, taken watch.Moment) *Dispatcher {
-	return &Dispatcher{Book: book, Lock: lock, epoch: epoch, before: before, unsure: taken.Plus(lock),
+	one := &Dispatcher{Book: book, Lock: lock, epoch: epoch, before: before, unsure: taken.Plus(lock), taken: taken,
 		live: map[uint64]*Acquisition{}, homes: map[string]home{}, drivers: map[string]*seenDriver{},
+		entering: map[entrant]int64{}, unheard: map[entrant]bool{},
 		Closed: func(*Lot) bool { return false }, Tries: func(*Item) int { return 1 }}
+	for each := range book.entrants {
+		one.unheard[each] = true
+	}
+	one.reckon(taken)
+	return one
 }
 
 // Live is how many acquisitions stand.
@@ -91,6 +106,9 @@
 	return drivers
 }
 
+// Taken is when this dispatcher's holder took the duty.
+func (dispatcher *Dispatcher) Taken() watch.Moment { return dispatcher.taken }
+
 // Unsure tells whether earlier holders' acquisitions may still stand somewhere.
 func (dispatcher *Dispatcher) Unsure(now watch.Moment) bool { return now < dispatcher.unsure }
 
--- a/internal/ledgerbox/dispatch_test.go
+++ b/internal/ledgerbox/dispatch_test.go
@@ -13,6 +13,7 @@
 	*Dispatcher
 	test    *testing.T
 	records []pattern.Record
+	applied int
 	terms   Terms
 }
 
@@ -28,10 +29,10 @@
 			test.Fatal(failure)
 		}
 	}
-	one := &desk{Dispatcher: NewDispatcher(book, epoch, int64(len(records)+1), deskLock, taken), test: test, records: records}
+	one := &desk{Dispatcher: NewDispatcher(book, epoch, int64(len(records)+1), deskLock, taken), test: test, records: records, applied: len(records)}
 	one.Tries = func(*Item) int { return 2 }
 	one.Submit = func(record pattern.Record) int64 {
-		record.Index = int64(len(one.records) + 1)
+		record.Index, record.Epoch = int64(len(one.records)+1), epoch
 		one.records = append(one.records, record)
 		return record.Index
 	}
@@ -39,9 +40,9 @@
 }
 
 // settle makes all records durable.
-func (desk *desk) settle(from int) {
-	for place := from; place < len(desk.records); place++ {
-		if failure := desk.Book.Apply(&desk.records[place]); failure != nil {
+func (desk *desk) settle() {
+	for ; desk.applied < len(desk.records); desk.applied++ {
+		if failure := desk.Book.Apply(&desk.records[desk.applied]); failure != nil {
 			desk.test.Fatal(failure)
 		}
 	}
@@ -54,10 +55,13 @@
 	}
 	packed, _ := body.MarshalMsg(nil)
 	desk.Submit(pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed, AtMs: int64(len(desk.records))})
-	desk.settle(len(desk.records) - 1)
+	desk.settle()
 }
 
 func (desk *desk) take(driver string, room int, now watch.Moment) []*Acquisition {
+	if desk.Enter(Driver{Name: driver}) > 0 {
+		desk.settle()
+	}
 	return desk.Acquire(&AcquireAsk{Driver: Driver{Name: driver}, Room: map[string]int{"s": room},
 		Terms: func(lot *Lot) Terms { return Terms{Due: lot.SentMs, Late: desk.terms.Late} }, Service: func(*Item) string { return "s" }}, now)
 }
@@ -130,9 +134,9 @@
 			desk.say("y", pattern.AckRenew, second, "a", ms(4200)) != pattern.AckStopped {
 			test.Fatal("a second output was taken in round ", round)
 		}
-		desk.settle(1 + round)
+		desk.settle()
 	}
-	if len(desk.records) != 2 || len(desk.Book.Lot("l").Listings) != 1 || desk.Counts.Late != 2 {
+	if len(desk.records) != 4 || len(desk.Book.Lot("l").Listings) != 1 || desk.Counts.Late != 2 {
 		test.Fatal(len(desk.records), desk.Counts)
 	}
 	// A later holder answers the repeat the same, from the record.
@@ -189,7 +193,7 @@
 	if next.say("y", pattern.AckRelease, second, "a", ms(4001), failed) != pattern.AckTaken {
 		test.Fatal("not taken")
 	}
-	next.settle(2)
+	next.settle()
 	if item := next.Book.Lot("l").Find("a"); item.State != ItemArchived {
 		test.Fatal("tries answers of 500 did not end it: ", item.State)
 	}
--- a/internal/ledgerbox/drivers.go
+++ b/internal/ledgerbox/drivers.go
@@ -24,6 +24,7 @@
 		dispatcher.drivers[driver.Name] = seen
 		dispatcher.version++
 	}
+	dispatcher.outlived(driver, now)
 	if driver.Life > seen.life {
 		seen.life = driver.Life
 		for _, one := range dispatcher.live {
@@ -63,7 +64,7 @@
 // asker knows it, nor before every driver had the time to speak.
 func (dispatcher *Dispatcher) Drivers(known uint64, now watch.Moment) (uint64, []pattern.DriverAt) {
 	version := dispatcher.epoch<<serialBits | dispatcher.version
-	if version == known || now.Since(dispatcher.unsure.Plus(-dispatcher.Lock)) < 2*almanac.DriverSilent {
+	if version == known || now.Since(dispatcher.taken) < 2*almanac.DriverSilent {
 		return 0, nil
 	}
 	var found []pattern.DriverAt
--- a/internal/locker/dispatch.go
+++ b/internal/locker/dispatch.go
@@ -67,6 +67,13 @@
 			}
 			return ""
 		}}
+	// What it is handed must be known to a later holder before it has it.
+	reign.lock.Lock()
+	entry := reign.dispatcher.Enter(ask.Driver)
+	reign.lock.Unlock()
+	if entry > 0 && !reign.durable(entry, almanac.RoundTime) {
+		return &pattern.Acquired{Elsewhere: true}
+	}
 	for {
 		config, now := reign.locker.Stand.Config(), watch.Now()
 		// A hold that ran out hands nothing out: the next holder counts on it.
@@ -139,6 +146,9 @@
 			reign.freshen()
 		}
 	}
+	if question.Epoch > 0 {
+		reign.dispatcher.Listed(driver, question.Epoch, now)
+	}
 	reign.lock.Unlock()
 	durable := last == 0 || reign.durable(last, almanac.RoundTime)
 	for _, step := range steps {
@@ -176,6 +186,7 @@
 		}
 		if now.Since(looked) >= almanac.ExpirePeriod {
 			looked = now
+			reign.dispatcher.Sure(now)
 			reign.dispatcher.Expire(reign.terms(config), now)
 		}
 	})
--- a/internal/locker/driver.go
+++ b/internal/locker/driver.go
@@ -26,8 +26,10 @@
 	lockSpan watch.Span
 	renewed  watch.Moment
 	renewing bool
-	leaving  bool
-	owned    ownership
+	// shown is the latest epoch whose holder was told all that we hold.
+	shown   uint64
+	leaving bool
+	owned   ownership
 	// drivers is the dispatcher's list, as of a version and a moment.
 	drivers   []pattern.DriverAt
 	version   uint64
@@ -63,6 +65,16 @@
 	return locker.elsewhere().Holder
 }
 
+// holderEpoch is the epoch of the dispatcher, as far as we know.
+func (locker *Locker) holderEpoch() uint64 {
+	if current := locker.current(); current != nil {
+		return current.duty.Epoch
+	}
+	locker.lock.Lock()
+	defer locker.lock.Unlock()
+	return locker.told.Epoch
+}
+
 // acquireLoop keeps as many items as there are places for.
 func (driver *driver) acquireLoop() {
 	stop := driver.locker.Stand.Stop
@@ -117,39 +129,28 @@
 
 // tend places what waits, stops what may not go on, and renews the locks.
 func (driver *driver) tend() {
-	now := watch.Now()
+	now, epoch := watch.Now(), driver.locker.holderEpoch()
 	driver.lock.Lock()
 	driver.halt(driver.core.Lapsed(now))
 	due := !driver.renewing && now.Since(driver.renewed) >= driver.lockSpan/almanac.RenewPart
+	// A new holder is shown at once what we hold.
+	due = due || epoch > driver.shown
 	var entries []pattern.Acknowledgement
 	if due {
 		// With nothing to renew it still says that this driver is there.
 		entries = driver.core.Renewals(now)
+		driver.core.Fence(epoch)
+		driver.shown = max(driver.shown, epoch)
 		driver.renewed = now
 		driver.renewing = true
 	}
 	driver.lock.Unlock()
 	if due {
-		go driver.renew(entries)
+		go driver.renew(entries, epoch)
 	}
 	driver.place()
 }
 
-// renew asks for all locks in one message.
-func (driver *driver) renew(entries []pattern.Acknowledgement) {
-	asked := watch.Now()
-	answer := driver.acknowledge(entries, almanac.CallTime/2)
-	driver.lock.Lock()
-	defer driver.lock.Unlock()
-	driver.renewing = false
-	if answer == nil {
-		// Asked again at once: the duty may have changed hands.
-		driver.renewed = 0
-		return
-	}
-	driver.halt(driver.core.Renewed(entries, answer.Verdicts, asked, driver.lockSpan))
-}
-
 // halt breaks runs off; each sets its item back by itself. The lock is held.
 func (driver *driver) halt(tasks []*apprentice.Task) {
 	for _, task := range tasks {
@@ -166,61 +167,6 @@
 	driver.halt(driver.core.StopLot(lot))
 }
 
-// acknowledge carries a batch to the dispatcher; nil when it was not answered.
-func (driver *driver) acknowledge(entries []pattern.Acknowledgement, span watch.Span) *pattern.Acknowledged {
-	own, holder := driver.locker.Stand.Own, driver.locker.holder()
-	driver.lock.Lock()
-	leaving := driver.leaving
-	driver.lock.Unlock()
-	question := &pattern.Acknowledge{Driver: own.Name, Life: own.Life, Address: own.Address, Hall: own.Hall, Entries: entries,
-		Known: driver.known(), Leaving: leaving}
-	answer := &pattern.Acknowledged{}
-	if holder == own.Address {
-		answer = driver.locker.acknowledge(question)
-	} else if holder == "" || tongs.Ask(driver.locker.Stand.Wire, holder, pattern.KindAcknowledge, question, answer, span) != nil {
-		return nil
-	}
-	if answer.Elsewhere {
-		return nil
-	}
-	driver.listed(answer.Version, answer.Drivers, watch.Now())
-	return answer
-}
-
-// acknowledgeLoop repeats acknowledgements until they are answered.
-func (driver *driver) acknowledgeLoop(bell chan struct{}, gather func() []pattern.Acknowledgement) {
-	stop := driver.locker.Stand.Stop
-	for {
-		select {
-		case <-stop:
-			return
-		case <-bell:
-		case <-watch.After(almanac.AcquireHold):
-		}
-		for {
-			driver.lock.Lock()
-			batch := gather()
-			driver.lock.Unlock()
-			if len(batch) == 0 {
-				break
-			}
-			pause := almanac.AckGather
-			if answer := driver.acknowledge(batch, almanac.RoundTime+almanac.CallTime); answer != nil {
-				driver.lock.Lock()
-				driver.core.Answered(batch, answer.Verdicts)
-				driver.lock.Unlock()
-			} else {
-				pause = almanac.AckPause
-			}
-			select {
-			case <-stop:
-				return
-			case <-watch.After(pause):
-			}
-		}
-	}
-}
-
 // leave gives everything back before the process ends.
 func (driver *driver) leave() {
 	driver.lock.Lock()
--- a/internal/locker/share_driver_test.go
+++ b/internal/locker/share_driver_test.go
@@ -19,6 +19,7 @@
 	asking  bool
 	telling [2]bool
 	renewed watch.Moment
+	shown   uint64
 	pause   watch.Moment
 }
 
@@ -34,7 +35,9 @@
 	if all, _ := driver.core.Count(); all < 4 && !driver.asking {
 		driver.acquire()
 	}
-	if driver.now().Since(driver.renewed) >= lockLength(shareCancel)/4 {
+	due := driver.now().Since(driver.renewed) >= lockLength(shareCancel)/4
+	if yard.holder != nil && (due || yard.holder.epoch > driver.shown) {
+		driver.shown = yard.holder.epoch
 		driver.renew()
 	}
 	driver.tell(0, driver.core.Results())
@@ -94,7 +97,7 @@
 	})
 }
 
-func (driver *simDriver) acknowledge(entries []pattern.Acknowledgement, heard func(verdicts []pattern.AckVerdict)) {
+func (driver *simDriver) acknowledge(entries []pattern.Acknowledgement, epoch uint64, heard func(verdicts []pattern.AckVerdict)) {
 	yard, holder, life, who := driver.yard, driver.yard.holder, driver.life, driver.who()
 	if holder == nil {
 		return
@@ -106,11 +109,15 @@
 		}
 		var verdicts []pattern.AckVerdict
 		last := int64(0)
+		one.Heard(who, yard.clock(holder.at))
 		for place := range entries {
 			step := one.Acknowledge(who, &entries[place], yard.clock(holder.at))
 			verdicts = append(verdicts, step.Verdict)
 			last = max(last, step.Index)
 		}
+		if epoch > 0 {
+			one.Listed(who, epoch, yard.clock(holder.at))
+		}
 		yard.whenDurable(holder, last, 100, func() {
 			yard.send(holder.at, driver.name, driver.at(life, func() { heard(verdicts) }))
 		})
@@ -120,8 +127,13 @@
 func (driver *simDriver) renew() {
 	asked := driver.now()
 	driver.renewed = asked
-	if entries := driver.core.Renewals(asked); len(entries) > 0 {
-		driver.acknowledge(entries, func(verdicts []pattern.AckVerdict) {
+	if driver.yard.holder == nil {
+		return
+	}
+	epoch := driver.yard.holder.epoch
+	driver.core.Fence(epoch)
+	if entries := driver.core.Renewals(asked); true {
+		driver.acknowledge(entries, epoch, func(verdicts []pattern.AckVerdict) {
 			driver.halt(driver.core.Renewed(entries, verdicts, asked, lockLength(shareCancel)))
 		})
 	}
@@ -135,7 +147,7 @@
 	driver.telling[lane] = true
 	life := driver.life
 	driver.yard.world.After(watch.Milliseconds(120), driver.at(life, func() { driver.telling[lane] = false }))
-	driver.acknowledge(batch, func(verdicts []pattern.AckVerdict) {
+	driver.acknowledge(batch, 0, func(verdicts []pattern.AckVerdict) {
 		for place, entry := range batch {
 			if verdicts[place] != pattern.AckTaken {
 				continue
--- a/internal/locker/share_sim_test.go
+++ b/internal/locker/share_sim_test.go
@@ -116,6 +116,11 @@
 		now := yard.clock(yard.holder.at)
 		one.Lapse(now)
 		one.Expire(yard.terms, now)
+		one.Sure(now)
+		if now < one.Taken().Plus(one.Lock) && !one.Unsure(now) && yard.seen[fmt.Sprint("sure", yard.holder.epoch)] == 0 {
+			yard.seen[fmt.Sprint("sure", yard.holder.epoch)] = 1
+			yard.seen["early"]++
+		}
 	}
 	yard.single()
 }
@@ -193,14 +198,6 @@
 	}
 }
 
-// move lets the duty change hands in the middle of everything; all locks go on.
-func (yard *shareYard) move() {
-	if yard.holder != nil {
-		yard.over[yard.holder] = true
-	}
-	yard.takeAny()
-}
-
 // judge compares the last holder's book with all that was seen outside.
 func (yard *shareYard) judge(seed int64) {
 	var ids []string
--- a/internal/locker/share_test.go
+++ b/internal/locker/share_test.go
@@ -63,6 +63,14 @@
 	return yard
 }
 
+// move lets the duty change hands in the middle of everything; all locks go on.
+func (yard *shareYard) move() {
+	if yard.holder != nil {
+		yard.over[yard.holder] = true
+	}
+	yard.takeAny()
+}
+
 // slow makes a machine answer only now and then, as one with a bad disk does.
 func (yard *shareYard) slow(names []string, victim string, times int) {
 	if times == 0 || yard.holder.at == victim {
@@ -115,9 +123,10 @@
 			total["dropped"] += one.Counts.Dropped
 		}
 		total["accepted"] += int64(len(yard.accepted))
+		total["early"] += yard.seen["early"]
 		total["ended"] += int64(len(yard.endAcked))
 	}
-	for name, least := range map[string]int64{"lapses": 3, "adopted": 3, "releases": 10, "failures": 3, "dropped": 1, "accepted": 20, "ended": 1} {
+	for name, least := range map[string]int64{"lapses": 3, "adopted": 3, "releases": 10, "failures": 3, "dropped": 1, "accepted": 20, "ended": 1, "early": 1} {
 		if total[name] < least*seeds/2 {
 			test.Fatalf("too little trouble: %v", total)
 		}
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -162,7 +162,7 @@
 		records = append(records, record)
 	}
 	for _, record := range records {
-		if record.Lot == "" || forgotten[record.Lot] {
+		if forgotten[record.Lot] {
 			continue
 		}
 		if failure := reign.book.Apply(record); failure != nil {
--- a/internal/pattern/dispatch.go
+++ b/internal/pattern/dispatch.go
@@ -81,6 +81,9 @@
 	Known   uint64            `msg:"k"`
 	// Leaving says that the driver will ask no more.
 	Leaving bool `msg:"g"`
+	// Epoch, where not zero, says that the entries are all that the driver holds, and
+	// that it takes nothing of epochs before this one any more.
+	Epoch uint64 `msg:"p"`
 }
 
 // Acknowledged answers entry by entry, ACCEPT and REJECT once they are durable.
--- a/internal/pattern/dispatch_gen.go
+++ b/internal/pattern/dispatch_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Acknowledge) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "d"
-	o = append(o, 0x87, 0xa1, 0x64)
+	o = append(o, 0x88, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Driver)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -38,6 +38,9 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -114,6 +117,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "p":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -132,7 +141,7 @@
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	s += 2 + msgp.StringPrefixSize + len(z.Hall) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -65,6 +65,10 @@
 	RecordForget
 	// RecordFailure: an acquisition of an item ended with a 500, which counts.
 	RecordFailure
+	// RecordDriver: a driver's life may hold acquisitions of this epoch.
+	RecordDriver
+	// RecordSure: no acquisition of an earlier epoch stands that was not adopted.
+	RecordSure
 )
 
 // RouteKind says what may be repeated.
--- a/internal/pattern/kinds_string.go
+++ b/internal/pattern/kinds_string.go
@@ -78,11 +78,13 @@
 	_ = x[RecordEnd-3]
 	_ = x[RecordForget-4]
 	_ = x[RecordFailure-5]
+	_ = x[RecordDriver-6]
+	_ = x[RecordSure-7]
 }
 
-const _RecordKind_name = "RecordNothingRecordLotRecordOutputRecordEndRecordForgetRecordFailure"
+const _RecordKind_name = "RecordNothingRecordLotRecordOutputRecordEndRecordForgetRecordFailureRecordDriverRecordSure"
 
-var _RecordKind_index = [...]uint8{0, 13, 22, 34, 43, 55, 68}
+var _RecordKind_index = [...]uint8{0, 13, 22, 34, 43, 55, 68, 80, 90}
 
 func (i RecordKind) String() string {
 	idx := int(i) - 0
