--- a/internal/ledgerbox/acquire.go
+++ b/internal/ledgerbox/acquire.go
@@ -44,6 +44,9 @@
 // Acquire hands out items by due time, those that can still be in time first, and
 // among those due soonest the ones whose shared prefix the driver had before.
 func (dispatcher *Dispatcher) Acquire(ask *AcquireAsk, now watch.Moment) []*Acquisition {
+	if dispatcher.Enter(ask.Driver) > 0 {
+		return nil
+	}
 	room := 0
 	for _, count := range ask.Room {
 		room += count
@@ -93,11 +96,12 @@
 	due int64
 }
 
-// window gives the free items due soonest, the driver's own prefixes first. An item
-// whose prefix another driver has is left to that one for a moment, so that shared
-// parts are read by few workers.
+// window gives the free items due soonest, the driver's own prefixes first, so
+// that shared parts are read by few workers. No item is kept for a driver: a place
+// that stands empty meanwhile cost more than the reading (measured).
 func (dispatcher *Dispatcher) window(lots []dueLot, driver Driver, limit int, now watch.Moment) []*Item {
-	var own, others []*Item
+	var first, own, others []*Item
+	all := func() []*Item { return append(append(first, own...), others...) }
 	for _, one := range lots {
 		for _, item := range one.lot.Items {
 			if !dispatcher.free(item, now) {
@@ -107,18 +111,20 @@
 				item.seen = now
 			}
 			switch at, known := dispatcher.homes[prefixOf(item)]; {
+			case now.Since(item.seen) >= almanac.HomePatience:
+				// Passed over long enough: the driver that has its prefix may have no room.
+				first = append(first, item)
 			case known && at.driver == driver.Name:
 				own = append(own, item)
-			case known && now.Since(item.seen) < almanac.HomePatience && now.Since(at.at) < almanac.HomeStale:
 			default:
 				others = append(others, item)
 			}
-			if len(own)+len(others) >= limit {
-				return append(own, others...)
+			if len(first)+len(own)+len(others) >= limit {
+				return all()
 			}
 		}
 	}
-	return append(own, others...)
+	return all()
 }
 
 func (dispatcher *Dispatcher) settleHome(item *Item, driver string, now watch.Moment) {
--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -48,10 +48,12 @@
 	order []*Lot
 	// opened holds every lot that still has items to run, and some that no more do.
 	opened []*Lot
+	// entrants are the drivers that may hold acquisitions, with their epoch.
+	entrants map[entrant]uint64
 }
 
 // NewBook makes an empty book.
-func NewBook() *Book { return &Book{lots: map[string]*Lot{}} }
+func NewBook() *Book { return &Book{lots: map[string]*Lot{}, entrants: map[entrant]uint64{}} }
 
 // Lot finds a lot, or nil.
 func (book *Book) Lot(id string) *Lot { return book.lots[id] }
@@ -83,6 +85,10 @@
 				lot.open--
 			}
 		}
+	case pattern.RecordDriver:
+		book.enter(record)
+	case pattern.RecordSure:
+		book.clear(record.Epoch)
 	case pattern.RecordFailure:
 		if lot := book.lots[record.Lot]; lot != nil {
 			if item := lot.Find(record.Item); item != nil {
--- a/internal/ledgerbox/item.go
+++ b/internal/ledgerbox/item.go
@@ -46,7 +46,7 @@
 	closer  uint64
 	closing int64
 	held    *Acquisition
-	// pause is when it may be acquired again; seen is when it was first free.
+	// pause is when it may be acquired again; seen is when it was first found free.
 	pause, seen watch.Moment
 }
 
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -69,6 +69,7 @@
 	go watch.Every(almanac.GossipPeriod/2, reign.stop, reign.tendSet)
 	go watch.Every(almanac.GossipPeriod, reign.stop, reign.forget)
 	go reign.tendItems()
+	go reign.tendLag()
 	reign.tell()
 }
 
@@ -161,7 +162,7 @@
 		records = append(records, record)
 	}
 	for _, record := range records {
-		if record.Lot == "" || forgotten[record.Lot] {
+		if forgotten[record.Lot] {
 			continue
 		}
 		if failure := reign.book.Apply(record); failure != nil {
