A starting foreman tells nobody how many there are until it knows

Cause: a foreman that had just started counted almost nobody; whoever asked it would have shrunk its view to that. Change: no counts and no word on silence while it learns. Test: neither an acknowledged drain nor a count before another foreman's tables; both guards were taken out once and seen red.

--- a/internal/foreman/tables.go
+++ b/internal/foreman/tables.go
@@ -71,6 +71,11 @@
 // addWorkers adds the word on workers to the answer that a process gets: a digest of
 // the table, and who is silent, as far as this foreman can judge.
 func (foreman *Foreman) addWorkers(answer *pattern.Shuffle) {
+	if foreman.learning() {
+		// It knows too few yet to say how many there are, or who is silent.
+		answer.Heads = nil
+		return
+	}
 	judging := foreman.judging()
 	foreman.lock.Lock()
 	defer foreman.lock.Unlock()
