--- a/internal/almanac/views.go
+++ b/internal/almanac/views.go
@@ -50,6 +50,9 @@
 	// together, and BatchesAtOnce how many words that bind may be under way (ours).
 	BatchWindow   = 120 * time.Millisecond
 	BatchesAtOnce = 8
+	// HolderReminder: forges are told of a duty's holder in its first rounds, as many as
+	// this, and then in one of so many (ours).
+	HolderReminder = 8
 	// RelayPatience is how long a foreman may take to say that it tells its hall, and
 	// HallTime how long that may take (ours): then another way is gone. Both, twice,
 	// must fit into the bound above.
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/pattern"
@@ -31,6 +32,7 @@
 	stop       chan struct{}
 	ended      sync.Once
 	serving    bool
+	tells      atomic.Int64
 	lag        ledgerbox.Lag
 }
 
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -180,11 +180,16 @@
 	reign.locker.Stand.Spread(reign.locker.Stand.Live(bellows.RoleLocker), pattern.KindHolderTold, told, almanac.HoldRenewal, nil)
 }
 
-// tell makes known who holds the duty.
+// tell makes known who holds the duty: to lockers each time, since one that does not hear
+// it for a hold's length asks for the duty; to the forges in view while it is news, and
+// then now and then. Whoever was missed learns it by asking any locker.
 func (reign *reign) tell() {
 	if !reign.locker.holds() {
 		return
 	}
-	peers := append(reign.locker.Stand.Live(bellows.RoleForge), reign.locker.Stand.Live(bellows.RoleLocker)...)
+	peers := reign.locker.Stand.Live(bellows.RoleLocker)
+	if count := reign.tells.Add(1); count <= almanac.HolderReminder || count%almanac.HolderReminder == 0 {
+		peers = append(peers, reign.locker.Stand.Live(bellows.RoleForge)...)
+	}
 	reign.locker.Stand.Spread(peers, pattern.KindHolderTold, &pattern.HolderTold{Duty: reign.duty}, almanac.HoldRenewal, nil)
 }
