--- a/internal/bellows/exchange.go
+++ b/internal/bellows/exchange.go
@@ -112,14 +112,14 @@
 }
 
 // Foremen gives the foremen in the order in which the owner reports to them: those of
-// its hall first, those that have just failed last.
+// its hall first, those that have just failed or are silent last.
 func (view *View) Foremen(now watch.Moment) []pattern.Entry {
 	entries := view.All(RoleForeman, now)
 	own := Key(view.own)
 	rank := func(entry pattern.Entry) int {
 		failed, shunned := view.shunned[entry.Address]
 		switch {
-		case entry.Leaving || (shunned && now.Since(failed) < almanac.SilentAfter):
+		case entry.Leaving || (shunned && now.Since(failed) < almanac.SilentAfter) || entry.AgeMs >= almanac.SilentAfter.Milliseconds():
 			return 2
 		case entry.Hall != view.own.Hall:
 			return 1
