--- a/internal/foreman/calls.go
+++ b/internal/foreman/calls.go
@@ -114,7 +114,7 @@
 
 func (foreman *Foreman) retireOpen(writer http.ResponseWriter, request *http.Request) {
 	name := chi.URLParam(request, "node")
-	value, failure := foreman.Register.Read()
+	value, failure := foreman.Register.ReadSets()
 	if failure != nil {
 		reply.Later(writer, http.StatusServiceUnavailable, almanac.RoundTime)
 		return
@@ -155,7 +155,7 @@
 
 func (foreman *Foreman) retireRead(writer http.ResponseWriter, request *http.Request) {
 	name := chi.URLParam(request, "node")
-	value, failure := foreman.Register.Read()
+	value, failure := foreman.Register.ReadSets()
 	if failure != nil {
 		reply.Later(writer, http.StatusServiceUnavailable, almanac.RoundTime)
 		return
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -137,7 +137,7 @@
 	}))
 	stand.Answer(pattern.KindConfigPull, answer(foreman.pulled))
 	stand.Answer(pattern.KindRegisterRead, answer(func(_ *pattern.Nothing) (tongs.Writable, error) {
-		value, failure := foreman.Register.Read()
+		value, failure := foreman.Register.ReadSets()
 		if failure != nil {
 			// The sets last known still help a newcomer to find the acceptors.
 			value = foreman.Register.Known()
--- a/internal/foreman/propose.go
+++ b/internal/foreman/propose.go
@@ -104,10 +104,21 @@
 }
 
 // Read gives the value in force.
-func (register *Register) Read() (pattern.Register, error) {
+func (register *Register) Read() (pattern.Register, error) { return register.read(false) }
+
+// ReadSets gives it without the configuration's body: lockers ask often, and the body
+// would come from each acceptor each time.
+func (register *Register) ReadSets() (pattern.Register, error) {
+	value, failure := register.read(true)
+	value.Body = nil
+	return value, failure
+}
+
+func (register *Register) read(slim bool) (pattern.Register, error) {
 	reading, sends := vise.BeginReading(register.Known())
 	answers := make(chan heard, len(sends))
 	for _, send := range sends {
+		send.Prepare.Slim = slim
 		go register.carry(send, answers)
 	}
 	timer := watch.NewTimer(almanac.RoundTime)
--- a/internal/pattern/members.go
+++ b/internal/pattern/members.go
@@ -60,6 +60,8 @@
 	Ballot Ballot `msg:"b"`
 	Disk   string `msg:"d"`
 	Query  bool   `msg:"q"`
+	// Slim wants a query's answer without the configuration's body.
+	Slim bool `msg:"s"`
 }
 
 // Promise answers Prepare.
--- a/internal/pattern/members_gen.go
+++ b/internal/pattern/members_gen.go
@@ -1444,9 +1444,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Prepare) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "b"
-	o = append(o, 0x83, 0xa1, 0x62)
+	o = append(o, 0x84, 0xa1, 0x62)
 	// map header, size 2
 	// string "c"
 	o = append(o, 0x82, 0xa1, 0x63)
@@ -1460,6 +1460,9 @@
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendBool(o, z.Query)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.Slim)
 	return
 }
 
@@ -1528,6 +1531,12 @@
 				err = msgp.WrapError(err, "Query")
 				return
 			}
+		case "s":
+			z.Slim, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slim")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1542,7 +1551,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Prepare) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Node) + 2 + msgp.StringPrefixSize + len(z.Disk) + 2 + msgp.BoolSize
+	s = 1 + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Node) + 2 + msgp.StringPrefixSize + len(z.Disk) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/vise/acceptor.go
+++ b/internal/vise/acceptor.go
@@ -36,6 +36,9 @@
 	}
 	if question.Query {
 		answer.Granted = true
+		if question.Slim {
+			answer.Value.Body = nil
+		}
 		return answer, false
 	}
 	if Less(question.Ballot, acceptor.state.Promised) {
