--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -39,6 +39,7 @@
 	number   atomic.Uint64
 	met      atomic.Bool
 	shared   sharedRead
+	sets     sharedRead
 	batches  batches
 	begun    watch.Moment
 	server   *http.Server
@@ -137,7 +138,7 @@
 	}))
 	stand.Answer(pattern.KindConfigPull, answer(foreman.pulled))
 	stand.Answer(pattern.KindRegisterRead, answer(func(_ *pattern.Nothing) (tongs.Writable, error) {
-		value, failure := foreman.Register.ReadSets()
+		value, failure := foreman.sets.Read(foreman.Register.ReadSets)
 		if failure != nil {
 			// The sets last known still help a newcomer to find the acceptors.
 			value = foreman.Register.Known()
