--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -17,7 +17,7 @@
 
 // newLabLoad is the command that sends load to lab fleets and checks every answer.
 func newLabLoad() *cobra.Command {
-	options, desks, experiment, format, mix := treadle.NewOptions(), []string{}, "", "table", ""
+	options, desks, experiment, format, mix, picture := treadle.NewOptions(), []string{}, "", "table", "", ""
 	command := &cobra.Command{Use: "load", Args: cobra.NoArgs,
 		Short: "Send requests, streams and lots to a lab fleet, check every answer, and report",
 		Long: "Sends to a fleet that lab up has started (--desk), or starts the fleets of an experiment\n" +
@@ -29,6 +29,7 @@
 	flags.StringSliceVar(&desks, "desk", []string{""}, "desks of the fleets, as lab up prints them (default: the usual one)")
 	flags.StringVar(&experiment, "experiment", "", "file of an experiment (TOML); the other flags of the load are not used then")
 	flags.StringVar(&format, "output", format, "table or json")
+	flags.StringVar(&picture, "plot", "", "draw latency by percentile into this file (.svg, .png or .pdf)")
 	flags.Float64Var(&options.Rate, "rate", options.Rate, "requests a second")
 	flags.Float64Var(&options.LotRate, "lots", options.LotRate, "lots a second; 0 for none")
 	flags.IntVar(&options.Items, "items", options.Items, "items of a lot")
@@ -41,6 +42,11 @@
 		if format != "table" && format != "json" {
 			return coded{exitUnusable, "--output must be table or json"}
 		}
+		if picture != "" {
+			if failure := treadle.CheckPlot(picture); failure != nil {
+				return coded{exitUnusable, oneLine(failure)}
+			}
+		}
 		until, halt := signal.NotifyContext(errand.Background(), syscall.SIGINT, syscall.SIGTERM)
 		defer halt()
 		var results []*treadle.Result
@@ -54,6 +60,12 @@
 		if failure != nil {
 			return coded{exitUnusable, oneLine(failure)}
 		}
+		if picture != "" {
+			if failure = treadle.Plot(picture, results); failure != nil {
+				// The report is worth more than its picture, and still comes.
+				fmt.Fprintln(command.ErrOrStderr(), oneLine(failure))
+			}
+		}
 		return tell(command, results, format)
 	}
 	return command
--- /dev/null
+++ b/internal/treadle/plot_test.go
@@ -0,0 +1,32 @@
+package treadle
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+func TestPlot(test *testing.T) {
+	result := newResult("lab")
+	path := filepath.Join(test.TempDir(), "latency.svg")
+	if Plot(path, []*Result{result}) == nil {
+		test.Fatal("a plot of nothing")
+	}
+	for count := 1; count <= 1000; count++ {
+		result.item(true, time.Duration(count)*time.Millisecond, true)
+	}
+	points := result.kind("batch").line()
+	if len(points) != 9 || points[0].Y < 495 || points[0].Y > 505 || points[8].Y < 990 {
+		test.Fatal("1,000 requests have a half, a quarter and so on to one in 512", points)
+	}
+	if failure := Plot(path, []*Result{result}); failure != nil {
+		test.Fatal(failure)
+	}
+	if state, failure := os.Stat(path); failure != nil || state.Size() < 1000 {
+		test.Fatal(state, failure)
+	}
+	if CheckPlot("x.txt") == nil || Plot(filepath.Join(path, "x.svg"), []*Result{result}) == nil {
+		test.Fatal("a plot that can't be written")
+	}
+}
