--- a/internal/sawhorse/sawhorse_test.go
+++ b/internal/sawhorse/sawhorse_test.go
@@ -1,6 +1,7 @@
 package sawhorse
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,11 @@
 	return folder
 }
 
+// ownNetwork gives addresses that no other run of the tests on this machine has.
+func ownNetwork(number int) string {
+	return fmt.Sprintf("127.%d.%d", 1+(os.Getpid()/10)%250, 10*(os.Getpid()%10)+number%10)
+}
+
 // Every process of every shape gets settings that the daemons take, and no two
 // processes share an address.
 func TestSettingsAreTaken(test *testing.T) {
@@ -88,7 +94,7 @@
 // A busy address is named before anything starts.
 func TestBusyAddressIsNamed(test *testing.T) {
 	plan := NewPlan()
-	plan.Network, plan.Programs = "127.0.211", programs(test, "exec sleep 60")
+	plan.Network, plan.Programs = ownNetwork(211), programs(test, "exec sleep 60")
 	busy := plan.Ingress()[1]
 	listener, failure := net.Listen("tcp4", busy)
 	if failure != nil {
@@ -108,7 +114,7 @@
 // ended by their ids.
 func TestDyingChildEndsTheStart(test *testing.T) {
 	plan := NewPlan()
-	plan.Network, plan.Programs = "127.0.212", programs(test, "exec sleep 60")
+	plan.Network, plan.Programs = ownNetwork(212), programs(test, "exec sleep 60")
 	dying := filepath.Join(plan.Programs, "locker")
 	if failure := os.WriteFile(dying, []byte("#!/bin/sh\necho first words\necho the disk is gone\nexit 3\n"), 0o755); failure != nil {
 		test.Fatal(failure)
@@ -135,7 +141,7 @@
 // A start that is called off ends what it has begun.
 func TestStartThatIsCalledOff(test *testing.T) {
 	plan := NewPlan()
-	plan.Network, plan.Programs = "127.0.213", programs(test, "exec sleep 60")
+	plan.Network, plan.Programs = ownNetwork(213), programs(test, "exec sleep 60")
 	if probe, failure := net.Listen("tcp4", plan.Desk()); failure != nil {
 		test.Skip("this machine has no such address: " + failure.Error())
 	} else {
