--- a/internal/almanac/lab.go
+++ b/internal/almanac/lab.go
@@ -19,6 +19,10 @@
 	AnvilBeatWait = time.Second
 	// AnvilBeatBytes: the largest answer to a call that a worker reads (protocol).
 	AnvilBeatBytes = 4 << 10
+	// AnvilRedirects: 307s that a caller follows (protocol).
+	AnvilRedirects = 2
+	// AnvilWarmupSlow: how many times as long a step takes during the warm-up.
+	AnvilWarmupSlow = 2
 	// AnvilReportAge: a report tells how things stood so long ago (protocol: some
 	// hundred ms).
 	AnvilReportAge = 200 * time.Millisecond
@@ -56,6 +60,21 @@
 	LabDiskMB   = 256
 	// LabBeat: pause between two heartbeats of an emulated worker.
 	LabBeat = time.Second
+	// LabConnLimit: connections to one emulated worker.
+	LabConnLimit = 200
+	// LabPlainWork and LabPlainSlots: a plain request's time on an empty worker, and
+	// how many run at once.
+	LabPlainWork  = 15 * time.Millisecond
+	LabPlainSlots = 6
+	// LabStep and LabStepEach: time of one token, and what each running request adds.
+	// Large enough that a machine's timers keep up with a hundred workers.
+	LabStep     = 4 * time.Millisecond
+	LabStepEach = 500 * time.Microsecond
+	// LabReadPerMs: prompt tokens read in a ms; LabStride: tokens in an event.
+	LabReadPerMs = 100
+	LabStride    = 4
+	// LabWarmup: how long a new life is slow.
+	LabWarmup = 2 * time.Second
 	// LabDrainMs: drain-ms of a fleet's settings.
 	LabDrainMs = 2000
 
@@ -77,6 +96,14 @@
 	LoadLate = 0.3
 	// LoadProgress: pause between two lines of progress.
 	LoadProgress = 5 * time.Second
+	// LoadDigits: significant digits of the histograms.
+	LoadDigits = 3
+	// LoadLotSeed sets the draws of lots apart from those of requests.
+	LoadLotSeed = 7919
+	// LoadPlotSteps: points of a line in a plot, each for half of what the one before
+	// left over; LoadLegendRoom widens the axis for the legend.
+	LoadPlotSteps  = 12
+	LoadLegendRoom = 5
 	// LoadFindings: broken promises that a report names; the others are counted.
 	LoadFindings = 20
 	// LoadDrain: how long a run waits for answers and lots once it has sent everything.
--- a/internal/anvil/beats.go
+++ b/internal/anvil/beats.go
@@ -16,9 +16,6 @@
 // Unheard is the mishap of a call that nobody acknowledged.
 var Unheard = mishap.Define("call not acknowledged")
 
-// redirects is how many 307 a caller follows (protocol).
-const redirects = 2
-
 // Beater registers a worker by its calls.
 type Beater struct {
 	Worker *Worker
@@ -37,7 +34,7 @@
 func NewBeater(worker *Worker, address string, controls []string) *Beater {
 	beater := &Beater{Worker: worker, Address: address, Controls: controls}
 	beater.client = http.Client{Timeout: almanac.AnvilBeatWait, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
-		if len(via) > redirects {
+		if len(via) > almanac.AnvilRedirects {
 			return Unheard.New("redirected too often")
 		}
 		return nil
--- a/internal/anvil/worker.go
+++ b/internal/anvil/worker.go
@@ -45,9 +45,6 @@
 	Revision int64
 }
 
-// warmupSlow is how many times as long a step takes while a worker warms up.
-const warmupSlow = 2
-
 // waiter is what one connection waits for.
 type waiter struct {
 	effects chan Effect
@@ -125,7 +122,7 @@
 func (worker *Worker) pace() {
 	slow := max(worker.faults.Slow, 1)
 	if worker.clock.Now() < worker.warm {
-		slow *= warmupSlow
+		slow *= almanac.AnvilWarmupSlow
 	}
 	shape := worker.Settings.Shape
 	worker.engine.shape.Step, worker.engine.shape.StepEach = watch.Span(float64(shape.Step)*slow), watch.Span(float64(shape.StepEach)*slow)
--- a/internal/sawhorse/crew.go
+++ b/internal/sawhorse/crew.go
@@ -5,7 +5,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"time"
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/anvil"
@@ -13,18 +12,10 @@
 	"lemonarch/internal/watch"
 )
 
-// Figures of the emulated workers; ours, like everything in the lab.
-const (
-	connLimit  = 200
-	plainWork  = 15 * time.Millisecond
-	plainSlots = 6
-	warmup     = 2 * time.Second
-)
-
 // shape is the engine of the fleet's model workers.
 func (plan *Plan) shape() anvil.Shape {
-	return anvil.Shape{Capacity: plan.Capacity, Queue: plan.Capacity / 2, CacheTokens: plan.CacheTokens, ReadPerMs: 100,
-		Step: 4 * time.Millisecond, StepEach: 500 * time.Microsecond, Stride: 4}
+	return anvil.Shape{Capacity: plan.Capacity, Queue: plan.Capacity / 2, CacheTokens: plan.CacheTokens, ReadPerMs: almanac.LabReadPerMs,
+		Step: almanac.LabStep, StepEach: almanac.LabStepEach, Stride: almanac.LabStride}
 }
 
 // place is where one emulated worker stands; its lives follow each other there.
@@ -51,9 +42,9 @@
 				address: plan.host(almanac.LabWorkerHost, len(all), almanac.LabWorkerPort)})
 		}
 	}
-	add("worker", plan.Workers, anvil.Settings{Service: ModelService, Model: ModelName, Shape: plan.shape(), ConnLimit: connLimit, Probe: ProbePath, Revision: 1, Warmup: warmup})
-	add("plain", plan.Plain, anvil.Settings{Service: PlainService, Work: plainWork, ConnLimit: connLimit, Probe: ProbePath,
-		Shape: anvil.Shape{Capacity: plainSlots, Queue: plainSlots}})
+	add("worker", plan.Workers, anvil.Settings{Service: ModelService, Model: ModelName, Shape: plan.shape(), ConnLimit: almanac.LabConnLimit, Probe: ProbePath, Revision: 1, Warmup: almanac.LabWarmup})
+	add("plain", plan.Plain, anvil.Settings{Service: PlainService, Work: almanac.LabPlainWork, ConnLimit: almanac.LabConnLimit, Probe: ProbePath,
+		Shape: anvil.Shape{Capacity: almanac.LabPlainSlots, Queue: almanac.LabPlainSlots}})
 	return all
 }
 
--- a/internal/sawhorse/settings.go
+++ b/internal/sawhorse/settings.go
@@ -95,9 +95,9 @@
 	}
 	shape := plan.shape()
 	body, failure := json.MarshalIndent(object{"generation": 1, "channels": routes, "backends": []object{
-		{"name": ModelService, "probe": ProbePath, "conn-limit": connLimit, "protocol": "h1", "tls": false,
+		{"name": ModelService, "probe": ProbePath, "conn-limit": almanac.LabConnLimit, "protocol": "h1", "tls": false,
 			"engine": object{"capacity": shape.Capacity, "cache-tokens": shape.CacheTokens, "stride": shape.Stride, "models": []object{{"name": ModelName}}}},
-		{"name": PlainService, "probe": ProbePath, "conn-limit": connLimit, "protocol": "h1", "tls": false}},
+		{"name": PlainService, "probe": ProbePath, "conn-limit": almanac.LabConnLimit, "protocol": "h1", "tls": false}},
 		"limits": object{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-wait-ms": 3000, "idle-ms": 15000}}, "", "  ")
 	if failure != nil {
 		// Numbers and texts only: it can't fail.
--- a/internal/treadle/lots.go
+++ b/internal/treadle/lots.go
@@ -15,12 +15,9 @@
 	"lemonarch/internal/watch"
 )
 
-// lotSeed sets the draws of lots apart from those of requests.
-const lotSeed = 7919
-
 // lots sends lots at their rate and follows each.
 func (one *run) lots(until errand.Errand, begun watch.Moment) {
-	random := rand.New(rand.NewSource(one.options.Seed + lotSeed))
+	random := rand.New(rand.NewSource(one.options.Seed + almanac.LoadLotSeed))
 	var group sync.WaitGroup
 	at := 0.0
 	for number := 0; ; number++ {
--- a/internal/treadle/plot.go
+++ b/internal/treadle/plot.go
@@ -9,13 +9,9 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
-)
-
-// steps of a line: each is half of what the one before left over.
-const plotSteps = 12
 
-// legendRoom widens the logarithmic axis for the legend.
-const legendRoom = 5
+	"lemonarch/internal/almanac"
+)
 
 // CheckPlot tells whether a plot can be written under that name.
 func CheckPlot(path string) error {
@@ -30,7 +26,7 @@
 // requests there are to each one that takes longer.
 func (one *Kind) line() plotter.XYs {
 	var points plotter.XYs
-	for step := 1; step <= plotSteps; step++ {
+	for step := 1; step <= almanac.LoadPlotSteps; step++ {
 		left := math.Pow(2, -float64(step))
 		if left*float64(one.times.TotalCount()) < 1 {
 			// Beyond the last request there is nothing to draw.
@@ -74,6 +70,6 @@
 		return Unfit.New("plot: too little was served")
 	}
 	// Room on the right, so that the legend covers no line.
-	picture.X.Max *= legendRoom
+	picture.X.Max *= almanac.LoadLegendRoom
 	return Unfit.Wrap(picture.Save(18*vg.Centimeter, 12*vg.Centimeter, path), "plot")
 }
--- a/internal/treadle/result.go
+++ b/internal/treadle/result.go
@@ -62,8 +62,7 @@
 func (result *Result) kind(name string) *Kind {
 	one := result.kinds[name]
 	if one == nil {
-		const digits = 3
-		one = &Kind{Name: name, times: hdrhistogram.New(1, almanac.LoadTime.Microseconds(), digits)}
+		one = &Kind{Name: name, times: hdrhistogram.New(1, almanac.LoadTime.Microseconds(), almanac.LoadDigits)}
 		result.kinds[name] = one
 		result.Kinds = append(result.Kinds, one)
 		sort.Slice(result.Kinds, func(left, right int) bool { return result.Kinds[left].Name < result.Kinds[right].Name })
