Assignments in the fleet: a register of their own, apply, and planning anew

An operator's rules are to be in force in the fleet before each window. New: named registers beside the configuration (own messages, ballots, sets and file), lemonarch assign apply, which plans at the desk and puts rules and answer in force on exactly what it read, and the shell's assignments. Nodes pull their own part when a foreman they speak with anyway tells of a newer revision, and never go back.

Guards broken once and seen red: older plan on a node, base and generation of the register together, last answer on a collision, name of the register. Two have a second guard behind them and stayed green alone: the base (the generation catches it) and a doubled copy in Verify (the count catches it). No existing test or check was changed.

--- a/cmd/lemonarch/assign.go
+++ b/cmd/lemonarch/assign.go
@@ -23,6 +23,7 @@
 	options := assignOptions{}
 	command := &cobra.Command{Use: "assign FILE", Args: cobra.ExactArgs(1),
 		Short: "Turn placement rules for adapters into assignments to nodes, or name the rules that collide"}
+	command.AddCommand(applyCommand())
 	command.Flags().StringVar(&options.window, "window", "", "plan only this window")
 	command.Flags().StringVar(&options.keep, "keep", "", "an earlier answer (JSON), of which as much stays as can")
 	command.Flags().StringVar(&options.format, "output", "json", "table or json")
--- /dev/null
+++ b/cmd/lemonarch/assign_apply_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/boot"
+	"lemonarch/internal/foreman"
+	"lemonarch/internal/loupe"
+	"lemonarch/internal/tongs"
+	"lemonarch/internal/watch"
+)
+
+// oneForeman is a fleet of one control process on a transport in memory.
+func oneForeman(test *testing.T) (*tongs.Room, *loupe.Loupe) {
+	settings := &boot.Boot{NodeName: "m", Address: "127.0.0.1", Hall: "h", InternalPorts: []int{21100, 21110},
+		Seeds: []string{"127.0.0.1:21000"}, Bootstrap: true, DataDir: test.TempDir(), HeartbeatMs: 1200}
+	process, failure := foreman.New(settings, hclog.NewNullLogger())
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	room := tongs.NewRoom()
+	address := process.Stand.Own.Address
+	process.Stand.Wire = room.Transport(address)
+	if failure = process.Stand.Wire.Serve(process.Stand.Handle); failure != nil {
+		test.Fatal(failure)
+	}
+	glass, failure := loupe.New(room.Transport("desk"), address, watch.Milliseconds(2000))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	return room, glass
+}
+
+func applied(glass *loupe.Loupe, path string) (told, note string, code int, line string) {
+	out, problems := &bytes.Buffer{}, &bytes.Buffer{}
+	if failure := apply(out, problems, glass, path, "json"); failure != nil {
+		code, line = exitUnusable, failure.Error()
+		if one, is := failure.(coded); is {
+			code = one.code
+		}
+	}
+	return out.String(), problems.String(), code, line
+}
+
+func TestApplyThroughAForeman(test *testing.T) {
+	room, glass := oneForeman(test)
+	text, _ := os.ReadFile(exampleRules)
+	change := func(pairs ...string) string {
+		return written(test, "rules.toml", strings.NewReplacer(pairs...).Replace(string(text)))
+	}
+	planned, _, _, _ := called(exampleRules)
+	for range 2 {
+		// The same file once more changes nothing.
+		told, note, code, line := applied(glass, exampleRules)
+		if code != 0 || told != planned || note != "in force: revision=1 generation=4 moves=0\n" {
+			test.Fatal(code, line, note, told)
+		}
+	}
+	if _, _, code, line := applied(glass, change("# Which nodes", "# Nodes that")); code != exitInvalid || !strings.Contains(line, "generation is not above") {
+		test.Fatal(code, line)
+	}
+	// n3 gives its slot up: the reader has to move, and there is nowhere else.
+	told, _, code, _ := applied(glass, change("generation = 4", "generation = 5", "adapter-slots = 1", "adapter-slots = 0"))
+	if code != exitInvalid || !strings.HasPrefix(told, `{"collisions":[`) {
+		test.Fatal(code, told)
+	}
+	// A large node more, first by name: what stands stays all the same.
+	told, note, code, line := applied(glass, change("generation = 4", "generation = 5", `"battery-fault-reader"]`, `"battery-fault-reader"]`+"\n[[nodes]]\nname = \"n0\"\nzone = \"oslo-a\"\nlabels = [\"large\"]\nadapter-slots = 1\n"))
+	if code != 0 || note != "in force: revision=2 generation=5 moves=0\n" || !strings.Contains(told, `"moves":0`) {
+		test.Fatal(code, line, note, told)
+	}
+	var shown bytes.Buffer
+	answers, failure := glass.Ask("assignments")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	loupe.Table(&shown, answers)
+	if !strings.Contains(shown.String(), "bookkeeping-classifier") || !strings.Contains(shown.String(), "next-window") {
+		test.Fatal(shown.String())
+	}
+	room.Cut(glass.Seed, true)
+	if _, _, code, line = applied(glass, exampleRules); code != exitUnusable || strings.Contains(line, "\n") {
+		test.Fatal(code, line)
+	}
+}
+
+func TestApplyUnusable(test *testing.T) {
+	for name, arguments := range map[string][]string{
+		"no seed":      {"apply", exampleRules},
+		"seed no port": {"apply", exampleRules, "--seed", "nowhere"},
+		"no file":      {"apply", "--seed", "127.0.0.1:1"},
+		"format":       {"apply", exampleRules, "--seed", "127.0.0.1:1", "--output", "yaml"},
+	} {
+		if told, _, code, line := called(arguments...); code != exitUnusable || told != "" || line == "" || strings.Contains(line, "\n") {
+			test.Errorf("%s: code %d, %q, %q", name, code, told, line)
+		}
+	}
+}
--- a/internal/foreman/foreman.go
+++ b/internal/foreman/foreman.go
@@ -43,6 +43,7 @@
 	begun    watch.Moment
 	server   *http.Server
 	memory   *memory
+	plans    plans
 }
 
 // New opens the disk and prepares the process.
@@ -66,6 +67,10 @@
 	if failure != nil {
 		return nil, failure
 	}
+	named, failure := openNamed(disk, PlansRegister, first, identity)
+	if failure != nil {
+		return nil, failure
+	}
 	checker, failure := caliper.New()
 	if failure != nil {
 		return nil, failure
@@ -80,9 +85,9 @@
 		told = ""
 	}
 	stand := trestle.New(settings, bellows.RoleForeman, almanac.PortForeman, told, log)
-	register.stand = stand
+	register.stand, named.stand = stand, stand
 	foreman := &Foreman{Stand: stand, Register: register, caliper: checker, roster: roster.New(settings.Heartbeat()),
-		peers: map[string]*peer{}, relays: map[string]*delivery{}, begun: watch.Now(), memory: kept}
+		peers: map[string]*peer{}, relays: map[string]*delivery{}, begun: watch.Now(), memory: kept, plans: plans{register: named}}
 	for _, worker := range workers {
 		foreman.roster.Merge(worker, watch.Now())
 	}
@@ -147,6 +152,8 @@
 	}))
 	stand.Answer(pattern.KindDutyChange, answer(foreman.changeDuty))
 	foreman.tableAnswerers()
+	foreman.namedAnswerers()
+	foreman.planAnswerers()
 }
 
 // Run serves until told to stop.
@@ -159,6 +166,7 @@
 	go foreman.remembering()
 	go watch.Every(almanac.RosterPeriod, stand.Stop, foreman.beatOthers)
 	go watch.Every(almanac.ShufflePeriod, stand.Stop, foreman.tendSet)
+	go watch.Every(almanac.PlanPeriod, stand.Stop, foreman.tendPlans)
 	foreman.server = &http.Server{Addr: stand.Boot.Bind.Control, Handler: foreman.calls(), ReadHeaderTimeout: almanac.BulkCallTime}
 	stand.Log.Info("serving", "control", stand.Boot.Bind.Control, "disk", stand.Own.Disk)
 	failure := foreman.server.ListenAndServe()
@@ -194,6 +202,7 @@
 		if len(foreman.Register.Known().Acceptors) > 0 {
 			if value, failure := foreman.Register.Read(); failure == nil {
 				foreman.chosen(value, false)
+				_, _ = foreman.planRead()
 				return
 			}
 		}
--- a/internal/foreman/propose.go
+++ b/internal/foreman/propose.go
@@ -28,13 +28,15 @@
 		answer.promise, failure = &promise, problem
 	case send.Prepare != nil:
 		answer.promise = &pattern.Promise{}
-		failure = tongs.Ask(register.stand.Wire, send.Member.Address, pattern.KindPrepare, send.Prepare, answer.promise, almanac.RoundTime)
+		kind, question := register.prepare(send.Prepare)
+		failure = tongs.Ask(register.stand.Wire, send.Member.Address, kind, question, answer.promise, almanac.RoundTime)
 	case local:
 		accepted, problem := register.Accept(send.Accept)
 		answer.accepted, failure = &accepted, problem
 	default:
 		answer.accepted = &pattern.Accepted{}
-		failure = tongs.Ask(register.stand.Wire, send.Member.Address, pattern.KindAccept, send.Accept, answer.accepted, almanac.RoundTime)
+		kind, question := register.accept(send.Accept)
+		failure = tongs.Ask(register.stand.Wire, send.Member.Address, kind, question, answer.accepted, almanac.RoundTime)
 	}
 	if failure == nil {
 		answers <- answer
--- a/internal/foreman/register.go
+++ b/internal/foreman/register.go
@@ -25,6 +25,8 @@
 // Register drives the cores of register and holds: it syncs before it answers,
 // and carries proposals to the other acceptors.
 type Register struct {
+	// name is empty for the configuration's register.
+	name     string
 	stand    *trestle.Trestle
 	lock     sync.Mutex
 	acceptor *vise.Acceptor
@@ -38,12 +40,16 @@
 
 // OpenRegister reads the disk; disk names its identity.
 func OpenRegister(disk whetstone.Disk, first []pattern.Member, newIdentity string) (*Register, error) {
+	return openRegister(disk, stoneName, first, newIdentity)
+}
+
+func openRegister(disk whetstone.Disk, file string, first []pattern.Member, newIdentity string) (*Register, error) {
 	state := pattern.AcceptorRecord{}
-	stone, failure := whetstone.Open(disk, stoneName, func(_ int64, body []byte) error {
+	stone, failure := whetstone.Open(disk, file, func(_ int64, body []byte) error {
 		// Each record replaces the one before.
 		next := pattern.AcceptorRecord{}
 		if _, problem := next.UnmarshalMsg(body); problem != nil {
-			return Damaged.Wrap(problem, stoneName)
+			return Damaged.Wrap(problem, file)
 		}
 		state = next
 		return nil
--- a/internal/foreman/tables.go
+++ b/internal/foreman/tables.go
@@ -71,10 +71,10 @@
 // addWorkers adds the word on workers to the answer that a process gets: a digest of
 // the table, and who is silent, as far as this foreman can judge.
 func (foreman *Foreman) addWorkers(answer *pattern.Shuffle) {
-	judging := foreman.judging()
+	judging, plan := foreman.judging(), foreman.planTold().Revision
 	foreman.lock.Lock()
 	defer foreman.lock.Unlock()
-	answer.Workers = foreman.roster.Digest(foreman.Stand.Own.Life)
+	answer.Workers, answer.Plan = foreman.roster.Digest(foreman.Stand.Own.Life), plan
 	if answer.Judging = judging; judging {
 		answer.Overdue = foreman.roster.Overdue(watch.Now())
 	}
@@ -94,6 +94,7 @@
 		since = one.told
 	}
 	word := &pattern.ForemanBeat{Workers: foreman.roster.Digest(foreman.Stand.Own.Life), Beaten: foreman.roster.BeatenSince(since)}
+	word.Plan = foreman.planTold().Revision
 	foreman.lock.Unlock()
 	foreman.Stand.Viewed(func(view *bellows.View) {
 		word.From, word.Processes, word.Met = view.Own(), view.Digest(), view.MetSince(since)
@@ -141,6 +142,7 @@
 func (foreman *Foreman) heardBeat(beat *pattern.ForemanBeat, told watch.Moment) {
 	stand, now, key := foreman.Stand, watch.Now(), bellows.Key(beat.From)
 	stand.Hear([]pattern.Entry{beat.From})
+	go foreman.sawPlan(beat.Plan, beat.From.Address)
 	foreman.lock.Lock()
 	one := foreman.peers[key]
 	if one == nil {
--- a/internal/loupe/loupe.go
+++ b/internal/loupe/loupe.go
@@ -36,6 +36,7 @@
 	"pace":         {[]string{"locker"}, "whether a storage machine is slow now, by its own measure"},
 	"index":        {[]string{"forge", "locker"}, "prefix index and residency downgrades"},
 	"traffic":      {[]string{"forge", "foreman", "locker"}, "messages and bytes by kind, in the own hall and to others"},
+	"assignments":  {[]string{"forge", "foreman", "locker"}, "adapters that each node has in force, and the window that comes next"},
 	"displacement": {[]string{"forge", "locker"}, "displaced, resumed and finished work by route"},
 }
 
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -6,6 +6,7 @@
 //go:generate go tool msgp -o views_gen.go -file views.go -tests=false -io=false
 //go:generate go tool msgp -o lots_gen.go -file lots.go -tests=false -io=false
 //go:generate go tool msgp -o dispatch_gen.go -file dispatch.go -tests=false -io=false
+//go:generate go tool msgp -o plans_gen.go -file plans.go -tests=false -io=false
 //go:generate go tool msgp -o kinds_gen.go -file kinds.go -tests=false -io=false
 //go:generate go tool stringer -type=Kind,Phase,RecordKind,RouteKind,AckKind,AckVerdict -output=kinds_string.go
 
@@ -41,6 +42,11 @@
 	KindAcquire
 	KindAcknowledge
 	KindStopRuns
+	KindNamedPrepare
+	KindNamedAccept
+	KindNamedRead
+	KindPlanPull
+	KindPlanApply
 )
 
 // Phase is a worker's phase.
--- a/internal/pattern/views.go
+++ b/internal/pattern/views.go
@@ -36,6 +36,8 @@
 	Heads   []Headcount `msg:"h"`
 	// Table is the sender's whole directory, in an answer to a pull.
 	Table Digest `msg:"t"`
+	// Plan is the revision of the assignments that a foreman follows.
+	Plan int64 `msg:"v"`
 }
 
 // AgeUnknown stands for an age that can't be told, or for one too large to tell.
@@ -50,6 +52,8 @@
 	// directly since the last word to this foreman.
 	Beaten []uint32 `msg:"b"`
 	Met    []uint32 `msg:"m"`
+	// Plan is the revision of the assignments that the sender follows.
+	Plan int64 `msg:"v"`
 }
 
 // DirectoryPull asks for processes changed after a clock; a Shuffle answers it.
--- a/internal/pattern/views_gen.go
+++ b/internal/pattern/views_gen.go
@@ -140,9 +140,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ForemanBeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
+	o = append(o, 0x86, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -174,6 +174,9 @@
 	for za0002 := range z.Met {
 		o = msgp.AppendUint32(o, z.Met[za0002])
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Plan)
 	return
 }
 
@@ -251,6 +254,12 @@
 					return
 				}
 			}
+		case "v":
+			z.Plan, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Plan")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -265,7 +274,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ForemanBeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Workers.Msgsize() + 2 + z.Processes.Msgsize() + 2 + msgp.ArrayHeaderSize + (len(z.Beaten) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Met) * (msgp.Uint32Size))
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Workers.Msgsize() + 2 + z.Processes.Msgsize() + 2 + msgp.ArrayHeaderSize + (len(z.Beaten) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Met) * (msgp.Uint32Size)) + 2 + msgp.Int64Size
 	return
 }
 
@@ -828,9 +837,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Shuffle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "e"
-	o = append(o, 0x88, 0xa1, 0x65)
+	o = append(o, 0x89, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
 	for za0001 := range z.Entries {
 		o, err = z.Entries[za0001].MarshalMsg(o)
@@ -892,6 +901,9 @@
 		err = msgp.WrapError(err, "Table")
 		return
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Plan)
 	return
 }
 
@@ -1084,6 +1096,12 @@
 				err = msgp.WrapError(err, "Table")
 				return
 			}
+		case "v":
+			z.Plan, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Plan")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1106,6 +1124,6 @@
 	for za0005 := range z.Heads {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Heads[za0005].Role) + 2 + msgp.IntSize
 	}
-	s += 2 + z.Table.Msgsize()
+	s += 2 + z.Table.Msgsize() + 2 + msgp.Int64Size
 	return
 }
--- /dev/null
+++ b/internal/pegboard/pegboard.go
@@ -0,0 +1,93 @@
+// Package pegboard keeps the assignments that a node follows: which adapters hang
+// where, and which window comes next. It has no I/O, and knows nothing of how they
+// were planned.
+package pegboard
+
+import (
+	"strconv"
+	"strings"
+
+	"lemonarch/internal/pattern"
+)
+
+// Board is what one process follows. Its owner guards it.
+type Board struct {
+	told pattern.PlanTold
+}
+
+// Take puts a chosen plan in force, never one that is older than the present one.
+func (board *Board) Take(told pattern.PlanTold) bool {
+	if told.Revision <= board.told.Revision {
+		return false
+	}
+	board.told = told
+	return true
+}
+
+// Told gives what is in force.
+func (board *Board) Told() pattern.PlanTold { return board.told }
+
+// Revision is its number, 0 for none.
+func (board *Board) Revision() int64 { return board.told.Revision }
+
+// Next gives the window that starts next after a minute of the day.
+func Next(windows []pattern.PlanWindow, minute int) (pattern.PlanWindow, bool) {
+	const day = 24 * 60
+	found, best := pattern.PlanWindow{}, day+1
+	for _, window := range windows {
+		start, valid := minuteOf(window.Starts)
+		if !valid {
+			continue
+		}
+		wait := ((start-minute)%day + day) % day
+		if wait == 0 {
+			// It has begun: the next time is tomorrow.
+			wait = day
+		}
+		if wait < best || (wait == best && window.Name < found.Name) {
+			found, best = window, wait
+		}
+	}
+	return found, best <= day
+}
+
+func minuteOf(starts string) (int, bool) {
+	hours, minutes, cut := strings.Cut(starts, ":")
+	hour, wrongHour := strconv.Atoi(hours)
+	minute, wrongMinute := strconv.Atoi(minutes)
+	return hour*60 + minute, cut && wrongHour == nil && wrongMinute == nil
+}
+
+// Status shows what is in force on a node, or on all where node is empty: one row a
+// copy, and one for each collision.
+func Status(told *pattern.PlanTold, node string, minute int) *pattern.Status {
+	status := &pattern.Status{Columns: []string{"revision", "generation", "next-window", "node", "window", "adapter", "state"}}
+	if told.Revision == 0 {
+		return status
+	}
+	coming := "(none)"
+	if window, found := Next(told.Windows, minute); found {
+		coming = window.Name + " " + window.Starts
+	}
+	row := func(node, window, adapter, state string) {
+		status.Rows = append(status.Rows, []string{strconv.FormatInt(told.Revision, 10), strconv.FormatInt(told.Generation, 10),
+			coming, node, window, adapter, state})
+	}
+	for _, line := range told.Collisions {
+		row("", "", "", "COLLISION, the last answer stays in force: "+line)
+	}
+	for _, name := range told.Gone {
+		if node == "" || name == node {
+			row(name, "", "", "gone")
+		}
+	}
+	for _, place := range told.Places {
+		if node == "" || place.Node == node {
+			row(place.Node, place.Window, place.Adapter, "in force")
+		}
+	}
+	if len(status.Rows) == 0 {
+		row(node, "", "", "carries nothing")
+	}
+	return status
+}
--- a/internal/trestle/exchange.go
+++ b/internal/trestle/exchange.go
@@ -94,6 +94,7 @@
 	trestle.view.Answered(question, answer, watch.Now())
 	trestle.lock.Unlock()
 	trestle.sawEntries(answer.Entries)
+	trestle.sawPlan(answer.Plan, address)
 	if trestle.onWord != nil {
 		trestle.onWord(address, answer)
 	}
--- a/internal/trestle/trestle.go
+++ b/internal/trestle/trestle.go
@@ -44,6 +44,7 @@
 	onAnswer  func(answer *pattern.Shuffle)
 	onWord    func(address string, answer *pattern.Shuffle)
 	rounds    int
+	pegs      pegs
 	ended     sync.Once
 }
 
@@ -77,6 +78,7 @@
 	trestle.Report("halls", trestle.reportHalls)
 	trestle.Report("config", trestle.reportSelf)
 	trestle.Report("traffic", trestle.reportTraffic)
+	trestle.Report("assignments", trestle.reportPegs)
 	trestle.learnPlaces([]pattern.Entry{own})
 	return trestle
 }
