--- a/cmd/lemonarch/assign_apply.go
+++ b/cmd/lemonarch/assign_apply.go
@@ -114,5 +114,8 @@
 		moves = *answer.Moves
 	}
 	fmt.Fprintf(complaints, "in force: revision=%d generation=%d moves=%d\n", told.Revision, told.Generation, moves)
+	for _, line := range told.Collisions {
+		fmt.Fprintln(complaints, "collision, the last answer stays in force: "+line)
+	}
 	return tellPlan(writer, answer, nil, format)
 }
--- a/internal/trestle/pegs.go
+++ b/internal/trestle/pegs.go
@@ -24,17 +24,19 @@
 	if !behind {
 		return
 	}
-	go func() {
-		told := &pattern.PlanTold{}
-		failure := tongs.Ask(trestle.Wire, address, pattern.KindPlanPull, &pattern.PlanPull{Node: trestle.Own.Name}, told, almanac.CallTime)
-		trestle.lock.Lock()
-		trestle.pegs.pulling = false
-		taken := failure == nil && trestle.pegs.board.Take(*told)
-		trestle.lock.Unlock()
-		if taken {
-			trestle.Log.Info("assignments taken", "revision", told.Revision, "generation", told.Generation, "copies", len(told.Places))
-		}
-	}()
+	go trestle.pullPlan(address)
+}
+
+func (trestle *Trestle) pullPlan(address string) {
+	told := &pattern.PlanTold{}
+	failure := tongs.Ask(trestle.Wire, address, pattern.KindPlanPull, &pattern.PlanPull{Node: trestle.Own.Name}, told, almanac.CallTime)
+	trestle.lock.Lock()
+	trestle.pegs.pulling = false
+	taken := failure == nil && trestle.pegs.board.Take(*told)
+	trestle.lock.Unlock()
+	if taken {
+		trestle.Log.Info("assignments taken", "revision", told.Revision, "generation", told.Generation, "copies", len(told.Places))
+	}
 }
 
 // Assigned gives what this node carries, for each window.
