--- a/internal/foreman/tables.go
+++ b/internal/foreman/tables.go
@@ -76,10 +76,10 @@
 		answer.Heads = nil
 		return
 	}
-	judging := foreman.judging()
+	judging, plan := foreman.judging(), foreman.planTold().Revision
 	foreman.lock.Lock()
 	defer foreman.lock.Unlock()
-	answer.Workers = foreman.roster.Digest(foreman.Stand.Own.Life)
+	answer.Workers, answer.Plan = foreman.roster.Digest(foreman.Stand.Own.Life), plan
 	if answer.Judging = judging; judging {
 		answer.Overdue = foreman.roster.Overdue(watch.Now())
 	}
@@ -99,6 +99,7 @@
 		since = one.told
 	}
 	word := &pattern.ForemanBeat{Workers: foreman.roster.Digest(foreman.Stand.Own.Life), Beaten: foreman.roster.BeatenSince(since)}
+	word.Plan = foreman.planTold().Revision
 	foreman.lock.Unlock()
 	foreman.Stand.Viewed(func(view *bellows.View) {
 		word.From, word.Processes, word.Met = view.Own(), view.Digest(), view.MetSince(since)
@@ -146,6 +147,7 @@
 func (foreman *Foreman) heardBeat(beat *pattern.ForemanBeat, told watch.Moment) {
 	stand, now, key := foreman.Stand, watch.Now(), bellows.Key(beat.From)
 	stand.Hear([]pattern.Entry{beat.From})
+	go foreman.sawPlan(beat.Plan, beat.From.Address)
 	foreman.lock.Lock()
 	one := foreman.peers[key]
 	if one == nil {
