Pipes that a worker forgot: never under what must not run twice, sent again otherwise

Cause: a worker may forget an idle connection without a word, sooner than it said, and resets whatever travels on it next. An effectful request that met this was lost, and the reset was held against the worker.

What may be repeated goes again at once, to the same worker, on a fresh pipe. Such a reset says nothing about the worker's vitals. On a starved processor, silence is looked at once more before it is called one.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -138,11 +138,14 @@
 	BufferedAnswer = 256 << 10
 	// WorkerDial bounds a connection to a worker: links are short.
 	WorkerDial = 250 * time.Millisecond
-	// SilentWorker is the silence after which a repeatable stream goes on at
-	// another worker: clients give up at two seconds.
+	// SilentWorker is the silence after which a repeatable stream goes on at another
+	// worker until the service has taught what is usual there: clients give up at two
+	// seconds.
 	SilentWorker = 900 * time.Millisecond
-	// SilentPlain is the same for plain requests, in multiples of the aim.
-	SilentPlain = 3
+	// SilentPlain is the same for plain requests, in multiples of the aim, and
+	// SilentPlainLeast its least.
+	SilentPlain      = 3
+	SilentPlainLeast = 250 * time.Millisecond
 	// PipeIdle is how long an idle pipe is kept when the worker names no time.
 	PipeIdle = 4 * time.Second
 	// PipePart is the part of a worker's connections that one node may have, and
--- a/internal/carriage/carriage.go
+++ b/internal/carriage/carriage.go
@@ -157,7 +157,7 @@
 		return 0
 	}
 	if route.Kind() == pattern.RouteIdempotent {
-		return max(almanac.SilentPlain*route.Setpoint(), 250*1_000_000)
+		return max(almanac.SilentPlain*route.Setpoint(), almanac.SilentPlainLeast)
 	}
 	return almanac.SilentWorker
 }
--- a/internal/carriage/courier.go
+++ b/internal/carriage/courier.go
@@ -19,6 +19,8 @@
 	Spoilt = mishap.Define("answer spoilt")
 	// Lost: silence, a reset or a cut after sending.
 	Lost = mishap.Define("answer lost")
+	// Stale: the worker had forgotten the idle pipe; this says nothing about its vitals.
+	Stale = mishap.Define("pipe forgotten")
 )
 
 // Courier carries one request to one worker. Forges and lockers share it.
@@ -36,6 +38,11 @@
 	Text     []byte
 	Until    watch.Moment
 	Patience watch.Span
+	// Impatient decides on a silence longer than Patience, see chisel.Wait.
+	Impatient func(silence watch.Span) bool
+	// Repeatable: it may travel on any idle pipe, and is sent again when its worker has
+	// forgotten that pipe.
+	Repeatable bool
 	// Seal says that a success must carry the worker's stamp.
 	Seal bool
 	// Halt is given the pipe, so that it can be closed from outside.
@@ -48,6 +55,8 @@
 	Pipe   *chisel.Pipe
 	Load   string
 	NotRun bool
+	// Impatient is asked about silences in the stream.
+	Impatient func(silence watch.Span) bool
 }
 
 // surplusLimit is how many answers to earlier requests are read past.
@@ -59,20 +68,9 @@
 	if !courier.Bench.Allowed(grant.Worker.ID, watch.Now()) {
 		return nil, Evidence{}, NotSent.New("worker is leaving")
 	}
-	pipe, failure := courier.Chest.Get(grant.Worker, courier.Budget(grant.Worker))
+	pipe, evidence, failure := courier.send(grant, letter)
 	if failure != nil {
-		return nil, Evidence{}, NotSent.Wrap(failure, grant.Worker.ID)
-	}
-	if letter.Halt != nil {
-		letter.Halt(pipe)
-	}
-	evidence := Evidence{Sent: true}
-	if failure = pipe.Send(letter.Text, letter.Until); failure == nil {
-		failure = pipe.Await(letter.Until, letter.Patience)
-	}
-	if failure != nil {
-		courier.Chest.Drop(pipe)
-		return nil, evidence, Lost.Wrap(failure, grant.Worker.ID)
+		return nil, evidence, failure
 	}
 	for surplus := 0; ; surplus++ {
 		answer, failure := pipe.Answer(letter.Method)
@@ -85,14 +83,14 @@
 			// it belongs to nobody now, and ours comes behind it.
 			_, failure = io.Copy(io.Discard, answer.Body)
 			if failure == nil && surplus < surplusLimit && !answer.Close {
-				if failure = pipe.Await(letter.Until, letter.Patience); failure == nil {
+				if failure = pipe.Await(letter.wait()); failure == nil {
 					continue
 				}
 			}
 			courier.Chest.Drop(pipe)
 			return nil, evidence, Spoilt.New("another request's answer")
 		}
-		delivery := &Delivery{Answer: answer, Pipe: pipe, Load: answer.Header.Get(headerLoad)}
+		delivery := &Delivery{Answer: answer, Pipe: pipe, Impatient: letter.Impatient, Load: answer.Header.Get(headerLoad)}
 		delivery.NotRun = answer.Header.Get(headerNotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
 		if answer.StatusCode < 300 && letter.Seal &&
 			(answer.Header.Get(headerSeal) == "" || answer.Header.Get("Content-Encoding") != "") {
@@ -129,7 +127,7 @@
 	chunked := delivery.Answer.ContentLength < 0
 	for {
 		if chunked {
-			if failure := delivery.Pipe.Await(until, patience); failure != nil {
+			if failure := delivery.Pipe.Await(chisel.Wait{Until: until, Patience: patience, Impatient: delivery.Impatient}); failure != nil {
 				return Lost.Wrap(failure, "stream")
 			}
 		}
--- a/internal/carriage/journey.go
+++ b/internal/carriage/journey.go
@@ -134,13 +134,14 @@
 		own[headerLastEvent] = strconv.FormatInt(one.lastID, 10)
 	}
 	return &Letter{
-		Method:   one.method,
-		Attempt:  one.attempt,
-		Text:     head(one.method, one.request.RequestURI, one.request.Host, one.passed, own, one.body, one.sized),
-		Until:    one.deadline,
-		Patience: one.carriage.patience(one.route, one.repeatable() && one.sent+1 < one.route.Tries),
-		Seal:     true,
-		Halt:     func(pipe *chisel.Pipe) { one.pipe.Store(pipe) },
+		Method:     one.method,
+		Attempt:    one.attempt,
+		Text:       head(one.method, one.request.RequestURI, one.request.Host, one.passed, own, one.body, one.sized),
+		Until:      one.deadline,
+		Patience:   one.carriage.patience(one.route, one.repeatable() && one.sent+1 < one.route.Tries),
+		Repeatable: one.repeatable(),
+		Seal:       true,
+		Halt:       func(pipe *chisel.Pipe) { one.pipe.Store(pipe) },
 	}
 }
 
@@ -155,6 +156,9 @@
 		switch {
 		case one.request.Context().Err() != nil:
 			outcome = workbench.OutcomeCalledOff
+		case mishap.Of(failure, Stale):
+			// The worker forgot an idle pipe: this says nothing about its vitals.
+			outcome = workbench.OutcomeCalledOff
 		case mishap.Of(failure, chisel.Spent):
 			// Nothing is wrong with the worker; we have too many pipes to it.
 			outcome = workbench.OutcomeTurnedAway
--- a/internal/chisel/chisel.go
+++ b/internal/chisel/chisel.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/mishap"
@@ -37,9 +36,16 @@
 	connection net.Conn
 	reader     *bufio.Reader
 	worker     *workerPipes
+	idleSince  watch.Moment
 	idleUntil  watch.Moment
-	Reused     bool
-	closed     atomic.Bool
+	backend    string
+	// Reused tells that it has carried a request before, and Idle how long it then lay
+	// unused.
+	Reused bool
+	Idle   watch.Span
+	closed atomic.Bool
+	// halted: our own side ended it, which says nothing about the worker.
+	halted atomic.Bool
 }
 
 type workerPipes struct {
@@ -52,11 +58,16 @@
 type Chest struct {
 	lock    sync.Mutex
 	workers map[string]*workerPipes
+	safe    map[string]watch.Span
 	Opened  atomic.Int64
+	// Forgot counts idle pipes that turned out to be forgotten by their worker.
+	Forgot atomic.Int64
 }
 
 // NewChest makes an empty one.
-func NewChest() *Chest { return &Chest{workers: map[string]*workerPipes{}} }
+func NewChest() *Chest {
+	return &Chest{workers: map[string]*workerPipes{}, safe: map[string]watch.Span{}}
+}
 
 func (chest *Chest) of(id string) *workerPipes {
 	pipes := chest.workers[id]
@@ -67,33 +78,6 @@
 	return pipes
 }
 
-// Get gives an idle pipe that still looks sound, or opens one within the budget.
-func (chest *Chest) Get(worker pattern.Worker, budget int) (*Pipe, error) {
-	for {
-		chest.lock.Lock()
-		pipes := chest.of(worker.ID)
-		count := len(pipes.idle)
-		if count == 0 {
-			if budget > 0 && pipes.open >= budget {
-				chest.lock.Unlock()
-				return nil, Spent.New(worker.ID)
-			}
-			pipes.open++
-			chest.lock.Unlock()
-			return chest.open(worker, pipes)
-		}
-		// The newest idle one is the least likely to have been closed.
-		pipe := pipes.idle[count-1]
-		pipes.idle = pipes.idle[:count-1]
-		chest.lock.Unlock()
-		if watch.Now() < pipe.idleUntil && pipe.quiet() {
-			pipe.Reused = true
-			return pipe, nil
-		}
-		chest.Drop(pipe)
-	}
-}
-
 func (chest *Chest) open(worker pattern.Worker, pipes *workerPipes) (*Pipe, error) {
 	connection, failure := tongs.Dial(worker.Address, almanac.WorkerDial, almanac.SilentPipe)
 	if failure != nil {
@@ -103,26 +87,7 @@
 		return nil, NoPipe.Wrap(failure, worker.ID)
 	}
 	chest.Opened.Add(1)
-	return &Pipe{connection: connection, reader: bufio.NewReaderSize(connection, 4<<10), worker: pipes}, nil
-}
-
-// quiet tells that an idle pipe neither ended nor holds bytes of nobody's.
-func (pipe *Pipe) quiet() bool {
-	if pipe.reader.Buffered() > 0 {
-		return false
-	}
-	raw, failure := pipe.connection.(*net.TCPConn).SyscallConn()
-	if failure != nil {
-		return false
-	}
-	quiet := false
-	failure = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, problem := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = problem == syscall.EAGAIN || problem == syscall.EWOULDBLOCK
-		return true
-	})
-	return failure == nil && quiet
+	return &Pipe{connection: connection, reader: bufio.NewReaderSize(connection, 4<<10), worker: pipes, backend: worker.Backend}, nil
 }
 
 // Send writes a whole request.
@@ -134,39 +99,6 @@
 	return nil
 }
 
-// Await waits for the next byte. patience is the silence of the whole worker
-// after which it is given up; zero waits until the end.
-func (pipe *Pipe) Await(until watch.Moment, patience watch.Span) error {
-	if pipe.reader.Buffered() > 0 {
-		return nil
-	}
-	begun := watch.Now()
-	for {
-		now := watch.Now()
-		if now >= until {
-			return Silent.New("until the deadline")
-		}
-		wait := until.Since(now)
-		if patience > 0 {
-			// A worker that still speaks on other pipes is slow, not silent.
-			spoke := max(begun, watch.Moment(pipe.worker.heard.Load()))
-			if now.Since(spoke) >= patience {
-				return Silent.New("on every pipe")
-			}
-			wait = min(wait, patience-now.Since(spoke))
-		}
-		_ = pipe.connection.SetReadDeadline(watch.Deadline(wait))
-		if _, failure := pipe.reader.Peek(1); failure == nil {
-			pipe.worker.heard.Store(int64(watch.Now()))
-			// What has begun to come may take until the end.
-			_ = pipe.connection.SetReadDeadline(watch.Deadline(until.Since(watch.Now())))
-			return nil
-		} else if timeout, isNet := failure.(net.Error); !isNet || !timeout.Timeout() {
-			return Broken.Wrap(failure, "read")
-		}
-	}
-}
-
 // Answer reads the head of an answer.
 func (pipe *Pipe) Answer(method string) (*http.Response, error) {
 	for {
@@ -191,7 +123,8 @@
 		// Retire it before the worker does, or a request would meet the end.
 		idle = min(idle, stated*3/5)
 	}
-	pipe.idleUntil = watch.Now().Plus(idle)
+	pipe.idleSince = watch.Now()
+	pipe.idleUntil = pipe.idleSince.Plus(idle)
 	chest.lock.Lock()
 	defer chest.lock.Unlock()
 	pipe.worker.idle = append(pipe.worker.idle, pipe)
@@ -212,6 +145,14 @@
 
 // Close ends the connection from any side, so that a reader wakes up.
 func (pipe *Pipe) Close() {
+	pipe.halted.Store(true)
+	pipe.shut()
+}
+
+// Halted tells that it was our own side that ended the connection.
+func (pipe *Pipe) Halted() bool { return pipe.halted.Load() }
+
+func (pipe *Pipe) shut() {
 	if !pipe.closed.Swap(true) {
 		pipe.connection.Close()
 	}
@@ -219,7 +160,7 @@
 
 // Drop ends a pipe and gives its place in the budget back.
 func (chest *Chest) Drop(pipe *Pipe) {
-	pipe.Close()
+	pipe.shut()
 	chest.lock.Lock()
 	defer chest.lock.Unlock()
 	pipe.worker.open--
--- a/internal/locker/drive.go
+++ b/internal/locker/drive.go
@@ -157,7 +157,7 @@
 		own["Last-Event-Id"] = strconv.FormatInt(item.LastID, 10)
 	}
 	left := item.Lot.SentMs + route.Retain().Milliseconds() - watch.Wall()/1_000_000
-	return &carriage.Letter{Method: http.MethodPost, Attempt: item.ID, Seal: true, Patience: 2 * almanac.SilentWorker,
+	return &carriage.Letter{Method: http.MethodPost, Attempt: item.ID, Seal: true, Repeatable: true, Patience: 2 * almanac.SilentWorker,
 		Text:  carriage.Head(http.MethodPost, item.Path, item.Lot.Host, carriage.Passed(header), own, item.Body),
 		Until: watch.Now().Plus(watch.Milliseconds(float64(max(left, 1000)))),
 		Halt: func(pipe *chisel.Pipe) {
