--- /dev/null
+++ b/internal/gauge/pace_test.go
@@ -0,0 +1,53 @@
+package gauge
+
+import (
+	"math/rand"
+	"testing"
+
+	"lemonarch/internal/watch"
+)
+
+// Silence is judged by what a service has taught, within bounds.
+func TestPaceLearns(test *testing.T) {
+	random := rand.New(rand.NewSource(3))
+	pace := &Pace{}
+	least, most := watch.Milliseconds(40), watch.Milliseconds(900)
+	if pace.Beyond(least, most) != most {
+		test.Fatal("judged before anything was seen")
+	}
+	over := 0
+	for count := 0; count < 1000; count++ {
+		took := 30 + 20*random.Float64()
+		if count > 20 && watch.Milliseconds(took) > pace.Beyond(least, most) {
+			over++
+		}
+		pace.Learn(took)
+	}
+	if beyond := pace.Beyond(least, most); over > 5 || beyond > watch.Milliseconds(100) {
+		test.Fatal(over, beyond)
+	}
+	if pace.Beyond(watch.Milliseconds(300), most) != watch.Milliseconds(300) {
+		test.Fatal("the least does not hold")
+	}
+}
+
+// A service that grows slow as a whole is not left by everybody: the budget runs dry,
+// and the silences teach what has become usual.
+func TestLeavesAreBounded(test *testing.T) {
+	pace := &Pace{}
+	for count := 0; count < 100; count++ {
+		pace.Learn(20)
+	}
+	least, most := watch.Milliseconds(10), watch.Milliseconds(900)
+	before, left := pace.Beyond(least, most), 0
+	for count := 0; count < 200; count++ {
+		if limit := pace.Beyond(least, most); limit < watch.Milliseconds(400) && pace.Spend(limit) {
+			left++
+			continue
+		}
+		pace.Learn(400)
+	}
+	if left > 60 || pace.Beyond(least, most) < 2*before {
+		test.Fatal(left, before, pace.Beyond(least, most))
+	}
+}
