Nobody is full on a guess from few: a worker without evidence of its load isn't refused

Cause: a worker of which nothing is known is taken at the mean of the others. Where one of two workers was known and full, the other was taken for full too, and requests were refused while it stood idle: on a service of few workers one node knows few.

Change: with evidence of no more than half of the workers the mean stays under their places.

Tests: TestNobodyIsFullOnAGuessFromFew (red without the change).

--- a/internal/workbench/reach.go
+++ b/internal/workbench/reach.go
@@ -173,5 +173,10 @@
 	if count == 0 {
 		return 0
 	}
-	return total / count
+	mean := total / count
+	if 2*count <= len(workers) {
+		// Nobody is full on a guess from few: the others may stand behind one that is.
+		mean = min(mean, workers[0].Capacity-1)
+	}
+	return mean
 }
--- a/internal/workbench/reach_test.go
+++ b/internal/workbench/reach_test.go
@@ -137,6 +137,15 @@
 	}
 }
 
+// One full worker of two says little of the other, which must not stand idle.
+func TestNobodyIsFullOnAGuessFromFew(test *testing.T) {
+	one := bench(test, 4, "v", "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("v", 6, 0)}, second(2))
+	if answer, _ := one.Admit(ask(0), nil, second(2)); answer.Verdict != VerdictGranted || answer.Grant.Worker.ID != "w" {
+		test.Fatal("refused while a worker stands idle")
+	}
+}
+
 // A worker of which nothing is known seems neither empty nor full.
 func TestUnknownLoadIsTakenAtTheMean(test *testing.T) {
 	one := bench(test, 4, "v", "w", "x")
