Vitals from outcomes, ejection and trials; silence judged by what a service has taught

Cause: workers that fail part of what they get, or hang, while they look well, and workers that go down and up by turns. A failure counted for 1.2 s whatever the worker did otherwise, a 5xx and a hang of an unresumable stream counted for nothing, a turned-away request taught a first-event time, and a hang was left after 900 ms, when the answer was late for sure.

Change: a decayed rate of failure by kind for each worker, compared with its service's median; ejection for a growing time, never of more than a third of a service; return by one repeatable request at a time; a node's own whole answers go before peers' words. Lives that die without a word at one address hold their successors back. Repeatable work goes on elsewhere after the service's usual time and six mean deviations, within a budget; what must not run twice waits, and its silence is noted meanwhile. Items' 500s and refusals count as such. The risk of a worker is an expected cost now: 4000 ms for any failure sent long prompts away from their warm worker.

Changed test: a call in reach_test.go names the span of ejection, as Failed now takes it.

--- a/internal/almanac/almanac.go
+++ b/internal/almanac/almanac.go
@@ -102,8 +102,6 @@
 	LongReading = 12.0
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
 	FailurePenalty = 4000.0
-	// SuspectFor is how long a failure counts against a worker.
-	SuspectFor = 1200 * time.Millisecond
 )
 
 // Displacement.
--- a/internal/carriage/carriage.go
+++ b/internal/carriage/carriage.go
@@ -144,24 +144,13 @@
 		Setpoint: route.Setpoint(),
 		Deadline: one.deadline,
 	}
+	one.ask.Repeatable = one.repeatable()
 	if route.Affine {
 		one.ask.Prompt = plumbline.ParsePrompt(request.Header.Get(headerModel), request.Header.Get(headerTokens), request.Header.Get(headerPrefix))
 	}
 	return one
 }
 
-// patience is the silence after which a repeatable request goes elsewhere.
-func (carriage *Carriage) patience(route *jig.Route, repeatable bool) watch.Span {
-	if !repeatable {
-		// Silence from a worker gives no reason to end an answer sooner.
-		return 0
-	}
-	if route.Kind() == pattern.RouteIdempotent {
-		return max(almanac.SilentPlain*route.Setpoint(), almanac.SilentPlainLeast)
-	}
-	return almanac.SilentWorker
-}
-
 // Sweep does the upkeep of pipes and queues.
 func (carriage *Carriage) Sweep() {
 	now := watch.Now()
@@ -179,5 +168,8 @@
 		})
 		return gone
 	})
-	bench.Locked(func() { bench.Roster.Forget(now) })
+	bench.Locked(func() {
+		bench.Roster.Forget(now)
+		bench.Gauge.SweepTrust(now)
+	})
 }
--- a/internal/carriage/journey.go
+++ b/internal/carriage/journey.go
@@ -10,7 +10,6 @@
 	"lemonarch/internal/chisel"
 	"lemonarch/internal/errand"
 	"lemonarch/internal/jig"
-	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/reply"
 	"lemonarch/internal/watch"
@@ -138,7 +137,8 @@
 		Attempt:    one.attempt,
 		Text:       head(one.method, one.request.RequestURI, one.request.Host, one.passed, own, one.body, one.sized),
 		Until:      one.deadline,
-		Patience:   one.carriage.patience(one.route, one.repeatable() && one.sent+1 < one.route.Tries),
+		Patience:   grant.Patience(),
+		Impatient:  one.impatient(grant),
 		Repeatable: one.repeatable(),
 		Seal:       true,
 		Halt:       func(pipe *chisel.Pipe) { one.pipe.Store(pipe) },
@@ -152,28 +152,20 @@
 	defer halt()
 	delivery, evidence, failure := courier.Carry(grant, one.letter(grant))
 	if failure != nil {
-		outcome := workbench.OutcomeFailed
-		switch {
-		case one.request.Context().Err() != nil:
-			outcome = workbench.OutcomeCalledOff
-		case mishap.Of(failure, Stale):
-			// The worker forgot an idle pipe: this says nothing about its vitals.
-			outcome = workbench.OutcomeCalledOff
-		case mishap.Of(failure, chisel.Spent):
-			// Nothing is wrong with the worker; we have too many pipes to it.
-			outcome = workbench.OutcomeTurnedAway
-		}
+		outcome := one.outcomeOf(failure)
 		grant.End(outcome, watch.Now())
 		one.carriage.Log.Debug("try failed", "worker", grant.Worker.ID, "why", failure.Error())
 		return one.judge(evidence), false
 	}
-	grant.First(delivery.Load, watch.Now())
-	if delivery.NotRun {
-		return one.turnedAway(grant, delivery)
-	}
-	if delivery.Answer.StatusCode >= 300 {
+	if delivery.NotRun || delivery.Answer.StatusCode >= 300 {
+		// Nothing was read or made for it, so it teaches no usual time.
+		grant.Told(delivery.Load, watch.Now())
+		if delivery.NotRun {
+			return one.turnedAway(grant, delivery)
+		}
 		return one.refusedByWorker(grant, delivery)
 	}
+	grant.First(delivery.Load, watch.Now())
 	if one.kind() == pattern.RouteStreaming {
 		return one.stream(grant, delivery)
 	}
--- a/internal/carriage/refused.go
+++ b/internal/carriage/refused.go
@@ -12,6 +12,9 @@
 func (one *journey) turnedAway(grant *workbench.Grant, delivery *Delivery) (Repeat, bool) {
 	body, whole, failure := one.carriage.Courier.ReadBody(delivery, almanac.BufferedAnswer)
 	outcome := workbench.OutcomeTurnedAway
+	if grant.Shed(delivery.Load) {
+		outcome = workbench.OutcomeShed
+	}
 	if delivery.Answer.StatusCode == http.StatusMisdirectedRequest {
 		// Somebody else answers at this address now.
 		outcome = workbench.OutcomeGoneAway
@@ -35,7 +38,7 @@
 		return one.judge(Evidence{Sent: true}), false
 	}
 	one.finish(delivery)
-	grant.End(workbench.OutcomeServed, watch.Now())
+	grant.End(errored(delivery.Answer.StatusCode), watch.Now())
 	one.last = &workerAnswer{delivery.Answer.StatusCode, delivery.Answer.Header, body}
 	repeat := one.judge(Evidence{Sent: true})
 	if delivery.Answer.StatusCode < 500 {
--- a/internal/carriage/relay.go
+++ b/internal/carriage/relay.go
@@ -69,17 +69,19 @@
 		splitter.Next = one.lastID + 1
 	}
 	flusher, _ := one.writer.(http.Flusher)
-	patience := one.carriage.patience(one.route, one.repeatable() && one.sent+1 < one.route.Tries)
+	patience := grant.GapPatience(watch.Milliseconds(one.route.GapMs))
 	if one.headSent {
 		one.carriage.Counts.Resumed.Add(1)
 	}
 	one.mayYield(grant)
+	pauses := pauses{last: watch.Now()}
 	failure := courier.Stream(delivery, splitter, one.deadline, patience, func(events []byte) error {
 		if !one.headSent {
 			copyBack(one.writer.Header(), delivery.Answer.Header)
 			one.writer.WriteHeader(delivery.Answer.StatusCode)
 			one.headSent = true
 		}
+		pauses.event(watch.Now())
 		if splitter.Started {
 			one.lastID, one.hasEvent = splitter.Last, true
 		}
@@ -97,6 +99,7 @@
 			one.writer.WriteHeader(delivery.Answer.StatusCode)
 		}
 		one.finish(delivery)
+		grant.Paused(pauses.longest)
 		grant.End(workbench.OutcomeServed, watch.Now())
 		one.carriage.Counts.Served.Add(1)
 		if one.wasDisplaced {
@@ -105,7 +108,7 @@
 		return RepeatNever, true
 	}
 	courier.Abandon(delivery)
-	outcome := workbench.OutcomeFailed
+	outcome := one.outcomeOf(failure)
 	if one.displaced.Swap(false) {
 		outcome = workbench.OutcomeCalledOff
 		one.wasDisplaced, one.setBack = true, true
@@ -119,6 +122,20 @@
 	return one.judge(Evidence{Sent: true}), false
 }
 
+// pauses follows the longest pause of one stream.
+type pauses struct {
+	last    watch.Moment
+	longest watch.Span
+	some    bool
+}
+
+func (pauses *pauses) event(now watch.Moment) {
+	if pauses.some {
+		pauses.longest = max(pauses.longest, now.Since(pauses.last))
+	}
+	pauses.last, pauses.some = now, true
+}
+
 // mayYield lets a running stream of a lower rank make room, where it may go on at
 // another worker within the same answer and still end in time. What must not run
 // twice never yields.
--- /dev/null
+++ b/internal/carriage/trouble_test.go
@@ -0,0 +1,130 @@
+package carriage
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/watch"
+	"lemonarch/internal/workbench"
+)
+
+// taught has a service's usual times learnt, so that silence is known by them.
+func taught(test *testing.T, carriage *Carriage, ask workbench.Ask) {
+	for count := 0; count < almanac.PaceLeast; count++ {
+		answer, _ := carriage.Bench.Admit(&ask, nil, watch.Now())
+		if answer.Verdict != workbench.VerdictGranted {
+			test.Fatal(answer.Verdict)
+		}
+		answer.Grant.First("", watch.Now())
+		answer.Grant.Paused(watch.Milliseconds(5))
+		answer.Grant.End(workbench.OutcomeServed, watch.Now())
+	}
+}
+
+// A hang before the first byte: what may be repeated is served elsewhere well inside
+// the time after which clients give up, and the worker that hangs is noted.
+func TestHangBeforeTheFirstByte(test *testing.T) {
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		hold := make(chan struct{})
+		hanging := newStandIn(test, "w1", func(int, *http.Request, net.Conn) { <-hold })
+		good := newStandIn(test, "w2", func(_ int, request *http.Request, connection net.Conn) {
+			if strings.HasPrefix(path, "/stream") {
+				write(connection, streamHead(request)+chunk(event(1))+chunk(event(2))+chunk(""))
+				return
+			}
+			write(connection, wellDone(request, "done"))
+		})
+		server, carriage := edge(test, hanging, good)
+		taught(test, carriage, workbench.Ask{Service: "s", Setpoint: watch.Milliseconds(100), Excluded: []string{"w1"}})
+		begun := watch.Now()
+		answer, body, failure := ask(test, server, path, nil)
+		took := watch.Now().Since(begun)
+		close(hold)
+		if failure != nil || answer.StatusCode != 200 || hanging.seen() != 1 || good.seen() != 1 {
+			test.Fatal(path, answer, body, failure, hanging.seen(), good.seen())
+		}
+		if took > almanac.SilentWorker/2 {
+			test.Fatalf("%s: went on elsewhere only after %v", path, took)
+		}
+		var failures int64
+		carriage.Bench.Locked(func() { _, failures = carriage.Bench.Gauge.Of("w1").Counts() })
+		if failures != 1 {
+			test.Fatal("the hang was not noted once: ", failures)
+		}
+	}
+}
+
+// A hang after some events: the stream goes on elsewhere at the next event.
+func TestHangInTheStream(test *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	hanging := newStandIn(test, "w1", func(_ int, request *http.Request, connection net.Conn) {
+		write(connection, streamHead(request)+chunk(event(1))+chunk(event(2)))
+		<-hold
+	})
+	good := newStandIn(test, "w2", func(_ int, request *http.Request, connection net.Conn) {
+		if request.Header.Get(headerLastEvent) != "2" {
+			test.Error("resumed after ", request.Header.Get(headerLastEvent))
+		}
+		write(connection, streamHead(request)+chunk(event(3))+chunk(""))
+	})
+	server, carriage := edge(test, hanging, good)
+	taught(test, carriage, workbench.Ask{Service: "s", Setpoint: watch.Milliseconds(100), Excluded: []string{"w1"}})
+	answer, body, failure := ask(test, server, "/stream/x", nil)
+	if failure != nil || answer.StatusCode != 200 || body != event(1)+event(2)+event(3) {
+		test.Fatal(answer, body, failure)
+	}
+}
+
+// What must not run twice waits for a slow worker, which is doubted meanwhile.
+func TestHangOfWhatMustNotRunTwice(test *testing.T) {
+	answered := make(chan struct{})
+	slow := newStandIn(test, "w1", func(_ int, request *http.Request, connection net.Conn) {
+		<-answered
+		write(connection, wellDone(request, "late"))
+	})
+	other := newStandIn(test, "w2", func(int, *http.Request, net.Conn) { test.Error("run at a second worker") })
+	server, carriage := edge(test, slow, other)
+	taught(test, carriage, workbench.Ask{Service: "s", Setpoint: watch.Milliseconds(100), Excluded: []string{"w1"}})
+	go func() {
+		// Answers once the silence was noted, however fast this machine is.
+		for suspect := false; !suspect; {
+			<-watch.After(watch.Milliseconds(5))
+			carriage.Bench.Locked(func() { suspect = carriage.Bench.Gauge.Of("w1").Suspect(watch.Now()) })
+		}
+		close(answered)
+	}()
+	answer, body, failure := ask(test, server, "/once/x", nil)
+	if failure != nil || answer.StatusCode != 200 || body != "late" || slow.seen() != 1 {
+		test.Fatal(answer, body, failure, slow.seen())
+	}
+}
+
+// A worker that answers 500 and one that sheds although it has room are noted; a 504 at
+// the deadline and a 4xx are not.
+func TestAnswersThatSpeakAgainstAWorker(test *testing.T) {
+	for text, against := range map[string]bool{
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n":                                                                true,
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n":                                                                true,
+		"HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n":                                                              false,
+		"HTTP/1.1 422 Never\r\nContent-Length: 0\r\n\r\n":                                                             false,
+		"HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nLemonarch-Worker-Load: 6,2,6\r\nContent-Length: 0\r\n\r\n": false,
+		"HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nLemonarch-Worker-Load: 1,0,6\r\nContent-Length: 0\r\n\r\n": true,
+		"HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n":                                 false,
+	} {
+		worker := newStandIn(test, "w1", func(_ int, _ *http.Request, connection net.Conn) { write(connection, text) })
+		good := newStandIn(test, "w2", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "done")) })
+		server, carriage := edge(test, worker, good)
+		if _, _, failure := ask(test, server, "/safe/x", nil); failure != nil {
+			test.Fatal(text, failure)
+		}
+		var failures int64
+		carriage.Bench.Locked(func() { _, failures = carriage.Bench.Gauge.Of("w1").Counts() })
+		if against != (failures > 0) {
+			test.Fatalf("%q: %d failures noted", text, failures)
+		}
+	}
+}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -30,6 +30,7 @@
 // Gauge holds the vitals of all workers.
 type Gauge struct {
 	workers map[string]*Vitals
+	trusts  trustBook
 }
 
 // New makes an empty gauge.
@@ -46,7 +47,10 @@
 }
 
 // Forget drops a worker.
-func (gauge *Gauge) Forget(worker string) { delete(gauge.workers, worker) }
+func (gauge *Gauge) Forget(worker string) {
+	delete(gauge.workers, worker)
+	gauge.Bury(worker)
+}
 
 // Begin notes a request of ours on its way.
 func (vitals *Vitals) Begin(bulk bool, fresh int, now watch.Moment) {
@@ -99,30 +103,41 @@
 // OwnBulk is how many of them are items of lots.
 func (vitals *Vitals) OwnBulk() int { return vitals.bulk }
 
-// Load takes the load header of an answer: running, waiting, slots.
-func (vitals *Vitals) Load(header string, now watch.Moment) {
+// ReadLoad reads a load header: running, waiting, slots.
+func ReadLoad(header string) (busy, slots int, known bool) {
 	fields := strings.Split(header, ",")
 	if len(fields) < 2 {
-		return
+		return 0, 0, false
 	}
 	running, first := strconv.Atoi(strings.TrimSpace(fields[0]))
 	waiting, second := strconv.Atoi(strings.TrimSpace(fields[1]))
 	if first != nil || second != nil {
-		return
+		return 0, 0, false
+	}
+	if len(fields) > 2 {
+		slots, _ = strconv.Atoi(strings.TrimSpace(fields[2]))
+	}
+	return running + waiting, slots, true
+}
+
+// Load takes the load header of an answer.
+func (vitals *Vitals) Load(header string, now watch.Moment) {
+	if busy, _, known := ReadLoad(header); known {
+		vitals.observe(busy, now)
 	}
-	vitals.observe(running+waiting, now)
 }
 
-// Failed notes a reset, a refusal to connect, or silence.
-func (vitals *Vitals) Failed(now watch.Moment) {
+// Failed notes a failure; peers are told of it while the worker is ejected here.
+func (vitals *Vitals) Failed(ejected watch.Span, now watch.Moment) {
 	vitals.failures++
-	vitals.suspectUntil = now.Plus(almanac.SuspectFor)
+	if ejected > 0 {
+		vitals.suspectUntil = now.Plus(ejected)
+	}
 }
 
 // Answered notes an answer that came as it should.
 func (vitals *Vitals) Answered(took watch.Span) {
 	vitals.answers++
-	vitals.suspectUntil = 0
 	milliseconds := watch.ToMilliseconds(took)
 	if vitals.tookMs == 0 {
 		vitals.tookMs = milliseconds
@@ -130,9 +145,14 @@
 	vitals.tookMs += 0.1 * (milliseconds - vitals.tookMs)
 }
 
-// Suspect tells whether the worker has just failed, here or at several peers.
+// Suspect tells whether the worker is ejected here, or told of by peers.
 func (vitals *Vitals) Suspect(now watch.Moment) bool {
-	return now < vitals.suspectUntil || vitals.suspected(now)
+	return now < vitals.suspectUntil || vitals.Told(now)
+}
+
+// Told tells whether several peers have ejected the worker.
+func (vitals *Vitals) Told(now watch.Moment) bool {
+	return vitals.suspected(now)
 }
 
 // TookMs is the usual time of an answer.
--- a/internal/jointer/jointer.go
+++ b/internal/jointer/jointer.go
@@ -43,6 +43,7 @@
 	jointer.Bench.OnPressure(jointer.press)
 	stand.Answer(pattern.KindReading, jointer.reads)
 	jointer.Bench.OnReading(jointer.tellReading)
+	jointer.Bench.OnEjection(jointer.logEjection)
 	jointer.reports()
 	stand.OnConfig(func(config *jig.Config) { jointer.Bench.SetConfig(config) })
 	return jointer
--- a/internal/jointer/report.go
+++ b/internal/jointer/report.go
@@ -20,7 +20,7 @@
 }
 
 func (jointer *Jointer) reportWorkers() *pattern.Status {
-	status := &pattern.Status{Columns: []string{"worker", "service", "hall", "phase", "standing", "heard-ms", "live", "items", "running", "capacity", "suspect", "answers", "failures"}}
+	status := &pattern.Status{Columns: []string{"worker", "service", "hall", "phase", "standing", "heard-ms", "live", "items", "running", "capacity", "suspect", "answers", "failures", "trust"}}
 	now := watch.Now()
 	standings := map[roster.Standing]string{roster.StandingGood: "good", roster.StandingSuspect: "suspect", roster.StandingOut: "out"}
 	bench := jointer.Bench
@@ -31,7 +31,7 @@
 			status.Rows = append(status.Rows, []string{worker.ID, worker.Backend, worker.Hall, worker.Phase.String(),
 				standings[bench.Roster.Standing(worker.ID, now, true)], number(worker.AgeMs), number(vitals.Own() - vitals.OwnBulk()),
 				number(vitals.OwnBulk()), number(vitals.Running(now)), number(worker.Capacity), strconv.FormatBool(vitals.Suspect(now)),
-				number(answers), number(failures)})
+				number(answers), number(failures), bench.TrustWord(worker, now)})
 		}
 	})
 	return status
--- a/internal/locker/drive.go
+++ b/internal/locker/drive.go
@@ -24,15 +24,20 @@
 	delivery, evidence, failure := courier.Carry(grant, letter)
 	if failure != nil {
 		outcome := workbench.OutcomeFailed
-		if mishap.Of(failure, chisel.Spent) {
+		switch {
+		case mishap.Of(failure, chisel.Spent):
 			outcome = workbench.OutcomeTurnedAway
+		case mishap.Of(failure, chisel.NoPipe):
+			outcome = workbench.OutcomeRefused
+		case mishap.Of(failure, chisel.Silent):
+			outcome = workbench.OutcomeSilent
 		}
 		driver.release(route, task, grant, outcome, pattern.Acknowledgement{Unbegun: !evidence.Sent}, failure.Error())
 		return
 	}
-	grant.First(delivery.Load, watch.Now())
 	status := delivery.Answer.StatusCode
 	if delivery.NotRun || status >= 300 {
+		grant.Told(delivery.Load, watch.Now())
 		_, whole, failure := courier.ReadBody(delivery, almanac.BufferedAnswer)
 		driver.letGo(task)
 		if failure == nil && whole {
@@ -43,6 +48,7 @@
 		driver.refused(route, task, grant, delivery.NotRun, status)
 		return
 	}
+	grant.First(delivery.Load, watch.Now())
 	ring(driver.bell)
 	driver.place()
 	splitter := &carriage.Splitter{}
@@ -98,7 +104,7 @@
 		grant.End(workbench.OutcomeServed, watch.Now())
 		driver.done(task, pattern.Acknowledgement{Kind: pattern.AckReject})
 	case status == http.StatusInternalServerError:
-		driver.release(route, task, grant, workbench.OutcomeServed, pattern.Acknowledgement{Failed: true}, "worker failed")
+		driver.release(route, task, grant, workbench.OutcomeErrored, pattern.Acknowledgement{Failed: true}, "worker failed")
 	default:
 		driver.release(route, task, grant, workbench.OutcomeFailed, pattern.Acknowledgement{}, "unexpected status "+strconv.Itoa(status))
 	}
--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -33,6 +33,7 @@
 	// The lists are used again by the next placement: all of it is under the lock.
 	workers, candidates := bench.scratch.workers[:0], bench.scratch.candidates[:0]
 	known, open := 0, 0
+	apart := bench.apart(ask, among, now)
 	// The suspects are asked only where nobody else can be.
 	for _, worst := range []roster.Standing{roster.StandingGood, roster.StandingSuspect} {
 		for _, worker := range among {
@@ -46,7 +47,7 @@
 			if !vitals.Known(now) {
 				running = max(running, neutral)
 			}
-			suspect := vitals.Suspect(now) || standing == roster.StandingSuspect
+			suspect := bench.suspect(worker, standing, apart, now)
 			if suspect && worst == roster.StandingGood {
 				continue
 			}
@@ -69,6 +70,7 @@
 			if worker.WarmupMs > 0 {
 				candidate.RiskMs += float64(worker.WarmupMs) / 10
 			}
+			candidate.RiskMs += bench.risk(ask, worker, now)
 			if suspect {
 				candidate.RiskMs += almanac.FailurePenalty
 			}
@@ -101,6 +103,9 @@
 		grant.Fresh = bench.Index.Placed(&ask.Prompt, worker.ID, now)
 	}
 	vitals.Begin(ask.Bulk, grant.Fresh, now)
+	if grant.engine = engine; engine {
+		grant.reading = watch.Milliseconds(float64(max(vitals.Pending(), 0))/bench.Index.Rate()) + vitals.PeersReading(now)
+	}
 	if reading := float64(grant.Fresh) / bench.Index.Rate(); engine && reading > almanac.LongReading && bench.tellReading != nil {
 		bench.tellReading(worker.ID, reading)
 	}
@@ -159,6 +164,7 @@
 	grant.read = true
 	vitals.Read(grant.Fresh)
 	vitals.Answered(now.Since(grant.begun))
+	bench.pace(grant.Worker.Backend).first.Learn(watch.ToMilliseconds(max(now.Since(grant.begun)-grant.reading, 0)))
 	if grant.ask.Affine {
 		bench.Index.FirstEvent(&grant.ask.Prompt, grant.Worker.ID, grant.Fresh, now.Since(grant.begun), grant.alone, now)
 	}
@@ -170,8 +176,16 @@
 // The outcomes.
 const (
 	OutcomeServed Outcome = iota
-	// OutcomeFailed: reset, silence, spoilt bytes.
+	// OutcomeFailed: reset, cut, spoilt bytes.
 	OutcomeFailed
+	// OutcomeRefused: no connection came up; nothing was sent.
+	OutcomeRefused
+	// OutcomeSilent: silence for a multiple of the usual time.
+	OutcomeSilent
+	// OutcomeErrored: the worker's own 5xx.
+	OutcomeErrored
+	// OutcomeShed: turned away although its own word leaves room.
+	OutcomeShed
 	// OutcomeTurnedAway: the worker was full.
 	OutcomeTurnedAway
 	// OutcomeGoneAway: another service answers at that address.
@@ -192,14 +206,12 @@
 		vitals.Read(grant.Fresh)
 	}
 	vitals.End(grant.ask.Bulk, now)
+	bench.judge(grant, outcome, now)
 	switch outcome {
-	case OutcomeFailed:
-		vitals.Failed(now)
-	case OutcomeTurnedAway:
+	case OutcomeTurnedAway, OutcomeShed:
 		// It is full whatever we believed: let others be asked for a moment.
 		vitals.Full(grant.Worker.Capacity, now)
 	case OutcomeGoneAway:
-		vitals.Failed(now)
 		bench.Index.Drop(grant.Worker.ID)
 	case OutcomeServed:
 		bench.finished(grant.ask.Service, now)
--- a/internal/workbench/reach_test.go
+++ b/internal/workbench/reach_test.go
@@ -97,7 +97,7 @@
 		test.Fatal("placed at ", answer.Grant.Worker.ID)
 	}
 	failed := one.subset("s", one.Roster.Named("s"), second(2))[0].ID
-	one.Locked(func() { one.Gauge.Of(failed).Failed(second(4)) })
+	one.Locked(func() { one.Gauge.Of(failed).Failed(almanac.EjectFor, second(4)) })
 	for _, worker := range one.subset("s", one.Roster.Named("s"), second(4)) {
 		if worker.ID == failed {
 			test.Fatal("a failing worker stays in the subset")
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -17,12 +17,14 @@
 
 // Ask is a request that wants a worker.
 type Ask struct {
-	Service  string
-	Prompt   plumbline.Prompt
-	Affine   bool
-	Bulk     bool
-	Priority int
-	Setpoint watch.Span
+	Service string
+	Prompt  plumbline.Prompt
+	Affine  bool
+	Bulk    bool
+	// Repeatable: it may be sent to another worker if this one fails.
+	Repeatable bool
+	Priority   int
+	Setpoint   watch.Span
 	// Deadline is when the client stops waiting; Patience when we stop queueing.
 	Deadline watch.Moment
 	Patience watch.Moment
@@ -32,18 +34,6 @@
 	arrived watch.Moment
 }
 
-// Grant is an entry to a worker.
-type Grant struct {
-	Worker pattern.Worker
-	Fresh  int
-	ask    *Ask
-	begun  watch.Moment
-	read   bool
-	bench  *Workbench
-	alone  bool
-	number int64
-}
-
 // Verdict is how an ask came out.
 type Verdict int
 
@@ -89,10 +79,12 @@
 	tell      func(words []pattern.Pressure)
 	toldAt    watch.Moment
 	// tellReading must not block: it is called under the lock.
-	tellReading func(worker string, milliseconds float64)
-	gossip      gossipState
-	subsets     map[string]subset
-	scratch     scratch
+	tellReading  func(worker string, milliseconds float64)
+	gossip       gossipState
+	subsets      map[string]subset
+	scratch      scratch
+	tellEjection func(Ejection)
+	paces        map[string]*paces
 	// waits speaks when something begins to wait.
 	waits     chan struct{}
 	number    int64
@@ -145,6 +137,7 @@
 	bench.lock.Lock()
 	bench.Listening(now)
 	for _, worker := range workers {
+		bench.born(worker, now)
 		bench.Roster.Merge(worker, now)
 		if worker.Phase == pattern.PhaseGone {
 			bench.Gauge.Forget(worker.ID)
