--- a/internal/gauge/apart.go
+++ b/internal/gauge/apart.go
@@ -25,8 +25,9 @@
 		return 0
 	}
 	next := birth{worker: worker, service: service, at: now}
-	// An address may be given to another service: its past is another's.
-	if found && known.service == service && !orderly && now.Since(known.at) < almanac.FlapWindow {
+	// An address may be given to another service: its past is another's. Lives heard of
+	// in one word, as when a process starts, tell nothing of who died.
+	if found && known.service == service && !orderly && now > known.at && now.Since(known.at) < almanac.FlapWindow {
 		next.died = known.died + 1
 	}
 	gauge.trusts.births[address] = next
--- a/internal/gauge/trust_test.go
+++ b/internal/gauge/trust_test.go
@@ -215,6 +215,12 @@
 	if gauge.Born("other", "t", "a:1", false, now) != 0 {
 		test.Fatal("another service's past counts")
 	}
+	atOnce := New()
+	for life := 0; life < 6; life++ {
+		if atOnce.Born(fmt.Sprint("life", life), "s", "a:1", false, now) != 0 {
+			test.Fatal("lives told of in one word count as deaths")
+		}
+	}
 	orderly := New()
 	for life := 0; life < 6; life++ {
 		if orderly.Born(fmt.Sprint("life", life), "s", "a:1", true, now) != 0 {
