--- a/internal/almanac/vitals.go
+++ b/internal/almanac/vitals.go
@@ -22,6 +22,9 @@
 	// elsewhere, and FailureCostOnce where it can't (ours).
 	FailureCost     = 300.0
 	FailureCostOnce = 1200.0
+	// RiskFloor is the rate of failure, over the usual, that costs nothing (ours): one
+	// short silence must not send a long prompt away from the worker that holds it.
+	RiskFloor = 0.12
 	// EjectRate is the rate of failure above which a worker may be ejected, and
 	// EjectOver how many times its service's median it must be (ours).
 	EjectRate = 0.2
--- a/internal/workbench/vitals.go
+++ b/internal/workbench/vitals.go
@@ -111,7 +111,7 @@
 	if ask.Repeatable || ask.Bulk {
 		cost = almanac.FailureCost
 	}
-	return cost * max(0, bench.Gauge.Trust(worker.ID, worker.Backend).Rate(usual, now)-usual)
+	return cost * max(0, bench.Gauge.Trust(worker.ID, worker.Backend).Rate(usual, now)-usual-almanac.RiskFloor)
 }
 
 // TrustWord says in a word for the shell how a worker is trusted here: its rate of
