Old words of load fade, and a full worker is looked at after one stay

Cause: all nodes hear the same words, and a short request's worker has forgotten its load long before a word is a second old. So nodes went where all others went; and a worker told as full got nothing, and so told nothing new, until the age limit. Now the load of a plain worker fades to the mean with the usual stay of a request, one live request at a time may look at a full one after a stay (350 ms at least), and among equals each node adds a small spread of its own. Items take no such chance.

Broken in turn and seen red: full for ever, items look too, stay ignored, no fading, no spread, lists of workers kept over a change (that test is new), two looking at once.

--- a/internal/almanac/gossip.go
+++ b/internal/almanac/gossip.go
@@ -41,6 +41,12 @@
 
 // What a process of a large fleet weighs.
 const (
+	// FullFor is how long it counts at least that a worker was full (ours): a few
+	// requests' length.
+	FullFor = 350 * time.Millisecond
+	// SpreadMs is the random part of a plain worker's score (ours): less than the 2 ms
+	// that another hall costs.
+	SpreadMs = 1.0
 	// ReachWhole is the number of a service's workers up to which a node weighs them
 	// all; ReachSubset is how many it weighs of more, and ReachHomes how many homes and
 	// holders of a long prefix beside these (ours).
--- a/internal/gauge/peers.go
+++ b/internal/gauge/peers.go
@@ -14,10 +14,6 @@
 // observation by what we have begun and ended since (ours).
 const ownSteps = 8
 
-// fullFor is how long a worker that turned us away counts as full here (ours): a few
-// requests' length.
-const fullFor = 350 * 1_000_000
-
 // suspectsLimit bounds whose suspicions are remembered (ours): the neighbours'.
 const suspectsLimit = 16
 
@@ -77,7 +73,7 @@
 	if vitals.fresh(now) {
 		count = max(count, vitals.seen.count+own-vitals.seen.own)
 	}
-	if vitals.full.known && now.Since(vitals.full.at) < fullFor {
+	if vitals.full.known && now.Since(vitals.full.at) < almanac.FullFor {
 		count = max(count, vitals.full.count+own-vitals.full.own)
 	}
 	return count
@@ -86,6 +82,9 @@
 // Known tells whether there is evidence of the worker's load.
 func (vitals *Vitals) Known(now watch.Moment) bool { return vitals.fresh(now) }
 
+// Age is how old that evidence is.
+func (vitals *Vitals) Age(now watch.Moment) watch.Span { return now.Since(vitals.seen.at) }
+
 // Word is what we tell peers of the worker: the freshest observation, whoever made
 // it, and our own trust. told is false when there is nothing to tell.
 func (vitals *Vitals) Word(now watch.Moment) (word pattern.LoadWord, told bool) {
--- /dev/null
+++ b/internal/roster/lists_test.go
@@ -0,0 +1,37 @@
+package roster
+
+import (
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// The kept lists follow each change of the table.
+func TestKeptListsFollowTheTable(test *testing.T) {
+	table := New(1_200_000_000)
+	expect := func(what string, named, entries int) {
+		test.Helper()
+		if got := len(table.Named("s")); got != named {
+			test.Errorf("%s: %d of the service, want %d", what, got, named)
+		}
+		if got := len(table.Entries()); got != entries {
+			test.Errorf("%s: %d in all, want %d", what, got, entries)
+		}
+	}
+	expect("empty", 0, 0)
+	table.Merge(pattern.Worker{ID: "v", Backend: "s", Count: 1}, 1)
+	expect("one", 1, 1)
+	table.Merge(pattern.Worker{ID: "w", Backend: "s", Count: 1}, 1)
+	expect("two", 2, 2)
+	table.Merge(pattern.Worker{ID: "w", Backend: "s", Count: 2, Phase: pattern.PhaseDraining}, 2)
+	expect("one drains", 1, 2)
+	table.Merge(pattern.Worker{ID: "v", Backend: "t", Count: 2}, 2)
+	expect("one serves another", 0, 2)
+	if entries := table.Entries(); entries[0].ID != "v" || entries[0].Backend != "t" || entries[1].ID != "w" {
+		test.Error(entries)
+	}
+	table.Forget(watch.Moment(2).Plus(2 * almanac.ForgetAfter))
+	expect("forgotten", 0, 0)
+}
--- /dev/null
+++ b/internal/workbench/stale_test.go
@@ -0,0 +1,91 @@
+package workbench
+
+import (
+	"testing"
+
+	"lemonarch/internal/almanac"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
+)
+
+// That a worker was full holds for about one stay: then somebody must look, or no new
+// word would ever come from it. Items wait for one.
+func TestFullHoldsForOneStay(test *testing.T) {
+	one := bench(test, 4, "w")
+	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, second(10))
+	if answer, _ := one.Admit(ask(0), nil, second(10).Plus(almanac.FullFor)); answer.Verdict == VerdictGranted {
+		test.Fatal("placed on a worker that was full a moment ago")
+	}
+	later := second(10).Plus(almanac.FullFor) + 1
+	if answer, _ := one.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, later); answer.Verdict == VerdictGranted {
+		test.Fatal("an item took the chance")
+	}
+	if answer, _ := one.Admit(ask(0), nil, later); answer.Verdict != VerdictGranted {
+		test.Fatal("nobody looks whether it is still full")
+	}
+	if answer, _ := one.Admit(ask(0), nil, later+1); answer.Verdict == VerdictGranted {
+		test.Fatal("a second one looks before the first has seen anything")
+	}
+	// Where requests stay long, it holds for longer.
+	slow := bench(test, 100, "v")
+	for count := 0; count < 20; count++ {
+		answer, _ := slow.Admit(ask(0), nil, second(10))
+		answer.Grant.End(OutcomeServed, second(10).Plus(2*almanac.GossipPeriod))
+	}
+	slow.Heard(&pattern.Gossip{From: "forge/x", Loads: load("v", 200, 0)}, second(20))
+	if answer, _ := slow.Admit(ask(0), nil, second(21)); answer.Verdict == VerdictGranted {
+		test.Fatal("a worker of long requests is not empty after a second")
+	}
+}
+
+// An old word says little more than the mean: it draws nobody to another hall.
+func TestOldWordsDrawNobody(test *testing.T) {
+	one := bench(test, 6, "v")
+	one.Merge([]pattern.Worker{{ID: "a", Backend: "s", Address: "a", Hall: "elsewhere", Capacity: 6, Count: 1}}, 1)
+	for count := 0; count < 40; count++ {
+		answer, _ := one.Admit(ask(0), nil, second(5))
+		answer.Grant.First("", second(5).Plus(watch.Milliseconds(60)))
+		answer.Grant.End(OutcomeServed, second(5).Plus(watch.Milliseconds(60)))
+	}
+	hear := func(now watch.Moment) {
+		loads := append(load("v", 4, 0), load("a", 0, 0)[1:]...)
+		one.Heard(&pattern.Gossip{From: "forge/x", Loads: loads}, now)
+	}
+	at := func(now watch.Moment) string {
+		answer, _ := one.Admit(ask(0), nil, now)
+		answer.Grant.End(OutcomeCalledOff, now)
+		return answer.Grant.Worker.ID
+	}
+	hear(second(10))
+	if at(second(10)) != "a" {
+		test.Fatal("a fresh word was not followed")
+	}
+	if at(second(10).Plus(watch.Milliseconds(900))) != "v" {
+		test.Fatal("a word fifteen requests old still sends everybody to another hall")
+	}
+}
+
+// Among equals not every node chooses the same, and each repeats itself.
+func TestEqualsAreSpread(test *testing.T) {
+	first := map[string]int{}
+	for place := 0; place < 40; place++ {
+		pick := func() string {
+			one := New(pattern.Entry{Name: string(rune('a' + place)), Role: "forge", Hall: "h"}, 1_200_000_000)
+			var list []pattern.Worker
+			for _, name := range []string{"v", "w", "x", "y"} {
+				list = append(list, pattern.Worker{ID: name, Backend: "s", Hall: "h", Capacity: 4, Count: 1})
+			}
+			one.Merge(list, 1)
+			answer, _ := one.Admit(ask(0), nil, 2)
+			return answer.Grant.Worker.ID
+		}
+		once := pick()
+		if once != pick() {
+			test.Fatal("a node does not repeat itself")
+		}
+		first[once]++
+	}
+	if len(first) != 4 {
+		test.Fatal("all nodes choose alike: ", first)
+	}
+}
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -93,6 +93,7 @@
 	gossip      gossipState
 	subsets     map[string]subset
 	scratch     scratch
+	spreading   uint64
 	// waits speaks when something begins to wait.
 	waits     chan struct{}
 	number    int64
