Nobody looks at a full engine; pressure makes room there

A look fits short requests. An engine's batch stays full until something yields, and whoever is sent there waits behind it. So looks stay with plain services.

--- a/internal/workbench/place.go
+++ b/internal/workbench/place.go
@@ -51,7 +51,7 @@
 				continue
 			}
 			open++
-			if bench.full(ask, worker, running, now) {
+			if bench.full(ask, worker, engine, running, now) {
 				continue
 			}
 			if ask.Bulk && engine && (vitals.Unread() >= almanac.BulkUnread || vitals.PeersReading(now) > 0) {
--- a/internal/workbench/stale.go
+++ b/internal/workbench/stale.go
@@ -14,14 +14,15 @@
 // one goes where all others go, and where all stay away no new word comes from.
 
 // full tells whether an ask finds no place at a worker. That a worker was full holds
-// for about one stay; then somebody must look. Items take no such chance.
-func (bench *Workbench) full(ask *Ask, worker pattern.Worker, running int, now watch.Moment) bool {
+// for about one stay; then somebody must look. Items take no such chance, and nobody does
+// at an engine, whose batch stays full: there pressure makes room.
+func (bench *Workbench) full(ask *Ask, worker pattern.Worker, engine bool, running int, now watch.Moment) bool {
 	room := bench.room(ask, worker, now)
 	if running < room {
 		return false
 	}
 	vitals := bench.Gauge.Of(worker.ID)
-	if ask.Bulk || vitals.Own() >= room || !vitals.Known(now) {
+	if ask.Bulk || engine || vitals.Own() >= room || !vitals.Known(now) {
 		return true
 	}
 	return vitals.Unread() > 0 || vitals.Age(now) <= max(almanac.FullFor, bench.stay(ask.Service))
--- a/internal/workbench/stale_test.go
+++ b/internal/workbench/stale_test.go
@@ -1,6 +1,7 @@
 package workbench
 
 import (
+	"fmt"
 	"testing"
 
 	"lemonarch/internal/almanac"
@@ -89,3 +90,14 @@
 		test.Fatal("all nodes choose alike: ", first)
 	}
 }
+
+// At an engine nobody looks: its batch stays full until something yields.
+func TestFullEngineIsNotLookedAt(test *testing.T) {
+	one := node("n", "h1", 4)
+	for place := 0; place < 60; place++ {
+		one.Heard(&pattern.Gossip{From: "forge/x", Loads: load(fmt.Sprintf("i-%04d", place), 50, 0)}, second(10))
+	}
+	if answer, _ := one.Admit(ask(0), nil, second(12)); answer.Verdict == VerdictGranted {
+		test.Fatal("placed on a full engine")
+	}
+}
