--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -85,6 +85,7 @@
 	scratch      scratch
 	tellEjection func(Ejection)
 	paces        map[string]*paces
+	spreading    uint64
 	// waits speaks when something begins to wait.
 	waits     chan struct{}
 	number    int64
