--- a/internal/locker/duty.go
+++ b/internal/locker/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"strings"
 
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/bellows"
@@ -223,7 +224,11 @@
 	next := newReign(locker, changed.Value.Duty, changed.Value.Stores, 1)
 	locker.reign = next
 	locker.lock.Unlock()
-	locker.Stand.Log.Info("duty taken", "epoch", next.duty.Epoch, "stores", len(changed.Value.Stores))
+	var names []string
+	for _, member := range changed.Value.Stores {
+		names = append(names, member.Name)
+	}
+	locker.Stand.Log.Info("duty taken", "epoch", next.duty.Epoch, "stores", strings.Join(names, ","))
 	go next.takeOver()
 	return almanac.TickPeriod
 }
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -75,6 +75,7 @@
 		case newcomer == nil || (out != nil && out.Name == newcomer.Name):
 			return out, newcomer
 		case locker.sluggish(*newcomer):
+			locker.Stand.Log.Info("store passed over as slow or silent", "store", newcomer.Name)
 			// A store that everything must be copied to first had better be quick.
 			delete(entries, newcomer.Name)
 		case out != nil && !retired[out.Name] && !locker.silent(*out):
@@ -165,6 +166,11 @@
 	reign.feed(newcomer, 0)
 	target := reign.press.Last()
 	reign.lock.Unlock()
+	left := ""
+	if out != nil {
+		left = out.Name
+	}
+	locker.Stand.Log.Info("store set begins to change", "in", newcomer.Name, "out", left, "records", target, "epoch", reign.duty.Epoch)
 	end := watch.Now().Plus(almanac.SetChange)
 	caught := func() bool {
 		reign.lock.Lock()
@@ -174,6 +180,7 @@
 	for !caught() {
 		if reign.over() || watch.Now() > end {
 			reign.lock.Lock()
+			locker.Stand.Log.Warn("store set not changed", "in", newcomer.Name, "copied", reign.press.MatchOf(identity), "records", target)
 			reign.unfeed(newcomer)
 			reign.lock.Unlock()
 			return
