A newcomer to the store set copies from a member, not over the holder's link

Two stores came back with empty disks at 8.6 s; copying everything to the first took from 10.0 to 19.3 s, and to the second over 16 s, when two more disks were lost at the close: three of five were then without their records, one more than the budget. All copies went over the holder's link (60 Mbit/s), which also carries each new record four times.

Change: the newcomer fetches what is durable, stretch by stretch, from another member that has it (KindCopy), and only the rest comes from the holder, which sends the last copied record once more to see that the copy joins on. A fetch names the disk that it means. What goes wrong falls back to the holder.

Guard broken once, seen red: the disk of a source.

--- /dev/null
+++ b/internal/locker/copy_test.go
@@ -0,0 +1,98 @@
+package locker
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/model"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/tongs"
+)
+
+// A newcomer gets what is durable from a member, and no frame of it from the
+// holder; a member that came back with another disk is no source.
+func TestNewcomerCopiesFromAMember(test *testing.T) {
+	fleet := newRimFleet(test, 31)
+	for number := 0; number < 4; number++ {
+		fleet.work()
+	}
+	holder := fleet.holder()
+	current := holder.current()
+	newcomer := fleet.outside()
+	appended := 0
+	fleet.room.OnFrame(func(frame tongs.Frame) {
+		if !frame.Answer && frame.Kind == pattern.KindAppend && frame.To == newcomer.Stand.Own.Address && frame.From == holder.Stand.Own.Address {
+			appended++
+		}
+	})
+	done := current.copied(newcomer.member())
+	current.lock.Lock()
+	durable := current.press.Done()
+	current.lock.Unlock()
+	last, stretches := newcomer.Store.State()
+	if done == 0 || last != done || appended > 0 || done > durable {
+		test.Fatal(done, last, appended, durable)
+	}
+	// The same records, under the same epochs, as the holder's.
+	for index := int64(1); index <= done; index++ {
+		left, _ := newcomer.Store.Read(index)
+		right, failure := holder.Store.Read(index)
+		if failure != nil || left == nil || fmt.Sprint(*left) != fmt.Sprint(*right) {
+			test.Fatal(index, failure)
+		}
+	}
+	if len(stretches) == 0 {
+		test.Fatal("no epochs")
+	}
+	body, _ := tongs.Write(&pattern.Fetch{First: 1, Disk: "another"})
+	back, failure := newcomer.Stand.Handle(pattern.KindFetch, body)
+	answer := &pattern.Fetched{}
+	if failure != nil || tongs.Read(back, answer) != nil || answer.Granted || len(answer.Records) > 0 {
+		test.Fatal("a store answered for a disk that it has not")
+	}
+}
+
+// outside gives a locker that is no member of the store set.
+func (fleet *rimFleet) outside() *Locker {
+	inside := fleet.stores()
+	for _, one := range fleet.all() {
+		if _, in := inside[one.Stand.Own.Name]; !in {
+			return one
+		}
+	}
+	fleet.test.Fatal("all are members")
+	return nil
+}
+
+// An order from a member that is cut off half way leaves the newcomer with a part
+// that counts, and the holder goes on from there.
+func TestCopyGoesOnFromTheHolder(test *testing.T) {
+	one := rule(test, soleLocker(test, model.NewDisk(12)), 1)
+	if done := one.copied(pattern.Member{Name: "n", Address: "nowhere", Disk: "n"}); done != 0 {
+		test.Fatal("copied without a source: ", done)
+	}
+	one.lock.Lock()
+	one.press.Members = append(one.press.Members, pattern.Member{Name: "s", Address: "s", Disk: "s"})
+	one.press.Matched("s#s", one.press.Done())
+	one.lock.Unlock()
+	room := tongs.NewRoom()
+	one.locker.Stand.Wire = room.Transport("m")
+	first := true
+	_ = room.Transport("n").Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
+		order := &pattern.CopyOrder{}
+		if kind != pattern.KindCopy || tongs.Read(body, order) != nil || order.Source != "s" || order.SourceDisk != "s" {
+			test.Error(kind, order)
+		}
+		if !first {
+			return tongs.Write(&pattern.Appended{})
+		}
+		first = false
+		return tongs.Write(&pattern.Appended{Granted: true, Last: order.First})
+	})
+	one.lock.Lock()
+	durable := one.press.Done()
+	one.lock.Unlock()
+	if done := one.copied(pattern.Member{Name: "n", Address: "n", Disk: "n"}); done != min(1, durable) {
+		test.Fatal(done, durable)
+	}
+}
--- a/internal/locker/locker.go
+++ b/internal/locker/locker.go
@@ -131,6 +131,7 @@
 		return tongs.Write(&pattern.Nothing{Taken: true})
 	})
 	stand.Answer(pattern.KindLotCall, locker.lotCall)
+	stand.Answer(pattern.KindCopy, locker.copyFrom)
 }
 
 // fenced ends our own reign when a later epoch is seen at work.
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -162,15 +162,17 @@
 func (reign *reign) changeSet(members, next []pattern.Member, out *pattern.Member, newcomer pattern.Member) {
 	locker := reign.locker
 	identity := vise.Identity(newcomer)
+	from := reign.copied(newcomer)
 	reign.lock.Lock()
-	reign.feed(newcomer, 0)
+	// The last copied record goes once more, from here: it shows that the copy joins on.
+	reign.feed(newcomer, max(from-1, 0))
 	target := reign.press.Last()
 	reign.lock.Unlock()
 	left := ""
 	if out != nil {
 		left = out.Name
 	}
-	locker.Stand.Log.Info("store set begins to change", "in", newcomer.Name, "out", left, "records", target, "epoch", reign.duty.Epoch)
+	locker.Stand.Log.Info("store set begins to change", "in", newcomer.Name, "out", left, "copied", from, "records", target, "epoch", reign.duty.Epoch)
 	end := watch.Now().Plus(almanac.SetChange)
 	caught := func() bool {
 		reign.lock.Lock()
--- a/internal/locker/store.go
+++ b/internal/locker/store.go
@@ -153,6 +153,9 @@
 func (store *Store) Fetch(question *pattern.Fetch) (*pattern.Fetched, error) {
 	store.lock.Lock()
 	defer store.lock.Unlock()
+	if question.Disk != "" && question.Disk != store.shelf.Disk {
+		return &pattern.Fetched{}, nil
+	}
 	answer := &pattern.Fetched{Granted: true, Last: store.shelf.Last()}
 	size := 0
 	for index := question.First; index <= store.shelf.Last() && size < almanac.AppendBytes; index++ {
--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -41,6 +41,7 @@
 	KindAcquire
 	KindAcknowledge
 	KindStopRuns
+	KindCopy
 )
 
 // Phase is a worker's phase.
--- a/internal/pattern/kinds_string.go
+++ b/internal/pattern/kinds_string.go
@@ -35,11 +35,12 @@
 	_ = x[KindAcquire-24]
 	_ = x[KindAcknowledge-25]
 	_ = x[KindStopRuns-26]
+	_ = x[KindCopy-27]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReadingKindForemanBeatKindDirectoryPullKindRelayKindRelayWaitKindAcquireKindAcknowledgeKindStopRuns"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReadingKindForemanBeatKindDirectoryPullKindRelayKindRelayWaitKindAcquireKindAcknowledgeKindStopRunsKindCopy"
 
-var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229, 244, 261, 270, 283, 294, 309, 321}
+var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229, 244, 261, 270, 283, 294, 309, 321, 329}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -95,6 +95,20 @@
 type Fetch struct {
 	First int64  `msg:"f"`
 	Epoch uint64 `msg:"e"`
+	// Disk, where it is named, is the only one that may answer: one that came back
+	// empty has other records, or none.
+	Disk string `msg:"d"`
+}
+
+// CopyOrder has a store fetch records First to Last from another one and keep them,
+// under the epoch of the holder that asks.
+type CopyOrder struct {
+	Epoch      uint64 `msg:"e"`
+	Disk       string `msg:"d"`
+	Source     string `msg:"s"`
+	SourceDisk string `msg:"o"`
+	First      int64  `msg:"f"`
+	Last       int64  `msg:"l"`
 }
 
 // Fetched carries some of them, and whether there are more.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -257,16 +257,116 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *CopyOrder) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "e"
+	o = append(o, 0x86, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Disk)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Source)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.SourceDisk)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.First)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt64(o, z.Last)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CopyOrder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "d":
+			z.Disk, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Disk")
+				return
+			}
+		case "s":
+			z.Source, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+		case "o":
+			z.SourceDisk, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SourceDisk")
+				return
+			}
+		case "f":
+			z.First, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
+		case "l":
+			z.Last, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CopyOrder) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Disk) + 2 + msgp.StringPrefixSize + len(z.Source) + 2 + msgp.StringPrefixSize + len(z.SourceDisk) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Fetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
+	o = append(o, 0x83, 0xa1, 0x66)
 	o = msgp.AppendInt64(o, z.First)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.Epoch)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Disk)
 	return
 }
 
@@ -300,6 +400,12 @@
 				err = msgp.WrapError(err, "Epoch")
 				return
 			}
+		case "d":
+			z.Disk, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Disk")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -314,7 +420,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Fetch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Disk)
 	return
 }
 
