Stores that came back empty are copied to at the same time, from different members

Change: the holder begins the copies of all wiped members at once, from members drawn among the equally full ones, and repeats a copy until little is missing, so that what it sends itself while the places change is short. Places are still given one at a time.

--- a/internal/almanac/pace.go
+++ b/internal/almanac/pace.go
@@ -18,6 +18,9 @@
 	// least that does (ours): below it a takeover costs more than it brings.
 	LagFactor  = 4.0
 	LagFloorMs = 25.0
+	// CopyGap is how many records a newcomer may lack of what is durable when the
+	// holder sends it the rest itself (ours): a part of a second's.
+	CopyGap = 64
 	// GiveUpPause is the least time between two times that a process gives its duty
 	// up for being slow (ours).
 	GiveUpPause = 10 * time.Second
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -21,6 +21,9 @@
 	taking  map[string]int64
 	quota   quota
 	lags    lags
+	// copies says how far newcomers have copied, copying which do so now.
+	copies  map[string]int64
+	copying map[string]bool
 	ending  map[string]bool
 	feeders map[string]chan struct{}
 	bell    chan struct{}
@@ -36,7 +39,7 @@
 
 func newReign(locker *Locker, duty pattern.Duty, stores []pattern.Member, first int64) *reign {
 	return &reign{locker: locker, duty: duty, press: ledgerbox.NewPress(duty.Epoch, stores, locker.budget(), first),
-		book: ledgerbox.NewBook(), applied: first - 1, taking: map[string]int64{}, quota: newQuota(), lags: newLags(), ending: map[string]bool{},
+		book: ledgerbox.NewBook(), applied: first - 1, taking: map[string]int64{}, quota: newQuota(), lags: newLags(), copies: map[string]int64{}, copying: map[string]bool{}, ending: map[string]bool{},
 		feeders: map[string]chan struct{}{}, bell: make(chan struct{}), fresh: make(chan struct{}), stop: make(chan struct{}), begun: watch.Now()}
 }
 
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -47,6 +47,7 @@
 	for _, entry := range locker.Stand.All(bellows.RoleLocker) {
 		entries[entry.Name] = entry
 	}
+	reign.copyAhead(members, entries, retired)
 	out, newcomer := locker.quickChange(members, entries, retired)
 	if newcomer == nil {
 		return
@@ -101,10 +102,9 @@
 		if vise.Identity(*member) == own {
 			continue
 		}
-		entry, known := entries[member.Name]
-		if known && entry.Disk != member.Disk && entry.Disk != "" && !retired[member.Name] && entry.AgeMs < almanac.SilentAfter.Milliseconds() {
+		if back := wiped(*member, entries, retired); back != nil {
 			// The same machine with an empty disk takes its own place again.
-			return member, &pattern.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Hall: entry.Hall}
+			return member, back
 		}
 	}
 	spare := func(hall string) *pattern.Member {
