--- a/internal/pattern/kinds.go
+++ b/internal/pattern/kinds.go
@@ -47,6 +47,7 @@
 	KindNamedRead
 	KindPlanPull
 	KindPlanApply
+	KindCopy
 )
 
 // Phase is a worker's phase.
