--- a/internal/maquette/gossip.go
+++ b/internal/maquette/gossip.go
@@ -19,6 +19,8 @@
 	ages  ages
 	// off adds up how many requests words are off from what workers really have.
 	off, offCount float64
+	// The sums of what workers really have, for its mean and spread.
+	had, hadSquares, full, hadCount float64
 }
 
 func newGossip(fleet *Fleet) *gossip { return &gossip{fleet: fleet} }
@@ -131,9 +133,24 @@
 			gossip.ages.add(now.Since(at), at > 0)
 		}
 	}
+	for _, worker := range gossip.fleet.workers.all {
+		has := float64(gossip.fleet.traffic.running[worker.ID])
+		gossip.had, gossip.hadSquares, gossip.hadCount = gossip.had+has, gossip.hadSquares+has*has, gossip.hadCount+1
+		if has > float64(worker.Capacity) {
+			gossip.full++
+		}
+	}
 	gossip.fleet.world.After(seconds(5.3), gossip.sample)
 }
 
+// loads sums up what workers really had.
+func (gossip *gossip) loads() WorkerLoads {
+	count := max(gossip.hadCount, 1)
+	mean := gossip.had / count
+	return WorkerLoads{Mean: mean, Deviation: math.Sqrt(max(0, gossip.hadSquares/count-mean*mean)), OverFull: gossip.full / count,
+		BelievedOff: gossip.off / max(gossip.offCount, 1)}
+}
+
 func (gossip *gossip) look(bench *workbench.Workbench, worker string) {
 	believed := bench.Gauge.Of(worker).Running(gossip.fleet.world.Now)
 	gossip.off += math.Abs(float64(believed - gossip.fleet.traffic.running[worker]))
--- a/internal/maquette/result.go
+++ b/internal/maquette/result.go
@@ -23,13 +23,22 @@
 	Acknowledged map[string]Times `json:"acknowledged"`
 	Refused      map[string]int   `json:"refused"`
 	Weights      Ages             `json:"age-of-weights"`
-	// LoadsOff is by how many requests what a process believes of a worker is off from
-	// what the worker really has, in the mean; Turned is the part of requests that found
-	// no room.
-	LoadsOff float64 `json:"loads-off-by"`
-	Turned   float64 `json:"turned-away-share"`
-	Lots     LotSums `json:"lots"`
-	Lost     int     `json:"processes-lost"`
+	// Loads is what workers really had, and how far that is from what is believed;
+	// Turned is the part of requests that found no room.
+	Loads  WorkerLoads `json:"worker-loads"`
+	Turned float64     `json:"turned-away-share"`
+	Lots   LotSums     `json:"lots"`
+	Lost   int         `json:"processes-lost"`
+}
+
+// WorkerLoads is how many requests workers had at a look: the mean, its deviation, and
+// the part of them above their capacity; BelievedOff is the mean difference from that
+// of what a process believed.
+type WorkerLoads struct {
+	Mean        float64 `json:"mean"`
+	Deviation   float64 `json:"deviation"`
+	OverFull    float64 `json:"over-full-share"`
+	BelievedOff float64 `json:"believed-off-by"`
 }
 
 // Rate is frames and bytes a second.
@@ -96,7 +105,7 @@
 		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(),
 		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lots.made, Listed: fleet.lots.listed, Durable: timesOf(fleet.lots.waits, nil)}},
 		Measured: Measured{Roles: map[string]RoleCost{}}}
-	result.Simulated.LoadsOff = fleet.gossip.off / max(fleet.gossip.offCount, 1)
+	result.Simulated.Loads = fleet.gossip.loads()
 	result.Simulated.Turned = float64(fleet.traffic.turned) / max(float64(fleet.traffic.asked), 1)
 	perSecond := 1 / fleet.Plan.DurationS
 	for kind, found := range fleet.kinds {
