--- a/internal/foreman/sets.go
+++ b/internal/foreman/sets.go
@@ -1,6 +1,7 @@
 package foreman
 
 import (
+	"math"
 	"math/rand"
 	"os"
 
@@ -134,7 +135,7 @@
 	}
 	// The last word is its own: one that answers now is not gone.
 	back := &pattern.Nothing{}
-	return tongs.Ask(foreman.Stand.Wire, member.Address, pattern.KindRosterPull, &pattern.RosterPull{}, back, almanac.RoundTime) != nil
+	return tongs.Ask(foreman.Stand.Wire, member.Address, pattern.KindRosterPull, &pattern.RosterPull{Since: math.MaxUint64}, back, almanac.RoundTime) != nil
 }
 
 // changeDuty changes duty or store set on behalf of a locker.
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -47,6 +47,8 @@
 	Route    string     `msg:"r"`
 	Host     string     `msg:"h"`
 	Body     []byte     `msg:"b"`
+	// Acquisition is the acquisition whose acknowledgement this records, if any.
+	Acquisition uint64 `msg:"a"`
 }
 
 // Stretch says that records from First on were written under Epoch.
@@ -112,6 +114,8 @@
 // StatusAsk asks a process for a part of its state.
 type StatusAsk struct {
 	Query string `msg:"q"`
+	// Hall, where it is set, keeps the rows of one hall only.
+	Hall string `msg:"h"`
 }
 
 // Status answers with rows for people and tools.
