Items of a lot are found by their ids; the hollow fleet drives the dispatcher

Cause: each output looked through all items of its lot, quadratic in the lot.

The adapter of lots drives the dispatcher at the holder and a driver (apprentice) in every locker. News that is still on its way when a run ends counts as unfinished from 5 s of age on.

--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -31,6 +31,9 @@
 	open     int
 	// giving counts positions that were given and are not yet durable.
 	giving int
+	// named leads from ids to items: a lot may hold hundreds of thousands, and each
+	// output looks for its own.
+	named map[string]*Item
 }
 
 // Giving counts the positions that are on their way to the stores.
@@ -69,17 +72,15 @@
 		}
 		lot.Listings = append(lot.Listings, Listing{Item: record.Item, Dropped: record.Dropped, Index: record.Index})
 		lot.giving = max(lot.giving-1, 0)
-		for _, item := range lot.Items {
-			if item.ID == record.Item && !item.Terminal() {
-				item.State = ItemSettled
-				if record.Dropped {
-					item.State = ItemArchived
-				}
-				item.closer = record.Acquisition
-				// What is listed is read from disk: the rest is given back.
-				item.Body, item.Pieces, item.Headers = nil, nil, nil
-				lot.open--
+		if item := lot.Find(record.Item); item != nil && !item.Terminal() {
+			item.State = ItemSettled
+			if record.Dropped {
+				item.State = ItemArchived
 			}
+			item.closer = record.Acquisition
+			// What is listed is read from disk: the rest is given back.
+			item.Body, item.Pieces, item.Headers = nil, nil, nil
+			lot.open--
 		}
 	case pattern.RecordFailure:
 		if lot := book.lots[record.Lot]; lot != nil {
@@ -115,9 +116,12 @@
 	if _, failure := body.UnmarshalMsg(record.Body); failure != nil {
 		return Unreadable.Wrap(failure, "lot "+record.Lot)
 	}
-	lot := &Lot{ID: record.Lot, Host: record.Host, Path: body.Path, SentMs: record.AtMs, Index: record.Index, sum: len(body.Items), open: len(body.Items)}
+	lot := &Lot{ID: record.Lot, Host: record.Host, Path: body.Path, SentMs: record.AtMs, Index: record.Index, sum: len(body.Items), open: len(body.Items),
+		Items: make([]*Item, 0, len(body.Items)), named: make(map[string]*Item, len(body.Items))}
 	for place := range body.Items {
-		lot.Items = append(lot.Items, &Item{LotItem: body.Items[place], Lot: lot})
+		item := &Item{LotItem: body.Items[place], Lot: lot}
+		lot.Items = append(lot.Items, item)
+		lot.named[item.ID] = item
 	}
 	book.lots[lot.ID] = lot
 	book.order = append(book.order, lot)
@@ -142,11 +146,4 @@
 }
 
 // Find gives an item of a lot, or nil.
-func (lot *Lot) Find(id string) *Item {
-	for _, item := range lot.Items {
-		if item.ID == id {
-			return item
-		}
-	}
-	return nil
-}
+func (lot *Lot) Find(id string) *Item { return lot.named[id] }
--- a/internal/maquette/copies.go
+++ b/internal/maquette/copies.go
@@ -1,10 +1,7 @@
 package maquette
 
 import (
-	"fmt"
-
 	"lemonarch/internal/almanac"
-	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/watch"
 )
@@ -65,7 +62,6 @@
 			delete(own.begun, record.Lot)
 		case pattern.RecordOutput:
 			lots.listed++
-			own.filling[record.Lot]--
 			if lot := own.book.Lot(record.Lot); lot != nil && len(lot.Listings) == lot.Sum() {
 				// Read by its client at once, in this world.
 				lots.submit(node, own, pattern.Record{Kind: pattern.RecordForget, Lot: record.Lot})
@@ -73,6 +69,15 @@
 		}
 		own.applied++
 	}
+	kept := own.durable[:0]
+	for _, one := range own.durable {
+		if one.index > own.press.Done() {
+			kept = append(kept, one)
+			continue
+		}
+		one.then()
+	}
+	own.durable = kept
 	// What is on all stores is given back; one that lags keeps it here.
 	keep := own.applied
 	for _, member := range lots.members {
@@ -83,37 +88,3 @@
 		own.first += excess
 	}
 }
-
-// run begins items into the room there is, and ends each after its time.
-func (lots *lots) run(node *Node, own *drawer) {
-	var items []*ledgerbox.Item
-	node.step(CoreLots, func() {
-		for _, lot := range own.book.Lots() {
-			for _, item := range lot.Items {
-				if own.running+len(items) >= almanac.RunningItems {
-					return
-				}
-				if item.State == ledgerbox.ItemAvailable {
-					items = append(items, item)
-				}
-			}
-		}
-	})
-	for _, item := range items {
-		run := item.Begin()
-		own.running++
-		node.after(watch.Milliseconds(lots.fleet.Plan.HeldMs*(0.5+node.random.Float64())), func() {
-			own.running--
-			node.step(CoreLots, func() {
-				if !item.Finish(run) {
-					return
-				}
-				lot := item.Lot
-				position := len(lot.Listings) + own.filling[lot.ID]
-				own.filling[lot.ID]++
-				lots.submit(node, own, pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID, Position: position,
-					Body: []byte(fmt.Sprintf("%*d", lots.fleet.Plan.ItemBytes, position))})
-			})
-		})
-	}
-}
--- a/internal/maquette/lots.go
+++ b/internal/maquette/lots.go
@@ -13,9 +13,9 @@
 	"lemonarch/internal/watch"
 )
 
-// lots drives ledgerbox as today's locker does: one holder for all lots, copies at
-// three stores. The holder is given and its takeover is not played; runs of items are
-// a time that passes, without their events.
+// lots drives ledgerbox and apprentice as lockers do: one holder with the dispatcher,
+// copies at three stores, and a driver in every locker. The holder is given and its
+// takeover is not played; a run is a time that passes, without its events.
 type lots struct {
 	fleet   *Fleet
 	members []pattern.Member
@@ -28,19 +28,27 @@
 	waits  []float64
 }
 
-// drawer is what a store or the holder keeps.
+// drawer is what a store, a driver and the holder keep.
 type drawer struct {
-	shelf    *ledgerbox.Shelf
-	press    *ledgerbox.Press
-	book     *ledgerbox.Book
-	recent   []pattern.Record
-	first    int64
-	applied  int64
-	sending  map[string]bool
-	filling  map[string]int
-	running  int
-	begun    map[string]watch.Moment
-	grantees map[string]bool
+	shelf  *ledgerbox.Shelf
+	driver *ledger
+	// The holder's: the dispatcher, and the records that are not on all stores yet.
+	dispatcher *ledgerbox.Dispatcher
+	press      *ledgerbox.Press
+	book       *ledgerbox.Book
+	recent     []pattern.Record
+	first      int64
+	applied    int64
+	sending    map[string]bool
+	begun      map[string]watch.Moment
+	// durable are those who wait for a record.
+	durable []waiting
+}
+
+// waiting is told once a record is durable.
+type waiting struct {
+	index int64
+	then  func()
 }
 
 const (
@@ -83,16 +91,18 @@
 		answer := own.append(order)
 		return &answer
 	})
+	own.driver = lots.beginDriver(node)
 	if node != lots.holder {
 		return own
 	}
 	own.press, own.book = ledgerbox.NewPress(lotEpoch, lots.members, lotBudget, 1), ledgerbox.NewBook()
-	own.first, own.sending, own.filling, own.begun = 1, map[string]bool{}, map[string]int{}, map[string]watch.Moment{}
+	own.first, own.sending, own.begun = 1, map[string]bool{}, map[string]watch.Moment{}
 	node.answerers[pattern.KindLotCall] = reads(node, CoreLots, func(call *pattern.LotCall) tongs.Writable {
 		own.begun[call.Lot] = node.now()
 		lots.submit(node, own, pattern.Record{Kind: pattern.RecordLot, Lot: call.Lot, AtMs: int64(node.now()) / 1_000_000, Host: call.Host, Body: call.Body})
 		return &pattern.LotAnswer{Status: 202}
 	})
+	lots.beginDispatch(node, own)
 	node.every(almanac.HoldRenewal, func() { lots.renew(node) })
 	node.every(almanac.HoldRenewal, func() {
 		for _, entry := range lots.fleet.members.all(node) {
@@ -101,7 +111,6 @@
 			}
 		}
 	})
-	node.every(almanac.TickPeriod, func() { lots.run(node, own) })
 	return own
 }
 
@@ -155,10 +164,11 @@
 }
 
 // submit makes a record at the holder and has it copied.
-func (lots *lots) submit(node *Node, own *drawer, record pattern.Record) {
+func (lots *lots) submit(node *Node, own *drawer, record pattern.Record) int64 {
 	record.Index, record.Epoch = own.press.Take(), lotEpoch
 	own.recent = append(own.recent, record)
 	for _, member := range lots.members {
 		lots.feed(node, own, member, vise.Identity(member))
 	}
+	return record.Index
 }
--- a/internal/maquette/meter.go
+++ b/internal/maquette/meter.go
@@ -18,10 +18,11 @@
 	CoreRegister
 	CoreHolds
 	CoreLots
+	CoreDriver
 	cores
 )
 
-var coreNames = [cores]string{"membership", "roster", "gossip", "readings", "placement", "config", "register", "holds", "lots"}
+var coreNames = [cores]string{"membership", "roster", "gossip", "readings", "placement", "config", "register", "holds", "lots", "driver"}
 
 // String names the core.
 func (core Core) String() string { return coreNames[core] }
--- a/internal/maquette/result.go
+++ b/internal/maquette/result.go
@@ -101,6 +101,7 @@
 
 func (fleet *Fleet) result() *Result {
 	fleet.counting = false
+	fleet.troubles.close()
 	result := &Result{Plan: fleet.Plan, Simulated: Simulated{Roles: map[string]RoleTraffic{}, Kinds: map[string]map[string]Rate{},
 		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(),
 		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lots.made, Listed: fleet.lots.listed, Durable: timesOf(fleet.lots.waits, nil)}},
--- a/internal/maquette/troubles.go
+++ b/internal/maquette/troubles.go
@@ -38,6 +38,9 @@
 const (
 	trackPeriod = 10 * 1_000_000
 	trackLimit  = 60
+	// settledAfter is the age, in s, from which news that is on its way when a run ends
+	// counts as unfinished.
+	settledAfter = 5
 )
 
 func newTroubles(fleet *Fleet) *troubles {
@@ -197,3 +200,14 @@
 }
 
 func (troubles *troubles) refused(kind string) { troubles.refuse[kind]++ }
+
+// close counts the news that is still on its way as unfinished, unless it is young.
+func (troubles *troubles) close() {
+	now := troubles.fleet.world.Now
+	for _, one := range troubles.open {
+		if now.Since(one.begun) >= seconds(settledAfter) {
+			troubles.missed[one.kind] = append(troubles.missed[one.kind], float64(len(one.left))/float64(max(one.count, 1)))
+		}
+	}
+	troubles.open = nil
+}
