--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -49,10 +49,14 @@
 type Book struct {
 	lots  map[string]*Lot
 	order []*Lot
+	// opened holds every lot that still has items to run, and some that no more do.
+	opened []*Lot
+	// entrants are the drivers that may hold acquisitions, with their epoch.
+	entrants map[entrant]uint64
 }
 
 // NewBook makes an empty book.
-func NewBook() *Book { return &Book{lots: map[string]*Lot{}} }
+func NewBook() *Book { return &Book{lots: map[string]*Lot{}, entrants: map[entrant]uint64{}} }
 
 // Lot finds a lot, or nil.
 func (book *Book) Lot(id string) *Lot { return book.lots[id] }
@@ -82,6 +86,10 @@
 			item.Body, item.Pieces, item.Headers = nil, nil, nil
 			lot.open--
 		}
+	case pattern.RecordDriver:
+		book.enter(record)
+	case pattern.RecordSure:
+		book.clear(record.Epoch)
 	case pattern.RecordFailure:
 		if lot := book.lots[record.Lot]; lot != nil {
 			if item := lot.Find(record.Item); item != nil {
@@ -125,23 +133,31 @@
 	}
 	book.lots[lot.ID] = lot
 	book.order = append(book.order, lot)
+	book.opened = append(book.opened, lot)
 	sort.SliceStable(book.order, func(left, right int) bool { return book.order[left].SentMs < book.order[right].SentMs })
 	return nil
 }
 
-// Waiting adds up the tokens of a route's items that no worker has finished.
+// Waiting adds up the tokens of items that no worker has finished. Only open lots
+// are walked: finished ones are kept for minutes, and hand-ins come in bursts.
 func (book *Book) Waiting(belongs func(lot *Lot) bool) int64 {
-	total := int64(0)
-	for _, lot := range book.order {
-		if lot.Ended || !belongs(lot) {
+	total, kept := int64(0), book.opened[:0]
+	for _, lot := range book.opened {
+		if !lot.Open() || book.lots[lot.ID] != lot {
+			continue
+		}
+		kept = append(kept, lot)
+		if !belongs(lot) {
 			continue
 		}
 		for _, item := range lot.Items {
-			if item.State == ItemAvailable || item.State == ItemAcquired {
+			if item.Waits() {
 				total += item.Tokens
 			}
 		}
 	}
+	clear(book.opened[len(kept):])
+	book.opened = kept
 	return total
 }
 
--- a/internal/locker/driver.go
+++ b/internal/locker/driver.go
@@ -26,8 +26,14 @@
 	lockSpan watch.Span
 	renewed  watch.Moment
 	renewing bool
-	leaving  bool
-	owned    ownership
+	// shown is the latest epoch whose holder was told all that we hold.
+	shown   uint64
+	leaving bool
+	owned   ownership
+	// drivers is the dispatcher's list, as of a version and a moment.
+	drivers   []pattern.DriverAt
+	version   uint64
+	driversAt watch.Moment
 }
 
 func newDriver(locker *Locker) *driver {
@@ -59,6 +65,16 @@
 	return locker.elsewhere().Holder
 }
 
+// holderEpoch is the epoch of the dispatcher, as far as we know.
+func (locker *Locker) holderEpoch() uint64 {
+	if current := locker.current(); current != nil {
+		return current.duty.Epoch
+	}
+	locker.lock.Lock()
+	defer locker.lock.Unlock()
+	return locker.told.Epoch
+}
+
 // acquireLoop keeps as many items as there are places for.
 func (driver *driver) acquireLoop() {
 	stop := driver.locker.Stand.Stop
@@ -89,7 +105,8 @@
 // acquire asks once; false when the dispatcher could not be asked.
 func (driver *driver) acquire(holder string, room []pattern.ServiceRoom) bool {
 	own := driver.locker.Stand.Own
-	question := &pattern.Acquire{Driver: own.Name, Life: own.Life, Address: own.Address, Room: room, HoldMs: int(almanac.AcquireHold.Milliseconds())}
+	question := &pattern.Acquire{Driver: own.Name, Life: own.Life, Address: own.Address, Hall: own.Hall, Room: room,
+		HoldMs: int(almanac.AcquireHold.Milliseconds()), Known: driver.known()}
 	answer := &pattern.Acquired{}
 	asked := watch.Now()
 	if holder == own.Address {
@@ -101,6 +118,7 @@
 		return false
 	}
 	now := watch.Now()
+	driver.listed(answer.Version, answer.Drivers, now)
 	driver.lock.Lock()
 	driver.lockSpan = watch.Milliseconds(answer.LockMs)
 	driver.waiting = append(driver.waiting, driver.core.Take(answer, asked, now)...)
@@ -111,38 +129,28 @@
 
 // tend places what waits, stops what may not go on, and renews the locks.
 func (driver *driver) tend() {
-	now := watch.Now()
+	now, epoch := watch.Now(), driver.locker.holderEpoch()
 	driver.lock.Lock()
 	driver.halt(driver.core.Lapsed(now))
 	due := !driver.renewing && now.Since(driver.renewed) >= driver.lockSpan/almanac.RenewPart
+	// A new holder is shown at once what we hold.
+	due = due || epoch > driver.shown
 	var entries []pattern.Acknowledgement
 	if due {
+		// With nothing to renew it still says that this driver is there.
 		entries = driver.core.Renewals(now)
+		driver.core.Fence(epoch)
+		driver.shown = max(driver.shown, epoch)
 		driver.renewed = now
-		driver.renewing = len(entries) > 0
+		driver.renewing = true
 	}
 	driver.lock.Unlock()
-	if len(entries) > 0 {
-		go driver.renew(entries)
+	if due {
+		go driver.renew(entries, epoch)
 	}
 	driver.place()
 }
 
-// renew asks for all locks in one message.
-func (driver *driver) renew(entries []pattern.Acknowledgement) {
-	asked := watch.Now()
-	answer := driver.acknowledge(entries, almanac.CallTime/2)
-	driver.lock.Lock()
-	defer driver.lock.Unlock()
-	driver.renewing = false
-	if answer == nil {
-		// Asked again at once: the duty may have changed hands.
-		driver.renewed = 0
-		return
-	}
-	driver.halt(driver.core.Renewed(entries, answer.Verdicts, asked, driver.lockSpan))
-}
-
 // halt breaks runs off; each sets its item back by itself. The lock is held.
 func (driver *driver) halt(tasks []*apprentice.Task) {
 	for _, task := range tasks {
@@ -159,56 +167,6 @@
 	driver.halt(driver.core.StopLot(lot))
 }
 
-// acknowledge carries a batch to the dispatcher; nil when it was not answered.
-func (driver *driver) acknowledge(entries []pattern.Acknowledgement, span watch.Span) *pattern.Acknowledged {
-	own, holder := driver.locker.Stand.Own, driver.locker.holder()
-	question := &pattern.Acknowledge{Driver: own.Name, Life: own.Life, Address: own.Address, Entries: entries}
-	answer := &pattern.Acknowledged{}
-	if holder == own.Address {
-		answer = driver.locker.acknowledge(question)
-	} else if holder == "" || tongs.Ask(driver.locker.Stand.Wire, holder, pattern.KindAcknowledge, question, answer, span) != nil {
-		return nil
-	}
-	if answer.Elsewhere {
-		return nil
-	}
-	return answer
-}
-
-// acknowledgeLoop repeats acknowledgements until they are answered.
-func (driver *driver) acknowledgeLoop(bell chan struct{}, gather func() []pattern.Acknowledgement) {
-	stop := driver.locker.Stand.Stop
-	for {
-		select {
-		case <-stop:
-			return
-		case <-bell:
-		case <-watch.After(almanac.AcquireHold):
-		}
-		for {
-			driver.lock.Lock()
-			batch := gather()
-			driver.lock.Unlock()
-			if len(batch) == 0 {
-				break
-			}
-			pause := almanac.AckGather
-			if answer := driver.acknowledge(batch, almanac.RoundTime+almanac.CallTime); answer != nil {
-				driver.lock.Lock()
-				driver.core.Answered(batch, answer.Verdicts)
-				driver.lock.Unlock()
-			} else {
-				pause = almanac.AckPause
-			}
-			select {
-			case <-stop:
-				return
-			case <-watch.After(pause):
-			}
-		}
-	}
-}
-
 // leave gives everything back before the process ends.
 func (driver *driver) leave() {
 	driver.lock.Lock()
--- a/internal/locker/duty.go
+++ b/internal/locker/duty.go
@@ -43,7 +43,7 @@
 			return almanac.TickPeriod * 4
 		}
 	}
-	if !locker.eligible() {
+	if !locker.eligible() || locker.defers(now) {
 		return almanac.TickPeriod * 4
 	}
 	return locker.stand()
@@ -55,7 +55,7 @@
 	locker.lock.Lock()
 	value := locker.value
 	locker.lock.Unlock()
-	if locker.leaving.Load() {
+	if locker.leaving.Load() || locker.rests() {
 		return false
 	}
 	for _, name := range value.Retired {
