--- a/internal/maquette/workers.go
+++ b/internal/maquette/workers.go
@@ -53,7 +53,8 @@
 }
 
 func (workers *workers) worker(number, life int) pattern.Worker {
-	zone := number % workers.fleet.Plan.Zones
+	// A model's workers stand in all zones.
+	zone := (number + number/workers.fleet.Plan.Models) % workers.fleet.Plan.Zones
 	return pattern.Worker{ID: fmt.Sprintf("model-%02d-worker-%04d-%d", number%workers.fleet.Plan.Models, number, life),
 		Backend: fmt.Sprintf("model-%02d", number%workers.fleet.Plan.Models), Address: fmt.Sprintf("10.%d.%d.%d:9000", 100+zone, number/250, number%250),
 		Hall:     fmt.Sprintf("region-%d-zone-%d", zone*workers.fleet.Plan.Regions/workers.fleet.Plan.Zones, zone),
@@ -192,7 +193,7 @@
 func (workers *workers) foreman(number int) *Node {
 	live := workers.fleet.live(bellows.RoleForeman)
 	for _, node := range live {
-		if node.zone == number%workers.fleet.Plan.Zones {
+		if node.own.Hall == workers.all[number].Hall {
 			return node
 		}
 	}
