--- a/internal/maquette/gossip.go
+++ b/internal/maquette/gossip.go
@@ -17,6 +17,8 @@
 type gossip struct {
 	fleet *Fleet
 	ages  ages
+	// near are the ages of words on workers of the own zone.
+	near ages
 	// off adds up how many requests words are off from what workers really have.
 	off, offCount float64
 	// The sums of what workers really have, for its mean and spread.
@@ -131,6 +133,9 @@
 			gossip.look(own.bench, worker.ID)
 			_, at := own.bench.Gauge.Of(worker.ID).Observed()
 			gossip.ages.add(now.Since(at), at > 0)
+			if worker.Hall == node.own.Hall {
+				gossip.near.add(now.Since(at), at > 0)
+			}
 		}
 	}
 	for _, worker := range gossip.fleet.workers.all {
--- a/internal/maquette/result.go
+++ b/internal/maquette/result.go
@@ -23,6 +23,8 @@
 	Acknowledged map[string]Times `json:"acknowledged"`
 	Refused      map[string]int   `json:"refused"`
 	Weights      Ages             `json:"age-of-weights"`
+	// Near are the ages of words on workers of the own zone alone.
+	Near Ages `json:"age-of-weights-in-zone"`
 	// Loads is what workers really had, and how far that is from what is believed;
 	// Turned is the part of requests that found no room.
 	Loads  WorkerLoads `json:"worker-loads"`
@@ -103,7 +105,7 @@
 	fleet.counting = false
 	fleet.troubles.close()
 	result := &Result{Plan: fleet.Plan, Simulated: Simulated{Roles: map[string]RoleTraffic{}, Kinds: map[string]map[string]Rate{},
-		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(),
+		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(), Near: fleet.gossip.near.result(),
 		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lots.made, Listed: fleet.lots.listed, Durable: timesOf(fleet.lots.waits, nil)}},
 		Measured: Measured{Roles: map[string]RoleCost{}}}
 	result.Simulated.Loads = fleet.gossip.loads()
