--- a/internal/bellows/bound.go
+++ b/internal/bellows/bound.go
@@ -28,15 +28,19 @@
 	if len(entries) <= limit {
 		return entries
 	}
-	own := Key(owner)
-	weights := make(map[string]uint64, len(entries))
-	for _, entry := range entries {
-		weights[Key(entry)] = weigh(own, Key(entry))
+	// Weighed once each, and sorted by place: entries are long, and their keys are made
+	// anew each time.
+	type weighed struct {
+		weight uint64
+		place  int
 	}
-	sorted := append([]pattern.Entry(nil), entries...)
-	sort.Slice(sorted, func(left, right int) bool { return weights[Key(sorted[left])] < weights[Key(sorted[right])] })
+	own, order := Key(owner), make([]weighed, len(entries))
+	for place, entry := range entries {
+		order[place] = weighed{weigh(own, Key(entry)), place}
+	}
+	sort.Slice(order, func(left, right int) bool { return order[left].weight < order[right].weight })
 	far := map[string]int{}
-	rank := func(entry pattern.Entry) int {
+	rank := func(entry *pattern.Entry) int {
 		if entry.Hall == owner.Hall {
 			return 1
 		}
@@ -47,9 +51,10 @@
 		return 2
 	}
 	var ranked [3][]pattern.Entry
-	for _, entry := range sorted {
+	for _, one := range order {
+		entry := &entries[one.place]
 		place := rank(entry)
-		ranked[place] = append(ranked[place], entry)
+		ranked[place] = append(ranked[place], *entry)
 	}
 	all := append(append(ranked[0], ranked[1]...), ranked[2]...)
 	return all[:limit]
