The copy of a newcomer is compared with every member that has the record

Cause: the test took the holder's own disk for the measure, which may still be behind what f+1 others made durable; it failed once on a busy machine ('no such record'). It now compares with each member that holds the record and asks for f+1 of them, which is stricter than one copy.

--- a/internal/locker/copy_test.go
+++ b/internal/locker/copy_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"lemonarch/internal/ledgerbox"
 	"lemonarch/internal/model"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
@@ -33,12 +34,27 @@
 	if done == 0 || last != done || appended > 0 || done > durable {
 		test.Fatal(done, last, appended, durable)
 	}
-	// The same records, under the same epochs, as the holder's.
+	// The same records, under the same epochs, as those of the members that have them;
+	// the holder's own disk may be one that is still behind what is durable.
+	inside := fleet.stores()
 	for index := int64(1); index <= done; index++ {
 		left, _ := newcomer.Store.Read(index)
-		right, failure := holder.Store.Read(index)
-		if failure != nil || left == nil || fmt.Sprint(*left) != fmt.Sprint(*right) {
-			test.Fatal(index, failure)
+		compared := 0
+		for _, one := range fleet.all() {
+			if _, member := inside[one.Stand.Own.Name]; !member {
+				continue
+			}
+			right, failure := one.Store.Read(index)
+			if failure != nil {
+				continue
+			}
+			compared++
+			if left == nil || fmt.Sprint(*left) != fmt.Sprint(*right) {
+				test.Fatal(index, one.Stand.Own.Name)
+			}
+		}
+		if compared < ledgerbox.CopiesNeeded(len(inside), holder.budget()) {
+			test.Fatal("durable with ", compared, " copies: ", index)
 		}
 	}
 	if len(stretches) == 0 {
