Driver's rim against a stand-in worker: acknowledgements, end of a lot, rest

Tests over the real disk round, dispatcher, driver and pipes: 422, 500 up to the tries, a cut that goes on at Last-Event-Id, runs broken off by the end of their lot, a resting holder.

--- /dev/null
+++ b/internal/locker/driver_test.go
@@ -0,0 +1,177 @@
+package locker
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"lemonarch/internal/model"
+	"lemonarch/internal/pattern"
+	"lemonarch/internal/vise"
+	"lemonarch/internal/watch"
+)
+
+// standInWorker streams four events an item; what else it does is told by the item's
+// name: "-0" is 422, "-1" is always 500, "-2" is cut after two events at first.
+type standInWorker struct {
+	lock    sync.Mutex
+	tries   map[string]int
+	resumed map[string]string
+	stuck   chan string
+	dropped chan string
+}
+
+func (worker *standInWorker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Lemonarch-Attempt-Id")
+	worker.lock.Lock()
+	worker.tries[id]++
+	try := worker.tries[id]
+	if last := request.Header.Get("Last-Event-Id"); last != "" {
+		worker.resumed[id] = last
+	}
+	worker.lock.Unlock()
+	header := writer.Header()
+	header.Set("Lemonarch-Attempt-Id", id)
+	header.Set("Lemonarch-Server-Seal", "s")
+	switch {
+	case strings.HasSuffix(id, "-0") && strings.HasPrefix(id, "mixed"):
+		writer.WriteHeader(http.StatusUnprocessableEntity)
+		return
+	case strings.HasSuffix(id, "-1") && strings.HasPrefix(id, "mixed"):
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	header.Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for event := from + 1; event <= 4; event++ {
+		fmt.Fprintf(writer, "id: %d\ndata: %s.%d\n\n", event, id, event)
+		writer.(http.Flusher).Flush()
+		if strings.HasSuffix(id, "-2") && strings.HasPrefix(id, "mixed") && event == 2 && try == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		if strings.HasPrefix(id, "stuck") {
+			worker.stuck <- id
+			<-request.Context().Done()
+			worker.dropped <- id
+			return
+		}
+	}
+}
+
+// driven is a locker that holds the lots, drives them, and has one worker.
+func driven(test *testing.T, seed int64) (*reign, *standInWorker) {
+	worker := &standInWorker{tries: map[string]int{}, resumed: map[string]string{}, stuck: make(chan string, 9), dropped: make(chan string, 9)}
+	server := httptest.NewServer(worker)
+	test.Cleanup(server.Close)
+	locker := soleLocker(test, model.NewDisk(seed))
+	one := rule(test, locker, 1)
+	locker.Jointer.Bench.SetConfig(locker.Stand.Config())
+	locker.Jointer.Bench.Merge([]pattern.Worker{{ID: "w", Backend: "s", Address: strings.TrimPrefix(server.URL, "http://"), Capacity: 12, Count: 1}}, watch.Now())
+	locker.driver.run()
+	test.Cleanup(locker.Stand.End)
+	return one, worker
+}
+
+func outputs(test *testing.T, one *reign, lot string, sum int) map[string]outputLine {
+	found := map[string]outputLine{}
+	end := watch.Now().Plus(watch.Milliseconds(15_000))
+	for len(found) < sum && watch.Now() < end {
+		page := outputPage{}
+		if failure := json.Unmarshal(one.readLot(&pattern.LotCall{Lot: lot, Cursor: len(found), HoldMs: 1000}).Body, &page); failure != nil {
+			test.Fatal(failure)
+		}
+		for _, line := range page.Outputs {
+			if _, twice := found[line.ID]; twice {
+				test.Fatal("listed twice: ", line.ID)
+			}
+			found[line.ID] = line
+		}
+	}
+	if len(found) != sum {
+		test.Fatalf("%d of %d are listed", len(found), sum)
+	}
+	return found
+}
+
+// What a driver acknowledges follows from the stream: the end is an ACCEPT, a cut a
+// RELEASE with the events so far, a 500 one that counts, a 422 a REJECT.
+func TestDriverDerivesAcknowledgements(test *testing.T) {
+	one, worker := driven(test, 11)
+	if answer := one.handIn(lotCallOf("mixed", 5)); answer.Status != 202 {
+		test.Fatal(answer.Status)
+	}
+	for id, line := range outputs(test, one, "mixed", 5) {
+		whole := fmt.Sprintf("%s.1\n%s.2\n%s.3\n%s.4", id, id, id, id)
+		dropped := strings.HasSuffix(id, "-0") || strings.HasSuffix(id, "-1")
+		if (line.Phase == "abandoned") != dropped || (!dropped && line.Text != whole) {
+			test.Fatal(line)
+		}
+	}
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	// Two tries is what the route allows.
+	if worker.tries["mixed-1"] != 2 || worker.tries["mixed-0"] != 1 || worker.resumed["mixed-2"] != "2" {
+		test.Fatal(worker.tries, worker.resumed)
+	}
+}
+
+// The end of a lot breaks its runs off at once, and none begins again.
+func TestEndStopsRuns(test *testing.T) {
+	one, worker := driven(test, 12)
+	if answer := one.handIn(lotCallOf("stuck", 3)); answer.Status != 202 {
+		test.Fatal(answer.Status)
+	}
+	begun := map[string]bool{}
+	for len(begun) < 3 {
+		select {
+		case id := <-worker.stuck:
+			begun[id] = true
+		case <-watch.After(watch.Milliseconds(10_000)):
+			test.Fatal("not all were begun: ", begun)
+		}
+	}
+	if answer := one.endLot(&pattern.LotCall{Lot: "stuck"}); answer.Status != 200 {
+		test.Fatal(answer.Status)
+	}
+	for count := 0; count < 3; count++ {
+		select {
+		case <-worker.dropped:
+		case <-watch.After(watch.Milliseconds(1500)):
+			test.Fatal("runs go on after the end of their lot: ", count)
+		}
+	}
+	// The next lot is run to its end meanwhile; nothing of the ended one is.
+	if answer := one.handIn(lotCallOf("next", 2)); answer.Status != 202 {
+		test.Fatal(answer.Status)
+	}
+	outputs(test, one, "next", 2)
+	worker.lock.Lock()
+	defer worker.lock.Unlock()
+	for id, tries := range worker.tries {
+		if strings.HasPrefix(id, "stuck") && tries != 1 {
+			test.Fatal("begun again after the end: ", id)
+		}
+	}
+}
+
+// A holder that gave the duty up for its slow disk does not ask for it at once.
+func TestRestingLockerStandsBack(test *testing.T) {
+	locker := soleLocker(test, model.NewDisk(13))
+	locker.value.Stores = []pattern.Member{locker.member()}
+	if !locker.eligible() || vise.Identity(locker.member()) == "" {
+		test.Fatal("a member of the set is not eligible")
+	}
+	locker.rest(watch.Now().Plus(watch.Milliseconds(60_000)))
+	if locker.eligible() {
+		test.Fatal("it asks for the duty again")
+	}
+	locker.rest(watch.Now())
+	if !locker.eligible() {
+		test.Fatal("it rests for ever")
+	}
+}
