Locks are renewed only for runs that bring events

Change: a lock is renewed for 5 s without events, then left to lapse and the run stopped. The guard was taken out once and TestHangingRunsAreNotRenewed seen red.

--- a/internal/almanac/dispatch.go
+++ b/internal/almanac/dispatch.go
@@ -20,6 +20,10 @@
 	// RenewPart is how many times a lock is renewed in its own length (ours): two
 	// messages may be lost.
 	RenewPart = 4
+	// RenewPatience is how long a lock is renewed without events (ours): a place, a
+	// connection and twice the silence at which a stream is given up fit into it. It
+	// guards against a run that hangs unnoticed.
+	RenewPatience = 5 * time.Second
 	// AcquireHold is how long a question for items is held until there are some
 	// (ours): it bounds the messages of an idle driver.
 	AcquireHold = 500 * time.Millisecond
--- a/internal/apprentice/apprentice.go
+++ b/internal/apprentice/apprentice.go
@@ -22,8 +22,13 @@
 	// until is the end of the lock by our own steady clock, less the margin.
 	until   watch.Moment
 	stopped bool
+	// moved is when it was acquired or last brought events.
+	moved watch.Moment
 }
 
+// Moved notes that a task's stream brought events.
+func (task *Task) Moved(now watch.Moment) { task.moved = now }
+
 // Stopped tells whether the run may go on no more.
 func (task *Task) Stopped() bool { return task.stopped }
 
@@ -62,7 +67,7 @@
 		}
 		lot := &ledgerbox.Lot{ID: one.Lot, Host: one.Host, Path: one.Path, SentMs: one.SentMs}
 		item := &ledgerbox.Item{LotItem: one.Item, Lot: lot, Pieces: one.Pieces, LastID: one.LastID, Displaced: one.Displaced, Owed: one.Owed}
-		task := &Task{Number: one.Number, Item: item, Run: item.Begin(), Since: now, until: until}
+		task := &Task{Number: one.Number, Item: item, Run: item.Begin(), Since: now, until: until, moved: now}
 		apprentice.tasks[task.Number] = task
 		taken = append(taken, task)
 	}
@@ -86,12 +91,12 @@
 // earlier holders that are still on their way are not taken any more.
 func (apprentice *Apprentice) Fence(epoch uint64) { apprentice.fence = max(apprentice.fence, epoch) }
 
-// Renewals asks for all locks to run anew, in one message. What brings no tokens
-// any more has been ended by its patience, so whatever is here goes on.
+// Renewals asks for locks to run anew, in one message: of all that brings events, or
+// may still be waiting for its first. Anything else is left to lapse.
 func (apprentice *Apprentice) Renewals(now watch.Moment) []pattern.Acknowledgement {
 	var entries []pattern.Acknowledgement
 	for _, task := range apprentice.All() {
-		if task.May(now) {
+		if task.May(now) && now.Since(task.moved) < almanac.RenewPatience {
 			entries = append(entries, pattern.Acknowledgement{Kind: pattern.AckRenew, Number: task.Number, Lot: task.Item.Lot.ID, Item: task.Item.ID})
 		}
 	}
--- a/internal/apprentice/apprentice_test.go
+++ b/internal/apprentice/apprentice_test.go
@@ -113,3 +113,23 @@
 		test.Fatal("what an earlier holder handed out was taken, or what is held was dropped")
 	}
 }
+
+// A run that hangs is not renewed for ever: its lock lapses, and it is stopped.
+func TestHangingRunsAreNotRenewed(test *testing.T) {
+	one := New()
+	task := one.Take(given(1), ms(0), ms(0))[0]
+	for at := 500.0; at < 20_000; at += 500 {
+		entries := one.Renewals(ms(at))
+		if at <= 10_000 {
+			task.Moved(ms(at))
+		}
+		hangs := watch.Milliseconds(at-10_000) >= almanac.RenewPatience
+		if (len(entries) == 0) != hangs {
+			test.Fatal("renewed or not at ", at)
+		}
+		one.Renewed(entries, []pattern.AckVerdict{pattern.AckRenewed}, ms(at), lock)
+	}
+	if !task.May(ms(16_000)) || len(one.Lapsed(ms(17_000))) != 1 {
+		test.Fatal("not stopped")
+	}
+}
--- a/internal/locker/drive.go
+++ b/internal/locker/drive.go
@@ -61,6 +61,7 @@
 		if task.Stopped() || !task.Item.Gather(task.Run, carriage.Data(events), splitter.Last) {
 			return carriage.NotSent.New("called off")
 		}
+		task.Moved(watch.Now())
 		return nil
 	})
 	driver.letGo(task)
--- a/internal/locker/share_driver_test.go
+++ b/internal/locker/share_driver_test.go
@@ -215,6 +215,7 @@
 			driver.release(task, pattern.Acknowledgement{})
 		case next <= shareEvents:
 			if task.Item.Gather(task.Run, [][]byte{[]byte(fmt.Sprintf("%s.%d", task.Item.ID, next))}, next) {
+				task.Moved(driver.now())
 				driver.stream(task, next+1)
 			}
 		case task.Item.Finish(task.Run):
