The floor of items is of a driver's own workers

Cause: each of N drivers kept 8 % of all places of a service, so with a dozen drivers hardly an item made room for live requests.

Change: a process that places items at some workers only keeps the floor of those.

--- a/internal/locker/place.go
+++ b/internal/locker/place.go
@@ -66,6 +66,7 @@
 			workers[worker.ID] = true
 		}
 	}
+	driver.locker.Jointer.Bench.SetBulkOwn(workers)
 	driver.lock.Lock()
 	defer driver.lock.Unlock()
 	driver.owned = ownership{now, workers}
--- a/internal/workbench/displace.go
+++ b/internal/workbench/displace.go
@@ -161,11 +161,15 @@
 	return count
 }
 
-// floor is how many places items keep whatever waits. The lock is held.
+// floor is how many places items keep whatever waits: a part of those of the workers
+// at which this process places items, so that all processes together keep one floor.
+// The lock is held.
 func (bench *Workbench) floor(service string) int {
 	capacity := 0
 	for _, worker := range bench.Roster.Named(service) {
-		capacity += worker.Capacity
+		if bench.bulkOwn == nil || bench.bulkOwn[worker.ID] {
+			capacity += worker.Capacity
+		}
 	}
 	return int(almanac.DisplaceFloor*float64(capacity)) + 1
 }
--- a/internal/workbench/room.go
+++ b/internal/workbench/room.go
@@ -13,6 +13,13 @@
 	return bench.Roster.All(now)
 }
 
+// SetBulkOwn names the only workers at which this process places items.
+func (bench *Workbench) SetBulkOwn(workers map[string]bool) {
+	bench.lock.Lock()
+	defer bench.lock.Unlock()
+	bench.bulkOwn = workers
+}
+
 // BulkRoom counts the workers that have a place left for an item, whether or not
 // they read one already: so many items are worth holding ready.
 func (bench *Workbench) BulkRoom(ask *Ask, now watch.Moment) int {
--- a/internal/workbench/workbench.go
+++ b/internal/workbench/workbench.go
@@ -91,6 +91,8 @@
 	number    int64
 	tallyLock sync.Mutex
 	tallies   map[string]*Tally
+	// bulkOwn, where not nil, names the workers at which items are placed from here.
+	bulkOwn map[string]bool
 }
 
 // rate follows how many requests a service finishes a second, as seen from here.
