A stepped time of day gives no item up and forgets no lot

Cause: retain-s and status-s were reckoned by the time of day alone, so a holder whose clock was stepped (or a lot taken under one) could abandon items or forget lots before their time.

Change: both count only once the lot has also been known that long by the holder's steady clock; a run near its retain-s is given ten seconds.

--- a/internal/almanac/dispatch.go
+++ b/internal/almanac/dispatch.go
@@ -20,6 +20,9 @@
 	// RenewPart is how many times a lock is renewed in its own length (ours): two
 	// messages may be lost.
 	RenewPart = 4
+	// RunLeast is the least time that a run is given, however near its retain-s seems
+	// by the time of day (ours): that clock may have been stepped.
+	RunLeast = 10 * time.Second
 	// RenewPatience is how long a lock is renewed without events (ours): a place, a
 	// connection and twice the silence at which a stream is given up fit into it. It
 	// guards against a run that hangs unnoticed.
--- a/internal/ledgerbox/book.go
+++ b/internal/ledgerbox/book.go
@@ -5,6 +5,7 @@
 
 	"lemonarch/internal/mishap"
 	"lemonarch/internal/pattern"
+	"lemonarch/internal/watch"
 )
 
 // Unreadable is the mishap of a record that can't be understood.
@@ -29,6 +30,8 @@
 	Ended    bool
 	sum      int
 	open     int
+	// Known is when this holder came to know the lot, by its steady clock.
+	Known watch.Moment
 	// giving counts positions that were given and are not yet durable.
 	giving int
 	// named leads from ids to items: a lot may hold hundreds of thousands, and each
@@ -36,6 +39,13 @@
 	named map[string]*Item
 }
 
+// Older tells whether a lot is older than a span: by the time of day, and known here
+// for as long. A time of day that was stepped, here or where the lot was taken, must
+// end nothing early; after a takeover things end later instead.
+func (lot *Lot) Older(span watch.Span, wallMs int64, now watch.Moment) bool {
+	return wallMs-lot.SentMs > span.Milliseconds() && now.Since(lot.Known) > span
+}
+
 // Giving counts the positions that are on their way to the stores.
 func (lot *Lot) Giving() int { return lot.giving }
 
--- a/internal/locker/calls.go
+++ b/internal/locker/calls.go
@@ -232,12 +232,12 @@
 	if !reign.locker.holds() {
 		return
 	}
-	keep := int64(reign.locker.Stand.Boot.Tolerances.StatusS * 1000)
-	now := watch.Wall() / 1_000_000
+	keep := watch.Milliseconds(reign.locker.Stand.Boot.Tolerances.StatusS * 1000)
+	wall, now := watch.Wall()/1_000_000, watch.Now()
 	reign.lock.Lock()
 	defer reign.lock.Unlock()
 	for _, lot := range reign.book.Lots() {
-		if !lot.Open() && now-lot.SentMs > keep && !reign.ending["forget "+lot.ID] && lot.Giving() == 0 {
+		if !lot.Open() && lot.Older(keep, wall, now) && !reign.ending["forget "+lot.ID] && lot.Giving() == 0 {
 			reign.ending["forget "+lot.ID] = true
 			reign.submit(pattern.Record{Kind: pattern.RecordForget, Lot: lot.ID})
 		}
--- a/internal/locker/dispatch.go
+++ b/internal/locker/dispatch.go
@@ -41,14 +41,14 @@
 
 // terms says what a configuration means for a lot now.
 func (reign *reign) terms(config *jig.Config) func(lot *ledgerbox.Lot) ledgerbox.Terms {
-	wall := watch.Wall() / 1_000_000
+	wall, now := watch.Wall()/1_000_000, watch.Now()
 	return func(lot *ledgerbox.Lot) ledgerbox.Terms {
 		route := routeOf(config, lot.Host, lot.Path)
 		if route == nil {
 			return ledgerbox.Terms{Over: true}
 		}
 		age := wall - lot.SentMs
-		return ledgerbox.Terms{Due: lot.SentMs + int64(route.ResultMs), Over: age > route.Retain().Milliseconds(),
+		return ledgerbox.Terms{Due: lot.SentMs + int64(route.ResultMs), Over: lot.Older(route.Retain(), wall, now),
 			Late: float64(age)+reign.dispatcher.TookMs > route.ResultMs}
 	}
 }
--- a/internal/locker/drive.go
+++ b/internal/locker/drive.go
@@ -166,7 +166,7 @@
 	left := item.Lot.SentMs + route.Retain().Milliseconds() - watch.Wall()/1_000_000
 	return &carriage.Letter{Method: http.MethodPost, Attempt: item.ID, Seal: true, Repeatable: true, Patience: 2 * almanac.SilentWorker,
 		Text:  carriage.Head(http.MethodPost, item.Path, item.Lot.Host, carriage.Passed(header), own, item.Body),
-		Until: watch.Now().Plus(watch.Milliseconds(float64(max(left, 1000)))),
+		Until: watch.Now().Plus(max(watch.Milliseconds(float64(left)), almanac.RunLeast)),
 		Halt: func(pipe *chisel.Pipe) {
 			driver.lock.Lock()
 			defer driver.lock.Unlock()
--- a/internal/locker/reign.go
+++ b/internal/locker/reign.go
@@ -139,6 +139,9 @@
 		case pattern.RecordLot:
 			delete(reign.taking, record.Lot)
 			delete(reign.quota.coming, record.Lot)
+			if lot := reign.book.Lot(record.Lot); lot != nil {
+				lot.Known = watch.Now()
+			}
 			reign.freshen()
 		}
 		reign.applied++
--- a/internal/locker/takeover.go
+++ b/internal/locker/takeover.go
@@ -169,6 +169,9 @@
 			return failure
 		}
 	}
+	for _, lot := range reign.book.Lots() {
+		lot.Known = reign.begun
+	}
 	return nil
 }
 
