--- a/internal/locker/copy.go
+++ b/internal/locker/copy.go
@@ -16,6 +16,7 @@
 func (reign *reign) copied(newcomer pattern.Member) int64 {
 	identity := vise.Identity(newcomer)
 	end := watch.Now().Plus(almanac.SetChange)
+	last := int64(0)
 	for watch.Now() < end && !reign.over() {
 		reign.lock.Lock()
 		if reign.copying[identity] {
@@ -26,10 +27,11 @@
 		}
 		done := reign.copies[identity]
 		source, target := reign.source(newcomer)
-		if source == nil || target <= done || (done > 0 && target-done <= almanac.CopyGap) {
+		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) {
 			reign.lock.Unlock()
 			return done
 		}
+		last = target - done
 		reign.copying[identity] = true
 		reign.lock.Unlock()
 		further := reign.copyRound(newcomer, *source, done, target, end)
@@ -47,6 +49,13 @@
 	return reign.copies[identity]
 }
 
+// caughtUp tells whether another round of copying is not worth it: little is lacking, or
+// hardly less than in the round before, since as much comes as is copied. Then only
+// the holder, which sends what is new as it comes, can bring the rest.
+func caughtUp(lacking, before int64) bool {
+	return lacking <= almanac.CopyGap || (before > 0 && lacking*4 > before*3)
+}
+
 // copyRound copies up to what was durable when it began; meanwhile more comes.
 func (reign *reign) copyRound(newcomer, source pattern.Member, done, target int64, end watch.Moment) int64 {
 	for done < target && watch.Now() < end && !reign.over() {
