--- a/internal/maquette/troubles.go
+++ b/internal/maquette/troubles.go
@@ -41,6 +41,8 @@
 	// settledAfter is the age, in s, from which news that is on its way when a run ends
 	// counts as unfinished.
 	settledAfter = 5
+	// roomAfter is the part of a run by which a loss should be over.
+	roomAfter = 0.95
 )
 
 func newTroubles(fleet *Fleet) *troubles {
@@ -77,7 +79,11 @@
 	quarter := plan.DurationS / 4
 	once := func(lost, at float64, function func()) {
 		if lost > 0 {
-			fleet.world.After(seconds(min(at, plan.DurationS-lost)), function)
+			// A long loss is put in the middle, so that what comes after it is seen too.
+			if at+lost > roomAfter*plan.DurationS {
+				at = (plan.DurationS - lost) / 2
+			}
+			fleet.world.After(seconds(at), function)
 		}
 	}
 	// A rack is a twentieth of a zone's machines, two at least.
