--- a/internal/foreman/propose.go
+++ b/internal/foreman/propose.go
@@ -28,13 +28,15 @@
 		answer.promise, failure = &promise, problem
 	case send.Prepare != nil:
 		answer.promise = &pattern.Promise{}
-		failure = tongs.Ask(register.stand.Wire, send.Member.Address, pattern.KindPrepare, send.Prepare, answer.promise, almanac.RoundTime)
+		kind, question := register.prepare(send.Prepare)
+		failure = tongs.Ask(register.stand.Wire, send.Member.Address, kind, question, answer.promise, almanac.RoundTime)
 	case local:
 		accepted, problem := register.Accept(send.Accept)
 		answer.accepted, failure = &accepted, problem
 	default:
 		answer.accepted = &pattern.Accepted{}
-		failure = tongs.Ask(register.stand.Wire, send.Member.Address, pattern.KindAccept, send.Accept, answer.accepted, almanac.RoundTime)
+		kind, question := register.accept(send.Accept)
+		failure = tongs.Ask(register.stand.Wire, send.Member.Address, kind, question, answer.accepted, almanac.RoundTime)
 	}
 	if failure == nil {
 		answers <- answer
@@ -104,10 +106,21 @@
 }
 
 // Read gives the value in force.
-func (register *Register) Read() (pattern.Register, error) {
+func (register *Register) Read() (pattern.Register, error) { return register.read(false) }
+
+// ReadSets gives it without the configuration's body: lockers ask often, and the body
+// would come from each acceptor each time.
+func (register *Register) ReadSets() (pattern.Register, error) {
+	value, failure := register.read(true)
+	value.Body = nil
+	return value, failure
+}
+
+func (register *Register) read(slim bool) (pattern.Register, error) {
 	reading, sends := vise.BeginReading(register.Known())
 	answers := make(chan heard, len(sends))
 	for _, send := range sends {
+		send.Prepare.Slim = slim
 		go register.carry(send, answers)
 	}
 	timer := watch.NewTimer(almanac.RoundTime)
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -47,6 +47,7 @@
 	for _, entry := range locker.Stand.All(bellows.RoleLocker) {
 		entries[entry.Name] = entry
 	}
+	reign.copyAhead(members, entries, retired)
 	out, newcomer := locker.quickChange(members, entries, retired)
 	if newcomer == nil {
 		return
@@ -75,6 +76,7 @@
 		case newcomer == nil || (out != nil && out.Name == newcomer.Name):
 			return out, newcomer
 		case locker.sluggish(*newcomer):
+			locker.Stand.Log.Info("store passed over as slow or silent", "store", newcomer.Name)
 			// A store that everything must be copied to first had better be quick.
 			delete(entries, newcomer.Name)
 		case out != nil && !retired[out.Name] && !locker.silent(*out):
@@ -100,10 +102,9 @@
 		if vise.Identity(*member) == own {
 			continue
 		}
-		entry, known := entries[member.Name]
-		if known && entry.Disk != member.Disk && entry.Disk != "" && !retired[member.Name] && entry.AgeMs < almanac.SilentAfter.Milliseconds() {
+		if back := wiped(*member, entries, retired); back != nil {
 			// The same machine with an empty disk takes its own place again.
-			return member, &pattern.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Hall: entry.Hall}
+			return member, back
 		}
 	}
 	spare := func(hall string) *pattern.Member {
@@ -161,10 +162,17 @@
 func (reign *reign) changeSet(members, next []pattern.Member, out *pattern.Member, newcomer pattern.Member) {
 	locker := reign.locker
 	identity := vise.Identity(newcomer)
+	from := reign.copied(newcomer)
 	reign.lock.Lock()
-	reign.feed(newcomer, 0)
+	// The last copied record goes once more, from here: it shows that the copy joins on.
+	reign.feed(newcomer, max(from-1, 0))
 	target := reign.press.Last()
 	reign.lock.Unlock()
+	left := ""
+	if out != nil {
+		left = out.Name
+	}
+	locker.Stand.Log.Info("store set begins to change", "in", newcomer.Name, "out", left, "copied", from, "records", target, "epoch", reign.duty.Epoch)
 	end := watch.Now().Plus(almanac.SetChange)
 	caught := func() bool {
 		reign.lock.Lock()
@@ -174,6 +182,7 @@
 	for !caught() {
 		if reign.over() || watch.Now() > end {
 			reign.lock.Lock()
+			locker.Stand.Log.Warn("store set not changed", "in", newcomer.Name, "copied", reign.press.MatchOf(identity), "records", target)
 			reign.unfeed(newcomer)
 			reign.lock.Unlock()
 			return
--- a/internal/maquette/gossip.go
+++ b/internal/maquette/gossip.go
@@ -35,6 +35,12 @@
 	near, far        []pattern.Entry
 	halls            [][]pattern.Entry
 	gossip, readings []pattern.Entry
+	population       int
+}
+
+// zoneSize is how many placing processes a zone has.
+func (circle *circle) zoneSize() int {
+	return max(len(circle.near)+1, circle.population/(len(circle.halls)+1))
 }
 
 // Begin starts the gossip of a process that places work.
@@ -51,6 +57,11 @@
 	})
 	node.answerers[pattern.KindReading] = reads(node, CoreReadings, func(told *pattern.ReadingTold) tongs.Writable {
 		own.bench.PeerReads(told, node.now())
+		if told.Pass {
+			further := *told
+			further.Pass = false
+			node.after(0, func() { gossip.spreadReading(node, own, &further, false) })
+		}
 		return taken()
 	})
 	node.answerers[pattern.KindPressure] = reads(node, CoreReadings, func(told *pattern.PressureTold) tongs.Writable {
@@ -59,7 +70,8 @@
 	})
 	own.bench.OnReading(func(worker string, milliseconds float64) {
 		told := &pattern.ReadingTold{From: bellows.Key(node.own), Worker: worker, Reading: milliseconds}
-		node.tell(own.around.readings, CoreReadings, pattern.KindReading, told)
+		// Called under the workbench's lock.
+		node.after(0, func() { gossip.spreadReading(node, own, told, true) })
 	})
 	node.every(almanac.GossipPeriod, func() { gossip.period(node, own) })
 	return nil
@@ -74,10 +86,12 @@
 	node.step(CoreGossip, func() {
 		packet = own.bench.Gossip(node.now())
 		packet.Generation = node.generation
-		own.around = around(node.own, gossip.fleet.members.view(node).All("", node.now()))
+		view := gossip.fleet.members.view(node)
+		own.around = around(node.own, view.All("", node.now()))
+		own.around.population = view.Population(bellows.RoleForge, node.now()) + view.Population(bellows.RoleLocker, node.now())
 		told = append([]pattern.Entry(nil), own.around.gossip...)
 		// Each zone tells each other about once a period, however many it has.
-		if halls := own.around.halls; len(halls) > 0 && node.random.Float64() < float64(len(halls))/float64(len(own.around.near)+1) {
+		if halls := own.around.halls; len(halls) > 0 && node.random.Float64() < float64(len(halls))/float64(own.around.zoneSize()) {
 			there := halls[node.random.Intn(len(halls))]
 			told = append(told, there[node.random.Intn(len(there))])
 		}
