Outputs are compressed where they are made

Cause: on grown stations the holder's link (60 Mbit/s) carries each text once in and four times out, about 5.4 KB of 250 items and more a second, and left nothing for repair; bytes between zones are priced on both sites. Change: a driver compresses the text of an ACCEPT (DEFLATE, symbols only); stores keep it so, and the page unpacks it.

--- a/internal/almanac/dispatch.go
+++ b/internal/almanac/dispatch.go
@@ -58,4 +58,7 @@
 	LagLimit = 2 * time.Second
 	// LagRest is how long such a store stands back from the duty (ours).
 	LagRest = 10 * time.Second
+	// PackLeast is the length in bytes from which an output is compressed (ours): below
+	// it the tables take what the symbols save.
+	PackLeast = 512
 )
--- a/internal/ledgerbox/acknowledge.go
+++ b/internal/ledgerbox/acknowledge.go
@@ -73,7 +73,7 @@
 	dispatcher.drop(held)
 	item.State = ItemClosing
 	dispatcher.Counts.Settled++
-	dispatcher.close(item, entry.Number, entry.Text, false)
+	dispatcher.close(item, entry.Number, entry.Text, entry.Packed, false)
 	return Step{Verdict: pattern.AckTaken, Index: item.closing}
 }
 
--- a/internal/ledgerbox/dispatch.go
+++ b/internal/ledgerbox/dispatch.go
@@ -222,16 +222,16 @@
 		return false
 	}
 	dispatcher.Counts.Dropped++
-	dispatcher.close(item, number, nil, true)
+	dispatcher.close(item, number, nil, false, true)
 	return true
 }
 
 // close submits the one terminal record of an item, at the next position.
-func (dispatcher *Dispatcher) close(item *Item, number uint64, text []byte, dropped bool) {
+func (dispatcher *Dispatcher) close(item *Item, number uint64, text []byte, packed, dropped bool) {
 	lot := item.Lot
 	position := len(lot.Listings) + lot.giving
 	lot.giving++
 	item.closer = number
 	item.closing = dispatcher.Submit(pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID,
-		Position: position, Dropped: dropped, Body: text, Acquisition: number})
+		Position: position, Dropped: dropped, Body: text, Packed: packed, Acquisition: number})
 }
--- a/internal/locker/calls.go
+++ b/internal/locker/calls.go
@@ -159,16 +159,16 @@
 func (reign *reign) text(index int64) ([]byte, error) {
 	reign.lock.Lock()
 	if record := reign.recentAt(index); record != nil {
-		body := record.Body
+		body, packed := record.Body, record.Packed
 		reign.lock.Unlock()
-		return body, nil
+		return unpack(body, packed)
 	}
 	reign.lock.Unlock()
 	record, failure := reign.locker.Store.Read(index)
 	if failure != nil {
 		return nil, failure
 	}
-	return record.Body, nil
+	return unpack(record.Body, record.Packed)
 }
 
 func (reign *reign) itemBody(call *pattern.LotCall) *pattern.LotAnswer {
--- a/internal/locker/drive.go
+++ b/internal/locker/drive.go
@@ -84,7 +84,8 @@
 		driver.locker.Jointer.Bench.Tally(route.Name).Finished.Add(1)
 	}
 	grant.End(workbench.OutcomeServed, watch.Now())
-	driver.done(task, pattern.Acknowledgement{Kind: pattern.AckAccept, Text: bytes.Join(task.Item.Pieces, []byte("\n"))})
+	text, packed := pack(bytes.Join(task.Item.Pieces, []byte("\n")))
+	driver.done(task, pattern.Acknowledgement{Kind: pattern.AckAccept, Text: text, Packed: packed})
 }
 
 // letGo takes a pipe out of reach before it may serve somebody else.
--- /dev/null
+++ b/internal/locker/pack_test.go
@@ -0,0 +1,41 @@
+package locker
+
+import (
+	"bytes"
+	"math/rand"
+	"testing"
+
+	"lemonarch/internal/almanac"
+)
+
+// A text comes back byte for byte, is never longer than it was, and a damaged one is
+// told instead of given out.
+func TestPackedTextComesBack(test *testing.T) {
+	random := rand.New(rand.NewSource(7))
+	for round := 0; round < 300; round++ {
+		text := make([]byte, random.Intn(9000))
+		letters := 1 + random.Intn(256)
+		for place := range text {
+			text[place] = byte(random.Intn(letters))
+		}
+		body, packed := pack(text)
+		if len(body) > len(text) {
+			test.Fatal("longer: ", len(body), len(text))
+		}
+		if packed && len(text) < almanac.PackLeast {
+			test.Fatal("packed though short: ", len(text))
+		}
+		if letters <= 32 && len(text) > 2000 && !packed {
+			test.Fatal("not packed: ", letters, len(text))
+		}
+		back, failure := unpack(body, packed)
+		if failure != nil || !bytes.Equal(back, text) {
+			test.Fatal(failure, len(back), len(text))
+		}
+		if packed {
+			if cut, failure := unpack(body[:len(body)/2], true); failure == nil {
+				test.Fatal("half a text was given out: ", len(cut))
+			}
+		}
+	}
+}
--- a/internal/pattern/dispatch.go
+++ b/internal/pattern/dispatch.go
@@ -61,6 +61,8 @@
 	Item   string  `msg:"i"`
 	// Text is the whole output of an ACCEPT.
 	Text []byte `msg:"t"`
+	// Packed says that the text is compressed (DEFLATE).
+	Packed bool `msg:"z"`
 	// Pieces and LastID are the events that a RELEASE gives back, from the first on.
 	Pieces [][]byte `msg:"g"`
 	LastID int64    `msg:"e"`
--- a/internal/pattern/dispatch_gen.go
+++ b/internal/pattern/dispatch_gen.go
@@ -314,9 +314,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Acknowledgement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "n"
-	o = append(o, 0x8a, 0xa1, 0x6e)
+	o = append(o, 0x8b, 0xa1, 0x6e)
 	o = msgp.AppendUint64(o, z.Number)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
@@ -334,6 +334,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendBytes(o, z.Text)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Packed)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Pieces)))
@@ -403,6 +406,12 @@
 				err = msgp.WrapError(err, "Text")
 				return
 			}
+		case "z":
+			z.Packed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
 		case "g":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -460,7 +469,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Acknowledgement) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + z.Kind.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.BytesPrefixSize + len(z.Text) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + z.Kind.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.BytesPrefixSize + len(z.Text) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Pieces {
 		s += msgp.BytesPrefixSize + len(z.Pieces[za0001])
 	}
--- a/internal/pattern/lots.go
+++ b/internal/pattern/lots.go
@@ -49,6 +49,8 @@
 	Body     []byte     `msg:"b"`
 	// Acquisition is the acquisition whose acknowledgement this records, if any.
 	Acquisition uint64 `msg:"a"`
+	// Packed says that the body of an output is compressed (DEFLATE).
+	Packed bool `msg:"z"`
 }
 
 // Stretch says that records from First on were written under Epoch.
--- a/internal/pattern/lots_gen.go
+++ b/internal/pattern/lots_gen.go
@@ -1221,9 +1221,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "x"
-	o = append(o, 0x8c, 0xa1, 0x78)
+	o = append(o, 0x8d, 0xa1, 0x78)
 	o = msgp.AppendInt64(o, z.Index)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -1262,6 +1262,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendUint64(o, z.Acquisition)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Packed)
 	return
 }
 
@@ -1355,6 +1358,12 @@
 				err = msgp.WrapError(err, "Acquisition")
 				return
 			}
+		case "z":
+			z.Packed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1369,7 +1378,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + z.Kind.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + z.Kind.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Lot) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
 	return
 }
 
