Stores that came back empty take their places in one change of the set

Change: all wiped members are brought in at the same time and named in one change; a copy is made once; who is gone again is left out. A record is durable only in both sets in between, as before, so any number of members may change at once. Copies are told in the log.

--- a/internal/locker/copy.go
+++ b/internal/locker/copy.go
@@ -16,37 +16,50 @@
 func (reign *reign) copied(newcomer pattern.Member) int64 {
 	identity := vise.Identity(newcomer)
 	end := watch.Now().Plus(almanac.SetChange)
+	for !reign.beginCopy(identity) {
+		// It was begun ahead of the change: two at a time would only share the link.
+		if watch.Now() >= end || reign.over() {
+			return 0
+		}
+		watch.Sleep(almanac.TickPeriod)
+	}
+	defer reign.endCopy(identity)
 	last := int64(0)
-	for watch.Now() < end && !reign.over() {
+	for {
 		reign.lock.Lock()
-		if reign.copying[identity] {
-			// It was begun while another member was being replaced.
-			reign.lock.Unlock()
-			watch.Sleep(almanac.TickPeriod)
-			continue
-		}
 		done := reign.copies[identity]
 		source, target := reign.source(newcomer)
-		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) {
-			reign.lock.Unlock()
+		reign.lock.Unlock()
+		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) || watch.Now() >= end || reign.over() {
 			return done
 		}
 		last = target - done
-		reign.copying[identity] = true
-		reign.lock.Unlock()
 		further := reign.copyRound(newcomer, *source, done, target, end)
 		reign.lock.Lock()
 		reign.copies[identity] = further
-		delete(reign.copying, identity)
 		reign.lock.Unlock()
 		if further < target {
 			// What was copied counts; the rest comes from here.
 			return further
 		}
 	}
+}
+
+// beginCopy marks a newcomer as being copied to; false while it is already.
+func (reign *reign) beginCopy(identity string) bool {
 	reign.lock.Lock()
 	defer reign.lock.Unlock()
-	return reign.copies[identity]
+	if reign.copying[identity] {
+		return false
+	}
+	reign.copying[identity] = true
+	return true
+}
+
+func (reign *reign) endCopy(identity string) {
+	reign.lock.Lock()
+	defer reign.lock.Unlock()
+	delete(reign.copying, identity)
 }
 
 // caughtUp tells whether another round of copying is not worth it: little is lacking, or
@@ -58,10 +71,16 @@
 
 // copyRound copies up to what was durable when it began; meanwhile more comes.
 func (reign *reign) copyRound(newcomer, source pattern.Member, done, target int64, end watch.Moment) int64 {
+	first, begun := done, watch.Now()
+	defer func() {
+		reign.locker.Stand.Log.Info("store copied to", "store", newcomer.Name, "source", source.Name, "from", first, "to", done, "of", target,
+			"took-ms", watch.Now().Since(begun).Milliseconds())
+	}()
 	for done < target && watch.Now() < end && !reign.over() {
 		answer := &pattern.Appended{}
 		question := &pattern.CopyOrder{Epoch: reign.duty.Epoch, Disk: newcomer.Disk, Source: source.Address, SourceDisk: source.Disk, First: done + 1, Last: target}
-		if tongs.Ask(reign.locker.Stand.Wire, newcomer.Address, pattern.KindCopy, question, answer, almanac.BulkCallTime) != nil || !answer.Granted || answer.Last <= done {
+		if failure := tongs.Ask(reign.locker.Stand.Wire, newcomer.Address, pattern.KindCopy, question, answer, almanac.BulkCallTime); failure != nil || !answer.Granted || answer.Last <= done {
+			reign.locker.Stand.Log.Info("store copy ends early", "store", newcomer.Name, "source", source.Name, "at", done, "granted", answer.Granted, "failed", failure != nil)
 			break
 		}
 		done = answer.Last
@@ -69,16 +88,6 @@
 	return done
 }
 
-// copyAhead begins the copies of all members that came back empty: their places
-// are given one after the other, but each second counts against the fault budget.
-func (reign *reign) copyAhead(members []pattern.Member, entries map[string]pattern.Entry, retired map[string]bool) {
-	for _, member := range members {
-		if back := wiped(member, entries, retired); back != nil {
-			go reign.copied(*back)
-		}
-	}
-}
-
 // wiped gives a member's machine with its new disk, where it came back empty.
 func wiped(member pattern.Member, entries map[string]pattern.Entry, retired map[string]bool) *pattern.Member {
 	entry, known := entries[member.Name]
--- a/internal/locker/sets.go
+++ b/internal/locker/sets.go
@@ -47,18 +47,46 @@
 	for _, entry := range locker.Stand.All(bellows.RoleLocker) {
 		entries[entry.Name] = entry
 	}
-	reign.copyAhead(members, entries, retired)
 	out, newcomer := locker.quickChange(members, entries, retired)
 	if newcomer == nil {
 		return
 	}
+	swaps := []swap{{out, *newcomer}}
+	if out != nil && out.Name == newcomer.Name {
+		// All that came back empty take their places in one change: each second in
+		// which one of them is not whole counts against the fault budget.
+		swaps = swaps[:0]
+		for place := range members {
+			if back := wiped(members[place], entries, retired); back != nil && members[place].Name != locker.Stand.Own.Name {
+				swaps = append(swaps, swap{&members[place], *back})
+			}
+		}
+	}
+	reign.changeSet(members, swaps)
+}
+
+// swap puts a newcomer into a member's place, or adds it where out is nil.
+type swap struct {
+	out *pattern.Member
+	in  pattern.Member
+}
+
+// swapped gives the set after the swaps.
+func swapped(members []pattern.Member, swaps []swap) []pattern.Member {
 	next := make([]pattern.Member, 0, len(members)+1)
 	for _, member := range members {
-		if out == nil || vise.Identity(member) != vise.Identity(*out) {
+		stays := true
+		for _, one := range swaps {
+			stays = stays && (one.out == nil || vise.Identity(member) != vise.Identity(*one.out))
+		}
+		if stays {
 			next = append(next, member)
 		}
 	}
-	reign.changeSet(members, append(next, *newcomer), out, *newcomer)
+	for _, one := range swaps {
+		next = append(next, one.in)
+	}
+	return next
 }
 
 func (locker *Locker) readAt() watch.Moment {
@@ -156,73 +184,3 @@
 	}
 	return nil, nil
 }
-
-// changeSet copies everything to the newcomer, then counts its copies as well as
-// the old set's, then has the register name the new set.
-func (reign *reign) changeSet(members, next []pattern.Member, out *pattern.Member, newcomer pattern.Member) {
-	locker := reign.locker
-	identity := vise.Identity(newcomer)
-	from := reign.copied(newcomer)
-	reign.lock.Lock()
-	// The last copied record goes once more, from here: it shows that the copy joins on.
-	reign.feed(newcomer, max(from-1, 0))
-	target := reign.press.Last()
-	reign.lock.Unlock()
-	left := ""
-	if out != nil {
-		left = out.Name
-	}
-	locker.Stand.Log.Info("store set begins to change", "in", newcomer.Name, "out", left, "copied", from, "records", target, "epoch", reign.duty.Epoch)
-	end := watch.Now().Plus(almanac.SetChange)
-	caught := func() bool {
-		reign.lock.Lock()
-		defer reign.lock.Unlock()
-		return reign.press.MatchOf(identity) >= target
-	}
-	for !caught() {
-		if reign.over() || watch.Now() > end {
-			reign.lock.Lock()
-			locker.Stand.Log.Warn("store set not changed", "in", newcomer.Name, "copied", reign.press.MatchOf(identity), "records", target)
-			reign.unfeed(newcomer)
-			reign.lock.Unlock()
-			return
-		}
-		watch.Sleep(almanac.TickPeriod)
-	}
-	// From here on a record is durable only where it is in both sets.
-	reign.lock.Lock()
-	reign.press.Next = next
-	index := reign.submit(pattern.Record{Kind: pattern.RecordNothing})
-	reign.lock.Unlock()
-	for !reign.durable(index, almanac.HoldTime) {
-		if reign.over() {
-			return
-		}
-	}
-	for !reign.over() {
-		changed, known := locker.changeDuty(&pattern.DutyChange{Holder: reign.duty, Stores: next})
-		if !known {
-			// It may be in force: both sets count until that is known.
-			watch.Sleep(almanac.TickPeriod * 2)
-			continue
-		}
-		if !changed.Done {
-			reign.end("the set was changed under another epoch")
-			return
-		}
-		locker.lock.Lock()
-		locker.value, locker.read = changed.Value, watch.Now()
-		locker.lock.Unlock()
-		reign.lock.Lock()
-		reign.press.Members, reign.press.Next = next, nil
-		if out != nil {
-			reign.unfeed(*out)
-		}
-		reign.press.Settle()
-		reign.applyDone()
-		reign.ring()
-		reign.lock.Unlock()
-		locker.Stand.Log.Info("store set changed", "in", newcomer.Name, "stores", len(next), "epoch", reign.duty.Epoch)
-		return
-	}
-}
