--- a/internal/locker/change.go
+++ b/internal/locker/change.go
@@ -11,8 +11,8 @@
 
 // bringIn copies everything to a newcomer and begins to send it what is new; target is
 // the index from which on its copy counts.
-func (reign *reign) bringIn(one swap) (target int64) {
-	from := reign.copied(one.in)
+func (reign *reign) bringIn(one swap, place int) (target int64) {
+	from := reign.copied(one.in, place)
 	reign.lock.Lock()
 	// The last copied record goes once more, from here: it shows that the copy joins on.
 	reign.feed(one.in, max(from-1, 0))
@@ -54,7 +54,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			targets[place] = reign.bringIn(swaps[place])
+			targets[place] = reign.bringIn(swaps[place], place)
 		}()
 	}
 	group.Wait()
--- a/internal/locker/copy.go
+++ b/internal/locker/copy.go
@@ -1,8 +1,6 @@
 package locker
 
 import (
-	"math/rand"
-
 	"lemonarch/internal/almanac"
 	"lemonarch/internal/pattern"
 	"lemonarch/internal/tongs"
@@ -13,7 +11,7 @@
 // copied has a newcomer fetch what is durable from a member, and gives the index up
 // to which it has it. The holder's own link carries each new record to every store;
 // old ones need not take that way, and a wiped store has to be whole again soon.
-func (reign *reign) copied(newcomer pattern.Member) int64 {
+func (reign *reign) copied(newcomer pattern.Member, place int) int64 {
 	identity := vise.Identity(newcomer)
 	end := watch.Now().Plus(almanac.SetChange)
 	for !reign.beginCopy(identity) {
@@ -28,7 +26,7 @@
 	for {
 		reign.lock.Lock()
 		done := reign.copies[identity]
-		source, target := reign.source(newcomer)
+		source, target := reign.source(newcomer, place)
 		reign.lock.Unlock()
 		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) || watch.Now() >= end || reign.over() {
 			return done
@@ -97,27 +95,32 @@
 	return &pattern.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Hall: entry.Hall}
 }
 
-// source picks the member that has most of what is durable, other than this process
-// and the newcomer. What a store has synced under this epoch is what we have. The
+// source picks a member that has most of what is durable, other than this process
+// and the newcomer. What a store has synced under this epoch is what we have. place
+// tells newcomers of one time apart: they had better not share one source's link. The
 // lock is held.
-func (reign *reign) source(newcomer pattern.Member) (*pattern.Member, int64) {
-	var found *pattern.Member
-	best := int64(0)
-	own := reign.locker.Stand.Own.Address
-	for place := range reign.press.Members {
-		member := &reign.press.Members[place]
-		match := min(reign.press.MatchOf(vise.Identity(*member)), reign.press.Done())
+func (reign *reign) source(newcomer pattern.Member, place int) (*pattern.Member, int64) {
+	best, own := int64(0), reign.locker.Stand.Own.Address
+	has := func(member pattern.Member) int64 {
 		if member.Address == own || member.Address == newcomer.Address {
-			continue
+			return 0
 		}
-		// Two newcomers at one time had better not share one source.
-		if match > best+almanac.CopyGap || (found != nil && match+almanac.CopyGap > best && rand.Intn(2) == 0) {
-			found, best = member, match
-		} else if found == nil && match > 0 {
-			found, best = member, match
+		return min(reign.press.MatchOf(vise.Identity(member)), reign.press.Done())
+	}
+	for _, member := range reign.press.Members {
+		best = max(best, has(member))
+	}
+	var able []*pattern.Member
+	for index := range reign.press.Members {
+		if match := has(reign.press.Members[index]); match > 0 && match+almanac.CopyGap >= best {
+			able = append(able, &reign.press.Members[index])
 		}
 	}
-	return found, best
+	if len(able) == 0 {
+		return nil, 0
+	}
+	found := able[place%len(able)]
+	return found, has(*found)
 }
 
 // copyFrom fetches one stretch of records from another store and keeps it.
--- a/internal/locker/copy_test.go
+++ b/internal/locker/copy_test.go
@@ -26,7 +26,7 @@
 			appended++
 		}
 	})
-	done := current.copied(newcomer.member())
+	done := current.copied(newcomer.member(), 0)
 	current.lock.Lock()
 	durable := current.press.Done()
 	current.lock.Unlock()
@@ -84,7 +84,7 @@
 // that counts, and the holder goes on from there.
 func TestCopyGoesOnFromTheHolder(test *testing.T) {
 	one := rule(test, soleLocker(test, model.NewDisk(12)), 1)
-	if done := one.copied(pattern.Member{Name: "n", Address: "nowhere", Disk: "n"}); done != 0 {
+	if done := one.copied(pattern.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0); done != 0 {
 		test.Fatal("copied without a source: ", done)
 	}
 	one.lock.Lock()
@@ -108,7 +108,7 @@
 	one.lock.Lock()
 	durable := one.press.Done()
 	one.lock.Unlock()
-	if done := one.copied(pattern.Member{Name: "n", Address: "n", Disk: "n"}); done != min(1, durable) {
+	if done := one.copied(pattern.Member{Name: "n", Address: "n", Disk: "n"}, 0); done != min(1, durable) {
 		test.Fatal(done, durable)
 	}
 }
--- a/internal/locker/swap_test.go
+++ b/internal/locker/swap_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"lemonarch/internal/model"
 	"lemonarch/internal/pattern"
 )
 
@@ -24,3 +25,27 @@
 		test.Fatal(same)
 	}
 }
+
+// Two newcomers of one time copy from two members, and nobody from the holder or
+// from a member that is far behind.
+func TestNewcomersShareNoSource(test *testing.T) {
+	one := rule(test, soleLocker(test, model.NewDisk(12)), 1)
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	done := one.press.Done()
+	for _, name := range []string{"r", "s", "t"} {
+		one.press.Members = append(one.press.Members, pattern.Member{Name: name, Address: name, Disk: name})
+	}
+	one.press.Matched("r#r", done)
+	one.press.Matched("s#s", done)
+	first, _ := one.source(pattern.Member{Name: "t", Address: "t"}, 0)
+	second, _ := one.source(pattern.Member{Name: "u", Address: "u"}, 1)
+	if first == nil || second == nil || first.Name == second.Name {
+		test.Fatal(first, second)
+	}
+	for place := 0; place < 4; place++ {
+		if found, _ := one.source(pattern.Member{Name: "r", Address: "r"}, place); found == nil || found.Name != "s" {
+			test.Fatal(place, found)
+		}
+	}
+}
