--- /dev/null
+++ b/cmd/controller/main.go
@@ -0,0 +1,16 @@
+// Command controller keeps the configuration and the registration of workers.
+package main
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/control/controller"
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/settings"
+)
+
+func main() {
+	node.Main("controller", func(nodeSettings *settings.Settings, log hclog.Logger) (node.Process, error) {
+		return controller.New(nodeSettings, log)
+	})
+}
--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,16 @@
+// Command gateway takes requests at the edge and passes them on to workers.
+package main
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/settings"
+	"lemonarch/internal/traffic/gateway"
+)
+
+func main() {
+	node.Main("gateway", func(nodeSettings *settings.Settings, log hclog.Logger) (node.Process, error) {
+		return gateway.New(nodeSettings, log), nil
+	})
+}
--- a/cmd/lemonarch/assign.go
+++ b/cmd/lemonarch/assign.go
@@ -8,10 +8,10 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/fixture"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/adapterplan"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
 )
 
 // assignOptions are the flags of assign.
@@ -38,12 +38,12 @@
 }
 
 // readRules gives the rules of a file; findings go to the writer, one a line.
-func readRules(path string, complaints io.Writer) (*fixture.Rules, []byte, error) {
-	text, failure := os.ReadFile(path)
-	if failure != nil {
-		return nil, nil, coded{exitUnusable, failure.Error()}
+func readRules(path string, complaints io.Writer) (*adapterplan.Rules, []byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, coded{exitUnusable, err.Error()}
 	}
-	rules, findings := fixture.Read(text)
+	rules, findings := adapterplan.Read(text)
 	for _, finding := range findings {
 		fmt.Fprintln(complaints, path+": "+finding)
 	}
@@ -60,64 +60,64 @@
 	if options.format != "table" && options.format != "json" {
 		return coded{exitUnusable, "--output must be table or json"}
 	}
-	var earlier *fixture.Answer
+	var earlier *adapterplan.Answer
 	if options.keep != "" {
-		text, failure := os.ReadFile(options.keep)
-		if failure == nil {
-			earlier, failure = fixture.ReadAnswer(text)
+		text, err := os.ReadFile(options.keep)
+		if err == nil {
+			earlier, err = adapterplan.ReadAnswer(text)
 		}
-		if failure != nil {
-			return coded{exitUnusable, "--keep " + options.keep + ": " + strings.ReplaceAll(failure.Error(), "\n", " ")}
+		if err != nil {
+			return coded{exitUnusable, "--keep " + options.keep + ": " + strings.ReplaceAll(err.Error(), "\n", " ")}
 		}
 	}
-	rules, _, failure := readRules(path, complaints)
-	if failure != nil {
-		return failure
+	rules, _, err := readRules(path, complaints)
+	if err != nil {
+		return err
 	}
-	answer, refusal, failure := planned(rules, only, earlier)
-	if failure != nil {
-		return failure
+	answer, refusal, err := planned(rules, only, earlier)
+	if err != nil {
+		return err
 	}
 	return tellPlan(writer, answer, refusal, options.format)
 }
 
 // planned plans within a bound of time: the question is as hard as questions get,
 // and an operator before a window needs to be told so in time.
-func planned(rules *fixture.Rules, only *string, earlier *fixture.Answer) (*fixture.Answer, *fixture.Refusal, error) {
+func planned(rules *adapterplan.Rules, only *string, earlier *adapterplan.Answer) (*adapterplan.Answer, *adapterplan.Refusal, error) {
 	type result struct {
-		answer  *fixture.Answer
-		refusal *fixture.Refusal
-		failure error
+		answer  *adapterplan.Answer
+		refusal *adapterplan.Refusal
+		err     error
 	}
 	done := make(chan result, 1)
 	go func() {
 		one := result{}
-		one.answer, one.refusal, _, one.failure = fixture.Plan(rules, only, earlier)
+		one.answer, one.refusal, _, one.err = adapterplan.Plan(rules, only, earlier)
 		done <- one
 	}()
-	timer := watch.NewTimer(almanac.PlanTime)
+	timer := clock.NewTimer(constants.PlanTime)
 	defer timer.Stop()
 	select {
 	case one := <-done:
-		if mishap.Of(one.failure, fixture.BadCall) {
-			return nil, nil, coded{exitUnusable, "--window: " + one.failure.Error()}
+		if errs.Of(one.err, adapterplan.BadCall) {
+			return nil, nil, coded{exitUnusable, "--window: " + one.err.Error()}
 		}
-		if one.failure != nil {
-			return nil, nil, coded{exitUnusable, one.failure.Error()}
+		if one.err != nil {
+			return nil, nil, coded{exitUnusable, one.err.Error()}
 		}
 		return one.answer, one.refusal, nil
 	case <-timer.C:
-		return nil, nil, coded{exitUnusable, "not decided within " + almanac.PlanTime.String()}
+		return nil, nil, coded{exitUnusable, "not decided within " + constants.PlanTime.String()}
 	}
 }
 
 // tellPlan writes the answer, or the refusal with its exit code.
-func tellPlan(writer io.Writer, answer *fixture.Answer, refusal *fixture.Refusal, format string) error {
+func tellPlan(writer io.Writer, answer *adapterplan.Answer, refusal *adapterplan.Refusal, format string) error {
 	if refusal != nil {
 		if format == "table" {
 			refusal.Table(writer)
-		} else if failure := fixture.JSON(writer, refusal); failure != nil {
-			return failure
+		} else if err := adapterplan.JSON(writer, refusal); err != nil {
+			return err
 		}
 		return coded{exitInvalid, fmt.Sprintf("the rules can't all be met, collisions=%d", len(refusal.Collisions))}
 	}
@@ -125,5 +125,5 @@
 		answer.Table(writer)
 		return nil
 	}
-	return fixture.JSON(writer, answer)
+	return adapterplan.JSON(writer, answer)
 }
--- a/cmd/lemonarch/assign_apply.go
+++ b/cmd/lemonarch/assign_apply.go
@@ -7,11 +7,11 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/fixture"
-	"lemonarch/internal/loupe"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
+	"lemonarch/internal/configuration/adapterplan"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/fleetshell"
 )
 
 func applyCommand() *cobra.Command {
@@ -22,11 +22,11 @@
 			if format != "table" && format != "json" {
 				return coded{exitUnusable, "--output must be table or json"}
 			}
-			wire := tongs.NewWire("")
+			wire := transport.NewWire("")
 			defer wire.Close()
-			glass, failure := loupe.New(wire, seed, almanac.StatusTime)
-			if failure != nil {
-				return coded{exitUnusable, failure.Error()}
+			glass, err := fleetshell.New(wire, seed, constants.StatusTime)
+			if err != nil {
+				return coded{exitUnusable, err.Error()}
 			}
 			return apply(command.OutOrStdout(), command.ErrOrStderr(), glass, arguments[0], format)
 		}}
@@ -35,79 +35,79 @@
 	return command
 }
 
-// desk speaks with one foreman.
-type desk struct {
-	glass   *loupe.Loupe
+// desk speaks with one controller.
+type endpoint struct {
+	glass   *fleetshell.Shell
 	address string
 }
 
-// sit finds a foreman that reads what is in force at a majority.
-func sit(glass *loupe.Loupe) (*desk, *pattern.PlanTold, error) {
-	addresses, failure := glass.Foremen()
-	if failure != nil {
-		return nil, nil, coded{exitUnusable, failure.Error()}
+// sit finds a controller that reads what is in force at a majority.
+func sit(glass *fleetshell.Shell) (*endpoint, *messages.PlanTold, error) {
+	addresses, err := glass.Controllers()
+	if err != nil {
+		return nil, nil, coded{exitUnusable, err.Error()}
 	}
 	for _, address := range addresses {
-		one := &desk{glass, address}
+		one := &endpoint{glass, address}
 		if told, problem := one.read(); problem == nil {
 			return one, told, nil
 		}
 	}
-	return nil, nil, coded{exitInvalid, "no foreman reads the register of assignments, nothing was changed"}
+	return nil, nil, coded{exitInvalid, "no controller reads the register of assignments, nothing was changed"}
 }
 
-func (one *desk) read() (*pattern.PlanTold, error) {
-	told := &pattern.PlanTold{}
-	return told, tongs.Ask(one.glass.Transport, one.address, pattern.KindPlanPull, &pattern.PlanPull{Whole: true, Settled: true}, told, almanac.BulkCallTime)
+func (one *endpoint) read() (*messages.PlanTold, error) {
+	told := &messages.PlanTold{}
+	return told, transport.Ask(one.glass.Transport, one.address, messages.KindPlanPull, &messages.PlanPull{Whole: true, Settled: true}, told, constants.BulkCallTime)
 }
 
-// apply plans at this desk, so that the foremen need no solver for it, and puts rules
+// apply plans at this desk, so that the controllers need no solver for it, and puts rules
 // and answer in force on top of what was read.
-func apply(writer, complaints io.Writer, glass *loupe.Loupe, path, format string) error {
-	rules, text, failure := readRules(path, complaints)
-	if failure != nil {
-		return failure
+func apply(writer, complaints io.Writer, glass *fleetshell.Shell, path, format string) error {
+	rules, text, err := readRules(path, complaints)
+	if err != nil {
+		return err
 	}
-	one, now, failure := sit(glass)
-	if failure != nil {
-		return failure
+	one, now, err := sit(glass)
+	if err != nil {
+		return err
 	}
-	var earlier *fixture.Answer
+	var earlier *adapterplan.Answer
 	if now.Revision > 0 {
-		if earlier, failure = fixture.ReadAnswer(now.Value.Answer); failure != nil {
-			return coded{exitInvalid, "the answer in force can't be read: " + oneLine(failure)}
+		if earlier, err = adapterplan.ReadAnswer(now.Value.Answer); err != nil {
+			return coded{exitInvalid, "the answer in force can't be read: " + oneLine(err)}
 		}
 	}
-	answer, refusal, failure := planned(rules, nil, earlier)
-	if failure != nil {
-		return failure
+	answer, refusal, err := planned(rules, nil, earlier)
+	if err != nil {
+		return err
 	}
 	if refusal != nil {
 		return tellPlan(writer, nil, refusal, format)
 	}
 	body := &bytes.Buffer{}
-	if failure = fixture.JSON(body, answer); failure != nil {
-		return failure
+	if err = adapterplan.JSON(body, answer); err != nil {
+		return err
 	}
-	question := &pattern.PlanApply{Base: now.Revision, Rules: text, Answer: body.Bytes()}
-	back := &pattern.PlanApplied{}
-	failure = tongs.Ask(glass.Transport, one.address, pattern.KindPlanApply, question, back, almanac.BulkCallTime)
-	if failure != nil || back.Unclear {
+	question := &messages.PlanApply{Base: now.Revision, Rules: text, Answer: body.Bytes()}
+	back := &messages.PlanApplied{}
+	err = transport.Ask(glass.Transport, one.address, messages.KindPlanApply, question, back, constants.BulkCallTime)
+	if err != nil || back.Unclear {
 		return coded{exitInvalid, "it is not known whether the rules are in force; apply the same file again to find out"}
 	}
 	if !back.Taken {
 		return coded{exitInvalid, "not in force: " + back.Why}
 	}
 	// Read back: what is told is what a majority holds.
-	told, failure := one.read()
-	if failure != nil {
-		return coded{exitInvalid, fmt.Sprintf("acknowledged as revision %d, and could not be read back: %s", back.Revision, oneLine(failure))}
+	told, err := one.read()
+	if err != nil {
+		return coded{exitInvalid, fmt.Sprintf("acknowledged as revision %d, and could not be read back: %s", back.Revision, oneLine(err))}
 	}
 	if !bytes.Equal(told.Value.Rules, text) {
 		return coded{exitInvalid, fmt.Sprintf("acknowledged as revision %d, and overtaken by revision %d", back.Revision, told.Revision)}
 	}
-	if answer, failure = fixture.ReadAnswer(told.Value.Answer); failure != nil {
-		return coded{exitInvalid, oneLine(failure)}
+	if answer, err = adapterplan.ReadAnswer(told.Value.Answer); err != nil {
+		return coded{exitInvalid, oneLine(err)}
 	}
 	moves := 0
 	if answer.Moves != nil {
--- a/cmd/lemonarch/assign_apply_test.go
+++ b/cmd/lemonarch/assign_apply_test.go
@@ -8,47 +8,47 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"lemonarch/internal/boot"
-	"lemonarch/internal/foreman"
-	"lemonarch/internal/loupe"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/controller"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/settings"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/fleetshell"
 )
 
 // oneForeman is a fleet of one control process on a transport in memory.
-func oneForeman(test *testing.T) (*tongs.Room, *loupe.Loupe) {
-	settings := &boot.Boot{NodeName: "m", Address: "127.0.0.1", Hall: "h", InternalPorts: []int{21100, 21110},
+func oneController(test *testing.T) (*transport.Room, *fleetshell.Shell) {
+	nodeSettings := &settings.Settings{NodeName: "m", Address: "127.0.0.1", Zone: "h", InternalPorts: []int{21100, 21110},
 		Seeds: []string{"127.0.0.1:21000"}, Bootstrap: true, DataDir: test.TempDir(), HeartbeatMs: 1200}
-	process, failure := foreman.New(settings, hclog.NewNullLogger())
-	if failure != nil {
-		test.Fatal(failure)
+	process, err := controller.New(nodeSettings, hclog.NewNullLogger())
+	if err != nil {
+		test.Fatal(err)
 	}
-	room := tongs.NewRoom()
-	address := process.Stand.Own.Address
-	process.Stand.Wire = room.Transport(address)
-	if failure = process.Stand.Wire.Serve(process.Stand.Handle); failure != nil {
-		test.Fatal(failure)
+	room := transport.NewRoom()
+	address := process.Node.Own.Address
+	process.Node.Wire = room.Transport(address)
+	if err = process.Node.Wire.Serve(process.Node.Handle); err != nil {
+		test.Fatal(err)
 	}
-	glass, failure := loupe.New(room.Transport("desk"), address, watch.Milliseconds(2000))
-	if failure != nil {
-		test.Fatal(failure)
+	glass, err := fleetshell.New(room.Transport("desk"), address, clock.Milliseconds(2000))
+	if err != nil {
+		test.Fatal(err)
 	}
 	return room, glass
 }
 
-func applied(glass *loupe.Loupe, path string) (told, note string, code int, line string) {
+func applied(glass *fleetshell.Shell, path string) (told, note string, code int, line string) {
 	out, problems := &bytes.Buffer{}, &bytes.Buffer{}
-	if failure := apply(out, problems, glass, path, "json"); failure != nil {
-		code, line = exitUnusable, failure.Error()
-		if one, is := failure.(coded); is {
+	if err := apply(out, problems, glass, path, "json"); err != nil {
+		code, line = exitUnusable, err.Error()
+		if one, is := err.(coded); is {
 			code = one.code
 		}
 	}
 	return out.String(), problems.String(), code, line
 }
 
-func TestApplyThroughAForeman(test *testing.T) {
-	room, glass := oneForeman(test)
+func TestApplyThroughAController(test *testing.T) {
+	room, glass := oneController(test)
 	text, _ := os.ReadFile(exampleRules)
 	change := func(pairs ...string) string {
 		return written(test, "rules.toml", strings.NewReplacer(pairs...).Replace(string(text)))
@@ -75,11 +75,11 @@
 		test.Fatal(code, line, note, told)
 	}
 	var shown bytes.Buffer
-	answers, failure := glass.Ask("assignments")
-	if failure != nil {
-		test.Fatal(failure)
+	answers, err := glass.Ask("assignments")
+	if err != nil {
+		test.Fatal(err)
 	}
-	loupe.Table(&shown, answers)
+	fleetshell.Table(&shown, answers)
 	if !strings.Contains(shown.String(), "bookkeeping-classifier") || !strings.Contains(shown.String(), "next-window") {
 		test.Fatal(shown.String())
 	}
--- a/cmd/lemonarch/assign_test.go
+++ b/cmd/lemonarch/assign_test.go
@@ -18,9 +18,9 @@
 	command.SetOut(out)
 	command.SetErr(problems)
 	command.SetArgs(arguments)
-	if failure := command.Execute(); failure != nil {
-		code, line = exitUnusable, failure.Error()
-		if one, is := failure.(coded); is {
+	if err := command.Execute(); err != nil {
+		code, line = exitUnusable, err.Error()
+		if one, is := err.(coded); is {
 			code = one.code
 		}
 	}
@@ -29,8 +29,8 @@
 
 func written(test *testing.T, name, text string) string {
 	path := filepath.Join(test.TempDir(), name)
-	if failure := os.WriteFile(path, []byte(text), 0o600); failure != nil {
-		test.Fatal(failure)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		test.Fatal(err)
 	}
 	return path
 }
--- a/cmd/lemonarch/check.go
+++ b/cmd/lemonarch/check.go
@@ -9,18 +9,18 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/boot"
-	"lemonarch/internal/caliper"
-	"lemonarch/internal/stencil"
+	"lemonarch/internal/configuration/configcheck"
+	"lemonarch/internal/configuration/openapiimport"
+	"lemonarch/internal/platform/settings"
 )
 
 func checkCommand() *cobra.Command {
 	return &cobra.Command{Use: "check FILE", Args: cobra.ExactArgs(1),
 		Short: "Check a settings file (TOML) or a configuration (JSON) as the daemons do",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			text, failure := os.ReadFile(arguments[0])
-			if failure != nil {
-				return coded{exitUnusable, failure.Error()}
+			text, err := os.ReadFile(arguments[0])
+			if err != nil {
+				return coded{exitUnusable, err.Error()}
 			}
 			findings := findingsOf(text)
 			for _, finding := range findings {
@@ -37,37 +37,37 @@
 // findingsOf tells JSON from TOML by its first byte.
 func findingsOf(text []byte) []string {
 	if bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
-		checker, failure := caliper.New()
-		if failure != nil {
-			return []string{failure.Error()}
+		checker, err := configcheck.New()
+		if err != nil {
+			return []string{err.Error()}
 		}
 		_, findings := checker.Check(text)
 		return findings
 	}
-	settings, failure := boot.Parse(text)
-	if settings == nil {
-		return []string{strings.ReplaceAll(failure.Error(), "\n", " ")}
+	nodeSettings, err := settings.Parse(text)
+	if nodeSettings == nil {
+		return []string{strings.ReplaceAll(err.Error(), "\n", " ")}
 	}
-	return settings.Check()
+	return nodeSettings.Check()
 }
 
 func importCommand() *cobra.Command {
-	options := stencil.Options{}
+	options := openapiimport.Options{}
 	group := &cobra.Command{Use: "import", Short: "Make a configuration from other formats"}
 	from := &cobra.Command{Use: "openapi FILE", Args: cobra.ExactArgs(1), Short: "Turn the paths of an OpenAPI file into routes",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			text, failure := os.ReadFile(arguments[0])
-			if failure != nil {
-				return coded{exitUnusable, failure.Error()}
+			text, err := os.ReadFile(arguments[0])
+			if err != nil {
+				return coded{exitUnusable, err.Error()}
 			}
-			routes, findings, failure := stencil.Import(text, options)
-			if failure != nil {
-				return coded{exitInvalid, strings.ReplaceAll(failure.Error(), "\n", " ")}
+			routes, findings, err := openapiimport.Import(text, options)
+			if err != nil {
+				return coded{exitInvalid, strings.ReplaceAll(err.Error(), "\n", " ")}
 			}
-			body, failure := json.MarshalIndent(map[string]any{"generation": 1, "channels": routes,
+			body, err := json.MarshalIndent(map[string]any{"generation": 1, "channels": routes,
 				"backends": []map[string]string{{"name": options.Backend}}, "limits": struct{}{}}, "", "  ")
-			if failure != nil {
-				return failure
+			if err != nil {
+				return err
 			}
 			fmt.Fprintln(command.OutOrStdout(), string(body))
 			if len(findings) == 0 {
--- a/cmd/lemonarch/hollow.go
+++ b/cmd/lemonarch/hollow.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/maquette"
+	"lemonarch/internal/tooling/hollowfleet"
 )
 
 // hollowCollect is the collector's target growth and hollowMemory its limit in bytes.
@@ -28,10 +28,10 @@
 }
 
 func hollowCommand() *cobra.Command {
-	plan, flags := maquette.Usual(), hollowFlags{}
+	plan, flags := hollowfleet.Usual(), hollowFlags{}
 	command := &cobra.Command{Use: "hollow", Args: cobra.NoArgs,
 		Short: "Play a fleet of hundreds of processes without a data plane, and fit what grows with it",
-		Long: "Plays the real cores of membership, roster, gossip, register, holds and lots on a\n" +
+		Long: "Plays the real cores of membership, workers, gossip, register, holds and lots on a\n" +
 			"simulated clock and prints JSON. From three sizes on, slopes are fitted. The same seed\n" +
 			"gives the same simulated part; processor time and memory are measured.",
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -43,8 +43,8 @@
 	set.IntSliceVar(&flags.sizes, "nodes", []int{50}, "machines; several sizes, parted by commas, are played one after the other")
 	set.Float64Var(&flags.workersEach, "workers-each", 0, "workers for each node; 0 takes --workers for all sizes")
 	set.IntVar(&plan.Workers, "workers", plan.Workers, "workers")
-	set.IntVar(&plan.LockerEach, "locker-each", plan.LockerEach, "every so manieth machine is a storage machine")
-	set.IntVar(&plan.Zones, "zones", plan.Zones, "zones, each with one foreman")
+	set.IntVar(&plan.StoreEach, "store-each", plan.StoreEach, "every so manieth machine is a storage machine")
+	set.IntVar(&plan.Zones, "zones", plan.Zones, "zones, each with one controller")
 	set.IntVar(&plan.Regions, "regions", plan.Regions, "regions")
 	set.IntVar(&plan.Models, "models", plan.Models, "models, each a service of its own")
 	set.Float64Var(&plan.Requests, "requests", 0, "requests placed a second; 0 takes 7900 for 390 nodes, in proportion")
@@ -72,7 +72,7 @@
 	return command
 }
 
-func hollow(command *cobra.Command, plan maquette.Plan, flags hollowFlags) error {
+func hollow(command *cobra.Command, plan hollowfleet.Plan, flags hollowFlags) error {
 	for _, size := range flags.sizes {
 		one := plan
 		one.Nodes = size
@@ -88,8 +88,8 @@
 	}
 	for _, path := range []string{flags.out, flags.plots} {
 		// Said before a long run, not after it.
-		if _, failure := os.Stat(filepath.Dir(path)); path != "" && failure != nil {
-			return coded{exitUnusable, failure.Error()}
+		if _, err := os.Stat(filepath.Dir(path)); path != "" && err != nil {
+			return coded{exitUnusable, err.Error()}
 		}
 	}
 	// A large fleet is some GB of live heap: collected a little earlier than usual, and
@@ -100,14 +100,14 @@
 	if flags.quiet {
 		progress = nil
 	}
-	series := maquette.Play(plan, flags.sizes, flags.workersEach, progress)
+	series := hollowfleet.Play(plan, flags.sizes, flags.workersEach, progress)
 	series.Command, series.Mechanism = "lemonarch "+strings.Join(os.Args[1:], " "), flags.mechanism
-	if failure := writeJSON(command, flags.out, series); failure != nil {
-		return failure
+	if err := writeJSON(command, flags.out, series); err != nil {
+		return err
 	}
 	if flags.plots != "" {
-		if failure := series.Draw(flags.plots, flags.title); failure != nil {
-			return coded{exitUnusable, failure.Error()}
+		if err := series.Draw(flags.plots, flags.title); err != nil {
+			return coded{exitUnusable, err.Error()}
 		}
 	}
 	return nil
--- a/cmd/lemonarch/hollow_lots.go
+++ b/cmd/lemonarch/hollow_lots.go
@@ -8,7 +8,7 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/maquette"
+	"lemonarch/internal/tooling/hollowfleet"
 )
 
 func hollowLotsCommand() *cobra.Command {
@@ -23,7 +23,7 @@
 			if itemBytes < 1 || itemBytes > 64<<10 {
 				return coded{exitUnusable, fmt.Sprintf("--item-bytes must be 1 to 65536, not %d", itemBytes)}
 			}
-			series := maquette.ProbeLots(sizes, itemBytes, command.ErrOrStderr())
+			series := hollowfleet.ProbeLots(sizes, itemBytes, command.ErrOrStderr())
 			series.Command, series.Mechanism = "lemonarch "+strings.Join(os.Args[1:], " "), mechanism
 			return writeJSON(command, out, series)
 		}}
@@ -36,16 +36,16 @@
 
 // writeJSON writes a result to a file or to standard output.
 func writeJSON(command *cobra.Command, path string, result any) error {
-	text, failure := json.MarshalIndent(result, "", " ")
-	if failure != nil {
-		return coded{exitInvalid, failure.Error()}
+	text, err := json.MarshalIndent(result, "", " ")
+	if err != nil {
+		return coded{exitInvalid, err.Error()}
 	}
 	if path == "" {
 		fmt.Fprintln(command.OutOrStdout(), string(text))
 		return nil
 	}
-	if failure = os.WriteFile(path, append(text, '\n'), 0o644); failure != nil {
-		return coded{exitUnusable, failure.Error()}
+	if err = os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+		return coded{exitUnusable, err.Error()}
 	}
 	return nil
 }
--- a/cmd/lemonarch/hollow_real.go
+++ b/cmd/lemonarch/hollow_real.go
@@ -7,28 +7,28 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/maquette"
+	"lemonarch/internal/tooling/hollowfleet"
 )
 
 func hollowRealCommand() *cobra.Command {
-	plan, settle, duration, out, mechanism := maquette.RealPlan{}, time.Duration(0), time.Duration(0), "", ""
+	plan, settle, duration, out, mechanism := hollowfleet.RealPlan{}, time.Duration(0), time.Duration(0), "", ""
 	command := &cobra.Command{Use: "real", Args: cobra.NoArgs, Short: "Start a few dozen real processes on loopback and measure them at rest",
 		RunE: func(command *cobra.Command, _ []string) error {
 			plan.SettleS, plan.CountS = settle.Seconds(), duration.Seconds()
 			if findings := plan.Check(); len(findings) > 0 {
 				return coded{exitUnusable, findings[0]}
 			}
-			result, failure := maquette.PlayReal(plan, command.ErrOrStderr())
-			if failure != nil {
-				return coded{exitInvalid, strings.ReplaceAll(failure.Error(), "\n", " ")}
+			result, err := hollowfleet.PlayReal(plan, command.ErrOrStderr())
+			if err != nil {
+				return coded{exitInvalid, strings.ReplaceAll(err.Error(), "\n", " ")}
 			}
 			result.Command, result.Mechanism = "lemonarch "+strings.Join(os.Args[1:], " "), mechanism
 			return writeJSON(command, out, result)
 		}}
 	command.Flags().StringVar(&plan.Programs, "programs", "target", "folder of the built programs")
-	command.Flags().IntVar(&plan.Forges, "forges", 20, "forges")
-	command.Flags().IntVar(&plan.Lockers, "lockers", 4, "lockers")
-	command.Flags().IntVar(&plan.Foremen, "foremen", 4, "foremen, each beside a forge")
+	command.Flags().IntVar(&plan.Gateways, "gateways", 20, "gateways")
+	command.Flags().IntVar(&plan.Stores, "stores", 4, "stores")
+	command.Flags().IntVar(&plan.Controllers, "controllers", 4, "controllers, each beside a gateway")
 	command.Flags().IntVar(&plan.Workers, "workers", 40, "workers that beat once a second; nobody serves at their addresses")
 	command.Flags().DurationVar(&settle, "settle", 12*time.Second, "time before counting")
 	command.Flags().DurationVar(&duration, "duration", 20*time.Second, "time that is counted")
--- a/cmd/lemonarch/hollow_table.go
+++ b/cmd/lemonarch/hollow_table.go
@@ -8,19 +8,19 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/maquette"
+	"lemonarch/internal/tooling/hollowfleet"
 )
 
 func hollowTableCommand() *cobra.Command {
 	return &cobra.Command{Use: "table FILE...", Args: cobra.MinimumNArgs(1), Short: "Write the slopes of results as tables in Markdown",
 		RunE: func(command *cobra.Command, arguments []string) error {
 			for _, path := range arguments {
-				text, failure := os.ReadFile(path)
-				if failure != nil {
-					return coded{exitUnusable, failure.Error()}
+				text, err := os.ReadFile(path)
+				if err != nil {
+					return coded{exitUnusable, err.Error()}
 				}
-				series := &maquette.Series{}
-				if failure = json.Unmarshal(text, series); failure != nil || len(series.Runs) == 0 {
+				series := &hollowfleet.Series{}
+				if err = json.Unmarshal(text, series); err != nil || len(series.Runs) == 0 {
 					return coded{exitUnusable, path + " holds no runs of a hollow fleet"}
 				}
 				fmt.Fprintf(command.OutOrStdout(), "\n`%s` (%s)\n\n", series.Command, series.Mechanism)
--- a/cmd/lemonarch/hollow_test.go
+++ b/cmd/lemonarch/hollow_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/maquette"
+	"lemonarch/internal/tooling/hollowfleet"
 )
 
 func TestHollowBadFlagsAreOneLine(test *testing.T) {
@@ -19,13 +19,13 @@
 		command := hollowCommand()
 		command.SilenceUsage, command.SilenceErrors = true, true
 		command.SetArgs(arguments)
-		failure := command.Execute()
-		if failure == nil || strings.Contains(failure.Error(), "\n") {
-			test.Errorf("%v: %v", arguments, failure)
+		err := command.Execute()
+		if err == nil || strings.Contains(err.Error(), "\n") {
+			test.Errorf("%v: %v", arguments, err)
 			continue
 		}
 		// What cobra refuses ends with the same code, which main gives by default.
-		if one, is := failure.(coded); is && one.code != exitUnusable {
+		if one, is := err.(coded); is && one.code != exitUnusable {
 			test.Errorf("%v: exit %d", arguments, one.code)
 		}
 	}
@@ -36,18 +36,18 @@
 	out := filepath.Join(folder, "series.json")
 	command := hollowCommand()
 	command.SetErr(&bytes.Buffer{})
-	command.SetArgs([]string{"--nodes", "6,9,12", "--zones", "2", "--locker-each", "3", "--workers-each", "1.5", "--duration", "3s", "--warm", "3s",
+	command.SetArgs([]string{"--nodes", "6,9,12", "--zones", "2", "--store-each", "3", "--workers-each", "1.5", "--duration", "3s", "--warm", "3s",
 		"--config-bytes", "1000", "--out", out, "--plots", filepath.Join(folder, "plots")})
-	if failure := command.Execute(); failure != nil {
-		test.Fatal(failure)
+	if err := command.Execute(); err != nil {
+		test.Fatal(err)
 	}
-	text, failure := os.ReadFile(out)
-	if failure != nil {
-		test.Fatal(failure)
+	text, err := os.ReadFile(out)
+	if err != nil {
+		test.Fatal(err)
 	}
-	series := &maquette.Series{}
-	if failure = json.Unmarshal(text, series); failure != nil || len(series.Runs) != 3 || len(series.Slopes["forge bytes"].Points) != 3 {
-		test.Fatalf("%v %d runs, %+v", failure, len(series.Runs), series.Slopes["forge bytes"])
+	series := &hollowfleet.Series{}
+	if err = json.Unmarshal(text, series); err != nil || len(series.Runs) != 3 || len(series.Slopes["forge bytes"].Points) != 3 {
+		test.Fatalf("%v %d runs, %+v", err, len(series.Runs), series.Slopes["forge bytes"])
 	}
 	plots, _ := filepath.Glob(filepath.Join(folder, "plots", "hollow-*.svg"))
 	if len(plots) != 3 {
@@ -63,16 +63,16 @@
 		{hollowLotsCommand(), []string{"--items", "0"}},
 		{hollowLotsCommand(), []string{"--item-bytes", "-4"}},
 		{hollowRealCommand(), []string{"--programs", test.TempDir()}},
-		{hollowRealCommand(), []string{"--forges", "900"}},
-		{hollowRealCommand(), []string{"--foremen", "21"}},
+		{hollowRealCommand(), []string{"--gateways", "900"}},
+		{hollowRealCommand(), []string{"--controllers", "21"}},
 		{hollowTableCommand(), []string{"no-such-file.json"}},
 		{hollowTableCommand(), []string{"hollow_test.go"}},
 	} {
 		one.command.SilenceUsage, one.command.SilenceErrors = true, true
 		one.command.SetArgs(one.arguments)
-		failure := one.command.Execute()
-		if is, known := failure.(coded); !known || is.code != exitUnusable || strings.Contains(is.text, "\n") {
-			test.Errorf("%s %v: %v", one.command.Use, one.arguments, failure)
+		err := one.command.Execute()
+		if is, known := err.(coded); !known || is.code != exitUnusable || strings.Contains(is.text, "\n") {
+			test.Errorf("%s %v: %v", one.command.Use, one.arguments, err)
 		}
 	}
 }
--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -10,14 +10,14 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/errand"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/treadle"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/tooling/lab"
+	"lemonarch/internal/tooling/loadgen"
 )
 
 // newLabLoad is the command that sends load to lab fleets and checks every answer.
 func newLabLoad() *cobra.Command {
-	options, desks, experiment, format, mix, picture := treadle.NewOptions(), []string{}, "", "table", "", ""
+	options, desks, experiment, format, mix, picture := loadgen.NewOptions(), []string{}, "", "table", "", ""
 	command := &cobra.Command{Use: "load", Args: cobra.NoArgs,
 		Short: "Send requests, streams and lots to a lab fleet, check every answer, and report",
 		Long: "Sends to a fleet that lab up has started (--desk), or starts the fleets of an experiment\n" +
@@ -43,27 +43,27 @@
 			return coded{exitUnusable, "--output must be table or json"}
 		}
 		if picture != "" {
-			if failure := treadle.CheckPlot(picture); failure != nil {
-				return coded{exitUnusable, oneLine(failure)}
+			if err := loadgen.CheckPlot(picture); err != nil {
+				return coded{exitUnusable, oneLine(err)}
 			}
 		}
-		until, halt := signal.NotifyContext(errand.Background(), syscall.SIGINT, syscall.SIGTERM)
+		until, halt := signal.NotifyContext(contexts.Background(), syscall.SIGINT, syscall.SIGTERM)
 		defer halt()
-		var results []*treadle.Result
-		var failure error
+		var results []*loadgen.Result
+		var err error
 		options.Progress = func(line string) { fmt.Fprintln(command.ErrOrStderr(), line) }
 		if experiment != "" {
-			results, failure = conduct(until, experiment, options.Progress)
-		} else if options.Mix, failure = treadle.ParseMix(mix); failure == nil {
-			results, failure = drive(until, options, desks)
+			results, err = conduct(until, experiment, options.Progress)
+		} else if options.Mix, err = loadgen.ParseMix(mix); err == nil {
+			results, err = drive(until, options, desks)
 		}
-		if failure != nil {
-			return coded{exitUnusable, oneLine(failure)}
+		if err != nil {
+			return coded{exitUnusable, oneLine(err)}
 		}
 		if picture != "" {
-			if failure = treadle.Plot(picture, results); failure != nil {
+			if err = loadgen.Plot(picture, results); err != nil {
 				// The report is worth more than its picture, and still comes.
-				fmt.Fprintln(command.ErrOrStderr(), oneLine(failure))
+				fmt.Fprintln(command.ErrOrStderr(), oneLine(err))
 			}
 		}
 		return tell(command, results, format)
@@ -73,79 +73,79 @@
 
 func troubles() string {
 	text := ""
-	for _, name := range sawhorse.KindNames() {
-		text += fmt.Sprintf("  %-10s %s\n", name, sawhorse.Kinds[name])
+	for _, name := range lab.KindNames() {
+		text += fmt.Sprintf("  %-10s %s\n", name, lab.Kinds[name])
 	}
 	return text
 }
 
 // conduct runs the experiment of a file.
-func conduct(until errand.Errand, path string, progress func(string)) ([]*treadle.Result, error) {
-	text, failure := os.ReadFile(path)
-	if failure != nil {
-		return nil, failure
+func conduct(until contexts.Errand, path string, progress func(string)) ([]*loadgen.Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
 	}
-	one, options, failure := treadle.ReadExperiment(string(text), besides())
-	if failure != nil {
-		return nil, failure
+	one, options, err := loadgen.ReadExperiment(string(text), besides())
+	if err != nil {
+		return nil, err
 	}
 	options.Progress = progress
 	return one.Run(until, options)
 }
 
 // drive loads fleets that are up already, all at the same time.
-func drive(until errand.Errand, options treadle.Options, addresses []string) ([]*treadle.Result, error) {
-	if failure := options.Check(); failure != nil {
-		return nil, failure
+func drive(until contexts.Errand, options loadgen.Options, addresses []string) ([]*loadgen.Result, error) {
+	if err := options.Check(); err != nil {
+		return nil, err
 	}
-	usual := sawhorse.NewPlan()
-	var desks []*treadle.Desk
+	usual := lab.NewPlan()
+	var desks []*loadgen.Endpoint
 	for _, address := range addresses {
 		if strings.TrimSpace(address) == "" {
-			address = usual.Desk()
+			address = usual.Endpoint()
 		}
-		desk, failure := treadle.OpenDesk(address)
-		if failure != nil {
-			return nil, failure
+		endpoint, err := loadgen.OpenEndpoint(address)
+		if err != nil {
+			return nil, err
 		}
-		desks = append(desks, desk)
+		desks = append(desks, endpoint)
 	}
 	type driven struct {
-		place   int
-		result  *treadle.Result
-		failure error
+		place  int
+		result *loadgen.Result
+		err    error
 	}
 	back := make(chan driven, len(desks))
-	for place, desk := range desks {
+	for place, endpoint := range desks {
 		go func() {
-			result, failure := treadle.Drive(until, options, desk, nil)
-			back <- driven{place, result, failure}
+			result, err := loadgen.Drive(until, options, endpoint, nil)
+			back <- driven{place, result, err}
 		}()
 	}
-	results := make([]*treadle.Result, len(desks))
-	var failure error
+	results := make([]*loadgen.Result, len(desks))
+	var err error
 	for range desks {
 		one := <-back
-		if one.failure != nil {
-			failure = one.failure
+		if one.err != nil {
+			err = one.err
 			continue
 		}
 		one.result.Close()
 		results[one.place] = one.result
 	}
-	return results, failure
+	return results, err
 }
 
 // tell prints the results; a broken promise is an exit code of its own.
-func tell(command *cobra.Command, results []*treadle.Result, format string) error {
+func tell(command *cobra.Command, results []*loadgen.Result, format string) error {
 	if format == "json" {
 		writer := json.NewEncoder(command.OutOrStdout())
 		writer.SetIndent("", "  ")
-		if failure := writer.Encode(map[string]any{"caveat": treadle.Caveat, "results": results}); failure != nil {
-			return failure
+		if err := writer.Encode(map[string]any{"caveat": loadgen.Caveat, "results": results}); err != nil {
+			return err
 		}
 	} else {
-		treadle.Write(command.OutOrStdout(), results)
+		loadgen.Write(command.OutOrStdout(), results)
 	}
 	for _, result := range results {
 		if result.Broken > 0 {
--- a/cmd/lemonarch/lots.go
+++ b/cmd/lemonarch/lots.go
@@ -14,17 +14,17 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/errand"
-	"lemonarch/internal/hopper"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/batch/lotclient"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/tooling/lab"
 )
 
 // lotFlags are what every call on a lot needs.
 type lotFlags struct {
 	edges []string
 	host  string
-	limit watch.Span
+	limit clock.Span
 }
 
 // lotsCommand is the client for lots.
@@ -32,35 +32,35 @@
 	flags := &lotFlags{}
 	group := &cobra.Command{Use: "lots", Short: "Hand in, follow, read and end lots"}
 	group.PersistentFlags().StringSliceVar(&flags.edges, "edge", nil, "addresses of edge nodes, host:port (several: the next is taken after a failure)")
-	group.PersistentFlags().StringVar(&flags.host, "host", sawhorse.Host, "host of the lots' route")
+	group.PersistentFlags().StringVar(&flags.host, "host", lab.Host, "host of the lots' route")
 	group.PersistentFlags().DurationVar(&flags.limit, "limit", time.Minute, "how long to try")
 	group.AddCommand(handInCommand(flags), followCommand(flags), readCommand(flags), endCommand(flags))
 	return group
 }
 
 // run gives a client and an errand that ends with the limit or a signal.
-func (flags *lotFlags) run(function func(until errand.Errand, client *hopper.Client) error) error {
+func (flags *lotFlags) run(function func(until contexts.Errand, client *lotclient.Client) error) error {
 	if len(flags.edges) == 0 {
 		return coded{exitUnusable, "--edge is missing"}
 	}
 	for _, edge := range flags.edges {
-		if _, _, failure := net.SplitHostPort(edge); failure != nil {
+		if _, _, err := net.SplitHostPort(edge); err != nil {
 			return coded{exitUnusable, "--edge: " + strconv.Quote(edge) + " is no host:port"}
 		}
 	}
 	if flags.limit <= 0 {
 		return coded{exitUnusable, "--limit must be above 0"}
 	}
-	limited, release := errand.Timed(errand.Background(), flags.limit)
+	limited, release := contexts.Timed(contexts.Background(), flags.limit)
 	defer release()
 	until, halt := signal.NotifyContext(limited, syscall.SIGINT, syscall.SIGTERM)
 	defer halt()
-	failure := function(until, &hopper.Client{Edges: flags.edges, Host: flags.host})
-	if failure != nil {
-		if _, is := failure.(coded); is {
-			return failure
+	err := function(until, &lotclient.Client{Edges: flags.edges, Host: flags.host})
+	if err != nil {
+		if _, is := err.(coded); is {
+			return err
 		}
-		return coded{exitInvalid, oneLine(failure)}
+		return coded{exitInvalid, oneLine(err)}
 	}
 	return nil
 }
@@ -78,19 +78,19 @@
 			case len(arguments) == 1 && sample > 0, len(arguments) == 0 && sample <= 0:
 				return coded{exitUnusable, "give either a FILE or --sample COUNT"}
 			case len(arguments) == 1:
-				text, failure := os.ReadFile(arguments[0])
-				if failure != nil {
-					return coded{exitUnusable, failure.Error()}
+				text, err := os.ReadFile(arguments[0])
+				if err != nil {
+					return coded{exitUnusable, err.Error()}
 				}
-				lot = hopper.Lot{}
-				if failure = json.Unmarshal(text, &lot); failure != nil {
-					return coded{exitUnusable, arguments[0] + ": " + oneLine(failure)}
+				lot = lotclient.Lot{}
+				if err = json.Unmarshal(text, &lot); err != nil {
+					return coded{exitUnusable, arguments[0] + ": " + oneLine(err)}
 				}
 			}
-			return flags.run(func(until errand.Errand, client *hopper.Client) error {
-				tries, failure := client.HandIn(until, id, path, lot)
-				if failure != nil {
-					return failure
+			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
+				tries, err := client.HandIn(until, id, path, lot)
+				if err != nil {
+					return err
 				}
 				fmt.Fprintf(command.ErrOrStderr(), "taken: lot=%s items=%d tries=%d\n", id, len(lot.Requests), tries)
 				if follow {
@@ -110,17 +110,17 @@
 func followCommand(flags *lotFlags) *cobra.Command {
 	return &cobra.Command{Use: "follow LOT", Args: cobra.ExactArgs(1), Short: "Follow a lot to its end, with progress",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
 				return followLot(command, until, client, arguments[0])
 			})
 		}}
 }
 
-func followLot(command *cobra.Command, until errand.Errand, client *hopper.Client, id string) error {
-	begun, settled, abandoned := watch.Now(), 0, 0
-	failure := client.Follow(until, id, 0, func(page *hopper.Page) error {
+func followLot(command *cobra.Command, until contexts.Errand, client *lotclient.Client, id string) error {
+	begun, settled, abandoned := clock.Now(), 0, 0
+	err := client.Follow(until, id, 0, func(page *lotclient.Page) error {
 		for _, output := range page.Outputs {
-			if output.Phase == hopper.Settled {
+			if output.Phase == lotclient.Settled {
 				settled++
 			} else {
 				abandoned++
@@ -128,14 +128,14 @@
 		}
 		if len(page.Outputs) > 0 || page.Sum == 0 {
 			fmt.Fprintf(command.OutOrStdout(), "lot=%s listed=%d/%d settled=%d abandoned=%d after=%s\n", id, page.Next, page.Sum, settled, abandoned,
-				watch.Now().Since(begun).Round(10*time.Millisecond))
+				clock.Now().Since(begun).Round(10*time.Millisecond))
 		}
 		return nil
 	})
-	if failure == nil && abandoned > 0 {
+	if err == nil && abandoned > 0 {
 		return coded{exitInvalid, fmt.Sprintf("lot %s is finished, abandoned=%d", id, abandoned)}
 	}
-	return failure
+	return err
 }
 
 func readCommand(flags *lotFlags) *cobra.Command {
@@ -145,20 +145,20 @@
 			if from < 0 {
 				return coded{exitUnusable, "--from must not be below 0"}
 			}
-			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
 				writer := json.NewEncoder(command.OutOrStdout())
 				for cursor := from; ; {
-					page, failure := client.Read(until, arguments[0], cursor, 0)
-					if failure != nil && hopper.Again(failure) && until.Err() == nil {
-						watch.Sleep(watch.Milliseconds(200))
+					page, err := client.Read(until, arguments[0], cursor, 0)
+					if err != nil && lotclient.Again(err) && until.Err() == nil {
+						clock.Sleep(clock.Milliseconds(200))
 						continue
 					}
-					if failure != nil {
-						return failure
+					if err != nil {
+						return err
 					}
 					for _, output := range page.Outputs {
-						if failure = writer.Encode(output); failure != nil {
-							return failure
+						if err = writer.Encode(output); err != nil {
+							return err
 						}
 					}
 					cursor = page.Next
@@ -176,17 +176,17 @@
 func endCommand(flags *lotFlags) *cobra.Command {
 	return &cobra.Command{Use: "end LOT", Args: cobra.ExactArgs(1), Short: "End a lot: nothing more of it is run",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			return flags.run(func(until errand.Errand, client *hopper.Client) error {
+			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
 				for {
-					failure := client.End(until, arguments[0])
-					if failure == nil {
+					err := client.End(until, arguments[0])
+					if err == nil {
 						fmt.Fprintln(command.OutOrStdout(), "ended: lot="+arguments[0])
 						return nil
 					}
-					if !hopper.Again(failure) || until.Err() != nil {
-						return failure
+					if !lotclient.Again(err) || until.Err() != nil {
+						return err
 					}
-					watch.Sleep(watch.Milliseconds(200))
+					clock.Sleep(clock.Milliseconds(200))
 				}
 			})
 		}}
@@ -199,11 +199,11 @@
 }
 
 // sampleLot makes items that the lab's own configuration can run.
-func sampleLot(id string, count int) hopper.Lot {
-	lot := hopper.Lot{}
+func sampleLot(id string, count int) lotclient.Lot {
+	lot := lotclient.Lot{}
 	for number := 0; number < count; number++ {
-		lot.Requests = append(lot.Requests, hopper.Item{ID: id + "-" + strconv.Itoa(number), Path: "/batch/" + strconv.Itoa(number), Tokens: 640,
-			Body: []byte("sample " + strconv.Itoa(number)), Headers: map[string]string{"Lemonarch-Model": sawhorse.ModelName,
+		lot.Requests = append(lot.Requests, lotclient.Item{ID: id + "-" + strconv.Itoa(number), Path: "/batch/" + strconv.Itoa(number), Tokens: 640,
+			Body: []byte("sample " + strconv.Itoa(number)), Headers: map[string]string{"Lemonarch-Model": lab.ModelName,
 				"Lemonarch-Token-Count": "600,40", "Lemonarch-Prompt-Prefix": fmt.Sprintf("5a5a:400,%x:200", 0x10000+number)}})
 	}
 	return lot
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -38,10 +38,10 @@
 
 func main() {
 	root := rootCommand()
-	if failure := root.Execute(); failure != nil {
-		fmt.Fprintln(os.Stderr, "lemonarch: "+failure.Error())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "lemonarch: "+err.Error())
 		code := exitUnusable
-		if one, is := failure.(coded); is {
+		if one, is := err.(coded); is {
 			code = one.code
 		}
 		os.Exit(code)
--- a/cmd/lemonarch/shell.go
+++ b/cmd/lemonarch/shell.go
@@ -9,14 +9,14 @@
 
 	"github.com/spf13/cobra"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/loupe"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/tongs"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/fleetshell"
 )
 
 func shellCommand() *cobra.Command {
-	seed, format, limit := "", "table", almanac.StatusTime
+	seed, format, limit := "", "table", constants.StatusTime
 	command := &cobra.Command{Use: "shell [QUERY]", Args: cobra.MaximumNArgs(1),
 		Short: "Ask a fleet for its state; without a query, interactively",
 		Long:  "Queries:\n" + help()}
@@ -30,11 +30,11 @@
 		if limit <= 0 {
 			return coded{exitUnusable, "--limit must be above 0"}
 		}
-		wire := tongs.NewWire("")
+		wire := transport.NewWire("")
 		defer wire.Close()
-		glass, failure := loupe.New(wire, seed, limit)
-		if failure != nil {
-			return coded{exitUnusable, failure.Error()}
+		glass, err := fleetshell.New(wire, seed, limit)
+		if err != nil {
+			return coded{exitUnusable, err.Error()}
 		}
 		if len(arguments) == 1 {
 			return show(command.OutOrStdout(), glass, arguments[0], format)
@@ -46,29 +46,29 @@
 
 func help() string {
 	text := ""
-	for _, name := range loupe.QueryNames() {
-		text += fmt.Sprintf("  %-13s %s\n", name, loupe.Queries[name].Shows)
+	for _, name := range fleetshell.QueryNames() {
+		text += fmt.Sprintf("  %-13s %s\n", name, fleetshell.Queries[name].Shows)
 	}
 	return text
 }
 
-func show(writer io.Writer, glass *loupe.Loupe, query, format string) error {
-	answers, failure := glass.Ask(query)
-	if mishap.Of(failure, loupe.BadCall) {
-		return coded{exitUnusable, failure.Error()}
+func show(writer io.Writer, glass *fleetshell.Shell, query, format string) error {
+	answers, err := glass.Ask(query)
+	if errs.Of(err, fleetshell.BadCall) {
+		return coded{exitUnusable, err.Error()}
 	}
-	if failure != nil {
-		return coded{exitInvalid, failure.Error()}
+	if err != nil {
+		return coded{exitInvalid, err.Error()}
 	}
 	if format == "json" {
-		return loupe.JSON(writer, answers)
+		return fleetshell.JSON(writer, answers)
 	}
-	loupe.Table(writer, answers)
+	fleetshell.Table(writer, answers)
 	return nil
 }
 
 // converse reads queries line by line until the end.
-func converse(reader io.Reader, writer io.Writer, glass *loupe.Loupe, format string) error {
+func converse(reader io.Reader, writer io.Writer, glass *fleetshell.Shell, format string) error {
 	lines := bufio.NewScanner(reader)
 	fmt.Fprint(writer, "lemonarch> ")
 	for lines.Scan() {
@@ -79,9 +79,9 @@
 		case "help":
 			fmt.Fprint(writer, help())
 		default:
-			if failure := show(writer, glass, line, format); failure != nil {
+			if err := show(writer, glass, line, format); err != nil {
 				// One wrong query does not end the conversation.
-				fmt.Fprintln(os.Stderr, failure.Error())
+				fmt.Fprintln(os.Stderr, err.Error())
 			}
 		}
 		fmt.Fprint(writer, "lemonarch> ")
--- a/cmd/lemonarch/version_test.go
+++ b/cmd/lemonarch/version_test.go
@@ -26,8 +26,8 @@
 	root, written := rootCommand(), &bytes.Buffer{}
 	root.SetOut(written)
 	root.SetArgs([]string{"--version"})
-	if failure := root.Execute(); failure != nil {
-		test.Fatal(failure)
+	if err := root.Execute(); err != nil {
+		test.Fatal(err)
 	}
 	if text := written.String(); !strings.HasPrefix(text, "lemonarch ") || strings.Count(text, "\n") != 1 || !strings.Contains(text, "go1.") {
 		test.Fatalf("%q", text)
--- a/internal/apprentice/apprentice.go
+++ b/internal/batch/itemdriver/itemdriver.go
@@ -1,39 +1,39 @@
-// Package apprentice is the driver of items: it keeps what a process has acquired,
+// Package itemdriver is the driver of items: it keeps what a process has acquired,
 // under which lock, and what it has yet to acknowledge. Step functions without I/O.
-package apprentice
+package itemdriver
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/ledgerbox"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/batch/lots"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // Task is one acquired item.
 type Task struct {
 	Number uint64
-	Item   *ledgerbox.Item
+	Item   *lots.Item
 	Run    int
 	// Since is when it was acquired; Begun says that it is at a worker.
-	Since watch.Moment
+	Since clock.Moment
 	Begun bool
 	// until is the end of the lock by our own steady clock, less the margin.
-	until   watch.Moment
+	until   clock.Moment
 	stopped bool
 	// moved is when it was acquired or last brought events.
-	moved watch.Moment
+	moved clock.Moment
 }
 
 // Moved notes that a task's stream brought events.
-func (task *Task) Moved(now watch.Moment) { task.moved = now }
+func (task *Task) Moved(now clock.Moment) { task.moved = now }
 
 // Stopped tells whether the run may go on no more.
 func (task *Task) Stopped() bool { return task.stopped }
 
 // Apprentice keeps the tasks of one process.
-type Apprentice struct {
+type Runner struct {
 	tasks   map[uint64]*Task
 	durable queue
 	soft    queue
@@ -42,45 +42,45 @@
 }
 
 // New makes one without tasks.
-func New() *Apprentice { return &Apprentice{tasks: map[uint64]*Task{}} }
+func New() *Runner { return &Runner{tasks: map[uint64]*Task{}} }
 
 // Count is how many tasks there are; waiting is how many of them have no place yet.
-func (apprentice *Apprentice) Count() (all, waiting int) {
-	for _, task := range apprentice.tasks {
+func (runner *Runner) Count() (all, waiting int) {
+	for _, task := range runner.tasks {
 		if !task.Begun {
 			waiting++
 		}
 	}
-	return len(apprentice.tasks), waiting
+	return len(runner.tasks), waiting
 }
 
 // Take adds what the dispatcher handed out to a question asked at a moment. The
 // lock is reckoned from the asking and the time that the question was held, so it
 // ends here no later than at the dispatcher, however late the answer came.
-func (apprentice *Apprentice) Take(answer *pattern.Acquired, asked, now watch.Moment) []*Task {
-	until := asked.Plus(watch.Milliseconds(answer.HeldMs + answer.LockMs)).Plus(-almanac.LockMargin)
+func (runner *Runner) Take(answer *messages.Acquired, asked, now clock.Moment) []*Task {
+	until := asked.Plus(clock.Milliseconds(answer.HeldMs + answer.LockMs)).Plus(-constants.LockMargin)
 	var taken []*Task
 	for place := range answer.Items {
 		one := &answer.Items[place]
-		if apprentice.tasks[one.Number] != nil || now >= until || ledgerbox.EpochOf(one.Number) < apprentice.fence {
+		if runner.tasks[one.Number] != nil || now >= until || lots.EpochOf(one.Number) < runner.fence {
 			continue
 		}
-		lot := &ledgerbox.Lot{ID: one.Lot, Host: one.Host, Path: one.Path, SentMs: one.SentMs}
-		item := &ledgerbox.Item{LotItem: one.Item, Lot: lot, Pieces: one.Pieces, LastID: one.LastID, Displaced: one.Displaced, Owed: one.Owed}
+		lot := &lots.Lot{ID: one.Lot, Host: one.Host, Path: one.Path, SentMs: one.SentMs}
+		item := &lots.Item{LotItem: one.Item, Lot: lot, Pieces: one.Pieces, LastID: one.LastID, Displaced: one.Displaced, Owed: one.Owed}
 		task := &Task{Number: one.Number, Item: item, Run: item.Begin(), Since: now, until: until, moved: now}
-		apprentice.tasks[task.Number] = task
+		runner.tasks[task.Number] = task
 		taken = append(taken, task)
 	}
 	return taken
 }
 
 // May tells whether a task may be sent to a worker or go on there at this moment.
-func (task *Task) May(now watch.Moment) bool { return !task.stopped && now < task.until }
+func (task *Task) May(now clock.Moment) bool { return !task.stopped && now < task.until }
 
 // All gives the tasks in order, so that no history depends on chance.
-func (apprentice *Apprentice) All() []*Task {
-	tasks := make([]*Task, 0, len(apprentice.tasks))
-	for _, task := range apprentice.tasks {
+func (runner *Runner) All() []*Task {
+	tasks := make([]*Task, 0, len(runner.tasks))
+	for _, task := range runner.tasks {
 		tasks = append(tasks, task)
 	}
 	sort.Slice(tasks, func(left, right int) bool { return tasks[left].Number < tasks[right].Number })
@@ -89,15 +89,15 @@
 
 // Fence says that a holder of an epoch is told all that is held here: answers of
 // earlier holders that are still on their way are not taken any more.
-func (apprentice *Apprentice) Fence(epoch uint64) { apprentice.fence = max(apprentice.fence, epoch) }
+func (runner *Runner) Fence(epoch uint64) { runner.fence = max(runner.fence, epoch) }
 
 // Renewals asks for locks to run anew, in one message: of all that brings events, or
 // may still be waiting for its first. Anything else is left to lapse.
-func (apprentice *Apprentice) Renewals(now watch.Moment) []pattern.Acknowledgement {
-	var entries []pattern.Acknowledgement
-	for _, task := range apprentice.All() {
-		if task.May(now) && now.Since(task.moved) < almanac.RenewPatience {
-			entries = append(entries, pattern.Acknowledgement{Kind: pattern.AckRenew, Number: task.Number, Lot: task.Item.Lot.ID, Item: task.Item.ID})
+func (runner *Runner) Renewals(now clock.Moment) []messages.Acknowledgement {
+	var entries []messages.Acknowledgement
+	for _, task := range runner.All() {
+		if task.May(now) && now.Since(task.moved) < constants.RenewPatience {
+			entries = append(entries, messages.Acknowledgement{Kind: messages.AckRenew, Number: task.Number, Lot: task.Item.Lot.ID, Item: task.Item.ID})
 		}
 	}
 	return entries
@@ -105,18 +105,18 @@
 
 // Renewed takes the verdicts on renewals that were asked at a moment, and names the
 // runs that have to stop.
-func (apprentice *Apprentice) Renewed(entries []pattern.Acknowledgement, verdicts []pattern.AckVerdict, asked watch.Moment, lock watch.Span) []*Task {
+func (runner *Runner) Renewed(entries []messages.Acknowledgement, verdicts []messages.AckVerdict, asked clock.Moment, lock clock.Span) []*Task {
 	var stopped []*Task
 	for place := range entries {
-		task := apprentice.tasks[entries[place].Number]
+		task := runner.tasks[entries[place].Number]
 		if task == nil || place >= len(verdicts) {
 			continue
 		}
 		switch verdicts[place] {
-		case pattern.AckRenewed:
-			task.until = max(task.until, asked.Plus(lock-almanac.LockMargin))
-		case pattern.AckStopped, pattern.AckTerminal:
-			stopped = append(stopped, apprentice.Stop(task)...)
+		case messages.AckRenewed:
+			task.until = max(task.until, asked.Plus(lock-constants.LockMargin))
+		case messages.AckStopped, messages.AckTerminal:
+			stopped = append(stopped, runner.Stop(task)...)
 		}
 	}
 	return stopped
@@ -124,29 +124,29 @@
 
 // Lapsed names the runs whose lock is about to end unrenewed: they stop, so that
 // the next driver's run is the only one.
-func (apprentice *Apprentice) Lapsed(now watch.Moment) []*Task {
+func (runner *Runner) Lapsed(now clock.Moment) []*Task {
 	var stopped []*Task
-	for _, task := range apprentice.All() {
+	for _, task := range runner.All() {
 		if now >= task.until {
-			stopped = append(stopped, apprentice.Stop(task)...)
+			stopped = append(stopped, runner.Stop(task)...)
 		}
 	}
 	return stopped
 }
 
 // StopLot names the runs of a lot that has ended.
-func (apprentice *Apprentice) StopLot(lot string) []*Task {
+func (runner *Runner) StopLot(lot string) []*Task {
 	var stopped []*Task
-	for _, task := range apprentice.All() {
+	for _, task := range runner.All() {
 		if task.Item.Lot.ID == lot {
-			stopped = append(stopped, apprentice.Stop(task)...)
+			stopped = append(stopped, runner.Stop(task)...)
 		}
 	}
 	return stopped
 }
 
 // Stop ends a task's run; it names it if it was not stopped before.
-func (apprentice *Apprentice) Stop(task *Task) []*Task {
+func (runner *Runner) Stop(task *Task) []*Task {
 	if task.stopped {
 		return nil
 	}
@@ -155,18 +155,18 @@
 }
 
 // Done ends a task with its acknowledgement, which is repeated until it is answered.
-func (apprentice *Apprentice) Done(task *Task, entry pattern.Acknowledgement) {
-	if apprentice.tasks[task.Number] != task {
+func (runner *Runner) Done(task *Task, entry messages.Acknowledgement) {
+	if runner.tasks[task.Number] != task {
 		return
 	}
-	delete(apprentice.tasks, task.Number)
+	delete(runner.tasks, task.Number)
 	entry.Number, entry.Lot, entry.Item = task.Number, task.Item.Lot.ID, task.Item.ID
-	if entry.Kind == pattern.AckRelease {
+	if entry.Kind == messages.AckRelease {
 		entry.Pieces, entry.LastID = task.Item.Pieces, task.Item.LastID
 	}
-	if entry.Kind == pattern.AckRelease && !entry.Failed {
-		apprentice.soft.add(entry)
+	if entry.Kind == messages.AckRelease && !entry.Failed {
+		runner.soft.add(entry)
 		return
 	}
-	apprentice.durable.add(entry)
+	runner.durable.add(entry)
 }
--- a/internal/apprentice/apprentice_test.go
+++ b/internal/batch/itemdriver/itemdriver_test.go
@@ -1,21 +1,21 @@
-package apprentice
+package itemdriver
 
 import (
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
-const lock = 2 * watch.Span(1_000_000_000)
+const lock = 2 * clock.Span(1_000_000_000)
 
-func ms(count float64) watch.Moment { return watch.Moment(watch.Milliseconds(count)) }
+func ms(count float64) clock.Moment { return clock.Moment(clock.Milliseconds(count)) }
 
-func given(numbers ...uint64) *pattern.Acquired {
-	answer := &pattern.Acquired{LockMs: watch.ToMilliseconds(lock), HeldMs: 500}
+func given(numbers ...uint64) *messages.Acquired {
+	answer := &messages.Acquired{LockMs: clock.ToMilliseconds(lock), HeldMs: 500}
 	for _, number := range numbers {
-		answer.Items = append(answer.Items, pattern.AcquiredItem{Number: number, Lot: "l", Item: pattern.LotItem{ID: "i"}})
+		answer.Items = append(answer.Items, messages.AcquiredItem{Number: number, Lot: "l", Item: messages.LotItem{ID: "i"}})
 	}
 	return answer
 }
@@ -27,7 +27,7 @@
 		test.Fatal("taken after its lock had ended")
 	}
 	task := one.Take(given(2), ms(0), ms(2000))[0]
-	end := ms(2500).Plus(-almanac.LockMargin)
+	end := ms(2500).Plus(-constants.LockMargin)
 	if !task.May(end-1) || task.May(end) || len(one.Lapsed(end-1)) != 0 {
 		test.Fatal("the lock ends at another time")
 	}
@@ -40,14 +40,14 @@
 	one := New()
 	task := one.Take(given(1), ms(0), ms(500))[0]
 	entries := one.Renewals(ms(1000))
-	one.Renewed(entries, []pattern.AckVerdict{pattern.AckRenewed}, ms(1000), lock)
+	one.Renewed(entries, []messages.AckVerdict{messages.AckRenewed}, ms(1000), lock)
 	if !task.May(ms(2800)) || task.May(ms(3000)) {
 		test.Fatal("renewed for another time")
 	}
-	if stopped := one.Renewed(entries, []pattern.AckVerdict{pattern.AckUnknown}, ms(1500), lock); len(stopped) != 0 || task.May(ms(3000)) {
+	if stopped := one.Renewed(entries, []messages.AckVerdict{messages.AckUnknown}, ms(1500), lock); len(stopped) != 0 || task.May(ms(3000)) {
 		test.Fatal("an unclear answer renewed or stopped it")
 	}
-	if stopped := one.Renewed(entries, []pattern.AckVerdict{pattern.AckStopped}, ms(1500), lock); len(stopped) != 1 || !task.Stopped() {
+	if stopped := one.Renewed(entries, []messages.AckVerdict{messages.AckStopped}, ms(1500), lock); len(stopped) != 1 || !task.Stopped() {
 		test.Fatal("not stopped")
 	}
 }
@@ -56,27 +56,27 @@
 func TestAcknowledgementsAreRepeated(test *testing.T) {
 	one := New()
 	for _, task := range one.Take(given(1, 2, 3), ms(0), ms(500)) {
-		kind := pattern.AckAccept
+		kind := messages.AckAccept
 		if task.Number == 3 {
-			kind = pattern.AckRelease
+			kind = messages.AckRelease
 			task.Item.Gather(task.Run, [][]byte{[]byte("x")}, 1)
 		}
-		one.Done(task, pattern.Acknowledgement{Kind: kind})
-		one.Done(task, pattern.Acknowledgement{Kind: pattern.AckReject})
+		one.Done(task, messages.Acknowledgement{Kind: kind})
+		one.Done(task, messages.Acknowledgement{Kind: messages.AckReject})
 	}
 	batch := one.Results()
 	if len(batch) != 2 || one.Owing() != 3 {
 		test.Fatal(len(batch), one.Owing())
 	}
 	one.Answered(batch, nil)
-	one.Answered(batch, []pattern.AckVerdict{pattern.AckUnknown, pattern.AckTerminal})
-	if batch = one.Results(); len(batch) != 1 || batch[0].Number != 1 || batch[0].Kind != pattern.AckAccept {
+	one.Answered(batch, []messages.AckVerdict{messages.AckUnknown, messages.AckTerminal})
+	if batch = one.Results(); len(batch) != 1 || batch[0].Number != 1 || batch[0].Kind != messages.AckAccept {
 		test.Fatal(batch)
 	}
 	if back := one.Returns(); len(back) != 1 || back[0].LastID != 1 || len(back[0].Pieces) != 1 {
 		test.Fatal(back)
 	}
-	one.Answered(batch, []pattern.AckVerdict{pattern.AckTaken})
+	one.Answered(batch, []messages.AckVerdict{messages.AckTaken})
 	if len(one.Results()) != 0 || one.Owing() != 1 {
 		test.Fatal("answered, and repeated")
 	}
@@ -93,13 +93,13 @@
 func TestBatchesAreBounded(test *testing.T) {
 	one := New()
 	var numbers []uint64
-	for number := uint64(1); number <= almanac.AckEntries+5; number++ {
+	for number := uint64(1); number <= constants.AckEntries+5; number++ {
 		numbers = append(numbers, number)
 	}
 	for _, task := range one.Take(given(numbers...), ms(0), ms(500)) {
-		one.Done(task, pattern.Acknowledgement{Kind: pattern.AckAccept, Text: make([]byte, 10)})
+		one.Done(task, messages.Acknowledgement{Kind: messages.AckAccept, Text: make([]byte, 10)})
 	}
-	if len(one.Results()) != almanac.AckEntries {
+	if len(one.Results()) != constants.AckEntries {
 		test.Fatal(len(one.Results()))
 	}
 }
@@ -123,11 +123,11 @@
 		if at <= 10_000 {
 			task.Moved(ms(at))
 		}
-		hangs := watch.Milliseconds(at-10_000) >= almanac.RenewPatience
+		hangs := clock.Milliseconds(at-10_000) >= constants.RenewPatience
 		if (len(entries) == 0) != hangs {
 			test.Fatal("renewed or not at ", at)
 		}
-		one.Renewed(entries, []pattern.AckVerdict{pattern.AckRenewed}, ms(at), lock)
+		one.Renewed(entries, []messages.AckVerdict{messages.AckRenewed}, ms(at), lock)
 	}
 	if !task.May(ms(16_000)) || len(one.Lapsed(ms(17_000))) != 1 {
 		test.Fatal("not stopped")
--- a/internal/hopper/hopper.go
+++ b/internal/batch/lotclient/lotclient.go
@@ -1,6 +1,6 @@
-// Package hopper is a client for lots: it hands them in, reads and follows them, and
+// Package lotclient is a client for lots: it hands them in, reads and follows them, and
 // ends them, by the calls that any edge node takes.
-package hopper
+package lotclient
 
 import (
 	"bytes"
@@ -11,22 +11,22 @@
 	"strconv"
 	"time"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/errs"
 )
 
-// The mishaps of calls on lots.
+// The errors of calls on lots.
 var (
 	// Unheard: nothing clear came back; the call may be made again, elsewhere.
-	Unheard = mishap.Define("no clear answer")
+	Unheard = errs.Define("no clear answer")
 	// Refused: it is promised that nothing of the lot runs.
-	Refused = mishap.Define("lot refused")
+	Refused = errs.Define("lot refused")
 	// Wrong: the call will not be taken the next time either.
-	Wrong = mishap.Define("call not taken")
+	Wrong = errs.Define("call not taken")
 	// Spoilt: the answer is not what the protocol says.
-	Spoilt = mishap.Define("answer spoilt")
+	Spoilt = errs.Define("answer spoilt")
 )
 
 // Item is one request of a lot.
@@ -73,30 +73,30 @@
 	// Transport may be replaced in tests.
 	Transport http.RoundTripper
 	// Pause waits between two tries; nil is a real wait.
-	Pause func(watch.Span)
+	Pause func(clock.Span)
 }
 
-func (client *Client) pause(span watch.Span) {
+func (client *Client) pause(span clock.Span) {
 	if client.Pause != nil {
 		client.Pause(span)
 		return
 	}
-	watch.Sleep(span)
+	clock.Sleep(span)
 }
 
 type answer struct {
 	status int
 	body   []byte
-	after  watch.Span
+	after  clock.Span
 }
 
-func (client *Client) call(until errand.Errand, method, path string, header map[string]string, body []byte, limit watch.Span) (answer, error) {
-	limited, release := errand.Timed(until, limit)
+func (client *Client) call(until contexts.Errand, method, path string, header map[string]string, body []byte, limit clock.Span) (answer, error) {
+	limited, release := contexts.Timed(until, limit)
 	defer release()
 	edge := client.Edges[client.turn%len(client.Edges)]
-	request, failure := http.NewRequestWithContext(limited, method, "http://"+edge+path, bytes.NewReader(body))
-	if failure != nil {
-		return answer{}, Wrong.Wrap(failure, path)
+	request, err := http.NewRequestWithContext(limited, method, "http://"+edge+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, Wrong.Wrap(err, path)
 	}
 	request.Host, request.Close = client.Host, true
 	for name, value := range header {
@@ -106,51 +106,51 @@
 	if transport == nil {
 		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	}
-	got, failure := transport.RoundTrip(request)
-	if failure != nil {
+	got, err := transport.RoundTrip(request)
+	if err != nil {
 		client.turn++
-		return answer{}, Unheard.Wrap(failure, edge)
+		return answer{}, Unheard.Wrap(err, edge)
 	}
 	defer got.Body.Close()
-	text, failure := io.ReadAll(io.LimitReader(got.Body, almanac.LotAnswerLimit))
-	if failure != nil {
+	text, err := io.ReadAll(io.LimitReader(got.Body, constants.LotAnswerLimit))
+	if err != nil {
 		client.turn++
-		return answer{}, Unheard.Wrap(failure, edge)
+		return answer{}, Unheard.Wrap(err, edge)
 	}
 	if got.StatusCode >= 500 || got.StatusCode == http.StatusTooManyRequests {
 		client.turn++
 	}
 	seconds, _ := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
-	return answer{got.StatusCode, text, watch.Milliseconds(max(seconds, 0) * 1000)}, nil
+	return answer{got.StatusCode, text, clock.Milliseconds(max(seconds, 0) * 1000)}, nil
 }
 
 // HandIn sends a lot under its id until it is taken or the errand ends. What may
 // have been taken is sent again unchanged: the system takes it once.
-func (client *Client) HandIn(until errand.Errand, id, path string, lot Lot) (tries int, failure error) {
-	if len(lot.Requests) == 0 || len(lot.Requests) > almanac.LotItems {
-		return 0, Wrong.New("a lot holds 1 to " + strconv.Itoa(almanac.LotItems) + " items")
+func (client *Client) HandIn(until contexts.Errand, id, path string, lot Lot) (tries int, err error) {
+	if len(lot.Requests) == 0 || len(lot.Requests) > constants.LotItems {
+		return 0, Wrong.New("a lot holds 1 to " + strconv.Itoa(constants.LotItems) + " items")
 	}
-	body, failure := json.Marshal(lot)
-	if failure != nil {
-		return 0, Wrong.Wrap(failure, "lot")
+	body, err := json.Marshal(lot)
+	if err != nil {
+		return 0, Wrong.Wrap(err, "lot")
 	}
 	maybe := false
 	for {
 		tries++
-		got, failure := client.call(until, http.MethodPost, path, map[string]string{"Lemonarch-Attempt-Id": id, "Content-Type": "application/json"}, body, almanac.LotCallTime)
-		pause := max(got.after, almanac.LabRetry)
+		got, err := client.call(until, http.MethodPost, path, map[string]string{"Lemonarch-Attempt-Id": id, "Content-Type": "application/json"}, body, constants.LotCallTime)
+		pause := max(got.after, constants.LabRetry)
 		switch {
-		case failure != nil:
+		case err != nil:
 			maybe = true
 		case got.status == http.StatusAccepted:
 			return tries, nil
 		case got.status == http.StatusTooManyRequests || got.status == http.StatusServiceUnavailable:
-			failure = Refused.New(strconv.Itoa(got.status))
+			err = Refused.New(strconv.Itoa(got.status))
 		case got.status >= 400 && got.status < 500:
 			return tries, Wrong.New(strconv.Itoa(got.status) + " " + string(got.body))
 		default:
 			maybe = true
-			failure = Unheard.New(strconv.Itoa(got.status))
+			err = Unheard.New(strconv.Itoa(got.status))
 		}
 		if until.Err() == nil {
 			client.pause(pause)
@@ -158,29 +158,29 @@
 		if until.Err() != nil {
 			if maybe {
 				// One unclear answer is enough: nothing may be said of the lot.
-				return tries, Unheard.New("the lot may have been taken; the last try: " + failure.Error())
+				return tries, Unheard.New("the lot may have been taken; the last try: " + err.Error())
 			}
-			return tries, failure
+			return tries, err
 		}
 	}
 }
 
 // Read gives one page from a position on; hold lets the system wait for an output.
-func (client *Client) Read(until errand.Errand, id string, cursor int, hold watch.Span) (*Page, error) {
+func (client *Client) Read(until contexts.Errand, id string, cursor int, hold clock.Span) (*Page, error) {
 	header := map[string]string{}
 	if hold > 0 {
 		header["Lemonarch-Hold-Ms"] = strconv.FormatInt(hold.Milliseconds(), 10)
 	}
-	got, failure := client.call(until, http.MethodGet, "/-/lots/"+url.PathEscape(id)+"?page-cursor="+strconv.Itoa(cursor), header, nil, hold+almanac.LotReadSlack)
-	if failure != nil {
-		return nil, failure
+	got, err := client.call(until, http.MethodGet, "/-/lots/"+url.PathEscape(id)+"?page-cursor="+strconv.Itoa(cursor), header, nil, hold+constants.LotReadSlack)
+	if err != nil {
+		return nil, err
 	}
-	if failure = client.clear(got, id); failure != nil {
-		return nil, failure
+	if err = client.clear(got, id); err != nil {
+		return nil, err
 	}
 	page := &Page{}
-	if failure = json.Unmarshal(got.body, page); failure != nil {
-		return nil, Spoilt.Wrap(failure, "page of lot "+id)
+	if err = json.Unmarshal(got.body, page); err != nil {
+		return nil, Spoilt.Wrap(err, "page of lot "+id)
 	}
 	if page.Next != cursor+len(page.Outputs) || page.Next > page.Sum {
 		return nil, Spoilt.New("page of lot " + id + " does not add up")
@@ -189,19 +189,19 @@
 }
 
 // End ends a lot; calls may be repeated.
-func (client *Client) End(until errand.Errand, id string) error {
-	got, failure := client.call(until, http.MethodDelete, "/-/lots/"+url.PathEscape(id), nil, nil, almanac.LotCallTime)
-	if failure != nil {
-		return failure
+func (client *Client) End(until contexts.Errand, id string) error {
+	got, err := client.call(until, http.MethodDelete, "/-/lots/"+url.PathEscape(id), nil, nil, constants.LotCallTime)
+	if err != nil {
+		return err
 	}
 	return client.clear(got, id)
 }
 
 // Body gives the body of an item that is not listed yet.
-func (client *Client) Body(until errand.Errand, id, item string) ([]byte, error) {
-	got, failure := client.call(until, http.MethodGet, "/-/items/"+url.PathEscape(id)+"?id="+url.QueryEscape(item), nil, nil, almanac.LotCallTime)
-	if failure != nil {
-		return nil, failure
+func (client *Client) Body(until contexts.Errand, id, item string) ([]byte, error) {
+	got, err := client.call(until, http.MethodGet, "/-/items/"+url.PathEscape(id)+"?id="+url.QueryEscape(item), nil, nil, constants.LotCallTime)
+	if err != nil {
+		return nil, err
 	}
 	return got.body, client.clear(got, id)
 }
@@ -219,21 +219,21 @@
 }
 
 // Again tells whether a call may be made again.
-func Again(failure error) bool { return mishap.Of(failure, Unheard) }
+func Again(err error) bool { return errs.Of(err, Unheard) }
 
 // Follow reads a lot to its end and hands each page on; from is the first position.
-func (client *Client) Follow(until errand.Errand, id string, from int, each func(page *Page) error) error {
+func (client *Client) Follow(until contexts.Errand, id string, from int, each func(page *Page) error) error {
 	for cursor := from; ; {
-		page, failure := client.Read(until, id, cursor, time.Second)
-		if failure != nil {
-			if !Again(failure) || until.Err() != nil {
-				return failure
+		page, err := client.Read(until, id, cursor, time.Second)
+		if err != nil {
+			if !Again(err) || until.Err() != nil {
+				return err
 			}
-			client.pause(almanac.LoadPollPause)
+			client.pause(constants.LoadPollPause)
 			continue
 		}
-		if failure = each(page); failure != nil {
-			return failure
+		if err = each(page); err != nil {
+			return err
 		}
 		if cursor = page.Next; cursor >= page.Sum {
 			return nil
--- a/internal/hopper/hopper_test.go
+++ b/internal/batch/lotclient/lotclient_test.go
@@ -1,4 +1,4 @@
-package hopper
+package lotclient
 
 import (
 	"encoding/json"
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"lemonarch/internal/errand"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/errs"
 )
 
 // script answers calls one after the other, without sockets.
@@ -45,7 +45,7 @@
 
 func client(test *testing.T, steps ...func(*http.Request, []byte) (int, string)) (*Client, *script) {
 	play := &script{test: test, steps: steps}
-	return &Client{Edges: []string{"a:1", "b:1"}, Host: "h", Transport: play, Pause: func(watch.Span) {}}, play
+	return &Client{Edges: []string{"a:1", "b:1"}, Host: "h", Transport: play, Pause: func(clock.Span) {}}, play
 }
 
 var oneItem = Lot{Requests: []Item{{ID: "i", Path: "/batch/1", Body: []byte{1, 2, 250}, Tokens: 3}}}
@@ -64,35 +64,35 @@
 			}
 			return 202, ""
 		})
-	tries, failure := one.HandIn(errand.Background(), "lot", "/batch/x", oneItem)
-	if failure != nil || tries != 3 || play.hosts[0] == play.hosts[1] || play.hosts[1] == play.hosts[2] {
-		test.Fatal(tries, failure, play.hosts)
+	tries, err := one.HandIn(contexts.Background(), "lot", "/batch/x", oneItem)
+	if err != nil || tries != 3 || play.hosts[0] == play.hosts[1] || play.hosts[1] == play.hosts[2] {
+		test.Fatal(tries, err, play.hosts)
 	}
 }
 
 // Refused means that every try was refused: one unclear answer forbids to say so.
 func TestRefusedOnlyWhereEveryTryWas(test *testing.T) {
 	for _, unclear := range []bool{false, true} {
-		until, halt := errand.Stoppable(errand.Background())
+		until, halt := contexts.Stoppable(contexts.Background())
 		status := 429
 		if unclear {
 			status = 504
 		}
 		one, _ := client(test, says(status, ""), func(*http.Request, []byte) (int, string) { halt(); return 429, "" })
-		_, failure := one.HandIn(until, "lot", "/batch/x", oneItem)
-		if mishap.Of(failure, Refused) == unclear || mishap.Of(failure, Unheard) != unclear {
-			test.Fatal(unclear, failure)
+		_, err := one.HandIn(until, "lot", "/batch/x", oneItem)
+		if errs.Of(err, Refused) == unclear || errs.Of(err, Unheard) != unclear {
+			test.Fatal(unclear, err)
 		}
 	}
 }
 
 func TestWhatIsWrongIsNotSentAgain(test *testing.T) {
 	one, _ := client(test, says(400, "no"))
-	if _, failure := one.HandIn(errand.Background(), "lot", "/x", oneItem); !mishap.Of(failure, Wrong) {
-		test.Fatal(failure)
+	if _, err := one.HandIn(contexts.Background(), "lot", "/x", oneItem); !errs.Of(err, Wrong) {
+		test.Fatal(err)
 	}
-	if _, failure := one.HandIn(errand.Background(), "lot", "/x", Lot{}); !mishap.Of(failure, Wrong) {
-		test.Fatal(failure)
+	if _, err := one.HandIn(contexts.Background(), "lot", "/x", Lot{}); !errs.Of(err, Wrong) {
+		test.Fatal(err)
 	}
 }
 
@@ -103,23 +103,23 @@
 		says(200, `{"sum":2,"next-token":1,"outputs":[]}`),
 		says(200, `{"sum":2,"next-token":2,"outputs":[{"id":"j","phase":"abandoned","text":""}]}`))
 	var seen []string
-	failure := one.Follow(errand.Background(), "lot", 0, func(page *Page) error {
+	err := one.Follow(contexts.Background(), "lot", 0, func(page *Page) error {
 		for _, output := range page.Outputs {
 			seen = append(seen, output.ID+output.Phase)
 		}
 		return nil
 	})
-	if failure != nil || len(seen) != 2 || seen[1] != "jabandoned" {
-		test.Fatal(failure, seen)
+	if err != nil || len(seen) != 2 || seen[1] != "jabandoned" {
+		test.Fatal(err, seen)
 	}
 }
 
 func TestPageThatDoesNotAddUp(test *testing.T) {
 	one, _ := client(test, says(200, `{"sum":2,"next-token":2,"outputs":[{"id":"i","phase":"settled","text":"x"}]}`), says(404, ""))
-	if _, failure := one.Read(errand.Background(), "lot", 0, time.Second); !mishap.Of(failure, Spoilt) {
-		test.Fatal(failure)
+	if _, err := one.Read(contexts.Background(), "lot", 0, time.Second); !errs.Of(err, Spoilt) {
+		test.Fatal(err)
 	}
-	if _, failure := one.Read(errand.Background(), "lot", 0, 0); !mishap.Of(failure, Wrong) {
-		test.Fatal(failure)
+	if _, err := one.Read(contexts.Background(), "lot", 0, 0); !errs.Of(err, Wrong) {
+		test.Fatal(err)
 	}
 }
--- a/internal/ledgerbox/account.go
+++ b/internal/batch/lots/account.go
@@ -1,8 +1,8 @@
-package ledgerbox
+package lots
 
 import (
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // entrant is one life of a driver that may hold acquisitions.
@@ -22,14 +22,14 @@
 	if index := dispatcher.entering[one]; index > 0 {
 		return index
 	}
-	index := dispatcher.Submit(pattern.Record{Kind: pattern.RecordDriver, Item: driver.Name, AtMs: driver.Life})
+	index := dispatcher.Submit(messages.Record{Kind: messages.RecordDriver, Item: driver.Name, AtMs: driver.Life})
 	dispatcher.entering[one] = index
 	return index
 }
 
 // Listed notes that a driver has shown this holder all that it holds, and takes
 // nothing from earlier ones any more. Its entries were taken before.
-func (dispatcher *Dispatcher) Listed(driver Driver, epoch uint64, now watch.Moment) {
+func (dispatcher *Dispatcher) Listed(driver Driver, epoch uint64, now clock.Moment) {
 	if epoch == dispatcher.epoch {
 		delete(dispatcher.unheard, entrant{driver.Name, driver.Life})
 		dispatcher.reckon(now)
@@ -37,7 +37,7 @@
 }
 
 // outlived notes that a newer life of a driver was heard: the older ones hold nothing.
-func (dispatcher *Dispatcher) outlived(driver Driver, now watch.Moment) {
+func (dispatcher *Dispatcher) outlived(driver Driver, now clock.Moment) {
 	for one := range dispatcher.unheard {
 		if one.name == driver.Name && one.life < driver.Life {
 			delete(dispatcher.unheard, one)
@@ -48,7 +48,7 @@
 
 // reckon ends the time in which items are perhaps acquired, once every driver that
 // earlier holders may have handed something is accounted for.
-func (dispatcher *Dispatcher) reckon(now watch.Moment) {
+func (dispatcher *Dispatcher) reckon(now clock.Moment) {
 	if len(dispatcher.unheard) == 0 {
 		dispatcher.unsure = min(dispatcher.unsure, now)
 	}
@@ -56,16 +56,16 @@
 
 // Sure records, once, that no acquisition of an earlier epoch stands that was not
 // adopted: later holders need not ask after its drivers.
-func (dispatcher *Dispatcher) Sure(now watch.Moment) {
+func (dispatcher *Dispatcher) Sure(now clock.Moment) {
 	if dispatcher.sure || now < dispatcher.unsure {
 		return
 	}
 	dispatcher.sure = true
-	dispatcher.Submit(pattern.Record{Kind: pattern.RecordSure})
+	dispatcher.Submit(messages.Record{Kind: messages.RecordSure})
 }
 
 // enter and clear are how the book follows them.
-func (book *Book) enter(record *pattern.Record) {
+func (book *Book) enter(record *messages.Record) {
 	book.entrants[entrant{record.Item, record.AtMs}] = record.Epoch
 }
 
--- a/internal/ledgerbox/account_test.go
+++ b/internal/batch/lots/account_test.go
@@ -1,19 +1,19 @@
-package ledgerbox
+package lots
 
 import (
 	"testing"
 
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/messages"
 )
 
 // A new holder waits for a lock only while a driver that may hold something has not
 // shown it, and has not been outlived.
 func TestDriversAreAccountedFor(test *testing.T) {
-	old := newDesk(test, 1, nil, 0)
+	old := newEndpoint(test, 1, nil, 0)
 	old.lot("l", "a", "b", "c")
 	given := old.take("x", 1, ms(1))
 	old.take("y", 1, ms(1))
-	next := newDesk(test, 2, old.records, ms(100))
+	next := newEndpoint(test, 2, old.records, ms(100))
 	// Word for an earlier holder, or of another life, accounts for nobody.
 	next.Heard(Driver{Name: "x"}, ms(110))
 	next.Listed(Driver{Name: "x"}, 1, ms(110))
@@ -26,7 +26,7 @@
 	if !next.Unsure(ms(130)) || len(next.take("z", 3, ms(130))) != 0 {
 		test.Fatal("sure although one has shown nothing")
 	}
-	if next.say("x", pattern.AckRenew, given[0].Number, "a", ms(140)) != pattern.AckRenewed {
+	if next.say("x", messages.AckRenew, given[0].Number, "a", ms(140)) != messages.AckRenewed {
 		test.Fatal("not adopted")
 	}
 	next.Listed(Driver{Name: "x"}, 2, ms(140))
@@ -38,24 +38,24 @@
 // Nothing is handed out before a later holder would know of the driver, and what is
 // known is forgotten only once it is sure that nothing of it stands.
 func TestEntrantsAreOnRecord(test *testing.T) {
-	desk := newDesk(test, 1, nil, 0)
-	desk.lot("l", "a", "b")
+	endpoint := newEndpoint(test, 1, nil, 0)
+	endpoint.lot("l", "a", "b")
 	ask := &AcquireAsk{Driver: Driver{Name: "x"}, Room: map[string]int{"s": 1}, Terms: func(*Lot) Terms { return Terms{} }, Service: func(*Item) string { return "s" }}
-	if len(desk.Acquire(ask, ms(1))) != 0 || len(desk.Acquire(ask, ms(1))) != 0 || len(desk.records) != 2 {
+	if len(endpoint.Acquire(ask, ms(1))) != 0 || len(endpoint.Acquire(ask, ms(1))) != 0 || len(endpoint.records) != 2 {
 		test.Fatal("handed out before the driver was on record")
 	}
-	desk.settle()
-	one := desk.Acquire(ask, ms(1))
-	if len(one) != 1 || len(desk.records) != 2 {
+	endpoint.settle()
+	one := endpoint.Acquire(ask, ms(1))
+	if len(one) != 1 || len(endpoint.records) != 2 {
 		test.Fatal("not handed out")
 	}
-	second := newDesk(test, 2, desk.records, ms(100))
+	second := newEndpoint(test, 2, endpoint.records, ms(100))
 	second.Sure(ms(200))
 	if len(second.records) != 2 {
 		test.Fatal("sure too early")
 	}
 	// A driver that is adopted only is on record too, before the word that all is sure.
-	if second.say("x", pattern.AckRenew, one[0].Number, "a", ms(200)) != pattern.AckRenewed {
+	if second.say("x", messages.AckRenew, one[0].Number, "a", ms(200)) != messages.AckRenewed {
 		test.Fatal("not adopted")
 	}
 	second.Sure(ms(3000))
@@ -64,13 +64,13 @@
 	if len(second.records) != 4 {
 		test.Fatal(len(second.records))
 	}
-	third := newDesk(test, 3, second.records, ms(3100))
+	third := newEndpoint(test, 3, second.records, ms(3100))
 	if !third.Unsure(ms(3200)) {
 		test.Fatal("an adopted acquisition was forgotten")
 	}
 	third.Sure(ms(9000))
 	third.settle()
-	if fourth := newDesk(test, 4, third.records, ms(9100)); fourth.Unsure(ms(9101)) {
+	if fourth := newEndpoint(test, 4, third.records, ms(9100)); fourth.Unsure(ms(9101)) {
 		test.Fatal("drivers of long ago are waited for")
 	}
 }
--- a/internal/ledgerbox/acknowledge.go
+++ b/internal/batch/lots/acknowledge.go
@@ -1,62 +1,62 @@
-package ledgerbox
+package lots
 
 import (
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // Step is what came of an acknowledgement: the verdict counts once the record at
 // Index is durable; Index 0 needs no record.
 type Step struct {
-	Verdict pattern.AckVerdict
+	Verdict messages.AckVerdict
 	Index   int64
 }
 
 // Acknowledge takes a driver's word on one acquisition. A repeat is answered the
 // same as the first.
-func (dispatcher *Dispatcher) Acknowledge(driver Driver, entry *pattern.Acknowledgement, now watch.Moment) Step {
+func (dispatcher *Dispatcher) Acknowledge(driver Driver, entry *messages.Acknowledgement, now clock.Moment) Step {
 	lot := dispatcher.Book.Lot(entry.Lot)
 	if lot == nil {
-		return Step{Verdict: pattern.AckTerminal}
+		return Step{Verdict: messages.AckTerminal}
 	}
 	item := lot.Find(entry.Item)
 	if item == nil {
-		return Step{Verdict: pattern.AckTerminal}
+		return Step{Verdict: messages.AckTerminal}
 	}
 	switch {
 	case item.Terminal() || item.State == ItemClosing:
 		return dispatcher.repeated(item, entry)
 	case lot.Ended || dispatcher.Closed(lot):
-		return Step{Verdict: pattern.AckTerminal}
+		return Step{Verdict: messages.AckTerminal}
 	}
 	switch entry.Kind {
-	case pattern.AckAccept:
+	case messages.AckAccept:
 		return dispatcher.accept(item, entry, now)
-	case pattern.AckReject:
+	case messages.AckReject:
 		return dispatcher.reject(item, entry)
-	case pattern.AckRelease:
+	case messages.AckRelease:
 		return dispatcher.release(item, entry, now)
-	case pattern.AckRenew:
+	case messages.AckRenew:
 		return dispatcher.renew(driver, item, entry, now)
 	}
-	return Step{Verdict: pattern.AckUnknown}
+	return Step{Verdict: messages.AckUnknown}
 }
 
 // repeated answers for an item whose one result stands or is on its way: whoever
 // brought it is told that it was taken, everybody else that the item is over.
-func (dispatcher *Dispatcher) repeated(item *Item, entry *pattern.Acknowledgement) Step {
-	step := Step{Verdict: pattern.AckTerminal}
+func (dispatcher *Dispatcher) repeated(item *Item, entry *messages.Acknowledgement) Step {
+	step := Step{Verdict: messages.AckTerminal}
 	if item.State == ItemClosing {
 		step.Index = item.closing
 	}
-	if item.closer == entry.Number && entry.Kind != pattern.AckRenew {
-		step.Verdict = pattern.AckTaken
+	if item.closer == entry.Number && entry.Kind != messages.AckRenew {
+		step.Verdict = messages.AckTaken
 	}
-	if entry.Kind == pattern.AckRenew {
+	if entry.Kind == messages.AckRenew {
 		// The run must stop at once, whether or not the record is durable yet.
-		step = Step{Verdict: pattern.AckStopped}
+		step = Step{Verdict: messages.AckStopped}
 	}
-	if step.Verdict == pattern.AckTerminal && entry.Kind == pattern.AckAccept {
+	if step.Verdict == messages.AckTerminal && entry.Kind == messages.AckAccept {
 		dispatcher.Counts.Late++
 	}
 	return step
@@ -64,32 +64,32 @@
 
 // accept takes a whole output. The lock decides who may run an item, not whose
 // output counts: also after a lapse the first one to be durable is the item's.
-func (dispatcher *Dispatcher) accept(item *Item, entry *pattern.Acknowledgement, now watch.Moment) Step {
+func (dispatcher *Dispatcher) accept(item *Item, entry *messages.Acknowledgement, now clock.Moment) Step {
 	held := item.held
 	if held != nil && held.Number == entry.Number && held.fresh {
 		const share = 0.05
-		dispatcher.TookMs += share * (watch.ToMilliseconds(now.Since(held.begun)) - dispatcher.TookMs)
+		dispatcher.TookMs += share * (clock.ToMilliseconds(now.Since(held.begun)) - dispatcher.TookMs)
 	}
 	dispatcher.drop(held)
 	item.State = ItemClosing
 	dispatcher.Counts.Settled++
 	dispatcher.close(item, entry.Number, entry.Text, entry.Packed, false)
-	return Step{Verdict: pattern.AckTaken, Index: item.closing}
+	return Step{Verdict: messages.AckTaken, Index: item.closing}
 }
 
 // reject archives an item that no worker can do.
-func (dispatcher *Dispatcher) reject(item *Item, entry *pattern.Acknowledgement) Step {
+func (dispatcher *Dispatcher) reject(item *Item, entry *messages.Acknowledgement) Step {
 	run := item.Runs
 	dispatcher.drop(item.held)
 	if !dispatcher.archive(item, run, entry.Number) {
-		return Step{Verdict: pattern.AckUnknown}
+		return Step{Verdict: messages.AckUnknown}
 	}
-	return Step{Verdict: pattern.AckTaken, Index: item.closing}
+	return Step{Verdict: messages.AckTaken, Index: item.closing}
 }
 
 // release makes an item available again, with the events that it brings back.
-func (dispatcher *Dispatcher) release(item *Item, entry *pattern.Acknowledgement, now watch.Moment) Step {
-	step := Step{Verdict: pattern.AckTaken}
+func (dispatcher *Dispatcher) release(item *Item, entry *messages.Acknowledgement, now clock.Moment) Step {
+	step := Step{Verdict: messages.AckTaken}
 	held := item.held
 	current := held != nil && held.Number == entry.Number
 	// Events also come back late, as long as nobody goes on from fewer.
@@ -124,7 +124,7 @@
 		return 0
 	}
 	dispatcher.Counts.Failures++
-	index := dispatcher.Submit(pattern.Record{Kind: pattern.RecordFailure, Lot: item.Lot.ID, Item: item.ID, Acquisition: number})
+	index := dispatcher.Submit(messages.Record{Kind: messages.RecordErr, Lot: item.Lot.ID, Item: item.ID, Acquisition: number})
 	if len(item.FailedBy) >= dispatcher.Tries(item) && item.State == ItemAvailable {
 		dispatcher.archive(item, 0, number)
 		return item.closing
@@ -134,7 +134,7 @@
 
 // renew lets a lock run anew. After a takeover a driver shows its acquisition by
 // it, and the new holder adopts it.
-func (dispatcher *Dispatcher) renew(driver Driver, item *Item, entry *pattern.Acknowledgement, now watch.Moment) Step {
+func (dispatcher *Dispatcher) renew(driver Driver, item *Item, entry *messages.Acknowledgement, now clock.Moment) Step {
 	held := item.held
 	if held == nil || held.Number != entry.Number {
 		// Of two that were handed out by earlier holders the later number is the one
@@ -142,22 +142,22 @@
 		adopt := dispatcher.perhapsHeld(item, now) && EpochOf(entry.Number) < dispatcher.epoch &&
 			(held == nil || held.Number < entry.Number)
 		if !adopt {
-			return Step{Verdict: pattern.AckStopped}
+			return Step{Verdict: messages.AckStopped}
 		}
 		if held != nil {
 			dispatcher.setBack(held, 0, now)
 		}
 		if held = dispatcher.grant(item, driver, entry.Number, now); held == nil {
-			return Step{Verdict: pattern.AckStopped}
+			return Step{Verdict: messages.AckStopped}
 		}
 		dispatcher.Enter(driver)
 		dispatcher.Counts.Adopted++
 	}
 	if held.Driver.Name != driver.Name || held.Driver.Life != driver.Life || now >= held.until {
-		return Step{Verdict: pattern.AckStopped}
+		return Step{Verdict: messages.AckStopped}
 	}
 	held.until = now.Plus(dispatcher.Lock)
 	item.Renewals++
 	dispatcher.Counts.Renewals++
-	return Step{Verdict: pattern.AckRenewed}
+	return Step{Verdict: messages.AckRenewed}
 }
--- a/internal/ledgerbox/acquire.go
+++ b/internal/batch/lots/acquire.go
@@ -1,11 +1,11 @@
-package ledgerbox
+package lots
 
 import (
 	"sort"
 	"strings"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // Terms is what the configuration says of a lot at this moment.
@@ -31,7 +31,7 @@
 // home is the driver that a shared prefix was handed to last.
 type home struct {
 	driver string
-	at     watch.Moment
+	at     clock.Moment
 }
 
 // windowFactor is how many candidates are weighed for each place (ours): among
@@ -43,7 +43,7 @@
 
 // Acquire hands out items by due time, those that can still be in time first, and
 // among those due soonest the ones whose shared prefix the driver had before.
-func (dispatcher *Dispatcher) Acquire(ask *AcquireAsk, now watch.Moment) []*Acquisition {
+func (dispatcher *Dispatcher) Acquire(ask *AcquireAsk, now clock.Moment) []*Acquisition {
 	if dispatcher.Enter(ask.Driver) > 0 {
 		return nil
 	}
@@ -52,7 +52,7 @@
 		room += count
 	}
 	var taken []*Acquisition
-	var lots [2][]dueLot
+	var lotList [2][]dueLot
 	for _, lot := range dispatcher.Book.Lots() {
 		if !lot.Open() || dispatcher.Closed(lot) {
 			continue
@@ -65,9 +65,9 @@
 		if terms.Late {
 			rank = 1
 		}
-		lots[rank] = append(lots[rank], dueLot{lot, terms.Due})
+		lotList[rank] = append(lotList[rank], dueLot{lot, terms.Due})
 	}
-	for _, some := range lots {
+	for _, some := range lotList {
 		sort.SliceStable(some, func(left, right int) bool { return some[left].due < some[right].due })
 		for _, item := range dispatcher.window(some, ask.Driver, room*windowFactor, now) {
 			if room == 0 {
@@ -99,10 +99,10 @@
 // window gives the free items due soonest, the driver's own prefixes first, so
 // that shared parts are read by few workers. No item is kept for a driver: a place
 // that stands empty meanwhile cost more than the reading (measured).
-func (dispatcher *Dispatcher) window(lots []dueLot, driver Driver, limit int, now watch.Moment) []*Item {
+func (dispatcher *Dispatcher) window(lotList []dueLot, driver Driver, limit int, now clock.Moment) []*Item {
 	var first, own, others []*Item
 	all := func() []*Item { return append(append(first, own...), others...) }
-	for _, one := range lots {
+	for _, one := range lotList {
 		for _, item := range one.lot.Items {
 			if !dispatcher.free(item, now) {
 				continue
@@ -111,7 +111,7 @@
 				item.seen = now
 			}
 			switch at, known := dispatcher.homes[prefixOf(item)]; {
-			case now.Since(item.seen) >= almanac.HomePatience:
+			case now.Since(item.seen) >= constants.HomePatience:
 				// Passed over long enough: the driver that has its prefix may have no room.
 				first = append(first, item)
 			case known && at.driver == driver.Name:
@@ -127,7 +127,7 @@
 	return all()
 }
 
-func (dispatcher *Dispatcher) settleHome(item *Item, driver string, now watch.Moment) {
+func (dispatcher *Dispatcher) settleHome(item *Item, driver string, now clock.Moment) {
 	prefix := prefixOf(item)
 	if prefix == "" {
 		return
@@ -136,7 +136,7 @@
 		dispatcher.homes = map[string]home{}
 	}
 	at, known := dispatcher.homes[prefix]
-	if !known || at.driver == driver || now.Since(at.at) >= almanac.HomeStale {
+	if !known || at.driver == driver || now.Since(at.at) >= constants.HomeStale {
 		dispatcher.homes[prefix] = home{driver, now}
 	}
 }
--- a/internal/ledgerbox/book.go
+++ b/internal/batch/lots/book.go
@@ -1,15 +1,15 @@
-package ledgerbox
+package lots
 
 import (
 	"sort"
 
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
 )
 
-// Unreadable is the mishap of a record that can't be understood.
-var Unreadable = mishap.Define("lot record")
+// Unreadable is the error of a record that can't be understood.
+var Unreadable = errs.Define("lot record")
 
 // Listing is one position.
 type Listing struct {
@@ -31,7 +31,7 @@
 	sum      int
 	open     int
 	// Known is when this holder came to know the lot, by its steady clock.
-	Known watch.Moment
+	Known clock.Moment
 	// giving counts positions that were given and are not yet durable.
 	giving int
 	// named leads from ids to items: a lot may hold hundreds of thousands, and each
@@ -42,7 +42,7 @@
 // Older tells whether a lot is older than a span: by the time of day, and known here
 // for as long. A time of day that was stepped, here or where the lot was taken, must
 // end nothing early; after a takeover things end later instead.
-func (lot *Lot) Older(span watch.Span, wallMs int64, now watch.Moment) bool {
+func (lot *Lot) Older(span clock.Span, wallMs int64, now clock.Moment) bool {
 	return wallMs-lot.SentMs > span.Milliseconds() && now.Since(lot.Known) > span
 }
 
@@ -57,8 +57,8 @@
 
 // Book is what the durable records say.
 type Book struct {
-	lots  map[string]*Lot
-	order []*Lot
+	lotList map[string]*Lot
+	order   []*Lot
 	// opened holds every lot that still has items to run, and some that no more do.
 	opened []*Lot
 	// entrants are the drivers that may hold acquisitions, with their epoch.
@@ -66,21 +66,21 @@
 }
 
 // NewBook makes an empty book.
-func NewBook() *Book { return &Book{lots: map[string]*Lot{}, entrants: map[entrant]uint64{}} }
+func NewBook() *Book { return &Book{lotList: map[string]*Lot{}, entrants: map[entrant]uint64{}} }
 
 // Lot finds a lot, or nil.
-func (book *Book) Lot(id string) *Lot { return book.lots[id] }
+func (book *Book) Lot(id string) *Lot { return book.lotList[id] }
 
 // Lots gives all lots, the oldest first.
 func (book *Book) Lots() []*Lot { return book.order }
 
 // Apply takes a durable record.
-func (book *Book) Apply(record *pattern.Record) error {
+func (book *Book) Apply(record *messages.Record) error {
 	switch record.Kind {
-	case pattern.RecordLot:
+	case messages.RecordLot:
 		return book.addLot(record)
-	case pattern.RecordOutput:
-		lot := book.lots[record.Lot]
+	case messages.RecordOutput:
+		lot := book.lotList[record.Lot]
 		if lot == nil || record.Position != len(lot.Listings) {
 			return Unreadable.New("output out of place in lot " + record.Lot)
 		}
@@ -96,25 +96,25 @@
 			item.Body, item.Pieces, item.Headers = nil, nil, nil
 			lot.open--
 		}
-	case pattern.RecordDriver:
+	case messages.RecordDriver:
 		book.enter(record)
-	case pattern.RecordSure:
+	case messages.RecordSure:
 		book.clear(record.Epoch)
-	case pattern.RecordFailure:
-		if lot := book.lots[record.Lot]; lot != nil {
+	case messages.RecordErr:
+		if lot := book.lotList[record.Lot]; lot != nil {
 			if item := lot.Find(record.Item); item != nil {
 				item.fail(record.Acquisition)
 			}
 		}
-	case pattern.RecordEnd:
-		if lot := book.lots[record.Lot]; lot != nil {
+	case messages.RecordEnd:
+		if lot := book.lotList[record.Lot]; lot != nil {
 			lot.Ended = true
 			for _, item := range lot.Items {
 				item.Body, item.Pieces, item.Headers = nil, nil, nil
 			}
 		}
-	case pattern.RecordForget:
-		delete(book.lots, record.Lot)
+	case messages.RecordForget:
+		delete(book.lotList, record.Lot)
 		kept := book.order[:0]
 		for _, lot := range book.order {
 			if lot.ID != record.Lot {
@@ -126,13 +126,13 @@
 	return nil
 }
 
-func (book *Book) addLot(record *pattern.Record) error {
-	if book.lots[record.Lot] != nil {
+func (book *Book) addLot(record *messages.Record) error {
+	if book.lotList[record.Lot] != nil {
 		return nil
 	}
-	body := &pattern.LotBody{}
-	if _, failure := body.UnmarshalMsg(record.Body); failure != nil {
-		return Unreadable.Wrap(failure, "lot "+record.Lot)
+	body := &messages.LotBody{}
+	if _, err := body.UnmarshalMsg(record.Body); err != nil {
+		return Unreadable.Wrap(err, "lot "+record.Lot)
 	}
 	lot := &Lot{ID: record.Lot, Host: record.Host, Path: body.Path, SentMs: record.AtMs, Index: record.Index, sum: len(body.Items), open: len(body.Items),
 		Items: make([]*Item, 0, len(body.Items)), named: make(map[string]*Item, len(body.Items))}
@@ -141,7 +141,7 @@
 		lot.Items = append(lot.Items, item)
 		lot.named[item.ID] = item
 	}
-	book.lots[lot.ID] = lot
+	book.lotList[lot.ID] = lot
 	book.order = append(book.order, lot)
 	book.opened = append(book.opened, lot)
 	sort.SliceStable(book.order, func(left, right int) bool { return book.order[left].SentMs < book.order[right].SentMs })
@@ -153,7 +153,7 @@
 func (book *Book) Waiting(belongs func(lot *Lot) bool) int64 {
 	total, kept := int64(0), book.opened[:0]
 	for _, lot := range book.opened {
-		if !lot.Open() || book.lots[lot.ID] != lot {
+		if !lot.Open() || book.lotList[lot.ID] != lot {
 			continue
 		}
 		kept = append(kept, lot)
--- a/internal/ledgerbox/dispatch.go
+++ b/internal/batch/lots/dispatch.go
@@ -1,9 +1,9 @@
-package ledgerbox
+package lots
 
 import (
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // Driver is a process that runs items, in one life.
@@ -11,7 +11,7 @@
 	Name    string
 	Life    int64
 	Address string
-	Hall    string
+	Zone    string
 }
 
 // Acquisition is one item with one driver, for the length of a lock.
@@ -21,8 +21,8 @@
 	Driver Driver
 	Item   *Item
 	run    int
-	begun  watch.Moment
-	until  watch.Moment
+	begun  clock.Moment
+	until  clock.Moment
 	// fresh says that the run began at the first event, so that its time teaches.
 	fresh bool
 }
@@ -34,11 +34,11 @@
 type Dispatcher struct {
 	Book *Book
 	// Lock is how long an acquisition stands without an acknowledgement.
-	Lock watch.Span
+	Lock clock.Span
 	// Closed tells whether a lot's end is on its way: nothing of it is acquired.
 	Closed func(lot *Lot) bool
 	// Submit has a record made durable and gives its index.
-	Submit func(record pattern.Record) int64
+	Submit func(record messages.Record) int64
 	// Tries is how many answers of 500 end an item.
 	Tries func(item *Item) int
 	// TookMs is the usual time of a whole run.
@@ -51,8 +51,8 @@
 	// before is the index of the first record of this epoch: items of earlier lots
 	// may be with drivers until unsure.
 	before int64
-	unsure watch.Moment
-	taken  watch.Moment
+	unsure clock.Moment
+	taken  clock.Moment
 	homes  map[string]home
 	// drivers are those that were heard lately; version counts their changes.
 	drivers map[string]*seenDriver
@@ -78,7 +78,7 @@
 // NewDispatcher starts the dispatcher of an epoch. Lots with records before the
 // index may be acquired from earlier holders until a lock length after the moment
 // at which the last of them can have handed anything out.
-func NewDispatcher(book *Book, epoch uint64, before int64, lock watch.Span, taken watch.Moment) *Dispatcher {
+func NewDispatcher(book *Book, epoch uint64, before int64, lock clock.Span, taken clock.Moment) *Dispatcher {
 	one := &Dispatcher{Book: book, Lock: lock, epoch: epoch, before: before, unsure: taken.Plus(lock), taken: taken,
 		live: map[uint64]*Acquisition{}, homes: map[string]home{}, drivers: map[string]*seenDriver{},
 		entering: map[entrant]int64{}, unheard: map[entrant]bool{},
@@ -107,24 +107,24 @@
 }
 
 // Taken is when this dispatcher's holder took the duty.
-func (dispatcher *Dispatcher) Taken() watch.Moment { return dispatcher.taken }
+func (dispatcher *Dispatcher) Taken() clock.Moment { return dispatcher.taken }
 
 // Unsure tells whether earlier holders' acquisitions may still stand somewhere.
-func (dispatcher *Dispatcher) Unsure(now watch.Moment) bool { return now < dispatcher.unsure }
+func (dispatcher *Dispatcher) Unsure(now clock.Moment) bool { return now < dispatcher.unsure }
 
 // perhapsHeld tells whether an earlier holder may have handed the item out.
-func (dispatcher *Dispatcher) perhapsHeld(item *Item, now watch.Moment) bool {
+func (dispatcher *Dispatcher) perhapsHeld(item *Item, now clock.Moment) bool {
 	return item.Lot.Index < dispatcher.before && now < dispatcher.unsure
 }
 
 // free tells whether an item may be acquired now.
-func (dispatcher *Dispatcher) free(item *Item, now watch.Moment) bool {
+func (dispatcher *Dispatcher) free(item *Item, now clock.Moment) bool {
 	return item.State == ItemAvailable && item.held == nil && now >= item.pause && !dispatcher.perhapsHeld(item, now)
 }
 
 // grant acquires an item for a driver; the number is new, or one that its driver
 // has shown after a takeover.
-func (dispatcher *Dispatcher) grant(item *Item, driver Driver, number uint64, now watch.Moment) *Acquisition {
+func (dispatcher *Dispatcher) grant(item *Item, driver Driver, number uint64, now clock.Moment) *Acquisition {
 	fresh := item.LastID == 0 && number == 0
 	run := item.Begin()
 	if run == 0 {
@@ -152,7 +152,7 @@
 }
 
 // setBack makes an item available again after a pause.
-func (dispatcher *Dispatcher) setBack(one *Acquisition, pause watch.Span, now watch.Moment) {
+func (dispatcher *Dispatcher) setBack(one *Acquisition, pause clock.Span, now clock.Moment) {
 	dispatcher.drop(one)
 	one.Item.SetBack(one.run)
 	one.Item.pause = now.Plus(pause)
@@ -160,7 +160,7 @@
 
 // Lapse makes items available whose lock ran out unacknowledged. A lapse never ends
 // an item: it waits longer each time, so that one that kills drivers costs little.
-func (dispatcher *Dispatcher) Lapse(now watch.Moment) int {
+func (dispatcher *Dispatcher) Lapse(now clock.Moment) int {
 	count := 0
 	for _, one := range dispatcher.live {
 		if now < one.until {
@@ -175,9 +175,9 @@
 }
 
 // growing is the pause after so many lapses or releases.
-func growing(count int) watch.Span {
+func growing(count int) clock.Span {
 	const doublings = 5
-	return almanac.RetryItem << min(max(count-1, 0), doublings)
+	return constants.RetryItem << min(max(count-1, 0), doublings)
 }
 
 // Stop ends all acquisitions of a lot whose end is decided, and names the drivers
@@ -195,7 +195,7 @@
 
 // Expire archives what waits and has come to a terminal ground: its route is gone
 // or its retain-s is over, as the terms of its lot say, or its tries are spent.
-func (dispatcher *Dispatcher) Expire(terms func(lot *Lot) Terms, now watch.Moment) int {
+func (dispatcher *Dispatcher) Expire(terms func(lot *Lot) Terms, now clock.Moment) int {
 	count := 0
 	for _, lot := range dispatcher.Book.Lots() {
 		if !lot.Open() || dispatcher.Closed(lot) {
@@ -232,6 +232,6 @@
 	position := len(lot.Listings) + lot.giving
 	lot.giving++
 	item.closer = number
-	item.closing = dispatcher.Submit(pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID,
+	item.closing = dispatcher.Submit(messages.Record{Kind: messages.RecordOutput, Lot: lot.ID, Item: item.ID,
 		Position: position, Dropped: dropped, Body: text, Packed: packed, Acquisition: number})
 }
--- a/internal/ledgerbox/drivers.go
+++ b/internal/batch/lots/drivers.go
@@ -1,26 +1,26 @@
-package ledgerbox
+package lots
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // seenDriver is a driver that has asked for items or acknowledged lately.
 type seenDriver struct {
 	life  int64
-	hall  string
-	heard watch.Moment
+	zone  string
+	heard clock.Moment
 }
 
 // Heard notes word from a driver. A newer life says that the process of the one
 // before is gone, and its runs with it: its locks lapse at once.
-func (dispatcher *Dispatcher) Heard(driver Driver, now watch.Moment) {
+func (dispatcher *Dispatcher) Heard(driver Driver, now clock.Moment) {
 	seen := dispatcher.drivers[driver.Name]
 	if seen == nil {
-		seen = &seenDriver{life: driver.Life, hall: driver.Hall}
+		seen = &seenDriver{life: driver.Life, zone: driver.Zone}
 		dispatcher.drivers[driver.Name] = seen
 		dispatcher.version++
 	}
@@ -47,10 +47,10 @@
 }
 
 // Quiet drops drivers that say nothing; what they hold waits for its locks.
-func (dispatcher *Dispatcher) Quiet(now watch.Moment) bool {
+func (dispatcher *Dispatcher) Quiet(now clock.Moment) bool {
 	dropped := false
 	for name, seen := range dispatcher.drivers {
-		if now.Since(seen.heard) >= almanac.DriverSilent {
+		if now.Since(seen.heard) >= constants.DriverSilent {
 			delete(dispatcher.drivers, name)
 			dispatcher.version++
 			dropped = true
@@ -62,14 +62,14 @@
 // Drivers lists the drivers that say something, so that they share the workers,
 // with the version of the list, which rises over all epochs. There is none where the
 // asker knows it, nor before every driver had the time to speak.
-func (dispatcher *Dispatcher) Drivers(known uint64, now watch.Moment) (uint64, []pattern.DriverAt) {
+func (dispatcher *Dispatcher) Drivers(known uint64, now clock.Moment) (uint64, []messages.DriverAt) {
 	version := dispatcher.epoch<<serialBits | dispatcher.version
-	if version == known || now.Since(dispatcher.taken) < 2*almanac.DriverSilent {
+	if version == known || now.Since(dispatcher.taken) < 2*constants.DriverSilent {
 		return 0, nil
 	}
-	var found []pattern.DriverAt
+	var found []messages.DriverAt
 	for name, seen := range dispatcher.drivers {
-		found = append(found, pattern.DriverAt{Name: name, Hall: seen.hall})
+		found = append(found, messages.DriverAt{Name: name, Zone: seen.zone})
 	}
 	sort.Slice(found, func(left, right int) bool { return found[left].Name < found[right].Name })
 	return version, found
--- a/internal/ledgerbox/item.go
+++ b/internal/batch/lots/item.go
@@ -1,8 +1,8 @@
-package ledgerbox
+package lots
 
 import (
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // ItemState is where an item stands in its share group.
@@ -26,7 +26,7 @@
 // acquired it does. Its steps are guarded: a run that was displaced, called off or
 // overtaken can neither add events nor finish it.
 type Item struct {
-	pattern.LotItem
+	messages.LotItem
 	State ItemState
 	// Pieces are the events gathered so far; LastID is the last one's id.
 	Pieces [][]byte
@@ -47,7 +47,7 @@
 	closing int64
 	held    *Acquisition
 	// pause is when it may be acquired again; seen is when it was first found free.
-	pause, seen watch.Moment
+	pause, seen clock.Moment
 }
 
 // Begin starts a run and names it; zero when there is nothing to run.
--- a/internal/ledgerbox/item_test.go
+++ b/internal/batch/lots/item_test.go
@@ -1,4 +1,4 @@
-package ledgerbox
+package lots
 
 import (
 	"fmt"
@@ -20,7 +20,7 @@
 	properties.Property("one outcome", prop.ForAll(func(steps []uint8) bool {
 		item := &Item{Lot: &Lot{}}
 		var runs []int
-		outcomes := 0
+		results := 0
 		position := map[int]int64{}
 		for _, step := range steps {
 			run := 0
@@ -44,11 +44,11 @@
 				item.SetBack(run)
 			case 4:
 				if run > 0 && position[run] == whole && item.Finish(run) {
-					outcomes++
+					results++
 				}
 			case 5:
 				if step > 250 && item.GiveUp(run) {
-					outcomes++
+					results++
 				}
 			}
 			for place, piece := range item.Pieces {
@@ -57,7 +57,7 @@
 				}
 			}
 		}
-		if outcomes == 1 {
+		if results == 1 {
 			return item.State == ItemClosing && item.Begin() == 0
 		}
 		// Without a result there is always a way on: no path ends without one.
@@ -70,7 +70,7 @@
 				return false
 			}
 		}
-		return outcomes == 0 && run > 0 && len(item.Pieces) == whole && item.Finish(run)
+		return results == 0 && run > 0 && len(item.Pieces) == whole && item.Finish(run)
 	}, gen.SliceOf(gen.UInt8())))
 	properties.TestingRun(test)
 }
--- a/internal/ledgerbox/lag.go
+++ b/internal/batch/lots/lag.go
@@ -1,17 +1,17 @@
-package ledgerbox
+package lots
 
-import "lemonarch/internal/watch"
+import "lemonarch/internal/platform/clock"
 
 // Lag follows how long a holder's own store takes to sync what the others have.
 type Lag struct {
 	target int64
-	since  watch.Moment
+	since  clock.Moment
 }
 
 // Behind takes how far the own store has synced and up to where records are durable.
 // It gives the time for which the own store has not reached what was durable when it
 // was first seen behind; zero when it keeps up.
-func (lag *Lag) Behind(match, done int64, now watch.Moment) watch.Span {
+func (lag *Lag) Behind(match, done int64, now clock.Moment) clock.Span {
 	if lag.target == 0 || match >= lag.target {
 		lag.target = 0
 		if match < done {
--- a/internal/ledgerbox/lag_test.go
+++ b/internal/batch/lots/lag_test.go
@@ -1,4 +1,4 @@
-package ledgerbox
+package lots
 
 import "testing"
 
--- a/internal/ledgerbox/ledgerbox_test.go
+++ b/internal/batch/lots/lots_test.go
@@ -1,4 +1,4 @@
-package ledgerbox
+package lots
 
 import (
 	"testing"
@@ -7,20 +7,20 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
 )
 
-func member(name string) pattern.Member {
-	return pattern.Member{Name: name, Address: name, Disk: name}
+func member(name string) messages.Member {
+	return messages.Member{Name: name, Address: name, Disk: name}
 }
 
-func stretches(epochs []uint64) []pattern.Stretch {
-	shelf := NewShelf("d")
+func stretches(epochs []uint64) []messages.Stretch {
+	replica := NewReplica("d")
 	for place, epoch := range epochs {
-		shelf.Put(&pattern.Record{Index: int64(place + 1), Epoch: epoch}, 0)
+		replica.Put(&messages.Record{Index: int64(place + 1), Epoch: epoch}, 0)
 	}
-	return shelf.Stretches()
+	return replica.Stretches()
 }
 
 // Common is exactly the length of the shared beginning of two copies that one
@@ -54,9 +54,9 @@
 }
 
 func TestDurableNeedsCopiesAndOwnEpoch(test *testing.T) {
-	press := NewPress(4, []pattern.Member{member("a"), member("b"), member("c")}, 1, 11)
+	press := NewPress(4, []messages.Member{member("a"), member("b"), member("c")}, 1, 11)
 	press.Take()
-	identity := func(name string) string { return vise.Identity(member(name)) }
+	identity := func(name string) string { return register.Identity(member(name)) }
 	// Copies of earlier records decide nothing by their number.
 	if press.Matched(identity("a"), 10) || press.Matched(identity("b"), 10) {
 		test.Fatal("an earlier epoch's record was called durable")
@@ -68,7 +68,7 @@
 		test.Fatal("not durable with two copies")
 	}
 	// While the set changes, both sets have to have it.
-	press.Next = []pattern.Member{member("a"), member("c"), member("d")}
+	press.Next = []messages.Member{member("a"), member("c"), member("d")}
 	press.Take()
 	press.Matched(identity("a"), 12)
 	if press.Matched(identity("b"), 12) {
@@ -80,37 +80,37 @@
 }
 
 func TestFenceAndIdentity(test *testing.T) {
-	shelf := NewShelf("disk")
-	if answer, _ := shelf.Raise(&pattern.Raise{Epoch: 5, Disk: "other"}); answer.Granted {
+	replica := NewReplica("disk")
+	if answer, _ := replica.Raise(&messages.Raise{Epoch: 5, Disk: "other"}); answer.Granted {
 		test.Fatal("another disk's order was taken")
 	}
-	if answer, keep := shelf.Raise(&pattern.Raise{Epoch: 5, Disk: "disk"}); !answer.Granted || !keep {
+	if answer, keep := replica.Raise(&messages.Raise{Epoch: 5, Disk: "disk"}); !answer.Granted || !keep {
 		test.Fatal("not raised")
 	}
-	if _, answer := shelf.Append(&pattern.Append{Epoch: 4, Disk: "disk", Records: []pattern.Record{{Index: 1, Epoch: 4}}}); answer.Granted {
+	if _, answer := replica.Append(&messages.Append{Epoch: 4, Disk: "disk", Records: []messages.Record{{Index: 1, Epoch: 4}}}); answer.Granted {
 		test.Fatal("a fenced holder's order was taken")
 	}
 }
 
 func TestPositionsNeverChange(test *testing.T) {
 	book := NewBook()
-	body := &pattern.LotBody{Items: []pattern.LotItem{{ID: "x", Tokens: 5}, {ID: "y", Tokens: 7}}}
+	body := &messages.LotBody{Items: []messages.LotItem{{ID: "x", Tokens: 5}, {ID: "y", Tokens: 7}}}
 	packed, _ := body.MarshalMsg(nil)
-	apply := func(record pattern.Record) error { return book.Apply(&record) }
-	if apply(pattern.Record{Kind: pattern.RecordLot, Lot: "l", Body: packed}) != nil {
+	apply := func(record messages.Record) error { return book.Apply(&record) }
+	if apply(messages.Record{Kind: messages.RecordLot, Lot: "l", Body: packed}) != nil {
 		test.Fatal("lot refused")
 	}
 	all := func(*Lot) bool { return true }
 	if book.Waiting(all) != 12 {
 		test.Fatal(book.Waiting(all))
 	}
-	if apply(pattern.Record{Kind: pattern.RecordOutput, Lot: "l", Item: "y"}) != nil || book.Waiting(all) != 5 {
+	if apply(messages.Record{Kind: messages.RecordOutput, Lot: "l", Item: "y"}) != nil || book.Waiting(all) != 5 {
 		test.Fatal("output refused")
 	}
-	if apply(pattern.Record{Kind: pattern.RecordOutput, Lot: "l", Item: "x", Position: 0}) == nil {
+	if apply(messages.Record{Kind: messages.RecordOutput, Lot: "l", Item: "x", Position: 0}) == nil {
 		test.Fatal("a position was given twice")
 	}
-	if apply(pattern.Record{Kind: pattern.RecordEnd, Lot: "l"}) != nil || book.Lot("l").Open() || book.Waiting(all) != 0 {
+	if apply(messages.Record{Kind: messages.RecordEnd, Lot: "l"}) != nil || book.Lot("l").Open() || book.Waiting(all) != 0 {
 		test.Fatal("an ended lot is open")
 	}
 	if got := book.Lot("l").Listings; len(got) != 1 || got[0].Item != "y" {
@@ -127,15 +127,15 @@
 // A short copy of a later epoch outranks a long one of an earlier epoch: the rest
 // of the long one was never durable.
 func TestBestCopy(test *testing.T) {
-	copies := map[string]pattern.Raised{
-		"long":  {Last: 9, Stretches: []pattern.Stretch{{Epoch: 3, First: 1}}},
-		"late":  {Last: 6, Stretches: []pattern.Stretch{{Epoch: 3, First: 1}, {Epoch: 5, First: 6}}},
+	copies := map[string]messages.Raised{
+		"long":  {Last: 9, Stretches: []messages.Stretch{{Epoch: 3, First: 1}}},
+		"late":  {Last: 6, Stretches: []messages.Stretch{{Epoch: 3, First: 1}, {Epoch: 5, First: 6}}},
 		"empty": {},
 	}
 	if got := Best(copies); got != "late" {
 		test.Fatal(got)
 	}
-	copies["longer"] = pattern.Raised{Last: 7, Stretches: []pattern.Stretch{{Epoch: 3, First: 1}, {Epoch: 5, First: 6}}}
+	copies["longer"] = messages.Raised{Last: 7, Stretches: []messages.Stretch{{Epoch: 3, First: 1}, {Epoch: 5, First: 6}}}
 	if got := Best(copies); got != "longer" {
 		test.Fatal(got)
 	}
--- a/internal/ledgerbox/press.go
+++ b/internal/batch/lots/press.go
@@ -1,20 +1,20 @@
-package ledgerbox
+package lots
 
 import (
 	"sort"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
 )
 
 // Press follows, for the holder of an epoch, how far each store has synced, and
 // so what is durable.
 type Press struct {
 	Epoch   uint64
-	Members []pattern.Member
+	Members []messages.Member
 	// Next, while the store set is being changed, is the set to come: then a
 	// record is durable only with enough copies in both.
-	Next   []pattern.Member
+	Next   []messages.Member
 	budget int
 	match  map[string]int64
 	first  int64
@@ -23,7 +23,7 @@
 }
 
 // NewPress starts an epoch whose first own record will have index first.
-func NewPress(epoch uint64, members []pattern.Member, budget int, first int64) *Press {
+func NewPress(epoch uint64, members []messages.Member, budget int, first int64) *Press {
 	return &Press{Epoch: epoch, Members: members, budget: budget, match: map[string]int64{}, first: first, last: first - 1}
 }
 
@@ -66,14 +66,14 @@
 // Done is the index up to which all is durable.
 func (press *Press) Done() int64 { return press.done }
 
-func (press *Press) durableIn(members []pattern.Member) int64 {
+func (press *Press) durableIn(members []messages.Member) int64 {
 	needed := CopiesNeeded(len(members), press.budget)
 	if needed == 0 {
 		return 0
 	}
 	var matches []int64
 	for _, member := range members {
-		matches = append(matches, press.match[vise.Identity(member)])
+		matches = append(matches, press.match[register.Identity(member)])
 	}
 	sort.Slice(matches, func(left, right int) bool { return matches[left] > matches[right] })
 	return matches[needed-1]
--- a/internal/ledgerbox/takeover.go
+++ b/internal/batch/lots/takeover.go
@@ -1,11 +1,11 @@
-package ledgerbox
+package lots
 
-import "lemonarch/internal/pattern"
+import "lemonarch/internal/platform/messages"
 
 // Common gives the last index up to which two copies are the same. Records of one
 // epoch come from one holder in one order, so equal epochs at an index mean equal
 // records up to it.
-func Common(left []pattern.Stretch, leftLast int64, right []pattern.Stretch, rightLast int64) int64 {
+func Common(left []messages.Stretch, leftLast int64, right []messages.Stretch, rightLast int64) int64 {
 	common := int64(0)
 	for place := 0; place < len(left) && place < len(right); place++ {
 		if left[place] != right[place] {
@@ -27,7 +27,7 @@
 }
 
 // lastEpoch is the epoch of the last record of a copy.
-func lastEpoch(stretches []pattern.Stretch) uint64 {
+func lastEpoch(stretches []messages.Stretch) uint64 {
 	if len(stretches) == 0 {
 		return 0
 	}
@@ -44,7 +44,7 @@
 
 // Best picks the copy to go on from: the one whose last record has the highest
 // epoch, and among those the longest.
-func Best(copies map[string]pattern.Raised) string {
+func Best(copies map[string]messages.Raised) string {
 	best := ""
 	for identity, one := range copies {
 		if best == "" {
--- a/internal/ledgerbox/waiting_test.go
+++ b/internal/batch/lots/waiting_test.go
@@ -1,11 +1,11 @@
-package ledgerbox
+package lots
 
 import (
 	"fmt"
 	"math/rand"
 	"testing"
 
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/messages"
 )
 
 // slowWaiting walks every item of every lot: what Waiting must agree with.
@@ -23,13 +23,13 @@
 
 // addLotOf puts a lot of a few items into a book.
 func addLotOf(test testing.TB, book *Book, id, path string, items int, tokens int64) *Lot {
-	body := &pattern.LotBody{Path: path}
+	body := &messages.LotBody{Path: path}
 	for place := 0; place < items; place++ {
-		body.Items = append(body.Items, pattern.LotItem{ID: fmt.Sprint(id, "-", place), Tokens: tokens + int64(place)})
+		body.Items = append(body.Items, messages.LotItem{ID: fmt.Sprint(id, "-", place), Tokens: tokens + int64(place)})
 	}
 	packed, _ := body.MarshalMsg(nil)
-	if failure := book.Apply(&pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed}); failure != nil {
-		test.Fatal(failure)
+	if err := book.Apply(&messages.Record{Kind: messages.RecordLot, Lot: id, Body: packed}); err != nil {
+		test.Fatal(err)
 	}
 	return book.Lot(id)
 }
@@ -41,8 +41,8 @@
 		random, book := rand.New(rand.NewSource(seed)), NewBook()
 		for step := 0; step < 120; step++ {
 			var lot *Lot
-			if lots := book.Lots(); len(lots) > 0 {
-				lot = lots[random.Intn(len(lots))]
+			if lotList := book.Lots(); len(lotList) > 0 {
+				lot = lotList[random.Intn(len(lotList))]
 			}
 			switch kind := random.Intn(9); {
 			case kind < 2 || lot == nil:
@@ -55,14 +55,14 @@
 			case kind < 7 && !lot.Ended && len(lot.Listings) < len(lot.Items):
 				for _, item := range lot.Items {
 					if !item.Terminal() {
-						_ = book.Apply(&pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID, Position: len(lot.Listings)})
+						_ = book.Apply(&messages.Record{Kind: messages.RecordOutput, Lot: lot.ID, Item: item.ID, Position: len(lot.Listings)})
 						break
 					}
 				}
 			case kind == 7:
-				_ = book.Apply(&pattern.Record{Kind: pattern.RecordEnd, Lot: lot.ID})
+				_ = book.Apply(&messages.Record{Kind: messages.RecordEnd, Lot: lot.ID})
 			case kind == 8:
-				_ = book.Apply(&pattern.Record{Kind: pattern.RecordForget, Lot: lot.ID})
+				_ = book.Apply(&messages.Record{Kind: messages.RecordForget, Lot: lot.ID})
 			}
 			for _, path := range []string{"/0", "/1", ""} {
 				belongs := func(lot *Lot) bool { return path == "" || lot.Path == path }
@@ -75,29 +75,29 @@
 }
 
 // benchBook has many finished lots and few open ones, as after some minutes.
-func benchBook(bench *testing.B) *Book {
+func benchBook(scheduler *testing.B) *Book {
 	book := NewBook()
 	for number := 0; number < 1200; number++ {
-		lot := addLotOf(bench, book, fmt.Sprint(number), "/0", 30, 900)
+		lot := addLotOf(scheduler, book, fmt.Sprint(number), "/0", 30, 900)
 		if number >= 100 {
 			for place, item := range lot.Items {
-				_ = book.Apply(&pattern.Record{Kind: pattern.RecordOutput, Lot: lot.ID, Item: item.ID, Position: place})
+				_ = book.Apply(&messages.Record{Kind: messages.RecordOutput, Lot: lot.ID, Item: item.ID, Position: place})
 			}
 		}
 	}
 	return book
 }
 
-func BenchmarkWaiting(bench *testing.B) {
-	book := benchBook(bench)
-	for bench.Loop() {
+func BenchmarkWaiting(scheduler *testing.B) {
+	book := benchBook(scheduler)
+	for scheduler.Loop() {
 		book.Waiting(func(*Lot) bool { return true })
 	}
 }
 
-func BenchmarkWaitingSlowCount(bench *testing.B) {
-	book := benchBook(bench)
-	for bench.Loop() {
+func BenchmarkWaitingSlowCount(scheduler *testing.B) {
+	book := benchBook(scheduler)
+	for scheduler.Loop() {
 		slowWaiting(book, func(*Lot) bool { return true })
 	}
 }
--- a/internal/locker/budget_test.go
+++ b/internal/batch/store/budget_test.go
@@ -1,14 +1,14 @@
-package locker
+package store
 
 import (
 	"fmt"
 	"sort"
 	"testing"
 
-	"lemonarch/internal/model"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
 )
 
 // slowly carries an order; a slow store takes longer over it.
@@ -23,14 +23,14 @@
 
 // slowTwo makes two members of the set slow, and nobody else.
 func (fleet *simFleet) slowTwo() {
-	fleet.lag = map[string]watch.Span{}
+	fleet.lag = map[string]clock.Span{}
 	for _, place := range fleet.world.Random.Perm(len(fleet.set))[:2] {
-		fleet.lag[fleet.set[place].Address] = watch.Milliseconds(120)
+		fleet.lag[fleet.set[place].Address] = clock.Milliseconds(120)
 	}
 }
 
 // pair draws two members of the set; half of the time those that have most.
-func (fleet *simFleet) pair() []pattern.Member {
+func (fleet *simFleet) pair() []messages.Member {
 	order := fleet.world.Random.Perm(len(fleet.set))
 	if fleet.world.Random.Intn(2) == 0 {
 		has := func(place int) int64 {
@@ -39,22 +39,22 @@
 		}
 		sort.SliceStable(order, func(left, right int) bool { return has(order[left]) > has(order[right]) })
 	}
-	return []pattern.Member{fleet.set[order[0]], fleet.set[order[1]]}
+	return []messages.Member{fleet.set[order[0]], fleet.set[order[1]]}
 }
 
 // fresh gives a store outside the set.
-func (fleet *simFleet) fresh() pattern.Member {
+func (fleet *simFleet) fresh() messages.Member {
 	inSet := map[string]bool{}
 	for _, member := range fleet.set {
 		inSet[member.Address] = true
 	}
-	for _, name := range model.Keys(fleet.stores) {
+	for _, name := range simulation.Keys(fleet.stores) {
 		if !inSet[name] && !fleet.stores[name].down {
 			return fleet.stores[name].member
 		}
 	}
 	fleet.test.Fatal("no store stands by")
-	return pattern.Member{}
+	return messages.Member{}
 }
 
 // untilTold runs until the holder has told one more result: the fault that follows
@@ -65,11 +65,11 @@
 		if step%30 == 0 {
 			fleet.number++
 			id := fmt.Sprintf("lot%d", fleet.number)
-			packed, _ := (&pattern.LotBody{Path: "/p/", Items: []pattern.LotItem{{ID: id + "-0", Tokens: 1}}}).MarshalMsg(nil)
-			fleet.holder.submit(pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed})
-			fleet.holder.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: id, Item: id + "-0"})
+			packed, _ := (&messages.LotBody{Path: "/p/", Items: []messages.LotItem{{ID: id + "-0", Tokens: 1}}}).MarshalMsg(nil)
+			fleet.holder.submit(messages.Record{Kind: messages.RecordLot, Lot: id, Body: packed})
+			fleet.holder.submit(messages.Record{Kind: messages.RecordOutput, Lot: id, Item: id + "-0"})
 		}
-		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(1)))
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(1)))
 	}
 	if len(fleet.told) == before {
 		fleet.test.Fatal("nothing was told any more")
@@ -99,7 +99,7 @@
 		fleet.takeAny()
 		for len(fleet.set) < 5 {
 			fleet.untilTold()
-			fleet.swap(pattern.Member{}, fleet.fresh())
+			fleet.swap(messages.Member{}, fleet.fresh())
 		}
 		for round := 0; round < 5; round++ {
 			if len(fleet.lag) == 0 {
@@ -112,11 +112,11 @@
 			mark := func(place int) string { return fmt.Sprintf("wiped-%d-%d", round, place) }
 			switch fleet.world.Random.Intn(3) {
 			case 0:
-				for _, name := range model.Keys(fleet.stores) {
+				for _, name := range simulation.Keys(fleet.stores) {
 					fleet.stores[name].down = true
 					fleet.stores[name].disk.PowerLoss()
 				}
-				for _, name := range model.Keys(fleet.stores) {
+				for _, name := range simulation.Keys(fleet.stores) {
 					fleet.open(fleet.stores[name])
 				}
 				for place, member := range lost {
@@ -161,7 +161,7 @@
 			}
 		}
 		for _, member := range fleet.set {
-			if vise.Identity(fleet.stores[member.Address].member) != vise.Identity(member) {
+			if register.Identity(fleet.stores[member.Address].member) != register.Identity(member) {
 				test.Fatalf("seed %d: the set names a disk that is gone", seed)
 			}
 		}
--- a/internal/locker/caughtup_test.go
+++ b/internal/batch/store/caughtup_test.go
@@ -1,9 +1,9 @@
-package locker
+package store
 
 import (
 	"testing"
 
-	"lemonarch/internal/almanac"
+	"lemonarch/internal/platform/constants"
 )
 
 // A newcomer's copy ends also where records come as fast as they are copied: with a
@@ -27,7 +27,7 @@
 			test.Fatal("ended too soon: ", rate, rounds, lacking)
 		}
 	}
-	if !caughtUp(almanac.CopyGap, 0) || caughtUp(almanac.CopyGap+1, 0) {
+	if !caughtUp(constants.CopyGap, 0) || caughtUp(constants.CopyGap+1, 0) {
 		test.Fatal("the gap alone")
 	}
 }
--- /dev/null
+++ b/internal/batch/store/copy.go
@@ -0,0 +1,151 @@
+package store
+
+import (
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// copied has a newcomer fetch what is durable from a member, and gives the index up
+// to which it has it. The holder's own link carries each new record to every store;
+// old ones need not take that way, and a wiped store has to be whole again soon.
+func (term *term) copied(newcomer messages.Member, place int) int64 {
+	identity := register.Identity(newcomer)
+	end := clock.Now().Plus(constants.SetChange)
+	for !term.beginCopy(identity) {
+		// It was begun ahead of the change: two at a time would only share the link.
+		if clock.Now() >= end || term.over() {
+			return 0
+		}
+		clock.Sleep(constants.TickPeriod)
+	}
+	defer term.endCopy(identity)
+	last := int64(0)
+	for {
+		term.lock.Lock()
+		done := term.copies[identity]
+		source, target := term.source(newcomer, place)
+		term.lock.Unlock()
+		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) || clock.Now() >= end || term.over() {
+			return done
+		}
+		last = target - done
+		further := term.copyRound(newcomer, *source, done, target, end)
+		term.lock.Lock()
+		term.copies[identity] = further
+		term.lock.Unlock()
+		if further < target {
+			// What was copied counts; the rest comes from here.
+			return further
+		}
+	}
+}
+
+// beginCopy marks a newcomer as being copied to; false while it is already.
+func (term *term) beginCopy(identity string) bool {
+	term.lock.Lock()
+	defer term.lock.Unlock()
+	if term.copying[identity] {
+		return false
+	}
+	term.copying[identity] = true
+	return true
+}
+
+func (term *term) endCopy(identity string) {
+	term.lock.Lock()
+	defer term.lock.Unlock()
+	delete(term.copying, identity)
+}
+
+// caughtUp tells whether another round of copying is not worth it: little is lacking, or
+// hardly less than in the round before, since as much comes as is copied. Then only
+// the holder, which sends what is new as it comes, can bring the rest.
+func caughtUp(lacking, before int64) bool {
+	return lacking <= constants.CopyGap || (before > 0 && lacking*4 > before*3)
+}
+
+// copyRound copies up to what was durable when it began; meanwhile more comes.
+func (term *term) copyRound(newcomer, source messages.Member, done, target int64, end clock.Moment) int64 {
+	first, begun := done, clock.Now()
+	defer func() {
+		term.server.Node.Log.Info("store copied to", "store", newcomer.Name, "source", source.Name, "from", first, "to", done, "of", target,
+			"took-ms", clock.Now().Since(begun).Milliseconds())
+	}()
+	for done < target && clock.Now() < end && !term.over() {
+		answer := &messages.Appended{}
+		question := &messages.CopyOrder{Epoch: term.duty.Epoch, Disk: newcomer.Disk, Source: source.Address, SourceDisk: source.Disk, First: done + 1, Last: target}
+		if err := transport.Ask(term.server.Node.Wire, newcomer.Address, messages.KindCopy, question, answer, constants.BulkCallTime); err != nil || !answer.Granted || answer.Last <= done {
+			term.server.Node.Log.Info("store copy ends early", "store", newcomer.Name, "source", source.Name, "at", done, "granted", answer.Granted, "failed", err != nil)
+			break
+		}
+		done = answer.Last
+	}
+	return done
+}
+
+// wiped gives a member's machine with its new disk, where it came back empty.
+func wiped(member messages.Member, entries map[string]messages.Entry, retired map[string]bool) *messages.Member {
+	entry, known := entries[member.Name]
+	if !known || entry.Disk == member.Disk || entry.Disk == "" || retired[member.Name] || entry.AgeMs >= constants.SilentAfter.Milliseconds() {
+		return nil
+	}
+	return &messages.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Zone: entry.Zone}
+}
+
+// source picks a member that has most of what is durable, other than this process
+// and the newcomer. What a store has synced under this epoch is what we have. place
+// tells newcomers of one time apart: they had better not share one source's link. The
+// lock is held.
+func (term *term) source(newcomer messages.Member, place int) (*messages.Member, int64) {
+	best, own := int64(0), term.server.Node.Own.Address
+	has := func(member messages.Member) int64 {
+		if member.Address == own || member.Address == newcomer.Address {
+			return 0
+		}
+		return min(term.press.MatchOf(register.Identity(member)), term.press.Done())
+	}
+	for _, member := range term.press.Members {
+		best = max(best, has(member))
+	}
+	var able []*messages.Member
+	for index := range term.press.Members {
+		if match := has(term.press.Members[index]); match > 0 && match+constants.CopyGap >= best {
+			able = append(able, &term.press.Members[index])
+		}
+	}
+	if len(able) == 0 {
+		return nil, 0
+	}
+	found := able[place%len(able)]
+	return found, has(*found)
+}
+
+// copyFrom fetches one stretch of records from another store and keeps it.
+func (server *Server) copyFrom(body []byte) ([]byte, error) {
+	order := &messages.CopyOrder{}
+	if err := transport.Read(body, order); err != nil {
+		return nil, err
+	}
+	server.fenced(order.Epoch)
+	fetched := &messages.Fetched{}
+	question := &messages.Fetch{First: order.First, Epoch: order.Epoch, Disk: order.SourceDisk}
+	if err := transport.Ask(server.Node.Wire, order.Source, messages.KindFetch, question, fetched, constants.BulkCallTime/2); err != nil {
+		return nil, err
+	}
+	records := fetched.Records
+	for len(records) > 0 && records[len(records)-1].Index > order.Last {
+		records = records[:len(records)-1]
+	}
+	if !fetched.Granted || len(records) == 0 {
+		return transport.Write(&messages.Appended{})
+	}
+	answer, err := server.Store.Append(&messages.Append{Epoch: order.Epoch, Disk: order.Disk, PreviousIndex: order.First - 1,
+		PreviousEpoch: server.Store.EpochAt(order.First - 1), Records: records})
+	if err != nil {
+		return nil, err
+	}
+	return transport.Write(&answer)
+}
--- a/internal/locker/copy_test.go
+++ b/internal/batch/store/copy_test.go
@@ -1,13 +1,13 @@
-package locker
+package store
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/ledgerbox"
-	"lemonarch/internal/model"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
+	"lemonarch/internal/batch/lots"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
 )
 
 // A newcomer gets what is durable from a member, and no frame of it from the
@@ -21,8 +21,8 @@
 	current := holder.current()
 	newcomer := fleet.outside()
 	appended := 0
-	fleet.room.OnFrame(func(frame tongs.Frame) {
-		if !frame.Answer && frame.Kind == pattern.KindAppend && frame.To == newcomer.Stand.Own.Address && frame.From == holder.Stand.Own.Address {
+	fleet.room.OnFrame(func(frame transport.Frame) {
+		if !frame.Answer && frame.Kind == messages.KindAppend && frame.To == newcomer.Node.Own.Address && frame.From == holder.Node.Own.Address {
 			appended++
 		}
 	})
@@ -36,43 +36,43 @@
 	}
 	// The same records, under the same epochs, as those of the members that have them;
 	// the holder's own disk may be one that is still behind what is durable.
-	inside := fleet.stores()
+	inside := fleet.records()
 	for index := int64(1); index <= done; index++ {
 		left, _ := newcomer.Store.Read(index)
 		compared := 0
 		for _, one := range fleet.all() {
-			if _, member := inside[one.Stand.Own.Name]; !member {
+			if _, member := inside[one.Node.Own.Name]; !member {
 				continue
 			}
-			right, failure := one.Store.Read(index)
-			if failure != nil {
+			right, err := one.Store.Read(index)
+			if err != nil {
 				continue
 			}
 			compared++
 			if left == nil || fmt.Sprint(*left) != fmt.Sprint(*right) {
-				test.Fatal(index, one.Stand.Own.Name)
+				test.Fatal(index, one.Node.Own.Name)
 			}
 		}
-		if compared < ledgerbox.CopiesNeeded(len(inside), holder.budget()) {
+		if compared < lots.CopiesNeeded(len(inside), holder.budget()) {
 			test.Fatal("durable with ", compared, " copies: ", index)
 		}
 	}
 	if len(stretches) == 0 {
 		test.Fatal("no epochs")
 	}
-	body, _ := tongs.Write(&pattern.Fetch{First: 1, Disk: "another"})
-	back, failure := newcomer.Stand.Handle(pattern.KindFetch, body)
-	answer := &pattern.Fetched{}
-	if failure != nil || tongs.Read(back, answer) != nil || answer.Granted || len(answer.Records) > 0 {
+	body, _ := transport.Write(&messages.Fetch{First: 1, Disk: "another"})
+	back, err := newcomer.Node.Handle(messages.KindFetch, body)
+	answer := &messages.Fetched{}
+	if err != nil || transport.Read(back, answer) != nil || answer.Granted || len(answer.Records) > 0 {
 		test.Fatal("a store answered for a disk that it has not")
 	}
 }
 
-// outside gives a locker that is no member of the store set.
-func (fleet *rimFleet) outside() *Locker {
-	inside := fleet.stores()
+// outside gives a store that is no member of the store set.
+func (fleet *rimFleet) outside() *Server {
+	inside := fleet.records()
 	for _, one := range fleet.all() {
-		if _, in := inside[one.Stand.Own.Name]; !in {
+		if _, in := inside[one.Node.Own.Name]; !in {
 			return one
 		}
 	}
@@ -83,32 +83,32 @@
 // An order from a member that is cut off half way leaves the newcomer with a part
 // that counts, and the holder goes on from there.
 func TestCopyGoesOnFromTheHolder(test *testing.T) {
-	one := rule(test, soleLocker(test, model.NewDisk(12)), 1)
-	if done := one.copied(pattern.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0); done != 0 {
+	one := rule(test, soleLocker(test, simulation.NewDisk(12)), 1)
+	if done := one.copied(messages.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0); done != 0 {
 		test.Fatal("copied without a source: ", done)
 	}
 	one.lock.Lock()
-	one.press.Members = append(one.press.Members, pattern.Member{Name: "s", Address: "s", Disk: "s"})
+	one.press.Members = append(one.press.Members, messages.Member{Name: "s", Address: "s", Disk: "s"})
 	one.press.Matched("s#s", one.press.Done())
 	one.lock.Unlock()
-	room := tongs.NewRoom()
-	one.locker.Stand.Wire = room.Transport("m")
+	room := transport.NewRoom()
+	one.server.Node.Wire = room.Transport("m")
 	first := true
-	_ = room.Transport("n").Serve(func(kind pattern.Kind, body []byte) ([]byte, error) {
-		order := &pattern.CopyOrder{}
-		if kind != pattern.KindCopy || tongs.Read(body, order) != nil || order.Source != "s" || order.SourceDisk != "s" {
+	_ = room.Transport("n").Serve(func(kind messages.Kind, body []byte) ([]byte, error) {
+		order := &messages.CopyOrder{}
+		if kind != messages.KindCopy || transport.Read(body, order) != nil || order.Source != "s" || order.SourceDisk != "s" {
 			test.Error(kind, order)
 		}
 		if !first {
-			return tongs.Write(&pattern.Appended{})
+			return transport.Write(&messages.Appended{})
 		}
 		first = false
-		return tongs.Write(&pattern.Appended{Granted: true, Last: order.First})
+		return transport.Write(&messages.Appended{Granted: true, Last: order.First})
 	})
 	one.lock.Lock()
 	durable := one.press.Done()
 	one.lock.Unlock()
-	if done := one.copied(pattern.Member{Name: "n", Address: "n", Disk: "n"}, 0); done != min(1, durable) {
+	if done := one.copied(messages.Member{Name: "n", Address: "n", Disk: "n"}, 0); done != min(1, durable) {
 		test.Fatal(done, durable)
 	}
 }
--- a/internal/locker/driver.go
+++ b/internal/batch/store/driver.go
@@ -1,44 +1,44 @@
-package locker
+package store
 
 import (
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/apprentice"
-	"lemonarch/internal/chisel"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/batch/itemdriver"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/traffic/workerconn"
 )
 
 // driver runs items on the workers that this process owns for lots.
 type driver struct {
-	locker  *Locker
-	lock    sync.Mutex
-	core    *apprentice.Apprentice
-	pipes   map[*apprentice.Task]*chisel.Pipe
-	waiting []*apprentice.Task
-	bell    chan struct{}
-	results chan struct{}
-	returns chan struct{}
+	server      *Server
+	lock        sync.Mutex
+	core        *itemdriver.Runner
+	connections map[*itemdriver.Task]*workerconn.Connection
+	waiting     []*itemdriver.Task
+	bell        chan struct{}
+	results     chan struct{}
+	returns     chan struct{}
 	// lockSpan is the lock's length as the dispatcher last told it; renewed is when
 	// the locks were last renewed.
-	lockSpan watch.Span
-	renewed  watch.Moment
+	lockSpan clock.Span
+	renewed  clock.Moment
 	renewing bool
 	// shown is the latest epoch whose holder was told all that we hold.
 	shown   uint64
 	leaving bool
 	owned   ownership
 	// drivers is the dispatcher's list, as of a version and a moment.
-	drivers   []pattern.DriverAt
+	drivers   []messages.DriverAt
 	version   uint64
-	driversAt watch.Moment
+	driversAt clock.Moment
 }
 
-func newDriver(locker *Locker) *driver {
-	return &driver{locker: locker, core: apprentice.New(), pipes: map[*apprentice.Task]*chisel.Pipe{}, bell: make(chan struct{}, 1),
-		results: make(chan struct{}, 1), returns: make(chan struct{}, 1), lockSpan: lockLength(locker.Stand.Boot.Tolerances.CancelMs)}
+func newDriver(server *Server) *driver {
+	return &driver{server: server, core: itemdriver.New(), connections: map[*itemdriver.Task]*workerconn.Connection{}, bell: make(chan struct{}, 1),
+		results: make(chan struct{}, 1), returns: make(chan struct{}, 1), lockSpan: lockLength(server.Node.Settings.Tolerances.CancelMs)}
 }
 
 // ring wakes a loop; one ring is kept while it is at work.
@@ -54,37 +54,37 @@
 	go driver.acquireLoop()
 	go driver.acknowledgeLoop(driver.results, driver.core.Results)
 	go driver.acknowledgeLoop(driver.returns, driver.core.Returns)
-	go watch.Every(almanac.TickPeriod, driver.locker.Stand.Stop, driver.tend)
+	go clock.Every(constants.TickPeriod, driver.server.Node.Stop, driver.tend)
 }
 
 // holder is the address of the dispatcher, or nothing.
-func (locker *Locker) holder() string {
-	if locker.current() != nil {
-		return locker.Stand.Own.Address
+func (server *Server) holder() string {
+	if server.current() != nil {
+		return server.Node.Own.Address
 	}
-	return locker.elsewhere().Holder
+	return server.elsewhere().Holder
 }
 
 // holderEpoch is the epoch of the dispatcher, as far as we know.
-func (locker *Locker) holderEpoch() uint64 {
-	if current := locker.current(); current != nil {
+func (server *Server) holderEpoch() uint64 {
+	if current := server.current(); current != nil {
 		return current.duty.Epoch
 	}
-	locker.lock.Lock()
-	defer locker.lock.Unlock()
-	return locker.told.Epoch
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	return server.told.Epoch
 }
 
 // acquireLoop keeps as many items as there are places for.
 func (driver *driver) acquireLoop() {
-	stop := driver.locker.Stand.Stop
+	stop := driver.server.Node.Stop
 	for {
-		room, holder := driver.room(), driver.locker.holder()
-		pause := watch.Span(0)
+		room, holder := driver.room(), driver.server.holder()
+		pause := clock.Span(0)
 		if len(room) == 0 || holder == "" {
-			pause = almanac.TickPeriod
+			pause = constants.TickPeriod
 		} else if !driver.acquire(holder, room) {
-			pause = almanac.AckPause
+			pause = constants.AckPause
 		}
 		select {
 		case <-stop:
@@ -96,31 +96,31 @@
 			case <-stop:
 				return
 			case <-driver.bell:
-			case <-watch.After(pause):
+			case <-clock.After(pause):
 			}
 		}
 	}
 }
 
 // acquire asks once; false when the dispatcher could not be asked.
-func (driver *driver) acquire(holder string, room []pattern.ServiceRoom) bool {
-	own := driver.locker.Stand.Own
-	question := &pattern.Acquire{Driver: own.Name, Life: own.Life, Address: own.Address, Hall: own.Hall, Room: room,
-		HoldMs: int(almanac.AcquireHold.Milliseconds()), Known: driver.known()}
-	answer := &pattern.Acquired{}
-	asked := watch.Now()
+func (driver *driver) acquire(holder string, room []messages.ServiceRoom) bool {
+	own := driver.server.Node.Own
+	question := &messages.Acquire{Driver: own.Name, Life: own.Life, Address: own.Address, Zone: own.Zone, Room: room,
+		HoldMs: int(constants.AcquireHold.Milliseconds()), Known: driver.known()}
+	answer := &messages.Acquired{}
+	asked := clock.Now()
 	if holder == own.Address {
-		answer = driver.locker.acquire(question)
-	} else if tongs.Ask(driver.locker.Stand.Wire, holder, pattern.KindAcquire, question, answer, almanac.AcquireHold+almanac.CallTime) != nil {
+		answer = driver.server.acquire(question)
+	} else if transport.Ask(driver.server.Node.Wire, holder, messages.KindAcquire, question, answer, constants.AcquireHold+constants.CallTime) != nil {
 		return false
 	}
 	if answer.Elsewhere {
 		return false
 	}
-	now := watch.Now()
+	now := clock.Now()
 	driver.listed(answer.Version, answer.Drivers, now)
 	driver.lock.Lock()
-	driver.lockSpan = watch.Milliseconds(answer.LockMs)
+	driver.lockSpan = clock.Milliseconds(answer.LockMs)
 	driver.waiting = append(driver.waiting, driver.core.Take(answer, asked, now)...)
 	driver.lock.Unlock()
 	driver.place()
@@ -129,13 +129,13 @@
 
 // tend places what waits, stops what may not go on, and renews the locks.
 func (driver *driver) tend() {
-	now, epoch := watch.Now(), driver.locker.holderEpoch()
+	now, epoch := clock.Now(), driver.server.holderEpoch()
 	driver.lock.Lock()
 	driver.halt(driver.core.Lapsed(now))
-	due := !driver.renewing && now.Since(driver.renewed) >= driver.lockSpan/almanac.RenewPart
+	due := !driver.renewing && now.Since(driver.renewed) >= driver.lockSpan/constants.RenewPart
 	// A new holder is shown at once what we hold.
 	due = due || epoch > driver.shown
-	var entries []pattern.Acknowledgement
+	var entries []messages.Acknowledgement
 	if due {
 		// With nothing to renew it still says that this driver is there.
 		entries = driver.core.Renewals(now)
@@ -152,10 +152,10 @@
 }
 
 // halt breaks runs off; each sets its item back by itself. The lock is held.
-func (driver *driver) halt(tasks []*apprentice.Task) {
+func (driver *driver) halt(tasks []*itemdriver.Task) {
 	for _, task := range tasks {
-		if pipe := driver.pipes[task]; pipe != nil {
-			pipe.Close()
+		if connection := driver.connections[task]; connection != nil {
+			connection.Close()
 		}
 	}
 }
@@ -176,8 +176,8 @@
 	}
 	driver.lock.Unlock()
 	driver.place()
-	end := watch.Now().Plus(almanac.HoldTime)
-	for watch.Now() < end {
+	end := clock.Now().Plus(constants.HoldTime)
+	for clock.Now() < end {
 		driver.lock.Lock()
 		all, _ := driver.core.Count()
 		owing := driver.core.Owing()
@@ -185,6 +185,6 @@
 		if all == 0 && owing == 0 {
 			return
 		}
-		watch.Sleep(almanac.TickPeriod / 2)
+		clock.Sleep(constants.TickPeriod / 2)
 	}
 }
--- a/internal/locker/driver_test.go
+++ b/internal/batch/store/driver_test.go
@@ -1,4 +1,4 @@
-package locker
+package store
 
 import (
 	"encoding/json"
@@ -10,10 +10,10 @@
 	"sync"
 	"testing"
 
-	"lemonarch/internal/model"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
 )
 
 // standInWorker streams four events an item; what else it does is told by the item's
@@ -63,27 +63,27 @@
 	}
 }
 
-// driven is a locker that holds the lots, drives them, and has one worker.
-func driven(test *testing.T, seed int64) (*reign, *standInWorker) {
+// driven is a store that holds the lots, drives them, and has one worker.
+func driven(test *testing.T, seed int64) (*term, *standInWorker) {
 	worker := &standInWorker{tries: map[string]int{}, resumed: map[string]string{}, stuck: make(chan string, 9), dropped: make(chan string, 9)}
-	server := httptest.NewServer(worker)
-	test.Cleanup(server.Close)
-	locker := soleLocker(test, model.NewDisk(seed))
-	one := rule(test, locker, 1)
-	locker.Jointer.Bench.SetConfig(locker.Stand.Config())
-	locker.Jointer.Bench.Merge([]pattern.Worker{{ID: "w", Backend: "s", Address: strings.TrimPrefix(server.URL, "http://"), Capacity: 12, Count: 1}}, watch.Now())
-	locker.driver.run()
-	test.Cleanup(locker.Stand.End)
+	upstream := httptest.NewServer(worker)
+	test.Cleanup(upstream.Close)
+	server := soleLocker(test, simulation.NewDisk(seed))
+	one := rule(test, server, 1)
+	server.Gossip.Scheduler.SetConfig(server.Node.Config())
+	server.Gossip.Scheduler.Merge([]messages.Worker{{ID: "w", Backend: "s", Address: strings.TrimPrefix(upstream.URL, "http://"), Capacity: 12, Count: 1}}, clock.Now())
+	server.driver.run()
+	test.Cleanup(server.Node.End)
 	return one, worker
 }
 
-func outputs(test *testing.T, one *reign, lot string, sum int) map[string]outputLine {
+func outputs(test *testing.T, one *term, lot string, sum int) map[string]outputLine {
 	found := map[string]outputLine{}
-	end := watch.Now().Plus(watch.Milliseconds(15_000))
-	for len(found) < sum && watch.Now() < end {
+	end := clock.Now().Plus(clock.Milliseconds(15_000))
+	for len(found) < sum && clock.Now() < end {
 		page := outputPage{}
-		if failure := json.Unmarshal(one.readLot(&pattern.LotCall{Lot: lot, Cursor: len(found), HoldMs: 1000}).Body, &page); failure != nil {
-			test.Fatal(failure)
+		if err := json.Unmarshal(one.readLot(&messages.LotCall{Lot: lot, Cursor: len(found), HoldMs: 1000}).Body, &page); err != nil {
+			test.Fatal(err)
 		}
 		for _, line := range page.Outputs {
 			if _, twice := found[line.ID]; twice {
@@ -131,17 +131,17 @@
 		select {
 		case id := <-worker.stuck:
 			begun[id] = true
-		case <-watch.After(watch.Milliseconds(10_000)):
+		case <-clock.After(clock.Milliseconds(10_000)):
 			test.Fatal("not all were begun: ", begun)
 		}
 	}
-	if answer := one.endLot(&pattern.LotCall{Lot: "stuck"}); answer.Status != 200 {
+	if answer := one.endLot(&messages.LotCall{Lot: "stuck"}); answer.Status != 200 {
 		test.Fatal(answer.Status)
 	}
 	for count := 0; count < 3; count++ {
 		select {
 		case <-worker.dropped:
-		case <-watch.After(watch.Milliseconds(1500)):
+		case <-clock.After(clock.Milliseconds(1500)):
 			test.Fatal("runs go on after the end of their lot: ", count)
 		}
 	}
@@ -161,17 +161,17 @@
 
 // A holder that gave the duty up for its slow disk does not ask for it at once.
 func TestRestingLockerStandsBack(test *testing.T) {
-	locker := soleLocker(test, model.NewDisk(13))
-	locker.value.Stores = []pattern.Member{locker.member()}
-	if !locker.eligible() || vise.Identity(locker.member()) == "" {
+	server := soleLocker(test, simulation.NewDisk(13))
+	server.value.Stores = []messages.Member{server.member()}
+	if !server.eligible() || register.Identity(server.member()) == "" {
 		test.Fatal("a member of the set is not eligible")
 	}
-	locker.rest(watch.Now().Plus(watch.Milliseconds(60_000)))
-	if locker.eligible() {
+	server.rest(clock.Now().Plus(clock.Milliseconds(60_000)))
+	if server.eligible() {
 		test.Fatal("it asks for the duty again")
 	}
-	locker.rest(watch.Now())
-	if !locker.eligible() {
+	server.rest(clock.Now())
+	if !server.eligible() {
 		test.Fatal("it rests for ever")
 	}
 }
--- a/internal/locker/handin.go
+++ b/internal/batch/store/handin.go
@@ -1,4 +1,4 @@
-package locker
+package store
 
 import (
 	"net/http"
@@ -8,10 +8,10 @@
 	// took 3.5 times as long over them.
 	"github.com/goccy/go-json"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // lotJSON is a lot as it is handed in.
@@ -26,18 +26,18 @@
 }
 
 // readLotJSON checks a lot; the reason says what is wrong with it.
-func readLotJSON(call *pattern.LotCall) (body *pattern.LotBody, tokens int64, status int, reason string) {
+func readLotJSON(call *messages.LotCall) (body *messages.LotBody, tokens int64, status int, reason string) {
 	lot := lotJSON{}
-	if failure := json.Unmarshal(call.Body, &lot); failure != nil {
-		return nil, 0, http.StatusBadRequest, "lot can't be read: " + failure.Error()
+	if err := json.Unmarshal(call.Body, &lot); err != nil {
+		return nil, 0, http.StatusBadRequest, "lot can't be read: " + err.Error()
 	}
 	if len(lot.Requests) == 0 {
 		return nil, 0, http.StatusBadRequest, "requests is empty"
 	}
-	if len(lot.Requests) > almanac.LotItems {
+	if len(lot.Requests) > constants.LotItems {
 		return nil, 0, http.StatusRequestEntityTooLarge, "too many items"
 	}
-	body = &pattern.LotBody{Path: call.Path}
+	body = &messages.LotBody{Path: call.Path}
 	seen := map[string]bool{}
 	for _, one := range lot.Requests {
 		if one.ID == "" || seen[one.ID] || !strings.HasPrefix(one.Path, "/") || strings.ContainsAny(one.Path, " \r\n") || one.Tokens < 0 {
@@ -51,88 +51,88 @@
 		}
 		seen[one.ID] = true
 		tokens += one.Tokens
-		body.Items = append(body.Items, pattern.LotItem{ID: one.ID, Path: one.Path, Headers: one.Headers, Body: one.Body, Tokens: one.Tokens})
+		body.Items = append(body.Items, messages.LotItem{ID: one.ID, Path: one.Path, Headers: one.Headers, Body: one.Body, Tokens: one.Tokens})
 	}
 	return body, tokens, 0, ""
 }
 
 // routeOf finds the bulk route that a lot belongs to now; nil when it is gone.
-func routeOf(config *jig.Config, host, path string) *jig.Route {
+func routeOf(config *routeconfig.Config, host, path string) *routeconfig.Route {
 	if config == nil {
 		return nil
 	}
 	route := config.Match(host, path)
-	if route == nil || route.Kind() != pattern.RouteBulk {
+	if route == nil || route.Kind() != messages.RouteBulk {
 		return nil
 	}
 	return route
 }
 
 // handIn takes a lot: checked, within the quota, and durable before it is told.
-func (reign *reign) handIn(call *pattern.LotCall) *pattern.LotAnswer {
-	accepted := &pattern.LotAnswer{Status: http.StatusAccepted, Body: []byte("{}")}
-	reign.lock.Lock()
-	known, taking := reign.book.Lot(call.Lot) != nil, reign.taking[call.Lot]
-	reign.lock.Unlock()
+func (term *term) handIn(call *messages.LotCall) *messages.LotAnswer {
+	accepted := &messages.LotAnswer{Status: http.StatusAccepted, Body: []byte("{}")}
+	term.lock.Lock()
+	known, taking := term.book.Lot(call.Lot) != nil, term.taking[call.Lot]
+	term.lock.Unlock()
 	if known {
 		return accepted
 	}
 	if taking > 0 {
-		return reign.awaitTaken(taking, accepted)
+		return term.awaitTaken(taking, accepted)
 	}
 	body, tokens, status, why := readLotJSON(call)
 	if body == nil {
 		return refuse(status, why)
 	}
-	config := reign.locker.Stand.Config()
+	config := term.server.Node.Config()
 	route := routeOf(config, call.Host, call.Path)
 	if route == nil {
-		// The forge knew the route: our configuration may be the older one.
-		return &pattern.LotAnswer{Elsewhere: true}
+		// The gateway knew the route: our configuration may be the older one.
+		return &messages.LotAnswer{Elsewhere: true}
 	}
-	packed, failure := body.MarshalMsg(nil)
-	if failure != nil {
+	packed, err := body.MarshalMsg(nil)
+	if err != nil {
 		return refuse(http.StatusBadRequest, "lot can't be kept")
 	}
-	reign.lock.Lock()
-	if reign.book.Lot(call.Lot) != nil || reign.taking[call.Lot] > 0 {
-		taking = reign.taking[call.Lot]
-		reign.lock.Unlock()
-		return reign.awaitTaken(taking, accepted)
+	term.lock.Lock()
+	if term.book.Lot(call.Lot) != nil || term.taking[call.Lot] > 0 {
+		taking = term.taking[call.Lot]
+		term.lock.Unlock()
+		return term.awaitTaken(taking, accepted)
 	}
-	if expired(call, watch.Now()) {
+	if expired(call, clock.Now()) {
 		// Whoever asked has given up, or was told that this one counts for nothing.
-		reign.lock.Unlock()
-		return &pattern.LotAnswer{Elsewhere: true}
-	}
-	if route.BacklogCap > 0 && reign.waiting(config, route)+tokens > route.BacklogCap {
-		reign.lock.Unlock()
-		return &pattern.LotAnswer{Status: http.StatusTooManyRequests, Body: reason("backlog is full"), RetryMs: int(almanac.GossipPeriod.Milliseconds())}
-	}
-	index := reign.submit(pattern.Record{Kind: pattern.RecordLot, Lot: call.Lot, Host: call.Host, Route: route.Name,
-		AtMs: watch.Wall() / 1_000_000, Body: packed})
-	reign.taking[call.Lot] = index
-	reign.quota.comes(call, tokens)
-	reign.lock.Unlock()
-	return reign.awaitTaken(index, accepted)
+		term.lock.Unlock()
+		return &messages.LotAnswer{Elsewhere: true}
+	}
+	if route.BacklogCap > 0 && term.waiting(config, route)+tokens > route.BacklogCap {
+		term.lock.Unlock()
+		return &messages.LotAnswer{Status: http.StatusTooManyRequests, Body: reason("backlog is full"), RetryMs: int(constants.GossipPeriod.Milliseconds())}
+	}
+	index := term.submit(messages.Record{Kind: messages.RecordLot, Lot: call.Lot, Host: call.Host, Route: route.Name,
+		AtMs: clock.Wall() / 1_000_000, Body: packed})
+	term.taking[call.Lot] = index
+	term.quota.comes(call, tokens)
+	term.lock.Unlock()
+	return term.awaitTaken(index, accepted)
 }
 
 // fresh tells whether a question comes for the first time, and turns the span that
 // it brought into a moment of our own clock.
-func (locker *Locker) fresh(call *pattern.LotCall, now watch.Moment) bool {
+func (server *Server) fresh(call *messages.LotCall, now clock.Moment) bool {
 	if call.LiveMs > 0 {
-		call.Until = int64(now.Plus(watch.Milliseconds(float64(call.LiveMs))))
+		call.Until = int64(now.Plus(clock.Milliseconds(float64(call.LiveMs))))
 	}
-	return locker.once.First(call.Ask, now)
+	return server.once.First(call.Ask, now)
 }
 
 // expired tells whether the time in which a hand-in may be taken is over.
-func expired(call *pattern.LotCall, now watch.Moment) bool {
+func expired(call *messages.LotCall, now clock.Moment) bool {
 	return call.Until > 0 && int64(now) >= call.Until
 }
 
-func (reign *reign) awaitTaken(index int64, accepted *pattern.LotAnswer) *pattern.LotAnswer {
-	if reign.durable(index, almanac.RegisterTime) {
+func (term *term) awaitTaken(index int64, accepted *messages.LotAnswer) *messages.LotAnswer {
+	if term.durable(index, constants.RegisterTime) {
 		return accepted
 	}
 	return refuse(http.StatusGatewayTimeout, "lot not yet durable")
--- a/internal/locker/lotjson_test.go
+++ b/internal/batch/store/lotjson_test.go
@@ -1,4 +1,4 @@
-package locker
+package store
 
 import (
 	"encoding/base64"
@@ -7,11 +7,11 @@
 	"strings"
 	"testing"
 
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/messages"
 )
 
 // largeLot is a lot as clients send them: 48 KB with 30 items.
-func largeLot(items int) *pattern.LotCall {
+func largeLot(items int) *messages.LotCall {
 	var text strings.Builder
 	text.WriteString(`{"requests":[`)
 	for place := 0; place < items; place++ {
@@ -22,34 +22,34 @@
 			place, base64.StdEncoding.EncodeToString([]byte(strings.Repeat("x", 1000))))
 	}
 	text.WriteString("]}")
-	return &pattern.LotCall{Method: "POST", Host: "h", Path: "/b/", Lot: "l", Body: []byte(text.String())}
+	return &messages.LotCall{Method: "POST", Host: "h", Path: "/b/", Lot: "l", Body: []byte(text.String())}
 }
 
 // BenchmarkReadLotStandard is the standard reader over the same text, to compare
 // with in the same run.
-func BenchmarkReadLotStandard(bench *testing.B) {
+func BenchmarkReadLotStandard(scheduler *testing.B) {
 	call := largeLot(30)
-	bench.SetBytes(int64(len(call.Body)))
-	bench.ReportAllocs()
-	for bench.Loop() {
+	scheduler.SetBytes(int64(len(call.Body)))
+	scheduler.ReportAllocs()
+	for scheduler.Loop() {
 		lot := lotJSON{}
-		if failure := json.Unmarshal(call.Body, &lot); failure != nil {
-			bench.Fatal(failure)
+		if err := json.Unmarshal(call.Body, &lot); err != nil {
+			scheduler.Fatal(err)
 		}
 	}
 }
 
-func BenchmarkReadLot(bench *testing.B) {
+func BenchmarkReadLot(scheduler *testing.B) {
 	call := largeLot(30)
-	bench.SetBytes(int64(len(call.Body)))
-	bench.ReportAllocs()
-	for bench.Loop() {
+	scheduler.SetBytes(int64(len(call.Body)))
+	scheduler.ReportAllocs()
+	for scheduler.Loop() {
 		body, _, _, why := readLotJSON(call)
 		if body == nil {
-			bench.Fatal(why)
+			scheduler.Fatal(why)
 		}
-		if _, failure := body.MarshalMsg(nil); failure != nil {
-			bench.Fatal(failure)
+		if _, err := body.MarshalMsg(nil); err != nil {
+			scheduler.Fatal(err)
 		}
 	}
 }
@@ -64,9 +64,9 @@
 		strings.Replace(whole, `"id":"`, `"id":"\u00e9\n`, 1), strings.Replace(whole, `"tokens":940`, `"tokens":99999999999999999999`, 1)}
 	for _, text := range texts {
 		standard := lotJSON{}
-		failure := json.Unmarshal([]byte(text), &standard)
-		body, tokens, _, why := readLotJSON(&pattern.LotCall{Path: "/b/", Body: []byte(text)})
-		if failure != nil || len(standard.Requests) == 0 {
+		err := json.Unmarshal([]byte(text), &standard)
+		body, tokens, _, why := readLotJSON(&messages.LotCall{Path: "/b/", Body: []byte(text)})
+		if err != nil || len(standard.Requests) == 0 {
 			if body != nil {
 				test.Errorf("taken, although unreadable: %.60q", text)
 			}
--- a/internal/locker/lots_test.go
+++ b/internal/batch/store/lots_test.go
@@ -1,12 +1,12 @@
-package locker
+package store
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // work hands lots in and lists their items, as a holder does.
@@ -16,18 +16,18 @@
 		if holder != nil && holder.ready && !fleet.stores[holder.at].down {
 			fleet.number++
 			id := fmt.Sprintf("lot%d", fleet.number)
-			body := &pattern.LotBody{Path: "/p/"}
+			body := &messages.LotBody{Path: "/p/"}
 			for item := 0; item < 3; item++ {
-				body.Items = append(body.Items, pattern.LotItem{ID: fmt.Sprintf("%s-%d", id, item), Tokens: 10})
+				body.Items = append(body.Items, messages.LotItem{ID: fmt.Sprintf("%s-%d", id, item), Tokens: 10})
 			}
 			packed, _ := body.MarshalMsg(nil)
-			holder.submit(pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed})
+			holder.submit(messages.Record{Kind: messages.RecordLot, Lot: id, Body: packed})
 			// The items end in another order each time.
 			for position, item := range fleet.world.Random.Perm(3) {
-				holder.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: id, Position: position, Item: fmt.Sprintf("%s-%d", id, item)})
+				holder.submit(messages.Record{Kind: messages.RecordOutput, Lot: id, Position: position, Item: fmt.Sprintf("%s-%d", id, item)})
 			}
 		}
-		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(60)))
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(60)))
 	}
 }
 
@@ -35,7 +35,7 @@
 	var names []string
 	for _, member := range fleet.set {
 		one := fleet.stores[member.Address]
-		if !one.down && vise.Identity(one.member) == vise.Identity(member) {
+		if !one.down && register.Identity(one.member) == register.Identity(member) {
 			names = append(names, member.Address)
 		}
 	}
@@ -48,7 +48,7 @@
 	for try := 0; try < 12; try++ {
 		epoch := fleet.epoch + 1
 		fleet.take(names[fleet.world.Random.Intn(len(names))])
-		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(400)))
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(400)))
 		if fleet.holder != nil && fleet.holder.epoch == epoch && fleet.holder.ready {
 			fleet.check(fleet.holder)
 			return
@@ -58,25 +58,25 @@
 }
 
 // swap replaces a member by another store, as the holder's changeSet does.
-func (fleet *simFleet) swap(out, newcomer pattern.Member) {
+func (fleet *simFleet) swap(out, newcomer messages.Member) {
 	holder := fleet.holder
-	var next []pattern.Member
+	var next []messages.Member
 	for _, member := range fleet.set {
-		if vise.Identity(member) != vise.Identity(out) {
+		if register.Identity(member) != register.Identity(out) {
 			next = append(next, member)
 		}
 	}
 	next = append(next, newcomer)
-	holder.next[vise.Identity(newcomer)] = 1
+	holder.next[register.Identity(newcomer)] = 1
 	holder.feed(newcomer)
 	target := holder.press.Last()
-	for try := 0; try < 200 && holder.press.MatchOf(vise.Identity(newcomer)) < target; try++ {
-		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(30)))
+	for try := 0; try < 200 && holder.press.MatchOf(register.Identity(newcomer)) < target; try++ {
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(30)))
 	}
 	holder.press.Next = next
-	index := holder.submit(pattern.Record{Kind: pattern.RecordNothing})
+	index := holder.submit(messages.Record{Kind: messages.RecordNothing})
 	for try := 0; try < 200 && holder.press.Done() < index; try++ {
-		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(30)))
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(30)))
 	}
 	if holder.press.Done() < index {
 		fleet.test.Fatal("both sets never agreed")
@@ -133,10 +133,10 @@
 					}
 					for try := 0; try < 12 && (fleet.holder == old || !fleet.holder.ready); try++ {
 						fleet.take(others[fleet.world.Random.Intn(len(others))])
-						fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(400)))
+						fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(400)))
 					}
 					fleet.check(fleet.holder)
-					old.submit(pattern.Record{Kind: pattern.RecordOutput, Lot: "lot1", Position: 9, Item: "stale"})
+					old.submit(messages.Record{Kind: messages.RecordOutput, Lot: "lot1", Position: 9, Item: "stale"})
 					fleet.work(3)
 					fleet.world.Isolate(cut, names, false)
 				}
@@ -159,7 +159,7 @@
 			fleet.work(3)
 		}
 		// At the end all lose power, and one its disk.
-		fleet.world.Run(fleet.world.Now.Plus(watch.Milliseconds(500)))
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(500)))
 		wiped := fleet.set[fleet.world.Random.Intn(3)].Address
 		for name, one := range fleet.stores {
 			one.down = true
--- a/internal/locker/overload_test.go
+++ b/internal/batch/store/overload_test.go
@@ -1,69 +1,69 @@
-package locker
+package store
 
 import (
 	"fmt"
 	"strings"
 	"testing"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // lot hands in a lot of items that really run.
-func (yard *simYard) lot(items int) bool {
-	holder := yard.holder
-	if holder == nil || !holder.ready || yard.stores[holder.at].down {
+func (cluster *simCluster) lot(items int) bool {
+	holder := cluster.holder
+	if holder == nil || !holder.ready || cluster.stores[holder.at].down {
 		return false
 	}
-	yard.number++
-	id := fmt.Sprint("job", yard.number)
-	body := &pattern.LotBody{Path: "/p/"}
+	cluster.number++
+	id := fmt.Sprint("job", cluster.number)
+	body := &messages.LotBody{Path: "/p/"}
 	for place := 0; place < items; place++ {
-		body.Items = append(body.Items, pattern.LotItem{ID: fmt.Sprintf("%s-%d", id, place), Tokens: 10})
+		body.Items = append(body.Items, messages.LotItem{ID: fmt.Sprintf("%s-%d", id, place), Tokens: 10})
 	}
 	packed, _ := body.MarshalMsg(nil)
-	holder.submit(pattern.Record{Kind: pattern.RecordLot, Lot: id, Body: packed})
+	holder.submit(messages.Record{Kind: messages.RecordLot, Lot: id, Body: packed})
 	return true
 }
 
 // overload plays a burst of the high tier over running lots, while the holder
 // dies, its duty changes hands, a store is cut off and workers cut streams.
-func overload(test *testing.T, seed int64) *simYard {
-	yard := newYard(test, seed)
-	yard.world.Loss, yard.world.Double = 0.03, 0.03
-	yard.takeAny()
-	yard.dispatch()
+func overload(test *testing.T, seed int64) *simCluster {
+	cluster := newCluster(test, seed)
+	cluster.world.Loss, cluster.world.Double = 0.03, 0.03
+	cluster.takeAny()
+	cluster.dispatch()
 	for count := 0; count < 6; count++ {
-		yard.lot(8)
+		cluster.lot(8)
 	}
 	for burst := 0; burst < 90; burst++ {
-		at := watch.Milliseconds(100 + 15*float64(burst))
-		yard.world.After(at, func() {
+		at := clock.Milliseconds(100 + 15*float64(burst))
+		cluster.world.After(at, func() {
 			for count := 0; count < 5; count++ {
-				yard.request()
+				cluster.request()
 			}
 		})
 	}
-	yard.world.Run(yard.world.Now.Plus(watch.Milliseconds(500)))
-	victim := yard.stores[yard.holder.at]
+	cluster.world.Run(cluster.world.Now.Plus(clock.Milliseconds(500)))
+	victim := cluster.stores[cluster.holder.at]
 	if seed%2 == 0 {
 		// The holder's machine loses power in the middle of it.
 		victim.down = true
 		victim.disk.PowerLoss()
-		yard.takeAny()
-		yard.open(victim)
+		cluster.takeAny()
+		cluster.open(victim)
 	} else {
 		// The duty changes hands while its holder still runs.
-		yard.takeAny()
+		cluster.takeAny()
 	}
-	other := yard.set[yard.world.Random.Intn(3)].Address
-	if other != yard.holder.at {
-		yard.world.Isolate(other, []string{"s0", "s1", "s2"}, true)
-		yard.world.After(watch.Milliseconds(400), func() { yard.world.Isolate(other, []string{"s0", "s1", "s2"}, false) })
+	other := cluster.set[cluster.world.Random.Intn(3)].Address
+	if other != cluster.holder.at {
+		cluster.world.Isolate(other, []string{"s0", "s1", "s2"}, true)
+		cluster.world.After(clock.Milliseconds(400), func() { cluster.world.Isolate(other, []string{"s0", "s1", "s2"}, false) })
 	}
-	yard.lot(5)
-	yard.world.Run(yard.world.Now.Plus(watch.Milliseconds(30_000)))
-	return yard
+	cluster.lot(5)
+	cluster.world.Run(cluster.world.Now.Plus(clock.Milliseconds(30_000)))
+	return cluster
 }
 
 // Every displaced item ends exactly once, with each of its events once; every live
@@ -71,32 +71,32 @@
 func TestOverloadDisplacesAndFinishesOnce(test *testing.T) {
 	displaced, promised, asked := 0, 0, 0
 	for seed := int64(1); seed <= 40; seed++ {
-		yard := overload(test, seed)
-		displaced += yard.taken["displaced"]
-		promised += yard.promised
-		asked += yard.asked
-		for number := 1; number <= yard.asked; number++ {
-			if yard.live[number] != 1 {
-				test.Fatalf("seed %d: live request %d ended %d times", seed, number, yard.live[number])
+		cluster := overload(test, seed)
+		displaced += cluster.taken["displaced"]
+		promised += cluster.promised
+		asked += cluster.asked
+		for number := 1; number <= cluster.asked; number++ {
+			if cluster.live[number] != 1 {
+				test.Fatalf("seed %d: live request %d ended %d times", seed, number, cluster.live[number])
 			}
 		}
-		lots := yard.holder.book.Lots()
-		if len(lots) == 0 {
+		lotList := cluster.holder.book.Lots()
+		if len(lotList) == 0 {
 			test.Fatalf("seed %d: no lots", seed)
 		}
-		for _, lot := range lots {
+		for _, lot := range lotList {
 			if len(lot.Listings) != lot.Sum() {
 				test.Fatalf("seed %d: lot %s lists %d of %d", seed, lot.ID, len(lot.Listings), lot.Sum())
 			}
 			listed := map[string]int{}
 			for _, listing := range lot.Listings {
 				listed[listing.Item]++
-				record, failure := yard.stores[yard.holder.at].store.Read(listing.Index)
-				if failure != nil {
-					test.Fatal(failure)
+				record, err := cluster.stores[cluster.holder.at].store.Read(listing.Index)
+				if err != nil {
+					test.Fatal(err)
 				}
 				want := ""
-				for event := 1; event <= yardEvents; event++ {
+				for event := 1; event <= clusterEvents; event++ {
 					want += fmt.Sprintf("%s.%d\n", listing.Item, event)
 				}
 				if string(record.Body) != want {
--- a/internal/locker/pace.go
+++ b/internal/batch/store/pace.go
@@ -1,25 +1,25 @@
-package locker
+package store
 
 import (
 	"hash/fnv"
 	"slices"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/vise"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
 )
 
 // pace follows how quickly this machine works: the time of a fixed piece of work,
 // against the shortest that it ever took here. A step function without a clock.
 type pace struct {
-	best   watch.Span
-	recent []watch.Span
+	best   clock.Span
+	recent []clock.Span
 }
 
 // note takes a new time. A single long one says nothing: the collector may have run.
-func (one *pace) note(took watch.Span) {
+func (one *pace) note(took clock.Span) {
 	if took <= 0 {
 		return
 	}
@@ -27,14 +27,14 @@
 		one.best = took
 	}
 	one.recent = append(one.recent, took)
-	if len(one.recent) > almanac.PaceWindow {
-		one.recent = one.recent[len(one.recent)-almanac.PaceWindow:]
+	if len(one.recent) > constants.PaceWindow {
+		one.recent = one.recent[len(one.recent)-constants.PaceWindow:]
 	}
 }
 
 // slow tells whether even the shortest of the latest times is far above the best.
 func (one *pace) slow() bool {
-	return len(one.recent) >= almanac.PaceWindow && slices.Min(one.recent) > almanac.PaceFactor*one.best
+	return len(one.recent) >= constants.PaceWindow && slices.Min(one.recent) > constants.PaceFactor*one.best
 }
 
 // lags follows, for the holder, how long each store takes over an order to append.
@@ -52,7 +52,7 @@
 		one.means[identity] = took
 		return
 	}
-	one.means[identity] += almanac.LagWeight * (took - one.means[identity])
+	one.means[identity] += constants.LagWeight * (took - one.means[identity])
 }
 
 // behind tells whether a store's disk is far slower than the usual one of the
@@ -61,92 +61,92 @@
 func (one *lags) behind(identity string) bool {
 	var others []float64
 	for name, mean := range one.means {
-		if name != identity && one.count[name] >= almanac.LagLeast {
+		if name != identity && one.count[name] >= constants.LagLeast {
 			others = append(others, mean)
 		}
 	}
-	if len(others) == 0 || one.count[identity] < almanac.LagLeast {
+	if len(others) == 0 || one.count[identity] < constants.LagLeast {
 		return false
 	}
 	slices.Sort(others)
 	usual := others[len(others)/2]
-	return one.means[identity] > almanac.LagFactor*usual && one.means[identity] > almanac.LagFloorMs
+	return one.means[identity] > constants.LagFactor*usual && one.means[identity] > constants.LagFloorMs
 }
 
 // workload is the fixed piece of work, a few tens of microseconds long.
 var workload [32 << 10]byte
 
-func measure() watch.Span {
-	begun := watch.Now()
+func measure() clock.Span {
+	begun := clock.Now()
 	sum := fnv.New64a()
 	_, _ = sum.Write(workload[:])
-	return watch.Now().Since(begun)
+	return clock.Now().Since(begun)
 }
 
 // pacing measures this machine now and then.
-func (locker *Locker) pacing() {
-	watch.Every(almanac.PacePeriod, locker.Stand.Stop, func() {
+func (server *Server) pacing() {
+	clock.Every(constants.PacePeriod, server.Node.Stop, func() {
 		took := measure()
-		locker.lock.Lock()
-		locker.pace.note(took)
-		locker.lock.Unlock()
+		server.lock.Lock()
+		server.pace.note(took)
+		server.lock.Unlock()
 	})
 }
 
 // reportPace says whether this machine is slow now: whoever looks for a store to
 // copy everything to asks it first.
-func (locker *Locker) reportPace() *pattern.Status {
-	locker.lock.Lock()
-	defer locker.lock.Unlock()
+func (server *Server) reportPace() *messages.Status {
+	server.lock.Lock()
+	defer server.lock.Unlock()
 	word := "usual"
-	if locker.pace.slow() {
+	if server.pace.slow() {
 		word = "slow"
 	}
-	return &pattern.Status{Columns: []string{"pace", "best-us"}, Rows: [][]string{{word, number(locker.pace.best.Microseconds())}}}
+	return &messages.Status{Columns: []string{"pace", "best-us"}, Rows: [][]string{{word, number(server.pace.best.Microseconds())}}}
 }
 
 // sluggish asks a machine that stands by; silence counts as slow.
-func (locker *Locker) sluggish(member pattern.Member) bool {
-	answer := &pattern.Status{}
-	failure := tongs.Ask(locker.Stand.Wire, member.Address, pattern.KindStatus, &pattern.StatusAsk{Query: "pace"}, answer, almanac.RoundTime)
-	if failure != nil {
+func (server *Server) sluggish(member messages.Member) bool {
+	answer := &messages.Status{}
+	err := transport.Ask(server.Node.Wire, member.Address, messages.KindStatus, &messages.StatusAsk{Query: "pace"}, answer, constants.RoundTime)
+	if err != nil {
 		return true
 	}
 	return len(answer.Rows) == 1 && len(answer.Rows[0]) > 0 && answer.Rows[0][0] == "slow"
 }
 
 // lagged notes how long a store took over an order.
-func (reign *reign) lagged(identity string, took watch.Span) {
-	reign.lock.Lock()
-	defer reign.lock.Unlock()
-	reign.lags.note(identity, watch.ToMilliseconds(took))
+func (term *term) lagged(identity string, took clock.Span) {
+	term.lock.Lock()
+	defer term.lock.Unlock()
+	term.lags.note(identity, clock.ToMilliseconds(took))
 }
 
 // tooSlow tells whether the holder should give its duty up: its machine or its disk
 // is far slower than usual, others are there to take it, and it has not done so
 // only just, so that a duty that is slow everywhere does not wander.
-func (reign *reign) tooSlow(now watch.Moment) bool {
-	locker := reign.locker
-	reign.lock.Lock()
-	disk := reign.lags.behind(vise.Identity(locker.member()))
-	alone := len(reign.press.Members) < 2
-	reign.lock.Unlock()
-	locker.lock.Lock()
-	defer locker.lock.Unlock()
-	if alone || !(disk || locker.pace.slow()) || (locker.gaveUp > 0 && now.Since(locker.gaveUp) < almanac.GiveUpPause) {
+func (term *term) tooSlow(now clock.Moment) bool {
+	server := term.server
+	term.lock.Lock()
+	disk := term.lags.behind(register.Identity(server.member()))
+	alone := len(term.press.Members) < 2
+	term.lock.Unlock()
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if alone || !(disk || server.pace.slow()) || (server.gaveUp > 0 && now.Since(server.gaveUp) < constants.GiveUpPause) {
 		return false
 	}
-	locker.gaveUp = now
+	server.gaveUp = now
 	return true
 }
 
 // defers tells whether this process leaves the duty to others for now: it has just
 // given it up, or its machine is slow and it has not held back for long.
-func (locker *Locker) defers(now watch.Moment) bool {
-	locker.lock.Lock()
-	defer locker.lock.Unlock()
-	if locker.pace.slow() && (locker.gaveUp == 0 || now.Since(locker.gaveUp) >= almanac.GiveUpPause) {
-		locker.gaveUp = now
+func (server *Server) defers(now clock.Moment) bool {
+	server.lock.Lock()
+	defer server.lock.Unlock()
+	if server.pace.slow() && (server.gaveUp == 0 || now.Since(server.gaveUp) >= constants.GiveUpPause) {
+		server.gaveUp = now
 	}
-	return locker.gaveUp > 0 && now.Since(locker.gaveUp) < almanac.DeferTime
+	return server.gaveUp > 0 && now.Since(server.gaveUp) < constants.DeferTime
 }
--- a/internal/locker/pack.go
+++ b/internal/batch/store/pack.go
@@ -1,4 +1,4 @@
-package locker
+package store
 
 import (
 	"bytes"
@@ -6,12 +6,12 @@
 	"io"
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/mishap"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
 )
 
-// TextDamaged is the mishap of an output whose text can't be unpacked.
-var TextDamaged = mishap.Define("output text")
+// TextDamaged is the error of an output whose text can't be unpacked.
+var TextDamaged = errs.Define("output text")
 
 // packer is used by one run at a time: a writer holds buffers of its own.
 var packer struct {
@@ -23,7 +23,7 @@
 // once to it and once from it to each store, and between zones. Symbols alone are
 // weighed, which costs little of a small processor. What gets no smaller stays as it is.
 func pack(text []byte) (body []byte, packed bool) {
-	if len(text) < almanac.PackLeast {
+	if len(text) < constants.PackLeast {
 		return text, false
 	}
 	packer.Lock()
@@ -34,7 +34,7 @@
 	} else {
 		packer.writer.Reset(&out)
 	}
-	if _, failure := packer.writer.Write(text); failure != nil {
+	if _, err := packer.writer.Write(text); err != nil {
 		return text, false
 	}
 	if packer.writer.Close() != nil || out.Len() >= len(text) {
@@ -48,6 +48,6 @@
 	if !packed {
 		return body, nil
 	}
-	text, failure := io.ReadAll(flate.NewReader(bytes.NewReader(body)))
-	return text, TextDamaged.Wrap(failure, "unpack")
+	text, err := io.ReadAll(flate.NewReader(bytes.NewReader(body)))
+	return text, TextDamaged.Wrap(err, "unpack")
 }
--- a/internal/locker/pack_test.go
+++ b/internal/batch/store/pack_test.go
@@ -1,11 +1,11 @@
-package locker
+package store
 
 import (
 	"bytes"
 	"math/rand"
 	"testing"
 
-	"lemonarch/internal/almanac"
+	"lemonarch/internal/platform/constants"
 )
 
 // A text comes back byte for byte, is never longer than it was, and a damaged one is
@@ -14,26 +14,26 @@
 	random := rand.New(rand.NewSource(7))
 	for round := 0; round < 300; round++ {
 		text := make([]byte, random.Intn(9000))
-		letters := 1 + random.Intn(256)
+		requests := 1 + random.Intn(256)
 		for place := range text {
-			text[place] = byte(random.Intn(letters))
+			text[place] = byte(random.Intn(requests))
 		}
 		body, packed := pack(text)
 		if len(body) > len(text) {
 			test.Fatal("longer: ", len(body), len(text))
 		}
-		if packed && len(text) < almanac.PackLeast {
+		if packed && len(text) < constants.PackLeast {
 			test.Fatal("packed though short: ", len(text))
 		}
-		if letters <= 32 && len(text) > 2000 && !packed {
-			test.Fatal("not packed: ", letters, len(text))
+		if requests <= 32 && len(text) > 2000 && !packed {
+			test.Fatal("not packed: ", requests, len(text))
 		}
-		back, failure := unpack(body, packed)
-		if failure != nil || !bytes.Equal(back, text) {
-			test.Fatal(failure, len(back), len(text))
+		back, err := unpack(body, packed)
+		if err != nil || !bytes.Equal(back, text) {
+			test.Fatal(err, len(back), len(text))
 		}
 		if packed {
-			if cut, failure := unpack(body[:len(body)/2], true); failure == nil {
+			if cut, err := unpack(body[:len(body)/2], true); err == nil {
 				test.Fatal("half a text was given out: ", len(cut))
 			}
 		}
--- a/internal/locker/place_test.go
+++ b/internal/batch/store/place_test.go
@@ -1,29 +1,29 @@
-package locker
+package store
 
 import (
 	"fmt"
 	"testing"
 )
 
-// Every worker has one owner, in its own hall where there is one, and a driver that
+// Every worker has one owner, in its own zone where there is one, and a driver that
 // goes away leaves only its own workers to others.
 func TestEveryWorkerHasOneOwner(test *testing.T) {
-	lockers := map[string]string{"l1": "a", "l2": "a", "l3": "b", "l4": "b", "l5": "b"}
+	stores := map[string]string{"l1": "a", "l2": "a", "l3": "b", "l4": "b", "l5": "b"}
 	counts := map[string]int{}
 	for number := 0; number < 600; number++ {
-		worker, hall := fmt.Sprint("i-", number), []string{"a", "b", "c"}[number%3]
-		first := owner(worker, hall, lockers)
+		worker, zone := fmt.Sprint("i-", number), []string{"a", "b", "c"}[number%3]
+		first := owner(worker, zone, stores)
 		counts[first]++
-		if lockers[first] != hall && hall != "c" {
-			test.Fatal("owned from another hall: ", worker, first)
+		if stores[first] != zone && zone != "c" {
+			test.Fatal("owned from another zone: ", worker, first)
 		}
 		fewer := map[string]string{}
-		for name, at := range lockers {
+		for name, at := range stores {
 			if name != "l3" {
 				fewer[name] = at
 			}
 		}
-		if second := owner(worker, hall, fewer); first != "l3" && second != first {
+		if second := owner(worker, zone, fewer); first != "l3" && second != first {
 			test.Fatal("a worker changed its owner for no cause: ", worker)
 		}
 	}
@@ -32,7 +32,7 @@
 			test.Fatal("unevenly owned: ", name, counts)
 		}
 	}
-	if len(counts) != len(lockers) || owner("w", "h", map[string]string{"me": "x"}) != "me" {
+	if len(counts) != len(stores) || owner("w", "h", map[string]string{"me": "x"}) != "me" {
 		test.Fatal("somebody owns nothing: ", counts)
 	}
 }
--- a/internal/locker/quota.go
+++ b/internal/batch/store/quota.go
@@ -1,17 +1,17 @@
-package locker
+package store
 
 import (
-	"lemonarch/internal/jig"
-	"lemonarch/internal/ledgerbox"
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/batch/lots"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/messages"
 )
 
 // quota knows what counts against a route beside the book: lots on their way to
 // the stores, and which route a place belongs to under the newest configuration.
 type quota struct {
 	coming map[string]coming
-	config *jig.Config
-	routes map[place]*jig.Route
+	config *routeconfig.Config
+	routes map[place]*routeconfig.Route
 }
 
 // coming is a lot that is not durable yet.
@@ -27,18 +27,18 @@
 const placesKept = 4096
 
 func newQuota() quota {
-	return quota{coming: map[string]coming{}, routes: map[place]*jig.Route{}}
+	return quota{coming: map[string]coming{}, routes: map[place]*routeconfig.Route{}}
 }
 
 // comes notes a lot that was given to the stores.
-func (one *quota) comes(call *pattern.LotCall, tokens int64) {
+func (one *quota) comes(call *messages.LotCall, tokens int64) {
 	one.coming[call.Lot] = coming{place{call.Host, call.Path}, tokens}
 }
 
 // route gives the bulk route of a place, matched once for each configuration.
-func (one *quota) route(config *jig.Config, at place) *jig.Route {
+func (one *quota) route(config *routeconfig.Config, at place) *routeconfig.Route {
 	if one.config != config || len(one.routes) > placesKept {
-		one.config, one.routes = config, map[place]*jig.Route{}
+		one.config, one.routes = config, map[place]*routeconfig.Route{}
 	}
 	route, known := one.routes[at]
 	if !known {
@@ -50,12 +50,12 @@
 
 // waiting adds up the tokens that wait on a route, lots on their way to the
 // stores included. The lock is held.
-func (reign *reign) waiting(config *jig.Config, route *jig.Route) int64 {
-	total := reign.book.Waiting(func(lot *ledgerbox.Lot) bool {
-		return !reign.ending[lot.ID] && reign.quota.route(config, place{lot.Host, lot.Path}) == route
+func (term *term) waiting(config *routeconfig.Config, route *routeconfig.Route) int64 {
+	total := term.book.Waiting(func(lot *lots.Lot) bool {
+		return !term.ending[lot.ID] && term.quota.route(config, place{lot.Host, lot.Path}) == route
 	})
-	for _, one := range reign.quota.coming {
-		if reign.quota.route(config, one.place) == route {
+	for _, one := range term.quota.coming {
+		if term.quota.route(config, one.place) == route {
 			total += one.tokens
 		}
 	}
--- a/internal/locker/report.go
+++ b/internal/batch/store/report.go
@@ -1,33 +1,33 @@
-package locker
+package store
 
 import (
 	"strconv"
 
-	"lemonarch/internal/ledgerbox"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/batch/lots"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 func number[Whole int | int64 | uint64](value Whole) string {
 	return strconv.FormatInt(int64(value), 10)
 }
 
-// reports registers what a locker says to the shell.
-func (locker *Locker) reports() {
-	locker.Stand.Report("duty", locker.reportDuty)
-	locker.Stand.Report("lots", locker.reportLots)
-	locker.Stand.Report("stores", locker.reportStores)
-	locker.Stand.Report("pace", locker.reportPace)
+// reports registers what a store says to the shell.
+func (server *Server) reports() {
+	server.Node.Report("duty", server.reportDuty)
+	server.Node.Report("lots", server.reportLots)
+	server.Node.Report("stores", server.reportStores)
+	server.Node.Report("pace", server.reportPace)
 }
 
-func (locker *Locker) reportDuty() *pattern.Status {
-	status := &pattern.Status{Columns: []string{"duty", "state", "epoch", "holder"}}
+func (server *Server) reportDuty() *messages.Status {
+	status := &messages.Status{Columns: []string{"duty", "state", "epoch", "holder"}}
 	row := []string{"lots", "follows", "", ""}
-	locker.lock.Lock()
-	row[2], row[3] = number(locker.told.Epoch), locker.told.Holder
-	locker.lock.Unlock()
-	if current := locker.current(); current != nil {
+	server.lock.Lock()
+	row[2], row[3] = number(server.told.Epoch), server.told.Holder
+	server.lock.Unlock()
+	if current := server.current(); current != nil {
 		current.lock.Lock()
 		row[1] = "takes over"
 		if current.serving {
@@ -40,13 +40,13 @@
 	return status
 }
 
-func (locker *Locker) reportLots() *pattern.Status {
-	status := &pattern.Status{Columns: []string{"lot", "path", "age-s", "items", "listed", "acquired", "waiting-tokens", "deliveries", "lapses", "releases", "failures", "renewals", "state"}}
-	current := locker.current()
+func (server *Server) reportLots() *messages.Status {
+	status := &messages.Status{Columns: []string{"lot", "path", "age-s", "items", "listed", "acquired", "waiting-tokens", "deliveries", "lapses", "releases", "failures", "renewals", "state"}}
+	current := server.current()
 	if current == nil {
 		return status
 	}
-	now := watch.Wall() / 1_000_000
+	now := clock.Wall() / 1_000_000
 	current.lock.Lock()
 	defer current.lock.Unlock()
 	for _, lot := range current.book.Lots() {
@@ -61,7 +61,7 @@
 			if lot.Open() && item.Waits() {
 				tokens += item.Tokens
 			}
-			if item.State == ledgerbox.ItemAcquired {
+			if item.State == lots.ItemAcquired {
 				acquired++
 			}
 			deliveries += item.Runs
@@ -76,18 +76,18 @@
 	return status
 }
 
-func (locker *Locker) reportStores() *pattern.Status {
-	status := &pattern.Status{Columns: []string{"store", "disk", "records", "missing", "state"}}
-	last, _ := locker.Store.State()
-	status.Rows = append(status.Rows, []string{locker.Stand.Own.Name, locker.Store.Disk(), number(last), "", "own copy"})
-	current := locker.current()
+func (server *Server) reportStores() *messages.Status {
+	status := &messages.Status{Columns: []string{"store", "disk", "records", "missing", "state"}}
+	last, _ := server.Store.State()
+	status.Rows = append(status.Rows, []string{server.Node.Own.Name, server.Store.Disk(), number(last), "", "own copy"})
+	current := server.current()
 	if current == nil {
 		return status
 	}
 	current.lock.Lock()
 	defer current.lock.Unlock()
 	for _, member := range current.press.Members {
-		match := current.press.MatchOf(vise.Identity(member))
+		match := current.press.MatchOf(register.Identity(member))
 		status.Rows = append(status.Rows, []string{member.Name, member.Disk, number(match), number(current.press.Last() - match), "in the set"})
 	}
 	return status
--- /dev/null
+++ b/internal/batch/store/rim_test.go
@@ -0,0 +1,240 @@
+package store
+
+import (
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/control/lease"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/settings"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
+	"lemonarch/internal/traffic/loadgossip"
+)
+
+// rimRegister stands for the controllers: one acceptor, whose agreement with others is
+// tested elsewhere.
+type rimRegister struct {
+	lock   sync.Mutex
+	value  messages.Register
+	grants *lease.Grants
+}
+
+const rimRegisterAddress = "10.0.0.99:7000"
+
+func (one *rimRegister) change(change register.Change) {
+	if next, verdict := change(one.value); verdict == register.VerdictWrite {
+		one.value = next
+	}
+}
+
+func (one *rimRegister) answer(kind messages.Kind, body []byte) ([]byte, error) {
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	switch kind {
+	case messages.KindRegisterRead:
+		return transport.Write(&messages.DutyChanged{Done: true, Known: true, Value: one.value})
+	case messages.KindAsk:
+		question := &messages.HoldAsk{}
+		if err := transport.Read(body, question); err != nil {
+			return nil, err
+		}
+		back := one.grants.Ask(*question, one.value.Duty, clock.Now())
+		return transport.Write(&back)
+	case messages.KindDutyChange:
+		question, done := &messages.DutyChange{}, false
+		if err := transport.Read(body, question); err != nil {
+			return nil, err
+		}
+		change := register.SetStores(question.Holder, question.Stores, &done)
+		if question.Take {
+			change = register.TakeDuty(question.Holder, question.ExpectEpoch, question.Stores, &done)
+		}
+		one.change(change)
+		return transport.Write(&messages.DutyChanged{Done: done, Known: true, Value: one.value})
+	}
+	return nil, nil
+}
+
+// rimFleet is five real stores on fake disks: the first three stores are drawn
+// from them, and they take the duty from each other.
+type rimFleet struct {
+	test          *testing.T
+	random        *rand.Rand
+	room          *transport.Room
+	localRegister *rimRegister
+	disks         map[string]*simulation.Disk
+	lock          sync.Mutex
+	stores        map[string]*Server
+	client        *transport.Twin
+	taken         []string
+	ended         map[string]bool
+}
+
+func newRimFleet(test *testing.T, seed int64) *rimFleet {
+	fleet := &rimFleet{test: test, random: rand.New(rand.NewSource(seed)), room: transport.NewRoom(), disks: map[string]*simulation.Disk{}, stores: map[string]*Server{}, ended: map[string]bool{}}
+	fleet.localRegister = &rimRegister{grants: lease.NewGrants(clock.Now(), true),
+		value: messages.Register{Acceptors: []messages.Member{{Address: rimRegisterAddress, Disk: "r"}}}}
+	_ = fleet.room.Transport(rimRegisterAddress).Serve(fleet.localRegister.answer)
+	fleet.client = fleet.room.Transport("client")
+	for number := 1; number <= 5; number++ {
+		name := fmt.Sprint("s", number)
+		fleet.disks[name] = simulation.NewDisk(seed*10 + int64(number))
+		fleet.start(number, name+"-0")
+	}
+	stop := make(chan struct{})
+	go clock.Every(constants.TickPeriod*4, stop, fleet.meet)
+	fleet.meet()
+	for _, name := range simulation.Keys(fleet.stores) {
+		go fleet.stores[name].campaign()
+	}
+	test.Cleanup(func() {
+		close(stop)
+		for _, one := range fleet.all() {
+			fleet.stop(one)
+		}
+	})
+	return fleet
+}
+
+// start opens a process on the disk of its machine.
+func (fleet *rimFleet) start(number int, identity string) *Server {
+	name := fmt.Sprint("s", number)
+	store, err := OpenStore(fleet.disks[name], identity)
+	if err != nil {
+		fleet.test.Fatal(err)
+	}
+	nodeSettings := &settings.Settings{NodeName: name, Address: fmt.Sprint("10.0.0.", number), Zone: fmt.Sprint("h", number%3), InternalPorts: []int{7000, 7010},
+		Seeds: []string{"10.0.0.99:80"}, HeartbeatMs: 1200, FaultBudget: settings.FaultBudget{Machines: 1}, Tolerances: settings.Tolerances{StatusS: 120, CancelMs: 3000}}
+	runtime := node.New(nodeSettings, membership.RoleStore, constants.PortStore, store.Disk(), hclog.NewNullLogger())
+	runtime.Wire = fleet.room.Transport(runtime.Own.Address)
+	one := &Server{Node: runtime, Gossip: loadgossip.New(runtime), Store: store, begun: clock.Now(), done: make(chan struct{})}
+	one.driver = newDriver(one)
+	one.answerers()
+	one.driverAnswerers()
+	one.reports()
+	runtime.Take([]byte(quotaConfig))
+	if err = runtime.Wire.Serve(runtime.Handle); err != nil {
+		fleet.test.Fatal(err)
+	}
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	fleet.stores[name] = one
+	return one
+}
+
+func (fleet *rimFleet) stop(one *Server) {
+	if current := one.current(); current != nil {
+		current.end("stopped")
+	}
+	one.Node.End()
+	one.Node.Wire.Close()
+}
+
+func (fleet *rimFleet) all() []*Server {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	var all []*Server
+	for _, name := range simulation.Keys(fleet.stores) {
+		all = append(all, fleet.stores[name])
+	}
+	return all
+}
+
+// meet keeps the processes known to each other, as shuffles do.
+func (fleet *rimFleet) meet() {
+	all := fleet.all()
+	for _, one := range all {
+		for _, other := range all {
+			if one != other {
+				one.Node.Hear([]messages.Entry{other.Node.Own})
+			}
+		}
+	}
+}
+
+// until polls the world of real timers until something holds.
+func (fleet *rimFleet) until(what string, holds func() bool) {
+	for end := clock.Now().Plus(clock.Milliseconds(20_000)); !holds(); {
+		if clock.Now() > end {
+			fleet.test.Fatal("never: ", what)
+		}
+		<-clock.After(constants.TickPeriod / 2)
+	}
+}
+
+// call asks one store after the other until one that holds the duty answers.
+func (fleet *rimFleet) call(call *messages.LotCall, want int) {
+	fleet.until(fmt.Sprint(call.Method, " ", call.Lot, " answered by ", want), func() bool {
+		for _, one := range fleet.all() {
+			answer := &messages.LotAnswer{}
+			if transport.Ask(fleet.client, one.Node.Own.Address, messages.KindLotCall, call, answer, clock.Milliseconds(700)) != nil || answer.Elsewhere || answer.Status >= 500 {
+				continue
+			}
+			if answer.Status != want {
+				fleet.test.Fatalf("%s %s: %d by %s, want %d", call.Method, call.Lot, answer.Status, one.Node.Own.Name, want)
+			}
+			return true
+		}
+		return false
+	})
+}
+
+func (fleet *rimFleet) holder() *Server {
+	var found *Server
+	fleet.until("a holder", func() bool {
+		for _, one := range fleet.all() {
+			if current := one.current(); current != nil && one.holds() && current.waitServing(0) {
+				found = one
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// work hands a lot in, ends an older one, and looks for all that was told.
+func (fleet *rimFleet) work() {
+	lot := fmt.Sprint("lot", len(fleet.taken))
+	fleet.call(lotCallOf(lot, 1), 202)
+	fleet.taken = append(fleet.taken, lot)
+	// Few stay open, so that each new one fits.
+	if len(fleet.taken) > 2 {
+		old := fleet.taken[len(fleet.taken)-3]
+		fleet.call(&messages.LotCall{Method: "DELETE", Lot: old}, 200)
+		fleet.ended[old] = true
+	}
+	for _, one := range fleet.taken {
+		fleet.call(&messages.LotCall{Method: "GET", Lot: one}, 200)
+	}
+	current := fleet.holder().current()
+	if current == nil {
+		return
+	}
+	current.lock.Lock()
+	defer current.lock.Unlock()
+	for lot := range fleet.ended {
+		if found := current.book.Lot(lot); found != nil && !found.Ended {
+			fleet.test.Fatal("an ended lot is open again: ", lot)
+		}
+	}
+}
+
+func (fleet *rimFleet) records() map[string]string {
+	fleet.localRegister.lock.Lock()
+	defer fleet.localRegister.lock.Unlock()
+	disks := map[string]string{}
+	for _, member := range fleet.localRegister.value.Stores {
+		disks[member.Name] = member.Disk
+	}
+	return disks
+}
