--- a/internal/vise/replace.go
+++ b/internal/control/register/replace.go
@@ -1,63 +1,63 @@
-package vise
+package register
 
 import (
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // Outcome is what a change found.
-type Outcome int
+type Result int
 
 // The outcomes.
 const (
 	// OutcomeTaken: the change is in force.
-	OutcomeTaken Outcome = iota
+	ResultTaken Result = iota
 	// OutcomeAlready: this very version was taken before.
-	OutcomeAlready
+	ResultAlready
 	// OutcomeOther: another version is in place.
-	OutcomeOther
+	ResultOther
 	// OutcomeOld: the generation is not above the current one.
-	OutcomeOld
+	ResultOld
 )
 
 // Replace gives the change that puts a configuration in force on top of its
 // base. The outcome is written each time the change is shown a value; only the
 // last showing counts.
-func Replace(version pattern.Version, body []byte, outcome *Outcome) Change {
-	return func(current pattern.Register) (pattern.Register, Verdict) {
-		for _, earlier := range append([]pattern.Version{current.Current}, current.History...) {
+func Replace(version messages.Version, body []byte, result *Result) Change {
+	return func(current messages.Register) (messages.Register, Verdict) {
+		for _, earlier := range append([]messages.Version{current.Current}, current.History...) {
 			// A version resent after an unclear answer is known by its hash.
 			if earlier.Generation > 0 && earlier == version {
-				*outcome = OutcomeAlready
+				*result = ResultAlready
 				return current, VerdictKeep
 			}
 		}
 		if current.Current.Generation != version.Base {
-			*outcome = OutcomeOther
+			*result = ResultOther
 			return current, VerdictKeep
 		}
 		if version.Generation <= current.Current.Generation {
-			*outcome = OutcomeOld
+			*result = ResultOld
 			return current, VerdictKeep
 		}
 		next := current
-		next.History = append([]pattern.Version{}, current.History...)
+		next.History = append([]messages.Version{}, current.History...)
 		if current.Current.Generation > 0 {
 			next.History = append(next.History, current.Current)
 		}
-		if excess := len(next.History) - almanac.HistoryLength; excess > 0 {
+		if excess := len(next.History) - constants.HistoryLength; excess > 0 {
 			next.History = next.History[excess:]
 		}
 		next.Current, next.Body = version, body
-		*outcome = OutcomeTaken
+		*result = ResultTaken
 		return next, VerdictWrite
 	}
 }
 
-// TakeDuty gives the change by which a locker takes the duty of the lots: it
+// TakeDuty gives the change by which a store takes the duty of the lots: it
 // raises the epoch, so that whoever held it before can change nothing any more.
-func TakeDuty(duty pattern.Duty, expected uint64, first []pattern.Member, done *bool) Change {
-	return func(current pattern.Register) (pattern.Register, Verdict) {
+func TakeDuty(duty messages.Duty, expected uint64, first []messages.Member, done *bool) Change {
+	return func(current messages.Register) (messages.Register, Verdict) {
 		*done = false
 		if current.Duty.Epoch == expected+1 && current.Duty.Holder == duty.Holder && current.Duty.Life == duty.Life {
 			// The answer to an earlier try was lost.
@@ -80,8 +80,8 @@
 
 // SetStores gives the change of the store set. Only the holder of the epoch may
 // make it, and only one member at a time.
-func SetStores(duty pattern.Duty, stores []pattern.Member, done *bool) Change {
-	return func(current pattern.Register) (pattern.Register, Verdict) {
+func SetStores(duty messages.Duty, stores []messages.Member, done *bool) Change {
+	return func(current messages.Register) (messages.Register, Verdict) {
 		*done = false
 		if current.Duty.Epoch != duty.Epoch || current.Duty.Holder != duty.Holder || current.Duty.Life != duty.Life {
 			return current, VerdictKeep
@@ -96,7 +96,7 @@
 	}
 }
 
-func sameMembers(left, right []pattern.Member) bool {
+func sameMembers(left, right []messages.Member) bool {
 	if len(left) != len(right) {
 		return false
 	}
@@ -110,7 +110,7 @@
 
 // Retire gives the change that notes a store machine as one to be emptied.
 func Retire(name string) Change {
-	return func(current pattern.Register) (pattern.Register, Verdict) {
+	return func(current messages.Register) (messages.Register, Verdict) {
 		for _, known := range current.Retired {
 			if known == name {
 				return current, VerdictKeep
--- a/internal/vise/set.go
+++ b/internal/control/register/set.go
@@ -1,14 +1,14 @@
-package vise
+package register
 
-import "lemonarch/internal/pattern"
+import "lemonarch/internal/platform/messages"
 
 // Join gives a change of the acceptor set by which a newcomer takes the place of
 // a member, or a new place where out is nil. The old set stays beside the new
 // one until Settle, so that majorities of both must agree in between. A set that
 // has its size takes nobody without giving somebody up: several newcomers may have
 // seen the same gap.
-func Join(newcomer pattern.Member, out *pattern.Member, size int) Change {
-	return func(current pattern.Register) (pattern.Register, Verdict) {
+func Join(newcomer messages.Member, out *messages.Member, size int) Change {
+	return func(current messages.Register) (messages.Register, Verdict) {
 		if len(current.Previous) > 0 {
 			// One change at a time.
 			return current, VerdictKeep
@@ -16,7 +16,7 @@
 		if out == nil && len(current.Acceptors) >= size {
 			return current, VerdictKeep
 		}
-		var next []pattern.Member
+		var next []messages.Member
 		removed := false
 		for _, member := range current.Acceptors {
 			if Identity(member) == Identity(newcomer) {
@@ -39,7 +39,7 @@
 }
 
 // Settle ends a change of the set.
-func Settle(current pattern.Register) (pattern.Register, Verdict) {
+func Settle(current messages.Register) (messages.Register, Verdict) {
 	if len(current.Previous) == 0 {
 		return current, VerdictKeep
 	}
@@ -49,4 +49,4 @@
 }
 
 // Look changes nothing.
-func Look(current pattern.Register) (pattern.Register, Verdict) { return current, VerdictKeep }
+func Look(current messages.Register) (messages.Register, Verdict) { return current, VerdictKeep }
--- a/internal/vise/tend.go
+++ b/internal/control/register/tend.go
@@ -1,23 +1,23 @@
-package vise
+package register
 
-import "lemonarch/internal/pattern"
+import "lemonarch/internal/platform/messages"
 
 // Tending is what a process knows when it looks after the acceptor set.
 type Tending struct {
-	Own pattern.Member
+	Own messages.Member
 	// Votes says that this process may take a place: it has a disk of its own.
 	Votes bool
 	// Size is how many members bear the loss of the fault budget (2f + 1).
 	Size int
 	// Blank says of a member that it has no disk, and Gone that it was silent for
 	// long; Gone is asked only where nothing else is to be done.
-	Blank func(member pattern.Member) bool
-	Gone  func(member pattern.Member) bool
+	Blank func(member messages.Member) bool
+	Gone  func(member messages.Member) bool
 }
 
 // Step gives the change of the set that this process should propose, or nil. Each
 // process proposes only itself, and one change at a time.
-func (tending Tending) Step(known pattern.Register) Change {
+func (tending Tending) Step(known messages.Register) Change {
 	if len(known.Acceptors) == 0 {
 		return nil
 	}
@@ -28,7 +28,7 @@
 	if !tending.Votes {
 		return nil
 	}
-	var blank *pattern.Member
+	var blank *messages.Member
 	for index := range known.Acceptors {
 		member := known.Acceptors[index]
 		if Identity(member) == Identity(tending.Own) {
@@ -59,7 +59,7 @@
 // Bears tells whether the loss of the fault budget leaves a majority: what a
 // smaller set acknowledged could be lost within the budget. Others is how many
 // processes with a disk stand outside and could still join.
-func Bears(value *pattern.Register, size, others int) bool {
+func Bears(value *messages.Register, size, others int) bool {
 	whole := min(size, len(value.Acceptors)+others)
 	return len(value.Acceptors) >= whole && (len(value.Previous) == 0 || len(value.Previous) >= whole)
 }
--- a/internal/vise/trouble_test.go
+++ b/internal/control/register/trouble_test.go
@@ -1,12 +1,12 @@
-package vise_test
+package register_test
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/vise"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 func TestRegisterUnderTrouble(test *testing.T) {
@@ -21,18 +21,18 @@
 				generation += 1 + int64(one.world.Random.Intn(3))
 				from := names[one.world.Random.Intn(3)]
 				next, on := generation, base
-				one.world.After(watch.Milliseconds(30*one.world.Random.Float64()), func() { one.replace(from, next, on, fmt.Sprint(next)) })
+				one.world.After(clock.Milliseconds(30*one.world.Random.Float64()), func() { one.replace(from, next, on, fmt.Sprint(next)) })
 			}
 			trouble := names[one.world.Random.Intn(3)]
 			switch one.world.Random.Intn(3) {
 			case 0:
 				one.world.Isolate(trouble, names, true)
-				one.world.After(watch.Milliseconds(300), func() { one.world.Isolate(trouble, names, false) })
+				one.world.After(clock.Milliseconds(300), func() { one.world.Isolate(trouble, names, false) })
 			case 1:
-				one.foremen[trouble].down = true
-				one.world.After(watch.Milliseconds(300), func() { one.restart(trouble) })
+				one.controllers[trouble].down = true
+				one.world.After(clock.Milliseconds(300), func() { one.restart(trouble) })
 			}
-			one.world.Run(one.world.Now.Plus(watch.Milliseconds(6000)))
+			one.world.Run(one.world.Now.Plus(clock.Milliseconds(6000)))
 			if found := one.newest(names[one.world.Random.Intn(3)]); found >= 0 {
 				base = found
 			}
@@ -50,7 +50,7 @@
 		for step := int64(1); step < 6; step++ {
 			one.replace("a", step, step-1, "x")
 			one.replace("b", step, step-1, "y")
-			one.world.Run(one.world.Now.Plus(watch.Milliseconds(3000)))
+			one.world.Run(one.world.Now.Plus(clock.Milliseconds(3000)))
 		}
 		return one.world.Sum()
 	}
@@ -65,18 +65,18 @@
 	one := newFleet(test, 3, "a", "b", "c")
 	one.world.Isolate("c", []string{"a", "b"}, true)
 	one.replace("a", 5, 0, "five")
-	one.world.Run(watch.Moment(2_000_000_000))
+	one.world.Run(clock.Moment(2_000_000_000))
 	if one.acked[5] == "" {
 		test.Fatal("not acknowledged at a majority")
 	}
 	one.wipe("a")
-	one.foremen["a"].known = one.foremen["c"].known
+	one.controllers["a"].known = one.controllers["c"].known
 	one.world.Isolate("c", []string{"a", "b"}, false)
 	// With b away the wiped a and the outdated c must not make a majority.
-	one.foremen["b"].down = true
+	one.controllers["b"].down = true
 	decided := false
-	one.change("c", vise.Look, 4, func(_ pattern.Register, done bool) { decided = done })
-	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
+	one.change("c", register.Look, 4, func(_ messages.Register, done bool) { decided = done })
+	one.world.Run(one.world.Now.Plus(clock.Milliseconds(4000)))
 	if decided {
 		test.Fatal("an amnesiac helped a majority")
 	}
@@ -87,16 +87,16 @@
 	}
 	// a takes its own place again under its new identity, then counts.
 	joined := false
-	old := pattern.Member{Address: "a", Disk: "first"}
-	one.change("a", vise.Join(one.foremen["a"].member, &old, 3), 10, func(_ pattern.Register, done bool) { joined = done })
-	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
+	old := messages.Member{Address: "a", Disk: "first"}
+	one.change("a", register.Join(one.controllers["a"].member, &old, 3), 10, func(_ messages.Register, done bool) { joined = done })
+	one.world.Run(one.world.Now.Plus(clock.Milliseconds(4000)))
 	settled := false
-	one.change("a", vise.Settle, 10, func(value pattern.Register, done bool) { settled = done && len(value.Previous) == 0 })
-	one.world.Run(one.world.Now.Plus(watch.Milliseconds(4000)))
+	one.change("a", register.Settle, 10, func(value messages.Register, done bool) { settled = done && len(value.Previous) == 0 })
+	one.world.Run(one.world.Now.Plus(clock.Milliseconds(4000)))
 	if !joined || !settled {
 		test.Fatal("the newcomer did not join")
 	}
-	one.foremen["b"].down = true
+	one.controllers["b"].down = true
 	if found := one.newest("c"); found != 5 {
 		test.Fatalf("found %d with the newcomer's vote, want 5", found)
 	}
@@ -107,19 +107,19 @@
 func TestLostAcknowledgementThenResend(test *testing.T) {
 	one := newFleet(test, 11, "a", "b", "c")
 	one.replace("a", 2, 0, "two")
-	one.world.Run(watch.Moment(1_000_000_000))
+	one.world.Run(clock.Moment(1_000_000_000))
 	one.replace("b", 4, 2, "four")
-	one.world.Run(one.world.Now.Plus(watch.Milliseconds(1000)))
-	var outcome vise.Outcome
-	one.change("c", vise.Replace(pattern.Version{Generation: 2, Hash: "two"}, []byte("two"), &outcome), 5, func(pattern.Register, bool) {})
-	one.world.Run(one.world.Now.Plus(watch.Milliseconds(2000)))
-	if outcome != vise.OutcomeAlready {
-		test.Fatalf("resent version got outcome %d", outcome)
-	}
-	one.change("c", vise.Replace(pattern.Version{Generation: 6, Base: 2, Hash: "six"}, []byte("six"), &outcome), 5, func(pattern.Register, bool) {})
-	one.world.Run(one.world.Now.Plus(watch.Milliseconds(2000)))
-	if outcome != vise.OutcomeOther {
-		test.Fatalf("change on an old base got outcome %d", outcome)
+	one.world.Run(one.world.Now.Plus(clock.Milliseconds(1000)))
+	var result register.Result
+	one.change("c", register.Replace(messages.Version{Generation: 2, Hash: "two"}, []byte("two"), &result), 5, func(messages.Register, bool) {})
+	one.world.Run(one.world.Now.Plus(clock.Milliseconds(2000)))
+	if result != register.ResultAlready {
+		test.Fatalf("resent version got outcome %d", result)
+	}
+	one.change("c", register.Replace(messages.Version{Generation: 6, Base: 2, Hash: "six"}, []byte("six"), &result), 5, func(messages.Register, bool) {})
+	one.world.Run(one.world.Now.Plus(clock.Milliseconds(2000)))
+	if result != register.ResultOther {
+		test.Fatalf("change on an old base got outcome %d", result)
 	}
 }
 
@@ -133,17 +133,17 @@
 		one.outsider("d")
 		one.world.Loss = 0.3
 		one.replace("a", 1, 0, "1")
-		one.world.Run(watch.Moment(3_000_000_000))
+		one.world.Run(clock.Moment(3_000_000_000))
 		base := one.newest("a")
 		for round := 0; round < 3 && base > 0; round++ {
 			first, second := base+1, base+2
 			one.replace("d", first, base, fmt.Sprint(first))
-			one.world.Run(one.world.Now.Plus(watch.Milliseconds(20 + 90*one.world.Random.Float64())))
-			one.foremen["d"].down = true
+			one.world.Run(one.world.Now.Plus(clock.Milliseconds(20 + 90*one.world.Random.Float64())))
+			one.controllers["d"].down = true
 			one.restart("d")
 			one.replace("d", second, base, fmt.Sprint(second))
-			one.world.After(watch.Milliseconds(100*one.world.Random.Float64()), func() { one.replace("b", first, base, fmt.Sprint(first)) })
-			one.world.Run(one.world.Now.Plus(watch.Milliseconds(6000)))
+			one.world.After(clock.Milliseconds(100*one.world.Random.Float64()), func() { one.replace("b", first, base, fmt.Sprint(first)) })
+			one.world.Run(one.world.Now.Plus(clock.Milliseconds(6000)))
 			base = one.newest("c")
 		}
 		acked += len(one.acked)
@@ -159,25 +159,25 @@
 // reads at a and b must find Y.
 func TestTwoLivesOneCounter(test *testing.T) {
 	one := newFleet(test, 1, "a", "b", "c")
-	accept := func(name string, ballot pattern.Ballot, mark string) bool {
-		value := pattern.Register{Acceptors: one.foremen["a"].disk.First, Current: pattern.Version{Hash: mark}}
-		answer, _ := one.foremen[name].live.Accept(&pattern.Accept{Ballot: ballot, Disk: "first", Value: value})
+	accept := func(name string, ballot messages.Ballot, mark string) bool {
+		value := messages.Register{Acceptors: one.controllers["a"].disk.First, Current: messages.Version{Hash: mark}}
+		answer, _ := one.controllers[name].live.Accept(&messages.Accept{Ballot: ballot, Disk: "first", Value: value})
 		return answer.Granted
 	}
-	prepare := func(name string, ballot pattern.Ballot) pattern.Promise {
-		answer, _ := one.foremen[name].live.Prepare(&pattern.Prepare{Ballot: ballot, Disk: "first"})
+	prepare := func(name string, ballot messages.Ballot) messages.Promise {
+		answer, _ := one.controllers[name].live.Prepare(&messages.Prepare{Ballot: ballot, Disk: "first"})
 		return answer
 	}
-	old, young := vise.NewBallot(6, "d", "disk", 1), vise.NewBallot(6, "d", "disk", 2)
+	old, young := register.NewBallot(6, "d", "disk", 1), register.NewBallot(6, "d", "disk", 2)
 	prepare("a", old)
 	prepare("b", old)
 	accept("a", old, "X")
 	if !prepare("b", young).Granted || !prepare("c", young).Granted || !accept("b", young, "Y") || !accept("c", young, "Y") {
 		test.Fatal("the later life was refused, so this history says nothing")
 	}
-	proposal, _ := vise.Begin(vise.NewBallot(9, "e", "disk", 1), pattern.Register{Acceptors: one.foremen["a"].disk.First}, vise.Look)
+	proposal, _ := register.Begin(register.NewBallot(9, "e", "disk", 1), messages.Register{Acceptors: one.controllers["a"].disk.First}, register.Look)
 	for _, name := range []string{"a", "b"} {
-		proposal.Promised(one.foremen[name].member, prepare(name, vise.NewBallot(9, "e", "disk", 1)))
+		proposal.Promised(one.controllers[name].member, prepare(name, register.NewBallot(9, "e", "disk", 1)))
 	}
 	if got := proposal.Value().Current.Hash; got != "Y" {
 		test.Fatalf("read %q, although Y was chosen", got)
@@ -202,9 +202,9 @@
 			// One direction of one link is cut, then joined again.
 			left, right := names[one.world.Random.Intn(4)], names[one.world.Random.Intn(4)]
 			one.world.Cut(left, right, true)
-			one.world.After(watch.Milliseconds(900), func() { one.world.Cut(left, right, false) })
+			one.world.After(clock.Milliseconds(900), func() { one.world.Cut(left, right, false) })
 			// Whoever stands by takes a member's place.
-			known := one.foremen["a"].known.Acceptors
+			known := one.controllers["a"].known.Acceptors
 			voting := map[string]bool{}
 			for _, member := range known {
 				voting[member.Address] = true
@@ -212,15 +212,15 @@
 			for _, name := range names {
 				if !voting[name] && len(known) == 3 {
 					out := known[one.world.Random.Intn(3)]
-					one.change(name, vise.Join(one.foremen[name].member, &out, 3), 10, func(_ pattern.Register, done bool) {
+					one.change(name, register.Join(one.controllers[name].member, &out, 3), 10, func(_ messages.Register, done bool) {
 						if done {
 							joins++
-							one.change(name, vise.Settle, 10, func(pattern.Register, bool) {})
+							one.change(name, register.Settle, 10, func(messages.Register, bool) {})
 						}
 					})
 				}
 			}
-			one.world.Run(one.world.Now.Plus(watch.Milliseconds(9000)))
+			one.world.Run(one.world.Now.Plus(clock.Milliseconds(9000)))
 			if found := one.newest(names[one.world.Random.Intn(4)]); found >= 0 {
 				base = found
 			}
--- a/internal/roster/lists_test.go
+++ b/internal/control/workers/lists_test.go
@@ -1,11 +1,11 @@
-package roster
+package workers
 
 import (
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // The kept lists follow each change of the table.
@@ -21,17 +21,17 @@
 		}
 	}
 	expect("empty", 0, 0)
-	table.Merge(pattern.Worker{ID: "v", Backend: "s", Count: 1}, 1)
+	table.Merge(messages.Worker{ID: "v", Backend: "s", Count: 1}, 1)
 	expect("one", 1, 1)
-	table.Merge(pattern.Worker{ID: "w", Backend: "s", Count: 1}, 1)
+	table.Merge(messages.Worker{ID: "w", Backend: "s", Count: 1}, 1)
 	expect("two", 2, 2)
-	table.Merge(pattern.Worker{ID: "w", Backend: "s", Count: 2, Phase: pattern.PhaseDraining}, 2)
+	table.Merge(messages.Worker{ID: "w", Backend: "s", Count: 2, Phase: messages.PhaseDraining}, 2)
 	expect("one drains", 1, 2)
-	table.Merge(pattern.Worker{ID: "v", Backend: "t", Count: 2}, 2)
+	table.Merge(messages.Worker{ID: "v", Backend: "t", Count: 2}, 2)
 	expect("one serves another", 0, 2)
 	if entries := table.Entries(); entries[0].ID != "v" || entries[0].Backend != "t" || entries[1].ID != "w" {
 		test.Error(entries)
 	}
-	table.Forget(watch.Moment(2).Plus(2 * almanac.ForgetAfter))
+	table.Forget(clock.Moment(2).Plus(2 * constants.ForgetAfter))
 	expect("forgotten", 0, 0)
 }
--- a/internal/watch/watch.go
+++ b/internal/platform/clock/clock.go
@@ -1,6 +1,6 @@
 // Package watch wraps time, so that cores take a moment as an argument and only
 // few files import the clock.
-package watch
+package clock
 
 import (
 	"math/rand"
--- a/internal/watch/day.go
+++ b/internal/platform/clock/day.go
@@ -1,4 +1,4 @@
-package watch
+package clock
 
 import "time"
 
--- a/internal/almanac/assign.go
+++ b/internal/platform/constants/assign.go
@@ -1,4 +1,4 @@
-package almanac
+package constants
 
 import "time"
 
@@ -16,12 +16,12 @@
 	// PlanBody bounds, in bytes, what the register of assignments holds (ours): rules
 	// for 200 nodes take 30,000. It travels with each round of the register.
 	PlanBody = 256 << 10
-	// PlanPeriod is how often a foreman looks whether a node of the rules is gone (ours).
+	// PlanPeriod is how often a controller looks whether a node of the rules is gone (ours).
 	PlanPeriod = 2 * time.Second
 	// PlanSilence is the silence after which a node is taken for gone (ours): longer
 	// than a restart, and short against the time before a window.
 	PlanSilence = 20 * time.Second
-	// PlanPause is the least time between two plans that a foreman makes by itself
+	// PlanPause is the least time between two plans that a controller makes by itself
 	// (ours), so that a node which comes and goes does not move adapters each time.
 	PlanPause = 10 * time.Second
 	// PlanForget is when a node that was seen counts as never seen (ours).
--- a/internal/almanac/almanac.go
+++ b/internal/platform/constants/constants.go
@@ -1,6 +1,6 @@
-// Package almanac holds every constant of the project, each with its unit and
+// Package constants holds every constant of the project, each with its unit and
 // the reason for its value. Values marked (ours) are defaults to be measured.
-package almanac
+package constants
 
 import "time"
 
@@ -8,9 +8,9 @@
 const (
 	// PortForeman, PortForge and PortLocker are offsets from the first internal
 	// port: two processes share a machine's ports, so each role has its own.
-	PortForeman = 0
-	PortForge   = 1
-	PortLocker  = 2
+	PortController = 0
+	PortGateway    = 1
+	PortStore      = 2
 	// FrameLimit bounds one frame in bytes: a lot of the largest allowed body
 	// plus its framing must fit.
 	FrameLimit = 48 << 20
@@ -36,7 +36,7 @@
 	PushTime = 350 * time.Millisecond
 	// SilentPipe is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
 	// nothing answers, and a hung connection must not hold a caller.
-	SilentPipe = 1500 * time.Millisecond
+	SilentConnection = 1500 * time.Millisecond
 	// BulkCallTime bounds calls that carry lots or long stretches of records.
 	BulkCallTime = 3 * time.Second
 )
@@ -55,7 +55,7 @@
 	// HistoryLength is how many acknowledged versions the register remembers, so
 	// that a call resent after an unclear answer is known again.
 	HistoryLength = 32
-	// GrowTime is how long after its start a foreman holds acknowledgements back while
+	// GrowTime is how long after its start a controller holds acknowledgements back while
 	// the set of acceptors can't yet bear the fault budget and others could join it
 	// (ours): joining takes well under a second each.
 	GrowTime = 10 * time.Second
@@ -74,7 +74,7 @@
 	BeatsMissed = 3
 	// BeatsGone is how many make it gone for good.
 	BeatsGone = 10
-	// RosterPeriod is the time between two roster messages to each peer.
+	// RosterPeriod is the time between two workers messages to each peer.
 	RosterPeriod = 700 * time.Millisecond
 )
 
@@ -94,14 +94,14 @@
 	// StepGuess is the first guess, in ms, of what one running request costs the
 	// others in waiting.
 	StepGuess = 0.4
-	// RelayAfter is how many lockers have failed to answer when another forge is
-	// asked, and how many forges are (ours).
+	// RelayAfter is how many stores have failed to answer when another gateway is
+	// asked, and how many gateways are (ours).
 	RelayAfter = 2
 	// LongReading, in ms, is the reading time from which a prompt is told to peers at
 	// once (ours): others would wait behind it for longer than gossip takes.
 	LongReading = 12.0
 	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
-	FailurePenalty = 4000.0
+	ErrPenalty = 4000.0
 )
 
 // Displacement.
@@ -126,7 +126,7 @@
 	// PumpPeriod is how often those that wait are looked at without a cause (ours).
 	PumpPeriod = 15 * time.Millisecond
 	// LeastPipes is the fewest connections to a worker that a node may open.
-	LeastPipes = 4
+	LeastConnections = 4
 	// RequestLimit is used for bodies and heads until a configuration says.
 	RequestLimit = 4 << 20
 	// HeadLimit is used for heads until a configuration says.
@@ -144,12 +144,12 @@
 	// SilentPlainLeast its least.
 	SilentPlain      = 3
 	SilentPlainLeast = 250 * time.Millisecond
-	// PipeIdle is how long an idle pipe is kept when the worker names no time.
-	PipeIdle = 4 * time.Second
+	// PipeIdle is how long an idle connection is kept when the worker names no time.
+	ConnectionIdle = 4 * time.Second
 	// PipePart is the part of a worker's connections that one node may have, and
 	// PipePartItems that of one which runs items (ours).
-	PipePart      = 0.125
-	PipePartItems = 0.2
+	ConnectionPart      = 0.125
+	ConnectionPartItems = 0.2
 	// DrainLinger is how long a leaving node still takes new connections: the
 	// platform needs two missed probes, a second apart, to see it leave.
 	DrainLinger = 2600 * time.Millisecond
@@ -171,7 +171,7 @@
 	RetryItem = 60 * time.Millisecond
 	// SetChange bounds the copying to a newcomer; what was copied stays there.
 	SetChange = 20 * time.Second
-	// FirstMeeting is how long lockers wait for each other at the first start
+	// FirstMeeting is how long stores wait for each other at the first start
 	// before they make do with fewer.
 	FirstMeeting = 4 * time.Second
 	// LotItems is the largest number of items in a lot (PROTOCOL).
@@ -188,7 +188,7 @@
 	// is time that a live request waits. Letting first events set the pace measured
 	// better than reckoning the reading time.
 	BulkUnread = 1
-	// TickPeriod is the period of the locker's own upkeep.
+	// TickPeriod is the period of the store's own upkeep.
 	TickPeriod = 50 * time.Millisecond
 	// RewriteBytes is the least size at which a file of records is rewritten.
 	RewriteBytes = 24 << 20
--- a/internal/almanac/gossip.go
+++ b/internal/platform/constants/gossip.go
@@ -1,4 +1,4 @@
-package almanac
+package constants
 
 import "time"
 
@@ -9,7 +9,7 @@
 	GossipPeriod = time.Second
 	// GossipStale is the age at which a peer's word counts no more: three periods.
 	GossipStale = 3 * GossipPeriod
-	// GossipLoads bounds the load words of a packet (ours): those of a hall with 150
+	// GossipLoads bounds the load words of a packet (ours): those of a zone with 150
 	// workers, and the packet stays within 1,400 bytes.
 	GossipLoads = 144
 	// GossipWorth is the age up to which evidence is passed on (ours): older would reach
@@ -33,7 +33,7 @@
 	// ReadingFanout bounds who is told of a long reading (ours): a small fleet whole,
 	// and of a large one those near by.
 	ReadingFanout = 12
-	// PressureFanout is how many lockers a word of pressure goes to, and PressureHops
+	// PressureFanout is how many stores a word of pressure goes to, and PressureHops
 	// how often it is passed on by them (ours): the cost is the same in any fleet.
 	PressureFanout = 3
 	PressureHops   = 1
@@ -45,7 +45,7 @@
 	// requests' length.
 	FullFor = 350 * time.Millisecond
 	// SpreadMs is the random part of a plain worker's score (ours): less than the 2 ms
-	// that another hall costs.
+	// that another zone costs.
 	SpreadMs = 1.0
 	// ReachWhole is the number of a service's workers up to which a node weighs them
 	// all; ReachSubset is how many it weighs of more, and ReachHomes how many homes and
--- a/internal/almanac/lab.go
+++ b/internal/platform/constants/lab.go
@@ -1,4 +1,4 @@
-package almanac
+package constants
 
 import "time"
 
@@ -34,16 +34,16 @@
 	LabIngressPort  = 7101
 	LabReadyPort    = 7102
 	LabControlPort  = 7103
-	LabDeskPort     = 7100
+	LabEndpointPort = 7100
 	LabWorkerPort   = 7110
 	LabInternalPort = 7660
 	// LabNetwork: the first three bytes of the addresses, where none are named.
 	LabNetwork = "127.0.71"
 	// LabEdgeHost, LabStoreHost, LabWorkerHost: the last byte of the first of each.
-	LabDeskHost   = 1
-	LabEdgeHost   = 11
-	LabStoreHost  = 61
-	LabWorkerHost = 101
+	LabEndpointHost = 1
+	LabEdgeHost     = 11
+	LabStoreHost    = 61
+	LabWorkerHost   = 101
 
 	// LabStartLimit: a fleet that does not serve by then has failed to start.
 	LabStartLimit = 30 * time.Second
@@ -108,7 +108,7 @@
 	LoadFindings = 20
 	// LoadDrain: how long a run waits for answers and lots once it has sent everything.
 	LoadDrain = 20 * time.Second
-	// LoadSilence: a downstream gives a stream up after this silence at least (protocol).
+	// LoadSilence: a client gives a stream up after this silence at least (protocol).
 	LoadSilence = 2 * time.Second
 	// LoadPollPause: between two reads of a lot (protocol: about twice a second).
 	LoadPollPause = 500 * time.Millisecond
--- a/internal/almanac/pace.go
+++ b/internal/platform/constants/pace.go
@@ -1,4 +1,4 @@
-package almanac
+package constants
 
 import "time"
 
--- a/internal/almanac/views.go
+++ b/internal/platform/constants/views.go
@@ -1,4 +1,4 @@
-package almanac
+package constants
 
 import "time"
 
@@ -11,19 +11,19 @@
 	// ViewBase is the constant part of a bounded view, to which twice the logarithm of
 	// the population comes (ours): up to 25 of a role the view is still whole.
 	ViewBase = 16
-	// FarLinks is how many processes of each other hall a bounded view keeps at least
+	// FarLinks is how many processes of each other zone a bounded view keeps at least
 	// (ours): one may be lost.
 	FarLinks = 2
-	// FarShuffle: one shuffle in so many leaves the hall (ours); those bytes are dear.
+	// FarShuffle: one shuffle in so many leaves the zone (ours); those bytes are dear.
 	FarShuffle = 4
-	// DrawAfter is how long a foreman goes by what it reckoned of whom a process should
+	// DrawAfter is how long a controller goes by what it reckoned of whom a process should
 	// know, while nobody came or went (ours).
 	DrawAfter = 5 * time.Second
-	// FreshReport is the age below which a foreman tells a process as just heard (ours):
-	// a report a second, and a word between foremen.
+	// FreshReport is the age below which a controller tells a process as just heard (ours):
+	// a report a second, and a word between controllers.
 	FreshReport = 1800 * time.Millisecond
 	// NeighbourRounds: in one round of so many a process shuffles with a neighbour
-	// besides its word with a foreman (ours): that matters only once foremen are gone.
+	// besides its word with a controller (ours): that matters only once controllers are gone.
 	NeighbourRounds = 10
 	// SilentAfter is the silence after which a process is taken for silent.
 	SilentAfter = 3 * time.Second
@@ -37,10 +37,10 @@
 
 // Spreading.
 const (
-	// ReportTime bounds the periodic word with a foreman (ours): another one is asked
+	// ReportTime bounds the periodic word with a controller (ours): another one is asked
 	// then, well before the next period.
 	ReportTime = 400 * time.Millisecond
-	// RelearnTime is how long a starting foreman waits for the tables of another before
+	// RelearnTime is how long a starting controller waits for the tables of another before
 	// it takes calls of workers without them (ours).
 	RelearnTime = 1500 * time.Millisecond
 	// TreeTime bounds the wait for the whole fleet to take word of a worker before the
@@ -50,14 +50,14 @@
 	// together, and BatchesAtOnce how many words that bind may be under way (ours).
 	BatchWindow   = 120 * time.Millisecond
 	BatchesAtOnce = 8
-	// HolderReminder: forges are told of a duty's holder in its first rounds, as many as
+	// HolderReminder: gateways are told of a duty's holder in its first rounds, as many as
 	// this, and then in one of so many (ours).
 	HolderReminder = 8
-	// RelayPatience is how long a foreman may take to say that it tells its hall, and
+	// RelayPatience is how long a controller may take to say that it tells its zone, and
 	// HallTime how long that may take (ours): then another way is gone. Both, twice,
 	// must fit into the bound above.
 	RelayPatience = 120 * time.Millisecond
-	HallTime      = 180 * time.Millisecond
+	ZoneTime      = 180 * time.Millisecond
 	// BodyFan is how many processes a process sends a configuration to (ours): with a
 	// link of 30 Mbit/s, a body of 100 KB takes 27 ms each.
 	BodyFan = 3
--- a/internal/almanac/vitals.go
+++ b/internal/platform/constants/vitals.go
@@ -1,11 +1,11 @@
-package almanac
+package constants
 
 import "time"
 
 // Vitals of workers.
 const (
 	// TrustHalf is the time in which an outcome comes to count half (ours): with many
-	// forges each sees a worker every few seconds, and an illness lasts for seconds.
+	// gateways each sees a worker every few seconds, and an illness lasts for seconds.
 	TrustHalf = 6 * time.Second
 	// TrustPrior is how many outcomes the service's usual rate stands for (ours): few,
 	// as the evidence is thin.
@@ -20,8 +20,8 @@
 	SureSilence = 500 * time.Millisecond
 	// FailureCost is what a failure costs, in ms of score, where the request can go on
 	// elsewhere, and FailureCostOnce where it can't (ours).
-	FailureCost     = 300.0
-	FailureCostOnce = 1200.0
+	ErrCost     = 300.0
+	ErrCostOnce = 1200.0
 	// RiskFloor is the rate of failure, over the usual, that costs nothing (ours): one
 	// short silence must not send a long prompt away from the worker that holds it.
 	RiskFloor = 0.12
@@ -59,7 +59,7 @@
 	// time, that silence must last (ours): gone on elsewhere from there, it can still be
 	// in time.
 	SilenceShare = 0.6
-	// SafeIdle is the first guess of how long a pipe may be idle and still carry what
+	// SafeIdle is the first guess of how long a connection may be idle and still carry what
 	// must not run twice; SafeIdleLeast and SafeIdleMost bound what is learnt (ours).
 	SafeIdle      = 400 * time.Millisecond
 	SafeIdleLeast = 20 * time.Millisecond
--- a/internal/errand/errand.go
+++ b/internal/platform/contexts/contexts.go
@@ -1,5 +1,5 @@
 // Package errand wraps context: an errand is a piece of work that can be called off.
-package errand
+package contexts
 
 import (
 	"context"
--- a/internal/mishap/mishap.go
+++ b/internal/platform/errs/errs.go
@@ -1,16 +1,16 @@
-// Package mishap wraps and names every error of the project. Each layer has its
+// Package error wraps and names every error of the project. Each layer has its
 // own kinds and turns those from below into them.
-package mishap
+package errs
 
 import "github.com/rotisserie/eris"
 
-// Kind names a class of mishaps of one layer.
+// Kind names a class of errors of one layer.
 type Kind struct {
 	name string
 }
 
 // Mishap is an error of a kind, with what caused it.
-type Mishap struct {
+type Error struct {
 	kind  *Kind
 	text  string
 	cause error
@@ -22,19 +22,19 @@
 // Error gives the name of the kind.
 func (kind *Kind) Error() string { return kind.name }
 
-// New makes a mishap of this kind.
-func (kind *Kind) New(text string) error { return &Mishap{kind: kind, text: text} }
+// New makes a error of this kind.
+func (kind *Kind) New(text string) error { return &Error{kind: kind, text: text} }
 
 // Wrap turns an error from below into one of this kind; nil stays nil.
 func (kind *Kind) Wrap(cause error, text string) error {
 	if cause == nil {
 		return nil
 	}
-	return &Mishap{kind: kind, text: text, cause: cause}
+	return &Error{kind: kind, text: text, cause: cause}
 }
 
 // Error gives kind, text and cause on one line.
-func (one *Mishap) Error() string {
+func (one *Error) Error() string {
 	line := one.kind.name + ": " + one.text
 	if one.cause != nil {
 		line += ": " + one.cause.Error()
@@ -43,13 +43,13 @@
 }
 
 // Unwrap gives the cause.
-func (one *Mishap) Unwrap() error { return one.cause }
+func (one *Error) Unwrap() error { return one.cause }
 
-// Is tells whether the target is this mishap's kind.
-func (one *Mishap) Is(target error) bool {
+// Is tells whether the target is this error's kind.
+func (one *Error) Is(target error) bool {
 	kind, isKind := target.(*Kind)
 	return isKind && kind == one.kind
 }
 
-// Of tells whether any mishap in the chain is of the kind.
+// Of tells whether any error in the chain is of the kind.
 func Of(chain error, kind *Kind) bool { return eris.Is(chain, kind) }
--- a/internal/reply/reply.go
+++ b/internal/platform/httpreply/httpreply.go
@@ -1,13 +1,13 @@
 // Package reply holds the answers of the system's own: small wrappers so that
 // few files write statuses and bodies by hand.
-package reply
+package httpreply
 
 import (
 	"encoding/json"
 	"net/http"
 	"strconv"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // Writer is where an answer is written.
@@ -15,8 +15,8 @@
 
 // JSON writes a body with a status.
 func JSON(writer Writer, status int, value any) {
-	body, mishap := json.Marshal(value)
-	if mishap != nil {
+	body, err := json.Marshal(value)
+	if err != nil {
 		// An own value that can't be written is a fault of ours, and says so.
 		Text(writer, http.StatusInternalServerError, "answer can't be written")
 		return
@@ -42,7 +42,7 @@
 
 // Later refuses with the promise that nothing ran or will run, and says when to
 // come back.
-func Later(writer Writer, status int, span watch.Span) {
+func Later(writer Writer, status int, span clock.Span) {
 	writer.Header().Set("Retry-After", strconv.FormatFloat(span.Seconds(), 'f', 3, 64))
 	Text(writer, status, "no room now")
 }
--- a/internal/pattern/dispatch.go
+++ b/internal/platform/messages/dispatch.go
@@ -1,4 +1,4 @@
-package pattern
+package messages
 
 // ServiceRoom is how many items a driver has places for at a service.
 type ServiceRoom struct {
@@ -9,7 +9,7 @@
 // DriverAt is a driver that the dispatcher has heard lately.
 type DriverAt struct {
 	Name string `msg:"n"`
-	Hall string `msg:"h"`
+	Zone string `msg:"h"`
 }
 
 // Acquire asks the dispatcher for items; it may be held until there are some.
@@ -19,7 +19,7 @@
 	Address string        `msg:"a"`
 	Room    []ServiceRoom `msg:"r"`
 	HoldMs  int           `msg:"h"`
-	Hall    string        `msg:"z"`
+	Zone    string        `msg:"z"`
 	// Known is the version of the list of drivers that the asker has.
 	Known uint64 `msg:"k"`
 }
@@ -79,7 +79,7 @@
 	Life    int64             `msg:"l"`
 	Address string            `msg:"a"`
 	Entries []Acknowledgement `msg:"e"`
-	Hall    string            `msg:"z"`
+	Zone    string            `msg:"z"`
 	Known   uint64            `msg:"k"`
 	// Leaving says that the driver will ask no more.
 	Leaving bool `msg:"g"`
--- a/internal/pattern/kinds.go
+++ b/internal/platform/messages/kinds.go
@@ -1,6 +1,6 @@
 // Package pattern holds the messages between our processes and the enums they use.
 // The code that writes and reads them is generated.
-package pattern
+package messages
 
 //go:generate go tool msgp -o members_gen.go -file members.go -tests=false -io=false
 //go:generate go tool msgp -o views_gen.go -file views.go -tests=false -io=false
@@ -35,7 +35,7 @@
 	KindDutyChange
 	KindPressure
 	KindReading
-	KindForemanBeat
+	KindControllerBeat
 	KindDirectoryPull
 	KindRelay
 	KindRelayWait
@@ -71,7 +71,7 @@
 	RecordEnd
 	RecordForget
 	// RecordFailure: an acquisition of an item ended with a 500, which counts.
-	RecordFailure
+	RecordErr
 	// RecordDriver: a driver's life may hold acquisitions of this epoch.
 	RecordDriver
 	// RecordSure: no acquisition of an earlier epoch stands that was not adopted.
--- a/internal/pattern/lots.go
+++ b/internal/platform/messages/lots.go
@@ -1,4 +1,4 @@
-package pattern
+package messages
 
 // LotCall passes a client's call on a lot to the holder.
 type LotCall struct {
@@ -10,7 +10,7 @@
 	Cursor int    `msg:"c"`
 	HoldMs int    `msg:"w"`
 	Body   []byte `msg:"b"`
-	// Relayed says that another forge passed it on, which happens once at most.
+	// Relayed says that another gateway passed it on, which happens once at most.
 	Relayed bool `msg:"y"`
 	// Ask names one question to one process, so that a second copy of it is known.
 	Ask string `msg:"k"`
@@ -130,8 +130,8 @@
 // StatusAsk asks a process for a part of its state.
 type StatusAsk struct {
 	Query string `msg:"q"`
-	// Hall, where it is set, keeps the rows of one hall only.
-	Hall string `msg:"h"`
+	// Zone, where it is set, keeps the rows of one zone only.
+	Zone string `msg:"h"`
 }
 
 // Status answers with rows for people and tools.
@@ -157,7 +157,7 @@
 
 // ShelfRecord is one record on a store's disk: a raised fence, a cut of the tail,
 // or a record of lots.
-type ShelfRecord struct {
+type ReplicaRecord struct {
 	Fence  uint64 `msg:"f"`
 	CutTo  int64  `msg:"c"`
 	HasCut bool   `msg:"k"`
--- a/internal/pattern/members.go
+++ b/internal/platform/messages/members.go
@@ -1,11 +1,11 @@
-package pattern
+package messages
 
 // Entry is what a process tells of itself and of others.
 type Entry struct {
 	Name       string `msg:"n"`
 	Life       int64  `msg:"l"`
 	Role       string `msg:"r"`
-	Hall       string `msg:"h"`
+	Zone       string `msg:"h"`
 	Address    string `msg:"a"`
 	Disk       string `msg:"d"`
 	AgeMs      int64  `msg:"g"`
@@ -24,7 +24,7 @@
 	Name    string `msg:"n"`
 	Disk    string `msg:"d"`
 	Address string `msg:"a"`
-	Hall    string `msg:"h"`
+	Zone    string `msg:"h"`
 }
 
 // Version is one acknowledged configuration in the register's history.
@@ -101,7 +101,7 @@
 	Epoch   uint64 `msg:"e"`
 }
 
-// DutyChange asks a foreman to change the duty or the store set in the register.
+// DutyChange asks a controller to change the duty or the store set in the register.
 type DutyChange struct {
 	Take        bool     `msg:"t"`
 	Holder      Duty     `msg:"h"`
@@ -144,7 +144,7 @@
 	ID       string `msg:"i"`
 	Backend  string `msg:"b"`
 	Address  string `msg:"a"`
-	Hall     string `msg:"h"`
+	Zone     string `msg:"h"`
 	Capacity int    `msg:"c"`
 	Phase    Phase  `msg:"p"`
 	WarmupMs int64  `msg:"w"`
@@ -205,6 +205,6 @@
 	From    string  `msg:"f"`
 	Worker  string  `msg:"w"`
 	Reading float64 `msg:"r"`
-	// Pass asks the receiver to tell those of its hall who place on the worker.
+	// Pass asks the receiver to tell those of its zone who place on the worker.
 	Pass bool `msg:"p"`
 }
--- a/internal/pattern/plans.go
+++ b/internal/platform/messages/plans.go
@@ -1,4 +1,4 @@
-package pattern
+package messages
 
 // NamedPrepare is Prepare for a register with a name. It is a kind of its own, so
 // that a process which knows of one register only never mistakes it for that.
@@ -30,7 +30,7 @@
 	Collisions []byte `msg:"c"`
 }
 
-// PlanApply asks a foreman to put rules and their answer in force on top of a
+// PlanApply asks a controller to put rules and their answer in force on top of a
 // revision of the register.
 type PlanApply struct {
 	Base   int64  `msg:"b"`
--- a/internal/pattern/views.go
+++ b/internal/platform/messages/views.go
@@ -1,4 +1,4 @@
-package pattern
+package messages
 
 // Digest stands for a table of versioned entries: two tables with one sum are alike.
 // Clock counts the changes that the sender's table went through in its life.
@@ -21,7 +21,7 @@
 	Count int    `msg:"n"`
 }
 
-// Shuffle carries a part of a view, the sender first. Between a process and a foreman
+// Shuffle carries a part of a view, the sender first. Between a process and a controller
 // it is the periodic exchange, with what that asks and tells besides.
 type Shuffle struct {
 	Entries []Entry `msg:"e"`
@@ -29,27 +29,27 @@
 	// for them in the same order, in tens of ms, AgeUnknown where nothing is known.
 	Known []uint32 `msg:"k"`
 	Ages  []uint16 `msg:"g"`
-	// Judging is set when a foreman's Overdue names every worker that is silent.
+	// Judging is set when a controller's Overdue names every worker that is silent.
 	Judging bool        `msg:"j"`
 	Workers Digest      `msg:"w"`
 	Overdue []Overdue   `msg:"o"`
-	Heads   []Headcount `msg:"h"`
+	Counts  []Headcount `msg:"h"`
 	// Table is the sender's whole directory, in an answer to a pull.
 	Table Digest `msg:"t"`
-	// Plan is the revision of the assignments that a foreman follows.
+	// Plan is the revision of the assignments that a controller follows.
 	Plan int64 `msg:"v"`
 }
 
 // AgeUnknown stands for an age that can't be told, or for one too large to tell.
 const AgeUnknown = 65535
 
-// ForemanBeat is what foremen tell each other once a period; the answer is one too.
-type ForemanBeat struct {
+// ForemanBeat is what controllers tell each other once a period; the answer is one too.
+type ControllerBeat struct {
 	From      Entry  `msg:"f"`
 	Workers   Digest `msg:"w"`
 	Processes Digest `msg:"p"`
 	// Beaten and Met are the marks of workers and processes that were heard here
-	// directly since the last word to this foreman.
+	// directly since the last word to this controller.
 	Beaten []uint32 `msg:"b"`
 	Met    []uint32 `msg:"m"`
 	// Plan is the revision of the assignments that the sender follows.
@@ -75,7 +75,7 @@
 	Table Digest `msg:"d"`
 }
 
-// Relay asks a foreman to tell its hall, and Expect names by their marks whom the
+// Relay asks a controller to tell its zone, and Expect names by their marks whom the
 // sender knows there.
 type Relay struct {
 	From       string   `msg:"f"`
--- a/internal/pattern/words.go
+++ b/internal/platform/messages/words.go
@@ -1,4 +1,4 @@
-package pattern
+package messages
 
 import (
 	"encoding/binary"
--- a/internal/trestle/run.go
+++ b/internal/platform/node/run.go
@@ -1,4 +1,4 @@
-package trestle
+package node
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"lemonarch/internal/boot"
+	"lemonarch/internal/platform/settings"
 )
 
 // Process is what a program runs.
@@ -20,17 +20,17 @@
 }
 
 // Main is the thin part that all daemons share: settings, signals, exit codes.
-func Main(name string, make func(settings *boot.Boot, log hclog.Logger) (Process, error)) {
-	settings, failure := boot.Load()
-	if failure != nil {
-		fmt.Fprintln(os.Stderr, name+": "+failure.Error())
+func Main(name string, make func(nodeSettings *settings.Settings, log hclog.Logger) (Process, error)) {
+	nodeSettings, err := settings.Load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, name+": "+err.Error())
 		os.Exit(2)
 	}
-	Prepare(settings)
+	Prepare(nodeSettings)
 	log := NewLog(name)
-	process, failure := make(settings, log)
-	if failure != nil {
-		log.Error("can't start", "why", failure.Error())
+	process, err := make(nodeSettings, log)
+	if err != nil {
+		log.Error("can't start", "why", err.Error())
 		os.Exit(1)
 	}
 	signals := remind()
@@ -39,8 +39,8 @@
 			if one == syscall.SIGHUP {
 				// What a running process takes from its settings is read at its start
 				// only; a changed file is checked and told, and holds from the next one.
-				if _, failure := boot.Load(); failure != nil {
-					log.Warn("changed settings are not valid", "why", failure.Error())
+				if _, err := settings.Load(); err != nil {
+					log.Warn("changed settings are not valid", "why", err.Error())
 				} else {
 					log.Info("changed settings hold from the next start")
 				}
@@ -51,8 +51,8 @@
 			os.Exit(0)
 		}
 	}()
-	if failure = process.Run(); failure != nil {
-		log.Error("ended", "why", failure.Error())
+	if err = process.Run(); err != nil {
+		log.Error("ended", "why", err.Error())
 		os.Exit(1)
 	}
 	// Run returns as soon as the listener closes; Leave still ends what is under way.
--- a/internal/whetstone/fleeting.go
+++ b/internal/platform/recordlog/fleeting.go
@@ -1,4 +1,4 @@
-package whetstone
+package recordlog
 
 import (
 	"io"
--- a/internal/whetstone/whetstone.go
+++ b/internal/platform/recordlog/recordlog.go
@@ -1,7 +1,7 @@
-// Package whetstone keeps records on disk: an append-only file of checksummed
+// Package recordlog keeps records on disk: an append-only file of checksummed
 // records that is rewritten when it gets long. Disk is an interface so that tests
 // can lose, tear and reorder what was not synced.
-package whetstone
+package recordlog
 
 import (
 	"encoding/binary"
@@ -9,15 +9,15 @@
 	"hash/crc32"
 	"io"
 
-	"lemonarch/internal/mishap"
+	"lemonarch/internal/platform/errs"
 )
 
-// The mishaps of the store.
+// The errors of the store.
 var (
 	// Damage means a record that was whole once and no longer is.
-	Damage = mishap.Define("record damaged")
+	Damage = errs.Define("record damaged")
 	// Broken means that the disk refused an operation.
-	Broken = mishap.Define("disk refused")
+	Broken = errs.Define("disk refused")
 )
 
 // File is an open file.
@@ -45,7 +45,7 @@
 var table = crc32.MakeTable(crc32.Castagnoli)
 
 // Stone is one file of records.
-type Stone struct {
+type Logfile struct {
 	disk Disk
 	name string
 	file File
@@ -53,32 +53,32 @@
 }
 
 // Open reads all whole records, in order, and cuts a torn tail.
-func Open(disk Disk, name string, each func(offset int64, body []byte) error) (*Stone, error) {
-	file, failure := disk.Open(name)
-	if failure != nil {
-		return nil, Broken.Wrap(failure, "open "+name)
+func Open(disk Disk, name string, each func(offset int64, body []byte) error) (*Logfile, error) {
+	file, err := disk.Open(name)
+	if err != nil {
+		return nil, Broken.Wrap(err, "open "+name)
 	}
 	// The name of a new file lasts only once its folder is synced.
-	if failure = disk.SyncFolder(); failure != nil {
-		return nil, Broken.Wrap(failure, "sync folder of "+name)
+	if err = disk.SyncFolder(); err != nil {
+		return nil, Broken.Wrap(err, "sync folder of "+name)
 	}
-	stone := &Stone{disk: disk, name: name, file: file}
-	if failure = stone.replay(each); failure != nil {
+	logfile := &Logfile{disk: disk, name: name, file: file}
+	if err = logfile.replay(each); err != nil {
 		file.Close()
-		return nil, failure
+		return nil, err
 	}
-	return stone, nil
+	return logfile, nil
 }
 
-func (stone *Stone) replay(each func(offset int64, body []byte) error) error {
-	length, failure := stone.file.Size()
-	if failure != nil {
-		return Broken.Wrap(failure, "size of "+stone.name)
+func (logfile *Logfile) replay(each func(offset int64, body []byte) error) error {
+	length, err := logfile.file.Size()
+	if err != nil {
+		return Broken.Wrap(err, "size of "+logfile.name)
 	}
 	text := make([]byte, length)
 	if length > 0 {
-		if _, failure = stone.file.ReadAt(text, 0); failure != nil && failure != io.EOF {
-			return Broken.Wrap(failure, "read "+stone.name)
+		if _, err = logfile.file.ReadAt(text, 0); err != nil && err != io.EOF {
+			return Broken.Wrap(err, "read "+logfile.name)
 		}
 	}
 	offset := int64(0)
@@ -88,22 +88,22 @@
 			// Only a tail may be torn. A whole record behind the bad place shows
 			// that synced bytes were spoilt, and that is never skipped.
 			if later, found := wholeAfter(text, offset+1); found {
-				return Damage.New(fmt.Sprintf("file %s at byte %d, though a whole record stands at %d", stone.name, offset, later))
+				return Damage.New(fmt.Sprintf("file %s at byte %d, though a whole record stands at %d", logfile.name, offset, later))
 			}
 			break
 		}
-		if failure = each(offset, body); failure != nil {
-			return failure
+		if err = each(offset, body); err != nil {
+			return err
 		}
 		offset += headBytes + int64(len(body))
 	}
-	stone.size = offset
+	logfile.size = offset
 	if offset < length {
-		if failure = stone.file.Truncate(offset); failure != nil {
-			return Broken.Wrap(failure, "cut tail of "+stone.name)
+		if err = logfile.file.Truncate(offset); err != nil {
+			return Broken.Wrap(err, "cut tail of "+logfile.name)
 		}
-		if failure = stone.file.Sync(); failure != nil {
-			return Broken.Wrap(failure, "sync "+stone.name)
+		if err = logfile.file.Sync(); err != nil {
+			return Broken.Wrap(err, "sync "+logfile.name)
 		}
 	}
 	return nil
@@ -131,45 +131,45 @@
 }
 
 // Append writes records without syncing and gives their offsets.
-func (stone *Stone) Append(bodies ...[]byte) ([]int64, error) {
+func (logfile *Logfile) Append(bodies ...[]byte) ([]int64, error) {
 	var text []byte
 	offsets := make([]int64, 0, len(bodies))
 	for _, body := range bodies {
-		offsets = append(offsets, stone.size+int64(len(text)))
+		offsets = append(offsets, logfile.size+int64(len(text)))
 		text = binary.BigEndian.AppendUint32(text, uint32(len(body)))
 		text = binary.BigEndian.AppendUint32(text, crc32.Checksum(body, table))
 		text = append(text, body...)
 	}
-	if _, failure := stone.file.Write(text); failure != nil {
+	if _, err := logfile.file.Write(text); err != nil {
 		// A half-written record must not stand before later ones.
-		_ = stone.file.Truncate(stone.size)
-		return nil, Broken.Wrap(failure, "write "+stone.name)
+		_ = logfile.file.Truncate(logfile.size)
+		return nil, Broken.Wrap(err, "write "+logfile.name)
 	}
-	stone.size += int64(len(text))
+	logfile.size += int64(len(text))
 	return offsets, nil
 }
 
 // Sync makes all that was appended last.
-func (stone *Stone) Sync() error { return Broken.Wrap(stone.file.Sync(), "sync "+stone.name) }
+func (logfile *Logfile) Sync() error { return Broken.Wrap(logfile.file.Sync(), "sync "+logfile.name) }
 
 // ReadAt reads the record that starts at an offset.
-func (stone *Stone) ReadAt(offset int64) ([]byte, error) {
+func (logfile *Logfile) ReadAt(offset int64) ([]byte, error) {
 	var head [headBytes]byte
-	if _, failure := stone.file.ReadAt(head[:], offset); failure != nil {
-		return nil, Broken.Wrap(failure, "read "+stone.name)
+	if _, err := logfile.file.ReadAt(head[:], offset); err != nil {
+		return nil, Broken.Wrap(err, "read "+logfile.name)
 	}
 	body := make([]byte, binary.BigEndian.Uint32(head[:]))
-	if _, failure := stone.file.ReadAt(body, offset+headBytes); failure != nil && failure != io.EOF {
-		return nil, Broken.Wrap(failure, "read "+stone.name)
+	if _, err := logfile.file.ReadAt(body, offset+headBytes); err != nil && err != io.EOF {
+		return nil, Broken.Wrap(err, "read "+logfile.name)
 	}
 	if crc32.Checksum(body, table) != binary.BigEndian.Uint32(head[4:]) {
-		return nil, Damage.New(fmt.Sprintf("file %s at byte %d", stone.name, offset))
+		return nil, Damage.New(fmt.Sprintf("file %s at byte %d", logfile.name, offset))
 	}
 	return body, nil
 }
 
 // Size gives the length of the file.
-func (stone *Stone) Size() int64 { return stone.size }
+func (logfile *Logfile) Size() int64 { return logfile.size }
 
 // Close closes the file.
-func (stone *Stone) Close() error { return stone.file.Close() }
+func (logfile *Logfile) Close() error { return logfile.file.Close() }
--- /dev/null
+++ b/internal/platform/recordlog/recordlog_test.go
@@ -0,0 +1,149 @@
+package recordlog_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/recordlog"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// contract is what every disk has to keep.
+func contract(test *testing.T, make func() recordlog.Disk) {
+	read := func(disk recordlog.Disk) []string {
+		var found []string
+		logfile, err := recordlog.Open(disk, "file", func(_ int64, body []byte) error {
+			found = append(found, string(body))
+			return nil
+		})
+		if err != nil {
+			test.Fatal(err)
+		}
+		logfile.Close()
+		return found
+	}
+	test.Run("records come back in order", func(test *testing.T) {
+		disk := make()
+		logfile, err := recordlog.Open(disk, "file", nil)
+		if err != nil {
+			test.Fatal(err)
+		}
+		offsets, err := logfile.Append([]byte("one"), []byte("two"))
+		if err != nil || logfile.Sync() != nil {
+			test.Fatal(err)
+		}
+		body, err := logfile.ReadAt(offsets[1])
+		if err != nil || string(body) != "two" {
+			test.Fatalf("read %q %v", body, err)
+		}
+		if got := fmt.Sprint(read(disk)); got != "[one two]" {
+			test.Fatal(got)
+		}
+	})
+	test.Run("a rewrite keeps what it is given and nothing else", func(test *testing.T) {
+		disk := make()
+		logfile, _ := recordlog.Open(disk, "file", nil)
+		_, _ = logfile.Append([]byte("one"), []byte("two"), []byte("three"))
+		offsets, err := logfile.Rewrite(recordlog.Once([]byte("three")))
+		if err != nil || len(offsets) != 1 {
+			test.Fatal(err)
+		}
+		if _, err = logfile.Append([]byte("four")); err != nil || logfile.Sync() != nil {
+			test.Fatal(err)
+		}
+		if body, err := logfile.ReadAt(offsets[0]); err != nil || string(body) != "three" {
+			test.Fatalf("read %q %v", body, err)
+		}
+		if got := fmt.Sprint(read(disk)); got != "[three four]" {
+			test.Fatal(got)
+		}
+	})
+}
+
+func TestContractModel(test *testing.T) {
+	contract(test, func() recordlog.Disk { return simulation.NewDisk(1) })
+}
+
+func TestContractFolder(test *testing.T) {
+	contract(test, func() recordlog.Disk { return recordlog.Folder(test.TempDir()) })
+}
+
+func TestPowerLossKeepsWhatWasSynced(test *testing.T) {
+	for seed := int64(0); seed < 200; seed++ {
+		disk := simulation.NewDisk(seed)
+		logfile, _ := recordlog.Open(disk, "file", nil)
+		_, _ = logfile.Append([]byte("synced"))
+		_ = logfile.Sync()
+		_, _ = logfile.Append([]byte("perhaps"))
+		disk.PowerLoss()
+		var found []string
+		if _, err := recordlog.Open(disk, "file", func(_ int64, body []byte) error {
+			found = append(found, string(body))
+			return nil
+		}); err != nil {
+			test.Fatalf("seed %d: %v", seed, err)
+		}
+		if len(found) == 0 || found[0] != "synced" || (len(found) > 1 && found[1] != "perhaps") {
+			test.Fatalf("seed %d: %v", seed, found)
+		}
+	}
+}
+
+func TestDamageBeforeTheTailStops(test *testing.T) {
+	disk := simulation.NewDisk(1)
+	logfile, _ := recordlog.Open(disk, "file", nil)
+	_, _ = logfile.Append([]byte("one"), []byte("two"))
+	_ = logfile.Sync()
+	disk.Spoil("file", 9)
+	_, err := recordlog.Open(disk, "file", func(int64, []byte) error { return nil })
+	if !errs.Of(err, recordlog.Damage) {
+		test.Fatalf("got %v", err)
+	}
+}
+
+func TestTornTailIsCutOnRealFiles(test *testing.T) {
+	folder := test.TempDir()
+	logfile, _ := recordlog.Open(recordlog.Folder(folder), "file", nil)
+	_, _ = logfile.Append([]byte("one"), []byte("two"))
+	_ = logfile.Sync()
+	path := filepath.Join(folder, "file")
+	if err := os.Truncate(path, logfile.Size()-1); err != nil {
+		test.Fatal(err)
+	}
+	var found []string
+	again, err := recordlog.Open(recordlog.Folder(folder), "file", func(_ int64, body []byte) error {
+		found = append(found, string(body))
+		return nil
+	})
+	if err != nil || fmt.Sprint(found) != "[one]" {
+		test.Fatal(found, err)
+	}
+	if _, err = again.Append([]byte("three")); err != nil {
+		test.Fatal(err)
+	}
+}
+
+func TestFullDiskRefusesAndKeepsWhatWas(test *testing.T) {
+	disk := simulation.NewDisk(1)
+	logfile, _ := recordlog.Open(disk, "file", nil)
+	_, _ = logfile.Append([]byte("one"))
+	disk.Room = 5
+	if _, err := logfile.Append([]byte("does not fit")); !errs.Of(err, recordlog.Broken) {
+		test.Fatalf("got %v", err)
+	}
+	disk.Room = -1
+	if _, err := logfile.Append([]byte("two")); err != nil {
+		test.Fatal(err)
+	}
+	var found []string
+	_, err := recordlog.Open(disk, "file", func(_ int64, body []byte) error {
+		found = append(found, string(body))
+		return nil
+	})
+	if err != nil || fmt.Sprint(found) != "[one two]" {
+		test.Fatal(found, err)
+	}
+}
--- a/internal/whetstone/rewrite.go
+++ b/internal/platform/recordlog/rewrite.go
@@ -1,4 +1,4 @@
-package whetstone
+package recordlog
 
 import (
 	"os"
@@ -10,51 +10,51 @@
 
 // Rewrite replaces the file by one that holds just the records that next gives:
 // a new file, synced, renamed over the old one, and the folder synced.
-func (stone *Stone) Rewrite(next func() ([]byte, bool, error)) ([]int64, error) {
-	fresh := stone.name + ".new"
+func (logfile *Logfile) Rewrite(next func() ([]byte, bool, error)) ([]int64, error) {
+	fresh := logfile.name + ".new"
 	// A rest of a rewrite that was interrupted is worth nothing.
-	_ = stone.disk.Remove(fresh)
-	file, failure := stone.disk.Open(fresh)
-	if failure != nil {
-		return nil, Broken.Wrap(failure, "open "+fresh)
+	_ = logfile.disk.Remove(fresh)
+	file, err := logfile.disk.Open(fresh)
+	if err != nil {
+		return nil, Broken.Wrap(err, "open "+fresh)
 	}
-	made := &Stone{disk: stone.disk, name: fresh, file: file}
-	offsets, failure := made.fill(next)
-	if failure == nil {
-		failure = made.Sync()
+	made := &Logfile{disk: logfile.disk, name: fresh, file: file}
+	offsets, err := made.fill(next)
+	if err == nil {
+		err = made.Sync()
 	}
-	if failure == nil {
-		failure = Broken.Wrap(stone.disk.Rename(fresh, stone.name), "rename "+fresh)
+	if err == nil {
+		err = Broken.Wrap(logfile.disk.Rename(fresh, logfile.name), "rename "+fresh)
 	}
-	if failure == nil {
-		failure = Broken.Wrap(stone.disk.SyncFolder(), "sync folder of "+stone.name)
+	if err == nil {
+		err = Broken.Wrap(logfile.disk.SyncFolder(), "sync folder of "+logfile.name)
 	}
-	if failure != nil {
+	if err != nil {
 		file.Close()
-		return nil, failure
+		return nil, err
 	}
-	stone.file.Close()
-	stone.file, stone.size = file, made.size
+	logfile.file.Close()
+	logfile.file, logfile.size = file, made.size
 	return offsets, nil
 }
 
-func (stone *Stone) fill(next func() ([]byte, bool, error)) ([]int64, error) {
+func (logfile *Logfile) fill(next func() ([]byte, bool, error)) ([]int64, error) {
 	var offsets []int64
 	var batch [][]byte
 	size := 0
 	for {
-		body, more, failure := next()
-		if failure != nil {
-			return nil, failure
+		body, more, err := next()
+		if err != nil {
+			return nil, err
 		}
 		if more {
 			batch = append(batch, body)
 			size += len(body)
 		}
 		if len(batch) > 0 && (!more || size > rewriteBatch) {
-			written, failure := stone.Append(batch...)
-			if failure != nil {
-				return nil, failure
+			written, err := logfile.Append(batch...)
+			if err != nil {
+				return nil, err
 			}
 			offsets = append(offsets, written...)
 			batch, size = batch[:0], 0
@@ -83,18 +83,18 @@
 type realFile struct{ *os.File }
 
 func (one realFile) Size() (int64, error) {
-	facts, failure := one.Stat()
-	if failure != nil {
-		return 0, failure
+	facts, err := one.Stat()
+	if err != nil {
+		return 0, err
 	}
 	return facts.Size(), nil
 }
 
 // Open opens a file for appending and reading.
 func (folder Folder) Open(name string) (File, error) {
-	file, failure := os.OpenFile(filepath.Join(string(folder), name), os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
-	if failure != nil {
-		return nil, failure
+	file, err := os.OpenFile(filepath.Join(string(folder), name), os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, err
 	}
 	return realFile{file}, nil
 }
@@ -111,9 +111,9 @@
 
 // SyncFolder makes names last.
 func (folder Folder) SyncFolder() error {
-	handle, failure := os.Open(string(folder))
-	if failure != nil {
-		return failure
+	handle, err := os.Open(string(folder))
+	if err != nil {
+		return err
 	}
 	defer handle.Close()
 	return handle.Sync()
--- a/internal/boot/boot_test.go
+++ b/internal/platform/settings/settings_test.go
@@ -1,4 +1,4 @@
-package boot
+package settings
 
 import (
 	"strings"
@@ -23,11 +23,11 @@
 `
 
 func TestSoundSettings(test *testing.T) {
-	settings, failure := Parse([]byte(sound))
-	if failure != nil {
-		test.Fatal(failure)
+	nodeSettings, err := Parse([]byte(sound))
+	if err != nil {
+		test.Fatal(err)
 	}
-	if got := settings.SeedAddresses(1); len(got) != 1 || got[0] != "10.0.0.2:7001" {
+	if got := nodeSettings.SeedAddresses(1); len(got) != 1 || got[0] != "10.0.0.2:7001" {
 		test.Fatal(got)
 	}
 }
@@ -48,9 +48,9 @@
 		"not readable as TOML":    {`zone = "z"`, `zone = `},
 		"fault-budget is below 0": {`[tolerances]`, "[fault-budget]\nmachines = -1\n[tolerances]"},
 	} {
-		_, failure := Parse([]byte(strings.Replace(sound, change[0], change[1], 1)))
-		if failure == nil || !strings.Contains(failure.Error(), name) || strings.Contains(failure.Error(), "\n") {
-			test.Errorf("%s: %v", name, failure)
+		_, err := Parse([]byte(strings.Replace(sound, change[0], change[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			test.Errorf("%s: %v", name, err)
 		}
 	}
 }
--- a/internal/tongs/frame.go
+++ b/internal/platform/transport/frame.go
@@ -1,12 +1,12 @@
-package tongs
+package transport
 
 import (
 	"bufio"
 	"encoding/binary"
 	"io"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // The frame head: mark, version, sort, kind, number of the call, length of the body.
@@ -21,13 +21,13 @@
 
 type frame struct {
 	sort   byte
-	kind   pattern.Kind
+	kind   messages.Kind
 	number uint64
 	body   []byte
 }
 
 func appendFrame(into []byte, one frame) []byte {
-	into = append(into, frameMark, almanac.FrameVersion, one.sort)
+	into = append(into, frameMark, constants.FrameVersion, one.sort)
 	into = binary.BigEndian.AppendUint16(into, uint16(one.kind))
 	into = binary.BigEndian.AppendUint64(into, one.number)
 	into = binary.BigEndian.AppendUint32(into, uint32(len(one.body)))
@@ -36,20 +36,20 @@
 
 func readFrame(reader *bufio.Reader) (frame, error) {
 	var head [headBytes]byte
-	if _, failure := io.ReadFull(reader, head[:]); failure != nil {
-		return frame{}, failure
+	if _, err := io.ReadFull(reader, head[:]); err != nil {
+		return frame{}, err
 	}
 	length := binary.BigEndian.Uint32(head[13:])
 	// A wrong mark or a senseless length can't be read past: the connection ends.
-	if head[0] != frameMark || length > almanac.FrameLimit {
+	if head[0] != frameMark || length > constants.FrameLimit {
 		return frame{}, Damaged.New("head")
 	}
 	one := frame{
 		sort:   head[2],
-		kind:   pattern.Kind(binary.BigEndian.Uint16(head[3:])),
+		kind:   messages.Kind(binary.BigEndian.Uint16(head[3:])),
 		number: binary.BigEndian.Uint64(head[5:]),
 		body:   make([]byte, length),
 	}
-	_, failure := io.ReadFull(reader, one.body)
-	return one, failure
+	_, err := io.ReadFull(reader, one.body)
+	return one, err
 }
--- a/internal/tongs/memory.go
+++ b/internal/platform/transport/memory.go
@@ -1,10 +1,10 @@
-package tongs
+package transport
 
 import (
 	"sync"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // Room is the in-memory world that joins twins of the transport in tests.
@@ -68,7 +68,7 @@
 }
 
 // Call runs the other side's handler at once.
-func (twin *Twin) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+func (twin *Twin) Call(address string, kind messages.Kind, body []byte, span clock.Span) ([]byte, error) {
 	handler, silent := twin.reach(address)
 	if handler == nil {
 		return nil, Unreached.New(address)
@@ -77,26 +77,26 @@
 	if silent {
 		return nil, Unanswered.New(address + " silent")
 	}
-	type outcome struct {
-		body    []byte
-		failure error
+	type result struct {
+		body []byte
+		err  error
 	}
-	answered := make(chan outcome, 1)
+	answered := make(chan result, 1)
 	other := twin.room.meter(address)
 	other.received(kind, twin.own, len(body))
 	twin.room.note(twin.own, address, kind, false, body)
 	go func() {
-		answer, failure := handler(kind, body)
+		answer, err := handler(kind, body)
 		other.sent(kind, twin.own, len(answer))
 		twin.room.note(address, twin.own, kind, true, answer)
-		answered <- outcome{answer, failure}
+		answered <- result{answer, err}
 	}()
-	timer := watch.NewTimer(span)
+	timer := clock.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case one := <-answered:
 		twin.meter.received(kind, address, len(one.body))
-		if one.failure != nil || one.body == nil {
+		if one.err != nil || one.body == nil {
 			return nil, Refused.New(address)
 		}
 		return one.body, nil
--- a/internal/tongs/meter.go
+++ b/internal/platform/transport/meter.go
@@ -1,11 +1,11 @@
-package tongs
+package transport
 
 import (
 	"net"
 	"sort"
 	"sync"
 
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/messages"
 )
 
 // Place is where the other side of a message stands.
@@ -15,12 +15,12 @@
 const (
 	// PlaceUnknown: the caller has not said where that host stands.
 	PlaceUnknown Place = iota
-	PlaceOwnHall
-	PlaceOtherHall
+	PlaceOwnZone
+	PlaceOtherZone
 	places
 )
 
-var placeNames = [places]string{"unknown", "own-hall", "other-hall"}
+var placeNames = [places]string{"unknown", "own-zone", "other-zone"}
 
 // String names a place in reports.
 func (place Place) String() string { return placeNames[place] }
@@ -41,37 +41,37 @@
 }
 
 // Meter counts messages by kind and place. What a process sends to itself counts
-// as its own hall's.
+// as its own zone's.
 type Meter struct {
 	lock  sync.Mutex
 	hosts map[string]Place
-	flows map[pattern.Kind]*[places]Flow
+	flows map[messages.Kind]*[places]Flow
 }
 
 // NewMeter makes a meter that knows of no host yet.
 func NewMeter() *Meter {
-	return &Meter{hosts: map[string]Place{}, flows: map[pattern.Kind]*[places]Flow{}}
+	return &Meter{hosts: map[string]Place{}, flows: map[messages.Kind]*[places]Flow{}}
 }
 
 func hostOf(address string) string {
-	if host, _, failure := net.SplitHostPort(address); failure == nil {
+	if host, _, err := net.SplitHostPort(address); err == nil {
 		return host
 	}
 	return address
 }
 
-// Learn says whether the host of an address stands in the own hall.
+// Learn says whether the host of an address stands in the own zone.
 func (meter *Meter) Learn(address string, own bool) {
-	place := PlaceOtherHall
+	place := PlaceOtherZone
 	if own {
-		place = PlaceOwnHall
+		place = PlaceOwnZone
 	}
 	meter.lock.Lock()
 	defer meter.lock.Unlock()
 	meter.hosts[hostOf(address)] = place
 }
 
-func (meter *Meter) flow(kind pattern.Kind, address string) *Flow {
+func (meter *Meter) flow(kind messages.Kind, address string) *Flow {
 	one := meter.flows[kind]
 	if one == nil {
 		one = &[places]Flow{}
@@ -80,7 +80,7 @@
 	return &one[meter.hosts[hostOf(address)]]
 }
 
-func (meter *Meter) sent(kind pattern.Kind, address string, body int) {
+func (meter *Meter) sent(kind messages.Kind, address string, body int) {
 	meter.lock.Lock()
 	defer meter.lock.Unlock()
 	flow := meter.flow(kind, address)
@@ -88,7 +88,7 @@
 	flow.Sent.Bytes += int64(headBytes + body)
 }
 
-func (meter *Meter) received(kind pattern.Kind, address string, body int) {
+func (meter *Meter) received(kind messages.Kind, address string, body int) {
 	meter.lock.Lock()
 	defer meter.lock.Unlock()
 	flow := meter.flow(kind, address)
@@ -98,7 +98,7 @@
 
 // Reading is one line of a meter.
 type Reading struct {
-	Kind  pattern.Kind
+	Kind  messages.Kind
 	Place Place
 	Flow
 }
--- /dev/null
+++ b/internal/platform/transport/meter_test.go
@@ -0,0 +1,51 @@
+package transport_test
+
+import (
+	"testing"
+
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// Both transports count a call and its answer at both ends, by kind and place.
+func TestTrafficIsCounted(test *testing.T) {
+	room := transport.NewRoom()
+	makers := map[string]func() (transport.Transport, string){
+		"wire": func() (transport.Transport, string) {
+			address := freeAddress(test)
+			return transport.NewWire(address), address
+		},
+		"twin": func() (transport.Transport, string) {
+			return room.Transport("server:1"), "server:1"
+		},
+	}
+	for name, make := range makers {
+		server, address := make()
+		_ = server.Serve(func(messages.Kind, []byte) ([]byte, error) { return []byte("four"), nil })
+		client := server
+		if name == "twin" {
+			client = room.Transport("client:1")
+		} else {
+			client = transport.NewWire("")
+		}
+		client.(transport.Metered).Meter().Learn(address, true)
+		if _, err := client.Call(address, messages.KindGossip, []byte("seven b"), enough); err != nil {
+			test.Fatal(name, err)
+		}
+		const head = 17
+		want := transport.Flow{Sent: transport.Count{Messages: 1, Bytes: head + 7}, Received: transport.Count{Messages: 1, Bytes: head + 4}}
+		if got := client.(transport.Metered).Meter().Total(transport.PlaceOwnZone); got != want {
+			test.Fatalf("%s: client counted %+v", name, got)
+		}
+		readings := client.(transport.Metered).Meter().Readings()
+		if len(readings) != 1 || readings[0].Kind != messages.KindGossip || readings[0].Place != transport.PlaceOwnZone {
+			test.Fatalf("%s: %+v", name, readings)
+		}
+		back := transport.Flow{Sent: want.Received, Received: want.Sent}
+		if got := server.(transport.Metered).Meter().Total(transport.PlaceUnknown); got != back {
+			test.Fatalf("%s: server counted %+v", name, got)
+		}
+		server.Close()
+		client.Close()
+	}
+}
--- a/internal/tongs/once.go
+++ b/internal/platform/transport/once.go
@@ -1,10 +1,10 @@
-package tongs
+package transport
 
 import (
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // Once lets each numbered call through once. A frame may come twice, or long after
@@ -19,12 +19,12 @@
 
 type onceSeen struct {
 	name string
-	at   watch.Moment
+	at   clock.Moment
 }
 
 // First tells whether a name comes for the first time. A call without a name is of
 // an older sender and always passes.
-func (once *Once) First(name string, now watch.Moment) bool {
+func (once *Once) First(name string, now clock.Moment) bool {
 	if name == "" {
 		return true
 	}
@@ -34,7 +34,7 @@
 		once.seen = map[string]bool{}
 	}
 	gone := 0
-	for gone < len(once.order) && now.Since(once.order[gone].at) > almanac.FrameLife {
+	for gone < len(once.order) && now.Since(once.order[gone].at) > constants.FrameLife {
 		delete(once.seen, once.order[gone].name)
 		gone++
 	}
--- a/internal/tongs/peer.go
+++ b/internal/platform/transport/peer.go
@@ -1,12 +1,12 @@
-package tongs
+package transport
 
 import (
 	"bufio"
 	"net"
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // peer is one other process and the connection to it.
@@ -16,7 +16,7 @@
 	dialing sync.Mutex
 	lock    sync.Mutex
 	current *line
-	failed  watch.Moment
+	failed  clock.Moment
 }
 
 // line is one connection with the calls that wait on it.
@@ -25,7 +25,7 @@
 	writing    sync.Mutex
 	lock       sync.Mutex
 	waiting    map[uint64]chan frame
-	heard      watch.Moment
+	heard      clock.Moment
 	dead       bool
 }
 
@@ -39,7 +39,7 @@
 	}
 }
 
-func (one *peer) line(span watch.Span) (*line, error) {
+func (one *peer) line(span clock.Span) (*line, error) {
 	one.lock.Lock()
 	current, failed := one.current, one.failed
 	one.lock.Unlock()
@@ -47,7 +47,7 @@
 		return current, nil
 	}
 	// A peer that has just been out of reach is not dialled by every caller anew.
-	if failed != 0 && watch.Now().Since(failed) < almanac.StartPause/2 {
+	if failed != 0 && clock.Now().Since(failed) < constants.StartPause/2 {
 		return nil, Unreached.New(one.address)
 	}
 	one.dialing.Lock()
@@ -58,15 +58,15 @@
 	if current != nil {
 		return current, nil
 	}
-	connection, failure := Dial(one.address, min(span, almanac.DialTime), almanac.SilentPipe)
+	connection, err := Dial(one.address, min(span, constants.DialTime), constants.SilentConnection)
 	one.lock.Lock()
 	defer one.lock.Unlock()
-	if failure != nil {
-		one.failed = watch.Now()
-		return nil, Unreached.Wrap(failure, one.address)
+	if err != nil {
+		one.failed = clock.Now()
+		return nil, Unreached.Wrap(err, one.address)
 	}
 	one.failed = 0
-	current = &line{connection: connection, waiting: map[uint64]chan frame{}, heard: watch.Now()}
+	current = &line{connection: connection, waiting: map[uint64]chan frame{}, heard: clock.Now()}
 	one.current = current
 	go one.listen(current)
 	return current, nil
@@ -75,15 +75,15 @@
 func (one *peer) listen(current *line) {
 	reader := bufio.NewReaderSize(current.connection, 8<<10)
 	for {
-		answer, failure := readFrame(reader)
-		if failure != nil {
+		answer, err := readFrame(reader)
+		if err != nil {
 			break
 		}
 		one.wire.meter.received(answer.kind, one.address, len(answer.body))
 		current.lock.Lock()
 		waiter := current.waiting[answer.number]
 		delete(current.waiting, answer.number)
-		current.heard = watch.Now()
+		current.heard = clock.Now()
 		current.lock.Unlock()
 		if waiter != nil {
 			waiter <- answer
@@ -112,10 +112,10 @@
 	}
 }
 
-func (one *peer) call(question frame, span watch.Span) ([]byte, error) {
-	current, failure := one.line(span)
-	if failure != nil {
-		return nil, failure
+func (one *peer) call(question frame, span clock.Span) ([]byte, error) {
+	current, err := one.line(span)
+	if err != nil {
+		return nil, err
 	}
 	waiter := make(chan frame, 1)
 	current.lock.Lock()
@@ -126,16 +126,16 @@
 	current.waiting[question.number] = waiter
 	current.lock.Unlock()
 	one.wire.meter.sent(question.kind, one.address, len(question.body))
-	begun := watch.Now()
+	begun := clock.Now()
 	current.writing.Lock()
-	_ = current.connection.SetWriteDeadline(watch.Deadline(span))
-	_, failure = current.connection.Write(appendFrame(make([]byte, 0, headBytes+len(question.body)), question))
+	_ = current.connection.SetWriteDeadline(clock.Deadline(span))
+	_, err = current.connection.Write(appendFrame(make([]byte, 0, headBytes+len(question.body)), question))
 	current.writing.Unlock()
-	if failure != nil {
+	if err != nil {
 		one.forget(current)
-		return nil, Unanswered.Wrap(failure, one.address)
+		return nil, Unanswered.Wrap(err, one.address)
 	}
-	timer := watch.NewTimer(span)
+	timer := clock.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case answer, open := <-waiter:
--- a/internal/tongs/post.go
+++ b/internal/platform/transport/post.go
@@ -1,8 +1,8 @@
-package tongs
+package transport
 
 import (
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // Frame is one frame as a room saw it pass: a call, the answer to one, or what nobody
@@ -10,26 +10,26 @@
 // add is not in it.
 type Frame struct {
 	From, To string
-	Kind     pattern.Kind
+	Kind     messages.Kind
 	Answer   bool
 	Bytes    int
 }
 
 // Clock runs a function after a span: the simulated world of tests and hollow fleets.
 type Clock interface {
-	After(span watch.Span, function func())
+	After(span clock.Span, function func())
 }
 
 // Surroundings is what a simulated room needs: a clock, how long a frame is under way
 // between two addresses, and whether it arrives at all.
 type Surroundings struct {
 	Clock Clock
-	Delay func(from, to string) watch.Span
+	Delay func(from, to string) clock.Span
 	Reach func(from, to string) bool
 }
 
 // Later answers a call on the simulated clock, at once or later; reply is run once.
-type Later func(kind pattern.Kind, body []byte, reply func([]byte, error))
+type Later func(kind messages.Kind, body []byte, reply func([]byte, error))
 
 // OnFrame names who is told of every frame; it must not block.
 func (room *Room) OnFrame(seen func(Frame)) {
@@ -46,7 +46,7 @@
 }
 
 // note tells of a frame with a body.
-func (room *Room) note(from, to string, kind pattern.Kind, answer bool, body []byte) {
+func (room *Room) note(from, to string, kind messages.Kind, answer bool, body []byte) {
 	room.lock.Lock()
 	seen := room.seen
 	room.lock.Unlock()
@@ -70,7 +70,7 @@
 func (twin *Twin) later(address string) (later Later, silent bool) {
 	handler, silent := twin.reach(address)
 	if handler != nil {
-		return func(kind pattern.Kind, body []byte, reply func([]byte, error)) { reply(handler(kind, body)) }, silent
+		return func(kind messages.Kind, body []byte, reply func([]byte, error)) { reply(handler(kind, body)) }, silent
 	}
 	twin.room.lock.Lock()
 	defer twin.room.lock.Unlock()
@@ -79,16 +79,16 @@
 
 // Post is Call on the simulated clock: nothing waits, then is run once with what came
 // of it. Like on the wire, a process that is not there is told apart from silence.
-func (twin *Twin) Post(address string, kind pattern.Kind, body []byte, span watch.Span, then func([]byte, error)) {
+func (twin *Twin) Post(address string, kind messages.Kind, body []byte, span clock.Span, then func([]byte, error)) {
 	room, own, around, ended := twin.room, twin.own, twin.room.surroundings, false
-	end := func(answer []byte, failure error) {
+	end := func(answer []byte, err error) {
 		if !ended {
 			ended = true
-			then(answer, failure)
+			then(answer, err)
 		}
 	}
 	// Most calls are answered in time: the clock is asked only for those that may not be.
-	lost := func(gone watch.Span) {
+	lost := func(gone clock.Span) {
 		around.Clock.After(max(0, span-gone), func() { end(nil, Unanswered.New(address+" silent")) })
 	}
 	room.note(own, address, kind, false, body)
@@ -104,9 +104,9 @@
 			return
 		}
 		replied := false
-		later(kind, body, func(answer []byte, failure error) {
+		later(kind, body, func(answer []byte, err error) {
 			replied = true
-			refused := failure != nil || answer == nil
+			refused := err != nil || answer == nil
 			if refused {
 				answer = nil
 			}
@@ -131,7 +131,7 @@
 }
 
 // PostTell is Tell on the simulated clock: one frame that nobody answers.
-func (twin *Twin) PostTell(address string, kind pattern.Kind, body []byte) {
+func (twin *Twin) PostTell(address string, kind messages.Kind, body []byte) {
 	room, own, around := twin.room, twin.own, twin.room.surroundings
 	room.note(own, address, kind, false, body)
 	around.Clock.After(around.Delay(own, address), func() {
--- /dev/null
+++ b/internal/platform/transport/post_test.go
@@ -0,0 +1,109 @@
+package transport_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// tally counts frames; calls come from several threads in the contract.
+type counters struct {
+	lock           sync.Mutex
+	calls, answers int
+	bytes          int
+}
+
+func (counters *counters) seen(frame transport.Frame) {
+	counters.lock.Lock()
+	defer counters.lock.Unlock()
+	if frame.Answer {
+		counters.answers++
+	} else {
+		counters.calls++
+	}
+	counters.bytes += frame.Bytes
+}
+
+func TestContractCountingMemory(test *testing.T) {
+	room, count, counted := transport.NewRoom(), 0, &counters{}
+	room.OnFrame(counted.seen)
+	contract(test, func() (transport.Transport, string) {
+		count++
+		address := fmt.Sprint("node", count)
+		return room.Transport(address), address
+	})
+	counted.lock.Lock()
+	defer counted.lock.Unlock()
+	// Five calls of the contract find somebody; the last of them is never answered in
+	// time, though its answer may come before we look.
+	if counted.calls != 5 || counted.answers < 4 {
+		test.Fatalf("counted %d calls and %d answers", counted.calls, counted.answers)
+	}
+}
+
+// simulated makes a room on a fake clock with a millisecond each way.
+func simulated() (*transport.Room, *simulation.World, *counters, map[string]bool) {
+	room, world, counted, gone := transport.NewRoom(), simulation.NewWorld(1), &counters{}, map[string]bool{}
+	room.OnFrame(counted.seen)
+	room.Simulate(transport.Surroundings{Clock: world,
+		Delay: func(string, string) clock.Span { return clock.Milliseconds(1) },
+		Reach: func(from, to string) bool { return !gone[from] && !gone[to] }})
+	return room, world, counted, gone
+}
+
+func TestPostTakesItsTimeAndCounts(test *testing.T) {
+	room, world, counted, _ := simulated()
+	_ = room.Transport("server").Serve(func(_ messages.Kind, body []byte) ([]byte, error) { return append([]byte("to "), body...), nil })
+	var answer string
+	at := clock.Moment(0)
+	room.Transport("client").Post("server", messages.KindShuffle, []byte("one"), enough, func(body []byte, err error) {
+		if err != nil {
+			test.Error(err)
+		}
+		answer, at = string(body), world.Now
+	})
+	world.Run(clock.Moment(enough))
+	// The head is 17 bytes: the frame format's contract.
+	if answer != "to one" || at != clock.Moment(clock.Milliseconds(2)) || counted.calls != 1 || counted.answers != 1 || counted.bytes != 17+3+17+6 {
+		test.Fatalf("%q at %d, %+v", answer, at, counted)
+	}
+}
+
+func TestPostTellsSilenceRefusalAndAbsenceApart(test *testing.T) {
+	room, world, _, gone := simulated()
+	_ = room.Transport("server").Serve(func(kind messages.Kind, _ []byte) ([]byte, error) {
+		if kind == messages.KindGossip {
+			gone["server"] = true
+			return []byte("lost on its way"), nil
+		}
+		return nil, nil
+	})
+	type result struct {
+		err error
+		at  clock.Moment
+	}
+	var results []result
+	post := func(address string, kind messages.Kind) {
+		begun := world.Now
+		room.Transport("client").Post(address, kind, nil, clock.Milliseconds(30), func(_ []byte, err error) {
+			results = append(results, result{err, world.Now - begun})
+		})
+		world.Run(world.Now + clock.Moment(enough))
+	}
+	post("server", messages.Kind(9999))
+	post("nobody", messages.KindShuffle)
+	post("server", messages.KindGossip)
+	post("server", messages.KindShuffle)
+	silent := clock.Moment(clock.Milliseconds(30))
+	if len(results) != 4 || !errs.Of(results[0].err, transport.Refused) || !errs.Of(results[1].err, transport.Unreached) ||
+		!errs.Of(results[2].err, transport.Unanswered) || results[2].at != silent ||
+		!errs.Of(results[3].err, transport.Unanswered) || results[3].at != silent {
+		test.Fatalf("%+v", results)
+	}
+}
--- /dev/null
+++ b/internal/platform/transport/tell_test.go
@@ -0,0 +1,83 @@
+package transport_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// toldContract is what every transport keeps for what nobody answers.
+func toldContract(test *testing.T, make func() (transport.Transport, string)) {
+	server, address := make()
+	defer server.Close()
+	heard := newHeard()
+	err := server.Serve(func(kind messages.Kind, body []byte) ([]byte, error) {
+		if kind == messages.KindGossip {
+			heard <- string(body)
+		}
+		return []byte("answer"), nil
+	})
+	if err != nil {
+		test.Fatal(err)
+	}
+	client, nobody := make()
+	defer client.Close()
+	teller := client.(transport.Teller)
+	if err = teller.Tell(address, messages.KindGossip, []byte("word")); err != nil {
+		test.Fatal(err)
+	}
+	select {
+	case word := <-heard:
+		if word != "word" {
+			test.Fatal(word)
+		}
+	case <-clock.After(enough):
+		test.Fatal("what was told never arrived")
+	}
+	// The line carries calls as before, and no answer of the told one comes between.
+	if answer, err := client.Call(address, messages.KindShuffle, nil, enough); err != nil || string(answer) != "answer" {
+		test.Fatalf("%q %v", answer, err)
+	}
+	if err = teller.Tell(nobody, messages.KindGossip, nil); !errs.Of(err, transport.Unreached) {
+		test.Fatalf("told nobody: %v", err)
+	}
+}
+
+func newHeard() chan string { return make(chan string, 8) }
+
+func TestToldContractWire(test *testing.T) {
+	toldContract(test, func() (transport.Transport, string) {
+		address := freeAddress(test)
+		return transport.NewWire(address), address
+	})
+}
+
+func TestToldContractMemory(test *testing.T) {
+	room, count := transport.NewRoom(), 0
+	toldContract(test, func() (transport.Transport, string) {
+		count++
+		address := fmt.Sprint("node", count)
+		return room.Transport(address), address
+	})
+}
+
+// plain is a transport that knows calls only.
+type plain struct{ transport.Transport }
+
+// Over a transport without one-way messages a word is a call like any other.
+func TestToldAsACall(test *testing.T) {
+	room := transport.NewRoom()
+	server := room.Transport("a")
+	heard := newHeard()
+	_ = server.Serve(func(_ messages.Kind, body []byte) ([]byte, error) {
+		heard <- "called"
+		return []byte{}, nil
+	})
+	if err := transport.Tell(plain{room.Transport("b")}, "a", messages.KindGossip, &messages.Nothing{}); err != nil || len(heard) != 1 {
+		test.Fatal(err, len(heard))
+	}
+}
--- a/internal/tongs/wire.go
+++ b/internal/platform/transport/wire.go
@@ -1,4 +1,4 @@
-package tongs
+package transport
 
 import (
 	"bufio"
@@ -7,16 +7,16 @@
 	"sync/atomic"
 	"syscall"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // userTimeout is TCP_USER_TIMEOUT, which the syscall package does not name.
 const userTimeout = 0x12
 
 // Dial opens a connection whose silence under unacknowledged bytes is bounded.
-func Dial(address string, span, silence watch.Span) (net.Conn, error) {
+func Dial(address string, span, silence clock.Span) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: span, KeepAlive: -1}
 	dialer.Control = func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(descriptor uintptr) {
@@ -50,17 +50,17 @@
 
 // Serve listens and hands calls to the handler.
 func (wire *Wire) Serve(handler Handler) error {
-	listener, failure := net.Listen("tcp4", wire.own)
-	if failure != nil {
-		return Unreached.Wrap(failure, "can't listen on "+wire.own)
+	listener, err := net.Listen("tcp4", wire.own)
+	if err != nil {
+		return Unreached.Wrap(err, "can't listen on "+wire.own)
 	}
 	wire.lock.Lock()
 	wire.listener = listener
 	wire.lock.Unlock()
 	go func() {
 		for {
-			connection, failure := listener.Accept()
-			if failure != nil {
+			connection, err := listener.Accept()
+			if err != nil {
 				wire.lock.Lock()
 				closed := wire.closed
 				wire.lock.Unlock()
@@ -68,7 +68,7 @@
 					return
 				}
 				// Out of descriptors, say: wait a little rather than spin.
-				watch.Sleep(almanac.BackoffBase)
+				clock.Sleep(constants.BackoffBase)
 				continue
 			}
 			go wire.serveOne(connection, handler)
@@ -83,14 +83,14 @@
 	caller := connection.RemoteAddr().String()
 	var writing sync.Mutex
 	for {
-		one, failure := readFrame(reader)
-		if failure != nil {
+		one, err := readFrame(reader)
+		if err != nil {
 			return
 		}
 		wire.meter.received(one.kind, caller, len(one.body))
 		if one.sort == sortTell {
 			go func() {
-				if body, failure := handler(one.kind, one.body); failure != nil || body == nil {
+				if body, err := handler(one.kind, one.body); err != nil || body == nil {
 					wire.unknown.Add(1)
 				}
 			}()
@@ -101,17 +101,17 @@
 			continue
 		}
 		go func() {
-			body, failure := handler(one.kind, one.body)
+			body, err := handler(one.kind, one.body)
 			answer := frame{sort: sortAnswer, kind: one.kind, number: one.number, body: body}
-			if failure != nil || body == nil {
+			if err != nil || body == nil {
 				wire.unknown.Add(1)
 				answer.sort, answer.body = sortUnknown, nil
 			}
 			wire.meter.sent(one.kind, caller, len(answer.body))
 			writing.Lock()
 			defer writing.Unlock()
-			_ = connection.SetWriteDeadline(watch.Deadline(almanac.BulkCallTime))
-			if _, failure := connection.Write(appendFrame(nil, answer)); failure != nil {
+			_ = connection.SetWriteDeadline(clock.Deadline(constants.BulkCallTime))
+			if _, err := connection.Write(appendFrame(nil, answer)); err != nil {
 				connection.Close()
 			}
 		}()
@@ -119,7 +119,7 @@
 }
 
 // Call sends one call and waits.
-func (wire *Wire) Call(address string, kind pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+func (wire *Wire) Call(address string, kind messages.Kind, body []byte, span clock.Span) ([]byte, error) {
 	return wire.peer(address).call(frame{sort: sortCall, kind: kind, number: wire.number.Add(1), body: body}, span)
 }
 
--- /dev/null
+++ b/internal/tooling/fleetshell/fleetshell.go
@@ -0,0 +1,92 @@
+// Package fleetshell asks a fleet for its state: it reads only, gives each process a
+// bounded time, and shows silence as silence.
+package fleetshell
+
+import (
+	"net"
+	"sort"
+	"strings"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// The errors of the shell.
+var (
+	// BadCall means that the question itself is wrong.
+	BadCall = errs.Define("bad call")
+	// NoFleet means that the seed does not answer.
+	NoFleet = errs.Define("no fleet")
+)
+
+// Queries names each query with the roles that answer it and what it shows.
+var Queries = map[string]struct {
+	Roles []string
+	Shows string
+}{
+	"nodes":        {nil, "the processes that the seed knows, and when each was heard"},
+	"zones":        {[]string{membership.RoleController}, "how many processes each controller knows in each zone"},
+	"config":       {[]string{membership.RoleGateway, membership.RoleController, membership.RoleStore}, "the generation that each process follows"},
+	"workers":      {[]string{membership.RoleGateway, membership.RoleController, membership.RoleStore}, "workers and their health, as each process sees them"},
+	"duty":         {[]string{membership.RoleController, membership.RoleStore}, "acceptors, holders and epochs"},
+	"lots":         {[]string{membership.RoleStore}, "lots and backlog, at the holder"},
+	"stores":       {[]string{membership.RoleStore}, "copies and what is missing of them"},
+	"pace":         {[]string{membership.RoleStore}, "whether a storage machine is slow now, by its own measure"},
+	"index":        {[]string{membership.RoleGateway, membership.RoleStore}, "prefix index and residency downgrades"},
+	"traffic":      {[]string{membership.RoleGateway, membership.RoleController, membership.RoleStore}, "messages and bytes by kind, in the own zone and to others"},
+	"assignments":  {[]string{membership.RoleGateway, membership.RoleController, membership.RoleStore}, "adapters that each node has in force, and the window that comes next"},
+	"displacement": {[]string{membership.RoleGateway, membership.RoleStore}, "displaced, resumed and finished work by route"},
+}
+
+// QueryNames lists the queries in order.
+func QueryNames() []string {
+	var names []string
+	for name := range Queries {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Answer is what one process said.
+type Answer struct {
+	Process string
+	Silent  bool
+	Status  messages.Status
+}
+
+// Loupe asks over a transport.
+type Shell struct {
+	Transport transport.Transport
+	Seed      string
+	Limit     clock.Span
+}
+
+// New checks the address of the seed.
+func New(carrier transport.Transport, seed string, limit clock.Span) (*Shell, error) {
+	host, port, err := net.SplitHostPort(seed)
+	if err != nil || host == "" || port == "" {
+		return nil, BadCall.New("seed " + seed + " is no address of the form host:port")
+	}
+	return &Shell{Transport: carrier, Seed: seed, Limit: limit}, nil
+}
+
+// Ask puts one query to every process that answers it.
+func (shell *Shell) Ask(query string) ([]Answer, error) {
+	known, found := Queries[query]
+	if !found {
+		return nil, BadCall.New("unknown query " + query + "; there are: " + strings.Join(QueryNames(), ", "))
+	}
+	seen := &messages.Status{}
+	err := transport.Ask(shell.Transport, shell.Seed, messages.KindStatus, &messages.StatusAsk{Query: "nodes"}, seen, shell.Limit)
+	if err != nil {
+		return nil, NoFleet.Wrap(err, "seed "+shell.Seed+" does not answer (its internal address is needed)")
+	}
+	if len(known.Roles) == 0 {
+		return []Answer{{Process: "seed", Status: *seen}}, nil
+	}
+	return shell.askZones(shell.fleet(seen), query, known.Roles), nil
+}
--- /dev/null
+++ b/internal/tooling/fleetshell/fleetshell_test.go
@@ -0,0 +1,72 @@
+package fleetshell
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+func fleet(test *testing.T) (*transport.Room, transport.Transport) {
+	room := transport.NewRoom()
+	for _, name := range []string{"forge/a", "forge/b", "locker/c"} {
+		_ = room.Transport(name + ":1").Serve(func(kind messages.Kind, body []byte) ([]byte, error) {
+			question := &messages.StatusAsk{}
+			if kind != messages.KindStatus || transport.Read(body, question) != nil {
+				return nil, nil
+			}
+			answer := &messages.Status{Columns: []string{"what"}, Rows: [][]string{{question.Query + " of " + name}}}
+			if question.Query == "nodes" {
+				answer = &messages.Status{Columns: []string{"process", "zone", "address"}}
+				for _, other := range []string{"forge/a", "forge/b", "locker/c"} {
+					answer.Rows = append(answer.Rows, []string{other, "h", other + ":1"})
+				}
+			}
+			return transport.Write(answer)
+		})
+	}
+	return room, room.Transport("shell")
+}
+
+func TestSilenceIsShown(test *testing.T) {
+	room, transport := fleet(test)
+	room.Cut("forge/b:1", true)
+	glass, err := New(transport, "forge/a:1", clock.Milliseconds(200))
+	if err != nil {
+		test.Fatal(err)
+	}
+	answers, err := glass.Ask("index")
+	if err != nil || len(answers) != 3 || !answers[1].Silent || answers[0].Silent {
+		test.Fatal(answers, err)
+	}
+	var table, list bytes.Buffer
+	Table(&table, answers)
+	if !strings.Contains(table.String(), "forge/b  SILENT") || !strings.Contains(table.String(), "index of locker/c") {
+		test.Fatal(table.String())
+	}
+	if JSON(&list, answers) != nil || !strings.Contains(list.String(), `"silent": true`) {
+		test.Fatal(list.String())
+	}
+	if answers, _ = glass.Ask("lots"); len(answers) != 1 || answers[0].Process != "locker/c" {
+		test.Fatal(answers)
+	}
+}
+
+func TestBadCalls(test *testing.T) {
+	_, transport := fleet(test)
+	if _, err := New(transport, "nowhere", 1); !errs.Of(err, BadCall) {
+		test.Fatal(err)
+	}
+	glass, _ := New(transport, "forge/a:1", clock.Milliseconds(200))
+	if _, err := glass.Ask("weather"); !errs.Of(err, BadCall) {
+		test.Fatal(err)
+	}
+	lost, _ := New(transport, "forge/z:1", clock.Milliseconds(200))
+	if _, err := lost.Ask("nodes"); !errs.Of(err, NoFleet) {
+		test.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/tooling/fleetshell/foremen.go
@@ -0,0 +1,28 @@
+package fleetshell
+
+import (
+	"strings"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// Controllers gives the addresses of the control processes that the seed knows.
+func (shell *Shell) Controllers() ([]string, error) {
+	seen := &messages.Status{}
+	err := transport.Ask(shell.Transport, shell.Seed, messages.KindStatus, &messages.StatusAsk{Query: "nodes"}, seen, shell.Limit)
+	if err != nil {
+		return nil, NoFleet.Wrap(err, "seed "+shell.Seed+" does not answer (its internal address is needed)")
+	}
+	var addresses []string
+	for _, row := range seen.Rows {
+		if role, _, _ := strings.Cut(row[0], "/"); role == membership.RoleController && len(row) > 2 {
+			addresses = append(addresses, row[2])
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, NoFleet.New("seed " + shell.Seed + " knows no controller")
+	}
+	return addresses, nil
+}
--- a/internal/loupe/show.go
+++ b/internal/tooling/fleetshell/show.go
@@ -1,4 +1,4 @@
-package loupe
+package fleetshell
 
 import (
 	"encoding/json"
--- a/internal/maquette/ages.go
+++ b/internal/tooling/hollowfleet/ages.go
@@ -1,10 +1,10 @@
-package maquette
+package hollowfleet
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // ages gathers how old words are, in bins of 20 ms.
@@ -19,7 +19,7 @@
 	ageBin  = 20 * 1_000_000
 )
 
-func (ages *ages) add(age watch.Span, known bool) {
+func (ages *ages) add(age clock.Span, known bool) {
 	ages.sum++
 	if !known {
 		ages.never++
@@ -56,7 +56,7 @@
 			found.P95Ms = at
 		}
 		count += many
-		if watch.Span(bin)*ageBin >= almanac.GossipStale {
+		if clock.Span(bin)*ageBin >= constants.GossipStale {
 			stale += many
 		}
 	}
--- a/internal/maquette/copies.go
+++ b/internal/tooling/hollowfleet/copies.go
@@ -1,50 +1,50 @@
-package maquette
+package hollowfleet
 
 import (
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // feed sends a store what it lacks, one order at a time.
-func (lots *lots) feed(node *Node, own *drawer, member pattern.Member, identity string) {
+func (lotList *lotList) feed(node *Node, own *drawer, member messages.Member, identity string) {
 	next := own.press.MatchOf(identity) + 1
 	if own.sending[identity] || next > own.press.Last() {
 		return
 	}
 	own.sending[identity] = true
-	order := &pattern.Append{Epoch: lotEpoch, Disk: member.Disk, PreviousIndex: next - 1, Done: own.press.Done()}
+	order := &messages.Append{Epoch: lotEpoch, Disk: member.Disk, PreviousIndex: next - 1, Done: own.press.Done()}
 	if next > 1 {
 		order.PreviousEpoch = lotEpoch
 	}
 	size := 0
-	for place := next - own.first; place < int64(len(own.recent)) && size < almanac.AppendBytes; place++ {
+	for place := next - own.first; place < int64(len(own.recent)) && size < constants.AppendBytes; place++ {
 		order.Records = append(order.Records, own.recent[place])
 		size += len(own.recent[place].Body) + 128
 	}
-	matched := func(answer pattern.Appended) {
+	matched := func(answer messages.Appended) {
 		own.sending[identity] = false
 		if answer.Granted {
 			node.step(CoreLots, func() {
 				if own.press.Matched(identity, answer.Last) {
-					lots.apply(node, own)
+					lotList.apply(node, own)
 				}
 			})
-			lots.feed(node, own, member, identity)
+			lotList.feed(node, own, member, identity)
 		}
 	}
 	if member.Address == node.own.Address {
-		var answer pattern.Appended
+		var answer messages.Appended
 		node.step(CoreLots, func() { answer = own.append(order) })
 		// A sync of our own disk, as long as one in the zone.
-		node.after(watch.Milliseconds(5), func() { matched(answer) })
+		node.after(clock.Milliseconds(5), func() { matched(answer) })
 		return
 	}
-	back := &pattern.Appended{}
-	node.ask(CoreLots, member.Address, pattern.KindAppend, order, back, almanac.BulkCallTime, func(reached bool) {
+	back := &messages.Appended{}
+	node.ask(CoreLots, member.Address, messages.KindAppend, order, back, constants.BulkCallTime, func(reached bool) {
 		if !reached {
 			own.sending[identity] = false
-			node.after(almanac.TickPeriod*2, func() { lots.feed(node, own, member, identity) })
+			node.after(constants.TickPeriod*2, func() { lotList.feed(node, own, member, identity) })
 			return
 		}
 		matched(*back)
@@ -52,19 +52,19 @@
 }
 
 // apply takes what became durable into the book.
-func (lots *lots) apply(node *Node, own *drawer) {
+func (lotList *lotList) apply(node *Node, own *drawer) {
 	for own.applied < own.press.Done() {
 		record := own.recent[own.applied+1-own.first]
 		_ = own.book.Apply(&record)
 		switch record.Kind {
-		case pattern.RecordLot:
-			lots.waits = append(lots.waits, watch.ToMilliseconds(node.now().Since(own.begun[record.Lot])))
+		case messages.RecordLot:
+			lotList.waits = append(lotList.waits, clock.ToMilliseconds(node.now().Since(own.begun[record.Lot])))
 			delete(own.begun, record.Lot)
-		case pattern.RecordOutput:
-			lots.listed++
+		case messages.RecordOutput:
+			lotList.listed++
 			if lot := own.book.Lot(record.Lot); lot != nil && len(lot.Listings) == lot.Sum() {
 				// Read by its client at once, in this world.
-				lots.submit(node, own, pattern.Record{Kind: pattern.RecordForget, Lot: record.Lot})
+				lotList.submit(node, own, messages.Record{Kind: messages.RecordForget, Lot: record.Lot})
 			}
 		}
 		own.applied++
@@ -80,11 +80,11 @@
 	own.durable = kept
 	// What is on all stores is given back; one that lags keeps it here.
 	keep := own.applied
-	for _, member := range lots.members {
+	for _, member := range lotList.members {
 		keep = min(keep, own.press.MatchOf(member.Address+"#"+member.Disk))
 	}
 	if excess := keep + 1 - own.first; excess > 0 {
-		own.recent = append([]pattern.Record(nil), own.recent[excess:]...)
+		own.recent = append([]messages.Record(nil), own.recent[excess:]...)
 		own.first += excess
 	}
 }
--- /dev/null
+++ b/internal/tooling/hollowfleet/dispatch.go
@@ -0,0 +1,199 @@
+package hollowfleet
+
+import (
+	"fmt"
+
+	"lemonarch/internal/batch/itemdriver"
+	"lemonarch/internal/batch/lots"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// ledger is what a driver keeps.
+type ledger struct {
+	core    *itemdriver.Runner
+	running int
+	// speaking: results are on their way; asking: a question for items is out.
+	speaking, asking bool
+	renewed          clock.Moment
+	lock             clock.Span
+}
+
+// itemService is the service of all items: which one it is decides nothing here.
+const itemService = "model-00"
+
+// beginDispatch lets the holder hand items out and take acknowledgements.
+func (lotList *lotList) beginDispatch(node *Node, own *drawer) {
+	own.dispatcher = lots.NewDispatcher(own.book, lotEpoch, 1, constants.LockUnstated, node.now())
+	own.dispatcher.Submit = func(record messages.Record) int64 { return lotList.submit(node, own, record) }
+	terms := func(lot *lots.Lot) lots.Terms { return lots.Terms{Due: lot.SentMs + 3_600_000} }
+	node.answerers[messages.KindAcquire] = func(body []byte, reply func(transport.Writable)) {
+		question := &messages.Acquire{}
+		node.step(CoreLots, func() { _ = transport.Read(body, question) })
+		lotList.acquire(node, own, question, node.now(), terms, reply)
+	}
+	node.answerers[messages.KindAcknowledge] = func(body []byte, reply func(transport.Writable)) {
+		question := &messages.Acknowledge{}
+		node.step(CoreLots, func() {
+			if transport.Read(body, question) == nil {
+				lotList.acknowledge(node, own, question, reply)
+			}
+		})
+	}
+	node.every(constants.TickPeriod, func() { node.step(CoreLots, func() { own.dispatcher.Lapse(node.now()) }) })
+	node.every(constants.ExpirePeriod, func() { node.step(CoreLots, func() { own.dispatcher.Expire(terms, node.now()) }) })
+}
+
+// acquire hands items out, or looks again a little later while there are none.
+func (lotList *lotList) acquire(node *Node, own *drawer, question *messages.Acquire, begun clock.Moment, terms func(*lots.Lot) lots.Terms, reply func(transport.Writable)) {
+	answer := &messages.Acquired{LockMs: clock.ToMilliseconds(own.dispatcher.Lock), HeldMs: clock.ToMilliseconds(node.now().Since(begun))}
+	node.step(CoreLots, func() {
+		ask := &lots.AcquireAsk{Driver: lots.Driver{Name: question.Driver, Life: question.Life, Address: question.Address},
+			Room: map[string]int{}, Terms: terms, Service: func(*lots.Item) string { return itemService }}
+		for _, room := range question.Room {
+			ask.Room[room.Service] = room.Count
+		}
+		for _, one := range own.dispatcher.Acquire(ask, node.now()) {
+			answer.Items = append(answer.Items, messages.AcquiredItem{Number: one.Number, Lot: one.Item.Lot.ID, Host: one.Item.Lot.Host,
+				Path: one.Item.Lot.Path, SentMs: one.Item.Lot.SentMs, Item: one.Item.LotItem})
+		}
+	})
+	if len(answer.Items) > 0 || node.now().Since(begun) >= constants.AcquireHold {
+		reply(answer)
+		return
+	}
+	node.after(constants.TickPeriod, func() { lotList.acquire(node, own, question, begun, terms, reply) })
+}
+
+// acknowledge takes a batch; what needs a record is answered once that is durable.
+func (lotList *lotList) acknowledge(node *Node, own *drawer, question *messages.Acknowledge, reply func(transport.Writable)) {
+	driver := lots.Driver{Name: question.Driver, Life: question.Life, Address: question.Address}
+	answer, last := &messages.Acknowledged{}, int64(0)
+	for place := range question.Entries {
+		step := own.dispatcher.Acknowledge(driver, &question.Entries[place], node.now())
+		last = max(last, step.Index)
+		answer.Verdicts = append(answer.Verdicts, step.Verdict)
+	}
+	if last <= own.press.Done() {
+		reply(answer)
+		return
+	}
+	own.durable = append(own.durable, waiting{last, func() { reply(answer) }})
+}
+
+// beginDriver lets a store run items.
+func (lotList *lotList) beginDriver(node *Node) *ledger {
+	own := &ledger{core: itemdriver.New(), lock: constants.LockUnstated}
+	if lotList.fleet.Plan.Lots == 0 {
+		return own
+	}
+	node.every(constants.TickPeriod, func() {
+		node.step(CoreDriver, func() { lotList.halt(own.core.Lapsed(node.now())) })
+		if node.now().Since(own.renewed) >= own.lock/constants.RenewPart {
+			own.renewed = node.now()
+			lotList.renewLocks(node, own)
+		}
+		lotList.ask(node, own)
+	})
+	return own
+}
+
+// halt has nothing to break off: a run that was stopped ends as one that is late.
+func (*lotList) halt([]*itemdriver.Task) {}
+
+// room is how many items a driver runs: its part of a quarter of all places.
+func (lotList *lotList) room() int {
+	plan := lotList.fleet.Plan
+	const share, capacity = 4, 16
+	return max(4, plan.Workers*capacity/share/max(1, plan.Nodes/plan.StoreEach))
+}
+
+// ask fills the room there is.
+func (lotList *lotList) ask(node *Node, own *ledger) {
+	room := lotList.room() - own.running
+	if own.asking || room <= 0 || lotList.holder.down {
+		return
+	}
+	own.asking = true
+	question := &messages.Acquire{Driver: node.own.Name, Life: node.own.Life, Address: node.own.Address,
+		Room: []messages.ServiceRoom{{Service: itemService, Count: room}}, HoldMs: int(constants.AcquireHold.Milliseconds())}
+	answer, asked := &messages.Acquired{}, node.now()
+	node.ask(CoreDriver, lotList.holder.own.Address, messages.KindAcquire, question, answer, constants.AcquireHold+constants.CallTime, func(reached bool) {
+		own.asking = false
+		if !reached {
+			return
+		}
+		for _, task := range own.core.Take(answer, asked, node.now()) {
+			own.running++
+			task.Begun = true
+			node.after(clock.Milliseconds(lotList.fleet.Plan.HeldMs*(0.5+node.random.Float64())), func() {
+				own.running--
+				lotList.finish(node, own, task)
+			})
+		}
+		lotList.ask(node, own)
+	})
+}
+
+// finish ends a run with its output, if it still may.
+func (lotList *lotList) finish(node *Node, own *ledger, task *itemdriver.Task) {
+	node.step(CoreDriver, func() {
+		entry := messages.Acknowledgement{Kind: messages.AckAccept, Text: []byte(fmt.Sprintf("%*d", lotList.fleet.Plan.ItemBytes, task.Number))}
+		if !task.May(node.now()) {
+			entry = messages.Acknowledgement{Kind: messages.AckRelease}
+		}
+		own.core.Done(task, entry)
+	})
+	node.after(constants.AckGather, func() { lotList.speak(node, own) })
+	node.after(constants.AckGather, func() { lotList.ask(node, own) })
+}
+
+// speak sends what is owed, one message at a time, and repeats what is not answered.
+func (lotList *lotList) speak(node *Node, own *ledger) {
+	var batch []messages.Acknowledgement
+	node.step(CoreDriver, func() { batch = append(own.core.Results(), own.core.Returns()...) })
+	if own.speaking || len(batch) == 0 {
+		return
+	}
+	own.speaking = true
+	lotList.acknowledged(node, batch, func(answer *messages.Acknowledged) {
+		own.speaking = false
+		if answer == nil {
+			node.after(constants.AckPause, func() { lotList.speak(node, own) })
+			return
+		}
+		own.core.Answered(batch, answer.Verdicts)
+		lotList.speak(node, own)
+	})
+}
+
+// renewLocks asks for all locks to run anew, in one message.
+func (lotList *lotList) renewLocks(node *Node, own *ledger) {
+	var entries []messages.Acknowledgement
+	node.step(CoreDriver, func() { entries = own.core.Renewals(node.now()) })
+	if len(entries) == 0 {
+		return
+	}
+	asked := node.now()
+	lotList.acknowledged(node, entries, func(answer *messages.Acknowledged) {
+		if answer == nil {
+			own.renewed = 0
+			return
+		}
+		lotList.halt(own.core.Renewed(entries, answer.Verdicts, asked, own.lock))
+	})
+}
+
+func (lotList *lotList) acknowledged(node *Node, entries []messages.Acknowledgement, then func(*messages.Acknowledged)) {
+	question := &messages.Acknowledge{Driver: node.own.Name, Life: node.own.Life, Address: node.own.Address, Entries: entries}
+	answer := &messages.Acknowledged{}
+	node.ask(CoreDriver, lotList.holder.own.Address, messages.KindAcknowledge, question, answer, constants.CallTime, func(reached bool) {
+		if !reached {
+			then(nil)
+			return
+		}
+		then(answer)
+	})
+}
--- a/internal/maquette/fit.go
+++ b/internal/tooling/hollowfleet/fit.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"math"
--- a/internal/maquette/fleet.go
+++ b/internal/tooling/hollowfleet/fleet.go
@@ -1,14 +1,14 @@
-package maquette
+package hollowfleet
 
 import (
 	"io"
 	"runtime"
 
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/model"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
 )
 
 // Mechanism is one way in which processes keep each other informed: a small adapter
@@ -25,49 +25,49 @@
 
 // Fleet is a hollow fleet.
 type Fleet struct {
-	Plan       Plan
-	world      *model.World
-	room       *tongs.Room
-	nodes      []*Node
-	byAddress  map[string]*Node
-	mechanisms []Mechanism
-	members    *membership
-	workers    *workers
-	gossip     *gossip
-	traffic    *traffic
-	register   *register
-	lots       *lots
-	troubles   *troubles
-	counting   bool
-	kinds      map[pattern.Kind]*[ways]Traffic
-	inner      int64
-	parted     bool
-	seeds      []string
-	progress   io.Writer
+	Plan          Plan
+	world         *simulation.World
+	room          *transport.Room
+	nodes         []*Node
+	byAddress     map[string]*Node
+	mechanisms    []Mechanism
+	members       *memberList
+	workerList    *workerList
+	gossip        *gossip
+	traffic       *traffic
+	localRegister *localRegister
+	lotList       *lotList
+	troubles      *troubles
+	counting      bool
+	kinds         map[messages.Kind]*[ways]Traffic
+	inner         int64
+	parted        bool
+	seeds         []string
+	progress      io.Writer
 }
 
 // New builds a fleet; progress, where not nil, is told how far long runs are.
 func New(plan Plan, progress io.Writer) *Fleet {
 	plan.Scale()
-	fleet := &Fleet{Plan: plan, world: model.NewWorld(plan.Seed), room: tongs.NewRoom(), byAddress: map[string]*Node{},
-		kinds: map[pattern.Kind]*[ways]Traffic{}, progress: progress}
+	fleet := &Fleet{Plan: plan, world: simulation.NewWorld(plan.Seed), room: transport.NewRoom(), byAddress: map[string]*Node{},
+		kinds: map[messages.Kind]*[ways]Traffic{}, progress: progress}
 	fleet.room.OnFrame(fleet.count)
-	fleet.room.Simulate(tongs.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
+	fleet.room.Simulate(transport.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
 	manned := map[int]bool{}
 	for machine := 0; machine < plan.Nodes; machine++ {
-		role := bellows.RoleForge
-		if machine%plan.LockerEach == plan.LockerEach-1 {
-			role = bellows.RoleLocker
+		role := membership.RoleGateway
+		if machine%plan.StoreEach == plan.StoreEach-1 {
+			role = membership.RoleStore
 		}
 		fleet.add(machine, role)
-		if role == bellows.RoleForge && !manned[machine%plan.Zones] {
+		if role == membership.RoleGateway && !manned[machine%plan.Zones] {
 			manned[machine%plan.Zones] = true
-			fleet.seeds = append(fleet.seeds, fleet.add(machine, bellows.RoleForeman).own.Address)
+			fleet.seeds = append(fleet.seeds, fleet.add(machine, membership.RoleController).own.Address)
 		}
 	}
-	fleet.members, fleet.workers, fleet.gossip = &membership{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
-	fleet.register, fleet.lots, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
-	fleet.mechanisms = []Mechanism{fleet.members, fleet.workers, fleet.gossip, fleet.register, fleet.lots, fleet.traffic}
+	fleet.members, fleet.workerList, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
+	fleet.localRegister, fleet.lotList, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.workerList, fleet.gossip, fleet.localRegister, fleet.lotList, fleet.traffic}
 	fleet.troubles = newTroubles(fleet)
 	return fleet
 }
@@ -87,10 +87,10 @@
 	for _, node := range fleet.nodes {
 		node.begin()
 	}
-	fleet.workers.begin()
+	fleet.workerList.begin()
 	// There is a first configuration before anything is counted.
-	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.register.change(fleet.live(bellows.RoleForeman)[0]) })
-	warm, whole := watch.Moment(seconds(fleet.Plan.WarmS)), watch.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
+	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.localRegister.change(fleet.live(membership.RoleController)[0]) })
+	warm, whole := clock.Moment(seconds(fleet.Plan.WarmS)), clock.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
 	fleet.play(warm, whole)
 	fleet.counting = true
 	for _, node := range fleet.nodes {
@@ -103,10 +103,10 @@
 }
 
 // play runs the world in pieces and tells how far it is.
-func (fleet *Fleet) play(until, whole watch.Moment) {
+func (fleet *Fleet) play(until, whole clock.Moment) {
 	teller := newTeller(fleet.progress)
 	for fleet.world.Now < until {
-		fleet.world.Run(min(until, fleet.world.Now+watch.Moment(seconds(1))))
+		fleet.world.Run(min(until, fleet.world.Now+clock.Moment(seconds(1))))
 		teller.tell(fleet, whole)
 	}
 }
@@ -122,9 +122,9 @@
 	return WayRegions
 }
 
-func (fleet *Fleet) delay(from, to string) watch.Span {
+func (fleet *Fleet) delay(from, to string) clock.Span {
 	base := [ways]float64{fleet.Plan.NearMs, fleet.Plan.ZonesMs, fleet.Plan.RegionMs}[fleet.way(from, to)]
-	return watch.Milliseconds(base * (1 + 0.2*fleet.world.Random.Float64()))
+	return clock.Milliseconds(base * (1 + 0.2*fleet.world.Random.Float64()))
 }
 
 func (fleet *Fleet) reach(from, to string) bool {
@@ -133,7 +133,7 @@
 }
 
 // count is told of every frame.
-func (fleet *Fleet) count(frame tongs.Frame) {
+func (fleet *Fleet) count(frame transport.Frame) {
 	if !fleet.counting {
 		return
 	}
--- /dev/null
+++ b/internal/tooling/hollowfleet/foremen.go
@@ -0,0 +1,104 @@
+package hollowfleet
+
+import (
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// beginBeats starts the word between controllers.
+func (workerList *workerList) beginBeats(node *Node, own *table) {
+	members := workerList.fleet.members
+	node.answerers[messages.KindControllerBeat] = reads(node, CoreMembership, func(beat *messages.ControllerBeat) transport.Writable {
+		back := workerList.word(node, own, membership.Key(beat.From))
+		told := node.now()
+		node.after(0, func() { node.step(CoreMembership, func() { workerList.heardBeat(node, own, beat, told) }) })
+		return back
+	})
+	node.answerers[messages.KindDirectoryPull] = reads(node, CoreMembership, func(question *messages.DirectoryPull) transport.Writable {
+		view := members.view(node)
+		return &messages.Shuffle{Entries: view.Since(question.Since, node.now()), Table: view.Digest()}
+	})
+	node.every(constants.RosterPeriod, func() { workerList.beatOthers(node, own) })
+}
+
+// word is what another controller is told.
+func (workerList *workerList) word(node *Node, own *table, key string) *messages.ControllerBeat {
+	since := clock.Moment(0)
+	if one := own.peers[key]; one != nil {
+		since = one.told
+	}
+	view := workerList.fleet.members.view(node)
+	return &messages.ControllerBeat{From: view.Own(), Workers: own.registry.Digest(node.own.Life), Beaten: own.registry.BeatenSince(since),
+		Processes: view.Digest(), Met: view.MetSince(since)}
+}
+
+func (workerList *workerList) beatOthers(node *Node, own *table) {
+	now := node.now()
+	addresses := map[string]string{}
+	node.step(CoreMembership, func() {
+		own.registry.Forget(now.Plus(-constants.ForgetAfter))
+		for key, one := range own.relays {
+			if now.Since(one.begun) > constants.BulkCallTime {
+				delete(own.relays, key)
+			}
+		}
+		for _, seed := range workerList.fleet.seeds {
+			addresses[seed] = ""
+		}
+		for _, entry := range workerList.fleet.members.view(node).All(membership.RoleController, now) {
+			key := membership.Key(entry)
+			if key < membership.Key(node.own) && entry.AgeMs < 2*constants.RosterPeriod.Milliseconds() {
+				delete(addresses, entry.Address)
+				continue
+			}
+			addresses[entry.Address] = key
+		}
+		delete(addresses, node.own.Address)
+	})
+	for _, address := range sortedKeys(addresses) {
+		var word *messages.ControllerBeat
+		node.step(CoreMembership, func() { word = workerList.word(node, own, addresses[address]) })
+		back := &messages.ControllerBeat{}
+		node.ask(CoreMembership, address, messages.KindControllerBeat, word, back, constants.CallTime, func(reached bool) {
+			if reached {
+				workerList.heardBeat(node, own, back, now)
+			}
+		})
+	}
+}
+
+// heardBeat takes another controller's word, and pulls what its tables have beyond ours.
+func (workerList *workerList) heardBeat(node *Node, own *table, beat *messages.ControllerBeat, told clock.Moment) {
+	members, now, key := workerList.fleet.members, node.now(), membership.Key(beat.From)
+	members.heard(node, []messages.Entry{beat.From})
+	one := own.peers[key]
+	if one == nil {
+		one = &peer{}
+		own.peers[key] = one
+	}
+	one.told = told
+	own.registry.Vouched(beat.Beaten, now)
+	view := members.view(node)
+	view.Vouched(beat.Met, now)
+	if since, ask := behind(&one.workerList, beat.Workers, own.registry.Digest(node.own.Life)); ask {
+		back := &messages.RosterPush{}
+		node.ask(CoreWorkers, beat.From.Address, messages.KindRosterPull, &messages.RosterPull{Since: since}, back, constants.CallTime, func(reached bool) {
+			if reached {
+				workerList.merge(node, own, back.Workers)
+				one.workerList = back.Table
+			}
+		})
+	}
+	if since, ask := behind(&one.processes, beat.Processes, view.Digest()); ask {
+		back := &messages.Shuffle{}
+		node.ask(CoreMembership, beat.From.Address, messages.KindDirectoryPull, &messages.DirectoryPull{Since: since}, back, constants.CallTime, func(reached bool) {
+			if reached {
+				members.heard(node, back.Entries)
+				one.processes = back.Table
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/tooling/hollowfleet/gossip.go
@@ -0,0 +1,177 @@
+package hollowfleet
+
+import (
+	"math"
+	"sort"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/loadgossip"
+)
+
+// gossip drives the utilization and weights of admission, health and prefixindex as
+// loadgossip does: bounded packets to a few neighbours, one way, once a period.
+type gossip struct {
+	fleet *Fleet
+	ages  ages
+	// near are the ages of words on workers of the own zone.
+	near ages
+	// off adds up how many requests words are off from what workers really have.
+	off, offCount float64
+	// The sums of what workers really have, for its mean and spread.
+	had, hadSquares, full, hadCount float64
+}
+
+func newGossip(fleet *Fleet) *gossip { return &gossip{fleet: fleet} }
+
+// Name names it.
+func (*gossip) Name() string { return "gossip" }
+
+// circle is whom a process tells.
+type circle struct {
+	near, far        []messages.Entry
+	zones            [][]messages.Entry
+	gossip, readings []messages.Entry
+	population       int
+}
+
+// zoneSize is how many placing processes a zone has.
+func (circle *circle) zoneSize() int {
+	return max(len(circle.near)+1, circle.population/(len(circle.zones)+1))
+}
+
+// Begin starts the gossip of a process that places work.
+func (gossip *gossip) Begin(node *Node) any {
+	if !node.places() {
+		return nil
+	}
+	own := node.state[1].(*placing)
+	node.answerers[messages.KindGossip] = reads(node, CoreGossip, func(packet *messages.Gossip) transport.Writable {
+		own.scheduler.Heard(packet, node.now())
+		gossip.fleet.members.touched(node, packet.From)
+		gossip.fleet.localRegister.saw(node, packet.Generation)
+		return taken()
+	})
+	node.answerers[messages.KindReading] = reads(node, CoreReadings, func(told *messages.ReadingTold) transport.Writable {
+		own.scheduler.PeerReads(told, node.now())
+		if told.Pass {
+			further := *told
+			further.Pass = false
+			node.after(0, func() { gossip.spreadReading(node, own, &further, false) })
+		}
+		return taken()
+	})
+	node.answerers[messages.KindPressure] = reads(node, CoreReadings, func(told *messages.PressureTold) transport.Writable {
+		own.scheduler.Pressed(told, max(told.Sharers, 1), node.now())
+		return taken()
+	})
+	own.scheduler.OnReading(func(worker string, milliseconds float64) {
+		told := &messages.ReadingTold{From: membership.Key(node.own), Worker: worker, Reading: milliseconds}
+		// Called under the admission's lock.
+		node.after(0, func() { gossip.spreadReading(node, own, told, true) })
+	})
+	node.every(constants.GossipPeriod, func() { gossip.period(node, own) })
+	return nil
+}
+
+// Drop has nothing of its own: health and index go with the workers.
+func (*gossip) Drop(*Node) {}
+
+func (gossip *gossip) period(node *Node, own *placing) {
+	var packet *messages.Gossip
+	var told []messages.Entry
+	node.step(CoreGossip, func() {
+		packet = own.scheduler.Gossip(node.now())
+		packet.Generation = node.generation
+		view := gossip.fleet.members.view(node)
+		own.around = around(node.own, view.All("", node.now()))
+		own.around.population = view.Population(membership.RoleGateway, node.now()) + view.Population(membership.RoleStore, node.now())
+		told = append([]messages.Entry(nil), own.around.gossip...)
+		// Each zone tells each other about once a period, however many it has.
+		if zones := own.around.zones; len(zones) > 0 && node.random.Float64() < float64(len(zones))/float64(own.around.zoneSize()) {
+			there := zones[node.random.Intn(len(zones))]
+			told = append(told, there[node.random.Intn(len(there))])
+		}
+	})
+	node.tell(told, CoreGossip, messages.KindGossip, packet)
+}
+
+// around finds whom a process tells, as loadgossip does.
+func around(own messages.Entry, known []messages.Entry) circle {
+	found := circle{}
+	for _, entry := range known {
+		switch {
+		case entry.Role != membership.RoleGateway && entry.Role != membership.RoleStore,
+			entry.Leaving || entry.AgeMs >= constants.NeighbourAge.Milliseconds():
+		case entry.Zone == own.Zone:
+			found.near = append(found.near, entry)
+		default:
+			found.far = append(found.far, entry)
+		}
+	}
+	places := map[string]int{}
+	for _, entry := range found.far {
+		place, known := places[entry.Zone]
+		if !known {
+			place = len(found.zones)
+			places[entry.Zone] = place
+			found.zones = append(found.zones, nil)
+		}
+		found.zones[place] = append(found.zones[place], entry)
+	}
+	sort.Slice(found.zones, func(left, right int) bool { return found.zones[left][0].Zone < found.zones[right][0].Zone })
+	found.gossip = loadgossip.Neighbours(own, found.near, constants.GossipFanout)
+	found.readings = loadgossip.Neighbours(own, found.near, constants.ReadingFanout)
+	if left := constants.ReadingFanout - len(found.readings); left > 0 {
+		found.readings = append(found.readings, loadgossip.Neighbours(own, found.far, left)...)
+	}
+	return found
+}
+
+// sample looks now and then at how old the word is that processes have of workers, and
+// how far it is from what these really have.
+func (gossip *gossip) sample() {
+	now := gossip.fleet.world.Now
+	for _, node := range gossip.fleet.live("") {
+		if !node.places() {
+			continue
+		}
+		own := gossip.fleet.workerList.placing(node)
+		for _, worker := range gossip.fleet.workerList.all {
+			if worker.Phase != messages.PhaseSteady {
+				continue
+			}
+			gossip.look(own.scheduler, worker.ID)
+			_, at := own.scheduler.Tracker.Of(worker.ID).Observed()
+			gossip.ages.add(now.Since(at), at > 0)
+			if worker.Zone == node.own.Zone {
+				gossip.near.add(now.Since(at), at > 0)
+			}
+		}
+	}
+	for _, worker := range gossip.fleet.workerList.all {
+		has := float64(gossip.fleet.traffic.running[worker.ID])
+		gossip.had, gossip.hadSquares, gossip.hadCount = gossip.had+has, gossip.hadSquares+has*has, gossip.hadCount+1
+		if has > float64(worker.Capacity) {
+			gossip.full++
+		}
+	}
+	gossip.fleet.world.After(seconds(5.3), gossip.sample)
+}
+
+// loads sums up what workers really had.
+func (gossip *gossip) loads() WorkerLoads {
+	count := max(gossip.hadCount, 1)
+	mean := gossip.had / count
+	return WorkerLoads{Mean: mean, Deviation: math.Sqrt(max(0, gossip.hadSquares/count-mean*mean)), OverFull: gossip.full / count,
+		BelievedOff: gossip.off / max(gossip.offCount, 1)}
+}
+
+func (gossip *gossip) look(scheduler *admission.Scheduler, worker string) {
+	believed := scheduler.Tracker.Of(worker).Running(gossip.fleet.world.Now)
+	gossip.off += math.Abs(float64(believed - gossip.fleet.traffic.running[worker]))
+	gossip.offCount++
+}
--- a/internal/maquette/maquette_test.go
+++ b/internal/tooling/hollowfleet/hollowfleet_test.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 // small is a fleet that plays in a moment, with something of everything.
 func small(seed int64) Plan {
 	plan := Usual()
-	plan.Nodes, plan.Workers, plan.Zones, plan.LockerEach = 12, 18, 4, 3
+	plan.Nodes, plan.Workers, plan.Zones, plan.StoreEach = 12, 18, 4, 3
 	plan.WarmS, plan.DurationS, plan.Seed = 4, 12, seed
 	plan.Changes, plan.Turns, plan.Lots, plan.LotItems, plan.Failures, plan.DownS = 30, 30, 20, 20, 15, 5
 	plan.ConfigBytes, plan.ZoneS, plan.PartS = 2000, 1, 2
@@ -20,9 +20,9 @@
 }
 
 func told(test *testing.T, result *Result) string {
-	text, failure := json.Marshal(result.Simulated)
-	if failure != nil {
-		test.Fatal(failure)
+	text, err := json.Marshal(result.Simulated)
+	if err != nil {
+		test.Fatal(err)
 	}
 	return string(text)
 }
@@ -136,12 +136,12 @@
 	folder := test.TempDir()
 	points := []Point{{25, 10}, {50, 20}, {100, 41}}
 	best, _ := BestFit(points)
-	chart := Chart{Title: "Some Title", Budget: 30, Lines: map[string]Slope{"forge": {Unit: "ms", Points: points, Best: best}}}
-	if failure := chart.Draw(folder); failure != nil {
-		test.Fatal(failure)
+	chart := Chart{Title: "Some Title", Budget: 30, Lines: map[string]Slope{"gateway": {Unit: "ms", Points: points, Best: best}}}
+	if err := chart.Draw(folder); err != nil {
+		test.Fatal(err)
 	}
-	found, failure := os.Stat(folder + "/some-title.svg")
-	if failure != nil || found.Size() < 1000 || found.Size() > 60<<10 {
-		test.Fatal(found, failure)
+	found, err := os.Stat(folder + "/some-title.svg")
+	if err != nil || found.Size() < 1000 || found.Size() > 60<<10 {
+		test.Fatal(found, err)
 	}
 }
--- /dev/null
+++ b/internal/tooling/hollowfleet/members.go
@@ -0,0 +1,172 @@
+package hollowfleet
+
+import (
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// membership drives membership as node does: a periodic word with a controller, and now
+// and then with a neighbour.
+type memberList struct{ fleet *Fleet }
+
+// seat is the view of one process.
+type seat struct {
+	view   *membership.View
+	rounds int
+}
+
+// Name names it.
+func (*memberList) Name() string { return "membership" }
+
+func (members *memberList) view(node *Node) *membership.View { return node.state[0].(*seat).view }
+
+// Begin starts the view of a process.
+func (members *memberList) Begin(node *Node) any {
+	own := &seat{view: membership.NewView(node.own, node.random.Int63())}
+	node.answerers[messages.KindShuffle] = reads(node, CoreMembership, func(question *messages.Shuffle) transport.Writable {
+		members.heard(node, question.Entries)
+		if node.places() {
+			return &messages.Shuffle{Entries: own.view.Offer(node.now())}
+		}
+		answer := own.view.Answer(question, node.now())
+		members.fleet.workerList.addWorkers(node, answer)
+		return answer
+	})
+	members.meet(node, own, 0)
+	return own
+}
+
+// Drop lets go of the view.
+func (members *memberList) Drop(node *Node) { node.state[0] = nil }
+
+// meet asks the seeds until a controller is known, then goes over to the periodic word.
+func (members *memberList) meet(node *Node, own *seat, round int) {
+	const meetings = 10
+	node.after(clock.Span(node.random.Int63n(int64(constants.StartPause))), func() {
+		for _, seed := range members.fleet.seeds {
+			if seed != node.own.Address {
+				members.report(node, seed, func(bool) {})
+			}
+		}
+		node.after(constants.StartPause*2, func() {
+			known := len(own.view.Live(membership.RoleController, node.now())) > 0
+			switch {
+			case !known || (!node.places() && round < meetings):
+				members.meet(node, own, round+1)
+			case node.places():
+				members.exchange(node, own)
+				node.every(constants.ShufflePeriod, func() { members.exchange(node, own) })
+			}
+		})
+	})
+}
+
+// exchange is the periodic word with a controller, or with others where none answers.
+func (members *memberList) exchange(node *Node, own *seat) {
+	const tries = 3
+	own.rounds++
+	var controllers []messages.Entry
+	node.step(CoreMembership, func() { controllers = own.view.Controllers(node.now()) })
+	after := func(heard bool) {
+		if !heard || own.rounds%constants.NeighbourRounds == 0 {
+			members.neighbour(node, own)
+		}
+	}
+	var try func(place int)
+	try = func(place int) {
+		if place < min(tries, len(controllers)) {
+			members.report(node, controllers[place].Address, func(heard bool) {
+				if heard {
+					after(true)
+					return
+				}
+				try(place + 1)
+			})
+			return
+		}
+		members.report(node, members.fleet.seeds[node.random.Intn(len(members.fleet.seeds))], after)
+	}
+	try(0)
+}
+
+// neighbour shuffles with a neighbour.
+func (members *memberList) neighbour(node *Node, own *seat) {
+	partner := ""
+	node.step(CoreMembership, func() { partner = own.view.Partner(node.now()) })
+	if partner == "" {
+		return
+	}
+	answer := &messages.Shuffle{}
+	node.ask(CoreMembership, partner, messages.KindShuffle, &messages.Shuffle{Entries: own.view.Offer(node.now())}, answer, constants.CallTime, func(reached bool) {
+		if reached {
+			members.heard(node, answer.Entries)
+		}
+	})
+}
+
+// report asks one controller and takes its answer.
+func (members *memberList) report(node *Node, address string, then func(bool)) {
+	view := members.fleet.members.viewOf(node)
+	if view == nil {
+		return
+	}
+	var question *messages.Shuffle
+	node.step(CoreMembership, func() { question = view.Question() })
+	answer := &messages.Shuffle{}
+	node.ask(CoreMembership, address, messages.KindShuffle, question, answer, constants.ReportTime, func(reached bool) {
+		if !reached {
+			view.Failed(address, node.now())
+			then(false)
+			return
+		}
+		view.Answered(question, answer, node.now())
+		members.saw(node, answer.Entries)
+		members.fleet.workerList.heardController(node, address, answer)
+		then(true)
+	})
+}
+
+// viewOf gives the view, or nil while the process is being started or let go.
+func (members *memberList) viewOf(node *Node) *membership.View {
+	if own, is := node.state[0].(*seat); is {
+		return own.view
+	}
+	return nil
+}
+
+func (members *memberList) heard(node *Node, entries []messages.Entry) {
+	members.view(node).Heard(entries, node.now())
+	members.saw(node, entries)
+}
+
+func (members *memberList) saw(node *Node, entries []messages.Entry) {
+	newest := int64(0)
+	for _, entry := range entries {
+		newest = max(newest, entry.Generation)
+	}
+	members.fleet.localRegister.saw(node, newest)
+}
+
+// touched notes direct word from a process.
+func (members *memberList) touched(node *Node, key string) {
+	members.view(node).Touched(key, node.now())
+}
+
+// all gives every entry, those silent for some time included.
+func (members *memberList) all(node *Node) (entries []messages.Entry) {
+	node.step(CoreMembership, func() { entries = members.view(node).All("", node.now()) })
+	return entries
+}
+
+// trusts tells whether a process takes another for live.
+func (members *memberList) trusts(node *Node, key string) bool {
+	for _, entry := range members.view(node).Live("", node.now()) {
+		if membership.Key(entry) == key {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/maquette/meter.go
+++ b/internal/tooling/hollowfleet/meter.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"golang.org/x/sys/unix"
@@ -10,7 +10,7 @@
 // The cores.
 const (
 	CoreMembership Core = iota
-	CoreRoster
+	CoreWorkers
 	CoreGossip
 	CoreReadings
 	CorePlacement
@@ -22,7 +22,7 @@
 	cores
 )
 
-var coreNames = [cores]string{"membership", "roster", "gossip", "readings", "placement", "config", "register", "holds", "lots", "driver"}
+var coreNames = [cores]string{"membership", "workers", "gossip", "readings", "placement", "config", "register", "holds", "lots", "driver"}
 
 // String names the core.
 func (core Core) String() string { return coreNames[core] }
--- a/internal/maquette/node.go
+++ b/internal/tooling/hollowfleet/node.go
@@ -1,31 +1,31 @@
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
 	"math/rand"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
 )
 
 // answerer answers one kind of call, at once or later.
-type answerer func(body []byte, reply func(tongs.Writable))
+type answerer func(body []byte, reply func(transport.Writable))
 
 // Node is one hollow process.
 type Node struct {
 	fleet     *Fleet
-	own       pattern.Entry
+	own       messages.Entry
 	machine   int
 	zone      int
 	region    int
 	down      bool
 	life      int
-	twin      *tongs.Twin
+	twin      *transport.Twin
 	random    *rand.Rand
-	answerers map[pattern.Kind]answerer
+	answerers map[messages.Kind]answerer
 	costs     [cores]Cost
 	out, in   [ways]Traffic
 	// What the mechanisms keep for this process, by their place in the fleet.
@@ -35,16 +35,16 @@
 }
 
 func portOf(role string) int {
-	return map[string]int{bellows.RoleForeman: almanac.PortForeman, bellows.RoleForge: almanac.PortForge, bellows.RoleLocker: almanac.PortLocker}[role]
+	return map[string]int{membership.RoleController: constants.PortController, membership.RoleGateway: constants.PortGateway, membership.RoleStore: constants.PortStore}[role]
 }
 
 func newNode(fleet *Fleet, machine int, role string) *Node {
 	zone := machine % fleet.Plan.Zones
 	node := &Node{fleet: fleet, machine: machine, zone: zone, region: zone * fleet.Plan.Regions / fleet.Plan.Zones,
 		random: rand.New(rand.NewSource(fleet.Plan.Seed*7919 + int64(machine)*3 + int64(portOf(role))))}
-	node.own = pattern.Entry{Name: fmt.Sprintf("node-%04d", machine), Life: 1_700_000_000_000_000_000 + int64(machine), Role: role,
-		Hall: fmt.Sprintf("region-%d-zone-%d", node.region, zone), Address: fmt.Sprintf("10.%d.%d.%d:%d", zone, machine/250, machine%250, 7000+portOf(role))}
-	if role != bellows.RoleForge {
+	node.own = messages.Entry{Name: fmt.Sprintf("node-%04d", machine), Life: 1_700_000_000_000_000_000 + int64(machine), Role: role,
+		Zone: fmt.Sprintf("region-%d-zone-%d", node.region, zone), Address: fmt.Sprintf("10.%d.%d.%d:%d", zone, machine/250, machine%250, 7000+portOf(role))}
+	if role != membership.RoleGateway {
 		node.own.Disk = fmt.Sprintf("%016x", node.own.Life*2654435761)
 	}
 	return node
@@ -56,26 +56,26 @@
 	node.life++
 	node.own.Life += 1_000_000_000
 	node.generation = 0
-	node.answerers = map[pattern.Kind]answerer{}
+	node.answerers = map[messages.Kind]answerer{}
 	node.state = make([]any, len(node.fleet.mechanisms))
 	node.twin = node.fleet.room.Transport(node.own.Address)
 	for place, mechanism := range node.fleet.mechanisms {
 		node.state[place] = mechanism.Begin(node)
 	}
-	_ = node.twin.ServeLater(func(kind pattern.Kind, body []byte, reply func([]byte, error)) {
+	_ = node.twin.ServeLater(func(kind messages.Kind, body []byte, reply func([]byte, error)) {
 		one := node.answerers[kind]
 		if one == nil {
 			reply(nil, nil)
 			return
 		}
 		life := node.life
-		one(body, func(answer tongs.Writable) {
+		one(body, func(answer transport.Writable) {
 			switch {
 			case node.life != life:
 			case answer == nil:
 				reply(nil, nil)
 			default:
-				reply(tongs.Write(answer))
+				reply(transport.Write(answer))
 			}
 		})
 	})
@@ -90,13 +90,13 @@
 }
 
 // places tells whether the process places work at workers.
-func (node *Node) places() bool { return node.own.Role != bellows.RoleForeman }
+func (node *Node) places() bool { return node.own.Role != membership.RoleController }
 
 // now is the simulated moment.
-func (node *Node) now() watch.Moment { return node.fleet.world.Now }
+func (node *Node) now() clock.Moment { return node.fleet.world.Now }
 
 // after runs a function later, unless this life is over by then.
-func (node *Node) after(span watch.Span, function func()) {
+func (node *Node) after(span clock.Span, function func()) {
 	life := node.life
 	node.fleet.world.After(span, func() {
 		if node.life == life {
@@ -106,42 +106,42 @@
 }
 
 // every runs a function each period, from a random part of the first on.
-func (node *Node) every(period watch.Span, function func()) {
+func (node *Node) every(period clock.Span, function func()) {
 	var again func()
 	again = func() {
 		function()
 		node.after(period, again)
 	}
-	node.after(watch.Span(node.random.Int63n(int64(period))), again)
+	node.after(clock.Span(node.random.Int63n(int64(period))), again)
 }
 
 // post sends a call; then may be nil, and is run only in this life.
-func (node *Node) post(address string, kind pattern.Kind, body []byte, span watch.Span, then func([]byte, error)) {
+func (node *Node) post(address string, kind messages.Kind, body []byte, span clock.Span, then func([]byte, error)) {
 	life := node.life
-	node.twin.Post(address, kind, body, span, func(answer []byte, failure error) {
+	node.twin.Post(address, kind, body, span, func(answer []byte, err error) {
 		if then != nil && node.life == life {
-			then(answer, failure)
+			then(answer, err)
 		}
 	})
 }
 
 // ask sends a message and reads the answer into another; then is told whether that
 // went well. Writing and reading are charged to the core, as is what then does.
-func (node *Node) ask(core Core, address string, kind pattern.Kind, question tongs.Writable, answer tongs.Readable, span watch.Span, then func(reached bool)) {
+func (node *Node) ask(core Core, address string, kind messages.Kind, question transport.Writable, answer transport.Readable, span clock.Span, then func(reached bool)) {
 	var body []byte
 	node.step(core, func() { body, _ = question.MarshalMsg(nil) })
-	node.post(address, kind, body, span, func(back []byte, failure error) {
+	node.post(address, kind, body, span, func(back []byte, err error) {
 		node.step(core, func() {
-			if failure == nil {
-				failure = tongs.Read(back, answer)
+			if err == nil {
+				err = transport.Read(back, answer)
 			}
-			then(failure == nil)
+			then(err == nil)
 		})
 	})
 }
 
 // tell sends one message one way to each entry.
-func (node *Node) tell(entries []pattern.Entry, core Core, kind pattern.Kind, message tongs.Writable) {
+func (node *Node) tell(entries []messages.Entry, core Core, kind messages.Kind, message transport.Writable) {
 	var body []byte
 	node.step(core, func() { body, _ = message.MarshalMsg(nil) })
 	for _, entry := range entries {
@@ -152,13 +152,13 @@
 // reads makes an answerer of a function that takes a message and answers at once.
 func reads[Message any, Pointer interface {
 	*Message
-	tongs.Readable
-}](node *Node, core Core, function func(Pointer) tongs.Writable) answerer {
-	return func(body []byte, reply func(tongs.Writable)) {
-		var answer tongs.Writable
+	transport.Readable
+}](node *Node, core Core, function func(Pointer) transport.Writable) answerer {
+	return func(body []byte, reply func(transport.Writable)) {
+		var answer transport.Writable
 		node.step(core, func() {
 			message := Pointer(new(Message))
-			if tongs.Read(body, message) == nil {
+			if transport.Read(body, message) == nil {
 				answer = function(message)
 			}
 		})
@@ -167,4 +167,4 @@
 }
 
 // taken is the empty answer.
-func taken() tongs.Writable { return &pattern.Nothing{Taken: true} }
+func taken() transport.Writable { return &messages.Nothing{Taken: true} }
--- a/internal/maquette/plan.go
+++ b/internal/tooling/hollowfleet/plan.go
@@ -1,28 +1,28 @@
-// Package maquette is the hollow fleet: hundreds of processes with the real cores of
+// Package hollowfleet is the hollow fleet: hundreds of processes with the real cores of
 // membership, spreading, gossip, register, holds and lots in one process, without a
 // data plane, on the transport in memory and a simulated clock. It is for measuring
 // what grows with the size of a fleet; nothing of it is part of the serving tier.
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
 	"time"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // Plan says how large a fleet is and what happens to it. All rates are of the whole
 // fleet.
 type Plan struct {
 	// Nodes is the number of machines; every LockerEach-th is a storage machine, the
-	// rest are edge machines, and the first of each zone runs a foreman as well.
-	Nodes      int `json:"nodes"`
-	LockerEach int `json:"locker-each"`
-	Zones      int `json:"zones"`
-	Regions    int `json:"regions"`
-	Workers    int `json:"workers"`
-	Models     int `json:"models"`
-	Tenants    int `json:"tenants"`
+	// rest are edge machines, and the first of each zone runs a controller as well.
+	Nodes     int `json:"nodes"`
+	StoreEach int `json:"locker-each"`
+	Zones     int `json:"zones"`
+	Regions   int `json:"regions"`
+	Workers   int `json:"workers"`
+	Models    int `json:"models"`
+	Tenants   int `json:"tenants"`
 	// Requests a second; each is placed at a worker and held there for HeldMs. LongShare
 	// is the part of them with a long prompt, which is told to peers.
 	Requests  float64 `json:"requests-a-second"`
@@ -58,7 +58,7 @@
 // Usual is the plan that flags change: rates in proportion to its nodes, as the page
 // gives them for 390.
 func Usual() Plan {
-	return Plan{Nodes: 50, LockerEach: 6, Zones: 8, Regions: 2, Workers: 77, Models: 24, Tenants: 22000,
+	return Plan{Nodes: 50, StoreEach: 6, Zones: 8, Regions: 2, Workers: 77, Models: 24, Tenants: 22000,
 		HeldMs: 900, LongShare: 0.08, LotItems: 200, ItemBytes: 1200, ConfigBytes: 64 << 10, HeartbeatMs: 1000, DownS: 20,
 		NearMs: 0.25, ZonesMs: 1, RegionMs: 10, WarmS: 20, DurationS: 60, Seed: 1}
 }
@@ -96,7 +96,7 @@
 	need(plan.Zones >= 1 && plan.Zones <= plan.Nodes, "--zones must be 1 to the number of nodes, not %d", plan.Zones)
 	need(plan.Regions >= 1 && plan.Regions <= plan.Zones, "--regions must be 1 to the number of zones, not %d", plan.Regions)
 	need(plan.Workers >= 1 && plan.Workers <= 20000, "--workers must be 1 to 20000, not %d", plan.Workers)
-	need(plan.LockerEach >= 2, "--locker-each must be 2 or more, not %d", plan.LockerEach)
+	need(plan.StoreEach >= 2, "--store-each must be 2 or more, not %d", plan.StoreEach)
 	need(plan.Models >= 1, "--models must be 1 or more, not %d", plan.Models)
 	need(plan.LotItems >= 1 && plan.LotItems <= 1_000_000, "--lot-items must be 1 to 1000000, not %d", plan.LotItems)
 	need(plan.ItemBytes >= 1 && plan.ItemBytes <= 1<<20, "--item-bytes must be 1 to 1048576, not %d", plan.ItemBytes)
@@ -118,7 +118,7 @@
 }
 
 // seconds turns seconds into a span.
-func seconds(count float64) watch.Span { return watch.Span(count * float64(time.Second)) }
+func seconds(count float64) clock.Span { return clock.Span(count * float64(time.Second)) }
 
 // The budgets for control at one node: processor ms a second (4.4% of a core), bytes a
 // second, and memory in KB.
--- a/internal/maquette/plot.go
+++ b/internal/tooling/hollowfleet/plot.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"os"
@@ -10,11 +10,11 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"lemonarch/internal/mishap"
+	"lemonarch/internal/platform/errs"
 )
 
-// Unplotted is the mishap of a plot that can't be made.
-var Unplotted = mishap.Define("plot")
+// Unplotted is the error of a plot that can't be made.
+var Unplotted = errs.Define("plot")
 
 // Chart is one picture: slopes by name, from one series or several.
 type Chart struct {
@@ -39,9 +39,9 @@
 		for _, point := range slope.Points {
 			points = append(points, plotter.XY{X: point.Size, Y: point.Value})
 		}
-		dots, failure := plotter.NewScatter(points)
-		if failure != nil {
-			return Unplotted.Wrap(failure, name)
+		dots, err := plotter.NewScatter(points)
+		if err != nil {
+			return Unplotted.Wrap(err, name)
 		}
 		dots.Color, dots.Shape = plotutil.Color(place), plotutil.Shape(place)
 		line := plotter.NewFunction(slope.Best.At)
@@ -58,8 +58,8 @@
 		picture.Legend.Add("budget", budget)
 		picture.Y.Max = max(picture.Y.Max, chart.Budget*1.1)
 	}
-	if failure := os.MkdirAll(folder, 0o755); failure != nil {
-		return Unplotted.Wrap(failure, folder)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return Unplotted.Wrap(err, folder)
 	}
 	path := filepath.Join(folder, strings.ReplaceAll(strings.ToLower(chart.Title), " ", "-")+".svg")
 	return Unplotted.Wrap(picture.Save(16*vg.Centimeter, 10*vg.Centimeter, path), path)
@@ -82,8 +82,8 @@
 			continue
 		}
 		chart.Budget = map[string]float64{"bytes": BudgetBytes, "processor": BudgetProcessorMs, "heap": BudgetHeapKB}[title]
-		if failure := chart.Draw(folder); failure != nil {
-			return failure
+		if err := chart.Draw(folder); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/maquette/probe.go
+++ b/internal/tooling/hollowfleet/probe.go
@@ -1,13 +1,13 @@
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
 	"io"
 	"runtime"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/ledgerbox"
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/batch/lots"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // LotProbe is what one lot of a size costs the cores that keep it.
@@ -23,8 +23,8 @@
 	AllOutputsS float64 `json:"all-outputs-s"`
 	// HeapMB is what the open lot keeps at its holder, ShelfKB its slots at a store
 	// once all outputs are there.
-	HeapMB  float64 `json:"heap-mb"`
-	ShelfKB float64 `json:"shelf-kb"`
+	HeapMB    float64 `json:"heap-mb"`
+	ReplicaKB float64 `json:"shelf-kb"`
 	// Fits tells whether one frame and one store's append can carry the lot at all.
 	Fits bool `json:"fits-a-frame"`
 }
@@ -61,7 +61,7 @@
 		"all outputs": {"s", func(probe LotProbe) float64 { return probe.AllOutputsS }},
 		"waiting":     {"ms", func(probe LotProbe) float64 { return probe.WaitingMs }},
 		"heap":        {"MB", func(probe LotProbe) float64 { return probe.HeapMB }},
-		"shelf":       {"KB", func(probe LotProbe) float64 { return probe.ShelfKB }},
+		"replica":     {"KB", func(probe LotProbe) float64 { return probe.ReplicaKB }},
 	} {
 		slope := Slope{Unit: one.unit}
 		for _, probe := range series.Probes {
@@ -90,43 +90,43 @@
 	probe := LotProbe{Items: size}
 	record := lotRecord(size, itemBytes)
 	probe.BodyBytes = len(record.Body)
-	probe.Fits = len(record.Body) < almanac.FrameLimit
+	probe.Fits = len(record.Body) < constants.FrameLimit
 	before := heapBytes()
-	book := ledgerbox.NewBook()
+	book := lots.NewBook()
 	probe.TakeMs = timed(func() { _ = book.Apply(record) }) / 1e6
 	probe.HeapMB = (heapBytes() - before) / (1 << 20)
-	probe.WaitingMs = timed(func() { book.Waiting(func(*ledgerbox.Lot) bool { return true }) }) / 1e6
+	probe.WaitingMs = timed(func() { book.Waiting(func(*lots.Lot) bool { return true }) }) / 1e6
 	lot := book.Lot(record.Lot)
 	stride := max(1, size/sampledOutputs)
 	count, spent := 0, 0.0
 	for place := 0; place < size; place += stride {
-		output := &pattern.Record{Kind: pattern.RecordOutput, Lot: record.Lot, Item: lot.Items[place].ID, Position: len(lot.Listings)}
+		output := &messages.Record{Kind: messages.RecordOutput, Lot: record.Lot, Item: lot.Items[place].ID, Position: len(lot.Listings)}
 		spent += timed(func() { _ = book.Apply(output) })
 		count++
 	}
 	probe.OutputUs = spent / float64(count) / 1e3
 	probe.AllOutputsS = probe.OutputUs * float64(size) / 1e6
 	before = heapBytes()
-	shelf := ledgerbox.NewShelf("disk")
+	replica := lots.NewReplica("disk")
 	for place := 0; place <= size; place++ {
-		shelf.Put(&pattern.Record{Epoch: lotEpoch, Kind: pattern.RecordOutput, Lot: record.Lot}, int64(place))
+		replica.Put(&messages.Record{Epoch: lotEpoch, Kind: messages.RecordOutput, Lot: record.Lot}, int64(place))
 	}
-	probe.ShelfKB = (heapBytes() - before) / 1024
-	runtime.KeepAlive(shelf)
+	probe.ReplicaKB = (heapBytes() - before) / 1024
+	runtime.KeepAlive(replica)
 	runtime.KeepAlive(book)
 	runtime.KeepAlive(record)
 	return probe
 }
 
 // lotRecord makes the record of a lot.
-func lotRecord(size, itemBytes int) *pattern.Record {
-	body := &pattern.LotBody{Path: "/v1/batch"}
+func lotRecord(size, itemBytes int) *messages.Record {
+	body := &messages.LotBody{Path: "/v1/batch"}
 	text := make([]byte, itemBytes)
 	for place := 0; place < size; place++ {
-		body.Items = append(body.Items, pattern.LotItem{ID: fmt.Sprintf("item-%06d", place), Path: "/v1/generate", Tokens: 600, Body: text})
+		body.Items = append(body.Items, messages.LotItem{ID: fmt.Sprintf("item-%06d", place), Path: "/v1/generate", Tokens: 600, Body: text})
 	}
 	whole, _ := body.MarshalMsg(nil)
-	return &pattern.Record{Kind: pattern.RecordLot, Lot: "lot-00000001", Index: 1, Epoch: lotEpoch, Body: whole}
+	return &messages.Record{Kind: messages.RecordLot, Lot: "lot-00000001", Index: 1, Epoch: lotEpoch, Body: whole}
 }
 
 // timed is a function's processor time in ns.
--- a/internal/maquette/probe_test.go
+++ b/internal/tooling/hollowfleet/probe_test.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"bytes"
@@ -55,8 +55,8 @@
 }
 
 func TestFramesCostProcessorTime(test *testing.T) {
-	cost, failure := WireCost()
-	if failure != nil || cost <= 0 || cost > 10_000 {
-		test.Fatal(cost, failure)
+	cost, err := WireCost()
+	if err != nil || cost <= 0 || cost > 10_000 {
+		test.Fatal(cost, err)
 	}
 }
--- a/internal/maquette/real.go
+++ b/internal/tooling/hollowfleet/real.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"bytes"
@@ -12,9 +12,9 @@
 	"path/filepath"
 	"strings"
 
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/boot"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/settings"
 )
 
 // realFleet is what runs.
@@ -43,52 +43,52 @@
 
 // PlayReal starts the programs, measures them at rest, and ends every one of them.
 func PlayReal(plan RealPlan, progress io.Writer) (*RealResult, error) {
-	folder, failure := os.MkdirTemp("", "hollow")
-	if failure != nil {
-		return nil, Unstarted.Wrap(failure, "folder")
+	folder, err := os.MkdirTemp("", "hollow")
+	if err != nil {
+		return nil, Unstarted.Wrap(err, "folder")
 	}
 	defer os.RemoveAll(folder)
-	fleet := &realFleet{plan: plan, folder: folder, ended: make(chan string, realLimit), client: http.Client{Timeout: watch.Milliseconds(3000)}}
+	fleet := &realFleet{plan: plan, folder: folder, ended: make(chan string, realLimit), client: http.Client{Timeout: clock.Milliseconds(3000)}}
 	defer fleet.end()
-	if failure = fleet.start(); failure != nil {
-		return nil, failure
+	if err = fleet.start(); err != nil {
+		return nil, err
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	if failure = fleet.configure(); failure != nil {
-		return nil, failure
+	if err = fleet.configure(); err != nil {
+		return nil, err
 	}
-	go watch.Every(watch.Milliseconds(1000), stop, fleet.beat)
+	go clock.Every(clock.Milliseconds(1000), stop, fleet.beat)
 	fmt.Fprintf(progress, "real processes=%d settling-s=%.0f counting-s=%.0f\n", len(fleet.children), plan.SettleS, plan.CountS)
-	if failure = fleet.pause(plan.SettleS); failure != nil {
-		return nil, failure
+	if err = fleet.pause(plan.SettleS); err != nil {
+		return nil, err
 	}
 	before := fleet.spent()
-	if failure = fleet.pause(plan.CountS); failure != nil {
-		return nil, failure
+	if err = fleet.pause(plan.CountS); err != nil {
+		return nil, err
 	}
 	result := fleet.sumUp(before, fleet.spent())
-	result.FrameUs, failure = WireCost()
-	return result, failure
+	result.FrameUs, err = WireCost()
+	return result, err
 }
 
 // pause waits, unless a child dies.
 func (fleet *realFleet) pause(forS float64) error {
 	select {
-	case <-watch.After(seconds(forS)):
+	case <-clock.After(seconds(forS)):
 		return nil
 	case name := <-fleet.ended:
 		return Unstarted.New(name + " ended by itself")
 	}
 }
 
-func (fleet *realFleet) settings(machine int, role string) string {
+func (fleet *realFleet) nodeSettings(machine int, role string) string {
 	var seeds []string
-	for seed := 0; seed < fleet.plan.Foremen; seed++ {
+	for seed := 0; seed < fleet.plan.Controllers; seed++ {
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(machineAddress(seed), fmt.Sprint(portControl))))
 	}
 	own := machineAddress(machine)
-	serves := map[string]string{bellows.RoleForge: "edge", bellows.RoleForeman: "controller", bellows.RoleLocker: "storage"}[role]
+	serves := map[string]string{membership.RoleGateway: "edge", membership.RoleController: "controller", membership.RoleStore: "storage"}[role]
 	return fmt.Sprintf(`node-name = "node-%03d"
 zone = "zone-%d"
 ip = %q
@@ -110,28 +110,28 @@
 [tolerances]
 grace-s = 4
 status-s = 40
-`, machine, machine%max(fleet.plan.Foremen, 1), own, portInternal, portInternal+10, strings.Join(seeds, ", "),
+`, machine, machine%max(fleet.plan.Controllers, 1), own, portInternal, portInternal+10, strings.Join(seeds, ", "),
 		filepath.Join(fleet.folder, role+fmt.Sprint(machine)), serves, own, portIngress, own, portReady, own, portControl)
 }
 
 func (fleet *realFleet) start() error {
-	for machine := 0; machine < fleet.plan.Forges+fleet.plan.Lockers; machine++ {
-		roles := []string{bellows.RoleForge}
-		if machine >= fleet.plan.Forges {
-			roles = []string{bellows.RoleLocker}
+	for machine := 0; machine < fleet.plan.Gateways+fleet.plan.Stores; machine++ {
+		roles := []string{membership.RoleGateway}
+		if machine >= fleet.plan.Gateways {
+			roles = []string{membership.RoleStore}
 		}
-		if machine < fleet.plan.Foremen {
-			roles = append(roles, bellows.RoleForeman)
+		if machine < fleet.plan.Controllers {
+			roles = append(roles, membership.RoleController)
 		}
 		for _, role := range roles {
 			path := filepath.Join(fleet.folder, fmt.Sprintf("%s-%d.toml", role, machine))
-			if failure := os.WriteFile(path, []byte(fleet.settings(machine, role)), 0o600); failure != nil {
-				return Unstarted.Wrap(failure, "settings")
+			if err := os.WriteFile(path, []byte(fleet.nodeSettings(machine, role)), 0o600); err != nil {
+				return Unstarted.Wrap(err, "settings")
 			}
 			child := exec.Command(filepath.Join(fleet.plan.Programs, role))
-			child.Env = append(os.Environ(), boot.Variable+"="+path)
-			if failure := child.Start(); failure != nil {
-				return Unstarted.Wrap(failure, role)
+			child.Env = append(os.Environ(), settings.Variable+"="+path)
+			if err := child.Start(); err != nil {
+				return Unstarted.Wrap(err, role)
 			}
 			fleet.children, fleet.roles = append(fleet.children, child), append(fleet.roles, role)
 			go func() {
@@ -151,22 +151,22 @@
 	for range fleet.children {
 		select {
 		case <-fleet.ended:
-		case <-watch.After(seconds(2)):
+		case <-clock.After(seconds(2)):
 		}
 	}
 }
 
-func (fleet *realFleet) call(foreman int, path string, body []byte, header string) error {
-	request, failure := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", machineAddress(foreman), portControl, path), bytes.NewReader(body))
-	if failure != nil {
-		return failure
+func (fleet *realFleet) call(controller int, path string, body []byte, header string) error {
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", machineAddress(controller), portControl, path), bytes.NewReader(body))
+	if err != nil {
+		return err
 	}
 	if header != "" {
 		request.Header.Set("Lemonarch-Base-Revision", header)
 	}
-	answer, failure := fleet.client.Do(request)
-	if failure != nil {
-		return failure
+	answer, err := fleet.client.Do(request)
+	if err != nil {
+		return err
 	}
 	defer answer.Body.Close()
 	_, _ = io.Copy(io.Discard, answer.Body)
@@ -176,27 +176,27 @@
 	return nil
 }
 
-// configure hands the first configuration in, as soon as the foremen take it.
+// configure hands the first configuration in, as soon as the controllers take it.
 func (fleet *realFleet) configure() error {
 	body := []byte(`{"generation":1,"channels":[{"name":"r","host":"a.example","path-prefix":"/","route-kind":"idempotent","cutoff-ms":2000,"setpoint-ms":300,"backend":"m","tries":2}],"backends":[{"name":"m","conn-limit":500}],"limits":{"max-header-bytes":65536,"max-body-bytes":4194304,"header-wait-ms":3000,"idle-ms":10000}}`)
-	var failure error
+	var err error
 	for range 40 {
-		if failure = fleet.call(0, "/-/Configuration.Replace", body, "0"); failure == nil {
+		if err = fleet.call(0, "/-/Configuration.Replace", body, "0"); err == nil {
 			return nil
 		}
 		if pause := fleet.pause(0.25); pause != nil {
 			return pause
 		}
 	}
-	return Unstarted.Wrap(failure, "first configuration")
+	return Unstarted.Wrap(err, "first configuration")
 }
 
 // beat is one round of heartbeats of all workers.
 func (fleet *realFleet) beat() {
-	now := watch.Wall()
+	now := clock.Wall()
 	for worker := 0; worker < fleet.plan.Workers; worker++ {
 		body, _ := json.Marshal(map[string]any{"backend": "m", "address": fmt.Sprintf("127.78.%d.%d:9000", worker/200, worker%200+1), "zone": "zone-0",
 			"capacity": 16, "phase": "steady", "call-count": now})
-		_ = fleet.call(worker%fleet.plan.Foremen, fmt.Sprintf("/-/Workers.Heartbeat/worker-%04d", worker), body, "")
+		_ = fleet.call(worker%fleet.plan.Controllers, fmt.Sprintf("/-/Workers.Heartbeat/worker-%04d", worker), body, "")
 	}
 }
--- a/internal/maquette/realplan.go
+++ b/internal/tooling/hollowfleet/realplan.go
@@ -1,29 +1,29 @@
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
 
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/mishap"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/errs"
 )
 
-// Unstarted is the mishap of real processes that can't be played.
-var Unstarted = mishap.Define("real processes")
+// Unstarted is the error of real processes that can't be played.
+var Unstarted = errs.Define("real processes")
 
 // RealPlan is a small fleet of the real programs on loopback, at rest: no request, no
 // lot, workers that beat. It is the check of what the hollow fleet leaves out, sockets
 // and timers.
 type RealPlan struct {
 	// Programs is the folder of the built programs.
-	Programs string  `json:"-"`
-	Forges   int     `json:"forges"`
-	Lockers  int     `json:"lockers"`
-	Foremen  int     `json:"foremen"`
-	Workers  int     `json:"workers"`
-	SettleS  float64 `json:"settle-s"`
-	CountS   float64 `json:"count-s"`
+	Programs    string  `json:"-"`
+	Gateways    int     `json:"forges"`
+	Stores      int     `json:"lockers"`
+	Controllers int     `json:"foremen"`
+	Workers     int     `json:"workers"`
+	SettleS     float64 `json:"settle-s"`
+	CountS      float64 `json:"count-s"`
 }
 
 // RealRole is what one real process of a role costs at rest.
@@ -60,14 +60,14 @@
 			findings = append(findings, fmt.Sprintf(format, values...))
 		}
 	}
-	need(plan.Forges >= 1 && plan.Lockers >= 0 && plan.Foremen >= 1, "--forges and --foremen must be 1 or more, --lockers 0 or more")
-	need(plan.Forges+plan.Lockers+plan.Foremen <= realLimit, "no more than %d processes in all", realLimit)
-	need(plan.Foremen <= plan.Forges, "--foremen must not be above --forges: each stands beside a forge")
+	need(plan.Gateways >= 1 && plan.Stores >= 0 && plan.Controllers >= 1, "--gateways and --controllers must be 1 or more, --stores 0 or more")
+	need(plan.Gateways+plan.Stores+plan.Controllers <= realLimit, "no more than %d processes in all", realLimit)
+	need(plan.Controllers <= plan.Gateways, "--controllers must not be above --gateways: each stands beside a gateway")
 	need(plan.Workers >= 1 && plan.Workers <= 2000, "--workers must be 1 to 2000")
 	need(plan.SettleS >= 0 && plan.CountS > 0, "--settle must be 0 or more and --duration above 0")
-	for _, name := range []string{bellows.RoleForge, bellows.RoleForeman, bellows.RoleLocker} {
-		_, failure := os.Stat(filepath.Join(plan.Programs, name))
-		need(failure == nil, "--programs has no %s: build them first", name)
+	for _, name := range []string{membership.RoleGateway, membership.RoleController, membership.RoleStore} {
+		_, err := os.Stat(filepath.Join(plan.Programs, name))
+		need(err == nil, "--programs has no %s: build them first", name)
 	}
 	return findings
 }
--- /dev/null
+++ b/internal/tooling/hollowfleet/register.go
@@ -0,0 +1,228 @@
+package hollowfleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/broadcast"
+	"lemonarch/internal/control/lease"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// firstDisk is the identity of every acceptor's disk at the start.
+const firstDisk = "first"
+
+// register drives register and lease as controllers do, and the spreading of configurations.
+// An acceptor's disk outlives its process; the time of a sync is not simulated.
+type localRegister struct {
+	fleet     *Fleet
+	acceptors map[string]*register.Acceptor
+	first     messages.Register
+	random    *rand.Rand
+	chosen    int64
+	changes   int
+}
+
+// office is what a controller keeps of the register.
+type office struct {
+	acceptor *register.Acceptor
+	grants   *lease.Grants
+	known    messages.Register
+	counter  uint64
+	body     []byte
+}
+
+// follower is what any other process keeps: the configuration in force.
+type follower struct {
+	config  *routeconfig.Config
+	pulling bool
+	body    []byte
+}
+
+func newRegister(fleet *Fleet) *localRegister {
+	made := &localRegister{fleet: fleet, acceptors: map[string]*register.Acceptor{}, random: rand.New(rand.NewSource(fleet.Plan.Seed + 43))}
+	for _, seed := range fleet.seeds {
+		made.first.Acceptors = append(made.first.Acceptors, messages.Member{Disk: firstDisk, Address: seed})
+	}
+	for _, seed := range fleet.seeds {
+		made.acceptors[seed] = register.NewAcceptor(messages.AcceptorRecord{Disk: firstDisk, First: made.first.Acceptors})
+	}
+	return made
+}
+
+// Name names it.
+func (*localRegister) Name() string { return "configuration" }
+
+func (localRegister *localRegister) office(node *Node) *office {
+	own, _ := node.state[3].(*office)
+	return own
+}
+
+// Begin starts a controller's seat, or a follower.
+func (localRegister *localRegister) Begin(node *Node) any {
+	node.answerers[messages.KindConfigPush] = reads(node, CoreConfig, func(push *messages.ConfigPush) transport.Writable {
+		if len(push.Pass) > 0 {
+			node.after(0, func() { localRegister.passOn(node, push) })
+		}
+		localRegister.take(node, push.Generation, push.Body)
+		return taken()
+	})
+	acceptor := localRegister.acceptors[node.own.Address]
+	if acceptor == nil {
+		node.after(constants.StartPause*2, func() { localRegister.pull(node) })
+		return &follower{}
+	}
+	own := &office{acceptor: acceptor, grants: lease.NewGrants(node.now(), node.life == 1), known: localRegister.first}
+	node.answerers[messages.KindPrepare] = reads(node, CoreRegister, func(question *messages.Prepare) transport.Writable {
+		answer, _ := acceptor.Prepare(question)
+		return &answer
+	})
+	node.answerers[messages.KindAccept] = reads(node, CoreRegister, func(question *messages.Accept) transport.Writable {
+		answer, _ := acceptor.Accept(question)
+		return &answer
+	})
+	node.answerers[messages.KindAsk] = reads(node, CoreHolds, func(question *messages.HoldAsk) transport.Writable {
+		answer := own.grants.Ask(*question, acceptor.Value().Duty, node.now())
+		return &answer
+	})
+	node.answerers[messages.KindConfigPull] = reads(node, CoreConfig, func(*messages.ConfigPull) transport.Writable {
+		return &messages.ConfigPush{Generation: node.generation, Body: own.body}
+	})
+	node.after(constants.StartPause*2, func() { localRegister.pull(node) })
+	return own
+}
+
+// Drop lets go of the configuration.
+func (localRegister *localRegister) Drop(node *Node) { node.state[3] = nil }
+
+// take puts a newer configuration in force.
+func (localRegister *localRegister) take(node *Node, generation int64, body []byte) {
+	if generation <= node.generation || len(body) == 0 {
+		return
+	}
+	node.step(CoreConfig, func() {
+		config, err := routeconfig.Parse(body)
+		if err != nil {
+			return
+		}
+		node.generation = config.Generation
+		if view := localRegister.fleet.members.viewOf(node); view != nil {
+			view.SetGeneration(config.Generation)
+		}
+		if own := localRegister.office(node); own != nil {
+			own.body = body
+		} else if other, is := node.state[3].(*follower); is {
+			other.config, other.body = config, body
+			if own := localRegister.fleet.workerList.placing(node); own != nil {
+				own.scheduler.SetConfig(config)
+			}
+		}
+	})
+}
+
+// passOn sends a configuration on to the part of the zone that came with it.
+func (localRegister *localRegister) passOn(node *Node, push *messages.ConfigPush) {
+	for _, send := range broadcast.Split(push.Pass, constants.BodyFan) {
+		var try func(address string, pass []string)
+		try = func(address string, pass []string) {
+			part := &messages.ConfigPush{Generation: push.Generation, Body: push.Body, Pass: pass}
+			node.ask(CoreConfig, address, messages.KindConfigPush, part, &messages.Nothing{}, constants.CallTime, func(reached bool) {
+				if !reached && len(pass) > 0 {
+					try(pass[0], pass[1:])
+				}
+			})
+		}
+		try(send.Address, send.Pass)
+	}
+}
+
+// saw pulls a configuration that somebody was seen to have.
+func (localRegister *localRegister) saw(node *Node, generation int64) {
+	if other, is := node.state[3].(*follower); is && generation > node.generation && !other.pulling {
+		other.pulling = true
+		localRegister.pull(node)
+		return
+	}
+	if localRegister.office(node) != nil && generation > node.generation {
+		localRegister.pull(node)
+	}
+}
+
+// pull asks controllers, the nearest that answer first, until one does.
+func (localRegister *localRegister) pull(node *Node) {
+	var controllers []messages.Entry
+	node.step(CoreConfig, func() { controllers = localRegister.fleet.members.view(node).Controllers(node.now()) })
+	address := localRegister.fleet.seeds[node.random.Intn(len(localRegister.fleet.seeds))]
+	if len(controllers) > 0 {
+		address = controllers[0].Address
+	}
+	if address == node.own.Address {
+		node.after(constants.StartPause, func() { localRegister.pull(node) })
+		return
+	}
+	push := &messages.ConfigPush{}
+	node.ask(CoreConfig, address, messages.KindConfigPull, &messages.ConfigPull{Known: node.generation}, push, constants.CallTime, func(reached bool) {
+		if reached {
+			localRegister.take(node, push.Generation, push.Body)
+		} else {
+			localRegister.fleet.members.view(node).Failed(address, node.now())
+		}
+		if !reached && node.generation < localRegister.chosen {
+			node.after(constants.StartPause, func() { localRegister.pull(node) })
+			return
+		}
+		if other, is := node.state[3].(*follower); is {
+			other.pulling = false
+		}
+	})
+}
+
+// change has a controller take a new configuration, as an operator does.
+func (localRegister *localRegister) change(node *Node) {
+	fleet := localRegister.fleet
+	localRegister.changes++
+	version := messages.Version{Generation: localRegister.chosen + 1, Base: localRegister.chosen}
+	body := localRegister.body(version.Generation)
+	version.Hash = routeconfig.Hash(body)
+	var result register.Result
+	begun := fleet.world.Now
+	localRegister.propose(node, register.Replace(version, body, &result), fleet.world.Now.Plus(constants.RegisterTime), func(value *messages.Register) {
+		if value == nil {
+			fleet.troubles.refused("configuration")
+			return
+		}
+		localRegister.chosen = max(localRegister.chosen, value.Current.Generation)
+		fleet.troubles.track("configuration", node, func(one *Node) bool { return one.generation >= value.Current.Generation })
+		localRegister.take(node, value.Current.Generation, value.Body)
+		// The call is acknowledged when all have it or the time for it is over.
+		fleet.workerList.spread(node, CoreConfig, &messages.Relay{Generation: value.Current.Generation, Body: value.Body}, constants.PushTime, func() {
+			fleet.troubles.acknowledged("configuration", fleet.world.Now.Since(begun))
+		})
+	})
+}
+
+// body makes a configuration of about the planned length.
+func (localRegister *localRegister) body(generation int64) []byte {
+	config := map[string]any{"generation": generation, "limits": struct{}{}}
+	var services, routes []map[string]any
+	for model := 0; model < localRegister.fleet.Plan.Models; model++ {
+		services = append(services, map[string]any{"name": fmt.Sprintf("model-%02d", model), "conn-limit": 520,
+			"engine": map[string]int{"capacity": 16, "cache-tokens": 232000}})
+	}
+	for length := 0; length < localRegister.fleet.Plan.ConfigBytes; {
+		route := map[string]any{"name": fmt.Sprintf("route-%05d", len(routes)), "host": fmt.Sprintf("tenant-%05d.example", len(routes)),
+			"path-prefix": "/v1/", "route-kind": "streaming", "cutoff-ms": 20000, "setpoint-ms": 470, "gap-setpoint-ms": 76,
+			"backend": fmt.Sprintf("model-%02d", len(routes)%localRegister.fleet.Plan.Models), "affine": true, "resumable": true, "priority": len(routes) % 3}
+		text, _ := json.Marshal(route)
+		length += len(text) + 1
+		routes = append(routes, route)
+	}
+	config["backends"], config["channels"] = services, routes
+	text, _ := json.Marshal(config)
+	return text
+}
--- a/internal/maquette/result.go
+++ b/internal/tooling/hollowfleet/result.go
@@ -1,7 +1,7 @@
-package maquette
+package hollowfleet
 
 import (
-	"lemonarch/internal/bellows"
+	"lemonarch/internal/control/membership"
 )
 
 // Result is what came of a run. Simulated repeats with the seed; Measured is processor
@@ -89,13 +89,13 @@
 }
 
 // roleNames lists the groups that results are told for.
-var roleNames = []string{bellows.RoleForge, bellows.RoleForeman, bellows.RoleLocker, roleHolder}
+var roleNames = []string{membership.RoleGateway, membership.RoleController, membership.RoleStore, roleHolder}
 
-// roleHolder is the locker that holds the lots, told apart from the others.
+// roleHolder is the store that holds the lots, told apart from the others.
 const roleHolder = "holder"
 
 func (fleet *Fleet) roleOf(node *Node) string {
-	if node == fleet.lots.holder {
+	if node == fleet.lotList.holder {
 		return roleHolder
 	}
 	return node.own.Role
@@ -106,7 +106,7 @@
 	fleet.troubles.close()
 	result := &Result{Plan: fleet.Plan, Simulated: Simulated{Roles: map[string]RoleTraffic{}, Kinds: map[string]map[string]Rate{},
 		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(), Near: fleet.gossip.near.result(),
-		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lots.made, Listed: fleet.lots.listed, Durable: timesOf(fleet.lots.waits, nil)}},
+		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lotList.made, Listed: fleet.lotList.listed, Durable: timesOf(fleet.lotList.waits, nil)}},
 		Measured: Measured{Roles: map[string]RoleCost{}}}
 	result.Simulated.Loads = fleet.gossip.loads()
 	result.Simulated.Turned = float64(fleet.traffic.turned) / max(float64(fleet.traffic.asked), 1)
--- a/internal/maquette/spent.go
+++ b/internal/tooling/hollowfleet/spent.go
@@ -1,4 +1,4 @@
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
@@ -20,8 +20,8 @@
 // spentBy reads the kernel's tables for a process; zero where it is gone.
 func spentBy(process int) spent {
 	found := spent{}
-	text, failure := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process))
-	if failure != nil {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", process))
+	if err != nil {
 		return found
 	}
 	// The name in brackets may hold blanks; what follows it does not.
--- a/internal/maquette/teller.go
+++ b/internal/tooling/hollowfleet/teller.go
@@ -1,27 +1,27 @@
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
 	"io"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // teller says now and then how far a long run is.
 type teller struct {
 	writer io.Writer
-	last   watch.Moment
+	last   clock.Moment
 }
 
 const tellPeriod = 5_000_000_000
 
-func newTeller(writer io.Writer) *teller { return &teller{writer: writer, last: watch.Now()} }
+func newTeller(writer io.Writer) *teller { return &teller{writer: writer, last: clock.Now()} }
 
-func (teller *teller) tell(fleet *Fleet, whole watch.Moment) {
-	if teller.writer == nil || watch.Now().Since(teller.last) < tellPeriod {
+func (teller *teller) tell(fleet *Fleet, whole clock.Moment) {
+	if teller.writer == nil || clock.Now().Since(teller.last) < tellPeriod {
 		return
 	}
-	teller.last = watch.Now()
+	teller.last = clock.Now()
 	fmt.Fprintf(teller.writer, "hollow nodes=%d workers=%d simulated-s=%.0f of=%.0f\n", fleet.Plan.Nodes, fleet.Plan.Workers,
 		float64(fleet.world.Now)/1e9, float64(whole)/1e9)
 }
--- a/internal/maquette/traffic.go
+++ b/internal/tooling/hollowfleet/traffic.go
@@ -1,14 +1,14 @@
-package maquette
+package hollowfleet
 
 import (
 	"fmt"
 	"hash/fnv"
 	"math/rand"
 
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/plumbline"
-	"lemonarch/internal/watch"
-	"lemonarch/internal/workbench"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/prefixindex"
 )
 
 // traffic places requests at workers, so that there is something to gossip about. No
@@ -33,22 +33,22 @@
 
 // Begin lets requests come to an edge process.
 func (traffic *traffic) Begin(node *Node) any {
-	if node.own.Role != bellows.RoleForge {
+	if node.own.Role != membership.RoleGateway {
 		return nil
 	}
-	forges := 0
+	gateways := 0
 	for _, one := range traffic.fleet.nodes {
-		if one.own.Role == bellows.RoleForge {
-			forges++
+		if one.own.Role == membership.RoleGateway {
+			gateways++
 		}
 	}
-	rate := traffic.fleet.Plan.Requests / float64(forges)
+	rate := traffic.fleet.Plan.Requests / float64(gateways)
 	if rate <= 0 {
 		return nil
 	}
 	var next func()
 	next = func() {
-		traffic.request(node, node.state[1].(*placing).bench)
+		traffic.request(node, node.state[1].(*placing).scheduler)
 		node.after(seconds(node.random.ExpFloat64()/rate), next)
 	}
 	node.after(seconds(1+node.random.ExpFloat64()/rate), next)
@@ -58,12 +58,12 @@
 // Drop has nothing.
 func (*traffic) Drop(*Node) {}
 
-func (traffic *traffic) request(node *Node, bench *workbench.Workbench) {
+func (traffic *traffic) request(node *Node, scheduler *admission.Scheduler) {
 	model := traffic.random.Intn(traffic.fleet.Plan.Models)
-	ask := &workbench.Ask{Service: fmt.Sprintf("model-%02d", model), Prompt: traffic.prompt(node, model), Affine: true,
-		Setpoint: watch.Milliseconds(470), Deadline: node.now().Plus(seconds(20)), Patience: node.now().Plus(seconds(1))}
-	var answer workbench.Answer
-	node.step(CorePlacement, func() { answer, _ = bench.Admit(ask, nil, node.now()) })
+	ask := &admission.Ask{Service: fmt.Sprintf("model-%02d", model), Prompt: traffic.prompt(node, model), Affine: true,
+		Setpoint: clock.Milliseconds(470), Deadline: node.now().Plus(seconds(20)), Patience: node.now().Plus(seconds(1))}
+	var answer admission.Answer
+	node.step(CorePlacement, func() { answer, _ = scheduler.Admit(ask, nil, node.now()) })
 	traffic.asked++
 	if answer.Grant == nil {
 		traffic.turned++
@@ -72,7 +72,7 @@
 	grant := answer.Grant
 	worker := grant.Worker.ID
 	traffic.running[worker]++
-	held := watch.Milliseconds(traffic.fleet.Plan.HeldMs * node.random.ExpFloat64())
+	held := clock.Milliseconds(traffic.fleet.Plan.HeldMs * node.random.ExpFloat64())
 	load := func() string { return fmt.Sprintf("%d,0,%d", traffic.running[worker], grant.Worker.Capacity) }
 	node.after(held/10, func() { node.step(CorePlacement, func() { grant.First(load(), node.now()) }) })
 	// The worker ends the request also where its process is gone by then.
@@ -80,28 +80,28 @@
 	traffic.fleet.world.After(held, func() {
 		traffic.running[worker]--
 		if node.life == life {
-			node.step(CorePlacement, func() { grant.End(workbench.OutcomeServed, node.now()) })
+			node.step(CorePlacement, func() { grant.End(admission.ResultServed, node.now()) })
 		}
 	})
 }
 
 // prompt draws a prompt: a part that a model's requests share, a part of the tenant,
 // and the request's own. The lengths are assumed.
-func (traffic *traffic) prompt(node *Node, model int) plumbline.Prompt {
+func (traffic *traffic) prompt(node *Node, model int) prefixindex.Prompt {
 	long := node.random.Float64() < traffic.fleet.Plan.LongShare
 	tenant := traffic.tenant.Uint64()
 	shared, kept, own := 430, 600, 300
 	if long {
 		kept, own = 6000, 3000
 	}
-	prompt := plumbline.Prompt{Tokens: shared + kept + own, Out: 200}
+	prompt := prefixindex.Prompt{Tokens: shared + kept + own, Out: 200}
 	for _, part := range []struct {
 		name   string
 		tokens int
 	}{{fmt.Sprint("model", model), shared}, {fmt.Sprint("model", model, "tenant", tenant, long), kept}, {fmt.Sprint(node.own.Name, node.random.Int63()), own}} {
 		sum := fnv.New64a()
 		sum.Write([]byte(part.name))
-		prompt.Parts = append(prompt.Parts, plumbline.Part{Name: sum.Sum64(), Tokens: part.tokens})
+		prompt.Parts = append(prompt.Parts, prefixindex.Part{Name: sum.Sum64(), Tokens: part.tokens})
 	}
 	return prompt
 }
--- /dev/null
+++ b/internal/tooling/hollowfleet/tree.go
@@ -0,0 +1,167 @@
+package hollowfleet
+
+import (
+	"strconv"
+
+	"lemonarch/internal/control/broadcast"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// delivery is a word on its way down the tree.
+type response struct {
+	begun clock.Moment
+	job   *broadcast.Job
+	// waiting are those told once it is done.
+	waiting []func()
+}
+
+func (one *response) settle() {
+	if one.job.Done() {
+		for _, done := range one.waiting {
+			done()
+		}
+		one.waiting = nil
+	}
+}
+
+// onceOf runs a function the first time only.
+func onceOf(function func()) func() {
+	ran := false
+	return func() {
+		if !ran {
+			ran = true
+			function()
+		}
+	}
+}
+
+// directory gives every other process that may still be there and lacks a generation.
+func (workerList *workerList) directory(node *Node, generation int64) []messages.Entry {
+	var found []messages.Entry
+	for _, entry := range workerList.fleet.members.all(node) {
+		has := generation > 0 && entry.Generation >= generation && entry.Role != membership.RoleController
+		if entry.AgeMs < 4*constants.SilentAfter.Milliseconds() && !has {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+func fan(word *messages.Relay) int {
+	if word.Generation > 0 {
+		return 2 * constants.BodyFan
+	}
+	return 0
+}
+
+// spread tells all processes down the tree; done is told when all in touch have taken
+// the word, or after the span.
+func (workerList *workerList) spread(node *Node, core Core, word *messages.Relay, span clock.Span, done func()) {
+	workerList.number++
+	word.From, word.Number = membership.Key(node.own), workerList.number
+	one := &response{begun: node.now()}
+	var sends []broadcast.Send
+	directory := workerList.directory(node, word.Generation)
+	node.step(core, func() { one.job, sends = broadcast.Fleet(node.own, directory, fan(word), node.now()) })
+	told := onceOf(done)
+	one.waiting = append(one.waiting, told)
+	node.after(span, told)
+	workerList.deliver(node, core, word, one, sends)
+}
+
+// deliver makes the calls that a job asks for, until it is done or too late.
+func (workerList *workerList) deliver(node *Node, core Core, word *messages.Relay, one *response, sends []broadcast.Send) {
+	var follow func(sends []broadcast.Send)
+	follow = func(sends []broadcast.Send) {
+		for _, send := range sends {
+			workerList.send(node, core, word, send, func(missing []uint32, reached bool) {
+				if reached {
+					follow(one.job.Took(send, missing, node.now()))
+				} else {
+					follow(one.job.Failed(send, node.now()))
+				}
+			})
+		}
+		one.settle()
+	}
+	follow(sends)
+	var tick func()
+	tick = func() {
+		if !one.job.Done() && node.now().Since(one.begun) < constants.BulkCallTime {
+			node.step(core, func() { follow(one.job.Tick(node.now())) })
+			node.after(constants.RelayPatience/4, tick)
+		}
+	}
+	node.after(constants.RelayPatience/4, tick)
+}
+
+// send makes one call of a job.
+func (workerList *workerList) send(node *Node, core Core, word *messages.Relay, send broadcast.Send, then func([]uint32, bool)) {
+	plain := func(reached bool) { then(nil, reached) }
+	switch {
+	case send.Step == broadcast.StepRelay:
+		part := *word
+		part.Expect = send.Expect
+		node.ask(core, send.Address, messages.KindRelay, &part, &messages.Nothing{}, constants.CallTime, plain)
+	case send.Step == broadcast.StepWait:
+		back := &messages.RelayDone{}
+		node.ask(core, send.Address, messages.KindRelayWait, &messages.RelayWait{From: word.From, Number: word.Number}, back, constants.CallTime,
+			func(reached bool) { then(back.Missing, reached && back.Known) })
+	case word.Generation > 0:
+		push := &messages.ConfigPush{Generation: word.Generation, Body: word.Body, Pass: send.Pass}
+		node.ask(core, send.Address, messages.KindConfigPush, push, &messages.Nothing{}, constants.CallTime, plain)
+	default:
+		push := &messages.RosterPush{From: membership.Key(node.own), Workers: word.Workers}
+		node.ask(core, send.Address, messages.KindRosterPush, push, &messages.Nothing{}, constants.CallTime, plain)
+	}
+}
+
+func relayKey(from string, number uint64) string { return from + "#" + strconv.FormatUint(number, 10) }
+
+func coreOf(word *messages.Relay) Core {
+	if word.Generation > 0 {
+		return CoreConfig
+	}
+	return CoreWorkers
+}
+
+// beginRelays lets a controller tell its zone on behalf of another.
+func (workerList *workerList) beginRelays(node *Node, own *table) {
+	node.answerers[messages.KindRelay] = reads(node, CoreWorkers, func(word *messages.Relay) transport.Writable {
+		workerList.merge(node, own, word.Workers)
+		workerList.fleet.localRegister.take(node, word.Generation, word.Body)
+		expect := word.Expect[:0:0]
+		has := map[uint32]bool{}
+		for _, entry := range workerList.directory(node, 0) {
+			has[membership.MarkOf(entry)] = word.Generation > 0 && entry.Generation >= word.Generation
+		}
+		for _, mark := range word.Expect {
+			if !has[mark] {
+				expect = append(expect, mark)
+			}
+		}
+		one := &response{begun: node.now()}
+		var sends []broadcast.Send
+		one.job, sends = broadcast.Zone(node.own, workerList.directory(node, word.Generation), expect, fan(word), node.now())
+		own.relays[relayKey(word.From, word.Number)] = one
+		node.after(0, func() { workerList.deliver(node, coreOf(word), word, one, sends) })
+		return taken()
+	})
+	node.answerers[messages.KindRelayWait] = func(body []byte, reply func(transport.Writable)) {
+		question := &messages.RelayWait{}
+		node.step(CoreWorkers, func() { _ = transport.Read(body, question) })
+		one := own.relays[relayKey(question.From, question.Number)]
+		if one == nil {
+			reply(&messages.RelayDone{})
+			return
+		}
+		say := onceOf(func() { reply(&messages.RelayDone{Known: true, Missing: one.job.Missing()}) })
+		one.waiting = append(one.waiting, say)
+		node.after(constants.ZoneTime, say)
+		node.after(0, one.settle)
+	}
+}
--- a/internal/maquette/troubles.go
+++ b/internal/tooling/hollowfleet/troubles.go
@@ -1,10 +1,10 @@
-package maquette
+package hollowfleet
 
 import (
 	"math/rand"
 
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
 )
 
 // troubles breaks machines, racks, zones and the way between regions, changes the
@@ -24,11 +24,11 @@
 // track follows one piece of news until every process it concerns has it.
 type track struct {
 	kind    string
-	begun   watch.Moment
+	begun   clock.Moment
 	left    map[*Node]int
 	count   int
 	knows   func(*Node) bool
-	patient watch.Span
+	patient clock.Span
 	// slow says that asking is dear, and is done at every tenth look.
 	slow bool
 }
@@ -66,12 +66,12 @@
 func (troubles *troubles) begin() {
 	fleet, plan := troubles.fleet, troubles.fleet.Plan
 	troubles.at(plan.Changes, func() {
-		if foremen := fleet.live(bellows.RoleForeman); len(foremen) > 0 {
-			fleet.register.change(foremen[troubles.random.Intn(len(foremen))])
+		if controllers := fleet.live(membership.RoleController); len(controllers) > 0 {
+			fleet.localRegister.change(controllers[troubles.random.Intn(len(controllers))])
 		}
 	})
-	troubles.at(plan.Turns, fleet.workers.turn)
-	troubles.at(plan.Lots, fleet.lots.handIn)
+	troubles.at(plan.Turns, fleet.workerList.turn)
+	troubles.at(plan.Lots, fleet.lotList.handIn)
 	troubles.at(plan.Failures, func() {
 		machine := troubles.random.Intn(plan.Nodes)
 		troubles.lose("machine", func(node *Node) bool { return node.machine == machine }, plan.DownS)
@@ -109,9 +109,9 @@
 	var lost []*Node
 	gone := map[string]bool{}
 	for _, node := range fleet.nodes {
-		if among(node) && !node.down && node != fleet.lots.holder {
+		if among(node) && !node.down && node != fleet.lotList.holder {
 			lost = append(lost, node)
-			gone[bellows.Key(node.own)] = true
+			gone[membership.Key(node.own)] = true
 		}
 	}
 	if len(lost) == 0 {
@@ -188,7 +188,7 @@
 		}
 		switch {
 		case len(one.left) == 0:
-			troubles.taken[one.kind] = append(troubles.taken[one.kind], watch.ToMilliseconds(now.Since(one.begun)))
+			troubles.taken[one.kind] = append(troubles.taken[one.kind], clock.ToMilliseconds(now.Since(one.begun)))
 		case now.Since(one.begun) > one.patient:
 			troubles.missed[one.kind] = append(troubles.missed[one.kind], float64(len(one.left))/float64(max(one.count, 1)))
 		default:
@@ -199,9 +199,9 @@
 	troubles.fleet.world.After(trackPeriod, troubles.look)
 }
 
-func (troubles *troubles) acknowledged(kind string, took watch.Span) {
+func (troubles *troubles) acknowledged(kind string, took clock.Span) {
 	if troubles.fleet.counting {
-		troubles.acked[kind] = append(troubles.acked[kind], watch.ToMilliseconds(took))
+		troubles.acked[kind] = append(troubles.acked[kind], clock.ToMilliseconds(took))
 	}
 }
 
--- a/internal/maquette/wirecost.go
+++ b/internal/tooling/hollowfleet/wirecost.go
@@ -1,11 +1,11 @@
-package maquette
+package hollowfleet
 
 import (
 	"golang.org/x/sys/unix"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
 )
 
 // What a frame on a real socket costs beside the steps of the cores: measured between
@@ -19,24 +19,24 @@
 // received, answers counted as frames.
 func WireCost() (float64, error) {
 	address := machineAddress(9999) + ":17099"
-	server, client := tongs.NewWire(address), tongs.NewWire("")
+	server, client := transport.NewWire(address), transport.NewWire("")
 	defer server.Close()
 	defer client.Close()
-	if failure := server.Serve(func(pattern.Kind, []byte) ([]byte, error) { return make([]byte, wireBody), nil }); failure != nil {
-		return 0, failure
+	if err := server.Serve(func(messages.Kind, []byte) ([]byte, error) { return make([]byte, wireBody), nil }); err != nil {
+		return 0, err
 	}
 	body := make([]byte, wireBody)
 	call := func() error {
-		_, failure := client.Call(address, pattern.KindShuffle, body, watch.Milliseconds(5000))
-		return failure
+		_, err := client.Call(address, messages.KindShuffle, body, clock.Milliseconds(5000))
+		return err
 	}
-	if failure := call(); failure != nil {
-		return 0, failure
+	if err := call(); err != nil {
+		return 0, err
 	}
 	before := processTime()
 	for range wireCalls {
-		if failure := call(); failure != nil {
-			return 0, Unstarted.Wrap(failure, "wire")
+		if err := call(); err != nil {
+			return 0, Unstarted.Wrap(err, "wire")
 		}
 	}
 	return float64(processTime()-before) / 1e3 / (2 * wireCalls), nil
