--- /dev/null
+++ b/internal/tooling/hollowfleet/workers.go
@@ -0,0 +1,215 @@
+package hollowfleet
+
+import (
+	"fmt"
+	"math/rand"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/control/workers"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/traffic/admission"
+)
+
+// workers drives the workers: workers beat at a controller; what changed goes down the
+// tree, and what was missed is pulled by digests.
+type workerList struct {
+	fleet  *Fleet
+	random *rand.Rand
+	all    []messages.Worker
+	turned int
+	number uint64
+}
+
+// placing is what a process keeps that places work.
+type placing struct {
+	scheduler *admission.Scheduler
+	read      map[string]messages.Digest
+	// around is whom it tells, running how many requests of it are under way.
+	around circle
+}
+
+// table is what a controller keeps.
+type table struct {
+	registry *workers.Registry
+	peers    map[string]*peer
+	relays   map[string]*response
+}
+
+// peer is what a controller remembers of another one.
+type peer struct {
+	workerList, processes messages.Digest
+	told                  clock.Moment
+}
+
+func newWorkers(fleet *Fleet) *workerList {
+	made := &workerList{fleet: fleet, random: rand.New(rand.NewSource(fleet.Plan.Seed + 17))}
+	for number := 0; number < fleet.Plan.Workers; number++ {
+		made.all = append(made.all, made.worker(number, 0))
+	}
+	return made
+}
+
+func (workerList *workerList) worker(number, life int) messages.Worker {
+	// A model's workers stand in all zones.
+	zone := (number + number/workerList.fleet.Plan.Models) % workerList.fleet.Plan.Zones
+	return messages.Worker{ID: fmt.Sprintf("model-%02d-worker-%04d-%d", number%workerList.fleet.Plan.Models, number, life),
+		Backend: fmt.Sprintf("model-%02d", number%workerList.fleet.Plan.Models), Address: fmt.Sprintf("10.%d.%d.%d:9000", 100+zone, number/250, number%250),
+		Zone:     fmt.Sprintf("region-%d-zone-%d", zone*workerList.fleet.Plan.Regions/workerList.fleet.Plan.Zones, zone),
+		Capacity: 16, Software: "1.0"}
+}
+
+// Name names it.
+func (*workerList) Name() string { return "workers and weights" }
+
+func (*workerList) placing(node *Node) *placing {
+	own, _ := node.state[1].(*placing)
+	return own
+}
+
+func (*workerList) table(node *Node) *table {
+	own, _ := node.state[1].(*table)
+	return own
+}
+
+// Begin starts the workers of a process.
+func (workerList *workerList) Begin(node *Node) any {
+	heartbeat := clock.Milliseconds(workerList.fleet.Plan.HeartbeatMs)
+	if node.places() {
+		own := &placing{scheduler: admission.New(node.own, heartbeat), read: map[string]messages.Digest{}}
+		node.answerers[messages.KindRosterPush] = reads(node, CoreWorkers, func(push *messages.RosterPush) transport.Writable {
+			own.scheduler.Merge(push.Workers, node.now())
+			workerList.fleet.members.touched(node, push.From)
+			return taken()
+		})
+		node.after(constants.StartPause, func() { workerList.pullFirst(node, own) })
+		return own
+	}
+	own := &table{registry: workers.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*response{}}
+	node.answerers[messages.KindRosterPush] = reads(node, CoreWorkers, func(push *messages.RosterPush) transport.Writable {
+		workerList.merge(node, own, push.Workers)
+		workerList.fleet.members.touched(node, push.From)
+		return taken()
+	})
+	node.answerers[messages.KindRosterPull] = reads(node, CoreWorkers, func(question *messages.RosterPull) transport.Writable {
+		return &messages.RosterPush{From: membership.Key(node.own), Workers: own.registry.Since(question.Since, node.now()), Table: own.registry.Digest(node.own.Life)}
+	})
+	workerList.beginBeats(node, own)
+	workerList.beginRelays(node, own)
+	return own
+}
+
+// Drop lets go of the workers, and of the health and index beside it.
+func (workerList *workerList) Drop(node *Node) { node.state[1] = nil }
+
+func (workerList *workerList) merge(node *Node, own *table, list []messages.Worker) {
+	for _, worker := range list {
+		own.registry.Merge(worker, node.now())
+	}
+}
+
+func (workerList *workerList) pullFirst(node *Node, own *placing) {
+	seed := workerList.fleet.seeds[node.random.Intn(len(workerList.fleet.seeds))]
+	workerList.pull(node, own, seed, 0, func(reached bool) {
+		if !reached {
+			node.after(constants.StartPause, func() { workerList.pullFirst(node, own) })
+		}
+	})
+}
+
+func (workerList *workerList) pull(node *Node, own *placing, address string, since uint64, then func(bool)) {
+	back := &messages.RosterPush{}
+	question := &messages.RosterPull{From: membership.Key(node.own), Since: since}
+	node.ask(CoreWorkers, address, messages.KindRosterPull, question, back, constants.CallTime, func(reached bool) {
+		if reached {
+			own.scheduler.Merge(back.Workers, node.now())
+			own.read[address] = back.Table
+		}
+		then(reached)
+	})
+}
+
+// heardForeman takes what a controller's periodic answer says of workers.
+func (workerList *workerList) heardController(node *Node, address string, answer *messages.Shuffle) {
+	own := workerList.placing(node)
+	if own == nil || answer.Workers.Life == 0 {
+		return
+	}
+	node.step(CoreWorkers, func() {
+		read := own.read[address]
+		since, ask := behind(&read, answer.Workers, own.scheduler.Table())
+		own.read[address] = read
+		if ask {
+			workerList.pull(node, own, address, since, func(bool) {})
+		}
+		if answer.Judging {
+			own.scheduler.Judged(answer.Overdue, node.now())
+		}
+	})
+}
+
+// behind tells whether another's table may hold something beyond ours, and from which
+// clock on to ask.
+func behind(read *messages.Digest, told, own messages.Digest) (since uint64, ask bool) {
+	if told.Sum == own.Sum {
+		*read = told
+		return 0, false
+	}
+	if read.Life != told.Life {
+		return 0, true
+	}
+	return read.Clock, told.Clock > read.Clock
+}
+
+// addWorkers adds the word on workers to a controller's answer.
+func (workerList *workerList) addWorkers(node *Node, answer *messages.Shuffle) {
+	own := workerList.table(node)
+	node.step(CoreWorkers, func() {
+		answer.Workers = own.registry.Digest(node.own.Life)
+		if answer.Judging = len(workerList.fleet.members.view(node).Live(membership.RoleController, node.now())) > 0; answer.Judging {
+			answer.Overdue = own.registry.Overdue(node.now())
+		}
+	})
+}
+
+// note takes a worker's call at a controller; done is told when it is acknowledged.
+func (workerList *workerList) note(node *Node, worker messages.Worker, done func()) {
+	own := workerList.table(node)
+	changed := false
+	node.step(CoreWorkers, func() {
+		changed = own.registry.Beat(worker, node.now())
+		worker, _ = own.registry.Get(worker.ID)
+	})
+	if !changed {
+		done()
+		return
+	}
+	workerList.spread(node, CoreWorkers, &messages.Relay{Workers: []messages.Worker{worker}}, constants.TreeTime, done)
+}
+
+// controller gives the controller that a worker calls: its zone's, or any that runs.
+func (workerList *workerList) controller(number int) *Node {
+	live := workerList.fleet.live(membership.RoleController)
+	for _, node := range live {
+		if node.own.Zone == workerList.all[number].Zone {
+			return node
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[workerList.random.Intn(len(live))]
+}
+
+// knows gives a worker as a process knows it.
+func (workerList *workerList) knows(node *Node, id string) (messages.Worker, bool) {
+	if own := workerList.placing(node); own != nil {
+		return own.scheduler.Registry.Get(id)
+	}
+	if own := workerList.table(node); own != nil {
+		return own.registry.Get(id)
+	}
+	return messages.Worker{}, false
+}
--- /dev/null
+++ b/internal/tooling/lab/desk.go
@@ -0,0 +1,78 @@
+package lab
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/httpreply"
+	"lemonarch/internal/tooling/workeremulator"
+)
+
+// Card tells a load tool what it needs to know of a fleet.
+type Card struct {
+	Label    string              `json:"label"`
+	Ingress  []string            `json:"ingress"`
+	Controls []string            `json:"controls"`
+	Seed     string              `json:"seed"`
+	Stride   int                 `json:"stride"`
+	Routes   []routeconfig.Route `json:"routes"`
+	Programs map[string]int      `json:"programs"`
+	Workers  map[string]string   `json:"workers"`
+}
+
+// Runs is what the emulated workers ran.
+type Runs struct {
+	Runs []workeremulator.Run `json:"runs"`
+	// Dropped counts runs that no longer fitted into the record.
+	Dropped int `json:"dropped"`
+}
+
+// Card gives the fleet's card.
+func (fleet *Fleet) Card() Card {
+	card := Card{Label: fleet.Plan.Label, Ingress: fleet.Plan.Ingress(), Controls: fleet.Plan.Controls(), Stride: fleet.Plan.shape().Stride,
+		Routes: fleet.Routes(), Programs: map[string]int{}, Workers: map[string]string{},
+		Seed: fleet.Plan.host(constants.LabEdgeHost, 0, constants.LabInternalPort+constants.PortController)}
+	for _, one := range fleet.processes {
+		card.Programs[one.node.name] = one.id()
+	}
+	for _, one := range fleet.places {
+		card.Workers[one.name] = one.address
+	}
+	return card
+}
+
+// serveDesk opens the desk, on loopback like everything else.
+func (fleet *Fleet) serveEndpoint() error {
+	listener, err := net.Listen("tcp4", fleet.Plan.Endpoint())
+	if err != nil {
+		return Unfit.New("desk at " + fleet.Plan.Endpoint() + ": " + lastWords(err))
+	}
+	tree := chi.NewRouter()
+	tree.Get("/fleet", func(writer http.ResponseWriter, _ *http.Request) { httpreply.JSON(writer, http.StatusOK, fleet.Card()) })
+	tree.Get("/runs", func(writer http.ResponseWriter, request *http.Request) {
+		runs, dropped := fleet.record.Of(request.URL.Query().Get("prefix"))
+		httpreply.JSON(writer, http.StatusOK, Runs{runs, dropped})
+	})
+	tree.Post("/trouble", func(writer http.ResponseWriter, request *http.Request) {
+		var trouble Trouble
+		reader := json.NewDecoder(http.MaxBytesReader(writer, request.Body, constants.HeadLimit))
+		reader.DisallowUnknownFields()
+		if err := reader.Decode(&trouble); err != nil {
+			httpreply.Reason(writer, http.StatusBadRequest, "trouble can't be read: "+err.Error())
+			return
+		}
+		if err := fleet.Trouble(trouble); err != nil {
+			httpreply.Reason(writer, http.StatusBadRequest, err.Error())
+			return
+		}
+		httpreply.JSON(writer, http.StatusOK, struct{}{})
+	})
+	fleet.endpoint = &http.Server{Handler: tree, ReadHeaderTimeout: constants.LabGrace}
+	go func() { _ = fleet.endpoint.Serve(listener) }()
+	return nil
+}
--- /dev/null
+++ b/internal/tooling/lab/fleet.go
@@ -0,0 +1,196 @@
+package lab
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/tooling/workeremulator"
+)
+
+// Fleet is one running fleet.
+type Fleet struct {
+	Plan   Plan
+	Folder string
+	// Died tells of the first process that ended by itself.
+	Died chan error
+
+	record    *workeremulator.Record
+	processes []*process
+	places    []*place
+	endpoint  *http.Server
+	starter   *starter
+	operator  operator
+	stopping  chan struct{}
+	once      sync.Once
+	own       bool
+	troubles  sync.WaitGroup
+}
+
+// Start carries a plan out and returns once every gateway is ready. Where anything
+// goes wrong or the errand is called off, all that was started is ended before it returns. An empty folder
+// makes it use one of its own, which goes away with the fleet.
+func Start(called contexts.Errand, plan Plan, folder string) (*Fleet, error) {
+	if err := plan.Check(); err != nil {
+		return nil, err
+	}
+	configuration := plan.firstConfiguration()
+	if plan.Configuration != "" {
+		text, err := os.ReadFile(plan.Configuration)
+		if err != nil {
+			return nil, Unfit.Wrap(err, "configuration")
+		}
+		configuration = text
+	}
+	if err := plan.free(); err != nil {
+		return nil, err
+	}
+	programs, err := filepath.Abs(plan.Programs)
+	if err != nil {
+		return nil, Unfit.Wrap(err, "programs")
+	}
+	plan.Programs = programs
+	fleet := &Fleet{Plan: plan, Folder: folder, Died: make(chan error, 1), record: &workeremulator.Record{}, starter: newStarter(),
+		stopping: make(chan struct{}), operator: operator{controls: plan.Controls()}}
+	if folder == "" {
+		if fleet.Folder, err = os.MkdirTemp("", "lemonarch-lab-"); err != nil {
+			return nil, Unfit.Wrap(err, "temporary folder")
+		}
+		fleet.own = true
+	} else if err = os.MkdirAll(folder, 0o755); err != nil {
+		return nil, Unfit.Wrap(err, "folder")
+	}
+	if fleet.Folder, err = filepath.Abs(fleet.Folder); err == nil {
+		err = fleet.start(called, configuration)
+	}
+	if err != nil {
+		fleet.Stop()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+func (fleet *Fleet) start(called contexts.Errand, configuration []byte) error {
+	for _, node := range fleet.Plan.nodes() {
+		one := newProcess(&fleet.Plan, node, fleet.Folder, fleet.starter)
+		path, err := fleet.Plan.write(node, fleet.Folder, true)
+		if err != nil {
+			return err
+		}
+		one.path = path
+		if err = one.run(fleet.died); err != nil {
+			return err
+		}
+		fleet.processes = append(fleet.processes, one)
+	}
+	for _, one := range fleet.Plan.places() {
+		if err := one.begin(fleet.record, fleet.Plan.Controls()); err != nil {
+			return err
+		}
+		fleet.places = append(fleet.places, one)
+	}
+	if err := fleet.serveEndpoint(); err != nil {
+		return err
+	}
+	end := clock.Now().Plus(constants.LabStartLimit)
+	if err := fleet.until(called, end, "the first configuration", func() error { return fleet.operator.first(configuration) }); err != nil {
+		return err
+	}
+	if err := fleet.until(called, end, "every gateway ready", fleet.ready); err != nil {
+		return err
+	}
+	return fleet.until(called, end, "a store on duty", fleet.lotsReady)
+}
+
+// lotsReady asks for a lot that nobody handed in: only where the stores can be sure
+// is the answer 404, and from then on lots are taken.
+func (fleet *Fleet) lotsReady() error {
+	for _, address := range fleet.Plan.Ingress() {
+		answer, err := fleet.operator.ask(http.MethodGet, "http://"+address+"/-/lots/lab-start", nil, 0)
+		if err != nil {
+			return err
+		}
+		if answer.status != http.StatusNotFound {
+			return Unfit.New(address + " can't answer for lots yet")
+		}
+	}
+	return nil
+}
+
+// died keeps the first death; a fleet that is being stopped has none.
+func (fleet *Fleet) died(err error) {
+	select {
+	case <-fleet.stopping:
+	case fleet.Died <- err:
+	default:
+	}
+}
+
+// until tries again and again, and tells of a death or of the last failure.
+func (fleet *Fleet) until(called contexts.Errand, end clock.Moment, what string, function func() error) error {
+	for {
+		err := function()
+		if err == nil {
+			return nil
+		}
+		if _, final := err.(refused); final || clock.Now() >= end {
+			return Unfit.Wrap(err, "no success with "+what)
+		}
+		select {
+		case err = <-fleet.Died:
+			return err
+		case <-called.Done():
+			return Unfit.New("stopped while starting")
+		case <-clock.After(constants.LabRetry):
+		}
+	}
+}
+
+// ready asks every gateway whether it is.
+func (fleet *Fleet) ready() error {
+	for _, address := range fleet.Plan.Readiness() {
+		answer, err := fleet.operator.ask(http.MethodGet, "http://"+address+"/-/readiness", nil, 0)
+		if err != nil {
+			return err
+		}
+		if answer.status != http.StatusOK {
+			return Unfit.New(address + " is not ready")
+		}
+	}
+	return nil
+}
+
+// Stop ends everything that was started, each by its id.
+func (fleet *Fleet) Stop() {
+	fleet.once.Do(func() {
+		close(fleet.stopping)
+		// Troubles under way end first, so that none starts a process once more.
+		fleet.troubles.Wait()
+		if fleet.endpoint != nil {
+			fleet.endpoint.Close()
+		}
+		var group sync.WaitGroup
+		for _, one := range fleet.processes {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				one.stop()
+			}()
+		}
+		group.Wait()
+		for _, one := range fleet.places {
+			one.crash()
+		}
+		if fleet.own {
+			os.RemoveAll(fleet.Folder)
+		}
+	})
+}
+
+// Routes gives the routes of the configuration in force, as far as it was sent here.
+func (fleet *Fleet) Routes() []routeconfig.Route { return fleet.operator.routes() }
--- a/internal/sawhorse/sawhorse_test.go
+++ b/internal/tooling/lab/lab_test.go
@@ -1,4 +1,4 @@
-package sawhorse
+package lab
 
 import (
 	"fmt"
@@ -11,18 +11,18 @@
 	"strings"
 	"testing"
 
-	"lemonarch/internal/boot"
-	"lemonarch/internal/caliper"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/jig"
+	"lemonarch/internal/configuration/configcheck"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/settings"
 )
 
 // programs makes a folder of programs out of shell scripts.
 func programs(test *testing.T, script string) string {
 	folder := test.TempDir()
-	for _, name := range []string{"forge", "foreman", "locker"} {
-		if failure := os.WriteFile(filepath.Join(folder, name), []byte("#!/bin/sh\n"+script+"\n"), 0o755); failure != nil {
-			test.Fatal(failure)
+	for _, name := range []string{"gateway", "controller", "store"} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte("#!/bin/sh\n"+script+"\n"), 0o755); err != nil {
+			test.Fatal(err)
 		}
 	}
 	return folder
@@ -38,20 +38,20 @@
 func TestSettingsAreTaken(test *testing.T) {
 	for _, counts := range [][4]int{{1, 1, 1, 1}, {2, 3, 3, 2}, {5, 9, 4, 3}, {1, 5, 7, 9}} {
 		plan := NewPlan()
-		plan.Forges, plan.Foremen, plan.Lockers, plan.Zones = counts[0], counts[1], counts[2], counts[3]
+		plan.Gateways, plan.Controllers, plan.Stores, plan.Zones = counts[0], counts[1], counts[2], counts[3]
 		folder := test.TempDir()
 		seen := map[string]bool{}
 		for _, one := range plan.nodes() {
-			path, failure := plan.write(one, folder, true)
-			if failure != nil {
-				test.Fatal(failure)
+			path, err := plan.write(one, folder, true)
+			if err != nil {
+				test.Fatal(err)
 			}
-			settings, failure := boot.LoadFile(path)
-			if failure != nil || settings.NodeName != one.machine || settings.Hall != one.hall || seen[one.role+settings.Address] {
-				test.Fatal(one, settings, failure)
+			nodeSettings, err := settings.LoadFile(path)
+			if err != nil || nodeSettings.NodeName != one.machine || nodeSettings.Zone != one.zone || seen[one.role+nodeSettings.Address] {
+				test.Fatal(one, nodeSettings, err)
 			}
-			seen[one.role+settings.Address] = true
-			if budget := settings.FaultBudget.Machines; 2*budget+1 > min(plan.Foremen, plan.Lockers) {
+			seen[one.role+nodeSettings.Address] = true
+			if budget := nodeSettings.FaultBudget.Machines; 2*budget+1 > min(plan.Controllers, plan.Stores) {
 				test.Fatal("more may be lost than half of the set", budget)
 			}
 		}
@@ -60,9 +60,9 @@
 
 func TestFirstConfigurationIsValid(test *testing.T) {
 	plan := NewPlan()
-	checker, failure := caliper.New()
-	if failure != nil {
-		test.Fatal(failure)
+	checker, err := configcheck.New()
+	if err != nil {
+		test.Fatal(err)
 	}
 	if _, findings := checker.Check(plan.firstConfiguration()); len(findings) > 0 {
 		test.Fatal(findings)
@@ -71,22 +71,22 @@
 
 func TestPlansThatCanNotBe(test *testing.T) {
 	for want, change := range map[string]func(plan *Plan){
-		"forges":       func(plan *Plan) { plan.Forges = 0 },
-		"foremen":      func(plan *Plan) { plan.Foremen = -1 },
-		"lockers":      func(plan *Plan) { plan.Lockers = 0 },
+		"gateways":     func(plan *Plan) { plan.Gateways = 0 },
+		"controllers":  func(plan *Plan) { plan.Controllers = -1 },
+		"stores":       func(plan *Plan) { plan.Stores = 0 },
 		"workers":      func(plan *Plan) { plan.Workers = 1000 },
 		"zones":        func(plan *Plan) { plan.Zones = 0 },
 		"capacity":     func(plan *Plan) { plan.Capacity = 0 },
 		"cache-tokens": func(plan *Plan) { plan.CacheTokens = 1 },
-		"processes":    func(plan *Plan) { plan.Forges = 39 },
+		"processes":    func(plan *Plan) { plan.Gateways = 39 },
 		"network":      func(plan *Plan) { plan.Network = "10.1.1" },
 		"no program":   func(plan *Plan) { plan.Programs = test.TempDir() },
 	} {
 		plan := NewPlan()
 		plan.Programs = programs(test, "")
 		change(&plan)
-		if failure := plan.Check(); failure == nil || !strings.Contains(failure.Error(), want) {
-			test.Error(want, failure)
+		if err := plan.Check(); err == nil || !strings.Contains(err.Error(), want) {
+			test.Error(want, err)
 		}
 	}
 }
@@ -96,17 +96,17 @@
 	plan := NewPlan()
 	plan.Network, plan.Programs = ownNetwork(211), programs(test, "exec sleep 60")
 	busy := plan.Ingress()[1]
-	listener, failure := net.Listen("tcp4", busy)
-	if failure != nil {
-		test.Skip("this machine has no such address: " + failure.Error())
+	listener, err := net.Listen("tcp4", busy)
+	if err != nil {
+		test.Skip("this machine has no such address: " + err.Error())
 	}
 	defer listener.Close()
-	fleet, failure := Start(errand.Background(), plan, test.TempDir())
-	if failure == nil {
+	fleet, err := Start(contexts.Background(), plan, test.TempDir())
+	if err == nil {
 		fleet.Stop()
 	}
-	if failure == nil || !strings.Contains(failure.Error(), busy) {
-		test.Fatal(failure)
+	if err == nil || !strings.Contains(err.Error(), busy) {
+		test.Fatal(err)
 	}
 }
 
@@ -115,26 +115,26 @@
 func TestDyingChildEndsTheStart(test *testing.T) {
 	plan := NewPlan()
 	plan.Network, plan.Programs = ownNetwork(212), programs(test, "exec sleep 60")
-	dying := filepath.Join(plan.Programs, "locker")
-	if failure := os.WriteFile(dying, []byte("#!/bin/sh\necho first words\necho the disk is gone\nexit 3\n"), 0o755); failure != nil {
-		test.Fatal(failure)
+	dying := filepath.Join(plan.Programs, "store")
+	if err := os.WriteFile(dying, []byte("#!/bin/sh\necho first words\necho the disk is gone\nexit 3\n"), 0o755); err != nil {
+		test.Fatal(err)
 	}
 	folder := test.TempDir()
-	probe, failure := net.Listen("tcp4", plan.Desk())
-	if failure != nil {
-		test.Skip("this machine has no such address: " + failure.Error())
+	probe, err := net.Listen("tcp4", plan.Endpoint())
+	if err != nil {
+		test.Skip("this machine has no such address: " + err.Error())
 	}
 	probe.Close()
-	fleet, failure := Start(errand.Background(), plan, folder)
-	if failure == nil {
+	fleet, err := Start(contexts.Background(), plan, folder)
+	if err == nil {
 		fleet.Stop()
 	}
-	if failure == nil || !strings.Contains(failure.Error(), "locker-") || !strings.Contains(failure.Error(), "the disk is gone") {
-		test.Fatal(failure)
+	if err == nil || !strings.Contains(err.Error(), "store-") || !strings.Contains(err.Error(), "the disk is gone") {
+		test.Fatal(err)
 	}
 	// Stop waits for each child, so the addresses are free and a new start could begin.
-	if failure = plan.free(); failure != nil {
-		test.Fatal(failure)
+	if err = plan.free(); err != nil {
+		test.Fatal(err)
 	}
 }
 
@@ -142,22 +142,22 @@
 func TestStartThatIsCalledOff(test *testing.T) {
 	plan := NewPlan()
 	plan.Network, plan.Programs = ownNetwork(213), programs(test, "exec sleep 60")
-	if probe, failure := net.Listen("tcp4", plan.Desk()); failure != nil {
-		test.Skip("this machine has no such address: " + failure.Error())
+	if probe, err := net.Listen("tcp4", plan.Endpoint()); err != nil {
+		test.Skip("this machine has no such address: " + err.Error())
 	} else {
 		probe.Close()
 	}
-	called, halt := errand.Stoppable(errand.Background())
+	called, halt := contexts.Stoppable(contexts.Background())
 	halt()
-	fleet, failure := Start(called, plan, test.TempDir())
-	if failure == nil {
+	fleet, err := Start(called, plan, test.TempDir())
+	if err == nil {
 		fleet.Stop()
 	}
-	if failure == nil || !strings.Contains(failure.Error(), "stopped") {
-		test.Fatal(failure)
+	if err == nil || !strings.Contains(err.Error(), "stopped") {
+		test.Fatal(err)
 	}
-	if failure = plan.free(); failure != nil {
-		test.Fatal(failure)
+	if err = plan.free(); err != nil {
+		test.Fatal(err)
 	}
 }
 
@@ -167,18 +167,18 @@
 	died := make(chan error, 4)
 	for _, end := range []func(*process){(*process).stop, (*process).kill} {
 		one := newProcess(&plan, plan.nodes()[0], test.TempDir(), newStarter())
-		if failure := one.run(func(failure error) { died <- failure }); failure != nil {
-			test.Fatal(failure)
+		if err := one.run(func(err error) { died <- err }); err != nil {
+			test.Fatal(err)
 		}
 		id := one.id()
 		end(one)
-		if _, failure := os.Stat("/proc/" + strconv.Itoa(id)); failure == nil {
+		if _, err := os.Stat("/proc/" + strconv.Itoa(id)); err == nil {
 			test.Fatal("still there", id)
 		}
 	}
 	select {
-	case failure := <-died:
-		test.Fatal("what the lab ends itself is no death", failure)
+	case err := <-died:
+		test.Fatal("what the lab ends itself is no death", err)
 	default:
 	}
 }
@@ -196,29 +196,29 @@
 	defer control.Close()
 	plan := NewPlan()
 	operator := operator{controls: []string{control.Listener.Addr().String()}}
-	if failure := operator.first(plan.firstConfiguration()); failure != nil {
-		test.Fatal(failure)
+	if err := operator.first(plan.firstConfiguration()); err != nil {
+		test.Fatal(err)
 	}
 	for next := int64(2); next < 4; next++ {
-		if generation, failure := operator.change(addRoute); failure != nil || generation != next {
-			test.Fatal(generation, failure)
+		if generation, err := operator.change(addRoute); err != nil || generation != next {
+			test.Fatal(generation, err)
 		}
 	}
 	if strings.Join(bases, ",") != "0,1,2" || len(operator.routes()) != len(mustParse(test, plan.firstConfiguration()).Routes)+2 {
 		test.Fatal(bases, operator.routes())
 	}
 	status = http.StatusPreconditionFailed
-	if _, failure := operator.change(addRoute); failure == nil {
+	if _, err := operator.change(addRoute); err == nil {
 		test.Fatal("a refusal passed for a success")
-	} else if _, final := failure.(refused); !final {
-		test.Fatal(failure)
+	} else if _, final := err.(refused); !final {
+		test.Fatal(err)
 	}
 }
 
-func mustParse(test *testing.T, body []byte) *jig.Config {
-	config, failure := jig.Parse(body)
-	if failure != nil {
-		test.Fatal(failure)
+func mustParse(test *testing.T, body []byte) *routeconfig.Config {
+	config, err := routeconfig.Parse(body)
+	if err != nil {
+		test.Fatal(err)
 	}
 	return config
 }
--- a/internal/sawhorse/operator.go
+++ b/internal/tooling/lab/operator.go
@@ -1,4 +1,4 @@
-package sawhorse
+package lab
 
 import (
 	"bytes"
@@ -9,8 +9,8 @@
 	"strings"
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/constants"
 )
 
 // refused is the refusal of an order that would not be taken the next time either.
@@ -23,7 +23,7 @@
 type operator struct {
 	controls []string
 	lock     sync.Mutex
-	config   *jig.Config
+	config   *routeconfig.Config
 }
 
 type answered struct {
@@ -31,24 +31,24 @@
 	body   []byte
 }
 
-var operatorClient = http.Client{Timeout: almanac.LabGrace}
+var operatorClient = http.Client{Timeout: constants.LabGrace}
 
 func (operator *operator) ask(method, url string, body []byte, base int64) (answered, error) {
-	request, failure := http.NewRequest(method, url, bytes.NewReader(body))
-	if failure != nil {
-		return answered{}, Unfit.Wrap(failure, "call")
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return answered{}, Unfit.Wrap(err, "call")
 	}
 	if body != nil {
 		request.Header.Set("Lemonarch-Base-Revision", strconv.FormatInt(base, 10))
 		request.Header.Set("Content-Type", "application/json")
 	}
-	answer, failure := operatorClient.Do(request)
-	if failure != nil {
-		return answered{}, Unfit.New(lastWords(failure))
+	answer, err := operatorClient.Do(request)
+	if err != nil {
+		return answered{}, Unfit.New(lastWords(err))
 	}
 	defer answer.Body.Close()
-	text, failure := io.ReadAll(io.LimitReader(answer.Body, 64<<10))
-	return answered{answer.StatusCode, text}, Unfit.Wrap(failure, "answer")
+	text, err := io.ReadAll(io.LimitReader(answer.Body, 64<<10))
+	return answered{answer.StatusCode, text}, Unfit.Wrap(err, "answer")
 }
 
 // first sends the first configuration.
@@ -63,29 +63,29 @@
 		return 0, Unfit.New("there is no configuration yet")
 	}
 	whole := map[string]any{}
-	if failure := json.Unmarshal(present.Body, &whole); failure != nil {
-		return 0, Unfit.Wrap(failure, "configuration")
+	if err := json.Unmarshal(present.Body, &whole); err != nil {
+		return 0, Unfit.Wrap(err, "configuration")
 	}
 	next := present.Generation + 1
 	whole["generation"] = next
 	edit(whole)
-	body, failure := json.Marshal(whole)
-	if failure != nil {
-		return 0, Unfit.Wrap(failure, "configuration")
+	body, err := json.Marshal(whole)
+	if err != nil {
+		return 0, Unfit.Wrap(err, "configuration")
 	}
 	return next, operator.send(body, present.Generation)
 }
 
 // send sends a whole configuration to one control after the other until it is taken.
 func (operator *operator) send(body []byte, base int64) error {
-	var failure error
+	var err error
 	for _, address := range operator.controls {
 		var answer answered
-		answer, failure = operator.ask(http.MethodPost, "http://"+address+"/-/Configuration.Replace", body, base)
+		answer, err = operator.ask(http.MethodPost, "http://"+address+"/-/Configuration.Replace", body, base)
 		switch {
-		case failure != nil:
+		case err != nil:
 		case answer.status == http.StatusOK:
-			config, unreadable := jig.Parse(body)
+			config, unreadable := routeconfig.Parse(body)
 			if unreadable != nil {
 				return unreadable
 			}
@@ -96,13 +96,13 @@
 		case answer.status >= 400 && answer.status < 500 && answer.status != http.StatusTooManyRequests && answer.status != http.StatusRequestTimeout:
 			return refused("configuration refused with " + strconv.Itoa(answer.status) + ": " + strings.TrimSpace(string(answer.body)))
 		default:
-			failure = Unfit.New(address + " answered " + strconv.Itoa(answer.status))
+			err = Unfit.New(address + " answered " + strconv.Itoa(answer.status))
 		}
 	}
-	return failure
+	return err
 }
 
-func (operator *operator) routes() []jig.Route {
+func (operator *operator) routes() []routeconfig.Route {
 	operator.lock.Lock()
 	defer operator.lock.Unlock()
 	if operator.config == nil {
--- a/internal/sawhorse/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -1,7 +1,7 @@
-// Package sawhorse holds a small fleet on one machine: the real programs on loopback
+// Package lab holds a small fleet on one machine: the real programs on loopback
 // addresses, emulated workers for them, and a desk from which both are watched and
 // put in trouble.
-package sawhorse
+package lab
 
 import (
 	"fmt"
@@ -10,24 +10,24 @@
 	"path/filepath"
 	"strconv"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/mishap"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
 )
 
-// Unfit is the mishap of a plan that can't be carried out.
-var Unfit = mishap.Define("lab")
+// Unfit is the error of a plan that can't be carried out.
+var Unfit = errs.Define("lab")
 
 // Plan says what a fleet consists of.
 type Plan struct {
 	// Label names the fleet in reports.
 	Label string `toml:"label"`
-	// Programs is the folder with forge, foreman and locker.
+	// Programs is the folder with gateway, controller and store.
 	Programs string `toml:"programs"`
 	// Network is the first three bytes of the addresses, 127 at the front.
-	Network string `toml:"network"`
-	Forges  int    `toml:"forges"`
-	Foremen int    `toml:"foremen"`
-	Lockers int    `toml:"lockers"`
+	Network     string `toml:"network"`
+	Gateways    int    `toml:"gateways"`
+	Controllers int    `toml:"controllers"`
+	Stores      int    `toml:"stores"`
 	// Workers run the model, Plain workers the plain requests.
 	Workers int `toml:"workers"`
 	Plain   int `toml:"plain-workers"`
@@ -42,7 +42,7 @@
 
 // NewPlan gives what is used where nothing else is said.
 func NewPlan() Plan {
-	return Plan{Label: "lab", Network: almanac.LabNetwork, Forges: 2, Foremen: 3, Lockers: 3, Workers: 4, Plain: 2, Zones: 2,
+	return Plan{Label: "lab", Network: constants.LabNetwork, Gateways: 2, Controllers: 3, Stores: 3, Workers: 4, Plain: 2, Zones: 2,
 		Capacity: 8, CacheTokens: 60_000, Seed: 1}
 }
 
@@ -53,9 +53,9 @@
 		value     int
 		low, high int
 	}{
-		{"forges", plan.Forges, 1, almanac.LabStoreHost - almanac.LabEdgeHost},
-		{"foremen", plan.Foremen, 1, 9},
-		{"lockers", plan.Lockers, 1, almanac.LabWorkerHost - almanac.LabStoreHost},
+		{"gateways", plan.Gateways, 1, constants.LabStoreHost - constants.LabEdgeHost},
+		{"controllers", plan.Controllers, 1, 9},
+		{"stores", plan.Stores, 1, constants.LabWorkerHost - constants.LabStoreHost},
 		{"workers", plan.Workers, 1, 100},
 		{"plain-workers", plan.Plain, 1, 40},
 		{"zones", plan.Zones, 1, 9},
@@ -66,19 +66,19 @@
 			return Unfit.New(fmt.Sprintf("%s must lie between %d and %d, not %d", one.name, one.low, one.high, one.value))
 		}
 	}
-	if count := plan.Forges + plan.Foremen + plan.Lockers; count > almanac.LabProcesses {
-		return Unfit.New(fmt.Sprintf("forges, foremen and lockers make %d processes; at most %d", count, almanac.LabProcesses))
+	if count := plan.Gateways + plan.Controllers + plan.Stores; count > constants.LabProcesses {
+		return Unfit.New(fmt.Sprintf("gateways, controllers and stores make %d processes; at most %d", count, constants.LabProcesses))
 	}
 	if plan.CacheTokens < 1000 {
 		return Unfit.New("cache-tokens must be 1000 or more")
 	}
 	address := net.ParseIP(plan.Network + ".1")
 	if address == nil || address.To4() == nil || !address.IsLoopback() {
-		return Unfit.New("network must be three bytes of a loopback address, such as " + almanac.LabNetwork + ", not " + strconv.Quote(plan.Network))
+		return Unfit.New("network must be three bytes of a loopback address, such as " + constants.LabNetwork + ", not " + strconv.Quote(plan.Network))
 	}
-	for _, role := range []string{"forge", "foreman", "locker"} {
+	for _, role := range []string{"gateway", "controller", "store"} {
 		path := filepath.Join(plan.Programs, role)
-		if state, failure := os.Stat(path); failure != nil || state.IsDir() || state.Mode()&0o111 == 0 {
+		if state, err := os.Stat(path); err != nil || state.IsDir() || state.Mode()&0o111 == 0 {
 			return Unfit.New("no program " + path + "; build them: go build -ldflags=-linkmode=external -o target/ ./cmd/...")
 		}
 	}
@@ -88,7 +88,7 @@
 // node is one process that is to run.
 type node struct {
 	// name is what the lab calls it, machine what the fleet calls its machine.
-	name, role, machine, address, hall string
+	name, role, machine, address, zone string
 	disk                               bool
 }
 
@@ -96,39 +96,41 @@
 	return net.JoinHostPort(plan.Network+"."+strconv.Itoa(first+place), strconv.Itoa(port))
 }
 
-func (plan *Plan) hall(place int) string { return "hall-" + strconv.Itoa(place%plan.Zones+1) }
+func (plan *Plan) zone(place int) string { return "zone-" + strconv.Itoa(place%plan.Zones+1) }
 
-// nodes lists the processes: foremen first, since the others ask them.
+// nodes lists the processes: controllers first, since the others ask them.
 func (plan *Plan) nodes() []node {
 	var all []node
 	add := func(role string, count, first int, machine string, disk bool) {
 		for place := 0; place < count; place++ {
 			number := strconv.Itoa(place + 1)
-			all = append(all, node{role + "-" + number, role, machine + "-" + number, plan.Network + "." + strconv.Itoa(first+place), plan.hall(place), disk})
+			all = append(all, node{role + "-" + number, role, machine + "-" + number, plan.Network + "." + strconv.Itoa(first+place), plan.zone(place), disk})
 		}
 	}
-	add("foreman", plan.Foremen, almanac.LabEdgeHost, "edge", true)
-	add("locker", plan.Lockers, almanac.LabStoreHost, "store", true)
-	add("forge", plan.Forges, almanac.LabEdgeHost, "edge", false)
+	add("controller", plan.Controllers, constants.LabEdgeHost, "edge", true)
+	add("store", plan.Stores, constants.LabStoreHost, "store", true)
+	add("gateway", plan.Gateways, constants.LabEdgeHost, "edge", false)
 	return all
 }
 
 // Ingress lists the addresses that downstreams call.
-func (plan *Plan) Ingress() []string { return plan.edges(plan.Forges, almanac.LabIngressPort) }
+func (plan *Plan) Ingress() []string { return plan.edges(plan.Gateways, constants.LabIngressPort) }
 
-// Readiness lists the addresses that tell whether a forge is ready.
-func (plan *Plan) Readiness() []string { return plan.edges(plan.Forges, almanac.LabReadyPort) }
+// Readiness lists the addresses that tell whether a gateway is ready.
+func (plan *Plan) Readiness() []string { return plan.edges(plan.Gateways, constants.LabReadyPort) }
 
 // Controls lists the addresses that workers and the operator call.
-func (plan *Plan) Controls() []string { return plan.edges(plan.Foremen, almanac.LabControlPort) }
+func (plan *Plan) Controls() []string { return plan.edges(plan.Controllers, constants.LabControlPort) }
 
 // Desk is the address of the desk.
-func (plan *Plan) Desk() string { return plan.host(almanac.LabDeskHost, 0, almanac.LabDeskPort) }
+func (plan *Plan) Endpoint() string {
+	return plan.host(constants.LabEndpointHost, 0, constants.LabEndpointPort)
+}
 
 func (plan *Plan) edges(count, port int) []string {
 	var all []string
 	for place := 0; place < count; place++ {
-		all = append(all, plan.host(almanac.LabEdgeHost, place, port))
+		all = append(all, plan.host(constants.LabEdgeHost, place, port))
 	}
 	return all
 }
@@ -137,18 +139,18 @@
 // before anything has started.
 func (plan *Plan) free() error {
 	addresses := append(append(plan.Ingress(), plan.Readiness()...), plan.Controls()...)
-	addresses = append(addresses, plan.Desk())
+	addresses = append(addresses, plan.Endpoint())
 	for place := 0; place < plan.Workers+plan.Plain; place++ {
-		addresses = append(addresses, plan.host(almanac.LabWorkerHost, place, almanac.LabWorkerPort))
+		addresses = append(addresses, plan.host(constants.LabWorkerHost, place, constants.LabWorkerPort))
 	}
 	for _, one := range plan.nodes() {
-		offset := map[string]int{"foreman": almanac.PortForeman, "forge": almanac.PortForge, "locker": almanac.PortLocker}[one.role]
-		addresses = append(addresses, net.JoinHostPort(one.address, strconv.Itoa(almanac.LabInternalPort+offset)))
+		offset := map[string]int{"controller": constants.PortController, "gateway": constants.PortGateway, "store": constants.PortStore}[one.role]
+		addresses = append(addresses, net.JoinHostPort(one.address, strconv.Itoa(constants.LabInternalPort+offset)))
 	}
 	for _, address := range addresses {
-		listener, failure := net.Listen("tcp4", address)
-		if failure != nil {
-			return Unfit.New(address + " can't be had (" + lastWords(failure) + "); is another lab running? --network names other addresses")
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return Unfit.New(address + " can't be had (" + lastWords(err) + "); is another lab running? --network names other addresses")
 		}
 		listener.Close()
 	}
@@ -156,12 +158,12 @@
 }
 
 // lastWords is the innermost reason of a failure.
-func lastWords(failure error) string {
+func lastWords(err error) string {
 	for {
-		inner, wraps := failure.(interface{ Unwrap() error })
+		inner, wraps := err.(interface{ Unwrap() error })
 		if !wraps || inner.Unwrap() == nil {
-			return failure.Error()
+			return err.Error()
 		}
-		failure = inner.Unwrap()
+		err = inner.Unwrap()
 	}
 }
--- a/internal/sawhorse/process.go
+++ b/internal/tooling/lab/process.go
@@ -1,4 +1,4 @@
-package sawhorse
+package lab
 
 import (
 	"os"
@@ -9,9 +9,9 @@
 	"sync"
 	"syscall"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/boot"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/settings"
 )
 
 // starter starts every process of a fleet on one thread that lives as long as the
@@ -55,43 +55,43 @@
 
 // run starts the program; died is told where it ends unexpectedly.
 func (one *process) run(died func(error)) error {
-	log, failure := os.OpenFile(one.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
-	if failure != nil {
-		return Unfit.Wrap(failure, "log of "+one.node.name)
+	log, err := os.OpenFile(one.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return Unfit.Wrap(err, "log of "+one.node.name)
 	}
 	command := exec.Command(one.program)
 	command.Stdout, command.Stderr = log, log
-	command.Env = append(os.Environ(), boot.Variable+"="+one.path)
+	command.Env = append(os.Environ(), settings.Variable+"="+one.path)
 	// A group of its own: a Ctrl-C at the terminal reaches the lab alone, which then
 	// ends the others in order.
 	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	failure = one.starter.start(command)
+	err = one.starter.start(command)
 	log.Close()
-	if failure != nil {
-		return Unfit.Wrap(failure, one.node.name)
+	if err != nil {
+		return Unfit.Wrap(err, one.node.name)
 	}
 	ended := make(chan struct{})
 	one.lock.Lock()
 	one.command, one.ended, one.expected = command, ended, false
 	one.lock.Unlock()
 	go func() {
-		failure := command.Wait()
+		err := command.Wait()
 		one.lock.Lock()
 		expected := one.expected
 		one.lock.Unlock()
 		close(ended)
 		if !expected {
-			died(Unfit.New(one.node.name + " ended by itself (" + outcomeOf(failure) + "): " + one.lastLine()))
+			died(Unfit.New(one.node.name + " ended by itself (" + resultOf(err) + "): " + one.lastLine()))
 		}
 	}()
 	return nil
 }
 
-func outcomeOf(failure error) string {
-	if failure == nil {
+func resultOf(err error) string {
+	if err == nil {
 		return "exit status 0"
 	}
-	return failure.Error()
+	return err.Error()
 }
 
 func (one *process) lastLine() string {
@@ -128,7 +128,7 @@
 	}
 	select {
 	case <-ended:
-	case <-watch.After(almanac.LabGrace):
+	case <-clock.After(constants.LabGrace):
 		one.signal(syscall.SIGKILL, true)
 		<-ended
 	}
--- a/internal/sawhorse/settings.go
+++ b/internal/tooling/lab/settings.go
@@ -1,4 +1,4 @@
-package sawhorse
+package lab
 
 import (
 	"bytes"
@@ -9,9 +9,9 @@
 
 	"github.com/BurntSushi/toml"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/boot"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/settings"
 )
 
 // The names in the lab's own configuration.
@@ -24,50 +24,50 @@
 )
 
 // settings makes the settings of one process.
-func (plan *Plan) settings(one node, folder string, first bool) *boot.Boot {
-	settings := &boot.Boot{NodeName: one.machine, Role: one.role, MachineClass: "edge", Address: one.address, Hall: one.hall, Region: "lab",
-		InternalPorts: []int{almanac.LabInternalPort, almanac.LabInternalPort + 15}, Bootstrap: first, InQuorum: one.disk,
-		HeartbeatMs: watch.ToMilliseconds(almanac.LabBeat), Halls: map[string]string{},
-		Limits: boot.Limits{MemoryMB: almanac.LabMemoryMB, FileHandles: 4000, DiskMB: almanac.LabDiskMB},
-		Tolerances: boot.Tolerances{DrainMs: almanac.LabDrainMs, GraceS: almanac.LabGrace.Seconds(), ConvergeMs: 2000, AckMs: 4000, SyncS: 5,
+func (plan *Plan) nodeSettings(one node, folder string, first bool) *settings.Settings {
+	nodeSettings := &settings.Settings{NodeName: one.machine, Role: one.role, MachineClass: "edge", Address: one.address, Zone: one.zone, Region: "lab",
+		InternalPorts: []int{constants.LabInternalPort, constants.LabInternalPort + 15}, Bootstrap: first, InQuorum: one.disk,
+		HeartbeatMs: clock.ToMilliseconds(constants.LabBeat), Zones: map[string]string{},
+		Limits: settings.Limits{MemoryMB: constants.LabMemoryMB, FileHandles: 4000, DiskMB: constants.LabDiskMB},
+		Tolerances: settings.Tolerances{DrainMs: constants.LabDrainMs, GraceS: constants.LabGrace.Seconds(), ConvergeMs: 2000, AckMs: 4000, SyncS: 5,
 			StatusS: 300, CancelMs: 3000, SettlingMs: 1000, AddressReuseS: 2, QuotaOvershoot: 0.1}}
 	// What may be lost is less than half of the smaller of the two sets.
-	settings.FaultBudget.Machines = (min(plan.Foremen, plan.Lockers) - 1) / 2
-	settings.Seeds = plan.Controls()[:min(3, plan.Foremen)]
+	nodeSettings.FaultBudget.Machines = (min(plan.Controllers, plan.Stores) - 1) / 2
+	nodeSettings.Seeds = plan.Controls()[:min(3, plan.Controllers)]
 	for place := 0; place < plan.Zones; place++ {
-		settings.Halls[plan.hall(place)] = "lab"
+		nodeSettings.Zones[plan.zone(place)] = "lab"
 	}
 	bind := func(port int) string { return fmt.Sprintf("%s:%d", one.address, port) }
 	switch one.role {
-	case "forge":
-		settings.Serves = []string{"edge"}
-		settings.Bind = boot.Bind{Ingress: bind(almanac.LabIngressPort), Readiness: bind(almanac.LabReadyPort)}
-	case "foreman":
-		settings.Serves = []string{"controller"}
-		settings.Bind = boot.Bind{Control: bind(almanac.LabControlPort)}
-	case "locker":
-		settings.Serves, settings.MachineClass = []string{"storage"}, "storage"
+	case "gateway":
+		nodeSettings.Serves = []string{"edge"}
+		nodeSettings.Bind = settings.Bind{Ingress: bind(constants.LabIngressPort), Readiness: bind(constants.LabReadyPort)}
+	case "controller":
+		nodeSettings.Serves = []string{"controller"}
+		nodeSettings.Bind = settings.Bind{Control: bind(constants.LabControlPort)}
+	case "store":
+		nodeSettings.Serves, nodeSettings.MachineClass = []string{"storage"}, "storage"
 	}
 	if one.disk {
-		settings.DataDir = filepath.Join(folder, "data", one.name)
+		nodeSettings.DataDir = filepath.Join(folder, "data", one.name)
 	}
-	return settings
+	return nodeSettings
 }
 
 // write puts the settings file of a process in place.
 func (plan *Plan) write(one node, folder string, first bool) (string, error) {
-	settings := plan.settings(one, folder, first)
-	if findings := settings.Check(); len(findings) > 0 {
+	nodeSettings := plan.nodeSettings(one, folder, first)
+	if findings := nodeSettings.Check(); len(findings) > 0 {
 		return "", Unfit.New("settings of " + one.name + ": " + findings[0])
 	}
-	if settings.DataDir != "" {
-		if failure := os.MkdirAll(settings.DataDir, 0o755); failure != nil {
-			return "", Unfit.Wrap(failure, "data folder of "+one.name)
+	if nodeSettings.DataDir != "" {
+		if err := os.MkdirAll(nodeSettings.DataDir, 0o755); err != nil {
+			return "", Unfit.Wrap(err, "data folder of "+one.name)
 		}
 	}
 	var text bytes.Buffer
-	if failure := toml.NewEncoder(&text).Encode(settings); failure != nil {
-		return "", Unfit.Wrap(failure, "settings of "+one.name)
+	if err := toml.NewEncoder(&text).Encode(nodeSettings); err != nil {
+		return "", Unfit.Wrap(err, "settings of "+one.name)
 	}
 	path := filepath.Join(folder, one.name+".toml")
 	return path, Unfit.Wrap(os.WriteFile(path, text.Bytes(), 0o644), "settings of "+one.name)
@@ -94,14 +94,14 @@
 			"backlog-cap": 2_000_000, "tries": 3}),
 	}
 	shape := plan.shape()
-	body, failure := json.MarshalIndent(object{"generation": 1, "channels": routes, "backends": []object{
-		{"name": ModelService, "probe": ProbePath, "conn-limit": almanac.LabConnLimit, "protocol": "h1", "tls": false,
+	body, err := json.MarshalIndent(object{"generation": 1, "channels": routes, "backends": []object{
+		{"name": ModelService, "probe": ProbePath, "conn-limit": constants.LabConnLimit, "protocol": "h1", "tls": false,
 			"engine": object{"capacity": shape.Capacity, "cache-tokens": shape.CacheTokens, "stride": shape.Stride, "models": []object{{"name": ModelName}}}},
-		{"name": PlainService, "probe": ProbePath, "conn-limit": almanac.LabConnLimit, "protocol": "h1", "tls": false}},
+		{"name": PlainService, "probe": ProbePath, "conn-limit": constants.LabConnLimit, "protocol": "h1", "tls": false}},
 		"limits": object{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-wait-ms": 3000, "idle-ms": 15000}}, "", "  ")
-	if failure != nil {
+	if err != nil {
 		// Numbers and texts only: it can't fail.
-		panic(failure)
+		panic(err)
 	}
 	return body
 }
--- a/internal/sawhorse/trouble.go
+++ b/internal/tooling/lab/trouble.go
@@ -1,4 +1,4 @@
-package sawhorse
+package lab
 
 import (
 	"sort"
@@ -6,9 +6,9 @@
 	"strings"
 	"syscall"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 // Trouble is one thing that goes wrong, or one piece of planned work.
@@ -17,13 +17,13 @@
 	AtS float64 `toml:"at-s" json:"at-s"`
 	// Kind is one of Kinds.
 	Kind string `toml:"kind" json:"kind"`
-	// Target is the name of a process (forge-1) or worker (worker-2), or all of a
-	// kind (forge, worker).
+	// Target is the name of a process (gateway-1) or worker (worker-2), or all of a
+	// kind (gateway, worker).
 	Target string `toml:"target" json:"target"`
 	// ForS is how long it lasts; BackS after how long a process or worker returns.
-	ForS   float64      `toml:"for-s" json:"for-s"`
-	BackS  float64      `toml:"back-s" json:"back-s"`
-	Faults anvil.Faults `toml:"faults" json:"faults"`
+	ForS   float64               `toml:"for-s" json:"for-s"`
+	BackS  float64               `toml:"back-s" json:"back-s"`
+	Faults workeremulator.Faults `toml:"faults" json:"faults"`
 }
 
 // The kinds of trouble.
@@ -63,7 +63,7 @@
 		return Unfit.New("no such kind of trouble: " + strconv.Quote(trouble.Kind))
 	}
 	role, _, _ := strings.Cut(trouble.Target, "-")
-	isProcess := role == "forge" || role == "foreman" || role == "locker"
+	isProcess := role == "gateway" || role == "controller" || role == "store"
 	isWorker := role == "worker" || role == "plain"
 	if (onProcess && !isProcess) || (onWorker && !isWorker) {
 		return Unfit.New("target " + strconv.Quote(trouble.Target) + " does not fit the kind " + trouble.Kind)
@@ -82,16 +82,16 @@
 
 func matches(name, target string) bool { return name == target || strings.HasPrefix(name, target+"-") }
 
-func seconds(count float64) watch.Span { return watch.Milliseconds(count * 1000) }
+func seconds(count float64) clock.Span { return clock.Milliseconds(count * 1000) }
 
 // Trouble begins a trouble; it goes on by itself.
 func (fleet *Fleet) Trouble(trouble Trouble) error {
-	if failure := trouble.Check(); failure != nil {
-		return failure
+	if err := trouble.Check(); err != nil {
+		return err
 	}
 	if trouble.Kind == kindConfigure {
-		_, failure := fleet.operator.change(addRoute)
-		return failure
+		_, err := fleet.operator.change(addRoute)
+		return err
 	}
 	found := false
 	begin := func(function func()) {
@@ -132,11 +132,11 @@
 }
 
 // pause waits, unless the fleet is stopped.
-func (fleet *Fleet) pause(span watch.Span) bool {
+func (fleet *Fleet) pause(span clock.Span) bool {
 	select {
 	case <-fleet.stopping:
 		return false
-	case <-watch.After(span):
+	case <-clock.After(span):
 		return true
 	}
 }
@@ -154,25 +154,25 @@
 	case kindStop:
 		one.stop()
 	}
-	if !fleet.pause(max(seconds(trouble.BackS), almanac.LabRestart)) {
+	if !fleet.pause(max(seconds(trouble.BackS), constants.LabRestart)) {
 		return
 	}
 	// Not the first start any more: the disk holds what it held.
-	if _, failure := fleet.Plan.write(one.node, fleet.Folder, false); failure != nil {
-		fleet.died(failure)
+	if _, err := fleet.Plan.write(one.node, fleet.Folder, false); err != nil {
+		fleet.died(err)
 		return
 	}
-	if failure := one.run(fleet.died); failure != nil {
-		fleet.died(failure)
+	if err := one.run(fleet.died); err != nil {
+		fleet.died(err)
 	}
 }
 
 // disturb does to a worker what the trouble says.
 func (fleet *Fleet) disturb(one *place, trouble Trouble) {
-	back := max(seconds(trouble.BackS), almanac.LabRestart)
+	back := max(seconds(trouble.BackS), constants.LabRestart)
 	begin := func() {
-		if failure := one.begin(fleet.record, fleet.Plan.Controls()); failure != nil {
-			fleet.died(failure)
+		if err := one.begin(fleet.record, fleet.Plan.Controls()); err != nil {
+			fleet.died(err)
 		}
 	}
 	switch trouble.Kind {
@@ -185,7 +185,7 @@
 		one.leave()
 		begin()
 	case kindFlap:
-		for end := watch.Now().Plus(seconds(trouble.ForS)); watch.Now() < end; {
+		for end := clock.Now().Plus(seconds(trouble.ForS)); clock.Now() < end; {
 			one.crash()
 			if !fleet.pause(back) {
 				return
@@ -199,7 +199,7 @@
 		one.trouble(trouble.Faults)
 		if trouble.ForS > 0 {
 			fleet.pause(seconds(trouble.ForS))
-			one.trouble(anvil.Faults{})
+			one.trouble(workeremulator.Faults{})
 		}
 	}
 }
--- a/internal/treadle/check.go
+++ b/internal/tooling/loadgen/check.go
@@ -1,14 +1,14 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
 	"strings"
 
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/hopper"
+	"lemonarch/internal/batch/lotclient"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
-// sent is what is known of one attempt that a downstream sent.
+// sent is what is known of one attempt that a client sent.
 type sent struct {
 	attempt    string
 	path, body string
@@ -22,7 +22,7 @@
 	if finding := checkStamp(attempt, seal, echoed); finding != nil {
 		return finding
 	}
-	if string(got) != anvil.PlainBody(attempt, body) {
+	if string(got) != workeremulator.PlainBody(attempt, body) {
 		return &Finding{"MIXED", attempt, "the body is not the worker's whole body"}
 	}
 	return nil
@@ -32,7 +32,7 @@
 	if echoed != attempt {
 		return &Finding{"MIXED", attempt, "the answer names another attempt: " + echoed}
 	}
-	if _, holds := anvil.Sealed(seal, attempt); !holds {
+	if _, holds := workeremulator.Sealed(seal, attempt); !holds {
 		return &Finding{"MIXED", attempt, "the stamp is not a worker's for this attempt"}
 	}
 	return nil
@@ -60,7 +60,7 @@
 	switch {
 	case id != one.last+1:
 		one.finding = &Finding{"ORDER", one.attempt, fmt.Sprintf("event %d follows event %d", id, one.last)}
-	case data != anvil.EventData(one.attempt, id):
+	case data != workeremulator.EventData(one.attempt, id):
 		one.finding = &Finding{"MIXED", one.attempt, fmt.Sprintf("event %d is not the worker's", id)}
 	case id > one.all:
 		one.finding = &Finding{"ORDER", one.attempt, fmt.Sprintf("event %d of %d", id, one.all)}
@@ -78,7 +78,7 @@
 }
 
 // checkRuns holds what was sent against what the workers ran.
-func checkRuns(all map[string]*sent, runs []anvil.Run) []Finding {
+func checkRuns(all map[string]*sent, runs []workeremulator.Run) []Finding {
 	var findings []Finding
 	count := map[string]int{}
 	ended := map[string]bool{}
@@ -120,7 +120,7 @@
 	id string
 	// events is how many events each item has; listed is what stands at each position.
 	events   map[string]int64
-	listed   []hopper.Output
+	listed   []lotclient.Output
 	position map[string]int
 }
 
@@ -129,7 +129,7 @@
 }
 
 // page takes what one read gave from a position on.
-func (one *lotCheck) page(cursor int, page *hopper.Page) []Finding {
+func (one *lotCheck) page(cursor int, page *lotclient.Page) []Finding {
 	var findings []Finding
 	add := func(rule, what string) { findings = append(findings, Finding{rule, one.id, what}) }
 	if page.Sum != len(one.events) {
@@ -152,9 +152,9 @@
 		switch {
 		case !known:
 			add("MIXED", "item "+output.ID+" belongs to another lot")
-		case output.Phase == hopper.Settled && output.Text != wholeText(output.ID, events):
+		case output.Phase == lotclient.Settled && output.Text != wholeText(output.ID, events):
 			add("MIXED", "the text of item "+output.ID+" is not its whole output")
-		case output.Phase != hopper.Settled && output.Phase != hopper.Abandoned:
+		case output.Phase != lotclient.Settled && output.Phase != lotclient.Abandoned:
 			add("MIXED", "item "+output.ID+" has the phase "+output.Phase)
 		}
 	}
@@ -165,7 +165,7 @@
 func wholeText(item string, events int64) string {
 	lines := make([]string, 0, events)
 	for number := int64(1); number <= events; number++ {
-		lines = append(lines, anvil.EventData(item, number))
+		lines = append(lines, workeremulator.EventData(item, number))
 	}
 	return strings.Join(lines, "\n")
 }
--- a/internal/treadle/check_test.go
+++ b/internal/tooling/loadgen/check_test.go
@@ -1,11 +1,11 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/hopper"
+	"lemonarch/internal/batch/lotclient"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 func rules(findings []Finding) string {
@@ -17,12 +17,12 @@
 }
 
 func oneSent() map[string]*sent {
-	return map[string]*sent{"a": {attempt: "a", path: "/confirm/1", body: anvil.BodySum([]byte("b")), services: []string{"s"}, once: true, succeeded: true}}
+	return map[string]*sent{"a": {attempt: "a", path: "/confirm/1", body: workeremulator.BodySum([]byte("b")), services: []string{"s"}, once: true, succeeded: true}}
 }
 
-var oneRun = anvil.Run{Attempt: "a", Worker: "w", Service: "s", Method: "POST", Path: "/confirm/1", Body: anvil.BodySum([]byte("b")), Ended: true}
+var oneRun = workeremulator.Run{Attempt: "a", Worker: "w", Service: "s", Method: "POST", Path: "/confirm/1", Body: workeremulator.BodySum([]byte("b")), Ended: true}
 
-func changed(change func(run *anvil.Run)) anvil.Run {
+func changed(change func(run *workeremulator.Run)) workeremulator.Run {
 	run := oneRun
 	change(&run)
 	return run
@@ -31,23 +31,23 @@
 // Each way in which runs may differ from what was sent is caught, and only it.
 func TestRunsAgainstWhatWasSent(test *testing.T) {
 	for name, one := range map[string]struct {
-		runs []anvil.Run
+		runs []workeremulator.Run
 		edit func(sent *sent)
 		want string
 	}{
-		"sound":            {[]anvil.Run{oneRun}, nil, ""},
-		"doubled":          {[]anvil.Run{oneRun, oneRun}, nil, "TWICE "},
-		"three times":      {[]anvil.Run{oneRun, oneRun, oneRun}, nil, "TWICE "},
-		"may be repeated":  {[]anvil.Run{oneRun, oneRun}, func(sent *sent) { sent.once = false }, ""},
-		"unasked":          {[]anvil.Run{oneRun, changed(func(run *anvil.Run) { run.Attempt = "x" })}, nil, "UNASKED "},
-		"other path":       {[]anvil.Run{changed(func(run *anvil.Run) { run.Path = "/confirm/2" })}, nil, "UNASKED "},
-		"other method":     {[]anvil.Run{changed(func(run *anvil.Run) { run.Method = "PUT" })}, nil, "UNASKED "},
-		"other body":       {[]anvil.Run{changed(func(run *anvil.Run) { run.Body = "" })}, nil, "UNASKED "},
-		"other service":    {[]anvil.Run{changed(func(run *anvil.Run) { run.Service = "t" })}, nil, "ROUTE "},
-		"promised and ran": {[]anvil.Run{oneRun}, func(sent *sent) { sent.promised = true }, "REFUSED "},
-		"item promised":    {[]anvil.Run{oneRun, oneRun}, func(sent *sent) { sent.promised, sent.once, sent.item = true, false, true }, "REFUSED "},
+		"sound":            {[]workeremulator.Run{oneRun}, nil, ""},
+		"doubled":          {[]workeremulator.Run{oneRun, oneRun}, nil, "TWICE "},
+		"three times":      {[]workeremulator.Run{oneRun, oneRun, oneRun}, nil, "TWICE "},
+		"may be repeated":  {[]workeremulator.Run{oneRun, oneRun}, func(sent *sent) { sent.once = false }, ""},
+		"unasked":          {[]workeremulator.Run{oneRun, changed(func(run *workeremulator.Run) { run.Attempt = "x" })}, nil, "UNASKED "},
+		"other path":       {[]workeremulator.Run{changed(func(run *workeremulator.Run) { run.Path = "/confirm/2" })}, nil, "UNASKED "},
+		"other method":     {[]workeremulator.Run{changed(func(run *workeremulator.Run) { run.Method = "PUT" })}, nil, "UNASKED "},
+		"other body":       {[]workeremulator.Run{changed(func(run *workeremulator.Run) { run.Body = "" })}, nil, "UNASKED "},
+		"other service":    {[]workeremulator.Run{changed(func(run *workeremulator.Run) { run.Service = "t" })}, nil, "ROUTE "},
+		"promised and ran": {[]workeremulator.Run{oneRun}, func(sent *sent) { sent.promised = true }, "REFUSED "},
+		"item promised":    {[]workeremulator.Run{oneRun, oneRun}, func(sent *sent) { sent.promised, sent.once, sent.item = true, false, true }, "REFUSED "},
 		"nobody's success": {nil, nil, "MIXED "},
-		"cut success":      {[]anvil.Run{changed(func(run *anvil.Run) { run.Ended = false })}, nil, "MIXED "},
+		"cut success":      {[]workeremulator.Run{changed(func(run *workeremulator.Run) { run.Ended = false })}, nil, "MIXED "},
 		"failed, no run":   {nil, func(sent *sent) { sent.succeeded = false }, ""},
 	} {
 		all := oneSent()
@@ -62,18 +62,18 @@
 
 func TestStampAndBody(test *testing.T) {
 	body := []byte("b")
-	sound := anvil.PlainBody("a", body)
+	sound := workeremulator.PlainBody("a", body)
 	for name, one := range map[string]struct {
 		seal, echoed, text string
 		caught             bool
 	}{
-		"sound":            {anvil.Seal("w", "a"), "a", sound, false},
-		"another's stamp":  {anvil.Seal("w", "b"), "a", sound, true},
+		"sound":            {workeremulator.Seal("w", "a"), "a", sound, false},
+		"another's stamp":  {workeremulator.Seal("w", "b"), "a", sound, true},
 		"no stamp":         {"", "a", sound, true},
 		"made-up stamp":    {"w.1234", "a", sound, true},
-		"another attempt":  {anvil.Seal("w", "a"), "b", sound, true},
-		"half a body":      {anvil.Seal("w", "a"), "a", sound[:5], true},
-		"another's answer": {anvil.Seal("w", "a"), "a", anvil.PlainBody("b", body), true},
+		"another attempt":  {workeremulator.Seal("w", "a"), "b", sound, true},
+		"half a body":      {workeremulator.Seal("w", "a"), "a", sound[:5], true},
+		"another's answer": {workeremulator.Seal("w", "a"), "a", workeremulator.PlainBody("b", body), true},
 	} {
 		if got := checkPlain("a", body, one.seal, one.echoed, []byte(one.text)); (got != nil) != one.caught {
 			test.Error(name, got)
@@ -82,7 +82,7 @@
 }
 
 func event(number int64) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n", number, anvil.EventData("a", number))
+	return fmt.Sprintf("id: %d\ndata: %s\n", number, workeremulator.EventData("a", number))
 }
 
 func TestOrderOfEvents(test *testing.T) {
@@ -121,15 +121,15 @@
 }
 
 func TestPagesOfALot(test *testing.T) {
-	first := hopper.Output{ID: "i1", Phase: hopper.Settled, Text: wholeText("i1", 2)}
-	second := hopper.Output{ID: "i2", Phase: hopper.Settled, Text: wholeText("i2", 3)}
-	dropped := hopper.Output{ID: "i2", Phase: hopper.Abandoned}
+	first := lotclient.Output{ID: "i1", Phase: lotclient.Settled, Text: wholeText("i1", 2)}
+	second := lotclient.Output{ID: "i2", Phase: lotclient.Settled, Text: wholeText("i2", 3)}
+	dropped := lotclient.Output{ID: "i2", Phase: lotclient.Abandoned}
 	type read struct {
 		cursor  int
 		sum     int
-		outputs []hopper.Output
+		outputs []lotclient.Output
 	}
-	list := func(outputs ...hopper.Output) []hopper.Output { return outputs }
+	list := func(outputs ...lotclient.Output) []lotclient.Output { return outputs }
 	short := first
 	short.Text = wholeText("i1", 1)
 	for name, one := range map[string]struct {
@@ -142,15 +142,15 @@
 		"position changed":   {[]read{{0, 2, list(first)}, {0, 2, list(second)}}, "TWICE "},
 		"phase changed":      {[]read{{0, 2, list(first, dropped)}, {1, 2, list(second)}}, "TWICE "},
 		"event missing":      {[]read{{0, 2, list(short)}}, "MIXED "},
-		"another lot's item": {[]read{{0, 2, list(hopper.Output{ID: "x", Phase: hopper.Settled})}}, "MIXED "},
+		"another lot's item": {[]read{{0, 2, list(lotclient.Output{ID: "x", Phase: lotclient.Settled})}}, "MIXED "},
 		"wrong sum":          {[]read{{0, 3, list(first)}}, "MIXED "},
-		"unknown phase":      {[]read{{0, 2, list(hopper.Output{ID: "i1", Phase: "done", Text: first.Text})}}, "MIXED "},
+		"unknown phase":      {[]read{{0, 2, list(lotclient.Output{ID: "i1", Phase: "done", Text: first.Text})}}, "MIXED "},
 	} {
 		check := newLotCheck("lot")
 		check.events = map[string]int64{"i1": 2, "i2": 3}
 		var findings []Finding
 		for _, read := range one.reads {
-			findings = append(findings, check.page(read.cursor, &hopper.Page{Sum: read.sum, Outputs: read.outputs})...)
+			findings = append(findings, check.page(read.cursor, &lotclient.Page{Sum: read.sum, Outputs: read.outputs})...)
 		}
 		if got := rules(findings); got != one.want {
 			test.Errorf("%s: %q, not %q", name, got, one.want)
--- /dev/null
+++ b/internal/tooling/loadgen/desk.go
@@ -0,0 +1,90 @@
+package loadgen
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/tooling/lab"
+)
+
+// Desk is the desk of a fleet, as a load tool sees it.
+type Endpoint struct{ address string }
+
+// loopback allows addresses on this machine alone: load is for the lab.
+func loopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return Unfit.New(strconv.Quote(address) + " is no host:port")
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return Unfit.New(address + " is not on loopback; load goes to a lab on this machine only")
+	}
+	return nil
+}
+
+// OpenDesk checks the address of a desk.
+func OpenEndpoint(address string) (*Endpoint, error) {
+	address = strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
+	return &Endpoint{address}, loopback(address)
+}
+
+var endpointClient = http.Client{Timeout: constants.LabStartLimit}
+
+func (endpoint *Endpoint) ask(method, path string, body []byte, into any) error {
+	request, err := http.NewRequest(method, "http://"+endpoint.address+path, bytes.NewReader(body))
+	if err != nil {
+		return Unfit.Wrap(err, "desk")
+	}
+	answer, err := endpointClient.Do(request)
+	if err != nil {
+		return Unfit.New("no desk answers at " + endpoint.address + "; start a fleet with: lemonarch lab up")
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return Unfit.Wrap(err, "desk")
+	}
+	if answer.StatusCode != http.StatusOK {
+		return Unfit.New("the desk at " + endpoint.address + " answered " + strconv.Itoa(answer.StatusCode) + ": " + strings.TrimSpace(string(text)))
+	}
+	return Unfit.Wrap(json.Unmarshal(text, into), "the desk at "+endpoint.address+" can't be understood")
+}
+
+// Card asks for the card, and takes it only where everything is on loopback.
+func (endpoint *Endpoint) Card() (*lab.Card, error) {
+	card := &lab.Card{}
+	if err := endpoint.ask(http.MethodGet, "/fleet", nil, card); err != nil {
+		return nil, err
+	}
+	if len(card.Ingress) == 0 || card.Stride < 1 {
+		return nil, Unfit.New("the desk at " + endpoint.address + " names no fleet")
+	}
+	for _, address := range card.Ingress {
+		if err := loopback(address); err != nil {
+			return nil, err
+		}
+	}
+	return card, nil
+}
+
+// Runs asks what the workers ran of the attempts that begin with the prefix.
+func (endpoint *Endpoint) Runs(prefix string) (*lab.Runs, error) {
+	runs := &lab.Runs{}
+	return runs, endpoint.ask(http.MethodGet, "/runs?prefix="+url.QueryEscape(prefix), nil, runs)
+}
+
+// Trouble has the fleet begin a trouble.
+func (endpoint *Endpoint) Trouble(trouble lab.Trouble) error {
+	body, err := json.Marshal(trouble)
+	if err != nil {
+		return Unfit.Wrap(err, "trouble")
+	}
+	return endpoint.ask(http.MethodPost, "/trouble", body, &struct{}{})
+}
--- a/internal/treadle/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"net"
@@ -6,22 +6,22 @@
 	"strconv"
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/tooling/lab"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 // run is one load on one fleet.
 type run struct {
 	options Options
-	card    *sawhorse.Card
-	routes  map[string]*jig.Route
+	card    *lab.Card
+	routes  map[string]*routeconfig.Route
 	prefix  string
 	client  http.RoundTripper
-	pause   func(watch.Span)
+	pause   func(clock.Span)
 	result  *Result
 
 	lock sync.Mutex
@@ -31,28 +31,28 @@
 
 // Drive sends a whole load to the fleet of a desk, checks it, and gives what came of
 // it. It ends early, in order, when the errand does.
-func Drive(until errand.Errand, options Options, desk *Desk, troubles []sawhorse.Trouble) (*Result, error) {
-	if failure := options.Check(); failure != nil {
-		return nil, failure
+func Drive(until contexts.Errand, options Options, endpoint *Endpoint, troubles []lab.Trouble) (*Result, error) {
+	if err := options.Check(); err != nil {
+		return nil, err
 	}
-	card, failure := desk.Card()
-	if failure != nil {
-		return nil, failure
+	card, err := endpoint.Card()
+	if err != nil {
+		return nil, err
 	}
-	routes, failure := options.routesOf(card)
-	if failure != nil {
-		return nil, failure
+	routes, err := options.routesOf(card)
+	if err != nil {
+		return nil, err
 	}
-	one := newRun(options, card, routes, "ld"+strconv.FormatInt(watch.Wall(), 36)+"-")
+	one := newRun(options, card, routes, "ld"+strconv.FormatInt(clock.Wall(), 36)+"-")
 	var group sync.WaitGroup
-	begun := watch.Now()
+	begun := clock.Now()
 	for _, trouble := range troubles {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			if waitUntil(until, begun.Plus(watch.Milliseconds(trouble.AtS*1000))) {
-				if failure := desk.Trouble(trouble); failure != nil {
-					one.result.note("trouble " + trouble.Kind + " " + trouble.Target + ": " + failure.Error())
+			if waitUntil(until, begun.Plus(clock.Milliseconds(trouble.AtS*1000))) {
+				if err := endpoint.Trouble(trouble); err != nil {
+					one.result.note("trouble " + trouble.Kind + " " + trouble.Target + ": " + err.Error())
 				}
 			}
 		}()
@@ -61,12 +61,12 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			one.lots(until, begun)
+			one.lotList(until, begun)
 		}()
 	}
 	done := make(chan struct{})
 	if options.Progress != nil {
-		go watch.Every(almanac.LoadProgress, done, func() { options.Progress(one.result.sofar(watch.Now().Since(begun))) })
+		go clock.Every(constants.LoadProgress, done, func() { options.Progress(one.result.sofar(clock.Now().Since(begun))) })
 	}
 	one.orders(until, begun)
 	group.Wait()
@@ -74,10 +74,10 @@
 	if transport, is := one.client.(*http.Transport); is {
 		transport.CloseIdleConnections()
 	}
-	one.result.Took = watch.Now().Since(begun).Seconds()
-	runs, failure := desk.Runs(one.prefix)
-	if failure != nil {
-		return nil, failure
+	one.result.Took = clock.Now().Since(begun).Seconds()
+	runs, err := endpoint.Runs(one.prefix)
+	if err != nil {
+		return nil, err
 	}
 	one.compare(runs.Runs)
 	if runs.Dropped > 0 {
@@ -86,14 +86,14 @@
 	return one.result, nil
 }
 
-func newRun(options Options, card *sawhorse.Card, routes map[string]*jig.Route, prefix string) *run {
-	dialer := &net.Dialer{Timeout: almanac.AnvilBeatWait}
-	return &run{options: options, card: card, routes: routes, prefix: prefix, result: newResult(card.Label), sent: map[string]*sent{}, pause: watch.Sleep,
-		client: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: almanac.LoadOpen, DialContext: dialer.DialContext}}
+func newRun(options Options, card *lab.Card, routes map[string]*routeconfig.Route, prefix string) *run {
+	dialer := &net.Dialer{Timeout: constants.AnvilBeatWait}
+	return &run{options: options, card: card, routes: routes, prefix: prefix, result: newResult(card.Label), sent: map[string]*sent{}, pause: clock.Sleep,
+		client: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: constants.LoadOpen, DialContext: dialer.DialContext}}
 }
 
 // compare holds all that was sent against the record of the workers.
-func (one *run) compare(runs []anvil.Run) {
+func (one *run) compare(runs []workeremulator.Run) {
 	one.lock.Lock()
 	defer one.lock.Unlock()
 	for _, finding := range checkRuns(one.sent, runs) {
@@ -103,27 +103,27 @@
 }
 
 // waitUntil waits for a moment; false where the errand ends first.
-func waitUntil(until errand.Errand, at watch.Moment) bool {
+func waitUntil(until contexts.Errand, at clock.Moment) bool {
 	select {
 	case <-until.Done():
 		return false
-	case <-watch.After(at.Since(watch.Now())):
+	case <-clock.After(at.Since(clock.Now())):
 		return true
 	}
 }
 
 // orders sends every order when it is due, whatever became of those before.
-func (one *run) orders(until errand.Errand, begun watch.Moment) {
+func (one *run) orders(until contexts.Errand, begun clock.Moment) {
 	var group sync.WaitGroup
 	for _, due := range schedule(&one.options, one.routes, len(one.card.Ingress)) {
-		if at := begun.Plus(due.at); at > watch.Now() && !waitUntil(until, at) {
+		if at := begun.Plus(due.at); at > clock.Now() && !waitUntil(until, at) {
 			break
 		}
 		if until.Err() != nil {
 			break
 		}
 		one.lock.Lock()
-		full := one.open >= almanac.LoadOpen
+		full := one.open >= constants.LoadOpen
 		if !full {
 			one.open++
 		}
@@ -146,12 +146,12 @@
 }
 
 // remember notes an attempt before it is sent.
-func (one *run) remember(attempt, path string, body []byte, route *jig.Route, once, item bool) *sent {
+func (one *run) remember(attempt, path string, body []byte, route *routeconfig.Route, once, item bool) *sent {
 	services := []string{route.Backend}
 	for _, share := range route.Weighted {
 		services = append(services, share.Backend)
 	}
-	made := &sent{attempt: attempt, path: path, body: anvil.BodySum(body), services: services, once: once, item: item}
+	made := &sent{attempt: attempt, path: path, body: workeremulator.BodySum(body), services: services, once: once, item: item}
 	one.lock.Lock()
 	defer one.lock.Unlock()
 	one.sent[attempt] = made
--- a/internal/treadle/drive_test.go
+++ b/internal/tooling/loadgen/drive_test.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
@@ -9,34 +9,34 @@
 	"testing"
 	"time"
 
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/tooling/lab"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 // hasty is a clock that does not wait.
 type hasty struct {
 	lock sync.Mutex
-	now  watch.Moment
+	now  clock.Moment
 }
 
-func (clock *hasty) Now() watch.Moment {
-	clock.lock.Lock()
-	defer clock.lock.Unlock()
-	return clock.now
+func (clockValue *hasty) Now() clock.Moment {
+	clockValue.lock.Lock()
+	defer clockValue.lock.Unlock()
+	return clockValue.now
 }
 
-func (clock *hasty) After(span watch.Span, function func()) {
-	clock.lock.Lock()
-	clock.now = clock.now.Plus(span)
-	clock.lock.Unlock()
+func (clockValue *hasty) After(span clock.Span, function func()) {
+	clockValue.lock.Lock()
+	clockValue.now = clockValue.now.Plus(span)
+	clockValue.lock.Unlock()
 	go function()
 }
 
 // direct leads requests to workers in this process, without a fleet or a socket.
 type direct struct {
-	model, plain *anvil.Worker
+	model, plain *workeremulator.Worker
 	// before may answer in the worker's place.
 	before func(request *http.Request) *http.Response
 }
@@ -57,7 +57,7 @@
 	return recorder.Result(), nil
 }
 
-var testRoutes = []jig.Route{
+var testRoutes = []routeconfig.Route{
 	{Name: "query", Host: "h", Prefix: "/query/", KindName: "streaming", Resumable: true, Backend: "model", CutoffMs: 60000, SetpointMs: 60000, GapMs: 60000},
 	{Name: "review", Host: "h", Prefix: "/review/", KindName: "streaming", Backend: "model", CutoffMs: 60000, SetpointMs: 60000, GapMs: 60000},
 	{Name: "confirm", Host: "h", Prefix: "/confirm/", KindName: "effectful", Backend: "clerk", CutoffMs: 60000, SetpointMs: 60000},
@@ -65,25 +65,25 @@
 }
 
 // driven serves the orders of a short run one by one and compares the records.
-func driven(test *testing.T, faults anvil.Faults, before func(request *http.Request) *http.Response) *Result {
+func driven(test *testing.T, faults workeremulator.Faults, before func(request *http.Request) *http.Response) *Result {
 	test.Helper()
-	shape := anvil.Shape{Capacity: 8, Queue: 4, CacheTokens: 60_000, ReadPerMs: 100, Step: time.Millisecond, Stride: 4}
-	record, clock := &anvil.Record{}, &hasty{now: watch.Moment(time.Second)}
+	shape := workeremulator.Shape{Capacity: 8, Queue: 4, CacheTokens: 60_000, ReadPerMs: 100, Step: time.Millisecond, Stride: 4}
+	record, clockValue := &workeremulator.Record{}, &hasty{now: clock.Moment(time.Second)}
 	front := &direct{before: before}
-	front.model = anvil.NewWorker(anvil.Settings{ID: "w1", Service: "model", Model: "m", Shape: shape}, record, clock, 1)
-	front.plain = anvil.NewWorker(anvil.Settings{ID: "w2", Service: "clerk", Work: time.Millisecond, Shape: anvil.Shape{Capacity: 8}}, record, clock, 2)
+	front.model = workeremulator.NewWorker(workeremulator.Settings{ID: "w1", Service: "model", Model: "m", Shape: shape}, record, clockValue, 1)
+	front.plain = workeremulator.NewWorker(workeremulator.Settings{ID: "w2", Service: "clerk", Work: time.Millisecond, Shape: workeremulator.Shape{Capacity: 8}}, record, clockValue, 2)
 	front.model.SetFaults(faults)
 	front.plain.SetFaults(faults)
 	options := NewOptions()
 	options.Count, options.For = 60, time.Hour
-	card := &sawhorse.Card{Label: "test", Ingress: []string{"n1", "n2"}, Stride: 4, Routes: testRoutes}
+	card := &lab.Card{Label: "test", Ingress: []string{"n1", "n2"}, Stride: 4, Routes: testRoutes}
 	options.LotRate = 0
-	routes, failure := options.routesOf(card)
-	if failure != nil {
-		test.Fatal(failure)
+	routes, err := options.routesOf(card)
+	if err != nil {
+		test.Fatal(err)
 	}
 	one := newRun(options, card, routes, "t-")
-	one.client, one.pause = front, func(watch.Span) {}
+	one.client, one.pause = front, func(clock.Span) {}
 	for _, due := range schedule(&options, routes, 2) {
 		one.serve(due.order)
 	}
@@ -104,7 +104,7 @@
 }
 
 func TestSoundWorkersBreakNothing(test *testing.T) {
-	result := driven(test, anvil.Faults{}, nil)
+	result := driven(test, workeremulator.Faults{}, nil)
 	if result.Broken != 0 || result.Served() != 60 || result.Worth != 1 || result.Runs != 60 {
 		test.Fatal(result.Findings, result.Served(), result.Worth, result.Runs, result.Causes)
 	}
@@ -112,7 +112,7 @@
 
 // Each guard of the whole path, from the worker to the report, can fail.
 func TestBrokenWorkersAreCaught(test *testing.T) {
-	for rule, faults := range map[string]anvil.Faults{"TWICE": {Twice: 1}, "ORDER": {Skip: 1}, "MIXED": {Forge: 1}} {
+	for rule, faults := range map[string]workeremulator.Faults{"TWICE": {Twice: 1}, "ORDER": {Skip: 1}, "MIXED": {Forge: 1}} {
 		result := driven(test, faults, nil)
 		if result.Broken == 0 || found(result, rule) == 0 {
 			test.Error(rule, result.Findings)
@@ -134,7 +134,7 @@
 func TestWhoTriesAgain(test *testing.T) {
 	for status, want := range map[int]string{503: "failed 0", 502: "failed confirm review", 400: "failed confirm query review status"} {
 		seen := map[string]bool{}
-		result := driven(test, anvil.Faults{}, func(request *http.Request) *http.Response {
+		result := driven(test, workeremulator.Faults{}, func(request *http.Request) *http.Response {
 			attempt := request.Header.Get("Lemonarch-Attempt-Id")
 			if seen[attempt] {
 				test.Error("an attempt was sent twice", attempt)
@@ -162,15 +162,15 @@
 
 // A success that no worker gave is caught by the record.
 func TestInventedSuccess(test *testing.T) {
-	result := driven(test, anvil.Faults{}, func(request *http.Request) *http.Response {
+	result := driven(test, workeremulator.Faults{}, func(request *http.Request) *http.Response {
 		attempt := request.Header.Get("Lemonarch-Attempt-Id")
 		if !strings.HasPrefix(request.URL.Path, "/status/") {
 			return nil
 		}
 		recorder := httptest.NewRecorder()
 		recorder.Header().Set("Lemonarch-Attempt-Id", attempt)
-		recorder.Header().Set("Lemonarch-Server-Seal", anvil.Seal("w2", attempt))
-		_, _ = recorder.WriteString(anvil.PlainBody(attempt, []byte("order "+strings.TrimPrefix(request.URL.Path, "/status/"))))
+		recorder.Header().Set("Lemonarch-Server-Seal", workeremulator.Seal("w2", attempt))
+		_, _ = recorder.WriteString(workeremulator.PlainBody(attempt, []byte("order "+strings.TrimPrefix(request.URL.Path, "/status/"))))
 		return recorder.Result()
 	})
 	if found(result, "MIXED") == 0 {
@@ -181,7 +181,7 @@
 // The same seed gives the same orders, whatever the fleet.
 func TestScheduleFollowsItsSeed(test *testing.T) {
 	options := NewOptions()
-	routes := map[string]*jig.Route{}
+	routes := map[string]*routeconfig.Route{}
 	text := func(seed int64) string {
 		options.Seed = seed
 		all := ""
--- a/internal/treadle/experiment.go
+++ b/internal/tooling/loadgen/experiment.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
@@ -9,10 +9,10 @@
 
 	"github.com/BurntSushi/toml"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/tooling/lab"
 )
 
 // ReadExperiment reads and checks a file; what it leaves out is as usual. programs is
@@ -24,37 +24,37 @@
 	var count struct {
 		Fleets []map[string]any `toml:"fleet"`
 	}
-	if _, failure := toml.Decode(text, &count); failure != nil {
-		return nil, usual, Unfit.New("experiment can't be read: " + strings.ReplaceAll(failure.Error(), "\n", " "))
+	if _, err := toml.Decode(text, &count); err != nil {
+		return nil, usual, Unfit.New("experiment can't be read: " + strings.ReplaceAll(err.Error(), "\n", " "))
 	}
 	for place := range count.Fleets {
-		plan := sawhorse.NewPlan()
+		plan := lab.NewPlan()
 		plan.Label, plan.Programs = "fleet-"+strconv.Itoa(place+1), programs
 		plan.Network = networkOf(place)
 		one.Fleets = append(one.Fleets, plan)
 	}
 	if len(one.Fleets) == 0 {
-		plan := sawhorse.NewPlan()
+		plan := lab.NewPlan()
 		plan.Programs = programs
-		one.Fleets = []sawhorse.Plan{plan}
+		one.Fleets = []lab.Plan{plan}
 	}
-	known, failure := toml.Decode(text, one)
-	if failure != nil {
-		return nil, usual, Unfit.New("experiment can't be read: " + strings.ReplaceAll(failure.Error(), "\n", " "))
+	known, err := toml.Decode(text, one)
+	if err != nil {
+		return nil, usual, Unfit.New("experiment can't be read: " + strings.ReplaceAll(err.Error(), "\n", " "))
 	}
 	if extra := known.Undecoded(); len(extra) > 0 {
 		return nil, usual, Unfit.New("experiment: unknown field " + extra[0].String())
 	}
 	options := usual
 	options.Rate, options.LotRate, options.Items, options.Count, options.Tries, options.Seed = one.Rate, one.LotRate, one.Items, one.Count, one.Tries, one.Seed
-	options.For = watch.Milliseconds(one.ForS * 1000)
+	options.For = clock.Milliseconds(one.ForS * 1000)
 	if one.Mix != "" {
-		if options.Mix, failure = ParseMix(one.Mix); failure != nil {
-			return nil, options, failure
+		if options.Mix, err = ParseMix(one.Mix); err != nil {
+			return nil, options, err
 		}
 	}
-	if failure = options.Check(); failure != nil {
-		return nil, options, failure
+	if err = options.Check(); err != nil {
+		return nil, options, err
 	}
 	return one, options, one.check(options)
 }
@@ -64,24 +64,24 @@
 	seen := map[string]bool{}
 	for place := range one.Fleets {
 		plan := &one.Fleets[place]
-		if failure := plan.Check(); failure != nil {
-			return Unfit.New(plan.Label + ": " + failure.Error())
+		if err := plan.Check(); err != nil {
+			return Unfit.New(plan.Label + ": " + err.Error())
 		}
 		if seen[plan.Network] || seen[plan.Label] {
 			return Unfit.New("two fleets have the same label or network: " + plan.Label)
 		}
 		seen[plan.Network], seen[plan.Label] = true, true
-		processes += plan.Forges + plan.Foremen + plan.Lockers
+		processes += plan.Gateways + plan.Controllers + plan.Stores
 	}
-	if processes > almanac.LabProcesses {
-		return Unfit.New(fmt.Sprintf("the fleets have %d processes together; at most %d", processes, almanac.LabProcesses))
+	if processes > constants.LabProcesses {
+		return Unfit.New(fmt.Sprintf("the fleets have %d processes together; at most %d", processes, constants.LabProcesses))
 	}
 	for place := range one.Trouble {
 		trouble := &one.Trouble[place]
-		if failure := trouble.Check(); failure != nil {
-			return Unfit.New("trouble " + strconv.Itoa(place+1) + ": " + failure.Error())
+		if err := trouble.Check(); err != nil {
+			return Unfit.New("trouble " + strconv.Itoa(place+1) + ": " + err.Error())
 		}
-		if watch.Milliseconds(trouble.AtS*1000) >= options.For {
+		if clock.Milliseconds(trouble.AtS*1000) >= options.For {
 			return Unfit.New("trouble " + strconv.Itoa(place+1) + ": at-s lies behind the end of the load")
 		}
 	}
@@ -90,14 +90,14 @@
 
 // networkOf gives the addresses of one of several fleets.
 func networkOf(place int) string {
-	base := net.ParseIP(almanac.LabNetwork + ".0").To4()
+	base := net.ParseIP(constants.LabNetwork + ".0").To4()
 	return fmt.Sprintf("%d.%d.%d", base[0], base[1], int(base[2])+place)
 }
 
 // Run starts the fleets, sends the same load to all of them at the same time with
 // the same troubles, and ends them.
-func (one *Experiment) Run(until errand.Errand, options Options) ([]*Result, error) {
-	var fleets []*sawhorse.Fleet
+func (one *Experiment) Run(until contexts.Errand, options Options) ([]*Result, error) {
+	var fleets []*lab.Fleet
 	defer func() {
 		var group sync.WaitGroup
 		for _, fleet := range fleets {
@@ -113,9 +113,9 @@
 		if until.Err() != nil {
 			return nil, Unfit.New("stopped")
 		}
-		fleet, failure := sawhorse.Start(until, plan, "")
-		if failure != nil {
-			return nil, Unfit.New(plan.Label + ": " + failure.Error())
+		fleet, err := lab.Start(until, plan, "")
+		if err != nil {
+			return nil, Unfit.New(plan.Label + ": " + err.Error())
 		}
 		fleets = append(fleets, fleet)
 		if options.Progress != nil {
@@ -123,7 +123,7 @@
 		}
 	}
 	// A death ends the whole experiment: what is left would be compared unequally.
-	inner, halt := errand.Stoppable(until)
+	inner, halt := contexts.Stoppable(until)
 	defer halt()
 	deaths := make(chan error, len(fleets))
 	results, failures := make([]*Result, len(fleets)), make([]error, len(fleets))
@@ -131,8 +131,8 @@
 	for place, fleet := range fleets {
 		go func() {
 			select {
-			case failure := <-fleet.Died:
-				deaths <- Unfit.New(fleet.Plan.Label + ": " + failure.Error())
+			case err := <-fleet.Died:
+				deaths <- Unfit.New(fleet.Plan.Label + ": " + err.Error())
 				halt()
 			case <-inner.Done():
 			}
@@ -140,22 +140,22 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			desk, failure := OpenDesk(fleet.Plan.Desk())
-			if failure == nil {
-				results[place], failure = Drive(inner, options, desk, one.Trouble)
+			endpoint, err := OpenEndpoint(fleet.Plan.Endpoint())
+			if err == nil {
+				results[place], err = Drive(inner, options, endpoint, one.Trouble)
 			}
-			failures[place] = failure
+			failures[place] = err
 		}()
 	}
 	group.Wait()
 	select {
-	case failure := <-deaths:
-		return nil, failure
+	case err := <-deaths:
+		return nil, err
 	default:
 	}
-	for place, failure := range failures {
-		if failure != nil {
-			return nil, failure
+	for place, err := range failures {
+		if err != nil {
+			return nil, err
 		}
 		results[place].Close()
 	}
--- a/internal/treadle/lots.go
+++ b/internal/tooling/loadgen/lots.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
@@ -6,23 +6,23 @@
 	"strconv"
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/hopper"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/batch/lotclient"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/tooling/lab"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 // lots sends lots at their rate and follows each.
-func (one *run) lots(until errand.Errand, begun watch.Moment) {
-	random := rand.New(rand.NewSource(one.options.Seed + almanac.LoadLotSeed))
+func (one *run) lotList(until contexts.Errand, begun clock.Moment) {
+	random := rand.New(rand.NewSource(one.options.Seed + constants.LoadLotSeed))
 	var group sync.WaitGroup
 	at := 0.0
 	for number := 0; ; number++ {
 		at += random.ExpFloat64() / one.options.LotRate * 1000
-		due := watch.Milliseconds(at)
+		due := clock.Milliseconds(at)
 		if number == 0 {
 			// However short the load, there is one lot.
 			due = min(due, one.options.For/4)
@@ -41,15 +41,15 @@
 	group.Wait()
 }
 
-func (one *run) makeLot(number int, random *rand.Rand) (hopper.Lot, *lotCheck) {
+func (one *run) makeLot(number int, random *rand.Rand) (lotclient.Lot, *lotCheck) {
 	check := newLotCheck(one.prefix + "lot" + strconv.Itoa(number))
-	lot, route := hopper.Lot{}, one.routes["batch"]
+	lot, route := lotclient.Lot{}, one.routes["batch"]
 	for place := 0; place < one.options.Items; place++ {
 		prompt := profiles["batch"].prompt(random)
-		item := hopper.Item{ID: check.id + "-" + strconv.Itoa(place), Path: fmt.Sprintf("%s%d/%d", route.Prefix, number, place),
-			Tokens: prompt.in + prompt.out, Body: []byte("item " + strconv.Itoa(place)), Headers: map[string]string{"Lemonarch-Model": sawhorse.ModelName,
+		item := lotclient.Item{ID: check.id + "-" + strconv.Itoa(place), Path: fmt.Sprintf("%s%d/%d", route.Prefix, number, place),
+			Tokens: prompt.in + prompt.out, Body: []byte("item " + strconv.Itoa(place)), Headers: map[string]string{"Lemonarch-Model": lab.ModelName,
 				"Lemonarch-Token-Count": fmt.Sprintf("%d,%d", prompt.in, prompt.out), "Lemonarch-Prompt-Prefix": prompt.parts}}
-		check.events[item.ID] = anvil.Events(prompt.out, one.card.Stride)
+		check.events[item.ID] = workeremulator.Events(prompt.out, one.card.Stride)
 		lot.Requests = append(lot.Requests, item)
 		one.remember(item.ID, item.Path, item.Body, route, false, true)
 	}
@@ -57,18 +57,18 @@
 }
 
 // lot hands one lot in, follows it to its end, and reads it once more from the start.
-func (one *run) lot(check *lotCheck, lot hopper.Lot, node int) {
+func (one *run) lot(check *lotCheck, lot lotclient.Lot, node int) {
 	route := one.routes["batch"]
 	edges := append(append([]string(nil), one.card.Ingress[node:]...), one.card.Ingress[:node]...)
-	client := &hopper.Client{Edges: edges, Host: route.Host}
-	limited, release := errand.Timed(errand.Background(), almanac.LoadDrain)
+	client := &lotclient.Client{Edges: edges, Host: route.Host}
+	limited, release := contexts.Timed(contexts.Background(), constants.LoadDrain)
 	defer release()
-	begun := watch.Now()
-	handing, halt := errand.Timed(limited, 2*almanac.LotCallTime)
-	_, failure := client.HandIn(handing, check.id, route.Prefix+"lot", lot)
+	begun := clock.Now()
+	handing, halt := contexts.Timed(limited, 2*constants.LotCallTime)
+	_, err := client.HandIn(handing, check.id, route.Prefix+"lot", lot)
 	halt()
-	if failure != nil {
-		refused := mishap.Of(failure, hopper.Refused)
+	if err != nil {
+		refused := errs.Of(err, lotclient.Refused)
 		one.promiseItems(check, refused)
 		cause := "lot unclear"
 		if refused {
@@ -77,8 +77,8 @@
 		one.result.failItems(len(lot.Requests), cause)
 		return
 	}
-	one.result.handIn(watch.Now().Since(begun))
-	result, reads := watch.Milliseconds(route.ResultMs), 0
+	one.result.handIn(clock.Now().Since(begun))
+	result, reads := clock.Milliseconds(route.ResultMs), 0
 	for len(check.listed) < len(lot.Requests) && limited.Err() == nil {
 		reads++
 		cursor := len(check.listed)
@@ -87,15 +87,15 @@
 			cursor /= 2
 		}
 		before := len(check.listed)
-		page, failure := client.Read(limited, check.id, cursor, 0)
-		one.judgeRead(check, cursor, page, failure)
-		if failure == nil {
-			took := watch.Now().Since(begun)
+		page, err := client.Read(limited, check.id, cursor, 0)
+		one.judgeRead(check, cursor, page, err)
+		if err == nil {
+			took := clock.Now().Since(begun)
 			for _, output := range check.listed[before:] {
-				one.result.item(output.Phase == hopper.Settled, took, took <= result)
+				one.result.item(output.Phase == lotclient.Settled, took, took <= result)
 			}
 		}
-		watch.Sleep(almanac.LoadPollPause)
+		clock.Sleep(constants.LoadPollPause)
 	}
 	if missing := len(lot.Requests) - len(check.listed); missing > 0 {
 		one.result.failItems(missing, "item not listed")
@@ -104,40 +104,40 @@
 }
 
 // readAgain reads a lot from the start: what was read must come again.
-func (one *run) readAgain(client *hopper.Client, check *lotCheck) {
-	limited, release := errand.Timed(errand.Background(), 2*almanac.LotCallTime)
+func (one *run) readAgain(client *lotclient.Client, check *lotCheck) {
+	limited, release := contexts.Timed(contexts.Background(), 2*constants.LotCallTime)
 	defer release()
 	for cursor, seen := 0, len(check.listed); cursor < seen; {
-		page, failure := client.Read(limited, check.id, cursor, 0)
-		one.judgeRead(check, cursor, page, failure)
+		page, err := client.Read(limited, check.id, cursor, 0)
+		one.judgeRead(check, cursor, page, err)
 		switch {
-		case failure == nil && len(page.Outputs) == 0:
+		case err == nil && len(page.Outputs) == 0:
 			one.result.find(Finding{"LOST", check.id, fmt.Sprintf("position %d was read before, and is gone", cursor)})
 			return
-		case failure == nil:
+		case err == nil:
 			cursor = page.Next
-		case !hopper.Again(failure):
+		case !lotclient.Again(err):
 			return
 		case limited.Err() != nil:
-			one.result.note("lot " + check.id + " could not be read again: " + failure.Error())
+			one.result.note("lot " + check.id + " could not be read again: " + err.Error())
 			return
 		default:
-			watch.Sleep(almanac.LabRetry)
+			clock.Sleep(constants.LabRetry)
 		}
 	}
 }
 
 // judgeRead takes one read of a lot that was accepted.
-func (one *run) judgeRead(check *lotCheck, cursor int, page *hopper.Page, failure error) {
+func (one *run) judgeRead(check *lotCheck, cursor int, page *lotclient.Page, err error) {
 	switch {
-	case failure == nil:
+	case err == nil:
 		for _, finding := range check.page(cursor, page) {
 			one.result.find(finding)
 		}
-	case mishap.Of(failure, hopper.Spoilt):
-		one.result.find(Finding{"MIXED", check.id, failure.Error()})
-	case !hopper.Again(failure):
-		one.result.find(Finding{"LOST", check.id, failure.Error()})
+	case errs.Of(err, lotclient.Spoilt):
+		one.result.find(Finding{"MIXED", check.id, err.Error()})
+	case !lotclient.Again(err):
+		one.result.find(Finding{"LOST", check.id, err.Error()})
 	}
 }
 
--- a/internal/treadle/mix.go
+++ b/internal/tooling/loadgen/mix.go
@@ -1,7 +1,7 @@
-// Package treadle drives load into a lab's fleets, checks every answer against what
+// Package loadgen drives load into a lab's fleets, checks every answer against what
 // the emulated workers ran, and reports worth, latency and failures. Its figures are
 // of loopback and of emulated workers.
-package treadle
+package loadgen
 
 import (
 	"fmt"
@@ -10,32 +10,32 @@
 	"strconv"
 	"strings"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
 )
 
-// Unfit is the mishap of options or experiments that can't be carried out.
-var Unfit = mishap.Define("load")
+// Unfit is the error of options or experiments that can't be carried out.
+var Unfit = errs.Define("load")
 
 // profile says what one kind of request looks like. All figures are ours.
 type profile struct {
 	worth float64
 	// heads is how many shared heads there are, of so many tokens; sessions how many
 	// parts of one's own, and how large they are.
-	heads, headTokens, sessions, ownLow, ownHigh int
-	outLow, outHigh                              int
+	counts, headTokens, sessions, ownLow, ownHigh int
+	outLow, outHigh                               int
 }
 
 // profiles of the kinds of request that the lab's own configuration has.
 var profiles = map[string]profile{
-	"query":   {worth: 2, heads: 8, headTokens: 160, sessions: 200, ownLow: 100, ownHigh: 600, outLow: 16, outHigh: 48},
-	"review":  {worth: 3, heads: 6, headTokens: 3000, sessions: 60, ownLow: 400, ownHigh: 1500, outLow: 12, outHigh: 24},
+	"query":   {worth: 2, counts: 8, headTokens: 160, sessions: 200, ownLow: 100, ownHigh: 600, outLow: 16, outHigh: 48},
+	"review":  {worth: 3, counts: 6, headTokens: 3000, sessions: 60, ownLow: 400, ownHigh: 1500, outLow: 12, outHigh: 24},
 	"confirm": {worth: 1},
 	"status":  {worth: 1},
-	"batch":   {worth: 2, heads: 4, headTokens: 400, sessions: 1 << 30, ownLow: 100, ownHigh: 800, outLow: 20, outHigh: 60},
+	"batch":   {worth: 2, counts: 4, headTokens: 400, sessions: 1 << 30, ownLow: 100, ownHigh: 800, outLow: 20, outHigh: 60},
 }
 
 // Share is one part of a mix.
@@ -51,9 +51,9 @@
 	seen := map[string]bool{}
 	for _, field := range strings.Split(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		part, failure := strconv.ParseFloat(value, 64)
+		part, err := strconv.ParseFloat(value, 64)
 		_, known := profiles[name]
-		if failure != nil || !(part >= 0) || part > almanac.LoadRate || !known || name == "batch" || seen[name] {
+		if err != nil || !(part >= 0) || part > constants.LoadRate || !known || name == "batch" || seen[name] {
 			return nil, Unfit.New("mix: " + strconv.Quote(field) + " is not NAME=PART with a NAME of query, review, confirm or status, once")
 		}
 		seen[name] = true
@@ -91,17 +91,17 @@
 
 func (one profile) prompt(random *rand.Rand) prompt {
 	between := func(low, high int) int { return low + random.Intn(high-low+1) }
-	head, session := random.Intn(one.heads), random.Intn(one.sessions)
+	head, session := random.Intn(one.counts), random.Intn(one.sessions)
 	// A session's part keeps its size, or kept parts would never be found again.
 	own := one.ownLow + session%(one.ownHigh-one.ownLow+1)
 	return prompt{in: int64(one.headTokens + own), out: int64(between(one.outLow, one.outHigh)),
 		parts: fmt.Sprintf("a%x:%d,b%x%x:%d", head+one.headTokens<<8, one.headTokens, head, session+one.headTokens<<32, own)}
 }
 
-// order is one request that a downstream wants served.
+// order is one request that a client wants served.
 type order struct {
 	kind   string
-	route  *jig.Route
+	route  *routeconfig.Route
 	number int
 	prompt prompt
 	node   int
@@ -111,33 +111,33 @@
 func (one *order) plain() bool { return one.prompt.out == 0 }
 
 // repeatable: may run more than once.
-func repeatable(route *jig.Route) bool {
-	return route.Kind() == pattern.RouteIdempotent || (route.Kind() == pattern.RouteStreaming && route.Resumable)
+func repeatable(route *routeconfig.Route) bool {
+	return route.Kind() == messages.RouteIdempotent || (route.Kind() == messages.RouteStreaming && route.Resumable)
 }
 
 // planned is when an order is due, from the start of the load.
 type planned struct {
-	at    watch.Span
+	at    clock.Span
 	order *order
 }
 
 // schedule draws the orders of a run: open arrivals at a rate, the same for a seed
 // whatever the fleet does and however many nodes it has.
-func schedule(options *Options, routes map[string]*jig.Route, nodes int) []planned {
+func schedule(options *Options, routes map[string]*routeconfig.Route, nodes int) []planned {
 	random := rand.New(rand.NewSource(options.Seed))
 	var all []planned
 	at := 0.0
 	for number := 0; options.Count == 0 || number < options.Count; number++ {
 		at += random.ExpFloat64() / options.Rate * 1000
-		if watch.Milliseconds(at) >= options.For {
+		if clock.Milliseconds(at) >= options.For {
 			break
 		}
 		kind := draw(options.Mix, random)
 		one := &order{kind: kind, route: routes[kind], number: number, node: int(random.Float64() * float64(nodes)), body: []byte("order " + strconv.Itoa(number))}
-		if profiles[kind].heads > 0 {
+		if profiles[kind].counts > 0 {
 			one.prompt = profiles[kind].prompt(random)
 		}
-		all = append(all, planned{watch.Milliseconds(at), one})
+		all = append(all, planned{clock.Milliseconds(at), one})
 	}
 	return all
 }
--- a/internal/treadle/options.go
+++ b/internal/tooling/loadgen/options.go
@@ -1,14 +1,14 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
 	"strings"
 	"time"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/tooling/lab"
 )
 
 // Options say what load is sent.
@@ -17,10 +17,10 @@
 	Rate, LotRate float64
 	Items         int
 	Mix           []Share
-	For           watch.Span
+	For           clock.Span
 	// Count bounds the requests; 0 is up to the time.
 	Count int
-	// Tries is how often a downstream tries in all.
+	// Tries is how often a client tries in all.
 	Tries int
 	Seed  int64
 	// Progress, where set, is told now and then how far the load is.
@@ -36,16 +36,16 @@
 // Check gives the first thing that stands in the way.
 func (options *Options) Check() error {
 	switch {
-	case !(options.Rate > 0 && options.Rate <= almanac.LoadRate):
-		return Unfit.New(fmt.Sprintf("rate must be above 0 and at most %d", almanac.LoadRate))
-	case !(options.LotRate >= 0 && options.LotRate <= almanac.LoadRate):
-		return Unfit.New(fmt.Sprintf("lots must lie between 0 and %d", almanac.LoadRate))
-	case options.Items < 1 || options.Items > almanac.LotItems:
-		return Unfit.New(fmt.Sprintf("items must lie between 1 and %d", almanac.LotItems))
-	case options.For <= 0 || options.For > almanac.LoadTime:
-		return Unfit.New(fmt.Sprintf("for must be above 0 and at most %s", almanac.LoadTime))
-	case options.Count < 0 || options.Count > almanac.LoadCount:
-		return Unfit.New(fmt.Sprintf("count must lie between 0 and %d", almanac.LoadCount))
+	case !(options.Rate > 0 && options.Rate <= constants.LoadRate):
+		return Unfit.New(fmt.Sprintf("rate must be above 0 and at most %d", constants.LoadRate))
+	case !(options.LotRate >= 0 && options.LotRate <= constants.LoadRate):
+		return Unfit.New(fmt.Sprintf("lots must lie between 0 and %d", constants.LoadRate))
+	case options.Items < 1 || options.Items > constants.LotItems:
+		return Unfit.New(fmt.Sprintf("items must lie between 1 and %d", constants.LotItems))
+	case options.For <= 0 || options.For > constants.LoadTime:
+		return Unfit.New(fmt.Sprintf("for must be above 0 and at most %s", constants.LoadTime))
+	case options.Count < 0 || options.Count > constants.LoadCount:
+		return Unfit.New(fmt.Sprintf("count must lie between 0 and %d", constants.LoadCount))
 	case options.Tries < 1 || options.Tries > 5:
 		return Unfit.New("tries must lie between 1 and 5")
 	}
@@ -53,8 +53,8 @@
 }
 
 // routesOf finds the route of each kind that the options name.
-func (options *Options) routesOf(card *sawhorse.Card) (map[string]*jig.Route, error) {
-	routes := map[string]*jig.Route{}
+func (options *Options) routesOf(card *lab.Card) (map[string]*routeconfig.Route, error) {
+	routes := map[string]*routeconfig.Route{}
 	for place := range card.Routes {
 		routes[card.Routes[place].Name] = &card.Routes[place]
 	}
@@ -76,16 +76,16 @@
 // Experiment is what a TOML file says: the load, the fleets side by side, and what
 // breaks when.
 type Experiment struct {
-	Rate    float64            `toml:"rate"`
-	LotRate float64            `toml:"lots"`
-	Items   int                `toml:"items"`
-	Mix     string             `toml:"mix"`
-	ForS    float64            `toml:"for-s"`
-	Count   int                `toml:"count"`
-	Tries   int                `toml:"tries"`
-	Seed    int64              `toml:"seed"`
-	Fleets  []sawhorse.Plan    `toml:"fleet"`
-	Trouble []sawhorse.Trouble `toml:"trouble"`
+	Rate    float64       `toml:"rate"`
+	LotRate float64       `toml:"lots"`
+	Items   int           `toml:"items"`
+	Mix     string        `toml:"mix"`
+	ForS    float64       `toml:"for-s"`
+	Count   int           `toml:"count"`
+	Tries   int           `toml:"tries"`
+	Seed    int64         `toml:"seed"`
+	Fleets  []lab.Plan    `toml:"fleet"`
+	Trouble []lab.Trouble `toml:"trouble"`
 }
 
 // Finding is one broken promise.
--- a/internal/treadle/options_test.go
+++ b/internal/tooling/loadgen/options_test.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"os"
@@ -6,16 +6,16 @@
 	"strings"
 	"testing"
 
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/sawhorse"
+	"lemonarch/internal/tooling/lab"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 // programs makes a folder that looks as if the programs were in it.
 func programs(test *testing.T) string {
 	folder := test.TempDir()
-	for _, name := range []string{"forge", "foreman", "locker"} {
-		if failure := os.WriteFile(filepath.Join(folder, name), nil, 0o755); failure != nil {
-			test.Fatal(failure)
+	for _, name := range []string{"gateway", "controller", "store"} {
+		if err := os.WriteFile(filepath.Join(folder, name), nil, 0o755); err != nil {
+			test.Fatal(err)
 		}
 	}
 	return folder
@@ -36,39 +36,39 @@
 		"mix = \"query=x\"":               "mix",
 		"mix = \"query=0\"":               "mix",
 		"mix = \"other=1\"":               "mix",
-		"[[fleet]]\nforges = 0":           "forges",
-		"[[fleet]]\nforges = 50":          "processes",
+		"[[fleet]]\ngateways = 0":         "gateways",
+		"[[fleet]]\ngateways = 50":        "processes",
 		"[[fleet]]\nnetwork = \"10.0.0\"": "network",
 		"[[fleet]]\nlabel = \"a\"\n[[fleet]]\nlabel = \"a\"":                      "same label",
 		"[[fleet]]\nprograms = \"nowhere\"":                                       "no program",
 		"[[trouble]]\nkind = \"melt\"":                                            "melt",
 		"[[trouble]]\nkind = \"kill\"\ntarget = \"worker-1\"":                     "does not fit",
-		"[[trouble]]\nkind = \"freeze\"\ntarget = \"forge-1\"":                    "for-s",
-		"[[trouble]]\nkind = \"kill\"\ntarget = \"forge-1\"\nat-s = 99.0":         "behind the end",
+		"[[trouble]]\nkind = \"freeze\"\ntarget = \"gateway-1\"":                  "for-s",
+		"[[trouble]]\nkind = \"kill\"\ntarget = \"gateway-1\"\nat-s = 99.0":       "behind the end",
 		"[[trouble]]\nkind = \"faults\"\ntarget=\"worker\"\nfaults = {cut = 2.0}": "cut",
 	} {
-		_, _, failure := ReadExperiment(text, folder)
-		if failure == nil || !strings.Contains(failure.Error(), want) || strings.Contains(failure.Error(), "\n") {
-			test.Errorf("%q: %v", text, failure)
+		_, _, err := ReadExperiment(text, folder)
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			test.Errorf("%q: %v", text, err)
 		}
 	}
 }
 
 func TestExperimentTakesWhatIsUsual(test *testing.T) {
 	folder := programs(test)
-	one, options, failure := ReadExperiment("rate = 7.0\n[[fleet]]\nforges = 1\n[[fleet]]\nlabel = \"b\"\ncapacity = 2\n", folder)
-	if failure != nil || options.Rate != 7 || options.Items != NewOptions().Items || len(one.Fleets) != 2 {
-		test.Fatal(one, options, failure)
+	one, options, err := ReadExperiment("rate = 7.0\n[[fleet]]\ngateways = 1\n[[fleet]]\nlabel = \"b\"\ncapacity = 2\n", folder)
+	if err != nil || options.Rate != 7 || options.Items != NewOptions().Items || len(one.Fleets) != 2 {
+		test.Fatal(one, options, err)
 	}
 	first, second := one.Fleets[0], one.Fleets[1]
-	if first.Forges != 1 || second.Forges != 2 || second.Capacity != 2 || first.Capacity == 2 || second.Label != "b" || first.Network == second.Network || first.Programs != folder {
+	if first.Gateways != 1 || second.Gateways != 2 || second.Capacity != 2 || first.Capacity == 2 || second.Label != "b" || first.Network == second.Network || first.Programs != folder {
 		test.Fatal(first, second)
 	}
 }
 
 // Every field of a trouble can be set by its name in the file.
 func TestTroublesAreReadWhole(test *testing.T) {
-	one, _, failure := ReadExperiment(`[[trouble]]
+	one, _, err := ReadExperiment(`[[trouble]]
 at-s = 1.0
 kind = "faults"
 target = "worker-1"
@@ -76,26 +76,26 @@
 back-s = 3.0
 faults = { fail = 0.1, full = 0.2, hang = 0.3, cut = 0.4, garble = 0.5, surplus = 0.6, twice = 0.7, skip = 0.8, forge = 0.9, late-ms = 1.0, never = 0.25, slow = 2.0, lying = true, forget-ms = 3.0 }
 `, programs(test))
-	want := sawhorse.Trouble{AtS: 1, Kind: "faults", Target: "worker-1", ForS: 2, BackS: 3, Faults: anvil.Faults{Fail: 0.1, Full: 0.2, Hang: 0.3,
+	want := lab.Trouble{AtS: 1, Kind: "faults", Target: "worker-1", ForS: 2, BackS: 3, Faults: workeremulator.Faults{Fail: 0.1, Full: 0.2, Hang: 0.3,
 		Cut: 0.4, Garble: 0.5, Surplus: 0.6, Twice: 0.7, Skip: 0.8, Forge: 0.9, Never: 0.25, LateMs: 1, Slow: 2, Lying: true, ForgetMs: 3}}
-	if failure != nil || len(one.Trouble) != 1 || one.Trouble[0] != want {
-		test.Fatal(one, failure)
+	if err != nil || len(one.Trouble) != 1 || one.Trouble[0] != want {
+		test.Fatal(one, err)
 	}
 }
 
 // The experiments that the documents name are sound.
 func TestExperimentsOfTheDocuments(test *testing.T) {
-	files, _ := filepath.Glob("../../docs/experiments/*.toml")
+	files, _ := filepath.Glob("../../../docs/experiments/*.toml")
 	if len(files) == 0 {
 		test.Fatal("there are none")
 	}
 	for _, file := range files {
-		text, failure := os.ReadFile(file)
-		if failure == nil {
-			_, _, failure = ReadExperiment(string(text), programs(test))
+		text, err := os.ReadFile(file)
+		if err == nil {
+			_, _, err = ReadExperiment(string(text), programs(test))
 		}
-		if failure != nil {
-			test.Error(file, failure)
+		if err != nil {
+			test.Error(file, err)
 		}
 	}
 }
@@ -103,8 +103,8 @@
 func TestOnlyLoopbackIsLoaded(test *testing.T) {
 	for address, allowed := range map[string]bool{"127.0.0.1:1": true, "http://127.9.0.1:7100/": true, "10.0.0.1:80": false, "0.0.0.0:80": false,
 		"example.com:80": false, "nonsense": false} {
-		if _, failure := OpenDesk(address); (failure == nil) != allowed {
-			test.Error(address, failure)
+		if _, err := OpenEndpoint(address); (err == nil) != allowed {
+			test.Error(address, err)
 		}
 	}
 }
--- a/internal/treadle/plot.go
+++ b/internal/tooling/loadgen/plot.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"lemonarch/internal/almanac"
+	"lemonarch/internal/platform/constants"
 )
 
 // CheckPlot tells whether a plot can be written under that name.
@@ -26,7 +26,7 @@
 // requests there are to each one that takes longer.
 func (one *Kind) line() plotter.XYs {
 	var points plotter.XYs
-	for step := 1; step <= almanac.LoadPlotSteps; step++ {
+	for step := 1; step <= constants.LoadPlotSteps; step++ {
 		left := math.Pow(2, -float64(step))
 		if left*float64(one.times.TotalCount()) < 1 {
 			// Beyond the last request there is nothing to draw.
@@ -39,8 +39,8 @@
 
 // Plot draws the latency of every kind and fleet; both axes are logarithmic.
 func Plot(path string, results []*Result) error {
-	if failure := CheckPlot(path); failure != nil {
-		return failure
+	if err := CheckPlot(path); err != nil {
+		return err
 	}
 	picture := plot.New()
 	picture.Title.Text = "latency (loopback, emulated workers)"
@@ -55,9 +55,9 @@
 			if len(points) < 2 {
 				continue
 			}
-			line, failure := plotter.NewLine(points)
-			if failure != nil {
-				return Unfit.Wrap(failure, "plot")
+			line, err := plotter.NewLine(points)
+			if err != nil {
+				return Unfit.Wrap(err, "plot")
 			}
 			// A kind keeps its colour, a fleet its dashes, so that pairs are found.
 			line.Color, line.Dashes, line.Width = plotutil.Color(place), plotutil.Dashes(fleet), vg.Points(1.5)
@@ -70,6 +70,6 @@
 		return Unfit.New("plot: too little was served")
 	}
 	// Room on the right, so that the legend covers no line.
-	picture.X.Max *= almanac.LoadLegendRoom
+	picture.X.Max *= constants.LoadLegendRoom
 	return Unfit.Wrap(picture.Save(18*vg.Centimeter, 12*vg.Centimeter, path), "plot")
 }
--- a/internal/treadle/plot_test.go
+++ b/internal/tooling/loadgen/plot_test.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"os"
@@ -20,11 +20,11 @@
 	if len(points) != 9 || points[0].Y < 495 || points[0].Y > 505 || points[8].Y < 990 {
 		test.Fatal("1,000 requests have a half, a quarter and so on to one in 512", points)
 	}
-	if failure := Plot(path, []*Result{result}); failure != nil {
-		test.Fatal(failure)
+	if err := Plot(path, []*Result{result}); err != nil {
+		test.Fatal(err)
 	}
-	if state, failure := os.Stat(path); failure != nil || state.Size() < 1000 {
-		test.Fatal(state, failure)
+	if state, err := os.Stat(path); err != nil || state.Size() < 1000 {
+		test.Fatal(state, err)
 	}
 	if CheckPlot("x.txt") == nil || Plot(filepath.Join(path, "x.svg"), []*Result{result}) == nil {
 		test.Fatal("a plot that can't be written")
--- a/internal/treadle/report.go
+++ b/internal/tooling/loadgen/report.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
--- a/internal/treadle/result.go
+++ b/internal/tooling/loadgen/result.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // Kind is what came of one kind of request.
@@ -41,7 +41,7 @@
 	Kinds   []*Kind        `json:"kinds"`
 	Causes  map[string]int `json:"failures-by-cause"`
 	Retried map[string]int `json:"tries-again-by-cause"`
-	// Findings holds the broken promises, at most almanac.LoadFindings of them;
+	// Findings holds the broken promises, at most constants.LoadFindings of them;
 	// Broken counts all.
 	Findings []Finding `json:"findings"`
 	Broken   int       `json:"broken"`
@@ -62,7 +62,7 @@
 func (result *Result) kind(name string) *Kind {
 	one := result.kinds[name]
 	if one == nil {
-		one = &Kind{Name: name, times: hdrhistogram.New(1, almanac.LoadTime.Microseconds(), almanac.LoadDigits)}
+		one = &Kind{Name: name, times: hdrhistogram.New(1, constants.LoadTime.Microseconds(), constants.LoadDigits)}
 		result.kinds[name] = one
 		result.Kinds = append(result.Kinds, one)
 		sort.Slice(result.Kinds, func(left, right int) bool { return result.Kinds[left].Name < result.Kinds[right].Name })
@@ -70,7 +70,7 @@
 	return one
 }
 
-func (one *Kind) record(span watch.Span) { _ = one.times.RecordValue(max(span.Microseconds(), 1)) }
+func (one *Kind) record(span clock.Span) { _ = one.times.RecordValue(max(span.Microseconds(), 1)) }
 
 // count adds a share of the worth to what was earned. The lock is held.
 func (result *Result) count(name string, inTime, served bool) *Kind {
@@ -83,7 +83,7 @@
 		one.earned += worth
 	case served:
 		one.Late++
-		one.earned += worth * almanac.LoadLate
+		one.earned += worth * constants.LoadLate
 	default:
 		one.Failed++
 	}
@@ -91,7 +91,7 @@
 }
 
 // serve counts an order that was served whole.
-func (result *Result) serve(order *order, state *served, now watch.Moment) {
+func (result *Result) serve(order *order, state *served, now clock.Moment) {
 	result.lock.Lock()
 	defer result.lock.Unlock()
 	first := state.first
@@ -99,7 +99,7 @@
 		first = now
 	}
 	took := first.Since(state.begun)
-	inTime := took <= order.route.Setpoint() && (order.route.GapMs <= 0 || state.gap <= watch.Milliseconds(order.route.GapMs))
+	inTime := took <= order.route.Setpoint() && (order.route.GapMs <= 0 || state.gap <= clock.Milliseconds(order.route.GapMs))
 	result.count(order.kind, inTime, true).record(took)
 }
 
@@ -119,7 +119,7 @@
 }
 
 // handIn notes how long the handing in of a lot took.
-func (result *Result) handIn(took watch.Span) {
+func (result *Result) handIn(took clock.Span) {
 	result.lock.Lock()
 	defer result.lock.Unlock()
 	one := result.kind(handInKind)
@@ -132,7 +132,7 @@
 const handInKind = "batch-202"
 
 // item counts one listed item.
-func (result *Result) item(settled bool, took watch.Span, inTime bool) {
+func (result *Result) item(settled bool, took clock.Span, inTime bool) {
 	result.lock.Lock()
 	defer result.lock.Unlock()
 	one := result.count("batch", settled && inTime, settled)
@@ -170,13 +170,13 @@
 	result.lock.Lock()
 	defer result.lock.Unlock()
 	result.Broken++
-	if len(result.Findings) < almanac.LoadFindings {
+	if len(result.Findings) < constants.LoadFindings {
 		result.Findings = append(result.Findings, finding)
 	}
 }
 
 // sofar is one line of progress.
-func (result *Result) sofar(span watch.Span) string {
+func (result *Result) sofar(span clock.Span) string {
 	result.lock.Lock()
 	defer result.lock.Unlock()
 	inTime, late, failed := 0, 0, 0
--- a/internal/treadle/send.go
+++ b/internal/tooling/loadgen/send.go
@@ -1,4 +1,4 @@
-package treadle
+package loadgen
 
 import (
 	"bufio"
@@ -10,37 +10,37 @@
 	"sync/atomic"
 	"time"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/anvil"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/sawhorse"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/lab"
+	"lemonarch/internal/tooling/workeremulator"
 )
 
 // outcome is what came of one try.
-type outcome struct {
+type result struct {
 	// cause is empty for a success.
 	cause   string
 	promise bool
 	// unread: no node can have read it, so that any kind may be sent again.
 	unread  bool
 	final   bool
-	after   watch.Span
+	after   clock.Span
 	finding *Finding
 }
 
 // served is what is known of an order over all its tries.
 type served struct {
-	begun, deadline watch.Moment
-	first, last     watch.Moment
-	gap             watch.Span
+	begun, deadline clock.Moment
+	first, last     clock.Moment
+	gap             clock.Span
 	lastID          int64
 }
 
 // serve tries an order until it is served or may not be tried again.
 func (one *run) serve(order *order) {
-	now := watch.Now()
+	now := clock.Now()
 	state := &served{begun: now, deadline: now.Plus(order.route.Cutoff())}
 	for try := 1; ; try++ {
 		got := one.try(order, state, try)
@@ -48,10 +48,10 @@
 			one.result.find(*got.finding)
 		}
 		if got.cause == "" {
-			one.result.serve(order, state, watch.Now())
+			one.result.serve(order, state, clock.Now())
 			return
 		}
-		wait := min(max(got.after, almanac.LabRetry/4), state.deadline.Since(watch.Now())/3)
+		wait := min(max(got.after, constants.LabRetry/4), state.deadline.Since(clock.Now())/3)
 		mayAgain := !got.final && (repeatable(order.route) || got.promise || got.unread)
 		if !mayAgain || try >= one.options.Tries || wait <= 0 {
 			one.result.fail(order, got.cause)
@@ -63,17 +63,17 @@
 }
 
 // try sends one attempt to one node; each try is another attempt, at another node.
-func (one *run) try(order *order, state *served, try int) outcome {
+func (one *run) try(order *order, state *served, try int) result {
 	attempt := one.prefix + strconv.Itoa(order.number) + "-" + strconv.Itoa(try)
 	path := order.route.Prefix + strconv.Itoa(order.number)
 	made := one.remember(attempt, path, order.body, order.route, !repeatable(order.route), false)
-	left := state.deadline.Since(watch.Now())
-	limited, release := errand.Timed(errand.Background(), left)
+	left := state.deadline.Since(clock.Now())
+	limited, release := contexts.Timed(contexts.Background(), left)
 	defer release()
 	node := one.card.Ingress[(order.node+try-1)%len(one.card.Ingress)]
-	request, failure := http.NewRequestWithContext(limited, http.MethodPost, "http://"+node+path, bytes.NewReader(order.body))
-	if failure != nil {
-		return outcome{cause: "unsendable", final: true}
+	request, err := http.NewRequestWithContext(limited, http.MethodPost, "http://"+node+path, bytes.NewReader(order.body))
+	if err != nil {
+		return result{cause: "unsendable", final: true}
 	}
 	// Without it the library may send a body once more on its own; every send must be ours.
 	request.GetBody = nil
@@ -82,22 +82,22 @@
 	header.Set("Lemonarch-Attempt-Id", attempt)
 	header.Set("Lemonarch-Time-Left-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	if !order.plain() {
-		header.Set("Lemonarch-Model", sawhorse.ModelName)
+		header.Set("Lemonarch-Model", lab.ModelName)
 		header.Set("Lemonarch-Token-Count", strconv.FormatInt(order.prompt.in, 10)+","+strconv.FormatInt(order.prompt.out, 10))
 		header.Set("Lemonarch-Prompt-Prefix", order.prompt.parts)
 	}
 	if state.lastID > 0 {
 		header.Set("Last-Event-Id", strconv.FormatInt(state.lastID, 10))
 	}
-	answer, failure := one.client.RoundTrip(request)
-	if failure != nil {
-		cause := causeOf(failure, limited)
-		return outcome{cause: cause, unread: cause == causeRefused}
+	answer, err := one.client.RoundTrip(request)
+	if err != nil {
+		cause := causeOf(err, limited)
+		return result{cause: cause, unread: cause == causeRefused}
 	}
 	defer answer.Body.Close()
-	var got outcome
+	var got result
 	switch {
-	case answer.StatusCode < 300 && order.route.Kind() == pattern.RouteStreaming:
+	case answer.StatusCode < 300 && order.route.Kind() == messages.RouteStreaming:
 		got = one.stream(order, state, attempt, answer, release)
 	case answer.StatusCode < 300:
 		got = plain(order, state, attempt, answer)
@@ -109,9 +109,9 @@
 }
 
 // refusal reads an answer that is no success.
-func refusal(answer *http.Response) outcome {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, almanac.AnvilBeatBytes))
-	got := outcome{cause: strconv.Itoa(answer.StatusCode)}
+func refusal(answer *http.Response) result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, constants.AnvilBeatBytes))
+	got := result{cause: strconv.Itoa(answer.StatusCode)}
 	switch answer.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		got.promise = true
@@ -119,15 +119,15 @@
 		got.final = true
 	}
 	seconds, _ := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
-	got.after = watch.Milliseconds(max(seconds, 0) * 1000)
+	got.after = clock.Milliseconds(max(seconds, 0) * 1000)
 	return got
 }
 
 // causeRefused: nobody listened.
 const causeRefused = "connection refused"
 
-func causeOf(failure error, limited errand.Errand) string {
-	text := failure.Error()
+func causeOf(err error, limited contexts.Errand) string {
+	text := err.Error()
 	switch {
 	case limited.Err() != nil:
 		return "silence"
@@ -140,49 +140,49 @@
 }
 
 // plain reads a success that is no stream.
-func plain(order *order, state *served, attempt string, answer *http.Response) outcome {
-	body, failure := io.ReadAll(answer.Body)
-	if failure != nil {
-		return outcome{cause: "answer cut"}
+func plain(order *order, state *served, attempt string, answer *http.Response) result {
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return result{cause: "answer cut"}
 	}
-	state.first = watch.Now()
+	state.first = clock.Now()
 	if finding := checkPlain(attempt, order.body, answer.Header.Get("Lemonarch-Server-Seal"), answer.Header.Get("Lemonarch-Attempt-Id"), body); finding != nil {
-		return outcome{cause: "not the answer", final: true, finding: finding}
+		return result{cause: "not the answer", final: true, finding: finding}
 	}
-	return outcome{}
+	return result{}
 }
 
 // stream reads a stream of events, and gives it up after a silence.
-func (one *run) stream(order *order, state *served, attempt string, answer *http.Response, halt func()) outcome {
+func (one *run) stream(order *order, state *served, attempt string, answer *http.Response, halt func()) result {
 	if finding := checkStamp(attempt, answer.Header.Get("Lemonarch-Server-Seal"), answer.Header.Get("Lemonarch-Attempt-Id")); finding != nil {
-		return outcome{cause: "not the answer", final: true, finding: finding}
+		return result{cause: "not the answer", final: true, finding: finding}
 	}
-	follower := &follower{attempt: attempt, last: state.lastID, all: anvil.Events(order.prompt.out, one.card.Stride)}
-	silence := max(almanac.LoadSilence, 4*order.route.Setpoint(), 8*watch.Milliseconds(order.route.GapMs))
+	follower := &follower{attempt: attempt, last: state.lastID, all: workeremulator.Events(order.prompt.out, one.card.Stride)}
+	silence := max(constants.LoadSilence, 4*order.route.Setpoint(), 8*clock.Milliseconds(order.route.GapMs))
 	var silent atomic.Bool
 	timer := time.AfterFunc(silence, func() { silent.Store(true); halt() })
 	defer timer.Stop()
 	reader, event := bufio.NewReader(answer.Body), ""
 	for {
-		line, failure := reader.ReadString('\n')
-		if failure != nil {
-			if failure != io.EOF || event != "" || line != "" {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			if err != io.EOF || event != "" || line != "" {
 				if silent.Load() {
-					return outcome{cause: "silence"}
+					return result{cause: "silence"}
 				}
-				return outcome{cause: "stream cut"}
+				return result{cause: "stream cut"}
 			}
 			if finding := follower.end(); finding != nil {
-				return outcome{cause: "not the answer", final: true, finding: finding}
+				return result{cause: "not the answer", final: true, finding: finding}
 			}
-			return outcome{}
+			return result{}
 		}
 		if line != "\n" {
 			event += line
 			continue
 		}
 		timer.Reset(silence)
-		now := watch.Now()
+		now := clock.Now()
 		if state.first == 0 {
 			state.first = now
 		} else {
@@ -190,7 +190,7 @@
 		}
 		state.last = now
 		if !follower.event(event) {
-			return outcome{cause: "not the answer", final: true, finding: follower.finding}
+			return result{cause: "not the answer", final: true, finding: follower.finding}
 		}
 		state.lastID, event = follower.last, ""
 	}
--- a/internal/model/disk.go
+++ b/internal/tooling/simulation/disk.go
@@ -1,13 +1,13 @@
 // Package model is the seeded world for tests: a disk that loses, tears and
 // reorders what was not synced, and a queue of events on a fake clock.
-package model
+package simulation
 
 import (
 	"errors"
 	"io"
 	"math/rand"
 
-	"lemonarch/internal/whetstone"
+	"lemonarch/internal/platform/recordlog"
 )
 
 // ErrFull is what a full disk says.
@@ -70,7 +70,7 @@
 }
 
 // Open opens or makes a file.
-func (disk *Disk) Open(name string) (whetstone.File, error) {
+func (disk *Disk) Open(name string) (recordlog.File, error) {
 	if disk.names[name] == nil {
 		disk.names[name] = &content{}
 	}
--- a/internal/model/world.go
+++ b/internal/tooling/simulation/world.go
@@ -1,4 +1,4 @@
-package model
+package simulation
 
 import (
 	"container/heap"
@@ -7,11 +7,11 @@
 	"math/rand"
 	"sort"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 type event struct {
-	at       watch.Moment
+	at       clock.Moment
 	order    int
 	function func()
 }
@@ -41,7 +41,7 @@
 // World is a fake clock with a network that delays, loses, doubles and cuts.
 type World struct {
 	Random *rand.Rand
-	Now    watch.Moment
+	Now    clock.Moment
 	queue  events
 	order  int
 	// Loss and Double are chances for each message.
@@ -56,7 +56,7 @@
 }
 
 // After runs a function at a later moment.
-func (world *World) After(span watch.Span, function func()) {
+func (world *World) After(span clock.Span, function func()) {
 	world.order++
 	heap.Push(&world.queue, event{world.Now.Plus(span), world.order, function})
 }
@@ -81,7 +81,7 @@
 		copies = 2
 	}
 	for ; copies > 0; copies-- {
-		delay := watch.Milliseconds(0.2 + 20*world.Random.Float64()*world.Random.Float64())
+		delay := clock.Milliseconds(0.2 + 20*world.Random.Float64()*world.Random.Float64())
 		world.After(delay, func() {
 			if !world.cuts[from+">"+to] {
 				function()
@@ -91,7 +91,7 @@
 }
 
 // Run plays events until a moment.
-func (world *World) Run(until watch.Moment) {
+func (world *World) Run(until clock.Moment) {
 	for len(world.queue) > 0 && world.queue[0].at <= until {
 		one := heap.Pop(&world.queue).(event)
 		world.Now = one.at
--- a/internal/anvil/answer.go
+++ b/internal/tooling/workeremulator/answer.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"fmt"
@@ -6,9 +6,9 @@
 	"net/http"
 	"strconv"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/reply"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/httpreply"
 )
 
 // The headers of the protocol that a worker reads or writes.
@@ -31,7 +31,7 @@
 // fate is which troubles one request meets.
 type fate struct {
 	fail, full, hang, cut, garble, surplus, skip, forge, never bool
-	late                                                       watch.Span
+	late                                                       clock.Span
 	leaving                                                    bool
 }
 
@@ -48,22 +48,22 @@
 // notRun answers that the request did not run and never will.
 func (worker *Worker) notRun(writer http.ResponseWriter, status int, why string) {
 	writer.Header().Set(headerNotRun, "1")
-	reply.Reason(writer, status, why)
+	httpreply.Reason(writer, status, why)
 }
 
 // answer serves one request of a route.
 func (worker *Worker) answer(writer http.ResponseWriter, request *http.Request) {
 	header := request.Header
 	attempt := header.Get(headerAttempt)
-	body, failure := io.ReadAll(io.LimitReader(request.Body, almanac.RequestLimit*4))
-	if failure != nil {
+	body, err := io.ReadAll(io.LimitReader(request.Body, constants.RequestLimit*4))
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	fate := worker.draw(attempt)
 	if fate.leaving {
 		writer.Header().Set("Connection", "close")
 	} else {
-		writer.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(almanac.AnvilIdle.Seconds())))
+		writer.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(constants.AnvilIdle.Seconds())))
 	}
 	if attempt != "" {
 		writer.Header().Set(headerAttempt, attempt)
@@ -98,11 +98,11 @@
 func (worker *Worker) ask(header http.Header) (Ask, bool) {
 	ask := Ask{Model: header.Get(headerModel)}
 	if text := header.Get(headerTimeLeft); text != "" {
-		left, failure := strconv.ParseFloat(text, 64)
-		if failure != nil || left < 0 {
+		left, err := strconv.ParseFloat(text, 64)
+		if err != nil || left < 0 {
 			return ask, false
 		}
-		ask.Until = worker.clock.Now().Plus(watch.Milliseconds(left))
+		ask.Until = worker.clockValue.Now().Plus(clock.Milliseconds(left))
 	}
 	if worker.Settings.Model == "" {
 		ask.Work = max(worker.Settings.Work, 1)
@@ -111,10 +111,10 @@
 	readable := true
 	ask.In, ask.Out, ask.Parts, readable = ParsePrompt(header.Get(headerTokens), header.Get(headerPrefix))
 	// Bounded: what is asked for reserves room for its events.
-	readable = readable && ask.Out <= almanac.AnvilOutLimit
+	readable = readable && ask.Out <= constants.AnvilOutLimit
 	if last := header.Get(headerLast); readable && last != "" {
-		number, failure := strconv.ParseInt(last, 10, 64)
-		ask.From, readable = number, failure == nil && number >= 0
+		number, err := strconv.ParseInt(last, 10, 64)
+		ask.From, readable = number, err == nil && number >= 0
 	}
 	return ask, readable
 }
@@ -135,7 +135,7 @@
 func (talk *exchange) run(one *waiter) {
 	if talk.fate.late > 0 {
 		bell := make(chan struct{})
-		talk.worker.clock.After(talk.fate.late, func() { close(bell) })
+		talk.worker.clockValue.After(talk.fate.late, func() { close(bell) })
 		select {
 		case <-bell:
 		case <-talk.request.Context().Done():
@@ -163,18 +163,18 @@
 			if talk.headSent {
 				panic(http.ErrAbortHandler)
 			}
-			reply.Reason(talk.writer, http.StatusGatewayTimeout, "out of time")
+			httpreply.Reason(talk.writer, http.StatusGatewayTimeout, "out of time")
 			return
 		case EffectBegin:
 			if talk.garbled() {
 				return
 			}
 			if talk.fate.never {
-				reply.Reason(talk.writer, http.StatusUnprocessableEntity, "can never be done")
+				httpreply.Reason(talk.writer, http.StatusUnprocessableEntity, "can never be done")
 				return
 			}
 			if talk.fate.fail {
-				reply.Reason(talk.writer, http.StatusInternalServerError, "failed")
+				httpreply.Reason(talk.writer, http.StatusInternalServerError, "failed")
 				return
 			}
 		case EffectEvent:
--- a/internal/anvil/ask.go
+++ b/internal/tooling/workeremulator/ask.go
@@ -1,6 +1,6 @@
-package anvil
+package workeremulator
 
-import "lemonarch/internal/watch"
+import "lemonarch/internal/platform/clock"
 
 // Shape is what an engine can do.
 type Shape struct {
@@ -12,7 +12,7 @@
 	ReadPerMs float64
 	// Step is the time of one token of all running requests; StepEach is added for
 	// each of them, so that tokens come more slowly as more run.
-	Step, StepEach watch.Span
+	Step, StepEach clock.Span
 	// Stride is how many tokens one event of a stream holds.
 	Stride int
 }
@@ -28,9 +28,9 @@
 	// From is the last event that the asker has already.
 	From int64
 	// Work, where above 0, makes it a plain request that takes so long and has no tokens.
-	Work watch.Span
+	Work clock.Span
 	// Until is when work on it ceases; 0 is never.
-	Until watch.Moment
+	Until clock.Moment
 }
 
 // EventKind says what happens to an engine.
--- a/internal/anvil/beats.go
+++ b/internal/tooling/workeremulator/beats.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"bytes"
@@ -7,14 +7,14 @@
 	"net/http"
 	"sync"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/errs"
 )
 
-// Unheard is the mishap of a call that nobody acknowledged.
-var Unheard = mishap.Define("call not acknowledged")
+// Unheard is the error of a call that nobody acknowledged.
+var Unheard = errs.Define("call not acknowledged")
 
 // Beater registers a worker by its calls.
 type Beater struct {
@@ -33,8 +33,8 @@
 // NewBeater makes one.
 func NewBeater(worker *Worker, address string, controls []string) *Beater {
 	beater := &Beater{Worker: worker, Address: address, Controls: controls}
-	beater.client = http.Client{Timeout: almanac.AnvilBeatWait, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
-		if len(via) > almanac.AnvilRedirects {
+	beater.client = http.Client{Timeout: constants.AnvilBeatWait, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > constants.AnvilRedirects {
 			return Unheard.New("redirected too often")
 		}
 		return nil
@@ -45,7 +45,7 @@
 type beatBody struct {
 	Backend    string        `json:"backend"`
 	Address    string        `json:"address"`
-	Hall       string        `json:"zone"`
+	Zone       string        `json:"zone"`
 	Generation string        `json:"generation"`
 	Capacity   int           `json:"capacity"`
 	Phase      string        `json:"phase"`
@@ -75,23 +75,23 @@
 	beater.turn++
 	count, target := beater.count, beater.target
 	beater.lock.Unlock()
-	settings := &beater.Worker.Settings
-	body := beatBody{Backend: settings.Service, Address: beater.Address, Hall: settings.Hall, Generation: "v1", Capacity: settings.Shape.Capacity,
+	nodeSettings := &beater.Worker.Settings
+	body := beatBody{Backend: nodeSettings.Service, Address: beater.Address, Zone: nodeSettings.Zone, Generation: "v1", Capacity: nodeSettings.Shape.Capacity,
 		Phase: "steady", Stage: "both", Models: beater.Worker.models(), Count: count}
 	beater.Worker.lock.Lock()
-	body.WarmupMs = max(watch.ToMilliseconds(beater.Worker.warm.Since(beater.Worker.clock.Now())), 0)
+	body.WarmupMs = max(clock.ToMilliseconds(beater.Worker.warm.Since(beater.Worker.clockValue.Now())), 0)
 	if beater.Worker.leaving {
 		body.Phase = "draining"
 	}
 	beater.Worker.lock.Unlock()
-	text, failure := json.Marshal(body)
-	if failure != nil {
-		return Unheard.Wrap(failure, "body")
+	text, err := json.Marshal(body)
+	if err != nil {
+		return Unheard.Wrap(err, "body")
 	}
-	failure = Unheard.New("nobody to call")
+	err = Unheard.New("nobody to call")
 	for _, address := range addresses {
 		var next string
-		if next, failure = beater.send("http://"+address+path+settings.ID, text); failure == nil {
+		if next, err = beater.send("http://"+address+path+nodeSettings.ID, text); err == nil {
 			beater.lock.Lock()
 			if next != "" {
 				beater.target = next
@@ -105,21 +105,21 @@
 			beater.lock.Unlock()
 		}
 	}
-	return failure
+	return err
 }
 
 // send makes one call; an acknowledgement is a 2xx of bounded size in time.
-func (beater *Beater) send(url string, text []byte) (target string, failure error) {
-	answer, failure := beater.client.Post(url, "application/json", bytes.NewReader(text))
-	if failure != nil {
-		return "", Unheard.Wrap(failure, "call")
+func (beater *Beater) send(url string, text []byte) (target string, err error) {
+	answer, err := beater.client.Post(url, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return "", Unheard.Wrap(err, "call")
 	}
 	defer answer.Body.Close()
-	body, failure := io.ReadAll(io.LimitReader(answer.Body, almanac.AnvilBeatBytes+1))
-	if failure != nil {
-		return "", Unheard.Wrap(failure, "answer")
+	body, err := io.ReadAll(io.LimitReader(answer.Body, constants.AnvilBeatBytes+1))
+	if err != nil {
+		return "", Unheard.Wrap(err, "answer")
 	}
-	if answer.StatusCode < 200 || answer.StatusCode > 299 || len(body) > almanac.AnvilBeatBytes {
+	if answer.StatusCode < 200 || answer.StatusCode > 299 || len(body) > constants.AnvilBeatBytes {
 		return "", Unheard.New(answer.Status)
 	}
 	var told struct {
@@ -131,19 +131,19 @@
 }
 
 // Keep sends heartbeats until the errand ends.
-func (beater *Beater) Keep(until errand.Errand, period watch.Span) {
+func (beater *Beater) Keep(until contexts.Errand, period clock.Span) {
 	_ = beater.Beat()
-	watch.Every(period, until.Done(), func() { _ = beater.Beat() })
+	clock.Every(period, until.Done(), func() { _ = beater.Beat() })
 }
 
 // LeaveInOrder says that the worker is draining, serves on for a while after that
 // was acknowledged, departs and ends.
-func (beater *Beater) LeaveInOrder(drain watch.Span) {
+func (beater *Beater) LeaveInOrder(drain clock.Span) {
 	beater.Worker.Leave()
 	for tries := 0; beater.Beat() != nil && tries < len(beater.Controls)+2; tries++ {
-		watch.Sleep(almanac.LabRetry)
+		clock.Sleep(constants.LabRetry)
 	}
-	watch.Sleep(drain + almanac.AnvilLeaveSlack)
+	clock.Sleep(drain + constants.AnvilLeaveSlack)
 	_ = beater.Depart()
-	beater.Worker.End(almanac.LabGrace)
+	beater.Worker.End(constants.LabGrace)
 }
--- a/internal/anvil/beats_test.go
+++ b/internal/tooling/workeremulator/beats_test.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"encoding/json"
@@ -33,8 +33,8 @@
 	worker, _, address, _ := start(test, plainSettings)
 	beater := NewBeater(worker, address, []string{first.Listener.Addr().String()})
 	for count := 0; count < 2; count++ {
-		if failure := beater.Beat(); failure != nil {
-			test.Fatal(failure)
+		if err := beater.Beat(); err != nil {
+			test.Fatal(err)
 		}
 	}
 	other.Close()
--- a/internal/anvil/cache.go
+++ b/internal/tooling/workeremulator/cache.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"strconv"
@@ -23,10 +23,10 @@
 type cache struct {
 	limit int64
 	// held counts all tokens in memory, pinned those that running requests hold.
-	held    int64
-	pinned  int64
-	entries map[string]*entry
-	clock   int64
+	held       int64
+	pinned     int64
+	entries    map[string]*entry
+	clockValue int64
 }
 
 func newCache(limit int64) *cache { return &cache{limit: limit, entries: map[string]*entry{}} }
@@ -103,8 +103,8 @@
 			continue
 		}
 		cache.grip(one, -1)
-		cache.clock++
-		one.used = cache.clock
+		cache.clockValue++
+		one.used = cache.clockValue
 		if one.pins == 0 && (!one.whole || strings.HasPrefix(parts[place].Key, "~")) {
 			cache.drop(parts[place].Key, one)
 		}
@@ -151,12 +151,12 @@
 // ParsePrompt reads Lemonarch-Token-Count and Lemonarch-Prompt-Prefix.
 func ParsePrompt(count, prefix string) (in, out int64, parts []Part, readable bool) {
 	before, after, _ := strings.Cut(count, ",")
-	in, failure := strconv.ParseInt(strings.TrimSpace(before), 10, 64)
-	if failure != nil || in < 0 {
+	in, err := strconv.ParseInt(strings.TrimSpace(before), 10, 64)
+	if err != nil || in < 0 {
 		return 0, 0, nil, false
 	}
-	out, failure = strconv.ParseInt(strings.TrimSpace(after), 10, 64)
-	if failure != nil || out < 0 {
+	out, err = strconv.ParseInt(strings.TrimSpace(after), 10, 64)
+	if err != nil || out < 0 {
 		return 0, 0, nil, false
 	}
 	for _, field := range strings.Split(prefix, ",") {
@@ -164,8 +164,8 @@
 			continue
 		}
 		id, size, _ := strings.Cut(field, ":")
-		tokens, failure := strconv.ParseInt(size, 10, 64)
-		if failure != nil || tokens < 0 || id == "" {
+		tokens, err := strconv.ParseInt(size, 10, 64)
+		if err != nil || tokens < 0 || id == "" {
 			return 0, 0, nil, false
 		}
 		parts = append(parts, Part{Key: id, Tokens: tokens})
--- a/internal/anvil/courier_test.go
+++ b/internal/tooling/workeremulator/courier_test.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"fmt"
@@ -11,34 +11,35 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"lemonarch/internal/carriage"
-	"lemonarch/internal/chisel"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
-	"lemonarch/internal/workbench"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/proxy"
+	"lemonarch/internal/traffic/workerconn"
 )
 
-const courierConfig = `{"generation":1,"channels":[
+const senderConfig = `{"generation":1,"channels":[
 {"name":"stream","host":"h","path-prefix":"/stream/","route-kind":"streaming","resumable":true,"cutoff-ms":4000,"setpoint-ms":100,"backend":"s","tries":3},
 {"name":"rigid","host":"h","path-prefix":"/rigid/","route-kind":"streaming","cutoff-ms":4000,"setpoint-ms":100,"backend":"s","tries":3}
 ],"backends":[{"name":"s","conn-limit":50}],"limits":{"max-header-bytes":8192,"max-body-bytes":1000,"header-wait-ms":3000,"idle-ms":5000}}`
 
 // edge puts the real data plane in front of emulated workers; the first is preferred.
 func edge(test *testing.T, addresses ...string) string {
-	bench := workbench.New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, time.Second)
-	courier := carriage.Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(pattern.Worker) int { return 20 }}
-	plane := carriage.New(courier, nil, hclog.NewNullLogger())
-	config, failure := jig.Parse([]byte(courierConfig))
-	if failure != nil {
-		test.Fatal(failure)
+	scheduler := admission.New(messages.Entry{Name: "n", Role: membership.RoleGateway, Zone: "h"}, time.Second)
+	sender := proxy.Sender{Scheduler: scheduler, Chest: workerconn.NewChest(), Budget: func(messages.Worker) int { return 20 }}
+	plane := proxy.New(sender, nil, hclog.NewNullLogger())
+	config, err := routeconfig.Parse([]byte(senderConfig))
+	if err != nil {
+		test.Fatal(err)
 	}
 	plane.SetConfig(config)
-	var list []pattern.Worker
+	var list []messages.Worker
 	for place, address := range addresses {
-		list = append(list, pattern.Worker{ID: fmt.Sprint("w", place+1), Backend: "s", Address: address, Hall: strings.Repeat("h", place+1), Capacity: 4, Count: 1})
+		list = append(list, messages.Worker{ID: fmt.Sprint("w", place+1), Backend: "s", Address: address, Zone: strings.Repeat("h", place+1), Capacity: 4, Count: 1})
 	}
-	bench.Merge(list, watch.Now())
+	scheduler.Merge(list, clock.Now())
 	server := httptest.NewServer(plane)
 	test.Cleanup(server.Close)
 	return server.Listener.Addr().String()
@@ -50,13 +51,13 @@
 	for name, value := range map[string]string{headerAttempt: "one", headerTokens: "20,32", headerPrefix: "a:10", headerModel: "m", headerTimeLeft: "3000"} {
 		request.Header.Set(name, value)
 	}
-	answer, failure := http.DefaultClient.Do(request)
-	if failure != nil {
-		return nil, "", failure
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
 	}
 	defer answer.Body.Close()
-	body, failure := io.ReadAll(answer.Body)
-	return answer, string(body), failure
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
 }
 
 func whole(attempt string) string {
@@ -67,12 +68,12 @@
 	return text
 }
 
-// Our own courier and streams take an emulated worker for a real one.
-func TestCourierTakesTheStream(test *testing.T) {
+// Our own sender and streams take an emulated worker for a real one.
+func TestSenderTakesTheStream(test *testing.T) {
 	_, record, address, _ := start(test, engineSettings)
-	answer, body, failure := through(test, edge(test, address), "/rigid/x")
-	if failure != nil || answer.StatusCode != 200 || body != whole("one") {
-		test.Fatal(answer, body, failure)
+	answer, body, err := through(test, edge(test, address), "/rigid/x")
+	if err != nil || answer.StatusCode != 200 || body != whole("one") {
+		test.Fatal(answer, body, err)
 	}
 	if _, holds := Sealed(answer.Header.Get(headerSeal), "one"); !holds {
 		test.Fatal(answer.Header)
@@ -83,15 +84,15 @@
 }
 
 // A stream that the first worker cuts goes on at the second, behind its last event.
-func TestCourierGoesOnElsewhere(test *testing.T) {
+func TestSenderGoesOnElsewhere(test *testing.T) {
 	first, before, firstAddress, _ := start(test, engineSettings)
 	first.SetFaults(Faults{Cut: 1})
-	settings := engineSettings
-	settings.ID = "w2"
-	_, after, secondAddress, _ := start(test, settings)
-	answer, body, failure := through(test, edge(test, firstAddress, secondAddress), "/stream/x")
-	if failure != nil || answer.StatusCode != 200 || body != whole("one") {
-		test.Fatal(answer, body, failure)
+	nodeSettings := engineSettings
+	nodeSettings.ID = "w2"
+	_, after, secondAddress, _ := start(test, nodeSettings)
+	answer, body, err := through(test, edge(test, firstAddress, secondAddress), "/stream/x")
+	if err != nil || answer.StatusCode != 200 || body != whole("one") {
+		test.Fatal(answer, body, err)
 	}
 	runs, _ := before.Of("")
 	more, _ := after.Of("")
--- a/internal/anvil/engine.go
+++ b/internal/tooling/workeremulator/engine.go
@@ -1,13 +1,13 @@
-// Package anvil holds emulated workers, so that the system can be tried without any
+// Package workeremulator holds emulated workers, so that the system can be tried without any
 // model: an engine that batches, reads prompts in pieces and keeps prefixes (a step
 // function with a clock), and a rim round it that speaks HTTP/1.1 and registers.
-package anvil
+package workeremulator
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 type job struct {
@@ -21,7 +21,7 @@
 	again  int64
 	out    int64
 	begun  bool
-	ends   watch.Moment
+	ends   clock.Moment
 }
 
 // Engine is a batching engine without I/O.
@@ -30,7 +30,7 @@
 	running []*job
 	waiting []*job
 	cache   *cache
-	next    watch.Moment
+	next    clock.Moment
 	effects []Effect
 	// ReadTokens counts prompt tokens that were read, Reused those that were kept.
 	ReadTokens, Reused, PutBacks int64
@@ -43,7 +43,7 @@
 }
 
 // Step takes one event and gives what follows from it.
-func (engine *Engine) Step(event Event, now watch.Moment) []Effect {
+func (engine *Engine) Step(event Event, now clock.Moment) []Effect {
 	engine.effects = nil
 	// What was due before the event comes first.
 	engine.catchUp(now)
@@ -59,9 +59,9 @@
 }
 
 // Next is when the next tick is due; false where nothing is under way.
-func (engine *Engine) Next() (watch.Moment, bool) {
-	at, some := watch.Moment(0), false
-	earlier := func(moment watch.Moment) {
+func (engine *Engine) Next() (clock.Moment, bool) {
+	at, some := clock.Moment(0), false
+	earlier := func(moment clock.Moment) {
 		if !some || moment < at {
 			at, some = moment, true
 		}
@@ -112,7 +112,7 @@
 }
 
 // admit lets waiting requests run in the order they came: engines know no ranks.
-func (engine *Engine) admit(now watch.Moment) {
+func (engine *Engine) admit(now clock.Moment) {
 	for len(engine.waiting) > 0 && len(engine.running) < engine.shape.Capacity {
 		one := engine.waiting[0]
 		if one.ask.Work == 0 && !engine.hold(one) {
@@ -168,17 +168,17 @@
 	return count
 }
 
-func (engine *Engine) stepSpan(count int) watch.Span {
-	return max(engine.shape.Step+engine.shape.StepEach*watch.Span(count), 1)
+func (engine *Engine) stepSpan(count int) clock.Span {
+	return max(engine.shape.Step+engine.shape.StepEach*clock.Span(count), 1)
 }
 
 // slowed: plain work takes up to twice as long on a full worker.
-func (engine *Engine) slowed(work watch.Span) watch.Span {
-	return work + work*watch.Span(len(engine.running))/watch.Span(max(engine.shape.Capacity, 1))
+func (engine *Engine) slowed(work clock.Span) clock.Span {
+	return work + work*clock.Span(len(engine.running))/clock.Span(max(engine.shape.Capacity, 1))
 }
 
-func (engine *Engine) catchUp(now watch.Moment) {
-	for count := 0; count < almanac.AnvilEventLimit && engine.tokens() > 0 && engine.next <= now; count++ {
+func (engine *Engine) catchUp(now clock.Moment) {
+	for count := 0; count < constants.AnvilEventLimit && engine.tokens() > 0 && engine.next <= now; count++ {
 		at, span := engine.next, engine.stepSpan(engine.tokens())
 		engine.round(span)
 		engine.admit(at)
--- a/internal/anvil/faults.go
+++ b/internal/tooling/workeremulator/faults.go
@@ -1,6 +1,6 @@
-package anvil
+package workeremulator
 
-import "lemonarch/internal/watch"
+import "lemonarch/internal/platform/clock"
 
 // Faults are the troubles of one worker that can be switched on and off. A share is
 // the part of the requests, from 0 to 1, that it concerns.
@@ -37,8 +37,8 @@
 	ForgetMs float64 `toml:"forget-ms" json:"forget-ms,omitempty"`
 }
 
-func (faults *Faults) late() watch.Span   { return watch.Milliseconds(faults.LateMs) }
-func (faults *Faults) forget() watch.Span { return watch.Milliseconds(faults.ForgetMs) }
+func (faults *Faults) late() clock.Span   { return clock.Milliseconds(faults.LateMs) }
+func (faults *Faults) forget() clock.Span { return clock.Milliseconds(faults.ForgetMs) }
 
 // Check lists senseless values.
 func (faults *Faults) Check() []string {
--- a/internal/anvil/record.go
+++ b/internal/tooling/workeremulator/record.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"crypto/sha256"
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"lemonarch/internal/almanac"
+	"lemonarch/internal/platform/constants"
 )
 
 // Run is one run of a request at a worker, as the worker saw it.
@@ -38,7 +38,7 @@
 	record.lock.Lock()
 	defer record.lock.Unlock()
 	kept := &run
-	if len(record.runs) >= almanac.AnvilRunLimit {
+	if len(record.runs) >= constants.AnvilRunLimit {
 		// Bounded: the check says that it saw only a part.
 		record.dropped++
 		return kept
--- a/internal/anvil/report.go
+++ b/internal/tooling/workeremulator/report.go
@@ -1,17 +1,17 @@
-package anvil
+package workeremulator
 
 import (
 	"net/http"
 	"strconv"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/reply"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/httpreply"
 )
 
 // moment is how things stood at some time.
 type moment struct {
-	at               watch.Moment
+	at               clock.Moment
 	running, waiting int
 	used             int64
 }
@@ -19,11 +19,11 @@
 // note keeps how things stand, and forgets all but what reports still need. The
 // lock is held.
 func (worker *Worker) note() {
-	now := worker.clock.Now()
+	now := worker.clockValue.Now()
 	running, waiting, used := worker.engine.State()
 	worker.history = append(worker.history, moment{now, running, waiting, used})
 	old := 0
-	for old+1 < len(worker.history) && worker.history[old+1].at.Plus(almanac.AnvilReportAge) <= now {
+	for old+1 < len(worker.history) && worker.history[old+1].at.Plus(constants.AnvilReportAge) <= now {
 		old++
 	}
 	worker.history = worker.history[old:]
@@ -31,9 +31,9 @@
 
 // stood gives how things stood a report's age ago. The lock is held.
 func (worker *Worker) stood() moment {
-	now, found := worker.clock.Now(), moment{}
+	now, found := worker.clockValue.Now(), moment{}
 	for _, one := range worker.history {
-		if one.at.Plus(almanac.AnvilReportAge) <= now {
+		if one.at.Plus(constants.AnvilReportAge) <= now {
 			found = one
 		}
 	}
@@ -71,7 +71,7 @@
 	one := report{Stage: "both", Models: worker.models(), CallCount: worker.handled, Queued: stood.waiting, Active: stood.running, CacheUsed: stood.used,
 		CacheSize: worker.Settings.Shape.CacheTokens, Handled: worker.handled}
 	worker.lock.Unlock()
-	reply.JSON(writer, http.StatusOK, one)
+	httpreply.JSON(writer, http.StatusOK, one)
 }
 
 // load is what Lemonarch-Worker-Load says. The lock is held.
--- a/internal/anvil/rim.go
+++ b/internal/tooling/workeremulator/rim.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"net/http"
 	"sync"
 
-	"lemonarch/internal/reply"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/httpreply"
 )
 
 // garbled writes bytes that form no answer, where the fault asks for it.
@@ -36,8 +36,8 @@
 		return false
 	}
 	defer connection.Close()
-	_, failure := connection.Write([]byte(answer + answer))
-	return failure == nil
+	_, err := connection.Write([]byte(answer + answer))
+	return err == nil
 }
 
 func (talk *exchange) hijack() net.Conn {
@@ -45,8 +45,8 @@
 	if !can {
 		return nil
 	}
-	connection, _, failure := hijacker.Hijack()
-	if failure != nil {
+	connection, _, err := hijacker.Hijack()
+	if err != nil {
 		return nil
 	}
 	return connection
@@ -78,7 +78,7 @@
 	if !well {
 		status = http.StatusServiceUnavailable
 	}
-	reply.JSON(writer, status, struct{}{})
+	httpreply.JSON(writer, status, struct{}{})
 }
 
 // limitedListener resets connections beyond the limit, and all of them at a crash.
@@ -96,11 +96,11 @@
 // Accept gives the next connection within the limit.
 func (listener *limitedListener) Accept() (net.Conn, error) {
 	for {
-		raw, failure := listener.Listener.Accept()
-		if failure != nil {
-			return nil, failure
+		raw, err := listener.Listener.Accept()
+		if err != nil {
+			return nil, err
 		}
-		one := &connection{Conn: raw, listener: listener, active: listener.worker.clock.Now()}
+		one := &connection{Conn: raw, listener: listener, active: listener.worker.clockValue.Now()}
 		listener.lock.Lock()
 		limit := listener.worker.Settings.ConnLimit
 		full := limit > 0 && len(listener.open) >= limit
@@ -135,17 +135,17 @@
 	net.Conn
 	listener *limitedListener
 	lock     sync.Mutex
-	active   watch.Moment
+	active   clock.Moment
 }
 
 // Read notes that the connection is in use; what comes on a forgotten one is reset.
 func (one *connection) Read(buffer []byte) (int, error) {
-	count, failure := one.Conn.Read(buffer)
+	count, err := one.Conn.Read(buffer)
 	worker := one.listener.worker
 	worker.lock.Lock()
 	forget := worker.faults.forget()
 	worker.lock.Unlock()
-	now := worker.clock.Now()
+	now := worker.clockValue.Now()
 	one.lock.Lock()
 	forgotten := count > 0 && forget > 0 && now.Since(one.active) > forget
 	one.active = now
@@ -154,13 +154,13 @@
 		one.reset()
 		return 0, net.ErrClosed
 	}
-	return count, failure
+	return count, err
 }
 
 // Write notes that the connection is in use.
 func (one *connection) Write(buffer []byte) (int, error) {
 	one.lock.Lock()
-	one.active = one.listener.worker.clock.Now()
+	one.active = one.listener.worker.clockValue.Now()
 	one.lock.Unlock()
 	return one.Conn.Write(buffer)
 }
--- a/internal/anvil/round.go
+++ b/internal/tooling/workeremulator/round.go
@@ -1,10 +1,10 @@
-package anvil
+package workeremulator
 
-import "lemonarch/internal/watch"
+import "lemonarch/internal/platform/clock"
 
 // round is one token of every running request, and one piece of reading.
-func (engine *Engine) round(span watch.Span) {
-	budget := int64(engine.shape.ReadPerMs * watch.ToMilliseconds(span))
+func (engine *Engine) round(span clock.Span) {
+	budget := int64(engine.shape.ReadPerMs * clock.ToMilliseconds(span))
 	// A copy: the round itself takes requests out of the list.
 	for _, one := range append([]*job(nil), engine.running...) {
 		if one.ask.Work > 0 || !one.pinned {
@@ -119,7 +119,7 @@
 	}
 }
 
-func (engine *Engine) expire(now watch.Moment) {
+func (engine *Engine) expire(now clock.Moment) {
 	for _, list := range [][]*job{engine.running, engine.waiting} {
 		for _, one := range append([]*job(nil), list...) {
 			if one.ask.Until == 0 || now < one.ask.Until {
--- a/internal/anvil/warmup_test.go
+++ b/internal/tooling/workeremulator/warmup_test.go
@@ -1,20 +1,20 @@
-package anvil
+package workeremulator
 
 import (
 	"testing"
 	"time"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // A worker is slow for its warm-up, says so in its beats, and is itself afterwards.
 func TestWarmup(test *testing.T) {
-	settings := engineSettings
-	settings.Warmup = time.Second
-	clock := &hasty{now: watch.Moment(time.Second)}
+	nodeSettings := engineSettings
+	nodeSettings.Warmup = time.Second
+	clockValue := &hasty{now: clock.Moment(time.Second)}
 	var later func()
-	worker := NewWorker(settings, &Record{}, holding{clock, &later}, 1)
-	if worker.engine.shape.Step != 2*smallShape.Step || worker.warm.Since(clock.Now()) != time.Second {
+	worker := NewWorker(nodeSettings, &Record{}, holding{clockValue, &later}, 1)
+	if worker.engine.shape.Step != 2*smallShape.Step || worker.warm.Since(clockValue.Now()) != time.Second {
 		test.Fatal(worker.engine.shape, worker.warm)
 	}
 	worker.SetFaults(Faults{Slow: 3})
@@ -22,7 +22,7 @@
 		test.Fatal("trouble and warm-up do not add up", worker.engine.shape)
 	}
 	worker.SetFaults(Faults{})
-	clock.now = watch.Moment(2 * time.Second)
+	clockValue.now = clock.Moment(2 * time.Second)
 	later()
 	if worker.engine.shape.Step != smallShape.Step || worker.engine.shape.ReadPerMs != smallShape.ReadPerMs {
 		test.Fatal("slow for ever", worker.engine.shape)
@@ -35,4 +35,4 @@
 	later *func()
 }
 
-func (clock holding) After(_ watch.Span, function func()) { *clock.later = function }
+func (clockValue holding) After(_ clock.Span, function func()) { *clockValue.later = function }
--- a/internal/anvil/worker.go
+++ b/internal/tooling/workeremulator/worker.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"math/rand"
@@ -9,38 +9,38 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/errand"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
 )
 
 // Clock is the time of a worker; tests hand in one that does not wait.
 type Clock interface {
-	Now() watch.Moment
-	After(span watch.Span, function func())
+	Now() clock.Moment
+	After(span clock.Span, function func())
 }
 
 // RealClock is the machine's.
 type RealClock struct{}
 
 // Now gives the present moment.
-func (RealClock) Now() watch.Moment { return watch.Now() }
+func (RealClock) Now() clock.Moment { return clock.Now() }
 
 // After calls a function once a span is over.
-func (RealClock) After(span watch.Span, function func()) { time.AfterFunc(span, function) }
+func (RealClock) After(span clock.Span, function func()) { time.AfterFunc(span, function) }
 
 // Settings describe one worker.
 type Settings struct {
-	ID, Service, Hall string
+	ID, Service, Zone string
 	// Model is empty for a worker of plain requests; these take Work each.
 	Model     string
-	Work      watch.Span
+	Work      clock.Span
 	Shape     Shape
 	ConnLimit int
 	// Probe is the path of health questions.
 	Probe string
 	// Warmup is how long a life is slow from its start, by half.
-	Warmup watch.Span
+	Warmup clock.Span
 	// Revision is the version of its weights.
 	Revision int64
 }
@@ -56,32 +56,32 @@
 type Worker struct {
 	Settings Settings
 
-	clock    Clock
-	record   *Record
-	lock     sync.Mutex
-	random   *rand.Rand
-	engine   *Engine
-	waiters  map[int64]*waiter
-	ticket   int64
-	timer    watch.Moment
-	faults   Faults
-	warm     watch.Moment
-	leaving  bool
-	ended    bool
-	handled  int64
-	server   *http.Server
-	listener *limitedListener
-	history  []moment
+	clockValue Clock
+	record     *Record
+	lock       sync.Mutex
+	random     *rand.Rand
+	engine     *Engine
+	waiters    map[int64]*waiter
+	ticket     int64
+	timer      clock.Moment
+	faults     Faults
+	warm       clock.Moment
+	leaving    bool
+	ended      bool
+	handled    int64
+	server     *http.Server
+	listener   *limitedListener
+	history    []moment
 }
 
 // NewWorker makes a worker; the seed decides which requests its faults meet.
-func NewWorker(settings Settings, record *Record, clock Clock, seed int64) *Worker {
-	settings.Shape.Stride = max(settings.Shape.Stride, 1)
-	worker := &Worker{warm: clock.Now().Plus(settings.Warmup), Settings: settings, clock: clock, record: record, random: rand.New(rand.NewSource(seed)),
-		engine: NewEngine(settings.Shape), waiters: map[int64]*waiter{}}
+func NewWorker(nodeSettings Settings, record *Record, clockValue Clock, seed int64) *Worker {
+	nodeSettings.Shape.Stride = max(nodeSettings.Shape.Stride, 1)
+	worker := &Worker{warm: clockValue.Now().Plus(nodeSettings.Warmup), Settings: nodeSettings, clockValue: clockValue, record: record, random: rand.New(rand.NewSource(seed)),
+		engine: NewEngine(nodeSettings.Shape), waiters: map[int64]*waiter{}}
 	worker.pace()
-	if settings.Warmup > 0 {
-		clock.After(settings.Warmup, func() {
+	if nodeSettings.Warmup > 0 {
+		clockValue.After(nodeSettings.Warmup, func() {
 			worker.lock.Lock()
 			defer worker.lock.Unlock()
 			worker.pace()
@@ -89,12 +89,12 @@
 	}
 	tree := chi.NewRouter()
 	tree.Get("/-/report", worker.answerReport)
-	if settings.Probe != "" {
-		tree.Get(settings.Probe, worker.answerProbe)
+	if nodeSettings.Probe != "" {
+		tree.Get(nodeSettings.Probe, worker.answerProbe)
 	}
 	tree.NotFound(worker.answer)
 	tree.MethodNotAllowed(worker.answer)
-	worker.server = &http.Server{Handler: tree, IdleTimeout: almanac.AnvilIdle, ReadHeaderTimeout: almanac.AnvilIdle}
+	worker.server = &http.Server{Handler: tree, IdleTimeout: constants.AnvilIdle, ReadHeaderTimeout: constants.AnvilIdle}
 	return worker
 }
 
@@ -121,11 +121,11 @@
 // pace sets how fast the engine is just now. The lock is held.
 func (worker *Worker) pace() {
 	slow := max(worker.faults.Slow, 1)
-	if worker.clock.Now() < worker.warm {
-		slow *= almanac.AnvilWarmupSlow
+	if worker.clockValue.Now() < worker.warm {
+		slow *= constants.AnvilWarmupSlow
 	}
 	shape := worker.Settings.Shape
-	worker.engine.shape.Step, worker.engine.shape.StepEach = watch.Span(float64(shape.Step)*slow), watch.Span(float64(shape.StepEach)*slow)
+	worker.engine.shape.Step, worker.engine.shape.StepEach = clock.Span(float64(shape.Step)*slow), clock.Span(float64(shape.StepEach)*slow)
 	worker.engine.shape.ReadPerMs = shape.ReadPerMs / slow
 }
 
@@ -142,8 +142,8 @@
 }
 
 // End closes a worker that has left in order; what still runs may finish within the span.
-func (worker *Worker) End(span watch.Span) {
-	limited, release := errand.Timed(errand.Background(), span)
+func (worker *Worker) End(span clock.Span) {
+	limited, release := contexts.Timed(contexts.Background(), span)
 	defer release()
 	if worker.server.Shutdown(limited) != nil {
 		worker.server.Close()
@@ -186,7 +186,7 @@
 
 // step runs the engine and hands out its effects. The lock is held.
 func (worker *Worker) step(event Event) {
-	for _, effect := range worker.engine.Step(event, worker.clock.Now()) {
+	for _, effect := range worker.engine.Step(event, worker.clockValue.Now()) {
 		one := worker.waiters[effect.Ticket]
 		if one == nil || effect.Kind == EffectPutBack {
 			continue
@@ -213,10 +213,10 @@
 	if !some || worker.ended || (worker.timer > 0 && worker.timer <= at) {
 		return
 	}
-	now := worker.clock.Now()
+	now := worker.clockValue.Now()
 	worker.timer = max(at, now+1)
 	mine := worker.timer
-	worker.clock.After(worker.timer.Since(now), func() {
+	worker.clockValue.After(worker.timer.Since(now), func() {
 		worker.lock.Lock()
 		defer worker.lock.Unlock()
 		if worker.timer != mine || worker.ended {
--- a/internal/anvil/worker_test.go
+++ b/internal/tooling/workeremulator/worker_test.go
@@ -1,4 +1,4 @@
-package anvil
+package workeremulator
 
 import (
 	"bufio"
@@ -12,43 +12,43 @@
 	"testing"
 	"time"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // hasty is a clock that does not wait: whatever is to happen later happens at once,
 // with the clock set forward.
 type hasty struct {
 	lock sync.Mutex
-	now  watch.Moment
+	now  clock.Moment
 }
 
-func (clock *hasty) Now() watch.Moment {
-	clock.lock.Lock()
-	defer clock.lock.Unlock()
-	return clock.now
+func (clockValue *hasty) Now() clock.Moment {
+	clockValue.lock.Lock()
+	defer clockValue.lock.Unlock()
+	return clockValue.now
 }
 
-func (clock *hasty) After(span watch.Span, function func()) {
-	clock.lock.Lock()
-	clock.now = clock.now.Plus(span)
-	clock.lock.Unlock()
+func (clockValue *hasty) After(span clock.Span, function func()) {
+	clockValue.lock.Lock()
+	clockValue.now = clockValue.now.Plus(span)
+	clockValue.lock.Unlock()
 	go function()
 }
 
 var engineSettings = Settings{ID: "w1", Service: "s", Model: "m", Probe: "/health", Revision: 1, Shape: smallShape}
 var plainSettings = Settings{ID: "w1", Service: "s", Probe: "/health", Work: 10 * time.Millisecond, Shape: Shape{Capacity: 4, Queue: 2}}
 
-func start(test *testing.T, settings Settings) (*Worker, *Record, string, *hasty) {
+func start(test *testing.T, nodeSettings Settings) (*Worker, *Record, string, *hasty) {
 	test.Helper()
-	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
 	}
-	record, clock := &Record{}, &hasty{now: watch.Moment(time.Second)}
-	worker := NewWorker(settings, record, clock, 1)
+	record, clockValue := &Record{}, &hasty{now: clock.Moment(time.Second)}
+	worker := NewWorker(nodeSettings, record, clockValue, 1)
 	go worker.Serve(listener)
 	test.Cleanup(worker.Crash)
-	return worker, record, listener.Addr().String(), clock
+	return worker, record, listener.Addr().String(), clockValue
 }
 
 func ask(address, attempt string, header ...string) (*http.Response, string, error) {
@@ -58,21 +58,21 @@
 		request.Header.Set(header[place], header[place+1])
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	answer, failure := client.Do(request)
-	if failure != nil {
-		return nil, "", failure
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, "", err
 	}
 	defer answer.Body.Close()
-	body, failure := io.ReadAll(answer.Body)
-	return answer, string(body), failure
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
 }
 
 func TestStreamSealAndRecord(test *testing.T) {
 	_, record, address, _ := start(test, engineSettings)
-	answer, body, failure := ask(address, "one", headerTokens, "20,12", headerPrefix, "a:10", headerModel, "m", headerTarget, "w1", headerLast, "1")
+	answer, body, err := ask(address, "one", headerTokens, "20,12", headerPrefix, "a:10", headerModel, "m", headerTarget, "w1", headerLast, "1")
 	want := fmt.Sprintf("id: 2\ndata: %s\n\nid: 3\ndata: %s\n\n", EventData("one", 2), EventData("one", 3))
-	if failure != nil || body != want || answer.Header.Get(headerAttempt) != "one" || answer.Header.Get(headerLoad) == "" || answer.Header.Get("Keep-Alive") == "" {
-		test.Fatal(answer, body, failure)
+	if err != nil || body != want || answer.Header.Get(headerAttempt) != "one" || answer.Header.Get(headerLoad) == "" || answer.Header.Get("Keep-Alive") == "" {
+		test.Fatal(answer, body, err)
 	}
 	if worker, holds := Sealed(answer.Header.Get(headerSeal), "one"); !holds || worker != "w1" {
 		test.Fatal(answer.Header)
@@ -88,17 +88,17 @@
 	for name, header := range map[string][]string{
 		"target": {headerTarget, "w2"}, "revision": {headerRevision, "7"}, "late": {headerTimeLeft, "0"},
 	} {
-		answer, _, failure := ask(address, "one", header...)
-		if failure != nil || answer.Header.Get(headerNotRun) == "" {
-			test.Fatal(name, answer, failure)
+		answer, _, err := ask(address, "one", header...)
+		if err != nil || answer.Header.Get(headerNotRun) == "" {
+			test.Fatal(name, answer, err)
 		}
 	}
 	worker.SetFaults(Faults{Full: 1})
-	if answer, _, failure := ask(address, "one"); failure != nil || answer.StatusCode != 503 || answer.Header.Get(headerNotRun) == "" {
-		test.Fatal(answer, failure)
+	if answer, _, err := ask(address, "one"); err != nil || answer.StatusCode != 503 || answer.Header.Get(headerNotRun) == "" {
+		test.Fatal(answer, err)
 	}
-	if answer, _, failure := ask(address, ""); failure != nil || answer.StatusCode != 400 {
-		test.Fatal(answer, failure)
+	if answer, _, err := ask(address, ""); err != nil || answer.StatusCode != 400 {
+		test.Fatal(answer, err)
 	}
 	if runs, _ := record.Of(""); len(runs) != 0 {
 		test.Fatal("something ran", runs)
@@ -108,9 +108,9 @@
 func TestProbeAndItsLies(test *testing.T) {
 	worker, _, address, _ := start(test, plainSettings)
 	get := func(path string) (int, string, http.Header) {
-		answer, failure := http.Get("http://" + address + path)
-		if failure != nil {
-			test.Fatal(failure)
+		answer, err := http.Get("http://" + address + path)
+		if err != nil {
+			test.Fatal(err)
 		}
 		defer answer.Body.Close()
 		body, _ := io.ReadAll(answer.Body)
@@ -137,33 +137,33 @@
 func TestBrokenAnswers(test *testing.T) {
 	worker, record, address, _ := start(test, plainSettings)
 	worker.SetFaults(Faults{Fail: 1})
-	if answer, _, failure := ask(address, "fail"); failure != nil || answer.StatusCode != 500 || answer.Header.Get(headerNotRun) != "" {
-		test.Fatal(answer, failure)
+	if answer, _, err := ask(address, "fail"); err != nil || answer.StatusCode != 500 || answer.Header.Get(headerNotRun) != "" {
+		test.Fatal(answer, err)
 	}
 	worker.SetFaults(Faults{Never: 1})
-	if answer, _, failure := ask(address, "never"); failure != nil || answer.StatusCode != 422 || answer.Header.Get(headerNotRun) != "" {
-		test.Fatal(answer, failure)
+	if answer, _, err := ask(address, "never"); err != nil || answer.StatusCode != 422 || answer.Header.Get(headerNotRun) != "" {
+		test.Fatal(answer, err)
 	}
 	worker.SetFaults(Faults{Cut: 1})
-	if _, body, failure := ask(address, "cut"); failure == nil {
+	if _, body, err := ask(address, "cut"); err == nil {
 		test.Fatal("a cut answer looked whole", body)
 	}
 	worker.SetFaults(Faults{Garble: 1})
-	if answer, _, failure := ask(address, "garble"); failure == nil {
+	if answer, _, err := ask(address, "garble"); err == nil {
 		test.Fatal(answer)
 	}
 	worker.SetFaults(Faults{Surplus: 1})
-	connection, failure := net.Dial("tcp4", address)
-	if failure != nil {
-		test.Fatal(failure)
+	connection, err := net.Dial("tcp4", address)
+	if err != nil {
+		test.Fatal(err)
 	}
 	defer connection.Close()
 	fmt.Fprintf(connection, "POST /x HTTP/1.1\r\nHost: h\r\n%s: twice\r\nContent-Length: 0\r\n\r\n", headerAttempt)
 	reader := bufio.NewReader(connection)
 	for count := 0; count < 2; count++ {
-		answer, failure := http.ReadResponse(reader, nil)
-		if failure != nil || answer.Header.Get(headerAttempt) != "twice" {
-			test.Fatal(count, answer, failure)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil || answer.Header.Get(headerAttempt) != "twice" {
+			test.Fatal(count, answer, err)
 		}
 		_, _ = io.Copy(io.Discard, answer.Body)
 	}
@@ -174,27 +174,27 @@
 
 // Bytes on a connection that the worker has silently forgotten meet a reset.
 func TestForgottenConnection(test *testing.T) {
-	worker, record, address, clock := start(test, plainSettings)
+	worker, record, address, clockValue := start(test, plainSettings)
 	worker.SetFaults(Faults{ForgetMs: 500})
-	connection, failure := net.Dial("tcp4", address)
-	if failure != nil {
-		test.Fatal(failure)
+	connection, err := net.Dial("tcp4", address)
+	if err != nil {
+		test.Fatal(err)
 	}
 	defer connection.Close()
 	reader := bufio.NewReader(connection)
 	send := func() error {
 		fmt.Fprintf(connection, "POST /x HTTP/1.1\r\nHost: h\r\n%s: one\r\nContent-Length: 0\r\n\r\n", headerAttempt)
-		answer, failure := http.ReadResponse(reader, nil)
-		if failure == nil {
-			_, failure = io.Copy(io.Discard, answer.Body)
+		answer, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, answer.Body)
 		}
-		return failure
+		return err
 	}
-	if failure := send(); failure != nil {
-		test.Fatal(failure)
+	if err := send(); err != nil {
+		test.Fatal(err)
 	}
-	clock.After(time.Second, func() {})
-	if failure := send(); failure == nil {
+	clockValue.After(time.Second, func() {})
+	if err := send(); err == nil {
 		test.Fatal("a forgotten connection answered")
 	}
 	if runs, _ := record.Of(""); len(runs) != 1 {
@@ -203,19 +203,19 @@
 }
 
 func TestConnectionsBeyondTheLimitAreReset(test *testing.T) {
-	settings := plainSettings
-	settings.ConnLimit = 1
-	_, _, address, _ := start(test, settings)
-	first, failure := net.Dial("tcp4", address)
-	if failure != nil {
-		test.Fatal(failure)
+	nodeSettings := plainSettings
+	nodeSettings.ConnLimit = 1
+	_, _, address, _ := start(test, nodeSettings)
+	first, err := net.Dial("tcp4", address)
+	if err != nil {
+		test.Fatal(err)
 	}
 	defer first.Close()
 	fmt.Fprintf(first, "GET /-/report HTTP/1.1\r\nHost: h\r\n\r\n")
-	if answer, failure := http.ReadResponse(bufio.NewReader(first), nil); failure != nil || answer.StatusCode != 200 {
-		test.Fatal(answer, failure)
+	if answer, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || answer.StatusCode != 200 {
+		test.Fatal(answer, err)
 	}
-	if answer, _, failure := ask(address, "one"); failure == nil {
+	if answer, _, err := ask(address, "one"); err == nil {
 		test.Fatal(answer)
 	}
 }
--- /dev/null
+++ b/internal/traffic/admission/admission.go
@@ -0,0 +1,209 @@
+// Package admission admits requests: it keeps the queues by priority, asks the
+// index where to place, and resumes the continuations of those that waited. Its
+// state stands behind one short lock; no call blocks inside it.
+package admission
+
+import (
+	"sort"
+	"sync"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/workers"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/health"
+	"lemonarch/internal/traffic/prefixindex"
+)
+
+// Ask is a request that wants a worker.
+type Ask struct {
+	Service string
+	Prompt  prefixindex.Prompt
+	Affine  bool
+	Bulk    bool
+	// Repeatable: it may be sent to another worker if this one fails.
+	Repeatable bool
+	Priority   int
+	Setpoint   clock.Span
+	// Deadline is when the client stops waiting; Patience when we stop queueing.
+	Deadline clock.Moment
+	Patience clock.Moment
+	Excluded []string
+	// Among, where not nil, names the only workers that may be asked.
+	Among   map[string]bool
+	arrived clock.Moment
+}
+
+// Verdict is how an ask came out.
+type Verdict int
+
+// The verdicts.
+const (
+	VerdictGranted Verdict = iota
+	// VerdictNoRoom: refuse now, and say when to come back.
+	VerdictNoRoom
+	// VerdictNoWorker: the service has no worker that can be asked.
+	VerdictNoWorker
+	// VerdictQueued: the continuation will be resumed.
+	VerdictQueued
+)
+
+// Answer is what a continuation is resumed with.
+type Answer struct {
+	Verdict Verdict
+	Grant   *Grant
+	Retry   clock.Span
+}
+
+type waiter struct {
+	ask    *Ask
+	resume func(Answer)
+	handle Handle
+}
+
+// Workbench is the admission of one process.
+type Scheduler struct {
+	lock      sync.Mutex
+	Registry  *workers.Registry
+	Tracker   *health.Tracker
+	Index     *prefixindex.Index
+	config    *routeconfig.Config
+	slab      Slab[*waiter]
+	queues    map[string][]Handle
+	rates     map[string]*rate
+	listening clock.Moment
+	own       messages.Entry
+	cost      func(zone string) float64
+	pressure  map[string]pressureWord
+	yields    map[*Grant]*yielding
+	tell      func(words []messages.Pressure)
+	toldAt    clock.Moment
+	// tellReading must not block: it is called under the lock.
+	tellReading  func(worker string, milliseconds float64)
+	gossip       gossipState
+	subsets      map[string]subset
+	scratch      scratch
+	tellEjection func(Ejection)
+	paces        map[string]*paces
+	spreading    uint64
+	// waits speaks when something begins to wait.
+	waits        chan struct{}
+	number       int64
+	countersLock sync.Mutex
+	tallies      map[string]*Counters
+	// bulkOwn, where not nil, names the workers at which items are placed from here.
+	bulkOwn map[string]bool
+}
+
+// rate follows how many requests a service finishes a second, as seen from here.
+type rate struct {
+	since clock.Moment
+	count float64
+	perS  float64
+}
+
+// New makes a admission for a process.
+func New(own messages.Entry, heartbeat clock.Span) *Scheduler {
+	scheduler := &Scheduler{Registry: workers.New(heartbeat), Tracker: health.New(), Index: prefixindex.NewIndex(),
+		queues: map[string][]Handle{}, rates: map[string]*rate{}, own: own,
+		pressure: map[string]pressureWord{}, yields: map[*Grant]*yielding{}, tallies: map[string]*Counters{},
+		waits: make(chan struct{}, 1)}
+	scheduler.cost = func(zone string) float64 {
+		// Another zone is a longer way, and bytes between zones are dear.
+		if zone == own.Zone {
+			return 0
+		}
+		return 2
+	}
+	return scheduler
+}
+
+// Locked runs a function under the admission's lock.
+func (scheduler *Scheduler) Locked(function func()) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	function()
+}
+
+// SetConfig takes a newer configuration.
+func (scheduler *Scheduler) SetConfig(config *routeconfig.Config) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	scheduler.config = config
+}
+
+// Listening notes that a controller was heard from.
+func (scheduler *Scheduler) Listening(now clock.Moment) { scheduler.listening = now }
+
+// Merge takes word of workers and places what waited for them.
+func (scheduler *Scheduler) Merge(workerList []messages.Worker, now clock.Moment) {
+	scheduler.lock.Lock()
+	scheduler.Listening(now)
+	for _, worker := range workerList {
+		scheduler.born(worker, now)
+		scheduler.Registry.Merge(worker, now)
+		if worker.Phase == messages.PhaseGone {
+			scheduler.Tracker.Forget(worker.ID)
+			scheduler.Index.Forget(worker.ID)
+		}
+	}
+	scheduler.lock.Unlock()
+	scheduler.Pump(now)
+}
+
+// Admit places an ask at once, queues it, or refuses it. What is queued presses
+// on work of a lower rank.
+func (scheduler *Scheduler) Admit(ask *Ask, resume func(Answer), now clock.Moment) (Answer, Handle) {
+	answer, handle := scheduler.admit(ask, resume, now)
+	if answer.Verdict == VerdictQueued {
+		scheduler.press(now)
+	}
+	return answer, handle
+}
+
+func (scheduler *Scheduler) admit(ask *Ask, resume func(Answer), now clock.Moment) (Answer, Handle) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	ask.arrived = now
+	// Those that waited longer in the same rank or a higher one go first.
+	if !scheduler.aheadWaiting(ask) {
+		if answer := scheduler.place(ask, now); answer.Verdict != VerdictNoRoom {
+			return answer, Handle{}
+		}
+	}
+	if resume == nil {
+		return Answer{Verdict: VerdictNoRoom, Retry: scheduler.retryAfter(ask, now)}, Handle{}
+	}
+	if wait, known := scheduler.expectedWait(ask, now); known && now.Plus(wait) > ask.Patience {
+		// It can't be served in its time: said at once, not after a wait.
+		return Answer{Verdict: VerdictNoRoom, Retry: scheduler.retryAfter(ask, now)}, Handle{}
+	}
+	one := &waiter{ask: ask, resume: resume}
+	one.handle = scheduler.slab.Put(one)
+	queue := append(scheduler.queues[ask.Service], one.handle)
+	sort.SliceStable(queue, func(left, right int) bool {
+		first, _ := scheduler.slab.Get(queue[left])
+		second, _ := scheduler.slab.Get(queue[right])
+		return first != nil && second != nil && first.ask.Priority < second.ask.Priority
+	})
+	scheduler.queues[ask.Service] = queue
+	scheduler.someWait()
+	return Answer{Verdict: VerdictQueued}, one.handle
+}
+
+func (scheduler *Scheduler) aheadWaiting(ask *Ask) bool {
+	for _, handle := range scheduler.queues[ask.Service] {
+		if one, found := scheduler.slab.Get(handle); found && one.ask.Priority <= ask.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// Withdraw takes a waiting ask back; false means it was resumed already.
+func (scheduler *Scheduler) Withdraw(handle Handle) bool {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	_, found := scheduler.slab.Take(handle)
+	return found
+}
--- a/internal/workbench/workbench_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -1,24 +1,25 @@
-package workbench
+package admission
 
 import (
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
-func bench(test *testing.T, capacity int, workers ...string) *Workbench {
-	one := New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, 1_200_000_000)
-	config, failure := jig.Parse([]byte(`{"generation":1,"backends":[{"name":"s"}]}`))
-	if failure != nil {
-		test.Fatal(failure)
+func scheduler(test *testing.T, capacity int, workerList ...string) *Scheduler {
+	one := New(messages.Entry{Name: "n", Role: membership.RoleGateway, Zone: "h"}, 1_200_000_000)
+	config, err := routeconfig.Parse([]byte(`{"generation":1,"backends":[{"name":"s"}]}`))
+	if err != nil {
+		test.Fatal(err)
 	}
 	one.SetConfig(config)
-	var list []pattern.Worker
-	for _, name := range workers {
-		list = append(list, pattern.Worker{ID: name, Backend: "s", Address: "a", Hall: "h", Capacity: capacity, Count: 1})
+	var list []messages.Worker
+	for _, name := range workerList {
+		list = append(list, messages.Worker{ID: name, Backend: "s", Address: "a", Zone: "h", Capacity: capacity, Count: 1})
 	}
 	one.Merge(list, 1)
 	return one
@@ -46,9 +47,9 @@
 // When a place becomes free the highest rank that waits gets it, and every one
 // that waits is resumed exactly once.
 func TestQueuesByRank(test *testing.T) {
-	one := bench(test, 1, "w")
+	one := scheduler(test, 1, "w")
 	var grants []*Grant
-	for count := 0; count < 1+almanac.RoomAhead; count++ {
+	for count := 0; count < 1+constants.RoomAhead; count++ {
 		answer, _ := one.Admit(ask(0), nil, 2)
 		if answer.Verdict != VerdictGranted {
 			test.Fatal(answer.Verdict)
@@ -71,8 +72,8 @@
 	wait(2)
 	wait(0)
 	wait(1)
-	grants[0].End(OutcomeServed, 4)
-	grants[1].End(OutcomeServed, 5)
+	grants[0].End(ResultServed, 4)
+	grants[1].End(ResultServed, 5)
 	if len(order) != 2 || order[0] != 0 || order[1] != 1 {
 		test.Fatal(order)
 	}
@@ -87,9 +88,9 @@
 }
 
 func TestWithdrawnIsNeverResumed(test *testing.T) {
-	one := bench(test, 1, "w")
+	one := scheduler(test, 1, "w")
 	var grants []*Grant
-	for count := 0; count < 1+almanac.RoomAhead; count++ {
+	for count := 0; count < 1+constants.RoomAhead; count++ {
 		answer, _ := one.Admit(ask(0), nil, 2)
 		grants = append(grants, answer.Grant)
 	}
@@ -97,12 +98,12 @@
 	if !one.Withdraw(handle) || one.Withdraw(handle) {
 		test.Fatal("a withdrawal holds once")
 	}
-	grants[0].End(OutcomeServed, 4)
+	grants[0].End(ResultServed, 4)
 }
 
 func TestDrainedWorkerIsNeitherPlacedOnNorSentTo(test *testing.T) {
-	one := bench(test, 4, "w", "v")
-	one.Merge([]pattern.Worker{{ID: "w", Backend: "s", Count: 2, Phase: pattern.PhaseDraining, Capacity: 4}}, 2)
+	one := scheduler(test, 4, "w", "v")
+	one.Merge([]messages.Worker{{ID: "w", Backend: "s", Count: 2, Phase: messages.PhaseDraining, Capacity: 4}}, 2)
 	if one.Allowed("w", 3) || !one.Allowed("v", 3) {
 		test.Fatal("a drain does not bind")
 	}
@@ -117,7 +118,7 @@
 // Items of lots leave places to live requests, and take none while any live
 // request waits at a peer.
 func TestItemsLeaveRoom(test *testing.T) {
-	one := bench(test, 8, "w")
+	one := scheduler(test, 8, "w")
 	item := func() Verdict {
 		answer, _ := one.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 3)
 		return answer.Verdict
@@ -126,11 +127,11 @@
 	for item() == VerdictGranted {
 		count++
 	}
-	if want := int(almanac.BulkShare * 8); count != want {
+	if want := int(constants.BulkShare * 8); count != want {
 		test.Fatalf("%d items placed, want %d", count, want)
 	}
-	other := bench(test, 8, "w")
-	other.Heard(&pattern.Gossip{From: "forge/x", Pressure: []pattern.Pressure{{Service: "s", Waiting: 3}}}, 2)
+	other := scheduler(test, 8, "w")
+	other.Heard(&messages.Gossip{From: "forge/x", Pressure: []messages.Pressure{{Service: "s", Waiting: 3}}}, 2)
 	count = 0
 	for answer, _ := other.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 3); answer.Verdict == VerdictGranted; count++ {
 		answer, _ = other.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 3)
@@ -142,12 +143,12 @@
 
 // A paused peer's word counts no more after three periods.
 func TestStaleGossipIsIgnored(test *testing.T) {
-	one := bench(test, 1, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, 2)
+	one := scheduler(test, 1, "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, 2)
 	if answer, _ := one.Admit(ask(0), nil, 3); answer.Verdict == VerdictGranted {
 		test.Fatal("placed on a worker that is full by a peer's word")
 	}
-	later := watch.Moment(2).Plus(almanac.GossipStale)
+	later := clock.Moment(2).Plus(constants.GossipStale)
 	if answer, _ := one.Admit(ask(0), nil, later); answer.Verdict != VerdictGranted {
 		test.Fatal("a stale word still counts")
 	}
--- a/internal/workbench/displace.go
+++ b/internal/traffic/admission/displace.go
@@ -1,16 +1,16 @@
-package workbench
+package admission
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 type pressureWord struct {
-	at    watch.Moment
-	words []pattern.Pressure
+	at    clock.Moment
+	words []messages.Pressure
 }
 
 // yielding is a grant whose holder can give its place up and go on later.
@@ -22,27 +22,27 @@
 // MayYield says that this grant's work may be displaced: yield breaks it off, and
 // its owner sets it back with all it has.
 func (grant *Grant) MayYield(yield func()) {
-	bench := grant.bench
-	bench.lock.Lock()
-	defer bench.lock.Unlock()
-	bench.yields[grant] = &yielding{yield: yield}
+	scheduler := grant.scheduler
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	scheduler.yields[grant] = &yielding{yield: yield}
 }
 
 // OnPressure names who is told when requests find no room here.
-func (bench *Workbench) OnPressure(tell func(words []pattern.Pressure)) { bench.tell = tell }
+func (scheduler *Scheduler) OnPressure(tell func(words []messages.Pressure)) { scheduler.tell = tell }
 
 // Pressure lists what waits here, by service and rank. The lock is held.
-func (bench *Workbench) waitingWords() []pattern.Pressure {
-	var words []pattern.Pressure
-	for service, queue := range bench.queues {
+func (scheduler *Scheduler) waitingWords() []messages.Pressure {
+	var words []messages.Pressure
+	for service, queue := range scheduler.queues {
 		counts := map[int]int{}
 		for _, handle := range queue {
-			if one, found := bench.slab.Get(handle); found && !one.ask.Bulk {
+			if one, found := scheduler.slab.Get(handle); found && !one.ask.Bulk {
 				counts[one.ask.Priority]++
 			}
 		}
 		for priority, count := range counts {
-			words = append(words, pattern.Pressure{Service: service, Priority: priority, Waiting: count})
+			words = append(words, messages.Pressure{Service: service, Priority: priority, Waiting: count})
 		}
 	}
 	sort.Slice(words, func(left, right int) bool {
@@ -55,22 +55,22 @@
 }
 
 // press displaces for what waits here, and tells the others.
-func (bench *Workbench) press(now watch.Moment) {
-	bench.lock.Lock()
-	words := bench.waitingWords()
+func (scheduler *Scheduler) press(now clock.Moment) {
+	scheduler.lock.Lock()
+	words := scheduler.waitingWords()
 	if len(words) == 0 {
-		bench.lock.Unlock()
+		scheduler.lock.Unlock()
 		return
 	}
-	bench.pressure[ownPressure] = pressureWord{at: now, words: words}
-	yields := bench.victims(words, 1)
-	tell := bench.tell
-	if tell != nil && (bench.toldAt == 0 || now.Since(bench.toldAt) >= almanac.PressurePeriod) {
-		bench.toldAt = now
+	scheduler.pressure[ownPressure] = pressureWord{at: now, words: words}
+	yields := scheduler.victims(words, 1)
+	tell := scheduler.tell
+	if tell != nil && (scheduler.toldAt == 0 || now.Since(scheduler.toldAt) >= constants.PressurePeriod) {
+		scheduler.toldAt = now
 	} else {
 		tell = nil
 	}
-	bench.lock.Unlock()
+	scheduler.lock.Unlock()
 	for _, yield := range yields {
 		yield()
 	}
@@ -83,19 +83,19 @@
 const ownPressure = ""
 
 // Noted takes a peer's word that is not ours to act on: nothing new starts against it.
-func (bench *Workbench) Noted(told *pattern.PressureTold, now watch.Moment) {
-	bench.lock.Lock()
-	defer bench.lock.Unlock()
-	bench.hearPressure(told.From, told.Words, now)
+func (scheduler *Scheduler) Noted(told *messages.PressureTold, now clock.Moment) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	scheduler.hearPressure(told.From, told.Words, now)
 }
 
 // Pressed takes a peer's word and yields our part. sharers is how many processes
 // of our role got the same word.
-func (bench *Workbench) Pressed(told *pattern.PressureTold, sharers int, now watch.Moment) {
-	bench.lock.Lock()
-	bench.hearPressure(told.From, told.Words, now)
-	yields := bench.victims(told.Words, max(sharers, 1))
-	bench.lock.Unlock()
+func (scheduler *Scheduler) Pressed(told *messages.PressureTold, sharers int, now clock.Moment) {
+	scheduler.lock.Lock()
+	scheduler.hearPressure(told.From, told.Words, now)
+	yields := scheduler.victims(told.Words, max(sharers, 1))
+	scheduler.lock.Unlock()
 	for _, yield := range yields {
 		yield()
 	}
@@ -103,12 +103,12 @@
 
 // victims picks what makes room: items before streams, the lowest rank first, and
 // of those the youngest, which has the least to read again. The lock is held.
-func (bench *Workbench) victims(words []pattern.Pressure, sharers int) []func() {
+func (scheduler *Scheduler) victims(words []messages.Pressure, sharers int) []func() {
 	var yields []func()
 	for _, word := range words {
 		var candidates []*Grant
 		under := 0
-		for grant, one := range bench.yields {
+		for grant, one := range scheduler.yields {
 			if grant.ask.Service != word.Service || grant.ask.Priority <= word.Priority {
 				continue
 			}
@@ -133,7 +133,7 @@
 			return first.number > second.number
 		})
 		wanted := (word.Waiting+sharers-1)/sharers - under
-		spare := bench.bulkRunning(word.Service) - under - bench.floor(word.Service)
+		spare := scheduler.bulkRunning(word.Service) - under - scheduler.floor(word.Service)
 		for _, grant := range candidates {
 			if wanted <= 0 {
 				break
@@ -145,18 +145,18 @@
 				spare--
 			}
 			wanted--
-			bench.yields[grant].asked = true
-			yields = append(yields, bench.yields[grant].yield)
+			scheduler.yields[grant].asked = true
+			yields = append(yields, scheduler.yields[grant].yield)
 		}
 	}
 	return yields
 }
 
 // bulkRunning is how many items of ours run at a service. The lock is held.
-func (bench *Workbench) bulkRunning(service string) int {
+func (scheduler *Scheduler) bulkRunning(service string) int {
 	count := 0
-	for _, worker := range bench.Roster.Named(service) {
-		count += bench.Gauge.Of(worker.ID).OwnBulk()
+	for _, worker := range scheduler.Registry.Named(service) {
+		count += scheduler.Tracker.Of(worker.ID).OwnBulk()
 	}
 	return count
 }
@@ -164,21 +164,21 @@
 // floor is how many places items keep whatever waits: a part of those of the workers
 // at which this process places items, so that all processes together keep one floor.
 // The lock is held.
-func (bench *Workbench) floor(service string) int {
+func (scheduler *Scheduler) floor(service string) int {
 	capacity := 0
-	for _, worker := range bench.Roster.Named(service) {
-		if bench.bulkOwn == nil || bench.bulkOwn[worker.ID] {
+	for _, worker := range scheduler.Registry.Named(service) {
+		if scheduler.bulkOwn == nil || scheduler.bulkOwn[worker.ID] {
 			capacity += worker.Capacity
 		}
 	}
-	return int(almanac.DisplaceFloor*float64(capacity)) + 1
+	return int(constants.DisplaceFloor*float64(capacity)) + 1
 }
 
 // pressed tells whether requests of a higher rank wait for room at a service,
 // here or at a peer.
-func (bench *Workbench) pressed(service string, priority int, now watch.Moment) bool {
-	for _, one := range bench.pressure {
-		if now.Since(one.at) >= almanac.PressureStale {
+func (scheduler *Scheduler) pressed(service string, priority int, now clock.Moment) bool {
+	for _, one := range scheduler.pressure {
+		if now.Since(one.at) >= constants.PressureStale {
 			continue
 		}
 		for _, word := range one.words {
@@ -191,15 +191,15 @@
 }
 
 // hearPressure takes a peer's word and drops those that count no more. The lock is held.
-func (bench *Workbench) hearPressure(from string, words []pattern.Pressure, now watch.Moment) {
-	for peer, one := range bench.pressure {
-		if now.Since(one.at) >= almanac.PressureStale {
-			delete(bench.pressure, peer)
+func (scheduler *Scheduler) hearPressure(from string, words []messages.Pressure, now clock.Moment) {
+	for peer, one := range scheduler.pressure {
+		if now.Since(one.at) >= constants.PressureStale {
+			delete(scheduler.pressure, peer)
 		}
 	}
 	if len(words) > 0 {
-		bench.pressure[from] = pressureWord{at: now, words: words}
+		scheduler.pressure[from] = pressureWord{at: now, words: words}
 	} else {
-		delete(bench.pressure, from)
+		delete(scheduler.pressure, from)
 	}
 }
