--- a/internal/workbench/displace_test.go
+++ b/internal/traffic/admission/displace_test.go
@@ -1,19 +1,19 @@
-package workbench
+package admission
 
 import (
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // fill takes places for work that may be displaced and counts who yields.
-func fill(test *testing.T, bench *Workbench, count, priority int, bulk bool, yielded *[]int) []*Grant {
+func fill(test *testing.T, scheduler *Scheduler, count, priority int, bulk bool, yielded *[]int) []*Grant {
 	var grants []*Grant
 	for place := 0; place < count; place++ {
-		answer, _ := bench.Admit(&Ask{Service: "s", Bulk: bulk, Priority: priority, Setpoint: 1}, nil, watch.Moment(10+place))
+		answer, _ := scheduler.Admit(&Ask{Service: "s", Bulk: bulk, Priority: priority, Setpoint: 1}, nil, clock.Moment(10+place))
 		if answer.Verdict != VerdictGranted {
 			test.Fatal("no place for number ", place)
 		}
@@ -26,16 +26,16 @@
 // A request of a higher rank that finds no room makes the youngest item yield,
 // and gets its place.
 func TestHigherRankDisplacesTheYoungestItem(test *testing.T) {
-	bench := bench(test, 20, "w")
+	scheduler := scheduler(test, 20, "w")
 	var yielded []int
-	items := fill(test, bench, int(almanac.BulkShare*20), 2, true, &yielded)
-	for count := 0; count < 20+almanac.RoomAhead-len(items); count++ {
-		if answer, _ := bench.Admit(ask(0), nil, 100); answer.Verdict != VerdictGranted {
+	items := fill(test, scheduler, int(constants.BulkShare*20), 2, true, &yielded)
+	for count := 0; count < 20+constants.RoomAhead-len(items); count++ {
+		if answer, _ := scheduler.Admit(ask(0), nil, 100); answer.Verdict != VerdictGranted {
 			test.Fatal("no room for live requests beside the items")
 		}
 	}
 	served := 0
-	answer, _ := bench.Admit(ask(0), func(late Answer) {
+	answer, _ := scheduler.Admit(ask(0), func(late Answer) {
 		if late.Verdict == VerdictGranted {
 			served++
 		}
@@ -44,26 +44,26 @@
 		test.Fatal(answer.Verdict, yielded)
 	}
 	// Asked once; its place is on the way and no second one is taken for it.
-	bench.PumpWaiting(102)
+	scheduler.PumpWaiting(102)
 	if len(yielded) != 1 {
 		test.Fatal("displaced twice for one request: ", yielded)
 	}
-	items[yielded[0]].End(OutcomeCalledOff, 103)
+	items[yielded[0]].End(ResultCalledOff, 103)
 	if served != 1 {
 		test.Fatal("the place did not go to the one that waited")
 	}
 }
 
 func TestEqualAndHigherRanksAreNeverDisplaced(test *testing.T) {
-	bench := bench(test, 4, "w")
+	scheduler := scheduler(test, 4, "w")
 	var yielded []int
-	fill(test, bench, 4+almanac.RoomAhead, 1, false, &yielded)
-	bench.Admit(ask(1), func(Answer) {}, 100)
-	bench.Admit(ask(2), func(Answer) {}, 100)
+	fill(test, scheduler, 4+constants.RoomAhead, 1, false, &yielded)
+	scheduler.Admit(ask(1), func(Answer) {}, 100)
+	scheduler.Admit(ask(2), func(Answer) {}, 100)
 	if len(yielded) != 0 {
 		test.Fatal(yielded)
 	}
-	bench.Admit(ask(0), func(Answer) {}, 101)
+	scheduler.Admit(ask(0), func(Answer) {}, 101)
 	if len(yielded) != 1 {
 		test.Fatal("a stream of a lower rank did not yield")
 	}
@@ -71,11 +71,11 @@
 
 // Items yield before streams, whatever their ranks.
 func TestItemsYieldBeforeStreams(test *testing.T) {
-	bench := bench(test, 8, "w")
+	scheduler := scheduler(test, 8, "w")
 	var items, streams []int
-	fill(test, bench, 6, 1, true, &items)
-	fill(test, bench, 2+almanac.RoomAhead, 3, false, &streams)
-	bench.Admit(ask(0), func(Answer) {}, 100)
+	fill(test, scheduler, 6, 1, true, &items)
+	fill(test, scheduler, 2+constants.RoomAhead, 3, false, &streams)
+	scheduler.Admit(ask(0), func(Answer) {}, 100)
 	if len(items) != 1 || len(streams) != 0 {
 		test.Fatal(items, streams)
 	}
@@ -83,40 +83,40 @@
 
 // A peer's pressure makes this node yield its share, but never below the floor.
 func TestPeersPressureAndTheFloor(test *testing.T) {
-	bench := bench(test, 40, "w")
+	scheduler := scheduler(test, 40, "w")
 	var yielded []int
 	const items = 20
-	fill(test, bench, items, 2, true, &yielded)
-	word := &pattern.PressureTold{From: "forge/x", Words: []pattern.Pressure{{Service: "s", Priority: 0, Waiting: 6}}}
-	bench.Pressed(word, 3, 100)
+	fill(test, scheduler, items, 2, true, &yielded)
+	word := &messages.PressureTold{From: "forge/x", Words: []messages.Pressure{{Service: "s", Priority: 0, Waiting: 6}}}
+	scheduler.Pressed(word, 3, 100)
 	if len(yielded) != 2 {
 		test.Fatal("want a third of six, got ", yielded)
 	}
 	word.Words[0].Waiting = 1000
-	bench.Pressed(word, 1, 101)
-	share, capacity := almanac.DisplaceFloor, 40.0
+	scheduler.Pressed(word, 1, 101)
+	share, capacity := constants.DisplaceFloor, 40.0
 	floor := int(share*capacity) + 1
 	if len(yielded) != items-floor {
 		test.Fatalf("%d of %d yielded, the floor is %d", len(yielded), items, floor)
 	}
 	// While the pressure lasts no new items start; once it is stale they do.
-	if answer, _ := bench.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 102); answer.Verdict == VerdictGranted {
+	if answer, _ := scheduler.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 102); answer.Verdict == VerdictGranted {
 		test.Fatal("an item started under pressure")
 	}
-	later := watch.Moment(101).Plus(almanac.PressureStale)
-	if answer, _ := bench.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, later); answer.Verdict != VerdictGranted {
+	later := clock.Moment(101).Plus(constants.PressureStale)
+	if answer, _ := scheduler.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, later); answer.Verdict != VerdictGranted {
 		test.Fatal("items wait for ever")
 	}
 }
 
 // A word at second hand holds new items back and takes no place from anybody.
 func TestNotedPressureHoldsNewItemsBack(test *testing.T) {
-	bench := bench(test, 40, "w")
+	scheduler := scheduler(test, 40, "w")
 	var yielded []int
-	fill(test, bench, 20, 2, true, &yielded)
-	word := &pattern.PressureTold{From: "forge/x", Words: []pattern.Pressure{{Service: "s", Priority: 0, Waiting: 6}}}
-	bench.Noted(word, 100)
-	if answer, _ := bench.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 101); answer.Verdict == VerdictGranted {
+	fill(test, scheduler, 20, 2, true, &yielded)
+	word := &messages.PressureTold{From: "forge/x", Words: []messages.Pressure{{Service: "s", Priority: 0, Waiting: 6}}}
+	scheduler.Noted(word, 100)
+	if answer, _ := scheduler.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, 101); answer.Verdict == VerdictGranted {
 		test.Fatal("an item started against a peer's pressure")
 	}
 	if len(yielded) != 0 {
@@ -125,16 +125,16 @@
 }
 
 func TestPressureIsToldOnceAPeriod(test *testing.T) {
-	bench := bench(test, 1, "w")
+	scheduler := scheduler(test, 1, "w")
 	told := 0
-	bench.OnPressure(func([]pattern.Pressure) { told++ })
+	scheduler.OnPressure(func([]messages.Pressure) { told++ })
 	for count := 0; count < 10; count++ {
-		bench.Admit(ask(0), func(Answer) {}, 100)
+		scheduler.Admit(ask(0), func(Answer) {}, 100)
 	}
 	if told != 1 {
 		test.Fatal("told ", told)
 	}
-	bench.PumpWaiting(watch.Moment(100).Plus(almanac.PressurePeriod))
+	scheduler.PumpWaiting(clock.Moment(100).Plus(constants.PressurePeriod))
 	if told != 2 {
 		test.Fatal("told ", told)
 	}
@@ -143,21 +143,21 @@
 // A long prompt that a peer gave a worker counts as waiting there until it is read,
 // and items keep away from it.
 func TestPeersLongPromptIsAvoided(test *testing.T) {
-	one := bench(test, 8, "v", "w")
-	config, failure := jig.Parse([]byte(`{"generation":2,"backends":[{"name":"s","engine":{"capacity":8,"cache-tokens":1000}}]}`))
-	if failure != nil {
-		test.Fatal(failure)
+	one := scheduler(test, 8, "v", "w")
+	config, err := routeconfig.Parse([]byte(`{"generation":2,"backends":[{"name":"s","engine":{"capacity":8,"cache-tokens":1000}}]}`))
+	if err != nil {
+		test.Fatal(err)
 	}
 	one.SetConfig(config)
 	told := ""
 	one.OnReading(func(worker string, _ float64) { told = worker })
-	one.PeerReads(&pattern.ReadingTold{Worker: "v", Reading: 100}, 10)
+	one.PeerReads(&messages.ReadingTold{Worker: "v", Reading: 100}, 10)
 	for count := 0; count < 4; count++ {
 		if answer, _ := one.Admit(ask(0), nil, 11); answer.Grant == nil || answer.Grant.Worker.ID != "w" {
 			test.Fatal("placed behind a long prompt")
 		}
 	}
-	later := watch.Moment(10).Plus(watch.Milliseconds(100))
+	later := clock.Moment(10).Plus(clock.Milliseconds(100))
 	long := ask(0)
 	long.Affine, long.Prompt.Tokens = true, 10_000
 	answer, _ := one.Admit(long, nil, later)
--- a/internal/workbench/flow.go
+++ b/internal/traffic/admission/flow.go
@@ -1,6 +1,6 @@
-package workbench
+package admission
 
-import "lemonarch/internal/watch"
+import "lemonarch/internal/platform/clock"
 
 // Cache turnover without counts of who put in what: by Little's law, a worker with
 // so many requests takes in their mean tokens once in their mean stay. Both means
@@ -17,37 +17,37 @@
 const flowFade = 0.99
 
 // flowed notes a request that was served. The lock is held.
-func (bench *Workbench) flowed(grant *Grant, now watch.Moment) {
-	if bench.gossip.flows == nil {
-		bench.gossip.flows = map[string]*flow{}
+func (scheduler *Scheduler) flowed(grant *Grant, now clock.Moment) {
+	if scheduler.gossip.flows == nil {
+		scheduler.gossip.flows = map[string]*flow{}
 	}
-	one := bench.gossip.flows[grant.ask.Service]
+	one := scheduler.gossip.flows[grant.ask.Service]
 	if one == nil {
 		one = &flow{}
-		bench.gossip.flows[grant.ask.Service] = one
+		scheduler.gossip.flows[grant.ask.Service] = one
 	}
 	one.tokens = flowFade*one.tokens + float64(grant.Fresh+grant.ask.Prompt.Out/2)
 	one.count = flowFade*one.count + 1
-	one.stayMs = flowFade*one.stayMs + watch.ToMilliseconds(now.Since(grant.begun))
+	one.stayMs = flowFade*one.stayMs + clock.ToMilliseconds(now.Since(grant.begun))
 }
 
 // turnOthers adds what others have put into the workers' caches since the last
 // time. The lock is held.
-func (bench *Workbench) turnOthers(now watch.Moment) {
-	span := watch.ToMilliseconds(now.Since(bench.gossip.turned))
-	first := bench.gossip.turned == 0
-	bench.gossip.turned = now
+func (scheduler *Scheduler) turnOthers(now clock.Moment) {
+	span := clock.ToMilliseconds(now.Since(scheduler.gossip.turned))
+	first := scheduler.gossip.turned == 0
+	scheduler.gossip.turned = now
 	if first {
 		return
 	}
-	for service, one := range bench.gossip.flows {
+	for service, one := range scheduler.gossip.flows {
 		if one.stayMs <= 0 || one.tokens <= 0 {
 			continue
 		}
-		for _, worker := range bench.Roster.Named(service) {
-			vitals := bench.Gauge.Of(worker.ID)
-			others := float64(vitals.Running(now) - vitals.Own())
-			bench.Index.OthersTurned(worker.ID, others*span*one.tokens/one.stayMs)
+		for _, worker := range scheduler.Registry.Named(service) {
+			health := scheduler.Tracker.Of(worker.ID)
+			others := float64(health.Running(now) - health.Own())
+			scheduler.Index.OthersTurned(worker.ID, others*span*one.tokens/one.stayMs)
 		}
 	}
 }
--- /dev/null
+++ b/internal/traffic/admission/gossip.go
@@ -0,0 +1,155 @@
+package admission
+
+import (
+	"sort"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// gossipFormat is the version of the gossip packet; later ones may add fields.
+const gossipFormat = 2
+
+// spoken is what was last told of a worker.
+type spoken struct {
+	at   clock.Moment
+	seen clock.Moment
+}
+
+// gossipState is what the gossip of one node remembers.
+type gossipState struct {
+	spoken map[string]spoken
+	// names leads from short names back to workers; a name that two of them share is
+	// nobody's.
+	names  map[uint32]string
+	asOf   uint64
+	count  int
+	found  []loadWord
+	flows  map[string]*flow
+	turned clock.Moment
+}
+
+// loadWord is a word that may be told, with how long the last one is old.
+type loadWord struct {
+	worker string
+	word   messages.LoadWord
+	near   bool
+	wait   clock.Span
+}
+
+// Gossip makes this node's packet. It is bounded whatever the size of the fleet:
+// what neighbours were told longest ago goes first, and what failed here before it.
+func (scheduler *Scheduler) Gossip(now clock.Moment) *messages.Gossip {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	packet := &messages.Gossip{Format: gossipFormat, From: scheduler.own.Role + "/" + scheduler.own.Name}
+	if scheduler.config != nil {
+		packet.Generation = scheduler.config.Generation
+	}
+	scheduler.turnOthers(now)
+	state := &scheduler.gossip
+	if all := scheduler.Registry.Entries(); state.spoken == nil || len(state.spoken) > 2*len(all) {
+		// Workers that were forgotten leave their entries behind.
+		state.spoken = make(map[string]spoken, len(all))
+	}
+	found := state.found[:0]
+	for _, worker := range scheduler.Registry.Entries() {
+		health := scheduler.Tracker.Of(worker.ID)
+		word, told := health.Word(now)
+		if !told || worker.Phase == messages.PhaseGone {
+			delete(state.spoken, worker.ID)
+			continue
+		}
+		last, before := state.spoken[worker.ID]
+		_, seen := health.Observed()
+		if before && word.Trust == messages.TrustNone && seen <= last.seen {
+			// They have heard this very observation from us.
+			continue
+		}
+		if word.Trust == messages.TrustNone && word.AgeMs > constants.GossipWorth.Milliseconds() {
+			continue
+		}
+		wait := now.Since(last.at)
+		if word.Trust == messages.TrustSuspect {
+			// Like one that was never told of.
+			wait = now.Since(0)
+		}
+		found = append(found, loadWord{worker.ID, word, worker.Zone == scheduler.own.Zone, wait})
+	}
+	state.found = found
+	sort.SliceStable(found, func(left, right int) bool {
+		// Neighbours place in their own zone first.
+		if found[left].near != found[right].near {
+			return found[left].near
+		}
+		return found[left].wait > found[right].wait
+	})
+	for _, one := range found[:min(len(found), constants.GossipLoads)] {
+		one.word.Name = messages.WorkerName(one.worker)
+		packet.Loads = messages.AppendLoad(packet.Loads, one.word)
+		_, seen := scheduler.Tracker.Of(one.worker).Observed()
+		state.spoken[one.worker] = spoken{at: now, seen: seen}
+	}
+	for _, word := range scheduler.Index.Words(now, constants.GossipPrefixes, constants.GossipPrefixLeast) {
+		packet.Prefixes = messages.AppendPrefix(packet.Prefixes, word)
+	}
+	packet.Pressure = scheduler.waitingWords()
+	return packet
+}
+
+// Heard takes a peer's packet.
+func (scheduler *Scheduler) Heard(packet *messages.Gossip, now clock.Moment) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	for _, word := range messages.Loads(packet.Loads) {
+		if worker := scheduler.named(word.Name); worker != "" {
+			scheduler.Tracker.Of(worker).Peer(packet.From, word, now)
+		}
+	}
+	scheduler.Index.Told(messages.Prefixes(packet.Prefixes, scheduler.named), now)
+	scheduler.hearPressure(packet.From, packet.Pressure, now)
+}
+
+// named gives the worker of a short name. The lock is held.
+func (scheduler *Scheduler) named(short uint32) string {
+	state := &scheduler.gossip
+	// A change of the table is rare, and a list of other length is another list too.
+	all := scheduler.Registry.Entries()
+	if clockValue := scheduler.Registry.Clock(); state.names == nil || state.asOf != clockValue || state.count != len(all) {
+		state.names, state.asOf, state.count = make(map[uint32]string, len(all)), clockValue, len(all)
+		for _, worker := range all {
+			name := messages.WorkerName(worker.ID)
+			if _, taken := state.names[name]; taken {
+				state.names[name] = ""
+				continue
+			}
+			state.names[name] = worker.ID
+		}
+	}
+	return state.names[short]
+}
+
+// Alert tells whether more placements are downgraded than the source finds sound.
+func (scheduler *Scheduler) Alert() (placements, downgrades int64, alert bool) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	placements, downgrades = scheduler.Index.Placements, scheduler.Index.Downgrades
+	const enough = 200
+	return placements, downgrades, placements > enough && float64(downgrades) > constants.DowngradeAlert*float64(placements)
+}
+
+// OnReading names who is told of long prompts; it must not block.
+func (scheduler *Scheduler) OnReading(tell func(worker string, milliseconds float64)) {
+	scheduler.tellReading = tell
+}
+
+// PeerReads takes a peer's word of a long prompt.
+func (scheduler *Scheduler) PeerReads(told *messages.ReadingTold, now clock.Moment) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	// A word of more than a gossip period is no reading time but a mistake.
+	if _, known := scheduler.Registry.Get(told.Worker); known && told.Reading > 0 && told.Reading < clock.ToMilliseconds(constants.GossipPeriod) {
+		scheduler.Tracker.Of(told.Worker).PeerReads(clock.Milliseconds(told.Reading), now)
+	}
+}
--- a/internal/workbench/gossip_test.go
+++ b/internal/traffic/admission/gossip_test.go
@@ -1,42 +1,42 @@
-package workbench
+package admission
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // load packs one word on a worker's load.
-func load(worker string, running int, age watch.Span) []byte {
-	return pattern.AppendLoad(nil, pattern.LoadWord{Name: pattern.WorkerName(worker), Running: running,
-		AgeMs: age.Milliseconds(), Trust: pattern.TrustNone})
+func load(worker string, running int, age clock.Span) []byte {
+	return messages.AppendLoad(nil, messages.LoadWord{Name: messages.WorkerName(worker), Running: running,
+		AgeMs: age.Milliseconds(), Trust: messages.TrustNone})
 }
 
 // second is a moment in whole seconds.
-func second(count int) watch.Moment { return watch.Moment(count) * 1_000_000_000 }
+func second(count int) clock.Moment { return clock.Moment(count) * 1_000_000_000 }
 
 // The age limit holds for the evidence, however often and by however fresh a packet
 // it was passed on.
 func TestAgeLimitHoldsUnderRelaying(test *testing.T) {
-	near, far := bench(test, 1, "w"), bench(test, 1, "w")
-	near.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, second(10))
+	near, far := scheduler(test, 1, "w"), scheduler(test, 1, "w")
+	near.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, second(10))
 	packet := near.Gossip(second(12))
-	words := pattern.Loads(packet.Loads)
+	words := messages.Loads(packet.Loads)
 	if len(words) != 1 || words[0].Running != 50 || words[0].AgeMs < 2000 {
 		test.Fatalf("not passed on with its age: %+v", words)
 	}
 	far.Heard(packet, second(12))
-	running := func(now watch.Moment) (count int) {
-		far.Locked(func() { count = far.Gauge.Of("w").Running(now) })
+	running := func(now clock.Moment) (count int) {
+		far.Locked(func() { count = far.Tracker.Of("w").Running(now) })
 		return count
 	}
 	if running(second(12)+1) != 50 {
 		test.Fatal("a relayed word did not count")
 	}
-	late := second(10).Plus(almanac.GossipStale)
+	late := second(10).Plus(constants.GossipStale)
 	if running(late) != 0 {
 		test.Fatal("relaying made a stale word young")
 	}
@@ -48,8 +48,8 @@
 // A peer that was paused with its packet in hand: what it then says is told with the
 // age that it has, and a word older than the limit never counts.
 func TestWordBeyondTheLimitNeverCounts(test *testing.T) {
-	one := bench(test, 1, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, almanac.GossipStale)}, second(10))
+	one := scheduler(test, 1, "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 50, constants.GossipStale)}, second(10))
 	if answer, _ := one.Admit(ask(0), nil, second(10)); answer.Verdict != VerdictGranted {
 		test.Fatal("a word beyond the age limit counted")
 	}
@@ -57,13 +57,13 @@
 
 // Of two words the younger counts, whichever comes last.
 func TestFreshestObservationWins(test *testing.T) {
-	one := bench(test, 4, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 1, watch.Milliseconds(100))}, second(10))
-	one.Heard(&pattern.Gossip{From: "forge/y", Loads: load("w", 200, watch.Milliseconds(2000))}, second(10)+1)
+	one := scheduler(test, 4, "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 1, clock.Milliseconds(100))}, second(10))
+	one.Heard(&messages.Gossip{From: "forge/y", Loads: load("w", 200, clock.Milliseconds(2000))}, second(10)+1)
 	if answer, _ := one.Admit(ask(0), nil, second(10)+2); answer.Verdict != VerdictGranted {
 		test.Fatal("an older word counted over a younger one")
 	}
-	one.Heard(&pattern.Gossip{From: "forge/z", Loads: load("w", 200, 0)}, second(10)+3)
+	one.Heard(&messages.Gossip{From: "forge/z", Loads: load("w", 200, 0)}, second(10)+3)
 	if answer, _ := one.Admit(ask(0), nil, second(10)+4); answer.Verdict == VerdictGranted {
 		test.Fatal("the younger word did not count")
 	}
@@ -71,19 +71,19 @@
 
 // An observation is corrected by what was begun here since it was made.
 func TestOwnRequestsSinceTheObservationCount(test *testing.T) {
-	one := bench(test, 4, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 4, 0)}, second(10))
+	one := scheduler(test, 4, "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 4, 0)}, second(10))
 	granted := 0
 	for ; granted < 20; granted++ {
-		if answer, _ := one.Admit(ask(0), nil, second(10)+watch.Moment(granted)+1); answer.Verdict != VerdictGranted {
+		if answer, _ := one.Admit(ask(0), nil, second(10)+clock.Moment(granted)+1); answer.Verdict != VerdictGranted {
 			break
 		}
 	}
-	if granted != almanac.RoomAhead {
-		test.Fatalf("%d placed on a worker that had its four, want %d", granted, almanac.RoomAhead)
+	if granted != constants.RoomAhead {
+		test.Fatalf("%d placed on a worker that had its four, want %d", granted, constants.RoomAhead)
 	}
 	// A later observation holds them already.
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 4, 0)}, second(11))
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 4, 0)}, second(11))
 	if answer, _ := one.Admit(ask(0), nil, second(11)+1); answer.Verdict != VerdictGranted {
 		test.Fatal("our own were counted twice")
 	}
@@ -96,16 +96,16 @@
 	for count := 0; count < 600; count++ {
 		names = append(names, fmt.Sprint("worker-", count))
 	}
-	one := bench(test, 16, names...)
+	one := scheduler(test, 16, names...)
 	told := map[uint32]int{}
 	largest := 0
 	for round := 1; round <= 7; round++ {
 		now := second(10 + round)
 		for _, name := range names {
-			one.Heard(&pattern.Gossip{From: "forge/x", Loads: load(name, round, 0)}, now)
+			one.Heard(&messages.Gossip{From: "forge/x", Loads: load(name, round, 0)}, now)
 		}
 		packet := one.Gossip(now)
-		for _, word := range pattern.Loads(packet.Loads) {
+		for _, word := range messages.Loads(packet.Loads) {
 			told[word.Name]++
 		}
 		body, _ := packet.MarshalMsg(nil)
@@ -121,8 +121,8 @@
 
 // What a neighbour has heard from us is not said again while nothing is new.
 func TestNothingNewIsNotSaid(test *testing.T) {
-	one := bench(test, 4, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 2, 0)}, second(10))
+	one := scheduler(test, 4, "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 2, 0)}, second(10))
 	if len(one.Gossip(second(10)).Loads) == 0 {
 		test.Fatal("news was not told")
 	}
@@ -138,11 +138,11 @@
 		words = append(words, load(worker, 50, 0)[1:]...)
 		words = append(words, 0xEE, 0xFF)
 	}
-	one := bench(test, 1, "v", "w")
-	one.Heard(&pattern.Gossip{Format: 3, From: "forge/x", Loads: append(words, 1, 2)}, second(10))
+	one := scheduler(test, 1, "v", "w")
+	one.Heard(&messages.Gossip{Format: 3, From: "forge/x", Loads: append(words, 1, 2)}, second(10))
 	for _, worker := range []string{"v", "w"} {
 		running := 0
-		one.Locked(func() { running = one.Gauge.Of(worker).Running(second(10)) })
+		one.Locked(func() { running = one.Tracker.Of(worker).Running(second(10)) })
 		if running != 50 {
 			test.Fatalf("%s: %d read from words with trailing bytes", worker, running)
 		}
@@ -152,17 +152,17 @@
 // One neighbour's suspicion may be its own trouble, two are evidence; and neither is
 // passed on as if it were ours.
 func TestSuspicionIsFirstHand(test *testing.T) {
-	one := bench(test, 4, "v", "w")
-	word := pattern.AppendLoad(nil, pattern.LoadWord{Name: pattern.WorkerName("v"), Running: pattern.RunningUnknown, Trust: pattern.TrustSuspect})
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: word}, second(10))
+	one := scheduler(test, 4, "v", "w")
+	word := messages.AppendLoad(nil, messages.LoadWord{Name: messages.WorkerName("v"), Running: messages.RunningUnknown, Trust: messages.TrustSuspect})
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: word}, second(10))
 	suspect := func() (answer bool) {
-		one.Locked(func() { answer = one.Gauge.Of("v").Suspect(second(10) + 1) })
+		one.Locked(func() { answer = one.Tracker.Of("v").Suspect(second(10) + 1) })
 		return answer
 	}
 	if suspect() {
 		test.Fatal("one neighbour's word was enough")
 	}
-	one.Heard(&pattern.Gossip{From: "forge/y", Loads: word}, second(10))
+	one.Heard(&messages.Gossip{From: "forge/y", Loads: word}, second(10))
 	if !suspect() {
 		test.Fatal("two neighbours' words were not enough")
 	}
@@ -173,19 +173,19 @@
 
 // Turnover by Little's law comes near the true count, though nobody counts it.
 func TestTurnoverOfOthersIsEstimated(test *testing.T) {
-	one := bench(test, 100, "w")
+	one := scheduler(test, 100, "w")
 	asked := ask(0)
 	asked.Affine, asked.Prompt.Tokens = true, 1000
 	for count := 0; count < 50; count++ {
 		answer, _ := one.Admit(asked, nil, second(10))
-		answer.Grant.End(OutcomeServed, second(10).Plus(watch.Milliseconds(500)))
+		answer.Grant.End(ResultServed, second(10).Plus(clock.Milliseconds(500)))
 	}
 	one.Gossip(second(20))
 	// Others have 10 requests there at any time, each 1000 tokens in half a second:
 	// twenty thousand tokens a second.
-	for now := second(20); now < second(30); now = now.Plus(almanac.GossipPeriod) {
-		one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 10, 0)}, now.Plus(almanac.GossipPeriod)-1)
-		one.Gossip(now.Plus(almanac.GossipPeriod))
+	for now := second(20); now < second(30); now = now.Plus(constants.GossipPeriod) {
+		one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 10, 0)}, now.Plus(constants.GossipPeriod)-1)
+		one.Gossip(now.Plus(constants.GossipPeriod))
 	}
 	total := 0.0
 	one.Locked(func() { total = one.Index.OthersIn("w") })
--- a/internal/workbench/pump.go
+++ b/internal/traffic/admission/pump.go
@@ -1,49 +1,49 @@
-package workbench
+package admission
 
 import (
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // someWait wakes whoever pumps; one word is enough.
-func (bench *Workbench) someWait() {
+func (scheduler *Scheduler) someWait() {
 	select {
-	case bench.waits <- struct{}{}:
+	case scheduler.waits <- struct{}{}:
 	default:
 	}
 }
 
 // PumpWaiting pumps where anything waits, since patience may have run out, and tells
 // whether something still does.
-func (bench *Workbench) PumpWaiting(now watch.Moment) bool {
-	if !bench.waiting() {
+func (scheduler *Scheduler) PumpWaiting(now clock.Moment) bool {
+	if !scheduler.waiting() {
 		return false
 	}
-	bench.Pump(now)
-	bench.press(now)
-	return bench.waiting()
+	scheduler.Pump(now)
+	scheduler.press(now)
+	return scheduler.waiting()
 }
 
-func (bench *Workbench) waiting() bool {
-	bench.lock.Lock()
-	defer bench.lock.Unlock()
-	return bench.slab.Len() > 0
+func (scheduler *Scheduler) waiting() bool {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	return scheduler.slab.Len() > 0
 }
 
 // KeepPumping looks at those that wait each period, and sleeps while nobody does: an
 // idle process must not wake up for nothing.
-func (bench *Workbench) KeepPumping(stop <-chan struct{}) {
+func (scheduler *Scheduler) KeepPumping(stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
-		case <-bench.waits:
+		case <-scheduler.waits:
 		}
-		for waiting := true; waiting; waiting = bench.PumpWaiting(watch.Now()) {
+		for waiting := true; waiting; waiting = scheduler.PumpWaiting(clock.Now()) {
 			select {
 			case <-stop:
 				return
-			case <-watch.After(almanac.PumpPeriod):
+			case <-clock.After(constants.PumpPeriod):
 			}
 		}
 	}
@@ -51,24 +51,24 @@
 
 // Pump resumes what can be placed now, in order of rank and age, and refuses
 // what can wait no longer.
-func (bench *Workbench) Pump(now watch.Moment) {
+func (scheduler *Scheduler) Pump(now clock.Moment) {
 	type resumption struct {
 		one    *waiter
 		answer Answer
 	}
 	var resumed []resumption
-	bench.lock.Lock()
-	for service, queue := range bench.queues {
+	scheduler.lock.Lock()
+	for service, queue := range scheduler.queues {
 		kept := queue[:0]
 		blocked := false
 		for _, handle := range queue {
-			one, found := bench.slab.Get(handle)
+			one, found := scheduler.slab.Get(handle)
 			if !found {
 				continue
 			}
 			answer := Answer{Verdict: VerdictNoRoom}
 			if !blocked {
-				answer = bench.place(one.ask, now)
+				answer = scheduler.place(one.ask, now)
 			}
 			if answer.Verdict == VerdictNoRoom && now < one.ask.Patience {
 				blocked = true
@@ -76,14 +76,14 @@
 				continue
 			}
 			if answer.Verdict == VerdictNoRoom {
-				answer.Retry = bench.retryAfter(one.ask, now)
+				answer.Retry = scheduler.retryAfter(one.ask, now)
 			}
-			bench.slab.Take(handle)
+			scheduler.slab.Take(handle)
 			resumed = append(resumed, resumption{one, answer})
 		}
-		bench.queues[service] = kept
+		scheduler.queues[service] = kept
 	}
-	bench.lock.Unlock()
+	scheduler.lock.Unlock()
 	for _, each := range resumed {
 		each.one.resume(each.answer)
 	}
--- /dev/null
+++ b/internal/traffic/admission/reach.go
@@ -0,0 +1,182 @@
+package admission
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"lemonarch/internal/control/workers"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/prefixindex"
+)
+
+// A node of a large fleet sees too few requests to know every worker well, and a connection
+// to each would cost the workers more connections than they take. So what has no
+// warm prefix goes to a small stable subset, the own zone's first; a long prefix goes
+// wherever it is at home or was seen; and whoever finds no room there asks all.
+
+// scratch are lists that are filled anew by each placement.
+type scratch struct {
+	workerList []messages.Worker
+	candidates []prefixindex.Candidate
+	reach      []messages.Worker
+}
+
+// subset is the stable part of a service's workers for this node, found anew each
+// period from those in good standing.
+type subset struct {
+	at         clock.Moment
+	workerList []messages.Worker
+}
+
+// reach gives the workers that are weighed for an ask, and whether there are more.
+// The lock is held.
+func (scheduler *Scheduler) reach(ask *Ask, all []messages.Worker, now clock.Moment) (some []messages.Worker, more bool) {
+	if ask.Bulk || len(all) <= constants.ReachWhole {
+		// Items are placed by few processes, each of which needs the room of all.
+		return all, false
+	}
+	some = scheduler.scratch.reach[:0]
+	for _, worker := range scheduler.subset(ask.Service, all, now) {
+		// A full one is no reason to wait while others are free elsewhere.
+		if scheduler.Tracker.Of(worker.ID).Running(now) < worker.Capacity && !excluded(ask, worker.ID) {
+			some = append(some, worker)
+		}
+	}
+	if ask.Affine && ask.Prompt.Shared() >= constants.GossipPrefixLeast {
+		some = scheduler.atHome(ask, all, some)
+	}
+	scheduler.scratch.reach = some
+	return some, true
+}
+
+// subset draws the node's workers by rendezvous: who comes or goes changes nobody
+// else's, and all workers are drawn by about as many nodes.
+func (scheduler *Scheduler) subset(service string, all []messages.Worker, now clock.Moment) []messages.Worker {
+	kept := scheduler.subsets[service]
+	if kept.workerList != nil && now.Since(kept.at) < constants.GossipPeriod {
+		return kept.workerList
+	}
+	type ranked struct {
+		worker messages.Worker
+		near   bool
+		draw   uint64
+	}
+	var good []ranked
+	listening := scheduler.listening > 0 && now.Since(scheduler.listening) < constants.SilentAfter
+	for _, worker := range all {
+		if scheduler.Registry.Standing(worker.ID, now, listening) != workers.StandingGood || scheduler.Tracker.Of(worker.ID).Suspect(now) {
+			continue
+		}
+		good = append(good, ranked{worker, worker.Zone == scheduler.own.Zone, drawOf(scheduler.own, worker.ID)})
+	}
+	sort.Slice(good, func(left, right int) bool {
+		if good[left].near != good[right].near {
+			return good[left].near
+		}
+		return good[left].draw > good[right].draw
+	})
+	fresh := subset{at: now}
+	for _, one := range good[:min(len(good), constants.ReachSubset)] {
+		fresh.workerList = append(fresh.workerList, one.worker)
+	}
+	if scheduler.subsets == nil {
+		scheduler.subsets = map[string]subset{}
+	}
+	scheduler.subsets[service] = fresh
+	return fresh.workerList
+}
+
+// drawOf is a node's draw for a worker; it weighs those with the highest.
+func drawOf(node messages.Entry, worker string) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(worker))
+	sum.Write([]byte(node.Role))
+	sum.Write([]byte{'/'})
+	sum.Write([]byte(node.Name))
+	return prefixindex.Mix(sum.Sum64())
+}
+
+// DrawnBy gives those of some nodes of a worker's zone that weigh it by their draw,
+// and whether nodes weigh a part of the workers at all.
+func (scheduler *Scheduler) DrawnBy(worker string, nodes []messages.Entry) (drawn []messages.Entry, part bool) {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	known, found := scheduler.Registry.Get(worker)
+	if !found {
+		return nil, false
+	}
+	all := scheduler.Registry.Named(known.Backend)
+	if len(all) <= constants.ReachWhole {
+		return nil, false
+	}
+	for _, node := range nodes {
+		if node.Zone != known.Zone {
+			continue
+		}
+		higher, own := 0, drawOf(node, worker)
+		for _, other := range all {
+			if other.Zone == known.Zone && drawOf(node, other.ID) > own {
+				higher++
+			}
+		}
+		if higher < constants.ReachSubset {
+			drawn = append(drawn, node)
+		}
+	}
+	return drawn, true
+}
+
+// HallOf gives the zone of a worker.
+func (scheduler *Scheduler) ZoneOf(worker string) string {
+	scheduler.lock.Lock()
+	defer scheduler.lock.Unlock()
+	known, _ := scheduler.Registry.Get(worker)
+	return known.Zone
+}
+
+// atHome adds the workers at which the prompt's prefix is at home or was seen.
+func (scheduler *Scheduler) atHome(ask *Ask, all, some []messages.Worker) []messages.Worker {
+	wanted := map[string]bool{}
+	ids := make([]string, len(all))
+	for place := range all {
+		ids[place] = all[place].ID
+	}
+	for _, worker := range scheduler.Index.Homes(&ask.Prompt, ids, constants.ReachHomes) {
+		wanted[worker] = true
+	}
+	for _, worker := range scheduler.Index.Holders(&ask.Prompt, constants.ReachHomes) {
+		wanted[worker] = true
+	}
+	for _, worker := range some {
+		delete(wanted, worker.ID)
+	}
+	for _, worker := range all {
+		if wanted[worker.ID] {
+			some = append(some, worker)
+		}
+	}
+	return some
+}
+
+// neutral is the mean load of those workers that there is evidence of: what one
+// without any is taken for, or it would seem the emptiest. The lock is held.
+func (scheduler *Scheduler) neutral(workerList []messages.Worker, now clock.Moment) int {
+	total, count := 0, 0
+	for _, worker := range workerList {
+		if health := scheduler.Tracker.Of(worker.ID); health.Known(now) {
+			total += health.Running(now)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	mean := total / count
+	if 2*count <= len(workerList) {
+		// Nobody is full on a guess from few: the others may stand behind one that is.
+		mean = min(mean, workerList[0].Capacity-1)
+	}
+	return mean
+}
--- a/internal/workbench/reach_test.go
+++ b/internal/traffic/admission/reach_test.go
@@ -1,50 +1,51 @@
-package workbench
+package admission
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/plumbline"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/prefixindex"
 )
 
-// manyWorkers registers sixty workers in four halls.
-func manyWorkers(one *Workbench, capacity int) {
-	var list []pattern.Worker
+// manyWorkers registers sixty workers in four zones.
+func manyWorkers(one *Scheduler, capacity int) {
+	var list []messages.Worker
 	for place := 0; place < 60; place++ {
-		list = append(list, pattern.Worker{ID: fmt.Sprintf("i-%04d", place), Backend: "s", Address: "a",
-			Hall: fmt.Sprint("h", place%4), Capacity: capacity, Count: 1})
+		list = append(list, messages.Worker{ID: fmt.Sprintf("i-%04d", place), Backend: "s", Address: "a",
+			Zone: fmt.Sprint("h", place%4), Capacity: capacity, Count: 1})
 	}
 	one.Merge(list, 1)
 }
 
-func node(name, hall string, capacity int) *Workbench {
-	one := New(pattern.Entry{Name: name, Role: "forge", Hall: hall}, 1_200_000_000)
-	config, failure := jig.Parse([]byte(`{"generation":2,"backends":[{"name":"s","engine":{"capacity":4,"cache-tokens":200000}}]}`))
-	if failure != nil {
-		panic(failure)
+func node(name, zone string, capacity int) *Scheduler {
+	one := New(messages.Entry{Name: name, Role: membership.RoleGateway, Zone: zone}, 1_200_000_000)
+	config, err := routeconfig.Parse([]byte(`{"generation":2,"backends":[{"name":"s","engine":{"capacity":4,"cache-tokens":200000}}]}`))
+	if err != nil {
+		panic(err)
 	}
 	one.SetConfig(config)
 	manyWorkers(one, capacity)
 	return one
 }
 
-// What has no warm prefix goes to a few workers of the own hall, and to others only
+// What has no warm prefix goes to a few workers of the own zone, and to others only
 // once these are full.
 func TestShortPromptsStayInTheSubset(test *testing.T) {
 	one := node("n", "h1", 4)
 	used := map[string]int{}
-	for count := 0; count < 4*almanac.ReachSubset; count++ {
-		answer, _ := one.Admit(ask(0), nil, second(2)+watch.Moment(count))
-		if answer.Verdict != VerdictGranted || answer.Grant.Worker.Hall != "h1" {
+	for count := 0; count < 4*constants.ReachSubset; count++ {
+		answer, _ := one.Admit(ask(0), nil, second(2)+clock.Moment(count))
+		if answer.Verdict != VerdictGranted || answer.Grant.Worker.Zone != "h1" {
 			test.Fatalf("number %d: %+v", count, answer)
 		}
 		used[answer.Grant.Worker.ID]++
 	}
-	if len(used) != almanac.ReachSubset {
+	if len(used) != constants.ReachSubset {
 		test.Fatalf("%d workers were used", len(used))
 	}
 	answer, _ := one.Admit(ask(0), nil, second(2)+100)
@@ -59,11 +60,11 @@
 	const nodes = 72
 	for place := 0; place < nodes; place++ {
 		one := node(fmt.Sprint("edge-", place), fmt.Sprint("h", place%4), 4)
-		for _, worker := range one.subset("s", one.Roster.Named("s"), second(2)) {
+		for _, worker := range one.subset("s", one.Registry.Named("s"), second(2)) {
 			drawn[worker.ID]++
 		}
 	}
-	mean := float64(nodes*almanac.ReachSubset) / 60
+	mean := float64(nodes*constants.ReachSubset) / 60
 	for place := 0; place < 60; place++ {
 		if count := float64(drawn[fmt.Sprintf("i-%04d", place)]); count < 0.4*mean || count > 1.7*mean {
 			test.Fatalf("worker %d is drawn by %.0f nodes, the mean is %.1f", place, count, mean)
@@ -75,8 +76,8 @@
 // worker that fails leaves the subset.
 func TestLongPrefixGoesHome(test *testing.T) {
 	long := func() *Ask {
-		return &Ask{Service: "s", Affine: true, Setpoint: 200_000_000, Patience: second(9), Prompt: plumbline.Prompt{Tokens: 20_000,
-			Parts: []plumbline.Part{{Name: 77, Tokens: 18_000}, {Name: 78, Tokens: 2_000}}}}
+		return &Ask{Service: "s", Affine: true, Setpoint: 200_000_000, Patience: second(9), Prompt: prefixindex.Prompt{Tokens: 20_000,
+			Parts: []prefixindex.Part{{Name: 77, Tokens: 18_000}, {Name: 78, Tokens: 2_000}}}}
 	}
 	home := ""
 	for place := 0; place < 12; place++ {
@@ -91,14 +92,14 @@
 	// Where a peer's word says that it is held, it goes there rather than home.
 	one := node("edge-0", "h0", 4)
 	other := "i-0033"
-	word := pattern.AppendPrefix(nil, pattern.Residency{Path: []byte{0, 0, 0, 0, 0, 0, 0, 77}, Tokens: 18_000, Worker: other, Chance: 1})
-	one.Heard(&pattern.Gossip{From: "forge/x", Prefixes: word}, second(2))
+	word := messages.AppendPrefix(nil, messages.Residency{Path: []byte{0, 0, 0, 0, 0, 0, 0, 77}, Tokens: 18_000, Worker: other, Chance: 1})
+	one.Heard(&messages.Gossip{From: "forge/x", Prefixes: word}, second(2))
 	if answer, _ := one.Admit(long(), nil, second(2)+1); answer.Grant.Worker.ID != other {
 		test.Fatal("placed at ", answer.Grant.Worker.ID)
 	}
-	failed := one.subset("s", one.Roster.Named("s"), second(2))[0].ID
-	one.Locked(func() { one.Gauge.Of(failed).Failed(almanac.EjectFor, second(4)) })
-	for _, worker := range one.subset("s", one.Roster.Named("s"), second(4)) {
+	failed := one.subset("s", one.Registry.Named("s"), second(2))[0].ID
+	one.Locked(func() { one.Tracker.Of(failed).Failed(constants.EjectFor, second(4)) })
+	for _, worker := range one.subset("s", one.Registry.Named("s"), second(4)) {
 		if worker.ID == failed {
 			test.Fatal("a failing worker stays in the subset")
 		}
@@ -107,11 +108,11 @@
 
 // Those who draw a worker are the nodes in whose subset it is.
 func TestDrawnByAgreesWithSubsets(test *testing.T) {
-	var nodes []pattern.Entry
-	benches := map[string]*Workbench{}
+	var nodes []messages.Entry
+	benches := map[string]*Scheduler{}
 	for place := 0; place < 20; place++ {
 		name := fmt.Sprint("edge-", place)
-		nodes = append(nodes, pattern.Entry{Name: name, Role: "forge", Hall: "h1"})
+		nodes = append(nodes, messages.Entry{Name: name, Role: membership.RoleGateway, Zone: "h1"})
 		benches[name] = node(name, "h1", 4)
 	}
 	one := benches["edge-0"]
@@ -123,24 +124,24 @@
 	for _, entry := range drawn {
 		holding[entry.Name] = true
 	}
-	for name, bench := range benches {
+	for name, scheduler := range benches {
 		has := false
-		for _, worker := range bench.subset("s", bench.Roster.Named("s"), second(2)) {
+		for _, worker := range scheduler.subset("s", scheduler.Registry.Named("s"), second(2)) {
 			has = has || worker.ID == "i-0001"
 		}
 		if has != holding[name] {
 			test.Fatalf("%s weighs it: %v, told: %v", name, has, holding[name])
 		}
 	}
-	if small, part := bench(test, 4, "w").DrawnBy("w", nodes); part || len(small) > 0 {
+	if small, part := scheduler(test, 4, "w").DrawnBy("w", nodes); part || len(small) > 0 {
 		test.Fatal("a small service has no parts")
 	}
 }
 
 // One full worker of two says little of the other, which must not stand idle.
 func TestNobodyIsFullOnAGuessFromFew(test *testing.T) {
-	one := bench(test, 4, "v", "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("v", 6, 0)}, second(2))
+	one := scheduler(test, 4, "v", "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("v", 6, 0)}, second(2))
 	if answer, _ := one.Admit(ask(0), nil, second(2)); answer.Verdict != VerdictGranted || answer.Grant.Worker.ID != "w" {
 		test.Fatal("refused while a worker stands idle")
 	}
@@ -148,14 +149,14 @@
 
 // A worker of which nothing is known seems neither empty nor full.
 func TestUnknownLoadIsTakenAtTheMean(test *testing.T) {
-	one := bench(test, 4, "v", "w", "x")
+	one := scheduler(test, 4, "v", "w", "x")
 	for _, worker := range []string{"v", "w"} {
-		one.Heard(&pattern.Gossip{From: "forge/x", Loads: load(worker, 6, 0)}, second(2))
+		one.Heard(&messages.Gossip{From: "forge/x", Loads: load(worker, 6, 0)}, second(2))
 	}
 	if answer, _ := one.Admit(ask(0), nil, second(2)); answer.Verdict == VerdictGranted {
 		test.Fatal("a worker without evidence was taken for an empty one")
 	}
-	if answer, _ := one.Admit(ask(0), nil, second(2).Plus(almanac.GossipStale)); answer.Verdict != VerdictGranted {
+	if answer, _ := one.Admit(ask(0), nil, second(2).Plus(constants.GossipStale)); answer.Verdict != VerdictGranted {
 		test.Fatal("what is taken from stale words still counts")
 	}
 }
--- a/internal/workbench/room_test.go
+++ b/internal/traffic/admission/room_test.go
@@ -1,32 +1,32 @@
-package workbench
+package admission
 
 import (
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // Of several processes that place items each keeps the floor of its own workers, so
 // that together they keep one.
 func TestTheFloorIsOfTheOwnWorkers(test *testing.T) {
 	const capacity = 100
-	bench := bench(test, capacity, "v", "w")
+	scheduler := scheduler(test, capacity, "v", "w")
 	ask := &Ask{Service: "s", Bulk: true, Priority: 2, Setpoint: 1, Among: map[string]bool{"w": true}}
-	if bench.BulkRoom(ask, 1) != 1 {
+	if scheduler.BulkRoom(ask, 1) != 1 {
 		test.Fatal("room at other workers than the own")
 	}
-	bench.SetBulkOwn(ask.Among)
+	scheduler.SetBulkOwn(ask.Among)
 	yielded := 0
 	for place := 0; place < 40; place++ {
-		answer, _ := bench.Admit(ask, nil, 10)
+		answer, _ := scheduler.Admit(ask, nil, 10)
 		if answer.Verdict != VerdictGranted || answer.Grant.Worker.ID != "w" {
 			test.Fatal("placed elsewhere or not at all: ", answer.Verdict)
 		}
 		answer.Grant.MayYield(func() { yielded++ })
 	}
-	bench.Pressed(&pattern.PressureTold{From: "forge/x", Words: []pattern.Pressure{{Service: "s", Priority: 0, Waiting: 90}}}, 1, 20)
-	if share := almanac.DisplaceFloor; yielded != 40-int(share*capacity)-1 {
+	scheduler.Pressed(&messages.PressureTold{From: "forge/x", Words: []messages.Pressure{{Service: "s", Priority: 0, Waiting: 90}}}, 1, 20)
+	if share := constants.DisplaceFloor; yielded != 40-int(share*capacity)-1 {
 		test.Fatal("yielded ", yielded)
 	}
 }
--- a/internal/workbench/slab.go
+++ b/internal/traffic/admission/slab.go
@@ -1,4 +1,4 @@
-package workbench
+package admission
 
 // Handle names a place in a slab together with its generation, so that a late
 // call for a place that was given to another is known.
--- a/internal/workbench/stale_test.go
+++ b/internal/traffic/admission/stale_test.go
@@ -1,23 +1,24 @@
-package workbench
+package admission
 
 import (
 	"fmt"
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // That a worker was full holds for about one stay: then somebody must look, or no new
 // word would ever come from it. Items wait for one.
 func TestFullHoldsForOneStay(test *testing.T) {
-	one := bench(test, 4, "w")
-	one.Heard(&pattern.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, second(10))
-	if answer, _ := one.Admit(ask(0), nil, second(10).Plus(almanac.FullFor)); answer.Verdict == VerdictGranted {
+	one := scheduler(test, 4, "w")
+	one.Heard(&messages.Gossip{From: "forge/x", Loads: load("w", 50, 0)}, second(10))
+	if answer, _ := one.Admit(ask(0), nil, second(10).Plus(constants.FullFor)); answer.Verdict == VerdictGranted {
 		test.Fatal("placed on a worker that was full a moment ago")
 	}
-	later := second(10).Plus(almanac.FullFor) + 1
+	later := second(10).Plus(constants.FullFor) + 1
 	if answer, _ := one.Admit(&Ask{Service: "s", Bulk: true, Priority: 2}, nil, later); answer.Verdict == VerdictGranted {
 		test.Fatal("an item took the chance")
 	}
@@ -28,41 +29,41 @@
 		test.Fatal("a second one looks before the first has seen anything")
 	}
 	// Where requests stay long, it holds for longer.
-	slow := bench(test, 100, "v")
+	slow := scheduler(test, 100, "v")
 	for count := 0; count < 20; count++ {
 		answer, _ := slow.Admit(ask(0), nil, second(10))
-		answer.Grant.End(OutcomeServed, second(10).Plus(2*almanac.GossipPeriod))
+		answer.Grant.End(ResultServed, second(10).Plus(2*constants.GossipPeriod))
 	}
-	slow.Heard(&pattern.Gossip{From: "forge/x", Loads: load("v", 200, 0)}, second(20))
+	slow.Heard(&messages.Gossip{From: "forge/x", Loads: load("v", 200, 0)}, second(20))
 	if answer, _ := slow.Admit(ask(0), nil, second(21)); answer.Verdict == VerdictGranted {
 		test.Fatal("a worker of long requests is not empty after a second")
 	}
 }
 
-// An old word says little more than the mean: it draws nobody to another hall.
+// An old word says little more than the mean: it draws nobody to another zone.
 func TestOldWordsDrawNobody(test *testing.T) {
-	one := bench(test, 6, "v")
-	one.Merge([]pattern.Worker{{ID: "a", Backend: "s", Address: "a", Hall: "elsewhere", Capacity: 6, Count: 1}}, 1)
+	one := scheduler(test, 6, "v")
+	one.Merge([]messages.Worker{{ID: "a", Backend: "s", Address: "a", Zone: "elsewhere", Capacity: 6, Count: 1}}, 1)
 	for count := 0; count < 40; count++ {
 		answer, _ := one.Admit(ask(0), nil, second(5))
-		answer.Grant.First("", second(5).Plus(watch.Milliseconds(60)))
-		answer.Grant.End(OutcomeServed, second(5).Plus(watch.Milliseconds(60)))
+		answer.Grant.First("", second(5).Plus(clock.Milliseconds(60)))
+		answer.Grant.End(ResultServed, second(5).Plus(clock.Milliseconds(60)))
 	}
-	hear := func(now watch.Moment) {
+	hear := func(now clock.Moment) {
 		loads := append(load("v", 4, 0), load("a", 0, 0)[1:]...)
-		one.Heard(&pattern.Gossip{From: "forge/x", Loads: loads}, now)
+		one.Heard(&messages.Gossip{From: "forge/x", Loads: loads}, now)
 	}
-	at := func(now watch.Moment) string {
+	at := func(now clock.Moment) string {
 		answer, _ := one.Admit(ask(0), nil, now)
-		answer.Grant.End(OutcomeCalledOff, now)
+		answer.Grant.End(ResultCalledOff, now)
 		return answer.Grant.Worker.ID
 	}
 	hear(second(10))
 	if at(second(10)) != "a" {
 		test.Fatal("a fresh word was not followed")
 	}
-	if at(second(10).Plus(watch.Milliseconds(900))) != "v" {
-		test.Fatal("a word fifteen requests old still sends everybody to another hall")
+	if at(second(10).Plus(clock.Milliseconds(900))) != "v" {
+		test.Fatal("a word fifteen requests old still sends everybody to another zone")
 	}
 }
 
@@ -71,10 +72,10 @@
 	first := map[string]int{}
 	for place := 0; place < 40; place++ {
 		pick := func() string {
-			one := New(pattern.Entry{Name: string(rune('a' + place)), Role: "forge", Hall: "h"}, 1_200_000_000)
-			var list []pattern.Worker
+			one := New(messages.Entry{Name: string(rune('a' + place)), Role: membership.RoleGateway, Zone: "h"}, 1_200_000_000)
+			var list []messages.Worker
 			for _, name := range []string{"v", "w", "x", "y"} {
-				list = append(list, pattern.Worker{ID: name, Backend: "s", Hall: "h", Capacity: 4, Count: 1})
+				list = append(list, messages.Worker{ID: name, Backend: "s", Zone: "h", Capacity: 4, Count: 1})
 			}
 			one.Merge(list, 1)
 			answer, _ := one.Admit(ask(0), nil, 2)
@@ -95,7 +96,7 @@
 func TestFullEngineIsNotLookedAt(test *testing.T) {
 	one := node("n", "h1", 4)
 	for place := 0; place < 60; place++ {
-		one.Heard(&pattern.Gossip{From: "forge/x", Loads: load(fmt.Sprintf("i-%04d", place), 50, 0)}, second(10))
+		one.Heard(&messages.Gossip{From: "forge/x", Loads: load(fmt.Sprintf("i-%04d", place), 50, 0)}, second(10))
 	}
 	if answer, _ := one.Admit(ask(0), nil, second(12)); answer.Verdict == VerdictGranted {
 		test.Fatal("placed on a full engine")
--- a/internal/workbench/unread_test.go
+++ b/internal/traffic/admission/unread_test.go
@@ -1,12 +1,12 @@
-package workbench
+package admission
 
 import "testing"
 
 // A try that ends before its first event gives back what it had the worker read:
 // else the worker looks busy for ever, and no item is placed there any more.
 func TestEndGivesBackUnread(test *testing.T) {
-	for _, outcome := range []Outcome{OutcomeServed, OutcomeFailed, OutcomeTurnedAway, OutcomeCalledOff} {
-		one := bench(test, 4, "w")
+	for _, result := range []Result{ResultServed, ResultFailed, ResultTurnedAway, ResultCalledOff} {
+		one := scheduler(test, 4, "w")
 		question := ask(0)
 		question.Affine = true
 		question.Prompt.Tokens = 700
@@ -14,13 +14,13 @@
 		if answer.Verdict != VerdictGranted {
 			test.Fatal(answer.Verdict)
 		}
-		vitals := one.Gauge.Of("w")
-		if vitals.Unread() != 1 || vitals.Pending() != int64(answer.Grant.Fresh) {
-			test.Fatal(vitals.Unread(), vitals.Pending())
+		health := one.Tracker.Of("w")
+		if health.Unread() != 1 || health.Pending() != int64(answer.Grant.Fresh) {
+			test.Fatal(health.Unread(), health.Pending())
 		}
-		answer.Grant.End(outcome, 3)
-		if vitals.Unread() != 0 || vitals.Pending() != 0 {
-			test.Fatal(outcome, vitals.Unread(), vitals.Pending())
+		answer.Grant.End(result, 3)
+		if health.Unread() != 0 || health.Pending() != 0 {
+			test.Fatal(result, health.Unread(), health.Pending())
 		}
 	}
 }
--- /dev/null
+++ b/internal/traffic/admission/vitals.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"strconv"
+
+	"lemonarch/internal/control/workers"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/health"
+)
+
+// Ejection is told when a worker is ejected from ordinary placement or returns.
+type Ejection struct {
+	Worker, Service string
+	// Why is the kind of the last failure, or "flapping".
+	Why string
+	// For is how long; 0 means that it is back.
+	For clock.Span
+}
+
+// troubleOf maps outcomes that say something against a worker.
+var troubleOf = map[Result]health.Trouble{
+	ResultFailed:  health.TroubleReset,
+	ResultRefused: health.TroubleRefused,
+	ResultSilent:  health.TroubleSilent,
+	ResultErrored: health.TroubleError,
+	ResultShed:    health.TroubleShed,
+	// Another service answers there: this life is gone from the address.
+	ResultGoneAway: health.TroubleRefused,
+}
+
+// OnEjection names who is told of ejections and returns; it must not block.
+func (scheduler *Scheduler) OnEjection(tell func(Ejection)) { scheduler.tellEjection = tell }
+
+// judge takes an outcome into the health. The lock is held.
+func (scheduler *Scheduler) judge(grant *Grant, result Result, now clock.Moment) {
+	worker := grant.Worker
+	if trouble, against := troubleOf[result]; against {
+		switch {
+		case result == ResultSilent && grant.doubt == doubtSure:
+			// Noted while it lasted.
+			return
+		case result == ResultSilent && grant.silence > 0 && grant.silence < constants.SureSilence:
+			trouble = health.TroubleSlow
+		}
+		scheduler.troubled(worker, trouble, now)
+		return
+	}
+	if result == ResultServed && scheduler.Tracker.Went(worker.ID, worker.Backend, now) && scheduler.tellEjection != nil {
+		scheduler.tellEjection(Ejection{Worker: worker.ID, Service: worker.Backend})
+	}
+}
+
+func (scheduler *Scheduler) troubled(worker messages.Worker, trouble health.Trouble, now clock.Moment) {
+	span := scheduler.Tracker.Troubled(worker.ID, worker.Backend, trouble, now)
+	scheduler.Tracker.Of(worker.ID).Failed(span, now)
+	if span > 0 && scheduler.tellEjection != nil {
+		scheduler.tellEjection(Ejection{Worker: worker.ID, Service: worker.Backend, Why: trouble.String(), For: span})
+	}
+}
+
+// born has the health look at a life that is new to us. The lock is held.
+func (scheduler *Scheduler) born(worker messages.Worker, now clock.Moment) {
+	if _, known := scheduler.Registry.Get(worker.ID); known || worker.Phase != messages.PhaseSteady {
+		return
+	}
+	// A life that said that it leaves made room in order. Of one that we never heard
+	// of we can't tell.
+	orderly := true
+	if before, found := scheduler.Registry.Get(scheduler.Tracker.Lives(worker.Address)); found {
+		orderly = before.Phase != messages.PhaseSteady
+	}
+	span := scheduler.Tracker.Born(worker.ID, worker.Backend, worker.Address, orderly, now)
+	if span > 0 && scheduler.tellEjection != nil {
+		scheduler.tellEjection(Ejection{Worker: worker.ID, Service: worker.Backend, Why: "flapping", For: span})
+	}
+}
+
+// standings sorts out which workers of a service get no ordinary request. Our own
+// outcomes go before hearsay and before missing heartbeats.
+func (scheduler *Scheduler) apart(ask *Ask, workerList []messages.Worker, now clock.Moment) map[string]bool {
+	if !scheduler.Tracker.SomeApart() {
+		return nil
+	}
+	names := make([]string, len(workerList))
+	for place := range workerList {
+		names[place] = workerList[place].ID
+	}
+	idle := func(worker string) bool { return scheduler.Tracker.Of(worker).Own() == 0 }
+	return scheduler.Tracker.Apart(names, ask.Repeatable || ask.Bulk, idle, now)
+}
+
+// suspect tells whether a worker is only asked where nobody else can be: ejected here,
+// or told of by peers or by missing heartbeats while nothing of ours speaks for it.
+func (scheduler *Scheduler) suspect(worker messages.Worker, standing workers.Standing, apart map[string]bool, now clock.Moment) bool {
+	if apart[worker.ID] {
+		return true
+	}
+	trust := scheduler.Tracker.Trust(worker.ID, worker.Backend)
+	if standing != workers.StandingSuspect && !scheduler.Tracker.Of(worker.ID).Told(now) {
+		return false
+	}
+	return !trust.Proven(now)
+}
+
+// risk is what a worker's failures cost in ms of score, beyond what is usual.
+func (scheduler *Scheduler) risk(ask *Ask, worker messages.Worker, now clock.Moment) float64 {
+	usual := scheduler.Tracker.Usual(worker.Backend, now)
+	cost := constants.ErrCostOnce
+	if ask.Repeatable || ask.Bulk {
+		cost = constants.ErrCost
+	}
+	return cost * max(0, scheduler.Tracker.Trust(worker.ID, worker.Backend).Rate(usual, now)-usual-constants.RiskFloor)
+}
+
+// TrustWord says in a word for the shell how a worker is trusted here: its rate of
+// failure, whether it is held or on trial, and the failures by kind. The lock is held.
+func (scheduler *Scheduler) TrustWord(worker messages.Worker, now clock.Moment) string {
+	trust := scheduler.Tracker.Trust(worker.ID, worker.Backend)
+	word := "rate=" + strconv.FormatFloat(trust.Rate(scheduler.Tracker.Usual(worker.Backend, now), now), 'f', 2, 64)
+	switch {
+	case trust.Held(now):
+		word += " held"
+	case trust.Trial(now):
+		word += " trial"
+	}
+	for place, count := range trust.Counts() {
+		if count > 0 {
+			word += " " + health.Kinds()[place] + "=" + strconv.FormatInt(count, 10)
+		}
+	}
+	return word
+}
--- /dev/null
+++ b/internal/traffic/admission/wait.go
@@ -0,0 +1,29 @@
+package admission
+
+import (
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+)
+
+// retryAfter tells when room is expected.
+func (scheduler *Scheduler) retryAfter(ask *Ask, now clock.Moment) clock.Span {
+	wait, known := scheduler.expectedWait(ask, now)
+	if !known {
+		wait = ask.Setpoint
+	}
+	return min(max(wait, 50*1_000_000), constants.GossipPeriod)
+}
+
+func (scheduler *Scheduler) expectedWait(ask *Ask, now clock.Moment) (clock.Span, bool) {
+	pace := scheduler.rates[ask.Service]
+	if pace == nil || pace.perS <= 0 {
+		return 0, false
+	}
+	ahead := 1.0
+	for _, handle := range scheduler.queues[ask.Service] {
+		if one, found := scheduler.slab.Get(handle); found && one.ask.Priority <= ask.Priority {
+			ahead++
+		}
+	}
+	return clock.Milliseconds(1000 * ahead / pace.perS), true
+}
--- a/internal/forge/parting.go
+++ b/internal/traffic/gateway/parting.go
@@ -1,9 +1,9 @@
-package forge
+package gateway
 
 import (
 	"io"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // What is read and thrown away before a connection ends on which the client still
@@ -19,14 +19,14 @@
 
 // CloseWrite ends our side and lets the client come to its end. The standard server
 // asks for it where it answers a head or body that is too large.
-func (pipe *patientPipe) CloseWrite() error {
-	half, can := pipe.Conn.(halfCloser)
+func (connection *patientConnection) CloseWrite() error {
+	half, can := connection.Conn.(halfCloser)
 	if !can {
 		return nil
 	}
-	failure := half.CloseWrite()
-	if failure == nil && pipe.Conn.SetReadDeadline(watch.Deadline(watch.Milliseconds(partingMs))) == nil {
-		_, _ = io.CopyN(io.Discard, pipe.Conn, partingBytes)
+	err := half.CloseWrite()
+	if err == nil && connection.Conn.SetReadDeadline(clock.Deadline(clock.Milliseconds(partingMs))) == nil {
+		_, _ = io.CopyN(io.Discard, connection.Conn, partingBytes)
 	}
-	return failure
+	return err
 }
--- a/internal/forge/parting_test.go
+++ b/internal/traffic/gateway/parting_test.go
@@ -1,4 +1,4 @@
-package forge
+package gateway
 
 import (
 	"bytes"
@@ -8,21 +8,21 @@
 	"strings"
 	"testing"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // A real client that sends far more than it may is told so, and is not cut off: by
 // 431 for its head, by 413 for its body.
 func TestTooLargeIsAnsweredNotReset(test *testing.T) {
-	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if _, failure := io.ReadAll(http.MaxBytesReader(writer, request.Body, 1000)); failure != nil {
+		if _, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, 1000)); err != nil {
 			writer.WriteHeader(http.StatusRequestEntityTooLarge)
 		}
-	}), MaxHeaderBytes: 4096, ReadHeaderTimeout: watch.Milliseconds(3000), ConnState: noteState}
+	}), MaxHeaderBytes: 4096, ReadHeaderTimeout: clock.Milliseconds(3000), ConnState: noteState}
 	go func() { _ = server.Serve(patient{listener}) }()
 	defer server.Close()
 	address := "http://" + listener.Addr().String() + "/"
@@ -33,12 +33,12 @@
 		for want, request := range map[int]*http.Request{431: large, 413: body} {
 			// Each on a connection of its own.
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-			answer, failure := client.Do(request)
-			if failure != nil {
-				test.Fatal(want, failure)
+			answer, err := client.Do(request)
+			if err != nil {
+				test.Fatal(want, err)
 			}
-			if _, failure = io.ReadAll(answer.Body); failure != nil || answer.StatusCode != want {
-				test.Fatal(want, answer.StatusCode, failure)
+			if _, err = io.ReadAll(answer.Body); err != nil || answer.StatusCode != want {
+				test.Fatal(want, answer.StatusCode, err)
 			}
 			answer.Body.Close()
 		}
@@ -49,35 +49,35 @@
 type narrow struct{ net.Listener }
 
 func (one narrow) Accept() (net.Conn, error) {
-	connection, failure := one.Listener.Accept()
-	if failure == nil {
+	connection, err := one.Listener.Accept()
+	if err == nil {
 		_ = connection.(*net.TCPConn).SetReadBuffer(32 << 10)
 	}
-	return connection, failure
+	return connection, err
 }
 
 // The whole of what was said is read, also by one that reads only after it has
 // sent everything.
 func TestLateReaderGetsItsAnswer(test *testing.T) {
-	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
 	}
-	server := &http.Server{Handler: http.NotFoundHandler(), MaxHeaderBytes: 4096, ReadHeaderTimeout: watch.Milliseconds(3000), ConnState: noteState}
+	server := &http.Server{Handler: http.NotFoundHandler(), MaxHeaderBytes: 4096, ReadHeaderTimeout: clock.Milliseconds(3000), ConnState: noteState}
 	go func() { _ = server.Serve(patient{narrow{listener}}) }()
 	defer server.Close()
-	connection, failure := net.Dial("tcp4", listener.Addr().String())
-	if failure != nil {
-		test.Fatal(failure)
+	connection, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		test.Fatal(err)
 	}
 	defer connection.Close()
 	_ = connection.(*net.TCPConn).SetWriteBuffer(16 << 10)
-	if _, failure = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 400_000)+"\r\n\r\n"); failure != nil {
-		test.Fatal("cut off while sending: ", failure)
+	if _, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("x", 400_000)+"\r\n\r\n"); err != nil {
+		test.Fatal("cut off while sending: ", err)
 	}
-	_ = connection.SetReadDeadline(watch.Deadline(5_000_000_000))
-	whole, failure := io.ReadAll(connection)
-	if failure != nil || !strings.HasPrefix(string(whole), "HTTP/1.1 431") {
-		test.Fatalf("%.40q %v", whole, failure)
+	_ = connection.SetReadDeadline(clock.Deadline(5_000_000_000))
+	whole, err := io.ReadAll(connection)
+	if err != nil || !strings.HasPrefix(string(whole), "HTTP/1.1 431") {
+		test.Fatalf("%.40q %v", whole, err)
 	}
 }
--- a/internal/forge/promise.go
+++ b/internal/traffic/gateway/promise.go
@@ -1,13 +1,13 @@
-package forge
+package gateway
 
 import (
 	"net/http"
 	"strconv"
 
-	"lemonarch/internal/mishap"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
 )
 
 // promise follows the questions that one call was put in, and keeps a refusal from
@@ -19,14 +19,14 @@
 }
 
 // heard notes how a question ended.
-func (one *promise) heard(failure error) {
-	one.unclear = one.unclear || (failure != nil && !mishap.Of(failure, tongs.Unreached))
+func (one *promise) heard(err error) {
+	one.unclear = one.unclear || (err != nil && !errs.Of(err, transport.Unreached))
 }
 
 // tell gives what may be said to the asker of what one process answered.
-func (one *promise) tell(call *pattern.LotCall, answer *pattern.LotAnswer) *pattern.LotAnswer {
+func (one *promise) tell(call *messages.LotCall, answer *messages.LotAnswer) *messages.LotAnswer {
 	if call.Method == http.MethodPost && one.unclear && promises(answer.Status) {
-		return unknownOutcome()
+		return unknownResult()
 	}
 	return answer
 }
@@ -41,16 +41,16 @@
 }
 
 // unknownOutcome promises nothing: the asker may hand the same lot in again.
-func unknownOutcome() *pattern.LotAnswer {
-	return &pattern.LotAnswer{Status: http.StatusGatewayTimeout, Body: []byte(`{"error":"outcome unknown"}`)}
+func unknownResult() *messages.LotAnswer {
+	return &messages.LotAnswer{Status: http.StatusGatewayTimeout, Body: []byte(`{"error":"outcome unknown"}`)}
 }
 
 // question makes the copy of a call that goes to one process. It has a name of its
 // own, and a hand-in says for how long it may be taken.
-func (one *gate) question(call *pattern.LotCall, left watch.Span) *pattern.LotCall {
+func (one *gate) question(call *messages.LotCall, left clock.Span) *messages.LotCall {
 	copied := *call
 	if call.Method == http.MethodPost {
-		own := one.stand.Own
+		own := one.runtime.Own
 		copied.Ask = own.Name + "#" + strconv.FormatInt(own.Life, 36) + "#" + strconv.FormatUint(one.asks.Add(1), 36)
 		copied.LiveMs = max(left.Milliseconds(), 1)
 	}
--- a/internal/forge/promise_test.go
+++ b/internal/traffic/gateway/promise_test.go
@@ -1,4 +1,4 @@
-package forge
+package gateway
 
 import (
 	"fmt"
@@ -7,21 +7,21 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/boot"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/tongs"
-	"lemonarch/internal/trestle"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/settings"
+	"lemonarch/internal/platform/transport"
 )
 
 // rough is a world in which calls come late, twice, or not at all, and answers get
 // lost. One seed gives one history: nothing in it waits.
 type rough struct {
-	random  *rand.Rand
-	now     watch.Moment
-	gates   map[string]*gate
-	lockers map[string]*keeper
+	random *rand.Rand
+	now    clock.Moment
+	gates  map[string]*gate
+	stores map[string]*keeper
 	// late holds the frames that are still under way.
 	late []func()
 	// taken says by which try each lot came to stand.
@@ -32,10 +32,10 @@
 	vacant bool
 }
 
-// keeper is a locker as far as hand-ins see it.
+// keeper is a store as far as hand-ins see it.
 type keeper struct {
 	holds, full bool
-	once        tongs.Once
+	once        transport.Once
 }
 
 func (world *rough) deliver(address string, body []byte) []byte {
@@ -43,9 +43,9 @@
 		answer, _ := one.relayed(body)
 		return answer
 	}
-	call := &pattern.LotCall{}
-	_ = tongs.Read(body, call)
-	one, answer := world.lockers[address], &pattern.LotAnswer{}
+	call := &messages.LotCall{}
+	_ = transport.Read(body, call)
+	one, answer := world.stores[address], &messages.LotAnswer{}
 	switch {
 	case !one.once.First(call.Ask, world.now):
 		answer.Status = 504
@@ -59,7 +59,7 @@
 		world.taken[call.Lot] = string(call.Body)
 		answer.Status = 202
 	}
-	packed, _ := tongs.Write(answer)
+	packed, _ := transport.Write(answer)
 	return packed
 }
 
@@ -69,8 +69,8 @@
 	if world.random.Intn(3) == 0 {
 		holder := names[world.random.Intn(3)]
 		for _, name := range names {
-			world.lockers[name].holds = !world.vacant && name == holder && world.random.Intn(4) > 0
-			world.lockers[name].full = world.random.Intn(2) == 0
+			world.stores[name].holds = !world.vacant && name == holder && world.random.Intn(4) > 0
+			world.stores[name].full = world.random.Intn(2) == 0
 		}
 	}
 	for len(world.late) > 0 && world.random.Intn(2) == 0 {
@@ -81,30 +81,30 @@
 	}
 }
 
-// pipe is one forge's transport.
-type pipe struct{ world *rough }
+// connection is one gateway's transport.
+type connection struct{ world *rough }
 
-func (one pipe) Serve(tongs.Handler) error { return nil }
-func (one pipe) Close()                    {}
+func (one connection) Serve(transport.Handler) error { return nil }
+func (one connection) Close()                        {}
 
-func (one pipe) Call(address string, _ pattern.Kind, body []byte, span watch.Span) ([]byte, error) {
+func (one connection) Call(address string, _ messages.Kind, body []byte, span clock.Span) ([]byte, error) {
 	world := one.world
 	world.turn()
 	again := func() { world.deliver(address, body) }
 	switch world.random.Intn(8 + world.calm) {
 	case 0:
 		world.now = world.now.Plus(span)
-		return nil, tongs.Unanswered.New("lost")
+		return nil, transport.Unanswered.New("lost")
 	case 1:
 		world.now = world.now.Plus(span)
 		world.late = append(world.late, again)
-		return nil, tongs.Unanswered.New("slow")
+		return nil, transport.Unanswered.New("slow")
 	case 2:
 		world.now = world.now.Plus(span)
 		world.deliver(address, body)
-		return nil, tongs.Unanswered.New("answer lost")
+		return nil, transport.Unanswered.New("answer lost")
 	case 3:
-		return nil, tongs.Unreached.New("nobody there")
+		return nil, transport.Unreached.New("nobody there")
 	case 4:
 		world.late = append(world.late, again)
 	}
@@ -112,24 +112,24 @@
 }
 
 func newRough(seed int64) *rough {
-	world := &rough{random: rand.New(rand.NewSource(seed)), now: 1, gates: map[string]*gate{}, lockers: map[string]*keeper{}, taken: map[string]string{}}
+	world := &rough{random: rand.New(rand.NewSource(seed)), now: 1, gates: map[string]*gate{}, stores: map[string]*keeper{}, taken: map[string]string{}}
 	world.calm, world.vacant = world.random.Intn(3)*60, world.random.Intn(4) == 0
-	entries := []pattern.Entry{}
+	entries := []messages.Entry{}
 	for number := 0; number < 3; number++ {
 		name := fmt.Sprint("l", number)
-		world.lockers[name] = &keeper{}
-		entries = append(entries, pattern.Entry{Name: name, Role: bellows.RoleLocker, Address: name})
-		entries = append(entries, pattern.Entry{Name: fmt.Sprint("f", number), Role: bellows.RoleForge, Address: fmt.Sprint("f", number)})
+		world.stores[name] = &keeper{}
+		entries = append(entries, messages.Entry{Name: name, Role: membership.RoleStore, Address: name})
+		entries = append(entries, messages.Entry{Name: fmt.Sprint("f", number), Role: membership.RoleGateway, Address: fmt.Sprint("f", number)})
 	}
 	for number := 0; number < 3; number++ {
 		name := fmt.Sprint("f", number)
-		settings := &boot.Boot{NodeName: name, Address: "10.0.0.1", InternalPorts: []int{1, 9}}
-		stand := trestle.New(settings, bellows.RoleForge, 1, "", hclog.NewNullLogger())
-		stand.Wire = pipe{world}
-		stand.Hear(entries)
-		one := newGate(stand)
-		one.now = func() watch.Moment { return world.now }
-		one.pause = func(span watch.Span) { world.now = world.now.Plus(span); world.turn() }
+		nodeSettings := &settings.Settings{NodeName: name, Address: "10.0.0.1", InternalPorts: []int{1, 9}}
+		runtime := node.New(nodeSettings, membership.RoleGateway, 1, "", hclog.NewNullLogger())
+		runtime.Wire = connection{world}
+		runtime.Hear(entries)
+		one := newGate(runtime)
+		one.now = func() clock.Moment { return world.now }
+		one.pause = func(span clock.Span) { world.now = world.now.Plus(span); world.turn() }
 		one.draw = world.random.Float64
 		world.gates[name] = one
 	}
@@ -146,8 +146,8 @@
 		for lot := 0; lot < 2; lot++ {
 			for try := 0; try < 3; try++ {
 				name, mark := fmt.Sprint("lot", lot), fmt.Sprint(lot, "/", try)
-				call := &pattern.LotCall{Method: "POST", Lot: name, Body: []byte(mark)}
-				answer, maybe := world.gates[fmt.Sprint("f", try)].Pass(call, watch.Milliseconds(3000))
+				call := &messages.LotCall{Method: "POST", Lot: name, Body: []byte(mark)}
+				answer, maybe := world.gates[fmt.Sprint("f", try)].Pass(call, clock.Milliseconds(3000))
 				status := 503
 				if answer != nil {
 					status = answer.Status
@@ -165,7 +165,7 @@
 			}
 		}
 		// Whatever is still under way arrives in the end.
-		for _, one := range world.lockers {
+		for _, one := range world.stores {
 			one.holds, one.full = true, false
 		}
 		for len(world.late) > 0 {
@@ -190,50 +190,50 @@
 // The call that waited on a silent holder may still be taken there: a refusal by
 // the one after it is no promise.
 func TestRefusalAfterSilenceIsNoPromise(test *testing.T) {
-	room := tongs.NewRoom()
-	settings := &boot.Boot{NodeName: "n", Address: "10.0.0.1", InternalPorts: []int{1, 9}}
-	stand := trestle.New(settings, bellows.RoleForge, 1, "", hclog.NewNullLogger())
-	stand.Wire = room.Transport("forge")
-	one := newGate(stand)
+	room := transport.NewRoom()
+	nodeSettings := &settings.Settings{NodeName: "n", Address: "10.0.0.1", InternalPorts: []int{1, 9}}
+	runtime := node.New(nodeSettings, membership.RoleGateway, 1, "", hclog.NewNullLogger())
+	runtime.Wire = room.Transport("gateway")
+	one := newGate(runtime)
 	asked, hold := make(chan struct{}), make(chan struct{})
 	defer close(hold)
-	_ = room.Transport("old").Serve(func(pattern.Kind, []byte) ([]byte, error) {
+	_ = room.Transport("old").Serve(func(messages.Kind, []byte) ([]byte, error) {
 		close(asked)
 		<-hold
 		return nil, nil
 	})
-	_ = room.Transport("new").Serve(func(pattern.Kind, []byte) ([]byte, error) {
-		return tongs.Write(&pattern.LotAnswer{Status: 429})
+	_ = room.Transport("new").Serve(func(messages.Kind, []byte) ([]byte, error) {
+		return transport.Write(&messages.LotAnswer{Status: 429})
 	})
-	one.duty = pattern.Duty{Epoch: 1, Address: "old"}
-	back := make(chan *pattern.LotAnswer, 1)
+	one.duty = messages.Duty{Epoch: 1, Address: "old"}
+	back := make(chan *messages.LotAnswer, 1)
 	go func() {
-		answer, _ := one.Pass(&pattern.LotCall{Method: "POST", Lot: "l"}, watch.Milliseconds(60_000))
+		answer, _ := one.Pass(&messages.LotCall{Method: "POST", Lot: "l"}, clock.Milliseconds(60_000))
 		back <- answer
 	}()
 	<-asked
-	one.learn(&pattern.HolderTold{Duty: pattern.Duty{Epoch: 2, Address: "new"}})
+	one.learn(&messages.HolderTold{Duty: messages.Duty{Epoch: 2, Address: "new"}})
 	if answer := <-back; answer == nil || answer.Status != 504 {
 		test.Fatal(answer)
 	}
 }
 
-// A relay that met silence says so: the first forge, which reached nobody itself,
+// A relay that met silence says so: the first gateway, which reached nobody itself,
 // has nothing to promise.
 func TestSilenceBehindARelayIsNoPromise(test *testing.T) {
 	world := newRough(1)
-	room := tongs.NewRoom()
+	room := transport.NewRoom()
 	cut, near := world.gates["f0"], world.gates["f1"]
 	for _, one := range []*gate{cut, near} {
-		one.stand.Wire = room.Transport(one.stand.Own.Name)
+		one.runtime.Wire = room.Transport(one.runtime.Own.Name)
 	}
-	_ = near.stand.Wire.Serve(func(_ pattern.Kind, body []byte) ([]byte, error) { return near.relayed(body) })
-	// The lockers are known under addresses at which the first forge finds nobody,
+	_ = near.runtime.Wire.Serve(func(_ messages.Kind, body []byte) ([]byte, error) { return near.relayed(body) })
+	// The stores are known under addresses at which the first gateway finds nobody,
 	// and the second finds one that stays silent.
-	near.duty = pattern.Duty{Epoch: 1, Address: "silent"}
-	_ = room.Transport("silent").Serve(func(pattern.Kind, []byte) ([]byte, error) { return nil, nil })
+	near.duty = messages.Duty{Epoch: 1, Address: "silent"}
+	_ = room.Transport("silent").Serve(func(messages.Kind, []byte) ([]byte, error) { return nil, nil })
 	room.Cut("silent", true)
-	answer, maybe := cut.Pass(&pattern.LotCall{Method: "POST", Lot: "l"}, watch.Milliseconds(3000))
+	answer, maybe := cut.Pass(&messages.LotCall{Method: "POST", Lot: "l"}, clock.Milliseconds(3000))
 	if !maybe || (answer != nil && answer.Status != 504) {
 		test.Fatal(answer, maybe)
 	}
--- a/internal/forge/slow_test.go
+++ b/internal/traffic/gateway/slow_test.go
@@ -1,4 +1,4 @@
-package forge
+package gateway
 
 import (
 	"bufio"
@@ -8,17 +8,17 @@
 	"strings"
 	"testing"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
-func TestSlowAndLargeHeads(test *testing.T) {
-	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+func TestSlowAndLargeCounts(test *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
 	}
 	passed := 0
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed++ }),
-		ReadHeaderTimeout: watch.Milliseconds(150), IdleTimeout: watch.Milliseconds(5000), MaxHeaderBytes: 4096, ConnState: noteState}
+		ReadHeaderTimeout: clock.Milliseconds(150), IdleTimeout: clock.Milliseconds(5000), MaxHeaderBytes: 4096, ConnState: noteState}
 	go func() { _ = server.Serve(patient{listener}) }()
 	defer server.Close()
 	for text, want := range map[string]string{
@@ -28,15 +28,15 @@
 		"GET /x HTTP/1.1\r\n\r\n":            "400",
 		"GET /x HTTP/1.1\r\nHost: h\r\n\r\n": "200",
 	} {
-		connection, failure := net.Dial("tcp4", listener.Addr().String())
-		if failure != nil {
-			test.Fatal(failure)
+		connection, err := net.Dial("tcp4", listener.Addr().String())
+		if err != nil {
+			test.Fatal(err)
 		}
 		_, _ = io.WriteString(connection, text)
-		_ = connection.SetReadDeadline(watch.Deadline(5_000_000_000))
-		line, failure := bufio.NewReader(connection).ReadString('\n')
-		if failure != nil || !strings.Contains(line, want) {
-			test.Errorf("%.30q: %q %v, want %s", text, line, failure, want)
+		_ = connection.SetReadDeadline(clock.Deadline(5_000_000_000))
+		line, err := bufio.NewReader(connection).ReadString('\n')
+		if err != nil || !strings.Contains(line, want) {
+			test.Errorf("%.30q: %q %v, want %s", text, line, err, want)
 		}
 		connection.Close()
 	}
@@ -48,32 +48,32 @@
 // The server calls reads of its own off by a deadline that is past; nothing may be
 // written then, or the next answer on the connection would be spoilt.
 func TestKeptConnectionsGetTheirAnswersOnly(test *testing.T) {
-	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
 		writer.(http.Flusher).Flush()
 		_, _ = io.WriteString(writer, request.URL.Path)
-	}), ReadHeaderTimeout: watch.Milliseconds(3000), IdleTimeout: watch.Milliseconds(3000), ConnState: noteState}
+	}), ReadHeaderTimeout: clock.Milliseconds(3000), IdleTimeout: clock.Milliseconds(3000), ConnState: noteState}
 	go func() { _ = server.Serve(patient{listener}) }()
 	defer server.Close()
-	connection, failure := net.Dial("tcp4", listener.Addr().String())
-	if failure != nil {
-		test.Fatal(failure)
+	connection, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		test.Fatal(err)
 	}
 	defer connection.Close()
 	reader := bufio.NewReader(connection)
 	for _, path := range []string{"/a", "/b", "/c", "/d"} {
 		_, _ = io.WriteString(connection, "POST "+path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxx")
-		answer, failure := http.ReadResponse(reader, nil)
-		if failure != nil {
-			test.Fatal(path, failure)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			test.Fatal(path, err)
 		}
-		body, failure := io.ReadAll(answer.Body)
-		if failure != nil || answer.StatusCode != 200 || string(body) != path {
-			test.Fatal(path, answer.StatusCode, string(body), failure)
+		body, err := io.ReadAll(answer.Body)
+		if err != nil || answer.StatusCode != 200 || string(body) != path {
+			test.Fatal(path, answer.StatusCode, string(body), err)
 		}
 	}
 	if reader.Buffered() > 0 {
--- a/internal/gauge/apart.go
+++ b/internal/traffic/health/apart.go
@@ -1,10 +1,10 @@
-package gauge
+package health
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // birth is what is remembered of an address: the life that answers there now, and how
@@ -12,71 +12,71 @@
 type birth struct {
 	worker, service string
 	died            int
-	at              watch.Moment
+	at              clock.Moment
 }
 
 // Born notes a new life at an address. One that follows lives which died without
 // saying that they leave is on trial, and from the second such death on held back for
 // a growing time: it may be going down and up by turns.
-func (gauge *Gauge) Born(worker, service, address string, orderly bool, now watch.Moment) (span watch.Span) {
-	trust := gauge.Trust(worker, service)
-	known, found := gauge.trusts.births[address]
+func (tracker *Tracker) Born(worker, service, address string, orderly bool, now clock.Moment) (span clock.Span) {
+	trust := tracker.Trust(worker, service)
+	known, found := tracker.trusts.births[address]
 	if found && known.worker == worker {
 		return 0
 	}
 	next := birth{worker: worker, service: service, at: now}
 	// An address may be given to another service: its past is another's. Lives heard of
 	// in one word, as when a process starts, tell nothing of who died.
-	if found && known.service == service && !orderly && now > known.at && now.Since(known.at) < almanac.FlapWindow {
+	if found && known.service == service && !orderly && now > known.at && now.Since(known.at) < constants.FlapWindow {
 		next.died = known.died + 1
 	}
-	gauge.trusts.births[address] = next
-	if next.died < almanac.FlapDeaths {
+	tracker.trusts.births[address] = next
+	if next.died < constants.FlapDeaths {
 		return 0
 	}
-	trust.level = min(next.died-almanac.FlapDeaths, almanac.EjectLevels)
+	trust.level = min(next.died-constants.FlapDeaths, constants.EjectLevels)
 	trust.failedAt = now
-	return gauge.eject(worker, trust, now)
+	return tracker.eject(worker, trust, now)
 }
 
 // Lives names the life that answers at an address, if one is known.
-func (gauge *Gauge) Lives(address string) string { return gauge.trusts.births[address].worker }
+func (tracker *Tracker) Lives(address string) string { return tracker.trusts.births[address].worker }
 
 // Bury drops what is known of a worker's outcomes; its address stays known for a while.
-func (gauge *Gauge) Bury(worker string) {
-	delete(gauge.trusts.of, worker)
-	delete(gauge.trusts.apart, worker)
+func (tracker *Tracker) Bury(worker string) {
+	delete(tracker.trusts.of, worker)
+	delete(tracker.trusts.apart, worker)
 }
 
 // SweepTrust forgets addresses whose last birth is long past.
-func (gauge *Gauge) SweepTrust(now watch.Moment) {
-	for address, known := range gauge.trusts.births {
-		if now.Since(known.at) > almanac.ForgetAfter && gauge.trusts.of[known.worker] == nil {
-			delete(gauge.trusts.births, address)
+func (tracker *Tracker) SweepTrust(now clock.Moment) {
+	for address, known := range tracker.trusts.births {
+		if now.Since(known.at) > constants.ForgetAfter && tracker.trusts.of[known.worker] == nil {
+			delete(tracker.trusts.births, address)
 		}
 	}
-	for worker, trust := range gauge.trusts.apart {
+	for worker, trust := range tracker.trusts.apart {
 		if now >= trust.trialEnd {
 			trust.trial = false
-			delete(gauge.trusts.apart, worker)
+			delete(tracker.trusts.apart, worker)
 		}
 	}
 }
 
 // SomeApart tells whether any worker is held or on trial.
-func (gauge *Gauge) SomeApart() bool { return len(gauge.trusts.apart) > 0 }
+func (tracker *Tracker) SomeApart() bool { return len(tracker.trusts.apart) > 0 }
 
 // Apart gives the workers that get no ordinary request now, of those named. Never more
 // than EjectShare of them: of too many, those that fail most. idle tells whether we
 // have nothing running at a worker; repeatable, whether the request may be a trial.
-func (gauge *Gauge) Apart(workers []string, repeatable bool, idle func(worker string) bool, now watch.Moment) map[string]bool {
+func (tracker *Tracker) Apart(workerList []string, repeatable bool, idle func(worker string) bool, now clock.Moment) map[string]bool {
 	type one struct {
 		worker string
 		rate   float64
 	}
 	var held []one
-	for _, worker := range workers {
-		trust := gauge.trusts.apart[worker]
+	for _, worker := range workerList {
+		trust := tracker.trusts.apart[worker]
 		if trust == nil {
 			continue
 		}
@@ -84,8 +84,8 @@
 			held = append(held, one{worker, trust.Rate(0, now)})
 		}
 	}
-	most := int(almanac.EjectShare * float64(len(workers)))
-	if most == 0 && len(workers) > 1 {
+	most := int(constants.EjectShare * float64(len(workerList)))
+	if most == 0 && len(workerList) > 1 {
 		most = 1
 	}
 	if len(held) > most {
--- a/internal/gauge/pace.go
+++ b/internal/traffic/health/pace.go
@@ -1,8 +1,8 @@
-package gauge
+package health
 
 import (
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // Pace learns what is usual for a time: its mean and mean deviation, as RFC 6298 does
@@ -16,9 +16,9 @@
 // Learn takes a time in ms.
 func (pace *Pace) Learn(milliseconds float64) {
 	pace.count++
-	pace.budget = min(pace.budget+almanac.SilenceEarned, almanac.SilenceBudget)
+	pace.budget = min(pace.budget+constants.SilenceEarned, constants.SilenceBudget)
 	if pace.count == 1 {
-		pace.mean, pace.deviation, pace.budget = milliseconds, milliseconds/2, almanac.SilenceBudget/2
+		pace.mean, pace.deviation, pace.budget = milliseconds, milliseconds/2, constants.SilenceBudget/2
 		return
 	}
 	away := milliseconds - pace.mean
@@ -31,22 +31,22 @@
 
 // Beyond is the time past which a wait is out of the ordinary: between least and most;
 // most until enough was seen.
-func (pace *Pace) Beyond(least, most watch.Span) watch.Span {
-	if pace.count < almanac.PaceLeast {
+func (pace *Pace) Beyond(least, most clock.Span) clock.Span {
+	if pace.count < constants.PaceLeast {
 		return most
 	}
-	return min(max(watch.Milliseconds(pace.mean+almanac.PaceSpread*pace.deviation), least), most)
+	return min(max(clock.Milliseconds(pace.mean+constants.PaceSpread*pace.deviation), least), most)
 }
 
 // Spend takes one leave from silence out of the budget. When a whole service grows
 // slow, leaving for elsewhere would only add to its load: then the budget runs dry.
 // The wait itself is learnt, as the least that the answer would have taken.
-func (pace *Pace) Spend(waited watch.Span) bool {
+func (pace *Pace) Spend(waited clock.Span) bool {
 	if pace.budget < 1 {
 		return false
 	}
 	budget := pace.budget - 1
-	pace.Learn(watch.ToMilliseconds(waited))
+	pace.Learn(clock.ToMilliseconds(waited))
 	pace.budget = budget
 	return true
 }
--- a/internal/gauge/pace_test.go
+++ b/internal/traffic/health/pace_test.go
@@ -1,32 +1,32 @@
-package gauge
+package health
 
 import (
 	"math/rand"
 	"testing"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // Silence is judged by what a service has taught, within bounds.
 func TestPaceLearns(test *testing.T) {
 	random := rand.New(rand.NewSource(3))
 	pace := &Pace{}
-	least, most := watch.Milliseconds(40), watch.Milliseconds(900)
+	least, most := clock.Milliseconds(40), clock.Milliseconds(900)
 	if pace.Beyond(least, most) != most {
 		test.Fatal("judged before anything was seen")
 	}
 	over := 0
 	for count := 0; count < 1000; count++ {
 		took := 30 + 20*random.Float64()
-		if count > 20 && watch.Milliseconds(took) > pace.Beyond(least, most) {
+		if count > 20 && clock.Milliseconds(took) > pace.Beyond(least, most) {
 			over++
 		}
 		pace.Learn(took)
 	}
-	if beyond := pace.Beyond(least, most); over > 5 || beyond > watch.Milliseconds(100) {
+	if beyond := pace.Beyond(least, most); over > 5 || beyond > clock.Milliseconds(100) {
 		test.Fatal(over, beyond)
 	}
-	if pace.Beyond(watch.Milliseconds(300), most) != watch.Milliseconds(300) {
+	if pace.Beyond(clock.Milliseconds(300), most) != clock.Milliseconds(300) {
 		test.Fatal("the least does not hold")
 	}
 }
@@ -38,10 +38,10 @@
 	for count := 0; count < 100; count++ {
 		pace.Learn(20)
 	}
-	least, most := watch.Milliseconds(10), watch.Milliseconds(900)
+	least, most := clock.Milliseconds(10), clock.Milliseconds(900)
 	before, left := pace.Beyond(least, most), 0
 	for count := 0; count < 200; count++ {
-		if limit := pace.Beyond(least, most); limit < watch.Milliseconds(400) && pace.Spend(limit) {
+		if limit := pace.Beyond(least, most); limit < clock.Milliseconds(400) && pace.Spend(limit) {
 			left++
 			continue
 		}
--- /dev/null
+++ b/internal/traffic/health/peers.go
@@ -0,0 +1,136 @@
+package health
+
+import (
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// Freshest observation wins. A worker tells in each answer how many requests of all
+// callers it has, so one such count needs no adding up over nodes and no origin: of
+// two, the younger is the better, whoever heard it. It is passed on with its age.
+
+// ownSteps is how many changes of our own count are remembered, to correct an
+// observation by what we have begun and ended since (ours).
+const ownSteps = 8
+
+// suspectsLimit bounds whose suspicions are remembered (ours): the neighbours'.
+const suspectsLimit = 16
+
+type observation struct {
+	known bool
+	count int
+	at    clock.Moment
+	// own is how many of these requests were ours.
+	own int
+}
+
+type ownStep struct {
+	at  clock.Moment
+	own int
+}
+
+// observe takes a count as of a moment, unless a younger one is known.
+func (health *Health) observe(count int, at clock.Moment) bool {
+	if health.seen.known && at < health.seen.at {
+		return false
+	}
+	health.seen = observation{known: true, count: count, at: at, own: health.ownAt(at)}
+	return true
+}
+
+// step remembers a change of our own count.
+func (health *Health) step(now clock.Moment) {
+	health.steps[health.stepped%ownSteps] = ownStep{at: now, own: health.Own()}
+	health.stepped++
+}
+
+// ownAt is how many requests of ours were there at a moment, as far as remembered.
+func (health *Health) ownAt(at clock.Moment) int {
+	oldest := max(0, health.stepped-ownSteps)
+	for place := health.stepped - 1; place >= oldest; place-- {
+		if one := health.steps[place%ownSteps]; one.at <= at {
+			return one.own
+		}
+	}
+	if oldest == 0 {
+		return 0
+	}
+	return health.steps[oldest%ownSteps].own
+}
+
+// fresh tells whether the observation still counts: the age limit holds for the
+// age of the evidence, over however many nodes it came.
+func (health *Health) fresh(now clock.Moment) bool {
+	return health.seen.known && now.Since(health.seen.at) < constants.GossipStale
+}
+
+// Running estimates how many requests of all nodes are at the worker: the freshest
+// observation, corrected by what we ourselves have begun and ended since.
+func (health *Health) Running(now clock.Moment) int {
+	own := health.Own()
+	count := own
+	if health.fresh(now) {
+		count = max(count, health.seen.count+own-health.seen.own)
+	}
+	if health.full.known && now.Since(health.full.at) < constants.FullFor {
+		count = max(count, health.full.count+own-health.full.own)
+	}
+	return count
+}
+
+// Known tells whether there is evidence of the worker's load.
+func (health *Health) Known(now clock.Moment) bool { return health.fresh(now) }
+
+// Age is how old that evidence is.
+func (health *Health) Age(now clock.Moment) clock.Span { return now.Since(health.seen.at) }
+
+// Word is what we tell peers of the worker: the freshest observation, whoever made
+// it, and our own trust. told is false when there is nothing to tell.
+func (health *Health) Word(now clock.Moment) (word messages.LoadWord, told bool) {
+	word = messages.LoadWord{Running: messages.RunningUnknown, Trust: messages.TrustNone}
+	if health.fresh(now) {
+		word.Running, word.AgeMs, told = min(health.seen.count, messages.RunningUnknown-1), now.Since(health.seen.at).Milliseconds(), true
+	}
+	if now < health.suspectUntil {
+		word.Trust, told = messages.TrustSuspect, true
+	}
+	return word, told
+}
+
+// Observed is the moment of the freshest observation and its count.
+func (health *Health) Observed() (count int, at clock.Moment) {
+	return health.seen.count, health.seen.at
+}
+
+// Peer takes a neighbour's word. Its trust is its own evidence and counts as that.
+func (health *Health) Peer(from string, word messages.LoadWord, now clock.Moment) {
+	age := clock.Milliseconds(float64(word.AgeMs))
+	if word.Running != messages.RunningUnknown {
+		health.observe(word.Running, now-clock.Moment(age))
+	}
+	if word.Trust != messages.TrustSuspect {
+		delete(health.suspects, from)
+		return
+	}
+	if health.suspects == nil {
+		health.suspects = map[string]clock.Moment{}
+	}
+	if len(health.suspects) >= suspectsLimit {
+		clear(health.suspects)
+	}
+	health.suspects[from] = now
+}
+
+// suspected tells whether several neighbours have just met failures of the worker;
+// one alone may have a trouble of its own.
+func (health *Health) suspected(now clock.Moment) bool {
+	const several = 2
+	count := 0
+	for _, at := range health.suspects {
+		if now.Since(at) < constants.GossipPeriod+constants.GossipPeriod/2 {
+			count++
+		}
+	}
+	return count >= several
+}
--- a/internal/gauge/trust.go
+++ b/internal/traffic/health/trust.go
@@ -1,10 +1,10 @@
-package gauge
+package health
 
 import (
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // Trouble is a kind of failure of a worker, as an outcome shows it. Answers to health
@@ -37,7 +37,7 @@
 // what a busy worker that is well does.
 func (trouble Trouble) weight() float64 {
 	if trouble == TroubleShed || trouble == TroubleSlow {
-		return almanac.MildTrouble
+		return constants.MildTrouble
 	}
 	return 1
 }
@@ -47,19 +47,19 @@
 	service string
 	// good and bad are decayed counts of outcomes.
 	good, bad float64
-	at        watch.Moment
+	at        clock.Moment
 	level     int
-	failedAt  watch.Moment
-	heldUntil watch.Moment
+	failedAt  clock.Moment
+	heldUntil clock.Moment
 	// trial holds from the end of an ejection until requests have gone well.
 	trial    bool
-	trialEnd watch.Moment
+	trialEnd clock.Moment
 	// owed is how many trials must still go well: as many as there were ejections.
 	owed   int
 	counts [troubleKinds]int64
 }
 
-// trustBook is the part of the gauge that keeps trust.
+// trustBook is the part of the health that keeps trust.
 type trustBook struct {
 	of map[string]*Trust
 	// apart are those held or on trial: few, so that placing costs nothing while all
@@ -72,49 +72,49 @@
 // usual is the median rate of failure of a service, kept for a moment.
 type usual struct {
 	rate float64
-	at   watch.Moment
+	at   clock.Moment
 }
 
 // Trust gives what is known of a worker's outcomes.
-func (gauge *Gauge) Trust(worker, service string) *Trust {
-	if gauge.trusts.of == nil {
-		gauge.trusts = trustBook{of: map[string]*Trust{}, apart: map[string]*Trust{}, usuals: map[string]usual{}, births: map[string]birth{}}
+func (tracker *Tracker) Trust(worker, service string) *Trust {
+	if tracker.trusts.of == nil {
+		tracker.trusts = trustBook{of: map[string]*Trust{}, apart: map[string]*Trust{}, usuals: map[string]usual{}, births: map[string]birth{}}
 	}
-	trust := gauge.trusts.of[worker]
+	trust := tracker.trusts.of[worker]
 	if trust == nil {
 		trust = &Trust{service: service}
-		gauge.trusts.of[worker] = trust
+		tracker.trusts.of[worker] = trust
 	}
 	return trust
 }
 
 // fade lets old outcomes count less: a half each TrustHalf.
-func (trust *Trust) fade(now watch.Moment) {
+func (trust *Trust) fade(now clock.Moment) {
 	span := now.Since(trust.at)
 	trust.at = now
-	if span >= 8*almanac.TrustHalf {
+	if span >= 8*constants.TrustHalf {
 		trust.good, trust.bad = 0, 0
 		return
 	}
-	for ; span >= almanac.TrustHalf; span -= almanac.TrustHalf {
+	for ; span >= constants.TrustHalf; span -= constants.TrustHalf {
 		trust.good, trust.bad = trust.good/2, trust.bad/2
 	}
 	// Linear within one half is near enough and needs no powers.
-	part := 1 - float64(span)/float64(2*almanac.TrustHalf)
+	part := 1 - float64(span)/float64(2*constants.TrustHalf)
 	trust.good, trust.bad = trust.good*part, trust.bad*part
 }
 
 // Rate is the rate of failure in [0, 1]; a few outcomes are drawn to what is usual.
-func (trust *Trust) Rate(usual float64, now watch.Moment) float64 {
+func (trust *Trust) Rate(usual float64, now clock.Moment) float64 {
 	trust.fade(now)
-	return (trust.bad + almanac.TrustPrior*usual) / (trust.good + trust.bad + almanac.TrustPrior)
+	return (trust.bad + constants.TrustPrior*usual) / (trust.good + trust.bad + constants.TrustPrior)
 }
 
 // Proven tells that our own outcomes lately speak for the worker: then hearsay does
 // not count, since an illness may hold for some callers only.
-func (trust *Trust) Proven(now watch.Moment) bool {
+func (trust *Trust) Proven(now clock.Moment) bool {
 	trust.fade(now)
-	return trust.good >= almanac.TrustProven && trust.bad < trust.good*almanac.EjectRate
+	return trust.good >= constants.TrustProven && trust.bad < trust.good*constants.EjectRate
 }
 
 // Counts gives the failures by kind, in the order of Kinds.
@@ -124,20 +124,20 @@
 func Kinds() []string { return troubleNames[:] }
 
 // Held tells until when the worker is ejected here, and Trial whether it is on trial.
-func (trust *Trust) Held(now watch.Moment) bool { return now < trust.heldUntil }
+func (trust *Trust) Held(now clock.Moment) bool { return now < trust.heldUntil }
 
 // Trial tells whether only one repeatable request at a time may go there.
-func (trust *Trust) Trial(now watch.Moment) bool {
+func (trust *Trust) Trial(now clock.Moment) bool {
 	return trust.trial && now >= trust.heldUntil && now < trust.trialEnd
 }
 
 // Usual is the median rate of failure over a service's workers.
-func (gauge *Gauge) Usual(service string, now watch.Moment) float64 {
-	if known, found := gauge.trusts.usuals[service]; found && now.Since(known.at) < almanac.UsualPeriod {
+func (tracker *Tracker) Usual(service string, now clock.Moment) float64 {
+	if known, found := tracker.trusts.usuals[service]; found && now.Since(known.at) < constants.UsualPeriod {
 		return known.rate
 	}
 	var rates []float64
-	for _, trust := range gauge.trusts.of {
+	for _, trust := range tracker.trusts.of {
 		if trust.service == service {
 			rates = append(rates, trust.Rate(0, now))
 		}
@@ -147,15 +147,15 @@
 		sort.Float64s(rates)
 		median = rates[(len(rates)-1)/2]
 	}
-	if gauge.trusts.usuals != nil {
-		gauge.trusts.usuals[service] = usual{rate: median, at: now}
+	if tracker.trusts.usuals != nil {
+		tracker.trusts.usuals[service] = usual{rate: median, at: now}
 	}
 	return median
 }
 
 // Went notes a whole answer. It returns true when that ends a trial.
-func (gauge *Gauge) Went(worker, service string, now watch.Moment) (returned bool) {
-	trust := gauge.Trust(worker, service)
+func (tracker *Tracker) Went(worker, service string, now clock.Moment) (returned bool) {
+	trust := tracker.Trust(worker, service)
 	trust.fade(now)
 	trust.good++
 	if trust.trial && now >= trust.heldUntil {
@@ -163,7 +163,7 @@
 			return false
 		}
 		trust.trial = false
-		delete(gauge.trusts.apart, worker)
+		delete(tracker.trusts.apart, worker)
 		return true
 	}
 	return false
@@ -171,28 +171,28 @@
 
 // Troubled notes a failure. A worker whose rate stands out from its service's median
 // is ejected, each time for longer; span is 0 when it is not.
-func (gauge *Gauge) Troubled(worker, service string, trouble Trouble, now watch.Moment) (span watch.Span) {
-	trust := gauge.Trust(worker, service)
-	usual := gauge.Usual(service, now)
-	if now.Since(trust.failedAt) > almanac.EjectForget {
+func (tracker *Tracker) Troubled(worker, service string, trouble Trouble, now clock.Moment) (span clock.Span) {
+	trust := tracker.Trust(worker, service)
+	usual := tracker.Usual(service, now)
+	if now.Since(trust.failedAt) > constants.EjectForget {
 		trust.level = 0
 	}
 	trust.fade(now)
 	trust.bad += trouble.weight()
 	trust.counts[trouble]++
 	trust.failedAt = now
-	if trust.Held(now) || trust.Rate(usual, now) <= max(almanac.EjectRate, almanac.EjectOver*usual) {
+	if trust.Held(now) || trust.Rate(usual, now) <= max(constants.EjectRate, constants.EjectOver*usual) {
 		return 0
 	}
-	return gauge.eject(worker, trust, now)
+	return tracker.eject(worker, trust, now)
 }
 
-func (gauge *Gauge) eject(worker string, trust *Trust, now watch.Moment) watch.Span {
-	span := almanac.EjectFor << trust.level
-	trust.level = min(trust.level+1, almanac.EjectLevels)
+func (tracker *Tracker) eject(worker string, trust *Trust, now clock.Moment) clock.Span {
+	span := constants.EjectFor << trust.level
+	trust.level = min(trust.level+1, constants.EjectLevels)
 	trust.heldUntil, trust.trial, trust.owed = now.Plus(span), true, trust.level
 	// A service that gets no repeatable requests has no trials: time alone ends them.
 	trust.trialEnd = trust.heldUntil.Plus(2 * span)
-	gauge.trusts.apart[worker] = trust
+	tracker.trusts.apart[worker] = trust
 	return span
 }
--- a/internal/gauge/trust_test.go
+++ b/internal/traffic/health/trust_test.go
@@ -1,15 +1,15 @@
-package gauge
+package health
 
 import (
 	"fmt"
 	"math/rand"
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
-const second = watch.Moment(1_000_000_000)
+const second = clock.Moment(1_000_000_000)
 
 func names(count int) []string {
 	var found []string
@@ -30,14 +30,14 @@
 	total := 0
 	for seed := int64(1); seed <= seeds; seed++ {
 		random := rand.New(rand.NewSource(seed))
-		gauge, workers := New(), names(20)
+		tracker, workerList := New(), names(20)
 		sent := map[string]int{}
 		now := second
 		for count := 0; count < 600; count++ {
 			now = now.Plus(100_000_000)
-			apart := gauge.Apart(workers, true, always, now)
+			apart := tracker.Apart(workerList, true, always, now)
 			var open []string
-			for _, worker := range workers {
+			for _, worker := range workerList {
 				if !apart[worker] {
 					open = append(open, worker)
 				}
@@ -49,9 +49,9 @@
 				chance = 0.45
 			}
 			if random.Float64() < chance {
-				gauge.Troubled(worker, "s", TroubleReset, now)
+				tracker.Troubled(worker, "s", TroubleReset, now)
 			} else {
-				gauge.Went(worker, "s", now)
+				tracker.Went(worker, "s", now)
 			}
 		}
 		ill := sent["w00"] + sent["w01"]
@@ -68,19 +68,19 @@
 // However many fail, no more than the share is ejected, and the only worker never is.
 func TestNeverMoreThanAShareIsEjected(test *testing.T) {
 	for _, count := range []int{1, 2, 4, 9, 60} {
-		gauge, workers := New(), names(count)
+		tracker, workerList := New(), names(count)
 		now := second
 		for round := 0; round < 6; round++ {
-			for _, worker := range workers {
-				gauge.Troubled(worker, "s", TroubleRefused, now)
+			for _, worker := range workerList {
+				tracker.Troubled(worker, "s", TroubleRefused, now)
 				now++
 			}
 		}
-		most := int(almanac.EjectShare * float64(count))
+		most := int(constants.EjectShare * float64(count))
 		if most == 0 && count > 1 {
 			most = 1
 		}
-		if apart := gauge.Apart(workers, false, never, now); len(apart) > most {
+		if apart := tracker.Apart(workerList, false, never, now); len(apart) > most {
 			test.Fatalf("%d of %d ejected", len(apart), count)
 		}
 	}
@@ -88,38 +88,38 @@
 
 // The ones over the share are those that fail least.
 func TestTheWorstAreEjected(test *testing.T) {
-	gauge, workers := New(), names(4)
+	tracker, workerList := New(), names(4)
 	now := second
 	for _, worker := range []string{"w01", "w03"} {
-		gauge.Troubled(worker, "s", TroubleError, now)
+		tracker.Troubled(worker, "s", TroubleError, now)
 	}
-	gauge.Troubled("w03", "s", TroubleError, now)
-	if apart := gauge.Apart(workers, false, never, now+1); len(apart) != 1 || !apart["w03"] {
+	tracker.Troubled("w03", "s", TroubleError, now)
+	if apart := tracker.Apart(workerList, false, never, now+1); len(apart) != 1 || !apart["w03"] {
 		test.Fatal(apart)
 	}
 }
 
 // Each ejection lasts twice as long as the one before, up to a most.
 func TestEjectionsGrow(test *testing.T) {
-	gauge, now := New(), second
+	tracker, now := New(), second
 	names := names(5)
 	for _, worker := range names[1:] {
-		gauge.Went(worker, "s", now)
+		tracker.Went(worker, "s", now)
 	}
-	want := almanac.EjectFor
+	want := constants.EjectFor
 	for round := 0; round < 6; round++ {
-		span := gauge.Troubled("w00", "s", TroubleRefused, now)
+		span := tracker.Troubled("w00", "s", TroubleRefused, now)
 		if span != want {
 			test.Fatalf("round %d: ejected for %v, want %v", round, span, want)
 		}
-		if more := gauge.Troubled("w00", "s", TroubleRefused, now+1); more != 0 {
+		if more := tracker.Troubled("w00", "s", TroubleRefused, now+1); more != 0 {
 			test.Fatal("ejected anew while ejected")
 		}
 		now = now.Plus(span)
-		want = min(2*want, almanac.EjectFor<<almanac.EjectLevels)
+		want = min(2*want, constants.EjectFor<<constants.EjectLevels)
 	}
-	later := now.Plus(almanac.EjectForget + 1)
-	if span := gauge.Troubled("w00", "s", TroubleRefused, later); span != almanac.EjectFor {
+	later := now.Plus(constants.EjectForget + 1)
+	if span := tracker.Troubled("w00", "s", TroubleRefused, later); span != constants.EjectFor {
 		test.Fatal("an old failure still counts: ", span)
 	}
 }
@@ -127,67 +127,67 @@
 // After its time a worker gets one repeatable request at a time, and is back with the
 // first that goes well; a failure ejects it for longer.
 func TestReturnByTrials(test *testing.T) {
-	gauge, workers := New(), names(4)
-	span := gauge.Troubled("w00", "s", TroubleSilent, second)
-	if !gauge.Apart(workers, true, always, second+1)["w00"] {
+	tracker, workerList := New(), names(4)
+	span := tracker.Troubled("w00", "s", TroubleSilent, second)
+	if !tracker.Apart(workerList, true, always, second+1)["w00"] {
 		test.Fatal("placed on while ejected")
 	}
 	now := second.Plus(span)
 	switch {
-	case gauge.Apart(workers, true, always, now)["w00"]:
+	case tracker.Apart(workerList, true, always, now)["w00"]:
 		test.Fatal("no trial")
-	case !gauge.Apart(workers, true, never, now)["w00"]:
+	case !tracker.Apart(workerList, true, never, now)["w00"]:
 		test.Fatal("two trials at a time")
-	case !gauge.Apart(workers, false, always, now)["w00"]:
+	case !tracker.Apart(workerList, false, always, now)["w00"]:
 		test.Fatal("a request that must not run twice is no trial")
 	}
-	if !gauge.Went("w00", "s", now) || gauge.Apart(workers, false, never, now)["w00"] {
+	if !tracker.Went("w00", "s", now) || tracker.Apart(workerList, false, never, now)["w00"] {
 		test.Fatal("a trial that went well brings it back")
 	}
-	other := gauge.Troubled("w01", "s", TroubleSilent, now)
+	other := tracker.Troubled("w01", "s", TroubleSilent, now)
 	// Without trials, time alone brings it back.
 	end := now.Plus(3*other + 1)
-	gauge.SweepTrust(end)
-	if gauge.Apart(workers, false, never, end)["w01"] {
+	tracker.SweepTrust(end)
+	if tracker.Apart(workerList, false, never, end)["w01"] {
 		test.Fatal("a service without repeatable requests keeps a worker out for good")
 	}
 }
 
 // A service of which everybody fails has no worker that stands out.
 func TestWhatIsUsualEjectsNobody(test *testing.T) {
-	gauge, workers := New(), names(9)
+	tracker, workerList := New(), names(9)
 	random := rand.New(rand.NewSource(5))
 	now := second
 	for count := 0; count < 400; count++ {
 		now = now.Plus(20_000_000)
-		worker := workers[random.Intn(len(workers))]
+		worker := workerList[random.Intn(len(workerList))]
 		if random.Float64() < 0.4 {
-			span := gauge.Troubled(worker, "s", TroubleError, now)
+			span := tracker.Troubled(worker, "s", TroubleError, now)
 			if span > 0 && count > 200 {
 				test.Fatalf("%s ejected for %v though all fail alike", worker, span)
 			}
 		} else {
-			gauge.Went(worker, "s", now)
+			tracker.Went(worker, "s", now)
 		}
 	}
 }
 
 // Whole answers of our own speak louder than peers.
-func TestOwnOutcomesGoBeforeHearsay(test *testing.T) {
-	gauge := New()
-	trust := gauge.Trust("w00", "s")
+func TestOwnResultsGoBeforeHearsay(test *testing.T) {
+	tracker := New()
+	trust := tracker.Trust("w00", "s")
 	if trust.Proven(second) {
 		test.Fatal("proven by nothing")
 	}
-	gauge.Went("w00", "s", second)
-	gauge.Went("w00", "s", second)
+	tracker.Went("w00", "s", second)
+	tracker.Went("w00", "s", second)
 	if !trust.Proven(second + 1) {
 		test.Fatal("two whole answers prove nothing")
 	}
-	if trust.Proven(second.Plus(8 * almanac.TrustHalf)) {
+	if trust.Proven(second.Plus(8 * constants.TrustHalf)) {
 		test.Fatal("old answers still prove")
 	}
-	gauge.Troubled("w00", "s", TroubleReset, second+2)
+	tracker.Troubled("w00", "s", TroubleReset, second+2)
 	if trust.Proven(second + 3) {
 		test.Fatal("proven though one of three fails")
 	}
@@ -196,23 +196,23 @@
 // Lives that die without a word at one address: the first successor is trusted, later
 // ones are held back for a growing time; orderly ends and other services count nothing.
 func TestFlappingLives(test *testing.T) {
-	gauge := New()
+	tracker := New()
 	now := second
-	var spans []watch.Span
+	var spans []clock.Span
 	for life := 0; life < 6; life++ {
-		spans = append(spans, gauge.Born(fmt.Sprint("life", life), "s", "a:1", false, now))
-		if again := gauge.Born(fmt.Sprint("life", life), "s", "a:1", false, now); again != 0 {
+		spans = append(spans, tracker.Born(fmt.Sprint("life", life), "s", "a:1", false, now))
+		if again := tracker.Born(fmt.Sprint("life", life), "s", "a:1", false, now); again != 0 {
 			test.Fatal("a word heard twice is a death")
 		}
 		now = now.Plus(1_400_000_000)
 	}
-	want := []watch.Span{0, 0, almanac.EjectFor, 2 * almanac.EjectFor, 4 * almanac.EjectFor, 8 * almanac.EjectFor}
+	want := []clock.Span{0, 0, constants.EjectFor, 2 * constants.EjectFor, 4 * constants.EjectFor, 8 * constants.EjectFor}
 	for place := range want {
 		if spans[place] != want[place] {
 			test.Fatal(spans)
 		}
 	}
-	if gauge.Born("other", "t", "a:1", false, now) != 0 {
+	if tracker.Born("other", "t", "a:1", false, now) != 0 {
 		test.Fatal("another service's past counts")
 	}
 	atOnce := New()
@@ -232,6 +232,6 @@
 		if seldom.Born(fmt.Sprint("life", life), "s", "a:1", false, now) != 0 {
 			test.Fatal("deaths far apart count as flapping")
 		}
-		now = now.Plus(almanac.FlapWindow + 1)
+		now = now.Plus(constants.FlapWindow + 1)
 	}
 }
--- /dev/null
+++ b/internal/traffic/loadgossip/budget.go
@@ -0,0 +1,34 @@
+package loadgossip
+
+import (
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// budget is how many connections this node may have to a worker. No count of nodes goes into
+// it: requests are placed by the load that all see, so the connections in use at a worker
+// follow what it takes at once, and a node never needs more than that. The eighth
+// keeps one node's burst from taking what others need.
+func (gossip *Gossip) budget(worker messages.Worker) int {
+	config := gossip.Node.Config()
+	if config == nil {
+		return 0
+	}
+	one := config.Service(worker.Backend)
+	if one == nil || one.ConnLimit == 0 {
+		return 0
+	}
+	return connectionsFor(worker.Capacity, one.ConnLimit, gossip.Node.Own.Role)
+}
+
+// pipesFor is the budget by what the worker takes and allows.
+func connectionsFor(capacity, limit int, role string) int {
+	part := constants.ConnectionPart
+	if role == membership.RoleStore {
+		// Few processes run items, and each has many at a worker.
+		part = constants.ConnectionPartItems
+	}
+	need := capacity + constants.RoomAhead + constants.LeastConnections
+	return max(min(need, int(part*float64(limit))), constants.LeastConnections)
+}
--- /dev/null
+++ b/internal/traffic/loadgossip/budget_test.go
@@ -0,0 +1,28 @@
+package loadgossip
+
+import (
+	"testing"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/constants"
+)
+
+// What a node may open follows from what a worker takes at once and allows, and
+// never falls under what it takes to serve at all.
+func TestConnectionsFollowTheWorker(test *testing.T) {
+	for _, one := range []struct {
+		capacity, limit int
+		role            string
+		want            int
+	}{
+		{16, 520, membership.RoleGateway, 16 + constants.RoomAhead + constants.LeastConnections},
+		{48, 320, membership.RoleGateway, 40},
+		{48, 320, membership.RoleStore, 48 + constants.RoomAhead + constants.LeastConnections},
+		{24, 220, membership.RoleGateway, 27},
+		{24, 10, membership.RoleGateway, constants.LeastConnections},
+	} {
+		if got := connectionsFor(one.capacity, one.limit, one.role); got != one.want {
+			test.Errorf("%+v: %d", one, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/loadgossip/loadgossip.go
@@ -0,0 +1,59 @@
+// Package loadgossip joins placement with the other nodes: what a process that
+// places work needs beside its core. Gateways and stores share it.
+package loadgossip
+
+import (
+	"sync"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/proxy"
+	"lemonarch/internal/traffic/workerconn"
+)
+
+// Jointer is the placing part of one process.
+type Gossip struct {
+	Node      *node.Node
+	Scheduler *admission.Scheduler
+	Chest     *workerconn.Chest
+	Sender    proxy.Sender
+	alerted   bool
+	logged    map[string]int64
+	tables    tables
+
+	lock     sync.Mutex
+	circle   circle
+	ties     ties
+	passedAt clock.Moment
+}
+
+// New makes the placing part and registers what it answers.
+func New(runtime *node.Node) *Gossip {
+	gossip := &Gossip{Node: runtime, Scheduler: admission.New(runtime.Own, runtime.Settings.Heartbeat()), Chest: workerconn.NewChest(),
+		logged: map[string]int64{}, tables: tables{read: map[string]messages.Digest{}}}
+	gossip.Sender = proxy.Sender{Scheduler: gossip.Scheduler, Chest: gossip.Chest, Budget: gossip.budget}
+	runtime.Answer(messages.KindRosterPush, gossip.rosterPushed)
+	runtime.OnWord(gossip.heardController)
+	runtime.Answer(messages.KindGossip, gossip.gossiped)
+	runtime.Answer(messages.KindPressure, gossip.pressed)
+	gossip.Scheduler.OnPressure(gossip.press)
+	runtime.Answer(messages.KindReading, gossip.reads)
+	gossip.Scheduler.OnReading(gossip.tellReading)
+	gossip.Scheduler.OnEjection(gossip.logEjection)
+	gossip.reports()
+	runtime.OnConfig(func(config *routeconfig.Config) { gossip.Scheduler.SetConfig(config) })
+	return gossip
+}
+
+// Start begins the loops.
+func (gossip *Gossip) Start() {
+	stop := gossip.Node.Stop
+	go gossip.learnWorkers()
+	go clock.Every(constants.GossipPeriod, stop, gossip.gossip)
+	go gossip.Scheduler.KeepPumping(stop)
+	go clock.Every(constants.GossipPeriod/2, stop, func() { proxy.SweepConnections(gossip.Chest, gossip.Scheduler) })
+}
--- /dev/null
+++ b/internal/traffic/loadgossip/neighbours.go
@@ -0,0 +1,146 @@
+package loadgossip
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/prefixindex"
+)
+
+// draws is a process's name as a number, from which its places in the rings follow.
+func draws(entry messages.Entry) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(entry.Role))
+	sum.Write([]byte{'/'})
+	sum.Write([]byte(entry.Name))
+	return sum.Sum64()
+}
+
+// ring is the place in one of the rings. Names differ in their last bytes only, so
+// these must move the whole number.
+func ring(name uint64, number int) uint64 {
+	return prefixindex.Mix(name + uint64(number+1)*0x9e3779b97f4a7c15)
+}
+
+// Neighbours gives whom a process tells: its successor in each of so many rings, in
+// which everybody stands by a hash of the name. Each is told by as many as it tells,
+// nobody needs a list of all, and who comes or goes moves its own neighbours only.
+func Neighbours(own messages.Entry, entries []messages.Entry, fanout int) []messages.Entry {
+	names := make([]uint64, len(entries))
+	for position := range entries {
+		names[position] = draws(entries[position])
+	}
+	myself := draws(own)
+	var chosen []messages.Entry
+	for number := 0; number < 4*fanout && len(chosen) < min(fanout, len(entries)); number++ {
+		place := ring(myself, number)
+		next, least := -1, uint64(0)
+		for position, name := range names {
+			// Unsigned: past the end of the ring it begins anew.
+			if way := ring(name, number) - place; name != myself && (next < 0 || way < least) {
+				next, least = position, way
+			}
+		}
+		if next >= 0 && !holds(chosen, entries[next]) {
+			chosen = append(chosen, entries[next])
+		}
+	}
+	return chosen
+}
+
+func holds(entries []messages.Entry, one messages.Entry) bool {
+	for _, entry := range entries {
+		if membership.Key(entry) == membership.Key(one) {
+			return true
+		}
+	}
+	return false
+}
+
+// circle is whom this process tells, found anew each period.
+type circle struct {
+	near, far                  []messages.Entry
+	zones                      [][]messages.Entry
+	population                 int
+	gossip, gateways, readings []messages.Entry
+}
+
+// around finds the circle from what is known of others. Nothing else needs to know
+// how neighbours are found.
+func around(own messages.Entry, known []messages.Entry) circle {
+	found := circle{}
+	for _, entry := range known {
+		switch {
+		case entry.Role != membership.RoleGateway && entry.Role != membership.RoleStore,
+			entry.Leaving || entry.AgeMs >= constants.NeighbourAge.Milliseconds():
+		case entry.Zone == own.Zone:
+			found.near = append(found.near, entry)
+		default:
+			found.far = append(found.far, entry)
+		}
+	}
+	found.zones = byZone(found.far)
+	found.gossip = Neighbours(own, found.near, constants.GossipFanout)
+	found.gateways = Neighbours(own, only(found.near, membership.RoleGateway), constants.GossipFanout)
+	found.readings = Neighbours(own, found.near, constants.ReadingFanout)
+	if left := constants.ReadingFanout - len(found.readings); left > 0 {
+		found.readings = append(found.readings, Neighbours(own, found.far, left)...)
+	}
+	return found
+}
+
+// about gives the present circle.
+func (gossip *Gossip) about() circle {
+	gossip.lock.Lock()
+	defer gossip.lock.Unlock()
+	return gossip.circle
+}
+
+// lookAround finds it anew.
+func (gossip *Gossip) lookAround() circle {
+	found := around(gossip.Node.Own, gossip.Node.All(""))
+	found.population = gossip.Node.Population(membership.RoleGateway) + gossip.Node.Population(membership.RoleStore)
+	gossip.lock.Lock()
+	defer gossip.lock.Unlock()
+	gossip.circle = found
+	return found
+}
+
+// byHall parts processes by their zones, whose names come in order.
+func byZone(entries []messages.Entry) (zones [][]messages.Entry) {
+	places := map[string]int{}
+	for _, entry := range entries {
+		place, known := places[entry.Zone]
+		if !known {
+			place = len(zones)
+			places[entry.Zone] = place
+			zones = append(zones, nil)
+		}
+		zones[place] = append(zones[place], entry)
+	}
+	sort.Slice(zones, func(left, right int) bool { return zones[left][0].Zone < zones[right][0].Zone })
+	return zones
+}
+
+// hallSize is how many placing processes a zone has, this one's as far as it is in
+// view, else the mean.
+func (circle *circle) zoneSize() int {
+	return max(len(circle.near)+1, circle.population/(len(circle.zones)+1))
+}
+
+// across draws whether this process tells somebody in another zone this period: each
+// zone tells each other about once, however many processes it has.
+func (circle *circle) across(draw func() float64) (messages.Entry, bool) {
+	if len(circle.zones) == 0 || draw() >= float64(len(circle.zones))/float64(circle.zoneSize()) {
+		return messages.Entry{}, false
+	}
+	there := circle.zones[int(draw()*float64(len(circle.zones)))]
+	return there[int(draw()*float64(len(there)))], true
+}
+
+// draw is the chance of a running process.
+func draw() float64 { return clock.Draw() }
--- a/internal/jointer/neighbours_test.go
+++ b/internal/traffic/loadgossip/neighbours_test.go
@@ -1,20 +1,20 @@
-package jointer
+package loadgossip
 
 import (
 	"fmt"
 	"math/rand"
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/bellows"
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
-// hall makes the processes of one hall.
-func hall(name string, count int) []pattern.Entry {
-	var entries []pattern.Entry
+// zone makes the processes of one zone.
+func zone(name string, count int) []messages.Entry {
+	var entries []messages.Entry
 	for place := 0; place < count; place++ {
-		entries = append(entries, pattern.Entry{Name: fmt.Sprint(name, "-", place), Role: bellows.RoleForge, Hall: name, Address: fmt.Sprint(name, place)})
+		entries = append(entries, messages.Entry{Name: fmt.Sprint(name, "-", place), Role: membership.RoleGateway, Zone: name, Address: fmt.Sprint(name, place)})
 	}
 	return entries
 }
@@ -23,17 +23,17 @@
 // a few steps.
 func TestNeighboursReachAll(test *testing.T) {
 	for _, count := range []int{2, 5, 18, 100} {
-		entries := hall("a", count)
+		entries := zone("a", count)
 		told := map[string][]string{}
 		heard := map[string]int{}
 		for _, own := range entries {
-			for _, one := range Neighbours(own, entries, almanac.GossipFanout) {
+			for _, one := range Neighbours(own, entries, constants.GossipFanout) {
 				told[own.Name] = append(told[own.Name], one.Name)
 				heard[one.Name]++
 			}
 		}
 		for _, own := range entries {
-			if len(told[own.Name]) != min(almanac.GossipFanout, count-1) {
+			if len(told[own.Name]) != min(constants.GossipFanout, count-1) {
 				test.Fatalf("%s of %d tells %v", own.Name, count, told[own.Name])
 			}
 			if heard[own.Name] == 0 {
@@ -62,37 +62,37 @@
 
 // Who goes moves his own neighbours only.
 func TestNeighboursAreStable(test *testing.T) {
-	entries := hall("a", 60)
+	entries := zone("a", 60)
 	moved := 0
 	for _, own := range entries[1:] {
-		before := Neighbours(own, entries, almanac.GossipFanout)
-		after := Neighbours(own, entries[1:], almanac.GossipFanout)
+		before := Neighbours(own, entries, constants.GossipFanout)
+		after := Neighbours(own, entries[1:], constants.GossipFanout)
 		for place := range before {
 			if !holds(after, before[place]) {
 				moved++
 			}
 		}
 	}
-	if moved > 2*almanac.GossipFanout {
+	if moved > 2*constants.GossipFanout {
 		test.Fatalf("one left and %d ties moved", moved)
 	}
 }
 
-// Each hall tells each other about once a period, whatever its size.
-func TestHallsTellEachOtherAtOneRate(test *testing.T) {
+// Each zone tells each other about once a period, whatever its size.
+func TestZonesTellEachOtherAtOneRate(test *testing.T) {
 	random := rand.New(rand.NewSource(7))
 	for _, count := range []int{4, 18, 100} {
-		var far []pattern.Entry
+		var far []messages.Entry
 		for _, name := range []string{"b", "c", "d"} {
-			far = append(far, hall(name, count)...)
+			far = append(far, zone(name, count)...)
 		}
-		one := circle{near: hall("a", count-1), halls: byHall(far)}
+		one := circle{near: zone("a", count-1), zones: byZone(far)}
 		const periods = 400
 		told := map[string]int{}
 		for period := 0; period < periods; period++ {
 			for process := 0; process < count; process++ {
 				if entry, drawn := one.across(random.Float64); drawn {
-					told[entry.Hall]++
+					told[entry.Zone]++
 				}
 			}
 		}
@@ -104,20 +104,20 @@
 	}
 }
 
-// A word of pressure goes to the lockers near by, as far as there are some, to a
+// A word of pressure goes to the stores near by, as far as there are some, to a
 // bounded number in all, and to each of the others in its turn.
-func TestPressureGoesToFewLockers(test *testing.T) {
-	var near, far []pattern.Entry
+func TestPressureGoesToFewStores(test *testing.T) {
+	var near, far []messages.Entry
 	for place := 0; place < 20; place++ {
-		near = append(near, pattern.Entry{Name: fmt.Sprint("f", place), Role: bellows.RoleForge, Hall: "a"})
-		far = append(far, pattern.Entry{Name: fmt.Sprint("l", place), Role: bellows.RoleLocker, Hall: "b"})
+		near = append(near, messages.Entry{Name: fmt.Sprint("f", place), Role: membership.RoleGateway, Zone: "a"})
+		far = append(far, messages.Entry{Name: fmt.Sprint("l", place), Role: membership.RoleStore, Zone: "b"})
 	}
-	near = append(near, pattern.Entry{Name: "own", Role: bellows.RoleLocker, Hall: "a"})
+	near = append(near, messages.Entry{Name: "own", Role: membership.RoleStore, Zone: "a"})
 	random := rand.New(rand.NewSource(1))
 	seen := map[string]bool{}
 	for round := 0; round < 200; round++ {
-		chosen := someLockers(near, far, random.Float64)
-		if len(chosen) != almanac.PressureFanout || chosen[0].Name != "own" {
+		chosen := someStores(near, far, random.Float64)
+		if len(chosen) != constants.PressureFanout || chosen[0].Name != "own" {
 			test.Fatalf("%+v", chosen)
 		}
 		for _, one := range chosen {
@@ -125,18 +125,18 @@
 		}
 	}
 	if len(seen) != 21 {
-		test.Fatalf("only %d lockers were ever told", len(seen))
+		test.Fatalf("only %d stores were ever told", len(seen))
 	}
 }
 
 // A small fleet is told of long readings whole, a large one near by.
 func TestReadingsAreBounded(test *testing.T) {
-	small := around(hall("a", 4)[0], append(hall("a", 4), hall("b", 4)...))
+	small := around(zone("a", 4)[0], append(zone("a", 4), zone("b", 4)...))
 	if len(small.readings) != 7 {
 		test.Fatalf("%d of 7 told", len(small.readings))
 	}
-	large := around(hall("a", 40)[0], append(hall("a", 40), hall("b", 40)...))
-	if len(large.readings) != almanac.ReadingFanout || large.readings[0].Hall != "a" {
+	large := around(zone("a", 40)[0], append(zone("a", 40), zone("b", 40)...))
+	if len(large.readings) != constants.ReadingFanout || large.readings[0].Zone != "a" {
 		test.Fatalf("%d told", len(large.readings))
 	}
 }
--- /dev/null
+++ b/internal/traffic/loadgossip/readings.go
@@ -0,0 +1,62 @@
+package loadgossip
+
+import (
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// A long prompt holds up whoever is placed behind it, so those are told at once who
+// may place there: in a small fleet all, in a large one the nodes of the worker's zone
+// that draw it, by way of one of them.
+
+// tellReading tells that a worker reads a long prompt. It is called under the
+// admission's lock.
+func (gossip *Gossip) tellReading(worker string, milliseconds float64) {
+	told := &messages.ReadingTold{From: membership.Key(gossip.Node.Own), Worker: worker, Reading: milliseconds}
+	go gossip.spreadReading(told, true)
+}
+
+// spreadReading tells it on; first is false for a word that came from another zone.
+func (gossip *Gossip) spreadReading(told *messages.ReadingTold, first bool) {
+	circle := gossip.about()
+	zone := gossip.Scheduler.ZoneOf(told.Worker)
+	if zone == gossip.Node.Own.Zone {
+		drawn, part := gossip.Scheduler.DrawnBy(told.Worker, circle.near)
+		if !part {
+			drawn = circle.readings
+		}
+		gossip.tell(drawn[:min(len(drawn), constants.ReadingFanout)], messages.KindReading, told)
+		return
+	}
+	if _, part := gossip.Scheduler.DrawnBy(told.Worker, nil); !part {
+		gossip.tell(circle.readings, messages.KindReading, told)
+		return
+	}
+	if !first {
+		return
+	}
+	for _, there := range circle.zones {
+		if there[0].Zone == zone {
+			further := *told
+			further.Pass = true
+			gossip.tell(there[int(draw()*float64(len(there))):][:1], messages.KindReading, &further)
+		}
+	}
+}
+
+func (gossip *Gossip) reads(body []byte) ([]byte, error) {
+	told := &messages.ReadingTold{}
+	if err := transport.Read(body, told); err != nil {
+		return nil, err
+	}
+	gossip.Scheduler.PeerReads(told, clock.Now())
+	if told.Pass {
+		further := *told
+		further.Pass = false
+		gossip.spreadReading(&further, false)
+	}
+	return transport.Write(&messages.Nothing{Taken: true})
+}
--- /dev/null
+++ b/internal/traffic/loadgossip/report.go
@@ -0,0 +1,79 @@
+package loadgossip
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+
+	"lemonarch/internal/control/workers"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+)
+
+func number[Whole int | int64](value Whole) string { return strconv.FormatInt(int64(value), 10) }
+
+// reports registers what a placing process says to the shell.
+func (gossip *Gossip) reports() {
+	gossip.Node.Report("workers", gossip.reportWorkers)
+	gossip.Node.Report("index", gossip.reportIndex)
+	gossip.Node.Report("displacement", gossip.reportDisplacement)
+}
+
+func (gossip *Gossip) reportWorkers() *messages.Status {
+	status := &messages.Status{Columns: []string{"worker", "service", "zone", "phase", "standing", "heard-ms", "live", "items", "running", "capacity", "suspect", "answers", "failures", "trust"}}
+	now := clock.Now()
+	standings := map[workers.Standing]string{workers.StandingGood: "good", workers.StandingSuspect: "suspect", workers.StandingOut: "out"}
+	scheduler := gossip.Scheduler
+	scheduler.Locked(func() {
+		for _, worker := range scheduler.Registry.All(now) {
+			health := scheduler.Tracker.Of(worker.ID)
+			answers, failures := health.Counts()
+			status.Rows = append(status.Rows, []string{worker.ID, worker.Backend, worker.Zone, worker.Phase.String(),
+				standings[scheduler.Registry.Standing(worker.ID, now, true)], number(worker.AgeMs), number(health.Own() - health.OwnBulk()),
+				number(health.OwnBulk()), number(health.Running(now)), number(worker.Capacity), strconv.FormatBool(health.Suspect(now)),
+				number(answers), number(failures), scheduler.TrustWord(worker, now)})
+		}
+	})
+	return status
+}
+
+func (gossip *Gossip) reportIndex() *messages.Status {
+	status := &messages.Status{Columns: []string{"prefixes", "placements", "hits", "residency_route_downgrades", "downgrade-share", "tokens-a-ms"}}
+	scheduler := gossip.Scheduler
+	scheduler.Locked(func() {
+		index := scheduler.Index
+		share := 0.0
+		if index.Placements > 0 {
+			share = float64(index.Downgrades) / float64(index.Placements)
+		}
+		status.Rows = [][]string{{number(index.Prefixes()), number(index.Placements), number(index.Hits), number(index.Downgrades),
+			fmt.Sprintf("%.4f", share), fmt.Sprintf("%.0f", index.Rate())}}
+	})
+	return status
+}
+
+func (gossip *Gossip) reportDisplacement() *messages.Status {
+	status := &messages.Status{Columns: []string{"route", "displaced", "resumed", "finished"}}
+	tallies := gossip.Scheduler.Tallies()
+	routes := make([]string, 0, len(tallies))
+	for route := range tallies {
+		routes = append(routes, route)
+	}
+	sort.Strings(routes)
+	for _, route := range routes {
+		counters := tallies[route]
+		status.Rows = append(status.Rows, []string{route, number(counters.Displaced.Load()), number(counters.Resumed.Load()), number(counters.Finished.Load())})
+	}
+	return status
+}
+
+// logDisplacement writes a line for each route whose counts have changed.
+func (gossip *Gossip) logDisplacement() {
+	for route, counters := range gossip.Scheduler.Tallies() {
+		displaced := counters.Displaced.Load()
+		if sum := displaced + counters.Resumed.Load() + counters.Finished.Load(); sum != gossip.logged[route] {
+			gossip.logged[route] = sum
+			gossip.Node.Log.Info("displacement", "route", route, "displaced", displaced, "resumed", counters.Resumed.Load(), "finished", counters.Finished.Load())
+		}
+	}
+}
--- a/internal/plumbline/homes.go
+++ b/internal/traffic/prefixindex/homes.go
@@ -1,4 +1,4 @@
-package plumbline
+package prefixindex
 
 import (
 	"encoding/binary"
@@ -40,14 +40,14 @@
 
 // Homes gives the first homes of the prompt's prefix among workers: all nodes that
 // know the same workers come to the same ones.
-func (index *Index) Homes(prompt *Prompt, workers []string, limit int) []string {
+func (index *Index) Homes(prompt *Prompt, workerList []string, limit int) []string {
 	if len(prompt.Parts) < 2 {
 		return nil
 	}
 	prefix := prompt.Parts[len(prompt.Parts)-2].Name
 	var best []string
 	var draws []uint64
-	for _, worker := range workers {
+	for _, worker := range workerList {
 		draw := homeDraw(worker, prefix)
 		place := sort.Search(len(draws), func(place int) bool { return draws[place] < draw })
 		if place >= limit {
@@ -90,13 +90,13 @@
 		}
 		return found[left].worker < found[right].worker
 	})
-	var workers []string
+	var workerList []string
 	known := map[string]bool{}
 	for _, one := range found {
-		if len(workers) < limit && !known[one.worker] {
+		if len(workerList) < limit && !known[one.worker] {
 			known[one.worker] = true
-			workers = append(workers, one.worker)
+			workerList = append(workerList, one.worker)
 		}
 	}
-	return workers
+	return workerList
 }
--- a/internal/plumbline/index.go
+++ b/internal/traffic/prefixindex/index.go
@@ -1,4 +1,4 @@
-package plumbline
+package prefixindex
 
 import (
 	"encoding/binary"
@@ -7,8 +7,8 @@
 	"strconv"
 	"strings"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // Part is one part of a prompt.
@@ -37,7 +37,7 @@
 
 // NewIndex makes an empty index.
 func NewIndex() *Index {
-	return &Index{turns: map[string]*turnover{}, rate: almanac.ReadRate, first: almanac.FirstGuess}
+	return &Index{turns: map[string]*turnover{}, rate: constants.ReadRate, first: constants.FirstGuess}
 }
 
 // ParsePrompt reads the headers that describe a prompt.
@@ -74,7 +74,7 @@
 
 // Placed notes that a prompt goes to a worker, and gives the tokens that had to
 // be read there anew by our reckoning.
-func (index *Index) Placed(prompt *Prompt, worker string, now watch.Moment) int {
+func (index *Index) Placed(prompt *Prompt, worker string, now clock.Moment) int {
 	index.Placements++
 	key := prompt.key()
 	held := 0.0
@@ -98,7 +98,7 @@
 		}
 		leaf.stays[worker] = stay{at: now, turned: turn.total(), trust: 1, life: turn.life}
 	}
-	if index.tree.Size() > almanac.IndexNodes {
+	if index.tree.Size() > constants.IndexNodes {
 		index.shrink()
 	}
 	return fresh
@@ -106,12 +106,12 @@
 
 // FirstEvent confirms or lowers what was believed: a first event that came as
 // late as a whole reading takes shows that the prefix was not there.
-func (index *Index) FirstEvent(prompt *Prompt, worker string, fresh int, waited watch.Span, alone bool, now watch.Moment) {
+func (index *Index) FirstEvent(prompt *Prompt, worker string, fresh int, waited clock.Span, alone bool, now clock.Moment) {
 	saved := max(prompt.Tokens, 1) - fresh
 	whole := float64(prompt.Tokens) / index.rate
 	short := float64(fresh) / index.rate
 	// What is left once the prompt was read is the making of the first event.
-	took := watch.ToMilliseconds(waited) - index.first
+	took := clock.ToMilliseconds(waited) - index.first
 	// Small prompts and busy workers tell nothing: the wait hides the reading.
 	const worthKnowing, muchOf, little = 2000, 0.8, 300
 	if saved < worthKnowing {
@@ -119,7 +119,7 @@
 		case alone && fresh > worthKnowing && took > 0:
 			index.rate += 0.05 * (min(max(float64(fresh)/took, 20), 2000) - index.rate)
 		case alone && fresh < little:
-			index.first += 0.02 * (min(watch.ToMilliseconds(waited), 4*almanac.FirstGuess) - index.first)
+			index.first += 0.02 * (min(clock.ToMilliseconds(waited), 4*constants.FirstGuess) - index.first)
 		}
 		return
 	}
--- a/internal/plumbline/plumbline_test.go
+++ b/internal/traffic/prefixindex/prefixindex_test.go
@@ -1,4 +1,4 @@
-package plumbline
+package prefixindex
 
 import (
 	"encoding/binary"
@@ -10,9 +10,9 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 func prompt(shared, own string, tokens int) *Prompt {
@@ -99,11 +99,11 @@
 	index.SetCache("second", 100_000)
 	asked := prompt("aa", "x1", 12_000)
 	index.Placed(asked, "first", 0)
-	if choice := index.Nominate(prompt("aa", "x2", 12_000), pair(20, 0), 1); choice.Place != 0 || choice.Downgraded {
+	if choice := index.Choose(prompt("aa", "x2", 12_000), pair(20, 0), 1); choice.Place != 0 || choice.Downgraded {
 		test.Fatalf("a warm prefix was not followed: %+v", choice)
 	}
 	index.Turned("first", 95_000)
-	choice := index.Nominate(prompt("aa", "x3", 12_000), pair(60, 0), 2)
+	choice := index.Choose(prompt("aa", "x3", 12_000), pair(60, 0), 2)
 	if choice.Place != 1 || !choice.Downgraded || index.Downgrades != 1 {
 		test.Fatalf("a prefix that must be gone was followed: %+v", choice)
 	}
@@ -115,7 +115,7 @@
 	index.SetCache("first", 100_000)
 	index.Placed(prompt("aa", "x1", 12_000), "first", 0)
 	index.Turned("first", 30_000)
-	choice := index.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 1)
+	choice := index.Choose(prompt("aa", "x2", 12_000), pair(60, 0), 1)
 	if choice.Place != 0 || choice.Downgraded || index.Downgrades != 0 {
 		test.Fatalf("%+v", choice)
 	}
@@ -124,7 +124,7 @@
 func TestLoadOutweighsAShortPrefix(test *testing.T) {
 	index := NewIndex()
 	index.Placed(prompt("aa", "x1", 300), "first", 0)
-	if choice := index.Nominate(prompt("aa", "x2", 300), pair(40, 0), 1); choice.Place != 1 || choice.Downgraded {
+	if choice := index.Choose(prompt("aa", "x2", 300), pair(40, 0), 1); choice.Place != 1 || choice.Downgraded {
 		test.Fatalf("%+v", choice)
 	}
 }
@@ -133,7 +133,7 @@
 	index := NewIndex()
 	index.Placed(prompt("aa", "x1", 12_000), "first", 0)
 	index.Drop("first")
-	if choice := index.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 1); choice.Place != 1 || choice.Held != 0 {
+	if choice := index.Choose(prompt("aa", "x2", 12_000), pair(60, 0), 1); choice.Place != 1 || choice.Held != 0 {
 		test.Fatalf("a lost cache was believed in: %+v", choice)
 	}
 }
@@ -147,11 +147,11 @@
 		test.Fatalf("told %d words", len(words))
 	}
 	near.Told(words, 1)
-	if choice := near.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 2); choice.Place != 0 {
+	if choice := near.Choose(prompt("aa", "x2", 12_000), pair(60, 0), 2); choice.Place != 0 {
 		test.Fatalf("a peer's word was not followed: %+v", choice)
 	}
-	stale := watch.Moment(1).Plus(almanac.GossipStale)
-	if choice := near.Nominate(prompt("aa", "x3", 12_000), pair(60, 0), stale); choice.Place != 1 {
+	stale := clock.Moment(1).Plus(constants.GossipStale)
+	if choice := near.Choose(prompt("aa", "x3", 12_000), pair(60, 0), stale); choice.Place != 1 {
 		test.Fatalf("a silent peer's word counted after three periods: %+v", choice)
 	}
 }
@@ -161,18 +161,18 @@
 	index.SetCache("first", 100_000)
 	asked := prompt("aa", "x1", 12_000)
 	index.Placed(asked, "first", 1000)
-	index.Told([]pattern.Residency{{Path: asked.key()[:8], Tokens: 12_000, Worker: "first", Chance: 0, AgeMs: 500}}, 2000)
-	if choice := index.Nominate(prompt("aa", "x2", 12_000), pair(60, 0), 3000); choice.Place != 0 {
+	index.Told([]messages.Residency{{Path: asked.key()[:8], Tokens: 12_000, Worker: "first", Chance: 0, AgeMs: 500}}, 2000)
+	if choice := index.Choose(prompt("aa", "x2", 12_000), pair(60, 0), 3000); choice.Place != 0 {
 		test.Fatalf("%+v", choice)
 	}
 }
 
 func TestIndexIsBounded(test *testing.T) {
 	index := NewIndex()
-	for count := 0; count < 3*almanac.IndexNodes; count++ {
-		index.Placed(prompt("aa", fmt.Sprintf("%x", count), 100), "first", watch.Moment(count))
+	for count := 0; count < 3*constants.IndexNodes; count++ {
+		index.Placed(prompt("aa", fmt.Sprintf("%x", count), 100), "first", clock.Moment(count))
 	}
-	if index.tree.Size() > almanac.IndexNodes {
+	if index.tree.Size() > constants.IndexNodes {
 		test.Fatalf("%d leaves", index.tree.Size())
 	}
 	// The one in use all the time is still there.
@@ -191,7 +191,7 @@
 	next := prompt("aa", "x2", 12_000)
 	fresh := index.Placed(next, "first", 1)
 	before := index.Words(2, 10, 1000)[0].Chance
-	index.FirstEvent(next, "first", fresh, watch.Milliseconds(almanac.FirstGuess+12_200/almanac.ReadRate), true, 2)
+	index.FirstEvent(next, "first", fresh, clock.Milliseconds(constants.FirstGuess+12_200/constants.ReadRate), true, 2)
 	if after := index.Words(3, 10, 1000)[0].Chance; after >= before {
 		test.Fatalf("trust %v then %v", before, after)
 	}
--- a/internal/plumbline/score.go
+++ b/internal/traffic/prefixindex/score.go
@@ -1,8 +1,8 @@
-package plumbline
+package prefixindex
 
-import "lemonarch/internal/watch"
+import "lemonarch/internal/platform/clock"
 
-// Candidate is a worker that may take the request, with what its vitals say.
+// Candidate is a worker that may take the request, with what its health say.
 type Candidate struct {
 	Worker string
 	// WaitMs is the expected wait from its load; RiskMs what its troubles cost.
@@ -22,7 +22,7 @@
 
 // Nominate folds match, residency and load into one score, in ms of waiting
 // saved, and gives the best candidate. A prompt without parts is placed by load.
-func (index *Index) Nominate(prompt *Prompt, candidates []Candidate, now watch.Moment) Choice {
+func (index *Index) Choose(prompt *Prompt, candidates []Candidate, now clock.Moment) Choice {
 	type matched struct{ full, weighted float64 }
 	matches := make([]matched, len(candidates))
 	if len(prompt.Parts) > 0 {
--- a/internal/plumbline/tree.go
+++ b/internal/traffic/prefixindex/tree.go
@@ -1,4 +1,4 @@
-package plumbline
+package prefixindex
 
 import "bytes"
 
--- a/internal/plumbline/words.go
+++ b/internal/traffic/prefixindex/words.go
@@ -1,13 +1,13 @@
-package plumbline
+package prefixindex
 
 import (
 	"bytes"
 	"math"
 	"sort"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // spokenChange is the least change in what neighbours believe that is worth a word (ours).
@@ -15,7 +15,7 @@
 
 // agesRounded is by how much the same evidence may seem older on another way: each
 // hop rounds ages up.
-const agesRounded = 8 * pattern.AgeUnitMs * 1_000_000
+const agesRounded = 8 * messages.AgeUnitMs * 1_000_000
 
 // word is a residency word that may be told, with what it would change.
 type word struct {
@@ -23,18 +23,18 @@
 	worker string
 	chance float64
 	change float64
-	said   watch.Moment
-	seen   watch.Moment
+	said   clock.Moment
+	seen   clock.Moment
 	own    bool
 }
 
 // Words gives what changed most since it was last told, of the long shared
 // prefixes: our own evidence first by how far it is from what neighbours still
 // believe of it, then what was heard and not yet passed on, each once and with its age.
-func (index *Index) Words(now watch.Moment, limit, least int) []pattern.Residency {
+func (index *Index) Words(now clock.Moment, limit, least int) []messages.Residency {
 	var found []word
 	index.tree.Each(func(leaf *Leaf) {
-		if !leaf.shared || leaf.tokens < least || now.Since(leaf.used) >= 30*almanac.GossipPeriod {
+		if !leaf.shared || leaf.tokens < least || now.Since(leaf.used) >= 30*constants.GossipPeriod {
 			return
 		}
 		for worker, one := range leaf.stays {
@@ -44,24 +44,24 @@
 			}
 			chance := one.trust * retained(turn.total()-one.turned, turn.cache)
 			// Who was told forgets it at the age limit.
-			believed := one.spoken * max(0, 1-float64(now.Since(one.spokenAt))/float64(almanac.GossipStale))
+			believed := one.spoken * max(0, 1-float64(now.Since(one.spokenAt))/float64(constants.GossipStale))
 			if change := math.Abs(chance - believed); change >= spokenChange {
 				found = append(found, word{leaf, worker, chance, change, now, one.at, true})
 			}
 		}
 		for worker, one := range leaf.told {
 			age := now.Since(one.at)
-			if one.passed || one.life != index.turn(worker).life || age >= almanac.GossipStale {
+			if one.passed || one.life != index.turn(worker).life || age >= constants.GossipStale {
 				continue
 			}
 			if own, known := leaf.stays[worker]; known && own.at >= one.seen {
 				continue
 			}
-			found = append(found, word{leaf, worker, one.chance, one.chance * (1 - float64(age)/float64(almanac.GossipStale)), one.at, one.seen, false})
+			found = append(found, word{leaf, worker, one.chance, one.chance * (1 - float64(age)/float64(constants.GossipStale)), one.at, one.seen, false})
 		}
 	})
 	sort.Slice(found, func(left, right int) bool { return found[left].before(&found[right]) })
-	var words []pattern.Residency
+	var words []messages.Residency
 	for _, one := range found[:min(limit, len(found))] {
 		if one.own {
 			kept := one.leaf.stays[one.worker]
@@ -72,7 +72,7 @@
 			kept.passed = true
 			one.leaf.told[one.worker] = kept
 		}
-		words = append(words, pattern.Residency{Path: one.leaf.key, Tokens: one.leaf.tokens, Worker: one.worker,
+		words = append(words, messages.Residency{Path: one.leaf.key, Tokens: one.leaf.tokens, Worker: one.worker,
 			Chance: float32(one.chance), AgeMs: now.Since(one.seen).Milliseconds(), WordMs: now.Since(one.said).Milliseconds()})
 	}
 	return words
@@ -92,13 +92,13 @@
 }
 
 // Told takes a peer's words. The age limit is that of the word, wherever it came by.
-func (index *Index) Told(words []pattern.Residency, now watch.Moment) {
+func (index *Index) Told(words []messages.Residency, now clock.Moment) {
 	for _, word := range words {
-		said := now - watch.Moment(word.WordMs)*1_000_000
-		if len(word.Path) == 0 || len(word.Path)%8 != 0 || now.Since(said) >= almanac.GossipStale {
+		said := now - clock.Moment(word.WordMs)*1_000_000
+		if len(word.Path) == 0 || len(word.Path)%8 != 0 || now.Since(said) >= constants.GossipStale {
 			continue
 		}
-		seen := now - watch.Moment(word.AgeMs)*1_000_000
+		seen := now - clock.Moment(word.AgeMs)*1_000_000
 		leaf := index.tree.Leaf(word.Path)
 		leaf.tokens = max(leaf.tokens, word.Tokens)
 		leaf.used = max(leaf.used, seen)
@@ -112,7 +112,7 @@
 		}
 		leaf.told[word.Worker] = told{chance: float64(word.Chance), at: said, seen: seen, life: index.turn(word.Worker).life}
 	}
-	if index.tree.Size() > almanac.IndexNodes {
+	if index.tree.Size() > constants.IndexNodes {
 		index.shrink()
 	}
 }
--- a/internal/carriage/core_test.go
+++ b/internal/traffic/proxy/core_test.go
@@ -1,4 +1,4 @@
-package carriage
+package proxy
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"lemonarch/internal/pattern"
+	"lemonarch/internal/platform/messages"
 )
 
 // No evidence lets an effectful request run twice, and nobody gets two runs
@@ -19,13 +19,13 @@
 	parameters.MinSuccessfulTests = 2000
 	properties := gopter.NewProperties(parameters)
 	properties.Property("decisions", prop.ForAll(func(kind uint8, resumable, sent, notRun, events, head bool) bool {
-		route := pattern.RouteKind(kind % 4)
+		route := messages.RouteKind(kind % 4)
 		head = head || events
 		sent = sent || head
 		notRun = notRun && sent
 		decision := May(route, resumable, Evidence{Sent: sent, NotRun: notRun, Events: events, Head: head})
-		streams := route == pattern.RouteStreaming || route == pattern.RouteBulk
-		repeatable := route == pattern.RouteIdempotent || (streams && resumable)
+		streams := route == messages.RouteStreaming || route == messages.RouteBulk
+		repeatable := route == messages.RouteIdempotent || (streams && resumable)
 		switch {
 		case decision == RepeatAnew && head:
 			return false
--- /dev/null
+++ b/internal/traffic/proxy/courier.go
@@ -0,0 +1,156 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/workerconn"
+)
+
+// The errors of a try at a worker.
+var (
+	// NotSent: no byte reached a worker.
+	NotSent = errs.Define("not sent")
+	// Spoilt: what came is not the answer to the request.
+	Spoilt = errs.Define("answer spoilt")
+	// Lost: silence, a reset or a cut after sending.
+	Lost = errs.Define("answer lost")
+	// Stale: the worker had forgotten the idle connection; this says nothing about its health.
+	Stale = errs.Define("connection forgotten")
+)
+
+// Courier carries one request to one worker. Gateways and stores share it.
+type Sender struct {
+	Scheduler *admission.Scheduler
+	Chest     *workerconn.Chest
+	// Budget is how many connections this process may have to a worker.
+	Budget func(worker messages.Worker) int
+}
+
+// Letter is what is carried.
+type Request struct {
+	Method   string
+	Attempt  string
+	Text     []byte
+	Until    clock.Moment
+	Patience clock.Span
+	// Impatient decides on a silence longer than Patience, see workerconn.Wait.
+	Impatient func(silence clock.Span) bool
+	// Repeatable: it may travel on any idle connection, and is sent again when its worker has
+	// forgotten that connection.
+	Repeatable bool
+	// Seal says that a success must carry the worker's stamp.
+	Seal bool
+	// Halt is given the connection, so that it can be closed from outside.
+	Halt func(connection *workerconn.Connection)
+}
+
+// Delivery is an answer whose head was read.
+type Response struct {
+	Answer     *http.Response
+	Connection *workerconn.Connection
+	Load       string
+	NotRun     bool
+	// Impatient is asked about silences in the stream.
+	Impatient func(silence clock.Span) bool
+}
+
+// surplusLimit is how many answers to earlier requests are read past.
+const surplusLimit = 2
+
+// Carry sends the letter and reads the head of its answer.
+func (sender *Sender) Carry(grant *admission.Grant, outgoing *Request) (*Response, Evidence, error) {
+	// A drain acknowledged since the grant binds: look once more before sending.
+	if !sender.Scheduler.Allowed(grant.Worker.ID, clock.Now()) {
+		return nil, Evidence{}, NotSent.New("worker is leaving")
+	}
+	connection, evidence, err := sender.send(grant, outgoing)
+	if err != nil {
+		return nil, evidence, err
+	}
+	for surplus := 0; ; surplus++ {
+		answer, err := connection.Answer(outgoing.Method)
+		if err != nil {
+			sender.Chest.Drop(connection)
+			return nil, evidence, Spoilt.Wrap(err, grant.Worker.ID)
+		}
+		if echoed := answer.Header.Get(headerAttempt); echoed != "" && echoed != outgoing.Attempt {
+			// A late answer of an earlier request stands where ours is expected:
+			// it belongs to nobody now, and ours comes behind it.
+			_, err = io.Copy(io.Discard, answer.Body)
+			if err == nil && surplus < surplusLimit && !answer.Close {
+				if err = connection.Await(outgoing.wait()); err == nil {
+					continue
+				}
+			}
+			sender.Chest.Drop(connection)
+			return nil, evidence, Spoilt.New("another request's answer")
+		}
+		response := &Response{Answer: answer, Connection: connection, Impatient: outgoing.Impatient, Load: answer.Header.Get(headerLoad)}
+		response.NotRun = answer.Header.Get(headerNotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+		if answer.StatusCode < 300 && outgoing.Seal &&
+			(answer.Header.Get(headerSeal) == "" || answer.Header.Get("Content-Encoding") != "") {
+			sender.Chest.Drop(connection)
+			return nil, evidence, Spoilt.New("success without the worker's stamp")
+		}
+		evidence.NotRun = response.NotRun
+		return response, evidence, nil
+	}
+}
+
+// Finish puts the connection back after the whole answer was read.
+func (sender *Sender) Finish(response *Response) {
+	sender.Chest.Keep(response.Connection, response.Answer)
+}
+
+// Abandon ends the connection: the worker drops what it still does.
+func (sender *Sender) Abandon(response *Response) { sender.Chest.Drop(response.Connection) }
+
+// ReadBody reads up to a limit; whole tells that nothing is left. A failure means
+// that the answer was cut.
+func (sender *Sender) ReadBody(response *Response, limit int) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(response.Answer.Body, int64(limit)+1))
+	if err != nil {
+		return body, false, Lost.Wrap(err, "body")
+	}
+	return body, len(body) <= limit, nil
+}
+
+// Stream reads an event stream: each is given whole events as they come. It
+// returns nil at the clean end.
+func (sender *Sender) Stream(response *Response, splitter *Splitter, until clock.Moment, patience clock.Span, each func(events []byte) error) error {
+	buffer := make([]byte, 8<<10)
+	chunked := response.Answer.ContentLength < 0
+	for {
+		if chunked {
+			if err := response.Connection.Await(workerconn.Wait{Until: until, Patience: patience, Impatient: response.Impatient}); err != nil {
+				return Lost.Wrap(err, "stream")
+			}
+		}
+		count, err := response.Answer.Body.Read(buffer)
+		if count > 0 {
+			events, follows := splitter.Feed(buffer[:count])
+			if len(events) > 0 {
+				if problem := each(events); problem != nil {
+					return problem
+				}
+			}
+			if !follows {
+				return Spoilt.New("events do not follow each other")
+			}
+		}
+		if err == io.EOF {
+			if len(splitter.Rest()) > 0 {
+				return Spoilt.New("stream ends inside an event")
+			}
+			return nil
+		}
+		if err != nil {
+			return Lost.Wrap(err, "stream")
+		}
+	}
+}
--- a/internal/carriage/displace_test.go
+++ b/internal/traffic/proxy/displace_test.go
@@ -1,4 +1,4 @@
-package carriage
+package proxy
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"net/http"
 	"testing"
 
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
 )
 
 // A running stream of a lower rank makes room and goes on within the same answer:
@@ -29,22 +29,22 @@
 		}
 		write(connection, "0\r\n\r\n")
 	})
-	server, carriage := edge(test, worker)
+	server, proxyServer := edge(test, worker)
 	go func() {
 		<-reached
 		// The first two events may still be on their way: press until it yields.
-		for carriage.Bench.Tally("stream").Displaced.Load() == 0 {
-			carriage.Bench.Pressed(&pattern.PressureTold{From: "x", Words: []pattern.Pressure{{Service: "s", Waiting: 1}}}, 1, watch.Now())
+		for proxyServer.Scheduler.Counters("stream").Displaced.Load() == 0 {
+			proxyServer.Scheduler.Pressed(&messages.PressureTold{From: "x", Words: []messages.Pressure{{Service: "s", Waiting: 1}}}, 1, clock.Now())
 		}
 	}()
-	answer, body, failure := ask(test, server, "/stream/x", nil)
+	answer, body, err := ask(test, server, "/stream/x", nil)
 	want := ""
 	for id := 1; id <= 5; id++ {
 		want += event(id)
 	}
-	tally := carriage.Bench.Tally("stream")
-	if failure != nil || answer.StatusCode != 200 || body != want || worker.seen() != 2 ||
-		tally.Displaced.Load() != 1 || tally.Resumed.Load() != 1 || tally.Finished.Load() != 1 {
-		test.Fatal(answer, body, failure, worker.seen(), tally.Displaced.Load(), tally.Resumed.Load(), tally.Finished.Load())
+	counters := proxyServer.Scheduler.Counters("stream")
+	if err != nil || answer.StatusCode != 200 || body != want || worker.seen() != 2 ||
+		counters.Displaced.Load() != 1 || counters.Resumed.Load() != 1 || counters.Finished.Load() != 1 {
+		test.Fatal(answer, body, err, worker.seen(), counters.Displaced.Load(), counters.Resumed.Load(), counters.Finished.Load())
 	}
 }
--- a/internal/carriage/events.go
+++ b/internal/traffic/proxy/events.go
@@ -1,4 +1,4 @@
-package carriage
+package proxy
 
 import (
 	"bytes"
@@ -71,8 +71,8 @@
 			event = nil
 		}
 		if name, value, found := bytes.Cut(line, []byte(":")); found && string(name) == "id" {
-			id, failure := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			return id, failure == nil
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			return id, err == nil
 		}
 	}
 	return 0, false
--- a/internal/carriage/headers.go
+++ b/internal/traffic/proxy/headers.go
@@ -1,11 +1,11 @@
-package carriage
+package proxy
 
 import (
 	"net/http"
 	"strconv"
 	"strings"
 
-	"lemonarch/internal/watch"
+	"lemonarch/internal/platform/clock"
 )
 
 // The headers that the protocol names.
@@ -110,16 +110,16 @@
 }
 
 // timeLeft reads how long the client will wait.
-func timeLeft(header http.Header) (watch.Span, bool) {
+func timeLeft(header http.Header) (clock.Span, bool) {
 	text := header.Get(headerTimeLeft)
 	if text == "" {
 		return 0, false
 	}
-	value, failure := strconv.ParseFloat(text, 64)
-	if failure != nil || value < 0 {
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || value < 0 {
 		return 0, false
 	}
-	return watch.Milliseconds(value), true
+	return clock.Milliseconds(value), true
 }
 
 // copyBack puts a worker's headers into our answer.
--- /dev/null
+++ b/internal/traffic/proxy/idle_test.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+)
+
+// forgetful serves one request on each connection and resets it when it meets another:
+// it has forgotten the connection without a word.
+func forgetful(test *testing.T, id string) *standIn {
+	served := map[net.Conn]bool{}
+	var worker *standIn
+	worker = newStandIn(test, id, func(_ int, request *http.Request, connection net.Conn) {
+		worker.lock.Lock()
+		second := served[connection]
+		served[connection] = true
+		worker.lock.Unlock()
+		if second {
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			connection.Close()
+			return
+		}
+		write(connection, wellDone(request, "done"))
+	})
+	return worker
+}
+
+// A forgotten connection: what may be repeated goes again at once to the same worker, which
+// is not blamed, and what must not run twice doesn't ride on a connection that lay idle for
+// longer than such connections are known to last.
+func TestForgottenConnections(test *testing.T) {
+	worker := forgetful(test, "w1")
+	server, proxyServer := edge(test, worker)
+	for count := 0; count < 6; count++ {
+		answer, body, err := ask(test, server, "/safe/x", nil)
+		if err != nil || answer.StatusCode != 200 || body != "done" {
+			test.Fatal(count, answer, body, err)
+		}
+	}
+	chest := proxyServer.Sender.Chest
+	if chest.Forgot.Load() == 0 {
+		test.Fatal("no connection was forgotten: the stand-in does not do its part")
+	}
+	safe := chest.SafeIdle("s")
+	if safe >= constants.SafeIdle {
+		test.Fatal("nothing was learnt: ", safe)
+	}
+	suspect, failures := false, int64(0)
+	proxyServer.Scheduler.Locked(func() {
+		health := proxyServer.Scheduler.Tracker.Of("w1")
+		suspect = health.Suspect(clock.Now())
+		_, failures = health.Counts()
+	})
+	if suspect || failures > 0 {
+		test.Fatal("a forgotten connection was held against the worker")
+	}
+	for count := 0; count < 4; count++ {
+		<-clock.After(safe + clock.Milliseconds(1))
+		answer, body, err := ask(test, server, "/once/x", map[string]string{headerAttempt: fmt.Sprint("once-", count)})
+		if err != nil || answer.StatusCode != 200 || body != "done" {
+			test.Fatal(count, answer, body, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/proxy/proxy.go
@@ -0,0 +1,175 @@
+// Package proxy is the data plane: a request's way from the client to a worker
+// and back.
+package proxy
+
+import (
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/httpreply"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/prefixindex"
+	"lemonarch/internal/traffic/workerconn"
+)
+
+// LotGate passes a call on a lot to whoever holds it.
+type LotGate interface {
+	Pass(call *messages.LotCall, span clock.Span) (*messages.LotAnswer, bool)
+}
+
+// Carriage serves clients.
+type Proxy struct {
+	Sender    Sender
+	Scheduler *admission.Scheduler
+	Lots      LotGate
+	Log       hclog.Logger
+	config    atomic.Pointer[routeconfig.Config]
+	calls     *chi.Mux
+	Leaving   atomic.Bool
+	active    atomic.Int64
+	Counts    Counts
+}
+
+// Counts are what an operator follows.
+type Counts struct {
+	Served, Refused, Failed, Resumed, Repeated, CutOff atomic.Int64
+}
+
+// New makes the data plane.
+func New(sender Sender, lotList LotGate, log hclog.Logger) *Proxy {
+	proxyServer := &Proxy{Sender: sender, Scheduler: sender.Scheduler, Lots: lotList, Log: log}
+	proxyServer.calls = proxyServer.lotCalls()
+	return proxyServer
+}
+
+// SetConfig takes a newer configuration; an older one never replaces it.
+func (proxyServer *Proxy) SetConfig(config *routeconfig.Config) bool {
+	for {
+		current := proxyServer.config.Load()
+		if current != nil && current.Generation >= config.Generation {
+			return false
+		}
+		if proxyServer.config.CompareAndSwap(current, config) {
+			proxyServer.Scheduler.SetConfig(config)
+			return true
+		}
+	}
+}
+
+// Config gives the configuration in force here, or nil.
+func (proxyServer *Proxy) Config() *routeconfig.Config { return proxyServer.config.Load() }
+
+// Active is the number of requests under way.
+func (proxyServer *Proxy) Active() int64 { return proxyServer.active.Load() }
+
+// ServeHTTP takes one request.
+func (proxyServer *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	arrived := clock.Now()
+	proxyServer.active.Add(1)
+	defer proxyServer.active.Add(-1)
+	if proxyServer.Leaving.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	target := request.RequestURI
+	path, _, _ := strings.Cut(target, "?")
+	if strings.HasPrefix(path, "/-/") {
+		proxyServer.calls.ServeHTTP(writer, request)
+		return
+	}
+	config := proxyServer.Config()
+	if config == nil {
+		// Nothing ran and nothing will: a node without a configuration knows no route.
+		httpreply.Later(writer, http.StatusServiceUnavailable, constants.GossipPeriod/2)
+		return
+	}
+	route := config.Match(request.Host, path)
+	if route == nil {
+		httpreply.Text(writer, http.StatusNotFound, "no route")
+		return
+	}
+	limit := config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = constants.RequestLimit
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
+	if err != nil {
+		proxyServer.refuseBody(writer, err)
+		return
+	}
+	if route.Kind() == messages.RouteBulk {
+		proxyServer.handIn(writer, request, route, path, body)
+		return
+	}
+	exchange := proxyServer.begin(writer, request, route, body, arrived)
+	exchange.travel()
+}
+
+func (proxyServer *Proxy) refuseBody(writer http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if asTooLarge(err, &tooLarge) {
+		httpreply.Text(writer, http.StatusRequestEntityTooLarge, "body too large")
+		return
+	}
+	writer.Header().Set("Connection", "close")
+	httpreply.Text(writer, http.StatusBadRequest, "body can't be read")
+}
+
+func (proxyServer *Proxy) begin(writer http.ResponseWriter, request *http.Request, route *routeconfig.Route, body []byte, arrived clock.Moment) *exchange {
+	one := &exchange{proxyServer: proxyServer, writer: writer, request: request, route: route, body: body, arrived: arrived}
+	span := route.Cutoff()
+	if left, stated := timeLeft(request.Header); stated {
+		span = min(span, left)
+		one.stated = true
+	}
+	one.deadline = arrived.Plus(span)
+	one.attempt = request.Header.Get(headerAttempt)
+	one.method = request.Method
+	one.passed = Passed(request.Header)
+	one.sized = request.ContentLength != 0 || len(body) > 0 || request.Header.Get("Content-Length") != ""
+	one.ask = admission.Ask{
+		// One draw for the whole request: a split route must not move between tries.
+		Service:  route.Choose(rand.Float64()),
+		Affine:   route.Affine,
+		Priority: route.Priority,
+		Setpoint: route.Setpoint(),
+		Deadline: one.deadline,
+	}
+	one.ask.Repeatable = one.repeatable()
+	if route.Affine {
+		one.ask.Prompt = prefixindex.ParsePrompt(request.Header.Get(headerModel), request.Header.Get(headerTokens), request.Header.Get(headerPrefix))
+	}
+	return one
+}
+
+// Sweep does the upkeep of connections and queues.
+func (proxyServer *Proxy) Sweep() {
+	now := clock.Now()
+	proxyServer.Scheduler.Pump(now)
+}
+
+// SweepPipes drops idle connections past their time.
+func SweepConnections(chest *workerconn.Chest, scheduler *admission.Scheduler) {
+	now := clock.Now()
+	chest.Sweep(func(worker string) bool {
+		gone := false
+		scheduler.Locked(func() {
+			known, found := scheduler.Registry.Get(worker)
+			gone = !found || known.Phase == messages.PhaseGone
+		})
+		return gone
+	})
+	scheduler.Locked(func() {
+		scheduler.Registry.Forget(now)
+		scheduler.Tracker.SweepTrust(now)
+	})
+}
--- a/internal/carriage/carriage_test.go
+++ b/internal/traffic/proxy/proxy_test.go
@@ -1,4 +1,4 @@
-package carriage
+package proxy
 
 import (
 	"fmt"
@@ -16,9 +16,9 @@
 		write(connection, wellDone(request, "hello"))
 	})
 	server, _ := edge(test, worker)
-	answer, body, failure := ask(test, server, "/safe/a//b/../c%2Fd?x=1&&y", map[string]string{"X-Other": "kept", headerTimeLeft: "900"})
-	if failure != nil || answer.StatusCode != 200 || body != "hello" || answer.Header.Get(headerSeal) != "seal" {
-		test.Fatal(answer, body, failure)
+	answer, body, err := ask(test, server, "/safe/a//b/../c%2Fd?x=1&&y", map[string]string{"X-Other": "kept", headerTimeLeft: "900"})
+	if err != nil || answer.StatusCode != 200 || body != "hello" || answer.Header.Get(headerSeal) != "seal" {
+		test.Fatal(answer, body, err)
 	}
 	got := worker.requests[0]
 	sent, _ := io.ReadAll(got.Body)
@@ -39,11 +39,11 @@
 		}
 		first, second := newStandIn(test, "w1", script), newStandIn(test, "w2", script)
 		server, _ := edge(test, first, second)
-		answer, _, failure := ask(test, server, "/once/x", nil)
+		answer, _, err := ask(test, server, "/once/x", nil)
 		if first.seen()+second.seen() != 1 {
 			test.Fatalf("cut at %d: run %d times", cut, first.seen()+second.seen())
 		}
-		if failure == nil && (answer.StatusCode == 503 || answer.StatusCode == 429 || answer.StatusCode < 300) {
+		if err == nil && (answer.StatusCode == 503 || answer.StatusCode == 429 || answer.StatusCode < 300) {
 			test.Fatalf("cut at %d: status %d", cut, answer.StatusCode)
 		}
 	}
@@ -55,9 +55,9 @@
 	script := func(int, *http.Request, net.Conn) { <-hold }
 	first, second := newStandIn(test, "w1", script), newStandIn(test, "w2", script)
 	server, _ := edge(test, first, second)
-	answer, _, failure := ask(test, server, "/once/x", nil)
-	if failure != nil || answer.StatusCode != http.StatusGatewayTimeout || first.seen()+second.seen() != 1 {
-		test.Fatal(answer, failure, first.seen(), second.seen())
+	answer, _, err := ask(test, server, "/once/x", nil)
+	if err != nil || answer.StatusCode != http.StatusGatewayTimeout || first.seen()+second.seen() != 1 {
+		test.Fatal(answer, err, first.seen(), second.seen())
 	}
 }
 
@@ -71,9 +71,9 @@
 	})
 	good := newStandIn(test, "w3", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "done")) })
 	server, _ := edge(test, full, other, good)
-	answer, body, failure := ask(test, server, "/once/x", nil)
-	if failure != nil || answer.StatusCode != 200 || body != "done" || good.seen() != 1 {
-		test.Fatal(answer, body, failure)
+	answer, body, err := ask(test, server, "/once/x", nil)
+	if err != nil || answer.StatusCode != 200 || body != "done" || good.seen() != 1 {
+		test.Fatal(answer, body, err)
 	}
 }
 
@@ -82,9 +82,9 @@
 		write(connection, "HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	})
 	server, _ := edge(test, full)
-	answer, _, failure := ask(test, server, "/once/x", nil)
-	if failure != nil || answer.StatusCode != 503 || answer.Header.Get("Retry-After") == "" {
-		test.Fatal(answer, failure)
+	answer, _, err := ask(test, server, "/once/x", nil)
+	if err != nil || answer.StatusCode != 503 || answer.Header.Get("Retry-After") == "" {
+		test.Fatal(answer, err)
 	}
 }
 
@@ -102,9 +102,9 @@
 		})
 		good := newStandIn(test, "w2", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "done")) })
 		server, _ := edge(test, bad, good)
-		answer, body, failure := ask(test, server, "/safe/x", nil)
-		if failure != nil || answer.StatusCode != 200 || body != "done" {
-			test.Fatal(name, answer, body, failure)
+		answer, body, err := ask(test, server, "/safe/x", nil)
+		if err != nil || answer.StatusCode != 200 || body != "done" {
+			test.Fatal(name, answer, body, err)
 		}
 	}
 }
@@ -118,9 +118,9 @@
 	server, _ := edge(test, worker)
 	for count := 0; count < 5; count++ {
 		attempt := fmt.Sprint("attempt-", count)
-		answer, body, failure := ask(test, server, "/safe/x", map[string]string{headerAttempt: attempt})
-		if failure != nil || answer.StatusCode != 200 || body != "for "+attempt {
-			test.Fatal(answer, body, failure)
+		answer, body, err := ask(test, server, "/safe/x", map[string]string{headerAttempt: attempt})
+		if err != nil || answer.StatusCode != 200 || body != "for "+attempt {
+			test.Fatal(answer, body, err)
 		}
 	}
 }
@@ -132,9 +132,9 @@
 		write(connection, old+wellDone(request, "mine"))
 	})
 	server, _ := edge(test, worker)
-	answer, body, failure := ask(test, server, "/once/x", nil)
-	if failure != nil || answer.StatusCode != 200 || body != "mine" || worker.seen() != 1 {
-		test.Fatal(answer, body, failure)
+	answer, body, err := ask(test, server, "/once/x", nil)
+	if err != nil || answer.StatusCode != 200 || body != "mine" || worker.seen() != 1 {
+		test.Fatal(answer, body, err)
 	}
 }
 
@@ -162,7 +162,7 @@
 		}
 		first, second := newStandIn(test, "w1", script(cut)), newStandIn(test, "w2", script(events))
 		server, _ := edge(test, first, second)
-		answer, body, failure := ask(test, server, "/stream/x", nil)
+		answer, body, err := ask(test, server, "/stream/x", nil)
 		want := ""
 		for id := 1; id <= events; id++ {
 			want += event(id)
@@ -171,8 +171,8 @@
 		if cut == 0 {
 			seal = "seal-w2"
 		}
-		if failure != nil || answer.StatusCode != 200 || body != want || answer.Header.Get(headerSeal) != seal {
-			test.Fatalf("cut at %d: %v %q %v", cut, answer, body, failure)
+		if err != nil || answer.StatusCode != 200 || body != want || answer.Header.Get(headerSeal) != seal {
+			test.Fatalf("cut at %d: %v %q %v", cut, answer, body, err)
 		}
 	}
 }
@@ -185,9 +185,9 @@
 	})
 	second := newStandIn(test, "w2", func(int, *http.Request, net.Conn) {})
 	server, _ := edge(test, worker, second)
-	answer, body, failure := ask(test, server, "/rigid/x", nil)
-	if failure == nil || answer == nil || body != event(1) || second.seen() != 0 {
-		test.Fatal(answer, body, failure, second.seen())
+	answer, body, err := ask(test, server, "/rigid/x", nil)
+	if err == nil || answer == nil || body != event(1) || second.seen() != 0 {
+		test.Fatal(answer, body, err, second.seen())
 	}
 }
 
@@ -199,8 +199,8 @@
 	}
 	request, _ := http.NewRequest(http.MethodPost, server.URL+"/safe/x", strings.NewReader(strings.Repeat("x", 2000)))
 	request.Host = "h.example"
-	if answer, failure := http.DefaultClient.Do(request); failure != nil || answer.StatusCode != 413 {
-		test.Fatal(answer, failure)
+	if answer, err := http.DefaultClient.Do(request); err != nil || answer.StatusCode != 413 {
+		test.Fatal(answer, err)
 	}
 	if worker.seen() != 0 {
 		test.Fatal("passed on")
@@ -217,20 +217,20 @@
 		}
 		write(connection, wellDone(request, "done"))
 	})
-	server, carriage := edge(test, worker)
+	server, proxyServer := edge(test, worker)
 	ended := make(chan string, 1)
 	go func() {
-		answer, body, failure := ask(test, server, "/once/x", nil)
-		ended <- fmt.Sprint(answer != nil && answer.StatusCode == 200, body, failure)
+		answer, body, err := ask(test, server, "/once/x", nil)
+		ended <- fmt.Sprint(answer != nil && answer.StatusCode == 200, body, err)
 	}()
 	<-begun
-	carriage.Leaving.Store(true)
-	if carriage.Active() != 1 {
+	proxyServer.Leaving.Store(true)
+	if proxyServer.Active() != 1 {
 		test.Fatal("a request under way is not counted")
 	}
-	answer, body, failure := ask(test, server, "/safe/y", nil)
-	if failure != nil || answer.StatusCode != 200 || body != "done" || !answer.Close {
-		test.Fatal(answer, body, failure)
+	answer, body, err := ask(test, server, "/safe/y", nil)
+	if err != nil || answer.StatusCode != 200 || body != "done" || !answer.Close {
+		test.Fatal(answer, body, err)
 	}
 	close(hold)
 	if got := <-ended; got != "true done <nil>" && got != "truedone<nil>" && got != "truedone <nil>" {
--- a/internal/carriage/repeat.go
+++ b/internal/traffic/proxy/repeat.go
@@ -1,6 +1,6 @@
-package carriage
+package proxy
 
-import "lemonarch/internal/pattern"
+import "lemonarch/internal/platform/messages"
 
 // Evidence is what is known of a try at a worker that brought no whole answer.
 type Evidence struct {
@@ -30,8 +30,8 @@
 
 // May decides. A request that was sent and met silence, a reset or a cut may have
 // run; only the worker's own word says that it did not.
-func May(kind pattern.RouteKind, resumable bool, evidence Evidence) Repeat {
-	streams := kind == pattern.RouteStreaming || kind == pattern.RouteBulk
+func May(kind messages.RouteKind, resumable bool, evidence Evidence) Repeat {
+	streams := kind == messages.RouteStreaming || kind == messages.RouteBulk
 	if evidence.Events || (evidence.Head && streams) {
 		// The client has part of a run: only its own continuation may follow.
 		if streams && resumable {
@@ -45,7 +45,7 @@
 	if !evidence.Sent || evidence.NotRun {
 		return RepeatAnew
 	}
-	if kind == pattern.RouteIdempotent || (streams && resumable) {
+	if kind == messages.RouteIdempotent || (streams && resumable) {
 		return RepeatAnew
 	}
 	return RepeatNever
--- a/internal/carriage/standin_test.go
+++ b/internal/traffic/proxy/standin_test.go
@@ -1,4 +1,4 @@
-package carriage
+package proxy
 
 import (
 	"bufio"
@@ -13,11 +13,12 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"lemonarch/internal/chisel"
-	"lemonarch/internal/jig"
-	"lemonarch/internal/pattern"
-	"lemonarch/internal/watch"
-	"lemonarch/internal/workbench"
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/workerconn"
 )
 
 // standIn is a worker of ours for tests: each request is handed to a script that
@@ -31,16 +32,16 @@
 }
 
 func newStandIn(test *testing.T, id string, script func(count int, request *http.Request, connection net.Conn)) *standIn {
-	listener, failure := net.Listen("tcp4", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
 	}
 	worker := &standIn{id: id, listener: listener, script: script}
 	test.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
-			connection, failure := listener.Accept()
-			if failure != nil {
+			connection, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			go worker.serve(connection)
@@ -53,8 +54,8 @@
 	defer connection.Close()
 	reader := bufio.NewReader(connection)
 	for {
-		request, failure := http.ReadRequest(reader)
-		if failure != nil {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
 			return
 		}
 		body, _ := io.ReadAll(request.Body)
@@ -93,35 +94,35 @@
 ],"backends":[{"name":"s","conn-limit":50}],"limits":{"max-header-bytes":8192,"max-body-bytes":1000,"header-wait-ms":3000,"idle-ms":5000}}`
 
 // edge starts a data plane in front of stand-ins; the first listed is preferred.
-func edge(test *testing.T, workers ...*standIn) (*httptest.Server, *Carriage) {
-	bench := workbench.New(pattern.Entry{Name: "n", Role: "forge", Hall: "h"}, 1_200_000_000)
-	courier := Courier{Bench: bench, Chest: chisel.NewChest(), Budget: func(pattern.Worker) int { return 20 }}
-	carriage := New(courier, nil, hclog.NewNullLogger())
-	config, failure := jig.Parse([]byte(testConfig))
-	if failure != nil {
-		test.Fatal(failure)
+func edge(test *testing.T, workerList ...*standIn) (*httptest.Server, *Proxy) {
+	scheduler := admission.New(messages.Entry{Name: "n", Role: membership.RoleGateway, Zone: "h"}, 1_200_000_000)
+	sender := Sender{Scheduler: scheduler, Chest: workerconn.NewChest(), Budget: func(messages.Worker) int { return 20 }}
+	proxyServer := New(sender, nil, hclog.NewNullLogger())
+	config, err := routeconfig.Parse([]byte(testConfig))
+	if err != nil {
+		test.Fatal(err)
 	}
-	carriage.SetConfig(config)
-	var list []pattern.Worker
-	for place, worker := range workers {
-		// The others stand in another hall, which costs them the tie.
-		hall := "h"
+	proxyServer.SetConfig(config)
+	var list []messages.Worker
+	for place, worker := range workerList {
+		// The others stand in another zone, which costs them the tie.
+		zone := "h"
 		if place > 0 {
-			hall = "far" + fmt.Sprint(place)
+			zone = "far" + fmt.Sprint(place)
 		}
-		list = append(list, pattern.Worker{ID: worker.id, Backend: "s", Address: worker.listener.Addr().String(), Hall: hall, Capacity: 4, Count: 1})
+		list = append(list, messages.Worker{ID: worker.id, Backend: "s", Address: worker.listener.Addr().String(), Zone: zone, Capacity: 4, Count: 1})
 	}
-	bench.Merge(list, watch.Now())
-	server := httptest.NewServer(carriage)
+	scheduler.Merge(list, clock.Now())
+	server := httptest.NewServer(proxyServer)
 	test.Cleanup(server.Close)
-	return server, carriage
+	return server, proxyServer
 }
 
 // ask sends one request over a connection of its own and gives what came back.
 func ask(test *testing.T, server *httptest.Server, path string, header map[string]string) (*http.Response, string, error) {
-	request, failure := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader("the body"))
-	if failure != nil {
-		test.Fatal(failure)
+	request, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader("the body"))
+	if err != nil {
+		test.Fatal(err)
 	}
 	request.Host = "h.example"
 	request.Header.Set(headerAttempt, "attempt-1")
@@ -129,11 +130,11 @@
 		request.Header.Set(name, value)
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	answer, failure := client.Do(request)
-	if failure != nil {
-		return nil, "", failure
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, "", err
 	}
 	defer answer.Body.Close()
-	body, failure := io.ReadAll(answer.Body)
-	return answer, string(body), failure
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
 }
--- a/internal/carriage/trouble_test.go
+++ b/internal/traffic/proxy/trouble_test.go
@@ -1,4 +1,4 @@
-package carriage
+package proxy
 
 import (
 	"net"
@@ -6,21 +6,21 @@
 	"strings"
 	"testing"
 
-	"lemonarch/internal/almanac"
-	"lemonarch/internal/watch"
-	"lemonarch/internal/workbench"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/traffic/admission"
 )
 
 // taught has a service's usual times learnt, so that silence is known by them.
-func taught(test *testing.T, carriage *Carriage, ask workbench.Ask) {
-	for count := 0; count < almanac.PaceLeast; count++ {
-		answer, _ := carriage.Bench.Admit(&ask, nil, watch.Now())
-		if answer.Verdict != workbench.VerdictGranted {
+func taught(test *testing.T, proxyServer *Proxy, ask admission.Ask) {
+	for count := 0; count < constants.PaceLeast; count++ {
+		answer, _ := proxyServer.Scheduler.Admit(&ask, nil, clock.Now())
+		if answer.Verdict != admission.VerdictGranted {
 			test.Fatal(answer.Verdict)
 		}
-		answer.Grant.First("", watch.Now())
-		answer.Grant.Paused(watch.Milliseconds(5))
-		answer.Grant.End(workbench.OutcomeServed, watch.Now())
+		answer.Grant.First("", clock.Now())
+		answer.Grant.Paused(clock.Milliseconds(5))
+		answer.Grant.End(admission.ResultServed, clock.Now())
 	}
 }
 
@@ -37,20 +37,20 @@
 			}
 			write(connection, wellDone(request, "done"))
 		})
-		server, carriage := edge(test, hanging, good)
-		taught(test, carriage, workbench.Ask{Service: "s", Setpoint: watch.Milliseconds(100), Excluded: []string{"w1"}})
-		begun := watch.Now()
-		answer, body, failure := ask(test, server, path, nil)
-		took := watch.Now().Since(begun)
+		server, proxyServer := edge(test, hanging, good)
+		taught(test, proxyServer, admission.Ask{Service: "s", Setpoint: clock.Milliseconds(100), Excluded: []string{"w1"}})
+		begun := clock.Now()
+		answer, body, err := ask(test, server, path, nil)
+		took := clock.Now().Since(begun)
 		close(hold)
-		if failure != nil || answer.StatusCode != 200 || hanging.seen() != 1 || good.seen() != 1 {
-			test.Fatal(path, answer, body, failure, hanging.seen(), good.seen())
+		if err != nil || answer.StatusCode != 200 || hanging.seen() != 1 || good.seen() != 1 {
+			test.Fatal(path, answer, body, err, hanging.seen(), good.seen())
 		}
-		if took > almanac.SilentWorker/2 {
+		if took > constants.SilentWorker/2 {
 			test.Fatalf("%s: went on elsewhere only after %v", path, took)
 		}
 		var failures int64
-		carriage.Bench.Locked(func() { _, failures = carriage.Bench.Gauge.Of("w1").Counts() })
+		proxyServer.Scheduler.Locked(func() { _, failures = proxyServer.Scheduler.Tracker.Of("w1").Counts() })
 		if failures != 1 {
 			test.Fatal("the hang was not noted once: ", failures)
 		}
@@ -71,11 +71,11 @@
 		}
 		write(connection, streamHead(request)+chunk(event(3))+chunk(""))
 	})
-	server, carriage := edge(test, hanging, good)
-	taught(test, carriage, workbench.Ask{Service: "s", Setpoint: watch.Milliseconds(100), Excluded: []string{"w1"}})
-	answer, body, failure := ask(test, server, "/stream/x", nil)
-	if failure != nil || answer.StatusCode != 200 || body != event(1)+event(2)+event(3) {
-		test.Fatal(answer, body, failure)
+	server, proxyServer := edge(test, hanging, good)
+	taught(test, proxyServer, admission.Ask{Service: "s", Setpoint: clock.Milliseconds(100), Excluded: []string{"w1"}})
+	answer, body, err := ask(test, server, "/stream/x", nil)
+	if err != nil || answer.StatusCode != 200 || body != event(1)+event(2)+event(3) {
+		test.Fatal(answer, body, err)
 	}
 }
 
@@ -87,19 +87,19 @@
 		write(connection, wellDone(request, "late"))
 	})
 	other := newStandIn(test, "w2", func(int, *http.Request, net.Conn) { test.Error("run at a second worker") })
-	server, carriage := edge(test, slow, other)
-	taught(test, carriage, workbench.Ask{Service: "s", Setpoint: watch.Milliseconds(100), Excluded: []string{"w1"}})
+	server, proxyServer := edge(test, slow, other)
+	taught(test, proxyServer, admission.Ask{Service: "s", Setpoint: clock.Milliseconds(100), Excluded: []string{"w1"}})
 	go func() {
 		// Answers once the silence was noted, however fast this machine is.
 		for suspect := false; !suspect; {
-			<-watch.After(watch.Milliseconds(5))
-			carriage.Bench.Locked(func() { suspect = carriage.Bench.Gauge.Of("w1").Suspect(watch.Now()) })
+			<-clock.After(clock.Milliseconds(5))
+			proxyServer.Scheduler.Locked(func() { suspect = proxyServer.Scheduler.Tracker.Of("w1").Suspect(clock.Now()) })
 		}
 		close(answered)
 	}()
-	answer, body, failure := ask(test, server, "/once/x", nil)
-	if failure != nil || answer.StatusCode != 200 || body != "late" || slow.seen() != 1 {
-		test.Fatal(answer, body, failure, slow.seen())
+	answer, body, err := ask(test, server, "/once/x", nil)
+	if err != nil || answer.StatusCode != 200 || body != "late" || slow.seen() != 1 {
+		test.Fatal(answer, body, err, slow.seen())
 	}
 }
 
@@ -117,12 +117,12 @@
 	} {
 		worker := newStandIn(test, "w1", func(_ int, _ *http.Request, connection net.Conn) { write(connection, text) })
 		good := newStandIn(test, "w2", func(_ int, request *http.Request, connection net.Conn) { write(connection, wellDone(request, "done")) })
-		server, carriage := edge(test, worker, good)
-		if _, _, failure := ask(test, server, "/safe/x", nil); failure != nil {
-			test.Fatal(text, failure)
+		server, proxyServer := edge(test, worker, good)
+		if _, _, err := ask(test, server, "/safe/x", nil); err != nil {
+			test.Fatal(text, err)
 		}
 		var failures int64
-		carriage.Bench.Locked(func() { _, failures = carriage.Bench.Gauge.Of("w1").Counts() })
+		proxyServer.Scheduler.Locked(func() { _, failures = proxyServer.Scheduler.Tracker.Of("w1").Counts() })
 		if against != (failures > 0) {
 			test.Fatalf("%q: %d failures noted", text, failures)
 		}
--- /dev/null
+++ b/internal/traffic/workerconn/await.go
@@ -0,0 +1,65 @@
+package workerconn
+
+import (
+	"net"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+)
+
+// Wait says how long to wait for the next byte.
+type Wait struct {
+	Until clock.Moment
+	// Patience is the silence after which Impatient is asked, and again after each
+	// further one; zero waits until the end.
+	Patience clock.Span
+	// Impatient decides whether to give the worker up after a silence on this connection.
+	// Where nil, it is given up once it was silent on all its connections for that long.
+	Impatient func(silence clock.Span) bool
+}
+
+// Await waits for the next byte.
+func (connection *Connection) Await(wait Wait) error {
+	if connection.reader.Buffered() > 0 {
+		return nil
+	}
+	begun := clock.Now()
+	asked := begun
+	for {
+		now := clock.Now()
+		if now >= wait.Until && connection.silent() {
+			return Silent.New("until the deadline")
+		}
+		span := max(wait.Until.Since(now), constants.PumpPeriod)
+		if wait.Patience > 0 {
+			from := asked
+			if wait.Impatient == nil {
+				// A worker that still speaks on other connections is slow, not silent.
+				from = max(begun, clock.Moment(connection.worker.heard.Load()))
+			}
+			if now.Since(from) >= wait.Patience && connection.silent() {
+				if wait.Impatient == nil || wait.Impatient(now.Since(begun)) {
+					return Silent.New("longer than usual")
+				}
+				asked, from = now, now
+			}
+			span = min(span, max(wait.Patience-now.Since(from), constants.PumpPeriod/8))
+		}
+		_ = connection.connection.SetReadDeadline(clock.Deadline(span))
+		if _, err := connection.reader.Peek(1); err == nil {
+			connection.worker.heard.Store(int64(clock.Now()))
+			// What has begun to come may take until the end.
+			_ = connection.connection.SetReadDeadline(clock.Deadline(wait.Until.Since(clock.Now())))
+			return nil
+		} else if timeout, isNet := err.(net.Error); !isNet || !timeout.Timeout() {
+			return Broken.Wrap(err, "read")
+		}
+	}
+}
+
+// silent tells that really nothing has come: on a starved processor the clock may run
+// out before the bytes that lie ready were looked at.
+func (connection *Connection) silent() bool {
+	_ = connection.connection.SetReadDeadline(clock.Deadline(constants.PumpPeriod))
+	return connection.quiet()
+}
--- /dev/null
+++ b/internal/traffic/workerconn/idle.go
@@ -0,0 +1,119 @@
+package workerconn
+
+import (
+	"net"
+	"syscall"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// Reuse says which idle connections a request may travel on.
+type Reuse int
+
+// The choices.
+const (
+	// ReuseAny: a reset is mended by sending it again.
+	ReuseAny Reuse = iota
+	// ReuseSafe: only one that was idle for a time that is known to be short. A worker
+	// may forget an idle connection without a word, and a request that must not run
+	// twice can't be sent again after the reset.
+	ReuseSafe
+	// ReuseNone: a new one.
+	ReuseNone
+)
+
+// Get gives an idle connection that still looks sound, or opens one within the budget.
+func (chest *Chest) Get(worker messages.Worker, budget int, reuse Reuse) (*Connection, error) {
+	for {
+		chest.lock.Lock()
+		connections := chest.of(worker.ID)
+		count := len(connections.idle)
+		now := clock.Now()
+		// The newest idle one is the least likely to have been closed.
+		if count == 0 || reuse == ReuseNone ||
+			(reuse == ReuseSafe && now.Since(connections.idle[count-1].idleSince) > chest.safeIdle(worker.Backend)) {
+			if budget > 0 && connections.open >= budget && count > 0 {
+				// The oldest idle one makes room.
+				oldest := connections.idle[0]
+				connections.idle = append(connections.idle[:0], connections.idle[1:]...)
+				chest.lock.Unlock()
+				chest.Drop(oldest)
+				continue
+			}
+			if budget > 0 && connections.open >= budget {
+				chest.lock.Unlock()
+				return nil, Spent.New(worker.ID)
+			}
+			connections.open++
+			chest.lock.Unlock()
+			return chest.open(worker, connections)
+		}
+		connection := connections.idle[count-1]
+		connections.idle = connections.idle[:count-1]
+		chest.lock.Unlock()
+		connection.Idle = now.Since(connection.idleSince)
+		if now < connection.idleUntil && connection.quiet() {
+			connection.Reused = true
+			return connection, nil
+		}
+		chest.Drop(connection)
+	}
+}
+
+// safeIdle is the time for which a service's connections are known to stay. The lock is held.
+func (chest *Chest) safeIdle(backend string) clock.Span {
+	if safe, known := chest.safe[backend]; known {
+		return safe
+	}
+	return constants.SafeIdle
+}
+
+// Survived learns from a connection that still worked after it was idle.
+func (chest *Chest) Survived(connection *Connection) {
+	if !connection.Reused {
+		return
+	}
+	chest.lock.Lock()
+	defer chest.lock.Unlock()
+	// Half of what was seen to last, and slowly: one forgetful worker is enough.
+	if safe := chest.safeIdle(connection.backend); connection.Idle/2 > safe {
+		const slowly = 16
+		chest.safe[connection.backend] = min(safe+(connection.Idle/2-safe)/slowly, constants.SafeIdleMost)
+	}
+}
+
+// Forgotten learns from a reset on a connection that was idle, before any byte came back.
+func (chest *Chest) Forgotten(connection *Connection) {
+	chest.Forgot.Add(1)
+	chest.lock.Lock()
+	defer chest.lock.Unlock()
+	chest.safe[connection.backend] = max(min(chest.safeIdle(connection.backend), connection.Idle/2), constants.SafeIdleLeast)
+}
+
+// SafeIdle tells the learnt time.
+func (chest *Chest) SafeIdle(backend string) clock.Span {
+	chest.lock.Lock()
+	defer chest.lock.Unlock()
+	return chest.safeIdle(backend)
+}
+
+// quiet tells that a connection neither ended nor holds bytes that nobody has read.
+func (connection *Connection) quiet() bool {
+	if connection.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := connection.connection.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, problem := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = problem == syscall.EAGAIN || problem == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/traffic/workerconn/sweep.go
@@ -0,0 +1,28 @@
+package workerconn
+
+import "lemonarch/internal/platform/clock"
+
+// Sweep drops idle connections past their time and those of workers that are gone.
+func (chest *Chest) Sweep(gone func(worker string) bool) {
+	now := clock.Now()
+	var stale []*Connection
+	chest.lock.Lock()
+	for id, connections := range chest.workerList {
+		kept := connections.idle[:0]
+		for _, connection := range connections.idle {
+			if now >= connection.idleUntil || gone(id) {
+				stale = append(stale, connection)
+			} else {
+				kept = append(kept, connection)
+			}
+		}
+		connections.idle = kept
+		if connections.open == 0 && gone(id) {
+			delete(chest.workerList, id)
+		}
+	}
+	chest.lock.Unlock()
+	for _, connection := range stale {
+		chest.Drop(connection)
+	}
+}
--- /dev/null
+++ b/internal/traffic/workerconn/workerconn.go
@@ -0,0 +1,167 @@
+// Package workerconn keeps the connections (connections) to workers. A connection belongs to one
+// life of a worker, carries one request at a time, and is dropped after anything
+// that is not the answer to its request.
+package workerconn
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// The errors of connections.
+var (
+	// NoPipe means that nothing was sent.
+	NoConnection = errs.Define("no connection to worker")
+	// Spent means that nothing was sent, for want of a place in the budget.
+	Spent = errs.Define("connection budget spent")
+	// Broken means that the request was sent, in part or whole, and may have run.
+	Broken = errs.Define("connection broken")
+	// Silent means that the worker said nothing in time.
+	Silent = errs.Define("worker silent")
+)
+
+// Pipe is one connection to one life of a worker.
+type Connection struct {
+	connection net.Conn
+	reader     *bufio.Reader
+	worker     *workerConnections
+	idleSince  clock.Moment
+	idleUntil  clock.Moment
+	backend    string
+	// Reused tells that it has carried a request before, and Idle how long it then lay
+	// unused.
+	Reused bool
+	Idle   clock.Span
+	closed atomic.Bool
+	// halted: our own side ended it, which says nothing about the worker.
+	halted atomic.Bool
+}
+
+type workerConnections struct {
+	idle  []*Connection
+	open  int
+	heard atomic.Int64
+}
+
+// Chest holds the connections to all workers.
+type Chest struct {
+	lock       sync.Mutex
+	workerList map[string]*workerConnections
+	safe       map[string]clock.Span
+	Opened     atomic.Int64
+	// Forgot counts idle connections that turned out to be forgotten by their worker.
+	Forgot atomic.Int64
+}
+
+// NewChest makes an empty one.
+func NewChest() *Chest {
+	return &Chest{workerList: map[string]*workerConnections{}, safe: map[string]clock.Span{}}
+}
+
+func (chest *Chest) of(id string) *workerConnections {
+	connections := chest.workerList[id]
+	if connections == nil {
+		connections = &workerConnections{}
+		chest.workerList[id] = connections
+	}
+	return connections
+}
+
+func (chest *Chest) open(worker messages.Worker, connections *workerConnections) (*Connection, error) {
+	connection, err := transport.Dial(worker.Address, constants.WorkerDial, constants.SilentConnection)
+	if err != nil {
+		chest.lock.Lock()
+		connections.open--
+		chest.lock.Unlock()
+		return nil, NoConnection.Wrap(err, worker.ID)
+	}
+	chest.Opened.Add(1)
+	return &Connection{connection: connection, reader: bufio.NewReaderSize(connection, 4<<10), worker: connections, backend: worker.Backend}, nil
+}
+
+// Send writes a whole request.
+func (connection *Connection) Send(text []byte, until clock.Moment) error {
+	_ = connection.connection.SetWriteDeadline(clock.Deadline(until.Since(clock.Now())))
+	if _, err := connection.connection.Write(text); err != nil {
+		return Broken.Wrap(err, "write")
+	}
+	return nil
+}
+
+// Answer reads the head of an answer.
+func (connection *Connection) Answer(method string) (*http.Response, error) {
+	for {
+		answer, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, Broken.Wrap(err, "answer")
+		}
+		if answer.StatusCode >= 200 {
+			return answer, nil
+		}
+	}
+}
+
+// Keep puts a connection back after a whole answer, if it may be used again.
+func (chest *Chest) Keep(connection *Connection, answer *http.Response) {
+	if connection.closed.Load() || answer.Close || connection.reader.Buffered() > 0 {
+		chest.Drop(connection)
+		return
+	}
+	idle := constants.ConnectionIdle
+	if stated := keepAlive(answer.Header.Get("Keep-Alive")); stated > 0 {
+		// Retire it before the worker does, or a request would meet the end.
+		idle = min(idle, stated*3/5)
+	}
+	connection.idleSince = clock.Now()
+	connection.idleUntil = connection.idleSince.Plus(idle)
+	chest.lock.Lock()
+	defer chest.lock.Unlock()
+	connection.worker.idle = append(connection.worker.idle, connection)
+}
+
+func keepAlive(header string) clock.Span {
+	for _, field := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if strings.EqualFold(name, "timeout") {
+			seconds, err := strconv.Atoi(value)
+			if err == nil {
+				return clock.Milliseconds(float64(seconds) * 1000)
+			}
+		}
+	}
+	return 0
+}
+
+// Close ends the connection from any side, so that a reader wakes up.
+func (connection *Connection) Close() {
+	connection.halted.Store(true)
+	connection.shut()
+}
+
+// Halted tells that it was our own side that ended the connection.
+func (connection *Connection) Halted() bool { return connection.halted.Load() }
+
+func (connection *Connection) shut() {
+	if !connection.closed.Swap(true) {
+		connection.connection.Close()
+	}
+}
+
+// Drop ends a connection and gives its place in the budget back.
+func (chest *Chest) Drop(connection *Connection) {
+	connection.shut()
+	chest.lock.Lock()
+	defer chest.lock.Unlock()
+	connection.worker.open--
+}
