--- a/cmd/lemonarch/assign_apply.go
+++ b/cmd/lemonarch/assign_apply.go
@@ -35,7 +35,7 @@
 	return command
 }
 
-// desk speaks with one controller.
+// endpoint speaks with one controller.
 type endpoint struct {
 	glass   *fleetshell.Shell
 	address string
--- a/cmd/lemonarch/assign_apply_test.go
+++ b/cmd/lemonarch/assign_apply_test.go
@@ -15,7 +15,7 @@
 	"lemonarch/internal/tooling/fleetshell"
 )
 
-// oneForeman is a fleet of one control process on a transport in memory.
+// oneController is a fleet of one control process on a transport in memory.
 func oneController(test *testing.T) (*transport.Room, *fleetshell.Shell) {
 	nodeSettings := &settings.Settings{NodeName: "m", Address: "127.0.0.1", Zone: "h", InternalPorts: []int{21100, 21110},
 		Seeds: []string{"127.0.0.1:21000"}, Bootstrap: true, DataDir: test.TempDir(), HeartbeatMs: 1200}
--- a/internal/batch/itemdriver/itemdriver.go
+++ b/internal/batch/itemdriver/itemdriver.go
@@ -32,7 +32,7 @@
 // Stopped tells whether the run may go on no more.
 func (task *Task) Stopped() bool { return task.stopped }
 
-// Apprentice keeps the tasks of one process.
+// Runner keeps the tasks of one process.
 type Runner struct {
 	tasks   map[uint64]*Task
 	durable queue
--- a/internal/batch/lots/dispatch_test.go
+++ b/internal/batch/lots/dispatch_test.go
@@ -8,7 +8,7 @@
 	"lemonarch/internal/platform/messages"
 )
 
-// desk is a dispatcher whose records become durable at once, or when asked to.
+// endpoint is a dispatcher whose records become durable at once, or when asked to.
 type endpoint struct {
 	*Dispatcher
 	test    *testing.T
@@ -21,7 +21,7 @@
 
 func ms(count float64) clock.Moment { return clock.Moment(clock.Milliseconds(count)) }
 
-// newDesk goes on from records, as a new holder does; taken is when it took the duty.
+// newEndpoint goes on from records, as a new holder does; taken is when it took the duty.
 func newEndpoint(test *testing.T, epoch uint64, records []messages.Record, taken clock.Moment) *endpoint {
 	book := NewBook()
 	for place := range records {
--- a/internal/batch/lots/shelf.go
+++ b/internal/batch/lots/replica.go
@@ -14,7 +14,7 @@
 	Lot    string
 }
 
-// Shelf is one store's copy of the records, in the order the holders gave them.
+// Replica is one store's copy of the records, in the order the holders gave them.
 // Its caller syncs what a step returns before it answers.
 type Replica struct {
 	Disk  string
@@ -22,7 +22,7 @@
 	slots []Slot
 }
 
-// NewShelf makes an empty one.
+// NewReplica makes an empty one.
 func NewReplica(disk string) *Replica { return &Replica{Disk: disk} }
 
 // Fence is the epoch below which orders are refused.
--- a/internal/batch/store/displacement_test.go
+++ b/internal/batch/store/displacement_test.go
@@ -11,7 +11,7 @@
 	"lemonarch/internal/traffic/admission"
 )
 
-// simYard is a fleet of stores with workers and benches: the holder's bench places
+// simCluster is a fleet of stores with workers and benches: the holder's bench places
 // items, three edge benches place live requests of rank 0, all on the same workers.
 type simCluster struct {
 	*simFleet
@@ -43,7 +43,7 @@
 	return cluster
 }
 
-// bench makes a node's admission, as a process that starts would.
+// scheduler makes a node's admission, as a process that starts would.
 func (cluster *simCluster) scheduler(name, role string) {
 	one := admission.New(messages.Entry{Name: name, Role: role, Zone: "h"}, 1_200_000_000_000)
 	var list []messages.Worker
--- a/internal/batch/store/drive.go
+++ b/internal/batch/store/drive.go
@@ -154,7 +154,7 @@
 	ring(driver.bell)
 }
 
-// letter writes an item's request.
+// outgoing writes an item's request.
 func (driver *driver) outgoing(route *routeconfig.Route, task *itemdriver.Task, worker string) *proxy.Request {
 	item, header := task.Item, http.Header{}
 	for name, value := range item.Headers {
--- a/internal/batch/store/duty.go
+++ b/internal/batch/store/duty.go
@@ -47,7 +47,7 @@
 	if !server.eligible() || server.defers(now) {
 		return constants.TickPeriod * 4
 	}
-	return server.runtime()
+	return server.seekDuty()
 }
 
 // eligible tells whether we may hold the duty: only a member of the set has all
@@ -192,9 +192,9 @@
 	server.ask(messages.HoldAsk{Candidate: server.Node.Own.Name, Life: server.Node.Own.Life, Epoch: epoch, Release: true})
 }
 
-// stand asks for the duty, and takes it in the register once a majority grants
+// seekDuty asks for the duty, and takes it in the register once a majority grants
 // the hold.
-func (server *Server) runtime() clock.Span {
+func (server *Server) seekDuty() clock.Span {
 	server.lock.Lock()
 	value := server.value
 	server.lock.Unlock()
--- a/internal/batch/store/server.go
+++ b/internal/batch/store/server.go
@@ -23,7 +23,7 @@
 	"lemonarch/internal/traffic/loadgossip"
 )
 
-// Store is one storage process.
+// Server is one storage process.
 type Server struct {
 	Node   *node.Node
 	Gossip *loadgossip.Gossip
--- a/internal/batch/store/share_sim_test.go
+++ b/internal/batch/store/share_sim_test.go
@@ -20,7 +20,7 @@
 	shareRetain = 25_000
 )
 
-// shareYard is a fleet of stores whose holder dispatches items to drivers, on the
+// shareCluster is a fleet of stores whose holder dispatches items to drivers, on the
 // same cores as the real one. Every clock has an offset and a rate of its own.
 type shareCluster struct {
 	*simFleet
@@ -59,7 +59,7 @@
 	return cluster
 }
 
-// clock is the steady clock of a machine.
+// clockValue is the steady clock of a machine.
 func (cluster *shareCluster) clockValue(name string) clock.Moment {
 	return clock.Moment(cluster.offset[name] + cluster.rate[name]*float64(cluster.world.Now))
 }
--- a/internal/configuration/configcheck/configcheck.go
+++ b/internal/configuration/configcheck/configcheck.go
@@ -17,7 +17,7 @@
 //go:embed schema.cue
 var schemaText string
 
-// Caliper holds the compiled schema.
+// Checker holds the compiled schema.
 type Checker struct {
 	context *cue.Context
 	schema  cue.Value
--- a/internal/configuration/routeconfig/routeconfig.go
+++ b/internal/configuration/routeconfig/routeconfig.go
@@ -155,7 +155,7 @@
 	return messages.RouteEffectful
 }
 
-// Nominate draws the service of one request: draw lies in [0, 1).
+// Choose draws the service of one request: draw lies in [0, 1).
 func (route *Route) Choose(draw float64) string {
 	if len(route.Weighted) == 0 {
 		return route.Backend
--- a/internal/control/controller/register.go
+++ b/internal/control/controller/register.go
@@ -15,7 +15,7 @@
 // Damaged is the error of a register whose disk can't be read.
 var Damaged = errs.Define("register disk")
 
-// stoneName is the file of the acceptor, and stoneLimit the length in bytes at
+// logfileName is the file of the acceptor, and logfileLimit the length in bytes at
 // which it is rewritten (ours).
 const (
 	logfileName  = "register"
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -37,7 +37,7 @@
 	// sorted holds the keys in order, nil after one came or went.
 	sorted []string
 	random *rand.Rand
-	// clock counts the changes, sum stands for the entries.
+	// clockValue counts the changes, sum stands for the entries.
 	clockValue, sum uint64
 	// listened is when a controller was last heard, heads how many processes it told of.
 	listened clock.Moment
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -5,18 +5,18 @@
 	"lemonarch/internal/platform/messages"
 )
 
-// Outcome is what a change found.
+// Result is what a change found.
 type Result int
 
 // The outcomes.
 const (
-	// OutcomeTaken: the change is in force.
+	// ResultTaken: the change is in force.
 	ResultTaken Result = iota
-	// OutcomeAlready: this very version was taken before.
+	// ResultAlready: this very version was taken before.
 	ResultAlready
-	// OutcomeOther: another version is in place.
+	// ResultOther: another version is in place.
 	ResultOther
-	// OutcomeOld: the generation is not above the current one.
+	// ResultOld: the generation is not above the current one.
 	ResultOld
 )
 
--- a/internal/control/workers/workers.go
+++ b/internal/control/workers/workers.go
@@ -20,7 +20,7 @@
 	change        uint64
 }
 
-// Roster is the soft state of registration.
+// Registry is the soft state of registration.
 type Registry struct {
 	workerList map[string]*known
 	marks      map[uint32]string
--- a/internal/platform/clock/clock.go
+++ b/internal/platform/clock/clock.go
@@ -1,4 +1,4 @@
-// Package watch wraps time, so that cores take a moment as an argument and only
+// Package clock wraps time, so that cores take a moment as an argument and only
 // few files import the clock.
 package clock
 
--- a/internal/platform/constants/constants.go
+++ b/internal/platform/constants/constants.go
@@ -6,7 +6,7 @@
 
 // Between our processes.
 const (
-	// PortForeman, PortForge and PortLocker are offsets from the first internal
+	// PortController, PortGateway and PortStore are offsets from the first internal
 	// port: two processes share a machine's ports, so each role has its own.
 	PortController = 0
 	PortGateway    = 1
@@ -15,7 +15,7 @@
 	// plus its framing must fit.
 	FrameLimit = 48 << 20
 	// FrameLife is how long a frame may still come after it was sent (ours): our
-	// connections end after SilentPipe without an answer, and a process may be
+	// connections end after SilentConnection without an answer, and a process may be
 	// frozen for seconds with frames unread.
 	FrameLife = 40 * time.Second
 	// FrameVersion is told in each frame, so that mixed versions can work.
@@ -34,7 +34,7 @@
 	// PushTime bounds the wait for peers to take a push before a worker's call
 	// is acknowledged; the worker waits a second at most.
 	PushTime = 350 * time.Millisecond
-	// SilentPipe is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
+	// SilentConnection is the TCP_USER_TIMEOUT of our connections (ours): behind a cut
 	// nothing answers, and a hung connection must not hold a caller.
 	SilentConnection = 1500 * time.Millisecond
 	// BulkCallTime bounds calls that carry lots or long stretches of records.
@@ -100,7 +100,7 @@
 	// LongReading, in ms, is the reading time from which a prompt is told to peers at
 	// once (ours): others would wait behind it for longer than gossip takes.
 	LongReading = 12.0
-	// FailurePenalty, in ms of score, is the risk of a worker that has just failed.
+	// ErrPenalty, in ms of score, is the risk of a worker that has just failed.
 	ErrPenalty = 4000.0
 )
 
@@ -125,7 +125,7 @@
 const (
 	// PumpPeriod is how often those that wait are looked at without a cause (ours).
 	PumpPeriod = 15 * time.Millisecond
-	// LeastPipes is the fewest connections to a worker that a node may open.
+	// LeastConnections is the fewest connections to a worker that a node may open.
 	LeastConnections = 4
 	// RequestLimit is used for bodies and heads until a configuration says.
 	RequestLimit = 4 << 20
@@ -144,10 +144,10 @@
 	// SilentPlainLeast its least.
 	SilentPlain      = 3
 	SilentPlainLeast = 250 * time.Millisecond
-	// PipeIdle is how long an idle connection is kept when the worker names no time.
+	// ConnectionIdle is how long an idle connection is kept when the worker names no time.
 	ConnectionIdle = 4 * time.Second
-	// PipePart is the part of a worker's connections that one node may have, and
-	// PipePartItems that of one which runs items (ours).
+	// ConnectionPart is the part of a worker's connections that one node may have, and
+	// ConnectionPartItems that of one which runs items (ours).
 	ConnectionPart      = 0.125
 	ConnectionPartItems = 0.2
 	// DrainLinger is how long a leaving node still takes new connections: the
--- a/internal/platform/constants/vitals.go
+++ b/internal/platform/constants/health.go
@@ -18,8 +18,8 @@
 	// SureSilence is the silence that is surely none of a busy worker (ours): what other
 	// nodes have it read takes up to half a second. Shorter ones count as slowness.
 	SureSilence = 500 * time.Millisecond
-	// FailureCost is what a failure costs, in ms of score, where the request can go on
-	// elsewhere, and FailureCostOnce where it can't (ours).
+	// ErrCost is what a failure costs, in ms of score, where the request can go on
+	// elsewhere, and ErrCostOnce where it can't (ours).
 	ErrCost     = 300.0
 	ErrCostOnce = 1200.0
 	// RiskFloor is the rate of failure, over the usual, that costs nothing (ours): one
--- a/internal/platform/constants/views.go
+++ b/internal/platform/constants/views.go
@@ -54,7 +54,7 @@
 	// this, and then in one of so many (ours).
 	HolderReminder = 8
 	// RelayPatience is how long a controller may take to say that it tells its zone, and
-	// HallTime how long that may take (ours): then another way is gone. Both, twice,
+	// ZoneTime how long that may take (ours): then another way is gone. Both, twice,
 	// must fit into the bound above.
 	RelayPatience = 120 * time.Millisecond
 	ZoneTime      = 180 * time.Millisecond
--- a/internal/platform/contexts/contexts.go
+++ b/internal/platform/contexts/contexts.go
@@ -1,4 +1,4 @@
-// Package errand wraps context: an errand is a piece of work that can be called off.
+// Package contexts wraps context: an errand is a piece of work that can be called off.
 package contexts
 
 import (
--- a/internal/platform/errs/errs.go
+++ b/internal/platform/errs/errs.go
@@ -1,4 +1,4 @@
-// Package error wraps and names every error of the project. Each layer has its
+// Package errs wraps and names every error of the project. Each layer has its
 // own kinds and turns those from below into them.
 package errs
 
@@ -9,7 +9,7 @@
 	name string
 }
 
-// Mishap is an error of a kind, with what caused it.
+// Error is an error of a kind, with what caused it.
 type Error struct {
 	kind  *Kind
 	text  string
--- a/internal/platform/httpreply/httpreply.go
+++ b/internal/platform/httpreply/httpreply.go
@@ -1,4 +1,4 @@
-// Package reply holds the answers of the system's own: small wrappers so that
+// Package httpreply holds the answers of the system's own: small wrappers so that
 // few files write statuses and bodies by hand.
 package httpreply
 
--- a/internal/platform/messages/kinds.go
+++ b/internal/platform/messages/kinds.go
@@ -1,4 +1,4 @@
-// Package pattern holds the messages between our processes and the enums they use.
+// Package messages holds the messages between our processes and the enums they use.
 // The code that writes and reads them is generated.
 package messages
 
@@ -70,7 +70,7 @@
 	RecordOutput
 	RecordEnd
 	RecordForget
-	// RecordFailure: an acquisition of an item ended with a 500, which counts.
+	// RecordErr: an acquisition of an item ended with a 500, which counts.
 	RecordErr
 	// RecordDriver: a driver's life may hold acquisitions of this epoch.
 	RecordDriver
--- a/internal/platform/messages/lots.go
+++ b/internal/platform/messages/lots.go
@@ -155,7 +155,7 @@
 	Items []LotItem `msg:"i"`
 }
 
-// ShelfRecord is one record on a store's disk: a raised fence, a cut of the tail,
+// ReplicaRecord is one record on a store's disk: a raised fence, a cut of the tail,
 // or a record of lots.
 type ReplicaRecord struct {
 	Fence  uint64 `msg:"f"`
--- a/internal/platform/messages/views.go
+++ b/internal/platform/messages/views.go
@@ -43,7 +43,7 @@
 // AgeUnknown stands for an age that can't be told, or for one too large to tell.
 const AgeUnknown = 65535
 
-// ForemanBeat is what controllers tell each other once a period; the answer is one too.
+// ControllerBeat is what controllers tell each other once a period; the answer is one too.
 type ControllerBeat struct {
 	From      Entry  `msg:"f"`
 	Workers   Digest `msg:"w"`
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -26,7 +26,7 @@
 // Answerer answers one kind of call.
 type Answerer func(body []byte) ([]byte, error)
 
-// Trestle is the stand of one process.
+// Node is the runtime of one process.
 type Node struct {
 	Settings *settings.Settings
 	Own      messages.Entry
@@ -64,7 +64,7 @@
 	return hclog.New(&hclog.LoggerOptions{Name: name, Level: level, Output: os.Stdout, DisableTime: true})
 }
 
-// New makes a stand for a process of a role.
+// New makes the runtime of a process of a role.
 func New(nodeSettings *settings.Settings, role string, port int, disk string, log hclog.Logger) *Node {
 	own := messages.Entry{Name: nodeSettings.NodeName, Life: clock.Wall(), Role: role, Zone: nodeSettings.Zone,
 		Address: nodeSettings.InternalAddress(nodeSettings.Address, port), Disk: disk}
--- a/internal/platform/node/status.go
+++ b/internal/platform/node/status.go
@@ -40,7 +40,7 @@
 	return transport.Write(answer)
 }
 
-// ofHall keeps the rows that name a zone in their column of that name.
+// ofZone keeps the rows that name a zone in their column of that name.
 func ofZone(status *messages.Status, zone string) [][]string {
 	var kept [][]string
 	for place, column := range status.Columns {
@@ -56,7 +56,7 @@
 	return kept
 }
 
-// reportHalls counts the processes that this one knows by zone.
+// reportZones counts the processes that this one knows by zone.
 func (runtime *Node) reportZones() *messages.Status {
 	counts, zones := map[string]int{}, []string{}
 	for _, entry := range append([]messages.Entry{runtime.Own}, runtime.All("")...) {
--- a/internal/platform/recordlog/recordlog.go
+++ b/internal/platform/recordlog/recordlog.go
@@ -44,7 +44,7 @@
 
 var table = crc32.MakeTable(crc32.Castagnoli)
 
-// Stone is one file of records.
+// Logfile is one file of records.
 type Logfile struct {
 	disk Disk
 	name string
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -1,4 +1,4 @@
-// Package boot reads and checks the settings file of a process.
+// Package settings reads and checks the settings file of a process.
 package settings
 
 import (
@@ -18,7 +18,7 @@
 // Invalid is the kind of every settings error.
 var Invalid = errs.Define("settings")
 
-// Boot is what a process is told at its start. Unknown fields are ignored.
+// Settings is what a process is told at its start. Unknown fields are ignored.
 type Settings struct {
 	NodeName      string            `toml:"node-name"`
 	Role          string            `toml:"role"`
--- a/internal/platform/transport/post_test.go
+++ b/internal/platform/transport/post_test.go
@@ -12,7 +12,7 @@
 	"lemonarch/internal/tooling/simulation"
 )
 
-// tally counts frames; calls come from several threads in the contract.
+// counters counts frames; calls come from several threads in the contract.
 type counters struct {
 	lock           sync.Mutex
 	calls, answers int
--- a/internal/tooling/fleetshell/fleet.go
+++ b/internal/tooling/fleetshell/fleet.go
@@ -64,7 +64,7 @@
 	return transport.Ask(shell.Transport, address, messages.KindStatus, question, answer, shell.Limit)
 }
 
-// askHalls puts a query to the processes of the roles, one zone after the other, so
+// askZones puts a query to the processes of the roles, one zone after the other, so
 // that a large fleet does not answer all at once.
 func (shell *Shell) askZones(fleet []process, query string, roles []string) []Answer {
 	var answers []Answer
--- a/internal/tooling/fleetshell/fleetshell.go
+++ b/internal/tooling/fleetshell/fleetshell.go
@@ -58,7 +58,7 @@
 	Status  messages.Status
 }
 
-// Loupe asks over a transport.
+// Shell asks over a transport.
 type Shell struct {
 	Transport transport.Transport
 	Seed      string
--- a/internal/tooling/hollowfleet/lots.go
+++ b/internal/tooling/hollowfleet/lots.go
@@ -13,7 +13,7 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// lots drives lots and itemdriver as stores do: one holder with the dispatcher,
+// lotList drives lots and itemdriver as stores do: one holder with the dispatcher,
 // copies at three stores, and a driver in every store. The holder is given and its
 // takeover is not played; a run is a time that passes, without its events.
 type lotList struct {
--- a/internal/tooling/hollowfleet/members.go
+++ b/internal/tooling/hollowfleet/members.go
@@ -8,7 +8,7 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// membership drives membership as node does: a periodic word with a controller, and now
+// memberList drives membership as node does: a periodic word with a controller, and now
 // and then with a neighbour.
 type memberList struct{ fleet *Fleet }
 
--- a/internal/tooling/hollowfleet/plan.go
+++ b/internal/tooling/hollowfleet/plan.go
@@ -14,7 +14,7 @@
 // Plan says how large a fleet is and what happens to it. All rates are of the whole
 // fleet.
 type Plan struct {
-	// Nodes is the number of machines; every LockerEach-th is a storage machine, the
+	// Nodes is the number of machines; every StoreEach-th is a storage machine, the
 	// rest are edge machines, and the first of each zone runs a controller as well.
 	Nodes     int `json:"nodes"`
 	StoreEach int `json:"locker-each"`
--- a/internal/tooling/hollowfleet/probe.go
+++ b/internal/tooling/hollowfleet/probe.go
@@ -21,7 +21,7 @@
 	WaitingMs float64 `json:"waiting-ms"`
 	// AllOutputsS is OutputUs times the items, in s.
 	AllOutputsS float64 `json:"all-outputs-s"`
-	// HeapMB is what the open lot keeps at its holder, ShelfKB its slots at a store
+	// HeapMB is what the open lot keeps at its holder, ReplicaKB its slots at a store
 	// once all outputs are there.
 	HeapMB    float64 `json:"heap-mb"`
 	ReplicaKB float64 `json:"shelf-kb"`
--- a/internal/tooling/hollowfleet/register.go
+++ b/internal/tooling/hollowfleet/register.go
@@ -17,7 +17,7 @@
 // firstDisk is the identity of every acceptor's disk at the start.
 const firstDisk = "first"
 
-// register drives register and lease as controllers do, and the spreading of configurations.
+// localRegister drives register and lease as controllers do, and the spreading of configurations.
 // An acceptor's disk outlives its process; the time of a sync is not simulated.
 type localRegister struct {
 	fleet     *Fleet
--- a/internal/tooling/hollowfleet/tree.go
+++ b/internal/tooling/hollowfleet/tree.go
@@ -11,7 +11,7 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// delivery is a word on its way down the tree.
+// response is a word on its way down the tree.
 type response struct {
 	begun clock.Moment
 	job   *broadcast.Job
--- a/internal/tooling/hollowfleet/workers.go
+++ b/internal/tooling/hollowfleet/workers.go
@@ -13,7 +13,7 @@
 	"lemonarch/internal/traffic/admission"
 )
 
-// workers drives the workers: workers beat at a controller; what changed goes down the
+// workerList drives the workers: workers beat at a controller; what changed goes down the
 // tree, and what was missed is pulled by digests.
 type workerList struct {
 	fleet  *Fleet
@@ -131,7 +131,7 @@
 	})
 }
 
-// heardForeman takes what a controller's periodic answer says of workers.
+// heardController takes what a controller's periodic answer says of workers.
 func (workerList *workerList) heardController(node *Node, address string, answer *messages.Shuffle) {
 	own := workerList.placing(node)
 	if own == nil || answer.Workers.Life == 0 {
--- a/internal/tooling/lab/desk.go
+++ b/internal/tooling/lab/desk.go
@@ -46,7 +46,7 @@
 	return card
 }
 
-// serveDesk opens the desk, on loopback like everything else.
+// serveEndpoint opens the desk, on loopback like everything else.
 func (fleet *Fleet) serveEndpoint() error {
 	listener, err := net.Listen("tcp4", fleet.Plan.Endpoint())
 	if err != nil {
--- a/internal/tooling/lab/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -122,7 +122,7 @@
 // Controls lists the addresses that workers and the operator call.
 func (plan *Plan) Controls() []string { return plan.edges(plan.Controllers, constants.LabControlPort) }
 
-// Desk is the address of the desk.
+// Endpoint is the address of the desk.
 func (plan *Plan) Endpoint() string {
 	return plan.host(constants.LabEndpointHost, 0, constants.LabEndpointPort)
 }
--- a/internal/tooling/lab/settings.go
+++ b/internal/tooling/lab/settings.go
@@ -23,7 +23,7 @@
 	ProbePath    = "/health"
 )
 
-// settings makes the settings of one process.
+// nodeSettings makes the settings of one process.
 func (plan *Plan) nodeSettings(one node, folder string, first bool) *settings.Settings {
 	nodeSettings := &settings.Settings{NodeName: one.machine, Role: one.role, MachineClass: "edge", Address: one.address, Zone: one.zone, Region: "lab",
 		InternalPorts: []int{constants.LabInternalPort, constants.LabInternalPort + 15}, Bootstrap: first, InQuorum: one.disk,
--- a/internal/tooling/loadgen/desk.go
+++ b/internal/tooling/loadgen/desk.go
@@ -14,7 +14,7 @@
 	"lemonarch/internal/tooling/lab"
 )
 
-// Desk is the desk of a fleet, as a load tool sees it.
+// Endpoint is the desk of a fleet, as a load tool sees it.
 type Endpoint struct{ address string }
 
 // loopback allows addresses on this machine alone: load is for the lab.
@@ -29,7 +29,7 @@
 	return nil
 }
 
-// OpenDesk checks the address of a desk.
+// OpenEndpoint checks the address of a desk.
 func OpenEndpoint(address string) (*Endpoint, error) {
 	address = strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
 	return &Endpoint{address}, loopback(address)
--- a/internal/tooling/loadgen/lots.go
+++ b/internal/tooling/loadgen/lots.go
@@ -15,7 +15,7 @@
 	"lemonarch/internal/tooling/workeremulator"
 )
 
-// lots sends lots at their rate and follows each.
+// lotList sends lots at their rate and follows each.
 func (one *run) lotList(until contexts.Errand, begun clock.Moment) {
 	random := rand.New(rand.NewSource(one.options.Seed + constants.LoadLotSeed))
 	var group sync.WaitGroup
--- a/internal/tooling/loadgen/mix.go
+++ b/internal/tooling/loadgen/mix.go
@@ -23,7 +23,7 @@
 // profile says what one kind of request looks like. All figures are ours.
 type profile struct {
 	worth float64
-	// heads is how many shared heads there are, of so many tokens; sessions how many
+	// counts is how many shared heads there are, of so many tokens; sessions how many
 	// parts of one's own, and how large they are.
 	counts, headTokens, sessions, ownLow, ownHigh int
 	outLow, outHigh                               int
--- a/internal/tooling/loadgen/send.go
+++ b/internal/tooling/loadgen/send.go
@@ -18,7 +18,7 @@
 	"lemonarch/internal/tooling/workeremulator"
 )
 
-// outcome is what came of one try.
+// result is what came of one try.
 type result struct {
 	// cause is empty for a success.
 	cause   string
--- a/internal/tooling/simulation/disk.go
+++ b/internal/tooling/simulation/disk.go
@@ -1,4 +1,4 @@
-// Package model is the seeded world for tests: a disk that loses, tears and
+// Package simulation is the seeded world for tests: a disk that loses, tears and
 // reorders what was not synced, and a queue of events on a fake clock.
 package simulation
 
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -61,7 +61,7 @@
 	handle Handle
 }
 
-// Workbench is the admission of one process.
+// Scheduler is the admission of one process.
 type Scheduler struct {
 	lock      sync.Mutex
 	Registry  *workers.Registry
--- a/internal/traffic/admission/tally.go
+++ b/internal/traffic/admission/counters.go
@@ -2,12 +2,12 @@
 
 import "sync/atomic"
 
-// Tally counts, for one route, what was displaced, resumed and finished here.
+// Counters counts, for one route, what was displaced, resumed and finished here.
 type Counters struct {
 	Displaced, Resumed, Finished atomic.Int64
 }
 
-// Tally gives the counts of a route.
+// Counters gives the counts of a route.
 func (scheduler *Scheduler) Counters(route string) *Counters {
 	scheduler.countersLock.Lock()
 	defer scheduler.countersLock.Unlock()
--- a/internal/traffic/admission/place.go
+++ b/internal/traffic/admission/place.go
@@ -170,27 +170,27 @@
 	}
 }
 
-// Outcome is how a grant ended, for the health.
+// Result is how a grant ended, for the health.
 type Result int
 
 // The outcomes.
 const (
 	ResultServed Result = iota
-	// OutcomeFailed: reset, cut, spoilt bytes.
+	// ResultFailed: reset, cut, spoilt bytes.
 	ResultFailed
-	// OutcomeRefused: no connection came up; nothing was sent.
+	// ResultRefused: no connection came up; nothing was sent.
 	ResultRefused
-	// OutcomeSilent: silence for a multiple of the usual time.
+	// ResultSilent: silence for a multiple of the usual time.
 	ResultSilent
-	// OutcomeErrored: the worker's own 5xx.
+	// ResultErrored: the worker's own 5xx.
 	ResultErrored
-	// OutcomeShed: turned away although its own word leaves room.
+	// ResultShed: turned away although its own word leaves room.
 	ResultShed
-	// OutcomeTurnedAway: the worker was full.
+	// ResultTurnedAway: the worker was full.
 	ResultTurnedAway
-	// OutcomeGoneAway: another service answers at that address.
+	// ResultGoneAway: another service answers at that address.
 	ResultGoneAway
-	// OutcomeCalledOff: our client or we gave up.
+	// ResultCalledOff: our client or we gave up.
 	ResultCalledOff
 )
 
--- a/internal/traffic/admission/reach.go
+++ b/internal/traffic/admission/reach.go
@@ -128,7 +128,7 @@
 	return drawn, true
 }
 
-// HallOf gives the zone of a worker.
+// ZoneOf gives the zone of a worker.
 func (scheduler *Scheduler) ZoneOf(worker string) string {
 	scheduler.lock.Lock()
 	defer scheduler.lock.Unlock()
--- a/internal/traffic/gateway/promise.go
+++ b/internal/traffic/gateway/promise.go
@@ -40,7 +40,7 @@
 	return false
 }
 
-// unknownOutcome promises nothing: the asker may hand the same lot in again.
+// unknownResult promises nothing: the asker may hand the same lot in again.
 func unknownResult() *messages.LotAnswer {
 	return &messages.LotAnswer{Status: http.StatusGatewayTimeout, Body: []byte(`{"error":"outcome unknown"}`)}
 }
--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -10,7 +10,7 @@
 	"lemonarch/internal/platform/constants"
 )
 
-// Vitals is what is known of one worker.
+// Health is what is known of one worker.
 type Health struct {
 	live, bulk   int
 	pending      int64
@@ -27,7 +27,7 @@
 	answers      int64
 }
 
-// Gauge holds the health of all workers.
+// Tracker holds the health of all workers.
 type Tracker struct {
 	workerList map[string]*Health
 	trusts     trustBook
--- a/internal/traffic/loadgossip/budget.go
+++ b/internal/traffic/loadgossip/budget.go
@@ -22,7 +22,7 @@
 	return connectionsFor(worker.Capacity, one.ConnLimit, gossip.Node.Own.Role)
 }
 
-// pipesFor is the budget by what the worker takes and allows.
+// connectionsFor is the budget by what the worker takes and allows.
 func connectionsFor(capacity, limit int, role string) int {
 	part := constants.ConnectionPart
 	if role == membership.RoleStore {
--- a/internal/traffic/loadgossip/loadgossip.go
+++ b/internal/traffic/loadgossip/loadgossip.go
@@ -15,7 +15,7 @@
 	"lemonarch/internal/traffic/workerconn"
 )
 
-// Jointer is the placing part of one process.
+// Gossip is the placing part of one process.
 type Gossip struct {
 	Node      *node.Node
 	Scheduler *admission.Scheduler
--- a/internal/traffic/loadgossip/neighbours.go
+++ b/internal/traffic/loadgossip/neighbours.go
@@ -110,7 +110,7 @@
 	return found
 }
 
-// byHall parts processes by their zones, whose names come in order.
+// byZone parts processes by their zones, whose names come in order.
 func byZone(entries []messages.Entry) (zones [][]messages.Entry) {
 	places := map[string]int{}
 	for _, entry := range entries {
@@ -126,7 +126,7 @@
 	return zones
 }
 
-// hallSize is how many placing processes a zone has, this one's as far as it is in
+// zoneSize is how many placing processes a zone has, this one's as far as it is in
 // view, else the mean.
 func (circle *circle) zoneSize() int {
 	return max(len(circle.near)+1, circle.population/(len(circle.zones)+1))
--- a/internal/traffic/loadgossip/words.go
+++ b/internal/traffic/loadgossip/words.go
@@ -105,7 +105,7 @@
 	return true
 }
 
-// someLockers draws a few stores: of the own zone, which run items on the workers
+// someStores draws a few stores: of the own zone, which run items on the workers
 // there, and one of another, so that each is reached in its turn.
 func someStores(near, far []messages.Entry, draw func() float64) []messages.Entry {
 	here, there := only(near, membership.RoleStore), only(far, membership.RoleStore)
--- a/internal/traffic/loadgossip/workers.go
+++ b/internal/traffic/loadgossip/workers.go
@@ -61,7 +61,7 @@
 	return true
 }
 
-// heardForeman takes what a controller's periodic answer says of workers: who is silent,
+// heardController takes what a controller's periodic answer says of workers: who is silent,
 // and a digest of its table, so that a change that was missed is pulled.
 func (gossip *Gossip) heardController(address string, answer *messages.Shuffle) {
 	if answer.Workers.Life == 0 {
--- a/internal/traffic/prefixindex/score.go
+++ b/internal/traffic/prefixindex/score.go
@@ -20,7 +20,7 @@
 	Downgraded bool
 }
 
-// Nominate folds match, residency and load into one score, in ms of waiting
+// Choose folds match, residency and load into one score, in ms of waiting
 // saved, and gives the best candidate. A prompt without parts is placed by load.
 func (index *Index) Choose(prompt *Prompt, candidates []Candidate, now clock.Moment) Choice {
 	type matched struct{ full, weighted float64 }
--- a/internal/traffic/proxy/journey.go
+++ b/internal/traffic/proxy/exchange.go
@@ -16,7 +16,7 @@
 	"lemonarch/internal/traffic/workerconn"
 )
 
-// journey is one request's way through the process.
+// exchange is one request's way through the process.
 type exchange struct {
 	proxyServer *Proxy
 	writer      http.ResponseWriter
@@ -122,7 +122,7 @@
 	return answer
 }
 
-// letter writes the request for a worker.
+// outgoing writes the request for a worker.
 func (one *exchange) outgoing(grant *admission.Grant) *Request {
 	own := map[string]string{headerTarget: grant.Worker.ID}
 	if one.stated {
@@ -193,7 +193,7 @@
 	})
 }
 
-// closePipe breaks the present try off from outside, unless its connection was given
+// closeConnection breaks the present try off from outside, unless its connection was given
 // back already and may carry somebody else's request.
 func (one *exchange) closeConnection() {
 	connection := one.connection.Swap(nil)
--- a/internal/traffic/proxy/impatience.go
+++ b/internal/traffic/proxy/impatience.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// outcomeOf tells what a try without an answer says of its worker.
+// resultOf tells what a try without an answer says of its worker.
 func (one *exchange) resultOf(err error) admission.Result {
 	switch {
 	case one.request.Context().Err() != nil, errs.Of(err, Stale):
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -27,7 +27,7 @@
 	Pass(call *messages.LotCall, span clock.Span) (*messages.LotAnswer, bool)
 }
 
-// Carriage serves clients.
+// Proxy serves clients.
 type Proxy struct {
 	Sender    Sender
 	Scheduler *admission.Scheduler
@@ -157,7 +157,7 @@
 	proxyServer.Scheduler.Pump(now)
 }
 
-// SweepPipes drops idle connections past their time.
+// SweepConnections drops idle connections past their time.
 func SweepConnections(chest *workerconn.Chest, scheduler *admission.Scheduler) {
 	now := clock.Now()
 	chest.Sweep(func(worker string) bool {
--- a/internal/traffic/proxy/courier.go
+++ b/internal/traffic/proxy/sender.go
@@ -23,7 +23,7 @@
 	Stale = errs.Define("connection forgotten")
 )
 
-// Courier carries one request to one worker. Gateways and stores share it.
+// Sender carries one request to one worker. Gateways and stores share it.
 type Sender struct {
 	Scheduler *admission.Scheduler
 	Chest     *workerconn.Chest
@@ -31,7 +31,7 @@
 	Budget func(worker messages.Worker) int
 }
 
-// Letter is what is carried.
+// Request is what is carried.
 type Request struct {
 	Method   string
 	Attempt  string
@@ -49,7 +49,7 @@
 	Halt func(connection *workerconn.Connection)
 }
 
-// Delivery is an answer whose head was read.
+// Response is an answer whose head was read.
 type Response struct {
 	Answer     *http.Response
 	Connection *workerconn.Connection
--- a/internal/traffic/workerconn/workerconn.go
+++ b/internal/traffic/workerconn/workerconn.go
@@ -21,7 +21,7 @@
 
 // The errors of connections.
 var (
-	// NoPipe means that nothing was sent.
+	// NoConnection means that nothing was sent.
 	NoConnection = errs.Define("no connection to worker")
 	// Spent means that nothing was sent, for want of a place in the budget.
 	Spent = errs.Define("connection budget spent")
@@ -31,7 +31,7 @@
 	Silent = errs.Define("worker silent")
 )
 
-// Pipe is one connection to one life of a worker.
+// Connection is one connection to one life of a worker.
 type Connection struct {
 	connection net.Conn
 	reader     *bufio.Reader
