The register's node side is a package of its own: control/quorum

Mechanical: the acceptor on disk and the carrying of proposals leave the controller's package, so that registration and the register can be worked on apart.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -13,6 +13,7 @@
 
 	"lemonarch/internal/configuration/configcheck"
 	"lemonarch/internal/control/membership"
+	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/workers"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -29,7 +30,7 @@
 // Controller is one control process.
 type Controller struct {
 	Node     *node.Node
-	Register *Register
+	Register *quorum.Register
 	checker  *configcheck.Checker
 	checking sync.Mutex
 	lock     sync.Mutex
@@ -64,11 +65,11 @@
 			}
 		}
 	}
-	localRegister, err := OpenRegister(disk, first, identity)
+	localRegister, err := quorum.Open(disk, first, identity)
 	if err != nil {
 		return nil, err
 	}
-	named, err := openNamed(disk, PlansRegister, first, identity)
+	named, err := quorum.OpenNamed(disk, PlansRegister, first, identity)
 	if err != nil {
 		return nil, err
 	}
@@ -80,19 +81,19 @@
 	if err != nil {
 		return nil, err
 	}
-	told := localRegister.acceptor.Disk()
+	told := localRegister.Disk()
 	if !votes(nodeSettings) {
 		// Told so, that those with a disk take the place that a seed list gave us.
 		told = ""
 	}
 	runtime := node.New(nodeSettings, membership.RoleController, constants.PortController, told, log)
-	localRegister.runtime, named.runtime = runtime, runtime
+	localRegister.Runtime, named.Runtime = runtime, runtime
 	controller := &Controller{Node: runtime, Register: localRegister, checker: checker, registry: workers.New(nodeSettings.Heartbeat()),
 		peers: map[string]*peer{}, relays: map[string]*response{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named}}
 	for _, worker := range workerList {
 		controller.registry.Merge(worker, clock.Now())
 	}
-	localRegister.accepted = controller.accepted
+	localRegister.Accepted = controller.accepted
 	controller.batches.later = afterWindow
 	controller.batches.spread = func(workerList []messages.Worker) {
 		controller.spread(&messages.Relay{Workers: workerList}, constants.TreeTime)
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -4,12 +4,12 @@
 	"math/rand"
 
 	"lemonarch/internal/control/membership"
+	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
-	"lemonarch/internal/platform/recordlog"
 	"lemonarch/internal/platform/transport"
 )
 
@@ -20,33 +20,8 @@
 // PlansRegister is the register of the assignments.
 const PlansRegister = "plans"
 
-// openNamed opens the register of that name.
-func openNamed(disk recordlog.Disk, name string, first []messages.Member, identity string) (*Register, error) {
-	localRegister, err := openRegister(disk, logfileName+"-"+name, first, identity)
-	if err == nil {
-		localRegister.name = name
-	}
-	return localRegister, err
-}
-
-// prepare gives a message of the first round as it goes to the other acceptors.
-func (localRegister *Register) prepare(question *messages.Prepare) (messages.Kind, transport.Writable) {
-	if localRegister.name == "" {
-		return messages.KindPrepare, question
-	}
-	return messages.KindNamedPrepare, &messages.NamedPrepare{Name: localRegister.name, Prepare: *question}
-}
-
-// accept gives a message of the second round.
-func (localRegister *Register) accept(question *messages.Accept) (messages.Kind, transport.Writable) {
-	if localRegister.name == "" {
-		return messages.KindAccept, question
-	}
-	return messages.KindNamedAccept, &messages.NamedAccept{Name: localRegister.name, Accept: *question}
-}
-
 // called gives the register of a name. There is one so far.
-func (controller *Controller) called(name string) (*Register, error) {
+func (controller *Controller) called(name string) (*quorum.Register, error) {
 	if name != PlansRegister {
 		return nil, node.Unable.New("no register is named " + name)
 	}
@@ -85,7 +60,7 @@
 
 // tendNamed keeps the acceptor set of a named register whole, as tendSet does for
 // the configuration.
-func (controller *Controller) tendNamed(localRegister *Register) {
+func (controller *Controller) tendNamed(localRegister *quorum.Register) {
 	known := localRegister.Known()
 	if len(known.Acceptors) == 0 {
 		controller.learnNamed(localRegister)
@@ -108,18 +83,18 @@
 		}
 	}
 	if _, err := localRegister.Change(change); err != nil {
-		controller.Node.Log.Warn("set not changed", "register", localRegister.name, "why", err.Error())
+		controller.Node.Log.Warn("set not changed", "register", localRegister.Name, "why", err.Error())
 		return
 	}
 	if len(known.Previous) == 0 {
 		if value, err := localRegister.Change(register.Settle); err == nil {
-			controller.Node.Log.Info("set changed", "register", localRegister.name, "epoch", value.SetEpoch, "members", len(value.Acceptors))
+			controller.Node.Log.Info("set changed", "register", localRegister.Name, "epoch", value.SetEpoch, "members", len(value.Acceptors))
 		}
 	}
 }
 
 // learnNamed asks other controllers for the acceptors of a named register.
-func (controller *Controller) learnNamed(localRegister *Register) {
+func (controller *Controller) learnNamed(localRegister *quorum.Register) {
 	runtime := controller.Node
 	addresses := map[string]bool{}
 	for _, address := range runtime.Settings.SeedAddresses(constants.PortController) {
@@ -131,7 +106,7 @@
 	delete(addresses, runtime.Own.Address)
 	for address := range addresses {
 		back := &messages.DutyChanged{}
-		if transport.Ask(runtime.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.name}, back, constants.CallTime) == nil {
+		if transport.Ask(runtime.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
 			localRegister.LearnSets(back.Value)
 		}
 	}
--- a/internal/control/controller/plans.go
+++ b/internal/control/controller/plans.go
@@ -7,6 +7,7 @@
 
 	"lemonarch/internal/configuration/adapterplan"
 	"lemonarch/internal/control/assignments"
+	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -18,7 +19,7 @@
 // plans is a controller's part in the assignments of adapters: it keeps what is in
 // force, puts an operator's change in force, and plans anew when a node is gone.
 type plans struct {
-	localRegister *Register
+	localRegister *quorum.Register
 	lock          sync.Mutex
 	board         assignments.Board
 	pulling       bool
@@ -34,7 +35,7 @@
 		told := controller.planTold()
 		return assignments.Status(&told, "", clock.DayMinute())
 	})
-	controller.plans.localRegister.accepted = func(int64) {
+	controller.plans.localRegister.Accepted = func(int64) {
 		// Accepted is not chosen: a majority is asked. The generation told is the revision.
 		go func() {
 			clock.Sleep(constants.PushTime)
--- a/internal/control/controller/plans_test.go
+++ b/internal/control/controller/plans_test.go
@@ -105,7 +105,7 @@
 	if !back.Granted {
 		test.Fatal("not granted")
 	}
-	if before := controller.Register.acceptor.Record().Promised; before.Counter >= 1<<40 {
+	if before := controller.Register.Record().Promised; before.Counter >= 1<<40 {
 		test.Fatal("the configuration's ballot moved: ", before)
 	}
 	if status, _ := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 200 {
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"lemonarch/internal/control/membership"
+	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -80,7 +81,7 @@
 		return recordlog.NewFleeting(), nil
 	}
 	if err := os.MkdirAll(nodeSettings.DataDir, 0o755); err != nil {
-		return nil, Damaged.Wrap(err, "data-dir")
+		return nil, quorum.Damaged.Wrap(err, "data-dir")
 	}
 	return recordlog.Folder(nodeSettings.DataDir), nil
 }
--- a/internal/control/controller/spread.go
+++ b/internal/control/controller/spread.go
@@ -15,18 +15,6 @@
 	_ = server.Shutdown(stopping)
 }
 
-// LearnSets takes the sets of a value that came without its body.
-func (localRegister *Register) LearnSets(value messages.Register) {
-	localRegister.lock.Lock()
-	defer localRegister.lock.Unlock()
-	if len(value.Acceptors) == 0 {
-		return
-	}
-	if len(localRegister.known.Acceptors) == 0 || value.SetEpoch > localRegister.known.SetEpoch {
-		localRegister.known = value
-	}
-}
-
 // chosen puts a value in force here and, where push is set, tells everybody
 // before the caller acknowledges it.
 func (controller *Controller) chosen(value messages.Register, push bool) {
--- a/internal/control/controller/tree.go
+++ b/internal/control/controller/tree.go
@@ -6,6 +6,7 @@
 
 	"lemonarch/internal/control/broadcast"
 	"lemonarch/internal/control/membership"
+	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
@@ -121,7 +122,7 @@
 		back := &messages.RelayDone{}
 		err := transport.Ask(wire, send.Address, messages.KindRelayWait, &messages.RelayWait{From: word.From, Number: word.Number}, back, constants.CallTime)
 		if err == nil && !back.Known {
-			err = Damaged.New("relay forgot")
+			err = quorum.Damaged.New("relay forgot")
 		}
 		return back.Missing, err
 	}
--- a/internal/control/controller/propose.go
+++ b/internal/control/quorum/propose.go
@@ -1,4 +1,4 @@
-package controller
+package quorum
 
 import (
 	"math/rand"
@@ -20,7 +20,7 @@
 // carry takes one message of a proposal to its member.
 func (localRegister *Register) carry(send register.Send, answers chan<- heard) {
 	answer := heard{member: send.Member}
-	local := send.Member.Address == localRegister.runtime.Own.Address
+	local := send.Member.Address == localRegister.Runtime.Own.Address
 	var err error
 	switch {
 	case send.Prepare != nil && local:
@@ -29,14 +29,14 @@
 	case send.Prepare != nil:
 		answer.promise = &messages.Promise{}
 		kind, question := localRegister.prepare(send.Prepare)
-		err = transport.Ask(localRegister.runtime.Wire, send.Member.Address, kind, question, answer.promise, constants.RoundTime)
+		err = transport.Ask(localRegister.Runtime.Wire, send.Member.Address, kind, question, answer.promise, constants.RoundTime)
 	case local:
 		accepted, problem := localRegister.Accept(send.Accept)
 		answer.accepted, err = &accepted, problem
 	default:
 		answer.accepted = &messages.Accepted{}
 		kind, question := localRegister.accept(send.Accept)
-		err = transport.Ask(localRegister.runtime.Wire, send.Member.Address, kind, question, answer.accepted, constants.RoundTime)
+		err = transport.Ask(localRegister.Runtime.Wire, send.Member.Address, kind, question, answer.accepted, constants.RoundTime)
 	}
 	if err == nil {
 		answers <- answer
@@ -76,7 +76,7 @@
 func (localRegister *Register) attempt(change register.Change, end clock.Moment) *register.Proposal {
 	localRegister.lock.Lock()
 	localRegister.counter++
-	own := localRegister.runtime.Own
+	own := localRegister.Runtime.Own
 	ballot := register.NewBallot(localRegister.counter, own.Name, own.Disk, own.Life)
 	known := localRegister.known
 	localRegister.lock.Unlock()
--- a/internal/control/controller/register.go
+++ b/internal/control/quorum/quorum.go
@@ -1,4 +1,6 @@
-package controller
+// Package quorum drives one process's part in a register: its acceptor on disk, the
+// leases it grants, and the proposals that it carries to the other acceptors.
+package quorum
 
 import (
 	"sync"
@@ -22,12 +24,16 @@
 	logfileLimit = 4 << 20
 )
 
-// Register drives the cores of register and holds: it syncs before it answers,
+// Register drives the cores of register and leases: it syncs before it answers,
 // and carries proposals to the other acceptors.
 type Register struct {
-	// name is empty for the configuration's register.
-	name     string
-	runtime  *node.Node
+	// Name is empty for the configuration's register.
+	Name string
+	// Runtime is the process that carries proposals; it is set before the first.
+	Runtime *node.Node
+	// Accepted, where set, hears of each value that this acceptor took.
+	Accepted func(generation int64)
+
 	lock     sync.Mutex
 	acceptor *register.Acceptor
 	logfile  *recordlog.Logfile
@@ -35,15 +41,14 @@
 	known    messages.Register
 	counter  uint64
 	turn     sync.Mutex
-	accepted func(generation int64)
 }
 
-// OpenRegister reads the disk; disk names its identity.
-func OpenRegister(disk recordlog.Disk, first []messages.Member, newIdentity string) (*Register, error) {
-	return openRegister(disk, logfileName, first, newIdentity)
+// Open reads the disk; disk names its identity.
+func Open(disk recordlog.Disk, first []messages.Member, newIdentity string) (*Register, error) {
+	return open(disk, logfileName, first, newIdentity)
 }
 
-func openRegister(disk recordlog.Disk, file string, first []messages.Member, newIdentity string) (*Register, error) {
+func open(disk recordlog.Disk, file string, first []messages.Member, newIdentity string) (*Register, error) {
 	state := messages.AcceptorRecord{}
 	logfile, err := recordlog.Open(disk, file, func(_ int64, body []byte) error {
 		// Each record replaces the one before.
@@ -117,8 +122,8 @@
 	if err != nil {
 		return messages.Accepted{}, err
 	}
-	if keep && localRegister.accepted != nil {
-		localRegister.accepted(question.Value.Current.Generation)
+	if keep && localRegister.Accepted != nil {
+		localRegister.Accepted(question.Value.Current.Generation)
 	}
 	return answer, nil
 }
@@ -148,7 +153,7 @@
 
 // Identity is this process as an acceptor.
 func (localRegister *Register) Identity() messages.Member {
-	own := localRegister.runtime.Own
+	own := localRegister.Runtime.Own
 	return messages.Member{Name: own.Name, Disk: localRegister.acceptor.Disk(), Address: own.Address, Zone: own.Zone}
 }
 
@@ -158,3 +163,13 @@
 	defer localRegister.lock.Unlock()
 	return localRegister.grants.Ask(question, localRegister.acceptor.Value().Duty, clock.Now())
 }
+
+// Disk is the identity of this acceptor's disk.
+func (localRegister *Register) Disk() string { return localRegister.acceptor.Disk() }
+
+// Record is what this acceptor keeps on disk.
+func (localRegister *Register) Record() messages.AcceptorRecord {
+	localRegister.lock.Lock()
+	defer localRegister.lock.Unlock()
+	return localRegister.acceptor.Record()
+}
