--- a/internal/batch/lots/account_test.go
+++ b/internal/batch/lots/account_test.go
@@ -41,7 +41,8 @@
 	endpoint := newEndpoint(test, 1, nil, 0)
 	endpoint.lot("l", "a", "b")
 	ask := &AcquireAsk{Driver: Driver{Name: "x"}, Room: map[string]int{"s": 1}, Terms: func(*Lot) Terms { return Terms{} }, Service: func(*Item) string { return "s" }}
-	if len(endpoint.Acquire(ask, ms(1))) != 0 || len(endpoint.Acquire(ask, ms(1))) != 0 || len(endpoint.records) != 2 {
+	begin, repeat := endpoint.Acquire(ask, ms(1)), endpoint.Acquire(ask, ms(1))
+	if len(begin) != 0 || len(repeat) != 0 || len(endpoint.records) != 2 {
 		test.Fatal("handed out before the driver was on record")
 	}
 	endpoint.settle()
--- a/internal/batch/store/handin_test.go
+++ b/internal/batch/store/handin_test.go
@@ -107,7 +107,8 @@
 	}
 	item := given[0].Item
 	// Told again it is answered the same, and counts once.
-	if accept(0, "text") != messages.AckTaken || accept(0, "text") != messages.AckTaken {
+	first, again := accept(0, "text"), accept(0, "text")
+	if first != messages.AckTaken || again != messages.AckTaken {
 		test.Fatal("output not taken")
 	}
 	if answer := one.endLot(&messages.LotCall{Lot: "lot"}); answer.Status != 200 {
--- a/internal/batch/store/lots_test.go
+++ b/internal/batch/store/lots_test.go
@@ -191,7 +191,7 @@
 		fleet.work(10)
 		return fleet.world.Sum()
 	}
-	if sum() != sum() {
+	if first, second := sum(), sum(); first != second {
 		test.Fatal("one seed gave two histories")
 	}
 }
--- a/internal/batch/store/overload_test.go
+++ b/internal/batch/store/overload_test.go
@@ -116,7 +116,7 @@
 }
 
 func TestOverloadSameSeedSameHistory(test *testing.T) {
-	if overload(test, 9).world.Sum() != overload(test, 9).world.Sum() {
+	if first, second := overload(test, 9).world.Sum(), overload(test, 9).world.Sum(); first != second {
 		test.Fatal("one seed gave two histories")
 	}
 }
--- a/internal/batch/store/share_driver_test.go
+++ b/internal/batch/store/share_driver_test.go
@@ -20,7 +20,6 @@
 	telling [2]bool
 	renewed clock.Moment
 	shown   uint64
-	pause   clock.Moment
 }
 
 func (driver *simDriver) now() clock.Moment { return driver.cluster.clockValue(driver.name) }
--- a/internal/batch/store/share_sim_test.go
+++ b/internal/batch/store/share_sim_test.go
@@ -41,7 +41,6 @@
 	endAcked map[string]clock.Moment
 	endAsked map[string]bool
 	seen     map[string]int64
-	calm     bool
 }
 
 func newShareCluster(test *testing.T, seed int64) *shareCluster {
--- a/internal/batch/store/share_test.go
+++ b/internal/batch/store/share_test.go
@@ -135,7 +135,7 @@
 }
 
 func TestShareGroupSameSeedSameHistory(test *testing.T) {
-	if share(test, 7).world.Sum() != share(test, 7).world.Sum() {
+	if first, second := share(test, 7).world.Sum(), share(test, 7).world.Sum(); first != second {
 		test.Fatal("one seed gave two histories")
 	}
 }
--- a/internal/batch/store/simulation_test.go
+++ b/internal/batch/store/simulation_test.go
@@ -40,13 +40,12 @@
 	world  *simulation.World
 	stores map[string]*simStore
 	// The register, whose own agreement is tested elsewhere.
-	epoch   uint64
-	set     []messages.Member
-	holder  *simHolder
-	told    map[string]string
-	toldAt  map[string]uint64
-	number  int
-	promise int
+	epoch  uint64
+	set    []messages.Member
+	holder *simHolder
+	told   map[string]string
+	toldAt map[string]uint64
+	number int
 	// budget is how many stores may be lost at once.
 	budget int
 	lag    map[string]clock.Span
--- a/internal/batch/store/store.go
+++ b/internal/batch/store/store.go
@@ -21,7 +21,6 @@
 	lock    sync.Mutex
 	replica *lots.Replica
 	logfile *recordlog.Logfile
-	dead    int64
 	done    int64
 }
 
--- a/internal/control/register/trouble_test.go
+++ b/internal/control/register/trouble_test.go
@@ -54,7 +54,7 @@
 		}
 		return one.world.Sum()
 	}
-	if sum() != sum() {
+	if first, second := sum(), sum(); first != second {
 		test.Fatal("one seed gave two histories")
 	}
 }
--- a/internal/platform/transport/once_test.go
+++ b/internal/platform/transport/once_test.go
@@ -13,7 +13,7 @@
 	if !once.First("a", now) || !once.First("b", now) || once.First("a", now) || once.First("b", now.Plus(constants.FrameLife)) {
 		test.Fatal("a call passed twice, or a new one not at all")
 	}
-	if !once.First("", now) || !once.First("", now) {
+	if one, other := once.First("", now), once.First("", now); !one || !other {
 		test.Fatal("a call without a name was held up")
 	}
 	// What no frame can come from any more is forgotten, or memory would grow.
--- a/internal/tooling/hollowfleet/lots.go
+++ b/internal/tooling/hollowfleet/lots.go
@@ -22,7 +22,6 @@
 	holder  *Node
 	random  *rand.Rand
 	made    int
-	asked   clock.Moment
 	// listed counts items at their positions; waits are the ms from hand-in to durable.
 	listed int64
 	waits  []float64
@@ -75,11 +74,6 @@
 // Name names it.
 func (*lotList) Name() string { return "lots" }
 
-func (lotList *lotList) drawer(node *Node) *drawer {
-	drawer, _ := node.state[4].(*drawer)
-	return drawer
-}
-
 // Begin starts a store, and the holder's part at the holder.
 func (lotList *lotList) Begin(node *Node) any {
 	node.answerers[messages.KindHolderTold] = reads(node, CoreHolds, func(*messages.HolderTold) transport.Writable { return taken() })
--- a/internal/tooling/loadgen/drive_test.go
+++ b/internal/tooling/loadgen/drive_test.go
@@ -190,7 +190,7 @@
 		}
 		return all
 	}
-	if text(1) != text(1) || text(1) == text(2) {
+	if first, again := text(1), text(1); first != again || first == text(2) {
 		test.Fatal("the schedule does not follow its seed")
 	}
 	if count := len(schedule(&options, routes, 3)); count < 500 || count > 700 {
