--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -74,7 +74,7 @@
 func troubles() string {
 	text := ""
 	for _, name := range lab.KindNames() {
-		text += fmt.Sprintf("  %-10s %s\n", name, lab.Kinds[name])
+		text += fmt.Sprintf("  %-14s %s\n", name, lab.Kinds[name])
 	}
 	return text
 }
--- /dev/null
+++ b/internal/platform/node/signals_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"bytes"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/platform/settings"
+)
+
+const validSettings = `node-name = "n"
+zone = "z"
+ip = "10.0.0.1"
+internal-ports = [7000,7010]
+seeds = ["10.0.0.2:80"]
+heartbeat-ms = 1200
+[limits]
+memory-mb = 100
+[tolerances]
+grace-s = 8
+`
+
+// Each reload gives one line, whatever the file holds by then, and reaches nothing but
+// the log; the file is read at the signal, not before.
+func TestReloadChecksTheFileOnly(test *testing.T) {
+	path := filepath.Join(test.TempDir(), "node.toml")
+	test.Setenv(settings.Variable, path)
+	for _, one := range []struct{ text, want string }{
+		{validSettings, "hold from the next start"},
+		{strings.Replace(validSettings, "10.0.0.2:80", "10.9.0.2:80", 1), "hold from the next start"},
+		{strings.Replace(validSettings, "1200", "0", 1), "heartbeat-ms"},
+		{validSettings[:60], "settings"},
+		{"\x00", "not readable as TOML"},
+		{"", "node-name is missing"},
+	} {
+		if err := os.WriteFile(path, []byte(one.text), 0o644); err != nil {
+			test.Fatal(err)
+		}
+		if got := reloadOnce(); strings.Count(got, "\n") != 1 || !strings.Contains(got, one.want) {
+			test.Errorf("want %q in one line, got %q", one.want, got)
+		}
+	}
+	if err := os.Remove(path); err != nil {
+		test.Fatal(err)
+	}
+	if got := reloadOnce(); strings.Count(got, "\n") != 1 || !strings.Contains(got, "can't read the file") {
+		test.Error(got)
+	}
+}
+
+// reloadOnce gives what is logged at one reload.
+func reloadOnce() string {
+	reload := make(chan os.Signal, 1)
+	reload <- syscall.SIGHUP
+	close(reload)
+	var text bytes.Buffer
+	checkOnReload(reload, settings.Load, lineLog(&text))
+	return text.String()
+}
+
+// lineLog writes one line an event.
+func lineLog(text *bytes.Buffer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Output: text, DisableTime: true})
+}
+
+// leaver counts how often it was told to leave.
+type leaver struct{ left int }
+
+func (*leaver) Run() error { return nil }
+func (one *leaver) Leave() { one.left++ }
+
+// A termination reaches the process behind any number of reloads, and one that comes
+// before there is a process ends the start.
+func TestTerminationIsNotLostBehindReloads(test *testing.T) {
+	caught := catchSignals()
+	test.Cleanup(func() {
+		signal.Stop(caught.terminate)
+		signal.Stop(caught.reload)
+	})
+	for range 100 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			test.Fatal(err)
+		}
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		test.Fatal(err)
+	}
+	process, started := &leaver{}, newStarted()
+	started <- process
+	var text bytes.Buffer
+	leaveOnSignal(caught.terminate, started, lineLog(&text))
+	if process.left != 1 || !strings.Contains(text.String(), "signal="+syscall.SIGTERM.String()) {
+		test.Fatal(process.left, text.String())
+	}
+	early := make(chan os.Signal, 1)
+	early <- syscall.SIGTERM
+	leaveOnSignal(early, newStarted(), hclog.NewNullLogger())
+}
--- /dev/null
+++ b/internal/tooling/lab/reload.go
@@ -0,0 +1,24 @@
+package lab
+
+import (
+	"os"
+	"syscall"
+)
+
+// unreadable stands in the settings file of a process that is to meet an invalid one.
+const unreadable = "seeds = ["
+
+// reload changes the settings file of a process, as of a later start, and sends SIGHUP.
+func (fleet *Fleet) reload(one *process, valid bool) error {
+	path, err := fleet.Plan.write(one.node, fleet.Folder, false)
+	if err != nil {
+		return err
+	}
+	if !valid {
+		if err := os.WriteFile(path, []byte(unreadable), 0o644); err != nil {
+			return Unfit.Wrap(err, "settings of "+one.node.name)
+		}
+	}
+	one.signal(syscall.SIGHUP, false)
+	return nil
+}
--- a/internal/tooling/lab/trouble.go
+++ b/internal/tooling/lab/trouble.go
@@ -36,6 +36,8 @@
 	kindFlap      = "flap"
 	kindFaults    = "faults"
 	kindConfigure = "configure"
+	kindReload    = "reload"
+	kindReloadBad = "reload-invalid"
 )
 
 // Kinds tells what each kind of trouble does.
@@ -48,13 +50,15 @@
 	kindFlap:      "a worker goes down and up by turns for for-s, each for back-s",
 	kindFaults:    "the faults of a worker are set for for-s (or for good)",
 	kindConfigure: "a new configuration with one route more is sent",
+	kindReload:    "the settings file of a process is written anew, and it gets SIGHUP",
+	kindReloadBad: "the settings file of a process becomes invalid, and it gets SIGHUP",
 }
 
 // Check tells what is wrong with a trouble, before anything is broken.
 func (trouble *Trouble) Check() error {
 	onProcess, onWorker := false, false
 	switch trouble.Kind {
-	case kindKill, kindStop, kindFreeze:
+	case kindKill, kindStop, kindFreeze, kindReload, kindReloadBad:
 		onProcess = true
 	case kindCrash, kindReplace, kindFlap, kindFaults:
 		onWorker = true
@@ -144,6 +148,11 @@
 // harm does to a process what the trouble says.
 func (fleet *Fleet) harm(one *process, trouble Trouble) {
 	switch trouble.Kind {
+	case kindReload, kindReloadBad:
+		if err := fleet.reload(one, trouble.Kind == kindReload); err != nil {
+			fleet.died(err)
+		}
+		return
 	case kindFreeze:
 		one.signal(syscall.SIGSTOP, false)
 		fleet.pause(seconds(trouble.ForS))
