Worker emulator: a read that was called off is no use of a connection

TestForgottenConnection was flaky: the HTTP server reads ahead while a handler works and calls that read off after the answer. The emulated connection noted the end of that read as a use, at times only after the test had moved the clock on, and was then not forgotten. Only bytes count as a use now.

--- a/internal/tooling/workeremulator/rim.go
+++ b/internal/tooling/workeremulator/rim.go
@@ -138,16 +138,21 @@
 	active   clock.Moment
 }
 
-// Read notes that the connection is in use; what comes on a forgotten one is reset.
+// Read notes that bytes came; what comes on a forgotten connection is reset. A read that
+// ends without bytes is no use of the connection: the server calls a pending read off
+// after each answer, which the other side can't see.
 func (one *connection) Read(buffer []byte) (int, error) {
 	count, err := one.Conn.Read(buffer)
+	if count == 0 {
+		return 0, err
+	}
 	worker := one.listener.worker
 	worker.lock.Lock()
 	forget := worker.faults.forget()
 	worker.lock.Unlock()
 	now := worker.clockValue.Now()
 	one.lock.Lock()
-	forgotten := count > 0 && forget > 0 && now.Since(one.active) > forget
+	forgotten := forget > 0 && now.Since(one.active) > forget
 	one.active = now
 	one.lock.Unlock()
 	if forgotten {
