The dispatcher keeps the available items and the order of lots

Acquire walked every item of the open lots, the finished ones too, and sorted all lots on each question of a driver; Waiting walked all items on each hand-in. The route of a lot is looked up once a configuration, not once a question.

term.copying with beginCopy and endCopy is gone: nobody else copies.

--- a/internal/batch/lots/acknowledge.go
+++ b/internal/batch/lots/acknowledge.go
@@ -71,7 +71,7 @@
 		dispatcher.TookMs += share * (clock.ToMilliseconds(now.Since(held.begun)) - dispatcher.TookMs)
 	}
 	dispatcher.drop(held)
-	item.State = ItemClosing
+	item.become(ItemClosing)
 	dispatcher.Counts.Settled++
 	dispatcher.close(item, entry.Number, entry.Text, entry.Packed, false)
 	return Step{Verdict: messages.AckTaken, Index: item.closing}
--- a/internal/batch/lots/acquire.go
+++ b/internal/batch/lots/acquire.go
@@ -1,7 +1,6 @@
 package lots
 
 import (
-	"sort"
 	"strings"
 
 	"lemonarch/internal/platform/clock"
@@ -52,24 +51,12 @@
 		room += count
 	}
 	var taken []*Acquisition
-	var lotList [2][]dueLot
-	for _, lot := range dispatcher.Book.Lots() {
-		if !lot.Open() || dispatcher.Closed(lot) {
-			continue
-		}
-		terms := ask.Terms(lot)
-		if terms.Over {
-			continue
+	order := dispatcher.rank(ask.Terms, now)
+	for _, part := range [][]dueLot{order.inTime, order.late} {
+		if room == 0 {
+			break
 		}
-		rank := 0
-		if terms.Late {
-			rank = 1
-		}
-		lotList[rank] = append(lotList[rank], dueLot{lot, terms.Due})
-	}
-	for _, some := range lotList {
-		sort.SliceStable(some, func(left, right int) bool { return some[left].due < some[right].due })
-		for _, item := range dispatcher.window(some, ask.Driver, room*windowFactor, now) {
+		for _, item := range dispatcher.window(part, ask, room*windowFactor, now) {
 			if room == 0 {
 				return taken
 			}
@@ -91,21 +78,22 @@
 	return taken
 }
 
-type dueLot struct {
-	lot *Lot
-	due int64
-}
-
 // window gives the free items due soonest, the driver's own prefixes first, so
 // that shared parts are read by few workers. No item is kept for a driver: a place
 // that stands empty meanwhile cost more than the reading (measured).
-func (dispatcher *Dispatcher) window(lotList []dueLot, driver Driver, limit int, now clock.Moment) []*Item {
+func (dispatcher *Dispatcher) window(lotList []dueLot, ask *AcquireAsk, limit int, now clock.Moment) []*Item {
 	var first, own, others []*Item
-	all := func() []*Item { return append(append(first, own...), others...) }
+	found := func() int { return len(first) + len(own) + len(others) }
 	for _, one := range lotList {
-		for _, item := range one.lot.Items {
+		if found() >= limit {
+			break
+		}
+		if !dispatcher.mayHandOut(one.lot, ask, now) {
+			continue
+		}
+		one.lot.eachAvailable(func(item *Item) bool {
 			if !dispatcher.free(item, now) {
-				continue
+				return true
 			}
 			if item.seen == 0 {
 				item.seen = now
@@ -114,17 +102,26 @@
 			case now.Since(item.seen) >= constants.HomePatience:
 				// Passed over long enough: the driver that has its prefix may have no room.
 				first = append(first, item)
-			case known && at.driver == driver.Name:
+			case known && at.driver == ask.Driver.Name:
 				own = append(own, item)
 			default:
 				others = append(others, item)
 			}
-			if len(first)+len(own)+len(others) >= limit {
-				return all()
-			}
-		}
+			return found() < limit
+		})
+	}
+	return append(append(first, own...), others...)
+}
+
+// mayHandOut tells whether items of a lot may be handed out now.
+func (dispatcher *Dispatcher) mayHandOut(lot *Lot, ask *AcquireAsk, now clock.Moment) bool {
+	if lot.available.count == 0 || !lot.Open() || dispatcher.Book.Lot(lot.ID) != lot || dispatcher.Closed(lot) {
+		return false
+	}
+	if lot.Index < dispatcher.before && now < dispatcher.unsure {
+		return false
 	}
-	return all()
+	return !ask.Terms(lot).Over
 }
 
 func (dispatcher *Dispatcher) settleHome(item *Item, driver string, now clock.Moment) {
--- a/internal/batch/lots/acquire_test.go
+++ b/internal/batch/lots/acquire_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 )
@@ -68,3 +69,62 @@
 		test.Fatal(names(given))
 	}
 }
+
+// slowAvailable walks every item: what the kept list must agree with.
+func slowAvailable(lot *Lot) string {
+	text := ""
+	for _, item := range lot.Items {
+		if item.State == ItemAvailable {
+			text += item.ID + " "
+		}
+	}
+	return text
+}
+
+func keptAvailable(lot *Lot) string {
+	text := ""
+	lot.eachAvailable(func(item *Item) bool {
+		text += item.ID + " "
+		return true
+	})
+	return text
+}
+
+// benchBacklog is a backlog of whole lots, all of whose items wait.
+func benchBacklog(bench *testing.B, items int) (*Dispatcher, *AcquireAsk) {
+	book := NewBook()
+	for number := 0; number*constants.LotItems < items; number++ {
+		addLotOf(bench, book, fmt.Sprint(number), "/0", constants.LotItems, 900).SentMs = int64(number)
+	}
+	one, index := NewDispatcher(book, 1, 0, endpointLock, 0), int64(0)
+	one.Submit = func(record messages.Record) int64 {
+		index++
+		record.Index, record.Epoch = index, 1
+		if record.Kind == messages.RecordDriver {
+			_ = book.Apply(&record)
+		}
+		return index
+	}
+	ask := &AcquireAsk{Driver: Driver{Name: "x"}, Service: func(*Item) string { return "s" },
+		Terms: func(lot *Lot) Terms { return Terms{Due: lot.SentMs} }}
+	one.Enter(ask.Driver)
+	return one, ask
+}
+
+// BenchmarkAcquire measures one item acquired and given back, as a driver asks that
+// finds a place, with the time going on.
+func BenchmarkAcquire(bench *testing.B) {
+	for _, items := range []int{1_000, 10_000, 100_000} {
+		bench.Run(fmt.Sprint(items), func(bench *testing.B) {
+			one, ask := benchBacklog(bench, items)
+			now := ms(1)
+			for bench.Loop() {
+				now = now.Plus(clock.Milliseconds(0.2))
+				ask.Room = map[string]int{"s": 1}
+				for _, given := range one.Acquire(ask, now) {
+					one.setBack(given, 0, now)
+				}
+			}
+		})
+	}
+}
--- a/internal/batch/lots/dispatch.go
+++ b/internal/batch/lots/dispatch.go
@@ -54,6 +54,7 @@
 	unsure clock.Moment
 	taken  clock.Moment
 	homes  map[string]home
+	order  ranking
 	// drivers are those that were heard lately; version counts their changes.
 	drivers map[string]*seenDriver
 	version uint64
@@ -197,21 +198,22 @@
 // or its retain-s is over, as the terms of its lot say, or its tries are spent.
 func (dispatcher *Dispatcher) Expire(terms func(lot *Lot) Terms, now clock.Moment) int {
 	count := 0
-	for _, lot := range dispatcher.Book.Lots() {
-		if !lot.Open() || dispatcher.Closed(lot) {
+	for _, lot := range dispatcher.Book.openLots() {
+		if dispatcher.Closed(lot) {
 			continue
 		}
 		over := terms(lot).Over
-		for _, item := range lot.Items {
+		lot.eachAvailable(func(item *Item) bool {
 			// A whole output that a driver may still bring is an output.
-			if item.State != ItemAvailable || dispatcher.perhapsHeld(item, now) {
-				continue
+			if dispatcher.perhapsHeld(item, now) {
+				return true
 			}
 			if over || (len(item.FailedBy) > 0 && len(item.FailedBy) >= dispatcher.Tries(item)) {
 				dispatcher.archive(item, 0, 0)
 				count++
 			}
-		}
+			return true
+		})
 	}
 	return count
 }
--- a/internal/batch/lots/item.go
+++ b/internal/batch/lots/item.go
@@ -46,6 +46,8 @@
 	closer  uint64
 	closing int64
 	held    *Acquisition
+	// place is the item's place in its lot.
+	place int
 	// pause is when it may be acquired again; seen is when it was first found free.
 	pause, seen clock.Moment
 }
@@ -55,7 +57,8 @@
 	if item.State != ItemAvailable || item.Lot.Ended {
 		return 0
 	}
-	item.State, item.yielding = ItemAcquired, false
+	item.become(ItemAcquired)
+	item.yielding = false
 	item.Runs++
 	return item.Runs
 }
@@ -96,7 +99,8 @@
 		return false
 	}
 	item.Owed = item.Owed || item.yielding
-	item.State, item.yielding = ItemAvailable, false
+	item.become(ItemAvailable)
+	item.yielding = false
 	if item.LastID == 0 {
 		item.Pieces = nil
 	}
@@ -108,7 +112,7 @@
 	if !item.running(run) || item.yielding {
 		return false
 	}
-	item.State = ItemClosing
+	item.become(ItemClosing)
 	return true
 }
 
@@ -118,7 +122,7 @@
 	if item.Lot.Ended || !(item.State == ItemAvailable || item.running(run)) {
 		return false
 	}
-	item.State = ItemClosing
+	item.become(ItemClosing)
 	return true
 }
 
--- a/internal/batch/lots/state.go
+++ b/internal/batch/lots/state.go
@@ -34,6 +34,10 @@
 	Known clock.Moment
 	// giving counts positions that were given and are not yet durable.
 	giving int
+	// available are the items that may be acquired, waiting the tokens of those that
+	// no worker has finished.
+	available availableSet
+	waiting   int64
 	// named leads from ids to items: a lot may hold hundreds of thousands, and each
 	// output looks for its own.
 	named map[string]*Item
@@ -61,6 +65,8 @@
 	order   []*Lot
 	// opened holds every lot that still has items to run, and some that no more do.
 	opened []*Lot
+	// fresh are the lots that came since the dispatcher ranked them last.
+	fresh []*Lot
 	// entrants are the drivers that may hold acquisitions, with their epoch.
 	entrants map[entrant]uint64
 }
@@ -87,10 +93,11 @@
 		lot.Listings = append(lot.Listings, Listing{Item: record.Item, Dropped: record.Dropped, Index: record.Index})
 		lot.giving = max(lot.giving-1, 0)
 		if item := lot.Find(record.Item); item != nil && !item.Terminal() {
-			item.State = ItemSettled
+			state := ItemSettled
 			if record.Dropped {
-				item.State = ItemArchived
+				state = ItemArchived
 			}
+			item.become(state)
 			item.closer = record.Acquisition
 			// What is listed is read from disk: the rest is given back.
 			item.Body, item.Pieces, item.Headers = nil, nil, nil
@@ -135,15 +142,18 @@
 		return Unreadable.Wrap(err, "lot "+record.Lot)
 	}
 	lot := &Lot{ID: record.Lot, Host: record.Host, Path: body.Path, SentMs: record.AtMs, Index: record.Index, sum: len(body.Items), open: len(body.Items),
-		Items: make([]*Item, 0, len(body.Items)), named: make(map[string]*Item, len(body.Items))}
+		Items: make([]*Item, 0, len(body.Items)), available: newAvailableSet(len(body.Items)), named: make(map[string]*Item, len(body.Items))}
 	for place := range body.Items {
-		item := &Item{LotItem: body.Items[place], Lot: lot}
+		item := &Item{LotItem: body.Items[place], Lot: lot, place: place}
 		lot.Items = append(lot.Items, item)
 		lot.named[item.ID] = item
+		lot.available.set(place, true)
+		lot.waiting += item.Tokens
 	}
 	book.lotList[lot.ID] = lot
 	book.order = append(book.order, lot)
 	book.opened = append(book.opened, lot)
+	book.fresh = append(book.fresh, lot)
 	sort.SliceStable(book.order, func(left, right int) bool { return book.order[left].SentMs < book.order[right].SentMs })
 	return nil
 }
@@ -151,23 +161,12 @@
 // Waiting adds up the tokens of items that no worker has finished. Only open lots
 // are walked: finished ones are kept for minutes, and hand-ins come in bursts.
 func (book *Book) Waiting(belongs func(lot *Lot) bool) int64 {
-	total, kept := int64(0), book.opened[:0]
-	for _, lot := range book.opened {
-		if !lot.Open() || book.lotList[lot.ID] != lot {
-			continue
-		}
-		kept = append(kept, lot)
-		if !belongs(lot) {
-			continue
-		}
-		for _, item := range lot.Items {
-			if item.Waits() {
-				total += item.Tokens
-			}
+	total := int64(0)
+	for _, lot := range book.openLots() {
+		if belongs(lot) {
+			total += lot.waiting
 		}
 	}
-	clear(book.opened[len(kept):])
-	book.opened = kept
 	return total
 }
 
--- a/internal/batch/lots/waiting_test.go
+++ b/internal/batch/lots/waiting_test.go
@@ -51,6 +51,10 @@
 				item := lot.Items[random.Intn(len(lot.Items))]
 				item.Finish(item.Begin())
 			case kind < 5:
+				item := lot.Items[random.Intn(len(lot.Items))]
+				if run := item.Begin(); run > 0 && random.Intn(2) == 0 {
+					item.SetBack(run)
+				}
 				lot.Items[random.Intn(len(lot.Items))].GiveUp(0)
 			case kind < 7 && !lot.Ended && len(lot.Listings) < len(lot.Items):
 				for _, item := range lot.Items {
@@ -64,6 +68,11 @@
 			case kind == 8:
 				_ = book.Apply(&messages.Record{Kind: messages.RecordForget, Lot: lot.ID})
 			}
+			for _, lot := range book.Lots() {
+				if kept, slow := keptAvailable(lot), slowAvailable(lot); kept != slow {
+					test.Fatalf("seed %d step %d: lot %s keeps %q, has %q", seed, step, lot.ID, kept, slow)
+				}
+			}
 			for _, path := range []string{"/0", "/1", ""} {
 				belongs := func(lot *Lot) bool { return path == "" || lot.Path == path }
 				if got, want := book.Waiting(belongs), slowWaiting(book, belongs); got != want {
--- a/internal/batch/store/copy.go
+++ b/internal/batch/store/copy.go
@@ -14,14 +14,6 @@
 func (term *term) copied(newcomer messages.Member, place int) int64 {
 	identity := register.Identity(newcomer)
 	end := clock.Now().Plus(constants.SetChange)
-	for !term.beginCopy(identity) {
-		// It was begun ahead of the change: two at a time would only share the link.
-		if clock.Now() >= end || term.over() {
-			return 0
-		}
-		clock.Sleep(constants.TickPeriod)
-	}
-	defer term.endCopy(identity)
 	last := int64(0)
 	for {
 		term.lock.Lock()
@@ -43,23 +35,6 @@
 	}
 }
 
-// beginCopy marks a newcomer as being copied to; false while it is already.
-func (term *term) beginCopy(identity string) bool {
-	term.lock.Lock()
-	defer term.lock.Unlock()
-	if term.copying[identity] {
-		return false
-	}
-	term.copying[identity] = true
-	return true
-}
-
-func (term *term) endCopy(identity string) {
-	term.lock.Lock()
-	defer term.lock.Unlock()
-	delete(term.copying, identity)
-}
-
 // caughtUp tells whether another round of copying is not worth it: little is lacking, or
 // hardly less than in the round before, since as much comes as is copied. Then only
 // the holder, which sends what is new as it comes, can bring the rest.
--- a/internal/batch/store/dispatch.go
+++ b/internal/batch/store/dispatch.go
@@ -39,11 +39,12 @@
 	return routeOf(config, item.Lot.Host, item.Lot.Path)
 }
 
-// terms says what a configuration means for a lot now.
+// terms says what a configuration means for a lot now. The lock is held while it is
+// asked.
 func (term *term) terms(config *routeconfig.Config) func(lot *lots.Lot) lots.Terms {
 	wall, now := clock.Wall()/1_000_000, clock.Now()
 	return func(lot *lots.Lot) lots.Terms {
-		route := routeOf(config, lot.Host, lot.Path)
+		route := term.quota.route(config, place{lot.Host, lot.Path})
 		if route == nil {
 			return lots.Terms{Over: true}
 		}
--- a/internal/batch/store/term.go
+++ b/internal/batch/store/term.go
@@ -22,9 +22,8 @@
 	taking  map[string]int64
 	quota   quota
 	lags    lags
-	// copies says how far newcomers have copied, copying which do so now.
+	// copies says how far newcomers have copied.
 	copies  map[string]int64
-	copying map[string]bool
 	ending  map[string]bool
 	feeders map[string]chan struct{}
 	bell    chan struct{}
@@ -41,7 +40,7 @@
 
 func newTerm(server *Server, duty messages.Duty, stores []messages.Member, first int64) *term {
 	return &term{server: server, duty: duty, press: lots.NewPress(duty.Epoch, stores, server.budget(), first),
-		book: lots.NewBook(), applied: first - 1, taking: map[string]int64{}, quota: newQuota(), lags: newLags(), copies: map[string]int64{}, copying: map[string]bool{}, ending: map[string]bool{},
+		book: lots.NewBook(), applied: first - 1, taking: map[string]int64{}, quota: newQuota(), lags: newLags(), copies: map[string]int64{}, ending: map[string]bool{},
 		feeders: map[string]chan struct{}{}, bell: make(chan struct{}), fresh: make(chan struct{}), stop: make(chan struct{}), begun: clock.Now()}
 }
 
