Log files outlast a kill then a loss of power, gaps, failed syncs and rewrites

Open now syncs what it has read. - Of two unsynced writes only the later one may be there: Open took that for damage and refused the file. A record now says whether all before it was synced; only then is a bad byte before it damage, else it is cut as a torn tail. Files of older versions are read as before. - A refused write whose cut was refused too stayed in front of later records, which were refused at the next start though they were acknowledged. The cut is repeated and synced first. - After a failed sync a later one passed for both. What no sync covered is now taken back, or written again. - After a rewrite whose rename or folder sync failed, records were appended to a file that may have no name. Appends are refused until a rewrite succeeds. A full disk is an error of its own kind (Full, beside Broken). An interrupted rewrite's file is removed at the next start.

--- /dev/null
+++ b/internal/platform/recordlog/format.go
@@ -0,0 +1,75 @@
+package recordlog
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A record is a head of two words, big-endian, and its body. The first word holds
+// the length of the body and two flags, the second a checksum of the first word and
+// the body. Records that older versions wrote have no flags, and a checksum of the
+// body alone.
+const (
+	headBytes = 8
+	// flagged marks a record whose checksum covers its first word.
+	flagged = 1 << 31
+	// proving marks a record before which everything was synced when it was written.
+	proving = 1 << 30
+
+	lengthMask = proving - 1
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// appendRecord appends a record to a text.
+func appendRecord(text, body []byte, proof bool) []byte {
+	first := uint32(len(body)) | flagged
+	if proof {
+		first |= proving
+	}
+	text = binary.BigEndian.AppendUint32(text, first)
+	text = binary.BigEndian.AppendUint32(text, checksum(first, body))
+	return append(text, body...)
+}
+
+func checksum(first uint32, body []byte) uint32 {
+	if first&flagged == 0 {
+		return crc32.Checksum(body, table)
+	}
+	var word [4]byte
+	binary.BigEndian.PutUint32(word[:], first)
+	return crc32.Update(crc32.Checksum(word[:], table), table, body)
+}
+
+// bodyLength reads the length of the body from a head.
+func bodyLength(head []byte) int64 { return int64(binary.BigEndian.Uint32(head) & lengthMask) }
+
+// parseRecord reads the record at the beginning of a text. Proof says that what
+// stands before it was synced; an older version's record says so too, since it may
+// have been.
+func parseRecord(text []byte) (body []byte, proof, whole bool) {
+	if len(text) < headBytes {
+		return nil, false, false
+	}
+	first, length := binary.BigEndian.Uint32(text), bodyLength(text)
+	if length == 0 || length > int64(len(text)-headBytes) {
+		return nil, false, false
+	}
+	body = text[headBytes : headBytes+length]
+	if checksum(first, body) != binary.BigEndian.Uint32(text[4:]) {
+		return nil, false, false
+	}
+	return body, first&flagged == 0 || first&proving != 0, true
+}
+
+// provenAfter looks for a whole record which shows that what stands before it was
+// synced. Of what no sync has covered, any part may be missing while a later one is
+// there; only what was synced can have been damaged.
+func provenAfter(text []byte, offset int64) (int64, bool) {
+	for ; offset+headBytes < int64(len(text)); offset++ {
+		if _, proof, whole := parseRecord(text[offset:]); whole && proof {
+			return offset, true
+		}
+	}
+	return 0, false
+}
--- a/internal/platform/recordlog/recordlog.go
+++ b/internal/platform/recordlog/recordlog.go
@@ -1,13 +1,20 @@
 // Package recordlog keeps records on disk: an append-only file of checksummed
 // records that is rewritten when it gets long. Disk is an interface so that tests
 // can lose, tear and reorder what was not synced.
+//
+// A record lasts once Sync has returned without an error after its Append, or
+// Rewrite has. A failed Append takes back its own records, a failed Sync all that
+// was appended since the last one that succeeded; after a restart they may be there
+// all the same. A failed Rewrite leaves the old records or the new ones. A Logfile
+// is for one goroutine at a time; it blocks for as long as its disk does.
 package recordlog
 
 import (
-	"encoding/binary"
+	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
+	"io/fs"
+	"syscall"
 
 	"lemonarch/internal/platform/errs"
 )
@@ -18,6 +25,8 @@
 	Damage = errs.Define("record damaged")
 	// Broken means that the disk refused an operation.
 	Broken = errs.Define("disk refused")
+	// Full means that the disk takes no more bytes; such an error is Broken too.
+	Full = errs.Define("disk full")
 )
 
 // File is an open file.
@@ -40,55 +49,68 @@
 	SyncFolder() error
 }
 
-const headBytes = 8
-
-var table = crc32.MakeTable(crc32.Castagnoli)
-
 // Logfile is one file of records.
 type Logfile struct {
 	disk Disk
 	name string
 	file File
-	size int64
+	// size is where the next record goes, and synced what the last sync covered.
+	size, synced int64
+	// pending is what was appended since that sync, in case it must be written again.
+	pending []byte
+	// uncut says that the file may hold something else behind synced.
+	uncut bool
+	// nameless says that a rewrite failed at its rename or later: the open file may
+	// have lost its name, and what is written to it would be lost with it.
+	nameless bool
 }
 
-// Open reads all whole records, in order, and cuts a torn tail.
+// Open reads all whole records, in order, and cuts a torn tail. What it has read
+// lasts, also if the process that wrote it was killed before its sync.
 func Open(disk Disk, name string, each func(offset int64, body []byte) error) (*Logfile, error) {
 	file, err := disk.Open(name)
 	if err != nil {
-		return nil, Broken.Wrap(err, "open "+name)
-	}
-	// The name of a new file lasts only once its folder is synced.
-	if err = disk.SyncFolder(); err != nil {
-		return nil, Broken.Wrap(err, "sync folder of "+name)
+		return nil, broken(err, "open "+name)
 	}
 	logfile := &Logfile{disk: disk, name: name, file: file}
-	if err = logfile.replay(each); err != nil {
+	if err = logfile.begin(each); err != nil {
 		file.Close()
 		return nil, err
 	}
 	return logfile, nil
 }
 
+func (logfile *Logfile) begin(each func(offset int64, body []byte) error) error {
+	if err := logfile.removeUnfinished(); err != nil {
+		return err
+	}
+	// The name of a new file lasts only once its folder is synced.
+	if err := logfile.disk.SyncFolder(); err != nil {
+		return broken(err, "sync folder of "+logfile.name)
+	}
+	return logfile.replay(each)
+}
+
+// removeUnfinished takes away what a rewrite that was interrupted has left.
+func (logfile *Logfile) removeUnfinished() error {
+	fresh := logfile.name + freshSuffix
+	if err := logfile.disk.Remove(fresh); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return broken(err, "remove "+fresh)
+	}
+	return nil
+}
+
 func (logfile *Logfile) replay(each func(offset int64, body []byte) error) error {
-	length, err := logfile.file.Size()
+	text, err := logfile.readAll()
 	if err != nil {
-		return Broken.Wrap(err, "size of "+logfile.name)
-	}
-	text := make([]byte, length)
-	if length > 0 {
-		if _, err = logfile.file.ReadAt(text, 0); err != nil && err != io.EOF {
-			return Broken.Wrap(err, "read "+logfile.name)
-		}
+		return err
 	}
 	offset := int64(0)
-	for offset < length {
-		body, whole := recordAt(text[offset:])
+	for offset < int64(len(text)) {
+		body, _, whole := parseRecord(text[offset:])
 		if !whole {
-			// Only a tail may be torn. A whole record behind the bad place shows
-			// that synced bytes were spoilt, and that is never skipped.
-			if later, found := wholeAfter(text, offset+1); found {
-				return Damage.New(fmt.Sprintf("file %s at byte %d, though a whole record stands at %d", logfile.name, offset, later))
+			if later, found := provenAfter(text, offset+1); found {
+				return Damage.New(fmt.Sprintf("file %s at byte %d, which was synced before the record at %d", logfile.name, offset, later))
 			}
 			break
 		}
@@ -97,72 +119,115 @@
 		}
 		offset += headBytes + int64(len(body))
 	}
-	logfile.size = offset
-	if offset < length {
-		if err = logfile.file.Truncate(offset); err != nil {
-			return Broken.Wrap(err, "cut tail of "+logfile.name)
-		}
-		if err = logfile.file.Sync(); err != nil {
-			return Broken.Wrap(err, "sync "+logfile.name)
-		}
-	}
-	return nil
+	logfile.size, logfile.synced = offset, offset
+	logfile.uncut = offset < int64(len(text))
+	return logfile.Sync()
 }
 
-func recordAt(text []byte) ([]byte, bool) {
-	if len(text) < headBytes {
-		return nil, false
+func (logfile *Logfile) readAll() ([]byte, error) {
+	length, err := logfile.file.Size()
+	if err != nil {
+		return nil, broken(err, "size of "+logfile.name)
 	}
-	length := int64(binary.BigEndian.Uint32(text))
-	if length == 0 || length > int64(len(text)-headBytes) {
-		return nil, false
+	text := make([]byte, length)
+	if length == 0 {
+		return text, nil
 	}
-	body := text[headBytes : headBytes+length]
-	return body, crc32.Checksum(body, table) == binary.BigEndian.Uint32(text[4:])
-}
-
-func wholeAfter(text []byte, offset int64) (int64, bool) {
-	for ; offset+headBytes < int64(len(text)); offset++ {
-		if _, whole := recordAt(text[offset:]); whole {
-			return offset, true
-		}
+	if _, err = logfile.file.ReadAt(text, 0); err != nil && err != io.EOF {
+		return nil, broken(err, "read "+logfile.name)
 	}
-	return 0, false
+	return text, nil
 }
 
 // Append writes records without syncing and gives their offsets.
 func (logfile *Logfile) Append(bodies ...[]byte) ([]int64, error) {
+	return logfile.write(bodies, false)
+}
+
+// write appends records; proof says that all of them prove what stands before them.
+func (logfile *Logfile) write(bodies [][]byte, proof bool) ([]int64, error) {
+	if err := logfile.repair(); err != nil {
+		return nil, err
+	}
 	var text []byte
 	offsets := make([]int64, 0, len(bodies))
 	for _, body := range bodies {
-		offsets = append(offsets, logfile.size+int64(len(text)))
-		text = binary.BigEndian.AppendUint32(text, uint32(len(body)))
-		text = binary.BigEndian.AppendUint32(text, crc32.Checksum(body, table))
-		text = append(text, body...)
+		if len(body) == 0 || len(body) > lengthMask {
+			return nil, Broken.New(fmt.Sprintf("record of %d bytes for %s", len(body), logfile.name))
+		}
+		offset := logfile.size + int64(len(text))
+		offsets = append(offsets, offset)
+		text = appendRecord(text, body, proof || offset == logfile.synced)
 	}
 	if _, err := logfile.file.Write(text); err != nil {
-		// A half-written record must not stand before later ones.
+		logfile.uncut = true
 		_ = logfile.file.Truncate(logfile.size)
-		return nil, Broken.Wrap(err, "write "+logfile.name)
+		return nil, broken(err, "write "+logfile.name)
 	}
 	logfile.size += int64(len(text))
+	switch {
+	case proof:
+		// A file that fails while it is filled is given up as a whole.
+	case len(logfile.pending) == 0:
+		logfile.pending = text
+	default:
+		logfile.pending = append(logfile.pending, text...)
+	}
 	return offsets, nil
 }
 
 // Sync makes all that was appended last.
-func (logfile *Logfile) Sync() error { return Broken.Wrap(logfile.file.Sync(), "sync "+logfile.name) }
+func (logfile *Logfile) Sync() error {
+	err := logfile.repair()
+	if err == nil {
+		err = broken(logfile.file.Sync(), "sync "+logfile.name)
+	}
+	if err != nil {
+		logfile.size, logfile.pending, logfile.uncut = logfile.synced, nil, true
+		return err
+	}
+	logfile.synced, logfile.pending = logfile.size, nil
+	return nil
+}
+
+// repair puts the file right after a refused operation: what no sync has covered is
+// cut and written again, since the system may have dropped it without telling later
+// syncs. It is synced before anything follows it, so that nothing that was cut can
+// come back between later records.
+func (logfile *Logfile) repair() error {
+	if logfile.nameless {
+		return Broken.New("a rewrite of " + logfile.name + " failed: its file may have no name")
+	}
+	if !logfile.uncut {
+		return nil
+	}
+	if err := logfile.file.Truncate(logfile.synced); err != nil {
+		return broken(err, "cut tail of "+logfile.name)
+	}
+	if len(logfile.pending) > 0 {
+		if _, err := logfile.file.Write(logfile.pending); err != nil {
+			return broken(err, "write "+logfile.name)
+		}
+	}
+	if err := logfile.file.Sync(); err != nil {
+		return broken(err, "sync "+logfile.name)
+	}
+	logfile.uncut = false
+	return nil
+}
 
 // ReadAt reads the record that starts at an offset.
 func (logfile *Logfile) ReadAt(offset int64) ([]byte, error) {
 	var head [headBytes]byte
 	if _, err := logfile.file.ReadAt(head[:], offset); err != nil {
-		return nil, Broken.Wrap(err, "read "+logfile.name)
+		return nil, broken(err, "read "+logfile.name)
 	}
-	body := make([]byte, binary.BigEndian.Uint32(head[:]))
-	if _, err := logfile.file.ReadAt(body, offset+headBytes); err != nil && err != io.EOF {
-		return nil, Broken.Wrap(err, "read "+logfile.name)
+	text := make([]byte, headBytes+bodyLength(head[:]))
+	if _, err := logfile.file.ReadAt(text, offset); err != nil && err != io.EOF {
+		return nil, broken(err, "read "+logfile.name)
 	}
-	if crc32.Checksum(body, table) != binary.BigEndian.Uint32(head[4:]) {
+	body, _, whole := parseRecord(text)
+	if !whole {
 		return nil, Damage.New(fmt.Sprintf("file %s at byte %d", logfile.name, offset))
 	}
 	return body, nil
@@ -173,3 +238,11 @@
 
 // Close closes the file.
 func (logfile *Logfile) Close() error { return logfile.file.Close() }
+
+// broken types an error of the disk.
+func broken(err error, text string) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		err = Full.Wrap(err, "no space left")
+	}
+	return Broken.Wrap(err, text)
+}
--- a/internal/platform/recordlog/rewrite.go
+++ b/internal/platform/recordlog/rewrite.go
@@ -5,39 +5,57 @@
 	"path/filepath"
 )
 
-// rewriteBatch is how many bytes a rewrite writes at once.
-const rewriteBatch = 1 << 20
+const (
+	// rewriteBatch is how many bytes a rewrite writes at once.
+	rewriteBatch = 1 << 20
+	// freshSuffix names the file that a rewrite fills.
+	freshSuffix = ".new"
+)
 
 // Rewrite replaces the file by one that holds just the records that next gives:
-// a new file, synced, renamed over the old one, and the folder synced.
+// a new file, synced, renamed over the old one, and the folder synced. After an
+// error the old records can still be read; if the rename may have been done,
+// nothing can be appended until a rewrite succeeds.
 func (logfile *Logfile) Rewrite(next func() ([]byte, bool, error)) ([]int64, error) {
-	fresh := logfile.name + ".new"
-	// A rest of a rewrite that was interrupted is worth nothing.
-	_ = logfile.disk.Remove(fresh)
+	if err := logfile.removeUnfinished(); err != nil {
+		return nil, err
+	}
+	fresh := logfile.name + freshSuffix
 	file, err := logfile.disk.Open(fresh)
 	if err != nil {
-		return nil, Broken.Wrap(err, "open "+fresh)
+		return nil, broken(err, "open "+fresh)
 	}
 	made := &Logfile{disk: logfile.disk, name: fresh, file: file}
 	offsets, err := made.fill(next)
 	if err == nil {
-		err = made.Sync()
-	}
-	if err == nil {
-		err = Broken.Wrap(logfile.disk.Rename(fresh, logfile.name), "rename "+fresh)
-	}
-	if err == nil {
-		err = Broken.Wrap(logfile.disk.SyncFolder(), "sync folder of "+logfile.name)
+		err = logfile.giveWay(fresh)
 	}
 	if err != nil {
 		file.Close()
+		if !logfile.nameless {
+			// Its bytes are room that the disk may need.
+			_ = logfile.disk.Remove(fresh)
+		}
 		return nil, err
 	}
 	logfile.file.Close()
-	logfile.file, logfile.size = file, made.size
+	logfile.file, logfile.size, logfile.synced = file, made.size, made.synced
+	logfile.pending, logfile.uncut, logfile.nameless = nil, false, false
 	return offsets, nil
 }
 
+// giveWay lets a new file take the name of this one.
+func (logfile *Logfile) giveWay(fresh string) error {
+	// Also an operation that was refused may have been done.
+	logfile.nameless = true
+	if err := logfile.disk.Rename(fresh, logfile.name); err != nil {
+		return broken(err, "rename "+fresh)
+	}
+	return broken(logfile.disk.SyncFolder(), "sync folder of "+logfile.name)
+}
+
+// fill writes all records that next gives and syncs them. The file has no name that
+// is read before all of it is synced, so that each record proves those before it.
 func (logfile *Logfile) fill(next func() ([]byte, bool, error)) ([]int64, error) {
 	var offsets []int64
 	var batch [][]byte
@@ -52,7 +70,7 @@
 			size += len(body)
 		}
 		if len(batch) > 0 && (!more || size > rewriteBatch) {
-			written, err := logfile.Append(batch...)
+			written, err := logfile.write(batch, true)
 			if err != nil {
 				return nil, err
 			}
@@ -60,7 +78,7 @@
 			batch, size = batch[:0], 0
 		}
 		if !more {
-			return offsets, nil
+			return offsets, logfile.Sync()
 		}
 	}
 }
