--- /dev/null
+++ b/internal/control/broadcast/backlog.go
@@ -0,0 +1,133 @@
+package broadcast
+
+import (
+	"sort"
+
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// Backlog is what processes still have to be told after a broadcast did not reach them:
+// by process, the configuration and the changes of workers that it has not confirmed.
+// A process leaves the backlog once it has confirmed everything, or once the directory
+// no longer holds its life (see Due).
+type Backlog struct {
+	pending map[string]*pending
+}
+
+// pending is what one process has not confirmed.
+type pending struct {
+	entry      messages.Entry
+	generation int64
+	workers    map[string]bool
+	next       clock.Moment
+	pause      clock.Span
+	// added counts the calls of Add: what was added after a delivery was made is not
+	// confirmed by it.
+	added int
+}
+
+// Delivery is one call that tells a process what it has not confirmed.
+type Delivery struct {
+	Entry      messages.Entry
+	Generation int64
+	Workers    []string
+	added      int
+}
+
+// NewBacklog makes an empty backlog.
+func NewBacklog() *Backlog { return &Backlog{pending: map[string]*pending{}} }
+
+// Add notes that a process has not confirmed a generation (0 for none) and the changes
+// of some workers. It is told once more after a pause.
+func (backlog *Backlog) Add(entry messages.Entry, generation int64, workers []string, pause clock.Span, now clock.Moment) {
+	key := membership.Key(entry)
+	one := backlog.pending[key]
+	if one == nil || one.entry.Life != entry.Life {
+		one = &pending{workers: map[string]bool{}}
+		backlog.pending[key] = one
+	}
+	one.entry = entry
+	one.generation = max(one.generation, generation)
+	for _, id := range workers {
+		one.workers[id] = true
+	}
+	one.added++
+	one.pause, one.next = constants.BacklogPause, now.Plus(pause)
+}
+
+// Due gives the deliveries to be made now. Processes whose life is not in the directory
+// any more are dropped; what the directory says of their configurations counts.
+func (backlog *Backlog) Due(directory []messages.Entry, now clock.Moment) []Delivery {
+	present := map[string]messages.Entry{}
+	for _, entry := range directory {
+		present[membership.Key(entry)] = entry
+	}
+	var due []Delivery
+	for _, key := range backlog.keys() {
+		one := backlog.pending[key]
+		entry, found := present[key]
+		if !found || entry.Life != one.entry.Life {
+			delete(backlog.pending, key)
+			continue
+		}
+		if entry.Generation >= one.generation {
+			one.generation = 0
+		}
+		if backlog.settled(key) || now < one.next {
+			continue
+		}
+		one.next, one.pause = now.Plus(one.pause), min(2*one.pause, constants.BacklogPauseMost)
+		due = append(due, Delivery{Entry: entry, Generation: one.generation, Workers: sortedKeys(one.workers), added: one.added})
+	}
+	return due
+}
+
+// Confirmed takes the confirmation of a delivery.
+func (backlog *Backlog) Confirmed(delivery Delivery) {
+	key := membership.Key(delivery.Entry)
+	one := backlog.pending[key]
+	if one == nil || one.entry.Life != delivery.Entry.Life || one.added != delivery.added {
+		return
+	}
+	if one.generation <= delivery.Generation {
+		one.generation = 0
+	}
+	for _, id := range delivery.Workers {
+		delete(one.workers, id)
+	}
+	backlog.settled(key)
+}
+
+// settled drops a process that has confirmed everything.
+func (backlog *Backlog) settled(key string) bool {
+	one := backlog.pending[key]
+	if one.generation > 0 || len(one.workers) > 0 {
+		return false
+	}
+	delete(backlog.pending, key)
+	return true
+}
+
+// Names gives the processes that have not confirmed everything.
+func (backlog *Backlog) Names() []string { return backlog.keys() }
+
+func (backlog *Backlog) keys() []string {
+	keys := make([]string, 0, len(backlog.pending))
+	for key := range backlog.pending {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func sortedKeys(set map[string]bool) []string {
+	keys := make([]string, 0, len(set))
+	for key := range set {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/internal/control/broadcast/broadcast.go
+++ b/internal/control/broadcast/broadcast.go
@@ -55,13 +55,15 @@
 	open    map[string]bool
 	missing map[uint32]bool
 	marks   map[string]uint32
+	entries map[string]messages.Entry
 }
 
 // Fleet begins a job for all processes of a directory but the owner. fan is how many of
 // a zone are told directly, each passing the word on to its part of the rest; 0 tells
 // each directly.
 func Fleet(own messages.Entry, directory []messages.Entry, fan int, now clock.Moment) (*Job, []Send) {
-	job := &Job{own: own, fan: fan, branches: map[string]*branch{}, open: map[string]bool{}, missing: map[uint32]bool{}, marks: map[string]uint32{}}
+	job := &Job{own: own, fan: fan, branches: map[string]*branch{}, open: map[string]bool{}, missing: map[uint32]bool{}, marks: map[string]uint32{},
+		entries: map[string]messages.Entry{}}
 	for _, entry := range directory {
 		if membership.Key(entry) == membership.Key(own) {
 			continue
@@ -72,6 +74,7 @@
 			job.branches[entry.Zone] = one
 		}
 		job.marks[entry.Address] = membership.MarkOf(entry)
+		job.entries[entry.Address] = entry
 		one.processes = append(one.processes, entry)
 		if entry.Role == membership.RoleController && fresh(entry) && !entry.Leaving {
 			one.controllers = append(one.controllers, entry)
--- a/internal/control/broadcast/events.go
+++ b/internal/control/broadcast/events.go
@@ -65,6 +65,27 @@
 	return []Send{{Step: StepTell, Address: send.Pass[0], Pass: send.Pass[1:]}}
 }
 
+// Told gives the process that a send goes to.
+func (job *Job) Told(send Send) messages.Entry { return job.entries[send.Address] }
+
+// Unconfirmed gives the processes whose taking of a configuration this job does not hear
+// of: those of the owner's zone to which others pass it on, and those of other zones.
+func (job *Job) Unconfirmed(sends []Send) []messages.Entry {
+	told := map[string]bool{}
+	for _, send := range sends {
+		told[send.Address] = send.Step == StepTell
+	}
+	var found []messages.Entry
+	for _, zone := range job.zones() {
+		for _, entry := range job.branches[zone].processes {
+			if !told[entry.Address] {
+				found = append(found, entry)
+			}
+		}
+	}
+	return found
+}
+
 // Tick goes on without controllers that take too long.
 func (job *Job) Tick(now clock.Moment) []Send {
 	var sends []Send
--- a/internal/control/broadcast/loops_test.go
+++ b/internal/control/broadcast/loops_test.go
@@ -112,8 +112,10 @@
 
 func (here *node) word(key string) *messages.ControllerBeat {
 	since := here.read(key).told
-	return &messages.ControllerBeat{From: here.view.Own(), Workers: here.registry.Digest(here.own.Life), Processes: here.view.Digest(),
-		Beaten: here.registry.BeatenSince(since), Met: here.view.MetSince(since)}
+	beat := &messages.ControllerBeat{From: here.view.Own(), Workers: here.registry.Digest(here.own.Life), Processes: here.view.Digest(),
+		Beaten: here.registry.BeatenSince(since), Follow: here.view.Own().Generation}
+	beat.Met, beat.Behind = here.view.MetSince(since)
+	return beat
 }
 
 func (here *node) beatOthers() {
@@ -137,7 +139,7 @@
 	read := here.read(membership.Key(word.From))
 	read.told = told
 	here.registry.Vouched(word.Beaten, now)
-	here.view.Vouched(word.Met, now)
+	here.view.Vouched(word, now)
 	if since, ask := behind(&read.workerList, word.Workers, here.registry.Digest(here.own.Life)); ask {
 		here.pullWorkers(address, since)
 	}
--- /dev/null
+++ b/internal/control/contact/contact.go
@@ -0,0 +1,73 @@
+// Package contact tells whether a control process is current: whether a majority of the
+// acceptors in force answered it lately, and told of nothing that it does not follow.
+// A step function without I/O.
+//
+// While the lease is valid, the process follows every set of acceptors and every
+// configuration that was acknowledged more than constants.ContactLease ago: each was
+// accepted by a majority, which shares a member with the majority that answered, and an
+// answer that tells of something newer does not renew the lease.
+package contact
+
+import (
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// Followed is what a process follows, or what an acceptor has accepted.
+type Followed struct {
+	SetEpoch   uint64
+	Generation int64
+}
+
+// Lease is a process's proof of contact with the acceptors.
+type Lease struct {
+	// renewed holds, for each acceptor, when its last renewing answer was asked for.
+	renewed map[string]clock.Moment
+}
+
+// New gives a lease that was never renewed.
+func New() *Lease { return &Lease{renewed: map[string]clock.Moment{}} }
+
+// Answered takes the answer of an acceptor to a question that was sent at asked. It
+// reports whether the acceptor is ahead of what this process follows; such an answer
+// does not renew the lease.
+func (lease *Lease) Answered(acceptor messages.Member, asked clock.Moment, accepted, followed Followed) (ahead bool) {
+	if accepted.SetEpoch > followed.SetEpoch || accepted.Generation > followed.Generation {
+		return true
+	}
+	identity := register.Identity(acceptor)
+	if last, known := lease.renewed[identity]; !known || asked > last {
+		lease.renewed[identity] = asked
+	}
+	return false
+}
+
+// Valid tells whether majorities of all sets in force answered questions that were sent
+// within the length of the lease.
+func (lease *Lease) Valid(sets *messages.Register, now clock.Moment) bool {
+	if len(sets.Acceptors) == 0 {
+		return false
+	}
+	answered := map[string]bool{}
+	for identity, asked := range lease.renewed {
+		if now.Since(asked) < constants.ContactLease {
+			answered[identity] = true
+		}
+	}
+	return register.Quorum(sets, answered)
+}
+
+// Trim forgets acceptors that are no longer in a set.
+func (lease *Lease) Trim(sets *messages.Register) {
+	inside := map[string]bool{}
+	for _, member := range append(append([]messages.Member(nil), sets.Acceptors...), sets.Previous...) {
+		inside[register.Identity(member)] = true
+	}
+	for identity := range lease.renewed {
+		if !inside[identity] {
+			delete(lease.renewed, identity)
+		}
+	}
+}
--- a/internal/control/controller/calls.go
+++ b/internal/control/controller/calls.go
@@ -4,17 +4,14 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/go-chi/chi/v5"
 
-	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/httpreply"
-	"lemonarch/internal/platform/messages"
 )
 
 const headerBase = "Lemonarch-Base-Revision"
@@ -48,71 +45,10 @@
 	return nil, false
 }
 
-func (controller *Controller) replace(writer http.ResponseWriter, request *http.Request) {
-	body, whole := readBody(writer, request, bodySlack*constants.RequestLimit)
-	if !whole {
-		return
-	}
-	base, err := strconv.ParseInt(request.Header.Get(headerBase), 10, 64)
-	if err != nil || base < 0 {
-		httpreply.Reason(writer, http.StatusBadRequest, headerBase+" is missing or no number")
-		return
-	}
-	controller.checking.Lock()
-	config, findings := controller.checker.Check(body)
-	controller.checking.Unlock()
-	if len(findings) > 0 {
-		controller.Node.Log.Info("configuration refused", "why", findings[0])
-		httpreply.JSON(writer, http.StatusBadRequest, map[string]any{"error": findings[0], "findings": findings})
-		return
-	}
-	version := messages.Version{Generation: config.Generation, Base: base, Hash: routeconfig.Hash(body)}
-	var result register.Result
-	value, err := controller.Register.Change(register.Replace(version, body, &result))
-	stands := func() bool { return result == register.ResultTaken || result == register.ResultAlready }
-	for end := clock.Now().Plus(constants.CallTime); err == nil && stands() && !controller.bears(&value); {
-		if clock.Now() > end {
-			httpreply.Reason(writer, http.StatusGatewayTimeout, "the set of acceptors is still growing")
-			return
-		}
-		// It stands, yet two losses could take it away again: told only once the set
-		// is whole, which takes the value along.
-		clock.Sleep(constants.TickPeriod)
-		value, err = controller.Register.Change(register.Replace(version, body, &result))
-	}
-	if err != nil {
-		// Not in force for certain only without a second round; both are 5xx, and
-		// neither is a refusal.
-		controller.Node.Log.Warn("configuration unclear", "generation", config.Generation, "why", err.Error())
-		httpreply.Reason(writer, http.StatusGatewayTimeout, err.Error())
-		return
-	}
-	controller.chosen(value, stands())
-	switch result {
-	case register.ResultTaken, register.ResultAlready:
-		controller.Node.Log.Info("configuration acknowledged", "generation", config.Generation)
-		httpreply.JSON(writer, http.StatusOK, map[string]int64{"generation": config.Generation})
-	case register.ResultOther:
-		httpreply.Reason(writer, http.StatusPreconditionFailed, "another version is in place: "+strconv.FormatInt(value.Current.Generation, 10))
-	default:
-		httpreply.Reason(writer, http.StatusBadRequest, "generation is not above the current one")
-	}
-}
-
-func (controller *Controller) read(writer http.ResponseWriter, _ *http.Request) {
-	value, err := controller.Register.Read()
-	if err != nil {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
-		return
-	}
-	if value.Current.Generation == 0 {
-		httpreply.Reason(writer, http.StatusNotFound, "no configuration yet")
+func (controller *Controller) retireOpen(writer http.ResponseWriter, request *http.Request) {
+	if !controller.requireContact(writer) {
 		return
 	}
-	httpreply.Bytes(writer, http.StatusOK, "application/json", value.Body)
-}
-
-func (controller *Controller) retireOpen(writer http.ResponseWriter, request *http.Request) {
 	name := chi.URLParam(request, "node")
 	value, err := controller.Register.ReadSets()
 	if err != nil {
@@ -154,6 +90,9 @@
 }
 
 func (controller *Controller) retireRead(writer http.ResponseWriter, request *http.Request) {
+	if !controller.requireContact(writer) {
+		return
+	}
 	name := chi.URLParam(request, "node")
 	value, err := controller.Register.ReadSets()
 	if err != nil {
--- a/internal/control/controller/calls_test.go
+++ b/internal/control/controller/calls_test.go
@@ -25,11 +25,22 @@
 	if err != nil {
 		test.Fatal(err)
 	}
+	meet(test, controller)
 	server := httptest.NewServer(controller.calls())
 	test.Cleanup(server.Close)
 	return controller, server
 }
 
+// meet has a controller do what it does in its first second: contact the acceptors, and
+// hear a majority of them on the workers.
+func meet(test *testing.T, controller *Controller) {
+	for tries := 0; !controller.inContact() || !controller.recallOnce(); tries++ {
+		if tries > 100 {
+			test.Fatal("a majority answers, and there is no contact")
+		}
+	}
+}
+
 func call(test *testing.T, server *httptest.Server, method, path, base, body string) (int, string) {
 	request, _ := http.NewRequest(method, server.URL+path, strings.NewReader(body))
 	if base != "" {
--- /dev/null
+++ b/internal/control/controller/contact.go
@@ -0,0 +1,150 @@
+package controller
+
+import (
+	"sync"
+
+	"lemonarch/internal/control/contact"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// Detached is the error of a controller that is not in contact with a majority of the
+// acceptors: it can neither confirm nor refuse anything.
+var Detached = errs.Define("no contact with a majority")
+
+// contactState is the contact lease with the sets that it was last checked against. It
+// has a lock of its own: a disk that hangs must not hang the answers.
+type contactState struct {
+	lock  sync.Mutex
+	lease *contact.Lease
+	sets  messages.Register
+	asked clock.Moment
+	// catching is set while a newer value is being looked for.
+	catching bool
+}
+
+// registerContact registers the answer to other controllers' rounds.
+func (controller *Controller) registerContact() {
+	controller.Node.Answer(messages.KindContact, answer(func(_ *messages.ContactAsk) (transport.Writable, error) {
+		record := controller.Register.Record()
+		return &messages.ContactTold{Disk: record.Disk, SetEpoch: record.Value.SetEpoch, Generation: record.Value.Current.Generation}, nil
+	}))
+}
+
+// attached tells whether the contact lease is valid. It never waits.
+func (controller *Controller) attached() bool {
+	state := &controller.contact
+	state.lock.Lock()
+	defer state.lock.Unlock()
+	return state.lease.Valid(&state.sets, clock.Now())
+}
+
+// inContact is attached for those who may wait a little: after a start or a freeze one
+// round decides whether the process is cut off at all.
+func (controller *Controller) inContact() bool {
+	if controller.attached() {
+		return true
+	}
+	state := &controller.contact
+	state.lock.Lock()
+	overdue := state.asked == 0 || clock.Now().Since(state.asked) > constants.ContactPeriod+constants.ContactTime
+	state.lock.Unlock()
+	if overdue {
+		controller.contactRound()
+	}
+	state.lock.Lock()
+	end := state.asked.Plus(constants.ContactTime / 2)
+	state.lock.Unlock()
+	for !controller.attached() {
+		if clock.Now() > end {
+			return false
+		}
+		clock.Sleep(constants.TickPeriod / 10)
+	}
+	return true
+}
+
+// followed is what this process follows of the register.
+func (controller *Controller) followed() contact.Followed {
+	return contact.Followed{SetEpoch: controller.Register.Known().SetEpoch, Generation: controller.Node.Generation()}
+}
+
+// contactRound asks all acceptors, this process's own among them.
+func (controller *Controller) contactRound() {
+	known := controller.Register.Known()
+	known.Body, known.History = nil, nil
+	now, state := clock.Now(), &controller.contact
+	state.lock.Lock()
+	state.asked, state.sets = now, known
+	state.lease.Trim(&known)
+	state.lock.Unlock()
+	for _, member := range register.Targets(&known) {
+		if member.Address == controller.Node.Own.Address {
+			record := controller.Register.Record()
+			controller.contactAnswered(member, now, &messages.ContactTold{Disk: record.Disk, SetEpoch: record.Value.SetEpoch, Generation: record.Value.Current.Generation})
+			continue
+		}
+		go func() {
+			told := &messages.ContactTold{}
+			if transport.Ask(controller.Node.Wire, member.Address, messages.KindContact, &messages.ContactAsk{From: controller.Node.Own.Address}, told, constants.ContactTime) == nil {
+				controller.contactAnswered(member, now, told)
+			}
+		}()
+	}
+}
+
+// contactAnswered takes one answer. Where the acceptor is ahead, the newer value is
+// looked for; until it is followed, that acceptor does not renew the lease.
+func (controller *Controller) contactAnswered(member messages.Member, asked clock.Moment, told *messages.ContactTold) {
+	// The answer counts for the disk that gave it: an emptied machine is another acceptor.
+	member.Disk = told.Disk
+	accepted, followed, state := contact.Followed{SetEpoch: told.SetEpoch, Generation: told.Generation}, controller.followed(), &controller.contact
+	state.lock.Lock()
+	ahead := state.lease.Answered(member, asked, accepted, followed)
+	look := ahead && !state.catching
+	state.catching = state.catching || look
+	state.lock.Unlock()
+	if look {
+		go controller.catchUp(accepted)
+	}
+}
+
+// catchUp looks for a value that an acceptor has accepted and this process does not
+// follow. Its proposer is given the time to spread it first.
+func (controller *Controller) catchUp(accepted contact.Followed) {
+	clock.Sleep(constants.PushTime / 2)
+	if accepted.SetEpoch > controller.followed().SetEpoch {
+		controller.learnSets()
+	}
+	if accepted.Generation > controller.followed().Generation {
+		if value, err := controller.shared.Read(controller.Register.Read); err == nil {
+			controller.chosen(value, false)
+		}
+	}
+	controller.contact.lock.Lock()
+	controller.contact.catching = false
+	controller.contact.lock.Unlock()
+	controller.contactRound()
+}
+
+// whileAttached runs work that may end in an unclear result, and gives it up once the
+// contact lease has run out: the work goes on, and its caller asks elsewhere.
+func whileAttached[Result any](controller *Controller, work func() Result) (Result, bool) {
+	results := make(chan Result, 1)
+	go func() { results <- work() }()
+	for {
+		select {
+		case result := <-results:
+			return result, true
+		case <-clock.After(constants.TickPeriod):
+			if !controller.attached() {
+				var none Result
+				return none, false
+			}
+		}
+	}
+}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -12,6 +12,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lemonarch/internal/configuration/configcheck"
+	"lemonarch/internal/control/broadcast"
+	"lemonarch/internal/control/contact"
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/workers"
@@ -38,7 +40,8 @@
 	peers    map[string]*peer
 	relays   map[string]*response
 	number   atomic.Uint64
-	met      atomic.Bool
+	// vouching is set once a majority of the acceptors was heard on the workers.
+	vouching atomic.Bool
 	shared   sharedRead
 	sets     sharedRead
 	batches  batches
@@ -46,6 +49,11 @@
 	server   *http.Server
 	memory   *memory
 	plans    plans
+	contact  contactState
+	binding  binding
+	backlog  *broadcast.Backlog
+	// recalled are the workers of the file, until a majority was heard on them.
+	recalled []messages.Worker
 }
 
 // New opens the disk and prepares the process.
@@ -89,10 +97,10 @@
 	runtime := node.New(nodeSettings, membership.RoleController, constants.PortController, told, log)
 	localRegister.Runtime, named.Runtime = runtime, runtime
 	controller := &Controller{Node: runtime, Register: localRegister, checker: checker, registry: workers.New(nodeSettings.Heartbeat()),
-		peers: map[string]*peer{}, relays: map[string]*response{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named}}
-	for _, worker := range workerList {
-		controller.registry.Merge(worker, clock.Now())
-	}
+		peers: map[string]*peer{}, relays: map[string]*response{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named},
+		backlog: broadcast.NewBacklog(), recalled: workerList}
+	controller.contact.lease = contact.New()
+	controller.binding.kept = map[string]messages.Phase{}
 	localRegister.Accepted = controller.accepted
 	controller.batches.later = afterWindow
 	controller.batches.spread = func(workerList []messages.Worker) {
@@ -102,6 +110,7 @@
 	controller.number.Store(uint64(runtime.Own.Life))
 	controller.answerers()
 	controller.reports()
+	go controller.memory.run(runtime.Stop, controller.remembered, log)
 	return controller, nil
 }
 
@@ -154,6 +163,8 @@
 	}))
 	runtime.Answer(messages.KindDutyChange, answer(controller.changeDuty))
 	controller.tableAnswerers()
+	controller.registerContact()
+	controller.registerRecall()
 	controller.namedAnswerers()
 	controller.planAnswerers()
 }
@@ -165,7 +176,8 @@
 		return err
 	}
 	go controller.relearn()
-	go controller.remembering()
+	go clock.Every(constants.ContactPeriod, runtime.Stop, controller.contactRound)
+	go clock.Every(constants.BacklogPeriod, runtime.Stop, controller.tendBacklog)
 	go clock.Every(constants.RosterPeriod, runtime.Stop, controller.beatOthers)
 	go clock.Every(constants.ShufflePeriod, runtime.Stop, controller.tendSet)
 	go clock.Every(constants.PlanPeriod, runtime.Stop, controller.tendPlans)
@@ -184,66 +196,3 @@
 	errandStop(controller.server)
 	controller.Node.End()
 }
-
-// relearn gets from peers what this process can't know after its start.
-func (controller *Controller) relearn() {
-	runtime := controller.Node
-	// Whoever does not know the fleet can't tell it of a drain: peers are asked until one
-	// has given its tables.
-	for controller.learning() {
-		controller.beatOthers()
-		clock.Sleep(2 * constants.StartPause)
-	}
-	for round := 0; ; round++ {
-		select {
-		case <-runtime.Stop:
-			return
-		default:
-		}
-		controller.learnSets()
-		if len(controller.Register.Known().Acceptors) > 0 {
-			if value, err := controller.Register.Read(); err == nil {
-				controller.chosen(value, false)
-				_, _ = controller.planRead()
-				return
-			}
-		}
-		clock.Sleep(constants.StartPause)
-	}
-}
-
-// learnSets asks other controllers who the acceptors are: one with an empty disk, or
-// one that was away for long, knows of none or of old ones.
-func (controller *Controller) learnSets() {
-	runtime := controller.Node
-	addresses := runtime.Settings.SeedAddresses(constants.PortController)
-	for _, entry := range runtime.Live(membership.RoleController) {
-		addresses = append(addresses, entry.Address)
-	}
-	asked := map[string]bool{runtime.Own.Address: true}
-	for _, address := range addresses {
-		if asked[address] {
-			continue
-		}
-		asked[address] = true
-		back := &messages.DutyChanged{}
-		if transport.Ask(runtime.Wire, address, messages.KindRegisterRead, &messages.Nothing{}, back, constants.CallTime) == nil {
-			value := back.Value
-			// Without its body this value is good for its sets only.
-			controller.Register.LearnSets(value)
-		}
-	}
-}
-
-func (controller *Controller) pulled(question *messages.ConfigPull) (transport.Writable, error) {
-	if question.Known < 0 || controller.Node.Config() == nil {
-		value, err := controller.shared.Read(controller.Register.Read)
-		if err != nil {
-			return nil, err
-		}
-		controller.chosen(value, false)
-		return &messages.ConfigPush{Generation: value.Current.Generation, Body: value.Body}, nil
-	}
-	config := controller.Node.Config()
-	return &messages.ConfigPush{Generation: config.Generation, Body: config.Body}, nil
-}
--- a/internal/control/controller/learning_test.go
+++ b/internal/control/controller/learning_test.go
@@ -4,49 +4,52 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/hashicorp/go-hclog"
-
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/messages"
 )
 
-// anHour is far longer than the test.
-const anHour = 3_600_000_000_000
+const drainCall = `{"backend":"s","address":"127.0.0.1:1","zone":"h","capacity":4,"phase":"draining","call-count":3}`
+
+// reported gives a controller's answer to a gateway's report.
+func reported(controller *Controller) *messages.Shuffle {
+	var answer *messages.Shuffle
+	asker := messages.Entry{Name: "f", Role: membership.RoleGateway, Address: "127.0.0.3:1", Zone: "h"}
+	controller.Node.Viewed(func(view *membership.View) {
+		answer = view.Answer(&messages.Shuffle{Entries: []messages.Entry{asker}}, clock.Now())
+	})
+	controller.addWorkers(answer)
+	return answer
+}
 
-// A controller that has just started acknowledges no drain and counts nobody until another
-// gave it its tables: it could tell nobody.
+// A controller that has just started acknowledges no drain, counts nobody and vouches for
+// no worker until a majority of the acceptors was heard on the workers.
 func TestStartingControllerLearnsFirst(test *testing.T) {
-	told := nodeSettings(test.TempDir(), false)
-	told.Seeds = append(told.Seeds, "127.0.0.2:21000")
-	controller, err := New(told, hclog.NewNullLogger())
-	if err != nil {
-		test.Fatal(err)
-	}
-	// However slow this machine is, the time to learn is not over.
-	controller.begun = clock.Now().Plus(anHour)
-	server := httptest.NewServer(controller.calls())
+	controllers, room := voters(test, 3)
+	starting := controllers[1]
+	server := httptest.NewServer(starting.calls())
 	defer server.Close()
-	const drain = `{"backend":"s","address":"127.0.0.1:1","zone":"h","capacity":4,"phase":"draining","call-count":3}`
-	counts := func() int {
-		var answer *messages.Shuffle
-		asker := messages.Entry{Name: "f", Role: membership.RoleGateway, Address: "127.0.0.3:1", Zone: "h"}
-		controller.Node.Viewed(func(view *membership.View) {
-			answer = view.Answer(&messages.Shuffle{Entries: []messages.Entry{asker}}, clock.Now())
-		})
-		controller.addWorkers(answer)
-		return len(answer.Counts)
+	room.Cut(controllers[2].Node.Own.Address, true)
+	room.Cut(controllers[3].Node.Own.Address, true)
+	if starting.recallOnce() || starting.inContact() {
+		test.Fatal("no majority answers")
+	}
+	if status, _ := call(test, server, "POST", "/-/Workers.Heartbeat/w", "", drainCall); status != 503 {
+		test.Fatal(status)
+	}
+	if answer := reported(starting); !answer.Detached || len(answer.Counts) != 0 || answer.Judging || answer.Workers.Life != 0 {
+		test.Fatal(answer)
+	}
+	if status, _ := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 503 {
+		test.Fatal(status)
 	}
-	if status, _ := call(test, server, "POST", "/-/Workers.Heartbeat/w", "", drain); status != 503 || counts() != 0 {
-		test.Fatal(status, counts())
+	room.Cut(controllers[2].Node.Own.Address, false)
+	starting.contactRound()
+	meet(test, starting)
+	if answer := reported(starting); answer.Detached || len(answer.Counts) == 0 || !answer.Judging {
+		test.Fatal(answer)
 	}
-	// Another controller's word, whose tables are empty too.
-	other := messages.Entry{Name: "o", Life: 1, Role: membership.RoleController, Address: "127.0.0.2:21100", Zone: "h"}
-	controller.Node.Hear([]messages.Entry{other})
-	var own messages.Digest
-	controller.Node.Viewed(func(view *membership.View) { own = view.Digest() })
-	controller.heardBeat(&messages.ControllerBeat{From: other, Workers: controller.registry.Digest(1), Processes: own}, clock.Now())
-	if status, body := call(test, server, "POST", "/-/Workers.Heartbeat/w", "", drain); status != 200 || counts() == 0 {
-		test.Fatal(status, body, counts())
+	if status, body := call(test, server, "POST", "/-/Workers.Heartbeat/w", "", drainCall); status != 200 {
+		test.Fatal(status, body)
 	}
 }
--- a/internal/control/controller/memory.go
+++ b/internal/control/controller/memory.go
@@ -1,7 +1,10 @@
 package controller
 
 import (
+	"github.com/hashicorp/go-hclog"
+
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/errs"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/recordlog"
@@ -17,14 +20,22 @@
 // Forgotten is the error of a file of workers that can't be kept.
 var Forgotten = errs.Define("workers on disk")
 
-// memory keeps who the workers are, so that a fleet that lost power as a whole
-// need not wait for a heartbeat of each. It is a help, not a promise: what it says
-// counts as just heard and is overtaken by any later call.
+// memory is the file of known workers. A drain or a departure is on the disks of a
+// majority of the acceptors before it is acknowledged (binding.go). A steady worker is
+// written when the disk has time for it: its next heartbeat says the same.
 type memory struct {
 	logfile *recordlog.Logfile
-	queue   chan messages.Worker
+	queue   chan keeping
+}
+
+// keeping is a list of workers to be written. done, where there is one, gets the result
+// once they are on disk.
+type keeping struct {
+	workers []messages.Worker
+	done    chan error
 }
 
+// openMemory reads the file: the last record of each worker counts.
 func openMemory(disk recordlog.Disk) (*memory, []messages.Worker, error) {
 	known := map[string]messages.Worker{}
 	var order []string
@@ -36,6 +47,7 @@
 		if _, seen := known[worker.ID]; !seen {
 			order = append(order, worker.ID)
 		}
+		worker.Phase = max(worker.Phase, known[worker.ID].Phase)
 		known[worker.ID] = worker
 		return nil
 	})
@@ -44,62 +56,95 @@
 	}
 	var workerList []messages.Worker
 	for _, id := range order {
-		if worker := known[id]; worker.Phase == messages.PhaseSteady {
-			worker.AgeMs = 0
-			workerList = append(workerList, worker)
-		}
+		worker := known[id]
+		worker.AgeMs = 0
+		workerList = append(workerList, worker)
 	}
 	const waiting = 256
-	return &memory{logfile: logfile, queue: make(chan messages.Worker, waiting)}, workerList, nil
+	return &memory{logfile: logfile, queue: make(chan keeping, waiting)}, workerList, nil
 }
 
-// remember queues a change; a worker's call is never held up by the disk.
-func (one *memory) remember(worker messages.Worker) {
+// remember queues a change that binds nobody: a worker's call is not held up by the disk,
+// and a change that finds no room is written with the next rewrite, or told again by the
+// worker.
+func (memory *memory) remember(worker messages.Worker) {
 	select {
-	case one.queue <- worker:
+	case memory.queue <- keeping{workers: []messages.Worker{worker}}:
 	default:
-		// The disk lags far behind: the next heartbeat after a restart tells it anyway.
 	}
 }
 
-// write keeps what was queued, several changes with one sync.
-func (controller *Controller) remembering() {
-	one := controller.memory
+// keep returns once workers are on disk, with an error if that failed or took too long.
+func (memory *memory) keep(workers []messages.Worker) error {
+	timer := clock.NewTimer(constants.TreeTime)
+	defer timer.Stop()
+	one := keeping{workers: workers, done: make(chan error, 1)}
+	select {
+	case memory.queue <- one:
+	case <-timer.C:
+		return Forgotten.New("the disk lags behind")
+	}
+	select {
+	case err := <-one.done:
+		return err
+	case <-timer.C:
+		return Forgotten.New("the disk lags behind")
+	}
+}
+
+// run writes what was queued, several changes with one sync. all gives every worker for
+// a rewrite of the file.
+func (memory *memory) run(stop <-chan struct{}, all func() []messages.Worker, log hclog.Logger) {
 	for {
-		var batch [][]byte
+		var batch []keeping
 		select {
-		case <-controller.Node.Stop:
+		case <-stop:
 			return
-		case worker := <-one.queue:
-			batch = append(batch, packWorker(worker))
+		case one := <-memory.queue:
+			batch = append(batch, one)
 		}
 		for more := true; more; {
 			select {
-			case worker := <-one.queue:
-				batch = append(batch, packWorker(worker))
+			case one := <-memory.queue:
+				batch = append(batch, one)
 			default:
 				more = false
 			}
 		}
-		var err error
-		if one.logfile.Size() > memoryLimit {
-			controller.lock.Lock()
-			batch = nil
-			for _, worker := range controller.registry.All(clock.Now()) {
-				batch = append(batch, packWorker(worker))
-			}
-			controller.lock.Unlock()
-			_, err = one.logfile.Rewrite(recordlog.Once(batch...))
-		} else if _, err = one.logfile.Append(batch...); err == nil {
-			err = one.logfile.Sync()
-		}
+		err := memory.write(batch, all)
 		if err != nil {
-			controller.Node.Log.Warn("workers not kept", "why", err.Error())
+			log.Warn("workers not kept", "why", err.Error())
 		}
+		for _, one := range batch {
+			if one.done != nil {
+				one.done <- err
+			}
+		}
+	}
+}
+
+// write puts a batch on disk. What is in the batch is in all as well: callers change the
+// registry first.
+func (memory *memory) write(batch []keeping, all func() []messages.Worker) error {
+	if memory.logfile.Size() > memoryLimit {
+		_, err := memory.logfile.Rewrite(recordlog.Once(packWorkers(all())...))
+		return Forgotten.Wrap(err, "rewrite")
+	}
+	var records [][]byte
+	for _, one := range batch {
+		records = append(records, packWorkers(one.workers)...)
 	}
+	if _, err := memory.logfile.Append(records...); err != nil {
+		return Forgotten.Wrap(err, "append")
+	}
+	return Forgotten.Wrap(memory.logfile.Sync(), "sync")
 }
 
-func packWorker(worker messages.Worker) []byte {
-	body, _ := worker.MarshalMsg(nil)
-	return body
+func packWorkers(workers []messages.Worker) [][]byte {
+	var records [][]byte
+	for _, worker := range workers {
+		body, _ := worker.MarshalMsg(nil)
+		records = append(records, body)
+	}
+	return records
 }
--- a/internal/control/controller/plans.go
+++ b/internal/control/controller/plans.go
@@ -175,7 +175,7 @@
 func (controller *Controller) tendPlans() {
 	controller.tendNamed(controller.plans.localRegister)
 	told := controller.planTold()
-	if told.Revision == 0 || !controller.judging() {
+	if told.Revision == 0 || !controller.attached() || controller.learning() {
 		return
 	}
 	now := clock.Now()
--- /dev/null
+++ b/internal/control/controller/replace.go
@@ -0,0 +1,122 @@
+package controller
+
+import (
+	"net/http"
+	"strconv"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/httpreply"
+	"lemonarch/internal/platform/messages"
+)
+
+// replaced is how a change of the configuration came out.
+type replaced struct {
+	value  messages.Register
+	result register.Result
+	err    error
+}
+
+// confirmed tells whether the version is in force.
+func (one *replaced) confirmed() bool {
+	return one.err == nil && (one.result == register.ResultTaken || one.result == register.ResultAlready)
+}
+
+// requireContact sends a caller away without a clear answer where this process has no
+// contact with a majority: it can neither confirm nor refuse.
+func (controller *Controller) requireContact(writer http.ResponseWriter) bool {
+	if controller.inContact() {
+		return true
+	}
+	httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+	return false
+}
+
+func (controller *Controller) replace(writer http.ResponseWriter, request *http.Request) {
+	body, whole := readBody(writer, request, bodySlack*constants.RequestLimit)
+	if !whole {
+		return
+	}
+	base, err := strconv.ParseInt(request.Header.Get(headerBase), 10, 64)
+	if err != nil || base < 0 {
+		httpreply.Reason(writer, http.StatusBadRequest, headerBase+" is missing or no number")
+		return
+	}
+	controller.checking.Lock()
+	config, findings := controller.checker.Check(body)
+	controller.checking.Unlock()
+	if len(findings) > 0 {
+		controller.Node.Log.Info("configuration refused", "why", findings[0])
+		httpreply.JSON(writer, http.StatusBadRequest, refusal{Error: findings[0], Findings: findings})
+		return
+	}
+	if !controller.requireContact(writer) {
+		return
+	}
+	version := messages.Version{Generation: config.Generation, Base: base, Hash: routeconfig.Hash(body)}
+	one, attached := whileAttached(controller, func() replaced { return controller.putVersion(version, body) })
+	if !attached {
+		one.err = Detached.New("contact was lost meanwhile")
+	}
+	if one.err != nil {
+		// Not in force for certain only without a second round; both are 5xx, and
+		// neither is a refusal.
+		controller.Node.Log.Warn("configuration unclear", "generation", config.Generation, "why", one.err.Error())
+		httpreply.Reason(writer, http.StatusGatewayTimeout, one.err.Error())
+		return
+	}
+	switch one.result {
+	case register.ResultTaken, register.ResultAlready:
+		controller.Node.Log.Info("configuration acknowledged", "generation", config.Generation)
+		httpreply.JSON(writer, http.StatusOK, map[string]int64{"generation": config.Generation})
+	case register.ResultOther:
+		httpreply.Reason(writer, http.StatusPreconditionFailed, "another version is in place: "+strconv.FormatInt(one.value.Current.Generation, 10))
+	default:
+		httpreply.Reason(writer, http.StatusBadRequest, "generation is not above the current one")
+	}
+}
+
+// refusal is the body of an answer to a configuration that is not valid.
+type refusal struct {
+	Error    string   `json:"error"`
+	Findings []string `json:"findings"`
+}
+
+// putVersion puts a version in force, waits until the set that holds it outlasts the
+// fault budget, and has everybody told.
+func (controller *Controller) putVersion(version messages.Version, body []byte) replaced {
+	var one replaced
+	one.value, one.err = controller.Register.Change(register.Replace(version, body, &one.result))
+	for end := clock.Now().Plus(constants.CallTime); one.confirmed() && !controller.bears(&one.value); {
+		if clock.Now() > end {
+			one.err = register.Unclear.New("the set of acceptors is still growing")
+			return one
+		}
+		// It is in force, yet the losses of the budget could take it away again: it is
+		// confirmed only once the set is whole, which takes the value along.
+		clock.Sleep(constants.TickPeriod)
+		one.value, one.err = controller.Register.Change(register.Replace(version, body, &one.result))
+	}
+	if one.err == nil {
+		controller.chosen(one.value, one.confirmed())
+	}
+	return one
+}
+
+func (controller *Controller) read(writer http.ResponseWriter, _ *http.Request) {
+	if !controller.requireContact(writer) {
+		return
+	}
+	value, err := controller.Register.Read()
+	if err != nil {
+		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		return
+	}
+	if value.Current.Generation == 0 {
+		httpreply.Reason(writer, http.StatusNotFound, "no configuration yet")
+		return
+	}
+	httpreply.Bytes(writer, http.StatusOK, "application/json", value.Body)
+}
--- a/internal/control/controller/tables.go
+++ b/internal/control/controller/tables.go
@@ -24,6 +24,10 @@
 		return &messages.Nothing{Taken: true}, nil
 	}))
 	runtime.Answer(messages.KindRosterPull, answer(func(question *messages.RosterPull) (transport.Writable, error) {
+		if controller.learning() {
+			// What the file says may be older than a drain that was acknowledged.
+			return nil, Detached.New("workers not known yet")
+		}
 		controller.lock.Lock()
 		defer controller.lock.Unlock()
 		return &messages.RosterPush{From: membership.Key(runtime.Own), Workers: controller.registry.Since(question.Since, clock.Now()),
@@ -58,37 +62,29 @@
 	}
 }
 
-// learning tells whether this process has just started and has not had the tables of
-// another controller yet: till then it takes no calls of workers, who go to the next.
-func (controller *Controller) learning() bool {
-	alone := true
-	for _, address := range controller.Node.Settings.SeedAddresses(constants.PortController) {
-		alone = alone && address == controller.Node.Own.Address
-	}
-	return !alone && !controller.met.Load() && clock.Now().Since(controller.begun) < constants.RelearnTime
-}
+// learning tells whether this process has started and has not heard a majority of the
+// acceptors on the workers yet: till then it takes no calls of workers, who go to the
+// next, and vouches for none.
+func (controller *Controller) learning() bool { return !controller.vouching.Load() }
 
-// addWorkers adds the word on workers to the answer that a process gets: a digest of
-// the table, and who is silent, as far as this controller can judge.
+// addWorkers completes the answer to a process's report: a digest of the table of
+// workers, and who is silent. A controller that is not in contact with a majority, or
+// has just started, says that and nothing else.
 func (controller *Controller) addWorkers(answer *messages.Shuffle) {
+	if !controller.attached() {
+		*answer = messages.Shuffle{Entries: answer.Entries[:1], Detached: true}
+		return
+	}
 	if controller.learning() {
 		// It knows too few yet to say how many there are, or who is silent.
 		answer.Counts = nil
 		return
 	}
-	judging, plan := controller.judging(), controller.planTold().Revision
+	plan := controller.planTold().Revision
 	controller.lock.Lock()
 	defer controller.lock.Unlock()
 	answer.Workers, answer.Plan = controller.registry.Digest(controller.Node.Own.Life), plan
-	if answer.Judging = judging; judging {
-		answer.Overdue = controller.registry.Overdue(clock.Now())
-	}
-}
-
-// judging tells whether silence here means anything: workers beat at any controller, so one
-// that hears no other must not take them for silent.
-func (controller *Controller) judging() bool {
-	return len(controller.Node.Live(membership.RoleController)) > 0 || len(controller.Node.All(membership.RoleController)) == 0
+	answer.Judging, answer.Overdue = true, controller.registry.Overdue(clock.Now())
 }
 
 // word is what another controller is told: digests, and who was heard here directly.
@@ -102,7 +98,8 @@
 	word.Plan = controller.planTold().Revision
 	controller.lock.Unlock()
 	controller.Node.Viewed(func(view *membership.View) {
-		word.From, word.Processes, word.Met = view.Own(), view.Digest(), view.MetSince(since)
+		word.From, word.Processes, word.Follow = view.Own(), view.Digest(), view.Own().Generation
+		word.Met, word.Behind = view.MetSince(since)
 	})
 	return word
 }
@@ -113,6 +110,10 @@
 	runtime, now := controller.Node, clock.Now()
 	controller.lock.Lock()
 	controller.registry.Forget(now.Plus(-constants.ForgetAfter))
+	controller.binding.trim(func(id string) bool {
+		_, known := controller.registry.Get(id)
+		return known
+	})
 	for key, one := range controller.relays {
 		if now.Since(one.begun) > constants.BulkCallTime {
 			delete(controller.relays, key)
@@ -161,7 +162,7 @@
 	controller.lock.Unlock()
 	var processes messages.Digest
 	runtime.Viewed(func(view *membership.View) {
-		view.Vouched(beat.Met, now)
+		view.Vouched(beat, now)
 		processes = view.Digest()
 	})
 	controller.lock.Lock()
@@ -185,7 +186,6 @@
 			controller.lock.Unlock()
 		}
 	}
-	controller.met.Store(true)
 }
 
 // behind tells whether another's table may hold something beyond ours, and from which
--- a/internal/control/controller/tree.go
+++ b/internal/control/controller/tree.go
@@ -21,14 +21,14 @@
 	done  chan struct{}
 }
 
-// directory gives every other process, the silent ones included: word to one that is
-// out of reach fails fast and is made up for by the digests. Who follows a generation
-// already need not get it again.
+// directory gives every other process, the silent ones included, until constants.ForgetAfter
+// has passed since anybody heard of it: one that is silent to us may be in touch with
+// others. Who follows a generation already need not get it again.
 func (controller *Controller) directory(generation int64) []messages.Entry {
 	var found []messages.Entry
 	for _, entry := range controller.Node.All("") {
 		has := generation > 0 && entry.Generation >= generation && entry.Role != membership.RoleController
-		if entry.AgeMs < 4*constants.SilentAfter.Milliseconds() && !has {
+		if !has {
 			found = append(found, entry)
 		}
 	}
@@ -49,6 +49,9 @@
 func (controller *Controller) spread(word *messages.Relay, span clock.Span) {
 	word.From, word.Number = membership.Key(controller.Node.Own), controller.number.Add(1)
 	job, sends := broadcast.Fleet(controller.Node.Own, controller.directory(word.Generation), fan(word), clock.Now())
+	if word.Generation > 0 {
+		controller.owe(word, job.Unconfirmed(sends), constants.BacklogPassedPause)
+	}
 	one := controller.deliver(word, job, sends)
 	timer := clock.NewTimer(span)
 	defer timer.Stop()
@@ -76,6 +79,9 @@
 		var next []broadcast.Send
 		if err != nil {
 			next = job.Failed(send, clock.Now())
+			if entry := job.Told(send); send.Step == broadcast.StepTell && entry.Address != "" {
+				controller.owe(word, []messages.Entry{entry}, constants.BacklogPause)
+			}
 		} else {
 			next = job.Took(send, missing, clock.Now())
 		}
--- a/internal/control/controller/workers.go
+++ b/internal/control/controller/workers.go
@@ -25,8 +25,7 @@
 }
 
 func (controller *Controller) beat(writer http.ResponseWriter, request *http.Request) {
-	if controller.learning() {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+	if !controller.takesWorkers(writer) {
 		return
 	}
 	body, whole := readBody(writer, request, constants.HeadLimit)
@@ -47,13 +46,21 @@
 	if call.Phase == "draining" {
 		worker.Phase = messages.PhaseDraining
 	}
-	controller.noteWorker(worker)
-	httpreply.JSON(writer, http.StatusOK, struct{}{})
+	controller.acknowledge(writer, worker)
 }
 
-func (controller *Controller) depart(writer http.ResponseWriter, request *http.Request) {
-	if controller.learning() {
+// takesWorkers tells whether this process can spread what a worker says. Where it can't,
+// the caller is sent to another one.
+func (controller *Controller) takesWorkers(writer http.ResponseWriter) bool {
+	if controller.learning() || !controller.inContact() {
 		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		return false
+	}
+	return true
+}
+
+func (controller *Controller) depart(writer http.ResponseWriter, request *http.Request) {
+	if !controller.takesWorkers(writer) {
 		return
 	}
 	body, whole := readBody(writer, request, constants.HeadLimit)
@@ -71,19 +78,42 @@
 	}
 	worker.Phase = messages.PhaseGone
 	worker.Count = max(worker.Count+1, call.Count)
-	controller.noteWorker(worker)
-	httpreply.JSON(writer, http.StatusOK, struct{}{})
+	controller.acknowledge(writer, worker)
 }
 
-// noteWorker applies a call and tells everybody of a change before it is acknowledged.
-func (controller *Controller) noteWorker(worker messages.Worker) {
+// acknowledge applies a call of a worker and answers it. A drain or a departure is
+// acknowledged once a majority of the acceptors has it on disk and the processes in
+// touch were told; where that fails the caller asks another controller.
+func (controller *Controller) acknowledge(writer http.ResponseWriter, worker messages.Worker) {
 	controller.lock.Lock()
 	changed := controller.registry.Beat(worker, clock.Now())
 	worker, _ = controller.registry.Get(worker.ID)
 	controller.lock.Unlock()
 	if changed {
-		controller.memory.remember(worker)
 		controller.Node.Log.Info("worker", "id", worker.ID, "service", worker.Backend, "phase", worker.Phase.String(), "address", worker.Address)
-		controller.tell(worker)
 	}
+	switch {
+	case worker.Phase == messages.PhaseSteady:
+		if changed {
+			controller.memory.remember(worker)
+			controller.tell(worker)
+		}
+	case !controller.binding.isKept(worker):
+		if !controller.bind(worker) {
+			controller.Node.Log.Warn("not acknowledged: no majority has it on disk", "id", worker.ID, "phase", worker.Phase.String())
+			httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+			return
+		}
+		controller.binding.setKept(worker)
+	}
+	httpreply.JSON(writer, http.StatusOK, struct{}{})
+}
+
+// bind has a drain or a departure told to all in touch and kept by a majority, at the
+// same time.
+func (controller *Controller) bind(worker messages.Worker) bool {
+	kept := make(chan bool, 1)
+	go func() { kept <- controller.keepAtMajority(worker) }()
+	controller.tell(worker)
+	return <-kept
 }
--- a/internal/control/membership/exchange.go
+++ b/internal/control/membership/exchange.go
@@ -21,10 +21,19 @@
 	return question
 }
 
+// BriefQuestion is the owner's short report to a second controller: a sign of life, and
+// a question for what is new.
+func (view *View) BriefQuestion() *messages.Shuffle {
+	return &messages.Shuffle{Entries: []messages.Entry{view.own}, Brief: true}
+}
+
 // Answer is a controller's: itself, the ages asked for, whom the asker should know and
 // does not, and how many there are of each role.
 func (view *View) Answer(question *messages.Shuffle, now clock.Moment) *messages.Shuffle {
 	answer := &messages.Shuffle{Entries: []messages.Entry{view.own}}
+	if question.Brief {
+		return answer
+	}
 	has := map[uint32]bool{}
 	for _, mark := range question.Known {
 		has[mark] = true
@@ -117,9 +126,8 @@
 	entries := view.All(RoleController, now)
 	own := Key(view.own)
 	rank := func(entry messages.Entry) int {
-		failed, shunned := view.shunned[entry.Address]
 		switch {
-		case entry.Leaving || (shunned && now.Since(failed) < constants.SilentAfter) || entry.AgeMs >= constants.SilentAfter.Milliseconds():
+		case !view.usable(entry, now):
 			return 2
 		case entry.Zone != view.own.Zone:
 			return 1
@@ -132,3 +140,37 @@
 	})
 	return entries
 }
+
+// usable tells whether a controller is worth asking: it was heard lately and did not
+// just fail to answer, or answer that it is detached.
+func (view *View) usable(entry messages.Entry, now clock.Moment) bool {
+	failed, shunned := view.shunned[entry.Address]
+	if shunned && now.Since(failed) < constants.SilentAfter {
+		return false
+	}
+	return !entry.Leaving && entry.AgeMs < constants.SilentAfter.Milliseconds()
+}
+
+// SecondControllers gives the controllers other than the first in the order in which a
+// short report tries them: the usable ones of other zones in random order, then the
+// usable ones of the owner's zone, then the rest.
+func (view *View) SecondControllers(first string, now clock.Moment) []messages.Entry {
+	var ranked [3][]messages.Entry
+	for _, entry := range view.All(RoleController, now) {
+		switch {
+		case entry.Address == first:
+		case !view.usable(entry, now):
+			ranked[2] = append(ranked[2], entry)
+		case entry.Zone != view.own.Zone:
+			ranked[0] = append(ranked[0], entry)
+		default:
+			ranked[1] = append(ranked[1], entry)
+		}
+	}
+	var entries []messages.Entry
+	for _, group := range ranked {
+		view.random.Shuffle(len(group), func(left, right int) { group[left], group[right] = group[right], group[left] })
+		entries = append(entries, group...)
+	}
+	return entries
+}
--- a/internal/control/membership/table.go
+++ b/internal/control/membership/table.go
@@ -62,23 +62,45 @@
 	return found
 }
 
-// MetSince gives the marks of the processes that spoke to this one after a moment.
-func (view *View) MetSince(moment clock.Moment) []uint32 {
-	var marks []uint32
+// MetSince gives the marks of the processes that reported to this one after a moment, and
+// which of them do not follow the owner's configuration.
+func (view *View) MetSince(moment clock.Moment) (met, behind []uint32) {
 	for _, known := range view.entries {
-		if known.direct > moment {
-			marks = append(marks, known.mark)
+		if known.direct <= moment {
+			continue
 		}
+		met = append(met, known.mark)
+		if known.entry.Generation < view.own.Generation {
+			behind = append(behind, known.mark)
+		}
+	}
+	for _, marks := range [][]uint32{met, behind} {
+		sort.Slice(marks, func(left, right int) bool { return marks[left] < marks[right] })
 	}
-	sort.Slice(marks, func(left, right int) bool { return marks[left] < marks[right] })
-	return marks
+	return met, behind
 }
 
-// Vouched takes another controller's word on who has spoken to it.
-func (view *View) Vouched(marks []uint32, now clock.Moment) {
-	for _, mark := range marks {
-		if known := view.entries[view.marks[mark]]; known != nil {
-			known.heard = max(known.heard, now)
+// Vouched takes another controller's list of who has reported to it.
+func (view *View) Vouched(beat *messages.ControllerBeat, now clock.Moment) {
+	behind := map[uint32]bool{}
+	for _, mark := range beat.Behind {
+		behind[mark] = true
+	}
+	for _, mark := range beat.Met {
+		known := view.entries[view.marks[mark]]
+		if known == nil {
+			continue
+		}
+		known.heard = max(known.heard, now)
+		if !behind[mark] {
+			known.entry.Generation = max(known.entry.Generation, beat.Follow)
 		}
 	}
 }
+
+// Follows notes that a process has taken a configuration.
+func (view *View) Follows(key string, life, generation int64) {
+	if known := view.entries[key]; known != nil && known.entry.Life == life {
+		known.entry.Generation = max(known.entry.Generation, generation)
+	}
+}
--- a/internal/platform/constants/views.go
+++ b/internal/platform/constants/views.go
@@ -40,9 +40,6 @@
 	// ReportTime bounds the periodic word with a controller (ours): another one is asked
 	// then, well before the next period.
 	ReportTime = 400 * time.Millisecond
-	// RelearnTime is how long a starting controller waits for the tables of another before
-	// it takes calls of workers without them (ours).
-	RelearnTime = 1500 * time.Millisecond
 	// TreeTime bounds the wait for the whole fleet to take word of a worker before the
 	// worker's call is acknowledged (ours): it waits a second at most.
 	TreeTime = 650 * time.Millisecond
--- a/internal/platform/messages/kinds.go
+++ b/internal/platform/messages/kinds.go
@@ -7,6 +7,7 @@
 //go:generate go tool msgp -o lots_gen.go -file lots.go -tests=false -io=false
 //go:generate go tool msgp -o dispatch_gen.go -file dispatch.go -tests=false -io=false
 //go:generate go tool msgp -o plans_gen.go -file plans.go -tests=false -io=false
+//go:generate go tool msgp -o contact_gen.go -file contact.go -tests=false -io=false
 //go:generate go tool msgp -o kinds_gen.go -file kinds.go -tests=false -io=false
 //go:generate go tool stringer -type=Kind,Phase,RecordKind,RouteKind,AckKind,AckVerdict -output=kinds_string.go
 
@@ -48,6 +49,9 @@
 	KindPlanPull
 	KindPlanApply
 	KindCopy
+	KindContact
+	KindWorkersKeep
+	KindWorkersRecall
 )
 
 // Phase is a worker's phase.
--- a/internal/platform/messages/kinds_string.go
+++ b/internal/platform/messages/kinds_string.go
@@ -41,11 +41,14 @@
 	_ = x[KindPlanPull-30]
 	_ = x[KindPlanApply-31]
 	_ = x[KindCopy-32]
+	_ = x[KindContact-33]
+	_ = x[KindWorkersKeep-34]
+	_ = x[KindWorkersRecall-35]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReadingKindControllerBeatKindDirectoryPullKindRelayKindRelayWaitKindAcquireKindAcknowledgeKindStopRunsKindNamedPrepareKindNamedAcceptKindNamedReadKindPlanPullKindPlanApplyKindCopy"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindAskKindConfigPushKindConfigPullKindRosterPushKindRosterPullKindGossipKindLotCallKindRaiseKindAppendKindFetchKindHolderToldKindStatusKindRegisterReadKindDutyChangeKindPressureKindReadingKindControllerBeatKindDirectoryPullKindRelayKindRelayWaitKindAcquireKindAcknowledgeKindStopRunsKindNamedPrepareKindNamedAcceptKindNamedReadKindPlanPullKindPlanApplyKindCopyKindContactKindWorkersKeepKindWorkersRecall"
 
-var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229, 247, 264, 273, 286, 297, 312, 324, 340, 355, 368, 380, 393, 401}
+var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 47, 61, 75, 89, 103, 113, 124, 133, 143, 152, 166, 176, 192, 206, 218, 229, 247, 264, 273, 286, 297, 312, 324, 340, 355, 368, 380, 393, 401, 412, 427, 444}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/platform/messages/views.go
+++ b/internal/platform/messages/views.go
@@ -38,6 +38,11 @@
 	Table Digest `msg:"t"`
 	// Plan is the revision of the assignments that a controller follows.
 	Plan int64 `msg:"v"`
+	// Brief marks a report to a second controller: its answer is short.
+	Brief bool `msg:"y"`
+	// Detached is set by a controller that is not in contact with a majority of the
+	// acceptors: what it knows may be old, and the asker reports elsewhere.
+	Detached bool `msg:"z"`
 }
 
 // AgeUnknown stands for an age that can't be told, or for one too large to tell.
@@ -52,6 +57,9 @@
 	// directly since the last word to this controller.
 	Beaten []uint32 `msg:"b"`
 	Met    []uint32 `msg:"m"`
+	// Follow is a generation that all of Met follow but those in Behind.
+	Follow int64    `msg:"g"`
+	Behind []uint32 `msg:"u"`
 	// Plan is the revision of the assignments that the sender follows.
 	Plan int64 `msg:"v"`
 }
--- a/internal/platform/messages/views_gen.go
+++ b/internal/platform/messages/views_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ControllerBeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "f"
-	o = append(o, 0x86, 0xa1, 0x66)
+	o = append(o, 0x88, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -43,6 +43,15 @@
 	for za0002 := range z.Met {
 		o = msgp.AppendUint32(o, z.Met[za0002])
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt64(o, z.Follow)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Behind)))
+	for za0003 := range z.Behind {
+		o = msgp.AppendUint32(o, z.Behind[za0003])
+	}
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendInt64(o, z.Plan)
@@ -123,6 +132,31 @@
 					return
 				}
 			}
+		case "g":
+			z.Follow, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Follow")
+				return
+			}
+		case "u":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Behind")
+				return
+			}
+			if cap(z.Behind) >= int(zb0004) {
+				z.Behind = (z.Behind)[:zb0004]
+			} else {
+				z.Behind = make([]uint32, zb0004)
+			}
+			for za0003 := range z.Behind {
+				z.Behind[za0003], bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Behind", za0003)
+					return
+				}
+			}
 		case "v":
 			z.Plan, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -143,7 +177,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ControllerBeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + z.Workers.Msgsize() + 2 + z.Processes.Msgsize() + 2 + msgp.ArrayHeaderSize + (len(z.Beaten) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Met) * (msgp.Uint32Size)) + 2 + msgp.Int64Size
+	s = 1 + 2 + z.From.Msgsize() + 2 + z.Workers.Msgsize() + 2 + z.Processes.Msgsize() + 2 + msgp.ArrayHeaderSize + (len(z.Beaten) * (msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Met) * (msgp.Uint32Size)) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Behind) * (msgp.Uint32Size)) + 2 + msgp.Int64Size
 	return
 }
 
@@ -837,9 +871,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Shuffle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 11
 	// string "e"
-	o = append(o, 0x89, 0xa1, 0x65)
+	o = append(o, 0x8b, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
 	for za0001 := range z.Entries {
 		o, err = z.Entries[za0001].MarshalMsg(o)
@@ -904,6 +938,12 @@
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendInt64(o, z.Plan)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendBool(o, z.Brief)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Detached)
 	return
 }
 
@@ -1102,6 +1142,18 @@
 				err = msgp.WrapError(err, "Plan")
 				return
 			}
+		case "y":
+			z.Brief, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Brief")
+				return
+			}
+		case "z":
+			z.Detached, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detached")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1124,6 +1176,6 @@
 	for za0005 := range z.Counts {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Counts[za0005].Role) + 2 + msgp.IntSize
 	}
-	s += 2 + z.Table.Msgsize() + 2 + msgp.Int64Size
+	s += 2 + z.Table.Msgsize() + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
--- a/internal/platform/node/config.go
+++ b/internal/platform/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"math/rand"
 
 	"lemonarch/internal/configuration/routeconfig"
@@ -61,10 +62,22 @@
 	if len(push.Pass) > 0 {
 		go runtime.passOn(push)
 	}
-	if push.Generation > runtime.Generation() {
+	if push.Generation > runtime.Generation() && len(push.Body) > 0 {
 		runtime.Take(push.Body)
 	}
-	return transport.Write(&messages.Nothing{Taken: true})
+	// A push without a body only says that there is one.
+	runtime.SawGeneration(push.Generation)
+	return transport.Write(&messages.Nothing{Taken: runtime.Generation() >= push.Generation})
+}
+
+// pulled answers another process that has seen this one follow a newer configuration.
+// What is followed here was chosen. Controllers answer for themselves.
+func (runtime *Node) pulled(_ []byte) ([]byte, error) {
+	config := runtime.Config()
+	if config == nil {
+		return nil, Unable.New("no configuration yet")
+	}
+	return transport.Write(&messages.ConfigPush{Generation: config.Generation, Body: config.Body})
 }
 
 // passOn sends a configuration on to the part of the zone that came with it, through a
@@ -87,7 +100,12 @@
 }
 
 // SawGeneration pulls a configuration that somebody was seen to have.
-func (runtime *Node) SawGeneration(generation int64) {
+func (runtime *Node) SawGeneration(generation int64) { runtime.SawGenerationAt(generation, "") }
+
+// SawGenerationAt pulls a configuration that the process at an address was seen to have;
+// it is asked first. The pull goes on until somebody gave that configuration or a newer
+// one: a controller that is behind must not end it.
+func (runtime *Node) SawGenerationAt(generation int64, address string) {
 	runtime.lock.Lock()
 	if runtime.pulling || (runtime.config != nil && runtime.config.Generation >= generation) || generation == 0 {
 		runtime.lock.Unlock()
@@ -96,23 +114,47 @@
 	runtime.pulling = true
 	runtime.lock.Unlock()
 	go func() {
-		runtime.Pull(false)
+		runtime.pullUntil(generation, address)
 		runtime.lock.Lock()
 		runtime.pulling = false
 		runtime.lock.Unlock()
 	}()
 }
 
-// Pull asks controllers for the newest configuration until one answers. settled asks
-// for a read at a majority.
-func (runtime *Node) Pull(settled bool) bool {
-	question := &messages.ConfigPull{Known: runtime.Generation()}
-	if settled {
-		question.Known = -1
+// pullUntil asks one process, then the controllers, until this process follows a
+// generation, and tells whether any of them answered.
+func (runtime *Node) pullUntil(generation int64, first string) bool {
+	addresses := runtime.controllerAddresses()
+	if first != "" {
+		addresses = append([]string{first}, addresses...)
+	}
+	any := false
+	for _, address := range addresses {
+		if runtime.pullFrom(address, false) {
+			any = true
+		}
+		if runtime.Generation() >= generation {
+			break
+		}
+	}
+	return any
+}
+
+// pullSettled asks controllers until one of them has read the configuration at a majority.
+func (runtime *Node) pullSettled() bool {
+	for _, address := range runtime.controllerAddresses() {
+		if runtime.pullFrom(address, true) {
+			return true
+		}
 	}
+	return false
+}
+
+// controllerAddresses gives the controllers to ask: those that have just failed to
+// answer, or are detached, come last.
+func (runtime *Node) controllerAddresses() []string {
 	var addresses []string
 	runtime.Viewed(func(view *membership.View) {
-		// Those that have just failed to answer come last.
 		for _, entry := range view.Controllers(clock.Now()) {
 			addresses = append(addresses, entry.Address)
 		}
@@ -121,22 +163,25 @@
 		addresses = runtime.Settings.SeedAddresses(constants.PortController)
 		rand.Shuffle(len(addresses), func(left, right int) { addresses[left], addresses[right] = addresses[right], addresses[left] })
 	}
-	for _, address := range addresses {
-		answer := &messages.ConfigPush{}
-		span := constants.CallTime
-		if settled {
-			span = constants.RegisterTime
-		}
-		if transport.Ask(runtime.Wire, address, messages.KindConfigPull, question, answer, span) != nil {
-			runtime.Viewed(func(view *membership.View) { view.Failed(address, clock.Now()) })
-			continue
-		}
-		if answer.Generation > 0 {
-			runtime.Take(answer.Body)
-		}
-		return true
+	return addresses
+}
+
+// pullFrom asks one process for its configuration, or for a read at a majority, and
+// tells whether it answered.
+func (runtime *Node) pullFrom(address string, settled bool) bool {
+	question, span := &messages.ConfigPull{Known: runtime.Generation()}, constants.CallTime
+	if settled {
+		question.Known, span = -1, constants.RegisterTime
 	}
-	return false
+	answer := &messages.ConfigPush{}
+	if transport.Ask(runtime.Wire, address, messages.KindConfigPull, question, answer, span) != nil {
+		runtime.Viewed(func(view *membership.View) { view.Failed(address, clock.Now()) })
+		return false
+	}
+	if answer.Generation > 0 {
+		runtime.Take(answer.Body)
+	}
+	return true
 }
 
 // PullFirst is how a starting process learns the configuration: from a majority,
@@ -151,7 +196,7 @@
 		default:
 		}
 		late := clock.Now().Since(begun) > enough
-		if (runtime.Pull(true) || (late && runtime.Pull(false))) && runtime.Config() != nil {
+		if (runtime.pullSettled() || (late && runtime.pullUntil(math.MaxInt64, ""))) && runtime.Config() != nil {
 			done()
 			return
 		}
--- a/internal/platform/node/exchange.go
+++ b/internal/platform/node/exchange.go
@@ -26,7 +26,7 @@
 	for round := 0; ; round++ {
 		for _, seed := range runtime.Settings.SeedAddresses(constants.PortController) {
 			if seed != runtime.Own.Address {
-				go runtime.report(seed)
+				go runtime.report(seed, false)
 			}
 		}
 		clock.Sleep(constants.StartPause * 2)
@@ -46,28 +46,29 @@
 	runtime.exchange()
 	// Processes that start at one moment must not all ask at one moment ever after.
 	clock.Sleep(clock.Span(rand.Int63n(int64(constants.ShufflePeriod))))
+	go clock.Every(constants.SecondReportPeriod, runtime.Stop, runtime.secondReport)
 	clock.Every(constants.ShufflePeriod, runtime.Stop, runtime.exchange)
 }
 
-// exchange is the periodic word with a controller of the zone, or of another zone while
-// this one's don't answer; now and then, and while no controller answers, with a neighbour.
+// exchange is the periodic report to a controller of the zone, or of another zone while
+// this one's don't answer or are detached; now and then, and while no controller
+// answers, views are exchanged with a neighbour.
 func (runtime *Node) exchange() {
-	const tries = 3
 	runtime.lock.Lock()
 	runtime.rounds++
 	round := runtime.rounds
 	controllers := runtime.view.Controllers(clock.Now())
 	runtime.lock.Unlock()
-	heard := false
-	for place := 0; place < min(tries, len(controllers)) && !heard; place++ {
-		heard = runtime.report(controllers[place].Address)
-	}
-	if !heard {
+	first := runtime.reportToOneOf(controllers, false)
+	if first == "" {
 		// The seeds may know controllers that started since.
 		seeds := runtime.Settings.SeedAddresses(constants.PortController)
-		heard = runtime.report(seeds[rand.Intn(len(seeds))])
+		first = runtime.reportToOneOf([]messages.Entry{{Address: seeds[rand.Intn(len(seeds))]}}, false)
 	}
-	if !heard || round%constants.NeighbourRounds == 0 {
+	runtime.lock.Lock()
+	runtime.firstController = first
+	runtime.lock.Unlock()
+	if first == "" || round%constants.NeighbourRounds == 0 {
 		runtime.lock.Lock()
 		partner := runtime.view.Partner(clock.Now())
 		runtime.lock.Unlock()
@@ -77,17 +78,63 @@
 	}
 }
 
+// secondReport is the short report to a second controller, drawn anew each time: neither
+// this process's proof of life nor its news depends on one neighbour.
+func (runtime *Node) secondReport() {
+	runtime.lock.Lock()
+	controllers := runtime.view.SecondControllers(runtime.firstController, clock.Now())
+	runtime.lock.Unlock()
+	runtime.reportToOneOf(controllers, true)
+}
+
+// reportToOneOf reports to the first controller of a list that is in contact with a
+// majority, and gives its address. It gives up after a few that are silent.
+func (runtime *Node) reportToOneOf(controllers []messages.Entry, brief bool) string {
+	const silentMost = 3
+	for silent, place := 0, 0; place < len(controllers) && silent < silentMost; place++ {
+		switch runtime.report(controllers[place].Address, brief) {
+		case reportTaken:
+			return controllers[place].Address
+		case reportSilent:
+			silent++
+		}
+	}
+	return ""
+}
+
+// reportResult is how a report to a controller ended.
+type reportResult int
+
+// The results of a report.
+const (
+	// reportTaken: the controller is in contact with a majority and answered.
+	reportTaken reportResult = iota
+	// reportDetached: it answered that it is not in contact; others are asked at once.
+	reportDetached
+	// reportSilent: it did not answer in time.
+	reportSilent
+)
+
 // report asks one controller and takes its answer.
-func (runtime *Node) report(address string) bool {
+func (runtime *Node) report(address string, brief bool) reportResult {
 	runtime.lock.Lock()
-	question := runtime.view.Question()
+	question := runtime.view.BriefQuestion()
+	if !brief {
+		question = runtime.view.Question()
+	}
 	runtime.lock.Unlock()
 	answer := &messages.Shuffle{}
+	result := reportTaken
 	if transport.Ask(runtime.Wire, address, messages.KindShuffle, question, answer, constants.ReportTime) != nil {
+		result = reportSilent
+	} else if answer.Detached {
+		result = reportDetached
+	}
+	if result != reportTaken {
 		runtime.lock.Lock()
 		runtime.view.Failed(address, clock.Now())
 		runtime.lock.Unlock()
-		return false
+		return result
 	}
 	runtime.lock.Lock()
 	runtime.learnPlaces(answer.Entries)
@@ -98,7 +145,7 @@
 	if runtime.onWord != nil {
 		runtime.onWord(address, answer)
 	}
-	return true
+	return result
 }
 
 func (runtime *Node) shuffleWith(address string) {
@@ -142,12 +189,16 @@
 	runtime.sawEntries(entries)
 }
 
+// sawEntries follows the newest configuration that an entry names, and asks the process
+// of that entry for it first: others may not have it.
 func (runtime *Node) sawEntries(entries []messages.Entry) {
-	newest := int64(0)
+	var newest messages.Entry
 	for _, entry := range entries {
-		newest = max(newest, entry.Generation)
+		if entry.Generation > newest.Generation {
+			newest = entry
+		}
 	}
-	runtime.SawGeneration(newest)
+	runtime.SawGenerationAt(newest.Generation, newest.Address)
 }
 
 // Viewed runs a function on the view, which must not be kept.
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -44,8 +44,10 @@
 	onAnswer  func(answer *messages.Shuffle)
 	onWord    func(address string, answer *messages.Shuffle)
 	rounds    int
-	pegs      pegs
-	ended     sync.Once
+	// firstController is the address of the controller that took the last full report.
+	firstController string
+	pegs            pegs
+	ended           sync.Once
 }
 
 // Prepare sets the limits that the machine gives, before anything is allocated.
@@ -73,6 +75,7 @@
 		reports: map[string]func() *messages.Status{}}
 	runtime.Answer(messages.KindShuffle, runtime.shuffled)
 	runtime.Answer(messages.KindConfigPush, runtime.pushed)
+	runtime.Answer(messages.KindConfigPull, runtime.pulled)
 	runtime.Answer(messages.KindStatus, runtime.reported)
 	runtime.Report("nodes", runtime.reportNodes)
 	runtime.Report("zones", runtime.reportZones)
--- a/internal/tooling/hollowfleet/controllers.go
+++ b/internal/tooling/hollowfleet/controllers.go
@@ -31,8 +31,10 @@
 		since = one.told
 	}
 	view := workerList.fleet.members.view(node)
-	return &messages.ControllerBeat{From: view.Own(), Workers: own.registry.Digest(node.own.Life), Beaten: own.registry.BeatenSince(since),
-		Processes: view.Digest(), Met: view.MetSince(since)}
+	beat := &messages.ControllerBeat{From: view.Own(), Workers: own.registry.Digest(node.own.Life), Beaten: own.registry.BeatenSince(since),
+		Processes: view.Digest(), Follow: view.Own().Generation}
+	beat.Met, beat.Behind = view.MetSince(since)
+	return beat
 }
 
 func (workerList *workerList) beatOthers(node *Node, own *table) {
@@ -82,7 +84,7 @@
 	one.told = told
 	own.registry.Vouched(beat.Beaten, now)
 	view := members.view(node)
-	view.Vouched(beat.Met, now)
+	view.Vouched(beat, now)
 	if since, ask := behind(&one.workerList, beat.Workers, own.registry.Digest(node.own.Life)); ask {
 		back := &messages.RosterPush{}
 		node.ask(CoreWorkers, beat.From.Address, messages.KindRosterPull, &messages.RosterPull{Since: since}, back, constants.CallTime, func(reached bool) {
