Worker calls: an answer belongs to a request only where it names it

Read, and shown: on a connection that was used before, an answer without an echoed id was taken for the answer of the request that waits; an unnamed 503 that says 'not executed' made an effectful request run twice. Now, on a used connection or behind another request's answer, only an answer that names the request is its own; what shows such bytes is never used again. An id never travels twice on one connection (a late second answer to an item's first try would bear the name of its second). HEAD ends its connection, a request without an id takes a new one, and a success without length or chunks is not known to be whole. A connection that took no byte has not run the request: it goes elsewhere. A worker's own 503, 429 or 408 that does not say that it did not run becomes a 502.

TestTroubleAtEveryByte: cut, reset, silence, freeze, doubled bytes and a restart of the node, at the bytes of request and answer, on fresh and rested connections, 3,516 cases (all bytes with LEMONARCH_EVERY_BYTE=1). TestStaleAnswersAreNobodys: twelve kinds of stale answers, cut at any byte. Seen red with the guard taken out: - name on used connections: 'match_test.go: ran 2 times', 'answered "old" for ""' - any name taken: 'answered "ol" for "old"' - RepeatNever: 'everybyte_test.go: ran 2 times' (1,132 cases) - mayRun: 'everybyte_test.go: ran, and answered 503' (1,409 cases) - the promise of a worker that made none: 'match_test.go: /safe/x 503 No' - ids on a connection: 'match_test.go: connections opened: 1' - tries: 'match_test.go: turned away /rigid/x: reached 5 workers'

--- /dev/null
+++ b/internal/traffic/proxy/everybyte_test.go
@@ -0,0 +1,194 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"lemonarch/internal/platform/messages"
+)
+
+// everyByte is set for runs that leave no byte out.
+const everyByte = "LEMONARCH_EVERY_BYTE"
+
+// call is one case: a kind of request on a fresh or a rested connection, and a strike.
+type call struct {
+	path   string
+	rested bool
+	strike strike
+}
+
+func (one *call) String() string {
+	return fmt.Sprintf("%s rested=%v %s answer=%v at=%d", one.path, one.rested, troubleNames[one.strike.trouble], one.strike.answer, one.strike.at)
+}
+
+// serveWhole answers every request whole, by the kind of its path.
+func serveWhole(_ int, request *http.Request, connection net.Conn) {
+	if strings.HasPrefix(request.RequestURI, "/rigid/") || strings.HasPrefix(request.RequestURI, "/stream/") {
+		write(connection, streamHead(request)+chunk(event(1))+chunk(event(2))+"0\r\n\r\n")
+		return
+	}
+	write(connection, wellDone(request, "for "+request.Header.Get(headerAttempt)))
+}
+
+func wholeAnswer(path, attempt string) string {
+	if path == "/rigid/x" || path == "/stream/x" {
+		return event(1) + event(2)
+	}
+	return "for " + attempt
+}
+
+// stage is two workers behind relays, and the node in front of them.
+type stage struct {
+	workers [2]*standIn
+	relays  [2]*relay
+	node    *httptest.Server
+}
+
+func newStage(test *testing.T) *stage {
+	one := &stage{}
+	for place := range one.workers {
+		one.workers[place] = newStandIn(test, fmt.Sprint("w", place+1), serveWhole)
+		one.relays[place] = newRelay(test, one.workers[place].listener.Addr().String())
+	}
+	one.start(test)
+	return one
+}
+
+// start starts a node that knows nothing of an earlier one.
+func (one *stage) start(test *testing.T) {
+	var list []messages.Worker
+	for place, worker := range one.workers {
+		list = append(list, messages.Worker{ID: worker.id, Address: one.relays[place].listener.Addr().String()})
+	}
+	one.node, _ = edgeFor(test, list)
+}
+
+// settle ends the relays and waits until the workers have read all that will ever come.
+func (one *stage) settle() {
+	for place := range one.workers {
+		one.relays[place].end()
+		one.workers[place].serving.Wait()
+	}
+}
+
+func (one *stage) ran(attempt string) int {
+	return one.workers[0].ran(attempt) + one.workers[1].ran(attempt)
+}
+
+// promised tells whether a status says that the request has not run and never will.
+func promised(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+// play runs one case and gives what it broke.
+func (one *call) play(test *testing.T) string {
+	stage := newStage(test)
+	if one.rested {
+		for place := 0; place < 2; place++ {
+			if answer, _, err := ask(test, stage.node, "/safe/x", map[string]string{headerAttempt: fmt.Sprint("first-", place)}); err != nil || answer.StatusCode != 200 {
+				return fmt.Sprint("no calm start: ", answer, err)
+			}
+		}
+	}
+	struck := one.strike
+	stage.relays[0].arm(&struck)
+	headers := map[string]string{headerAttempt: "probe"}
+	if struck.trouble == troubleSilence || struck.trouble == troubleFreeze {
+		headers[headerTimeLeft] = "120"
+	}
+	answer, body, err := ask(test, stage.node, one.path, headers)
+	if struck.trouble == troubleRestart {
+		stage.node.Close()
+		stage.start(test)
+	}
+	stage.relays[0].thaw()
+	next, nextBody, nextErr := ask(test, stage.node, "/safe/x", map[string]string{headerAttempt: "next"})
+	stage.settle()
+	return one.judge(stage.ran("probe"), answer, body, err) + one.judgeNext(next, nextBody, nextErr)
+}
+
+func (one *call) judge(ran int, answer *http.Response, body string, err error) string {
+	repeatable := one.path == "/safe/x" || one.path == "/stream/x"
+	switch {
+	case !repeatable && ran > 1:
+		return fmt.Sprintf("ran %d times", ran)
+	case err != nil:
+		return ""
+	case ran > 0 && promised(answer.StatusCode):
+		return fmt.Sprintf("ran, and answered %d", answer.StatusCode)
+	case answer.StatusCode == 200 && (body != wholeAnswer(one.path, "probe") || answer.Header.Get(headerAttempt) != "probe"):
+		return fmt.Sprintf("answered %q for %q", body, answer.Header.Get(headerAttempt))
+	}
+	return ""
+}
+
+func (one *call) judgeNext(answer *http.Response, body string, err error) string {
+	if err == nil && answer.StatusCode == 200 && (body != "for next" || answer.Header.Get(headerAttempt) != "next") {
+		return fmt.Sprintf("the next one got %q", body)
+	}
+	return ""
+}
+
+// lengths measures a request and its answer on the wire.
+func lengths(test *testing.T, path string) (request, answer int) {
+	stage := newStage(test)
+	stage.relays[0].arm(nil)
+	if _, _, err := ask(test, stage.node, path, map[string]string{headerAttempt: "probe"}); err != nil {
+		test.Fatal(err)
+	}
+	stage.settle()
+	return stage.relays[0].counts()
+}
+
+// stepOf says which bytes are struck: what costs no time at every byte where a call may
+// not be repeated, and otherwise some, which differ from case to case.
+func stepOf(path string, trouble trouble) int {
+	quick := trouble == troubleCut || trouble == troubleReset
+	switch {
+	case os.Getenv(everyByte) != "":
+		return 1
+	case quick && (path == "/once/x" || path == "/rigid/x"):
+		return 1
+	}
+	return 11
+}
+
+// Whatever befalls the connection to the worker, at whichever byte of the request or of
+// the answer, on a fresh or on a rested one: what may not be repeated runs once at most,
+// what ran is never refused as if it had not, a success is whole and the caller's own,
+// and so is the next caller's.
+func TestTroubleAtEveryByte(test *testing.T) {
+	var calls []call
+	for _, path := range []string{"/once/x", "/rigid/x", "/safe/x", "/stream/x"} {
+		requestLength, answerLength := lengths(test, path)
+		for trouble := troubleCut; trouble <= troubleRestart; trouble++ {
+			for place := 0; place < requestLength+answerLength; place += stepOf(path, trouble) {
+				struck := strike{trouble: trouble, at: place}
+				if place >= requestLength {
+					struck.answer, struck.at = true, place-requestLength
+				} else if trouble == troubleDouble {
+					// A network does not send the bytes of a connection twice to a worker.
+					continue
+				}
+				calls = append(calls, call{path, false, struck}, call{path, true, struck})
+			}
+		}
+	}
+	test.Logf("%d cases", len(calls))
+	test.Run("cases", func(test *testing.T) {
+		for _, one := range calls {
+			test.Run(one.String(), func(test *testing.T) {
+				test.Parallel()
+				if broken := one.play(test); broken != "" {
+					test.Error(broken)
+				}
+			})
+		}
+	})
+}
--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -47,14 +47,6 @@
 	setBack      bool
 }
 
-// workerAnswer is an answer of a worker's own that may be given when no other
-// worker can be asked.
-type workerAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // unsentLimit bounds how many workers are tried that can't even be reached.
 const unsentLimit = 4
 
@@ -220,7 +212,7 @@
 		// The answer has begun: a cut is passed on as a cut.
 		proxyServer.Counts.CutOff.Add(1)
 		panic(http.ErrAbortHandler)
-	case one.last != nil && (one.mayRun == (one.last.header.Get(headerNotRun) == "") || !one.mayRun):
+	case one.last != nil && one.last.truthful(one.mayRun):
 		proxyServer.Counts.Failed.Add(1)
 		copyBack(one.writer.Header(), one.last.header)
 		if one.last.header.Get(headerNotRun) != "" && one.last.header.Get("Retry-After") == "" {
--- /dev/null
+++ b/internal/traffic/proxy/match_test.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/traffic/admission"
+)
+
+// staleAnswers are answers that are not the caller's, as they may stand before its own.
+var staleAnswers = map[string]string{
+	"turned away, unnamed":  "HTTP/1.1 503 Full\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"misdirected, unnamed":  "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n",
+	"idle for too long":     "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	"success, unnamed":      "HTTP/1.1 200 OK\r\nLemonarch-Server-Seal: old\r\nContent-Length: 3\r\n\r\nold",
+	"success, another's":    "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Server-Seal: old\r\nContent-Length: 3\r\n\r\nold",
+	"turned away, anothers": "HTTP/1.1 503 Full\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"length too large":      "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Server-Seal: old\r\nContent-Length: 9\r\n\r\nold",
+	"length too small":      "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Server-Seal: old\r\nContent-Length: 1\r\n\r\nold",
+	"a HEAD's answer":       "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Server-Seal: old\r\nContent-Length: 30\r\n\r\n",
+	"no end":                "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Server-Seal: old\r\n\r\nold",
+	"chunks":                "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n",
+	"a head in a body": "HTTP/1.1 200 OK\r\nLemonarch-Attempt-Id: old\r\nLemonarch-Server-Seal: old\r\nContent-Length: 2\r\n\r\n" +
+		"olHTTP/1.1 200 OK\r\nLemonarch-Server-Seal: old\r\nContent-Length: 3\r\n\r\nold",
+}
+
+// An answer that is not the caller's, cut at any byte, stands before its own on a
+// connection that was used before: it is nobody's, whatever it says.
+func TestStaleAnswersAreNobodys(test *testing.T) {
+	for name, stale := range staleAnswers {
+		for _, path := range []string{"/once/x", "/rigid/x", "/safe/x", "/stream/x"} {
+			for cut := len(stale); cut > 0; cut -= stepOf(path, troubleSilence) {
+				test.Run(fmt.Sprint(name, path, cut), func(test *testing.T) {
+					test.Parallel()
+					playStale(test, path, stale[:cut])
+				})
+			}
+		}
+	}
+}
+
+func playStale(test *testing.T, path, stale string) {
+	script := func(_ int, request *http.Request, connection net.Conn) {
+		if request.Header.Get(headerAttempt) == "probe" {
+			write(connection, stale)
+		}
+		serveWhole(0, request, connection)
+	}
+	first, second := newStandIn(test, "w1", script), newStandIn(test, "w2", serveWhole)
+	server, proxyServer := edge(test, first, second)
+	if _, _, err := ask(test, server, "/safe/x", map[string]string{headerAttempt: "first"}); err != nil {
+		test.Fatal(err)
+	}
+	answer, body, err := ask(test, server, path, map[string]string{headerAttempt: "probe", headerTimeLeft: "120"})
+	one := call{path: path}
+	if broken := one.judge(first.ran("probe")+second.ran("probe"), answer, body, err); broken != "" {
+		test.Error(broken)
+	}
+	if opened := proxyServer.Sender.Chest.Opened.Load(); first.ran("probe") == 1 && second.ran("probe") == 0 && opened != 1 {
+		test.Error("the request did not travel on the used connection: ", opened)
+	}
+	next, nextBody, nextErr := ask(test, server, "/safe/x", map[string]string{headerAttempt: "next"})
+	if broken := one.judgeNext(next, nextBody, nextErr); broken != "" {
+		test.Error(broken)
+	}
+}
+
+// A worker's own 503 that does not say that it did not run the request is no promise, so
+// it is not passed on as one.
+func TestUnsaidPromiseIsNotMade(test *testing.T) {
+	for _, status := range []string{"503 No", "429 No", "408 No"} {
+		for _, path := range []string{"/once/x", "/safe/x"} {
+			worker := newStandIn(test, "w1", func(_ int, _ *http.Request, connection net.Conn) {
+				write(connection, "HTTP/1.1 "+status+"\r\nLemonarch-Server-Seal: seal\r\nContent-Length: 0\r\n\r\n")
+			})
+			server, _ := edge(test, worker)
+			answer, _, err := ask(test, server, path, nil)
+			if err != nil || answer.StatusCode != http.StatusBadGateway || answer.Header.Get(headerSeal) != "" {
+				test.Error(path, status, answer, err)
+			}
+		}
+	}
+}
+
+// The same id never travels twice on one connection: a late second answer to the first
+// would bear the name of the second.
+func TestSameIDTakesAnotherConnection(test *testing.T) {
+	worker := newStandIn(test, "w1", serveWhole)
+	server, proxyServer := edge(test, worker)
+	for count := 0; count < 3; count++ {
+		for _, attempt := range []string{"again", fmt.Sprint("other-", count)} {
+			if _, _, err := ask(test, server, "/safe/x", map[string]string{headerAttempt: attempt}); err != nil {
+				test.Fatal(err)
+			}
+		}
+	}
+	if opened := proxyServer.Sender.Chest.Opened.Load(); opened != 3 {
+		test.Error("connections opened: ", opened)
+	}
+}
+
+// A request that the connection did not take at all has not run.
+func TestUnsentHasNotRun(test *testing.T) {
+	worker := newStandIn(test, "w1", serveWhole)
+	_, proxyServer := edge(test, worker)
+	sender := &proxyServer.Sender
+	granted, _ := proxyServer.Scheduler.Admit(&admission.Ask{Service: "s", Deadline: clock.Now().Plus(clock.Milliseconds(1000))}, nil, clock.Now())
+	outgoing := &Request{Method: http.MethodPost, Attempt: "probe", Text: []byte("x"), Until: clock.Now() - 1}
+	_, evidence, err := sender.Carry(granted.Grant, outgoing)
+	if err == nil || evidence.Sent {
+		test.Fatal(evidence, err)
+	}
+}
+
+// One try of a client reaches no more workers than its route allows.
+func TestTriesBoundTheWorkers(test *testing.T) {
+	for name, text := range map[string]string{
+		"cut":         "HTTP/1.1 200 OK\r\n",
+		"failed":      "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+		"turned away": "HTTP/1.1 503 No\r\nLemonarch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, path := range []string{"/safe/x", "/stream/x", "/once/x", "/rigid/x"} {
+			var workers []*standIn
+			for place := 0; place < 5; place++ {
+				workers = append(workers, newStandIn(test, fmt.Sprint("w", place), func(_ int, _ *http.Request, connection net.Conn) {
+					write(connection, text)
+					connection.Close()
+				}))
+			}
+			server, _ := edge(test, workers...)
+			_, _, _ = ask(test, server, path, nil)
+			reached := 0
+			for _, worker := range workers {
+				reached += min(worker.seen(), 1)
+			}
+			if reached > 3 {
+				test.Errorf("%s %s: reached %d workers", name, path, reached)
+			}
+		}
+	}
+}
--- a/internal/traffic/proxy/refused.go
+++ b/internal/traffic/proxy/refused.go
@@ -8,6 +8,27 @@
 	"lemonarch/internal/traffic/admission"
 )
 
+// workerAnswer is an answer of a worker's own that may be given when no other
+// worker can be asked.
+type workerAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// truthful tells whether the worker's answer may be the outcome of the whole request. A
+// status that promises that nothing ran must not follow a run.
+func (answer *workerAnswer) truthful(mayRun bool) bool {
+	if answer.header.Get(headerNotRun) != "" {
+		return !mayRun
+	}
+	switch answer.status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+	return true
+}
+
 // turnedAway handles a worker that did not run the request.
 func (one *exchange) turnedAway(grant *admission.Grant, response *Response) (Repeat, bool) {
 	body, whole, err := one.proxyServer.Sender.ReadBody(response, constants.BufferedAnswer)
--- a/internal/traffic/proxy/send.go
+++ b/internal/traffic/proxy/send.go
@@ -10,38 +10,54 @@
 	return workerconn.Wait{Until: outgoing.Until, Patience: outgoing.Patience, Impatient: outgoing.Impatient}
 }
 
-// send writes the letter on a connection and waits for the first byte that comes back.
+// send writes the request on a connection and waits for the first byte that comes back.
 func (sender *Sender) send(grant *admission.Grant, outgoing *Request) (*workerconn.Connection, Evidence, error) {
-	reuse := workerconn.ReuseSafe
+	reuse, evidence := workerconn.ReuseSafe, Evidence{}
 	if outgoing.Repeatable {
 		reuse = workerconn.ReuseAny
 	}
 	for {
-		connection, err := sender.Chest.Get(grant.Worker, sender.Budget(grant.Worker), reuse)
+		connection, err := sender.Chest.Get(grant.Worker, sender.Budget(grant.Worker), outgoing.Attempt, reuse)
 		if err != nil {
-			return nil, Evidence{Sent: reuse == workerconn.ReuseNone}, NotSent.Wrap(err, grant.Worker.ID)
+			return nil, evidence, NotSent.Wrap(err, grant.Worker.ID)
 		}
 		if outgoing.Halt != nil {
 			outgoing.Halt(connection)
 		}
-		if err = connection.Send(outgoing.Text, outgoing.Until); err == nil {
+		err = connection.Send(outgoing.Attempt, outgoing.Text, outgoing.Until)
+		if !errs.Of(err, workerconn.Unsent) {
+			evidence.Sent = true
+		}
+		if err == nil {
 			err = connection.Await(outgoing.wait())
 		}
 		if err == nil {
 			sender.Chest.Survived(connection)
-			return connection, Evidence{Sent: true}, nil
+			return connection, evidence, nil
 		}
 		sender.Chest.Drop(connection)
-		if !connection.Reused || !errs.Of(err, workerconn.Broken) || connection.Halted() {
-			return nil, Evidence{Sent: true}, Lost.Wrap(err, grant.Worker.ID)
-		}
-		// Broken before any byte came back, on a connection that had lain idle: most likely
-		// forgotten. It may have run all the same, so only what is repeatable goes again,
-		// to the same worker and on a connection that can't have been forgotten.
-		sender.Chest.Forgotten(connection)
-		if !outgoing.Repeatable {
-			return nil, Evidence{Sent: true}, Stale.Wrap(err, grant.Worker.ID)
+		if again, failure := sender.afterBreak(connection, outgoing, evidence, err); !again {
+			return nil, evidence, failure.Wrap(err, grant.Worker.ID)
 		}
 		reuse = workerconn.ReuseNone
 	}
 }
+
+// afterBreak decides on a connection that broke before any byte came back: whether the
+// request goes again to the same worker on a new connection, and else what befell it.
+func (sender *Sender) afterBreak(connection *workerconn.Connection, outgoing *Request, evidence Evidence, err error) (again bool, failure *errs.Kind) {
+	failure = Lost
+	if !evidence.Sent {
+		failure = NotSent
+	}
+	if !connection.Reused || connection.Halted() || errs.Of(err, workerconn.Silent) {
+		return false, failure
+	}
+	// On a connection that had lain idle it was most likely forgotten. The request may have
+	// run all the same: only what is repeatable, or was not sent at all, goes again.
+	sender.Chest.Forgotten(connection)
+	if evidence.Sent && !outgoing.Repeatable {
+		return false, Stale
+	}
+	return true, nil
+}
--- a/internal/traffic/proxy/sender.go
+++ b/internal/traffic/proxy/sender.go
@@ -59,10 +59,7 @@
 	Impatient func(silence clock.Span) bool
 }
 
-// surplusLimit is how many answers to earlier requests are read past.
-const surplusLimit = 2
-
-// Carry sends the letter and reads the head of its answer.
+// Carry sends the request and reads the head of its answer.
 func (sender *Sender) Carry(grant *admission.Grant, outgoing *Request) (*Response, Evidence, error) {
 	// A drain acknowledged since the grant binds: look once more before sending.
 	if !sender.Scheduler.Allowed(grant.Worker.ID, clock.Now()) {
@@ -72,34 +69,18 @@
 	if err != nil {
 		return nil, evidence, err
 	}
-	for surplus := 0; ; surplus++ {
-		answer, err := connection.Answer(outgoing.Method)
-		if err != nil {
-			sender.Chest.Drop(connection)
-			return nil, evidence, Spoilt.Wrap(err, grant.Worker.ID)
-		}
-		if echoed := answer.Header.Get(headerAttempt); echoed != "" && echoed != outgoing.Attempt {
-			// A late answer of an earlier request stands where ours is expected:
-			// it belongs to nobody now, and ours comes behind it.
-			_, err = io.Copy(io.Discard, answer.Body)
-			if err == nil && surplus < surplusLimit && !answer.Close {
-				if err = connection.Await(outgoing.wait()); err == nil {
-					continue
-				}
-			}
-			sender.Chest.Drop(connection)
-			return nil, evidence, Spoilt.New("another request's answer")
-		}
-		response := &Response{Answer: answer, Connection: connection, Impatient: outgoing.Impatient, Load: answer.Header.Get(headerLoad)}
-		response.NotRun = answer.Header.Get(headerNotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
-		if answer.StatusCode < 300 && outgoing.Seal &&
-			(answer.Header.Get(headerSeal) == "" || answer.Header.Get("Content-Encoding") != "") {
-			sender.Chest.Drop(connection)
-			return nil, evidence, Spoilt.New("success without the worker's stamp")
-		}
-		evidence.NotRun = response.NotRun
-		return response, evidence, nil
+	answer, err := ownAnswer(connection, outgoing)
+	if err == nil && outgoing.Seal {
+		err = provenSuccess(answer)
+	}
+	if err != nil {
+		sender.Chest.Drop(connection)
+		return nil, evidence, Spoilt.Wrap(err, grant.Worker.ID)
 	}
+	response := &Response{Answer: answer, Connection: connection, Impatient: outgoing.Impatient, Load: answer.Header.Get(headerLoad)}
+	response.NotRun = answer.Header.Get(headerNotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+	evidence.NotRun = response.NotRun
+	return response, evidence, nil
 }
 
 // Finish puts the connection back after the whole answer was read.
--- /dev/null
+++ b/internal/traffic/workerconn/carried.go
@@ -0,0 +1,35 @@
+package workerconn
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"lemonarch/internal/platform/constants"
+)
+
+// carried remembers the requests that travelled on a connection, by the hashes of their
+// ids. A late second answer to one of them bears its id: were the same id sent here
+// again, that answer could pass for the new one's.
+type carried struct {
+	hashes []uint64
+	next   int
+}
+
+func (list *carried) add(attempt string) {
+	if len(list.hashes) < constants.CarriedRequests {
+		list.hashes = append(list.hashes, hashOf(attempt))
+		return
+	}
+	list.hashes[list.next] = hashOf(attempt)
+	list.next = (list.next + 1) % constants.CarriedRequests
+}
+
+func (list *carried) has(attempt string) bool {
+	return slices.Contains(list.hashes, hashOf(attempt))
+}
+
+func hashOf(attempt string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(attempt))
+	return hash.Sum64()
+}
--- a/internal/traffic/workerconn/idle.go
+++ b/internal/traffic/workerconn/idle.go
@@ -25,15 +25,18 @@
 )
 
 // Get gives an idle connection that still looks sound, or opens one within the budget.
-func (chest *Chest) Get(worker messages.Worker, budget int, reuse Reuse) (*Connection, error) {
+// What bears no id, and an id that has travelled on the connection, takes a new one.
+func (chest *Chest) Get(worker messages.Worker, budget int, attempt string, reuse Reuse) (*Connection, error) {
+	if attempt == "" {
+		reuse = ReuseNone
+	}
 	for {
 		chest.lock.Lock()
 		connections := chest.of(worker.ID)
 		count := len(connections.idle)
 		now := clock.Now()
 		// The newest idle one is the least likely to have been closed.
-		if count == 0 || reuse == ReuseNone ||
-			(reuse == ReuseSafe && now.Since(connections.idle[count-1].idleSince) > chest.safeIdle(worker.Backend)) {
+		if count == 0 || !chest.may(connections.idle[count-1], attempt, reuse, now) {
 			if budget > 0 && connections.open >= budget && count > 0 {
 				// The oldest idle one makes room.
 				oldest := connections.idle[0]
@@ -62,6 +65,17 @@
 	}
 }
 
+// may tells whether a request may travel on an idle connection. The lock is held.
+func (chest *Chest) may(connection *Connection, attempt string, reuse Reuse, now clock.Moment) bool {
+	switch {
+	case reuse == ReuseNone, connection.carried.has(attempt):
+		return false
+	case reuse == ReuseSafe:
+		return now.Since(connection.idleSince) <= chest.safeIdle(connection.backend)
+	}
+	return true
+}
+
 // safeIdle is the time for which a service's connections are known to stay. The lock is held.
 func (chest *Chest) safeIdle(backend string) clock.Span {
 	if safe, known := chest.safe[backend]; known {
--- a/internal/traffic/workerconn/workerconn.go
+++ b/internal/traffic/workerconn/workerconn.go
@@ -1,6 +1,6 @@
-// Package workerconn keeps the connections (connections) to workers. A connection belongs to one
-// life of a worker, carries one request at a time, and is dropped after anything
-// that is not the answer to its request.
+// Package workerconn keeps the connections to workers. A connection belongs to one life
+// of a worker, carries one request at a time, and is dropped after anything that is not
+// the answer to its request.
 package workerconn
 
 import (
@@ -25,6 +25,8 @@
 	NoConnection = errs.Define("no connection to worker")
 	// Spent means that nothing was sent, for want of a place in the budget.
 	Spent = errs.Define("connection budget spent")
+	// Unsent means that the connection took no byte of the request, which has not run.
+	Unsent = errs.Define("request unsent")
 	// Broken means that the request was sent, in part or whole, and may have run.
 	Broken = errs.Define("connection broken")
 	// Silent means that the worker said nothing in time.
@@ -44,6 +46,10 @@
 	Reused bool
 	Idle   clock.Span
 	closed atomic.Bool
+	// carried holds the requests that travelled on it.
+	carried carried
+	// tainted tells that bytes came that were no answer to the request under way.
+	tainted bool
 	// halted: our own side ended it, which says nothing about the worker.
 	halted atomic.Bool
 }
@@ -90,15 +96,23 @@
 	return &Connection{connection: connection, reader: bufio.NewReaderSize(connection, 4<<10), worker: connections, backend: worker.Backend}, nil
 }
 
-// Send writes a whole request.
-func (connection *Connection) Send(text []byte, until clock.Moment) error {
+// Send writes a whole request, which is named by the id that its answer will echo.
+func (connection *Connection) Send(attempt string, text []byte, until clock.Moment) error {
 	_ = connection.connection.SetWriteDeadline(clock.Deadline(until.Since(clock.Now())))
-	if _, err := connection.connection.Write(text); err != nil {
+	connection.carried.add(attempt)
+	count, err := connection.connection.Write(text)
+	switch {
+	case err != nil && count == 0:
+		return Unsent.Wrap(err, "write")
+	case err != nil:
 		return Broken.Wrap(err, "write")
 	}
 	return nil
 }
 
+// Taint notes that bytes of another request's answer came: the connection is not used again.
+func (connection *Connection) Taint() { connection.tainted = true }
+
 // Answer reads the head of an answer.
 func (connection *Connection) Answer(method string) (*http.Response, error) {
 	for {
@@ -114,7 +128,7 @@
 
 // Keep puts a connection back after a whole answer, if it may be used again.
 func (chest *Chest) Keep(connection *Connection, answer *http.Response) {
-	if connection.closed.Load() || answer.Close || connection.reader.Buffered() > 0 {
+	if !connection.reusable(answer) {
 		chest.Drop(connection)
 		return
 	}
@@ -130,6 +144,14 @@
 	connection.worker.idle = append(connection.worker.idle, connection)
 }
 
+// reusable tells whether another request may travel on the connection after this answer.
+// What a HEAD's answer says of its length is not on the wire, so a second answer to it
+// could not be told from the next one's body.
+func (connection *Connection) reusable(answer *http.Response) bool {
+	return !connection.closed.Load() && !connection.tainted && !answer.Close &&
+		connection.reader.Buffered() == 0 && answer.Request.Method != http.MethodHead
+}
+
 func keepAlive(header string) clock.Span {
 	for _, field := range strings.Split(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
