--- a/internal/configuration/configcheck/configcheck.go
+++ b/internal/configuration/configcheck/configcheck.go
@@ -79,24 +79,35 @@
 	places := map[string]string{}
 	for index := range config.Routes {
 		route := &config.Routes[index]
-		place := route.Host + route.Prefix
+		place := route.Place()
 		if other, taken := places[place]; taken {
 			findings = append(findings, fmt.Sprintf("channels: %s and %s share host and path-prefix %s", other, route.Name, place))
 		}
 		places[place] = route.Name
-		total := 0.0
-		for _, share := range route.Weighted {
-			total += share.Share
-			if config.Service(share.Backend) == nil {
-				findings = append(findings, fmt.Sprintf("channels: %s names the unknown service %q", route.Name, share.Backend))
-			}
-		}
-		if len(route.Weighted) > 0 && total <= 0 {
-			findings = append(findings, fmt.Sprintf("channels: the shares of %s add up to 0", route.Name))
-		}
-		if len(route.Weighted) == 0 && config.Service(route.Backend) == nil {
-			findings = append(findings, fmt.Sprintf("channels: %s names the unknown service %q", route.Name, route.Backend))
+		findings = append(findings, services(config, route)...)
+	}
+	return findings
+}
+
+// services checks where a route leads.
+func services(config *routeconfig.Config, route *routeconfig.Route) []string {
+	var findings []string
+	known := func(backend string) {
+		if config.Service(backend) == nil {
+			findings = append(findings, fmt.Sprintf("channels: %s names the unknown service %q", route.Name, backend))
 		}
 	}
+	if len(route.Weighted) == 0 {
+		known(route.Backend)
+		return findings
+	}
+	total := 0.0
+	for _, share := range route.Weighted {
+		total += share.Share
+		known(share.Backend)
+	}
+	if total <= 0 {
+		findings = append(findings, fmt.Sprintf("channels: the shares of %s add up to 0", route.Name))
+	}
 	return findings
 }
--- a/internal/configuration/configcheck/configcheck_test.go
+++ b/internal/configuration/configcheck/configcheck_test.go
@@ -25,6 +25,7 @@
 		"unknown service": {`"backend":"t","later"`, `"backend":"gone","later"`},
 		"unknown in part": {`{"backend":"s","share":90}`, `{"backend":"gone","share":90}`},
 		"same place":      {`"/one/two/"`, `"/one/"`},
+		"same host":       {`"host":"h.example","path-prefix":"/one/two/"`, `"host":"H.Example","path-prefix":"/one/"`},
 		"no weight":       {`"share":90},{"backend":"t","share":10}`, `"share":0},{"backend":"t","share":0}`},
 		"no time-out":     {`"cutoff-ms":100`, `"cutoff-ms":0`},
 		"no generation":   {`"generation":7`, `"generation":0`},
--- a/internal/configuration/routeconfig/routeconfig.go
+++ b/internal/configuration/routeconfig/routeconfig.go
@@ -141,6 +141,9 @@
 // Service finds a service by name, or nil.
 func (config *Config) Service(name string) *Service { return config.service[name] }
 
+// Place is where the route stands; Match can't tell two routes of one place apart.
+func (route *Route) Place() string { return strings.ToLower(route.Host) + route.Prefix }
+
 // Kind says what may be repeated on the route.
 func (route *Route) Kind() messages.RouteKind {
 	switch route.KindName {
