Transport: an answer names its call and its line, and nothing follows half a frame

Shown: when a call's time was over in the midst of its frame, a writer that waited for its turn wrote its own frame behind the half one before the line was ended; the receiver would have taken it for the missing part. The line now ends before the next writer's turn, a call whose time is over before its turn is not sent (and says so: unreached), and the span of a call counts from its beginning, not from the end of the dial. Calls are numbered under the writing lock, so numbers rise along a connection (frame version 2) and a frame that comes twice is not worked on twice; version 1 is served as before. The upper half of a number is drawn anew for each life. An answer is delivered to the call that it names by number and kind, on the line on which the call went; a line whose answers are of another kind ends. A closed wire also ends the connections that it accepted: a 'dead' life went on answering there.

--- a/internal/platform/constants/constants.go
+++ b/internal/platform/constants/constants.go
@@ -18,8 +18,9 @@
 	// connections end after SilentConnection without an answer, and a process may be
 	// frozen for seconds with frames unread.
 	FrameLife = 40 * time.Second
-	// FrameVersion is told in each frame, so that mixed versions can work.
-	FrameVersion = 1
+	// FrameVersion is told in each frame, so that mixed versions can work. From 2 on, the
+	// numbers of calls rise along a connection.
+	FrameVersion = 2
 	// DialTime bounds a connection attempt between our processes: links are a
 	// few ms long, so silence for longer means a cut (ours).
 	DialTime = 400 * time.Millisecond
--- a/internal/platform/transport/frame.go
+++ b/internal/platform/transport/frame.go
@@ -19,11 +19,16 @@
 	sortTell    = 4
 )
 
+// orderedVersion is the first version of senders that number their calls in the order in
+// which they are written on a connection.
+const orderedVersion = 2
+
 type frame struct {
-	sort   byte
-	kind   messages.Kind
-	number uint64
-	body   []byte
+	version byte
+	sort    byte
+	kind    messages.Kind
+	number  uint64
+	body    []byte
 }
 
 func appendFrame(into []byte, one frame) []byte {
@@ -45,10 +50,11 @@
 		return frame{}, Damaged.New("head")
 	}
 	one := frame{
-		sort:   head[2],
-		kind:   messages.Kind(binary.BigEndian.Uint16(head[3:])),
-		number: binary.BigEndian.Uint64(head[5:]),
-		body:   make([]byte, length),
+		version: head[1],
+		sort:    head[2],
+		kind:    messages.Kind(binary.BigEndian.Uint16(head[3:])),
+		number:  binary.BigEndian.Uint64(head[5:]),
+		body:    make([]byte, length),
 	}
 	_, err := io.ReadFull(reader, one.body)
 	return one, err
--- /dev/null
+++ b/internal/platform/transport/line_test.go
@@ -0,0 +1,139 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"os"
+	"sync"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+)
+
+// halfWriter takes half of the first frame, as a connection does whose deadline is over.
+type halfWriter struct {
+	net.Conn
+	lock    sync.Mutex
+	closed  bool
+	written bytes.Buffer
+	writes  int
+}
+
+func (raw *halfWriter) Write(text []byte) (int, error) {
+	raw.lock.Lock()
+	defer raw.lock.Unlock()
+	raw.writes++
+	switch {
+	case raw.closed:
+		return 0, net.ErrClosed
+	case raw.writes == 1:
+		raw.written.Write(text[:len(text)/2])
+		return len(text) / 2, os.ErrDeadlineExceeded
+	}
+	return raw.written.Write(text)
+}
+
+func (raw *halfWriter) SetWriteDeadline(clock.Time) error { return nil }
+
+func (raw *halfWriter) Close() error {
+	raw.lock.Lock()
+	defer raw.lock.Unlock()
+	raw.closed = true
+	return nil
+}
+
+// After a part of a frame nothing follows on the connection, however many wait to write:
+// the receiver would take the next frame for the missing part.
+func TestNothingFollowsHalfAFrame(test *testing.T) {
+	raw := &halfWriter{}
+	wire := NewWire("")
+	peer := wire.peer("there")
+	current := &line{connection: raw, waiting: map[uint64]waiter{}}
+	peer.current = current
+	end := clock.Now().Plus(clock.Milliseconds(60_000))
+	current.writing.Lock()
+	var group sync.WaitGroup
+	for count := 0; count < 8; count++ {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			outgoing := &frame{sort: sortCall, kind: messages.KindShuffle, body: []byte("body")}
+			if peer.write(current, outgoing, end, nil) == nil {
+				test.Error("a frame was written behind half a frame")
+			}
+		}()
+	}
+	current.writing.Unlock()
+	group.Wait()
+	if raw.written.Len() != (headBytes+4)/2 {
+		test.Error("bytes on the connection: ", raw.written.Len())
+	}
+}
+
+// A call whose time is over before its turn to write is never sent, and says so.
+func TestLateCallIsNotSent(test *testing.T) {
+	raw := &halfWriter{}
+	wire := NewWire("")
+	peer := wire.peer("there")
+	err := peer.write(&line{connection: raw}, &frame{sort: sortCall}, clock.Now()-1, nil)
+	if !errs.Of(err, Unreached) || raw.writes != 0 {
+		test.Fatal(err, raw.writes)
+	}
+}
+
+// An answer is delivered once, to the call that it names by number and kind.
+func TestAnswersNameTheirCall(test *testing.T) {
+	one := waiter{kind: messages.KindShuffle, answer: make(chan frame, 2)}
+	current := &line{waiting: map[uint64]waiter{7: one}}
+	other := uint64(7) + 1<<lifeShift
+	for _, stray := range []frame{{sort: sortAnswer, kind: messages.KindShuffle, number: 8}, {sort: sortAnswer, kind: messages.KindShuffle, number: other},
+		{sort: sortCall, kind: messages.KindShuffle, number: 7}, {sort: sortTell, kind: messages.KindShuffle, number: 7}} {
+		if !current.deliver(stray) || len(one.answer) != 0 {
+			test.Fatal("taken for the answer: ", stray)
+		}
+	}
+	if current.deliver(frame{sort: sortAnswer, kind: messages.KindLotCall, number: 7}) || len(one.answer) != 0 {
+		test.Fatal("an answer of another kind was taken")
+	}
+	for count := 0; count < 2; count++ {
+		if !current.deliver(frame{sort: sortAnswer, kind: messages.KindShuffle, number: 7}) || len(one.answer) != 1 {
+			test.Fatal("delivered ", len(one.answer))
+		}
+	}
+}
+
+// A call that is delivered twice on a connection is worked on once; senders of before did
+// not number their calls in order, and are served as they come.
+func TestDoubledCallIsWorkedOnOnce(test *testing.T) {
+	for version, want := range map[byte][]uint64{orderedVersion: {5, 9, 12}, 1: {5, 9, 9, 5, 12}} {
+		near, far := net.Pipe()
+		go NewWire("").serveOne(far, func(_ messages.Kind, body []byte) ([]byte, error) { return body, nil })
+		go func() {
+			for _, number := range []uint64{5, 9, 9, 5, 12} {
+				text := appendFrame(nil, frame{sort: sortCall, kind: messages.KindShuffle, number: number, body: []byte("body")})
+				text[1] = version
+				_, _ = near.Write(text)
+			}
+		}()
+		got, answers := map[uint64]int{}, bufio.NewReader(near)
+		for range want {
+			answer, err := readFrame(answers)
+			if err != nil {
+				test.Fatal(err)
+			}
+			got[answer.number]++
+		}
+		for _, number := range want {
+			got[number]--
+		}
+		for number, surplus := range got {
+			if surplus != 0 {
+				test.Errorf("version %d: call %d was worked on %d times too often", version, number, surplus)
+			}
+		}
+		near.Close()
+	}
+}
--- a/internal/platform/transport/peer.go
+++ b/internal/platform/transport/peer.go
@@ -7,6 +7,7 @@
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // peer is one other process and the connection to it.
@@ -24,11 +25,17 @@
 	connection net.Conn
 	writing    sync.Mutex
 	lock       sync.Mutex
-	waiting    map[uint64]chan frame
+	waiting    map[uint64]waiter
 	heard      clock.Moment
 	dead       bool
 }
 
+// waiter is a call that waits for its answer.
+type waiter struct {
+	kind   messages.Kind
+	answer chan frame
+}
+
 func (one *peer) drop() {
 	one.lock.Lock()
 	current := one.current
@@ -66,7 +73,7 @@
 		return nil, Unreached.Wrap(err, one.address)
 	}
 	one.failed = 0
-	current = &line{connection: connection, waiting: map[uint64]chan frame{}, heard: clock.Now()}
+	current = &line{connection: connection, waiting: map[uint64]waiter{}, heard: clock.Now()}
 	one.current = current
 	go one.listen(current)
 	return current, nil
@@ -80,18 +87,34 @@
 			break
 		}
 		one.wire.meter.received(answer.kind, one.address, len(answer.body))
-		current.lock.Lock()
-		waiter := current.waiting[answer.number]
-		delete(current.waiting, answer.number)
-		current.heard = clock.Now()
-		current.lock.Unlock()
-		if waiter != nil {
-			waiter <- answer
+		if !current.deliver(answer) {
+			break
 		}
 	}
 	one.forget(current)
 }
 
+// deliver hands an answer to the call that it names; what names none is nobody's. False
+// means that the line can't be trusted any more.
+func (current *line) deliver(answer frame) bool {
+	current.lock.Lock()
+	defer current.lock.Unlock()
+	current.heard = clock.Now()
+	if answer.sort != sortAnswer && answer.sort != sortUnknown {
+		return true
+	}
+	waiting, known := current.waiting[answer.number]
+	if !known {
+		return true
+	}
+	if waiting.kind != answer.kind {
+		return false
+	}
+	delete(current.waiting, answer.number)
+	waiting.answer <- answer
+	return true
+}
+
 func (one *peer) forget(current *line) {
 	one.lock.Lock()
 	if one.current == current {
@@ -106,39 +129,68 @@
 	current.lock.Lock()
 	defer current.lock.Unlock()
 	current.dead = true
-	for number, waiter := range current.waiting {
-		close(waiter)
+	for number, waiting := range current.waiting {
+		close(waiting.answer)
 		delete(current.waiting, number)
 	}
 }
 
+// expect notes a call whose answer is waited for; false where the line has ended.
+func (current *line) expect(number uint64, waiting waiter) bool {
+	current.lock.Lock()
+	defer current.lock.Unlock()
+	if current.dead {
+		return false
+	}
+	current.waiting[number] = waiting
+	return true
+}
+
+// withdraw ends the wait of a call that gives up, and tells whether nothing at all came
+// on the line since a moment.
+func (current *line) withdraw(number uint64, since clock.Moment) (silent bool) {
+	current.lock.Lock()
+	defer current.lock.Unlock()
+	delete(current.waiting, number)
+	return current.heard < since
+}
+
+// write numbers a frame and sends it, if its time is not over before its turn comes. The
+// receiver counts on rising numbers, so both happen under one lock. After a part of a
+// frame nothing may follow: the line ends before the next writer's turn.
+func (one *peer) write(current *line, outgoing *frame, end clock.Moment, before func(number uint64) bool) error {
+	current.writing.Lock()
+	defer current.writing.Unlock()
+	left := end.Since(clock.Now())
+	outgoing.number = one.wire.number.Add(1)
+	if left <= 0 || (before != nil && !before(outgoing.number)) {
+		return Unreached.New(one.address)
+	}
+	one.wire.meter.sent(outgoing.kind, one.address, len(outgoing.body))
+	_ = current.connection.SetWriteDeadline(clock.Deadline(left))
+	if _, err := current.connection.Write(appendFrame(make([]byte, 0, headBytes+len(outgoing.body)), *outgoing)); err != nil {
+		one.forget(current)
+		return Unanswered.Wrap(err, one.address)
+	}
+	return nil
+}
+
 func (one *peer) call(question frame, span clock.Span) ([]byte, error) {
+	begun := clock.Now()
 	current, err := one.line(span)
 	if err != nil {
 		return nil, err
 	}
-	waiter := make(chan frame, 1)
-	current.lock.Lock()
-	if current.dead {
-		current.lock.Unlock()
-		return nil, Unreached.New(one.address)
-	}
-	current.waiting[question.number] = waiter
-	current.lock.Unlock()
-	one.wire.meter.sent(question.kind, one.address, len(question.body))
-	begun := clock.Now()
-	current.writing.Lock()
-	_ = current.connection.SetWriteDeadline(clock.Deadline(span))
-	_, err = current.connection.Write(appendFrame(make([]byte, 0, headBytes+len(question.body)), question))
-	current.writing.Unlock()
+	asked := clock.Now()
+	waiting := waiter{kind: question.kind, answer: make(chan frame, 1)}
+	err = one.write(current, &question, begun.Plus(span), func(number uint64) bool { return current.expect(number, waiting) })
 	if err != nil {
-		one.forget(current)
-		return nil, Unanswered.Wrap(err, one.address)
+		return nil, err
 	}
-	timer := clock.NewTimer(span)
+	timer := clock.NewTimer(begun.Plus(span).Since(clock.Now()))
 	defer timer.Stop()
 	select {
-	case answer, open := <-waiter:
+	case answer, open := <-waiting.answer:
 		if !open {
 			return nil, Unanswered.New(one.address + " broke off")
 		}
@@ -147,11 +199,7 @@
 		}
 		return answer.body, nil
 	case <-timer.C:
-		current.lock.Lock()
-		delete(current.waiting, question.number)
-		silent := current.heard < begun
-		current.lock.Unlock()
-		if silent {
+		if current.withdraw(question.number, asked) {
 			// Nothing at all came in this time: the line may be cut, so the next
 			// call opens a new one.
 			one.forget(current)
--- a/internal/platform/transport/tell.go
+++ b/internal/platform/transport/tell.go
@@ -34,17 +34,8 @@
 	if err != nil {
 		return err
 	}
-	wire.meter.sent(kind, address, len(body))
-	told := frame{sort: sortTell, kind: kind, number: wire.number.Add(1), body: body}
-	current.writing.Lock()
-	_ = current.connection.SetWriteDeadline(clock.Deadline(constants.DialTime))
-	_, err = current.connection.Write(appendFrame(make([]byte, 0, headBytes+len(body)), told))
-	current.writing.Unlock()
-	if err != nil {
-		one.forget(current)
-		return Unanswered.Wrap(err, address)
-	}
-	return nil
+	told := frame{sort: sortTell, kind: kind, body: body}
+	return one.write(current, &told, clock.Now().Plus(constants.DialTime), nil)
 }
 
 // Tell runs the other side's handler; whatever it answers is dropped.
--- a/internal/platform/transport/wire.go
+++ b/internal/platform/transport/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math/rand"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -37,10 +38,20 @@
 	number   atomic.Uint64
 	unknown  atomic.Int64
 	closed   bool
+	// accepted are the connections of callers, which end with this life.
+	accepted map[net.Conn]struct{}
 }
 
 // NewWire makes a transport that listens on its own address when it serves.
-func NewWire(own string) *Wire { return &Wire{own: own, meter: NewMeter(), peers: map[string]*peer{}} }
+func NewWire(own string) *Wire {
+	wire := &Wire{own: own, meter: NewMeter(), peers: map[string]*peer{}, accepted: map[net.Conn]struct{}{}}
+	// The upper half names this life: no number of an earlier one comes again.
+	wire.number.Store(uint64(rand.Uint32()) << lifeShift)
+	return wire
+}
+
+// lifeShift leaves the lower half of a call's number for counting.
+const lifeShift = 32
 
 // Meter counts what this process says and hears.
 func (wire *Wire) Meter() *Meter { return wire.meter }
@@ -77,16 +88,50 @@
 	return nil
 }
 
+// Address is where the wire listens, once it serves.
+func (wire *Wire) Address() string {
+	wire.lock.Lock()
+	defer wire.lock.Unlock()
+	return wire.listener.Addr().String()
+}
+
+// admit notes a caller's connection; false once this life is over.
+func (wire *Wire) admit(connection net.Conn) bool {
+	wire.lock.Lock()
+	defer wire.lock.Unlock()
+	if wire.closed {
+		return false
+	}
+	wire.accepted[connection] = struct{}{}
+	return true
+}
+
+func (wire *Wire) release(connection net.Conn) {
+	connection.Close()
+	wire.lock.Lock()
+	defer wire.lock.Unlock()
+	delete(wire.accepted, connection)
+}
+
 func (wire *Wire) serveOne(connection net.Conn, handler Handler) {
-	defer connection.Close()
+	defer wire.release(connection)
+	if !wire.admit(connection) {
+		return
+	}
 	reader := bufio.NewReaderSize(connection, 8<<10)
 	caller := connection.RemoteAddr().String()
 	var writing sync.Mutex
+	last := uint64(0)
 	for {
 		one, err := readFrame(reader)
 		if err != nil {
 			return
 		}
+		if one.version >= orderedVersion && one.number <= last {
+			// A frame that came twice: its first copy was worked on.
+			continue
+		}
+		last = one.number
 		wire.meter.received(one.kind, caller, len(one.body))
 		if one.sort == sortTell {
 			go func() {
@@ -120,7 +165,7 @@
 
 // Call sends one call and waits.
 func (wire *Wire) Call(address string, kind messages.Kind, body []byte, span clock.Span) ([]byte, error) {
-	return wire.peer(address).call(frame{sort: sortCall, kind: kind, number: wire.number.Add(1), body: body}, span)
+	return wire.peer(address).call(frame{sort: sortCall, kind: kind, body: body}, span)
 }
 
 func (wire *Wire) peer(address string) *peer {
@@ -142,6 +187,9 @@
 	if wire.listener != nil {
 		wire.listener.Close()
 	}
+	for connection := range wire.accepted {
+		connection.Close()
+	}
 	for _, one := range wire.peers {
 		one.drop()
 	}
