Gateway: clients' connections follow the limits in force, and no end cuts a request

The idle time of the first configuration held for the whole life: a client that rested for four fifths of a longer, later one met a closed connection. Connections now rest by the longer of the last two configurations, and those that rest already are given more. A process that stood still past the idle time closed connections on which a request lay ready: it looks once more. A leaving process ended once no handler was active; the server flushes an answer after the handler, and a request may have been read whole before its handler begins. It now ends once no connection bears a request, and closes each of the others under a lock that its reads take: a request is taken and then not cut, or never seen. Seen red with the guard out: connections_test.go:72 'clients may still go by the longer time: 14.99 1.99', :77 (resting ones not extended), :87 '0 i/o timeout' (no second look), :113 'a request was taken from a connection that had ended', :116 'a request that was taken is cut'. The tests of slow heads set their times by the configuration now, as the process does.

--- /dev/null
+++ b/internal/traffic/gateway/connections_test.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+)
+
+// scripted is a client's connection whose reads are given, and whose deadline is seen.
+type scripted struct {
+	net.Conn
+	reads    []func(into []byte) (int, error)
+	deadline time.Time
+	closed   bool
+}
+
+func (raw *scripted) Read(into []byte) (int, error) {
+	read := raw.reads[0]
+	raw.reads = raw.reads[1:]
+	return read(into)
+}
+
+func (raw *scripted) SetReadDeadline(at time.Time) error {
+	raw.deadline = at
+	return nil
+}
+
+func (raw *scripted) Close() error {
+	raw.closed = true
+	return nil
+}
+
+func bytesCome(into []byte) (int, error) { return copy(into, "GET "), nil }
+func timeIsOver([]byte) (int, error)     { return 0, os.ErrDeadlineExceeded }
+
+// resting gives a connection on which an answer has just ended.
+func resting(owner *connections, reads ...func([]byte) (int, error)) (*patientConnection, *scripted) {
+	raw := &scripted{reads: reads}
+	connection := &patientConnection{Conn: raw, owner: owner}
+	owner.open[connection] = struct{}{}
+	noteState(connection, http.StateIdle)
+	_ = connection.SetReadDeadline(clock.Deadline(clock.Milliseconds(1)))
+	return connection, raw
+}
+
+// given is how long a connection may still rest, in seconds.
+func given(raw *scripted) float64 { return time.Until(raw.deadline).Seconds() }
+
+// A client rests by the idle time of the configuration that it knows: the one in force,
+// or the one before. Resting connections get more time, and never less.
+func TestIdleTimeFollowsTheConfiguration(test *testing.T) {
+	owner := newConnections(nil, routeconfig.Limits{IdleMs: 5_000, HeaderWaitMs: 3_000})
+	_, first := resting(owner)
+	if left := given(first); left < 4 || left > 5.1 {
+		test.Error("by the first configuration: ", left)
+	}
+	owner.setLimits(routeconfig.Limits{IdleMs: 15_000})
+	if left := given(first); left < 14 || left > 15.1 {
+		test.Error("a resting one after a longer time was set: ", left)
+	}
+	owner.setLimits(routeconfig.Limits{IdleMs: 2_000})
+	_, second := resting(owner)
+	if given(first) < 14 || given(second) < 14 {
+		test.Error("clients may still go by the longer time: ", given(first), given(second))
+	}
+	owner.setLimits(routeconfig.Limits{IdleMs: 2_000})
+	_, third := resting(owner)
+	if left := given(third); left > 2.1 || given(first) < 14 {
+		test.Error("by the last configuration: ", left, given(first))
+	}
+}
+
+// A process that stood still past the idle time looks once more before it gives up: the
+// request may lie there.
+func TestRequestThatCameWhileStandingStill(test *testing.T) {
+	owner := newConnections(nil, routeconfig.Limits{IdleMs: 5_000})
+	connection, _ := resting(owner, timeIsOver, bytesCome)
+	if count, err := connection.Read(make([]byte, 4)); count != 4 || err != nil {
+		test.Fatal(count, err)
+	}
+	connection, _ = resting(owner, timeIsOver, timeIsOver)
+	if count, err := connection.Read(make([]byte, 4)); count != 0 || err == nil {
+		test.Fatal(count, err)
+	}
+}
+
+// At the end of a leaving process a request is either taken, and then not cut, or never
+// seen, so that the client may send it elsewhere.
+func TestEndingCutsNoRequest(test *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
+	}
+	owner := newConnections(listener, routeconfig.Limits{IdleMs: 5_000})
+	late, lateRaw := resting(owner, func(into []byte) (int, error) {
+		// Ended just as the bytes came.
+		owner.end()
+		return bytesCome(into)
+	})
+	taken, takenRaw := resting(owner, bytesCome)
+	if _, err := taken.Read(make([]byte, 4)); err != nil {
+		test.Fatal(err)
+	}
+	if count, err := late.Read(make([]byte, 4)); count != 0 || err != net.ErrClosed || !lateRaw.closed {
+		test.Error("a request was taken from a connection that had ended", count, err)
+	}
+	if owner.end() || takenRaw.closed {
+		test.Error("a request that was taken is cut")
+	}
+	noteState(taken, http.StateIdle)
+	if !owner.end() || !takenRaw.closed {
+		test.Error("a connection that rests keeps the process")
+	}
+}
+
+// Requests that are sent at once on one connection are answered in their order; behind
+// one that is broken off, none is begun.
+func TestRequestsSentAtOnce(test *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		test.Fatal(err)
+	}
+	begun := make(chan string, 4)
+	handler := func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		begun <- request.URL.Path
+		if request.URL.Path == "/broken" {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = writer.Write(body)
+	}
+	owner := newConnections(listener, routeconfig.Limits{IdleMs: 60_000, HeaderWaitMs: 60_000})
+	server := &http.Server{Handler: http.HandlerFunc(handler), IdleTimeout: clock.Milliseconds(60_000),
+		ReadHeaderTimeout: clock.Milliseconds(60_000), ConnState: noteState}
+	go func() { _ = server.Serve(owner) }()
+	defer server.Close()
+	connection, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		test.Fatal(err)
+	}
+	defer connection.Close()
+	for _, path := range []string{"/one", "/two", "/broken", "/never"} {
+		fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(path), path)
+	}
+	reader := bufio.NewReader(connection)
+	for _, path := range []string{"/one", "/two"} {
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			test.Fatal(path, err)
+		}
+		if body, err := io.ReadAll(answer.Body); err != nil || string(body) != path {
+			test.Fatalf("%s was answered %q %v", path, body, err)
+		}
+	}
+	if rest, _ := io.ReadAll(reader); len(rest) > 0 {
+		test.Fatalf("behind a broken request: %q", rest)
+	}
+	if order := <-begun + <-begun + <-begun; order != "/one/two/broken" || len(begun) > 0 {
+		test.Fatal(order, len(begun))
+	}
+}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -28,6 +28,7 @@
 	settled atomic.Bool
 	ingress *http.Server
 	ready   *http.Server
+	clients atomic.Pointer[connections]
 }
 
 // New prepares the process.
@@ -36,10 +37,17 @@
 	placing := loadgossip.New(runtime)
 	gateway := &Gateway{Node: runtime, Gossip: placing}
 	gateway.Proxy = proxy.New(placing.Sender, newGate(runtime), log)
-	runtime.OnConfig(func(config *routeconfig.Config) { gateway.Proxy.SetConfig(config) })
+	runtime.OnConfig(gateway.configure)
 	return gateway
 }
 
+// configure takes a newer configuration.
+func (gateway *Gateway) configure(config *routeconfig.Config) {
+	if clients := gateway.clients.Load(); gateway.Proxy.SetConfig(config) && clients != nil {
+		clients.setLimits(config.Limits)
+	}
+}
+
 // Run serves until told to stop.
 func (gateway *Gateway) Run() error {
 	runtime := gateway.Node
@@ -60,20 +68,31 @@
 	if err != nil {
 		return node.Unable.Wrap(err, "ingress")
 	}
-	// The limits of the first configuration hold for this life's connections.
 	for runtime.Config() == nil {
 		clock.Sleep(constants.PumpPeriod)
 	}
-	limits := runtime.Config().Limits
-	gateway.ingress = &http.Server{Handler: gateway.Proxy, MaxHeaderBytes: max(limits.HeaderBytes, 4096),
-		ReadHeaderTimeout: clock.Milliseconds(limits.HeaderWaitMs), IdleTimeout: clock.Milliseconds(limits.IdleMs), ConnState: noteState}
-	runtime.Log.Info("serving", "ingress", runtime.Settings.Bind.Ingress)
-	if err = gateway.ingress.Serve(patient{listener}); err == http.ErrServerClosed {
+	err = gateway.serve(listener)
+	if err == http.ErrServerClosed || gateway.Proxy.Leaving.Load() {
 		return nil
 	}
 	return node.Unable.Wrap(err, "ingress")
 }
 
+// serve takes requests by the limits in force. The server's own limits only tell that
+// there are some; a larger head than the first configuration's is not refused, as a later
+// one may allow it.
+func (gateway *Gateway) serve(listener net.Listener) error {
+	limits := gateway.Node.Config().Limits
+	clients := newConnections(listener, limits)
+	gateway.clients.Store(clients)
+	// One that came since is taken by whoever of us is later.
+	clients.setLimits(gateway.Node.Config().Limits)
+	gateway.ingress = &http.Server{Handler: gateway.Proxy, MaxHeaderBytes: max(limits.HeaderBytes, constants.HeadLimit),
+		ReadHeaderTimeout: constants.BulkCallTime, IdleTimeout: constants.BulkCallTime, ConnState: noteState}
+	gateway.Node.Log.Info("serving", "ingress", gateway.Node.Settings.Bind.Ingress)
+	return gateway.ingress.Serve(clients)
+}
+
 // readiness says yes only with a configuration that was read at a majority,
 // with workers to serve by, and while not leaving.
 func (gateway *Gateway) readiness(writer http.ResponseWriter, _ *http.Request) {
@@ -94,7 +113,7 @@
 	begun := clock.Now()
 	end := begun.Plus(gateway.Node.Settings.Grace() - constants.LeaveMargin)
 	for clock.Now() < end {
-		if clock.Now().Since(begun) > constants.DrainLinger && gateway.Proxy.Active() == 0 {
+		if clock.Now().Since(begun) > constants.DrainLinger && gateway.idle() {
 			break
 		}
 		clock.Sleep(constants.PumpPeriod)
@@ -107,3 +126,12 @@
 		gateway.ingress.Close()
 	}
 }
+
+// idle tells that no request comes or is answered, and that none will be taken any more.
+func (gateway *Gateway) idle() bool {
+	clients := gateway.clients.Load()
+	if clients == nil {
+		return true
+	}
+	return clients.busy() == 0 && gateway.Proxy.Active() == 0 && clients.end()
+}
--- a/internal/traffic/gateway/parting_test.go
+++ b/internal/traffic/gateway/parting_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/clock"
 )
 
@@ -23,7 +24,7 @@
 			writer.WriteHeader(http.StatusRequestEntityTooLarge)
 		}
 	}), MaxHeaderBytes: 4096, ReadHeaderTimeout: clock.Milliseconds(3000), ConnState: noteState}
-	go func() { _ = server.Serve(patient{listener}) }()
+	go func() { _ = server.Serve(newConnections(listener, routeconfig.Limits{})) }()
 	defer server.Close()
 	address := "http://" + listener.Addr().String() + "/"
 	for round := 0; round < 10; round++ {
@@ -64,7 +65,7 @@
 		test.Fatal(err)
 	}
 	server := &http.Server{Handler: http.NotFoundHandler(), MaxHeaderBytes: 4096, ReadHeaderTimeout: clock.Milliseconds(3000), ConnState: noteState}
-	go func() { _ = server.Serve(patient{narrow{listener}}) }()
+	go func() { _ = server.Serve(newConnections(narrow{listener}, routeconfig.Limits{})) }()
 	defer server.Close()
 	connection, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
--- a/internal/traffic/gateway/slow_test.go
+++ b/internal/traffic/gateway/slow_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/clock"
 )
 
@@ -18,8 +19,10 @@
 	}
 	passed := 0
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed++ }),
-		ReadHeaderTimeout: clock.Milliseconds(150), IdleTimeout: clock.Milliseconds(5000), MaxHeaderBytes: 4096, ConnState: noteState}
-	go func() { _ = server.Serve(patient{listener}) }()
+		ReadHeaderTimeout: clock.Milliseconds(9000), IdleTimeout: clock.Milliseconds(9000), MaxHeaderBytes: 4096, ConnState: noteState}
+	go func() {
+		_ = server.Serve(newConnections(listener, routeconfig.Limits{HeaderWaitMs: 150, IdleMs: 5000}))
+	}()
 	defer server.Close()
 	for text, want := range map[string]string{
 		"POST /x HTTP/1.1\r\nHost: h": "408",
@@ -57,7 +60,9 @@
 		writer.(http.Flusher).Flush()
 		_, _ = io.WriteString(writer, request.URL.Path)
 	}), ReadHeaderTimeout: clock.Milliseconds(3000), IdleTimeout: clock.Milliseconds(3000), ConnState: noteState}
-	go func() { _ = server.Serve(patient{listener}) }()
+	go func() {
+		_ = server.Serve(newConnections(listener, routeconfig.Limits{HeaderWaitMs: 3000, IdleMs: 3000}))
+	}()
 	defer server.Close()
 	connection, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
