--- a/cmd/lemonarch/assign_apply.go
+++ b/cmd/lemonarch/assign_apply.go
@@ -24,11 +24,11 @@
 			}
 			wire := transport.NewWire("")
 			defer wire.Close()
-			glass, err := fleetshell.New(wire, seed, constants.StatusTime)
+			shell, err := fleetshell.New(wire, seed, constants.StatusTime)
 			if err != nil {
 				return coded{exitUnusable, err.Error()}
 			}
-			return apply(command.OutOrStdout(), command.ErrOrStderr(), glass, arguments[0], format)
+			return apply(command.OutOrStdout(), command.ErrOrStderr(), shell, arguments[0], format)
 		}}
 	command.Flags().StringVar(&seed, "seed", "", "internal address of any process, host:port")
 	command.Flags().StringVar(&format, "output", format, "table or json")
@@ -37,18 +37,18 @@
 
 // endpoint speaks with one controller.
 type endpoint struct {
-	glass   *fleetshell.Shell
+	shell   *fleetshell.Shell
 	address string
 }
 
 // sit finds a controller that reads what is in force at a majority.
-func sit(glass *fleetshell.Shell) (*endpoint, *messages.PlanTold, error) {
-	addresses, err := glass.Controllers()
+func sit(shell *fleetshell.Shell) (*endpoint, *messages.PlanTold, error) {
+	addresses, err := shell.Controllers()
 	if err != nil {
 		return nil, nil, coded{exitUnusable, err.Error()}
 	}
 	for _, address := range addresses {
-		one := &endpoint{glass, address}
+		one := &endpoint{shell, address}
 		if told, problem := one.read(); problem == nil {
 			return one, told, nil
 		}
@@ -58,17 +58,17 @@
 
 func (one *endpoint) read() (*messages.PlanTold, error) {
 	told := &messages.PlanTold{}
-	return told, transport.Ask(one.glass.Transport, one.address, messages.KindPlanPull, &messages.PlanPull{Whole: true, Settled: true}, told, constants.BulkCallTime)
+	return told, transport.Ask(one.shell.Transport, one.address, messages.KindPlanPull, &messages.PlanPull{Whole: true, Settled: true}, told, constants.BulkCallTime)
 }
 
-// apply plans at this desk, so that the controllers need no solver for it, and puts rules
+// apply plans on this machine, so that the controllers need no solver for it, and puts rules
 // and answer in force on top of what was read.
-func apply(writer, complaints io.Writer, glass *fleetshell.Shell, path, format string) error {
+func apply(writer, complaints io.Writer, shell *fleetshell.Shell, path, format string) error {
 	rules, text, err := readRules(path, complaints)
 	if err != nil {
 		return err
 	}
-	one, now, err := sit(glass)
+	one, now, err := sit(shell)
 	if err != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 	}
 	question := &messages.PlanApply{Base: now.Revision, Rules: text, Answer: body.Bytes()}
 	back := &messages.PlanApplied{}
-	err = transport.Ask(glass.Transport, one.address, messages.KindPlanApply, question, back, constants.BulkCallTime)
+	err = transport.Ask(shell.Transport, one.address, messages.KindPlanApply, question, back, constants.BulkCallTime)
 	if err != nil || back.Unclear {
 		return coded{exitInvalid, "it is not known whether the rules are in force; apply the same file again to find out"}
 	}
--- a/cmd/lemonarch/assign_apply_test.go
+++ b/cmd/lemonarch/assign_apply_test.go
@@ -29,16 +29,16 @@
 	if err = process.Node.Wire.Serve(process.Node.Handle); err != nil {
 		test.Fatal(err)
 	}
-	glass, err := fleetshell.New(room.Transport("desk"), address, clock.Milliseconds(2000))
+	shell, err := fleetshell.New(room.Transport("operator"), address, clock.Milliseconds(2000))
 	if err != nil {
 		test.Fatal(err)
 	}
-	return room, glass
+	return room, shell
 }
 
-func applied(glass *fleetshell.Shell, path string) (told, note string, code int, line string) {
+func applied(shell *fleetshell.Shell, path string) (told, note string, code int, line string) {
 	out, problems := &bytes.Buffer{}, &bytes.Buffer{}
-	if err := apply(out, problems, glass, path, "json"); err != nil {
+	if err := apply(out, problems, shell, path, "json"); err != nil {
 		code, line = exitUnusable, err.Error()
 		if one, is := err.(coded); is {
 			code = one.code
@@ -48,7 +48,7 @@
 }
 
 func TestApplyThroughAController(test *testing.T) {
-	room, glass := oneController(test)
+	room, shell := oneController(test)
 	text, _ := os.ReadFile(exampleRules)
 	change := func(pairs ...string) string {
 		return written(test, "rules.toml", strings.NewReplacer(pairs...).Replace(string(text)))
@@ -56,26 +56,26 @@
 	planned, _, _, _ := called(exampleRules)
 	for range 2 {
 		// The same file once more changes nothing.
-		told, note, code, line := applied(glass, exampleRules)
+		told, note, code, line := applied(shell, exampleRules)
 		if code != 0 || told != planned || note != "in force: revision=1 generation=4 moves=0\n" {
 			test.Fatal(code, line, note, told)
 		}
 	}
-	if _, _, code, line := applied(glass, change("# Which nodes", "# Nodes that")); code != exitInvalid || !strings.Contains(line, "generation is not above") {
+	if _, _, code, line := applied(shell, change("# Which nodes", "# Nodes that")); code != exitInvalid || !strings.Contains(line, "generation is not above") {
 		test.Fatal(code, line)
 	}
 	// n3 gives its slot up: the reader has to move, and there is nowhere else.
-	told, _, code, _ := applied(glass, change("generation = 4", "generation = 5", "adapter-slots = 1", "adapter-slots = 0"))
+	told, _, code, _ := applied(shell, change("generation = 4", "generation = 5", "adapter-slots = 1", "adapter-slots = 0"))
 	if code != exitInvalid || !strings.HasPrefix(told, `{"collisions":[`) {
 		test.Fatal(code, told)
 	}
 	// A large node more, first by name: what stands stays all the same.
-	told, note, code, line := applied(glass, change("generation = 4", "generation = 5", `"battery-fault-reader"]`, `"battery-fault-reader"]`+"\n[[nodes]]\nname = \"n0\"\nzone = \"oslo-a\"\nlabels = [\"large\"]\nadapter-slots = 1\n"))
+	told, note, code, line := applied(shell, change("generation = 4", "generation = 5", `"battery-fault-reader"]`, `"battery-fault-reader"]`+"\n[[nodes]]\nname = \"n0\"\nzone = \"oslo-a\"\nlabels = [\"large\"]\nadapter-slots = 1\n"))
 	if code != 0 || note != "in force: revision=2 generation=5 moves=0\n" || !strings.Contains(told, `"moves":0`) {
 		test.Fatal(code, line, note, told)
 	}
 	var shown bytes.Buffer
-	answers, err := glass.Ask("assignments")
+	answers, err := shell.Ask("assignments")
 	if err != nil {
 		test.Fatal(err)
 	}
@@ -83,8 +83,8 @@
 	if !strings.Contains(shown.String(), "bookkeeping-classifier") || !strings.Contains(shown.String(), "next-window") {
 		test.Fatal(shown.String())
 	}
-	room.Cut(glass.Seed, true)
-	if _, _, code, line = applied(glass, exampleRules); code != exitUnusable || strings.Contains(line, "\n") {
+	room.Cut(shell.Seed, true)
+	if _, _, code, line = applied(shell, exampleRules); code != exitUnusable || strings.Contains(line, "\n") {
 		test.Fatal(code, line)
 	}
 }
--- a/cmd/lemonarch/hollow_test.go
+++ b/cmd/lemonarch/hollow_test.go
@@ -46,8 +46,8 @@
 		test.Fatal(err)
 	}
 	series := &hollowfleet.Series{}
-	if err = json.Unmarshal(text, series); err != nil || len(series.Runs) != 3 || len(series.Slopes["forge bytes"].Points) != 3 {
-		test.Fatalf("%v %d runs, %+v", err, len(series.Runs), series.Slopes["forge bytes"])
+	if err = json.Unmarshal(text, series); err != nil || len(series.Runs) != 3 || len(series.Slopes["gateway bytes"].Points) != 3 {
+		test.Fatalf("%v %d runs, %+v", err, len(series.Runs), series.Slopes["gateway bytes"])
 	}
 	plots, _ := filepath.Glob(filepath.Join(folder, "plots", "hollow-*.svg"))
 	if len(plots) != 3 {
--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -17,16 +17,16 @@
 
 // newLabLoad is the command that sends load to lab fleets and checks every answer.
 func newLabLoad() *cobra.Command {
-	options, desks, experiment, format, mix, picture := loadgen.NewOptions(), []string{}, "", "table", "", ""
+	options, addresses, experiment, format, mix, picture := loadgen.NewOptions(), []string{}, "", "table", "", ""
 	command := &cobra.Command{Use: "load", Args: cobra.NoArgs,
 		Short: "Send requests, streams and lots to a lab fleet, check every answer, and report",
-		Long: "Sends to a fleet that lab up has started (--desk), or starts the fleets of an experiment\n" +
+		Long: "Sends to a fleet that lab up has started (--endpoint), or starts the fleets of an experiment\n" +
 			"file, breaks what it says when it says, and ends them. Several fleets get the same load at\n" +
 			"the same time and are reported side by side.\n\n" +
 			"Exit code 1: a promise was broken, or nothing was served.\n\n" +
 			"Kinds of trouble in an experiment file:\n" + troubles()}
 	flags := command.Flags()
-	flags.StringSliceVar(&desks, "desk", []string{""}, "desks of the fleets, as lab up prints them (default: the usual one)")
+	flags.StringSliceVar(&addresses, "endpoint", []string{""}, "control endpoints of the fleets, as lab up prints them (default: the usual one)")
 	flags.StringVar(&experiment, "experiment", "", "file of an experiment (TOML); the other flags of the load are not used then")
 	flags.StringVar(&format, "output", format, "table or json")
 	flags.StringVar(&picture, "plot", "", "draw latency by percentile into this file (.svg, .png or .pdf)")
@@ -55,7 +55,7 @@
 		if experiment != "" {
 			results, err = conduct(until, experiment, options.Progress)
 		} else if options.Mix, err = loadgen.ParseMix(mix); err == nil {
-			results, err = drive(until, options, desks)
+			results, err = drive(until, options, addresses)
 		}
 		if err != nil {
 			return coded{exitUnusable, oneLine(err)}
@@ -80,7 +80,7 @@
 }
 
 // conduct runs the experiment of a file.
-func conduct(until contexts.Errand, path string, progress func(string)) ([]*loadgen.Result, error) {
+func conduct(until contexts.Context, path string, progress func(string)) ([]*loadgen.Result, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -94,12 +94,12 @@
 }
 
 // drive loads fleets that are up already, all at the same time.
-func drive(until contexts.Errand, options loadgen.Options, addresses []string) ([]*loadgen.Result, error) {
+func drive(until contexts.Context, options loadgen.Options, addresses []string) ([]*loadgen.Result, error) {
 	if err := options.Check(); err != nil {
 		return nil, err
 	}
 	usual := lab.NewPlan()
-	var desks []*loadgen.Endpoint
+	var endpoints []*loadgen.Endpoint
 	for _, address := range addresses {
 		if strings.TrimSpace(address) == "" {
 			address = usual.Endpoint()
@@ -108,23 +108,23 @@
 		if err != nil {
 			return nil, err
 		}
-		desks = append(desks, endpoint)
+		endpoints = append(endpoints, endpoint)
 	}
 	type driven struct {
 		place  int
 		result *loadgen.Result
 		err    error
 	}
-	back := make(chan driven, len(desks))
-	for place, endpoint := range desks {
+	back := make(chan driven, len(endpoints))
+	for place, endpoint := range endpoints {
 		go func() {
 			result, err := loadgen.Drive(until, options, endpoint, nil)
 			back <- driven{place, result, err}
 		}()
 	}
-	results := make([]*loadgen.Result, len(desks))
+	results := make([]*loadgen.Result, len(endpoints))
 	var err error
-	for range desks {
+	for range endpoints {
 		one := <-back
 		if one.err != nil {
 			err = one.err
--- a/cmd/lemonarch/lab_up.go
+++ b/cmd/lemonarch/lab_up.go
@@ -53,7 +53,7 @@
 	fmt.Fprintf(writer, "ready: %d processes, %d emulated workers, all on loopback\n", len(card.Programs), len(card.Workers))
 	fmt.Fprintln(writer, "  requests      http://"+strings.Join(card.Ingress, " http://"))
 	fmt.Fprintln(writer, "  configuration http://"+strings.Join(card.Controls, " http://"))
-	fmt.Fprintln(writer, "  desk          http://"+fleet.Plan.Endpoint())
+	fmt.Fprintln(writer, "  control       http://"+fleet.Plan.Endpoint())
 	fmt.Fprintln(writer, "  files         "+fleet.Folder)
 	names := make([]string, 0, len(card.Programs))
 	for name, id := range card.Programs {
@@ -64,7 +64,7 @@
 	fmt.Fprintln(writer, "try, in another terminal:")
 	fmt.Fprintf(writer, "  curl -s -i http://%s/status/1 -H 'Host: %s' -H 'Lemonarch-Attempt-Id: first' -d hello\n", card.Ingress[0], lab.Host)
 	fmt.Fprintf(writer, "  %s shell --seed %s nodes\n", os.Args[0], card.Seed)
-	fmt.Fprintf(writer, "  %s lab load --desk %s\n", os.Args[0], fleet.Plan.Endpoint())
+	fmt.Fprintf(writer, "  %s lab load --endpoint %s\n", os.Args[0], fleet.Plan.Endpoint())
 	fmt.Fprintln(writer, "Ctrl-C ends everything.")
 }
 
--- a/cmd/lemonarch/lots.go
+++ b/cmd/lemonarch/lots.go
@@ -38,8 +38,8 @@
 	return group
 }
 
-// run gives a client and an errand that ends with the limit or a signal.
-func (flags *lotFlags) run(function func(until contexts.Errand, client *lotclient.Client) error) error {
+// run gives a client and a context that ends with the limit or a signal.
+func (flags *lotFlags) run(function func(until contexts.Context, client *lotclient.Client) error) error {
 	if len(flags.edges) == 0 {
 		return coded{exitUnusable, "--edge is missing"}
 	}
@@ -87,7 +87,7 @@
 					return coded{exitUnusable, arguments[0] + ": " + oneLine(err)}
 				}
 			}
-			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
+			return flags.run(func(until contexts.Context, client *lotclient.Client) error {
 				tries, err := client.HandIn(until, id, path, lot)
 				if err != nil {
 					return err
@@ -110,13 +110,13 @@
 func followCommand(flags *lotFlags) *cobra.Command {
 	return &cobra.Command{Use: "follow LOT", Args: cobra.ExactArgs(1), Short: "Follow a lot to its end, with progress",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
+			return flags.run(func(until contexts.Context, client *lotclient.Client) error {
 				return followLot(command, until, client, arguments[0])
 			})
 		}}
 }
 
-func followLot(command *cobra.Command, until contexts.Errand, client *lotclient.Client, id string) error {
+func followLot(command *cobra.Command, until contexts.Context, client *lotclient.Client, id string) error {
 	begun, settled, abandoned := clock.Now(), 0, 0
 	err := client.Follow(until, id, 0, func(page *lotclient.Page) error {
 		for _, output := range page.Outputs {
@@ -145,7 +145,7 @@
 			if from < 0 {
 				return coded{exitUnusable, "--from must not be below 0"}
 			}
-			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
+			return flags.run(func(until contexts.Context, client *lotclient.Client) error {
 				writer := json.NewEncoder(command.OutOrStdout())
 				for cursor := from; ; {
 					page, err := client.Read(until, arguments[0], cursor, 0)
@@ -176,7 +176,7 @@
 func endCommand(flags *lotFlags) *cobra.Command {
 	return &cobra.Command{Use: "end LOT", Args: cobra.ExactArgs(1), Short: "End a lot: nothing more of it is run",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			return flags.run(func(until contexts.Errand, client *lotclient.Client) error {
+			return flags.run(func(until contexts.Context, client *lotclient.Client) error {
 				for {
 					err := client.End(until, arguments[0])
 					if err == nil {
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -1,4 +1,4 @@
-// Command lemonarch is the desk of operators and users: it checks files, asks the fleet for its
+// Command lemonarch is the command line of operators and users: it checks files, asks the fleet for its
 // state, imports routes, handles lots, and tries all of it in a lab on one machine.
 package main
 
@@ -24,7 +24,7 @@
 
 func (one coded) Error() string { return one.text }
 
-// rootCommand gathers all that the desk can do.
+// rootCommand gathers all subcommands.
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, place adapters, try it all in a lab",
 		SilenceUsage: true, SilenceErrors: true}
--- a/cmd/lemonarch/shell.go
+++ b/cmd/lemonarch/shell.go
@@ -32,14 +32,14 @@
 		}
 		wire := transport.NewWire("")
 		defer wire.Close()
-		glass, err := fleetshell.New(wire, seed, limit)
+		shell, err := fleetshell.New(wire, seed, limit)
 		if err != nil {
 			return coded{exitUnusable, err.Error()}
 		}
 		if len(arguments) == 1 {
-			return show(command.OutOrStdout(), glass, arguments[0], format)
+			return show(command.OutOrStdout(), shell, arguments[0], format)
 		}
-		return converse(command.InOrStdin(), command.OutOrStdout(), glass, format)
+		return converse(command.InOrStdin(), command.OutOrStdout(), shell, format)
 	}
 	return command
 }
@@ -52,8 +52,8 @@
 	return text
 }
 
-func show(writer io.Writer, glass *fleetshell.Shell, query, format string) error {
-	answers, err := glass.Ask(query)
+func show(writer io.Writer, shell *fleetshell.Shell, query, format string) error {
+	answers, err := shell.Ask(query)
 	if errs.Of(err, fleetshell.BadCall) {
 		return coded{exitUnusable, err.Error()}
 	}
@@ -68,7 +68,7 @@
 }
 
 // converse reads queries line by line until the end.
-func converse(reader io.Reader, writer io.Writer, glass *fleetshell.Shell, format string) error {
+func converse(reader io.Reader, writer io.Writer, shell *fleetshell.Shell, format string) error {
 	lines := bufio.NewScanner(reader)
 	fmt.Fprint(writer, "lemonarch> ")
 	for lines.Scan() {
@@ -79,7 +79,7 @@
 		case "help":
 			fmt.Fprint(writer, help())
 		default:
-			if err := show(writer, glass, line, format); err != nil {
+			if err := show(writer, shell, line, format); err != nil {
 				// One wrong query does not end the conversation.
 				fmt.Fprintln(os.Stderr, err.Error())
 			}
--- a/internal/batch/lotclient/lotclient.go
+++ b/internal/batch/lotclient/lotclient.go
@@ -90,7 +90,7 @@
 	after  clock.Span
 }
 
-func (client *Client) call(until contexts.Errand, method, path string, header map[string]string, body []byte, limit clock.Span) (answer, error) {
+func (client *Client) call(until contexts.Context, method, path string, header map[string]string, body []byte, limit clock.Span) (answer, error) {
 	limited, release := contexts.Timed(until, limit)
 	defer release()
 	edge := client.Edges[client.turn%len(client.Edges)]
@@ -124,9 +124,9 @@
 	return answer{got.StatusCode, text, clock.Milliseconds(max(seconds, 0) * 1000)}, nil
 }
 
-// HandIn sends a lot under its id until it is taken or the errand ends. What may
+// HandIn sends a lot under its id until it is taken or the context ends. What may
 // have been taken is sent again unchanged: the system takes it once.
-func (client *Client) HandIn(until contexts.Errand, id, path string, lot Lot) (tries int, err error) {
+func (client *Client) HandIn(until contexts.Context, id, path string, lot Lot) (tries int, err error) {
 	if len(lot.Requests) == 0 || len(lot.Requests) > constants.LotItems {
 		return 0, Wrong.New("a lot holds 1 to " + strconv.Itoa(constants.LotItems) + " items")
 	}
@@ -166,7 +166,7 @@
 }
 
 // Read gives one page from a position on; hold lets the system wait for an output.
-func (client *Client) Read(until contexts.Errand, id string, cursor int, hold clock.Span) (*Page, error) {
+func (client *Client) Read(until contexts.Context, id string, cursor int, hold clock.Span) (*Page, error) {
 	header := map[string]string{}
 	if hold > 0 {
 		header["Lemonarch-Hold-Ms"] = strconv.FormatInt(hold.Milliseconds(), 10)
@@ -189,7 +189,7 @@
 }
 
 // End ends a lot; calls may be repeated.
-func (client *Client) End(until contexts.Errand, id string) error {
+func (client *Client) End(until contexts.Context, id string) error {
 	got, err := client.call(until, http.MethodDelete, "/-/lots/"+url.PathEscape(id), nil, nil, constants.LotCallTime)
 	if err != nil {
 		return err
@@ -198,7 +198,7 @@
 }
 
 // Body gives the body of an item that is not listed yet.
-func (client *Client) Body(until contexts.Errand, id, item string) ([]byte, error) {
+func (client *Client) Body(until contexts.Context, id, item string) ([]byte, error) {
 	got, err := client.call(until, http.MethodGet, "/-/items/"+url.PathEscape(id)+"?id="+url.QueryEscape(item), nil, nil, constants.LotCallTime)
 	if err != nil {
 		return nil, err
@@ -222,7 +222,7 @@
 func Again(err error) bool { return errs.Of(err, Unheard) }
 
 // Follow reads a lot to its end and hands each page on; from is the first position.
-func (client *Client) Follow(until contexts.Errand, id string, from int, each func(page *Page) error) error {
+func (client *Client) Follow(until contexts.Context, id string, from int, each func(page *Page) error) error {
 	for cursor := from; ; {
 		page, err := client.Read(until, id, cursor, time.Second)
 		if err != nil {
--- a/internal/platform/constants/lab.go
+++ b/internal/platform/constants/lab.go
@@ -5,29 +5,29 @@
 // The lab: figures of the emulated workers, of the fleets on loopback, and of the
 // load on them. All are ours; none describes a real machine.
 const (
-	// AnvilEventLimit: most steps of an engine done in one go after a late timer, so
+	// EmulatorEventLimit: most steps of an engine done in one go after a late timer, so
 	// that a stalled machine does not spin.
-	AnvilEventLimit = 1000
-	// AnvilOutLimit: most tokens that one request may ask for.
-	AnvilOutLimit = 1 << 20
-	// AnvilRunLimit: runs that a record keeps; 200 bytes each.
-	AnvilRunLimit = 200_000
-	// AnvilIdle: an idle connection to an emulated worker is closed after it, and
+	EmulatorEventLimit = 1000
+	// EmulatorOutLimit: most tokens that one request may ask for.
+	EmulatorOutLimit = 1 << 20
+	// EmulatorRunLimit: runs that a record keeps; 200 bytes each.
+	EmulatorRunLimit = 200_000
+	// EmulatorIdle: an idle connection to an emulated worker is closed after it, and
 	// Keep-Alive says so in whole seconds.
-	AnvilIdle = 10 * time.Second
-	// AnvilBeatWait: how long a worker waits for the answer to a call (protocol).
-	AnvilBeatWait = time.Second
-	// AnvilBeatBytes: the largest answer to a call that a worker reads (protocol).
-	AnvilBeatBytes = 4 << 10
-	// AnvilRedirects: 307s that a caller follows (protocol).
-	AnvilRedirects = 2
-	// AnvilWarmupSlow: how many times as long a step takes during the warm-up.
-	AnvilWarmupSlow = 2
-	// AnvilReportAge: a report tells how things stood so long ago (protocol: some
+	EmulatorIdle = 10 * time.Second
+	// EmulatorBeatWait: how long a worker waits for the answer to a call (protocol).
+	EmulatorBeatWait = time.Second
+	// EmulatorBeatBytes: the largest answer to a call that a worker reads (protocol).
+	EmulatorBeatBytes = 4 << 10
+	// EmulatorRedirects: 307s that a caller follows (protocol).
+	EmulatorRedirects = 2
+	// EmulatorWarmupSlow: how many times as long a step takes during the warm-up.
+	EmulatorWarmupSlow = 2
+	// EmulatorReportAge: a report tells how things stood so long ago (protocol: some
 	// hundred ms).
-	AnvilReportAge = 200 * time.Millisecond
-	// AnvilLeaveSlack: how much longer than drain-ms a leaving worker serves.
-	AnvilLeaveSlack = 300 * time.Millisecond
+	EmulatorReportAge = 200 * time.Millisecond
+	// EmulatorLeaveSlack: how much longer than drain-ms a leaving worker serves.
+	EmulatorLeaveSlack = 300 * time.Millisecond
 
 	// The ports of a lab's fleet: every node has an address of its own on loopback, so
 	// ports may be alike. All lie below those that the kernel gives out itself.
--- a/internal/platform/contexts/contexts.go
+++ b/internal/platform/contexts/contexts.go
@@ -1,4 +1,4 @@
-// Package contexts wraps context: an errand is a piece of work that can be called off.
+// Package contexts wraps context, so that few files import it.
 package contexts
 
 import (
@@ -6,22 +6,22 @@
 	"time"
 )
 
-// Errand is a piece of work that can be called off.
-type Errand = context.Context
+// Context is a piece of work that can be cancelled.
+type Context = context.Context
 
-// Background is the errand that is never called off.
-func Background() Errand { return context.Background() }
+// Background is the context that is never cancelled.
+func Background() Context { return context.Background() }
 
-// AfterEnd runs a function once the errand is called off; halt undoes it.
-func AfterEnd(one Errand, function func()) (halt func()) {
-	stop := context.AfterFunc(one, function)
+// AfterEnd runs a function once the context is cancelled; halt undoes it.
+func AfterEnd(parent Context, function func()) (halt func()) {
+	stop := context.AfterFunc(parent, function)
 	return func() { stop() }
 }
 
-// Timed gives an errand that is called off after a span.
-func Timed(parent Errand, span time.Duration) (Errand, func()) {
+// Timed gives a context that is cancelled after a span.
+func Timed(parent Context, span time.Duration) (Context, func()) {
 	return context.WithTimeout(parent, span)
 }
 
-// Stoppable gives an errand that its maker may call off.
-func Stoppable(parent Errand) (Errand, func()) { return context.WithCancel(parent) }
+// Stoppable gives a context that its maker may cancel.
+func Stoppable(parent Context) (Context, func()) { return context.WithCancel(parent) }
--- a/internal/tooling/fleetshell/fleet_test.go
+++ b/internal/tooling/fleetshell/fleet_test.go
@@ -43,8 +43,8 @@
 		}
 	}
 	room.Cut("foreman/x:1", true)
-	glass, _ := New(room.Transport("shell"), "forge/n0:1", clock.Milliseconds(500))
-	answers, err := glass.Ask("config")
+	shell, _ := New(room.Transport("shell"), "forge/n0:1", clock.Milliseconds(500))
+	answers, err := shell.Ask("config")
 	silent := 0
 	for _, one := range answers {
 		if one.Silent {
--- a/internal/tooling/fleetshell/fleetshell.go
+++ b/internal/tooling/fleetshell/fleetshell.go
@@ -86,7 +86,7 @@
 		return nil, NoFleet.Wrap(err, "seed "+shell.Seed+" does not answer (its internal address is needed)")
 	}
 	if len(known.Roles) == 0 {
-		return []Answer{{Process: "seed", Status: *seen}}, nil
+		return named([]Answer{{Process: "seed", Status: *seen}}), nil
 	}
-	return shell.askZones(shell.fleet(seen), query, known.Roles), nil
+	return named(shell.askZones(shell.fleet(seen), query, known.Roles)), nil
 }
--- a/internal/tooling/fleetshell/fleetshell_test.go
+++ b/internal/tooling/fleetshell/fleetshell_test.go
@@ -35,23 +35,26 @@
 func TestSilenceIsShown(test *testing.T) {
 	room, transport := fleet(test)
 	room.Cut("forge/b:1", true)
-	glass, err := New(transport, "forge/a:1", clock.Milliseconds(200))
+	shell, err := New(transport, "forge/a:1", clock.Milliseconds(200))
 	if err != nil {
 		test.Fatal(err)
 	}
-	answers, err := glass.Ask("index")
+	answers, err := shell.Ask("index")
 	if err != nil || len(answers) != 3 || !answers[1].Silent || answers[0].Silent {
 		test.Fatal(answers, err)
 	}
 	var table, list bytes.Buffer
 	Table(&table, answers)
-	if !strings.Contains(table.String(), "forge/b  SILENT") || !strings.Contains(table.String(), "index of locker/c") {
+	if !strings.Contains(table.String(), "gateway/b  SILENT") || !strings.Contains(table.String(), "index of locker/c") {
 		test.Fatal(table.String())
 	}
 	if JSON(&list, answers) != nil || !strings.Contains(list.String(), `"silent": true`) {
 		test.Fatal(list.String())
 	}
-	if answers, _ = glass.Ask("lots"); len(answers) != 1 || answers[0].Process != "locker/c" {
+	if answers, _ = shell.Ask("nodes"); answers[0].Status.Rows[2][0] != "store/c" {
+		test.Fatal("the role's word on the wire is shown", answers)
+	}
+	if answers, _ = shell.Ask("lots"); len(answers) != 1 || answers[0].Process != "store/c" {
 		test.Fatal(answers)
 	}
 }
@@ -61,8 +64,8 @@
 	if _, err := New(transport, "nowhere", 1); !errs.Of(err, BadCall) {
 		test.Fatal(err)
 	}
-	glass, _ := New(transport, "forge/a:1", clock.Milliseconds(200))
-	if _, err := glass.Ask("weather"); !errs.Of(err, BadCall) {
+	shell, _ := New(transport, "forge/a:1", clock.Milliseconds(200))
+	if _, err := shell.Ask("weather"); !errs.Of(err, BadCall) {
 		test.Fatal(err)
 	}
 	lost, _ := New(transport, "forge/z:1", clock.Milliseconds(200))
--- a/internal/tooling/hollowfleet/copies.go
+++ b/internal/tooling/hollowfleet/copies.go
@@ -7,13 +7,13 @@
 )
 
 // feed sends a store what it lacks, one order at a time.
-func (lotList *lotList) feed(node *Node, own *drawer, member messages.Member, identity string) {
-	next := own.press.MatchOf(identity) + 1
-	if own.sending[identity] || next > own.press.Last() {
+func (storage *storage) feed(node *Node, own *storeState, member messages.Member, identity string) {
+	next := own.replication.MatchOf(identity) + 1
+	if own.sending[identity] || next > own.replication.Last() {
 		return
 	}
 	own.sending[identity] = true
-	order := &messages.Append{Epoch: lotEpoch, Disk: member.Disk, PreviousIndex: next - 1, Done: own.press.Done()}
+	order := &messages.Append{Epoch: lotEpoch, Disk: member.Disk, PreviousIndex: next - 1, Done: own.replication.Done()}
 	if next > 1 {
 		order.PreviousEpoch = lotEpoch
 	}
@@ -26,11 +26,11 @@
 		own.sending[identity] = false
 		if answer.Granted {
 			node.step(CoreLots, func() {
-				if own.press.Matched(identity, answer.Last) {
-					lotList.apply(node, own)
+				if own.replication.Matched(identity, answer.Last) {
+					storage.apply(node, own)
 				}
 			})
-			lotList.feed(node, own, member, identity)
+			storage.feed(node, own, member, identity)
 		}
 	}
 	if member.Address == node.own.Address {
@@ -44,7 +44,7 @@
 	node.ask(CoreLots, member.Address, messages.KindAppend, order, back, constants.BulkCallTime, func(reached bool) {
 		if !reached {
 			own.sending[identity] = false
-			node.after(constants.TickPeriod*2, func() { lotList.feed(node, own, member, identity) })
+			node.after(constants.TickPeriod*2, func() { storage.feed(node, own, member, identity) })
 			return
 		}
 		matched(*back)
@@ -52,26 +52,26 @@
 }
 
 // apply takes what became durable into the book.
-func (lotList *lotList) apply(node *Node, own *drawer) {
-	for own.applied < own.press.Done() {
+func (storage *storage) apply(node *Node, own *storeState) {
+	for own.applied < own.replication.Done() {
 		record := own.recent[own.applied+1-own.first]
 		_ = own.book.Apply(&record)
 		switch record.Kind {
 		case messages.RecordLot:
-			lotList.waits = append(lotList.waits, clock.ToMilliseconds(node.now().Since(own.begun[record.Lot])))
+			storage.waits = append(storage.waits, clock.ToMilliseconds(node.now().Since(own.begun[record.Lot])))
 			delete(own.begun, record.Lot)
 		case messages.RecordOutput:
-			lotList.listed++
+			storage.listed++
 			if lot := own.book.Lot(record.Lot); lot != nil && len(lot.Listings) == lot.Sum() {
 				// Read by its client at once, in this world.
-				lotList.submit(node, own, messages.Record{Kind: messages.RecordForget, Lot: record.Lot})
+				storage.submit(node, own, messages.Record{Kind: messages.RecordForget, Lot: record.Lot})
 			}
 		}
 		own.applied++
 	}
 	kept := own.durable[:0]
 	for _, one := range own.durable {
-		if one.index > own.press.Done() {
+		if one.index > own.replication.Done() {
 			kept = append(kept, one)
 			continue
 		}
@@ -80,8 +80,8 @@
 	own.durable = kept
 	// What is on all stores is given back; one that lags keeps it here.
 	keep := own.applied
-	for _, member := range lotList.members {
-		keep = min(keep, own.press.MatchOf(member.Address+"#"+member.Disk))
+	for _, member := range storage.members {
+		keep = min(keep, own.replication.MatchOf(member.Address+"#"+member.Disk))
 	}
 	if excess := keep + 1 - own.first; excess > 0 {
 		own.recent = append([]messages.Record(nil), own.recent[excess:]...)
--- a/internal/tooling/hollowfleet/dispatch.go
+++ b/internal/tooling/hollowfleet/dispatch.go
@@ -11,8 +11,8 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// ledger is what a driver keeps.
-type ledger struct {
+// driverState is what a driver keeps.
+type driverState struct {
 	core    *itemdriver.Runner
 	running int
 	// speaking: results are on their way; asking: a question for items is out.
@@ -25,20 +25,20 @@
 const itemService = "model-00"
 
 // beginDispatch lets the holder hand items out and take acknowledgements.
-func (lotList *lotList) beginDispatch(node *Node, own *drawer) {
+func (storage *storage) beginDispatch(node *Node, own *storeState) {
 	own.dispatcher = lots.NewDispatcher(own.book, lotEpoch, 1, constants.LockUnstated, node.now())
-	own.dispatcher.Submit = func(record messages.Record) int64 { return lotList.submit(node, own, record) }
+	own.dispatcher.Submit = func(record messages.Record) int64 { return storage.submit(node, own, record) }
 	terms := func(lot *lots.Lot) lots.Terms { return lots.Terms{Due: lot.SentMs + 3_600_000} }
 	node.answerers[messages.KindAcquire] = func(body []byte, reply func(transport.Writable)) {
 		question := &messages.Acquire{}
 		node.step(CoreLots, func() { _ = transport.Read(body, question) })
-		lotList.acquire(node, own, question, node.now(), terms, reply)
+		storage.acquire(node, own, question, node.now(), terms, reply)
 	}
 	node.answerers[messages.KindAcknowledge] = func(body []byte, reply func(transport.Writable)) {
 		question := &messages.Acknowledge{}
 		node.step(CoreLots, func() {
 			if transport.Read(body, question) == nil {
-				lotList.acknowledge(node, own, question, reply)
+				storage.acknowledge(node, own, question, reply)
 			}
 		})
 	}
@@ -47,7 +47,7 @@
 }
 
 // acquire hands items out, or looks again a little later while there are none.
-func (lotList *lotList) acquire(node *Node, own *drawer, question *messages.Acquire, begun clock.Moment, terms func(*lots.Lot) lots.Terms, reply func(transport.Writable)) {
+func (storage *storage) acquire(node *Node, own *storeState, question *messages.Acquire, begun clock.Moment, terms func(*lots.Lot) lots.Terms, reply func(transport.Writable)) {
 	answer := &messages.Acquired{LockMs: clock.ToMilliseconds(own.dispatcher.Lock), HeldMs: clock.ToMilliseconds(node.now().Since(begun))}
 	node.step(CoreLots, func() {
 		ask := &lots.AcquireAsk{Driver: lots.Driver{Name: question.Driver, Life: question.Life, Address: question.Address},
@@ -64,11 +64,11 @@
 		reply(answer)
 		return
 	}
-	node.after(constants.TickPeriod, func() { lotList.acquire(node, own, question, begun, terms, reply) })
+	node.after(constants.TickPeriod, func() { storage.acquire(node, own, question, begun, terms, reply) })
 }
 
 // acknowledge takes a batch; what needs a record is answered once that is durable.
-func (lotList *lotList) acknowledge(node *Node, own *drawer, question *messages.Acknowledge, reply func(transport.Writable)) {
+func (storage *storage) acknowledge(node *Node, own *storeState, question *messages.Acknowledge, reply func(transport.Writable)) {
 	driver := lots.Driver{Name: question.Driver, Life: question.Life, Address: question.Address}
 	answer, last := &messages.Acknowledged{}, int64(0)
 	for place := range question.Entries {
@@ -76,7 +76,7 @@
 		last = max(last, step.Index)
 		answer.Verdicts = append(answer.Verdicts, step.Verdict)
 	}
-	if last <= own.press.Done() {
+	if last <= own.replication.Done() {
 		reply(answer)
 		return
 	}
@@ -84,43 +84,43 @@
 }
 
 // beginDriver lets a store run items.
-func (lotList *lotList) beginDriver(node *Node) *ledger {
-	own := &ledger{core: itemdriver.New(), lock: constants.LockUnstated}
-	if lotList.fleet.Plan.Lots == 0 {
+func (storage *storage) beginDriver(node *Node) *driverState {
+	own := &driverState{core: itemdriver.New(), lock: constants.LockUnstated}
+	if storage.fleet.Plan.Lots == 0 {
 		return own
 	}
 	node.every(constants.TickPeriod, func() {
-		node.step(CoreDriver, func() { lotList.halt(own.core.Lapsed(node.now())) })
+		node.step(CoreDriver, func() { storage.halt(own.core.Lapsed(node.now())) })
 		if node.now().Since(own.renewed) >= own.lock/constants.RenewPart {
 			own.renewed = node.now()
-			lotList.renewLocks(node, own)
+			storage.renewLocks(node, own)
 		}
-		lotList.ask(node, own)
+		storage.ask(node, own)
 	})
 	return own
 }
 
 // halt has nothing to break off: a run that was stopped ends as one that is late.
-func (*lotList) halt([]*itemdriver.Task) {}
+func (*storage) halt([]*itemdriver.Task) {}
 
 // room is how many items a driver runs: its part of a quarter of all places.
-func (lotList *lotList) room() int {
-	plan := lotList.fleet.Plan
+func (storage *storage) room() int {
+	plan := storage.fleet.Plan
 	const share, capacity = 4, 16
 	return max(4, plan.Workers*capacity/share/max(1, plan.Nodes/plan.StoreEach))
 }
 
 // ask fills the room there is.
-func (lotList *lotList) ask(node *Node, own *ledger) {
-	room := lotList.room() - own.running
-	if own.asking || room <= 0 || lotList.holder.down {
+func (storage *storage) ask(node *Node, own *driverState) {
+	room := storage.room() - own.running
+	if own.asking || room <= 0 || storage.holder.down {
 		return
 	}
 	own.asking = true
 	question := &messages.Acquire{Driver: node.own.Name, Life: node.own.Life, Address: node.own.Address,
 		Room: []messages.ServiceRoom{{Service: itemService, Count: room}}, HoldMs: int(constants.AcquireHold.Milliseconds())}
 	answer, asked := &messages.Acquired{}, node.now()
-	node.ask(CoreDriver, lotList.holder.own.Address, messages.KindAcquire, question, answer, constants.AcquireHold+constants.CallTime, func(reached bool) {
+	node.ask(CoreDriver, storage.holder.own.Address, messages.KindAcquire, question, answer, constants.AcquireHold+constants.CallTime, func(reached bool) {
 		own.asking = false
 		if !reached {
 			return
@@ -128,68 +128,68 @@
 		for _, task := range own.core.Take(answer, asked, node.now()) {
 			own.running++
 			task.Begun = true
-			node.after(clock.Milliseconds(lotList.fleet.Plan.HeldMs*(0.5+node.random.Float64())), func() {
+			node.after(clock.Milliseconds(storage.fleet.Plan.HeldMs*(0.5+node.random.Float64())), func() {
 				own.running--
-				lotList.finish(node, own, task)
+				storage.finish(node, own, task)
 			})
 		}
-		lotList.ask(node, own)
+		storage.ask(node, own)
 	})
 }
 
 // finish ends a run with its output, if it still may.
-func (lotList *lotList) finish(node *Node, own *ledger, task *itemdriver.Task) {
+func (storage *storage) finish(node *Node, own *driverState, task *itemdriver.Task) {
 	node.step(CoreDriver, func() {
-		entry := messages.Acknowledgement{Kind: messages.AckAccept, Text: []byte(fmt.Sprintf("%*d", lotList.fleet.Plan.ItemBytes, task.Number))}
+		entry := messages.Acknowledgement{Kind: messages.AckAccept, Text: []byte(fmt.Sprintf("%*d", storage.fleet.Plan.ItemBytes, task.Number))}
 		if !task.May(node.now()) {
 			entry = messages.Acknowledgement{Kind: messages.AckRelease}
 		}
 		own.core.Done(task, entry)
 	})
-	node.after(constants.AckGather, func() { lotList.speak(node, own) })
-	node.after(constants.AckGather, func() { lotList.ask(node, own) })
+	node.after(constants.AckGather, func() { storage.speak(node, own) })
+	node.after(constants.AckGather, func() { storage.ask(node, own) })
 }
 
 // speak sends what is owed, one message at a time, and repeats what is not answered.
-func (lotList *lotList) speak(node *Node, own *ledger) {
+func (storage *storage) speak(node *Node, own *driverState) {
 	var batch []messages.Acknowledgement
 	node.step(CoreDriver, func() { batch = append(own.core.Results(), own.core.Returns()...) })
 	if own.speaking || len(batch) == 0 {
 		return
 	}
 	own.speaking = true
-	lotList.acknowledged(node, batch, func(answer *messages.Acknowledged) {
+	storage.acknowledged(node, batch, func(answer *messages.Acknowledged) {
 		own.speaking = false
 		if answer == nil {
-			node.after(constants.AckPause, func() { lotList.speak(node, own) })
+			node.after(constants.AckPause, func() { storage.speak(node, own) })
 			return
 		}
 		own.core.Answered(batch, answer.Verdicts)
-		lotList.speak(node, own)
+		storage.speak(node, own)
 	})
 }
 
 // renewLocks asks for all locks to run anew, in one message.
-func (lotList *lotList) renewLocks(node *Node, own *ledger) {
+func (storage *storage) renewLocks(node *Node, own *driverState) {
 	var entries []messages.Acknowledgement
 	node.step(CoreDriver, func() { entries = own.core.Renewals(node.now()) })
 	if len(entries) == 0 {
 		return
 	}
 	asked := node.now()
-	lotList.acknowledged(node, entries, func(answer *messages.Acknowledged) {
+	storage.acknowledged(node, entries, func(answer *messages.Acknowledged) {
 		if answer == nil {
 			own.renewed = 0
 			return
 		}
-		lotList.halt(own.core.Renewed(entries, answer.Verdicts, asked, own.lock))
+		storage.halt(own.core.Renewed(entries, answer.Verdicts, asked, own.lock))
 	})
 }
 
-func (lotList *lotList) acknowledged(node *Node, entries []messages.Acknowledgement, then func(*messages.Acknowledged)) {
+func (storage *storage) acknowledged(node *Node, entries []messages.Acknowledgement, then func(*messages.Acknowledged)) {
 	question := &messages.Acknowledge{Driver: node.own.Name, Life: node.own.Life, Address: node.own.Address, Entries: entries}
 	answer := &messages.Acknowledged{}
-	node.ask(CoreDriver, lotList.holder.own.Address, messages.KindAcknowledge, question, answer, constants.CallTime, func(reached bool) {
+	node.ask(CoreDriver, storage.holder.own.Address, messages.KindAcknowledge, question, answer, constants.CallTime, func(reached bool) {
 		if !reached {
 			then(nil)
 			return
--- a/internal/tooling/hollowfleet/fleet.go
+++ b/internal/tooling/hollowfleet/fleet.go
@@ -35,8 +35,8 @@
 	workerList    *workerList
 	gossip        *gossip
 	traffic       *traffic
-	localRegister *localRegister
-	lotList       *lotList
+	configuration *configuration
+	storage       *storage
 	troubles      *troubles
 	counting      bool
 	kinds         map[messages.Kind]*[ways]Traffic
@@ -53,21 +53,21 @@
 		kinds: map[messages.Kind]*[ways]Traffic{}, progress: progress}
 	fleet.room.OnFrame(fleet.count)
 	fleet.room.Simulate(transport.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
-	manned := map[int]bool{}
+	hasController := map[int]bool{}
 	for machine := 0; machine < plan.Nodes; machine++ {
 		role := membership.RoleGateway
 		if machine%plan.StoreEach == plan.StoreEach-1 {
 			role = membership.RoleStore
 		}
 		fleet.add(machine, role)
-		if role == membership.RoleGateway && !manned[machine%plan.Zones] {
-			manned[machine%plan.Zones] = true
+		if role == membership.RoleGateway && !hasController[machine%plan.Zones] {
+			hasController[machine%plan.Zones] = true
 			fleet.seeds = append(fleet.seeds, fleet.add(machine, membership.RoleController).own.Address)
 		}
 	}
 	fleet.members, fleet.workerList, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
-	fleet.localRegister, fleet.lotList, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
-	fleet.mechanisms = []Mechanism{fleet.members, fleet.workerList, fleet.gossip, fleet.localRegister, fleet.lotList, fleet.traffic}
+	fleet.configuration, fleet.storage, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.workerList, fleet.gossip, fleet.configuration, fleet.storage, fleet.traffic}
 	fleet.troubles = newTroubles(fleet)
 	return fleet
 }
@@ -89,7 +89,7 @@
 	}
 	fleet.workerList.begin()
 	// There is a first configuration before anything is counted.
-	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.localRegister.change(fleet.live(membership.RoleController)[0]) })
+	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.configuration.change(fleet.live(membership.RoleController)[0]) })
 	warm, whole := clock.Moment(seconds(fleet.Plan.WarmS)), clock.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
 	fleet.play(warm, whole)
 	fleet.counting = true
--- a/internal/tooling/hollowfleet/gossip.go
+++ b/internal/tooling/hollowfleet/gossip.go
@@ -52,7 +52,7 @@
 	node.answerers[messages.KindGossip] = reads(node, CoreGossip, func(packet *messages.Gossip) transport.Writable {
 		own.scheduler.Heard(packet, node.now())
 		gossip.fleet.members.touched(node, packet.From)
-		gossip.fleet.localRegister.saw(node, packet.Generation)
+		gossip.fleet.configuration.saw(node, packet.Generation)
 		return taken()
 	})
 	node.answerers[messages.KindReading] = reads(node, CoreReadings, func(told *messages.ReadingTold) transport.Writable {
--- a/internal/tooling/hollowfleet/lots.go
+++ b/internal/tooling/hollowfleet/lots.go
@@ -13,10 +13,10 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// lotList drives lots and itemdriver as stores do: one holder with the dispatcher,
+// storage drives lots and itemdriver as stores do: one holder with the dispatcher,
 // copies at three stores, and a driver in every store. The holder is given and its
 // takeover is not played; a run is a time that passes, without its events.
-type lotList struct {
+type storage struct {
 	fleet   *Fleet
 	members []messages.Member
 	holder  *Node
@@ -27,19 +27,19 @@
 	waits  []float64
 }
 
-// drawer is what a store, a driver and the holder keep.
-type drawer struct {
+// storeState is what a store, a driver and the holder keep.
+type storeState struct {
 	replica *lots.Replica
-	driver  *ledger
+	driver  *driverState
 	// The holder's: the dispatcher, and the records that are not on all stores yet.
-	dispatcher *lots.Dispatcher
-	press      *lots.Press
-	book       *lots.Book
-	recent     []messages.Record
-	first      int64
-	applied    int64
-	sending    map[string]bool
-	begun      map[string]clock.Moment
+	dispatcher  *lots.Dispatcher
+	replication *lots.Press
+	book        *lots.Book
+	recent      []messages.Record
+	first       int64
+	applied     int64
+	sending     map[string]bool
+	begun       map[string]clock.Moment
 	// durable are those who wait for a record.
 	durable []waiting
 }
@@ -56,8 +56,8 @@
 	lotEpoch   = 1
 )
 
-func newLots(fleet *Fleet) *lotList {
-	made := &lotList{fleet: fleet, random: rand.New(rand.NewSource(fleet.Plan.Seed + 61))}
+func newLots(fleet *Fleet) *storage {
+	made := &storage{fleet: fleet, random: rand.New(rand.NewSource(fleet.Plan.Seed + 61))}
 	zones := map[string]bool{}
 	for _, node := range fleet.nodes {
 		if node.own.Role == membership.RoleStore && len(made.members) < storeCount && !zones[node.own.Zone] {
@@ -72,36 +72,36 @@
 }
 
 // Name names it.
-func (*lotList) Name() string { return "lots" }
+func (*storage) Name() string { return "lots" }
 
 // Begin starts a store, and the holder's part at the holder.
-func (lotList *lotList) Begin(node *Node) any {
+func (storage *storage) Begin(node *Node) any {
 	node.answerers[messages.KindHolderTold] = reads(node, CoreHolds, func(*messages.HolderTold) transport.Writable { return taken() })
-	if node.own.Role != membership.RoleStore || lotList.holder == nil {
+	if node.own.Role != membership.RoleStore || storage.holder == nil {
 		return nil
 	}
-	own := &drawer{replica: lots.NewReplica(node.own.Disk)}
+	own := &storeState{replica: lots.NewReplica(node.own.Disk)}
 	node.answerers[messages.KindAppend] = reads(node, CoreLots, func(order *messages.Append) transport.Writable {
 		answer := own.append(order)
 		return &answer
 	})
-	own.driver = lotList.beginDriver(node)
-	if node != lotList.holder {
+	own.driver = storage.beginDriver(node)
+	if node != storage.holder {
 		return own
 	}
-	own.press, own.book = lots.NewPress(lotEpoch, lotList.members, lotBudget, 1), lots.NewBook()
+	own.replication, own.book = lots.NewPress(lotEpoch, storage.members, lotBudget, 1), lots.NewBook()
 	own.first, own.sending, own.begun = 1, map[string]bool{}, map[string]clock.Moment{}
 	node.answerers[messages.KindLotCall] = reads(node, CoreLots, func(call *messages.LotCall) transport.Writable {
 		own.begun[call.Lot] = node.now()
-		lotList.submit(node, own, messages.Record{Kind: messages.RecordLot, Lot: call.Lot, AtMs: int64(node.now()) / 1_000_000, Host: call.Host, Body: call.Body})
+		storage.submit(node, own, messages.Record{Kind: messages.RecordLot, Lot: call.Lot, AtMs: int64(node.now()) / 1_000_000, Host: call.Host, Body: call.Body})
 		return &messages.LotAnswer{Status: 202}
 	})
-	lotList.beginDispatch(node, own)
-	node.every(constants.HoldRenewal, func() { lotList.renew(node) })
+	storage.beginDispatch(node, own)
+	node.every(constants.HoldRenewal, func() { storage.renew(node) })
 	node.every(constants.HoldRenewal, func() {
-		for _, entry := range lotList.fleet.members.all(node) {
+		for _, entry := range storage.fleet.members.all(node) {
 			if entry.Role != membership.RoleController {
-				node.ask(CoreHolds, entry.Address, messages.KindHolderTold, &messages.HolderTold{Duty: lotList.duty()}, &messages.Nothing{}, constants.HoldRenewal, func(bool) {})
+				node.ask(CoreHolds, entry.Address, messages.KindHolderTold, &messages.HolderTold{Duty: storage.duty()}, &messages.Nothing{}, constants.HoldRenewal, func(bool) {})
 			}
 		}
 	})
@@ -109,23 +109,23 @@
 }
 
 // Drop lets go of lots.
-func (lotList *lotList) Drop(node *Node) { node.state[4] = nil }
+func (storage *storage) Drop(node *Node) { node.state[4] = nil }
 
-func (lotList *lotList) duty() messages.Duty {
-	own := lotList.holder.own
+func (storage *storage) duty() messages.Duty {
+	own := storage.holder.own
 	return messages.Duty{Holder: own.Name, Life: own.Life, Address: own.Address, Epoch: lotEpoch}
 }
 
 // renew asks every acceptor for the hold again.
-func (lotList *lotList) renew(node *Node) {
+func (storage *storage) renew(node *Node) {
 	own := node.own
-	for _, seed := range lotList.fleet.seeds {
+	for _, seed := range storage.fleet.seeds {
 		node.ask(CoreHolds, seed, messages.KindAsk, &messages.HoldAsk{Candidate: own.Name, Life: own.Life}, &messages.HoldAnswer{}, constants.HoldRenewal, func(bool) {})
 	}
 }
 
 // append is what a store does with an order; there is no disk to write to.
-func (own *drawer) append(order *messages.Append) messages.Appended {
+func (own *storeState) append(order *messages.Append) messages.Appended {
 	plan, answer := own.replica.Append(order)
 	if answer.Granted {
 		own.replica.Commit(plan, order.Epoch, make([]int64, len(plan.Records)))
@@ -134,35 +134,35 @@
 }
 
 // handIn gives the holder a new lot from some edge process.
-func (lotList *lotList) handIn() {
-	edges := lotList.fleet.live(membership.RoleGateway)
-	if len(edges) == 0 || lotList.holder == nil || lotList.holder.down {
+func (storage *storage) handIn() {
+	edges := storage.fleet.live(membership.RoleGateway)
+	if len(edges) == 0 || storage.holder == nil || storage.holder.down {
 		return
 	}
-	node := edges[lotList.random.Intn(len(edges))]
-	lotList.made++
-	name := fmt.Sprintf("lot-%08d", lotList.made)
+	node := edges[storage.random.Intn(len(edges))]
+	storage.made++
+	name := fmt.Sprintf("lot-%08d", storage.made)
 	body := &messages.LotBody{Path: "/v1/batch"}
-	for place := 0; place < lotList.fleet.Plan.LotItems; place++ {
-		item := messages.LotItem{ID: fmt.Sprintf("item-%06d", place), Path: "/v1/generate", Tokens: 600, Body: make([]byte, lotList.fleet.Plan.ItemBytes)}
+	for place := 0; place < storage.fleet.Plan.LotItems; place++ {
+		item := messages.LotItem{ID: fmt.Sprintf("item-%06d", place), Path: "/v1/generate", Tokens: 600, Body: make([]byte, storage.fleet.Plan.ItemBytes)}
 		body.Items = append(body.Items, item)
 	}
 	text, _ := body.MarshalMsg(nil)
 	if len(text) > constants.FrameLimit {
 		// No frame holds it: such a lot is refused before anything is taken.
-		lotList.fleet.troubles.refused("lot")
+		storage.fleet.troubles.refused("lot")
 		return
 	}
 	call := &messages.LotCall{Method: "POST", Host: "tenant.example", Path: "/v1/batch", Lot: name, Body: text}
-	node.ask(CoreLots, lotList.holder.own.Address, messages.KindLotCall, call, &messages.LotAnswer{}, constants.BulkCallTime, func(bool) {})
+	node.ask(CoreLots, storage.holder.own.Address, messages.KindLotCall, call, &messages.LotAnswer{}, constants.BulkCallTime, func(bool) {})
 }
 
 // submit makes a record at the holder and has it copied.
-func (lotList *lotList) submit(node *Node, own *drawer, record messages.Record) int64 {
-	record.Index, record.Epoch = own.press.Take(), lotEpoch
+func (storage *storage) submit(node *Node, own *storeState, record messages.Record) int64 {
+	record.Index, record.Epoch = own.replication.Take(), lotEpoch
 	own.recent = append(own.recent, record)
-	for _, member := range lotList.members {
-		lotList.feed(node, own, member, register.Identity(member))
+	for _, member := range storage.members {
+		storage.feed(node, own, member, register.Identity(member))
 	}
 	return record.Index
 }
--- a/internal/tooling/hollowfleet/members.go
+++ b/internal/tooling/hollowfleet/members.go
@@ -147,7 +147,7 @@
 	for _, entry := range entries {
 		newest = max(newest, entry.Generation)
 	}
-	members.fleet.localRegister.saw(node, newest)
+	members.fleet.configuration.saw(node, newest)
 }
 
 // touched notes direct word from a process.
--- a/internal/tooling/hollowfleet/plan.go
+++ b/internal/tooling/hollowfleet/plan.go
@@ -17,7 +17,7 @@
 	// Nodes is the number of machines; every StoreEach-th is a storage machine, the
 	// rest are edge machines, and the first of each zone runs a controller as well.
 	Nodes     int `json:"nodes"`
-	StoreEach int `json:"locker-each"`
+	StoreEach int `json:"store-each"`
 	Zones     int `json:"zones"`
 	Regions   int `json:"regions"`
 	Workers   int `json:"workers"`
--- a/internal/tooling/hollowfleet/plot.go
+++ b/internal/tooling/hollowfleet/plot.go
@@ -68,9 +68,9 @@
 // Draw writes the charts of a series.
 func (series *Series) Draw(folder, prefix string) error {
 	for title, names := range map[string][]string{
-		"bytes":     {"forge bytes", "locker bytes", "foreman bytes"},
-		"processor": {"forge processor", "locker processor", "foreman processor"},
-		"heap":      {"forge heap", "locker heap", "foreman heap"},
+		"bytes":     {"gateway bytes", "store bytes", "controller bytes"},
+		"processor": {"gateway processor", "store processor", "controller processor"},
+		"heap":      {"gateway heap", "store heap", "controller heap"},
 	} {
 		chart := Chart{Title: prefix + " " + title, Lines: map[string]Slope{}}
 		for _, name := range names {
--- a/internal/tooling/hollowfleet/probe.go
+++ b/internal/tooling/hollowfleet/probe.go
@@ -24,7 +24,7 @@
 	// HeapMB is what the open lot keeps at its holder, ReplicaKB its slots at a store
 	// once all outputs are there.
 	HeapMB    float64 `json:"heap-mb"`
-	ReplicaKB float64 `json:"shelf-kb"`
+	ReplicaKB float64 `json:"replica-kb"`
 	// Fits tells whether one frame and one store's append can carry the lot at all.
 	Fits bool `json:"fits-a-frame"`
 }
--- a/internal/tooling/hollowfleet/probe_test.go
+++ b/internal/tooling/hollowfleet/probe_test.go
@@ -39,14 +39,14 @@
 	points := []Point{{25, 10}, {50, 20}, {100, 40}}
 	best, _ := BestFit(points)
 	series := &Series{Runs: []*Result{{Plan: Plan{Nodes: 25}}, {Plan: Plan{Nodes: 50}}, {Plan: Plan{Nodes: 100}}},
-		Slopes: map[string]Slope{"forge bytes": {Unit: "bytes a second", Points: points, Best: best, AtPage: best.At(PageNodes)}, "nothing": {Points: []Point{{25, 0}}}}}
+		Slopes: map[string]Slope{"gateway bytes": {Unit: "bytes a second", Points: points, Best: best, AtPage: best.At(PageNodes)}, "nothing": {Points: []Point{{25, 0}}}}}
 	var text bytes.Buffer
 	series.Table(&text, "run.json")
-	if !strings.Contains(text.String(), "| forge bytes (bytes a second) | 10 | 20 | 40 | linear (0%) | 156 fitted | run.json |") ||
+	if !strings.Contains(text.String(), "| gateway bytes (bytes a second) | 10 | 20 | 40 | linear (0%) | 156 fitted | run.json |") ||
 		strings.Contains(text.String(), "nothing") {
 		test.Fatal(text.String())
 	}
-	series.Slopes["forge bytes"] = Slope{Unit: "bytes a second", Points: []Point{{25, 10}, {50, 20}, {390, 12345}}, Best: best}
+	series.Slopes["gateway bytes"] = Slope{Unit: "bytes a second", Points: []Point{{25, 10}, {50, 20}, {390, 12345}}, Best: best}
 	text.Reset()
 	series.Table(&text, "run.json")
 	if !strings.Contains(text.String(), "12.3k measured") {
--- a/internal/tooling/hollowfleet/real.go
+++ b/internal/tooling/hollowfleet/real.go
@@ -14,6 +14,7 @@
 
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/settings"
 )
 
@@ -128,12 +129,12 @@
 			if err := os.WriteFile(path, []byte(fleet.nodeSettings(machine, role)), 0o600); err != nil {
 				return Unstarted.Wrap(err, "settings")
 			}
-			child := exec.Command(filepath.Join(fleet.plan.Programs, role))
+			child := exec.Command(filepath.Join(fleet.plan.Programs, constants.RoleName(role)))
 			child.Env = append(os.Environ(), settings.Variable+"="+path)
 			if err := child.Start(); err != nil {
 				return Unstarted.Wrap(err, role)
 			}
-			fleet.children, fleet.roles = append(fleet.children, child), append(fleet.roles, role)
+			fleet.children, fleet.roles = append(fleet.children, child), append(fleet.roles, constants.RoleName(role))
 			go func() {
 				_ = child.Wait()
 				fleet.ended <- fmt.Sprintf("%s of machine %d", role, machine)
--- a/internal/tooling/hollowfleet/realplan.go
+++ b/internal/tooling/hollowfleet/realplan.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 
-	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/errs"
 )
 
@@ -18,9 +17,9 @@
 type RealPlan struct {
 	// Programs is the folder of the built programs.
 	Programs    string  `json:"-"`
-	Gateways    int     `json:"forges"`
-	Stores      int     `json:"lockers"`
-	Controllers int     `json:"foremen"`
+	Gateways    int     `json:"gateways"`
+	Stores      int     `json:"stores"`
+	Controllers int     `json:"controllers"`
 	Workers     int     `json:"workers"`
 	SettleS     float64 `json:"settle-s"`
 	CountS      float64 `json:"count-s"`
@@ -65,7 +64,7 @@
 	need(plan.Controllers <= plan.Gateways, "--controllers must not be above --gateways: each stands beside a gateway")
 	need(plan.Workers >= 1 && plan.Workers <= 2000, "--workers must be 1 to 2000")
 	need(plan.SettleS >= 0 && plan.CountS > 0, "--settle must be 0 or more and --duration above 0")
-	for _, name := range []string{membership.RoleGateway, membership.RoleController, membership.RoleStore} {
+	for _, name := range []string{"gateway", "controller", "store"} {
 		_, err := os.Stat(filepath.Join(plan.Programs, name))
 		need(err == nil, "--programs has no %s: build them first", name)
 	}
--- a/internal/tooling/hollowfleet/register.go
+++ b/internal/tooling/hollowfleet/register.go
@@ -17,9 +17,9 @@
 // firstDisk is the identity of every acceptor's disk at the start.
 const firstDisk = "first"
 
-// localRegister drives register and lease as controllers do, and the spreading of configurations.
+// configuration drives register and lease as controllers do, and the spreading of configurations.
 // An acceptor's disk outlives its process; the time of a sync is not simulated.
-type localRegister struct {
+type configuration struct {
 	fleet     *Fleet
 	acceptors map[string]*register.Acceptor
 	first     messages.Register
@@ -28,8 +28,8 @@
 	changes   int
 }
 
-// office is what a controller keeps of the register.
-type office struct {
+// registerState is what a controller keeps of the register.
+type registerState struct {
 	acceptor *register.Acceptor
 	grants   *lease.Grants
 	known    messages.Register
@@ -44,8 +44,8 @@
 	body    []byte
 }
 
-func newRegister(fleet *Fleet) *localRegister {
-	made := &localRegister{fleet: fleet, acceptors: map[string]*register.Acceptor{}, random: rand.New(rand.NewSource(fleet.Plan.Seed + 43))}
+func newRegister(fleet *Fleet) *configuration {
+	made := &configuration{fleet: fleet, acceptors: map[string]*register.Acceptor{}, random: rand.New(rand.NewSource(fleet.Plan.Seed + 43))}
 	for _, seed := range fleet.seeds {
 		made.first.Acceptors = append(made.first.Acceptors, messages.Member{Disk: firstDisk, Address: seed})
 	}
@@ -56,28 +56,28 @@
 }
 
 // Name names it.
-func (*localRegister) Name() string { return "configuration" }
+func (*configuration) Name() string { return "configuration" }
 
-func (localRegister *localRegister) office(node *Node) *office {
-	own, _ := node.state[3].(*office)
+func (configuration *configuration) stateOf(node *Node) *registerState {
+	own, _ := node.state[3].(*registerState)
 	return own
 }
 
 // Begin starts a controller's seat, or a follower.
-func (localRegister *localRegister) Begin(node *Node) any {
+func (configuration *configuration) Begin(node *Node) any {
 	node.answerers[messages.KindConfigPush] = reads(node, CoreConfig, func(push *messages.ConfigPush) transport.Writable {
 		if len(push.Pass) > 0 {
-			node.after(0, func() { localRegister.passOn(node, push) })
+			node.after(0, func() { configuration.passOn(node, push) })
 		}
-		localRegister.take(node, push.Generation, push.Body)
+		configuration.take(node, push.Generation, push.Body)
 		return taken()
 	})
-	acceptor := localRegister.acceptors[node.own.Address]
+	acceptor := configuration.acceptors[node.own.Address]
 	if acceptor == nil {
-		node.after(constants.StartPause*2, func() { localRegister.pull(node) })
+		node.after(constants.StartPause*2, func() { configuration.pull(node) })
 		return &follower{}
 	}
-	own := &office{acceptor: acceptor, grants: lease.NewGrants(node.now(), node.life == 1), known: localRegister.first}
+	own := &registerState{acceptor: acceptor, grants: lease.NewGrants(node.now(), node.life == 1), known: configuration.first}
 	node.answerers[messages.KindPrepare] = reads(node, CoreRegister, func(question *messages.Prepare) transport.Writable {
 		answer, _ := acceptor.Prepare(question)
 		return &answer
@@ -93,15 +93,15 @@
 	node.answerers[messages.KindConfigPull] = reads(node, CoreConfig, func(*messages.ConfigPull) transport.Writable {
 		return &messages.ConfigPush{Generation: node.generation, Body: own.body}
 	})
-	node.after(constants.StartPause*2, func() { localRegister.pull(node) })
+	node.after(constants.StartPause*2, func() { configuration.pull(node) })
 	return own
 }
 
 // Drop lets go of the configuration.
-func (localRegister *localRegister) Drop(node *Node) { node.state[3] = nil }
+func (configuration *configuration) Drop(node *Node) { node.state[3] = nil }
 
 // take puts a newer configuration in force.
-func (localRegister *localRegister) take(node *Node, generation int64, body []byte) {
+func (configuration *configuration) take(node *Node, generation int64, body []byte) {
 	if generation <= node.generation || len(body) == 0 {
 		return
 	}
@@ -111,14 +111,14 @@
 			return
 		}
 		node.generation = config.Generation
-		if view := localRegister.fleet.members.viewOf(node); view != nil {
+		if view := configuration.fleet.members.viewOf(node); view != nil {
 			view.SetGeneration(config.Generation)
 		}
-		if own := localRegister.office(node); own != nil {
+		if own := configuration.stateOf(node); own != nil {
 			own.body = body
 		} else if other, is := node.state[3].(*follower); is {
 			other.config, other.body = config, body
-			if own := localRegister.fleet.workerList.placing(node); own != nil {
+			if own := configuration.fleet.workerList.placing(node); own != nil {
 				own.scheduler.SetConfig(config)
 			}
 		}
@@ -126,7 +126,7 @@
 }
 
 // passOn sends a configuration on to the part of the zone that came with it.
-func (localRegister *localRegister) passOn(node *Node, push *messages.ConfigPush) {
+func (configuration *configuration) passOn(node *Node, push *messages.ConfigPush) {
 	for _, send := range broadcast.Split(push.Pass, constants.BodyFan) {
 		var try func(address string, pass []string)
 		try = func(address string, pass []string) {
@@ -142,38 +142,38 @@
 }
 
 // saw pulls a configuration that somebody was seen to have.
-func (localRegister *localRegister) saw(node *Node, generation int64) {
+func (configuration *configuration) saw(node *Node, generation int64) {
 	if other, is := node.state[3].(*follower); is && generation > node.generation && !other.pulling {
 		other.pulling = true
-		localRegister.pull(node)
+		configuration.pull(node)
 		return
 	}
-	if localRegister.office(node) != nil && generation > node.generation {
-		localRegister.pull(node)
+	if configuration.stateOf(node) != nil && generation > node.generation {
+		configuration.pull(node)
 	}
 }
 
 // pull asks controllers, the nearest that answer first, until one does.
-func (localRegister *localRegister) pull(node *Node) {
+func (configuration *configuration) pull(node *Node) {
 	var controllers []messages.Entry
-	node.step(CoreConfig, func() { controllers = localRegister.fleet.members.view(node).Controllers(node.now()) })
-	address := localRegister.fleet.seeds[node.random.Intn(len(localRegister.fleet.seeds))]
+	node.step(CoreConfig, func() { controllers = configuration.fleet.members.view(node).Controllers(node.now()) })
+	address := configuration.fleet.seeds[node.random.Intn(len(configuration.fleet.seeds))]
 	if len(controllers) > 0 {
 		address = controllers[0].Address
 	}
 	if address == node.own.Address {
-		node.after(constants.StartPause, func() { localRegister.pull(node) })
+		node.after(constants.StartPause, func() { configuration.pull(node) })
 		return
 	}
 	push := &messages.ConfigPush{}
 	node.ask(CoreConfig, address, messages.KindConfigPull, &messages.ConfigPull{Known: node.generation}, push, constants.CallTime, func(reached bool) {
 		if reached {
-			localRegister.take(node, push.Generation, push.Body)
+			configuration.take(node, push.Generation, push.Body)
 		} else {
-			localRegister.fleet.members.view(node).Failed(address, node.now())
+			configuration.fleet.members.view(node).Failed(address, node.now())
 		}
-		if !reached && node.generation < localRegister.chosen {
-			node.after(constants.StartPause, func() { localRegister.pull(node) })
+		if !reached && node.generation < configuration.chosen {
+			node.after(constants.StartPause, func() { configuration.pull(node) })
 			return
 		}
 		if other, is := node.state[3].(*follower); is {
@@ -183,22 +183,22 @@
 }
 
 // change has a controller take a new configuration, as an operator does.
-func (localRegister *localRegister) change(node *Node) {
-	fleet := localRegister.fleet
-	localRegister.changes++
-	version := messages.Version{Generation: localRegister.chosen + 1, Base: localRegister.chosen}
-	body := localRegister.body(version.Generation)
+func (configuration *configuration) change(node *Node) {
+	fleet := configuration.fleet
+	configuration.changes++
+	version := messages.Version{Generation: configuration.chosen + 1, Base: configuration.chosen}
+	body := configuration.body(version.Generation)
 	version.Hash = routeconfig.Hash(body)
 	var result register.Result
 	begun := fleet.world.Now
-	localRegister.propose(node, register.Replace(version, body, &result), fleet.world.Now.Plus(constants.RegisterTime), func(value *messages.Register) {
+	configuration.propose(node, register.Replace(version, body, &result), fleet.world.Now.Plus(constants.RegisterTime), func(value *messages.Register) {
 		if value == nil {
 			fleet.troubles.refused("configuration")
 			return
 		}
-		localRegister.chosen = max(localRegister.chosen, value.Current.Generation)
+		configuration.chosen = max(configuration.chosen, value.Current.Generation)
 		fleet.troubles.track("configuration", node, func(one *Node) bool { return one.generation >= value.Current.Generation })
-		localRegister.take(node, value.Current.Generation, value.Body)
+		configuration.take(node, value.Current.Generation, value.Body)
 		// The call is acknowledged when all have it or the time for it is over.
 		fleet.workerList.spread(node, CoreConfig, &messages.Relay{Generation: value.Current.Generation, Body: value.Body}, constants.PushTime, func() {
 			fleet.troubles.acknowledged("configuration", fleet.world.Now.Since(begun))
@@ -207,17 +207,17 @@
 }
 
 // body makes a configuration of about the planned length.
-func (localRegister *localRegister) body(generation int64) []byte {
+func (configuration *configuration) body(generation int64) []byte {
 	config := map[string]any{"generation": generation, "limits": struct{}{}}
 	var services, routes []map[string]any
-	for model := 0; model < localRegister.fleet.Plan.Models; model++ {
+	for model := 0; model < configuration.fleet.Plan.Models; model++ {
 		services = append(services, map[string]any{"name": fmt.Sprintf("model-%02d", model), "conn-limit": 520,
 			"engine": map[string]int{"capacity": 16, "cache-tokens": 232000}})
 	}
-	for length := 0; length < localRegister.fleet.Plan.ConfigBytes; {
+	for length := 0; length < configuration.fleet.Plan.ConfigBytes; {
 		route := map[string]any{"name": fmt.Sprintf("route-%05d", len(routes)), "host": fmt.Sprintf("tenant-%05d.example", len(routes)),
 			"path-prefix": "/v1/", "route-kind": "streaming", "cutoff-ms": 20000, "setpoint-ms": 470, "gap-setpoint-ms": 76,
-			"backend": fmt.Sprintf("model-%02d", len(routes)%localRegister.fleet.Plan.Models), "affine": true, "resumable": true, "priority": len(routes) % 3}
+			"backend": fmt.Sprintf("model-%02d", len(routes)%configuration.fleet.Plan.Models), "affine": true, "resumable": true, "priority": len(routes) % 3}
 		text, _ := json.Marshal(route)
 		length += len(text) + 1
 		routes = append(routes, route)
--- a/internal/tooling/hollowfleet/result.go
+++ b/internal/tooling/hollowfleet/result.go
@@ -1,8 +1,6 @@
 package hollowfleet
 
-import (
-	"lemonarch/internal/control/membership"
-)
+import "lemonarch/internal/platform/constants"
 
 // Result is what came of a run. Simulated repeats with the seed; Measured is processor
 // time and memory of the machine that played it.
@@ -89,16 +87,16 @@
 }
 
 // roleNames lists the groups that results are told for.
-var roleNames = []string{membership.RoleGateway, membership.RoleController, membership.RoleStore, roleHolder}
+var roleNames = []string{"gateway", "controller", "store", roleHolder}
 
 // roleHolder is the store that holds the lots, told apart from the others.
 const roleHolder = "holder"
 
 func (fleet *Fleet) roleOf(node *Node) string {
-	if node == fleet.lotList.holder {
+	if node == fleet.storage.holder {
 		return roleHolder
 	}
-	return node.own.Role
+	return constants.RoleName(node.own.Role)
 }
 
 func (fleet *Fleet) result() *Result {
@@ -106,7 +104,7 @@
 	fleet.troubles.close()
 	result := &Result{Plan: fleet.Plan, Simulated: Simulated{Roles: map[string]RoleTraffic{}, Kinds: map[string]map[string]Rate{},
 		Known: map[string]Times{}, Acknowledged: map[string]Times{}, Refused: fleet.troubles.refuse, Weights: fleet.gossip.ages.result(), Near: fleet.gossip.near.result(),
-		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.lotList.made, Listed: fleet.lotList.listed, Durable: timesOf(fleet.lotList.waits, nil)}},
+		Lost: fleet.troubles.failed, Lots: LotSums{HandedIn: fleet.storage.made, Listed: fleet.storage.listed, Durable: timesOf(fleet.storage.waits, nil)}},
 		Measured: Measured{Roles: map[string]RoleCost{}}}
 	result.Simulated.Loads = fleet.gossip.loads()
 	result.Simulated.Turned = float64(fleet.traffic.turned) / max(float64(fleet.traffic.asked), 1)
--- a/internal/tooling/hollowfleet/tree.go
+++ b/internal/tooling/hollowfleet/tree.go
@@ -133,7 +133,7 @@
 func (workerList *workerList) beginRelays(node *Node, own *table) {
 	node.answerers[messages.KindRelay] = reads(node, CoreWorkers, func(word *messages.Relay) transport.Writable {
 		workerList.merge(node, own, word.Workers)
-		workerList.fleet.localRegister.take(node, word.Generation, word.Body)
+		workerList.fleet.configuration.take(node, word.Generation, word.Body)
 		expect := word.Expect[:0:0]
 		has := map[uint32]bool{}
 		for _, entry := range workerList.directory(node, 0) {
--- a/internal/tooling/hollowfleet/troubles.go
+++ b/internal/tooling/hollowfleet/troubles.go
@@ -67,11 +67,11 @@
 	fleet, plan := troubles.fleet, troubles.fleet.Plan
 	troubles.at(plan.Changes, func() {
 		if controllers := fleet.live(membership.RoleController); len(controllers) > 0 {
-			fleet.localRegister.change(controllers[troubles.random.Intn(len(controllers))])
+			fleet.configuration.change(controllers[troubles.random.Intn(len(controllers))])
 		}
 	})
 	troubles.at(plan.Turns, fleet.workerList.turn)
-	troubles.at(plan.Lots, fleet.lotList.handIn)
+	troubles.at(plan.Lots, fleet.storage.handIn)
 	troubles.at(plan.Failures, func() {
 		machine := troubles.random.Intn(plan.Nodes)
 		troubles.lose("machine", func(node *Node) bool { return node.machine == machine }, plan.DownS)
@@ -109,7 +109,7 @@
 	var lost []*Node
 	gone := map[string]bool{}
 	for _, node := range fleet.nodes {
-		if among(node) && !node.down && node != fleet.lotList.holder {
+		if among(node) && !node.down && node != fleet.storage.holder {
 			lost = append(lost, node)
 			gone[membership.Key(node.own)] = true
 		}
--- a/internal/tooling/hollowfleet/wirecost.go
+++ b/internal/tooling/hollowfleet/wirecost.go
@@ -1,6 +1,8 @@
 package hollowfleet
 
 import (
+	"os"
+
 	"golang.org/x/sys/unix"
 
 	"lemonarch/internal/platform/clock"
@@ -18,7 +20,8 @@
 // WireCost gives the processor time of this process, in us, for one frame sent and
 // received, answers counted as frames.
 func WireCost() (float64, error) {
-	address := machineAddress(9999) + ":17099"
+	// An address of its own for each process, beyond those of any fleet.
+	address := machineAddress(10_000+os.Getpid()%40_000) + ":17099"
 	server, client := transport.NewWire(address), transport.NewWire("")
 	defer server.Close()
 	defer client.Close()
--- a/internal/tooling/lab/desk.go
+++ b/internal/tooling/lab/endpoint.go
@@ -46,11 +46,11 @@
 	return card
 }
 
-// serveEndpoint opens the desk, on loopback like everything else.
+// serveEndpoint opens the control endpoint, on loopback like everything else.
 func (fleet *Fleet) serveEndpoint() error {
 	listener, err := net.Listen("tcp4", fleet.Plan.Endpoint())
 	if err != nil {
-		return Unfit.New("desk at " + fleet.Plan.Endpoint() + ": " + lastWords(err))
+		return Unfit.New("control endpoint at " + fleet.Plan.Endpoint() + ": " + lastWords(err))
 	}
 	tree := chi.NewRouter()
 	tree.Get("/fleet", func(writer http.ResponseWriter, _ *http.Request) { httpreply.JSON(writer, http.StatusOK, fleet.Card()) })
@@ -72,7 +72,27 @@
 		}
 		httpreply.JSON(writer, http.StatusOK, struct{}{})
 	})
-	fleet.endpoint = &http.Server{Handler: tree, ReadHeaderTimeout: constants.LabGrace}
-	go func() { _ = fleet.endpoint.Serve(listener) }()
+	fleet.endpoint = newEndpoint(listener, tree)
 	return nil
 }
+
+// endpoint serves a handler until it is closed.
+type endpoint struct {
+	server *http.Server
+	served chan struct{}
+}
+
+func newEndpoint(listener net.Listener, handler http.Handler) *endpoint {
+	one := &endpoint{server: &http.Server{Handler: handler, ReadHeaderTimeout: constants.LabGrace}, served: make(chan struct{})}
+	go func() {
+		defer close(one.served)
+		_ = one.server.Serve(listener)
+	}()
+	return one
+}
+
+// close ends the server; its address is free then, also where it had not begun to serve.
+func (one *endpoint) close() {
+	_ = one.server.Close()
+	<-one.served
+}
--- a/internal/tooling/lab/fleet.go
+++ b/internal/tooling/lab/fleet.go
@@ -23,7 +23,7 @@
 	record    *workeremulator.Record
 	processes []*process
 	places    []*place
-	endpoint  *http.Server
+	endpoint  *endpoint
 	starter   *starter
 	operator  operator
 	stopping  chan struct{}
@@ -33,9 +33,9 @@
 }
 
 // Start carries a plan out and returns once every gateway is ready. Where anything
-// goes wrong or the errand is called off, all that was started is ended before it returns. An empty folder
-// makes it use one of its own, which goes away with the fleet.
-func Start(called contexts.Errand, plan Plan, folder string) (*Fleet, error) {
+// goes wrong or the context is cancelled, all that was started is ended before it returns.
+// An empty folder makes it use one of its own, which goes away with the fleet.
+func Start(called contexts.Context, plan Plan, folder string) (*Fleet, error) {
 	if err := plan.Check(); err != nil {
 		return nil, err
 	}
@@ -75,7 +75,7 @@
 	return fleet, nil
 }
 
-func (fleet *Fleet) start(called contexts.Errand, configuration []byte) error {
+func (fleet *Fleet) start(called contexts.Context, configuration []byte) error {
 	for _, node := range fleet.Plan.nodes() {
 		one := newProcess(&fleet.Plan, node, fleet.Folder, fleet.starter)
 		path, err := fleet.Plan.write(node, fleet.Folder, true)
@@ -132,7 +132,7 @@
 }
 
 // until tries again and again, and tells of a death or of the last failure.
-func (fleet *Fleet) until(called contexts.Errand, end clock.Moment, what string, function func() error) error {
+func (fleet *Fleet) until(called contexts.Context, end clock.Moment, what string, function func() error) error {
 	for {
 		err := function()
 		if err == nil {
@@ -172,7 +172,7 @@
 		// Troubles under way end first, so that none starts a process once more.
 		fleet.troubles.Wait()
 		if fleet.endpoint != nil {
-			fleet.endpoint.Close()
+			fleet.endpoint.close()
 		}
 		var group sync.WaitGroup
 		for _, one := range fleet.processes {
--- a/internal/tooling/lab/lab_test.go
+++ b/internal/tooling/lab/lab_test.go
@@ -28,9 +28,20 @@
 	return folder
 }
 
-// ownNetwork gives addresses that no other run of the tests on this machine has.
-func ownNetwork(number int) string {
-	return fmt.Sprintf("127.%d.%d", 1+(os.Getpid()/10)%250, 10*(os.Getpid()%10)+number%10)
+// ownNetwork gives addresses that no other run of the tests on this machine has: whoever
+// holds the last one of them has them all, until the test is over.
+func ownNetwork(test *testing.T) string {
+	const tries = 1000
+	for number := os.Getpid(); number < os.Getpid()+tries; number++ {
+		network := fmt.Sprintf("127.%d.%d", 1+number/256%250, number%256)
+		claim, err := net.Listen("tcp4", network+".254:7099")
+		if err == nil {
+			test.Cleanup(func() { claim.Close() })
+			return network
+		}
+	}
+	test.Skip("this machine has no such addresses")
+	return ""
 }
 
 // Every process of every shape gets settings that the daemons take, and no two
@@ -94,11 +105,11 @@
 // A busy address is named before anything starts.
 func TestBusyAddressIsNamed(test *testing.T) {
 	plan := NewPlan()
-	plan.Network, plan.Programs = ownNetwork(211), programs(test, "exec sleep 60")
+	plan.Network, plan.Programs = ownNetwork(test), programs(test, "exec sleep 60")
 	busy := plan.Ingress()[1]
 	listener, err := net.Listen("tcp4", busy)
 	if err != nil {
-		test.Skip("this machine has no such address: " + err.Error())
+		test.Fatal(err)
 	}
 	defer listener.Close()
 	fleet, err := Start(contexts.Background(), plan, test.TempDir())
@@ -114,17 +125,12 @@
 // ended by their ids.
 func TestDyingChildEndsTheStart(test *testing.T) {
 	plan := NewPlan()
-	plan.Network, plan.Programs = ownNetwork(212), programs(test, "exec sleep 60")
+	plan.Network, plan.Programs = ownNetwork(test), programs(test, "exec sleep 60")
 	dying := filepath.Join(plan.Programs, "store")
 	if err := os.WriteFile(dying, []byte("#!/bin/sh\necho first words\necho the disk is gone\nexit 3\n"), 0o755); err != nil {
 		test.Fatal(err)
 	}
 	folder := test.TempDir()
-	probe, err := net.Listen("tcp4", plan.Endpoint())
-	if err != nil {
-		test.Skip("this machine has no such address: " + err.Error())
-	}
-	probe.Close()
 	fleet, err := Start(contexts.Background(), plan, folder)
 	if err == nil {
 		fleet.Stop()
@@ -141,12 +147,7 @@
 // A start that is called off ends what it has begun.
 func TestStartThatIsCalledOff(test *testing.T) {
 	plan := NewPlan()
-	plan.Network, plan.Programs = ownNetwork(213), programs(test, "exec sleep 60")
-	if probe, err := net.Listen("tcp4", plan.Endpoint()); err != nil {
-		test.Skip("this machine has no such address: " + err.Error())
-	} else {
-		probe.Close()
-	}
+	plan.Network, plan.Programs = ownNetwork(test), programs(test, "exec sleep 60")
 	called, halt := contexts.Stoppable(contexts.Background())
 	halt()
 	fleet, err := Start(called, plan, test.TempDir())
--- a/internal/tooling/lab/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -1,5 +1,5 @@
 // Package lab holds a small fleet on one machine: the real programs on loopback
-// addresses, emulated workers for them, and a desk from which both are watched and
+// addresses, emulated workers for them, and a control endpoint by which both are watched and
 // put in trouble.
 package lab
 
@@ -122,7 +122,7 @@
 // Controls lists the addresses that workers and the operator call.
 func (plan *Plan) Controls() []string { return plan.edges(plan.Controllers, constants.LabControlPort) }
 
-// Endpoint is the address of the desk.
+// Endpoint is the address of the control endpoint.
 func (plan *Plan) Endpoint() string {
 	return plan.host(constants.LabEndpointHost, 0, constants.LabEndpointPort)
 }
--- /dev/null
+++ b/internal/tooling/lab/reload_test.go
@@ -0,0 +1,37 @@
+package lab
+
+import (
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+// A reload finds the changed file in place, and is no reason for a process to end.
+func TestReloadComesAfterTheFile(test *testing.T) {
+	plan := NewPlan()
+	plan.Programs = programs(test, `trap 'cat "$LEMONARCH_SETTINGS" > "$LEMONARCH_SETTINGS.seen"; kill "$other"; exit 0' HUP; sleep 60 & other=$!; echo > "$LEMONARCH_SETTINGS.up"; wait`)
+	for valid, want := range map[bool]string{true: "bootstrap = false", false: unreadable} {
+		fleet := &Fleet{Plan: plan, Folder: test.TempDir(), stopping: make(chan struct{}), Died: make(chan error, 1)}
+		one := newProcess(&plan, plan.nodes()[0], fleet.Folder, newStarter())
+		path, err := plan.write(one.node, fleet.Folder, true)
+		if err != nil {
+			test.Fatal(err)
+		}
+		one.path = path
+		if err := one.run(fleet.died); err != nil {
+			test.Fatal(err)
+		}
+		for {
+			if _, err := os.Stat(path + ".up"); err == nil {
+				break
+			}
+			runtime.Gosched()
+		}
+		fleet.harm(one, Trouble{Kind: map[bool]string{true: kindReload, false: kindReloadBad}[valid]})
+		<-one.ended
+		if text, err := os.ReadFile(path + ".seen"); err != nil || !strings.Contains(string(text), want) {
+			test.Error(valid, err, string(text))
+		}
+	}
+}
--- a/internal/tooling/lab/crew.go
+++ b/internal/tooling/lab/workers.go
@@ -29,6 +29,8 @@
 	worker *workeremulator.Worker
 	beater *workeremulator.Beater
 	halt   func()
+	// served closes once the present life's listener is closed.
+	served chan struct{}
 	faults workeremulator.Faults
 }
 
@@ -67,34 +69,48 @@
 	one.beater = workeremulator.NewBeater(one.worker, one.address, controls)
 	until, halt := contexts.Stoppable(contexts.Background())
 	one.halt = halt
-	go one.worker.Serve(listener)
+	worker, served := one.worker, make(chan struct{})
+	one.served = served
+	go func() {
+		defer close(served)
+		worker.Serve(listener)
+	}()
 	go one.beater.Keep(until, constants.LabBeat)
 	return nil
 }
 
+// emulated is one life of a worker.
+type emulated struct {
+	worker *workeremulator.Worker
+	beater *workeremulator.Beater
+	served chan struct{}
+}
+
 // take gives the present life away, so that somebody ends it.
-func (one *place) take() (*workeremulator.Worker, *workeremulator.Beater) {
+func (one *place) take() (life emulated, found bool) {
 	one.lock.Lock()
 	defer one.lock.Unlock()
-	worker, beater := one.worker, one.beater
+	life = emulated{one.worker, one.beater, one.served}
 	if one.halt != nil {
 		one.halt()
 	}
 	one.worker, one.beater, one.halt = nil, nil, nil
-	return worker, beater
+	return life, life.worker != nil
 }
 
-// crash ends the present life without a word.
+// crash ends the present life without a word; its address is free then.
 func (one *place) crash() {
-	if worker, _ := one.take(); worker != nil {
-		worker.Crash()
+	if life, found := one.take(); found {
+		life.worker.Crash()
+		<-life.served
 	}
 }
 
-// leave ends the present life in order.
+// leave ends the present life in order; its address is free then.
 func (one *place) leave() {
-	if worker, beater := one.take(); worker != nil {
-		beater.LeaveInOrder(clock.Milliseconds(constants.LabDrainMs))
+	if life, found := one.take(); found {
+		life.beater.LeaveInOrder(clock.Milliseconds(constants.LabDrainMs))
+		<-life.served
 	}
 }
 
--- a/internal/tooling/loadgen/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -29,9 +29,9 @@
 	open int
 }
 
-// Drive sends a whole load to the fleet of a desk, checks it, and gives what came of
-// it. It ends early, in order, when the errand does.
-func Drive(until contexts.Errand, options Options, endpoint *Endpoint, troubles []lab.Trouble) (*Result, error) {
+// Drive sends a whole load to the fleet behind an endpoint, checks it, and gives what came of
+// it. It ends early, in order, when the context does.
+func Drive(until contexts.Context, options Options, endpoint *Endpoint, troubles []lab.Trouble) (*Result, error) {
 	if err := options.Check(); err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			one.lotList(until, begun)
+			one.sendLots(until, begun)
 		}()
 	}
 	done := make(chan struct{})
@@ -87,7 +87,7 @@
 }
 
 func newRun(options Options, card *lab.Card, routes map[string]*routeconfig.Route, prefix string) *run {
-	dialer := &net.Dialer{Timeout: constants.AnvilBeatWait}
+	dialer := &net.Dialer{Timeout: constants.EmulatorBeatWait}
 	return &run{options: options, card: card, routes: routes, prefix: prefix, result: newResult(card.Label), sent: map[string]*sent{}, pause: clock.Sleep,
 		client: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: constants.LoadOpen, DialContext: dialer.DialContext}}
 }
@@ -102,8 +102,8 @@
 	one.result.Runs = len(runs)
 }
 
-// waitUntil waits for a moment; false where the errand ends first.
-func waitUntil(until contexts.Errand, at clock.Moment) bool {
+// waitUntil waits for a moment; false where the context ends first.
+func waitUntil(until contexts.Context, at clock.Moment) bool {
 	select {
 	case <-until.Done():
 		return false
@@ -113,7 +113,7 @@
 }
 
 // orders sends every order when it is due, whatever became of those before.
-func (one *run) orders(until contexts.Errand, begun clock.Moment) {
+func (one *run) orders(until contexts.Context, begun clock.Moment) {
 	var group sync.WaitGroup
 	for _, due := range schedule(&one.options, one.routes, len(one.card.Ingress)) {
 		if at := begun.Plus(due.at); at > clock.Now() && !waitUntil(until, at) {
--- a/internal/tooling/loadgen/drive_test.go
+++ b/internal/tooling/loadgen/drive_test.go
@@ -21,16 +21,16 @@
 	now  clock.Moment
 }
 
-func (clockValue *hasty) Now() clock.Moment {
-	clockValue.lock.Lock()
-	defer clockValue.lock.Unlock()
-	return clockValue.now
+func (one *hasty) Now() clock.Moment {
+	one.lock.Lock()
+	defer one.lock.Unlock()
+	return one.now
 }
 
-func (clockValue *hasty) After(span clock.Span, function func()) {
-	clockValue.lock.Lock()
-	clockValue.now = clockValue.now.Plus(span)
-	clockValue.lock.Unlock()
+func (one *hasty) After(span clock.Span, function func()) {
+	one.lock.Lock()
+	one.now = one.now.Plus(span)
+	one.lock.Unlock()
 	go function()
 }
 
@@ -68,10 +68,10 @@
 func driven(test *testing.T, faults workeremulator.Faults, before func(request *http.Request) *http.Response) *Result {
 	test.Helper()
 	shape := workeremulator.Shape{Capacity: 8, Queue: 4, CacheTokens: 60_000, ReadPerMs: 100, Step: time.Millisecond, Stride: 4}
-	record, clockValue := &workeremulator.Record{}, &hasty{now: clock.Moment(time.Second)}
+	record, instant := &workeremulator.Record{}, &hasty{now: clock.Moment(time.Second)}
 	front := &direct{before: before}
-	front.model = workeremulator.NewWorker(workeremulator.Settings{ID: "w1", Service: "model", Model: "m", Shape: shape}, record, clockValue, 1)
-	front.plain = workeremulator.NewWorker(workeremulator.Settings{ID: "w2", Service: "clerk", Work: time.Millisecond, Shape: workeremulator.Shape{Capacity: 8}}, record, clockValue, 2)
+	front.model = workeremulator.NewWorker(workeremulator.Settings{ID: "w1", Service: "model", Model: "m", Shape: shape}, record, instant, 1)
+	front.plain = workeremulator.NewWorker(workeremulator.Settings{ID: "w2", Service: "clerk", Work: time.Millisecond, Shape: workeremulator.Shape{Capacity: 8}}, record, instant, 2)
 	front.model.SetFaults(faults)
 	front.plain.SetFaults(faults)
 	options := NewOptions()
--- a/internal/tooling/loadgen/desk.go
+++ b/internal/tooling/loadgen/endpoint.go
@@ -14,7 +14,7 @@
 	"lemonarch/internal/tooling/lab"
 )
 
-// Endpoint is the desk of a fleet, as a load tool sees it.
+// Endpoint is the control endpoint of a lab fleet, as a load tool sees it.
 type Endpoint struct{ address string }
 
 // loopback allows addresses on this machine alone: load is for the lab.
@@ -29,7 +29,7 @@
 	return nil
 }
 
-// OpenEndpoint checks the address of a desk.
+// OpenEndpoint checks the address of an endpoint.
 func OpenEndpoint(address string) (*Endpoint, error) {
 	address = strings.TrimSuffix(strings.TrimPrefix(address, "http://"), "/")
 	return &Endpoint{address}, loopback(address)
@@ -40,21 +40,21 @@
 func (endpoint *Endpoint) ask(method, path string, body []byte, into any) error {
 	request, err := http.NewRequest(method, "http://"+endpoint.address+path, bytes.NewReader(body))
 	if err != nil {
-		return Unfit.Wrap(err, "desk")
+		return Unfit.Wrap(err, "endpoint")
 	}
 	answer, err := endpointClient.Do(request)
 	if err != nil {
-		return Unfit.New("no desk answers at " + endpoint.address + "; start a fleet with: lemonarch lab up")
+		return Unfit.New("no fleet answers at " + endpoint.address + "; start a fleet with: lemonarch lab up")
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
 	if err != nil {
-		return Unfit.Wrap(err, "desk")
+		return Unfit.Wrap(err, "endpoint")
 	}
 	if answer.StatusCode != http.StatusOK {
-		return Unfit.New("the desk at " + endpoint.address + " answered " + strconv.Itoa(answer.StatusCode) + ": " + strings.TrimSpace(string(text)))
+		return Unfit.New("the fleet at " + endpoint.address + " answered " + strconv.Itoa(answer.StatusCode) + ": " + strings.TrimSpace(string(text)))
 	}
-	return Unfit.Wrap(json.Unmarshal(text, into), "the desk at "+endpoint.address+" can't be understood")
+	return Unfit.Wrap(json.Unmarshal(text, into), "the fleet at "+endpoint.address+" can't be understood")
 }
 
 // Card asks for the card, and takes it only where everything is on loopback.
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	if len(card.Ingress) == 0 || card.Stride < 1 {
-		return nil, Unfit.New("the desk at " + endpoint.address + " names no fleet")
+		return nil, Unfit.New("the fleet at " + endpoint.address + " describes no fleet")
 	}
 	for _, address := range card.Ingress {
 		if err := loopback(address); err != nil {
--- a/internal/tooling/loadgen/experiment.go
+++ b/internal/tooling/loadgen/experiment.go
@@ -96,7 +96,7 @@
 
 // Run starts the fleets, sends the same load to all of them at the same time with
 // the same troubles, and ends them.
-func (one *Experiment) Run(until contexts.Errand, options Options) ([]*Result, error) {
+func (one *Experiment) Run(until contexts.Context, options Options) ([]*Result, error) {
 	var fleets []*lab.Fleet
 	defer func() {
 		var group sync.WaitGroup
--- a/internal/tooling/loadgen/lots.go
+++ b/internal/tooling/loadgen/lots.go
@@ -15,8 +15,8 @@
 	"lemonarch/internal/tooling/workeremulator"
 )
 
-// lotList sends lots at their rate and follows each.
-func (one *run) lotList(until contexts.Errand, begun clock.Moment) {
+// sendLots sends lots at their rate and follows each.
+func (one *run) sendLots(until contexts.Context, begun clock.Moment) {
 	random := rand.New(rand.NewSource(one.options.Seed + constants.LoadLotSeed))
 	var group sync.WaitGroup
 	at := 0.0
--- a/internal/tooling/loadgen/send.go
+++ b/internal/tooling/loadgen/send.go
@@ -110,7 +110,7 @@
 
 // refusal reads an answer that is no success.
 func refusal(answer *http.Response) result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, constants.AnvilBeatBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, constants.EmulatorBeatBytes))
 	got := result{cause: strconv.Itoa(answer.StatusCode)}
 	switch answer.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
@@ -126,7 +126,7 @@
 // causeRefused: nobody listened.
 const causeRefused = "connection refused"
 
-func causeOf(err error, limited contexts.Errand) string {
+func causeOf(err error, limited contexts.Context) string {
 	text := err.Error()
 	switch {
 	case limited.Err() != nil:
--- a/internal/tooling/workeremulator/answer.go
+++ b/internal/tooling/workeremulator/answer.go
@@ -63,7 +63,7 @@
 	if fate.leaving {
 		writer.Header().Set("Connection", "close")
 	} else {
-		writer.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(constants.AnvilIdle.Seconds())))
+		writer.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(constants.EmulatorIdle.Seconds())))
 	}
 	if attempt != "" {
 		writer.Header().Set(headerAttempt, attempt)
@@ -111,7 +111,7 @@
 	readable := true
 	ask.In, ask.Out, ask.Parts, readable = ParsePrompt(header.Get(headerTokens), header.Get(headerPrefix))
 	// Bounded: what is asked for reserves room for its events.
-	readable = readable && ask.Out <= constants.AnvilOutLimit
+	readable = readable && ask.Out <= constants.EmulatorOutLimit
 	if last := header.Get(headerLast); readable && last != "" {
 		number, err := strconv.ParseInt(last, 10, 64)
 		ask.From, readable = number, err == nil && number >= 0
--- a/internal/tooling/workeremulator/beats.go
+++ b/internal/tooling/workeremulator/beats.go
@@ -33,8 +33,8 @@
 // NewBeater makes one.
 func NewBeater(worker *Worker, address string, controls []string) *Beater {
 	beater := &Beater{Worker: worker, Address: address, Controls: controls}
-	beater.client = http.Client{Timeout: constants.AnvilBeatWait, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
-		if len(via) > constants.AnvilRedirects {
+	beater.client = http.Client{Timeout: constants.EmulatorBeatWait, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > constants.EmulatorRedirects {
 			return Unheard.New("redirected too often")
 		}
 		return nil
@@ -115,11 +115,11 @@
 		return "", Unheard.Wrap(err, "call")
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, constants.AnvilBeatBytes+1))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, constants.EmulatorBeatBytes+1))
 	if err != nil {
 		return "", Unheard.Wrap(err, "answer")
 	}
-	if answer.StatusCode < 200 || answer.StatusCode > 299 || len(body) > constants.AnvilBeatBytes {
+	if answer.StatusCode < 200 || answer.StatusCode > 299 || len(body) > constants.EmulatorBeatBytes {
 		return "", Unheard.New(answer.Status)
 	}
 	var told struct {
@@ -130,8 +130,8 @@
 	return told.Target, nil
 }
 
-// Keep sends heartbeats until the errand ends.
-func (beater *Beater) Keep(until contexts.Errand, period clock.Span) {
+// Keep sends heartbeats until the context ends.
+func (beater *Beater) Keep(until contexts.Context, period clock.Span) {
 	_ = beater.Beat()
 	clock.Every(period, until.Done(), func() { _ = beater.Beat() })
 }
@@ -143,7 +143,7 @@
 	for tries := 0; beater.Beat() != nil && tries < len(beater.Controls)+2; tries++ {
 		clock.Sleep(constants.LabRetry)
 	}
-	clock.Sleep(drain + constants.AnvilLeaveSlack)
+	clock.Sleep(drain + constants.EmulatorLeaveSlack)
 	_ = beater.Depart()
 	beater.Worker.End(constants.LabGrace)
 }
--- a/internal/tooling/workeremulator/engine.go
+++ b/internal/tooling/workeremulator/engine.go
@@ -178,7 +178,7 @@
 }
 
 func (engine *Engine) catchUp(now clock.Moment) {
-	for count := 0; count < constants.AnvilEventLimit && engine.tokens() > 0 && engine.next <= now; count++ {
+	for count := 0; count < constants.EmulatorEventLimit && engine.tokens() > 0 && engine.next <= now; count++ {
 		at, span := engine.next, engine.stepSpan(engine.tokens())
 		engine.round(span)
 		engine.admit(at)
--- a/internal/tooling/workeremulator/record.go
+++ b/internal/tooling/workeremulator/record.go
@@ -38,7 +38,7 @@
 	record.lock.Lock()
 	defer record.lock.Unlock()
 	kept := &run
-	if len(record.runs) >= constants.AnvilRunLimit {
+	if len(record.runs) >= constants.EmulatorRunLimit {
 		// Bounded: the check says that it saw only a part.
 		record.dropped++
 		return kept
--- a/internal/tooling/workeremulator/report.go
+++ b/internal/tooling/workeremulator/report.go
@@ -23,7 +23,7 @@
 	running, waiting, used := worker.engine.State()
 	worker.history = append(worker.history, moment{now, running, waiting, used})
 	old := 0
-	for old+1 < len(worker.history) && worker.history[old+1].at.Plus(constants.AnvilReportAge) <= now {
+	for old+1 < len(worker.history) && worker.history[old+1].at.Plus(constants.EmulatorReportAge) <= now {
 		old++
 	}
 	worker.history = worker.history[old:]
@@ -33,7 +33,7 @@
 func (worker *Worker) stood() moment {
 	now, found := worker.clockValue.Now(), moment{}
 	for _, one := range worker.history {
-		if one.at.Plus(constants.AnvilReportAge) <= now {
+		if one.at.Plus(constants.EmulatorReportAge) <= now {
 			found = one
 		}
 	}
--- a/internal/tooling/workeremulator/worker.go
+++ b/internal/tooling/workeremulator/worker.go
@@ -94,7 +94,7 @@
 	}
 	tree.NotFound(worker.answer)
 	tree.MethodNotAllowed(worker.answer)
-	worker.server = &http.Server{Handler: tree, IdleTimeout: constants.AnvilIdle, ReadHeaderTimeout: constants.AnvilIdle}
+	worker.server = &http.Server{Handler: tree, IdleTimeout: constants.EmulatorIdle, ReadHeaderTimeout: constants.EmulatorIdle}
 	return worker
 }
 
@@ -122,7 +122,7 @@
 func (worker *Worker) pace() {
 	slow := max(worker.faults.Slow, 1)
 	if worker.clockValue.Now() < worker.warm {
-		slow *= constants.AnvilWarmupSlow
+		slow *= constants.EmulatorWarmupSlow
 	}
 	shape := worker.Settings.Shape
 	worker.engine.shape.Step, worker.engine.shape.StepEach = clock.Span(float64(shape.Step)*slow), clock.Span(float64(shape.StepEach)*slow)
