Adapter planning bears the solver's terms: problem, variable, partial assignment

Mechanical: puzzle is problem, piece is variable, board is partial (assignment), mark is value, judge is planner, script is encoding, spot is choice; files follow. No behaviour changes; the package's tests pass unchanged (18.8 s).

--- /dev/null
+++ b/internal/configuration/adapterplan/planner.go
@@ -0,0 +1,188 @@
+package adapterplan
+
+import "github.com/crillab/gophersat/solver"
+
+// Counts is the work that an answer took.
+type Counts struct {
+	// Asked is how often it was asked whether what is settled has an answer, and
+	// Solved how often the solver had to be called for it.
+	Asked, Solved int
+}
+
+// planner decides whether a partial assignment can be completed.
+type planner struct {
+	problem *problem
+	counts  *Counts
+	// kept weighs the places of an earlier answer, least how many must stay.
+	kept  [][]int
+	least int
+	// effort is how many clauses the solver may learn over one question.
+	effort int
+}
+
+// complete gives a full assignment that agrees with what is settled, if there is one.
+func (one *planner) complete(settled partial) (partial, bool, error) {
+	one.counts.Asked++
+	// Where choice is plenty the plainest guess is an answer; it costs least.
+	if _, guess := one.guess(settled, one.order()); guess != nil && one.problem.holds(guess) && one.keeps(guess) >= one.least {
+		return guess, true, nil
+	}
+	if one.problem.short(settled) {
+		return nil, false, nil
+	}
+	if one.least > 0 {
+		if _, _, keeps := one.problem.flow(settled, one.problem.copiesMeasure(settled), one.kept); keeps < one.least {
+			return nil, false, nil
+		}
+	}
+	one.counts.Solved++
+	encoding := newEncoding(one.problem, settled)
+	if one.least > 0 {
+		encoding.keep(one.kept, one.least)
+	}
+	full, found, err := encoding.solve(one.effort)
+	if err != nil || !found {
+		return nil, false, err
+	}
+	if !one.problem.holds(full) || one.keeps(full) < one.least {
+		return nil, false, Undecided.New("the solver's answer breaks a rule")
+	}
+	return full, true, nil
+}
+
+// keeps counts what a full assignment keeps of the earlier answer.
+func (one *planner) keeps(full partial) int {
+	count := 0
+	for place := range full {
+		for node, is := range full[place] {
+			if is == stands {
+				count += weightOf(one.kept, place, node)
+			}
+		}
+	}
+	return count
+}
+
+// encoding writes a partial assignment as constraints for the solver. A literal says
+// that a variable does not stand on a node: the solver tries "not" first, so that it
+// starts by standing variables on the first nodes and not by excluding all.
+type encoding struct {
+	problem     *problem
+	settled     partial
+	number      [][]int
+	last        int
+	constraints []solver.PBConstr
+	never       bool
+}
+
+func newEncoding(problem *problem, settled partial) *encoding {
+	encoded := &encoding{problem: problem, settled: settled, number: make([][]int, len(problem.variables))}
+	for place := range problem.variables {
+		encoded.number[place] = make([]int, len(problem.nodes))
+		for node, is := range settled[place] {
+			if is == open {
+				encoded.last++
+				encoded.number[place][node] = encoded.last
+			}
+		}
+	}
+	for place := range problem.variables {
+		encoded.copies(place)
+		if problem.variables[place].zones > 1 {
+			encoded.spread(place)
+		}
+	}
+	for node := range problem.nodes {
+		encoded.load(node)
+	}
+	for _, members := range problem.apartNodes {
+		for node := range problem.nodes {
+			var there []int
+			for _, member := range members {
+				if number := encoded.number[member][node]; number > 0 {
+					there = append(there, -number)
+				}
+			}
+			encoded.atMost(there, nil, 1)
+		}
+	}
+	for _, members := range problem.apartZones {
+		encoded.apartZones(members)
+	}
+	return encoded
+}
+
+// atLeast adds that the weights of what holds reach a sum.
+func (encoded *encoding) atLeast(literals, weights []int, sum int) {
+	total := len(literals)
+	if weights != nil {
+		total = 0
+		for _, weight := range weights {
+			total += weight
+		}
+	}
+	if sum <= 0 {
+		return
+	}
+	if total < sum {
+		encoded.never = true
+		return
+	}
+	encoded.constraints = append(encoded.constraints, solver.GtEq(literals, weights, sum))
+}
+
+// atMost adds that the weights of what holds do not pass a sum.
+func (encoded *encoding) atMost(literals, weights []int, sum int) {
+	total := len(literals)
+	var opposite, sizes []int
+	for _, literal := range literals {
+		opposite = append(opposite, -literal)
+	}
+	if weights != nil {
+		total = 0
+		sizes = append(sizes, weights...)
+		for _, weight := range weights {
+			total += weight
+		}
+	}
+	encoded.atLeast(opposite, sizes, total-sum)
+}
+
+// copies adds that a variable has exactly its copies.
+func (encoded *encoding) copies(place int) {
+	missing := encoded.problem.variables[place].copies
+	var free []int
+	for node, is := range encoded.settled[place] {
+		if is == stands {
+			missing--
+		}
+		if number := encoded.number[place][node]; number > 0 {
+			free = append(free, -number)
+		}
+	}
+	encoded.atMost(free, nil, missing)
+	encoded.atLeast(free, nil, missing)
+}
+
+// load adds slots and memory of a node.
+func (encoded *encoding) load(node int) {
+	host := &encoded.problem.nodes[node]
+	slots, memory := host.Slots, wide
+	if host.MemoryMB != nil {
+		memory = *host.MemoryMB
+	}
+	var free, sizes, weights []int
+	for place := range encoded.problem.variables {
+		size, weight := len(encoded.problem.variables[place].names), encoded.problem.variables[place].memory
+		if encoded.settled[place][node] == stands {
+			slots, memory = slots-size, memory-weight
+		}
+		if number := encoded.number[place][node]; number > 0 {
+			free, sizes, weights = append(free, -number), append(sizes, size), append(weights, weight)
+		}
+	}
+	encoded.atMost(free, sizes, slots)
+	if host.MemoryMB != nil {
+		encoded.atMost(free, weights, memory)
+	}
+}
