Tools write configurations and heartbeats as typed values, not as maps

routeconfig is the one model of a configuration: the lab, the hollow fleets and the import of OpenAPI files made maps of their own (and the import a second Route). A change of a lab's configuration keeps fields that the program does not know. Errors are found through their chain (errors.As).

--- a/cmd/lemonarch/check.go
+++ b/cmd/lemonarch/check.go
@@ -11,6 +11,7 @@
 
 	"lemonarch/internal/configuration/configcheck"
 	"lemonarch/internal/configuration/openapiimport"
+	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/settings"
 )
 
@@ -64,8 +65,8 @@
 			if err != nil {
 				return coded{exitInvalid, strings.ReplaceAll(err.Error(), "\n", " ")}
 			}
-			body, err := json.MarshalIndent(map[string]any{"generation": 1, "channels": routes,
-				"backends": []map[string]string{{"name": options.Backend}}, "limits": struct{}{}}, "", "  ")
+			imported := routeconfig.Config{Generation: 1, Routes: routes, Services: []routeconfig.Service{{Name: options.Backend}}}
+			body, err := json.MarshalIndent(imported, "", "  ")
 			if err != nil {
 				return err
 			}
--- a/cmd/lemonarch/lots.go
+++ b/cmd/lemonarch/lots.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
@@ -57,7 +58,8 @@
 	defer halt()
 	err := function(until, &lotclient.Client{Edges: flags.edges, Host: flags.host})
 	if err != nil {
-		if _, is := err.(coded); is {
+		var known coded
+		if errors.As(err, &known) {
 			return err
 		}
 		return coded{exitInvalid, oneLine(err)}
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -41,7 +42,8 @@
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonarch: "+err.Error())
 		code := exitUnusable
-		if one, is := err.(coded); is {
+		var one coded
+		if errors.As(err, &one) {
 			code = one.code
 		}
 		os.Exit(code)
--- a/internal/configuration/openapiimport/openapiimport.go
+++ b/internal/configuration/openapiimport/openapiimport.go
@@ -9,24 +9,13 @@
 
 	"github.com/getkin/kin-openapi/openapi3"
 
+	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/errs"
 )
 
 // Unreadable is the error of a file that is no OpenAPI document.
 var Unreadable = errs.Define("openapi")
 
-// Route is one route as it is written to a configuration.
-type Route struct {
-	Name     string `json:"name"`
-	Host     string `json:"host"`
-	Prefix   string `json:"path-prefix"`
-	Kind     string `json:"route-kind"`
-	CutoffMs int    `json:"cutoff-ms"`
-	Priority int    `json:"priority"`
-	Backend  string `json:"backend"`
-	Tries    int    `json:"tries"`
-}
-
 // Options are what the document does not say.
 type Options struct {
 	Host     string
@@ -35,7 +24,7 @@
 }
 
 // Import reads a document; what can't be mapped is named.
-func Import(text []byte, options Options) (routes []Route, findings []string, err error) {
+func Import(text []byte, options Options) (routes []routeconfig.Route, findings []string, err error) {
 	document, err := openapi3.NewLoader().LoadFromData(text)
 	if err != nil {
 		return nil, nil, Unreadable.Wrap(err, "can't be read")
@@ -47,7 +36,7 @@
 	if finding != "" {
 		findings = append(findings, finding)
 	}
-	byPrefix := map[string]*Route{}
+	byPrefix := map[string]*routeconfig.Route{}
 	var order []string
 	paths := document.Paths.Map()
 	var names []string
@@ -67,12 +56,12 @@
 			continue
 		}
 		if have := byPrefix[prefix]; have != nil {
-			if have.Kind != kind {
-				findings = append(findings, fmt.Sprintf("path %s is %s, but its prefix %s is %s already", path, kind, prefix, have.Kind))
+			if have.KindName != kind {
+				findings = append(findings, fmt.Sprintf("path %s is %s, but its prefix %s is %s already", path, kind, prefix, have.KindName))
 			}
 			continue
 		}
-		byPrefix[prefix] = &Route{Name: nameOf(prefix), Host: host, Prefix: prefix, Kind: kind, CutoffMs: options.CutoffMs, Backend: options.Backend, Tries: triesOf(kind)}
+		byPrefix[prefix] = &routeconfig.Route{Name: nameOf(prefix), Host: host, Prefix: prefix, KindName: kind, CutoffMs: float64(options.CutoffMs), Backend: options.Backend, Tries: triesOf(kind)}
 		order = append(order, prefix)
 	}
 	for _, prefix := range order {
--- a/internal/configuration/openapiimport/openapiimport_test.go
+++ b/internal/configuration/openapiimport/openapiimport_test.go
@@ -29,7 +29,7 @@
 	}
 	want := map[string]string{"/v1/answers/": "streaming", "/v1/orders/": "idempotent", "/v1/payments/": "effectful"}
 	for _, route := range routes {
-		if want[route.Prefix] != route.Kind || route.Host != "api.example" || route.Backend != "s" {
+		if want[route.Prefix] != route.KindName || route.Host != "api.example" || route.Backend != "s" {
 			test.Error(route)
 		}
 	}
--- a/internal/configuration/routeconfig/routeconfig.go
+++ b/internal/configuration/routeconfig/routeconfig.go
@@ -31,42 +31,43 @@
 	Prefix     string  `json:"path-prefix"`
 	KindName   string  `json:"route-kind"`
 	CutoffMs   float64 `json:"cutoff-ms"`
-	SetpointMs float64 `json:"setpoint-ms"`
-	ResultMs   float64 `json:"result-setpoint-ms"`
-	RetainS    float64 `json:"retain-s"`
-	BacklogCap int64   `json:"backlog-cap"`
+	SetpointMs float64 `json:"setpoint-ms,omitempty"`
+	ResultMs   float64 `json:"result-setpoint-ms,omitempty"`
+	RetainS    float64 `json:"retain-s,omitempty"`
+	BacklogCap int64   `json:"backlog-cap,omitempty"`
 	Priority   int     `json:"priority"`
-	Backend    string  `json:"backend"`
-	Weighted   []Share `json:"weighted"`
-	Tries      int     `json:"tries"`
-	Affine     bool    `json:"affine"`
-	Resumable  bool    `json:"resumable"`
-	GapMs      float64 `json:"gap-setpoint-ms"`
+	Backend    string  `json:"backend,omitempty"`
+	Weighted   []Share `json:"weighted,omitempty"`
+	Tries      int     `json:"tries,omitempty"`
+	Affine     bool    `json:"affine,omitempty"`
+	Resumable  bool    `json:"resumable,omitempty"`
+	GapMs      float64 `json:"gap-setpoint-ms,omitempty"`
 }
 
 // Engine describes the workers of a service that runs a model.
 type Engine struct {
-	Capacity    int   `json:"capacity"`
-	CacheTokens int64 `json:"cache-tokens"`
+	Capacity    int   `json:"capacity,omitempty"`
+	CacheTokens int64 `json:"cache-tokens,omitempty"`
 }
 
 // Service is one backend of the configuration.
 type Service struct {
 	Name      string  `json:"name"`
-	Probe     string  `json:"probe"`
-	ConnLimit int     `json:"conn-limit"`
-	Engine    *Engine `json:"engine"`
+	Probe     string  `json:"probe,omitempty"`
+	ConnLimit int     `json:"conn-limit,omitempty"`
+	Engine    *Engine `json:"engine,omitempty"`
 }
 
 // Limits bounds what a client may send.
 type Limits struct {
-	HeaderBytes  int     `json:"max-header-bytes"`
-	BodyBytes    int64   `json:"max-body-bytes"`
-	HeaderWaitMs float64 `json:"header-wait-ms"`
-	IdleMs       float64 `json:"idle-ms"`
+	HeaderBytes  int     `json:"max-header-bytes,omitempty"`
+	BodyBytes    int64   `json:"max-body-bytes,omitempty"`
+	HeaderWaitMs float64 `json:"header-wait-ms,omitempty"`
+	IdleMs       float64 `json:"idle-ms,omitempty"`
 }
 
-// Config is a configuration, ready for use.
+// Config is a configuration, ready for use where Parse made it. Written as JSON it is what
+// an operator sends; fields that are 0 are left out.
 type Config struct {
 	Generation int64     `json:"generation"`
 	Routes     []Route   `json:"channels"`
@@ -105,6 +106,16 @@
 	return config, nil
 }
 
+// Encode writes the configuration as an operator sends it.
+func (config *Config) Encode() []byte {
+	body, err := json.Marshal(config)
+	if err != nil {
+		// Numbers that are no numbers: nobody but a program can put them there.
+		panic(err)
+	}
+	return body
+}
+
 // Hash names a body.
 func Hash(body []byte) string {
 	sum := sha256.Sum256(body)
--- a/internal/tooling/hollowfleet/real.go
+++ b/internal/tooling/hollowfleet/real.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 
+	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -179,7 +180,14 @@
 
 // configure hands the first configuration in, as soon as the controllers take it.
 func (fleet *realFleet) configure() error {
-	body := []byte(`{"generation":1,"channels":[{"name":"r","host":"a.example","path-prefix":"/","route-kind":"idempotent","cutoff-ms":2000,"setpoint-ms":300,"backend":"m","tries":2}],"backends":[{"name":"m","conn-limit":500}],"limits":{"max-header-bytes":65536,"max-body-bytes":4194304,"header-wait-ms":3000,"idle-ms":10000}}`)
+	config := routeconfig.Config{
+		Generation: 1,
+		Routes: []routeconfig.Route{{Name: "r", Host: "a.example", Prefix: "/", KindName: "idempotent", CutoffMs: 2000, SetpointMs: 300,
+			Backend: realService, Tries: 2}},
+		Services: []routeconfig.Service{{Name: realService, ConnLimit: 500}},
+		Limits:   routeconfig.Limits{HeaderBytes: 65536, BodyBytes: 4 << 20, HeaderWaitMs: 3000, IdleMs: 10000},
+	}
+	body := config.Encode()
 	var err error
 	for range 40 {
 		if err = fleet.call(0, "/-/Configuration.Replace", body, "0"); err == nil {
@@ -192,12 +200,25 @@
 	return Unstarted.Wrap(err, "first configuration")
 }
 
+// realService is the service of the workers that beat.
+const realService = "m"
+
+// heartbeat is a worker's call.
+type heartbeat struct {
+	Backend  string `json:"backend"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Capacity int    `json:"capacity"`
+	Phase    string `json:"phase"`
+	Count    int64  `json:"call-count"`
+}
+
 // beat is one round of heartbeats of all workers.
 func (fleet *realFleet) beat() {
 	now := clock.Wall()
 	for worker := 0; worker < fleet.plan.Workers; worker++ {
-		body, _ := json.Marshal(map[string]any{"backend": "m", "address": fmt.Sprintf("127.78.%d.%d:9000", worker/200, worker%200+1), "zone": "zone-0",
-			"capacity": 16, "phase": "steady", "call-count": now})
+		body, _ := json.Marshal(heartbeat{Backend: realService, Address: fmt.Sprintf("127.78.%d.%d:9000", worker/200, worker%200+1),
+			Zone: "zone-0", Capacity: 16, Phase: "steady", Count: now})
 		_ = fleet.call(worker%fleet.plan.Controllers, fmt.Sprintf("/-/Workers.Heartbeat/worker-%04d", worker), body, "")
 	}
 }
--- a/internal/tooling/hollowfleet/register.go
+++ b/internal/tooling/hollowfleet/register.go
@@ -208,21 +208,20 @@
 
 // body makes a configuration of about the planned length.
 func (configuration *configuration) body(generation int64) []byte {
-	config := map[string]any{"generation": generation, "limits": struct{}{}}
-	var services, routes []map[string]any
-	for model := 0; model < configuration.fleet.Plan.Models; model++ {
-		services = append(services, map[string]any{"name": fmt.Sprintf("model-%02d", model), "conn-limit": 520,
-			"engine": map[string]int{"capacity": 16, "cache-tokens": 232000}})
+	plan := &configuration.fleet.Plan
+	config := routeconfig.Config{Generation: generation}
+	for model := 0; model < plan.Models; model++ {
+		config.Services = append(config.Services, routeconfig.Service{Name: fmt.Sprintf("model-%02d", model), ConnLimit: 520,
+			Engine: &routeconfig.Engine{Capacity: 16, CacheTokens: 232000}})
 	}
-	for length := 0; length < configuration.fleet.Plan.ConfigBytes; {
-		route := map[string]any{"name": fmt.Sprintf("route-%05d", len(routes)), "host": fmt.Sprintf("tenant-%05d.example", len(routes)),
-			"path-prefix": "/v1/", "route-kind": "streaming", "cutoff-ms": 20000, "setpoint-ms": 470, "gap-setpoint-ms": 76,
-			"backend": fmt.Sprintf("model-%02d", len(routes)%configuration.fleet.Plan.Models), "affine": true, "resumable": true, "priority": len(routes) % 3}
+	for length := 0; length < plan.ConfigBytes; {
+		number := len(config.Routes)
+		route := routeconfig.Route{Name: fmt.Sprintf("route-%05d", number), Host: fmt.Sprintf("tenant-%05d.example", number),
+			Prefix: "/v1/", KindName: "streaming", CutoffMs: 20000, SetpointMs: 470, GapMs: 76,
+			Backend: fmt.Sprintf("model-%02d", number%plan.Models), Affine: true, Resumable: true, Priority: number % 3}
 		text, _ := json.Marshal(route)
 		length += len(text) + 1
-		routes = append(routes, route)
+		config.Routes = append(config.Routes, route)
 	}
-	config["backends"], config["channels"] = services, routes
-	text, _ := json.Marshal(config)
-	return text
+	return config.Encode()
 }
--- /dev/null
+++ b/internal/tooling/lab/configuration.go
@@ -0,0 +1,48 @@
+package lab
+
+import (
+	"strconv"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/constants"
+)
+
+// firstConfiguration is the lab's own: one route of each kind.
+func (plan *Plan) firstConfiguration() []byte {
+	shape := plan.shape()
+	config := routeconfig.Config{
+		Generation: 1,
+		Routes: []routeconfig.Route{
+			labRoute("query", routeconfig.Route{KindName: "streaming", Backend: ModelService, SetpointMs: 500, CutoffMs: 8000,
+				Affine: true, Resumable: true, GapMs: 500}),
+			labRoute("review", routeconfig.Route{KindName: "streaming", Backend: ModelService, SetpointMs: 1000, CutoffMs: 10000, Priority: 1,
+				Affine: true, GapMs: 500}),
+			labRoute("confirm", routeconfig.Route{KindName: "effectful", Backend: PlainService, SetpointMs: 300, CutoffMs: 3000}),
+			labRoute("status", routeconfig.Route{KindName: "idempotent", Backend: PlainService, SetpointMs: 300, CutoffMs: 3000, Priority: 1}),
+			labRoute("batch", routeconfig.Route{KindName: "bulk", Backend: ModelService, SetpointMs: 1000, CutoffMs: 10000, Priority: 5,
+				Affine: true, ResultMs: 20000, RetainS: 60, BacklogCap: 2_000_000, Tries: 3}),
+		},
+		Services: []routeconfig.Service{
+			{Name: ModelService, Probe: ProbePath, ConnLimit: constants.LabConnLimit,
+				Engine: &routeconfig.Engine{Capacity: shape.Capacity, CacheTokens: shape.CacheTokens}},
+			{Name: PlainService, Probe: ProbePath, ConnLimit: constants.LabConnLimit},
+		},
+		Limits: routeconfig.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderWaitMs: 3000, IdleMs: 15000},
+	}
+	return config.Encode()
+}
+
+// labRoute gives a route its name, its place, and two tries where it states none.
+func labRoute(name string, route routeconfig.Route) routeconfig.Route {
+	route.Name, route.Host, route.Prefix = name, Host, "/"+name+"/"
+	if route.Tries == 0 {
+		route.Tries = 2
+	}
+	return route
+}
+
+// addedRoute is the route that a changed configuration has more than the one before.
+func addedRoute(generation int64) routeconfig.Route {
+	name := "added-" + strconv.FormatInt(generation, 10)
+	return labRoute(name, routeconfig.Route{KindName: "idempotent", Backend: PlainService, SetpointMs: 300, CutoffMs: 3000})
+}
--- a/internal/tooling/lab/fleet.go
+++ b/internal/tooling/lab/fleet.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -138,7 +139,8 @@
 		if err == nil {
 			return nil
 		}
-		if _, final := err.(refused); final || clock.Now() >= end {
+		var final refused
+		if errors.As(err, &final) || clock.Now() >= end {
 			return Unfit.Wrap(err, "no success with "+what)
 		}
 		select {
--- a/internal/tooling/lab/lab_test.go
+++ b/internal/tooling/lab/lab_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -201,7 +202,7 @@
 		test.Fatal(err)
 	}
 	for next := int64(2); next < 4; next++ {
-		if generation, err := operator.change(addRoute); err != nil || generation != next {
+		if generation, err := operator.addRoute(); err != nil || generation != next {
 			test.Fatal(generation, err)
 		}
 	}
@@ -209,9 +210,9 @@
 		test.Fatal(bases, operator.routes())
 	}
 	status = http.StatusPreconditionFailed
-	if _, err := operator.change(addRoute); err == nil {
+	if _, err := operator.addRoute(); err == nil {
 		test.Fatal("a refusal passed for a success")
-	} else if _, final := err.(refused); !final {
+	} else if final := refused(""); !errors.As(err, &final) {
 		test.Fatal(err)
 	}
 }
--- a/internal/tooling/lab/operator.go
+++ b/internal/tooling/lab/operator.go
@@ -54,26 +54,42 @@
 // first sends the first configuration.
 func (operator *operator) first(body []byte) error { return operator.send(body, 0) }
 
-// change sends the next one: what the function makes of the present one.
-func (operator *operator) change(edit func(config map[string]any)) (int64, error) {
+// addRoute sends the next one: the present one with one route more. Fields that this
+// program does not know stay as they are.
+func (operator *operator) addRoute() (generation int64, err error) {
 	operator.lock.Lock()
 	present := operator.config
 	operator.lock.Unlock()
 	if present == nil {
 		return 0, Unfit.New("there is no configuration yet")
 	}
-	whole := map[string]any{}
-	if err := json.Unmarshal(present.Body, &whole); err != nil {
+	generation = present.Generation + 1
+	body, err := withRoute(present.Body, generation, addedRoute(generation))
+	if err != nil {
 		return 0, Unfit.Wrap(err, "configuration")
 	}
-	next := present.Generation + 1
-	whole["generation"] = next
-	edit(whole)
-	body, err := json.Marshal(whole)
+	return generation, operator.send(body, present.Generation)
+}
+
+// withRoute gives a configuration a new generation and one route more.
+func withRoute(body []byte, generation int64, route routeconfig.Route) ([]byte, error) {
+	whole := map[string]json.RawMessage{}
+	if err := json.Unmarshal(body, &whole); err != nil {
+		return nil, err
+	}
+	var routes []json.RawMessage
+	if err := json.Unmarshal(whole["channels"], &routes); err != nil {
+		return nil, err
+	}
+	added, err := json.Marshal(route)
 	if err != nil {
-		return 0, Unfit.Wrap(err, "configuration")
+		return nil, err
+	}
+	if whole["channels"], err = json.Marshal(append(routes, added)); err != nil {
+		return nil, err
 	}
-	return next, operator.send(body, present.Generation)
+	whole["generation"] = json.RawMessage(strconv.FormatInt(generation, 10))
+	return json.Marshal(whole)
 }
 
 // send sends a whole configuration to one control after the other until it is taken.
--- a/internal/tooling/lab/settings.go
+++ b/internal/tooling/lab/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -72,36 +71,3 @@
 	path := filepath.Join(folder, one.name+".toml")
 	return path, Unfit.Wrap(os.WriteFile(path, text.Bytes(), 0o644), "settings of "+one.name)
 }
-
-type object = map[string]any
-
-// firstConfiguration is the lab's own: one route of each kind.
-func (plan *Plan) firstConfiguration() []byte {
-	route := func(name, kind, service string, setpoint, cutoff, priority int, more object) object {
-		one := object{"name": name, "host": Host, "path-prefix": "/" + name + "/", "route-kind": kind, "backend": service,
-			"setpoint-ms": setpoint, "cutoff-ms": cutoff, "priority": priority, "tries": 2}
-		for key, value := range more {
-			one[key] = value
-		}
-		return one
-	}
-	routes := []object{
-		route("query", "streaming", ModelService, 500, 8000, 0, object{"affine": true, "resumable": true, "gap-setpoint-ms": 500}),
-		route("review", "streaming", ModelService, 1000, 10000, 1, object{"affine": true, "resumable": false, "gap-setpoint-ms": 500}),
-		route("confirm", "effectful", PlainService, 300, 3000, 0, nil),
-		route("status", "idempotent", PlainService, 300, 3000, 1, nil),
-		route("batch", "bulk", ModelService, 1000, 10000, 5, object{"affine": true, "result-setpoint-ms": 20000, "retain-s": 60,
-			"backlog-cap": 2_000_000, "tries": 3}),
-	}
-	shape := plan.shape()
-	body, err := json.MarshalIndent(object{"generation": 1, "channels": routes, "backends": []object{
-		{"name": ModelService, "probe": ProbePath, "conn-limit": constants.LabConnLimit, "protocol": "h1", "tls": false,
-			"engine": object{"capacity": shape.Capacity, "cache-tokens": shape.CacheTokens, "stride": shape.Stride, "models": []object{{"name": ModelName}}}},
-		{"name": PlainService, "probe": ProbePath, "conn-limit": constants.LabConnLimit, "protocol": "h1", "tls": false}},
-		"limits": object{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-wait-ms": 3000, "idle-ms": 15000}}, "", "  ")
-	if err != nil {
-		// Numbers and texts only: it can't fail.
-		panic(err)
-	}
-	return body
-}
--- a/internal/tooling/lab/trouble.go
+++ b/internal/tooling/lab/trouble.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	if trouble.Kind == kindConfigure {
-		_, err := fleet.operator.change(addRoute)
+		_, err := fleet.operator.addRoute()
 		return err
 	}
 	found := false
@@ -127,14 +127,6 @@
 	return nil
 }
 
-// addRoute adds a route to a configuration; nothing else changes.
-func addRoute(config map[string]any) {
-	routes, _ := config["channels"].([]any)
-	name := "added-" + strconv.FormatInt(config["generation"].(int64), 10)
-	config["channels"] = append(routes, object{"name": name, "host": Host, "path-prefix": "/" + name + "/", "route-kind": "idempotent",
-		"backend": PlainService, "setpoint-ms": 300, "cutoff-ms": 3000, "tries": 2})
-}
-
 // pause waits, unless the fleet is stopped.
 func (fleet *Fleet) pause(span clock.Span) bool {
 	select {
