--- a/internal/tooling/loadgen/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -30,7 +30,7 @@
 }
 
 // Drive sends a whole load to the fleet behind an endpoint, checks it, and gives what came of
-// it. It ends early, in order, when the context does.
+// it. It ends early, in order, when the context does. The result is partial beside an error.
 func Drive(until contexts.Context, options Options, endpoint *Endpoint, troubles []lab.Trouble) (*Result, error) {
 	if err := options.Check(); err != nil {
 		return nil, err
@@ -44,29 +44,23 @@
 		return nil, err
 	}
 	one := newRun(options, card, routes, "ld"+strconv.FormatInt(clock.Wall(), 36)+"-")
+	one.play(until, endpoint, troubles)
+	return one.result, one.compareWith(endpoint)
+}
+
+// play sends everything, with the troubles in between, and waits for the last answer.
+func (one *run) play(until contexts.Context, endpoint *Endpoint, troubles []lab.Trouble) {
 	var group sync.WaitGroup
 	begun := clock.Now()
 	for _, trouble := range troubles {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			if waitUntil(until, begun.Plus(clock.Milliseconds(trouble.AtS*1000))) {
-				if err := endpoint.Trouble(trouble); err != nil {
-					one.result.note("trouble " + trouble.Kind + " " + trouble.Target + ": " + err.Error())
-				}
-			}
-		}()
+		group.Go(func() { one.begin(until, begun, endpoint, trouble) })
 	}
-	if options.LotRate > 0 {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			one.sendLots(until, begun)
-		}()
+	if one.options.LotRate > 0 {
+		group.Go(func() { one.sendLots(until, begun) })
 	}
 	done := make(chan struct{})
-	if options.Progress != nil {
-		go clock.Every(constants.LoadProgress, done, func() { options.Progress(one.result.sofar(clock.Now().Since(begun))) })
+	if progress := one.options.Progress; progress != nil {
+		go clock.Every(constants.LoadProgress, done, func() { progress(one.result.sofar(clock.Now().Since(begun))) })
 	}
 	one.orders(until, begun)
 	group.Wait()
@@ -75,15 +69,29 @@
 		transport.CloseIdleConnections()
 	}
 	one.result.Took = clock.Now().Since(begun).Seconds()
+}
+
+// begin has the fleet begin a trouble at its time.
+func (one *run) begin(until contexts.Context, begun clock.Moment, endpoint *Endpoint, trouble lab.Trouble) {
+	if !waitUntil(until, begun.Plus(clock.Milliseconds(trouble.AtS*1000))) {
+		return
+	}
+	if err := endpoint.Trouble(trouble); err != nil {
+		one.result.note("trouble " + trouble.Kind + " " + trouble.Target + ": " + err.Error())
+	}
+}
+
+// compareWith holds what was sent against what the fleet's workers ran.
+func (one *run) compareWith(endpoint *Endpoint) error {
 	runs, err := endpoint.Runs(one.prefix)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	one.compare(runs.Runs)
 	if runs.Dropped > 0 {
 		one.result.note(strconv.Itoa(runs.Dropped) + " runs no longer fitted into the record; the check is partial")
 	}
-	return one.result, nil
+	return nil
 }
 
 func newRun(options Options, card *lab.Card, routes map[string]*routeconfig.Route, prefix string) *run {
--- a/internal/tooling/loadgen/experiment.go
+++ b/internal/tooling/loadgen/experiment.go
@@ -97,30 +97,10 @@
 // Run starts the fleets, sends the same load to all of them at the same time with
 // the same troubles, and ends them.
 func (one *Experiment) Run(until contexts.Context, options Options) ([]*Result, error) {
-	var fleets []*lab.Fleet
-	defer func() {
-		var group sync.WaitGroup
-		for _, fleet := range fleets {
-			group.Add(1)
-			go func() {
-				defer group.Done()
-				fleet.Stop()
-			}()
-		}
-		group.Wait()
-	}()
-	for _, plan := range one.Fleets {
-		if until.Err() != nil {
-			return nil, Unfit.New("stopped")
-		}
-		fleet, err := lab.Start(until, plan, "")
-		if err != nil {
-			return nil, Unfit.New(plan.Label + ": " + err.Error())
-		}
-		fleets = append(fleets, fleet)
-		if options.Progress != nil {
-			options.Progress(plan.Label + " is ready")
-		}
+	fleets, err := one.start(until, options.Progress)
+	defer stop(fleets)
+	if err != nil {
+		return nil, err
 	}
 	// A death ends the whole experiment: what is left would be compared unequally.
 	inner, halt := contexts.Stoppable(until)
@@ -137,15 +117,7 @@
 			case <-inner.Done():
 			}
 		}()
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			endpoint, err := OpenEndpoint(fleet.Plan.Endpoint())
-			if err == nil {
-				results[place], err = Drive(inner, options, endpoint, one.Trouble)
-			}
-			failures[place] = err
-		}()
+		group.Go(func() { results[place], failures[place] = one.drive(inner, options, fleet) })
 	}
 	group.Wait()
 	select {
@@ -161,3 +133,40 @@
 	}
 	return results, nil
 }
+
+// start starts the fleets one after the other; those that did are given also where one
+// did not.
+func (one *Experiment) start(until contexts.Context, progress func(string)) (fleets []*lab.Fleet, err error) {
+	for _, plan := range one.Fleets {
+		if until.Err() != nil {
+			return fleets, Unfit.New("stopped")
+		}
+		fleet, err := lab.Start(until, plan, "")
+		if err != nil {
+			return fleets, Unfit.New(plan.Label + ": " + err.Error())
+		}
+		fleets = append(fleets, fleet)
+		if progress != nil {
+			progress(plan.Label + " is ready")
+		}
+	}
+	return fleets, nil
+}
+
+// stop ends fleets beside each other.
+func stop(fleets []*lab.Fleet) {
+	var group sync.WaitGroup
+	for _, fleet := range fleets {
+		group.Go(fleet.Stop)
+	}
+	group.Wait()
+}
+
+// drive sends the load to one of the fleets.
+func (one *Experiment) drive(until contexts.Context, options Options, fleet *lab.Fleet) (*Result, error) {
+	endpoint, err := OpenEndpoint(fleet.Plan.Endpoint())
+	if err != nil {
+		return nil, err
+	}
+	return Drive(until, options, endpoint, one.Trouble)
+}
