--- a/internal/tooling/hollowfleet/controllers.go
+++ b/internal/tooling/hollowfleet/controllers.go
@@ -9,35 +9,35 @@
 )
 
 // beginBeats starts the word between controllers.
-func (workerList *workerList) beginBeats(node *Node, own *table) {
-	members := workerList.fleet.members
+func (registrations *registrations) beginBeats(node *Node, own *table) {
+	members := registrations.fleet.members
 	node.answerers[messages.KindControllerBeat] = reads(node, CoreMembership, func(beat *messages.ControllerBeat) transport.Writable {
-		back := workerList.word(node, own, membership.Key(beat.From))
+		back := registrations.word(node, own, membership.Key(beat.From))
 		told := node.now()
-		node.after(0, func() { node.step(CoreMembership, func() { workerList.heardBeat(node, own, beat, told) }) })
+		node.after(0, func() { node.step(CoreMembership, func() { registrations.heardBeat(node, own, beat, told) }) })
 		return back
 	})
 	node.answerers[messages.KindDirectoryPull] = reads(node, CoreMembership, func(question *messages.DirectoryPull) transport.Writable {
 		view := members.view(node)
 		return &messages.Shuffle{Entries: view.Since(question.Since, node.now()), Table: view.Digest()}
 	})
-	node.every(constants.RosterPeriod, func() { workerList.beatOthers(node, own) })
+	node.every(constants.RosterPeriod, func() { registrations.beatOthers(node, own) })
 }
 
 // word is what another controller is told.
-func (workerList *workerList) word(node *Node, own *table, key string) *messages.ControllerBeat {
+func (registrations *registrations) word(node *Node, own *table, key string) *messages.ControllerBeat {
 	since := clock.Moment(0)
 	if one := own.peers[key]; one != nil {
 		since = one.told
 	}
-	view := workerList.fleet.members.view(node)
+	view := registrations.fleet.members.view(node)
 	beat := &messages.ControllerBeat{From: view.Own(), Workers: own.registry.Digest(node.own.Life), Beaten: own.registry.BeatenSince(since),
 		Processes: view.Digest(), Follow: view.Own().Generation}
 	beat.Met, beat.Behind = view.MetSince(since)
 	return beat
 }
 
-func (workerList *workerList) beatOthers(node *Node, own *table) {
+func (registrations *registrations) beatOthers(node *Node, own *table) {
 	now := node.now()
 	addresses := map[string]string{}
 	node.step(CoreMembership, func() {
@@ -47,10 +47,10 @@
 				delete(own.relays, key)
 			}
 		}
-		for _, seed := range workerList.fleet.seeds {
+		for _, seed := range registrations.fleet.seeds {
 			addresses[seed] = ""
 		}
-		for _, entry := range workerList.fleet.members.view(node).All(membership.RoleController, now) {
+		for _, entry := range registrations.fleet.members.view(node).All(membership.RoleController, now) {
 			key := membership.Key(entry)
 			if key < membership.Key(node.own) && entry.AgeMs < 2*constants.RosterPeriod.Milliseconds() {
 				delete(addresses, entry.Address)
@@ -62,19 +62,19 @@
 	})
 	for _, address := range sortedKeys(addresses) {
 		var word *messages.ControllerBeat
-		node.step(CoreMembership, func() { word = workerList.word(node, own, addresses[address]) })
+		node.step(CoreMembership, func() { word = registrations.word(node, own, addresses[address]) })
 		back := &messages.ControllerBeat{}
 		node.ask(CoreMembership, address, messages.KindControllerBeat, word, back, constants.CallTime, func(reached bool) {
 			if reached {
-				workerList.heardBeat(node, own, back, now)
+				registrations.heardBeat(node, own, back, now)
 			}
 		})
 	}
 }
 
 // heardBeat takes another controller's word, and pulls what its tables have beyond ours.
-func (workerList *workerList) heardBeat(node *Node, own *table, beat *messages.ControllerBeat, told clock.Moment) {
-	members, now, key := workerList.fleet.members, node.now(), membership.Key(beat.From)
+func (registrations *registrations) heardBeat(node *Node, own *table, beat *messages.ControllerBeat, told clock.Moment) {
+	members, now, key := registrations.fleet.members, node.now(), membership.Key(beat.From)
 	members.heard(node, []messages.Entry{beat.From})
 	one := own.peers[key]
 	if one == nil {
@@ -85,12 +85,12 @@
 	own.registry.Vouched(beat.Beaten, now)
 	view := members.view(node)
 	view.Vouched(beat, now)
-	if since, ask := behind(&one.workerList, beat.Workers, own.registry.Digest(node.own.Life)); ask {
+	if since, ask := behind(&one.registrations, beat.Workers, own.registry.Digest(node.own.Life)); ask {
 		back := &messages.RosterPush{}
 		node.ask(CoreWorkers, beat.From.Address, messages.KindRosterPull, &messages.RosterPull{Since: since}, back, constants.CallTime, func(reached bool) {
 			if reached {
-				workerList.merge(node, own, back.Workers)
-				one.workerList = back.Table
+				registrations.merge(node, own, back.Workers)
+				one.registrations = back.Table
 			}
 		})
 	}
--- a/internal/tooling/hollowfleet/fleet.go
+++ b/internal/tooling/hollowfleet/fleet.go
@@ -32,7 +32,7 @@
 	byAddress     map[string]*Node
 	mechanisms    []Mechanism
 	members       *memberList
-	workerList    *workerList
+	registrations *registrations
 	gossip        *gossip
 	traffic       *traffic
 	configuration *configuration
@@ -65,9 +65,9 @@
 			fleet.seeds = append(fleet.seeds, fleet.add(machine, membership.RoleController).own.Address)
 		}
 	}
-	fleet.members, fleet.workerList, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
+	fleet.members, fleet.registrations, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
 	fleet.configuration, fleet.storage, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
-	fleet.mechanisms = []Mechanism{fleet.members, fleet.workerList, fleet.gossip, fleet.configuration, fleet.storage, fleet.traffic}
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.registrations, fleet.gossip, fleet.configuration, fleet.storage, fleet.traffic}
 	fleet.troubles = newTroubles(fleet)
 	return fleet
 }
@@ -87,7 +87,7 @@
 	for _, node := range fleet.nodes {
 		node.begin()
 	}
-	fleet.workerList.begin()
+	fleet.registrations.begin()
 	// There is a first configuration before anything is counted.
 	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.configuration.change(fleet.live(membership.RoleController)[0]) })
 	warm, whole := clock.Moment(seconds(fleet.Plan.WarmS)), clock.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
--- a/internal/tooling/hollowfleet/gossip.go
+++ b/internal/tooling/hollowfleet/gossip.go
@@ -139,8 +139,8 @@
 		if !node.places() {
 			continue
 		}
-		own := gossip.fleet.workerList.placing(node)
-		for _, worker := range gossip.fleet.workerList.all {
+		own := gossip.fleet.registrations.placing(node)
+		for _, worker := range gossip.fleet.registrations.all {
 			if worker.Phase != messages.PhaseSteady {
 				continue
 			}
@@ -152,7 +152,7 @@
 			}
 		}
 	}
-	for _, worker := range gossip.fleet.workerList.all {
+	for _, worker := range gossip.fleet.registrations.all {
 		has := float64(gossip.fleet.traffic.running[worker.ID])
 		gossip.had, gossip.hadSquares, gossip.hadCount = gossip.had+has, gossip.hadSquares+has*has, gossip.hadCount+1
 		if has > float64(worker.Capacity) {
--- a/internal/tooling/hollowfleet/members.go
+++ b/internal/tooling/hollowfleet/members.go
@@ -32,7 +32,7 @@
 			return &messages.Shuffle{Entries: own.view.Offer(node.now())}
 		}
 		answer := own.view.Answer(question, node.now())
-		members.fleet.workerList.addWorkers(node, answer)
+		members.fleet.registrations.addWorkers(node, answer)
 		return answer
 	})
 	members.meet(node, own, 0)
@@ -124,7 +124,7 @@
 		}
 		view.Answered(question, answer, node.now())
 		members.saw(node, answer.Entries)
-		members.fleet.workerList.heardController(node, address, answer)
+		members.fleet.registrations.heardController(node, address, answer)
 		then(true)
 	})
 }
--- a/internal/tooling/hollowfleet/register.go
+++ b/internal/tooling/hollowfleet/register.go
@@ -118,7 +118,7 @@
 			own.body = body
 		} else if other, is := node.state[3].(*follower); is {
 			other.config, other.body = config, body
-			if own := configuration.fleet.workerList.placing(node); own != nil {
+			if own := configuration.fleet.registrations.placing(node); own != nil {
 				own.scheduler.SetConfig(config)
 			}
 		}
@@ -200,7 +200,7 @@
 		fleet.troubles.track("configuration", node, func(one *Node) bool { return one.generation >= value.Current.Generation })
 		configuration.take(node, value.Current.Generation, value.Body)
 		// The call is acknowledged when all have it or the time for it is over.
-		fleet.workerList.spread(node, CoreConfig, &messages.Relay{Generation: value.Current.Generation, Body: value.Body}, constants.PushTime, func() {
+		fleet.registrations.spread(node, CoreConfig, &messages.Relay{Generation: value.Current.Generation, Body: value.Body}, constants.PushTime, func() {
 			fleet.troubles.acknowledged("configuration", fleet.world.Now.Since(begun))
 		})
 	})
--- a/internal/tooling/hollowfleet/tree.go
+++ b/internal/tooling/hollowfleet/tree.go
@@ -40,9 +40,9 @@
 }
 
 // directory gives every other process that may still be there and lacks a generation.
-func (workerList *workerList) directory(node *Node, generation int64) []messages.Entry {
+func (registrations *registrations) directory(node *Node, generation int64) []messages.Entry {
 	var found []messages.Entry
-	for _, entry := range workerList.fleet.members.all(node) {
+	for _, entry := range registrations.fleet.members.all(node) {
 		has := generation > 0 && entry.Generation >= generation && entry.Role != membership.RoleController
 		if entry.AgeMs < 4*constants.SilentAfter.Milliseconds() && !has {
 			found = append(found, entry)
@@ -60,25 +60,25 @@
 
 // spread tells all processes down the tree; done is told when all in touch have taken
 // the word, or after the span.
-func (workerList *workerList) spread(node *Node, core Core, word *messages.Relay, span clock.Span, done func()) {
-	workerList.number++
-	word.From, word.Number = membership.Key(node.own), workerList.number
+func (registrations *registrations) spread(node *Node, core Core, word *messages.Relay, span clock.Span, done func()) {
+	registrations.number++
+	word.From, word.Number = membership.Key(node.own), registrations.number
 	one := &response{begun: node.now()}
 	var sends []broadcast.Send
-	directory := workerList.directory(node, word.Generation)
+	directory := registrations.directory(node, word.Generation)
 	node.step(core, func() { one.job, sends = broadcast.Fleet(node.own, directory, fan(word), node.now()) })
 	told := onceOf(done)
 	one.waiting = append(one.waiting, told)
 	node.after(span, told)
-	workerList.deliver(node, core, word, one, sends)
+	registrations.deliver(node, core, word, one, sends)
 }
 
 // deliver makes the calls that a job asks for, until it is done or too late.
-func (workerList *workerList) deliver(node *Node, core Core, word *messages.Relay, one *response, sends []broadcast.Send) {
+func (registrations *registrations) deliver(node *Node, core Core, word *messages.Relay, one *response, sends []broadcast.Send) {
 	var follow func(sends []broadcast.Send)
 	follow = func(sends []broadcast.Send) {
 		for _, send := range sends {
-			workerList.send(node, core, word, send, func(missing []uint32, reached bool) {
+			registrations.send(node, core, word, send, func(missing []uint32, reached bool) {
 				if reached {
 					follow(one.job.Took(send, missing, node.now()))
 				} else {
@@ -100,7 +100,7 @@
 }
 
 // send makes one call of a job.
-func (workerList *workerList) send(node *Node, core Core, word *messages.Relay, send broadcast.Send, then func([]uint32, bool)) {
+func (registrations *registrations) send(node *Node, core Core, word *messages.Relay, send broadcast.Send, then func([]uint32, bool)) {
 	plain := func(reached bool) { then(nil, reached) }
 	switch {
 	case send.Step == broadcast.StepRelay:
@@ -130,13 +130,13 @@
 }
 
 // beginRelays lets a controller tell its zone on behalf of another.
-func (workerList *workerList) beginRelays(node *Node, own *table) {
+func (registrations *registrations) beginRelays(node *Node, own *table) {
 	node.answerers[messages.KindRelay] = reads(node, CoreWorkers, func(word *messages.Relay) transport.Writable {
-		workerList.merge(node, own, word.Workers)
-		workerList.fleet.configuration.take(node, word.Generation, word.Body)
+		registrations.merge(node, own, word.Workers)
+		registrations.fleet.configuration.take(node, word.Generation, word.Body)
 		expect := word.Expect[:0:0]
 		has := map[uint32]bool{}
-		for _, entry := range workerList.directory(node, 0) {
+		for _, entry := range registrations.directory(node, 0) {
 			has[membership.MarkOf(entry)] = word.Generation > 0 && entry.Generation >= word.Generation
 		}
 		for _, mark := range word.Expect {
@@ -146,9 +146,9 @@
 		}
 		one := &response{begun: node.now()}
 		var sends []broadcast.Send
-		one.job, sends = broadcast.Zone(node.own, workerList.directory(node, word.Generation), expect, fan(word), node.now())
+		one.job, sends = broadcast.Zone(node.own, registrations.directory(node, word.Generation), expect, fan(word), node.now())
 		own.relays[relayKey(word.From, word.Number)] = one
-		node.after(0, func() { workerList.deliver(node, coreOf(word), word, one, sends) })
+		node.after(0, func() { registrations.deliver(node, coreOf(word), word, one, sends) })
 		return taken()
 	})
 	node.answerers[messages.KindRelayWait] = func(body []byte, reply func(transport.Writable)) {
--- a/internal/tooling/hollowfleet/troubles.go
+++ b/internal/tooling/hollowfleet/troubles.go
@@ -70,7 +70,7 @@
 			fleet.configuration.change(controllers[troubles.random.Intn(len(controllers))])
 		}
 	})
-	troubles.at(plan.Turns, fleet.workerList.turn)
+	troubles.at(plan.Turns, fleet.registrations.turn)
 	troubles.at(plan.Lots, fleet.storage.handIn)
 	troubles.at(plan.Failures, func() {
 		machine := troubles.random.Intn(plan.Nodes)
--- a/internal/tooling/hollowfleet/workers.go
+++ b/internal/tooling/hollowfleet/workers.go
@@ -13,9 +13,9 @@
 	"lemonarch/internal/traffic/admission"
 )
 
-// workerList drives the workers: workers beat at a controller; what changed goes down the
+// registrations drives the workers: workers beat at a controller; what changed goes down the
 // tree, and what was missed is pulled by digests.
-type workerList struct {
+type registrations struct {
 	fleet  *Fleet
 	random *rand.Rand
 	all    []messages.Worker
@@ -40,86 +40,86 @@
 
 // peer is what a controller remembers of another one.
 type peer struct {
-	workerList, processes messages.Digest
-	told                  clock.Moment
+	registrations, processes messages.Digest
+	told                     clock.Moment
 }
 
-func newWorkers(fleet *Fleet) *workerList {
-	made := &workerList{fleet: fleet, random: rand.New(rand.NewSource(fleet.Plan.Seed + 17))}
+func newWorkers(fleet *Fleet) *registrations {
+	made := &registrations{fleet: fleet, random: rand.New(rand.NewSource(fleet.Plan.Seed + 17))}
 	for number := 0; number < fleet.Plan.Workers; number++ {
 		made.all = append(made.all, made.worker(number, 0))
 	}
 	return made
 }
 
-func (workerList *workerList) worker(number, life int) messages.Worker {
+func (registrations *registrations) worker(number, life int) messages.Worker {
 	// A model's workers stand in all zones.
-	zone := (number + number/workerList.fleet.Plan.Models) % workerList.fleet.Plan.Zones
-	return messages.Worker{ID: fmt.Sprintf("model-%02d-worker-%04d-%d", number%workerList.fleet.Plan.Models, number, life),
-		Backend: fmt.Sprintf("model-%02d", number%workerList.fleet.Plan.Models), Address: fmt.Sprintf("10.%d.%d.%d:9000", 100+zone, number/250, number%250),
-		Zone:     fmt.Sprintf("region-%d-zone-%d", zone*workerList.fleet.Plan.Regions/workerList.fleet.Plan.Zones, zone),
+	zone := (number + number/registrations.fleet.Plan.Models) % registrations.fleet.Plan.Zones
+	return messages.Worker{ID: fmt.Sprintf("model-%02d-worker-%04d-%d", number%registrations.fleet.Plan.Models, number, life),
+		Backend: fmt.Sprintf("model-%02d", number%registrations.fleet.Plan.Models), Address: fmt.Sprintf("10.%d.%d.%d:9000", 100+zone, number/250, number%250),
+		Zone:     fmt.Sprintf("region-%d-zone-%d", zone*registrations.fleet.Plan.Regions/registrations.fleet.Plan.Zones, zone),
 		Capacity: 16, Software: "1.0"}
 }
 
 // Name names it.
-func (*workerList) Name() string { return "workers and weights" }
+func (*registrations) Name() string { return "workers and weights" }
 
-func (*workerList) placing(node *Node) *placing {
+func (*registrations) placing(node *Node) *placing {
 	own, _ := node.state[1].(*placing)
 	return own
 }
 
-func (*workerList) table(node *Node) *table {
+func (*registrations) table(node *Node) *table {
 	own, _ := node.state[1].(*table)
 	return own
 }
 
 // Begin starts the workers of a process.
-func (workerList *workerList) Begin(node *Node) any {
-	heartbeat := clock.Milliseconds(workerList.fleet.Plan.HeartbeatMs)
+func (registrations *registrations) Begin(node *Node) any {
+	heartbeat := clock.Milliseconds(registrations.fleet.Plan.HeartbeatMs)
 	if node.places() {
 		own := &placing{scheduler: admission.New(node.own, heartbeat), read: map[string]messages.Digest{}}
 		node.answerers[messages.KindRosterPush] = reads(node, CoreWorkers, func(push *messages.RosterPush) transport.Writable {
 			own.scheduler.Merge(push.Workers, node.now())
-			workerList.fleet.members.touched(node, push.From)
+			registrations.fleet.members.touched(node, push.From)
 			return taken()
 		})
-		node.after(constants.StartPause, func() { workerList.pullFirst(node, own) })
+		node.after(constants.StartPause, func() { registrations.pullFirst(node, own) })
 		return own
 	}
 	own := &table{registry: workers.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*response{}}
 	node.answerers[messages.KindRosterPush] = reads(node, CoreWorkers, func(push *messages.RosterPush) transport.Writable {
-		workerList.merge(node, own, push.Workers)
-		workerList.fleet.members.touched(node, push.From)
+		registrations.merge(node, own, push.Workers)
+		registrations.fleet.members.touched(node, push.From)
 		return taken()
 	})
 	node.answerers[messages.KindRosterPull] = reads(node, CoreWorkers, func(question *messages.RosterPull) transport.Writable {
 		return &messages.RosterPush{From: membership.Key(node.own), Workers: own.registry.Since(question.Since, node.now()), Table: own.registry.Digest(node.own.Life)}
 	})
-	workerList.beginBeats(node, own)
-	workerList.beginRelays(node, own)
+	registrations.beginBeats(node, own)
+	registrations.beginRelays(node, own)
 	return own
 }
 
 // Drop lets go of the workers, and of the health and index beside it.
-func (workerList *workerList) Drop(node *Node) { node.state[1] = nil }
+func (registrations *registrations) Drop(node *Node) { node.state[1] = nil }
 
-func (workerList *workerList) merge(node *Node, own *table, list []messages.Worker) {
+func (registrations *registrations) merge(node *Node, own *table, list []messages.Worker) {
 	for _, worker := range list {
 		own.registry.Merge(worker, node.now())
 	}
 }
 
-func (workerList *workerList) pullFirst(node *Node, own *placing) {
-	seed := workerList.fleet.seeds[node.random.Intn(len(workerList.fleet.seeds))]
-	workerList.pull(node, own, seed, 0, func(reached bool) {
+func (registrations *registrations) pullFirst(node *Node, own *placing) {
+	seed := registrations.fleet.seeds[node.random.Intn(len(registrations.fleet.seeds))]
+	registrations.pull(node, own, seed, 0, func(reached bool) {
 		if !reached {
-			node.after(constants.StartPause, func() { workerList.pullFirst(node, own) })
+			node.after(constants.StartPause, func() { registrations.pullFirst(node, own) })
 		}
 	})
 }
 
-func (workerList *workerList) pull(node *Node, own *placing, address string, since uint64, then func(bool)) {
+func (registrations *registrations) pull(node *Node, own *placing, address string, since uint64, then func(bool)) {
 	back := &messages.RosterPush{}
 	question := &messages.RosterPull{From: membership.Key(node.own), Since: since}
 	node.ask(CoreWorkers, address, messages.KindRosterPull, question, back, constants.CallTime, func(reached bool) {
@@ -132,8 +132,8 @@
 }
 
 // heardController takes what a controller's periodic answer says of workers.
-func (workerList *workerList) heardController(node *Node, address string, answer *messages.Shuffle) {
-	own := workerList.placing(node)
+func (registrations *registrations) heardController(node *Node, address string, answer *messages.Shuffle) {
+	own := registrations.placing(node)
 	if own == nil || answer.Workers.Life == 0 {
 		return
 	}
@@ -142,7 +142,7 @@
 		since, ask := behind(&read, answer.Workers, own.scheduler.Table())
 		own.read[address] = read
 		if ask {
-			workerList.pull(node, own, address, since, func(bool) {})
+			registrations.pull(node, own, address, since, func(bool) {})
 		}
 		if answer.Judging {
 			own.scheduler.Judged(answer.Overdue, node.now())
@@ -164,19 +164,19 @@
 }
 
 // addWorkers adds the word on workers to a controller's answer.
-func (workerList *workerList) addWorkers(node *Node, answer *messages.Shuffle) {
-	own := workerList.table(node)
+func (registrations *registrations) addWorkers(node *Node, answer *messages.Shuffle) {
+	own := registrations.table(node)
 	node.step(CoreWorkers, func() {
 		answer.Workers = own.registry.Digest(node.own.Life)
-		if answer.Judging = len(workerList.fleet.members.view(node).Live(membership.RoleController, node.now())) > 0; answer.Judging {
+		if answer.Judging = len(registrations.fleet.members.view(node).Live(membership.RoleController, node.now())) > 0; answer.Judging {
 			answer.Overdue = own.registry.Overdue(node.now())
 		}
 	})
 }
 
 // note takes a worker's call at a controller; done is told when it is acknowledged.
-func (workerList *workerList) note(node *Node, worker messages.Worker, done func()) {
-	own := workerList.table(node)
+func (registrations *registrations) note(node *Node, worker messages.Worker, done func()) {
+	own := registrations.table(node)
 	changed := false
 	node.step(CoreWorkers, func() {
 		changed = own.registry.Beat(worker, node.now())
@@ -186,29 +186,29 @@
 		done()
 		return
 	}
-	workerList.spread(node, CoreWorkers, &messages.Relay{Workers: []messages.Worker{worker}}, constants.TreeTime, done)
+	registrations.spread(node, CoreWorkers, &messages.Relay{Workers: []messages.Worker{worker}}, constants.TreeTime, done)
 }
 
 // controller gives the controller that a worker calls: its zone's, or any that runs.
-func (workerList *workerList) controller(number int) *Node {
-	live := workerList.fleet.live(membership.RoleController)
+func (registrations *registrations) controller(number int) *Node {
+	live := registrations.fleet.live(membership.RoleController)
 	for _, node := range live {
-		if node.own.Zone == workerList.all[number].Zone {
+		if node.own.Zone == registrations.all[number].Zone {
 			return node
 		}
 	}
 	if len(live) == 0 {
 		return nil
 	}
-	return live[workerList.random.Intn(len(live))]
+	return live[registrations.random.Intn(len(live))]
 }
 
 // knows gives a worker as a process knows it.
-func (workerList *workerList) knows(node *Node, id string) (messages.Worker, bool) {
-	if own := workerList.placing(node); own != nil {
+func (registrations *registrations) knows(node *Node, id string) (messages.Worker, bool) {
+	if own := registrations.placing(node); own != nil {
 		return own.scheduler.Registry.Get(id)
 	}
-	if own := workerList.table(node); own != nil {
+	if own := registrations.table(node); own != nil {
 		return own.registry.Get(id)
 	}
 	return messages.Worker{}, false
