--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -125,7 +125,8 @@
 		need(addressValid(seed), "seeds holds "+strconv.Quote(seed)+", which is no address")
 	}
 	need(nodeSettings.Limits.MemoryMB > 16, "limits.memory-mb is missing or too small")
-	need(nodeSettings.FaultBudget.Machines >= 0 && nodeSettings.FaultBudget.Zones >= 0, "fault-budget is below 0")
+	budget := nodeSettings.FaultBudget
+	need(min(budget.Machines, budget.Zones, budget.Regions) >= 0, "fault-budget is below 0")
 	need(nodeSettings.HeartbeatMs > 0, "heartbeat-ms is missing or not above 0")
 	need(nodeSettings.Tolerances.GraceS > 0, "tolerances.grace-s is missing or not above 0")
 	for _, service := range nodeSettings.Serves {
