--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -1,8 +1,9 @@
-// Command lemonarch is the desk of operators and users: it checks files, asks the fleet for its
+// Command lemonarch is the command line of operators and users: it checks files, asks the fleet for its
 // state, imports routes, handles lots, and tries all of it in a lab on one machine.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -24,7 +25,7 @@
 
 func (one coded) Error() string { return one.text }
 
-// rootCommand gathers all that the desk can do.
+// rootCommand gathers all subcommands.
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, place adapters, try it all in a lab",
 		SilenceUsage: true, SilenceErrors: true}
@@ -41,7 +42,8 @@
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "lemonarch: "+err.Error())
 		code := exitUnusable
-		if one, is := err.(coded); is {
+		var one coded
+		if errors.As(err, &one) {
 			code = one.code
 		}
 		os.Exit(code)
--- a/internal/tooling/hollowfleet/fleet.go
+++ b/internal/tooling/hollowfleet/fleet.go
@@ -32,11 +32,11 @@
 	byAddress     map[string]*Node
 	mechanisms    []Mechanism
 	members       *memberList
-	workerList    *workerList
+	registrations *registrations
 	gossip        *gossip
 	traffic       *traffic
-	localRegister *localRegister
-	lotList       *lotList
+	configuration *configuration
+	storage       *storage
 	troubles      *troubles
 	counting      bool
 	kinds         map[messages.Kind]*[ways]Traffic
@@ -53,21 +53,21 @@
 		kinds: map[messages.Kind]*[ways]Traffic{}, progress: progress}
 	fleet.room.OnFrame(fleet.count)
 	fleet.room.Simulate(transport.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
-	manned := map[int]bool{}
+	hasController := map[int]bool{}
 	for machine := 0; machine < plan.Nodes; machine++ {
 		role := membership.RoleGateway
 		if machine%plan.StoreEach == plan.StoreEach-1 {
 			role = membership.RoleStore
 		}
 		fleet.add(machine, role)
-		if role == membership.RoleGateway && !manned[machine%plan.Zones] {
-			manned[machine%plan.Zones] = true
+		if role == membership.RoleGateway && !hasController[machine%plan.Zones] {
+			hasController[machine%plan.Zones] = true
 			fleet.seeds = append(fleet.seeds, fleet.add(machine, membership.RoleController).own.Address)
 		}
 	}
-	fleet.members, fleet.workerList, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
-	fleet.localRegister, fleet.lotList, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
-	fleet.mechanisms = []Mechanism{fleet.members, fleet.workerList, fleet.gossip, fleet.localRegister, fleet.lotList, fleet.traffic}
+	fleet.members, fleet.registrations, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
+	fleet.configuration, fleet.storage, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.registrations, fleet.gossip, fleet.configuration, fleet.storage, fleet.traffic}
 	fleet.troubles = newTroubles(fleet)
 	return fleet
 }
@@ -87,9 +87,9 @@
 	for _, node := range fleet.nodes {
 		node.begin()
 	}
-	fleet.workerList.begin()
+	fleet.registrations.begin()
 	// There is a first configuration before anything is counted.
-	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.localRegister.change(fleet.live(membership.RoleController)[0]) })
+	fleet.world.After(seconds(fleet.Plan.WarmS/2), func() { fleet.configuration.change(fleet.live(membership.RoleController)[0]) })
 	warm, whole := clock.Moment(seconds(fleet.Plan.WarmS)), clock.Moment(seconds(fleet.Plan.WarmS+fleet.Plan.DurationS))
 	fleet.play(warm, whole)
 	fleet.counting = true
