Acceptors under failing disks and after 2,300 missed changes are tested as they run

TestDiskFailsAtAnyOperation: power or a refusal at any operation of an acceptor's two files, appends and rewrites alike; what was told or acknowledged stands after each start, and each version taken is known. Found by it and by reading: a chunk of the archive that could not be written was not written by the next vote either. Red without the acceptor's return to the record before: "{14 13 ...} after a loss of power, told {15 14 ...}".

TestCatchUpIsStateNotHistory: a member that missed 300 and 2,300 changes reads, leads and votes with the newest state at once, with eight orders racing. Red without the pull of missing chunks (the archive does not know version 1).

--- a/internal/control/quorum/archive.go
+++ b/internal/control/quorum/archive.go
@@ -62,10 +62,14 @@
 	archive.lock.Lock()
 	added, _ := archive.core.Extend(value, clock.Wall()/dayLength)
 	archive.lock.Unlock()
-	if added == nil {
+	switch {
+	case added != nil:
+		return archive.write([]messages.ArchiveChunk{*added})
+	case archive.stale:
+		return archive.write(nil)
+	default:
 		return nil
 	}
-	return archive.write([]messages.ArchiveChunk{*added})
 }
 
 // write appends chunks, or rewrites the file where it is long or in doubt.
--- /dev/null
+++ b/internal/control/quorum/catchup_test.go
@@ -0,0 +1,194 @@
+package quorum_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/control/quorum"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/recordlog"
+	"lemonarch/internal/platform/settings"
+	"lemonarch/internal/platform/transport"
+)
+
+// member is one process with a register on a disk in memory.
+type member struct {
+	replica *quorum.Register
+	disk    *recordlog.Fleeting
+	wire    *transport.Twin
+}
+
+// cluster is some members joined in memory.
+type cluster struct {
+	test    *testing.T
+	room    *transport.Room
+	first   []messages.Member
+	members map[string]*member
+	taken   []messages.Version
+}
+
+func newCluster(test *testing.T, names ...string) *cluster {
+	one := &cluster{test: test, room: transport.NewRoom(), members: map[string]*member{}}
+	for _, name := range names {
+		one.first = append(one.first, messages.Member{Name: name, Address: name + ":7000", Disk: "first"})
+	}
+	for _, name := range names {
+		one.members[name] = &member{disk: recordlog.NewFleeting()}
+		one.start(name)
+	}
+	return one
+}
+
+// start opens the disk of a member and serves.
+func (one *cluster) start(name string) *member {
+	started := one.members[name]
+	replica, err := quorum.Open(started.disk, one.first, "first")
+	if err != nil {
+		one.test.Fatal(err)
+	}
+	runtime := node.New(&settings.Settings{NodeName: name, Address: name, InternalPorts: []int{7000, 7010}}, "controller", 0, "first", hclog.NewNullLogger())
+	runtime.Own.Address = name + ":7000"
+	started.wire = one.room.Transport(runtime.Own.Address)
+	runtime.Wire, replica.Runtime, started.replica = started.wire, runtime, replica
+	handler := func(kind messages.Kind, body []byte) ([]byte, error) {
+		if kind == messages.KindPrepare {
+			question := &messages.Prepare{}
+			if err := transport.Read(body, question); err != nil {
+				return nil, err
+			}
+			answer, err := replica.Prepare(question)
+			if err != nil {
+				return nil, err
+			}
+			return transport.Write(&answer)
+		}
+		question := &messages.Accept{}
+		if err := transport.Read(body, question); err != nil {
+			return nil, err
+		}
+		answer, err := replica.Accept(question)
+		if err != nil {
+			return nil, err
+		}
+		return transport.Write(&answer)
+	}
+	if err = started.wire.Serve(handler); err != nil {
+		one.test.Fatal(err)
+	}
+	return started
+}
+
+// change has a member take one more version.
+func (one *cluster) change(name string) {
+	base := int64(len(one.taken))
+	version := messages.Version{Generation: base + 1, Base: base, Hash: fmt.Sprintf("%064d", base)}
+	if _, result, err := one.members[name].replica.Replace(version, make([]byte, 1000)); err != nil || !result.Stands() {
+		one.test.Fatalf("change %d: %d %v", base, result, err)
+	}
+	one.taken = append(one.taken, version)
+}
+
+// heard is how many bytes of questions and answers came to a member.
+func (one *cluster) heard(name string) int64 {
+	total := int64(0)
+	for _, reading := range one.members[name].wire.Meter().Readings() {
+		total += reading.Received.Bytes
+	}
+	return total
+}
+
+// size is the length of a member's file.
+func (one *cluster) size(name, file string) int64 {
+	opened, err := one.members[name].disk.Open(file)
+	if err != nil {
+		one.test.Fatal(err)
+	}
+	length, _ := opened.Size()
+	return length
+}
+
+// catchUp stops c, has others take changes, starts c again and has eight orders come at
+// once. It gives the bytes that c heard until it held the newest value.
+func catchUp(test *testing.T, changes int) int64 {
+	one := newCluster(test, "a", "b", "c")
+	one.change("a")
+	one.members["c"].wire.Close()
+	for range changes {
+		one.change("a")
+	}
+	stale := one.members["c"].replica.Known().Current.Generation
+	restarted := one.start("c")
+	before := one.heard("c")
+	// It leads with the newest state only, though its own is old.
+	if value, err := restarted.replica.Read(); err != nil || value.Current.Generation != int64(changes)+1 {
+		test.Fatalf("after %d changes (its own state is of %d) it reads %d: %v", changes, stale, value.Current.Generation, err)
+	}
+	one.change("c")
+	one.race()
+	// A majority is enough for each change: the member is asked once more at most times.
+	for tries := 0; restarted.replica.Record().Value.Current != one.taken[len(one.taken)-1]; tries++ {
+		if tries == 20 {
+			test.Fatalf("holds %v, newest is %v", restarted.replica.Record().Value.Current, one.taken[len(one.taken)-1])
+		}
+		one.change("c")
+	}
+	used := one.heard("c") - before
+	head := restarted.replica.Record().Value.Archive
+	for _, version := range one.taken[:len(one.taken)-64] {
+		question := &messages.ArchiveQuestion{Head: head, Generation: version.Generation, Print: register.Print(version)}
+		answer, err := restarted.replica.Prepare(&messages.Prepare{Disk: "first", Query: true, Slim: true, Archive: question})
+		if err != nil || answer.Archive.Sought != messages.SoughtTaken {
+			test.Fatalf("the archive of the restarted member says %d of %v: %v", answer.Archive.Sought, version, err)
+		}
+	}
+	for _, file := range []string{"register", "register-taken"} {
+		if length := one.size("a", file); length > 5<<20 {
+			test.Fatalf("%s is %d bytes long", file, length)
+		}
+	}
+	test.Logf("%d changes missed: %d bytes heard, files of a member that was there %d and %d bytes", changes, used,
+		one.size("a", "register"), one.size("a", "register-taken"))
+	return used
+}
+
+// race has eight orders on one base come at once through all members.
+func (one *cluster) race() {
+	base := int64(len(one.taken))
+	var group sync.WaitGroup
+	var lock sync.Mutex
+	var won []messages.Version
+	for index := range 8 {
+		name := one.first[index%len(one.first)].Name
+		version := messages.Version{Generation: base + 1, Base: base, Hash: fmt.Sprintf("race %d", index)}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_, result, err := one.members[name].replica.Replace(version, nil)
+			if err == nil && result.Stands() {
+				lock.Lock()
+				won = append(won, version)
+				lock.Unlock()
+			}
+		}()
+	}
+	group.Wait()
+	if len(won) != 1 {
+		one.test.Fatalf("%d of eight orders on one base were acknowledged", len(won))
+	}
+	one.taken = append(one.taken, won...)
+}
+
+// A member that missed changes catches up with one value, whatever their number, and
+// with 8 bytes a version of archive.
+func TestCatchUpIsStateNotHistory(test *testing.T) {
+	few, many := catchUp(test, 300), catchUp(test, 2300)
+	archive := int64(2000 * 12)
+	if many-few > archive+8000 {
+		test.Fatalf("2,000 more changes took %d more bytes", many-few)
+	}
+}
--- /dev/null
+++ b/internal/control/quorum/crash_test.go
@@ -0,0 +1,129 @@
+package quorum_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"lemonarch/internal/control/quorum"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/node"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// bodyBytes makes the acceptor's file reach its limit every dozen changes.
+const bodyBytes = 180_000
+
+var (
+	errRefused = errors.New("the disk refused")
+	only       = messages.Member{Name: "a", Address: "a", Disk: "first"}
+)
+
+// lone is a register of one acceptor, driven without goroutines or timers.
+type lone struct {
+	test    *testing.T
+	disk    *simulation.Disk
+	replica *quorum.Register
+	counter uint64
+	life    int64
+}
+
+// open reads the disk as a process does at its start.
+func (one *lone) open() {
+	replica, err := quorum.Open(one.disk, []messages.Member{only}, only.Disk)
+	if err != nil {
+		one.test.Fatalf("the disk can't be read: %v", err)
+	}
+	replica.Runtime = &node.Node{Own: messages.Entry{Name: only.Name, Address: only.Address}}
+	one.replica = replica
+	one.life++
+}
+
+// change takes a change through both rounds; an error of the disk ends it.
+func (one *lone) change(change register.Change) (messages.Register, error) {
+	one.counter++
+	proposal, sends := register.Begin(register.NewBallot(one.counter, "a", only.Disk, one.life), one.replica.Known(), change)
+	promise, err := one.replica.Prepare(sends[0].Prepare)
+	if err != nil {
+		return messages.Register{}, err
+	}
+	for _, send := range proposal.Promised(only, promise) {
+		accepted, err := one.replica.Accept(send.Accept)
+		if err != nil {
+			return messages.Register{}, err
+		}
+		proposal.Taken(only, accepted)
+	}
+	if proposal.Stage() != register.StageDone {
+		one.counter = max(one.counter, proposal.Highest().Counter)
+		return messages.Register{}, errRefused
+	}
+	return proposal.Value(), nil
+}
+
+// told gives what a query tells of the value in force.
+func (one *lone) told() messages.Version {
+	answer, err := one.replica.Prepare(&messages.Prepare{Disk: only.Disk, Query: true, Slim: true})
+	if err != nil {
+		one.test.Fatal(err)
+	}
+	return answer.Value.Current
+}
+
+// An acceptor's disk refuses any operation, or power fails at it, in the midst of
+// appends and rewrites of both files: what was acknowledged or told to a query stands
+// after each start, and each version taken is still known.
+func TestDiskFailsAtAnyOperation(test *testing.T) {
+	for seed := 1; seed <= simulation.Seeds(6); seed++ {
+		random := rand.New(rand.NewSource(int64(seed)))
+		one := &lone{test: test, disk: simulation.NewDisk(int64(seed))}
+		one.open()
+		var taken []messages.Version
+		newest := messages.Version{}
+		for range 60 {
+			left, power := 3+random.Intn(40), random.Intn(2) == 0
+			one.disk.Intercept = func(simulation.Operation, string) error {
+				if left--; left < 0 && (power || left == -1) {
+					return errRefused
+				}
+				return nil
+			}
+			version := messages.Version{Generation: newest.Generation + 1, Base: newest.Generation, Hash: fmt.Sprint(random.Int63())}
+			body := make([]byte, bodyBytes)
+			var result register.Result
+			_, err := one.change(register.Replace(version, body, &result))
+			if err == nil && result == register.ResultTaken {
+				taken = append(taken, version)
+				newest = version
+			}
+			told := one.told()
+			if told.Generation < newest.Generation {
+				test.Fatalf("seed %d: told %v after %v was acknowledged", seed, told, newest)
+			}
+			if left < 0 && power {
+				one.disk.Intercept = nil
+				one.disk.PowerLoss()
+				one.open()
+				if after := one.told(); after.Generation < told.Generation || after.Generation < newest.Generation {
+					test.Fatalf("seed %d: %v after a loss of power, told %v and acknowledged %v before", seed, after, told, newest)
+				}
+			}
+			one.disk.Intercept = nil
+			value, err := one.change(register.Look)
+			if err != nil {
+				test.Fatalf("seed %d: the disk works again and yet: %v", seed, err)
+			}
+			newest = value.Current
+		}
+		for _, version := range taken {
+			if _, result, err := one.replica.Replace(version, nil); err != nil || result != register.ResultAlready {
+				test.Fatalf("seed %d: %v was taken, sent again: %d %v", seed, version, result, err)
+			}
+		}
+		if len(taken) < 20 {
+			test.Fatalf("seed %d: only %d changes", seed, len(taken))
+		}
+	}
+}
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -39,12 +39,10 @@
 	Accepted func(generation int64)
 
 	// voting is held while the acceptor decides and its record goes to disk. It
-	// guards the three fields below.
+	// guards the two fields below.
 	voting   sync.Mutex
 	acceptor *register.Acceptor
 	logfile  *recordlog.Logfile
-	// suspect says that a write failed: what the file holds since then is unknown.
-	suspect bool
 
 	// lock guards the fields below. It is never held while disk or network is
 	// waited for, so that a disk that hangs stops nothing but votes.
--- a/internal/control/quorum/vote.go
+++ b/internal/control/quorum/vote.go
@@ -108,16 +108,14 @@
 	if err != nil {
 		return Damaged.Wrap(err, "record")
 	}
-	if replica.suspect || replica.logfile.Size() > logfileLimit {
-		// After a failed sync the file may lack bytes that a later sync would not
-		// write again: a new file holds all that counts.
+	if replica.logfile.Size() > logfileLimit {
+		// A rewrite that failed is tried again by the next vote, as the old file is
+		// still as long.
 		_, err = replica.logfile.Rewrite(recordlog.Once(body))
-		replica.suspect = err != nil
 		return Damaged.Wrap(err, "rewrite")
 	}
 	if _, err = replica.logfile.Append(body); err == nil {
 		err = replica.logfile.Sync()
 	}
-	replica.suspect = err != nil
 	return Damaged.Wrap(err, "append")
 }
--- a/internal/control/register/budget_test.go
+++ b/internal/control/register/budget_test.go
@@ -188,7 +188,7 @@
 // The set grows from the three seeds to five before anything is acknowledged, and
 // whatever was acknowledged outlasts the loss of two at any moment after it.
 func TestBudgetOfTwo(test *testing.T) {
-	for seed := int64(1); seed <= 120; seed++ {
+	for seed := int64(1); seed <= int64(simulation.Seeds(120)); seed++ {
 		one := newGrown(test, seed)
 		one.world.Loss, one.world.Double = 0.02, 0.02
 		if seed%3 == 0 {
--- /dev/null
+++ b/internal/control/register/main_test.go
@@ -0,0 +1,18 @@
+package register_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"lemonarch/internal/tooling/simulation"
+)
+
+// TestMain makes the property tests play the same histories each time.
+func TestMain(tests *testing.M) {
+	if err := simulation.PinRapid(200); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(tests.Run())
+}
--- a/internal/control/register/operators_test.go
+++ b/internal/control/register/operators_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 
 	"lemonarch/internal/control/register"
@@ -12,14 +10,6 @@
 	"lemonarch/internal/tooling/simulation"
 )
 
-// seeds gives how many seeds a simulation plays: REGISTER_SEEDS where it is set.
-func seeds(usual int64) int64 {
-	if count, err := strconv.ParseInt(os.Getenv("REGISTER_SEEDS"), 10, 64); err == nil {
-		return count
-	}
-	return usual
-}
-
 // status is what an operator saw of one try of an order.
 type status int
 
@@ -213,7 +203,7 @@
 // was refused never comes into force, and no two versions stand on one base.
 func TestOperatorsSeeOneHistory(test *testing.T) {
 	total := map[string]int{}
-	for seed := int64(1); seed <= seeds(120); seed++ {
+	for seed := int64(1); seed <= int64(simulation.Seeds(120)); seed++ {
 		one := newOperators(test, seed)
 		one.world.Loss, one.world.Double, one.crash = 0.03, 0.03, 0.03
 		one.slow = float64(seed%3) * 8
@@ -238,7 +228,7 @@
 		}
 	}
 	test.Log(total)
-	if total["versions"] < 30*int(seeds(120)) || total["archived"] < int(seeds(120)) {
+	if total["versions"] < 30*simulation.Seeds(120) || total["archived"] < simulation.Seeds(120) {
 		test.Fatalf("too little happened: %v", total)
 	}
 }
