--- /dev/null
+++ b/internal/tooling/linearize/history.go
@@ -0,0 +1,98 @@
+// Package linearize records what the callers of the control side and of the lots see,
+// and checks it against a sequential model: there must be one order of all calls, in
+// which each takes effect at one moment between its beginning and its end, that
+// explains every answer.
+package linearize
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"lemonarch/internal/platform/errs"
+)
+
+// The errors of a check.
+var (
+	// Broken means that no order of the calls explains the answers.
+	Broken = errs.Define("history not linearizable")
+	// Undecided means that the check was given up for want of time.
+	Undecided = errs.Define("history not decided")
+)
+
+// Reply is what a caller was told of an operation.
+type Reply interface {
+	// Unclear says that the operation may or may not have taken effect, or may yet.
+	Unclear() bool
+}
+
+// History is the calls of all clients. An operation that a client sends again
+// unchanged, because it has no clear answer yet, is one operation.
+type History struct {
+	operations []porcupine.Operation
+}
+
+// Operation is one operation under way.
+type Operation struct {
+	history *History
+	place   int
+}
+
+// Begin notes that a client begins an operation at a moment. Until it ends, it counts
+// as unclear.
+func (history *History) Begin(client int, input any, unclear Reply, now int64) *Operation {
+	history.operations = append(history.operations, porcupine.Operation{
+		ClientId: client, Input: input, Call: now, Output: unclear, Return: math.MaxInt64,
+	})
+	return &Operation{history: history, place: len(history.operations) - 1}
+}
+
+// End notes its clear answer; an unclear one leaves it open for ever.
+func (operation *Operation) End(reply Reply, now int64) {
+	if reply.Unclear() {
+		return
+	}
+	one := &operation.history.operations[operation.place]
+	one.Output, one.Return = reply, now
+}
+
+// Len is the number of operations.
+func (history *History) Len() int { return len(history.operations) }
+
+// Clear is the number of operations with a clear answer.
+func (history *History) Clear() int {
+	count := 0
+	for index := range history.operations {
+		if history.operations[index].Return != math.MaxInt64 {
+			count++
+		}
+	}
+	return count
+}
+
+// Check gives an error where no order explains the history.
+func (history *History) Check(model porcupine.Model, limit time.Duration) error {
+	switch porcupine.CheckOperationsTimeout(model, history.operations, limit) {
+	case porcupine.Ok:
+		return nil
+	case porcupine.Illegal:
+		return Broken.New(history.describe(model))
+	default:
+		return Undecided.New(fmt.Sprintf("%d operations in %v", len(history.operations), limit))
+	}
+}
+
+func (history *History) describe(model porcupine.Model) string {
+	text := ""
+	for index := range history.operations {
+		one := &history.operations[index]
+		end := "open"
+		if one.Return != math.MaxInt64 {
+			end = fmt.Sprintf("%.1f", float64(one.Return)/1e6)
+		}
+		text += fmt.Sprintf("\n  %8.1f to %8s ms, client %d: %s", float64(one.Call)/1e6, end, one.ClientId, model.DescribeOperation(one.Input, one.Output))
+	}
+	return text
+}
