Simulations of a controller that is cut off, of the lease and of the backlog

TestValidLeaseIsCurrent: 300 seeds, LEMONARCH_SEEDS on demand. TestBacklogTellsUntilConfirmed (rapid) found that a late confirmation could cover an update added after the process had left the backlog; numbered now.

--- a/internal/control/broadcast/backlog.go
+++ b/internal/control/broadcast/backlog.go
@@ -15,6 +15,8 @@
 // no longer holds its life (see Due).
 type Backlog struct {
 	pending map[string]*pending
+	// added counts the calls of Add.
+	added uint64
 }
 
 // pending is what one process has not confirmed.
@@ -24,9 +26,9 @@
 	workers    map[string]bool
 	next       clock.Moment
 	pause      clock.Span
-	// added counts the calls of Add: what was added after a delivery was made is not
-	// confirmed by it.
-	added int
+	// added is the last Add for this process: what was added after a delivery was made is
+	// not confirmed by it.
+	added uint64
 }
 
 // Delivery is one call that tells a process what it has not confirmed.
@@ -34,7 +36,7 @@
 	Entry      messages.Entry
 	Generation int64
 	Workers    []string
-	added      int
+	added      uint64
 }
 
 // NewBacklog makes an empty backlog.
@@ -54,7 +56,8 @@
 	for _, id := range workers {
 		one.workers[id] = true
 	}
-	one.added++
+	backlog.added++
+	one.added = backlog.added
 	one.pause, one.next = constants.BacklogPause, now.Plus(pause)
 }
 
--- /dev/null
+++ b/internal/control/broadcast/backlog_test.go
@@ -0,0 +1,113 @@
+package broadcast_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lemonarch/internal/control/broadcast"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// owed is the model: what a process was to be told and has not confirmed.
+type owed struct {
+	generation int64
+	workers    map[string]bool
+}
+
+// TestBacklogTellsUntilConfirmed: whoever has not confirmed everything is named, and is
+// told at least once in BacklogPauseMost, until it confirms or its life leaves the
+// directory; a confirmation never covers what was added after its delivery was made.
+func TestBacklogTellsUntilConfirmed(test *testing.T) {
+	rapid.Check(test, func(check *rapid.T) {
+		backlog, now := broadcast.NewBacklog(), clock.Moment(1)
+		lives, model := map[string]messages.Entry{}, map[string]*owed{}
+		name := rapid.SampledFrom([]string{"p", "q", "r"})
+		var sent []broadcast.Delivery
+		// stale marks deliveries that were made before a later Add to their process.
+		stale := map[int]bool{}
+		directory := func() (entries []messages.Entry) {
+			for _, entry := range lives {
+				entries = append(entries, entry)
+			}
+			return entries
+		}
+		check.Repeat(map[string]func(*rapid.T){
+			"start": func(check *rapid.T) {
+				one := name.Draw(check, "name")
+				lives[one] = messages.Entry{Name: one, Role: membership.RoleGateway, Life: lives[one].Life + 1, Address: one}
+				delete(model, one)
+				for place := range sent {
+					stale[place] = stale[place] || sent[place].Entry.Name == one
+				}
+			},
+			"add": func(check *rapid.T) {
+				one := name.Draw(check, "name")
+				entry, present := lives[one]
+				if !present {
+					return
+				}
+				generation, worker := int64(rapid.IntRange(0, 5).Draw(check, "generation")), fmt.Sprint(rapid.IntRange(0, 3).Draw(check, "worker"))
+				backlog.Add(entry, generation, []string{worker}, constants.BacklogPause, now)
+				if model[one] == nil {
+					model[one] = &owed{workers: map[string]bool{}}
+				}
+				model[one].generation = max(model[one].generation, generation)
+				model[one].workers[worker] = true
+				for place := range sent {
+					stale[place] = stale[place] || sent[place].Entry.Name == one
+				}
+			},
+			"due": func(check *rapid.T) {
+				now = now.Plus(constants.BacklogPauseMost)
+				due := map[string]broadcast.Delivery{}
+				for _, delivery := range backlog.Due(directory(), now) {
+					due[delivery.Entry.Name] = delivery
+					sent = append(sent, delivery)
+				}
+				for one, debt := range model {
+					if delivery, told := due[one]; !told || delivery.Generation != debt.generation || len(delivery.Workers) != len(debt.workers) {
+						check.Fatalf("%s is owed %+v, and is told %+v", one, debt, delivery)
+					}
+				}
+				if len(due) != len(model) {
+					check.Fatalf("told %v, owed %v", due, model)
+				}
+			},
+			"confirm": func(check *rapid.T) {
+				if len(sent) == 0 {
+					return
+				}
+				place := rapid.IntRange(0, len(sent)-1).Draw(check, "delivery")
+				backlog.Confirmed(sent[place])
+				if !stale[place] {
+					delete(model, sent[place].Entry.Name)
+				}
+			},
+			"leave": func(check *rapid.T) {
+				one := name.Draw(check, "name")
+				lives[one] = messages.Entry{Name: one, Role: membership.RoleGateway, Life: lives[one].Life + 1, Address: one}
+				backlog.Due(directory(), now)
+				delete(model, one)
+				for place := range sent {
+					stale[place] = stale[place] || sent[place].Entry.Name == one
+				}
+			},
+			"": func(check *rapid.T) {
+				for one := range model {
+					named := false
+					for _, key := range backlog.Names() {
+						named = named || key == membership.RoleGateway+"/"+one
+					}
+					if !named {
+						check.Fatalf("%s is not named", one)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/control/broadcast/fleet_test.go
+++ b/internal/control/broadcast/fleet_test.go
@@ -27,6 +27,7 @@
 	reads    map[string]*reads
 	relays   map[string]*broadcast.Job
 	pulling  bool
+	control  control
 	// messages and bytes sent, those to other zones apart.
 	messages, bytes, far int
 	taken                []int64
@@ -61,6 +62,7 @@
 		one.nodes = append(one.nodes, here)
 		one.After(clock.Span(one.Random.Int63n(int64(constants.ShufflePeriod))), here.period)
 	}
+	one.startControl()
 	return one
 }
 
@@ -118,6 +120,10 @@
 			back(&messages.Shuffle{Entries: here.view.Offer(now)})
 			return
 		}
+		if !here.attached() {
+			back(&messages.Shuffle{Entries: []messages.Entry{here.view.Own()}, Detached: true})
+			return
+		}
 		answer := here.view.Answer(one, now)
 		answer.Workers, answer.Judging, answer.Overdue = here.registry.Digest(here.own.Life), true, here.registry.Overdue(now)
 		back(answer)
@@ -139,7 +145,18 @@
 		for _, send := range broadcast.Split(one.Pass, constants.BodyFan) {
 			here.passOn(one, send)
 		}
-		here.take(one.Generation)
+		if len(one.Body) > 0 {
+			here.take(one.Generation)
+		}
+		here.pull(one.Generation, "")
+		back(&messages.Nothing{Taken: here.config >= one.Generation})
+	case *messages.ContactAsk:
+		back(&messages.ContactTold{Generation: here.control.accepted})
+	case *messages.Accept:
+		here.control.accepted = max(here.control.accepted, one.Value.Current.Generation)
+		back(&messages.Accepted{Granted: true})
+	case *messages.WorkersKeep:
+		here.merge(one.Workers)
 		back(&messages.Nothing{Taken: true})
 	case *messages.Relay:
 		here.merge(one.Workers)
--- a/internal/control/broadcast/loops_test.go
+++ b/internal/control/broadcast/loops_test.go
@@ -12,27 +12,47 @@
 // hear takes entries, and pulls a configuration that somebody was seen to have.
 func (here *node) hear(entries []messages.Entry) {
 	here.view.Heard(entries, here.fleet.Now)
-	here.pull(entries)
+	here.sawEntries(entries)
 }
 
-func (here *node) pull(entries []messages.Entry) {
-	newest := int64(0)
+func (here *node) sawEntries(entries []messages.Entry) {
+	var newest messages.Entry
 	for _, entry := range entries {
-		newest = max(newest, entry.Generation)
+		if entry.Generation > newest.Generation {
+			newest = entry
+		}
 	}
-	if newest <= here.config || here.pulling {
+	here.pull(newest.Generation, newest.Address)
+}
+
+// pull asks one process, then the controllers, until this one follows a generation.
+func (here *node) pull(generation int64, first string) {
+	if generation <= here.config || here.pulling {
 		return
 	}
 	here.pulling = true
-	address := here.view.Controllers(here.fleet.Now)[0].Address
-	here.call(address, &messages.ConfigPull{Known: here.config}, constants.CallTime, func(answer transport.Writable, failed bool) {
+	var addresses []string
+	if first != "" {
+		addresses = []string{first}
+	}
+	for _, entry := range here.view.Controllers(here.fleet.Now) {
+		addresses = append(addresses, entry.Address)
+	}
+	here.pullNext(generation, addresses)
+}
+
+func (here *node) pullNext(generation int64, addresses []string) {
+	if len(addresses) == 0 || here.config >= generation {
 		here.pulling = false
+		return
+	}
+	here.call(addresses[0], &messages.ConfigPull{Known: here.config}, constants.CallTime, func(answer transport.Writable, failed bool) {
 		if failed {
-			here.view.Failed(address, here.fleet.Now)
-			here.pull(entries)
-			return
+			here.view.Failed(addresses[0], here.fleet.Now)
+		} else {
+			here.take(answer.(*messages.ConfigPush).Generation)
 		}
-		here.take(answer.(*messages.ConfigPush).Generation)
+		here.pullNext(generation, addresses[1:])
 	})
 }
 
@@ -47,13 +67,14 @@
 	}
 	here.fleet.After(constants.ShufflePeriod, here.period)
 	if !here.down {
-		here.report(here.view.Controllers(here.fleet.Now), 3)
+		here.report(here.view.Controllers(here.fleet.Now), 3, false)
 	}
 }
 
-func (here *node) report(controllers []messages.Entry, tries int) {
+func (here *node) report(controllers []messages.Entry, tries int, brief bool) {
 	if len(controllers) == 0 || tries == 0 {
-		if partner := here.view.Partner(here.fleet.Now); partner != "" {
+		if partner := here.view.Partner(here.fleet.Now); partner != "" && !brief {
+			here.control.first = ""
 			here.call(partner, &messages.Shuffle{Entries: here.view.Offer(here.fleet.Now)}, constants.CallTime, func(answer transport.Writable, failed bool) {
 				if !failed {
 					here.hear(answer.(*messages.Shuffle).Entries)
@@ -63,15 +84,26 @@
 		return
 	}
 	question, address := here.view.Question(), controllers[0].Address
+	if brief {
+		question = here.view.BriefQuestion()
+	}
 	here.call(address, question, constants.ReportTime, func(answer transport.Writable, failed bool) {
 		if failed {
 			here.view.Failed(address, here.fleet.Now)
-			here.report(controllers[1:], tries-1)
+			here.report(controllers[1:], tries-1, brief)
 			return
 		}
 		back := answer.(*messages.Shuffle)
+		if back.Detached {
+			here.view.Failed(address, here.fleet.Now)
+			here.report(controllers[1:], tries, brief)
+			return
+		}
+		if !brief {
+			here.control.first = address
+		}
 		here.view.Answered(question, back, here.fleet.Now)
-		here.pull(back.Entries)
+		here.sawEntries(back.Entries)
 		read := here.read(address)
 		if since, ask := behind(&read.workerList, back.Workers, here.registry.Digest(here.own.Life)); ask {
 			here.pullWorkers(address, since)
@@ -182,6 +214,9 @@
 	}
 	here.call(send.Address, message, constants.CallTime, func(answer transport.Writable, failed bool) {
 		var next []broadcast.Send
+		if entry := job.Told(send); failed && send.Step == broadcast.StepTell && entry.Address != "" {
+			here.owe(word, []messages.Entry{entry}, constants.BacklogPause)
+		}
 		done, waited := answer.(*messages.RelayDone)
 		switch {
 		case failed || (waited && !done.Known):
@@ -203,6 +238,9 @@
 	word.From, word.Number = membership.Key(here.own), here.fleet.number
 	begun := here.fleet.Now
 	job, sends := broadcast.Fleet(here.own, here.view.All("", begun), fan(word), begun)
+	if word.Generation > 0 {
+		here.owe(word, job.Unconfirmed(sends), constants.BacklogPassedPause)
+	}
 	here.drive(word, job, sends, begun)
 	var look func()
 	look = func() {
--- /dev/null
+++ b/internal/control/contact/contact_test.go
@@ -0,0 +1,165 @@
+package contact_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"lemonarch/internal/control/contact"
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// acknowledged is a value that a majority accepted, and when that was.
+type acknowledged struct {
+	at    clock.Moment
+	value contact.Followed
+}
+
+// play is one process that keeps a lease while others change the set and the
+// configuration, on a network that loses, delays and cuts.
+type play struct {
+	*simulation.World
+	test      *testing.T
+	seed      int64
+	sets      []messages.Register
+	accepted  map[string]contact.Followed
+	lease     *contact.Lease
+	followed  contact.Followed
+	history   []acknowledged
+	validFor  int
+	refusedAt int
+}
+
+func member(place int) messages.Member {
+	return messages.Member{Address: fmt.Sprint("a", place), Disk: fmt.Sprint("d", place)}
+}
+
+// propose has the next value accepted: a new configuration, or a set in which one member
+// gave its place up, by way of the joint set. It is acknowledged once majorities have it.
+func (one *play) propose() {
+	last := one.sets[len(one.sets)-1]
+	value := contact.Followed{SetEpoch: last.SetEpoch}
+	if count := len(one.history); count > 0 {
+		value = one.history[count-1].value
+	}
+	value.SetEpoch = last.SetEpoch
+	next := last
+	switch {
+	case len(last.Previous) > 0:
+		next.Previous = nil
+		value.SetEpoch++
+	case one.Random.Intn(4) == 0:
+		next.Previous = last.Acceptors
+		next.Acceptors = append(append([]messages.Member(nil), last.Acceptors[1:]...), member(100+int(last.SetEpoch)))
+		value.SetEpoch++
+	default:
+		value.Generation++
+	}
+	next.SetEpoch = value.SetEpoch
+	answered := map[string]bool{}
+	targets := register.Targets(&next)
+	for _, place := range one.Random.Perm(len(targets)) {
+		if register.Quorum(&next, answered) && one.Random.Intn(2) == 0 {
+			continue
+		}
+		one.accepted[register.Identity(targets[place])] = value
+		answered[register.Identity(targets[place])] = true
+	}
+	one.sets = append(one.sets, next)
+	one.history = append(one.history, acknowledged{one.Now, value})
+}
+
+// round asks every acceptor of the sets that the process follows.
+func (one *play) round() {
+	asked := one.Now
+	known := one.known()
+	for _, target := range register.Targets(&known) {
+		one.Send("process", target.Address, func() {
+			accepted := one.accepted[register.Identity(target)]
+			one.Send(target.Address, "process", func() {
+				one.lease.Answered(target, asked, accepted, one.followed)
+			})
+		})
+	}
+}
+
+func (one *play) known() messages.Register {
+	for _, sets := range one.sets {
+		if sets.SetEpoch == one.followed.SetEpoch {
+			return sets
+		}
+	}
+	one.test.Fatalf("seed %d: unknown epoch %d", one.seed, one.followed.SetEpoch)
+	return messages.Register{}
+}
+
+// check holds the invariant: while the lease is valid, whatever was acknowledged before
+// its length is followed.
+func (one *play) check() {
+	known := one.known()
+	if !one.lease.Valid(&known, one.Now) {
+		one.refusedAt++
+		return
+	}
+	one.validFor++
+	for _, earlier := range one.history {
+		late := one.Now.Since(earlier.at) >= constants.ContactLease
+		if late && (earlier.value.Generation > one.followed.Generation || earlier.value.SetEpoch > one.followed.SetEpoch) {
+			one.test.Fatalf("seed %d: valid at %v, follows %+v, %+v was acknowledged at %v", one.seed, one.Now, one.followed, earlier.value, earlier.at)
+		}
+	}
+}
+
+func (one *play) every(period clock.Span, function func()) {
+	one.After(clock.Span(one.Random.Int63n(int64(period))), func() {
+		function()
+		one.every(period, function)
+	})
+}
+
+// TestValidLeaseIsCurrent: a process with a valid lease follows every set and every
+// configuration that was acknowledged before the length of the lease, through losses,
+// cuts and changes of members.
+func TestValidLeaseIsCurrent(test *testing.T) {
+	seeds := 300
+	if many, err := strconv.Atoi(os.Getenv("LEMONARCH_SEEDS")); err == nil {
+		seeds = many
+	}
+	valid, refused := 0, 0
+	for seed := int64(1); seed <= int64(seeds); seed++ {
+		one := &play{World: simulation.NewWorld(seed), test: test, seed: seed, accepted: map[string]contact.Followed{}, lease: contact.New()}
+		first := messages.Register{SetEpoch: 1}
+		for place := 0; place < 3+2*one.Random.Intn(2); place++ {
+			first.Acceptors = append(first.Acceptors, member(place))
+		}
+		one.sets, one.followed = []messages.Register{first}, contact.Followed{SetEpoch: 1}
+		one.Loss, one.Double = 0.1*one.Random.Float64(), 0.05
+		one.every(constants.ContactPeriod, one.round)
+		one.every(2*constants.ContactPeriod, one.propose)
+		one.every(50_000_000, one.check)
+		// It catches up now and then, and is cut off from some acceptors for a while.
+		one.every(3*constants.ContactPeriod, func() {
+			if count := len(one.history); count > 0 && one.Random.Intn(3) > 0 {
+				one.followed = one.history[count-1].value
+			}
+		})
+		one.every(4*constants.ContactPeriod, func() {
+			known := one.known()
+			for _, target := range known.Acceptors {
+				one.Cut("process", target.Address, one.Random.Intn(3) == 0)
+				one.Cut(target.Address, "process", one.Random.Intn(3) == 0)
+			}
+		})
+		one.Run(clock.Moment(0).Plus(40 * constants.ContactLease))
+		valid, refused = valid+one.validFor, refused+one.refusedAt
+	}
+	if valid == 0 || refused == 0 {
+		test.Fatalf("valid %d times, not valid %d times", valid, refused)
+	}
+	test.Logf("valid %d times, not valid %d times", valid, refused)
+}
