--- a/internal/control/broadcast/cut_test.go
+++ b/internal/control/broadcast/cut_test.go
@@ -45,16 +45,15 @@
 
 // cut is one play: a controller is cut off while orders and drains come.
 type cut struct {
-	test    *testing.T
-	fleet   *fleet
-	hit     *node
-	how     direction
-	began   clock.Moment
-	name    string
-	newest  int64
-	worker  int
-	acks    int
-	refused int
+	test   *testing.T
+	fleet  *fleet
+	hit    *node
+	how    direction
+	began  clock.Moment
+	name   string
+	newest int64
+	worker int
+	acks   int
 }
 
 // apply cuts the controller off, or joins it again.
