Operators, proposers at once and slow disks are simulated; duels end

Cause (seen in the simulation once syncs queue as on a real disk): at 60 ms a sync, a joint set of acceptors was settled by all eight processes at once, 648 attempts in 15 s, the queue at one disk growing to 124 s and nothing chosen: a proposer's pause was shorter than an attempt, and an acceptor wrote down votes whose proposers had given up long before.

Change: the random part of the pause is no shorter than the attempt that was lost, doubles with each loss and is bounded; a preempted proposer looks without a ballot first; a vote that waited a quarter of a round for the disk is turned away (quorum.Busy); a joint set is ended by its newcomer alone for 1.5 s (Tending.Fresh, JointFresh).

TestOperatorsSeeOneHistory: eight operators, orders sent again and crossing, same bytes, same number, base 0 from all, proposers that die between the rounds.

--- a/internal/control/quorum/propose.go
+++ b/internal/control/quorum/propose.go
@@ -53,9 +53,10 @@
 		return messages.Register{}, register.NoMajority.New("earlier changes took too long")
 	}
 	unclear, preempted := false, false
+	took := clock.Span(0)
 	for lost := 0; clock.Now() < end; {
 		if lost > 0 {
-			clock.Sleep(register.Backoff(lost, clock.Draw()))
+			clock.Sleep(register.Backoff(lost, took, clock.Draw()))
 		}
 		if preempted {
 			// Whoever won may have settled the question: a look needs no ballot, so
@@ -64,7 +65,9 @@
 				return value, nil
 			}
 		}
+		begun := clock.Now()
 		proposal := replica.attempt(change, end)
+		took = clock.Now().Since(begun)
 		if proposal.Stage() == register.StageDone {
 			replica.lock.Lock()
 			replica.learn(proposal.Value())
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -8,6 +8,7 @@
 	"lemonarch/internal/control/lease"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/errs"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
@@ -17,6 +18,9 @@
 // Damaged is the error of a register whose disk can't be read or written.
 var Damaged = errs.Define("register disk")
 
+// Busy is the error of an acceptor whose disk is behind with its votes.
+var Busy = errs.Define("register busy")
+
 // logfileName is the file of the acceptor, and logfileLimit the length in bytes at
 // which it is rewritten (ours).
 const (
@@ -48,7 +52,9 @@
 	durable messages.AcceptorRecord
 	grants  *lease.Grants
 	known   messages.Register
-	counter uint64
+	// knownSince is when the set of the known value was first met.
+	knownSince clock.Moment
+	counter    uint64
 
 	archive *archive
 	// turn holds one token: two proposals from here would only duel.
@@ -108,9 +114,21 @@
 
 // learn keeps the newest sets known. The lock is held.
 func (replica *Register) learn(value messages.Register) {
-	if value.SetEpoch >= replica.known.SetEpoch && len(value.Acceptors) > 0 {
-		replica.known = value
+	if value.SetEpoch < replica.known.SetEpoch || len(value.Acceptors) == 0 {
+		return
+	}
+	if value.SetEpoch > replica.known.SetEpoch {
+		replica.knownSince = clock.Now()
 	}
+	replica.known = value
+}
+
+// JointFresh tells whether a joint set was met a short while ago: whoever proposed it
+// is about to end it.
+func (replica *Register) JointFresh() bool {
+	replica.lock.Lock()
+	defer replica.lock.Unlock()
+	return len(replica.known.Previous) > 0 && clock.Now().Since(replica.knownSince) < constants.JointTime
 }
 
 // Known gives the newest value known here, chosen or not: good for its sets.
--- a/internal/control/quorum/vote.go
+++ b/internal/control/quorum/vote.go
@@ -2,6 +2,8 @@
 
 import (
 	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/recordlog"
 )
@@ -11,7 +13,9 @@
 	if question.Query {
 		return replica.query(question), nil
 	}
-	replica.voting.Lock()
+	if err := replica.begin(); err != nil {
+		return messages.Promise{}, err
+	}
 	defer replica.voting.Unlock()
 	before := replica.acceptor.Record()
 	answer, changed := replica.acceptor.Prepare(question)
@@ -24,6 +28,18 @@
 	return answer, nil
 }
 
+// begin waits for the votes before. Who has waited for long will have given up before a
+// second round: such votes would only keep those behind them waiting too.
+func (replica *Register) begin() error {
+	asked := clock.Now()
+	replica.voting.Lock()
+	if clock.Now().Since(asked) <= constants.VoteWait {
+		return nil
+	}
+	replica.voting.Unlock()
+	return Busy.New("votes wait for the disk")
+}
+
 // query answers from what has reached the disk: a vote that is still being written
 // has not been given.
 func (replica *Register) query(question *messages.Prepare) messages.Promise {
@@ -48,7 +64,9 @@
 }
 
 func (replica *Register) vote(question *messages.Accept) (messages.Accepted, bool, error) {
-	replica.voting.Lock()
+	if err := replica.begin(); err != nil {
+		return messages.Accepted{}, false, err
+	}
 	defer replica.voting.Unlock()
 	before := replica.acceptor.Record()
 	answer, changed := replica.acceptor.Accept(question)
--- a/internal/control/register/backoff.go
+++ b/internal/control/register/backoff.go
@@ -5,10 +5,11 @@
 	"lemonarch/internal/platform/constants"
 )
 
-// Backoff gives the pause before the next attempt after a number of lost ones; draw
-// is a random number in [0, 1). The random part doubles with each loss, so that any
-// number of proposers soon finds a gap that is longer than two rounds.
-func Backoff(lost int, draw float64) clock.Span {
-	spread := constants.BackoffSpread << min(max(lost-1, 0), constants.BackoffDoublings)
-	return constants.BackoffBase + clock.Span(draw*float64(spread))
+// Backoff gives the pause before the next attempt after a number of lost ones, of which
+// the last took a time; draw is a random number in [0, 1). The random part doubles with
+// each loss and is no shorter than an attempt, so that any number of proposers soon
+// finds a gap that is long enough for two rounds.
+func Backoff(lost int, took clock.Span, draw float64) clock.Span {
+	spread := max(constants.BackoffSpread, took) << min(max(lost-1, 0), constants.BackoffDoublings)
+	return constants.BackoffBase + clock.Span(draw*float64(min(spread, constants.BackoffLongest)))
 }
--- a/internal/control/register/budget_test.go
+++ b/internal/control/register/budget_test.go
@@ -6,6 +6,7 @@
 
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/tooling/simulation"
 )
@@ -23,10 +24,27 @@
 	*fleet
 	downSince map[string]clock.Moment
 	number    int
+	// met is when each process first saw the set that it knows.
+	met map[string]sighting
+}
+
+// sighting is an epoch of the set and when it was first seen.
+type sighting struct {
+	epoch uint64
+	at    clock.Moment
+}
+
+// fresh tells whether a process met its set a short while ago.
+func (one *grown) fresh(name string) bool {
+	epoch := one.controllers[name].known.SetEpoch
+	if one.met[name].epoch != epoch {
+		one.met[name] = sighting{epoch, one.world.Now}
+	}
+	return one.world.Now.Since(one.met[name].at) < constants.JointTime
 }
 
 func newGrown(test *testing.T, seed int64) *grown {
-	one := &grown{fleet: newFleet(test, seed, "a", "b", "c"), downSince: map[string]clock.Moment{}}
+	one := &grown{fleet: newFleet(test, seed, "a", "b", "c"), downSince: map[string]clock.Moment{}, met: map[string]sighting{}}
 	one.size = budgetSize
 	for _, name := range []string{"d", "e", "f", "g", "h"} {
 		one.outsider(name)
@@ -53,7 +71,7 @@
 				node.known = other.known
 			}
 		}
-		tending := register.Tending{Own: node.member, Votes: true, Size: budgetSize, Gone: one.gone}
+		tending := register.Tending{Own: node.member, Votes: true, Size: budgetSize, Gone: one.gone, Fresh: one.fresh(name)}
 		if change := tending.Step(node.known); change != nil {
 			one.change(name, change, 3, func(messages.Register, bool) {})
 		}
--- /dev/null
+++ b/internal/control/register/drive_test.go
@@ -0,0 +1,220 @@
+package register_test
+
+import (
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// attemptTime is how long a simulated proposer waits for its two rounds.
+const attemptTime = 400
+
+// try is one proposal on its way, as a process drives it.
+type try struct {
+	*fleet
+	from     string
+	node     *controller
+	life     int64
+	change   register.Change
+	proposal *register.Proposal
+	over     bool
+	begun    clock.Moment
+}
+
+// change drives one change from a node; ended is called once with the outcome, or
+// never where the process dies.
+func (one *fleet) change(from string, change register.Change, tries int, ended func(value messages.Register, done bool)) {
+	one.propose(from, change, tries, 0, ended)
+}
+
+func (one *fleet) propose(from string, change register.Change, tries, lost int, ended func(value messages.Register, done bool)) {
+	node := one.controllers[from]
+	if node == nil || node.down || tries == 0 {
+		ended(messages.Register{}, false)
+		return
+	}
+	node.counter++
+	one.attempts++
+	ballot := register.NewBallot(node.counter, from, node.member.Disk, node.life)
+	proposal, sends := register.Begin(ballot, node.known, change)
+	attempt := &try{fleet: one, from: from, node: node, life: node.life, change: change, proposal: proposal, begun: one.world.Now}
+	again := func() { one.propose(from, change, tries-1, lost+1, ended) }
+	attempt.send(sends, func() { attempt.finish(tries, lost, ended) })
+	one.world.After(clock.Milliseconds(attemptTime), func() {
+		if !attempt.over && !attempt.dead() {
+			attempt.over = true
+			again()
+		}
+	})
+}
+
+// dead tells whether the life that made the attempt is over.
+func (attempt *try) dead() bool { return attempt.node.down || attempt.life != attempt.node.life }
+
+// finish looks where the proposal stands.
+func (attempt *try) finish(tries, lost int, ended func(value messages.Register, done bool)) {
+	if attempt.over || attempt.dead() {
+		return
+	}
+	node, proposal := attempt.node, attempt.proposal
+	switch proposal.Stage() {
+	case register.StageDone:
+		attempt.over = true
+		node.known = proposal.Value()
+		if attempt.chosen != nil {
+			attempt.chosen(proposal.Value())
+		}
+		if proposal.Unfinished() {
+			attempt.propose(attempt.from, attempt.change, tries-1, lost, ended)
+			return
+		}
+		ended(proposal.Value(), true)
+	case register.StageLost:
+		attempt.over = true
+		node.counter = max(node.counter, proposal.Highest().Counter)
+		if newer := proposal.Newer(); newer != nil {
+			node.known = *newer
+		}
+		attempt.world.After(register.Backoff(lost+1, attempt.world.Now.Since(attempt.begun), attempt.world.Random.Float64()), func() {
+			if attempt.dead() {
+				return
+			}
+			attempt.look(attempt.from, attempt.change, func(value messages.Register, settled bool) {
+				if settled {
+					ended(value, true)
+					return
+				}
+				attempt.propose(attempt.from, attempt.change, tries-1, lost+1, ended)
+			})
+		})
+	}
+}
+
+// send takes messages to their members and the answers back.
+func (attempt *try) send(list []register.Send, finish func()) {
+	one := attempt.fleet
+	if len(list) > 0 && list[0].Accept != nil && one.world.Random.Float64() < one.crash {
+		// The worst moment: the second round is decided on, and some get it.
+		list = list[:one.world.Random.Intn(len(list))]
+		one.world.After(0, func() { one.bounce(attempt.from) })
+	}
+	for _, message := range list {
+		target := one.controllers[message.Member.Address]
+		one.world.Send(attempt.from, message.Member.Address, func() {
+			if target == nil || target.down || target.syncing.Since(one.world.Now) > constants.VoteWait {
+				return
+			}
+			if message.Prepare != nil {
+				answer, _ := target.live.Prepare(message.Prepare)
+				one.answer(target, attempt.from, func() { attempt.promised(message.Member, answer, finish) })
+				return
+			}
+			one.follow(target, &message.Accept.Value)
+			answer, _ := target.live.Accept(message.Accept)
+			one.answer(target, attempt.from, func() {
+				if !attempt.over && !attempt.dead() {
+					attempt.proposal.Taken(message.Member, answer)
+					finish()
+				}
+			})
+		})
+	}
+}
+
+func (attempt *try) promised(member messages.Member, answer messages.Promise, finish func()) {
+	if !attempt.over && !attempt.dead() {
+		attempt.send(attempt.proposal.Promised(member, answer), finish)
+		finish()
+	}
+}
+
+// look asks whether the change would leave the value in force as it is.
+func (one *fleet) look(from string, change register.Change, ended func(value messages.Register, settled bool)) {
+	node, over := one.controllers[from], false
+	life := node.life
+	reading, sends := register.BeginReading(node.known)
+	end := func(value *messages.Register) {
+		if over || node.down || life != node.life {
+			return
+		}
+		over = true
+		if value == nil {
+			ended(messages.Register{}, false)
+			return
+		}
+		if one.chosen != nil {
+			one.chosen(*value)
+		}
+		_, verdict := change(*value)
+		ended(*value, verdict == register.VerdictKeep)
+	}
+	for _, message := range sends {
+		target := one.controllers[message.Member.Address]
+		one.world.Send(from, message.Member.Address, func() {
+			if target == nil || target.down {
+				return
+			}
+			answer, _ := register.NewAcceptor(target.disk).Prepare(message.Prepare)
+			one.world.Send(message.Member.Address, from, func() {
+				if value, settled := reading.Heard(message.Member, answer); settled {
+					end(value)
+				}
+			})
+		})
+	}
+	one.world.After(clock.Milliseconds(attemptTime), func() { end(nil) })
+}
+
+// answer sends an answer once the disk behind it has synced, in order. What was not
+// synced when the process ends is lost.
+func (one *fleet) answer(node *controller, to string, function func()) {
+	record, file, life := node.live.Record(), node.archive.Chunks(), node.life
+	done := func() {
+		if node.life != life {
+			return
+		}
+		node.disk, node.file = record, file
+		one.world.Send(node.member.Address, to, function)
+	}
+	if one.slow == 0 {
+		done()
+		return
+	}
+	node.syncing = max(node.syncing, one.world.Now).Plus(clock.Milliseconds(one.slow * one.world.Random.Float64()))
+	one.world.After(node.syncing.Since(one.world.Now), done)
+}
+
+// follow keeps the archive beside a value that is about to be accepted, and pulls what
+// is lacking from another acceptor.
+func (one *fleet) follow(node *controller, value *messages.Register) {
+	if _, whole := node.archive.Extend(value, 1); whole {
+		return
+	}
+	names := simulation.Keys(one.controllers)
+	other := one.controllers[names[one.world.Random.Intn(len(names))]]
+	if other.down {
+		return
+	}
+	for _, held := range []uint64{node.archive.Held(), 0} {
+		answer := other.archive.Answer(&messages.ArchiveQuestion{Head: value.Archive, Pull: true, Held: held})
+		node.archive.Fill(value.Archive, answer.Chunks)
+	}
+	node.archive.Extend(value, 1)
+}
+
+// bounce ends a process and starts it again from its disk.
+func (one *fleet) bounce(name string) {
+	node := one.controllers[name]
+	if node == nil || node.down {
+		return
+	}
+	node.down = true
+	node.life++
+	one.world.After(clock.Milliseconds(200*one.world.Random.Float64()), func() {
+		if node.down {
+			one.restart(name)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/register/operators_test.go
@@ -0,0 +1,244 @@
+package register_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// seeds gives how many seeds a simulation plays: REGISTER_SEEDS where it is set.
+func seeds(usual int64) int64 {
+	if count, err := strconv.ParseInt(os.Getenv("REGISTER_SEEDS"), 10, 64); err == nil {
+		return count
+	}
+	return usual
+}
+
+// status is what an operator saw of one try of an order.
+type status int
+
+const (
+	unanswered status = iota
+	acknowledged
+	refused
+)
+
+// sighted is one answer that an operator saw.
+type sighted struct {
+	operator string
+	at       string
+	version  messages.Version
+	status   status
+	when     clock.Moment
+}
+
+// operators send orders to a fleet, again where no clear answer came, and keep what
+// they saw.
+type operators struct {
+	*fleet
+	names  []string
+	seen   []sighted
+	sent   []messages.Version
+	chain  map[int64]messages.Version
+	onTop  map[int64]messages.Version
+	counts map[string]int
+}
+
+func newOperators(test *testing.T, seed int64) *operators {
+	one := &operators{fleet: newFleet(test, seed, "a", "b", "c"), chain: map[int64]messages.Version{}, onTop: map[int64]messages.Version{}, counts: map[string]int{}}
+	one.outsider("d")
+	one.outsider("e")
+	one.names = []string{"a", "b", "c", "d", "e"}
+	one.fleet.chosen = one.note
+	return one
+}
+
+// note keeps the one true history, and fails where there are two.
+func (one *operators) note(value messages.Register) {
+	for _, version := range append([]messages.Version{value.Current}, value.History...) {
+		if version.Generation == 0 {
+			continue
+		}
+		if other, known := one.chain[version.Generation]; known && other != version {
+			one.test.Fatalf("two histories: %v and %v", other, version)
+		}
+		if other, known := one.onTop[version.Base]; known && other != version {
+			one.test.Fatalf("two versions on one base: %v and %v", other, version)
+		}
+		one.chain[version.Generation], one.onTop[version.Base] = version, version
+	}
+}
+
+// try sends an order to one process; ended is told of a clear answer.
+func (one *operators) try(operator, at string, version messages.Version, ended func(status status)) {
+	answer := func(status status) {
+		one.world.Send(at, operator, func() {
+			one.seen = append(one.seen, sighted{operator, at, version, status, one.world.Now})
+			if status != unanswered {
+				ended(status)
+			}
+		})
+	}
+	one.world.Send(operator, at, func() {
+		if one.controllers[at].down {
+			return
+		}
+		var result register.Result
+		one.change(at, register.Replace(version, []byte(version.Hash), &result), 6, func(value messages.Register, done bool) {
+			one.conclude(at, &value, version, result, done, answer)
+		})
+	})
+}
+
+// conclude is what quorum.Register.Replace and the controller make of an outcome.
+func (one *operators) conclude(at string, value *messages.Register, version messages.Version, result register.Result, done bool, answer func(status)) {
+	if done && result == register.ResultArchived {
+		one.counts["archived"]++
+		question := &messages.ArchiveQuestion{Head: value.Archive, Generation: version.Generation, Print: register.Print(version)}
+		done = false
+		for _, name := range append([]string{at}, one.names...) {
+			node := one.controllers[name]
+			if sought := node.archive.Answer(question).Sought; !node.down && sought != messages.SoughtUnknown {
+				done, result = true, register.Refusal(value.Current, version)
+				if sought == messages.SoughtTaken {
+					result = register.ResultAlready
+				}
+			}
+		}
+	}
+	switch {
+	case !done || version.Base > value.Current.Generation:
+		// A base that may yet come into force allows no refusal: an earlier try of the
+		// same order may meet it then.
+		answer(unanswered)
+	case result.Stands():
+		answer(acknowledged)
+	default:
+		answer(refused)
+	}
+}
+
+// order sends a version until a clear answer comes, each time to any process, often
+// before the first try has ended.
+func (one *operators) order(operator string, version messages.Version, tries int, ended func(status status)) {
+	over := false
+	var again func(tries int)
+	again = func(tries int) {
+		if over || tries == 0 {
+			return
+		}
+		one.try(operator, one.names[one.world.Random.Intn(len(one.names))], version, func(status status) {
+			if !over {
+				over = true
+				ended(status)
+			}
+		})
+		one.world.After(clock.Milliseconds(10+600*one.world.Random.Float64()), func() { again(tries - 1) })
+	}
+	again(tries)
+}
+
+// work is one operator: it builds on what it believes to be newest, at times with the
+// number or the very bytes of somebody else's order, at times sends an old one again.
+func (one *operators) work(operator string, orders int) {
+	newest := int64(0)
+	var step func(left int)
+	step = func(left int) {
+		if left == 0 {
+			return
+		}
+		random := one.world.Random
+		version := messages.Version{Generation: newest + 1 + int64(random.Intn(2)), Base: newest, Hash: fmt.Sprint(operator, left)}
+		if len(one.sent) > 0 && random.Intn(4) == 0 {
+			version = one.sent[random.Intn(len(one.sent))]
+			one.counts["again"]++
+		}
+		if len(one.sent) > 0 && random.Intn(8) == 0 {
+			// Built on an order that has no answer yet.
+			base := one.sent[len(one.sent)-1]
+			version = messages.Version{Generation: base.Generation + 1, Base: base.Generation, Hash: fmt.Sprint("hasty", operator, left)}
+		}
+		one.sent = append(one.sent, version)
+		over := false
+		next := func() {
+			if !over {
+				over = true
+				one.world.After(clock.Milliseconds(40*random.Float64()), func() { step(left - 1) })
+			}
+		}
+		one.order(operator, version, 6, func(status status) {
+			if status == acknowledged && version.Generation > newest {
+				newest = version.Generation
+				next()
+				return
+			}
+			one.change(one.names[random.Intn(len(one.names))], register.Look, 4, func(value messages.Register, done bool) {
+				if done {
+					newest = value.Current.Generation
+				}
+				next()
+			})
+		})
+		one.world.After(clock.Milliseconds(3000), next)
+	}
+	step(orders)
+}
+
+// trouble cuts, ends, and restarts processes, one at a time.
+func (one *operators) trouble() {
+	name := one.names[one.world.Random.Intn(len(one.names))]
+	switch one.world.Random.Intn(4) {
+	case 0:
+		one.world.Isolate(name, one.names, true)
+		one.world.After(clock.Milliseconds(700), func() { one.world.Isolate(name, one.names, false) })
+	case 1:
+		one.bounce(name)
+	case 2:
+		other := one.names[one.world.Random.Intn(len(one.names))]
+		one.world.Cut(name, other, true)
+		one.world.After(clock.Milliseconds(900), func() { one.world.Cut(name, other, false) })
+	}
+	one.world.After(clock.Milliseconds(2500*one.world.Random.Float64()), one.trouble)
+}
+
+// Eight operators send orders at once, each again where no clear answer came, while
+// messages are lost and doubled, links are cut, processes end between the two rounds
+// and come back from their disks. Nothing that came into force is ever refused, what
+// was refused never comes into force, and no two versions stand on one base.
+func TestOperatorsSeeOneHistory(test *testing.T) {
+	total := map[string]int{}
+	for seed := int64(1); seed <= seeds(120); seed++ {
+		one := newOperators(test, seed)
+		one.world.Loss, one.world.Double, one.crash = 0.03, 0.03, 0.03
+		one.slow = float64(seed%3) * 8
+		for index := range 8 {
+			one.work(fmt.Sprint("operator", index), 14)
+		}
+		one.trouble()
+		one.world.Run(clock.Moment(clock.Milliseconds(60_000)))
+		for _, answer := range one.seen {
+			stands := one.chain[answer.version.Generation] == answer.version
+			if answer.status == acknowledged && !stands {
+				test.Fatalf("seed %d: acknowledged, yet not in the history: %v", seed, answer)
+			}
+			if answer.status == refused && stands {
+				test.Fatalf("seed %d: refused, yet in the history: %v", seed, answer)
+			}
+			total[fmt.Sprint("status ", answer.status)]++
+		}
+		total["versions"] += len(one.chain)
+		for _, key := range simulation.Keys(one.counts) {
+			total[key] += one.counts[key]
+		}
+	}
+	test.Log(total)
+	if total["versions"] < 30*int(seeds(120)) || total["archived"] < int(seeds(120)) {
+		test.Fatalf("too little happened: %v", total)
+	}
+}
--- a/internal/control/register/register_test.go
+++ b/internal/control/register/register_test.go
@@ -19,6 +19,11 @@
 	counter uint64
 	life    int64
 	known   messages.Register
+	// archive is what is known of versions taken long ago, and file what of it is
+	// on disk. syncing is when the disk is done with what it was given.
+	archive register.Archive
+	file    []messages.ArchiveChunk
+	syncing clock.Moment
 }
 
 type fleet struct {
@@ -29,21 +34,18 @@
 	test        *testing.T
 	// slow is how many ms a sync may take beyond the usual.
 	slow float64
+	// crash is the chance that a proposer dies between its two rounds.
+	crash float64
+	// chosen, where set, is told of each value that was chosen.
+	chosen func(value messages.Register)
+	// attempts counts proposals begun.
+	attempts int
 	// size, where it is set, is how many acceptors bear the fault budget: nothing
 	// is acknowledged in a smaller set. told hears of each acknowledgement.
 	size int
 	told func(generation int64)
 }
 
-// synced runs a function once a disk has synced.
-func (one *fleet) synced(function func()) {
-	if one.slow == 0 {
-		function()
-		return
-	}
-	one.world.After(clock.Milliseconds(one.slow*one.world.Random.Float64()), function)
-}
-
 func newFleet(test *testing.T, seed int64, names ...string) *fleet {
 	one := &fleet{world: simulation.NewWorld(seed), controllers: map[string]*controller{}, acked: map[int64]string{}, onBase: map[int64]int64{}, test: test}
 	var first []messages.Member
@@ -71,6 +73,7 @@
 	node.member.Disk = fmt.Sprintf("new-%d", one.world.Random.Int63())
 	node.disk = messages.AcceptorRecord{Disk: node.member.Disk}
 	node.live = register.NewAcceptor(node.disk)
+	node.archive, node.file = register.Archive{}, nil
 }
 
 // restart reads the disk again: only what was kept is known.
@@ -81,89 +84,11 @@
 	node.counter = 0
 	node.life++
 	node.known = node.live.Value()
-}
-
-// answer sends an answer once the disk behind it has synced.
-func (one *fleet) answer(from, to string, function func()) {
-	one.synced(func() { one.world.Send(from, to, function) })
-}
-
-// change drives one change from a node; ended is called once with the outcome.
-func (one *fleet) change(from string, change register.Change, tries int, ended func(value messages.Register, done bool)) {
-	node := one.controllers[from]
-	if node == nil || node.down || tries == 0 {
-		ended(messages.Register{}, false)
-		return
-	}
-	node.counter++
-	proposal, sends := register.Begin(register.NewBallot(node.counter, from, node.member.Disk, node.life), node.known, change)
-	over := false
-	life := node.life
-	// Answers to a life that is over reach nobody.
-	dead := func() bool { return node.down || life != node.life }
-	finish := func() {
-		if over || dead() {
-			return
-		}
-		switch proposal.Stage() {
-		case register.StageDone:
-			over = true
-			node.known = proposal.Value()
-			ended(proposal.Value(), true)
-		case register.StageLost:
-			over = true
-			node.counter = max(node.counter, proposal.Highest().Counter)
-			if newer := proposal.Newer(); newer != nil {
-				node.known = *newer
-			}
-			one.world.After(clock.Milliseconds(5+60*one.world.Random.Float64()), func() {
-				if !dead() {
-					one.change(from, change, tries-1, ended)
-				}
-			})
-		}
+	node.syncing = one.world.Now
+	node.archive = register.Archive{}
+	for _, chunk := range node.file {
+		node.archive.Restore(chunk)
 	}
-	var carry func(list []register.Send)
-	carry = func(list []register.Send) {
-		for _, send := range list {
-			target := one.controllers[send.Member.Address]
-			one.world.Send(from, send.Member.Address, func() {
-				if target == nil || target.down {
-					return
-				}
-				if send.Prepare != nil {
-					answer, keep := target.live.Prepare(send.Prepare)
-					if keep {
-						target.disk = target.live.Record()
-					}
-					one.answer(send.Member.Address, from, func() {
-						if !over && !dead() {
-							carry(proposal.Promised(send.Member, answer))
-							finish()
-						}
-					})
-					return
-				}
-				answer, keep := target.live.Accept(send.Accept)
-				if keep {
-					target.disk = target.live.Record()
-				}
-				one.answer(send.Member.Address, from, func() {
-					if !over && !dead() {
-						proposal.Taken(send.Member, answer)
-						finish()
-					}
-				})
-			})
-		}
-	}
-	carry(sends)
-	one.world.After(clock.Milliseconds(400), func() {
-		if !over && !dead() {
-			over = true
-			one.change(from, change, tries-1, ended)
-		}
-	})
 }
 
 // replace sends a configuration and checks what an acknowledgement promises.
--- a/internal/control/register/tend.go
+++ b/internal/control/register/tend.go
@@ -1,6 +1,10 @@
 package register
 
-import "lemonarch/internal/platform/messages"
+import (
+	"slices"
+
+	"lemonarch/internal/platform/messages"
+)
 
 // Tending is what a process knows when it looks after the acceptor set.
 type Tending struct {
@@ -9,6 +13,9 @@
 	Votes bool
 	// Size is how many members bear the loss of the fault budget (2f + 1).
 	Size int
+	// Fresh says that a joint set has stood for a short time only: the newcomer, who
+	// proposed it, ends it, and others stay out of its way.
+	Fresh bool
 	// Blank says of a member that it has no disk, and Gone that it was silent for
 	// long; Gone is asked only where nothing else is to be done.
 	Blank func(member messages.Member) bool
@@ -22,6 +29,9 @@
 		return nil
 	}
 	if len(known.Previous) > 0 {
+		if tending.Fresh && !newcomer(&known, tending.Own) {
+			return nil
+		}
 		// Somebody's change was left half done.
 		return Settle
 	}
@@ -56,6 +66,14 @@
 	return nil
 }
 
+// newcomer tells whether a member is in a joint set's new half only.
+func newcomer(known *messages.Register, own messages.Member) bool {
+	in := func(members []messages.Member) bool {
+		return slices.ContainsFunc(members, func(member messages.Member) bool { return Identity(member) == Identity(own) })
+	}
+	return in(known.Acceptors) && !in(known.Previous)
+}
+
 // Bears tells whether the loss of the fault budget leaves a majority: what a
 // smaller set acknowledged could be lost within the budget. Others is how many
 // processes with a disk stand outside and could still join.
--- a/internal/platform/constants/register.go
+++ b/internal/platform/constants/register.go
@@ -23,7 +23,15 @@
 	// ArchiveRetry is the pause after a pull that did not complete the archive (ours):
 	// votes must not wait for it each time.
 	ArchiveRetry = 2 * time.Second
-	// BackoffDoublings is how often the random part of a proposer's pause doubles
-	// (ours): eight proposers at once need about 0.5 s to find a gap on slow disks.
+	// VoteWait is how long a vote may wait for those before it at an acceptor whose disk
+	// is slow (ours): a quarter of RoundTime, so that both rounds still end in time.
+	VoteWait = RoundTime / 4
+	// JointTime is for how long the newcomer alone ends a joint set of acceptors
+	// (ours): two rounds on slow disks and one lost message.
+	JointTime = 1500 * time.Millisecond
+	// BackoffDoublings is how often the random part of a proposer's pause doubles, and
+	// BackoffLongest bounds it (ours): eight proposers at once all have an answer
+	// within RegisterTime on disks that take up to 60 ms for each sync.
 	BackoffDoublings = 3
+	BackoffLongest   = 800 * time.Millisecond
 )
