The controller asks the archive, counts inside the change, acknowledges only what bears

Cause: an old order sent again fell through to 400; retireOpen counted who is left from its own view, outside of the register's change, so that two orders through two controllers could both pass; bears gave up ten seconds after the start, whoever stood by; a base that is not in force yet was refused with 412, although an earlier try of the same order could still meet it in force.

The test that wanted 412 for it now wants 412 for a base behind, and 504 for one ahead.

--- a/internal/control/controller/calls.go
+++ b/internal/control/controller/calls.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/go-chi/chi/v5"
 
@@ -55,35 +56,35 @@
 		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
 		return
 	}
-	retired := map[string]bool{}
-	for _, one := range value.Retired {
-		retired[one] = true
-	}
-	known, left := retired[name], 0
+	known := slices.Contains(value.Retired, name)
+	var serving []string
 	for _, entry := range controller.Node.All(membership.RoleStore) {
-		live := entry.AgeMs < constants.SilentAfter.Milliseconds() && !entry.Leaving
-		if entry.Name == name {
-			known = true
-		} else if live && !retired[entry.Name] {
-			left++
+		known = known || entry.Name == name
+		if entry.AgeMs < constants.SilentAfter.Milliseconds() && !entry.Leaving {
+			serving = append(serving, entry.Name)
 		}
 	}
 	for _, member := range value.Stores {
 		known = known || member.Name == name
 	}
-	switch {
-	case !known && clock.Now().Since(controller.begun) < constants.SilentAfter:
+	if !known && clock.Now().Since(controller.begun) < constants.SilentAfter {
 		// A process that has just started can't tell unknown from not yet heard.
 		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
-	case !known:
+		return
+	}
+	if !known {
 		httpreply.Reason(writer, http.StatusNotFound, "no such storage machine")
-	case !retired[name] && left < controller.setSize():
+		return
+	}
+	// The count is part of the change: another order may be taken meanwhile.
+	var result register.Result
+	_, err = controller.Register.Change(register.RetireStore(name, serving, controller.setSize(), &result))
+	switch {
+	case err != nil:
+		httpreply.Reason(writer, http.StatusGatewayTimeout, err.Error())
+	case result == register.ResultTooFew:
 		httpreply.Reason(writer, http.StatusConflict, "too few would be left")
 	default:
-		if _, err = controller.Register.Change(register.Retire(name)); err != nil {
-			httpreply.Reason(writer, http.StatusGatewayTimeout, err.Error())
-			return
-		}
 		controller.Node.Log.Info("retire opened", "node", name)
 		httpreply.JSON(writer, http.StatusOK, struct{}{})
 	}
@@ -99,11 +100,7 @@
 		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
 		return
 	}
-	asked := false
-	for _, one := range value.Retired {
-		asked = asked || one == name
-	}
-	if !asked {
+	if !slices.Contains(value.Retired, name) {
 		httpreply.Reason(writer, http.StatusNotFound, "not being retired")
 		return
 	}
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -71,7 +71,7 @@
 		return
 	}
 	tending := controller.tending()
-	tending.Own = localRegister.Identity()
+	tending.Own, tending.Fresh = localRegister.Identity(), localRegister.JointFresh()
 	change := tending.Step(known)
 	if change == nil {
 		return
--- a/internal/control/controller/plans.go
+++ b/internal/control/controller/plans.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return &messages.PlanApplied{Unclear: errs.Of(err, register.Unclear), Why: err.Error()}, nil
 	}
-	if result != register.ResultTaken && result != register.ResultAlready {
+	if !result.Stands() {
 		return &messages.PlanApplied{Revision: told.Revision, Why: "another plan was put in force meanwhile"}, nil
 	}
 	controller.Node.Log.Info("assignments acknowledged", "revision", told.Revision, "generation", told.Generation)
@@ -151,14 +151,13 @@
 	if err != nil {
 		return nil, register.ResultOther, err
 	}
-	var result register.Result
-	value, err := controller.plans.localRegister.Change(register.Replace(version, body, &result))
+	value, result, err := controller.plans.localRegister.Replace(version, body)
 	for end := clock.Now().Plus(constants.CallTime); err == nil && !controller.bears(&value); {
 		if clock.Now() > end {
 			return nil, result, register.Unclear.New("the set of acceptors is still growing")
 		}
 		clock.Sleep(constants.TickPeriod)
-		value, err = controller.plans.localRegister.Change(register.Replace(version, body, &result))
+		value, result, err = controller.plans.localRegister.Replace(version, body)
 	}
 	if err != nil {
 		return nil, result, err
@@ -197,7 +196,7 @@
 		return
 	}
 	after, result, err := controller.putPlan(next, current.Revision)
-	if err != nil || (result != register.ResultTaken && result != register.ResultAlready) {
+	if err != nil || (!result.Stands()) {
 		return
 	}
 	coming, _ := assignments.Next(after.Windows, clock.DayMinute())
--- a/internal/control/controller/replace.go
+++ b/internal/control/controller/replace.go
@@ -21,7 +21,7 @@
 
 // confirmed tells whether the version is in force.
 func (one *replaced) confirmed() bool {
-	return one.err == nil && (one.result == register.ResultTaken || one.result == register.ResultAlready)
+	return one.err == nil && one.result.Stands()
 }
 
 // requireContact sends a caller away without a clear answer where this process has no
@@ -71,6 +71,10 @@
 	case register.ResultTaken, register.ResultAlready:
 		controller.Node.Log.Info("configuration acknowledged", "generation", config.Generation)
 		httpreply.JSON(writer, http.StatusOK, map[string]int64{"generation": config.Generation})
+	case register.ResultAhead:
+		// An earlier try that is still on its way could meet the base in force: no
+		// refusal holds for ever here.
+		httpreply.Reason(writer, http.StatusGatewayTimeout, "the base is not in force")
 	case register.ResultOther:
 		httpreply.Reason(writer, http.StatusPreconditionFailed, "another version is in place: "+strconv.FormatInt(one.value.Current.Generation, 10))
 	default:
@@ -88,7 +92,7 @@
 // fault budget, and has everybody told.
 func (controller *Controller) putVersion(version messages.Version, body []byte) replaced {
 	var one replaced
-	one.value, one.err = controller.Register.Change(register.Replace(version, body, &one.result))
+	one.value, one.result, one.err = controller.Register.Replace(version, body)
 	for end := clock.Now().Plus(constants.CallTime); one.confirmed() && !controller.bears(&one.value); {
 		if clock.Now() > end {
 			one.err = register.Unclear.New("the set of acceptors is still growing")
@@ -97,7 +101,7 @@
 		// It is in force, yet the losses of the budget could take it away again: it is
 		// confirmed only once the set is whole, which takes the value along.
 		clock.Sleep(constants.TickPeriod)
-		one.value, one.err = controller.Register.Change(register.Replace(version, body, &one.result))
+		one.value, one.result, one.err = controller.Register.Replace(version, body)
 	}
 	if one.err == nil {
 		controller.chosen(one.value, one.confirmed())
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -63,7 +63,7 @@
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		blank[entry.Address] = entry.Disk == ""
 	}
-	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(),
+	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(), Fresh: controller.Register.JointFresh(),
 		Blank: func(member messages.Member) bool { return blank[member.Address] },
 		Gone:  controller.silent}
 }
@@ -86,32 +86,57 @@
 	return recordlog.Folder(nodeSettings.DataDir), nil
 }
 
-// bears tells whether what is acknowledged now outlasts the fault budget. A set
-// that can't grow, because nobody else has a disk or came in time, has to do.
+// bears tells whether what is acknowledged now outlasts the fault budget. A smaller
+// set has to do only where nobody else is there to join it.
 func (controller *Controller) bears(value *messages.Register) bool {
-	if clock.Now().Since(controller.begun) > constants.GrowTime {
-		return true
-	}
-	inside, others, heard := map[string]bool{}, 0, map[string]bool{}
+	inside, heard := map[string]bool{}, map[string]bool{}
 	for _, member := range value.Acceptors {
 		inside[member.Address] = true
 	}
+	var outside []string
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		heard[entry.Address] = entry.Disk != ""
 		if entry.Disk != "" && !inside[entry.Address] {
-			others++
+			outside = append(outside, entry.Address)
 		}
 	}
+	young := clock.Now().Since(controller.begun) <= constants.GrowTime
 	for _, member := range value.Acceptors {
 		// At the first start a seed may turn out to have no disk: it gives way first.
-		if controller.Node.Settings.Bootstrap && member.Address != controller.Node.Own.Address && !heard[member.Address] {
+		if young && controller.Node.Settings.Bootstrap && member.Address != controller.Node.Own.Address && !heard[member.Address] {
 			return false
 		}
 	}
-	if own := controller.Register.Identity(); votes(controller.Node.Settings) && !inside[own.Address] {
-		others++
+	own := 0
+	if votes(controller.Node.Settings) && !inside[controller.Register.Identity().Address] {
+		own = 1
+	}
+	if register.Bears(value, controller.setSize(), len(outside)+own) {
+		return true
+	}
+	// What was heard of may be gone: after the time to grow, who answers counts.
+	return !young && register.Bears(value, controller.setSize(), controller.answering(outside)+own)
+}
+
+// answering counts the controllers that answer now.
+func (controller *Controller) answering(addresses []string) int {
+	answers := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- controller.answers(address) }()
+	}
+	count := 0
+	for range addresses {
+		if <-answers {
+			count++
+		}
 	}
-	return register.Bears(value, controller.setSize(), others)
+	return count
+}
+
+// answers tells whether a controller answers a small question now.
+func (controller *Controller) answers(address string) bool {
+	question, answer := &messages.RosterPull{Since: math.MaxUint64}, &messages.Nothing{}
+	return transport.Ask(controller.Node.Wire, address, messages.KindRosterPull, question, answer, constants.RoundTime) == nil
 }
 
 // silent tells whether nobody has heard a member for long. One in our own zone is
@@ -137,8 +162,7 @@
 		return false
 	}
 	// The last word is its own: one that answers now is not gone.
-	back := &messages.Nothing{}
-	return transport.Ask(controller.Node.Wire, member.Address, messages.KindRosterPull, &messages.RosterPull{Since: math.MaxUint64}, back, constants.RoundTime) != nil
+	return !controller.answers(member.Address)
 }
 
 // changeDuty changes duty or store set on behalf of a store.
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -24,6 +24,9 @@
 	ResultArchived
 	// ResultTooFew: what is asked would leave too few members.
 	ResultTooFew
+	// ResultAhead: the base is younger than the current version. It may yet come into
+	// force, and an earlier try of the same order may meet it then: no refusal.
+	ResultAhead
 )
 
 // Stands tells whether the version asked for was taken, now or earlier.
@@ -57,7 +60,9 @@
 // ResultTaken where it can.
 func Refusal(current, version messages.Version) Result {
 	switch {
-	case current.Generation != version.Base:
+	case version.Base > current.Generation:
+		return ResultAhead
+	case version.Base < current.Generation:
 		return ResultOther
 	case version.Generation <= current.Generation:
 		return ResultOld
@@ -150,14 +155,6 @@
 // Retire notes a store machine without counting who remains. RetireStore takes its
 // place; it stays until no caller is left.
 func Retire(name string) Change {
-	return func(current messages.Register) (messages.Register, Verdict) {
-		for _, known := range current.Retired {
-			if known == name {
-				return current, VerdictKeep
-			}
-		}
-		next := current
-		next.Retired = append(append([]string{}, current.Retired...), name)
-		return next, VerdictWrite
-	}
+	var ignored Result
+	return RetireStore(name, nil, 0, &ignored)
 }
