--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"math"
 	"math/rand"
 	"os"
 
@@ -133,10 +132,11 @@
 	return count
 }
 
-// answers tells whether a controller answers a small question now.
+// answers tells whether a controller answers a small question now, also one that has
+// just started.
 func (controller *Controller) answers(address string) bool {
-	question, answer := &messages.RosterPull{Since: math.MaxUint64}, &messages.Nothing{}
-	return transport.Ask(controller.Node.Wire, address, messages.KindRosterPull, question, answer, constants.RoundTime) == nil
+	question, answer := &messages.ContactAsk{From: controller.Node.Own.Address}, &messages.ContactTold{}
+	return transport.Ask(controller.Node.Wire, address, messages.KindContact, question, answer, constants.RoundTime) == nil
 }
 
 // silent tells whether nobody has heard a member for long. One in our own zone is
