--- a/internal/control/controller/binding.go
+++ b/internal/control/controller/binding.go
@@ -55,35 +55,41 @@
 	sets := controller.contact.sets
 	controller.contact.lock.Unlock()
 	members := register.Targets(&sets)
-	answers := make(chan messages.Member, len(members))
+	answers := make(chan keepAnswer, len(members))
 	question := &messages.WorkersKeep{From: controller.Node.Own.Address, Workers: []messages.Worker{worker}}
 	for _, member := range members {
 		go func() {
 			if member.Address == controller.Node.Own.Address {
-				if controller.memory.keep(question.Workers) == nil {
-					answers <- member
-				}
+				answers <- keepAnswer{member, controller.memory.keep(question.Workers)}
 				return
 			}
 			back := &messages.ContactTold{}
-			if transport.Ask(controller.Node.Wire, member.Address, messages.KindWorkersKeep, question, back, constants.TreeTime) == nil {
-				// It counts for the disk that it was written to.
-				member.Disk = back.Disk
-				answers <- member
-			}
+			err := transport.Ask(controller.Node.Wire, member.Address, messages.KindWorkersKeep, question, back, constants.TreeTime)
+			// It counts for the disk that it was written to.
+			member.Disk = back.Disk
+			answers <- keepAnswer{member, err}
 		}()
 	}
 	timer, answered := clock.NewTimer(constants.TreeTime), map[string]bool{}
 	defer timer.Stop()
-	for !register.Quorum(&sets, answered) {
+	for range members {
 		select {
-		case member := <-answers:
-			answered[register.Identity(member)] = true
+		case one := <-answers:
+			answered[register.Identity(one.member)] = one.err == nil
 		case <-timer.C:
 			return false
 		}
+		if register.Quorum(&sets, answered) {
+			return true
+		}
 	}
-	return true
+	return false
+}
+
+// keepAnswer is an acceptor's answer to WorkersKeep.
+type keepAnswer struct {
+	member messages.Member
+	err    error
 }
 
 // workersKept answers another controller that wants changes of workers on disk.
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,6 +21,7 @@
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/recordlog"
 	"lemonarch/internal/platform/settings"
 	"lemonarch/internal/platform/transport"
 )
@@ -62,6 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newOn(disk, nodeSettings, log)
+}
+
+// newOn prepares the process on an open disk.
+func newOn(disk recordlog.Disk, nodeSettings *settings.Settings, log hclog.Logger) (*Controller, error) {
 	identity := randomName()
 	var first []messages.Member
 	own := nodeSettings.InternalAddress(nodeSettings.Address, constants.PortController)
