--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -159,7 +159,10 @@
 	}))
 	runtime.Answer(messages.KindConfigPull, answer(controller.pulled))
 	runtime.Answer(messages.KindRegisterRead, answer(func(_ *messages.Nothing) (transport.Writable, error) {
-		value, err := controller.sets.Read(controller.Register.ReadSets)
+		value, err := messages.Register{}, Detached.New("sets")
+		if controller.inContact() {
+			value, err = controller.sets.Read(controller.Register.ReadSets)
+		}
 		if err != nil {
 			// The sets last known still help a newcomer to find the acceptors.
 			value = controller.Register.Known()
--- a/internal/control/controller/plans.go
+++ b/internal/control/controller/plans.go
@@ -101,6 +101,9 @@
 func (controller *Controller) planPulled(question *messages.PlanPull) (transport.Writable, error) {
 	told := controller.planTold()
 	if question.Settled {
+		if !controller.inContact() {
+			return nil, Detached.New("assignments")
+		}
 		settled, err := controller.planRead()
 		if err != nil {
 			return nil, err
