Transport: one dial at a time, whose outcome all callers take, each within its span

Now a dial under way is shared, and each caller waits its own span at most, dial included. TestCallersDoNotQueueForDials; with the callers' bound out it hangs ('test timed out after 10s').

--- /dev/null
+++ b/internal/platform/transport/dial_test.go
@@ -0,0 +1,51 @@
+package transport
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+)
+
+// dialling is a wire whose dials last until they are released, and are counted.
+func dialling() (wire *Wire, release chan struct{}, dials *atomic.Int64) {
+	wire, release, dials = NewWire(""), make(chan struct{}), &atomic.Int64{}
+	wire.dial = func(string) (net.Conn, error) {
+		dials.Add(1)
+		<-release
+		return nil, net.ErrClosed
+	}
+	return wire, release, dials
+}
+
+// callAtOnce makes many calls to one peer and hands over how each ended.
+func callAtOnce(wire *Wire, count int, span clock.Span) <-chan error {
+	ended := make(chan error, count)
+	for range count {
+		go func() {
+			_, err := wire.Call("there", messages.KindShuffle, nil, span)
+			ended <- err
+		}()
+	}
+	return ended
+}
+
+// A peer that is out of reach holds no caller past its span, however many call it.
+func TestCallersDoNotQueueForDials(test *testing.T) {
+	wire, release, dials := dialling()
+	defer close(release)
+	const callers = 20
+	ended := callAtOnce(wire, callers, clock.Milliseconds(50))
+	for range callers {
+		// The dial never ends before them.
+		if err := <-ended; !errs.Of(err, Unreached) {
+			test.Fatal(err)
+		}
+	}
+	if dials.Load() != 1 {
+		test.Error("dials under way: ", dials.Load())
+	}
+}
--- a/internal/platform/transport/peer.go
+++ b/internal/platform/transport/peer.go
@@ -14,10 +14,19 @@
 type peer struct {
 	address string
 	wire    *Wire
-	dialing sync.Mutex
 	lock    sync.Mutex
 	current *line
+	// attempt is the dial under way, if any.
+	attempt *attempt
 	failed  clock.Moment
+	closed  bool
+}
+
+// attempt is one dial, whose outcome all who wait for it take.
+type attempt struct {
+	done chan struct{}
+	line *line
+	err  error
 }
 
 // line is one connection with the calls that wait on it.
@@ -39,44 +48,63 @@
 func (one *peer) drop() {
 	one.lock.Lock()
 	current := one.current
-	one.current = nil
+	one.current, one.closed = nil, true
 	one.lock.Unlock()
 	if current != nil {
 		current.end()
 	}
 }
 
-func (one *peer) line(span clock.Span) (*line, error) {
+// line gives the connection, and opens it where there is none. It waits until the end at
+// most, and never for a second dial: a peer that is out of reach would else hold its
+// callers for as many dials as there are of them.
+func (one *peer) line(end clock.Moment) (*line, error) {
 	one.lock.Lock()
-	current, failed := one.current, one.failed
-	one.lock.Unlock()
-	if current != nil {
-		return current, nil
+	if one.current != nil {
+		defer one.lock.Unlock()
+		return one.current, nil
 	}
 	// A peer that has just been out of reach is not dialled by every caller anew.
-	if failed != 0 && clock.Now().Since(failed) < constants.StartPause/2 {
+	if one.failed != 0 && clock.Now().Since(one.failed) < constants.StartPause/2 {
+		defer one.lock.Unlock()
 		return nil, Unreached.New(one.address)
 	}
-	one.dialing.Lock()
-	defer one.dialing.Unlock()
-	one.lock.Lock()
-	current = one.current
+	if one.attempt == nil {
+		one.attempt = &attempt{done: make(chan struct{})}
+		go one.open(one.attempt)
+	}
+	waited := one.attempt
 	one.lock.Unlock()
-	if current != nil {
-		return current, nil
+	timer := clock.NewTimer(end.Since(clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-waited.done:
+		return waited.line, waited.err
+	case <-timer.C:
+		return nil, Unreached.New(one.address + " not dialled in time")
 	}
-	connection, err := Dial(one.address, min(span, constants.DialTime), constants.SilentConnection)
+}
+
+// open dials and tells all who wait.
+func (one *peer) open(under *attempt) {
+	connection, err := one.wire.dial(one.address)
 	one.lock.Lock()
 	defer one.lock.Unlock()
+	defer close(under.done)
+	one.attempt = nil
+	if err == nil && one.closed {
+		connection.Close()
+		err = net.ErrClosed
+	}
 	if err != nil {
 		one.failed = clock.Now()
-		return nil, Unreached.Wrap(err, one.address)
+		under.err = Unreached.Wrap(err, one.address)
+		return
 	}
 	one.failed = 0
-	current = &line{connection: connection, waiting: map[uint64]waiter{}, heard: clock.Now()}
-	one.current = current
-	go one.listen(current)
-	return current, nil
+	under.line = &line{connection: connection, waiting: map[uint64]waiter{}, heard: clock.Now()}
+	one.current = under.line
+	go one.listen(under.line)
 }
 
 func (one *peer) listen(current *line) {
@@ -175,19 +203,20 @@
 	return nil
 }
 
+// call sends a call and waits for its answer. Its span counts from here, dial included.
 func (one *peer) call(question frame, span clock.Span) ([]byte, error) {
-	begun := clock.Now()
-	current, err := one.line(span)
+	end := clock.Now().Plus(span)
+	current, err := one.line(end)
 	if err != nil {
 		return nil, err
 	}
 	asked := clock.Now()
 	waiting := waiter{kind: question.kind, answer: make(chan frame, 1)}
-	err = one.write(current, &question, begun.Plus(span), func(number uint64) bool { return current.expect(number, waiting) })
+	err = one.write(current, &question, end, func(number uint64) bool { return current.expect(number, waiting) })
 	if err != nil {
 		return nil, err
 	}
-	timer := clock.NewTimer(begun.Plus(span).Since(clock.Now()))
+	timer := clock.NewTimer(end.Since(clock.Now()))
 	defer timer.Stop()
 	select {
 	case answer, open := <-waiting.answer:
--- a/internal/platform/transport/tell.go
+++ b/internal/platform/transport/tell.go
@@ -30,12 +30,13 @@
 // an answer. Versions that do not know its sort skip and count it.
 func (wire *Wire) Tell(address string, kind messages.Kind, body []byte) error {
 	one := wire.peer(address)
-	current, err := one.line(constants.DialTime)
+	end := clock.Now().Plus(constants.DialTime)
+	current, err := one.line(end)
 	if err != nil {
 		return err
 	}
 	told := frame{sort: sortTell, kind: kind, body: body}
-	return one.write(current, &told, clock.Now().Plus(constants.DialTime), nil)
+	return one.write(current, &told, end, nil)
 }
 
 // Tell runs the other side's handler; whatever it answers is dropped.
--- a/internal/platform/transport/wire.go
+++ b/internal/platform/transport/wire.go
@@ -28,6 +28,10 @@
 	return dialer.Dial("tcp4", address)
 }
 
+func dialPeer(address string) (net.Conn, error) {
+	return Dial(address, constants.DialTime, constants.SilentConnection)
+}
+
 // Wire is the transport over TCP.
 type Wire struct {
 	own      string
@@ -40,11 +44,13 @@
 	closed   bool
 	// accepted are the connections of callers, which end with this life.
 	accepted map[net.Conn]struct{}
+	// dial opens a connection to a peer.
+	dial func(address string) (net.Conn, error)
 }
 
 // NewWire makes a transport that listens on its own address when it serves.
 func NewWire(own string) *Wire {
-	wire := &Wire{own: own, meter: NewMeter(), peers: map[string]*peer{}, accepted: map[net.Conn]struct{}{}}
+	wire := &Wire{own: own, meter: NewMeter(), peers: map[string]*peer{}, accepted: map[net.Conn]struct{}{}, dial: dialPeer}
 	// The upper half names this life: no number of an earlier one comes again.
 	wire.number.Store(uint64(rand.Uint32()) << lifeShift)
 	return wire
