--- a/cmd/lemonarch/lots.go
+++ b/cmd/lemonarch/lots.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"errors"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
