The lease's package speaks of leases

lease.Lease takes the place of Hold, which stays as an alias until its caller follows; the register's store changes name the holder. No behaviour changes.

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -1,7 +1,7 @@
-// Package lease grants the hold on a duty (the lease): a majority of acceptors
-// grants it for a bounded time, and its holder stops before that ends. A step
-// function without I/O; what fences a holder that overslept is the epoch in the
-// register, the lease only decides who may try.
+// Package lease grants the lease of the lots: a majority of acceptors grants it for a
+// bounded time, and its holder stops before that ends. A step function without I/O;
+// what fences a holder that overslept is the epoch in the register, the lease only
+// decides who may try.
 package lease
 
 import (
@@ -19,7 +19,7 @@
 	silence clock.Moment
 }
 
-// NewGrants starts a side. One that may have granted a hold before it restarted
+// NewGrants starts a side. One that may have granted a lease before it restarted
 // grants nothing until that has run out.
 func NewGrants(now clock.Moment, first bool) *Grants {
 	grants := &Grants{}
@@ -30,16 +30,16 @@
 }
 
 // Ask answers a candidate or a holder that renews.
-func (grants *Grants) Ask(question messages.HoldAsk, duty messages.Duty, now clock.Moment) messages.HoldAnswer {
-	answer := messages.HoldAnswer{Epoch: duty.Epoch}
+func (grants *Grants) Ask(question messages.HoldAsk, inForce messages.Duty, now clock.Moment) messages.HoldAnswer {
+	answer := messages.HoldAnswer{Epoch: inForce.Epoch}
 	if question.Release {
 		grants.Release(question.Candidate, question.Life, question.Turn)
 		answer.Granted = true
 		return answer
 	}
-	renews := duty.Epoch > 0 && duty.Holder == question.Candidate && question.Epoch == duty.Epoch && duty.Life == question.Life
-	if duty.Epoch > question.Epoch && !renews {
-		// Somebody took the duty since: the asker has to learn of it first.
+	renews := inForce.Epoch > 0 && inForce.Holder == question.Candidate && question.Epoch == inForce.Epoch && inForce.Life == question.Life
+	if inForce.Epoch > question.Epoch && !renews {
+		// Somebody took the lots since: the asker has to learn of it first.
 		answer.WaitMs = 1
 		return answer
 	}
@@ -47,7 +47,7 @@
 	// A new life of the same process shows that the old one is over; an old life
 	// that woke up gets nothing back.
 	same := grants.holder == question.Candidate && question.Life >= grants.life
-	restarted := duty.Holder == question.Candidate && question.Life >= duty.Life && grants.holder == ""
+	restarted := inForce.Holder == question.Candidate && question.Life >= inForce.Life && grants.holder == ""
 	if !free && !same && !restarted {
 		answer.WaitMs = max(grants.until.Since(now), grants.silence.Since(now)).Milliseconds() + 1
 		return answer
@@ -62,7 +62,7 @@
 	return answer
 }
 
-// Release ends a hold early, when its holder leaves in order. One that was sent before
+// Release ends a lease early, when its holder leaves in order. One that was sent before
 // the newest question granted came too late.
 func (grants *Grants) Release(holder string, life int64, turn uint64) {
 	if grants.holder == holder && grants.life == life && turn >= grants.turn {
@@ -70,22 +70,25 @@
 	}
 }
 
-// Hold is the holder's side.
-type Hold struct {
+// Lease is the holder's side.
+type Lease struct {
 	until clock.Moment
 }
 
-// Renewed notes that a majority granted what was asked at a moment. The hold
-// counts from the asking, and ends a margin early.
-func (hold *Hold) Renewed(asked clock.Moment) {
+// Hold is the earlier name of Lease.
+type Hold = Lease
+
+// Renewed notes that a majority granted what was asked at a moment. The lease counts
+// from the asking, and ends a margin early.
+func (lease *Lease) Renewed(asked clock.Moment) {
 	end := asked.Plus(constants.HoldTime - constants.HoldMargin)
-	if end > hold.until {
-		hold.until = end
+	if end > lease.until {
+		lease.until = end
 	}
 }
 
 // Stands tells whether the holder may act.
-func (hold *Hold) Stands(now clock.Moment) bool { return now < hold.until }
+func (lease *Lease) Stands(now clock.Moment) bool { return now < lease.until }
 
-// Drop gives the hold up.
-func (hold *Hold) Drop() { hold.until = 0 }
+// Drop gives the lease up.
+func (lease *Lease) Drop() { lease.until = 0 }
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -11,43 +11,43 @@
 func TestOneHolderAtATime(test *testing.T) {
 	grants := NewGrants(0, true)
 	if !grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1}, messages.Duty{}, 1).Granted {
-		test.Fatal("a free duty was not granted")
+		test.Fatal("a free held was not granted")
 	}
-	duty := messages.Duty{Holder: "a", Life: 1, Epoch: 1}
-	if grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 1}, duty, 2).Granted {
+	held := messages.Duty{Holder: "a", Life: 1, Epoch: 1}
+	if grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 1}, held, 2).Granted {
 		test.Fatal("granted twice")
 	}
 	end := clock.Moment(1).Plus(constants.HoldTime)
-	if !grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 1}, duty, end).Granted {
+	if !grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 1}, held, end).Granted {
 		test.Fatal("not granted after its end")
 	}
-	if grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1, Epoch: 1}, duty, end+1).Granted {
+	if grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1, Epoch: 1}, held, end+1).Granted {
 		test.Fatal("a holder that overslept got it back")
 	}
 }
 
 func TestRestartedAcceptorIsSilentForOneHold(test *testing.T) {
 	grants := NewGrants(0, false)
-	duty := messages.Duty{Holder: "a", Life: 1, Epoch: 1}
-	if grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 1}, duty, 10).Granted {
+	held := messages.Duty{Holder: "a", Life: 1, Epoch: 1}
+	if grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 1}, held, 10).Granted {
 		test.Fatal("granted what it may have granted before")
 	}
 	// The holder itself may go on: nobody else can have it.
-	if !grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1, Epoch: 1}, duty, 11).Granted {
+	if !grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1, Epoch: 1}, held, 11).Granted {
 		test.Fatal("the holder was refused")
 	}
 }
 
 func TestOldLifeAndOldEpochGetNothing(test *testing.T) {
 	grants := NewGrants(0, true)
-	duty := messages.Duty{Holder: "a", Life: 2, Epoch: 5}
-	if !grants.Ask(messages.HoldAsk{Candidate: "a", Life: 2, Epoch: 5}, duty, 1).Granted {
+	held := messages.Duty{Holder: "a", Life: 2, Epoch: 5}
+	if !grants.Ask(messages.HoldAsk{Candidate: "a", Life: 2, Epoch: 5}, held, 1).Granted {
 		test.Fatal("the holder was refused")
 	}
-	if grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1, Epoch: 5}, duty, 2).Granted {
+	if grants.Ask(messages.HoldAsk{Candidate: "a", Life: 1, Epoch: 5}, held, 2).Granted {
 		test.Fatal("an old life woke up and was granted")
 	}
-	if grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 4}, duty, clock.Moment(2).Plus(constants.HoldTime)).Granted {
+	if grants.Ask(messages.HoldAsk{Candidate: "b", Life: 1, Epoch: 4}, held, clock.Moment(2).Plus(constants.HoldTime)).Granted {
 		test.Fatal("granted on an old epoch")
 	}
 }
@@ -62,10 +62,10 @@
 }
 
 func TestHoldEndsEarlyAndCountsFromTheAsking(test *testing.T) {
-	hold := Hold{}
-	hold.Renewed(100)
+	own := Lease{}
+	own.Renewed(100)
 	end := clock.Moment(100).Plus(constants.HoldTime - constants.HoldMargin)
-	if !hold.Stands(end-1) || hold.Stands(end) {
+	if !own.Stands(end-1) || own.Stands(end) {
 		test.Fatal("a hold must end a margin before the grants do")
 	}
 }
--- a/internal/control/lease/simulation_test.go
+++ b/internal/control/lease/simulation_test.go
@@ -11,7 +11,7 @@
 	"lemonarch/internal/tooling/simulation"
 )
 
-// Three acceptors grant one duty to three candidates under loss, delay, doubled
+// Three acceptors grant one held to three candidates under loss, delay, doubled
 // messages, cuts and restarts of acceptors: at no moment do two holds stand.
 func TestOneHoldStandsUnderTrouble(test *testing.T) {
 	taken := 0
@@ -20,33 +20,33 @@
 		world.Loss, world.Double = 0.1, 0.05
 		nodes := []string{"a", "b", "c"}
 		grants := map[string]*lease.Grants{}
-		holds := map[string]*lease.Hold{}
+		holds := map[string]*lease.Lease{}
 		for _, name := range nodes {
 			grants[name] = lease.NewGrants(world.Now, true)
-			holds[name] = &lease.Hold{}
+			holds[name] = &lease.Lease{}
 		}
-		duty := messages.Duty{}
+		held := messages.Duty{}
 		var campaign func(name string)
 		campaign = func(name string) {
 			pause := constants.HoldRenewal + clock.Span(world.Random.Int63n(int64(constants.HoldRenewal)))
 			world.After(pause, func() { campaign(name) })
 			asked, granted, over := world.Now, map[string]bool{}, false
-			question := messages.HoldAsk{Candidate: name, Life: 1, Epoch: duty.Epoch}
+			question := messages.HoldAsk{Candidate: name, Life: 1, Epoch: held.Epoch}
 			for _, acceptor := range nodes {
 				world.Send(name, acceptor, func() {
-					answer := grants[acceptor].Ask(question, duty, world.Now)
+					answer := grants[acceptor].Ask(question, held, world.Now)
 					world.Send(acceptor, name, func() {
 						if !answer.Granted || over {
 							return
 						}
 						if granted[acceptor] = true; len(granted) == 2 {
 							over = true
-							if duty.Holder != name {
+							if held.Holder != name {
 								// The register raises the epoch; an older question loses there.
-								if question.Epoch != duty.Epoch {
+								if question.Epoch != held.Epoch {
 									return
 								}
-								duty = messages.Duty{Holder: name, Life: 1, Epoch: duty.Epoch + 1}
+								held = messages.Duty{Holder: name, Life: 1, Epoch: held.Epoch + 1}
 								taken++
 							}
 							holds[name].Renewed(asked)
@@ -71,7 +71,7 @@
 			}
 			switch world.Random.Intn(40) {
 			case 0:
-				// An acceptor forgets what it granted; it is silent for one hold.
+				// An acceptor forgets what it granted; it is silent for one own.
 				grants[nodes[world.Random.Intn(3)]] = lease.NewGrants(world.Now, false)
 			case 1:
 				cut := nodes[world.Random.Intn(3)]
@@ -81,6 +81,6 @@
 		}
 	}
 	if taken < 160 {
-		test.Fatal(fmt.Sprint("the duty changed hands only ", taken, " times"))
+		test.Fatal(fmt.Sprint("the held changed hands only ", taken, " times"))
 	}
 }
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -71,12 +71,12 @@
 	}
 }
 
-// TakeDuty gives the change by which a store takes the duty of the lots: it
+// TakeDuty gives the change by which a store becomes the holder of the lots: it
 // raises the epoch, so that whoever held it before can change nothing any more.
-func TakeDuty(duty messages.Duty, expected uint64, first []messages.Member, done *bool) Change {
+func TakeDuty(holder messages.Duty, expected uint64, first []messages.Member, done *bool) Change {
 	return func(current messages.Register) (messages.Register, Verdict) {
 		*done = false
-		if current.Duty.Epoch == expected+1 && current.Duty.Holder == duty.Holder && current.Duty.Life == duty.Life {
+		if current.Duty.Epoch == expected+1 && current.Duty.Holder == holder.Holder && current.Duty.Life == holder.Life {
 			// The answer to an earlier try was lost.
 			*done = true
 			return current, VerdictKeep
@@ -85,7 +85,7 @@
 			return current, VerdictKeep
 		}
 		next := current
-		next.Duty = duty
+		next.Duty = holder
 		next.Duty.Epoch = expected + 1
 		if len(next.Stores) == 0 {
 			next.Stores = first
@@ -97,10 +97,10 @@
 
 // SetStores gives the change of the store set. Only the holder of the epoch may
 // make it, and only one member at a time.
-func SetStores(duty messages.Duty, stores []messages.Member, done *bool) Change {
+func SetStores(holder messages.Duty, stores []messages.Member, done *bool) Change {
 	return func(current messages.Register) (messages.Register, Verdict) {
 		*done = false
-		if current.Duty.Epoch != duty.Epoch || current.Duty.Holder != duty.Holder || current.Duty.Life != duty.Life {
+		if current.Duty.Epoch != holder.Epoch || current.Duty.Holder != holder.Holder || current.Duty.Life != holder.Life {
 			return current, VerdictKeep
 		}
 		if joinsRetired(&current, stores) {
