A controller takes a place among the acceptors after it heard a majority on workers

It counted before for drains that it did not know. Its file is written anew then, so that the next start recalls nothing that was left out.

--- a/internal/control/controller/budget_test.go
+++ b/internal/control/controller/budget_test.go
@@ -46,6 +46,7 @@
 // the dice that come later.
 func tend(controller *Controller) {
 	controller.begun = clock.Now()
+	hear(controller)
 	controller.tendSet()
 }
 
--- a/internal/control/controller/calls_test.go
+++ b/internal/control/controller/calls_test.go
@@ -31,6 +31,13 @@
 	return controller, server
 }
 
+// hear has a controller hear the acceptors on the workers, where a majority answers.
+func hear(controller *Controller) {
+	for tries := 0; controller.learning() && tries < 3 && !controller.recallOnce(); tries++ {
+		continue
+	}
+}
+
 // meet has a controller do what it does in its first second: contact the acceptors, and
 // hear a majority of them on the workers.
 func meet(test *testing.T, controller *Controller) {
--- a/internal/control/controller/memory.go
+++ b/internal/control/controller/memory.go
@@ -29,9 +29,10 @@
 }
 
 // keeping is a list of workers to be written. done, where there is one, gets the result
-// once they are on disk.
+// once they are on disk. rewrite asks for the whole file anew.
 type keeping struct {
 	workers []messages.Worker
+	rewrite bool
 	done    chan error
 }
 
@@ -92,6 +93,13 @@
 	}
 }
 
+// replace has the file written anew, without waiting for it.
+func (memory *memory) replace() {
+	go func() {
+		memory.queue <- keeping{rewrite: true}
+	}()
+}
+
 // run writes what was queued, several changes with one sync. all gives every worker for
 // a rewrite of the file.
 func (memory *memory) run(stop <-chan struct{}, all func() []messages.Worker, log hclog.Logger) {
@@ -126,7 +134,11 @@
 // write puts a batch on disk. What is in the batch is in all as well: callers change the
 // registry first.
 func (memory *memory) write(batch []keeping, all func() []messages.Worker) error {
-	if memory.logfile.Size() > memoryLimit {
+	rewrite := memory.logfile.Size() > memoryLimit
+	for _, one := range batch {
+		rewrite = rewrite || one.rewrite
+	}
+	if rewrite {
 		_, err := memory.logfile.Rewrite(recordlog.Once(packWorkers(all())...))
 		return Forgotten.Wrap(err, "rewrite")
 	}
--- a/internal/control/controller/recall.go
+++ b/internal/control/controller/recall.go
@@ -38,47 +38,56 @@
 	controller.Node.Log.Info("workers known by a majority", "after-ms", clock.Now().Since(controller.begun).Milliseconds())
 }
 
+// recallAnswer is an acceptor's answer to WorkersRecall.
+type recallAnswer struct {
+	member messages.Member
+	told   *messages.WorkersRecalled
+	err    error
+}
+
 // recallOnce makes one round, and tells whether a majority was heard.
 func (controller *Controller) recallOnce() bool {
 	sets := controller.Register.Known()
-	if len(sets.Acceptors) == 0 {
-		return false
-	}
-	type heard struct {
-		member messages.Member
-		told   *messages.WorkersRecalled
-	}
 	members := register.Targets(&sets)
-	answers := make(chan heard, len(members))
+	answers := make(chan recallAnswer, len(members))
 	for _, member := range members {
-		if member.Address == controller.Node.Own.Address {
-			answers <- heard{controller.Register.Identity(), &messages.WorkersRecalled{SetEpoch: sets.SetEpoch}}
-			continue
-		}
-		go func() {
-			told := &messages.WorkersRecalled{}
-			if transport.Ask(controller.Node.Wire, member.Address, messages.KindWorkersRecall, &messages.WorkersRecall{From: controller.Node.Own.Address}, told, constants.CallTime) == nil {
-				member.Disk = told.Disk
-				answers <- heard{member, told}
-			}
-		}()
+		go func() { answers <- controller.recallFrom(member, sets.SetEpoch) }()
 	}
-	timer, answered := clock.NewTimer(constants.CallTime), map[string]bool{}
-	defer timer.Stop()
+	answered, ahead := map[string]bool{}, len(members) == 0
 	var all []*messages.WorkersRecalled
-	for !register.Quorum(&sets, answered) {
-		select {
-		case one := <-answers:
-			if one.told.SetEpoch <= sets.SetEpoch {
-				answered[register.Identity(one.member)] = true
-			}
-			all = append(all, one.told)
-		case <-timer.C:
-			return false
+	for range members {
+		one := <-answers
+		if one.err != nil {
+			continue
+		}
+		all = append(all, one.told)
+		if one.told.SetEpoch > sets.SetEpoch {
+			// It may be of another set: it counts once that set is known here.
+			ahead = true
+			continue
+		}
+		answered[register.Identity(one.member)] = true
+		if register.Quorum(&sets, answered) {
+			controller.adopt(all)
+			return true
 		}
 	}
-	controller.adopt(all)
-	return true
+	if ahead {
+		controller.learnSets()
+	}
+	return false
+}
+
+// recallFrom asks one acceptor. Its answer counts for the disk that gave it.
+func (controller *Controller) recallFrom(member messages.Member, epoch uint64) recallAnswer {
+	if member.Address == controller.Node.Own.Address {
+		return recallAnswer{member: controller.Register.Identity(), told: &messages.WorkersRecalled{SetEpoch: epoch}}
+	}
+	told := &messages.WorkersRecalled{}
+	question := &messages.WorkersRecall{From: controller.Node.Own.Address}
+	err := transport.Ask(controller.Node.Wire, member.Address, messages.KindWorkersRecall, question, told, constants.CallTime)
+	member.Disk = told.Disk
+	return recallAnswer{member, told, err}
 }
 
 // adopt joins what a majority knows of workers with the file. Where one of them knows
@@ -108,10 +117,7 @@
 	controller.recalled = nil
 	controller.vouching.Store(true)
 	controller.lock.Unlock()
-	// What was learnt is kept here as well, now that this process may join the acceptors.
-	for _, worker := range controller.remembered() {
-		if worker.Phase != messages.PhaseSteady {
-			controller.memory.remember(worker)
-		}
-	}
+	// What was learnt is kept here as well, now that this process may join the acceptors,
+	// and what was left out is not: the next start would recall it.
+	controller.memory.replace()
 }
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -31,7 +31,11 @@
 	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
 		return
 	}
-	change := controller.tending().Step(known)
+	tending := controller.tending()
+	// Who has not heard a majority on the workers takes no place yet: it would count for
+	// what it does not know.
+	tending.Votes = tending.Votes && !controller.learning()
+	change := tending.Step(known)
 	if change == nil {
 		return
 	}
