--- a/internal/control/broadcast/broadcast.go
+++ b/internal/control/broadcast/broadcast.go
@@ -1,4 +1,4 @@
-// Package broadcast spreads a word over the fleet down a tree: whoever has it tells the
+// Package broadcast spreads an update over the fleet down a tree: whoever has it tells the
 // processes of its own zone and one controller of each other zone, which tells its zone.
 // A step function without I/O: calls in, sends out.
 package broadcast
@@ -17,9 +17,9 @@
 
 // The steps.
 const (
-	// StepTell: take the word, and pass it on to the addresses in Pass.
+	// StepTell: take the update, and pass it on to the addresses in Pass.
 	StepTell Step = iota
-	// StepRelay: take the word and tell your zone; answered at once.
+	// StepRelay: take the update and tell your zone; answered at once.
 	StepRelay
 	// StepWait: say whom of your zone you could not reach, once you know.
 	StepWait
@@ -30,7 +30,7 @@
 	Step    Step
 	Address string
 	Zone    string
-	// Pass holds the addresses to which the receiver passes the word on.
+	// Pass holds the addresses to which the receiver passes the update on.
 	Pass []string
 	// Expect are the marks of those whom the sender knows in the zone.
 	Expect []uint32
@@ -46,7 +46,7 @@
 	settled bool
 }
 
-// Job is one word on its way.
+// Job is one update on its way.
 type Job struct {
 	own      messages.Entry
 	fan      int
@@ -59,7 +59,7 @@
 }
 
 // Fleet begins a job for all processes of a directory but the owner. fan is how many of
-// a zone are told directly, each passing the word on to its part of the rest; 0 tells
+// a zone are told directly, each passing the update on to its part of the rest; 0 tells
 // each directly.
 func Fleet(own messages.Entry, directory []messages.Entry, fan int, now clock.Moment) (*Job, []Send) {
 	job := &Job{own: own, fan: fan, branches: map[string]*branch{}, open: map[string]bool{}, missing: map[uint32]bool{}, marks: map[string]uint32{},
--- a/internal/control/broadcast/broadcast_test.go
+++ b/internal/control/broadcast/broadcast_test.go
@@ -36,7 +36,7 @@
 	}
 	switch kind {
 	case 1:
-		// Both controllers of one zone, at once and without a word.
+		// Both controllers of one zone, at once and without notice.
 		zone := one.Random.Intn(4)
 		for _, here := range controllers {
 			if here.own.Zone == fmt.Sprint("h", zone) {
--- a/internal/control/broadcast/control_test.go
+++ b/internal/control/broadcast/control_test.go
@@ -84,13 +84,13 @@
 	})
 }
 
-func (here *node) owe(word *messages.Relay, entries []messages.Entry, pause clock.Span) {
+func (here *node) owe(update *messages.Relay, entries []messages.Entry, pause clock.Span) {
 	var ids []string
-	for _, worker := range word.Workers {
+	for _, worker := range update.Workers {
 		ids = append(ids, worker.ID)
 	}
 	for _, entry := range entries {
-		here.control.backlog.Add(entry, word.Generation, ids, pause, here.fleet.Now)
+		here.control.backlog.Add(entry, update.Generation, ids, pause, here.fleet.Now)
 	}
 }
 
--- a/internal/control/broadcast/cost_test.go
+++ b/internal/control/broadcast/cost_test.go
@@ -57,7 +57,7 @@
 	return sums
 }
 
-// The word on membership and workers costs a gateway or a store no more than a
+// Exchanges on membership and workers cost a gateway or a store no more than a
 // logarithm when the fleet grows from 24 to 392 processes with workers in proportion. A
 // controller's grows with the processes and workers that report to it, by a few bytes each.
 func TestCostANodeIsFlat(test *testing.T) {
--- a/internal/control/broadcast/events.go
+++ b/internal/control/broadcast/events.go
@@ -98,7 +98,7 @@
 	return sends
 }
 
-// Done tells whether everybody who was heard lately took the word or failed to.
+// Done tells whether everybody who was heard lately took the update or failed to.
 func (job *Job) Done() bool {
 	for _, one := range job.branches {
 		if !one.settled {
@@ -108,7 +108,7 @@
 	return len(job.open) == 0
 }
 
-// Missing gives the marks of those in touch that have not taken the word.
+// Missing gives the marks of those in touch that have not taken the update.
 func (job *Job) Missing() []uint32 {
 	var marks []uint32
 	for mark := range job.missing {
--- a/internal/control/broadcast/fleet_test.go
+++ b/internal/control/broadcast/fleet_test.go
@@ -129,9 +129,9 @@
 		back(answer)
 	case *messages.ControllerBeat:
 		// What is told is chosen before it counts as told.
-		word := here.word(membership.Key(one.From))
+		beat := here.beatFor(membership.Key(one.From))
 		here.heardBeat(one, now)
-		back(word)
+		back(beat)
 	case *messages.RosterPull:
 		back(&messages.RosterPush{Workers: here.registry.Since(one.Since, now), Table: here.registry.Digest(here.own.Life)})
 	case *messages.DirectoryPull:
@@ -183,8 +183,8 @@
 
 var body = make([]byte, 4000)
 
-func fan(word *messages.Relay) int {
-	if word.Generation > 0 {
+func fan(update *messages.Relay) int {
+	if update.Generation > 0 {
 		return 2 * constants.BodyFan
 	}
 	return 0
--- a/internal/control/controller/backlog.go
+++ b/internal/control/controller/backlog.go
@@ -9,18 +9,18 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// owe notes processes that have not confirmed an update, so that they are told until
+// addToBacklog notes processes that have not confirmed an update, so that they are told until
 // they do, or until they have been silent for so long that the directory drops them.
-func (controller *Controller) owe(word *messages.Relay, entries []messages.Entry, pause clock.Span) {
+func (controller *Controller) addToBacklog(update *messages.Relay, entries []messages.Entry, pause clock.Span) {
 	var ids []string
-	for _, worker := range word.Workers {
+	for _, worker := range update.Workers {
 		ids = append(ids, worker.ID)
 	}
 	now := clock.Now()
 	controller.lock.Lock()
 	defer controller.lock.Unlock()
 	for _, entry := range entries {
-		controller.backlog.Add(entry, word.Generation, ids, pause, now)
+		controller.backlog.Add(entry, update.Generation, ids, pause, now)
 	}
 }
 
--- a/internal/control/controller/batch.go
+++ b/internal/control/controller/batch.go
@@ -76,9 +76,9 @@
 	}()
 }
 
-// tell spreads a change. It waits for the fleet only where the caller's acknowledgement
+// announce spreads a change. It waits for the fleet only where the caller's acknowledgement
 // binds it: a worker that is new may be known a moment later.
-func (controller *Controller) tell(worker messages.Worker) {
+func (controller *Controller) announce(worker messages.Worker) {
 	binding := worker.Phase != messages.PhaseSteady
 	done := controller.batches.add(worker, binding)
 	if !binding {
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -39,7 +39,7 @@
 	lock     sync.Mutex
 	registry *workers.Registry
 	peers    map[string]*peer
-	relays   map[string]*response
+	relays   map[string]*transfer
 	number   atomic.Uint64
 	// vouching is set once a majority of the acceptors was heard on the workers.
 	vouching atomic.Bool
@@ -103,7 +103,7 @@
 	runtime := node.New(nodeSettings, membership.RoleController, constants.PortController, told, log)
 	localRegister.Runtime, named.Runtime = runtime, runtime
 	controller := &Controller{Node: runtime, Register: localRegister, checker: checker, registry: workers.New(nodeSettings.Heartbeat()),
-		peers: map[string]*peer{}, relays: map[string]*response{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named},
+		peers: map[string]*peer{}, relays: map[string]*transfer{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named},
 		backlog: broadcast.NewBacklog(), recalled: workerList}
 	controller.contact.lease = contact.New()
 	controller.binding.kept = map[string]messages.Phase{}
@@ -112,9 +112,9 @@
 	controller.batches.spread = func(workerList []messages.Worker) {
 		controller.spread(&messages.Relay{Workers: workerList}, constants.TreeTime)
 	}
-	// Numbers of words must differ from those of an earlier life.
+	// Numbers of updates must differ from those of an earlier life.
 	controller.number.Store(uint64(runtime.Own.Life))
-	controller.answerers()
+	controller.registerCalls()
 	controller.reports()
 	go controller.memory.run(runtime.Stop, controller.remembered, log)
 	return controller, nil
@@ -143,7 +143,7 @@
 	}
 }
 
-func (controller *Controller) answerers() {
+func (controller *Controller) registerCalls() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindPrepare, answer(func(question *messages.Prepare) (transport.Writable, error) {
 		back, err := controller.Register.Prepare(question)
@@ -171,11 +171,11 @@
 		return &messages.DutyChanged{Done: err == nil, Known: true, Value: value}, nil
 	}))
 	runtime.Answer(messages.KindDutyChange, answer(controller.changeDuty))
-	controller.tableAnswerers()
+	controller.registerTables()
 	controller.registerContact()
 	controller.registerRecall()
-	controller.namedAnswerers()
-	controller.planAnswerers()
+	controller.registerNamed()
+	controller.registerPlans()
 }
 
 // Run serves until told to stop.
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -28,7 +28,7 @@
 	return controller.plans.localRegister, nil
 }
 
-func (controller *Controller) namedAnswerers() {
+func (controller *Controller) registerNamed() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindNamedPrepare, answer(func(question *messages.NamedPrepare) (transport.Writable, error) {
 		localRegister, err := controller.called(question.Name)
--- a/internal/control/controller/plans.go
+++ b/internal/control/controller/plans.go
@@ -27,7 +27,7 @@
 	changed       clock.Moment
 }
 
-func (controller *Controller) planAnswerers() {
+func (controller *Controller) registerPlans() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindPlanPull, answer(controller.planPulled))
 	runtime.Answer(messages.KindPlanApply, answer(controller.planApply))
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -165,7 +165,7 @@
 	if (!known && up < constants.ReplaceAfter) || up < constants.HoldTime {
 		return false
 	}
-	// The last word is its own: one that answers now is not gone.
+	// It is asked itself: one that answers now is not gone.
 	return !controller.answers(member.Address)
 }
 
--- a/internal/control/controller/spread.go
+++ b/internal/control/controller/spread.go
@@ -24,12 +24,12 @@
 	newer := value.Current.Generation > controller.Node.Generation()
 	controller.Node.Take(value.Body)
 	if push || newer {
-		word := &messages.Relay{Generation: value.Current.Generation, Body: value.Body}
+		update := &messages.Relay{Generation: value.Current.Generation, Body: value.Body}
 		if !push {
-			go controller.spread(word, constants.PushTime)
+			go controller.spread(update, constants.PushTime)
 			return
 		}
-		controller.spread(word, constants.PushTime)
+		controller.spread(update, constants.PushTime)
 	}
 }
 
--- a/internal/control/controller/tables.go
+++ b/internal/control/controller/tables.go
@@ -15,8 +15,8 @@
 	told                  clock.Moment
 }
 
-// tableAnswerers registers what concerns the tables of workers and processes.
-func (controller *Controller) tableAnswerers() {
+// registerTables registers what concerns the tables of workers and processes.
+func (controller *Controller) registerTables() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindRosterPush, answer(func(question *messages.RosterPush) (transport.Writable, error) {
 		controller.mergeWorkers(question.Workers)
@@ -43,7 +43,7 @@
 	runtime.Answer(messages.KindControllerBeat, answer(func(question *messages.ControllerBeat) (transport.Writable, error) {
 		// What is told here is chosen before it counts as told.
 		now := clock.Now()
-		back := controller.word(membership.Key(question.From))
+		back := controller.beatFor(membership.Key(question.From))
 		go controller.heardBeat(question, now)
 		return back, nil
 	}))
@@ -87,24 +87,24 @@
 	answer.Judging, answer.Overdue = true, controller.registry.Overdue(clock.Now())
 }
 
-// word is what another controller is told: digests, and who was heard here directly.
-func (controller *Controller) word(key string) *messages.ControllerBeat {
+// beatFor is what another controller is told: digests, and who was heard here directly.
+func (controller *Controller) beatFor(key string) *messages.ControllerBeat {
 	controller.lock.Lock()
 	since := clock.Moment(0)
 	if one := controller.peers[key]; one != nil {
 		since = one.told
 	}
-	word := &messages.ControllerBeat{Workers: controller.registry.Digest(controller.Node.Own.Life), Beaten: controller.registry.BeatenSince(since)}
-	word.Plan = controller.planTold().Revision
+	beat := &messages.ControllerBeat{Workers: controller.registry.Digest(controller.Node.Own.Life), Beaten: controller.registry.BeatenSince(since)}
+	beat.Plan = controller.planTold().Revision
 	controller.lock.Unlock()
 	controller.Node.Viewed(func(view *membership.View) {
-		word.From, word.Processes, word.Follow = view.Own(), view.Digest(), view.Own().Generation
-		word.Met, word.Behind = view.MetSince(since)
+		beat.From, beat.Processes, beat.Follow = view.Own(), view.Digest(), view.Own().Generation
+		beat.Met, beat.Behind = view.MetSince(since)
 	})
-	return word
+	return beat
 }
 
-// beatOthers exchanges a word with every other controller: there are few. Of two, the one
+// beatOthers exchanges a beat with every other controller: there are few. Of two, the one
 // with the lesser name begins, unless it has been silent for long.
 func (controller *Controller) beatOthers() {
 	runtime, now := controller.Node, clock.Now()
@@ -136,15 +136,15 @@
 	for address, key := range addresses {
 		go func() {
 			back := &messages.ControllerBeat{}
-			if transport.Ask(runtime.Wire, address, messages.KindControllerBeat, controller.word(key), back, constants.CallTime) == nil {
+			if transport.Ask(runtime.Wire, address, messages.KindControllerBeat, controller.beatFor(key), back, constants.CallTime) == nil {
 				controller.heardBeat(back, now)
 			}
 		}()
 	}
 }
 
-// heardBeat takes another controller's word, and pulls what its tables have beyond ours.
-// told is when that controller was given our own word.
+// heardBeat takes another controller's beat, and pulls what its tables have beyond ours.
+// told is when that controller was given our own beat.
 func (controller *Controller) heardBeat(beat *messages.ControllerBeat, told clock.Moment) {
 	runtime, now, key := controller.Node, clock.Now(), membership.Key(beat.From)
 	runtime.Hear([]messages.Entry{beat.From})
--- a/internal/control/controller/tree.go
+++ b/internal/control/controller/tree.go
@@ -13,8 +13,8 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// response is a word on its way down the tree.
-type response struct {
+// transfer is an update on its way down the tree.
+type transfer struct {
 	begun clock.Moment
 	lock  sync.Mutex
 	job   *broadcast.Job
@@ -35,52 +35,52 @@
 	return found
 }
 
-// fan is how many of a zone get a word directly: a word of a worker is short, a
+// fan is how many of a zone get an update directly: an update of a worker is short, a
 // configuration is not.
-func fan(word *messages.Relay) int {
-	if word.Generation > 0 {
+func fan(update *messages.Relay) int {
+	if update.Generation > 0 {
 		return 2 * constants.BodyFan
 	}
 	return 0
 }
 
 // spread tells all processes down the tree. It returns once all in touch have taken
-// the word, or after the span; what is then under way goes on.
-func (controller *Controller) spread(word *messages.Relay, span clock.Span) {
-	word.From, word.Number = membership.Key(controller.Node.Own), controller.number.Add(1)
-	job, sends := broadcast.Fleet(controller.Node.Own, controller.directory(word.Generation), fan(word), clock.Now())
-	if word.Generation > 0 {
-		controller.owe(word, job.Unconfirmed(sends), constants.BacklogPassedPause)
+// the update, or after the span; what is then under way goes on.
+func (controller *Controller) spread(update *messages.Relay, span clock.Span) {
+	update.From, update.Number = membership.Key(controller.Node.Own), controller.number.Add(1)
+	job, sends := broadcast.Fleet(controller.Node.Own, controller.directory(update.Generation), fan(update), clock.Now())
+	if update.Generation > 0 {
+		controller.addToBacklog(update, job.Unconfirmed(sends), constants.BacklogPassedPause)
 	}
-	one := controller.deliver(word, job, sends)
+	one := controller.deliver(update, job, sends)
 	timer := clock.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-one.done:
 	case <-timer.C:
-		controller.Node.Log.Debug("word not taken by all in time", "missing", len(one.missing()))
+		controller.Node.Log.Debug("update not taken by all in time", "missing", len(one.missing()))
 	}
 }
 
-func (one *response) missing() []uint32 {
+func (one *transfer) missing() []uint32 {
 	one.lock.Lock()
 	defer one.lock.Unlock()
 	return one.job.Missing()
 }
 
 // deliver makes the calls that a job asks for, until it is done or too late.
-func (controller *Controller) deliver(word *messages.Relay, job *broadcast.Job, sends []broadcast.Send) *response {
-	one := &response{begun: clock.Now(), job: job, done: make(chan struct{})}
+func (controller *Controller) deliver(update *messages.Relay, job *broadcast.Job, sends []broadcast.Send) *transfer {
+	one := &transfer{begun: clock.Now(), job: job, done: make(chan struct{})}
 	var ended sync.Once
 	var follow func(sends []broadcast.Send)
 	call := func(send broadcast.Send) {
-		missing, err := controller.send(word, send)
+		missing, err := controller.send(update, send)
 		one.lock.Lock()
 		var next []broadcast.Send
 		if err != nil {
 			next = job.Failed(send, clock.Now())
 			if entry := job.Told(send); send.Step == broadcast.StepTell && entry.Address != "" {
-				controller.owe(word, []messages.Entry{entry}, constants.BacklogPause)
+				controller.addToBacklog(update, []messages.Entry{entry}, constants.BacklogPause)
 			}
 		} else {
 			next = job.Took(send, missing, clock.Now())
@@ -117,56 +117,56 @@
 }
 
 // send makes one call of a job.
-func (controller *Controller) send(word *messages.Relay, send broadcast.Send) ([]uint32, error) {
+func (controller *Controller) send(update *messages.Relay, send broadcast.Send) ([]uint32, error) {
 	wire := controller.Node.Wire
 	switch send.Step {
 	case broadcast.StepRelay:
-		part := *word
+		part := *update
 		part.Expect = send.Expect
 		return nil, transport.Ask(wire, send.Address, messages.KindRelay, &part, &messages.Nothing{}, constants.CallTime)
 	case broadcast.StepWait:
 		back := &messages.RelayDone{}
-		err := transport.Ask(wire, send.Address, messages.KindRelayWait, &messages.RelayWait{From: word.From, Number: word.Number}, back, constants.CallTime)
+		err := transport.Ask(wire, send.Address, messages.KindRelayWait, &messages.RelayWait{From: update.From, Number: update.Number}, back, constants.CallTime)
 		if err == nil && !back.Known {
 			err = quorum.Damaged.New("relay forgot")
 		}
 		return back.Missing, err
 	}
-	if word.Generation > 0 {
-		push := &messages.ConfigPush{Generation: word.Generation, Body: word.Body, Pass: send.Pass}
+	if update.Generation > 0 {
+		push := &messages.ConfigPush{Generation: update.Generation, Body: update.Body, Pass: send.Pass}
 		return nil, transport.Ask(wire, send.Address, messages.KindConfigPush, push, &messages.Nothing{}, constants.CallTime)
 	}
-	push := &messages.RosterPush{From: membership.Key(controller.Node.Own), Workers: word.Workers}
+	push := &messages.RosterPush{From: membership.Key(controller.Node.Own), Workers: update.Workers}
 	return nil, transport.Ask(wire, send.Address, messages.KindRosterPush, push, &messages.Nothing{}, constants.CallTime)
 }
 
 func relayKey(from string, number uint64) string { return from + "#" + strconv.FormatUint(number, 10) }
 
-// relayed takes a word for this zone and begins to tell it.
-func (controller *Controller) relayed(word *messages.Relay) (transport.Writable, error) {
-	controller.mergeWorkers(word.Workers)
-	if word.Generation > controller.Node.Generation() {
-		controller.Node.Take(word.Body)
+// relayed takes an update for this zone and begins to tell it.
+func (controller *Controller) relayed(update *messages.Relay) (transport.Writable, error) {
+	controller.mergeWorkers(update.Workers)
+	if update.Generation > controller.Node.Generation() {
+		controller.Node.Take(update.Body)
 	}
-	expect := word.Expect[:0:0]
+	expect := update.Expect[:0:0]
 	has := map[uint32]bool{}
 	for _, entry := range controller.directory(0) {
-		has[membership.MarkOf(entry)] = word.Generation > 0 && entry.Generation >= word.Generation
+		has[membership.MarkOf(entry)] = update.Generation > 0 && entry.Generation >= update.Generation
 	}
-	for _, mark := range word.Expect {
+	for _, mark := range update.Expect {
 		if !has[mark] {
 			expect = append(expect, mark)
 		}
 	}
-	job, sends := broadcast.Zone(controller.Node.Own, controller.directory(word.Generation), expect, fan(word), clock.Now())
-	one := controller.deliver(word, job, sends)
+	job, sends := broadcast.Zone(controller.Node.Own, controller.directory(update.Generation), expect, fan(update), clock.Now())
+	one := controller.deliver(update, job, sends)
 	controller.lock.Lock()
-	controller.relays[relayKey(word.From, word.Number)] = one
+	controller.relays[relayKey(update.From, update.Number)] = one
 	controller.lock.Unlock()
 	return &messages.Nothing{Taken: true}, nil
 }
 
-// relayWaited says whom of the zone a relayed word has not reached.
+// relayWaited says whom of the zone a relayed update has not reached.
 func (controller *Controller) relayWaited(question *messages.RelayWait) (transport.Writable, error) {
 	controller.lock.Lock()
 	one := controller.relays[relayKey(question.From, question.Number)]
--- a/internal/control/controller/workers.go
+++ b/internal/control/controller/workers.go
@@ -96,7 +96,7 @@
 	case worker.Phase == messages.PhaseSteady:
 		if changed {
 			controller.memory.remember(worker)
-			controller.tell(worker)
+			controller.announce(worker)
 		}
 	case !controller.binding.isKept(worker):
 		if !controller.bind(worker) {
@@ -114,6 +114,6 @@
 func (controller *Controller) bind(worker messages.Worker) bool {
 	kept := make(chan bool, 1)
 	go func() { kept <- controller.keepAtMajority(worker) }()
-	controller.tell(worker)
+	controller.announce(worker)
 	return <-kept
 }
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -22,7 +22,7 @@
 
 type seen struct {
 	entry messages.Entry
-	// heard is the last word of any kind, direct the last one to this process itself.
+	// heard is the last sign of life of any kind, direct the last one to this process itself.
 	heard, direct clock.Moment
 	change        uint64
 	mark          uint32
@@ -106,7 +106,7 @@
 	}
 }
 
-// Touched notes direct word from a process.
+// Touched notes a direct message from a process.
 func (view *View) Touched(key string, now clock.Moment) { view.touch(key, now) }
 
 func (view *View) touch(key string, now clock.Moment) {
--- a/internal/control/membership/membership_test.go
+++ b/internal/control/membership/membership_test.go
@@ -65,7 +65,7 @@
 	}
 	view.Touched("forge/a", later)
 	if len(view.Live("", later)) != 1 {
-		test.Fatal("direct word makes it live again")
+		test.Fatal("a direct message makes it live again")
 	}
 }
 
--- a/internal/platform/node/assignments.go
+++ b/internal/platform/node/assignments.go
@@ -9,8 +9,8 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// pegs is what a process that is no controller knows of the assignments: its own part.
-type pegs struct {
+// assigned is what a process that is no controller knows of the assignments: its own part.
+type assigned struct {
 	board   assignments.Board
 	pulling bool
 }
@@ -18,8 +18,8 @@
 // sawPlan pulls this node's part of a newer plan from the controller that told of it.
 func (runtime *Node) sawPlan(revision int64, address string) {
 	runtime.lock.Lock()
-	behind := revision > runtime.pegs.board.Revision() && !runtime.pegs.pulling && runtime.Own.Role != membership.RoleController
-	runtime.pegs.pulling = runtime.pegs.pulling || behind
+	behind := revision > runtime.assigned.board.Revision() && !runtime.assigned.pulling && runtime.Own.Role != membership.RoleController
+	runtime.assigned.pulling = runtime.assigned.pulling || behind
 	runtime.lock.Unlock()
 	if !behind {
 		return
@@ -31,8 +31,8 @@
 	told := &messages.PlanTold{}
 	err := transport.Ask(runtime.Wire, address, messages.KindPlanPull, &messages.PlanPull{Node: runtime.Own.Name}, told, constants.CallTime)
 	runtime.lock.Lock()
-	runtime.pegs.pulling = false
-	taken := err == nil && runtime.pegs.board.Take(*told)
+	runtime.assigned.pulling = false
+	taken := err == nil && runtime.assigned.board.Take(*told)
 	runtime.lock.Unlock()
 	if taken {
 		runtime.Log.Info("assignments taken", "revision", told.Revision, "generation", told.Generation, "copies", len(told.Places))
@@ -43,10 +43,10 @@
 func (runtime *Node) Assigned() messages.PlanTold {
 	runtime.lock.Lock()
 	defer runtime.lock.Unlock()
-	return runtime.pegs.board.Told()
+	return runtime.assigned.board.Told()
 }
 
-func (runtime *Node) reportPegs() *messages.Status {
+func (runtime *Node) reportAssigned() *messages.Status {
 	told := runtime.Assigned()
 	return assignments.Status(&told, runtime.Own.Name, clock.DayMinute())
 }
--- a/internal/platform/node/assignments_test.go
+++ b/internal/platform/node/assignments_test.go
@@ -37,10 +37,10 @@
 	for _, seen := range []int64{0, 4, 5} {
 		node.sawPlan(seen, "controller:1")
 	}
-	if node.pegs.pulling || pulls != before {
+	if node.assigned.pulling || pulls != before {
 		test.Fatal("asked for what it has")
 	}
-	if rows := node.reportPegs().Rows; len(rows) != 1 || rows[0][0] != "5" {
+	if rows := node.reportAssigned().Rows; len(rows) != 1 || rows[0][0] != "5" {
 		test.Fatal(rows)
 	}
 	room.Cut("controller:1", true)
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -46,7 +46,7 @@
 	rounds    int
 	// firstController is the address of the controller that took the last full report.
 	firstController string
-	pegs            pegs
+	assigned        assigned
 	ended           sync.Once
 }
 
@@ -81,7 +81,7 @@
 	runtime.Report("zones", runtime.reportZones)
 	runtime.Report("config", runtime.reportSelf)
 	runtime.Report("traffic", runtime.reportTraffic)
-	runtime.Report("assignments", runtime.reportPegs)
+	runtime.Report("assignments", runtime.reportAssigned)
 	runtime.learnPlaces([]messages.Entry{own})
 	return runtime
 }
@@ -115,7 +115,7 @@
 // End stops the loops.
 func (runtime *Node) End() { runtime.ended.Do(func() { close(runtime.Stop) }) }
 
-// Touched notes direct word from a process.
+// Touched notes a direct message from a process.
 func (runtime *Node) Touched(key string) {
 	runtime.lock.Lock()
 	defer runtime.lock.Unlock()
