--- a/internal/control/broadcast/drive_test.go
+++ b/internal/control/broadcast/drive_test.go
@@ -10,35 +10,35 @@
 )
 
 // drive makes the calls of a job, and ticks it while it lasts.
-func (here *node) drive(word *messages.Relay, job *broadcast.Job, sends []broadcast.Send, begun clock.Moment) {
+func (here *node) drive(update *messages.Relay, job *broadcast.Job, sends []broadcast.Send, begun clock.Moment) {
 	for _, send := range sends {
-		here.carry(word, job, send, begun)
+		here.carry(update, job, send, begun)
 	}
 	here.fleet.After(constants.RelayPatience/4, func() {
 		if !job.Done() && !here.down && here.fleet.Now.Since(begun) < constants.BulkCallTime {
-			here.drive(word, job, job.Tick(here.fleet.Now), begun)
+			here.drive(update, job, job.Tick(here.fleet.Now), begun)
 		}
 	})
 }
 
-func (here *node) carry(word *messages.Relay, job *broadcast.Job, send broadcast.Send, begun clock.Moment) {
+func (here *node) carry(update *messages.Relay, job *broadcast.Job, send broadcast.Send, begun clock.Moment) {
 	var message transport.Writable
 	switch {
 	case send.Step == broadcast.StepRelay:
-		part := *word
+		part := *update
 		part.Expect = send.Expect
 		message = &part
 	case send.Step == broadcast.StepWait:
-		message = &messages.RelayWait{From: word.From, Number: word.Number}
-	case word.Generation > 0:
-		message = &messages.ConfigPush{Generation: word.Generation, Body: word.Body, Pass: send.Pass}
+		message = &messages.RelayWait{From: update.From, Number: update.Number}
+	case update.Generation > 0:
+		message = &messages.ConfigPush{Generation: update.Generation, Body: update.Body, Pass: send.Pass}
 	default:
-		message = &messages.RosterPush{Workers: word.Workers}
+		message = &messages.RosterPush{Workers: update.Workers}
 	}
 	here.call(send.Address, message, constants.CallTime, func(answer transport.Writable, failed bool) {
 		var next []broadcast.Send
 		if entry := job.Told(send); failed && send.Step == broadcast.StepTell && entry.Address != "" {
-			here.owe(word, []messages.Entry{entry}, constants.BacklogPause)
+			here.owe(update, []messages.Entry{entry}, constants.BacklogPause)
 		}
 		done, waited := answer.(*messages.RelayDone)
 		switch {
@@ -50,21 +50,21 @@
 			next = job.Took(send, nil, here.fleet.Now)
 		}
 		for _, one := range next {
-			here.carry(word, job, one, begun)
+			here.carry(update, job, one, begun)
 		}
 	})
 }
 
 // spread tells the fleet; acknowledged runs once all in touch took it, or at the bound.
-func (here *node) spread(word *messages.Relay, bound clock.Span, acknowledged func()) {
+func (here *node) spread(update *messages.Relay, bound clock.Span, acknowledged func()) {
 	here.fleet.number++
-	word.From, word.Number = membership.Key(here.own), here.fleet.number
+	update.From, update.Number = membership.Key(here.own), here.fleet.number
 	begun := here.fleet.Now
-	job, sends := broadcast.Fleet(here.own, here.view.All("", begun), fan(word), begun)
-	if word.Generation > 0 {
-		here.owe(word, job.Unconfirmed(sends), constants.BacklogPassedPause)
+	job, sends := broadcast.Fleet(here.own, here.view.All("", begun), fan(update), begun)
+	if update.Generation > 0 {
+		here.owe(update, job.Unconfirmed(sends), constants.BacklogPassedPause)
 	}
-	here.drive(word, job, sends, begun)
+	here.drive(update, job, sends, begun)
 	var look func()
 	look = func() {
 		if job.Done() || here.fleet.Now.Since(begun) >= bound {
