A newcomer takes its place in the acceptor sets within a bounded time

Cause: a controller looked at the sets once a second (the assignments' every two), and let half of the looks pass by chance; of successors whose forerunner was silent for three seconds a quarter were not in the set within sync-s of their start, and the next loss within the budget left no majority (seen: set changed 5.2 s after the successor's start, 4.1 s after a wiped member's). Change: a look every 250 ms, and a random pause of at most as much before a proposal in place of the coin; a member that nobody has known for long waits SilentAfter, not ReplaceAfter, which is over sync-s.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -188,7 +188,8 @@
 	go clock.Every(constants.ContactPeriod, runtime.Stop, controller.contactRound)
 	go clock.Every(constants.BacklogPeriod, runtime.Stop, controller.tendBacklog)
 	go clock.Every(constants.RosterPeriod, runtime.Stop, controller.beatOthers)
-	go clock.Every(constants.ShufflePeriod, runtime.Stop, controller.tendSet)
+	go clock.Every(constants.TendPeriod, runtime.Stop, controller.tendSet)
+	go clock.Every(constants.TendPeriod, runtime.Stop, func() { controller.tendNamed(controller.plans.localRegister) })
 	go clock.Every(constants.PlanPeriod, runtime.Stop, controller.tendPlans)
 	controller.server = &http.Server{Addr: runtime.Settings.Bind.Control, Handler: controller.calls(), ReadHeaderTimeout: constants.BulkCallTime}
 	runtime.Log.Info("serving", "control", runtime.Settings.Bind.Control, "disk", runtime.Own.Disk)
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -1,12 +1,9 @@
 package controller
 
 import (
-	"math/rand"
-
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/register"
-	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
@@ -66,16 +63,13 @@
 		controller.learnNamed(localRegister)
 		return
 	}
-	// Chance keeps several newcomers from proposing at once.
-	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
-		return
-	}
 	tending := controller.tending()
 	tending.Own, tending.Fresh = localRegister.Identity(), localRegister.JointFresh()
 	change := tending.Step(known)
 	if change == nil {
 		return
 	}
+	controller.stagger()
 	if len(known.Previous) == 0 {
 		controller.learnNamed(localRegister)
 		if localRegister.Known().SetEpoch != known.SetEpoch {
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -27,10 +27,6 @@
 		controller.learnSets()
 		return
 	}
-	// Chance keeps several newcomers from proposing at once.
-	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
-		return
-	}
 	tending := controller.tending()
 	// Who has not heard a majority on the workers takes no place yet: it would count for
 	// what it does not know.
@@ -39,6 +35,7 @@
 	if change == nil {
 		return
 	}
+	controller.stagger()
 	if len(known.Previous) == 0 {
 		// A member may have changed since: look before asking for its place.
 		controller.learnSets()
@@ -60,6 +57,14 @@
 	}
 }
 
+// stagger parts several newcomers that would propose at once by a short random pause; a
+// process that has just started takes its place without one.
+func (controller *Controller) stagger() {
+	if clock.Now().Since(controller.begun) > constants.HoldTime {
+		clock.Sleep(clock.Span(rand.Int63n(int64(constants.TendPeriod))))
+	}
+}
+
 // tending gathers what the decision on the set needs.
 func (controller *Controller) tending() register.Tending {
 	blank := map[string]bool{}
@@ -154,7 +159,7 @@
 		}
 		age, known = entry.AgeMs, true
 		if entry.Zone == controller.Node.Own.Zone {
-			patience = constants.SilentAfter
+			patience = constants.SucceedAfter
 		}
 	}
 	if known && age < patience.Milliseconds() {
@@ -162,7 +167,7 @@
 	}
 	// Who has just started knows too little of who was silent for how long.
 	up := clock.Now().Since(controller.begun)
-	if (!known && up < constants.ReplaceAfter) || up < constants.HoldTime {
+	if (!known && up < constants.SilentAfter) || up < constants.HoldTime {
 		return false
 	}
 	// It is asked itself: one that answers now is not gone.
--- a/internal/platform/constants/views.go
+++ b/internal/platform/constants/views.go
@@ -29,6 +29,13 @@
 	SilentAfter = 3 * time.Second
 	// ForgetAfter is the silence after which an entry leaves the view.
 	ForgetAfter = 45 * time.Second
+	// SucceedAfter is the silence after which a process takes the place of a silent member
+	// of its own zone (ours): word through others makes silence look up to 1.4 s shorter, and
+	// all of it has to end well within sync-s.
+	SucceedAfter = 2 * time.Second
+	// TendPeriod is how often a controller looks whether the sets of acceptors need it (ours):
+	// a newcomer has to be a member well within sync-s after its start, silence included.
+	TendPeriod = 250 * time.Millisecond
 	// ReplaceAfter is the silence after which a standing-by process may take a
 	// silent member's place in the acceptor or store set (ours): longer than a
 	// process takes to be started again.
