--- a/internal/control/controller/calls_test.go
+++ b/internal/control/controller/calls_test.go
@@ -45,6 +45,7 @@
 		if tries > 100 {
 			test.Fatal("a majority answers, and there is no contact")
 		}
+		controller.contactRound()
 	}
 }
 
--- a/internal/control/controller/learn.go
+++ b/internal/control/controller/learn.go
@@ -36,26 +36,33 @@
 // learnSets asks other controllers who the acceptors are: one with an empty disk, or
 // one that was away for long, knows of none or of old ones.
 func (controller *Controller) learnSets() {
+	controller.askOthers(func(address string) {
+		back := &messages.DutyChanged{}
+		if transport.Ask(controller.Node.Wire, address, messages.KindRegisterRead, &messages.Nothing{}, back, constants.CallTime) == nil {
+			// Without its body this value is good for its sets only.
+			controller.Register.LearnSets(back.Value)
+		}
+	})
+}
+
+// askOthers runs a question to each seed and each live controller but this one, all at
+// the same time, and returns once every one has answered or failed to.
+func (controller *Controller) askOthers(ask func(address string)) {
 	runtime := controller.Node
-	addresses := runtime.Settings.SeedAddresses(constants.PortController)
+	addresses := map[string]bool{}
+	for _, address := range runtime.Settings.SeedAddresses(constants.PortController) {
+		addresses[address] = true
+	}
 	for _, entry := range runtime.Live(membership.RoleController) {
-		addresses = append(addresses, entry.Address)
+		addresses[entry.Address] = true
 	}
-	asked := map[string]bool{runtime.Own.Address: true}
+	delete(addresses, runtime.Own.Address)
 	var group sync.WaitGroup
-	for _, address := range addresses {
-		if asked[address] {
-			continue
-		}
-		asked[address] = true
+	for address := range addresses {
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			back := &messages.DutyChanged{}
-			if transport.Ask(runtime.Wire, address, messages.KindRegisterRead, &messages.Nothing{}, back, constants.CallTime) == nil {
-				// Without its body this value is good for its sets only.
-				controller.Register.LearnSets(back.Value)
-			}
+			ask(address)
 		}()
 	}
 	group.Wait()
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/constants"
@@ -63,7 +62,7 @@
 		controller.learnNamed(localRegister)
 		return
 	}
-	tending := controller.tending()
+	tending := controller.tending(known)
 	tending.Own, tending.Fresh = localRegister.Identity(), localRegister.JointFresh()
 	change := tending.Step(known)
 	if change == nil {
@@ -89,19 +88,10 @@
 
 // learnNamed asks other controllers for the acceptors of a named register.
 func (controller *Controller) learnNamed(localRegister *quorum.Register) {
-	runtime := controller.Node
-	addresses := map[string]bool{}
-	for _, address := range runtime.Settings.SeedAddresses(constants.PortController) {
-		addresses[address] = true
-	}
-	for _, entry := range runtime.Live(membership.RoleController) {
-		addresses[entry.Address] = true
-	}
-	delete(addresses, runtime.Own.Address)
-	for address := range addresses {
+	controller.askOthers(func(address string) {
 		back := &messages.DutyChanged{}
-		if transport.Ask(runtime.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
+		if transport.Ask(controller.Node.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
 			localRegister.LearnSets(back.Value)
 		}
-	}
+	})
 }
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -27,7 +27,7 @@
 		controller.learnSets()
 		return
 	}
-	tending := controller.tending()
+	tending := controller.tending(known)
 	// Who has not heard a majority on the workers takes no place yet: it would count for
 	// what it does not know.
 	tending.Votes = tending.Votes && !controller.learning()
@@ -57,6 +57,28 @@
 	}
 }
 
+// hears tells whether a majority of a register's sets answers this process now. One that
+// is cut off would take its own deafness for the silence of a member, and have a live one
+// replaced as soon as the cut ends.
+func (controller *Controller) hears(known messages.Register) bool {
+	members := register.Targets(&known)
+	heard := make(chan string, len(members))
+	for _, member := range members {
+		go func() {
+			if member.Address == controller.Node.Own.Address || controller.answers(member.Address) {
+				heard <- register.Identity(member)
+				return
+			}
+			heard <- ""
+		}()
+	}
+	answered := map[string]bool{}
+	for range members {
+		answered[<-heard] = true
+	}
+	return register.Quorum(&known, answered)
+}
+
 // stagger parts several newcomers that would propose at once by a short random pause; a
 // process that has just started takes its place without one.
 func (controller *Controller) stagger() {
@@ -66,14 +88,14 @@
 }
 
 // tending gathers what the decision on the set needs.
-func (controller *Controller) tending() register.Tending {
+func (controller *Controller) tending(known messages.Register) register.Tending {
 	blank := map[string]bool{}
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		blank[entry.Address] = entry.Disk == ""
 	}
 	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(), Fresh: controller.Register.JointFresh(),
 		Blank: func(member messages.Member) bool { return blank[member.Address] },
-		Gone:  controller.silent}
+		Gone:  func(member messages.Member) bool { return controller.silent(member) && controller.hears(known) }}
 }
 
 // votes tells whether a process takes part in the register: one without a disk
