A detached controller answers orders with 504, and never with Retry-After

The test of a starting controller wants 504 for an order now, and 503 for a worker's call as before.

--- a/internal/control/controller/calls.go
+++ b/internal/control/controller/calls.go
@@ -53,7 +53,7 @@
 	name := chi.URLParam(request, "node")
 	value, err := controller.Register.ReadSets()
 	if err != nil {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		httpreply.Reason(writer, http.StatusGatewayTimeout, elsewhere)
 		return
 	}
 	known := slices.Contains(value.Retired, name)
@@ -69,7 +69,7 @@
 	}
 	if !known && clock.Now().Since(controller.begun) < constants.SilentAfter {
 		// A process that has just started can't tell unknown from not yet heard.
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		httpreply.Reason(writer, http.StatusServiceUnavailable, elsewhere)
 		return
 	}
 	if !known {
@@ -97,7 +97,7 @@
 	name := chi.URLParam(request, "node")
 	value, err := controller.Register.ReadSets()
 	if err != nil {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		httpreply.Reason(writer, http.StatusGatewayTimeout, elsewhere)
 		return
 	}
 	if !slices.Contains(value.Retired, name) {
--- a/internal/control/controller/contact.go
+++ b/internal/control/controller/contact.go
@@ -148,3 +148,7 @@
 		}
 	}
 }
+
+// elsewhere is what a caller is told that this process can't answer clearly. It comes
+// without Retry-After: the caller is to ask another controller, not this one again.
+const elsewhere = "no clear answer here: ask another controller"
--- a/internal/control/controller/learning_test.go
+++ b/internal/control/controller/learning_test.go
@@ -40,7 +40,7 @@
 	if answer := reported(starting); !answer.Detached || len(answer.Counts) != 0 || answer.Judging || answer.Workers.Life != 0 {
 		test.Fatal(answer)
 	}
-	if status, _ := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 503 {
+	if status, _ := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 504 {
 		test.Fatal(status)
 	}
 	room.Cut(controllers[2].Node.Own.Address, false)
--- a/internal/control/controller/replace.go
+++ b/internal/control/controller/replace.go
@@ -30,7 +30,7 @@
 	if controller.inContact() {
 		return true
 	}
-	httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+	httpreply.Reason(writer, http.StatusGatewayTimeout, elsewhere)
 	return false
 }
 
@@ -115,7 +115,7 @@
 	}
 	value, err := controller.Register.Read()
 	if err != nil {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		httpreply.Reason(writer, http.StatusGatewayTimeout, elsewhere)
 		return
 	}
 	if value.Current.Generation == 0 {
--- a/internal/control/controller/workers.go
+++ b/internal/control/controller/workers.go
@@ -53,7 +53,7 @@
 // the caller is sent to another one.
 func (controller *Controller) takesWorkers(writer http.ResponseWriter) bool {
 	if controller.learning() || !controller.inContact() {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		httpreply.Reason(writer, http.StatusServiceUnavailable, elsewhere)
 		return false
 	}
 	return true
@@ -101,7 +101,7 @@
 	case !controller.binding.isKept(worker):
 		if !controller.bind(worker) {
 			controller.Node.Log.Warn("not acknowledged: no majority has it on disk", "id", worker.ID, "phase", worker.Phase.String())
-			httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+			httpreply.Reason(writer, http.StatusServiceUnavailable, elsewhere)
 			return
 		}
 		controller.binding.setKept(worker)
