--- a/internal/control/controller/learning_test.go
+++ b/internal/control/controller/learning_test.go
@@ -6,6 +6,7 @@
 
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 )
 
@@ -53,3 +54,27 @@
 		test.Fatal(status, body)
 	}
 }
+
+// A drain that the other acceptors do not write in time is not acknowledged, and the
+// worker hears so within the second that it waits.
+func TestDrainIsNotAcknowledgedByOneDisk(test *testing.T) {
+	controllers, _ := voters(test, 3)
+	meet(test, controllers[1])
+	server := httptest.NewServer(controllers[1].calls())
+	defer server.Close()
+	hang := make(chan struct{})
+	defer close(hang)
+	for number := 2; number <= 3; number++ {
+		controllers[number].Node.Answer(messages.KindWorkersKeep, func([]byte) ([]byte, error) {
+			<-hang
+			return nil, nil
+		})
+	}
+	if status, _ := call(test, server, "POST", "/-/Workers.Heartbeat/w", "", drainCall); status != 503 {
+		test.Fatal(status)
+	}
+	const second, slack = 1_000_000_000, 100_000_000
+	if constants.ContactTime/2+constants.TreeTime > second-slack {
+		test.Fatal("the bounds of a worker's call do not fit into its second")
+	}
+}
--- a/internal/control/controller/replace.go
+++ b/internal/control/controller/replace.go
@@ -76,12 +76,18 @@
 		// refusal holds for ever here.
 		httpreply.Reason(writer, http.StatusGatewayTimeout, "the base is not in force")
 	case register.ResultOther:
-		httpreply.Reason(writer, http.StatusPreconditionFailed, "another version is in place: "+strconv.FormatInt(one.value.Current.Generation, 10))
+		controller.refuse(writer, http.StatusPreconditionFailed, version, "another version is in place: "+strconv.FormatInt(one.value.Current.Generation, 10))
 	default:
-		httpreply.Reason(writer, http.StatusBadRequest, "generation is not above the current one")
+		controller.refuse(writer, http.StatusBadRequest, version, "generation is not above the current one")
 	}
 }
 
+// refuse answers an order that the register refused, and logs it.
+func (controller *Controller) refuse(writer http.ResponseWriter, status int, version messages.Version, why string) {
+	controller.Node.Log.Info("configuration refused", "generation", version.Generation, "base", version.Base, "why", why)
+	httpreply.Reason(writer, status, why)
+}
+
 // refusal is the body of an answer to a configuration that is not valid.
 type refusal struct {
 	Error    string   `json:"error"`
