--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -1,12 +1,8 @@
 package controller
 
 import (
-	"math/rand"
-
-	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/quorum"
 	"lemonarch/internal/control/register"
-	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
@@ -28,7 +24,7 @@
 	return controller.plans.localRegister, nil
 }
 
-func (controller *Controller) namedAnswerers() {
+func (controller *Controller) registerNamed() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindNamedPrepare, answer(func(question *messages.NamedPrepare) (transport.Writable, error) {
 		localRegister, err := controller.called(question.Name)
@@ -66,16 +62,13 @@
 		controller.learnNamed(localRegister)
 		return
 	}
-	// Chance keeps several newcomers from proposing at once.
-	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
-		return
-	}
-	tending := controller.tending()
+	tending := controller.tending(known)
 	tending.Own, tending.Fresh = localRegister.Identity(), localRegister.JointFresh()
 	change := tending.Step(known)
 	if change == nil {
 		return
 	}
+	controller.stagger()
 	if len(known.Previous) == 0 {
 		controller.learnNamed(localRegister)
 		if localRegister.Known().SetEpoch != known.SetEpoch {
@@ -95,19 +88,10 @@
 
 // learnNamed asks other controllers for the acceptors of a named register.
 func (controller *Controller) learnNamed(localRegister *quorum.Register) {
-	runtime := controller.Node
-	addresses := map[string]bool{}
-	for _, address := range runtime.Settings.SeedAddresses(constants.PortController) {
-		addresses[address] = true
-	}
-	for _, entry := range runtime.Live(membership.RoleController) {
-		addresses[entry.Address] = true
-	}
-	delete(addresses, runtime.Own.Address)
-	for address := range addresses {
+	controller.askOthers(func(address string) {
 		back := &messages.DutyChanged{}
-		if transport.Ask(runtime.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
+		if transport.Ask(controller.Node.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
 			localRegister.LearnSets(back.Value)
 		}
-	}
+	})
 }
