--- a/internal/control/controller/contact.go
+++ b/internal/control/controller/contact.go
@@ -118,7 +118,9 @@
 func (controller *Controller) catchUp(accepted contact.Followed) {
 	clock.Sleep(constants.PushTime / 2)
 	if accepted.SetEpoch > controller.followed().SetEpoch {
-		controller.learnSets()
+		if _, err := controller.Register.ReadSets(); err != nil {
+			controller.learnSets()
+		}
 	}
 	if accepted.Generation > controller.followed().Generation {
 		if value, err := controller.shared.Read(controller.Register.Read); err == nil {
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -164,8 +164,12 @@
 			value, err = controller.sets.Read(controller.Register.ReadSets)
 		}
 		if err != nil {
-			// The sets last known still help a newcomer to find the acceptors.
-			value = controller.Register.Known()
+			// The sets last seen in force still help a newcomer to find the acceptors.
+			known, seen := controller.Register.Chosen()
+			if !seen {
+				return &messages.DutyChanged{}, nil
+			}
+			value = known
 		}
 		value.Body = nil
 		return &messages.DutyChanged{Done: err == nil, Known: true, Value: value}, nil
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -2,7 +2,6 @@
 
 import (
 	"lemonarch/internal/control/quorum"
-	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
@@ -47,8 +46,11 @@
 		if err != nil {
 			return nil, err
 		}
-		// Good for its sets only: it may not have been chosen.
-		value := localRegister.Known()
+		// Good for its sets only, and only where they were seen to be in force.
+		value, seen := localRegister.Chosen()
+		if !seen {
+			return &messages.DutyChanged{}, nil
+		}
 		value.Body = nil
 		return &messages.DutyChanged{Known: true, Value: value}, nil
 	}))
@@ -63,26 +65,18 @@
 		return
 	}
 	tending := controller.tending(known)
-	tending.Own, tending.Fresh = localRegister.Identity(), localRegister.JointFresh()
-	change := tending.Step(known)
-	if change == nil {
+	if !localRegister.NeedsTending(tending) {
 		return
 	}
 	controller.stagger()
-	if len(known.Previous) == 0 {
-		controller.learnNamed(localRegister)
-		if localRegister.Known().SetEpoch != known.SetEpoch {
-			return
-		}
-	}
-	if _, err := localRegister.Change(change); err != nil {
+	value, changed, err := localRegister.Tend(tending)
+	if err != nil {
 		controller.Node.Log.Warn("set not changed", "register", localRegister.Name, "why", err.Error())
+		controller.learnNamed(localRegister)
 		return
 	}
-	if len(known.Previous) == 0 {
-		if value, err := localRegister.Change(register.Settle); err == nil {
-			controller.Node.Log.Info("set changed", "register", localRegister.Name, "epoch", value.SetEpoch, "members", len(value.Acceptors))
-		}
+	if changed {
+		controller.Node.Log.Info("set changed", "register", localRegister.Name, "epoch", value.SetEpoch, "members", len(value.Acceptors))
 	}
 }
 
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -31,28 +31,18 @@
 	// Who has not heard a majority on the workers takes no place yet: it would count for
 	// what it does not know.
 	tending.Votes = tending.Votes && !controller.learning()
-	change := tending.Step(known)
-	if change == nil {
+	if !controller.Register.NeedsTending(tending) {
 		return
 	}
 	controller.stagger()
-	if len(known.Previous) == 0 {
-		// A member may have changed since: look before asking for its place.
-		controller.learnSets()
-		if controller.Register.Known().SetEpoch != known.SetEpoch {
-			return
-		}
-	}
-	value, err := controller.Register.Change(change)
+	value, changed, err := controller.Register.Tend(tending)
 	if err != nil {
 		controller.Node.Log.Warn("set not changed", "why", err.Error())
+		// The members known may all be gone.
+		controller.learnSets()
 		return
 	}
-	controller.chosen(value, false)
-	if len(known.Previous) > 0 {
-		return
-	}
-	if value, err = controller.Register.Change(register.Settle); err == nil {
+	if changed {
 		controller.Node.Log.Info("set changed", "epoch", value.SetEpoch, "members", len(value.Acceptors))
 	}
 }
@@ -93,7 +83,7 @@
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		blank[entry.Address] = entry.Disk == ""
 	}
-	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(), Fresh: controller.Register.JointFresh(),
+	return register.Tending{Votes: votes(controller.Node.Settings), Size: controller.setSize(),
 		Blank: func(member messages.Member) bool { return blank[member.Address] },
 		Gone:  func(member messages.Member) bool { return controller.silent(member) && controller.hears(known) }}
 }
