--- a/internal/control/controller/budget_test.go
+++ b/internal/control/controller/budget_test.go
@@ -141,3 +141,19 @@
 		test.Fatal("does not bear with three disks: ", err, members(one))
 	}
 }
+
+// Long after the start a smaller set has to do only where nobody else answers: four
+// machines with a disk are there, and the set is of the three seeds.
+func TestSmallerSetHasToDoOnlyWhereNobodyElseAnswers(test *testing.T) {
+	controllers, room := fleet(test, 4, nil)
+	one := controllers[1]
+	one.begun -= 60_000_000_000
+	value, err := one.Register.Read()
+	if err != nil || one.bears(&value) {
+		test.Fatal("acknowledges in a set of three while a fourth machine answers: ", err)
+	}
+	room.Cut(controllers[4].Node.Own.Address, true)
+	if !one.bears(&value) {
+		test.Fatal("waits for a machine that does not answer")
+	}
+}
