--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -71,12 +71,12 @@
 	}
 }
 
-// TakeDuty gives the change by which a store takes the duty of the lots: it
+// TakeDuty gives the change by which a store becomes the holder of the lots: it
 // raises the epoch, so that whoever held it before can change nothing any more.
-func TakeDuty(duty messages.Duty, expected uint64, first []messages.Member, done *bool) Change {
+func TakeDuty(holder messages.Duty, expected uint64, first []messages.Member, done *bool) Change {
 	return func(current messages.Register) (messages.Register, Verdict) {
 		*done = false
-		if current.Duty.Epoch == expected+1 && current.Duty.Holder == duty.Holder && current.Duty.Life == duty.Life {
+		if current.Duty.Epoch == expected+1 && current.Duty.Holder == holder.Holder && current.Duty.Life == holder.Life {
 			// The answer to an earlier try was lost.
 			*done = true
 			return current, VerdictKeep
@@ -85,7 +85,7 @@
 			return current, VerdictKeep
 		}
 		next := current
-		next.Duty = duty
+		next.Duty = holder
 		next.Duty.Epoch = expected + 1
 		if len(next.Stores) == 0 {
 			next.Stores = first
@@ -97,10 +97,14 @@
 
 // SetStores gives the change of the store set. Only the holder of the epoch may
 // make it, and only one member at a time.
-func SetStores(duty messages.Duty, stores []messages.Member, done *bool) Change {
+func SetStores(holder messages.Duty, stores []messages.Member, done *bool) Change {
 	return func(current messages.Register) (messages.Register, Verdict) {
 		*done = false
-		if current.Duty.Epoch != duty.Epoch || current.Duty.Holder != duty.Holder || current.Duty.Life != duty.Life {
+		if current.Duty.Epoch != holder.Epoch || current.Duty.Holder != holder.Holder || current.Duty.Life != holder.Life {
+			return current, VerdictKeep
+		}
+		if joinsRetired(&current, stores) {
+			// Retired while it was brought in: nothing may be kept there alone.
 			return current, VerdictKeep
 		}
 		*done = true
@@ -113,6 +117,17 @@
 	}
 }
 
+// joinsRetired tells whether a store set names a machine that is to be emptied and was
+// not in the set before.
+func joinsRetired(current *messages.Register, stores []messages.Member) bool {
+	in := func(members []messages.Member, name string) bool {
+		return slices.ContainsFunc(members, func(member messages.Member) bool { return member.Name == name })
+	}
+	return slices.ContainsFunc(stores, func(store messages.Member) bool {
+		return slices.Contains(current.Retired, store.Name) && !in(current.Stores, store.Name)
+	})
+}
+
 func sameMembers(left, right []messages.Member) bool {
 	if len(left) != len(right) {
 		return false
