--- a/internal/control/broadcast/loops_test.go
+++ b/internal/control/broadcast/loops_test.go
@@ -55,7 +55,7 @@
 	})
 }
 
-// period is the periodic word: a controller's with controllers, anybody else's with a controller.
+// period is the periodic report: a controller's with controllers, anybody else's with a controller.
 func (here *node) period() {
 	if here.own.Role == membership.RoleController {
 		here.fleet.After(constants.RosterPeriod, here.period)
@@ -141,7 +141,7 @@
 	})
 }
 
-func (here *node) word(key string) *messages.ControllerBeat {
+func (here *node) beatFor(key string) *messages.ControllerBeat {
 	since := here.read(key).told
 	beat := &messages.ControllerBeat{From: here.view.Own(), Workers: here.registry.Digest(here.own.Life), Processes: here.view.Digest(),
 		Beaten: here.registry.BeatenSince(since), Follow: here.view.Own().Generation}
@@ -156,7 +156,7 @@
 		if key < membership.Key(here.own) && entry.AgeMs < 2*constants.RosterPeriod.Milliseconds() {
 			continue
 		}
-		here.call(entry.Address, here.word(key), constants.CallTime, func(answer transport.Writable, failed bool) {
+		here.call(entry.Address, here.beatFor(key), constants.CallTime, func(answer transport.Writable, failed bool) {
 			if !failed {
 				here.heardBeat(answer.(*messages.ControllerBeat), now)
 			}
@@ -164,17 +164,17 @@
 	}
 }
 
-func (here *node) heardBeat(word *messages.ControllerBeat, told clock.Moment) {
-	now, address := here.fleet.Now, word.From.Address
-	here.hear([]messages.Entry{word.From})
-	read := here.read(membership.Key(word.From))
+func (here *node) heardBeat(beat *messages.ControllerBeat, told clock.Moment) {
+	now, address := here.fleet.Now, beat.From.Address
+	here.hear([]messages.Entry{beat.From})
+	read := here.read(membership.Key(beat.From))
 	read.told = told
-	here.registry.Vouched(word.Beaten, now)
-	here.view.Vouched(word, now)
-	if since, ask := behind(&read.workerList, word.Workers, here.registry.Digest(here.own.Life)); ask {
+	here.registry.Vouched(beat.Beaten, now)
+	here.view.Vouched(beat, now)
+	if since, ask := behind(&read.workerList, beat.Workers, here.registry.Digest(here.own.Life)); ask {
 		here.pullWorkers(address, since)
 	}
-	if since, ask := behind(&read.processes, word.Processes, here.view.Digest()); ask {
+	if since, ask := behind(&read.processes, beat.Processes, here.view.Digest()); ask {
 		here.call(address, &messages.DirectoryPull{Since: since}, constants.CallTime, func(answer transport.Writable, failed bool) {
 			if !failed {
 				back := answer.(*messages.Shuffle)
--- a/internal/control/controller/named.go
+++ b/internal/control/controller/named.go
@@ -1,12 +1,7 @@
 package controller
 
 import (
-	"math/rand"
-
-	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/quorum"
-	"lemonarch/internal/control/register"
-	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
@@ -28,7 +23,7 @@
 	return controller.plans.localRegister, nil
 }
 
-func (controller *Controller) namedAnswerers() {
+func (controller *Controller) registerNamed() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindNamedPrepare, answer(func(question *messages.NamedPrepare) (transport.Writable, error) {
 		localRegister, err := controller.called(question.Name)
@@ -51,8 +46,11 @@
 		if err != nil {
 			return nil, err
 		}
-		// Good for its sets only: it may not have been chosen.
-		value := localRegister.Known()
+		// Good for its sets only, and only where they were seen to be in force.
+		value, seen := localRegister.Chosen()
+		if !seen {
+			return &messages.DutyChanged{}, nil
+		}
 		value.Body = nil
 		return &messages.DutyChanged{Known: true, Value: value}, nil
 	}))
@@ -66,48 +64,28 @@
 		controller.learnNamed(localRegister)
 		return
 	}
-	// Chance keeps several newcomers from proposing at once.
-	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
-		return
-	}
-	tending := controller.tending()
-	tending.Own, tending.Fresh = localRegister.Identity(), localRegister.JointFresh()
-	change := tending.Step(known)
-	if change == nil {
+	tending := controller.tending(known)
+	if !localRegister.NeedsTending(tending) {
 		return
 	}
-	if len(known.Previous) == 0 {
-		controller.learnNamed(localRegister)
-		if localRegister.Known().SetEpoch != known.SetEpoch {
-			return
-		}
-	}
-	if _, err := localRegister.Change(change); err != nil {
+	controller.stagger()
+	value, changed, err := localRegister.Tend(tending)
+	if err != nil {
 		controller.Node.Log.Warn("set not changed", "register", localRegister.Name, "why", err.Error())
+		controller.learnNamed(localRegister)
 		return
 	}
-	if len(known.Previous) == 0 {
-		if value, err := localRegister.Change(register.Settle); err == nil {
-			controller.Node.Log.Info("set changed", "register", localRegister.Name, "epoch", value.SetEpoch, "members", len(value.Acceptors))
-		}
+	if changed {
+		controller.Node.Log.Info("set changed", "register", localRegister.Name, "epoch", value.SetEpoch, "members", len(value.Acceptors))
 	}
 }
 
 // learnNamed asks other controllers for the acceptors of a named register.
 func (controller *Controller) learnNamed(localRegister *quorum.Register) {
-	runtime := controller.Node
-	addresses := map[string]bool{}
-	for _, address := range runtime.Settings.SeedAddresses(constants.PortController) {
-		addresses[address] = true
-	}
-	for _, entry := range runtime.Live(membership.RoleController) {
-		addresses[entry.Address] = true
-	}
-	delete(addresses, runtime.Own.Address)
-	for address := range addresses {
+	controller.askOthers(func(address string) {
 		back := &messages.DutyChanged{}
-		if transport.Ask(runtime.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
+		if transport.Ask(controller.Node.Wire, address, messages.KindNamedRead, &messages.NamedAsk{Name: localRegister.Name}, back, constants.CallTime) == nil {
 			localRegister.LearnSets(back.Value)
 		}
-	}
+	})
 }
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -27,44 +27,65 @@
 		controller.learnSets()
 		return
 	}
-	// Chance keeps several newcomers from proposing at once.
-	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
+	tending := controller.tending(known)
+	// Who has not heard a majority on the workers takes no place yet: it would count for
+	// what it does not know.
+	tending.Votes = tending.Votes && !controller.learning()
+	if !controller.Register.NeedsTending(tending) {
 		return
 	}
-	change := controller.tending().Step(known)
-	if change == nil {
-		return
-	}
-	if len(known.Previous) == 0 {
-		// A member may have changed since: look before asking for its place.
-		controller.learnSets()
-		if controller.Register.Known().SetEpoch != known.SetEpoch {
-			return
-		}
-	}
-	value, err := controller.Register.Change(change)
+	controller.stagger()
+	value, changed, err := controller.Register.Tend(tending)
 	if err != nil {
 		controller.Node.Log.Warn("set not changed", "why", err.Error())
+		// The members known may all be gone.
+		controller.learnSets()
 		return
 	}
-	controller.chosen(value, false)
-	if len(known.Previous) > 0 {
-		return
-	}
-	if value, err = controller.Register.Change(register.Settle); err == nil {
+	if changed {
 		controller.Node.Log.Info("set changed", "epoch", value.SetEpoch, "members", len(value.Acceptors))
 	}
 }
 
+// hears tells whether a majority of a register's sets answers this process now. One that
+// is cut off would take its own deafness for the silence of a member, and have a live one
+// replaced as soon as the cut ends.
+func (controller *Controller) hears(known messages.Register) bool {
+	members := register.Targets(&known)
+	heard := make(chan string, len(members))
+	for _, member := range members {
+		go func() {
+			if member.Address == controller.Node.Own.Address || controller.answers(member.Address) {
+				heard <- register.Identity(member)
+				return
+			}
+			heard <- ""
+		}()
+	}
+	answered := map[string]bool{}
+	for range members {
+		answered[<-heard] = true
+	}
+	return register.Quorum(&known, answered)
+}
+
+// stagger parts several newcomers that would propose at once by a short random pause; a
+// process that has just started takes its place without one.
+func (controller *Controller) stagger() {
+	if clock.Now().Since(controller.begun) > constants.HoldTime {
+		clock.Sleep(clock.Span(rand.Int63n(int64(constants.TendPeriod))))
+	}
+}
+
 // tending gathers what the decision on the set needs.
-func (controller *Controller) tending() register.Tending {
+func (controller *Controller) tending(known messages.Register) register.Tending {
 	blank := map[string]bool{}
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		blank[entry.Address] = entry.Disk == ""
 	}
-	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(), Fresh: controller.Register.JointFresh(),
+	return register.Tending{Votes: votes(controller.Node.Settings), Size: controller.setSize(),
 		Blank: func(member messages.Member) bool { return blank[member.Address] },
-		Gone:  controller.silent}
+		Gone:  func(member messages.Member) bool { return controller.silent(member) && controller.hears(known) }}
 }
 
 // votes tells whether a process takes part in the register: one without a disk
@@ -150,7 +171,7 @@
 		}
 		age, known = entry.AgeMs, true
 		if entry.Zone == controller.Node.Own.Zone {
-			patience = constants.SilentAfter
+			patience = constants.SucceedAfter
 		}
 	}
 	if known && age < patience.Milliseconds() {
@@ -158,10 +179,10 @@
 	}
 	// Who has just started knows too little of who was silent for how long.
 	up := clock.Now().Since(controller.begun)
-	if (!known && up < constants.ReplaceAfter) || up < constants.HoldTime {
+	if (!known && up < constants.SilentAfter) || up < constants.HoldTime {
 		return false
 	}
-	// The last word is its own: one that answers now is not gone.
+	// It is asked itself: one that answers now is not gone.
 	return !controller.answers(member.Address)
 }
 
