--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -117,9 +117,6 @@
 	}
 }
 
-// Learn is LearnSets.
-func (replica *Register) Learn(value messages.Register) { replica.LearnSets(value) }
-
 // learnChosen takes a value that a majority was seen to hold.
 func (replica *Register) learnChosen(value messages.Register) {
 	replica.lock.Lock()
