--- a/internal/platform/settings/settings_test.go
+++ b/internal/platform/settings/settings_test.go
@@ -46,6 +46,7 @@
 		"data-dir":                {`["edge"]`, `["storage"]`},
 		"bind-addresses.control":  {`["edge"]`, `["controller"]`},
 		"not readable as TOML":    {`zone = "z"`, `zone = `},
+		"fault-budget":            {`[tolerances]`, "[fault-budget]\nmachines = -1\n[tolerances]"},
 		"fault-budget is below 0": {`[tolerances]`, "[fault-budget]\nregions = -1\n[tolerances]"},
 	} {
 		_, err := Parse([]byte(strings.Replace(sound, change[0], change[1], 1)))
