--- a/internal/tooling/hollowfleet/ages.go
+++ b/internal/tooling/hollowfleet/ages.go
@@ -7,7 +7,7 @@
 	"lemonarch/internal/platform/constants"
 )
 
-// ages gathers how old words are, in bins of 20 ms.
+// ages gathers how old observations are, in bins of 20 ms.
 type ages struct {
 	bins  [ageBins]int64
 	never int64
@@ -28,7 +28,7 @@
 	ages.bins[min(int(age/ageBin), ageBins-1)]++
 }
 
-// Ages is how old the words are that processes go by.
+// Ages is how old the observations are that processes go by.
 type Ages struct {
 	MedianMs float64 `json:"median-ms"`
 	P95Ms    float64 `json:"p95-ms"`
--- a/internal/tooling/hollowfleet/controllers.go
+++ b/internal/tooling/hollowfleet/controllers.go
@@ -8,11 +8,11 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// beginBeats starts the word between controllers.
+// beginBeats starts the exchange between controllers.
 func (registrations *registrations) beginBeats(node *Node, own *table) {
 	members := registrations.fleet.members
 	node.answerers[messages.KindControllerBeat] = reads(node, CoreMembership, func(beat *messages.ControllerBeat) transport.Writable {
-		back := registrations.word(node, own, membership.Key(beat.From))
+		back := registrations.report(node, own, membership.Key(beat.From))
 		told := node.now()
 		node.after(0, func() { node.step(CoreMembership, func() { registrations.heardBeat(node, own, beat, told) }) })
 		return back
@@ -24,8 +24,8 @@
 	node.every(constants.RosterPeriod, func() { registrations.beatOthers(node, own) })
 }
 
-// word is what another controller is told.
-func (registrations *registrations) word(node *Node, own *table, key string) *messages.ControllerBeat {
+// report is what another controller is told.
+func (registrations *registrations) report(node *Node, own *table, key string) *messages.ControllerBeat {
 	since := clock.Moment(0)
 	if one := own.peers[key]; one != nil {
 		since = one.told
@@ -61,10 +61,10 @@
 		delete(addresses, node.own.Address)
 	})
 	for _, address := range sortedKeys(addresses) {
-		var word *messages.ControllerBeat
-		node.step(CoreMembership, func() { word = registrations.word(node, own, addresses[address]) })
+		var report *messages.ControllerBeat
+		node.step(CoreMembership, func() { report = registrations.report(node, own, addresses[address]) })
 		back := &messages.ControllerBeat{}
-		node.ask(CoreMembership, address, messages.KindControllerBeat, word, back, constants.CallTime, func(reached bool) {
+		node.ask(CoreMembership, address, messages.KindControllerBeat, report, back, constants.CallTime, func(reached bool) {
 			if reached {
 				registrations.heardBeat(node, own, back, now)
 			}
@@ -72,7 +72,7 @@
 	}
 }
 
-// heardBeat takes another controller's word, and pulls what its tables have beyond ours.
+// heardBeat takes another controller's report, and pulls what its tables have beyond ours.
 func (registrations *registrations) heardBeat(node *Node, own *table, beat *messages.ControllerBeat, told clock.Moment) {
 	members, now, key := registrations.fleet.members, node.now(), membership.Key(beat.From)
 	members.heard(node, []messages.Entry{beat.From})
--- a/internal/tooling/hollowfleet/fleet.go
+++ b/internal/tooling/hollowfleet/fleet.go
@@ -27,7 +27,7 @@
 type Fleet struct {
 	Plan          Plan
 	world         *simulation.World
-	room          *transport.Room
+	network       *transport.Room
 	nodes         []*Node
 	byAddress     map[string]*Node
 	mechanisms    []Mechanism
@@ -49,10 +49,10 @@
 // New builds a fleet; progress, where not nil, is told how far long runs are.
 func New(plan Plan, progress io.Writer) *Fleet {
 	plan.Scale()
-	fleet := &Fleet{Plan: plan, world: simulation.NewWorld(plan.Seed), room: transport.NewRoom(), byAddress: map[string]*Node{},
+	fleet := &Fleet{Plan: plan, world: simulation.NewWorld(plan.Seed), network: transport.NewRoom(), byAddress: map[string]*Node{},
 		kinds: map[messages.Kind]*[ways]Traffic{}, progress: progress}
-	fleet.room.OnFrame(fleet.count)
-	fleet.room.Simulate(transport.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
+	fleet.network.OnFrame(fleet.count)
+	fleet.network.Simulate(transport.Surroundings{Clock: fleet.world, Delay: fleet.delay, Reach: fleet.reach})
 	hasController := map[int]bool{}
 	for machine := 0; machine < plan.Nodes; machine++ {
 		role := membership.RoleGateway
--- a/internal/tooling/hollowfleet/gossip.go
+++ b/internal/tooling/hollowfleet/gossip.go
@@ -17,9 +17,9 @@
 type gossip struct {
 	fleet *Fleet
 	ages  ages
-	// near are the ages of words on workers of the own zone.
+	// near are the ages of observations of workers of the own zone.
 	near ages
-	// off adds up how many requests words are off from what workers really have.
+	// off adds up how many requests observations are off from what workers really have.
 	off, offCount float64
 	// The sums of what workers really have, for its mean and spread.
 	had, hadSquares, full, hadCount float64
@@ -30,8 +30,8 @@
 // Name names it.
 func (*gossip) Name() string { return "gossip" }
 
-// circle is whom a process tells.
-type circle struct {
+// neighbours is whom a process tells.
+type neighbours struct {
 	near, far        []messages.Entry
 	zones            [][]messages.Entry
 	gossip, readings []messages.Entry
@@ -39,8 +39,8 @@
 }
 
 // zoneSize is how many placing processes a zone has.
-func (circle *circle) zoneSize() int {
-	return max(len(circle.near)+1, circle.population/(len(circle.zones)+1))
+func (neighbours *neighbours) zoneSize() int {
+	return max(len(neighbours.near)+1, neighbours.population/(len(neighbours.zones)+1))
 }
 
 // Begin starts the gossip of a process that places work.
@@ -87,11 +87,11 @@
 		packet = own.scheduler.Gossip(node.now())
 		packet.Generation = node.generation
 		view := gossip.fleet.members.view(node)
-		own.around = around(node.own, view.All("", node.now()))
-		own.around.population = view.Population(membership.RoleGateway, node.now()) + view.Population(membership.RoleStore, node.now())
-		told = append([]messages.Entry(nil), own.around.gossip...)
+		own.neighbours = neighboursOf(node.own, view.All("", node.now()))
+		own.neighbours.population = view.Population(membership.RoleGateway, node.now()) + view.Population(membership.RoleStore, node.now())
+		told = append([]messages.Entry(nil), own.neighbours.gossip...)
 		// Each zone tells each other about once a period, however many it has.
-		if zones := own.around.zones; len(zones) > 0 && node.random.Float64() < float64(len(zones))/float64(own.around.zoneSize()) {
+		if zones := own.neighbours.zones; len(zones) > 0 && node.random.Float64() < float64(len(zones))/float64(own.neighbours.zoneSize()) {
 			there := zones[node.random.Intn(len(zones))]
 			told = append(told, there[node.random.Intn(len(there))])
 		}
@@ -99,9 +99,9 @@
 	node.tell(told, CoreGossip, messages.KindGossip, packet)
 }
 
-// around finds whom a process tells, as loadgossip does.
-func around(own messages.Entry, known []messages.Entry) circle {
-	found := circle{}
+// neighboursOf finds whom a process tells, as loadgossip does.
+func neighboursOf(own messages.Entry, known []messages.Entry) neighbours {
+	found := neighbours{}
 	for _, entry := range known {
 		switch {
 		case entry.Role != membership.RoleGateway && entry.Role != membership.RoleStore,
@@ -131,7 +131,7 @@
 	return found
 }
 
-// sample looks now and then at how old the word is that processes have of workers, and
+// sample looks now and then at how old the observation is that processes have of workers, and
 // how far it is from what these really have.
 func (gossip *gossip) sample() {
 	now := gossip.fleet.world.Now
--- a/internal/tooling/hollowfleet/members.go
+++ b/internal/tooling/hollowfleet/members.go
@@ -8,7 +8,7 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// memberList drives membership as node does: a periodic word with a controller, and now
+// memberList drives membership as node does: a periodic exchange with a controller, and now
 // and then with a neighbour.
 type memberList struct{ fleet *Fleet }
 
@@ -42,7 +42,7 @@
 // Drop lets go of the view.
 func (members *memberList) Drop(node *Node) { node.state[0] = nil }
 
-// meet asks the seeds until a controller is known, then goes over to the periodic word.
+// meet asks the seeds until a controller is known, then goes over to the periodic exchange.
 func (members *memberList) meet(node *Node, own *seat, round int) {
 	const meetings = 10
 	node.after(clock.Span(node.random.Int63n(int64(constants.StartPause))), func() {
@@ -64,7 +64,7 @@
 	})
 }
 
-// exchange is the periodic word with a controller, or with others where none answers.
+// exchange is the periodic exchange with a controller, or with others where none answers.
 func (members *memberList) exchange(node *Node, own *seat) {
 	const tries = 3
 	own.rounds++
@@ -150,7 +150,7 @@
 	members.fleet.configuration.saw(node, newest)
 }
 
-// touched notes direct word from a process.
+// touched notes direct contact with a process.
 func (members *memberList) touched(node *Node, key string) {
 	members.view(node).Touched(key, node.now())
 }
--- a/internal/tooling/hollowfleet/node.go
+++ b/internal/tooling/hollowfleet/node.go
@@ -23,7 +23,7 @@
 	region    int
 	down      bool
 	life      int
-	twin      *transport.Twin
+	wire      *transport.Twin
 	random    *rand.Rand
 	answerers map[messages.Kind]answerer
 	costs     [cores]Cost
@@ -58,11 +58,11 @@
 	node.generation = 0
 	node.answerers = map[messages.Kind]answerer{}
 	node.state = make([]any, len(node.fleet.mechanisms))
-	node.twin = node.fleet.room.Transport(node.own.Address)
+	node.wire = node.fleet.network.Transport(node.own.Address)
 	for place, mechanism := range node.fleet.mechanisms {
 		node.state[place] = mechanism.Begin(node)
 	}
-	_ = node.twin.ServeLater(func(kind messages.Kind, body []byte, reply func([]byte, error)) {
+	_ = node.wire.ServeLater(func(kind messages.Kind, body []byte, reply func([]byte, error)) {
 		one := node.answerers[kind]
 		if one == nil {
 			reply(nil, nil)
@@ -81,11 +81,11 @@
 	})
 }
 
-// end stops the process without a word; the machine is silent from now on.
+// end stops the process silently; the machine is silent from now on.
 func (node *Node) end() {
 	node.down = true
 	node.life++
-	node.twin.Close()
+	node.wire.Close()
 	node.state = nil
 }
 
@@ -118,7 +118,7 @@
 // post sends a call; then may be nil, and is run only in this life.
 func (node *Node) post(address string, kind messages.Kind, body []byte, span clock.Span, then func([]byte, error)) {
 	life := node.life
-	node.twin.Post(address, kind, body, span, func(answer []byte, err error) {
+	node.wire.Post(address, kind, body, span, func(answer []byte, err error) {
 		if then != nil && node.life == life {
 			then(answer, err)
 		}
@@ -145,7 +145,7 @@
 	var body []byte
 	node.step(core, func() { body, _ = message.MarshalMsg(nil) })
 	for _, entry := range entries {
-		node.twin.PostTell(entry.Address, kind, body)
+		node.wire.PostTell(entry.Address, kind, body)
 	}
 }
 
--- a/internal/tooling/hollowfleet/readings.go
+++ b/internal/tooling/hollowfleet/readings.go
@@ -6,26 +6,26 @@
 )
 
 // spreadReading tells of a long prompt as loadgossip does: in the worker's zone those who
-// draw it, and one process there where that is another zone; first is false for a word
+// draw it, and one process there where that is another zone; first is false for a notice
 // that came from there.
 func (gossip *gossip) spreadReading(node *Node, own *placing, told *messages.ReadingTold, first bool) {
 	zone := own.scheduler.ZoneOf(told.Worker)
 	if zone == node.own.Zone {
-		drawn, part := own.scheduler.DrawnBy(told.Worker, own.around.near)
+		drawn, part := own.scheduler.DrawnBy(told.Worker, own.neighbours.near)
 		if !part {
-			drawn = own.around.readings
+			drawn = own.neighbours.readings
 		}
 		node.tell(drawn[:min(len(drawn), constants.ReadingFanout)], CoreReadings, messages.KindReading, told)
 		return
 	}
 	if _, part := own.scheduler.DrawnBy(told.Worker, nil); !part {
-		node.tell(own.around.readings, CoreReadings, messages.KindReading, told)
+		node.tell(own.neighbours.readings, CoreReadings, messages.KindReading, told)
 		return
 	}
 	if !first {
 		return
 	}
-	for _, there := range own.around.zones {
+	for _, there := range own.neighbours.zones {
 		if there[0].Zone == zone {
 			further := *told
 			further.Pass = true
--- a/internal/tooling/hollowfleet/result.go
+++ b/internal/tooling/hollowfleet/result.go
@@ -21,7 +21,7 @@
 	Acknowledged map[string]Times `json:"acknowledged"`
 	Refused      map[string]int   `json:"refused"`
 	Weights      Ages             `json:"age-of-weights"`
-	// Near are the ages of words on workers of the own zone alone.
+	// Near are the ages of observations of workers of the own zone alone.
 	Near Ages `json:"age-of-weights-in-zone"`
 	// Loads is what workers really had, and how far that is from what is believed;
 	// Turned is the part of requests that found no room.
--- a/internal/tooling/hollowfleet/tree.go
+++ b/internal/tooling/hollowfleet/tree.go
@@ -11,15 +11,15 @@
 	"lemonarch/internal/platform/transport"
 )
 
-// response is a word on its way down the tree.
-type response struct {
+// propagation is an update on its way down the tree.
+type propagation struct {
 	begun clock.Moment
 	job   *broadcast.Job
 	// waiting are those told once it is done.
 	waiting []func()
 }
 
-func (one *response) settle() {
+func (one *propagation) settle() {
 	if one.job.Done() {
 		for _, done := range one.waiting {
 			done()
@@ -51,34 +51,34 @@
 	return found
 }
 
-func fan(word *messages.Relay) int {
-	if word.Generation > 0 {
+func fan(update *messages.Relay) int {
+	if update.Generation > 0 {
 		return 2 * constants.BodyFan
 	}
 	return 0
 }
 
 // spread tells all processes down the tree; done is told when all in touch have taken
-// the word, or after the span.
-func (registrations *registrations) spread(node *Node, core Core, word *messages.Relay, span clock.Span, done func()) {
+// the update, or after the span.
+func (registrations *registrations) spread(node *Node, core Core, update *messages.Relay, span clock.Span, done func()) {
 	registrations.number++
-	word.From, word.Number = membership.Key(node.own), registrations.number
-	one := &response{begun: node.now()}
+	update.From, update.Number = membership.Key(node.own), registrations.number
+	one := &propagation{begun: node.now()}
 	var sends []broadcast.Send
-	directory := registrations.directory(node, word.Generation)
-	node.step(core, func() { one.job, sends = broadcast.Fleet(node.own, directory, fan(word), node.now()) })
+	directory := registrations.directory(node, update.Generation)
+	node.step(core, func() { one.job, sends = broadcast.Fleet(node.own, directory, fan(update), node.now()) })
 	told := onceOf(done)
 	one.waiting = append(one.waiting, told)
 	node.after(span, told)
-	registrations.deliver(node, core, word, one, sends)
+	registrations.deliver(node, core, update, one, sends)
 }
 
 // deliver makes the calls that a job asks for, until it is done or too late.
-func (registrations *registrations) deliver(node *Node, core Core, word *messages.Relay, one *response, sends []broadcast.Send) {
+func (registrations *registrations) deliver(node *Node, core Core, update *messages.Relay, one *propagation, sends []broadcast.Send) {
 	var follow func(sends []broadcast.Send)
 	follow = func(sends []broadcast.Send) {
 		for _, send := range sends {
-			registrations.send(node, core, word, send, func(missing []uint32, reached bool) {
+			registrations.send(node, core, update, send, func(missing []uint32, reached bool) {
 				if reached {
 					follow(one.job.Took(send, missing, node.now()))
 				} else {
@@ -100,30 +100,30 @@
 }
 
 // send makes one call of a job.
-func (registrations *registrations) send(node *Node, core Core, word *messages.Relay, send broadcast.Send, then func([]uint32, bool)) {
+func (registrations *registrations) send(node *Node, core Core, update *messages.Relay, send broadcast.Send, then func([]uint32, bool)) {
 	plain := func(reached bool) { then(nil, reached) }
 	switch {
 	case send.Step == broadcast.StepRelay:
-		part := *word
+		part := *update
 		part.Expect = send.Expect
 		node.ask(core, send.Address, messages.KindRelay, &part, &messages.Nothing{}, constants.CallTime, plain)
 	case send.Step == broadcast.StepWait:
 		back := &messages.RelayDone{}
-		node.ask(core, send.Address, messages.KindRelayWait, &messages.RelayWait{From: word.From, Number: word.Number}, back, constants.CallTime,
+		node.ask(core, send.Address, messages.KindRelayWait, &messages.RelayWait{From: update.From, Number: update.Number}, back, constants.CallTime,
 			func(reached bool) { then(back.Missing, reached && back.Known) })
-	case word.Generation > 0:
-		push := &messages.ConfigPush{Generation: word.Generation, Body: word.Body, Pass: send.Pass}
+	case update.Generation > 0:
+		push := &messages.ConfigPush{Generation: update.Generation, Body: update.Body, Pass: send.Pass}
 		node.ask(core, send.Address, messages.KindConfigPush, push, &messages.Nothing{}, constants.CallTime, plain)
 	default:
-		push := &messages.RosterPush{From: membership.Key(node.own), Workers: word.Workers}
+		push := &messages.RosterPush{From: membership.Key(node.own), Workers: update.Workers}
 		node.ask(core, send.Address, messages.KindRosterPush, push, &messages.Nothing{}, constants.CallTime, plain)
 	}
 }
 
 func relayKey(from string, number uint64) string { return from + "#" + strconv.FormatUint(number, 10) }
 
-func coreOf(word *messages.Relay) Core {
-	if word.Generation > 0 {
+func coreOf(update *messages.Relay) Core {
+	if update.Generation > 0 {
 		return CoreConfig
 	}
 	return CoreWorkers
@@ -131,24 +131,24 @@
 
 // beginRelays lets a controller tell its zone on behalf of another.
 func (registrations *registrations) beginRelays(node *Node, own *table) {
-	node.answerers[messages.KindRelay] = reads(node, CoreWorkers, func(word *messages.Relay) transport.Writable {
-		registrations.merge(node, own, word.Workers)
-		registrations.fleet.configuration.take(node, word.Generation, word.Body)
-		expect := word.Expect[:0:0]
+	node.answerers[messages.KindRelay] = reads(node, CoreWorkers, func(update *messages.Relay) transport.Writable {
+		registrations.merge(node, own, update.Workers)
+		registrations.fleet.configuration.take(node, update.Generation, update.Body)
+		expect := update.Expect[:0:0]
 		has := map[uint32]bool{}
 		for _, entry := range registrations.directory(node, 0) {
-			has[membership.MarkOf(entry)] = word.Generation > 0 && entry.Generation >= word.Generation
+			has[membership.MarkOf(entry)] = update.Generation > 0 && entry.Generation >= update.Generation
 		}
-		for _, mark := range word.Expect {
+		for _, mark := range update.Expect {
 			if !has[mark] {
 				expect = append(expect, mark)
 			}
 		}
-		one := &response{begun: node.now()}
+		one := &propagation{begun: node.now()}
 		var sends []broadcast.Send
-		one.job, sends = broadcast.Zone(node.own, registrations.directory(node, word.Generation), expect, fan(word), node.now())
-		own.relays[relayKey(word.From, word.Number)] = one
-		node.after(0, func() { registrations.deliver(node, coreOf(word), word, one, sends) })
+		one.job, sends = broadcast.Zone(node.own, registrations.directory(node, update.Generation), expect, fan(update), node.now())
+		own.relays[relayKey(update.From, update.Number)] = one
+		node.after(0, func() { registrations.deliver(node, coreOf(update), update, one, sends) })
 		return taken()
 	})
 	node.answerers[messages.KindRelayWait] = func(body []byte, reply func(transport.Writable)) {
--- a/internal/tooling/hollowfleet/workers.go
+++ b/internal/tooling/hollowfleet/workers.go
@@ -27,15 +27,15 @@
 type placing struct {
 	scheduler *admission.Scheduler
 	read      map[string]messages.Digest
-	// around is whom it tells, running how many requests of it are under way.
-	around circle
+	// neighbours is whom it tells.
+	neighbours neighbours
 }
 
 // table is what a controller keeps.
 type table struct {
 	registry *workers.Registry
 	peers    map[string]*peer
-	relays   map[string]*response
+	relays   map[string]*propagation
 }
 
 // peer is what a controller remembers of another one.
@@ -87,7 +87,7 @@
 		node.after(constants.StartPause, func() { registrations.pullFirst(node, own) })
 		return own
 	}
-	own := &table{registry: workers.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*response{}}
+	own := &table{registry: workers.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*propagation{}}
 	node.answerers[messages.KindRosterPush] = reads(node, CoreWorkers, func(push *messages.RosterPush) transport.Writable {
 		registrations.merge(node, own, push.Workers)
 		registrations.fleet.members.touched(node, push.From)
@@ -163,7 +163,7 @@
 	return read.Clock, told.Clock > read.Clock
 }
 
-// addWorkers adds the word on workers to a controller's answer.
+// addWorkers adds what is known of workers to a controller's answer.
 func (registrations *registrations) addWorkers(node *Node, answer *messages.Shuffle) {
 	own := registrations.table(node)
 	node.step(CoreWorkers, func() {
