--- a/internal/tooling/lab/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -79,7 +79,7 @@
 	for _, role := range []string{"gateway", "controller", "store"} {
 		path := filepath.Join(plan.Programs, role)
 		if state, err := os.Stat(path); err != nil || state.IsDir() || state.Mode()&0o111 == 0 {
-			return Unfit.New("no program " + path + "; build them: go build -ldflags=-linkmode=external -o target/ ./cmd/...")
+			return Unfit.New("no program " + path + "; build them: go build -buildvcs=false -ldflags=-linkmode=external -o target/ ./cmd/...")
 		}
 	}
 	return nil
