A set of acceptors that was never chosen is not passed on, and is mended

The end of a joint set, accepted by a minority and then overwritten by the joint set at a higher ballot, stayed "known" everywhere and was told on: nobody saw a reason to end the joint set again, joins were turned away as "one change at a time", and no acknowledgement came any more.

Change: known sets are those that a majority was seen to hold, or were told by one that saw it; sets met on the way serve the next attempt only. Register.Tend reads the value in force before it proposes a step, also where its acceptor holds a newer set than is known; it ends its own joint set, and a join that meets a joint set ends that first.

--- a/internal/control/quorum/propose.go
+++ b/internal/control/quorum/propose.go
@@ -53,6 +53,7 @@
 		return messages.Register{}, register.NoMajority.New("earlier changes took too long")
 	}
 	unclear, preempted := false, false
+	known := replica.Known()
 	took := clock.Span(0)
 	for lost := 0; clock.Now() < end; {
 		if lost > 0 {
@@ -66,12 +67,11 @@
 			}
 		}
 		begun := clock.Now()
-		proposal := replica.attempt(change, end)
+		proposal := replica.attempt(known, change, end)
 		took = clock.Now().Since(begun)
 		if proposal.Stage() == register.StageDone {
-			replica.lock.Lock()
-			replica.learn(proposal.Value())
-			replica.lock.Unlock()
+			replica.learnChosen(proposal.Value())
+			known = proposal.Value()
 			if proposal.Unfinished() {
 				continue
 			}
@@ -82,10 +82,11 @@
 		unclear = unclear || proposal.Sent()
 		replica.lock.Lock()
 		replica.counter = max(replica.counter, proposal.Highest().Counter)
+		replica.lock.Unlock()
 		if newer := proposal.Newer(); newer != nil {
-			replica.learn(*newer)
+			// Perhaps never chosen: good for the next attempt only.
+			known = *newer
 		}
-		replica.lock.Unlock()
 	}
 	if unclear {
 		return messages.Register{}, register.Unclear.New("no second majority in time")
@@ -104,12 +105,11 @@
 }
 
 // attempt takes one proposal through its rounds.
-func (replica *Register) attempt(change register.Change, end clock.Moment) *register.Proposal {
+func (replica *Register) attempt(known messages.Register, change register.Change, end clock.Moment) *register.Proposal {
 	replica.lock.Lock()
 	replica.counter++
 	own := replica.Runtime.Own
 	ballot := register.NewBallot(replica.counter, own.Name, own.Disk, own.Life)
-	known := replica.known
 	replica.lock.Unlock()
 	proposal, sends := register.Begin(ballot, known, change)
 	responses := make(chan response, 4*(len(sends)+2))
--- a/internal/control/quorum/quorum.go
+++ b/internal/control/quorum/quorum.go
@@ -49,10 +49,15 @@
 	lock    sync.Mutex
 	durable messages.AcceptorRecord
 	grants  *lease.Grants
-	known   messages.Register
-	// knownSince is when the set of the known value was first met.
-	knownSince clock.Moment
-	counter    uint64
+	// known is the newest value known here, good for its sets; chosen says that this
+	// process saw a majority hold it. One that was only accepted somewhere may have
+	// lost, and must not be passed on.
+	known  messages.Register
+	chosen bool
+	// newestEpoch is the newest set known so far, and newestSince when it was met.
+	newestEpoch uint64
+	newestSince clock.Moment
+	counter     uint64
 
 	archive *archive
 	// turn holds one token: two proposals from here would only duel.
@@ -94,31 +99,50 @@
 	// Only a first start with all others new as well may grant leases at once.
 	replica.grants = lease.NewGrants(clock.Now(), fresh && len(first) > 0)
 	replica.known = replica.acceptor.Value()
+	// Nothing else than the first set can be in force where nothing was accepted yet.
+	replica.chosen = fresh && len(first) > 0
 	replica.counter = max(state.Promised.Counter, state.Accepted.Counter)
 	return replica, nil
 }
 
-// Learn takes sets told from elsewhere.
-func (replica *Register) Learn(value messages.Register) {
+// LearnSets takes the sets that another process told of.
+func (replica *Register) LearnSets(value messages.Register) {
 	replica.lock.Lock()
 	defer replica.lock.Unlock()
-	if value.SetEpoch > replica.known.SetEpoch || len(replica.known.Acceptors) == 0 {
-		replica.learn(value)
+	if len(value.Acceptors) == 0 {
+		return
+	}
+	if len(replica.known.Acceptors) == 0 || value.SetEpoch > replica.known.SetEpoch {
+		replica.know(value, false)
 	}
 }
 
-// LearnSets takes the sets of a value that came without its body.
-func (replica *Register) LearnSets(value messages.Register) { replica.Learn(value) }
+// Learn is LearnSets.
+func (replica *Register) Learn(value messages.Register) { replica.LearnSets(value) }
 
-// learn keeps the newest sets known. The lock is held.
-func (replica *Register) learn(value messages.Register) {
-	if value.SetEpoch < replica.known.SetEpoch || len(value.Acceptors) == 0 {
-		return
+// learnChosen takes a value that a majority was seen to hold.
+func (replica *Register) learnChosen(value messages.Register) {
+	replica.lock.Lock()
+	defer replica.lock.Unlock()
+	if !replica.chosen || value.SetEpoch >= replica.known.SetEpoch {
+		replica.know(value, true)
 	}
-	if value.SetEpoch > replica.known.SetEpoch {
-		replica.knownSince = clock.Now()
+}
+
+// know takes a value's sets. The lock is held.
+func (replica *Register) know(value messages.Register, chosen bool) {
+	if value.SetEpoch > replica.newestEpoch {
+		replica.newestEpoch, replica.newestSince = value.SetEpoch, clock.Now()
 	}
-	replica.known = value
+	replica.known, replica.chosen = value, chosen
+}
+
+// Chosen gives the newest value known here, and whether this process saw a majority
+// hold it.
+func (replica *Register) Chosen() (value messages.Register, seen bool) {
+	replica.lock.Lock()
+	defer replica.lock.Unlock()
+	return replica.known, replica.chosen
 }
 
 // JointFresh tells whether a joint set was met a short while ago: whoever proposed it
@@ -126,7 +150,7 @@
 func (replica *Register) JointFresh() bool {
 	replica.lock.Lock()
 	defer replica.lock.Unlock()
-	return len(replica.known.Previous) > 0 && clock.Now().Since(replica.knownSince) < constants.JointTime
+	return len(replica.known.Previous) > 0 && clock.Now().Since(replica.newestSince) < constants.JointTime
 }
 
 // Known gives the newest value known here, chosen or not: good for its sets.
--- a/internal/control/quorum/read.go
+++ b/internal/control/quorum/read.go
@@ -39,7 +39,11 @@
 	for range sends {
 		select {
 		case one := <-responses:
-			if value, settled := reading.Heard(one.member, *one.promise); settled {
+			value, settled := reading.Heard(one.member, *one.promise)
+			if value != nil {
+				replica.learnChosen(*value)
+			}
+			if settled {
 				return value
 			}
 		case <-timer.C:
--- /dev/null
+++ b/internal/control/quorum/tend.go
@@ -0,0 +1,59 @@
+package quorum
+
+import (
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// Tend looks after the acceptor set: where the sets known here ask for a step, it reads
+// the value in force and proposes the step that this one asks for. It tells whether the
+// set was changed. The caller gives what it knows of other processes; Own and Fresh are
+// filled in here.
+func (replica *Register) Tend(tending register.Tending) (value messages.Register, changed bool, err error) {
+	tending.Own = replica.Identity()
+	if !replica.needsTending(tending) {
+		return messages.Register{}, false, nil
+	}
+	seen, err := replica.readCalmly()
+	if err != nil || seen == nil {
+		return messages.Register{}, false, err
+	}
+	tending.Fresh = replica.JointFresh()
+	change := tending.Step(*seen)
+	if change == nil {
+		return *seen, false, nil
+	}
+	if value, err = replica.Change(change); err != nil {
+		return value, false, err
+	}
+	if len(value.Previous) > 0 {
+		value, err = replica.Change(register.Settle)
+	}
+	return value, err == nil && value.SetEpoch != seen.SetEpoch, err
+}
+
+// needsTending tells whether there is reason to read the value in force.
+func (replica *Register) needsTending(tending register.Tending) bool {
+	accepted := replica.Record().Value
+	known, chosen := replica.Chosen()
+	// What this acceptor accepted may be a change of the set that was left half done.
+	return !chosen || accepted.SetEpoch > known.SetEpoch || tending.Step(known) != nil
+}
+
+// readCalmly reads without a ballot where it can. Where it can't, a change may be under
+// way: only some of those who ask propose, and the others try again later.
+func (replica *Register) readCalmly() (*messages.Register, error) {
+	if value := replica.quickRead(true); value != nil {
+		return value, nil
+	}
+	if clock.Draw() >= constants.TendChance {
+		return nil, nil
+	}
+	value, err := replica.Change(register.Look)
+	if err != nil {
+		return nil, err
+	}
+	return &value, nil
+}
--- a/internal/control/quorum/vote.go
+++ b/internal/control/quorum/vote.go
@@ -81,9 +81,6 @@
 	if err := replica.keep(before); err != nil {
 		return answer, false, err
 	}
-	replica.lock.Lock()
-	replica.learn(question.Value)
-	replica.lock.Unlock()
 	return answer, true, nil
 }
 
--- a/internal/control/register/drive_test.go
+++ b/internal/control/register/drive_test.go
@@ -17,6 +17,7 @@
 	from     string
 	node     *controller
 	life     int64
+	known    messages.Register
 	change   register.Change
 	proposal *register.Proposal
 	over     bool
@@ -26,10 +27,14 @@
 // change drives one change from a node; ended is called once with the outcome, or
 // never where the process dies.
 func (one *fleet) change(from string, change register.Change, tries int, ended func(value messages.Register, done bool)) {
-	one.propose(from, change, tries, 0, ended)
+	if node := one.controllers[from]; node != nil {
+		one.propose(from, node.known, change, tries, 0, ended)
+		return
+	}
+	ended(messages.Register{}, false)
 }
 
-func (one *fleet) propose(from string, change register.Change, tries, lost int, ended func(value messages.Register, done bool)) {
+func (one *fleet) propose(from string, known messages.Register, change register.Change, tries, lost int, ended func(value messages.Register, done bool)) {
 	node := one.controllers[from]
 	if node == nil || node.down || tries == 0 {
 		ended(messages.Register{}, false)
@@ -38,9 +43,9 @@
 	node.counter++
 	one.attempts++
 	ballot := register.NewBallot(node.counter, from, node.member.Disk, node.life)
-	proposal, sends := register.Begin(ballot, node.known, change)
-	attempt := &try{fleet: one, from: from, node: node, life: node.life, change: change, proposal: proposal, begun: one.world.Now}
-	again := func() { one.propose(from, change, tries-1, lost+1, ended) }
+	proposal, sends := register.Begin(ballot, known, change)
+	attempt := &try{fleet: one, from: from, node: node, life: node.life, known: known, change: change, proposal: proposal, begun: one.world.Now}
+	again := func() { one.propose(from, known, change, tries-1, lost+1, ended) }
 	attempt.send(sends, func() { attempt.finish(tries, lost, ended) })
 	one.world.After(clock.Milliseconds(attemptTime), func() {
 		if !attempt.over && !attempt.dead() {
@@ -62,20 +67,21 @@
 	switch proposal.Stage() {
 	case register.StageDone:
 		attempt.over = true
-		node.known = proposal.Value()
+		node.learnChosen(proposal.Value())
 		if attempt.chosen != nil {
 			attempt.chosen(proposal.Value())
 		}
 		if proposal.Unfinished() {
-			attempt.propose(attempt.from, attempt.change, tries-1, lost, ended)
+			attempt.propose(attempt.from, proposal.Value(), attempt.change, tries-1, lost, ended)
 			return
 		}
 		ended(proposal.Value(), true)
 	case register.StageLost:
 		attempt.over = true
 		node.counter = max(node.counter, proposal.Highest().Counter)
+		known := attempt.known
 		if newer := proposal.Newer(); newer != nil {
-			node.known = *newer
+			known = *newer
 		}
 		attempt.world.After(register.Backoff(lost+1, attempt.world.Now.Since(attempt.begun), attempt.world.Random.Float64()), func() {
 			if attempt.dead() {
@@ -86,7 +92,7 @@
 					ended(value, true)
 					return
 				}
-				attempt.propose(attempt.from, attempt.change, tries-1, lost+1, ended)
+				attempt.propose(attempt.from, known, attempt.change, tries-1, lost+1, ended)
 			})
 		})
 	}
@@ -144,6 +150,7 @@
 			ended(messages.Register{}, false)
 			return
 		}
+		node.learnChosen(*value)
 		if one.chosen != nil {
 			one.chosen(*value)
 		}
@@ -167,6 +174,13 @@
 	one.world.After(clock.Milliseconds(attemptTime), func() { end(nil) })
 }
 
+// learnChosen takes a value that a majority was seen to hold.
+func (node *controller) learnChosen(value messages.Register) {
+	if !node.chosen || value.SetEpoch >= node.known.SetEpoch {
+		node.known, node.chosen = value, true
+	}
+}
+
 // answer sends an answer once the disk behind it has synced, in order. What was not
 // synced when the process ends is lost.
 func (one *fleet) answer(node *controller, to string, function func()) {
--- a/internal/control/register/register_test.go
+++ b/internal/control/register/register_test.go
@@ -19,6 +19,8 @@
 	counter uint64
 	life    int64
 	known   messages.Register
+	// chosen says that a majority was seen to hold what is known.
+	chosen bool
 	// archive is what is known of versions taken long ago, and file what of it is
 	// on disk. syncing is when the disk is done with what it was given.
 	archive register.Archive
@@ -54,7 +56,7 @@
 	}
 	for _, member := range first {
 		record := messages.AcceptorRecord{Disk: member.Disk, First: first}
-		one.controllers[member.Address] = &controller{member: member, disk: record, live: register.NewAcceptor(record), known: messages.Register{Acceptors: first}}
+		one.controllers[member.Address] = &controller{member: member, disk: record, live: register.NewAcceptor(record), known: messages.Register{Acceptors: first}, chosen: true}
 	}
 	return one
 }
@@ -64,7 +66,7 @@
 	first := one.controllers["a"].disk.First
 	record := messages.AcceptorRecord{Disk: name, First: first}
 	member := messages.Member{Name: name, Address: name, Disk: name}
-	one.controllers[name] = &controller{member: member, disk: record, live: register.NewAcceptor(record), known: messages.Register{Acceptors: first}}
+	one.controllers[name] = &controller{member: member, disk: record, live: register.NewAcceptor(record), known: messages.Register{Acceptors: first}, chosen: true}
 }
 
 // wipe gives a machine an empty disk and a new identity.
@@ -83,7 +85,7 @@
 	// A new life knows what its disk says, and nothing of what it proposed.
 	node.counter = 0
 	node.life++
-	node.known = node.live.Value()
+	node.known, node.chosen = node.live.Value(), false
 	node.syncing = one.world.Now
 	node.archive = register.Archive{}
 	for _, chunk := range node.file {
--- a/internal/control/register/set.go
+++ b/internal/control/register/set.go
@@ -10,8 +10,9 @@
 func Join(newcomer messages.Member, out *messages.Member, size int) Change {
 	return func(current messages.Register) (messages.Register, Verdict) {
 		if len(current.Previous) > 0 {
-			// One change at a time.
-			return current, VerdictKeep
+			// One change at a time: that of another is ended first. The proposer may
+			// know of none, where it knows an end that was never chosen.
+			return Settle(current)
 		}
 		if out == nil && len(current.Acceptors) >= size {
 			return current, VerdictKeep
--- a/internal/platform/constants/register.go
+++ b/internal/platform/constants/register.go
@@ -29,6 +29,9 @@
 	// JointTime is for how long the newcomer alone ends a joint set of acceptors
 	// (ours): two rounds on slow disks and one lost message.
 	JointTime = 1500 * time.Millisecond
+	// TendChance is the chance that a process which looks after the set of acceptors
+	// proposes where a read is not clear (ours): a change may be under way.
+	TendChance = 0.25
 	// BackoffDoublings is how often the random part of a proposer's pause doubles, and
 	// BackoffLongest bounds it (ours): eight proposers at once all have an answer
 	// within RegisterTime on disks that take up to 60 ms for each sync.
