--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -14,6 +14,7 @@
 type Grants struct {
 	holder  string
 	life    int64
+	turn    uint64
 	until   clock.Moment
 	silence clock.Moment
 }
@@ -32,7 +33,7 @@
 func (grants *Grants) Ask(question messages.HoldAsk, duty messages.Duty, now clock.Moment) messages.HoldAnswer {
 	answer := messages.HoldAnswer{Epoch: duty.Epoch}
 	if question.Release {
-		grants.Release(question.Candidate, question.Life)
+		grants.Release(question.Candidate, question.Life, question.Turn)
 		answer.Granted = true
 		return answer
 	}
@@ -51,15 +52,20 @@
 		answer.WaitMs = max(grants.until.Since(now), grants.silence.Since(now)).Milliseconds() + 1
 		return answer
 	}
+	if grants.holder != question.Candidate || grants.life != question.Life {
+		grants.turn = 0
+	}
 	grants.holder, grants.life = question.Candidate, question.Life
+	grants.turn = max(grants.turn, question.Turn)
 	grants.until = now.Plus(constants.HoldTime)
 	answer.Granted = true
 	return answer
 }
 
-// Release ends a hold early, when its holder leaves in order.
-func (grants *Grants) Release(holder string, life int64) {
-	if grants.holder == holder && grants.life == life {
+// Release ends a hold early, when its holder leaves in order. One that was sent before
+// the newest question granted came too late.
+func (grants *Grants) Release(holder string, life int64, turn uint64) {
+	if grants.holder == holder && grants.life == life && turn >= grants.turn {
 		grants.until = 0
 	}
 }
--- a/internal/control/register/proposal.go
+++ b/internal/control/register/proposal.go
@@ -115,7 +115,12 @@
 		}
 	}
 	if !found {
-		current = messages.Register{Acceptors: proposal.known.Acceptors}
+		initial, possible := beforeAnyValue(&proposal.known)
+		if !possible {
+			proposal.stage = StageLost
+			return nil
+		}
+		current = initial
 	}
 	next, verdict := proposal.change(current)
 	if verdict == VerdictKeep {
@@ -136,6 +141,21 @@
 	return sends
 }
 
+// beforeAnyValue gives the register as it is where a quorum holds no value: the first
+// set. The sets known may be those of a joint that was accepted somewhere and never
+// chosen; its new half counts for nothing then. Sets of a later epoch are built on a
+// chosen value, which a quorum of them can't miss.
+func beforeAnyValue(known *messages.Register) (initial messages.Register, possible bool) {
+	switch {
+	case known.SetEpoch == 0:
+		return messages.Register{Acceptors: known.Acceptors}, true
+	case known.SetEpoch == 1 && len(known.Previous) > 0:
+		return messages.Register{Acceptors: known.Previous}, true
+	default:
+		return messages.Register{}, false
+	}
+}
+
 // endsJoint tells whether a change lets go of the set before.
 func endsJoint(current, next *messages.Register) bool {
 	return len(current.Previous) > 0 && next.SetEpoch != current.SetEpoch
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -98,6 +98,10 @@
 		if current.Duty.Epoch != duty.Epoch || current.Duty.Holder != duty.Holder || current.Duty.Life != duty.Life {
 			return current, VerdictKeep
 		}
+		if joinsRetired(&current, stores) {
+			// Retired while it was brought in: nothing may be kept there alone.
+			return current, VerdictKeep
+		}
 		*done = true
 		if sameMembers(current.Stores, stores) {
 			return current, VerdictKeep
@@ -108,6 +112,17 @@
 	}
 }
 
+// joinsRetired tells whether a store set names a machine that is to be emptied and was
+// not in the set before.
+func joinsRetired(current *messages.Register, stores []messages.Member) bool {
+	in := func(members []messages.Member, name string) bool {
+		return slices.ContainsFunc(members, func(member messages.Member) bool { return member.Name == name })
+	}
+	return slices.ContainsFunc(stores, func(store messages.Member) bool {
+		return slices.Contains(current.Retired, store.Name) && !in(current.Stores, store.Name)
+	})
+}
+
 func sameMembers(left, right []messages.Member) bool {
 	if len(left) != len(right) {
 		return false
--- /dev/null
+++ b/internal/control/register/stores_test.go
@@ -0,0 +1,63 @@
+package register_test
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
+)
+
+// Orders that retire stores come through several controllers, each with its own view of
+// who is alive, among changes of the store set by the holder: as long as the views name
+// only machines that are alive, enough of them that are not retired remain, whatever
+// the order of the changes, and a retired machine is never brought into the set.
+func TestRetirementsLeaveEnoughStores(test *testing.T) {
+	rapid.Check(test, func(test *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e", "f"}
+		least := rapid.IntRange(1, 5).Draw(test, "least")
+		lease := messages.Duty{Holder: "a", Epoch: 1}
+		value := messages.Register{Duty: lease}
+		take := func(change register.Change) {
+			if next, verdict := change(value); verdict == register.VerdictWrite {
+				value = next
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(test, "orders") {
+			if rapid.Bool().Draw(test, "set") {
+				var stores []messages.Member
+				for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 6, rapid.ID[string]).Draw(test, "stores") {
+					stores = append(stores, messages.Member{Name: name})
+				}
+				before, done := value, false
+				take(register.SetStores(lease, stores, &done))
+				for _, store := range value.Stores {
+					old := slices.ContainsFunc(before.Stores, func(member messages.Member) bool { return member.Name == store.Name })
+					if !old && slices.Contains(before.Retired, store.Name) {
+						test.Fatalf("%s was brought in while it is retired", store.Name)
+					}
+				}
+				continue
+			}
+			var result register.Result
+			serving := rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID[string]).Draw(test, "serving")
+			name := rapid.SampledFrom(names).Draw(test, "name")
+			before := value
+			take(register.RetireStore(name, serving, least, &result))
+			remain := 0
+			for _, other := range names {
+				if !slices.Contains(value.Retired, other) {
+					remain++
+				}
+			}
+			if len(value.Retired) > 0 && remain < least {
+				test.Fatalf("%d remain of at least %d: %d after %v", remain, least, result, before.Retired)
+			}
+			if slices.Contains(before.Retired, name) != (result == register.ResultAlready) {
+				test.Fatalf("%s: %d, retired before: %v", name, result, before.Retired)
+			}
+		}
+	})
+}
--- a/internal/platform/messages/members.go
+++ b/internal/platform/messages/members.go
@@ -98,6 +98,9 @@
 	Epoch     uint64 `msg:"e"`
 	// Release gives back what was granted.
 	Release bool `msg:"r"`
+	// Turn counts the questions of a life: a release that comes late gives back
+	// nothing that was granted after it was sent.
+	Turn uint64 `msg:"t"`
 }
 
 // HoldAnswer grants it or says for how long it will not.
--- a/internal/platform/messages/members_gen.go
+++ b/internal/platform/messages/members_gen.go
@@ -1234,9 +1234,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HoldAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "c"
-	o = append(o, 0x84, 0xa1, 0x63)
+	o = append(o, 0x85, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Candidate)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -1247,6 +1247,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.Release)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Turn)
 	return
 }
 
@@ -1292,6 +1295,12 @@
 				err = msgp.WrapError(err, "Release")
 				return
 			}
+		case "t":
+			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Turn")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1306,7 +1315,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HoldAsk) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Candidate) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Candidate) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
