--- a/internal/control/quorum/tend.go
+++ b/internal/control/quorum/tend.go
@@ -43,8 +43,13 @@
 }
 
 // readCalmly reads without a ballot where it can. Where it can't, a change may be under
-// way: only some of those who ask propose, and the others try again later.
+// way: it looks once more a little later, and then only some of those who ask propose,
+// while the others come again.
 func (replica *Register) readCalmly() (*messages.Register, error) {
+	if value := replica.quickRead(true); value != nil {
+		return value, nil
+	}
+	clock.Sleep(constants.TendPause)
 	if value := replica.quickRead(true); value != nil {
 		return value, nil
 	}
--- a/internal/platform/constants/register.go
+++ b/internal/platform/constants/register.go
@@ -32,6 +32,9 @@
 	// TendChance is the chance that a process which looks after the set of acceptors
 	// proposes where a read is not clear (ours): a change may be under way.
 	TendChance = 0.25
+	// TendPause is the pause before it looks again (ours): the second round of a change
+	// reaches the last acceptor within it.
+	TendPause = 30 * time.Millisecond
 	// BackoffDoublings is how often the random part of a proposer's pause doubles, and
 	// BackoffLongest bounds it (ours): eight proposers at once all have an answer
 	// within RegisterTime on disks that take up to 60 ms for each sync.
