--- a/internal/control/quorum/read.go
+++ b/internal/control/quorum/read.go
@@ -26,9 +26,23 @@
 }
 
 // quickRead gives the value that a majority holds under one and the same ballot, or
-// nil where only a proposal can tell what is in force.
+// nil where only a proposal can tell what is in force. Where the sets known here are
+// old, it goes on to those that it meets.
 func (replica *Register) quickRead(slim bool) *messages.Register {
-	reading, sends := register.BeginReading(replica.Known())
+	known := replica.Known()
+	for range constants.ReadSteps {
+		value, newer := replica.readAt(known, slim)
+		if newer == nil {
+			return value
+		}
+		known = *newer
+	}
+	return nil
+}
+
+// readAt reads at the sets of a value; newer is one with newer sets that it met.
+func (replica *Register) readAt(known messages.Register, slim bool) (value, newer *messages.Register) {
+	reading, sends := register.BeginReading(known)
 	responses := make(chan response, len(sends))
 	for _, message := range sends {
 		message.Prepare.Slim = slim
@@ -44,11 +58,11 @@
 				replica.learnChosen(*value)
 			}
 			if settled {
-				return value
+				return value, reading.Newer()
 			}
 		case <-timer.C:
-			return nil
+			return nil, nil
 		}
 	}
-	return nil
+	return nil, nil
 }
--- a/internal/control/register/proposal.go
+++ b/internal/control/register/proposal.go
@@ -197,8 +197,12 @@
 	known    messages.Register
 	answers  map[string]messages.Promise
 	answered map[string]bool
+	newer    *messages.Register
 }
 
+// Newer is a value with newer sets that was met, if any: to be read at those.
+func (reading *Reading) Newer() *messages.Register { return reading.newer }
+
 // BeginReading opens a quick look.
 func BeginReading(known messages.Register) (*Reading, []Send) {
 	reading := &Reading{known: known, answers: map[string]messages.Promise{}, answered: map[string]bool{}}
@@ -213,6 +217,8 @@
 // nil where a full round has to decide.
 func (reading *Reading) Heard(member messages.Member, answer messages.Promise) (value *messages.Register, settled bool) {
 	if answer.Value.SetEpoch > reading.known.SetEpoch {
+		newer := answer.Value
+		reading.newer = &newer
 		return nil, true
 	}
 	if !answer.Granted {
--- a/internal/platform/constants/register.go
+++ b/internal/platform/constants/register.go
@@ -29,6 +29,9 @@
 	// JointTime is for how long the newcomer alone ends a joint set of acceptors
 	// (ours): two rounds on slow disks and one lost message.
 	JointTime = 1500 * time.Millisecond
+	// ReadSteps is how often a read goes on to newer sets that it meets (ours): one of
+	// them may change meanwhile.
+	ReadSteps = 4
 	// TendChance is the chance that a process which looks after the set of acceptors
 	// proposes where a read is not clear (ours): a change may be under way.
 	TendChance = 0.25
