--- a/internal/control/quorum/tend.go
+++ b/internal/control/quorum/tend.go
@@ -12,15 +12,14 @@
 // set was changed. The caller gives what it knows of other processes; Own and Fresh are
 // filled in here.
 func (replica *Register) Tend(tending register.Tending) (value messages.Register, changed bool, err error) {
-	tending.Own = replica.Identity()
-	if !replica.needsTending(tending) {
+	if !replica.NeedsTending(tending) {
 		return messages.Register{}, false, nil
 	}
 	seen, err := replica.readCalmly()
 	if err != nil || seen == nil {
 		return messages.Register{}, false, err
 	}
-	tending.Fresh = replica.JointFresh()
+	tending.Own, tending.Fresh = replica.Identity(), replica.JointFresh()
 	change := tending.Step(*seen)
 	if change == nil {
 		return *seen, false, nil
@@ -34,8 +33,10 @@
 	return value, err == nil && value.SetEpoch != seen.SetEpoch, err
 }
 
-// needsTending tells whether there is reason to read the value in force.
-func (replica *Register) needsTending(tending register.Tending) bool {
+// NeedsTending tells whether there is reason to read the value in force, and perhaps to
+// take a step.
+func (replica *Register) NeedsTending(tending register.Tending) bool {
+	tending.Own = replica.Identity()
 	accepted := replica.Record().Value
 	known, chosen := replica.Chosen()
 	// What this acceptor accepted may be a change of the set that was left half done.
