The register and its changes of members are explored exhaustively

internal/tooling/explore walks breadth first through all interleavings of a small fleet with the register's real core: two proposers, three or four acceptors, lost and doubled messages, a lost disk, a restarted proposer, a member that joins in the place of one that is not gone. Invariants: chosen values follow each other in the order of their ballots (versions and sets), what is acknowledged was chosen and what is refused was not, no ballot has two values, epochs only grow, and no proposer, whatever sets it knows, can meet a majority that knows neither a chosen value nor newer sets.

--- /dev/null
+++ b/internal/tooling/explore/explore.go
@@ -0,0 +1,193 @@
+// Package explore walks through all interleavings of a small model, breadth first,
+// so that the history behind a broken invariant is a shortest one. The models of
+// this package play the cores of the control side; they hold no time.
+package explore
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// DepthVariable names the environment variable with the depth that the tests explore
+// to, in steps, in place of the depth of CI.
+const DepthVariable = "LEMONARCH_EXPLORE_DEPTH"
+
+// Depth is how many steps deep a test explores: shallow, unless the environment says
+// otherwise.
+func Depth(shallow int) int {
+	if depth, err := strconv.Atoi(os.Getenv(DepthVariable)); err == nil && depth > 0 {
+		return depth
+	}
+	return shallow
+}
+
+// State is one state of a model. Two states with the same key have the same future.
+type State interface {
+	// Key names all that matters of the state.
+	Key() []byte
+	// Next gives every step that can follow.
+	Next() []Step
+	// Check gives the invariant that the state breaks, or nil.
+	Check() error
+}
+
+// Step is one event and the state after it.
+type Step struct {
+	Name string
+	To   State
+	// Message says that the step delivers a message.
+	Message bool
+}
+
+// Result tells what an exploration has seen.
+type Result struct {
+	// States counts the distinct states met and Steps the steps between them.
+	States, Steps int
+	// Depth is the number of steps of the longest history that was played.
+	Depth int
+	// Whole says that no step led on from the last states: nothing is left out.
+	Whole bool
+	// Broken is the invariant that was broken, and Trace the steps that led to it.
+	Broken error
+	Trace  []string
+}
+
+// String gives the figures of an exploration on one line.
+func (result Result) String() string {
+	line := fmt.Sprintf("states=%d steps=%d depth=%d whole=%v", result.States, result.Steps, result.Depth, result.Whole)
+	if result.Broken != nil {
+		line += fmt.Sprintf("\nbroken: %v after\n  %s", result.Broken, strings.Join(result.Trace, "\n  "))
+	}
+	return line
+}
+
+const (
+	// batchStates is how many states are followed side by side before their steps are
+	// taken, and workers how many goroutines do that.
+	batchStates = 4096
+	workers     = 4
+)
+
+type key [16]byte
+
+// visit is a state that was met: how it was reached, to tell its history.
+type visit struct {
+	parent int32
+	name   string
+}
+
+// walk is one exploration.
+type walk struct {
+	seen   map[key]bool
+	visits []visit
+	result Result
+}
+
+// open is a state whose steps were not followed yet.
+type open struct {
+	state State
+	place int32
+}
+
+// Run explores all histories from a state up to a depth. It stops at the first state
+// that breaks an invariant. Next is called on several states at once.
+func Run(start State, depth int) Result {
+	one := &walk{seen: map[key]bool{}}
+	level := one.meet(nil, &found{key: keyOf(start), state: start, name: "start", parent: -1, broken: start.Check()})
+	for ; len(level) > 0 && one.result.Depth < depth && one.result.Broken == nil; one.result.Depth++ {
+		level = one.follow(level)
+	}
+	one.result.States = len(one.visits)
+	one.result.Whole = len(level) == 0
+	return one.result
+}
+
+// found is a state that one step led to, before it is known to be new.
+type found struct {
+	key    key
+	state  State
+	name   string
+	parent int32
+	broken error
+}
+
+// follow gives the states one step behind those of a level. The steps of a batch are
+// worked out side by side, and taken in their order.
+func (one *walk) follow(level []open) []open {
+	var next []open
+	for len(level) > 0 && one.result.Broken == nil {
+		batch := level[:min(len(level), batchStates)]
+		level = level[len(batch):]
+		for _, list := range one.expand(batch) {
+			for index := range list {
+				next = one.meet(next, &list[index])
+			}
+		}
+	}
+	return next
+}
+
+// expand works out the steps of a batch; those that lead to states met before are
+// counted and left out.
+func (one *walk) expand(batch []open) [][]found {
+	lists := make([][]found, len(batch))
+	counts := make([]int, workers)
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() {
+			for place := worker; place < len(batch); place += workers {
+				steps := batch[place].state.Next()
+				counts[worker] += len(steps)
+				lists[place] = one.unmet(steps, batch[place].place)
+				batch[place].state = nil
+			}
+		})
+	}
+	group.Wait()
+	for _, count := range counts {
+		one.result.Steps += count
+	}
+	return lists
+}
+
+func (one *walk) unmet(steps []Step, parent int32) []found {
+	var list []found
+	for _, step := range steps {
+		name := keyOf(step.To)
+		if !one.seen[name] {
+			list = append(list, found{key: name, state: step.To, name: step.Name, parent: parent, broken: step.To.Check()})
+		}
+	}
+	return list
+}
+
+func keyOf(state State) key {
+	sum := sha256.Sum256(state.Key())
+	return key(sum[:len(key{})])
+}
+
+// meet adds a state to a level, unless it was met before.
+func (one *walk) meet(level []open, fresh *found) []open {
+	if one.seen[fresh.key] {
+		return level
+	}
+	one.seen[fresh.key] = true
+	place := int32(len(one.visits))
+	one.visits = append(one.visits, visit{parent: fresh.parent, name: fresh.name})
+	if fresh.broken != nil && one.result.Broken == nil {
+		one.result.Broken, one.result.Trace = fresh.broken, one.trace(place)
+	}
+	return append(level, open{state: fresh.state, place: place})
+}
+
+func (one *walk) trace(place int32) []string {
+	var names []string
+	for ; place >= 0; place = one.visits[place].parent {
+		names = append([]string{one.visits[place].name}, names...)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/tooling/explore/explore_test.go
@@ -0,0 +1,80 @@
+package explore
+
+import "testing"
+
+var (
+	three = []string{"a", "b", "c"}
+	// twoWriters put two versions on one base.
+	twoWriters = Plan{Members: three, Writers: []string{"a", "b"}, Attempts: 1}
+	// replacement: d takes the place of a, which is taken for gone and is not, while
+	// a's operator puts a version in force.
+	replacement = Plan{Members: three, Outsiders: []string{"d"}, Tenders: []string{"d"}, Suspect: "a", Writers: []string{"a"}, Attempts: 2}
+	// amnesia: any machine may lose its disk; a, if it does, joins again by itself.
+	amnesia = Plan{Members: three, Tenders: []string{"a"}, Writers: []string{"b"}, Attempts: 2, Wipes: 1}
+)
+
+// with gives a plan with a change to it.
+func (plan Plan) with(change func(plan *Plan)) Plan {
+	change(&plan)
+	return plan
+}
+
+// exploration is one plan and the depth of CI, where it is not whole before.
+type exploration struct {
+	name  string
+	plan  Plan
+	depth int
+}
+
+// Whatever the order of the messages, and whichever are lost, what was chosen is
+// followed only by what was built on it, and what was acknowledged was chosen.
+func TestRegister(test *testing.T) {
+	explore(test, []exploration{
+		{"two writers", twoWriters, 40},
+		{"two writers, two attempts", twoWriters.with(func(plan *Plan) { plan.Attempts = 2 }), 9},
+		{"two writers, a disk lost, a process restarted", twoWriters.with(func(plan *Plan) { plan.Wipes, plan.Restarts = 1, 1 }), 11},
+		{"two writers, messages doubled", twoWriters.with(func(plan *Plan) { plan.Doubles = 2 }), 10},
+		{"four acceptors", twoWriters.with(func(plan *Plan) { plan.Members = []string{"a", "b", "c", "d"} }), 10},
+	})
+}
+
+// The same while the set of acceptors changes.
+func TestChangeOfMembers(test *testing.T) {
+	explore(test, []exploration{
+		{"a disk lost, its machine joins again", amnesia, 12},
+		{"a member replaced that is not gone", replacement, 10},
+		{"a member replaced, a process restarted", replacement.with(func(plan *Plan) { plan.Restarts = 1 }), 8},
+	})
+}
+
+func explore(test *testing.T, list []exploration) {
+	for _, one := range list {
+		test.Run(one.name, func(test *testing.T) {
+			result := Run(NewFleet(one.plan), Depth(one.depth))
+			test.Log(result)
+			if result.Broken != nil {
+				test.Fail()
+			}
+		})
+	}
+}
+
+// Each guard of the register, taken out, is missed within the depth of CI.
+func TestGuardsTakenOut(test *testing.T) {
+	for _, one := range []struct {
+		name string
+		plan Plan
+	}{
+		{"a wiped acceptor keeps its identity", twoWriters.with(func(plan *Plan) { plan.Wipes, plan.KeepIdentity = 1, true })},
+		{"accepted values are ignored", twoWriters.with(func(plan *Plan) { plan.IgnoreAccepted = true })},
+		{"the old set is let go at once", replacement.with(func(plan *Plan) { plan.SettleAtOnce = true })},
+	} {
+		test.Run(one.name, func(test *testing.T) {
+			result := Run(NewFleet(one.plan), 12)
+			test.Log(result)
+			if result.Broken == nil {
+				test.Fatal("the exploration finds nothing wrong")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/tooling/explore/fleet.go
@@ -0,0 +1,185 @@
+package explore
+
+import (
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
+)
+
+// Plan says what a model of the register plays.
+type Plan struct {
+	// Members are the machines of the first acceptor set; Outsiders have an empty
+	// disk and are in no set.
+	Members, Outsiders []string
+	// Writers are the machines whose processes each put one version on base 0.
+	Writers []string
+	// Tenders are the machines whose processes look after the acceptor set, as the
+	// controllers do; they take Suspect, where set, for gone.
+	Tenders []string
+	Suspect string
+	// Versions is how many versions each writer puts in force one after the other,
+	// each on the newest that it knows; none means one.
+	Versions int
+	// Attempts is how many ballots each of these processes opens at most.
+	Attempts int
+	// Wipes is how many machines lose their disks, at any moment at which no other
+	// lost one is in the set, and Restarts how many processes start again with theirs.
+	Wipes, Restarts int
+	// Doubles is how many messages are delivered a second time.
+	Doubles int
+	// KeepIdentity breaks the acceptor on purpose, to see the model find it: one that
+	// lost its disk goes on voting under its old identity.
+	KeepIdentity bool
+	// IgnoreAccepted breaks the proposer on purpose: it overlooks what was accepted.
+	IgnoreAccepted bool
+	// SettleAtOnce breaks the change of members on purpose: the old set is let go
+	// in the same step in which the new one is proposed.
+	SettleAtOnce bool
+}
+
+// process is one machine: an acceptor and, on some, a proposer.
+type process struct {
+	name  string
+	disk  string
+	first []messages.Member
+	// promised, accepted and value are the acceptor's record; value is none where
+	// nothing was accepted.
+	promised, accepted messages.Ballot
+	value              valueID
+	// known is the newest value heard of, for its sets.
+	known    valueID
+	proposer *proposer
+}
+
+// proposer is what runs a machine's proposals, one attempt after the other.
+type proposer struct {
+	// version is what a writer puts in force; one without a generation is a tender.
+	version  messages.Version
+	attempts int
+	life     int64
+	// ballot, known and answers name the attempt that runs: it is played again from
+	// its beginning wherever it is needed. settled says that it has ended.
+	ballot  messages.Ballot
+	known   valueID
+	answers []answer
+	settled bool
+	// accepting says that the attempt's second round was begun.
+	accepting bool
+	// told says that the version has a clear answer, and versions counts those that
+	// had one before.
+	told     bool
+	versions int
+}
+
+// answer is one message that came back to a proposer.
+type answer struct {
+	member   messages.Member
+	promise  *messages.Promise
+	accepted *messages.Accepted
+	// key names it within the attempt.
+	key string
+}
+
+// request is a message that has not reached its acceptor yet.
+type request struct {
+	from   int
+	ballot messages.Ballot
+	member messages.Member
+	// value is what an accept carries; none for a prepare.
+	value valueID
+}
+
+const none valueID = -1
+
+// vote is what is known of one ballot: its value and who ever accepted it.
+type vote struct {
+	ballot messages.Ballot
+	value  valueID
+	by     []messages.Member
+	chosen bool
+}
+
+// fleet is a state of the register's model.
+type fleet struct {
+	plan      *Plan
+	table     *values
+	processes []process
+	requests  []request
+	votes     []vote
+	// wipes, restarts and doubles are how many are left.
+	wipes, restarts, doubles int
+	broken                   error
+}
+
+// NewFleet gives the first state of a plan's model.
+func NewFleet(plan Plan) State {
+	one := &fleet{plan: &plan, table: newValues(), wipes: plan.Wipes, restarts: plan.Restarts, doubles: plan.Doubles}
+	var first []messages.Member
+	for _, name := range plan.Members {
+		first = append(first, messages.Member{Name: name, Address: name, Disk: "1"})
+	}
+	initial := one.table.id(&messages.Register{Acceptors: first})
+	for _, name := range plan.Members {
+		one.processes = append(one.processes, process{name: name, disk: "1", first: first, value: none, known: initial})
+	}
+	for _, name := range plan.Outsiders {
+		one.processes = append(one.processes, process{name: name, disk: "1", value: none, known: initial})
+	}
+	for number, name := range plan.Writers {
+		one.processes[one.at(name)].proposer = &proposer{version: messages.Version{Generation: int64(number + 1), Hash: name}, settled: true}
+	}
+	for _, name := range plan.Tenders {
+		one.processes[one.at(name)].proposer = &proposer{settled: true}
+	}
+	return one
+}
+
+func (one *fleet) at(name string) int {
+	for place := range one.processes {
+		if one.processes[place].name == name {
+			return place
+		}
+	}
+	panic("no such machine: " + name)
+}
+
+// clone copies what steps change. Proposers are copied by those who change them.
+func (one *fleet) clone() *fleet {
+	next := *one
+	next.processes = append([]process(nil), one.processes...)
+	next.requests = append([]request(nil), one.requests...)
+	next.votes = append([]vote(nil), one.votes...)
+	return &next
+}
+
+// member is a process as an acceptor.
+func (one *process) member() messages.Member {
+	return messages.Member{Name: one.name, Address: one.name, Disk: one.disk}
+}
+
+// acceptor gives the real acceptor with the process's record.
+func (one *fleet) acceptor(place int) *register.Acceptor {
+	at := &one.processes[place]
+	record := messages.AcceptorRecord{Disk: at.disk, First: at.first, Promised: at.promised, Accepted: at.accepted}
+	if at.value != none {
+		record.HasValue, record.Value = true, *one.table.at(at.value)
+	}
+	return register.NewAcceptor(record)
+}
+
+// keep takes over what the real acceptor has to have on disk.
+func (one *fleet) keep(place int, acceptor *register.Acceptor) {
+	at, record := &one.processes[place], acceptor.Record()
+	at.promised, at.accepted = record.Promised, record.Accepted
+	if record.HasValue {
+		at.value = one.table.id(&record.Value)
+	}
+}
+
+// learn takes the sets of a value that a process has met.
+func (one *fleet) learn(place int, value *messages.Register) {
+	known := one.table.at(one.processes[place].known)
+	if len(value.Acceptors) > 0 && (value.SetEpoch >= known.SetEpoch || len(known.Acceptors) == 0) {
+		sets := setsOnly(value)
+		one.processes[place].known = one.table.id(&sets)
+	}
+}
--- /dev/null
+++ b/internal/tooling/explore/key.go
@@ -0,0 +1,83 @@
+package explore
+
+import (
+	"slices"
+	"strconv"
+
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
+)
+
+// Key names the state. The answers of an attempt count as a set, and so do the
+// requests under way.
+func (one *fleet) Key() []byte {
+	text := make([]byte, 0, 512)
+	for place := range one.processes {
+		text = one.processes[place].appendKey(text)
+	}
+	keys := make([]string, 0, len(one.requests))
+	for index := range one.requests {
+		message := &one.requests[index]
+		line := appendBallot(make([]byte, 0, 40), message.ballot)
+		line = append(append(line, message.member.Name...), message.member.Disk...)
+		keys = append(keys, string(appendNumber(line, int64(message.value))))
+	}
+	text = appendSet(text, keys)
+	for index := range one.votes {
+		text = appendBallot(text, one.votes[index].ballot)
+		text = appendNumber(text, int64(one.votes[index].value))
+		text = strconv.AppendBool(text, one.votes[index].chosen)
+		names := make([]string, 0, len(one.votes[index].by))
+		for _, member := range one.votes[index].by {
+			names = append(names, register.Identity(member))
+		}
+		text = appendSet(text, names)
+	}
+	for _, left := range []int{one.wipes, one.restarts, one.doubles} {
+		text = appendNumber(text, int64(left))
+	}
+	return text
+}
+
+func (one *process) appendKey(text []byte) []byte {
+	text = append(text, one.disk...)
+	text = appendBallot(text, one.promised)
+	text = appendBallot(text, one.accepted)
+	text = appendNumber(text, int64(one.value))
+	text = appendNumber(text, int64(one.known))
+	run := one.proposer
+	if run == nil {
+		return text
+	}
+	text = appendNumber(text, int64(run.attempts))
+	text = appendNumber(text, run.life)
+	text = strconv.AppendBool(strconv.AppendBool(strconv.AppendBool(text, run.settled), run.accepting), run.told)
+	text = appendNumber(text, run.version.Generation)
+	text = appendNumber(text, run.version.Base)
+	text = appendNumber(text, int64(run.versions))
+	text = appendBallot(text, run.ballot)
+	text = appendNumber(text, int64(run.known))
+	keys := make([]string, 0, len(run.answers))
+	for index := range run.answers {
+		keys = append(keys, run.answers[index].key)
+	}
+	return appendSet(text, keys)
+}
+
+func appendNumber(text []byte, number int64) []byte {
+	return append(strconv.AppendInt(text, number, 10), ' ')
+}
+
+func appendBallot(text []byte, ballot messages.Ballot) []byte {
+	text = strconv.AppendUint(text, ballot.Counter, 10)
+	return append(append(append(text, ':'), ballot.Node...), ' ')
+}
+
+// appendSet appends names whatever their order.
+func appendSet(text []byte, names []string) []byte {
+	slices.Sort(names)
+	for _, name := range names {
+		text = append(append(text, name...), ';')
+	}
+	return append(text, '|')
+}
--- /dev/null
+++ b/internal/tooling/explore/values.go
@@ -0,0 +1,88 @@
+package explore
+
+import (
+	"sync"
+
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/messages"
+)
+
+// valueID is a place in a table of values.
+type valueID int32
+
+// values is a table of all register values that an exploration has met, so that
+// states hold small numbers. Values in it are never changed.
+type values struct {
+	lock  sync.RWMutex
+	list  []messages.Register
+	index map[string]valueID
+}
+
+func newValues() *values { return &values{index: map[string]valueID{}} }
+
+func (table *values) id(value *messages.Register) valueID {
+	text, err := value.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	id, known := table.index[string(text)]
+	if !known {
+		id = valueID(len(table.list))
+		table.list = append(table.list, *value)
+		table.index[string(text)] = id
+	}
+	return id
+}
+
+func (table *values) at(id valueID) *messages.Register {
+	table.lock.RLock()
+	defer table.lock.RUnlock()
+	return &table.list[id]
+}
+
+// setsOnly gives a value that has nothing but another's sets: all that a proposer
+// uses of the newest value it knows.
+func setsOnly(value *messages.Register) messages.Register {
+	return messages.Register{Acceptors: value.Acceptors, Previous: value.Previous, SetEpoch: value.SetEpoch}
+}
+
+// versions gives the versions taken in a value, oldest first.
+func versions(value *messages.Register) []messages.Version {
+	if value.Current.Generation == 0 {
+		return nil
+	}
+	return append(append([]messages.Version{}, value.History...), value.Current)
+}
+
+// follows tells whether a value was built on another one: it holds all its versions
+// in the same order, and sets that are the same or newer.
+func follows(later, earlier *messages.Register) bool {
+	taken, before := versions(later), versions(earlier)
+	if len(taken) < len(before) || later.SetEpoch < earlier.SetEpoch {
+		return false
+	}
+	for place := range before {
+		if taken[place] != before[place] {
+			return false
+		}
+	}
+	return later.SetEpoch > earlier.SetEpoch || sameSets(later, earlier)
+}
+
+func sameSets(left, right *messages.Register) bool {
+	return sameMembers(left.Acceptors, right.Acceptors) && sameMembers(left.Previous, right.Previous)
+}
+
+func sameMembers(left, right []messages.Member) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for place := range left {
+		if register.Identity(left[place]) != register.Identity(right[place]) {
+			return false
+		}
+	}
+	return true
+}
