--- a/internal/batch/lots/lots_test.go
+++ b/internal/batch/lots/lots_test.go
@@ -113,6 +113,7 @@
 	if answer, keep := replica.Raise(&messages.Raise{Epoch: 5, Disk: "disk"}); !answer.Granted || !keep {
 		test.Fatal("not raised")
 	}
+	replica.SetFence(5)
 	if _, answer := replica.Append(&messages.Append{Epoch: 4, Disk: "disk", Records: []messages.Record{{Index: 1, Epoch: 4}}}); answer.Granted {
 		test.Fatal("a fenced holder's order was taken")
 	}
--- a/internal/batch/lots/replica.go
+++ b/internal/batch/lots/replica.go
@@ -139,7 +139,8 @@
 	return extent
 }
 
-// Raise answers a new holder; keep says that the fence must be synced.
+// Raise answers a new holder; keep says that the fence must be synced before that, and
+// then set. It is not set here: where the sync fails, a second try has to sync it too.
 func (replica *Replica) Raise(question *messages.Raise) (answer messages.Raised, keep bool) {
 	answer = messages.Raised{Epoch: replica.fence}
 	// A disk that came back empty is not the store that was asked for.
@@ -147,9 +148,8 @@
 		return answer, false
 	}
 	keep = question.Epoch > replica.fence
-	replica.fence = question.Epoch
 	extent := replica.Extent()
-	return messages.Raised{Granted: true, Epoch: replica.fence, Last: extent.Last, Stretches: extent.Stretches, Base: extent.Base}, keep
+	return messages.Raised{Granted: true, Epoch: question.Epoch, Last: extent.Last, Stretches: extent.Stretches, Base: extent.Base}, keep
 }
 
 // Cut drops everything after an index.
--- a/internal/batch/store/replay_test.go
+++ b/internal/batch/store/replay_test.go
@@ -6,31 +6,19 @@
 	"testing"
 
 	"lemonarch/internal/platform/messages"
-	"lemonarch/internal/platform/recordlog"
 	"lemonarch/internal/tooling/simulation"
 )
 
-// unsyncedDisk refuses to sync files while it is told to, after it took the bytes.
-type unsyncedDisk struct {
-	*simulation.Disk
-	refuse bool
-}
-
-type unsyncedFile struct {
-	recordlog.File
-	disk *unsyncedDisk
-}
-
-func (disk *unsyncedDisk) Open(name string) (recordlog.File, error) {
-	file, err := disk.Disk.Open(name)
-	return &unsyncedFile{file, disk}, err
-}
-
-func (file *unsyncedFile) Sync() error {
-	if file.disk.refuse {
-		return errors.New("input/output error")
+// refusing makes a disk whose syncs fail while the flag is set.
+func refusing(seed int64) (*simulation.Disk, *bool) {
+	disk, refuse := simulation.NewDisk(seed), new(bool)
+	disk.Intercept = func(operation simulation.Operation, _ string) error {
+		if *refuse && operation == simulation.OperationSync {
+			return errors.New("input/output error")
+		}
+		return nil
 	}
-	return file.File.Sync()
+	return disk, refuse
 }
 
 // recordsOf makes records of one lot's output each, under one epoch.
@@ -58,7 +46,7 @@
 // Records that were written but whose sync failed are sent again; the file then has
 // them twice, and a process that reads it must not take the second for what follows.
 func TestFailedSyncLeavesNoRecordTwice(test *testing.T) {
-	disk := &unsyncedDisk{Disk: simulation.NewDisk(1)}
+	disk, refuse := refusing(1)
 	store, err := OpenStore(disk, "d")
 	if err != nil {
 		test.Fatal(err)
@@ -70,11 +58,11 @@
 	if err = send(1, 1, 3); err != nil {
 		test.Fatal(err)
 	}
-	disk.refuse = true
+	*refuse = true
 	if send(1, 4, 6) == nil {
 		test.Fatal("told as synced")
 	}
-	disk.refuse = false
+	*refuse = false
 	if err = send(1, 4, 5); err != nil {
 		test.Fatal(err)
 	}
@@ -101,3 +89,31 @@
 		test.Fatal(answer, err, store.done)
 	}
 }
+
+// A raise whose sync failed is not granted at the second try without a sync: after a
+// loss of power the earlier holder could write here again.
+func TestRaiseIsSyncedBeforeItIsGranted(test *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		disk, refuse := refusing(seed)
+		store, err := OpenStore(disk, "d")
+		if err != nil {
+			test.Fatal(err)
+		}
+		*refuse = true
+		if _, err = store.Raise(&messages.Raise{Epoch: 7, Disk: "d"}); err == nil {
+			test.Fatal("granted though nothing was synced")
+		}
+		*refuse = false
+		if answer, err := store.Raise(&messages.Raise{Epoch: 7, Disk: "d"}); err != nil || !answer.Granted {
+			test.Fatal(answer, err)
+		}
+		disk.PowerLoss()
+		again, err := OpenStore(disk, "d")
+		if err != nil {
+			test.Fatal(err)
+		}
+		if answer, _ := again.Append(&messages.Append{Epoch: 6, Disk: "d", Records: recordsOf(6, 1, 1)}); answer.Granted {
+			test.Fatalf("seed %d: a fenced holder writes again after a loss of power", seed)
+		}
+	}
+}
--- a/internal/batch/store/store.go
+++ b/internal/batch/store/store.go
@@ -96,9 +96,10 @@
 	defer store.lock.Unlock()
 	answer, keep := store.replica.Raise(question)
 	if keep {
-		if err := store.write(messages.ReplicaRecord{Fence: store.replica.Fence()}); err != nil {
+		if err := store.write(messages.ReplicaRecord{Fence: question.Epoch}); err != nil {
 			return messages.Raised{}, err
 		}
+		store.replica.SetFence(question.Epoch)
 	}
 	return answer, nil
 }
