Set changes of stores under the worst losses at each of their steps

Seen red with a guard out: next set not counted ('holder of epoch 2 lacks lot3/0'); read quorum one smaller ('epoch 8 has lot5 again'); one copy fewer ('epoch 13 has lot11 again'); set named before its marker is durable ('epoch 7 has lot3 again').

--- /dev/null
+++ b/internal/batch/store/losses_test.go
@@ -0,0 +1,215 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// The steps of a change of the store set at which a loss may strike.
+const (
+	// stepCopying: the newcomer has a part of the records.
+	stepCopying = iota
+	// stepCopied: the newcomer has everything, and counts for nothing yet.
+	stepCopied
+	// stepBothSets: records need copies in both sets, and none has them yet.
+	stepBothSets
+	// stepDurable: the marker is durable in both sets; the register names the old one.
+	stepDurable
+	// stepNamed: the register names the new set, and the holder doesn't know it yet.
+	stepNamed
+	// stepSettled: whoever retired the machine was told that it is settled.
+	stepSettled
+	stepCount
+)
+
+// lossKind is what befalls a lost machine.
+type lossKind int
+
+const (
+	lossDown lossKind = iota
+	lossPower
+	lossDisk
+	lossKinds
+)
+
+// setChange is a change of the store set that is played a step at a time.
+type setChange struct {
+	fleet   *simFleet
+	out, in messages.Member
+	next    []messages.Member
+	holder  *simHolder
+	copier  string
+}
+
+// until runs the world until something holds; false where it does not within a while.
+func (fleet *simFleet) until(holds func() bool) bool {
+	for try := 0; try < 3000 && !holds(); try++ {
+		fleet.world.Run(fleet.world.Now.Plus(clock.Milliseconds(2)))
+	}
+	return holds()
+}
+
+// play carries the change up to a step, as changeSet does; false where it got stuck.
+func (change *setChange) play(step int) bool {
+	fleet, holder, identity := change.fleet, change.holder, register.Identity(change.in)
+	fleet.swapBegin(change.in)
+	target := holder.press.Last()
+	reached := func() bool { return holder.press.MatchOf(identity) >= target }
+	if step == stepCopying {
+		return fleet.until(func() bool { return fleet.stores[change.in.Address].store.Extent().Last > 0 })
+	}
+	if !fleet.until(reached) {
+		return false
+	}
+	if step == stepCopied {
+		return true
+	}
+	holder.press.Next = change.next
+	index := holder.submit(messages.Record{Kind: messages.RecordNothing})
+	if step == stepBothSets {
+		return true
+	}
+	if !fleet.until(func() bool { return holder.press.Done() >= index }) {
+		return false
+	}
+	if step >= stepNamed {
+		fleet.set = change.next
+	}
+	if step >= stepSettled {
+		holder.press.Members, holder.press.Next = change.next, nil
+	}
+	return true
+}
+
+// victims draws the machines whose loss is the worst now: of the copier, the newest
+// member, the one that leaves and the holder, as many as the budget allows. One that is
+// settled is gone besides, with its disk.
+func (change *setChange) victims(step int) []string {
+	fleet := change.fleet
+	roles := []string{change.holder.at, change.copier, change.in.Address, change.out.Address, change.next[0].Address}
+	inSet := func(name string) bool {
+		return slices.ContainsFunc(fleet.set, func(member messages.Member) bool { return member.Address == name })
+	}
+	var lost []string
+	for _, place := range fleet.world.Random.Perm(len(roles)) {
+		name := roles[place]
+		counts := inSet(name)
+		if slices.Contains(lost, name) || (counts && len(lost) >= fleet.budget) {
+			continue
+		}
+		if counts {
+			lost = append(lost, name)
+		}
+	}
+	// Who is no member may go in any number.
+	for _, name := range []string{change.in.Address, change.out.Address} {
+		if !inSet(name) && (step >= stepSettled || fleet.world.Random.Intn(2) == 0) && !slices.Contains(lost, name) {
+			lost = append(lost, name)
+		}
+	}
+	return lost
+}
+
+// strike loses machines at once, each in one way; at times all others lose power too.
+func (fleet *simFleet) strike(lost []string, round int) (wiped []string) {
+	if fleet.world.Random.Intn(3) == 0 {
+		for _, name := range simulation.Keys(fleet.stores) {
+			if !slices.Contains(lost, name) {
+				fleet.stores[name].disk.PowerLoss()
+				fleet.open(fleet.stores[name])
+			}
+		}
+		fleet.holder = nil
+	}
+	for _, name := range lost {
+		one := fleet.stores[name]
+		one.down = true
+		switch lossKind(fleet.world.Random.Intn(int(lossKinds))) {
+		case lossPower:
+			one.disk.PowerLoss()
+		case lossDisk:
+			one.disk.PowerLoss()
+			one.disk.Wipe()
+			one.member.Disk = fmt.Sprintf("%s-r%d", name, round)
+			wiped = append(wiped, name)
+		}
+	}
+	return wiped
+}
+
+// mend brings everything back, wiped members first copied to and then named again.
+func (fleet *simFleet) mend(lost []string) {
+	for _, name := range lost {
+		fleet.open(fleet.stores[name])
+	}
+	fleet.takeAny()
+	for _, member := range slices.Clone(fleet.set) {
+		if now := fleet.stores[member.Address].member; register.Identity(now) != register.Identity(member) {
+			fleet.swap(member, now)
+		}
+	}
+}
+
+// worstLosses plays one seed: in each round a member is replaced, and the worst losses
+// strike at a step of it, right after or in the middle of an acknowledgement.
+func worstLosses(test *testing.T, seed int64, steps map[int]int) {
+	budget := 1 + int(seed%2)
+	fleet := newSimFleetOf(test, seed, 2*budget+4, budget, 2*budget+1)
+	fleet.world.Loss, fleet.world.Double = 0.03, 0.03
+	fleet.takeAny()
+	for round := 0; round < 6; round++ {
+		fleet.untilTold()
+		holder := fleet.holder
+		candidates := slices.DeleteFunc(slices.Clone(fleet.set), func(member messages.Member) bool { return member.Address == holder.at })
+		out, in := candidates[fleet.world.Random.Intn(len(candidates))], fleet.fresh()
+		change := &setChange{fleet: fleet, out: out, in: in, holder: holder, copier: candidates[0].Address}
+		for _, member := range fleet.set {
+			if register.Identity(member) != register.Identity(out) {
+				change.next = append(change.next, member)
+			}
+		}
+		change.next = append(change.next, in)
+		step := fleet.world.Random.Intn(stepCount)
+		if !change.play(step) {
+			test.Fatalf("seed %d: the change got stuck before step %d", seed, step)
+		}
+		// In half of all rounds the loss strikes right after a result was told.
+		if fleet.world.Random.Intn(2) == 0 {
+			fleet.untilTold()
+		}
+		lost := change.victims(step)
+		fleet.strike(lost, round)
+		steps[step]++
+		fleet.takeAny()
+		fleet.untilTold()
+		fleet.mend(lost)
+	}
+}
+
+// Whatever the budget allows to be lost at whatever step of a change of the store set,
+// with or without disks, all that was told stands and another holder takes over.
+// LEMONARCH_SEEDS sets the number of seeds.
+func TestSetChangesUnderWorstLosses(test *testing.T) {
+	seeds := int64(200)
+	if asked, err := strconv.ParseInt(os.Getenv("LEMONARCH_SEEDS"), 10, 64); err == nil {
+		seeds = asked
+	}
+	steps := map[int]int{}
+	for seed := int64(1); seed <= seeds; seed++ {
+		worstLosses(test, seed, steps)
+	}
+	for step := 0; step < stepCount; step++ {
+		if int64(steps[step]) < seeds/4 {
+			test.Fatal("too few losses at a step: ", steps)
+		}
+	}
+	test.Log("losses by step: ", steps)
+}
