Order of mending of the store set: what is nearest to loss first

A machine that is to be emptied, which still holds its copy, went before a set with too few members and before one that is gone; and a member that seemed silent by hearsay but answers, or has nobody to take its place, held up all that stood behind it. Now: empty disks, too small a set, gone members, then those that leave.

--- a/internal/batch/store/sets.go
+++ b/internal/batch/store/sets.go
@@ -98,8 +98,10 @@
 // quickChange names the next change whose newcomer is not slow, and asks a member
 // that seems silent for a last word.
 func (server *Server) quickChange(members []messages.Member, entries map[string]messages.Entry, retired map[string]bool) (out, newcomer *messages.Member) {
-	for range entries {
-		out, newcomer = server.nextChange(members, entries, retired)
+	answering := map[string]bool{}
+	// Each further round leaves out a newcomer or a member.
+	for range len(entries) + len(members) {
+		out, newcomer = server.nextChange(members, entries, retired, answering)
 		switch {
 		case newcomer == nil || (out != nil && out.Name == newcomer.Name):
 			return out, newcomer
@@ -108,7 +110,7 @@
 			// A store that everything must be copied to first had better be quick.
 			delete(entries, newcomer.Name)
 		case out != nil && !retired[out.Name] && !server.silent(*out):
-			return nil, nil
+			answering[out.Name] = true
 		default:
 			return out, newcomer
 		}
@@ -121,9 +123,11 @@
 	return transport.Ask(server.Node.Wire, member.Address, messages.KindStatus, &messages.StatusAsk{Query: "pace"}, &messages.Status{}, constants.RoundTime) != nil
 }
 
-// nextChange names the member to be replaced and who takes its place; a nil
-// member with a newcomer means that the set is too small.
-func (server *Server) nextChange(members []messages.Member, entries map[string]messages.Entry, retired map[string]bool) (out, newcomer *messages.Member) {
+// nextChange names the member to be replaced and who takes its place; a nil member
+// with a newcomer means that the set is too small. What is nearest to loss goes first:
+// members that came back empty, a set with too few copies, members that are gone, and
+// only then those that are to be emptied, which still hold theirs.
+func (server *Server) nextChange(members []messages.Member, entries map[string]messages.Entry, retired, answering map[string]bool) (out, newcomer *messages.Member) {
 	own := register.Identity(server.member())
 	for index := range members {
 		member := &members[index]
@@ -160,27 +164,32 @@
 		}
 		return found
 	}
-	for index := range members {
-		if retired[members[index].Name] {
-			return &members[index], spare(members[index].Zone)
-		}
-	}
 	if len(members) < 2*server.budget()+1 {
-		return nil, spare("")
+		if found := spare(""); found != nil {
+			return nil, found
+		}
 	}
 	up := clock.Now().Since(server.begun)
 	for index := range members {
-		entry, known := entries[members[index].Name]
-		runtime := spare(members[index].Zone)
+		member := &members[index]
+		entry, known := entries[member.Name]
+		found := spare(member.Zone)
+		if found == nil || answering[member.Name] || register.Identity(*member) == own {
+			continue
+		}
 		patience := constants.ReplaceAfter
-		if runtime != nil && runtime.Zone == members[index].Zone {
+		if found.Zone == member.Zone {
 			// A store in the same zone was most likely set up in its place.
 			patience = constants.SilentAfter
 		}
-		if register.Identity(members[index]) == own || (known && entry.AgeMs < patience.Milliseconds()) || (!known && up < constants.ReplaceAfter) {
-			continue
+		if (known && entry.AgeMs >= patience.Milliseconds()) || (!known && up >= constants.ReplaceAfter) {
+			return member, found
+		}
+	}
+	for index := range members {
+		if found := spare(members[index].Zone); retired[members[index].Name] && found != nil {
+			return &members[index], found
 		}
-		return &members[index], runtime
 	}
 	return nil, nil
 }
