--- a/internal/batch/store/losses_test.go
+++ b/internal/batch/store/losses_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -37,6 +38,9 @@
 	lossDown lossKind = iota
 	lossPower
 	lossDisk
+	// lossFull: the disk takes nothing any more; lossSync: it takes it and can't sync.
+	lossFull
+	lossSync
 	lossKinds
 )
 
@@ -131,8 +135,19 @@
 	}
 	for _, name := range lost {
 		one := fleet.stores[name]
-		one.down = true
-		switch lossKind(fleet.world.Random.Intn(int(lossKinds))) {
+		one.faulty = true
+		kind := lossKind(fleet.world.Random.Intn(int(lossKinds)))
+		one.down = kind < lossFull
+		switch kind {
+		case lossFull:
+			one.disk.Room = fleet.world.Random.Intn(300)
+		case lossSync:
+			one.disk.Intercept = func(operation simulation.Operation, _ string) error {
+				if operation == simulation.OperationSync {
+					return errors.New("input/output error")
+				}
+				return nil
+			}
 		case lossPower:
 			one.disk.PowerLoss()
 		case lossDisk:
@@ -148,7 +163,9 @@
 // mend brings everything back, wiped members first copied to and then named again.
 func (fleet *simFleet) mend(lost []string) {
 	for _, name := range lost {
-		fleet.open(fleet.stores[name])
+		one := fleet.stores[name]
+		one.disk.Room, one.disk.Intercept, one.faulty = -1, nil, false
+		fleet.open(one)
 	}
 	fleet.takeAny()
 	for _, member := range slices.Clone(fleet.set) {
--- a/internal/batch/store/lots_test.go
+++ b/internal/batch/store/lots_test.go
@@ -37,7 +37,7 @@
 	var names []string
 	for _, member := range fleet.set {
 		one := fleet.stores[member.Address]
-		if !one.down && register.Identity(one.member) == register.Identity(member) {
+		if !one.down && !one.faulty && register.Identity(one.member) == register.Identity(member) {
 			names = append(names, member.Address)
 		}
 	}
--- a/internal/batch/store/simulation_test.go
+++ b/internal/batch/store/simulation_test.go
@@ -19,6 +19,8 @@
 	disk   *simulation.Disk
 	store  *Store
 	down   bool
+	// faulty says that its disk may refuse what it is asked for.
+	faulty bool
 }
 
 type simHolder struct {
--- a/internal/batch/store/upkeep_test.go
+++ b/internal/batch/store/upkeep_test.go
@@ -17,7 +17,7 @@
 func (fleet *simFleet) tidy(random *rand.Rand) {
 	for _, name := range simulation.Keys(fleet.stores) {
 		if one := fleet.stores[name]; !one.down && random.Intn(3) > 0 {
-			if err := one.store.Tidy(fleet.world.Now); err != nil {
+			if err := one.store.Tidy(fleet.world.Now); err != nil && !one.faulty {
 				fleet.test.Fatal(err)
 			}
 		}
