--- a/internal/batch/store/losses_test.go
+++ b/internal/batch/store/losses_test.go
@@ -84,12 +84,14 @@
 	if !fleet.until(func() bool { return holder.press.Done() >= index }) {
 		return false
 	}
-	if step >= stepNamed {
-		fleet.set = change.next
+	if step == stepDurable {
+		return true
 	}
-	if step >= stepSettled {
-		holder.press.Members, holder.press.Next = change.next, nil
+	fleet.set = change.next
+	if step == stepNamed {
+		return true
 	}
+	holder.press.Members, holder.press.Next = change.next, nil
 	return true
 }
 
