--- a/internal/batch/store/budget_test.go
+++ b/internal/batch/store/budget_test.go
@@ -89,7 +89,7 @@
 // disks lost while all others lose power, kills, and machines gone for good.
 func TestLotsUnderLossOfTwo(test *testing.T) {
 	told := 0
-	for seed := int64(1); seed <= 40; seed++ {
+	for seed := int64(1); seed <= int64(simulation.Seeds(40)); seed++ {
 		fleet := newSimFleetOf(test, seed, 9, 2, 5)
 		if seed%4 == 0 {
 			// The first set is smaller than the budget asks, and grows under load.
--- a/internal/batch/store/losses_test.go
+++ b/internal/batch/store/losses_test.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 
 	"lemonarch/internal/control/register"
@@ -217,10 +215,7 @@
 // with or without disks, all that was told stands and another holder takes over.
 // LEMONARCH_SEEDS sets the number of seeds.
 func TestSetChangesUnderWorstLosses(test *testing.T) {
-	seeds := int64(200)
-	if asked, err := strconv.ParseInt(os.Getenv("LEMONARCH_SEEDS"), 10, 64); err == nil {
-		seeds = asked
-	}
+	seeds := int64(simulation.Seeds(200))
 	steps := map[int]int{}
 	for seed := int64(1); seed <= seeds; seed++ {
 		worstLosses(test, seed, steps)
--- a/internal/batch/store/lots_test.go
+++ b/internal/batch/store/lots_test.go
@@ -136,7 +136,7 @@
 
 func TestLotsUnderTrouble(test *testing.T) {
 	told := 0
-	for seed := int64(1); seed <= 60; seed++ {
+	for seed := int64(1); seed <= int64(simulation.Seeds(60)); seed++ {
 		fleet := newSimFleet(test, seed, 4)
 		fleet.world.Loss, fleet.world.Double = 0.05, 0.05
 		fleet.takeAny()
