--- a/internal/batch/store/duty.go
+++ b/internal/batch/store/duty.go
@@ -137,6 +137,8 @@
 func (server *Server) ask(question messages.HoldAsk) (granted bool, latest uint64) {
 	server.lock.Lock()
 	acceptors := server.value.Acceptors
+	server.turn++
+	question.Turn = server.turn
 	server.lock.Unlock()
 	type heard struct {
 		identity string
--- a/internal/batch/store/server.go
+++ b/internal/batch/store/server.go
@@ -31,6 +31,7 @@
 
 	lock    sync.Mutex
 	hold    lease.Hold
+	turn    uint64
 	term    *term
 	value   messages.Register
 	read    clock.Moment
