--- a/internal/tooling/workeremulator/sender_test.go
+++ b/internal/tooling/workeremulator/sender_test.go
@@ -28,7 +28,7 @@
 // edge puts the real data plane in front of emulated workers; the first is preferred.
 func edge(test *testing.T, addresses ...string) string {
 	scheduler := admission.New(messages.Entry{Name: "n", Role: membership.RoleGateway, Zone: "h"}, time.Second)
-	sender := proxy.Sender{Scheduler: scheduler, Chest: workerconn.NewChest(), Budget: func(messages.Worker) int { return 20 }}
+	sender := proxy.Sender{Scheduler: scheduler, Pool: workerconn.NewPool(), Budget: func(messages.Worker) int { return 20 }}
 	plane := proxy.New(sender, nil, hclog.NewNullLogger())
 	config, err := routeconfig.Parse([]byte(senderConfig))
 	if err != nil {
--- a/internal/traffic/loadgossip/loadgossip.go
+++ b/internal/traffic/loadgossip/loadgossip.go
@@ -19,7 +19,7 @@
 type Gossip struct {
 	Node      *node.Node
 	Scheduler *admission.Scheduler
-	Chest     *workerconn.Chest
+	Pool      *workerconn.Pool
 	Sender    proxy.Sender
 	alerted   bool
 	logged    map[string]int64
@@ -33,9 +33,9 @@
 
 // New makes the placing part and registers what it answers.
 func New(runtime *node.Node) *Gossip {
-	gossip := &Gossip{Node: runtime, Scheduler: admission.New(runtime.Own, runtime.Settings.Heartbeat()), Chest: workerconn.NewChest(),
+	gossip := &Gossip{Node: runtime, Scheduler: admission.New(runtime.Own, runtime.Settings.Heartbeat()), Pool: workerconn.NewPool(),
 		logged: map[string]int64{}, tables: tables{read: map[string]messages.Digest{}}}
-	gossip.Sender = proxy.Sender{Scheduler: gossip.Scheduler, Chest: gossip.Chest, Budget: gossip.budget}
+	gossip.Sender = proxy.Sender{Scheduler: gossip.Scheduler, Pool: gossip.Pool, Budget: gossip.budget}
 	runtime.Answer(messages.KindRosterPush, gossip.rosterPushed)
 	runtime.OnWord(gossip.heardController)
 	runtime.Answer(messages.KindGossip, gossip.gossiped)
@@ -55,5 +55,5 @@
 	go gossip.learnWorkers()
 	go clock.Every(constants.GossipPeriod, stop, gossip.gossip)
 	go gossip.Scheduler.KeepPumping(stop)
-	go clock.Every(constants.GossipPeriod/2, stop, func() { proxy.SweepConnections(gossip.Chest, gossip.Scheduler) })
+	go clock.Every(constants.GossipPeriod/2, stop, func() { proxy.SweepConnections(gossip.Pool, gossip.Scheduler) })
 }
--- a/internal/traffic/proxy/idle_test.go
+++ b/internal/traffic/proxy/idle_test.go
@@ -42,11 +42,11 @@
 			test.Fatal(count, answer, body, err)
 		}
 	}
-	chest := proxyServer.Sender.Chest
-	if chest.Forgot.Load() == 0 {
+	pool := proxyServer.Sender.Pool
+	if pool.Forgot.Load() == 0 {
 		test.Fatal("no connection was forgotten: the stand-in does not do its part")
 	}
-	safe := chest.SafeIdle("s")
+	safe := pool.SafeIdle("s")
 	if safe >= constants.SafeIdle {
 		test.Fatal("nothing was learnt: ", safe)
 	}
--- a/internal/traffic/proxy/match_test.go
+++ b/internal/traffic/proxy/match_test.go
@@ -109,7 +109,7 @@
 			}
 		}
 	}
-	if opened := proxyServer.Sender.Chest.Opened.Load(); opened != 3 {
+	if opened := proxyServer.Sender.Pool.Opened.Load(); opened != 3 {
 		test.Error("connections opened: ", opened)
 	}
 }
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -158,9 +158,9 @@
 }
 
 // SweepConnections drops idle connections past their time.
-func SweepConnections(chest *workerconn.Chest, scheduler *admission.Scheduler) {
+func SweepConnections(pool *workerconn.Pool, scheduler *admission.Scheduler) {
 	now := clock.Now()
-	chest.Sweep(func(worker string) bool {
+	pool.Sweep(func(worker string) bool {
 		gone := false
 		scheduler.Locked(func() {
 			known, found := scheduler.Registry.Get(worker)
--- a/internal/traffic/proxy/send.go
+++ b/internal/traffic/proxy/send.go
@@ -17,7 +17,7 @@
 		reuse = workerconn.ReuseAny
 	}
 	for {
-		connection, err := sender.Chest.Get(grant.Worker, sender.Budget(grant.Worker), outgoing.Attempt, reuse)
+		connection, err := sender.Pool.Get(grant.Worker, sender.Budget(grant.Worker), outgoing.Attempt, reuse)
 		if err != nil {
 			return nil, evidence, NotSent.Wrap(err, grant.Worker.ID)
 		}
@@ -32,10 +32,10 @@
 			err = connection.Await(outgoing.wait())
 		}
 		if err == nil {
-			sender.Chest.Survived(connection)
+			sender.Pool.Survived(connection)
 			return connection, evidence, nil
 		}
-		sender.Chest.Drop(connection)
+		sender.Pool.Drop(connection)
 		if again, failure := sender.afterBreak(connection, outgoing, evidence, err); !again {
 			return nil, evidence, failure.Wrap(err, grant.Worker.ID)
 		}
@@ -55,7 +55,7 @@
 	}
 	// On a connection that had lain idle it was most likely forgotten. The request may have
 	// run all the same: only what is repeatable, or was not sent at all, goes again.
-	sender.Chest.Forgotten(connection)
+	sender.Pool.Forgotten(connection)
 	if evidence.Sent && !outgoing.Repeatable {
 		return false, Stale
 	}
--- a/internal/traffic/proxy/sender.go
+++ b/internal/traffic/proxy/sender.go
@@ -26,7 +26,7 @@
 // Sender carries one request to one worker. Gateways and stores share it.
 type Sender struct {
 	Scheduler *admission.Scheduler
-	Chest     *workerconn.Chest
+	Pool      *workerconn.Pool
 	// Budget is how many connections this process may have to a worker.
 	Budget func(worker messages.Worker) int
 }
@@ -74,7 +74,7 @@
 		err = provenSuccess(answer)
 	}
 	if err != nil {
-		sender.Chest.Drop(connection)
+		sender.Pool.Drop(connection)
 		return nil, evidence, Spoilt.Wrap(err, grant.Worker.ID)
 	}
 	response := &Response{Answer: answer, Connection: connection, Impatient: outgoing.Impatient, Load: answer.Header.Get(headerLoad)}
@@ -85,11 +85,11 @@
 
 // Finish puts the connection back after the whole answer was read.
 func (sender *Sender) Finish(response *Response) {
-	sender.Chest.Keep(response.Connection, response.Answer)
+	sender.Pool.Keep(response.Connection, response.Answer)
 }
 
 // Abandon ends the connection: the worker drops what it still does.
-func (sender *Sender) Abandon(response *Response) { sender.Chest.Drop(response.Connection) }
+func (sender *Sender) Abandon(response *Response) { sender.Pool.Drop(response.Connection) }
 
 // ReadBody reads up to a limit; whole tells that nothing is left. A failure means
 // that the answer was cut.
--- a/internal/traffic/proxy/standin_test.go
+++ b/internal/traffic/proxy/standin_test.go
@@ -125,7 +125,7 @@
 // edgeFor does the same for workers that are known by id and address.
 func edgeFor(test *testing.T, list []messages.Worker) (*httptest.Server, *Proxy) {
 	scheduler := admission.New(messages.Entry{Name: "n", Role: membership.RoleGateway, Zone: "h"}, 1_200_000_000)
-	sender := Sender{Scheduler: scheduler, Chest: workerconn.NewChest(), Budget: func(messages.Worker) int { return 20 }}
+	sender := Sender{Scheduler: scheduler, Pool: workerconn.NewPool(), Budget: func(messages.Worker) int { return 20 }}
 	proxyServer := New(sender, nil, hclog.NewNullLogger())
 	config, err := routeconfig.Parse([]byte(testConfig))
 	if err != nil {
--- a/internal/traffic/workerconn/idle.go
+++ b/internal/traffic/workerconn/idle.go
@@ -26,91 +26,91 @@
 
 // Get gives an idle connection that still looks sound, or opens one within the budget.
 // What bears no id, and an id that has travelled on the connection, takes a new one.
-func (chest *Chest) Get(worker messages.Worker, budget int, attempt string, reuse Reuse) (*Connection, error) {
+func (pool *Pool) Get(worker messages.Worker, budget int, attempt string, reuse Reuse) (*Connection, error) {
 	if attempt == "" {
 		reuse = ReuseNone
 	}
 	for {
-		chest.lock.Lock()
-		connections := chest.of(worker.ID)
+		pool.lock.Lock()
+		connections := pool.of(worker.ID)
 		count := len(connections.idle)
 		now := clock.Now()
 		// The newest idle one is the least likely to have been closed.
-		if count == 0 || !chest.may(connections.idle[count-1], attempt, reuse, now) {
+		if count == 0 || !pool.may(connections.idle[count-1], attempt, reuse, now) {
 			if budget > 0 && connections.open >= budget && count > 0 {
 				// The oldest idle one makes room.
 				oldest := connections.idle[0]
 				connections.idle = append(connections.idle[:0], connections.idle[1:]...)
-				chest.lock.Unlock()
-				chest.Drop(oldest)
+				pool.lock.Unlock()
+				pool.Drop(oldest)
 				continue
 			}
 			if budget > 0 && connections.open >= budget {
-				chest.lock.Unlock()
+				pool.lock.Unlock()
 				return nil, Spent.New(worker.ID)
 			}
 			connections.open++
-			chest.lock.Unlock()
-			return chest.open(worker, connections)
+			pool.lock.Unlock()
+			return pool.open(worker, connections)
 		}
 		connection := connections.idle[count-1]
 		connections.idle = connections.idle[:count-1]
-		chest.lock.Unlock()
+		pool.lock.Unlock()
 		connection.Idle = now.Since(connection.idleSince)
 		if now < connection.idleUntil && connection.quiet() {
 			connection.Reused = true
 			return connection, nil
 		}
-		chest.Drop(connection)
+		pool.Drop(connection)
 	}
 }
 
 // may tells whether a request may travel on an idle connection. The lock is held.
-func (chest *Chest) may(connection *Connection, attempt string, reuse Reuse, now clock.Moment) bool {
+func (pool *Pool) may(connection *Connection, attempt string, reuse Reuse, now clock.Moment) bool {
 	switch {
 	case reuse == ReuseNone, connection.carried.has(attempt):
 		return false
 	case reuse == ReuseSafe:
-		return now.Since(connection.idleSince) <= chest.safeIdle(connection.backend)
+		return now.Since(connection.idleSince) <= pool.safeIdle(connection.backend)
 	}
 	return true
 }
 
 // safeIdle is the time for which a service's connections are known to stay. The lock is held.
-func (chest *Chest) safeIdle(backend string) clock.Span {
-	if safe, known := chest.safe[backend]; known {
+func (pool *Pool) safeIdle(backend string) clock.Span {
+	if safe, known := pool.safe[backend]; known {
 		return safe
 	}
 	return constants.SafeIdle
 }
 
 // Survived learns from a connection that still worked after it was idle.
-func (chest *Chest) Survived(connection *Connection) {
+func (pool *Pool) Survived(connection *Connection) {
 	if !connection.Reused {
 		return
 	}
-	chest.lock.Lock()
-	defer chest.lock.Unlock()
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
 	// Half of what was seen to last, and slowly: one forgetful worker is enough.
-	if safe := chest.safeIdle(connection.backend); connection.Idle/2 > safe {
+	if safe := pool.safeIdle(connection.backend); connection.Idle/2 > safe {
 		const slowly = 16
-		chest.safe[connection.backend] = min(safe+(connection.Idle/2-safe)/slowly, constants.SafeIdleMost)
+		pool.safe[connection.backend] = min(safe+(connection.Idle/2-safe)/slowly, constants.SafeIdleMost)
 	}
 }
 
 // Forgotten learns from a reset on a connection that was idle, before any byte came back.
-func (chest *Chest) Forgotten(connection *Connection) {
-	chest.Forgot.Add(1)
-	chest.lock.Lock()
-	defer chest.lock.Unlock()
-	chest.safe[connection.backend] = max(min(chest.safeIdle(connection.backend), connection.Idle/2), constants.SafeIdleLeast)
+func (pool *Pool) Forgotten(connection *Connection) {
+	pool.Forgot.Add(1)
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	pool.safe[connection.backend] = max(min(pool.safeIdle(connection.backend), connection.Idle/2), constants.SafeIdleLeast)
 }
 
 // SafeIdle tells the learnt time.
-func (chest *Chest) SafeIdle(backend string) clock.Span {
-	chest.lock.Lock()
-	defer chest.lock.Unlock()
-	return chest.safeIdle(backend)
+func (pool *Pool) SafeIdle(backend string) clock.Span {
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	return pool.safeIdle(backend)
 }
 
 // quiet tells that a connection neither ended nor holds bytes that nobody has read.
--- a/internal/traffic/workerconn/sweep.go
+++ b/internal/traffic/workerconn/sweep.go
@@ -3,11 +3,11 @@
 import "lemonarch/internal/platform/clock"
 
 // Sweep drops idle connections past their time and those of workers that are gone.
-func (chest *Chest) Sweep(gone func(worker string) bool) {
+func (pool *Pool) Sweep(gone func(worker string) bool) {
 	now := clock.Now()
 	var stale []*Connection
-	chest.lock.Lock()
-	for id, connections := range chest.workerList {
+	pool.lock.Lock()
+	for id, connections := range pool.byWorker {
 		kept := connections.idle[:0]
 		for _, connection := range connections.idle {
 			if now >= connection.idleUntil || gone(id) {
@@ -18,11 +18,11 @@
 		}
 		connections.idle = kept
 		if connections.open == 0 && gone(id) {
-			delete(chest.workerList, id)
+			delete(pool.byWorker, id)
 		}
 	}
-	chest.lock.Unlock()
+	pool.lock.Unlock()
 	for _, connection := range stale {
-		chest.Drop(connection)
+		pool.Drop(connection)
 	}
 }
--- a/internal/traffic/workerconn/workerconn.go
+++ b/internal/traffic/workerconn/workerconn.go
@@ -60,39 +60,39 @@
 	heard atomic.Int64
 }
 
-// Chest holds the connections to all workers.
-type Chest struct {
-	lock       sync.Mutex
-	workerList map[string]*workerConnections
-	safe       map[string]clock.Span
-	Opened     atomic.Int64
+// Pool holds the connections to all workers.
+type Pool struct {
+	lock     sync.Mutex
+	byWorker map[string]*workerConnections
+	safe     map[string]clock.Span
+	Opened   atomic.Int64
 	// Forgot counts idle connections that turned out to be forgotten by their worker.
 	Forgot atomic.Int64
 }
 
-// NewChest makes an empty one.
-func NewChest() *Chest {
-	return &Chest{workerList: map[string]*workerConnections{}, safe: map[string]clock.Span{}}
+// NewPool makes an empty one.
+func NewPool() *Pool {
+	return &Pool{byWorker: map[string]*workerConnections{}, safe: map[string]clock.Span{}}
 }
 
-func (chest *Chest) of(id string) *workerConnections {
-	connections := chest.workerList[id]
+func (pool *Pool) of(id string) *workerConnections {
+	connections := pool.byWorker[id]
 	if connections == nil {
 		connections = &workerConnections{}
-		chest.workerList[id] = connections
+		pool.byWorker[id] = connections
 	}
 	return connections
 }
 
-func (chest *Chest) open(worker messages.Worker, connections *workerConnections) (*Connection, error) {
+func (pool *Pool) open(worker messages.Worker, connections *workerConnections) (*Connection, error) {
 	connection, err := transport.Dial(worker.Address, constants.WorkerDial, constants.SilentConnection)
 	if err != nil {
-		chest.lock.Lock()
+		pool.lock.Lock()
 		connections.open--
-		chest.lock.Unlock()
+		pool.lock.Unlock()
 		return nil, NoConnection.Wrap(err, worker.ID)
 	}
-	chest.Opened.Add(1)
+	pool.Opened.Add(1)
 	return &Connection{connection: connection, reader: bufio.NewReaderSize(connection, 4<<10), worker: connections, backend: worker.Backend}, nil
 }
 
@@ -127,9 +127,9 @@
 }
 
 // Keep puts a connection back after a whole answer, if it may be used again.
-func (chest *Chest) Keep(connection *Connection, answer *http.Response) {
+func (pool *Pool) Keep(connection *Connection, answer *http.Response) {
 	if !connection.reusable(answer) {
-		chest.Drop(connection)
+		pool.Drop(connection)
 		return
 	}
 	idle := constants.ConnectionIdle
@@ -139,8 +139,8 @@
 	}
 	connection.idleSince = clock.Now()
 	connection.idleUntil = connection.idleSince.Plus(idle)
-	chest.lock.Lock()
-	defer chest.lock.Unlock()
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
 	connection.worker.idle = append(connection.worker.idle, connection)
 }
 
@@ -181,9 +181,9 @@
 }
 
 // Drop ends a connection and gives its place in the budget back.
-func (chest *Chest) Drop(connection *Connection) {
+func (pool *Pool) Drop(connection *Connection) {
 	connection.shut()
-	chest.lock.Lock()
-	defer chest.lock.Unlock()
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
 	connection.worker.open--
 }
