--- a/internal/control/controller/budget_test.go
+++ b/internal/control/controller/budget_test.go
@@ -35,6 +35,7 @@
 		controllers[number] = controller
 	}
 	for _, one := range controllers {
+		keepContact(test, one)
 		for _, other := range controllers {
 			one.Node.Hear([]messages.Entry{other.Node.Own})
 		}
@@ -112,7 +113,7 @@
 		test.Fatal(status, body)
 	}
 	// A refusal needs no waiting.
-	if status, _ := call(test, server, "POST", "/-/Configuration.Replace", "1", config(3)); status != 412 {
+	if status, _ := clearCall(test, server, "POST", "/-/Configuration.Replace", "1", config(3)); status != 412 {
 		test.Fatal(status)
 	}
 	// A base that may yet come into force allows no refusal.
@@ -120,7 +121,7 @@
 		test.Fatal(status)
 	}
 	controller.begun -= 60_000_000_000
-	if status, body := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 200 {
+	if status, body := clearCall(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 200 {
 		test.Fatal(status, body)
 	}
 }
@@ -141,3 +142,19 @@
 		test.Fatal("does not bear with three disks: ", err, members(one))
 	}
 }
+
+// Long after the start a smaller set has to do only where nobody else answers: four
+// machines with a disk are there, and the set is of the three seeds.
+func TestSmallerSetHasToDoOnlyWhereNobodyElseAnswers(test *testing.T) {
+	controllers, room := fleet(test, 4, nil)
+	one := controllers[1]
+	one.begun -= 60_000_000_000
+	value, err := one.Register.Read()
+	if err != nil || one.bears(&value) {
+		test.Fatal("acknowledges in a set of three while a fourth machine answers: ", err)
+	}
+	room.Cut(controllers[4].Node.Own.Address, true)
+	if !one.bears(&value) {
+		test.Fatal("waits for a machine that does not answer")
+	}
+}
--- a/internal/control/controller/contact.go
+++ b/internal/control/controller/contact.go
@@ -118,7 +118,9 @@
 func (controller *Controller) catchUp(accepted contact.Followed) {
 	clock.Sleep(constants.PushTime / 2)
 	if accepted.SetEpoch > controller.followed().SetEpoch {
-		controller.learnSets()
+		if _, err := controller.Register.ReadSets(); err != nil {
+			controller.learnSets()
+		}
 	}
 	if accepted.Generation > controller.followed().Generation {
 		if value, err := controller.shared.Read(controller.Register.Read); err == nil {
@@ -148,3 +150,7 @@
 		}
 	}
 }
+
+// elsewhere is what a caller is told that this process can't answer clearly. It comes
+// without Retry-After: the caller is to ask another controller, not this one again.
+const elsewhere = "no clear answer here: ask another controller"
