Newcomers to the store set don't wait for the slowest of them

All that came back empty take their places in one change, which waited for the slowest of them, 20 s at most. Once one is whole, the others have as long again and a second more; what they have by then stays. TestSlowNewcomerHoldsNobodyUp: 1.1 s; red with the end of the span out: 20.04 s.

--- a/internal/batch/store/change.go
+++ b/internal/batch/store/change.go
@@ -1,8 +1,6 @@
 package store
 
 import (
-	"sync"
-
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -11,8 +9,8 @@
 
 // bringIn copies everything to a newcomer and begins to send it what is new; target is
 // the index from which on its copy counts.
-func (term *term) bringIn(one swap, place int) (target int64) {
-	from := term.copied(one.in, place)
+func (term *term) bringIn(one swap, place int, span *copySpan) (target int64) {
+	from := term.copied(one.in, place, span)
 	term.lock.Lock()
 	// The last copied record goes once more, from here: it shows that the copy joins on.
 	term.feed(one.in, max(from-1, 0))
@@ -23,8 +21,8 @@
 		left = one.out.Name
 	}
 	term.server.Node.Log.Info("store set begins to change", "in", one.in.Name, "out", left, "copied", from, "records", target, "epoch", term.duty.Epoch)
-	end, asked := clock.Now().Plus(constants.SetChange), clock.Now()
-	for !term.has(one.in, target) && !term.over() && clock.Now() < end {
+	asked := clock.Now()
+	for !term.has(one.in, target) && !term.over() && !span.over() {
 		clock.Sleep(constants.TickPeriod)
 		if clock.Now().Since(asked) < constants.HoldTime {
 			continue
@@ -46,18 +44,31 @@
 }
 
 // ready brings all newcomers in at the same time, and gives the swaps of those that
-// have everything; the others are sent nothing further.
+// have everything; the others are sent nothing further. Once one is whole, the others have
+// as long again and a little more: a set that lacks one copy is nearer to whole than one
+// that lacks two, and what was copied to the others stays there.
 func (term *term) ready(swaps []swap) (whole []swap) {
-	targets := make([]int64, len(swaps))
-	var group sync.WaitGroup
+	targets, ended, span := make([]int64, len(swaps)), make(chan int, len(swaps)), newCopySpan()
+	begun := clock.Now()
 	for place := range swaps {
-		group.Add(1)
 		go func() {
-			defer group.Done()
-			targets[place] = term.bringIn(swaps[place], place)
+			targets[place] = term.bringIn(swaps[place], place, span)
+			ended <- place
 		}()
 	}
-	group.Wait()
+	var patience chan struct{}
+	for left := len(swaps); left > 0; {
+		select {
+		case place := <-ended:
+			left--
+			if patience == nil && term.has(swaps[place].in, targets[place]) {
+				patience = clock.Bell(clock.Now().Since(begun) + constants.NewcomerPatience)
+			}
+		case <-patience:
+			span.closed.Store(true)
+			patience = nil
+		}
+	}
 	for place, one := range swaps {
 		if !term.over() && term.has(one.in, targets[place]) {
 			whole = append(whole, one)
--- a/internal/batch/store/copy.go
+++ b/internal/batch/store/copy.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"sync/atomic"
+
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -8,23 +10,33 @@
 	"lemonarch/internal/platform/transport"
 )
 
+// copySpan is the time that newcomers have to copy everything. It ends early for all of
+// them when the others have waited long enough for the slowest.
+type copySpan struct {
+	end    clock.Moment
+	closed atomic.Bool
+}
+
+func newCopySpan() *copySpan { return &copySpan{end: clock.Now().Plus(constants.SetChange)} }
+
+func (span *copySpan) over() bool { return span.closed.Load() || clock.Now() >= span.end }
+
 // copied has a newcomer fetch what is durable from a member, and gives the index up
 // to which it has it. The holder's own link carries each new record to every store;
 // old ones need not take that way, and a wiped store has to be whole again soon.
-func (term *term) copied(newcomer messages.Member, place int) int64 {
+func (term *term) copied(newcomer messages.Member, place int, span *copySpan) int64 {
 	identity := register.Identity(newcomer)
-	end := clock.Now().Plus(constants.SetChange)
 	last := int64(0)
 	for {
 		term.lock.Lock()
 		done := term.copies[identity]
 		source, target := term.source(newcomer, place)
 		term.lock.Unlock()
-		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) || clock.Now() >= end || term.over() {
+		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) || span.over() || term.over() {
 			return done
 		}
 		last = target - done
-		further := term.copyRound(newcomer, *source, done, target, end)
+		further := term.copyRound(newcomer, *source, done, target, span)
 		term.lock.Lock()
 		term.copies[identity] = further
 		term.lock.Unlock()
@@ -43,13 +55,13 @@
 }
 
 // copyRound copies up to what was durable when it began; meanwhile more comes.
-func (term *term) copyRound(newcomer, source messages.Member, done, target int64, end clock.Moment) int64 {
+func (term *term) copyRound(newcomer, source messages.Member, done, target int64, span *copySpan) int64 {
 	first, begun := done, clock.Now()
 	defer func() {
 		term.server.Node.Log.Info("store copied to", "store", newcomer.Name, "source", source.Name, "from", first, "to", done, "of", target,
 			"took-ms", clock.Now().Since(begun).Milliseconds())
 	}()
-	for done < target && clock.Now() < end && !term.over() {
+	for done < target && !span.over() && !term.over() {
 		answer := &messages.Appended{}
 		question := &messages.CopyOrder{Epoch: term.duty.Epoch, Disk: newcomer.Disk, Source: source.Address, SourceDisk: source.Disk, First: done + 1, Last: target}
 		if err := transport.Ask(term.server.Node.Wire, newcomer.Address, messages.KindCopy, question, answer, constants.BulkCallTime); err != nil || !answer.Granted || answer.Last <= done {
--- a/internal/batch/store/copy_test.go
+++ b/internal/batch/store/copy_test.go
@@ -26,7 +26,7 @@
 			appended++
 		}
 	})
-	done := current.copied(newcomer.member(), 0)
+	done := current.copied(newcomer.member(), 0, newCopySpan())
 	current.lock.Lock()
 	durable := current.press.Done()
 	current.lock.Unlock()
@@ -85,7 +85,7 @@
 // that counts, and the holder goes on from there.
 func TestCopyGoesOnFromTheHolder(test *testing.T) {
 	one := rule(test, soleLocker(test, simulation.NewDisk(12)), 1)
-	if done := one.copied(messages.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0); done != 0 {
+	if done := one.copied(messages.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0, newCopySpan()); done != 0 {
 		test.Fatal("copied without a source: ", done)
 	}
 	one.lock.Lock()
@@ -109,7 +109,7 @@
 	one.lock.Lock()
 	durable := one.press.Done()
 	one.lock.Unlock()
-	if done := one.copied(messages.Member{Name: "n", Address: "n", Disk: "n"}, 0); done != min(1, durable) {
+	if done := one.copied(messages.Member{Name: "n", Address: "n", Disk: "n"}, 0, newCopySpan()); done != min(1, durable) {
 		test.Fatal(done, durable)
 	}
 }
--- a/internal/batch/store/swap_test.go
+++ b/internal/batch/store/swap_test.go
@@ -3,7 +3,10 @@
 import (
 	"testing"
 
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
 	"lemonarch/internal/tooling/simulation"
 )
 
@@ -49,3 +52,37 @@
 		}
 	}
 }
+
+// A newcomer that answers but does not get on keeps another one out of the set only for
+// a while: the set is made whole by as much as can be.
+func TestSlowNewcomerHoldsNobodyUp(test *testing.T) {
+	one := rule(test, soleLocker(test, simulation.NewDisk(12)), 1)
+	room := transport.NewRoom()
+	one.server.Node.Wire = room.Transport("m")
+	store, err := OpenStore(simulation.NewDisk(13), "quick")
+	if err != nil {
+		test.Fatal(err)
+	}
+	_ = room.Transport("quick").Serve(func(kind messages.Kind, body []byte) ([]byte, error) {
+		question := &messages.Append{}
+		if kind != messages.KindAppend || transport.Read(body, question) != nil {
+			return transport.Write(&messages.Status{})
+		}
+		answer, problem := store.Append(question)
+		if problem != nil {
+			return nil, problem
+		}
+		return transport.Write(&answer)
+	})
+	_ = room.Transport("slow").Serve(func(kind messages.Kind, _ []byte) ([]byte, error) {
+		if kind == messages.KindAppend {
+			return nil, StoreDamaged.New("disk hangs")
+		}
+		return transport.Write(&messages.Status{})
+	})
+	begun := clock.Now()
+	whole := one.ready([]swap{{nil, messages.Member{Name: "quick", Address: "quick", Disk: "quick"}}, {nil, messages.Member{Name: "slow", Address: "slow", Disk: "slow"}}})
+	if len(whole) != 1 || whole[0].in.Name != "quick" || clock.Now().Since(begun) > constants.SetChange/2 {
+		test.Fatal(whole, clock.Now().Since(begun))
+	}
+}
