--- a/internal/batch/store/share_test.go
+++ b/internal/batch/store/share_test.go
@@ -16,6 +16,7 @@
 	cluster.world.Loss, cluster.world.Double = 0.06, 0.06
 	cluster.takeAny()
 	cluster.tend()
+	cluster.read()
 	random := cluster.world.Random
 	names := simulation.Keys(cluster.drivers)
 	for round := 0; round < 14; round++ {
@@ -33,11 +34,11 @@
 				cluster.world.After(span, func() { cluster.thaw(victim) })
 			}
 		case 1:
-			cluster.world.Isolate(victim, names, true)
-			cluster.world.After(span, func() { cluster.world.Isolate(victim, names, false) })
+			cluster.isolate(victim, names, true)
+			cluster.world.After(span, func() { cluster.isolate(victim, names, false) })
 			cluster.world.Run(cluster.world.Now.Plus(clock.Milliseconds(100)))
 			if cluster.holder.at == victim {
-				cluster.world.Isolate(victim, names, false)
+				cluster.isolate(victim, names, false)
 				cluster.move()
 			}
 		case 2:
@@ -54,7 +55,7 @@
 	// A calm time: all that may end ends.
 	for _, name := range names {
 		cluster.thaw(name)
-		cluster.world.Isolate(name, names, false)
+		cluster.isolate(name, names, false)
 	}
 	cluster.world.Loss, cluster.world.Double = 0, 0
 	cluster.world.Run(cluster.world.Now.Plus(clock.Milliseconds(6000)))
@@ -74,10 +75,10 @@
 // slow makes a machine answer only now and then, as one with a bad disk does.
 func (cluster *shareCluster) slow(names []string, victim string, times int) {
 	if times == 0 || cluster.holder.at == victim {
-		cluster.world.Isolate(victim, names, false)
+		cluster.isolate(victim, names, false)
 		return
 	}
-	cluster.world.Isolate(victim, names, times%4 != 0)
+	cluster.isolate(victim, names, times%4 != 0)
 	cluster.world.After(clock.Milliseconds(90), func() { cluster.slow(names, victim, times-1) })
 }
 
@@ -114,6 +115,8 @@
 	for seed := int64(1); seed <= seeds; seed++ {
 		cluster := share(test, seed)
 		cluster.judge(seed)
+		cluster.checkCalls(seed)
+		total["calls"] += int64(cluster.callers.history.Clear())
 		for _, one := range cluster.dispatchers {
 			total["lapses"] += one.Counts.Lapses
 			total["adopted"] += one.Counts.Adopted
@@ -126,7 +129,7 @@
 		total["early"] += cluster.seen["early"]
 		total["ended"] += int64(len(cluster.endAcked))
 	}
-	for name, least := range map[string]int64{"lapses": 3, "adopted": 3, "releases": 10, "failures": 3, "dropped": 1, "accepted": 20, "ended": 1, "early": 1} {
+	for name, least := range map[string]int64{"lapses": 3, "adopted": 3, "releases": 10, "failures": 3, "dropped": 1, "accepted": 20, "calls": 100, "ended": 1, "early": 1} {
 		if total[name] < least*seeds/2 {
 			test.Fatalf("too little trouble: %v", total)
 		}
