A drain that is known is not announced again by each controller it reaches

A draining worker calls another controller with each beat; each of them would have sent the whole fleet the same change. It is written by a majority before it is acknowledged there as well.

--- a/internal/control/controller/workers.go
+++ b/internal/control/controller/workers.go
@@ -99,7 +99,7 @@
 			controller.announce(worker)
 		}
 	case !controller.binding.isKept(worker):
-		if !controller.bind(worker) {
+		if !controller.bind(worker, changed) {
 			controller.Node.Log.Warn("not acknowledged: no majority has it on disk", "id", worker.ID, "phase", worker.Phase.String())
 			httpreply.Reason(writer, http.StatusServiceUnavailable, elsewhere)
 			return
@@ -110,10 +110,13 @@
 }
 
 // bind has a drain or a departure told to all in touch and kept by a majority, at the
-// same time.
-func (controller *Controller) bind(worker messages.Worker) bool {
+// same time. What this process knew before is not announced once more, at each
+// controller that a draining worker calls: the reports bring it to everybody in touch.
+func (controller *Controller) bind(worker messages.Worker, announce bool) bool {
 	kept := make(chan bool, 1)
 	go func() { kept <- controller.keepAtMajority(worker) }()
-	controller.announce(worker)
+	if announce {
+		controller.announce(worker)
+	}
 	return <-kept
 }
