--- a/internal/batch/store/copy_test.go
+++ b/internal/batch/store/copy_test.go
@@ -26,11 +26,12 @@
 			appended++
 		}
 	})
-	done := current.copied(newcomer.member(), 0)
+	done := current.copied(newcomer.member(), 0, newCopySpan())
 	current.lock.Lock()
 	durable := current.press.Done()
 	current.lock.Unlock()
-	last, stretches := newcomer.Store.State()
+	extent := newcomer.Store.Extent()
+	last, stretches := extent.Last, extent.Stretches
 	if done == 0 || last != done || appended > 0 || done > durable {
 		test.Fatal(done, last, appended, durable)
 	}
@@ -84,7 +85,7 @@
 // that counts, and the holder goes on from there.
 func TestCopyGoesOnFromTheHolder(test *testing.T) {
 	one := rule(test, soleLocker(test, simulation.NewDisk(12)), 1)
-	if done := one.copied(messages.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0); done != 0 {
+	if done := one.copied(messages.Member{Name: "n", Address: "nowhere", Disk: "n"}, 0, newCopySpan()); done != 0 {
 		test.Fatal("copied without a source: ", done)
 	}
 	one.lock.Lock()
@@ -108,7 +109,7 @@
 	one.lock.Lock()
 	durable := one.press.Done()
 	one.lock.Unlock()
-	if done := one.copied(messages.Member{Name: "n", Address: "n", Disk: "n"}, 0); done != min(1, durable) {
+	if done := one.copied(messages.Member{Name: "n", Address: "n", Disk: "n"}, 0, newCopySpan()); done != min(1, durable) {
 		test.Fatal(done, durable)
 	}
 }
--- /dev/null
+++ b/internal/batch/store/replay_test.go
@@ -0,0 +1,119 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// refusing makes a disk whose syncs fail while the flag is set.
+func refusing(seed int64) (*simulation.Disk, *bool) {
+	disk, refuse := simulation.NewDisk(seed), new(bool)
+	disk.Intercept = func(operation simulation.Operation, _ string) error {
+		if *refuse && operation == simulation.OperationSync {
+			return errors.New("input/output error")
+		}
+		return nil
+	}
+	return disk, refuse
+}
+
+// recordsOf makes records of one lot's output each, under one epoch.
+func recordsOf(epoch uint64, first, last int64) (records []messages.Record) {
+	for index := first; index <= last; index++ {
+		records = append(records, messages.Record{Index: index, Epoch: epoch, Kind: messages.RecordOutput, Lot: fmt.Sprint("l", index), Item: "i"})
+	}
+	return records
+}
+
+// history names a store's records, read from its disk.
+func history(test *testing.T, store *Store) string {
+	last := store.Extent().Last
+	text := ""
+	for index := int64(1); index <= last; index++ {
+		record, err := store.Read(index)
+		if err != nil {
+			test.Fatal(err)
+		}
+		text += fmt.Sprintf("%d.%d:%s ", record.Index, record.Epoch, record.Lot)
+	}
+	return text
+}
+
+// Records that were written but whose sync failed are sent again; the file then has
+// them twice, and a process that reads it must not take the second for what follows.
+func TestFailedSyncLeavesNoRecordTwice(test *testing.T) {
+	disk, refuse := refusing(1)
+	store, err := OpenStore(disk, "d")
+	if err != nil {
+		test.Fatal(err)
+	}
+	send := func(epoch uint64, first, last int64) error {
+		_, err := store.Append(&messages.Append{Epoch: epoch, Disk: "d", PreviousIndex: first - 1, PreviousEpoch: store.EpochAt(first - 1), Records: recordsOf(epoch, first, last)})
+		return err
+	}
+	if err = send(1, 1, 3); err != nil {
+		test.Fatal(err)
+	}
+	*refuse = true
+	if send(1, 4, 6) == nil {
+		test.Fatal("told as synced")
+	}
+	*refuse = false
+	if err = send(1, 4, 5); err != nil {
+		test.Fatal(err)
+	}
+	want := history(test, store)
+	again, err := OpenStore(disk, "d")
+	if err != nil {
+		test.Fatal(err)
+	}
+	if found := history(test, again); found != want {
+		test.Fatalf("the process had %s and the next one has %s", want, found)
+	}
+}
+
+// A tail that an earlier holder left is not durable, though the holder of now says
+// that so many records are: what a record says there must not be acted on.
+func TestStaleTailIsNotDurable(test *testing.T) {
+	store, err := OpenStore(simulation.NewDisk(1), "d")
+	if err != nil {
+		test.Fatal(err)
+	}
+	_, _ = store.Append(&messages.Append{Epoch: 1, Disk: "d", Records: recordsOf(1, 1, 9)})
+	answer, err := store.Append(&messages.Append{Epoch: 2, Disk: "d", PreviousIndex: 3, PreviousEpoch: 1, Records: recordsOf(1, 4, 4), Done: 9})
+	if err != nil || !answer.Granted || store.done != 4 {
+		test.Fatal(answer, err, store.done)
+	}
+}
+
+// A raise whose sync failed is not granted at the second try without a sync: after a
+// loss of power the earlier holder could write here again.
+func TestRaiseIsSyncedBeforeItIsGranted(test *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		disk, refuse := refusing(seed)
+		store, err := OpenStore(disk, "d")
+		if err != nil {
+			test.Fatal(err)
+		}
+		*refuse = true
+		if _, err = store.Raise(&messages.Raise{Epoch: 7, Disk: "d"}); err == nil {
+			test.Fatal("granted though nothing was synced")
+		}
+		*refuse = false
+		if answer, err := store.Raise(&messages.Raise{Epoch: 7, Disk: "d"}); err != nil || !answer.Granted {
+			test.Fatal(answer, err)
+		}
+		disk.PowerLoss()
+		again, err := OpenStore(disk, "d")
+		if err != nil {
+			test.Fatal(err)
+		}
+		if answer, _ := again.Append(&messages.Append{Epoch: 6, Disk: "d", Records: recordsOf(6, 1, 1)}); answer.Granted {
+			test.Fatalf("seed %d: a fenced holder writes again after a loss of power", seed)
+		}
+	}
+}
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -107,6 +107,10 @@
 			// Retired while it was brought in: nothing may be kept there alone.
 			return current, VerdictKeep
 		}
+		if joinsRetired(&current, stores) {
+			// Retired while it was brought in: nothing may be kept there alone.
+			return current, VerdictKeep
+		}
 		*done = true
 		if sameMembers(current.Stores, stores) {
 			return current, VerdictKeep
