--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -21,6 +21,7 @@
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/node"
+	"lemonarch/internal/platform/recordlog"
 	"lemonarch/internal/platform/settings"
 	"lemonarch/internal/platform/transport"
 )
@@ -38,7 +39,7 @@
 	lock     sync.Mutex
 	registry *workers.Registry
 	peers    map[string]*peer
-	relays   map[string]*response
+	relays   map[string]*transfer
 	number   atomic.Uint64
 	// vouching is set once a majority of the acceptors was heard on the workers.
 	vouching atomic.Bool
@@ -62,6 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newOn(disk, nodeSettings, log)
+}
+
+// newOn prepares the process on an open disk.
+func newOn(disk recordlog.Disk, nodeSettings *settings.Settings, log hclog.Logger) (*Controller, error) {
 	identity := randomName()
 	var first []messages.Member
 	own := nodeSettings.InternalAddress(nodeSettings.Address, constants.PortController)
@@ -97,7 +103,7 @@
 	runtime := node.New(nodeSettings, membership.RoleController, constants.PortController, told, log)
 	localRegister.Runtime, named.Runtime = runtime, runtime
 	controller := &Controller{Node: runtime, Register: localRegister, checker: checker, registry: workers.New(nodeSettings.Heartbeat()),
-		peers: map[string]*peer{}, relays: map[string]*response{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named},
+		peers: map[string]*peer{}, relays: map[string]*transfer{}, begun: clock.Now(), memory: kept, plans: plans{localRegister: named},
 		backlog: broadcast.NewBacklog(), recalled: workerList}
 	controller.contact.lease = contact.New()
 	controller.binding.kept = map[string]messages.Phase{}
@@ -106,9 +112,9 @@
 	controller.batches.spread = func(workerList []messages.Worker) {
 		controller.spread(&messages.Relay{Workers: workerList}, constants.TreeTime)
 	}
-	// Numbers of words must differ from those of an earlier life.
+	// Numbers of updates must differ from those of an earlier life.
 	controller.number.Store(uint64(runtime.Own.Life))
-	controller.answerers()
+	controller.registerCalls()
 	controller.reports()
 	go controller.memory.run(runtime.Stop, controller.remembered, log)
 	return controller, nil
@@ -137,7 +143,7 @@
 	}
 }
 
-func (controller *Controller) answerers() {
+func (controller *Controller) registerCalls() {
 	runtime := controller.Node
 	runtime.Answer(messages.KindPrepare, answer(func(question *messages.Prepare) (transport.Writable, error) {
 		back, err := controller.Register.Prepare(question)
@@ -153,7 +159,10 @@
 	}))
 	runtime.Answer(messages.KindConfigPull, answer(controller.pulled))
 	runtime.Answer(messages.KindRegisterRead, answer(func(_ *messages.Nothing) (transport.Writable, error) {
-		value, err := controller.sets.Read(controller.Register.ReadSets)
+		value, err := messages.Register{}, Detached.New("sets")
+		if controller.inContact() {
+			value, err = controller.sets.Read(controller.Register.ReadSets)
+		}
 		if err != nil {
 			// The sets last known still help a newcomer to find the acceptors.
 			value = controller.Register.Known()
@@ -162,11 +171,11 @@
 		return &messages.DutyChanged{Done: err == nil, Known: true, Value: value}, nil
 	}))
 	runtime.Answer(messages.KindDutyChange, answer(controller.changeDuty))
-	controller.tableAnswerers()
+	controller.registerTables()
 	controller.registerContact()
 	controller.registerRecall()
-	controller.namedAnswerers()
-	controller.planAnswerers()
+	controller.registerNamed()
+	controller.registerPlans()
 }
 
 // Run serves until told to stop.
@@ -179,7 +188,8 @@
 	go clock.Every(constants.ContactPeriod, runtime.Stop, controller.contactRound)
 	go clock.Every(constants.BacklogPeriod, runtime.Stop, controller.tendBacklog)
 	go clock.Every(constants.RosterPeriod, runtime.Stop, controller.beatOthers)
-	go clock.Every(constants.ShufflePeriod, runtime.Stop, controller.tendSet)
+	go clock.Every(constants.TendPeriod, runtime.Stop, controller.tendSet)
+	go clock.Every(constants.TendPeriod, runtime.Stop, func() { controller.tendNamed(controller.plans.localRegister) })
 	go clock.Every(constants.PlanPeriod, runtime.Stop, controller.tendPlans)
 	controller.server = &http.Server{Addr: runtime.Settings.Bind.Control, Handler: controller.calls(), ReadHeaderTimeout: constants.BulkCallTime}
 	runtime.Log.Info("serving", "control", runtime.Settings.Bind.Control, "disk", runtime.Own.Disk)
--- a/internal/control/controller/sets.go
+++ b/internal/control/controller/sets.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"math"
 	"math/rand"
 	"os"
 
@@ -28,14 +27,15 @@
 		controller.learnSets()
 		return
 	}
-	// Chance keeps several newcomers from proposing at once.
-	if rand.Intn(2) == 0 && clock.Now().Since(controller.begun) > constants.HoldTime {
-		return
-	}
-	change := controller.tending().Step(known)
+	tending := controller.tending(known)
+	// Who has not heard a majority on the workers takes no place yet: it would count for
+	// what it does not know.
+	tending.Votes = tending.Votes && !controller.learning()
+	change := tending.Step(known)
 	if change == nil {
 		return
 	}
+	controller.stagger()
 	if len(known.Previous) == 0 {
 		// A member may have changed since: look before asking for its place.
 		controller.learnSets()
@@ -57,15 +57,45 @@
 	}
 }
 
+// hears tells whether a majority of a register's sets answers this process now. One that
+// is cut off would take its own deafness for the silence of a member, and have a live one
+// replaced as soon as the cut ends.
+func (controller *Controller) hears(known messages.Register) bool {
+	members := register.Targets(&known)
+	heard := make(chan string, len(members))
+	for _, member := range members {
+		go func() {
+			if member.Address == controller.Node.Own.Address || controller.answers(member.Address) {
+				heard <- register.Identity(member)
+				return
+			}
+			heard <- ""
+		}()
+	}
+	answered := map[string]bool{}
+	for range members {
+		answered[<-heard] = true
+	}
+	return register.Quorum(&known, answered)
+}
+
+// stagger parts several newcomers that would propose at once by a short random pause; a
+// process that has just started takes its place without one.
+func (controller *Controller) stagger() {
+	if clock.Now().Since(controller.begun) > constants.HoldTime {
+		clock.Sleep(clock.Span(rand.Int63n(int64(constants.TendPeriod))))
+	}
+}
+
 // tending gathers what the decision on the set needs.
-func (controller *Controller) tending() register.Tending {
+func (controller *Controller) tending(known messages.Register) register.Tending {
 	blank := map[string]bool{}
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		blank[entry.Address] = entry.Disk == ""
 	}
-	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(),
+	return register.Tending{Own: controller.Register.Identity(), Votes: votes(controller.Node.Settings), Size: controller.setSize(), Fresh: controller.Register.JointFresh(),
 		Blank: func(member messages.Member) bool { return blank[member.Address] },
-		Gone:  controller.silent}
+		Gone:  func(member messages.Member) bool { return controller.silent(member) && controller.hears(known) }}
 }
 
 // votes tells whether a process takes part in the register: one without a disk
@@ -86,32 +116,58 @@
 	return recordlog.Folder(nodeSettings.DataDir), nil
 }
 
-// bears tells whether what is acknowledged now outlasts the fault budget. A set
-// that can't grow, because nobody else has a disk or came in time, has to do.
+// bears tells whether what is acknowledged now outlasts the fault budget. A smaller
+// set has to do only where nobody else is there to join it.
 func (controller *Controller) bears(value *messages.Register) bool {
-	if clock.Now().Since(controller.begun) > constants.GrowTime {
-		return true
-	}
-	inside, others, heard := map[string]bool{}, 0, map[string]bool{}
+	inside, heard := map[string]bool{}, map[string]bool{}
 	for _, member := range value.Acceptors {
 		inside[member.Address] = true
 	}
+	var outside []string
 	for _, entry := range controller.Node.Live(membership.RoleController) {
 		heard[entry.Address] = entry.Disk != ""
 		if entry.Disk != "" && !inside[entry.Address] {
-			others++
+			outside = append(outside, entry.Address)
 		}
 	}
+	young := clock.Now().Since(controller.begun) <= constants.GrowTime
 	for _, member := range value.Acceptors {
 		// At the first start a seed may turn out to have no disk: it gives way first.
-		if controller.Node.Settings.Bootstrap && member.Address != controller.Node.Own.Address && !heard[member.Address] {
+		if young && controller.Node.Settings.Bootstrap && member.Address != controller.Node.Own.Address && !heard[member.Address] {
 			return false
 		}
 	}
-	if own := controller.Register.Identity(); votes(controller.Node.Settings) && !inside[own.Address] {
-		others++
+	own := 0
+	if votes(controller.Node.Settings) && !inside[controller.Register.Identity().Address] {
+		own = 1
 	}
-	return register.Bears(value, controller.setSize(), others)
+	if register.Bears(value, controller.setSize(), len(outside)+own) {
+		return true
+	}
+	// What was heard of may be gone: after the time to grow, who answers counts.
+	return !young && register.Bears(value, controller.setSize(), controller.answering(outside)+own)
+}
+
+// answering counts the controllers that answer now.
+func (controller *Controller) answering(addresses []string) int {
+	answers := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() { answers <- controller.answers(address) }()
+	}
+	count := 0
+	for range addresses {
+		if <-answers {
+			count++
+		}
+	}
+	return count
+}
+
+// answers tells whether a controller answers a small question now, also one that has
+// just started.
+func (controller *Controller) answers(address string) bool {
+	question, answer := &messages.ContactAsk{From: controller.Node.Own.Address}, &messages.ContactTold{}
+	return transport.Ask(controller.Node.Wire, address, messages.KindContact, question, answer, constants.RoundTime) == nil
 }
 
 // silent tells whether nobody has heard a member for long. One in our own zone is
@@ -125,7 +181,7 @@
 		}
 		age, known = entry.AgeMs, true
 		if entry.Zone == controller.Node.Own.Zone {
-			patience = constants.SilentAfter
+			patience = constants.SucceedAfter
 		}
 	}
 	if known && age < patience.Milliseconds() {
@@ -133,12 +189,11 @@
 	}
 	// Who has just started knows too little of who was silent for how long.
 	up := clock.Now().Since(controller.begun)
-	if (!known && up < constants.ReplaceAfter) || up < constants.HoldTime {
+	if (!known && up < constants.SilentAfter) || up < constants.HoldTime {
 		return false
 	}
-	// The last word is its own: one that answers now is not gone.
-	back := &messages.Nothing{}
-	return transport.Ask(controller.Node.Wire, member.Address, messages.KindRosterPull, &messages.RosterPull{Since: math.MaxUint64}, back, constants.RoundTime) != nil
+	// It is asked itself: one that answers now is not gone.
+	return !controller.answers(member.Address)
 }
 
 // changeDuty changes duty or store set on behalf of a store.
--- a/internal/control/controller/workers.go
+++ b/internal/control/controller/workers.go
@@ -53,7 +53,7 @@
 // the caller is sent to another one.
 func (controller *Controller) takesWorkers(writer http.ResponseWriter) bool {
 	if controller.learning() || !controller.inContact() {
-		httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+		httpreply.Reason(writer, http.StatusServiceUnavailable, elsewhere)
 		return false
 	}
 	return true
@@ -96,12 +96,12 @@
 	case worker.Phase == messages.PhaseSteady:
 		if changed {
 			controller.memory.remember(worker)
-			controller.tell(worker)
+			controller.announce(worker)
 		}
 	case !controller.binding.isKept(worker):
 		if !controller.bind(worker) {
 			controller.Node.Log.Warn("not acknowledged: no majority has it on disk", "id", worker.ID, "phase", worker.Phase.String())
-			httpreply.Later(writer, http.StatusServiceUnavailable, constants.RoundTime)
+			httpreply.Reason(writer, http.StatusServiceUnavailable, elsewhere)
 			return
 		}
 		controller.binding.setKept(worker)
@@ -114,6 +114,6 @@
 func (controller *Controller) bind(worker messages.Worker) bool {
 	kept := make(chan bool, 1)
 	go func() { kept <- controller.keepAtMajority(worker) }()
-	controller.tell(worker)
+	controller.announce(worker)
 	return <-kept
 }
--- a/internal/platform/transport/tell.go
+++ b/internal/platform/transport/tell.go
@@ -30,21 +30,13 @@
 // an answer. Versions that do not know its sort skip and count it.
 func (wire *Wire) Tell(address string, kind messages.Kind, body []byte) error {
 	one := wire.peer(address)
-	current, err := one.line(constants.DialTime)
+	end := clock.Now().Plus(constants.DialTime)
+	current, err := one.line(end)
 	if err != nil {
 		return err
 	}
-	wire.meter.sent(kind, address, len(body))
-	told := frame{sort: sortTell, kind: kind, number: wire.number.Add(1), body: body}
-	current.writing.Lock()
-	_ = current.connection.SetWriteDeadline(clock.Deadline(constants.DialTime))
-	_, err = current.connection.Write(appendFrame(make([]byte, 0, headBytes+len(body)), told))
-	current.writing.Unlock()
-	if err != nil {
-		one.forget(current)
-		return Unanswered.Wrap(err, address)
-	}
-	return nil
+	told := frame{sort: sortTell, kind: kind, body: body}
+	return one.write(current, &told, end, nil)
 }
 
 // Tell runs the other side's handler; whatever it answers is dropped.
--- a/internal/tooling/lab/trouble.go
+++ b/internal/tooling/lab/trouble.go
@@ -36,6 +36,8 @@
 	kindFlap      = "flap"
 	kindFaults    = "faults"
 	kindConfigure = "configure"
+	kindReload    = "reload"
+	kindReloadBad = "reload-invalid"
 )
 
 // Kinds tells what each kind of trouble does.
@@ -48,13 +50,15 @@
 	kindFlap:      "a worker goes down and up by turns for for-s, each for back-s",
 	kindFaults:    "the faults of a worker are set for for-s (or for good)",
 	kindConfigure: "a new configuration with one route more is sent",
+	kindReload:    "the settings file of a process is written anew, and it gets SIGHUP",
+	kindReloadBad: "the settings file of a process becomes invalid, and it gets SIGHUP",
 }
 
 // Check tells what is wrong with a trouble, before anything is broken.
 func (trouble *Trouble) Check() error {
 	onProcess, onWorker := false, false
 	switch trouble.Kind {
-	case kindKill, kindStop, kindFreeze:
+	case kindKill, kindStop, kindFreeze, kindReload, kindReloadBad:
 		onProcess = true
 	case kindCrash, kindReplace, kindFlap, kindFaults:
 		onWorker = true
@@ -90,7 +94,7 @@
 		return err
 	}
 	if trouble.Kind == kindConfigure {
-		_, err := fleet.operator.change(addRoute)
+		_, err := fleet.operator.addRoute()
 		return err
 	}
 	found := false
@@ -123,14 +127,6 @@
 	return nil
 }
 
-// addRoute adds a route to a configuration; nothing else changes.
-func addRoute(config map[string]any) {
-	routes, _ := config["channels"].([]any)
-	name := "added-" + strconv.FormatInt(config["generation"].(int64), 10)
-	config["channels"] = append(routes, object{"name": name, "host": Host, "path-prefix": "/" + name + "/", "route-kind": "idempotent",
-		"backend": PlainService, "setpoint-ms": 300, "cutoff-ms": 3000, "tries": 2})
-}
-
 // pause waits, unless the fleet is stopped.
 func (fleet *Fleet) pause(span clock.Span) bool {
 	select {
@@ -144,6 +140,11 @@
 // harm does to a process what the trouble says.
 func (fleet *Fleet) harm(one *process, trouble Trouble) {
 	switch trouble.Kind {
+	case kindReload, kindReloadBad:
+		if err := fleet.reload(one, trouble.Kind == kindReload); err != nil {
+			fleet.died(err)
+		}
+		return
 	case kindFreeze:
 		one.signal(syscall.SIGSTOP, false)
 		fleet.pause(seconds(trouble.ForS))
