--- a/internal/control/broadcast/loops_test.go
+++ b/internal/control/broadcast/loops_test.go
@@ -1,7 +1,6 @@
 package broadcast_test
 
 import (
-	"lemonarch/internal/control/broadcast"
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -12,27 +11,47 @@
 // hear takes entries, and pulls a configuration that somebody was seen to have.
 func (here *node) hear(entries []messages.Entry) {
 	here.view.Heard(entries, here.fleet.Now)
-	here.pull(entries)
+	here.sawEntries(entries)
 }
 
-func (here *node) pull(entries []messages.Entry) {
-	newest := int64(0)
+func (here *node) sawEntries(entries []messages.Entry) {
+	var newest messages.Entry
 	for _, entry := range entries {
-		newest = max(newest, entry.Generation)
+		if entry.Generation > newest.Generation {
+			newest = entry
+		}
 	}
-	if newest <= here.config || here.pulling {
+	here.pull(newest.Generation, newest.Address)
+}
+
+// pull asks one process, then the controllers, until this one follows a generation.
+func (here *node) pull(generation int64, first string) {
+	if generation <= here.config || here.pulling {
 		return
 	}
 	here.pulling = true
-	address := here.view.Controllers(here.fleet.Now)[0].Address
-	here.call(address, &messages.ConfigPull{Known: here.config}, constants.CallTime, func(answer transport.Writable, failed bool) {
+	var addresses []string
+	if first != "" {
+		addresses = []string{first}
+	}
+	for _, entry := range here.view.Controllers(here.fleet.Now) {
+		addresses = append(addresses, entry.Address)
+	}
+	here.pullNext(generation, addresses)
+}
+
+func (here *node) pullNext(generation int64, addresses []string) {
+	if len(addresses) == 0 || here.config >= generation {
 		here.pulling = false
+		return
+	}
+	here.call(addresses[0], &messages.ConfigPull{Known: here.config}, constants.CallTime, func(answer transport.Writable, failed bool) {
 		if failed {
-			here.view.Failed(address, here.fleet.Now)
-			here.pull(entries)
-			return
+			here.view.Failed(addresses[0], here.fleet.Now)
+		} else {
+			here.take(answer.(*messages.ConfigPush).Generation)
 		}
-		here.take(answer.(*messages.ConfigPush).Generation)
+		here.pullNext(generation, addresses[1:])
 	})
 }
 
@@ -47,13 +66,14 @@
 	}
 	here.fleet.After(constants.ShufflePeriod, here.period)
 	if !here.down {
-		here.report(here.view.Controllers(here.fleet.Now), 3)
+		here.report(here.view.Controllers(here.fleet.Now), 3, false)
 	}
 }
 
-func (here *node) report(controllers []messages.Entry, tries int) {
+func (here *node) report(controllers []messages.Entry, tries int, brief bool) {
 	if len(controllers) == 0 || tries == 0 {
-		if partner := here.view.Partner(here.fleet.Now); partner != "" {
+		if partner := here.view.Partner(here.fleet.Now); partner != "" && !brief {
+			here.control.first = ""
 			here.call(partner, &messages.Shuffle{Entries: here.view.Offer(here.fleet.Now)}, constants.CallTime, func(answer transport.Writable, failed bool) {
 				if !failed {
 					here.hear(answer.(*messages.Shuffle).Entries)
@@ -63,15 +83,26 @@
 		return
 	}
 	question, address := here.view.Question(), controllers[0].Address
+	if brief {
+		question = here.view.BriefQuestion()
+	}
 	here.call(address, question, constants.ReportTime, func(answer transport.Writable, failed bool) {
 		if failed {
 			here.view.Failed(address, here.fleet.Now)
-			here.report(controllers[1:], tries-1)
+			here.report(controllers[1:], tries-1, brief)
 			return
 		}
 		back := answer.(*messages.Shuffle)
+		if back.Detached {
+			here.view.Failed(address, here.fleet.Now)
+			here.report(controllers[1:], tries, brief)
+			return
+		}
+		if !brief {
+			here.control.first = address
+		}
 		here.view.Answered(question, back, here.fleet.Now)
-		here.pull(back.Entries)
+		here.sawEntries(back.Entries)
 		read := here.read(address)
 		if since, ask := behind(&read.workerList, back.Workers, here.registry.Digest(here.own.Life)); ask {
 			here.pullWorkers(address, since)
@@ -112,8 +143,10 @@
 
 func (here *node) word(key string) *messages.ControllerBeat {
 	since := here.read(key).told
-	return &messages.ControllerBeat{From: here.view.Own(), Workers: here.registry.Digest(here.own.Life), Processes: here.view.Digest(),
-		Beaten: here.registry.BeatenSince(since), Met: here.view.MetSince(since)}
+	beat := &messages.ControllerBeat{From: here.view.Own(), Workers: here.registry.Digest(here.own.Life), Processes: here.view.Digest(),
+		Beaten: here.registry.BeatenSince(since), Follow: here.view.Own().Generation}
+	beat.Met, beat.Behind = here.view.MetSince(since)
+	return beat
 }
 
 func (here *node) beatOthers() {
@@ -137,7 +170,7 @@
 	read := here.read(membership.Key(word.From))
 	read.told = told
 	here.registry.Vouched(word.Beaten, now)
-	here.view.Vouched(word.Met, now)
+	here.view.Vouched(word, now)
 	if since, ask := behind(&read.workerList, word.Workers, here.registry.Digest(here.own.Life)); ask {
 		here.pullWorkers(address, since)
 	}
@@ -151,64 +184,3 @@
 		})
 	}
 }
-
-// drive makes the calls of a job, and ticks it while it lasts.
-func (here *node) drive(word *messages.Relay, job *broadcast.Job, sends []broadcast.Send, begun clock.Moment) {
-	for _, send := range sends {
-		here.carry(word, job, send, begun)
-	}
-	here.fleet.After(constants.RelayPatience/4, func() {
-		if !job.Done() && !here.down && here.fleet.Now.Since(begun) < constants.BulkCallTime {
-			here.drive(word, job, job.Tick(here.fleet.Now), begun)
-		}
-	})
-}
-
-func (here *node) carry(word *messages.Relay, job *broadcast.Job, send broadcast.Send, begun clock.Moment) {
-	var message transport.Writable
-	switch {
-	case send.Step == broadcast.StepRelay:
-		part := *word
-		part.Expect = send.Expect
-		message = &part
-	case send.Step == broadcast.StepWait:
-		message = &messages.RelayWait{From: word.From, Number: word.Number}
-	case word.Generation > 0:
-		message = &messages.ConfigPush{Generation: word.Generation, Body: word.Body, Pass: send.Pass}
-	default:
-		message = &messages.RosterPush{Workers: word.Workers}
-	}
-	here.call(send.Address, message, constants.CallTime, func(answer transport.Writable, failed bool) {
-		var next []broadcast.Send
-		done, waited := answer.(*messages.RelayDone)
-		switch {
-		case failed || (waited && !done.Known):
-			next = job.Failed(send, here.fleet.Now)
-		case waited:
-			next = job.Took(send, done.Missing, here.fleet.Now)
-		default:
-			next = job.Took(send, nil, here.fleet.Now)
-		}
-		for _, one := range next {
-			here.carry(word, job, one, begun)
-		}
-	})
-}
-
-// spread tells the fleet; acknowledged runs once all in touch took it, or at the bound.
-func (here *node) spread(word *messages.Relay, bound clock.Span, acknowledged func()) {
-	here.fleet.number++
-	word.From, word.Number = membership.Key(here.own), here.fleet.number
-	begun := here.fleet.Now
-	job, sends := broadcast.Fleet(here.own, here.view.All("", begun), fan(word), begun)
-	here.drive(word, job, sends, begun)
-	var look func()
-	look = func() {
-		if job.Done() || here.fleet.Now.Since(begun) >= bound {
-			acknowledged()
-			return
-		}
-		here.fleet.After(1_000_000, look)
-	}
-	look()
-}
--- a/internal/platform/constants/constants.go
+++ b/internal/platform/constants/constants.go
@@ -18,8 +18,9 @@
 	// connections end after SilentConnection without an answer, and a process may be
 	// frozen for seconds with frames unread.
 	FrameLife = 40 * time.Second
-	// FrameVersion is told in each frame, so that mixed versions can work.
-	FrameVersion = 1
+	// FrameVersion is told in each frame, so that mixed versions can work. From 2 on, the
+	// numbers of calls rise along a connection.
+	FrameVersion = 2
 	// DialTime bounds a connection attempt between our processes: links are a
 	// few ms long, so silence for longer means a cut (ours).
 	DialTime = 400 * time.Millisecond
@@ -52,9 +53,6 @@
 	BackoffBase = 8 * time.Millisecond
 	// BackoffSpread is the random part of that pause: it parts two duelists.
 	BackoffSpread = 60 * time.Millisecond
-	// HistoryLength is how many acknowledged versions the register remembers, so
-	// that a call resent after an unclear answer is known again.
-	HistoryLength = 32
 	// GrowTime is how long after its start a controller holds acknowledgements back while
 	// the set of acceptors can't yet bear the fault budget and others could join it
 	// (ours): joining takes well under a second each.
--- a/internal/tooling/lab/fleet.go
+++ b/internal/tooling/lab/fleet.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"errors"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,7 +24,7 @@
 	record    *workeremulator.Record
 	processes []*process
 	places    []*place
-	endpoint  *http.Server
+	endpoint  *endpoint
 	starter   *starter
 	operator  operator
 	stopping  chan struct{}
@@ -33,9 +34,9 @@
 }
 
 // Start carries a plan out and returns once every gateway is ready. Where anything
-// goes wrong or the errand is called off, all that was started is ended before it returns. An empty folder
-// makes it use one of its own, which goes away with the fleet.
-func Start(called contexts.Errand, plan Plan, folder string) (*Fleet, error) {
+// goes wrong or the context is cancelled, all that was started is ended before it returns.
+// An empty folder makes it use one of its own, which goes away with the fleet.
+func Start(called contexts.Context, plan Plan, folder string) (*Fleet, error) {
 	if err := plan.Check(); err != nil {
 		return nil, err
 	}
@@ -75,7 +76,7 @@
 	return fleet, nil
 }
 
-func (fleet *Fleet) start(called contexts.Errand, configuration []byte) error {
+func (fleet *Fleet) start(called contexts.Context, configuration []byte) error {
 	for _, node := range fleet.Plan.nodes() {
 		one := newProcess(&fleet.Plan, node, fleet.Folder, fleet.starter)
 		path, err := fleet.Plan.write(node, fleet.Folder, true)
@@ -132,13 +133,14 @@
 }
 
 // until tries again and again, and tells of a death or of the last failure.
-func (fleet *Fleet) until(called contexts.Errand, end clock.Moment, what string, function func() error) error {
+func (fleet *Fleet) until(called contexts.Context, end clock.Moment, what string, function func() error) error {
 	for {
 		err := function()
 		if err == nil {
 			return nil
 		}
-		if _, final := err.(refused); final || clock.Now() >= end {
+		var final refused
+		if errors.As(err, &final) || clock.Now() >= end {
 			return Unfit.Wrap(err, "no success with "+what)
 		}
 		select {
@@ -172,7 +174,7 @@
 		// Troubles under way end first, so that none starts a process once more.
 		fleet.troubles.Wait()
 		if fleet.endpoint != nil {
-			fleet.endpoint.Close()
+			fleet.endpoint.close()
 		}
 		var group sync.WaitGroup
 		for _, one := range fleet.processes {
