A fault relay closes what it accepts while it ends

Cause: a connection accepted just before End came into the list of open ones after End had walked it, so nobody closed it and End waited for its pumps for ever (transport tests hung for 474 s under load). Change: End marks the relay as over under the lock, and accept closes what it adds after that.

--- a/internal/tooling/faultrelay/faultrelay.go
+++ b/internal/tooling/faultrelay/faultrelay.go
@@ -52,7 +52,9 @@
 	thawed   chan struct{}
 	ended    chan struct{}
 	open     []net.Conn
-	pumps    sync.WaitGroup
+	// over tells that End has closed what is open: what is accepted later closes at once.
+	over  bool
+	pumps sync.WaitGroup
 }
 
 // New makes a relay to a target; callers connect to its Address.
@@ -84,6 +86,9 @@
 		}
 		one.lock.Lock()
 		one.open = append(one.open, near, far)
+		if one.over {
+			near.Close()
+		}
 		one.lock.Unlock()
 		one.pumps.Add(2)
 		go one.pump(near, far, 0)
@@ -178,6 +183,7 @@
 	one.listener.Close()
 	close(one.ended)
 	one.lock.Lock()
+	one.over = true
 	for place, connection := range one.open {
 		if place%2 == 0 {
 			// Ends the way to the server once what was read has been written.
