Tests of the controller's calls do not hang on how long they take

Causes: TestAcknowledgedOnlyInASetThatBearsTheBudget took the first 504 for held back; where it came from a contact lease that had run out, the order was in no register, and the next step got 504 instead of 412. Other steps hung on the test being done within 3 s (the other controller, and a started one, are taken for silent or old after that) or 10 s (time to grow). Change: the order is sent until it is in force, each time with 504; the other controller goes on reporting; a controller is young or old by its start, not by the machine's speed.

--- a/internal/control/controller/budget_test.go
+++ b/internal/control/controller/budget_test.go
@@ -8,6 +8,7 @@
 
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/settings"
 	"lemonarch/internal/platform/transport"
@@ -102,15 +103,31 @@
 	}
 }
 
+// generationInForce is that of the register, and 0 where a majority does not answer in time.
+func generationInForce(controller *Controller) int64 {
+	value, err := controller.Register.Read()
+	if err != nil {
+		return 0
+	}
+	return value.Current.Generation
+}
+
 // Nothing is acknowledged while two losses could take it away and others are there
 // to join; once the set is whole, or nobody can make it so, it is.
 func TestAcknowledgedOnlyInASetThatBearsTheBudget(test *testing.T) {
 	folder := test.TempDir()
 	controller, server := open(test, folder, true)
 	controller.Node.Settings.FaultBudget.Machines = 2
-	controller.Node.Hear([]messages.Entry{{Name: "other", Role: membership.RoleController, Address: "127.0.0.1:9", Disk: "d"}})
-	if status, body := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 504 {
-		test.Fatal(status, body)
+	stayYoung(controller)
+	// The other one goes on reporting: on a slow machine it would be taken for silent.
+	other := []messages.Entry{{Name: "other", Role: membership.RoleController, Address: "127.0.0.1:9", Disk: "d"}}
+	controller.Node.Hear(other)
+	go clock.Every(constants.ContactPeriod, controller.Node.Stop, func() { controller.Node.Hear(other) })
+	for tries := 0; generationInForce(controller) != 2; tries++ {
+		// In force, and held back; where contact was lost it was not put in force.
+		if status, body := call(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 504 || tries > 100 {
+			test.Fatal(status, body)
+		}
 	}
 	// A refusal needs no waiting.
 	if status, _ := clearCall(test, server, "POST", "/-/Configuration.Replace", "1", config(3)); status != 412 {
@@ -120,7 +137,7 @@
 	if status, _ := call(test, server, "POST", "/-/Configuration.Replace", "7", config(9)); status != 504 {
 		test.Fatal(status)
 	}
-	controller.begun -= 60_000_000_000
+	growOld(controller)
 	if status, body := clearCall(test, server, "POST", "/-/Configuration.Replace", "0", config(2)); status != 200 {
 		test.Fatal(status, body)
 	}
@@ -148,7 +165,7 @@
 func TestSmallerSetHasToDoOnlyWhereNobodyElseAnswers(test *testing.T) {
 	controllers, room := fleet(test, 4, nil)
 	one := controllers[1]
-	one.begun -= 60_000_000_000
+	growOld(one)
 	value, err := one.Register.Read()
 	if err != nil || one.bears(&value) {
 		test.Fatal("acknowledges in a set of three while a fourth machine answers: ", err)
--- a/internal/control/controller/calls_test.go
+++ b/internal/control/controller/calls_test.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// stayYoung has a controller act as one does that has just started, however slow the
+// machine is that tests.
+func stayYoung(controller *Controller) {
+	controller.begun = clock.Now().Plus(clock.Milliseconds(3_600_000))
+}
+
+// growOld has a controller act as a minute after its start.
+func growOld(controller *Controller) {
+	controller.begun = clock.Now().Plus(-clock.Milliseconds(60_000))
+}
+
 func call(test *testing.T, server *httptest.Server, method, path, base, body string) (int, string) {
 	request, _ := http.NewRequest(method, server.URL+path, strings.NewReader(body))
 	if base != "" {
@@ -155,10 +166,11 @@
 
 func TestRetireOfUnknownAndOfTooMany(test *testing.T) {
 	controller, server := open(test, test.TempDir(), true)
+	stayYoung(controller)
 	if status, _ := callPast(test, server, "POST", "/-/Retire.Open/store-1", "", "{}", http.StatusGatewayTimeout); status != 503 {
 		test.Fatal("a controller that has just started can't know: ", status)
 	}
-	controller.begun -= 60_000_000_000
+	growOld(controller)
 	if status, _ := clearCall(test, server, "POST", "/-/Retire.Open/store-1", "", "{}"); status != 404 {
 		test.Fatal(status)
 	}
