Broadcast simulations run beside each other

Each has a fleet and a clock of its own. The longest test, one controller cut off, is cut by seed, size and controller. Same cases and seeds as before.

--- a/internal/control/broadcast/broadcast_test.go
+++ b/internal/control/broadcast/broadcast_test.go
@@ -76,6 +76,7 @@
 // A drain is known at every process in touch before it is acknowledged, whichever
 // controllers are lost or half cut off in that moment, and never later than the bound.
 func TestDrainBindsFromItsAcknowledgement(test *testing.T) {
+	test.Parallel()
 	for _, gateways := range []int{4, 20} {
 		for seed := int64(1); seed <= 10; seed++ {
 			one := newFleet(seed, 4, 2, 2, gateways)
@@ -112,6 +113,7 @@
 // On a network that loses calls, what the tree missed is pulled within the time that a
 // worker serves on after its drain.
 func TestMissedChangesArePulled(test *testing.T) {
+	test.Parallel()
 	for seed := int64(1); seed <= 10; seed++ {
 		one := newFleet(seed, 4, 2, 2, 10)
 		one.Run(clock.Moment(0).Plus(6 * constants.ShufflePeriod))
@@ -132,6 +134,7 @@
 // Every acknowledged configuration is in force at each process in touch within the
 // bound, under the same troubles and on a lossy network, and nobody ever goes back.
 func TestConfigurationsConverge(test *testing.T) {
+	test.Parallel()
 	for seed := int64(1); seed <= 10; seed++ {
 		one := newFleet(seed, 4, 2, 3, 20)
 		one.Run(clock.Moment(0).Plus(6 * constants.ShufflePeriod))
@@ -168,6 +171,7 @@
 
 // Silence of a worker is told, that of a controller is not taken for one of its workers.
 func TestSilentWorkersAreToldAndOthersNotDoubted(test *testing.T) {
+	test.Parallel()
 	one := newFleet(3, 4, 2, 2, 10)
 	one.Run(clock.Moment(0).Plus(5 * constants.ShufflePeriod))
 	count, crashed := int64(0), false
--- a/internal/control/broadcast/cost_test.go
+++ b/internal/control/broadcast/cost_test.go
@@ -61,6 +61,7 @@
 // logarithm when the fleet grows from 24 to 392 processes with workers in proportion. A
 // controller's grows with the processes and workers that report to it, by a few bytes each.
 func TestCostANodeIsFlat(test *testing.T) {
+	test.Parallel()
 	sizes := []struct{ gateways, stores, workerList int }{{3, 1, 18}, {19, 4, 75}, {80, 16, 300}}
 	costs := []map[string]cost{}
 	for _, size := range sizes {
--- a/internal/control/broadcast/cut_test.go
+++ b/internal/control/broadcast/cut_test.go
@@ -205,25 +205,34 @@
 // meanwhile is known at each process in touch within its bound, no live process is taken
 // for silent, nobody goes on reporting to the one that is cut off, and it confirms nothing.
 func TestOneControllerCutOff(test *testing.T) {
+	test.Parallel()
 	sizes := []struct{ zones, controllers int }{{3, 1}, {5, 1}, {4, 2}}
 	for seed := 1; seed <= seeds(1); seed++ {
 		for _, size := range sizes {
 			for place := 0; place < size.zones*size.controllers; place++ {
-				for how := bothWays; how < directions; how++ {
-					for turn, length := range []clock.Span{1, 5, 12, 20, 60} {
-						if seeds(0) == 0 && (place+turn+int(how))%int(directions) != 0 {
-							// One direction each in CI: the rest is played on demand.
-							continue
-						}
-						one := &cut{test: test, fleet: newFleet(int64(seed), size.zones, size.controllers, 1, 2), how: how}
-						one.hit = one.fleet.controllers()[place]
-						one.name = fmt.Sprintf("seed %d, %d controllers, %s, direction %d, %d s", seed, size.zones*size.controllers, one.hit.own.Address, how, length)
-						one.play(length * second)
-						if test.Failed() {
-							return
-						}
-					}
-				}
+				test.Run(fmt.Sprintf("seed %d, %d controllers, number %d", seed, size.zones*size.controllers, place), func(test *testing.T) {
+					test.Parallel()
+					playCuts(test, int64(seed), size.zones, size.controllers, place)
+				})
+			}
+		}
+	}
+}
+
+// playCuts cuts one controller off in each direction, for each length.
+func playCuts(test *testing.T, seed int64, zones, controllers, place int) {
+	for how := bothWays; how < directions; how++ {
+		for turn, length := range []clock.Span{1, 5, 12, 20, 60} {
+			if seeds(0) == 0 && (place+turn+int(how))%int(directions) != 0 {
+				// One direction each in CI: the rest is played on demand.
+				continue
+			}
+			one := &cut{test: test, fleet: newFleet(seed, zones, controllers, 1, 2), how: how}
+			one.hit = one.fleet.controllers()[place]
+			one.name = fmt.Sprintf("seed %d, %d controllers, %s, direction %d, %d s", seed, zones*controllers, one.hit.own.Address, how, length)
+			one.play(length * second)
+			if test.Failed() {
+				return
 			}
 		}
 	}
