Hollow fleet: contact leases, second reports, backlog and kept drains

Cause: the hollow fleet drove the real cores as they were called before controllers kept contact leases, so docs/CAPACITY.md could not speak of the control side of today.

Change: controllers ask every acceptor each ContactPeriod and answer as detached without a majority; processes send a brief report to a second controller each SecondReportPeriod; what a broadcast did not confirm goes to the real broadcast.Backlog and is told again; drains and departures are kept by a majority of the acceptors before they are acknowledged. All with the real cores (contact, broadcast, membership, register). The directory of a broadcast holds the silent ones too, as in control/controller.

Result: TestContactIsPlayed counts the frames of both kinds and sees orders refused and drains unacknowledged while regions are parted. Seen red by hand: without the second report ("26.4 report frames a second, want 36.0"), without the contact round ("0.0 contact frames a second, want 80.0").

--- a/cmd/lemonarch/hollow.go
+++ b/cmd/lemonarch/hollow.go
@@ -31,7 +31,7 @@
 	plan, flags := hollowfleet.Usual(), hollowFlags{}
 	command := &cobra.Command{Use: "hollow", Args: cobra.NoArgs,
 		Short: "Play a fleet of hundreds of processes without a data plane, and fit what grows with it",
-		Long: "Plays the real cores of membership, workers, gossip, register, holds and lots on a\n" +
+		Long: "Plays the real cores of membership, contact, workers, gossip, register, holds and lots on a\n" +
 			"simulated clock and prints JSON. From three sizes on, slopes are fitted. The same seed\n" +
 			"gives the same simulated part; processor time and memory are measured.",
 		RunE: func(command *cobra.Command, _ []string) error {
--- /dev/null
+++ b/internal/tooling/hollowfleet/backlog.go
@@ -0,0 +1,73 @@
+package hollowfleet
+
+import (
+	"lemonarch/internal/control/broadcast"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// addToBacklog notes processes that have not confirmed an update.
+func (registrations *registrations) addToBacklog(node *Node, update *messages.Relay, entries []messages.Entry, pause clock.Span) {
+	own := registrations.table(node)
+	var ids []string
+	for _, worker := range update.Workers {
+		ids = append(ids, worker.ID)
+	}
+	node.step(CoreBacklog, func() {
+		for _, entry := range entries {
+			own.backlog.Add(entry, update.Generation, ids, pause, node.now())
+		}
+	})
+}
+
+// tendBacklog makes the deliveries that are due.
+func (registrations *registrations) tendBacklog(node *Node, own *table) {
+	if len(own.backlog.Names()) == 0 {
+		return
+	}
+	directory := registrations.fleet.members.all(node)
+	var due []broadcast.Delivery
+	node.step(CoreBacklog, func() { due = own.backlog.Due(directory, node.now()) })
+	for _, delivery := range due {
+		registrations.redeliver(node, own, delivery)
+	}
+}
+
+// redeliver makes one delivery: changes of workers first, then the number of the
+// configuration, which the process pulls.
+func (registrations *registrations) redeliver(node *Node, own *table, delivery broadcast.Delivery) {
+	var updates []messages.Worker
+	for _, id := range delivery.Workers {
+		if worker, known := own.registry.Get(id); known {
+			updates = append(updates, worker)
+		}
+	}
+	name := func() { registrations.nameConfiguration(node, own, delivery) }
+	if len(updates) == 0 {
+		name()
+		return
+	}
+	push := &messages.RosterPush{From: membership.Key(node.own), Workers: updates}
+	node.ask(CoreBacklog, delivery.Entry.Address, messages.KindRosterPush, push, &messages.Nothing{}, constants.CallTime, func(reached bool) {
+		if reached {
+			name()
+		}
+	})
+}
+
+// nameConfiguration tells a process the generation that it has not confirmed.
+func (registrations *registrations) nameConfiguration(node *Node, own *table, delivery broadcast.Delivery) {
+	if delivery.Generation == 0 {
+		own.backlog.Confirmed(delivery)
+		return
+	}
+	taken := &messages.Nothing{}
+	push := &messages.ConfigPush{Generation: delivery.Generation}
+	node.ask(CoreBacklog, delivery.Entry.Address, messages.KindConfigPush, push, taken, constants.CallTime, func(reached bool) {
+		if reached && taken.Taken {
+			own.backlog.Confirmed(delivery)
+		}
+	})
+}
--- a/internal/tooling/hollowfleet/fleet.go
+++ b/internal/tooling/hollowfleet/fleet.go
@@ -37,6 +37,7 @@
 	traffic       *traffic
 	configuration *configuration
 	storage       *storage
+	contacts      *contacts
 	troubles      *troubles
 	counting      bool
 	kinds         map[messages.Kind]*[ways]Traffic
@@ -46,6 +47,9 @@
 	progress      io.Writer
 }
 
+// contactsPlace is the place of the contact leases among the mechanisms.
+const contactsPlace = 6
+
 // New builds a fleet; progress, where not nil, is told how far long runs are.
 func New(plan Plan, progress io.Writer) *Fleet {
 	plan.Scale()
@@ -67,7 +71,8 @@
 	}
 	fleet.members, fleet.registrations, fleet.gossip = &memberList{fleet: fleet}, newWorkers(fleet), newGossip(fleet)
 	fleet.configuration, fleet.storage, fleet.traffic = newRegister(fleet), newLots(fleet), newTraffic(fleet)
-	fleet.mechanisms = []Mechanism{fleet.members, fleet.registrations, fleet.gossip, fleet.configuration, fleet.storage, fleet.traffic}
+	fleet.contacts = &contacts{fleet}
+	fleet.mechanisms = []Mechanism{fleet.members, fleet.registrations, fleet.gossip, fleet.configuration, fleet.storage, fleet.traffic, fleet.contacts}
 	fleet.troubles = newTroubles(fleet)
 	return fleet
 }
--- a/internal/tooling/hollowfleet/hollowfleet_test.go
+++ b/internal/tooling/hollowfleet/hollowfleet_test.go
@@ -7,6 +7,9 @@
 	"os"
 	"strings"
 	"testing"
+
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
 )
 
 // small is a fleet that plays in a moment, with something of everything.
@@ -58,6 +61,39 @@
 	}
 }
 
+// Controllers keep their leases and every process reports to two controllers. While regions
+// are parted neither half has a majority: orders are refused, and drains are not
+// acknowledged, until they meet again.
+func TestContactIsPlayed(test *testing.T) {
+	plan := small(7)
+	plan.ZoneS, plan.PartS, plan.Failures, plan.DurationS = 0, 0, 0, 20
+	result := New(plan, nil).Run()
+	// Four controllers ask three others: calls and answers of one kind.
+	asked := 4 * 3 * 2 / constants.ContactPeriod.Seconds()
+	if frames := framesOf(result, messages.KindContact); math.Abs(frames-asked) > 0.02*asked {
+		test.Errorf("%.1f contact frames a second, want %.1f", frames, asked)
+	}
+	reports := float64(plan.Nodes) * 2 * (1 + 1/constants.SecondReportPeriod.Seconds())
+	if frames := framesOf(result, messages.KindShuffle); frames < 0.98*reports || frames > 1.2*reports {
+		test.Errorf("%.1f report frames a second, want %.1f and the shuffles", frames, reports)
+	}
+	if len(result.Simulated.Refused) > 0 {
+		test.Errorf("refused: %v", result.Simulated.Refused)
+	}
+	plan.PartS = 10
+	parted := New(plan, nil).Run()
+	if parted.Simulated.Refused["configuration"] == 0 || parted.Simulated.Acknowledged["worker drains"].Count >= result.Simulated.Acknowledged["worker drains"].Count {
+		test.Errorf("parted: refused %v, acknowledged %+v", parted.Simulated.Refused, parted.Simulated.Acknowledged)
+	}
+}
+
+func framesOf(result *Result, kind messages.Kind) (frames float64) {
+	for _, rate := range result.Simulated.Kinds[kind.String()] {
+		frames += rate.Frames
+	}
+	return frames
+}
+
 // What goes out of one process comes into another, or is on its way to one that is
 // gone; the kinds add up to the same.
 func TestBytesAddUp(test *testing.T) {
--- /dev/null
+++ b/internal/tooling/hollowfleet/keep.go
@@ -0,0 +1,44 @@
+package hollowfleet
+
+import (
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+)
+
+// beginKeep lets a controller keep binding changes of workers for another. The sync of
+// its disk takes no time here.
+func (registrations *registrations) beginKeep(node *Node, own *table) {
+	node.answerers[messages.KindWorkersKeep] = reads(node, CoreWorkers, func(question *messages.WorkersKeep) transport.Writable {
+		registrations.merge(node, own, question.Workers)
+		return registrations.fleet.contacts.accepted(node)
+	})
+}
+
+// keepAtMajority has a drain or a departure kept by a majority of the acceptors; done is
+// told then, or never where that fails.
+func (registrations *registrations) keepAtMajority(node *Node, worker messages.Worker, done func()) {
+	sets, answered := registrations.fleet.contacts.sets(node), map[string]bool{}
+	once := onceOf(done)
+	kept := func(member messages.Member, disk string) {
+		member.Disk = disk
+		answered[register.Identity(member)] = true
+		if register.Quorum(&sets, answered) {
+			once()
+		}
+	}
+	question := &messages.WorkersKeep{From: node.own.Address, Workers: []messages.Worker{worker}}
+	for _, member := range register.Targets(&sets) {
+		if member.Address == node.own.Address {
+			kept(member, registrations.fleet.contacts.accepted(node).Disk)
+			continue
+		}
+		back := &messages.ContactTold{}
+		node.ask(CoreWorkers, member.Address, messages.KindWorkersKeep, question, back, constants.TreeTime, func(reached bool) {
+			if reached {
+				kept(member, back.Disk)
+			}
+		})
+	}
+}
--- a/internal/tooling/hollowfleet/members.go
+++ b/internal/tooling/hollowfleet/members.go
@@ -16,6 +16,8 @@
 type seat struct {
 	view   *membership.View
 	rounds int
+	// first is the controller that took the last full report.
+	first string
 }
 
 // Name names it.
@@ -48,7 +50,7 @@
 	node.after(clock.Span(node.random.Int63n(int64(constants.StartPause))), func() {
 		for _, seed := range members.fleet.seeds {
 			if seed != node.own.Address {
-				members.report(node, seed, func(bool) {})
+				members.report(node, seed, false, func(reportResult) {})
 			}
 		}
 		node.after(constants.StartPause*2, func() {
@@ -59,6 +61,7 @@
 			case node.places():
 				members.exchange(node, own)
 				node.every(constants.ShufflePeriod, func() { members.exchange(node, own) })
+				node.every(constants.SecondReportPeriod, func() { members.secondReport(node, own) })
 			}
 		})
 	})
@@ -66,30 +69,24 @@
 
 // exchange is the periodic exchange with a controller, or with others where none answers.
 func (members *memberList) exchange(node *Node, own *seat) {
-	const tries = 3
 	own.rounds++
+	round := own.rounds
 	var controllers []messages.Entry
 	node.step(CoreMembership, func() { controllers = own.view.Controllers(node.now()) })
-	after := func(heard bool) {
-		if !heard || own.rounds%constants.NeighbourRounds == 0 {
+	after := func(first string) {
+		own.first = first
+		if first == "" || round%constants.NeighbourRounds == 0 {
 			members.neighbour(node, own)
 		}
 	}
-	var try func(place int)
-	try = func(place int) {
-		if place < min(tries, len(controllers)) {
-			members.report(node, controllers[place].Address, func(heard bool) {
-				if heard {
-					after(true)
-					return
-				}
-				try(place + 1)
-			})
+	members.reportToOneOf(node, controllers, false, func(first string) {
+		if first != "" {
+			after(first)
 			return
 		}
-		members.report(node, members.fleet.seeds[node.random.Intn(len(members.fleet.seeds))], after)
-	}
-	try(0)
+		seed := members.fleet.seeds[node.random.Intn(len(members.fleet.seeds))]
+		members.reportToOneOf(node, []messages.Entry{{Address: seed}}, false, after)
+	})
 }
 
 // neighbour shuffles with a neighbour.
@@ -107,28 +104,6 @@
 	})
 }
 
-// report asks one controller and takes its answer.
-func (members *memberList) report(node *Node, address string, then func(bool)) {
-	view := members.fleet.members.viewOf(node)
-	if view == nil {
-		return
-	}
-	var question *messages.Shuffle
-	node.step(CoreMembership, func() { question = view.Question() })
-	answer := &messages.Shuffle{}
-	node.ask(CoreMembership, address, messages.KindShuffle, question, answer, constants.ReportTime, func(reached bool) {
-		if !reached {
-			view.Failed(address, node.now())
-			then(false)
-			return
-		}
-		view.Answered(question, answer, node.now())
-		members.saw(node, answer.Entries)
-		members.fleet.registrations.heardController(node, address, answer)
-		then(true)
-	})
-}
-
 // viewOf gives the view, or nil while the process is being started or let go.
 func (members *memberList) viewOf(node *Node) *membership.View {
 	if own, is := node.state[0].(*seat); is {
--- a/internal/tooling/hollowfleet/meter.go
+++ b/internal/tooling/hollowfleet/meter.go
@@ -19,10 +19,12 @@
 	CoreHolds
 	CoreLots
 	CoreDriver
+	CoreContact
+	CoreBacklog
 	cores
 )
 
-var coreNames = [cores]string{"membership", "workers", "gossip", "readings", "placement", "config", "register", "holds", "lots", "driver"}
+var coreNames = [cores]string{"membership", "workers", "gossip", "readings", "placement", "config", "register", "holds", "lots", "driver", "contact", "backlog"}
 
 // String names the core.
 func (core Core) String() string { return coreNames[core] }
--- a/internal/tooling/hollowfleet/register.go
+++ b/internal/tooling/hollowfleet/register.go
@@ -70,7 +70,9 @@
 			node.after(0, func() { configuration.passOn(node, push) })
 		}
 		configuration.take(node, push.Generation, push.Body)
-		return taken()
+		// A push without a body only says that there is one.
+		configuration.saw(node, push.Generation)
+		return &messages.Nothing{Taken: node.generation >= push.Generation}
 	})
 	acceptor := configuration.acceptors[node.own.Address]
 	if acceptor == nil {
@@ -186,6 +188,10 @@
 func (configuration *configuration) change(node *Node) {
 	fleet := configuration.fleet
 	configuration.changes++
+	if !fleet.contacts.attached(node) {
+		fleet.troubles.refused("configuration")
+		return
+	}
 	version := messages.Version{Generation: configuration.chosen + 1, Base: configuration.chosen}
 	body := configuration.body(version.Generation)
 	version.Hash = routeconfig.Hash(body)
--- a/internal/tooling/hollowfleet/tree.go
+++ b/internal/tooling/hollowfleet/tree.go
@@ -39,12 +39,12 @@
 	}
 }
 
-// directory gives every other process that may still be there and lacks a generation.
+// directory gives every other process that lacks a generation, the silent ones included.
 func (registrations *registrations) directory(node *Node, generation int64) []messages.Entry {
 	var found []messages.Entry
 	for _, entry := range registrations.fleet.members.all(node) {
 		has := generation > 0 && entry.Generation >= generation && entry.Role != membership.RoleController
-		if entry.AgeMs < 4*constants.SilentAfter.Milliseconds() && !has {
+		if !has {
 			found = append(found, entry)
 		}
 	}
@@ -69,6 +69,9 @@
 	node.step(core, func() { one.job, sends = broadcast.Fleet(node.own, directory, fan(update), node.now()) })
 	told := onceOf(done)
 	one.waiting = append(one.waiting, told)
+	if update.Generation > 0 {
+		registrations.addToBacklog(node, update, one.job.Unconfirmed(sends), constants.BacklogPassedPause)
+	}
 	node.after(span, told)
 	registrations.deliver(node, core, update, one, sends)
 }
@@ -81,9 +84,13 @@
 			registrations.send(node, core, update, send, func(missing []uint32, reached bool) {
 				if reached {
 					follow(one.job.Took(send, missing, node.now()))
-				} else {
-					follow(one.job.Failed(send, node.now()))
+					return
+				}
+				next := one.job.Failed(send, node.now())
+				if entry := one.job.Told(send); send.Step == broadcast.StepTell && entry.Address != "" {
+					registrations.addToBacklog(node, update, []messages.Entry{entry}, constants.BacklogPause)
 				}
+				follow(next)
 			})
 		}
 		one.settle()
--- a/internal/tooling/hollowfleet/workers.go
+++ b/internal/tooling/hollowfleet/workers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 
+	"lemonarch/internal/control/broadcast"
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/workers"
 	"lemonarch/internal/platform/clock"
@@ -36,6 +37,7 @@
 	registry *workers.Registry
 	peers    map[string]*peer
 	relays   map[string]*propagation
+	backlog  *broadcast.Backlog
 }
 
 // peer is what a controller remembers of another one.
@@ -87,7 +89,7 @@
 		node.after(constants.StartPause, func() { registrations.pullFirst(node, own) })
 		return own
 	}
-	own := &table{registry: workers.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*propagation{}}
+	own := &table{registry: workers.New(heartbeat), peers: map[string]*peer{}, relays: map[string]*propagation{}, backlog: broadcast.NewBacklog()}
 	node.answerers[messages.KindRosterPush] = reads(node, CoreWorkers, func(push *messages.RosterPush) transport.Writable {
 		registrations.merge(node, own, push.Workers)
 		registrations.fleet.members.touched(node, push.From)
@@ -98,6 +100,8 @@
 	})
 	registrations.beginBeats(node, own)
 	registrations.beginRelays(node, own)
+	registrations.beginKeep(node, own)
+	node.every(constants.BacklogPeriod, func() { registrations.tendBacklog(node, own) })
 	return own
 }
 
@@ -165,12 +169,14 @@
 
 // addWorkers adds what is known of workers to a controller's answer.
 func (registrations *registrations) addWorkers(node *Node, answer *messages.Shuffle) {
+	if !registrations.fleet.contacts.attached(node) {
+		*answer = messages.Shuffle{Entries: answer.Entries[:1], Detached: true}
+		return
+	}
 	own := registrations.table(node)
 	node.step(CoreWorkers, func() {
 		answer.Workers = own.registry.Digest(node.own.Life)
-		if answer.Judging = len(registrations.fleet.members.view(node).Live(membership.RoleController, node.now())) > 0; answer.Judging {
-			answer.Overdue = own.registry.Overdue(node.now())
-		}
+		answer.Judging, answer.Overdue = true, own.registry.Overdue(node.now())
 	})
 }
 
@@ -186,21 +192,36 @@
 		done()
 		return
 	}
-	registrations.spread(node, CoreWorkers, &messages.Relay{Workers: []messages.Worker{worker}}, constants.TreeTime, done)
+	parts := 1
+	settled := func() {
+		if parts--; parts == 0 {
+			done()
+		}
+	}
+	if worker.Phase != messages.PhaseSteady {
+		parts++
+		registrations.keepAtMajority(node, worker, settled)
+	}
+	registrations.spread(node, CoreWorkers, &messages.Relay{Workers: []messages.Worker{worker}}, constants.TreeTime, settled)
 }
 
-// controller gives the controller that a worker calls: its zone's, or any that runs.
+// controller gives the controller that a worker calls: its zone's, or any that runs. One
+// that is not in contact with a majority takes no call.
 func (registrations *registrations) controller(number int) *Node {
 	live := registrations.fleet.live(membership.RoleController)
 	for _, node := range live {
-		if node.own.Zone == registrations.all[number].Zone {
+		if node.own.Zone == registrations.all[number].Zone && registrations.fleet.contacts.attached(node) {
 			return node
 		}
 	}
 	if len(live) == 0 {
 		return nil
 	}
-	return live[registrations.random.Intn(len(live))]
+	other := live[registrations.random.Intn(len(live))]
+	if !registrations.fleet.contacts.attached(other) {
+		return nil
+	}
+	return other
 }
 
 // knows gives a worker as a process knows it.
