--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -134,11 +134,13 @@
 	}
 }
 
-// idle tells that no request comes or is answered, and that none will be taken any more.
+// idle ends the accepting of connections, closes those that rest, and tells that no request comes or is answered.
 func (g *Gateway) idle() bool {
 	clients := g.clients.Load()
 	if clients == nil {
 		return true
 	}
-	return clients.busy() == 0 && g.Proxy.Active() == 0 && clients.closeIdle()
+	// Accepting ends by time alone, before the look at what is under way: steady traffic would
+	// otherwise keep it open until the process is killed, and cut the last requests.
+	return clients.closeIdle() && g.Proxy.Active() == 0
 }
