A store that lost its disk leaves the set at once, and joins again once it is complete

The last member had every record, but could not fence three of the five that the register still named. Change: lost disks, confirmed by the machine itself, are removed from the set in the register within a second; copies are needed of the members that are left; a takeover leaves lost disks out of the count; all joiners that are lacking are copied to at once, and a copy that ended early is tried from other members first.

--- a/internal/batch/leader/addmember.go
+++ b/internal/batch/leader/addmember.go
@@ -82,14 +82,36 @@
 	return complete
 }
 
-// changeSet copies everything to the joiners, then counts their copies as well as
-// the old set's, then has the register name the new set.
-func (t *Term) changeSet(members []messages.Member, replacements []replacement) {
-	process := t.process
+// changeSet copies everything to the joiners, and then has them counted.
+func (t *Term) changeSet(replacements []replacement) {
 	if replacements = t.syncJoiners(replacements); len(replacements) == 0 {
 		return
 	}
-	next := withReplacements(members, replacements)
+	t.feeds.setChange.Lock()
+	defer t.feeds.setChange.Unlock()
+	t.lock.Lock()
+	// Members may have been removed since the joiners began to copy.
+	next := withReplacements(t.records.replicator.Members, replacements)
+	t.lock.Unlock()
+	if !t.commitSet(next) {
+		return
+	}
+	t.lock.Lock()
+	for _, s := range replacements {
+		if s.out != nil {
+			t.stopFeed(*s.out)
+		}
+	}
+	t.lock.Unlock()
+	for _, s := range replacements {
+		t.process.Node.Log.Info("store set changed", "in", s.in.Name, "stores", len(next), "epoch", t.leadership.Epoch)
+	}
+}
+
+// commitSet counts the copies of a next set as well as those of the set in force, then has the
+// register name the next one. It is false where the term ended before. The caller holds
+// feeds.setChange.
+func (t *Term) commitSet(next []messages.Member) bool {
 	// From here on a record is durable only where it is in both sets.
 	t.lock.Lock()
 	t.records.replicator.Next = next
@@ -97,11 +119,12 @@
 	t.lock.Unlock()
 	for !t.awaitCommit(index, constants.LeaseDuration) {
 		if t.Closed() {
-			return
+			return false
 		}
+		t.markLostDisks()
 	}
 	for !t.Closed() {
-		changed, known := process.Election.ChangeRegister(&messages.RegisterChangeRequest{Holder: t.leadership, Stores: next})
+		changed, known := t.process.Election.ChangeRegister(&messages.RegisterChangeRequest{Holder: t.leadership, Stores: next})
 		if !known {
 			// It may be in force: both sets count until that is known.
 			clock.Sleep(constants.TickPeriod * 2)
@@ -109,23 +132,16 @@
 		}
 		if !changed.Applied {
 			t.Close("the set was changed under another epoch")
-			return
+			return false
 		}
-		process.Election.SetRegister(changed.Value)
+		t.process.Election.SetRegister(changed.Value)
 		t.lock.Lock()
 		t.records.replicator.Members, t.records.replicator.Next = next, nil
-		for _, s := range replacements {
-			if s.out != nil {
-				t.stopFeed(*s.out)
-			}
-		}
 		t.records.replicator.AdvanceCommit()
 		t.applyCommittedLocked()
 		t.notifyLocked()
 		t.lock.Unlock()
-		for _, s := range replacements {
-			process.Node.Log.Info("store set changed", "in", s.in.Name, "stores", len(next), "epoch", t.leadership.Epoch)
-		}
-		return
+		return true
 	}
+	return false
 }
--- a/internal/batch/leader/copy.go
+++ b/internal/batch/leader/copy.go
@@ -30,10 +30,10 @@
 func (t *Term) CopyTo(joiner messages.Member, i int, timeout *CopyDeadline) int64 {
 	identity := register.Identity(joiner)
 	last := int64(0)
-	for {
+	for failures := 0; ; {
 		t.lock.Lock()
 		done := t.feeds.copied[identity]
-		source, target := t.source(joiner, i)
+		source, target := t.source(joiner, i+failures)
 		t.lock.Unlock()
 		if source == nil || target <= done || (done > 0 && caughtUp(target-done, last)) || timeout.passed() || t.Closed() {
 			return done
@@ -43,10 +43,16 @@
 		t.lock.Lock()
 		t.feeds.copied[identity] = further
 		t.lock.Unlock()
-		if further < target {
-			// What was copied counts; the rest comes from here.
+		if further >= target {
+			failures = 0
+			continue
+		}
+		// What was copied counts. Another member is asked for the rest; only where that fails
+		// as well, it comes from here.
+		if failures++; failures > constants.CopyRetries {
 			return further
 		}
+		last = 0
 	}
 }
 
--- a/internal/batch/leader/feed.go
+++ b/internal/batch/leader/feed.go
@@ -34,8 +34,10 @@
 }
 
 // stopFeed stops that. The lock is held.
-func (t *Term) stopFeed(member messages.Member) {
-	identity := register.Identity(member)
+func (t *Term) stopFeed(member messages.Member) { t.stopFeedOf(register.Identity(member)) }
+
+// stopFeedOf is stopFeed by the identity of the store. The lock is held.
+func (t *Term) stopFeedOf(identity string) {
 	if quit := t.feeds.feeders[identity]; quit != nil {
 		close(quit)
 		delete(t.feeds.feeders, identity)
--- a/internal/batch/leader/reconcile.go
+++ b/internal/batch/leader/reconcile.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"slices"
+
 	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
@@ -49,9 +51,12 @@
 		return
 	}
 	replacements := []replacement{{out, *joiner}}
-	if out != nil && out.Name == joiner.Name {
-		// All that came back empty take their places in one change: each second in
-		// which one of them is not complete counts against the fault budget.
+	switch {
+	case out == nil:
+		// All that are lacking join in one change: each second in which the set is too small
+		// counts against the fault budget.
+		replacements = process.fillers(members, entries, retired)
+	case out.Name == joiner.Name:
 		replacements = replacements[:0]
 		for i := range members {
 			if resp := diskLost(members[i], entries, retired); resp != nil && members[i].Name != process.Node.Self.Name {
@@ -59,7 +64,26 @@
 			}
 		}
 	}
-	t.changeSet(members, replacements)
+	t.changeSet(replacements)
+}
+
+// fillers gives the stores that make a set complete which is too small, the best first. Slow
+// ones are left out.
+func (p *Process) fillers(members []messages.Member, entries map[string]messages.NodeInfo, retired map[string]bool) []replacement {
+	var fillers []replacement
+	set := p.storeSet(slices.Clone(members), entries, retired, nil)
+	for {
+		_, joiner := set.fill()
+		if joiner == nil {
+			return fillers
+		}
+		if p.isSlow(*joiner) {
+			delete(entries, joiner.Name)
+			continue
+		}
+		set.members = append(set.members, *joiner)
+		fillers = append(fillers, replacement{nil, *joiner})
+	}
 }
 
 // replacement puts a joiner into a member's place, or adds it where out is nil.
--- a/internal/batch/leader/takeover.go
+++ b/internal/batch/leader/takeover.go
@@ -37,6 +37,8 @@
 		if t.Closed() {
 			return
 		}
+		// Too few may be left for as many copies as usual.
+		t.markLostDisks()
 	}
 	t.beginServing(index - 1)
 }
@@ -186,6 +188,7 @@
 	t.process.Node.Log.Info("leadership serving", "epoch", t.leadership.Epoch, "records", last, "jobs", jobs)
 	go clock.Every(constants.LeaseRenewPeriod, t.life.stop, t.announce)
 	go clock.Every(constants.GossipPeriod/2, t.life.stop, t.reconcileSet)
+	go clock.Every(constants.GossipPeriod/4, t.life.stop, t.removeLostDisks)
 	go clock.Every(constants.GossipPeriod, t.life.stop, t.forget)
 	go t.expireItems()
 	go t.watchOwnLag()
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -98,6 +98,8 @@
 	feeders map[string]chan struct{}
 	// copied is how far joiners have copied from other members.
 	copied map[string]int64
+	// setChange is held while the set in force is changed. It is taken before Term.lock.
+	setChange sync.Mutex
 }
 
 // items is the dispatching of items.
--- a/internal/batch/replication/replicator.go
+++ b/internal/batch/replication/replicator.go
@@ -14,9 +14,11 @@
 	Members []messages.Member
 	// Next, while the store set is being changed, is the set to come: then a
 	// record is durable only with enough copies in both.
-	Next        []messages.Member
-	budget      int
-	matchIndex  map[string]int64
+	Next       []messages.Member
+	budget     int
+	matchIndex map[string]int64
+	// lost holds the members whose disks are known to be lost, by identity.
+	lost        map[string]bool
 	first       int64
 	last        int64
 	commitIndex int64
@@ -24,7 +26,7 @@
 
 // NewReplicator starts an epoch whose first own record will have index first.
 func NewReplicator(epoch uint64, members []messages.Member, budget int, first int64) *Replicator {
-	return &Replicator{Epoch: epoch, Members: members, budget: budget, matchIndex: map[string]int64{}, first: first, last: first - 1}
+	return &Replicator{Epoch: epoch, Members: members, budget: budget, matchIndex: map[string]int64{}, lost: map[string]bool{}, first: first, last: first - 1}
 }
 
 // NextIndex counts a record that the leader has made.
@@ -48,6 +50,15 @@
 // MatchIndex tells how far a store has synced.
 func (p *Replicator) MatchIndex(identity string) int64 { return p.matchIndex[identity] }
 
+// MarkLost notes that a member's disk is lost: its machine has answered with another one. It
+// tells whether more is durable now. A lost disk never grants another leader anything, so
+// where fewer than budget + 1 members are left, a record that all of these have synced is
+// met by every later leader.
+func (p *Replicator) MarkLost(identity string) bool {
+	p.lost[identity] = true
+	return p.AdvanceCommit()
+}
+
 // AdvanceCommit recomputes what is durable.
 func (p *Replicator) AdvanceCommit() bool {
 	durable := p.replicatedIn(p.Members)
@@ -67,13 +78,15 @@
 func (p *Replicator) CommitIndex() int64 { return p.commitIndex }
 
 func (p *Replicator) replicatedIn(members []messages.Member) int64 {
-	needed := CopiesNeeded(len(members), p.budget)
-	if needed == 0 {
-		return 0
-	}
 	var matches []int64
 	for _, member := range members {
-		matches = append(matches, p.matchIndex[register.Identity(member)])
+		if identity := register.Identity(member); !p.lost[identity] {
+			matches = append(matches, p.matchIndex[identity])
+		}
+	}
+	needed := min(CopiesNeeded(len(members), p.budget), len(matches))
+	if needed == 0 {
+		return 0
 	}
 	sort.Slice(matches, func(left, right int) bool { return matches[left] > matches[right] })
 	return matches[needed-1]
--- a/internal/batch/replication/takeover.go
+++ b/internal/batch/replication/takeover.go
@@ -42,3 +42,9 @@
 	}
 	return best
 }
+
+// RefusedForDisk tells whether a store refused an epoch since the disk that was asked for is
+// not there, and not since a later epoch is fenced there.
+func RefusedForDisk(req *messages.FenceRequest, resp *messages.FenceResponse) bool {
+	return !resp.Granted && resp.Epoch <= req.Epoch
+}
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -96,7 +96,7 @@
 }
 
 // SetStores gives the change of the store set. Only the leader of the epoch may
-// make it, and only one member at a time.
+// make it.
 func SetStores(leader messages.Leadership, stores []messages.Member, done *bool) Change {
 	return func(current messages.RegisterValue) (messages.RegisterValue, Verdict) {
 		*done = false
@@ -107,10 +107,6 @@
 			// Retired while it was brought in: nothing may be kept there alone.
 			return current, VerdictUnchanged
 		}
-		if addsRetired(&current, stores) {
-			// Retired while it was brought in: nothing may be kept there alone.
-			return current, VerdictUnchanged
-		}
 		*done = true
 		if sameMembers(current.Stores, stores) {
 			return current, VerdictUnchanged
--- a/internal/platform/constants/pace.go
+++ b/internal/platform/constants/pace.go
@@ -21,6 +21,9 @@
 	// CopyGap is how many records a joiner may lack of what is durable when the
 	// holder sends it the rest itself (ours): a part of a second's.
 	CopyGap = 64
+	// CopyRetries is how many further members a joiner is sent to after a copy that ended
+	// early (ours): the leader's own link carries every new record already.
+	CopyRetries = 3
 	// ResignBackoff is the least time between two times that a process gives its leadership
 	// up for being slow (ours).
 	ResignBackoff = 10 * time.Second
