Pulls of workers move what differs by buckets, not the whole table

Cause: the answer to each report names a digest of the controller's table; while workers come and go it hardly ever equals one's own, and a controller that was not read before was read from its beginning: 3,000 workers are some 300 kB a pull. Change: the asker sends sums by bucket of the workers' hashes, and entries of buckets that are alike are left out.

--- a/internal/control/controller/peers.go
+++ b/internal/control/controller/peers.go
@@ -138,7 +138,8 @@
 // pullWorkers takes the workers of a peer that changed after a clock.
 func (c *Controller) pullWorkers(key, address string, since uint64) {
 	resp := &messages.WorkersUpdate{}
-	if transport.Call(c.Node.Transport, address, messages.KindWorkersPull, &messages.WorkersPullRequest{Since: since}, resp, constants.CallTimeout) != nil {
+	req := &messages.WorkersPullRequest{Since: since, Buckets: c.workers.BucketSums()}
+	if transport.Call(c.Node.Transport, address, messages.KindWorkersPull, req, resp, constants.CallTimeout) != nil {
 		return
 	}
 	c.workers.Merge(resp.Workers)
--- a/internal/control/workers/registry.go
+++ b/internal/control/workers/registry.go
@@ -27,6 +27,7 @@
 	heartbeatPeriod clock.Duration
 	version         uint64
 	sum             uint64
+	buckets         buckets
 	// overdue are the hashes on the last list of silent workers, confirmed its instant.
 	overdue   map[uint32]bool
 	confirmed clock.Instant
@@ -78,9 +79,13 @@
 
 // Since gives the workers changed after a count, aged.
 func (r *Registry) Since(version uint64, now clock.Instant) []messages.Worker {
+	return r.since(version, now, func(string) bool { return true })
+}
+
+func (r *Registry) since(version uint64, now clock.Instant, wanted func(id string) bool) []messages.Worker {
 	var found []messages.Worker
 	for id, entry := range r.entries {
-		if entry.change > version {
+		if entry.change > version && wanted(id) {
 			worker := entry.worker
 			worker.AgeMs = r.sinceLastHeartbeat(id, entry, now).Milliseconds()
 			found = append(found, worker)
--- a/internal/control/workers/table.go
+++ b/internal/control/workers/table.go
@@ -29,12 +29,19 @@
 // put keeps a changed entry. The table's sum moves with it.
 func (r *Registry) put(have *entry, worker messages.Worker) {
 	if have.change > 0 {
-		r.sum ^= checksum(have.worker)
+		r.toggle(have.worker)
 	}
 	r.version++
 	r.invalidateLists()
 	have.worker, have.change = worker, r.version
-	r.sum ^= checksum(worker)
+	r.toggle(worker)
+}
+
+// toggle adds an entry to the sums of the table, or takes it out again.
+func (r *Registry) toggle(worker messages.Worker) {
+	sum := checksum(worker)
+	r.sum ^= sum
+	r.buckets.toggle(worker.ID, sum)
 }
 
 // invalidateLists drops the lists that were kept.
@@ -46,7 +53,7 @@
 // drop forgets an entry.
 func (r *Registry) drop(id string) {
 	entry := r.entries[id]
-	r.sum ^= checksum(entry.worker)
+	r.toggle(entry.worker)
 	r.invalidateLists()
 	delete(r.entries, id)
 	delete(r.idByHash, Hash(id))
--- a/internal/control/workerserver/server.go
+++ b/internal/control/workerserver/server.go
@@ -44,14 +44,14 @@
 	return &messages.Ack{Accepted: true}, nil
 }
 
-// handlePull gives the changes after a clock.
+// handlePull gives the changes after a clock, without those that the asker has by its sums.
 func (s *Server) handlePull(req *messages.WorkersPullRequest) (*messages.WorkersUpdate, error) {
 	if s.Recovering() {
 		// What the file says may be older than a drain that was acknowledged.
 		return nil, contactserver.ErrNoContact.New("workers not known yet")
 	}
 	update := &messages.WorkersUpdate{From: membership.Key(s.node.Self)}
-	update.Workers, update.Table = s.since(req.Since, s.node.Self.Incarnation)
+	update.Workers, update.Table = s.differing(req.Since, req.Buckets, s.node.Self.Incarnation)
 	return update, nil
 }
 
--- a/internal/control/workerserver/table.go
+++ b/internal/control/workerserver/table.go
@@ -133,11 +133,19 @@
 	t.registry.ConfirmHeartbeats(hashes, clock.Now())
 }
 
-// since gives the changes after a clock, with the digest of the table that they lead to.
-func (t *Table) since(version uint64, incarnation int64) ([]messages.Worker, messages.Digest) {
+// BucketSums are the table's sums for a pull from another controller.
+func (t *Table) BucketSums() []byte {
 	t.lock.Lock()
 	defer t.lock.Unlock()
-	return t.registry.Since(version, clock.Now()), t.registry.Digest(incarnation)
+	return t.registry.BucketSums()
+}
+
+// differing gives the changes after a clock in buckets that differ from those of the asker,
+// with the digest of the table that they lead to.
+func (t *Table) differing(version uint64, buckets []byte, incarnation int64) ([]messages.Worker, messages.Digest) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return t.registry.Differing(version, buckets, clock.Now()), t.registry.Digest(incarnation)
 }
 
 // forget drops workers that departed or were silent for long.
--- a/internal/platform/messages/views.go
+++ b/internal/platform/messages/views.go
@@ -73,6 +73,10 @@
 type WorkersPullRequest struct {
 	From  string `msg:"f"`
 	Since uint64 `msg:"s"`
+	// Buckets are the sums of the asker's table by bucket of the workers' hashes, 4 bytes
+	// each, a power of two of them: buckets that are alike are left out of the answer. Without
+	// them nothing is left out.
+	Buckets []byte `msg:"b,omitempty"`
 }
 
 // WorkersUpdate tells of workers.
--- a/internal/platform/messages/views_gen.go
+++ b/internal/platform/messages/views_gen.go
@@ -1022,15 +1022,33 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WorkersPullRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WorkersPullRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Since)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Buckets == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Since)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendBytes(o, z.Buckets)
+		}
+	}
 	return
 }
 
@@ -1064,6 +1082,12 @@
 				err = msgp.WrapError(err, "Since")
 				return
 			}
+		case "b":
+			z.Buckets, bts, err = msgp.ReadBytesBytes(bts, z.Buckets)
+			if err != nil {
+				err = msgp.WrapError(err, "Buckets")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1077,8 +1101,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WorkersPullRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size
+func (z *WorkersPullRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Buckets)
 	return
 }
 
--- a/internal/traffic/admission/workers.go
+++ b/internal/traffic/admission/workers.go
@@ -15,6 +15,13 @@
 	s.Registry.Forget(now)
 }
 
+// WorkerBucketSums are the sums of the workers known here, for a pull from a controller.
+func (s *Scheduler) WorkerBucketSums() []byte {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	return s.Registry.BucketSums()
+}
+
 // WorkersDigest stands for the workers known here.
 func (s *Scheduler) WorkersDigest() messages.Digest {
 	s.lock.Lock()
--- a/internal/traffic/loadgossip/workers.go
+++ b/internal/traffic/loadgossip/workers.go
@@ -56,7 +56,7 @@
 
 func (g *Gossip) pullWorkers(address string, since uint64) bool {
 	resp := &messages.WorkersUpdate{}
-	req := &messages.WorkersPullRequest{From: membership.Key(g.Node.Self), Since: since}
+	req := &messages.WorkersPullRequest{From: membership.Key(g.Node.Self), Since: since, Buckets: g.Scheduler.WorkerBucketSums()}
 	if transport.Call(g.Node.Transport, address, messages.KindWorkersPull, req, resp, constants.CallTimeout) != nil {
 		return false
 	}
