Traffic summaries kept by gateways and stores, merged by zone on demand; weighted routes by a sequence

For the forecast: arrivals, tokens, waits and times by route, service and model over two windows of a minute, bounded, nothing on the wire until asked for. Controllers merge those of a zone and name who gave none. Weighted routes draw from a low-discrepancy sequence with a random start, in place of independent draws, since each of many gateways sees few requests of a route.

--- a/internal/batch/executorserver/run.go
+++ b/internal/batch/executorserver/run.go
@@ -105,10 +105,18 @@
 		s.gossip.Scheduler.Counters(route.Name).Finished.Add(1)
 	}
 	grant.End(admission.ResultServed, clock.Now())
+	s.recordTraffic(route, task, grant)
 	output, compressed := outputcodec.Compress(bytes.Join(task.Item.Events, []byte("\n")))
 	s.done(task, messages.Acknowledgement{Kind: messages.AckAccept, Output: output, Compressed: compressed})
 }
 
+// recordTraffic hands what was seen of a complete run to the traffic summaries.
+func (s *Server) recordTraffic(route *routeconfig.Route, task *executor.Task, grant *admission.Grant) {
+	now := clock.Now()
+	observation := grant.ItemObservation(route.Name, task.Item.Headers["Lemonarch-Model"], len(task.Item.Events), now)
+	s.gossip.Traffic.Record(observation, now)
+}
+
 // forgetConnection takes a connection out of reach before it may serve somebody else.
 func (s *Server) forgetConnection(task *executor.Task) {
 	s.lock.Lock()
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -138,6 +138,7 @@
 	c.operator = operatorapi.New(replica, c.sets, c.configs, checker)
 	process.Handle(node.Runtime, messages.KindDirectoryPull, c.handleDirectoryPull)
 	process.Handle(node.Runtime, messages.KindControllerHeartbeat, c.handleHeartbeat)
+	process.Handle(node.Runtime, messages.KindZoneTraffic, c.handleZoneTraffic)
 	node.OnReportResponse(c.completeReportResponse)
 	node.Report(messages.QueryLeadership, c.reportRegister)
 	node.Report("workers", c.reportWorkers)
--- a/internal/control/workerserver/table.go
+++ b/internal/control/workerserver/table.go
@@ -9,6 +9,8 @@
 package workerserver
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -104,6 +106,31 @@
 	return present
 }
 
+// Groups counts the steady workers that called lately, and their capacity, by service and
+// zone, in order.
+func (t *Table) Groups() []messages.WorkerGroup {
+	byKey := map[[2]string]*messages.WorkerGroup{}
+	for _, worker := range t.All() {
+		if worker.Phase != messages.PhaseSteady || worker.AgeMs >= constants.ReplaceAfter.Milliseconds() {
+			continue
+		}
+		key := [2]string{worker.Backend, worker.Zone}
+		if byKey[key] == nil {
+			byKey[key] = &messages.WorkerGroup{Service: worker.Backend, Zone: worker.Zone}
+		}
+		byKey[key].Workers++
+		byKey[key].Slots += worker.Capacity
+	}
+	groups := make([]messages.WorkerGroup, 0, len(byKey))
+	for _, group := range byKey {
+		groups = append(groups, *group)
+	}
+	slices.SortFunc(groups, func(left, right messages.WorkerGroup) int {
+		return strings.Compare(left.Service+"\x00"+left.Zone, right.Service+"\x00"+right.Zone)
+	})
+	return groups
+}
+
 // Digest stands for the table in the incarnation of a process.
 func (t *Table) Digest(incarnation int64) messages.Digest {
 	t.lock.Lock()
--- a/internal/platform/messages/golden_test.go
+++ b/internal/platform/messages/golden_test.go
@@ -168,7 +168,8 @@
 		KindWorkersPull, KindGossip, KindJobCall, KindFence, KindAppend, KindFetch, KindLeaderAnnouncement, KindStatus,
 		KindRegisterRead, KindRegisterChange, KindPressure, KindPrefill, KindControllerHeartbeat, KindDirectoryPull, KindRelay,
 		KindRelayWait, KindAcquire, KindAcknowledge, KindStopJob, KindNamedPrepare, KindNamedAccept, KindNamedRead,
-		KindPlanPull, KindPlanApply, KindCopy, KindContact, KindWorkersPersist, KindWorkersRecover}
+		KindPlanPull, KindPlanApply, KindCopy, KindContact, KindWorkersPersist, KindWorkersRecover,
+		KindTrafficSummary, KindZoneTraffic}
 	checkNumbers(t, kinds)
 	checkNumbers(t, []Phase{PhaseSteady, PhaseDraining, PhaseDeparted})
 	checkNumbers(t, []RecordKind{RecordNoop, RecordJob, RecordOutput, RecordJobEnd, RecordForget, RecordItemError, RecordExecutor, RecordAcquisitionsKnown})
--- a/internal/platform/messages/kinds.go
+++ b/internal/platform/messages/kinds.go
@@ -52,6 +52,8 @@
 	KindContact
 	KindWorkersPersist
 	KindWorkersRecover
+	KindTrafficSummary
+	KindZoneTraffic
 )
 
 // Phase is a worker's phase.
--- a/internal/traffic/admission/grant.go
+++ b/internal/traffic/admission/grant.go
@@ -11,6 +11,9 @@
 	FreshTokens int
 	request     *Request
 	startedAt   clock.Instant
+	// firstAt is when the first event came, and firstLoad the load that came with it.
+	firstAt     clock.Instant
+	firstLoad   string
 	prefillDone bool
 	scheduler   *Scheduler
 	alone       bool
@@ -37,6 +40,7 @@
 		return
 	}
 	g.prefillDone = true
+	g.firstAt, g.firstLoad = now, load
 	health.PrefillDone(g.FreshTokens)
 	health.RecordResponse(now.Sub(g.startedAt))
 	scheduler.latenciesOf(g.Worker.Backend).first.Observe(clock.ToMilliseconds(max(now.Sub(g.startedAt)-g.prefillTime, 0)))
--- /dev/null
+++ b/internal/traffic/admission/observation.go
@@ -0,0 +1,26 @@
+package admission
+
+import (
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/traffic/health"
+	"lemonarch/internal/traffic/trafficstats"
+)
+
+// ItemObservation is what the traffic summaries keep of an item of a batch job that was run
+// to its end, with the number of its events.
+func (g *Grant) ItemObservation(route, model string, events int, now clock.Instant) *trafficstats.Observation {
+	observation := &trafficstats.Observation{
+		Class: trafficstats.Class{Route: route, Service: g.request.Service, Model: model},
+		Bulk:  true, Outcome: trafficstats.OutcomeServed, Placed: true,
+		PromptTokens: g.request.Prompt.Tokens, FreshTokens: g.FreshTokens, OutTokens: g.request.Prompt.Out,
+		Events: events, Duration: now.Sub(g.startedAt),
+	}
+	if g.firstAt > 0 {
+		observation.FirstEvent = g.firstAt.Sub(g.startedAt)
+		observation.Running, observation.Waiting, observation.LoadKnown = health.ParseRunning(g.firstLoad)
+	}
+	if g.firstAt > 0 && events > 1 {
+		observation.EventGap = now.Sub(g.firstAt) / clock.Duration(events-1)
+	}
+	return observation
+}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -40,6 +40,7 @@
 	placing := loadgossip.New(runtime)
 	gateway := &Gateway{Node: runtime, Gossip: placing}
 	gateway.Proxy = proxy.New(placing.Sender, newJobForwarder(runtime), log)
+	gateway.Proxy.Traffic = placing.Traffic
 	runtime.OnConfig(gateway.configure)
 	return gateway
 }
--- a/internal/traffic/health/health.go
+++ b/internal/traffic/health/health.go
@@ -104,19 +104,25 @@
 
 // ParseLoad parses a load header: running, waiting, slots.
 func ParseLoad(header string) (busy, slots int, known bool) {
+	running, waiting, known := ParseRunning(header)
+	if !known {
+		return 0, 0, false
+	}
+	if fields := strings.Split(header, ","); len(fields) > 2 {
+		slots, _ = strconv.Atoi(strings.TrimSpace(fields[2]))
+	}
+	return running + waiting, slots, true
+}
+
+// ParseRunning gives the requests that run and wait at a worker by its load header.
+func ParseRunning(header string) (running, waiting int, known bool) {
 	fields := strings.Split(header, ",")
 	if len(fields) < 2 {
 		return 0, 0, false
 	}
 	running, first := strconv.Atoi(strings.TrimSpace(fields[0]))
 	waiting, second := strconv.Atoi(strings.TrimSpace(fields[1]))
-	if first != nil || second != nil {
-		return 0, 0, false
-	}
-	if len(fields) > 2 {
-		slots, _ = strconv.Atoi(strings.TrimSpace(fields[2]))
-	}
-	return running + waiting, slots, true
+	return running, waiting, first == nil && second == nil
 }
 
 // ObserveLoad takes the load header of a response.
--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -13,6 +13,7 @@
 	"lemonarch/internal/platform/httpreply"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/traffic/admission"
+	"lemonarch/internal/traffic/trafficstats"
 	"lemonarch/internal/traffic/workerconn"
 )
 
@@ -45,6 +46,8 @@
 	preempted    atomic.Bool
 	wasPreempted bool
 	requeued     bool
+	model        string
+	traffic      trafficObservation
 }
 
 // undeliveredLimit bounds how many workers are attempted that can't even be reached.
@@ -66,6 +69,7 @@
 			e.giveUp(resp)
 			return
 		}
+		e.traffic.placed(resp.Grant, clock.Now())
 		retry, over := e.attemptAt(resp.Grant)
 		if over {
 			return
@@ -158,6 +162,7 @@
 		return e.handleWorkerFailure(grant, response)
 	}
 	grant.FirstEvent(response.Load, clock.Now())
+	e.traffic.firstEvent(response.Load, clock.Now())
 	if e.kind() == messages.RouteStreaming {
 		return e.relayStream(grant, response)
 	}
@@ -230,6 +235,7 @@
 		httpreply.Text(e.writer, status, "no whole answer")
 	default:
 		proxy.Counts.Rejected.Add(1)
+		e.traffic.outcome = trafficstats.OutcomeRejected
 		httpreply.RetryAfter(e.writer, http.StatusServiceUnavailable, resp.Retry)
 	}
 }
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -4,7 +4,6 @@
 
 import (
 	"io"
-	"math/rand"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/traffic/admission"
 	"lemonarch/internal/traffic/prefixindex"
+	"lemonarch/internal/traffic/trafficstats"
 	"lemonarch/internal/traffic/workerconn"
 )
 
@@ -33,11 +33,14 @@
 	Scheduler *admission.Scheduler
 	Jobs      JobForwarder
 	Log       hclog.Logger
-	config    atomic.Pointer[routeconfig.Config]
-	calls     *chi.Mux
-	Draining  atomic.Bool
-	active    atomic.Int64
-	Counts    Counts
+	// Traffic, where not nil, takes what was seen of each request.
+	Traffic  *trafficstats.Recorder
+	draws    draws
+	config   atomic.Pointer[routeconfig.Config]
+	calls    *chi.Mux
+	Draining atomic.Bool
+	active   atomic.Int64
+	Counts   Counts
 }
 
 // Counts are what an operator follows.
@@ -111,6 +114,8 @@
 		return
 	}
 	exchange := p.newExchange(writer, request, route, body, arrived)
+	// A broken response ends in a panic, by the rules of net/http.
+	defer exchange.recordTraffic()
 	exchange.serve()
 }
 
@@ -137,8 +142,8 @@
 	e.header = ForwardedHeader(request.Header)
 	e.hasLength = request.ContentLength != 0 || len(body) > 0 || request.Header.Get("Content-Length") != ""
 	e.admission = admission.Request{
-		// One random number for all attempts: a split route must not move between them.
-		Service:  route.Choose(rand.Float64()),
+		// One draw for all attempts: a split route must not move between them.
+		Service:  p.draws.choose(route),
 		Affine:   route.Affine,
 		Priority: route.Priority,
 		Setpoint: route.Setpoint(),
@@ -146,7 +151,8 @@
 	}
 	e.admission.Retryable = e.retryable()
 	if route.Affine {
-		e.admission.Prompt = prefixindex.ParsePrompt(request.Header.Get(headerModel), request.Header.Get(headerTokens), request.Header.Get(headerPrefix))
+		e.model = request.Header.Get(headerModel)
+		e.admission.Prompt = prefixindex.ParsePrompt(e.model, request.Header.Get(headerTokens), request.Header.Get(headerPrefix))
 	}
 	return e
 }
--- a/internal/traffic/proxy/relay.go
+++ b/internal/traffic/proxy/relay.go
@@ -27,6 +27,7 @@
 	if complete {
 		e.finish(response)
 		grant.End(admission.ResultServed, clock.Now())
+		e.traffic.served(0, 0)
 		e.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		e.writer.WriteHeader(response.HTTPResponse.StatusCode)
 		_, _ = e.writer.Write(body)
@@ -49,6 +50,7 @@
 			if err.Error() == "EOF" {
 				e.finish(response)
 				grant.End(admission.ResultServed, clock.Now())
+				e.traffic.served(0, 0)
 				e.proxyServer.Counts.Served.Add(1)
 				return RetryNever, true
 			}
@@ -100,6 +102,7 @@
 		}
 		e.finish(response)
 		grant.ObserveGap(gaps.longest)
+		e.traffic.served(gaps.count+1, gaps.mean())
 		grant.End(admission.ResultServed, clock.Now())
 		e.proxyServer.Counts.Served.Add(1)
 		if e.wasPreempted {
@@ -122,20 +125,32 @@
 	return e.decideRetry(Evidence{Sent: true}), false
 }
 
-// gapMeter follows the longest pause of one stream.
+// gapMeter follows the longest and the mean pause of one stream.
 type gapMeter struct {
 	last    clock.Instant
 	longest clock.Duration
+	sum     clock.Duration
+	count   int
 	started bool
 }
 
 func (p *gapMeter) event(now clock.Instant) {
 	if p.started {
 		p.longest = max(p.longest, now.Sub(p.last))
+		p.sum += now.Sub(p.last)
+		p.count++
 	}
 	p.last, p.started = now, true
 }
 
+// mean is the mean pause, zero where there was none.
+func (p *gapMeter) mean() clock.Duration {
+	if p.count == 0 {
+		return 0
+	}
+	return p.sum / clock.Duration(p.count)
+}
+
 // allowPreemption lets a running stream of a lower rank be preempted, where it may go on at
 // another worker within the same response and still end in time. What must not run
 // twice never yields.
