Stores pass records on: the leader feeds two of four other members, each of which feeds one

Change: a member that is sent records directly passes them on to one other and reports its answer; after 400 ms without progress the leader sends directly again, with a growing pause. Sets of fewer than five members are fed as before. What makes a record durable is unchanged.

--- a/internal/batch/leader/feed.go
+++ b/internal/batch/leader/feed.go
@@ -17,9 +17,11 @@
 type feeder struct {
 	term   *Term
 	member messages.Member
-	// next is the index of the next record to be sent.
-	next int64
-	quit chan struct{}
+	// next is the index of the next record to be sent. It is guarded by Term.lock, as is
+	// delegation.
+	next       int64
+	delegation delegation
+	quit       chan struct{}
 }
 
 // startFeed begins to send records to a store, from a common index on. The lock is held.
@@ -29,7 +31,7 @@
 		return
 	}
 	f := &feeder{term: t, member: member, next: common + 1, quit: make(chan struct{})}
-	t.feeds.feeders[identity] = f.quit
+	t.feeds.feeders[identity] = f
 	go f.run()
 }
 
@@ -38,14 +40,17 @@
 
 // stopFeedOf is stopFeed by the identity of the store. The lock is held.
 func (t *Term) stopFeedOf(identity string) {
-	if quit := t.feeds.feeders[identity]; quit != nil {
-		close(quit)
+	if f := t.feeds.feeders[identity]; f != nil {
+		close(f.quit)
 		delete(t.feeds.feeders, identity)
 	}
 }
 
 func (f *feeder) run() {
 	for {
+		if !f.awaitDelegated() {
+			return
+		}
 		batch, changed := f.nextBatch()
 		if batch == nil {
 			if !f.wait(changed) {
@@ -107,7 +112,7 @@
 	t, identity := f.term, register.Identity(f.member)
 	switch {
 	case resp.Granted:
-		f.next = resp.Last + 1
+		f.setNext(resp.Last + 1)
 		t.noteAppendLatency(identity, took)
 		t.handleMatch(identity, resp.Last)
 	case resp.Epoch > t.leadership.Epoch:
@@ -116,7 +121,7 @@
 	case resp.EpochRanges != nil || resp.Last < f.next-1:
 		// The records do not join on to those of the store: go further back.
 		common := replication.CommonIndex(t.process.Log.Extent(), replication.ExtentOfAppend(&resp))
-		f.next = min(common, f.next-1) + 1
+		f.setNext(min(common, f.next-1) + 1)
 	default:
 		// Another disk answers at that address: the set will be repaired.
 		return f.pause(constants.LeaseRenewPeriod)
@@ -124,9 +129,26 @@
 	return true
 }
 
+// setNext notes from which record on the store is to be sent.
+func (f *feeder) setNext(next int64) {
+	f.term.lock.Lock()
+	defer f.term.lock.Unlock()
+	f.next = next
+}
+
 // nextBatch gathers the next records for the store; nil where there are none, with a
 // channel that closes once there may be.
 func (f *feeder) nextBatch() (*messages.AppendRequest, <-chan struct{}) {
+	req, changed := f.gatherBatch()
+	if req == nil {
+		return nil, changed
+	}
+	f.delegateOnward(req)
+	return req, changed
+}
+
+// gatherBatch is nextBatch without the store that the records are passed on to.
+func (f *feeder) gatherBatch() (*messages.AppendRequest, <-chan struct{}) {
 	log := f.term.process.Log
 	req, previous, changed := f.recentBatch(f.next <= log.Compacted())
 	if req == nil {
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -94,8 +94,8 @@
 
 // feeds are the stores that records are sent to.
 type feeds struct {
-	// feeders end when their channel closes, by the identity of the store.
-	feeders map[string]chan struct{}
+	// feeders end when their channel quit closes, by the identity of the store.
+	feeders map[string]*feeder
 	// copied is how far joiners have copied from other members.
 	copied map[string]int64
 	// setChange is held while the set in force is changed. It is taken before Term.lock.
@@ -123,7 +123,7 @@
 		jobs:        dispatch.NewJobTable(),
 		records:     records{replicator: replication.NewReplicator(elected.Epoch, stores, process.budget(), 1), changed: make(chan struct{})},
 		submissions: submissions{submitting: map[string]int64{}, ending: map[string]bool{}, forgetting: map[string]bool{}, quota: newQuota()},
-		feeds:       feeds{feeders: map[string]chan struct{}{}, copied: map[string]int64{}},
+		feeds:       feeds{feeders: map[string]*feeder{}, copied: map[string]int64{}},
 		items:       items{available: make(chan struct{})},
 		health:      health{appendLatency: newAppendLatency()},
 	}
--- a/internal/batch/store/fleet_test.go
+++ b/internal/batch/store/fleet_test.go
@@ -65,10 +65,12 @@
 	return nil, nil
 }
 
-// storeFleet is five real stores on fake disks: the first three stores are drawn
-// from them, and they take the leadership from each other.
+// storeFleet is real stores on fake disks: the first set is drawn from them, three of five for
+// a budget of one, and they take the leadership from each other.
 type storeFleet struct {
-	test          *testing.T
+	test *testing.T
+	// budget is how many stores may be lost at once.
+	budget        int
 	random        *rand.Rand
 	network       *transport.MemoryNetwork
 	localRegister *fakeRegister
@@ -83,12 +85,19 @@
 func newStoreFleet(t *testing.T, seed int64) *storeFleet {
 	t.Helper()
 
-	fleet := &storeFleet{test: t, random: rand.New(rand.NewSource(seed)), network: transport.NewMemoryNetwork(), disks: map[string]*simulation.Disk{}, stores: map[string]*Server{}, ended: map[string]bool{}}
+	return newStoreFleetOf(t, seed, 5, 1)
+}
+
+// newStoreFleetOf makes so many stores for a fault budget.
+func newStoreFleetOf(t *testing.T, seed int64, count, budget int) *storeFleet {
+	t.Helper()
+
+	fleet := &storeFleet{budget: budget, test: t, random: rand.New(rand.NewSource(seed)), network: transport.NewMemoryNetwork(), disks: map[string]*simulation.Disk{}, stores: map[string]*Server{}, ended: map[string]bool{}}
 	fleet.localRegister = &fakeRegister{grants: lease.NewGrantor(clock.Now(), true),
 		value: messages.RegisterValue{Acceptors: []messages.Member{{Address: fakeRegisterAddress, Disk: "r"}}}}
 	_ = fleet.network.Transport(fakeRegisterAddress).Serve(fleet.localRegister.answer)
 	fleet.client = fleet.network.Transport("client")
-	for number := 1; number <= 5; number++ {
+	for number := 1; number <= count; number++ {
 		name := fmt.Sprint("s", number)
 		fleet.disks[name] = simulation.NewDisk(seed*10 + int64(number))
 		fleet.start(number, name+"-0")
@@ -116,7 +125,7 @@
 		r.test.Fatal(err)
 	}
 	nodeSettings := &settings.Settings{NodeName: name, Address: fmt.Sprint("10.0.0.", number), Zone: fmt.Sprint("h", number%3), InternalPorts: []int{7000, 7010},
-		Seeds: []string{"10.0.0.99:80"}, HeartbeatMs: 1200, FaultBudget: settings.FaultBudget{Machines: 1}, Tolerances: settings.Tolerances{StatusS: 120, CancelMs: 3000}}
+		Seeds: []string{"10.0.0.99:80"}, HeartbeatMs: 1200, FaultBudget: settings.FaultBudget{Machines: r.budget}, Tolerances: settings.Tolerances{StatusS: 120, CancelMs: 3000}}
 	runtime := agent.New(nodeSettings, membership.RoleStore, constants.PortStore, store.Disk(), hclog.NewNullLogger())
 	runtime.Transport = r.network.Transport(runtime.Self.Address)
 	server := wire(runtime, store)
--- a/internal/batch/store/handlers.go
+++ b/internal/batch/store/handlers.go
@@ -16,6 +16,7 @@
 	runtime := s.Node.Runtime
 	process.Handle(runtime, messages.KindFence, s.handleFence)
 	process.Handle(runtime, messages.KindAppend, s.handleAppend)
+	process.Handle(runtime, messages.KindAppendForwarded, s.handleAppendForwarded)
 	process.Handle(runtime, messages.KindFetch, s.Log.Fetch)
 	process.Handle(runtime, messages.KindCopy, s.handleCopy)
 	process.Handle(runtime, messages.KindLeaderAnnouncement, s.election.HandleAnnouncement)
@@ -38,6 +39,10 @@
 // handleAppend takes a leader's records.
 func (s *Server) handleAppend(req *messages.AppendRequest) (*messages.AppendResponse, error) {
 	s.election.ObserveEpoch(req.Epoch)
+	if req.Forward != nil {
+		// Passed on before it is written here: neither waits for the other's disk.
+		s.forward.pass(req)
+	}
 	resp, err := s.Log.Append(req)
 	if err != nil {
 		s.Node.Log.Error("records not appended", "err", err.Error())
@@ -46,6 +51,14 @@
 	return &resp, nil
 }
 
+// handleAppendForwarded takes what a store answered to records that another passed on to it.
+func (s *Server) handleAppendForwarded(forwarded *messages.AppendForwarded) (*messages.Ack, error) {
+	if current := s.current(); current != nil {
+		current.HandleForwarded(forwarded)
+	}
+	return &messages.Ack{Accepted: true}, nil
+}
+
 // handleCopy fetches one range of records from another store and keeps it.
 func (s *Server) handleCopy(req *messages.CopyRequest) (*messages.AppendResponse, error) {
 	s.election.ObserveEpoch(req.Epoch)
--- a/internal/batch/store/server.go
+++ b/internal/batch/store/server.go
@@ -48,6 +48,7 @@
 
 	election election
 	executor *executorserver.Server
+	forward  *forwarder
 	// deduplicator knows the calls that have come, so that a second copy of one is seen.
 	deduplicator transport.Deduplicator
 }
@@ -75,6 +76,7 @@
 func wire(node *agent.Agent, replica *replicalog.Log) *Server {
 	s := &Server{Node: node, Gossip: loadgossip.New(node), Log: replica}
 	s.executor = executorserver.New(s.Gossip, s)
+	s.forward = newForwarder(func() transport.Transport { return node.Transport }, node.Stop)
 	s.election = leadership.New(node, func(elected messages.Leadership, stores []messages.Member) leadership.Term {
 		return s.newTerm(elected, stores)
 	})
--- /dev/null
+++ b/internal/configuration/cueshape/cueshape.go
@@ -0,0 +1,107 @@
+// Package cueshape holds the values of a file against a CUE schema and tells every finding in
+// one line, by the field's name as an operator would write it.
+package cueshape
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+)
+
+// Findings holds values against a definition of a schema and adds what is wrong to the findings
+// known already, in order. The schema is compiled at each call: nobody pays for it who never
+// checks a file. CUE keeps silent on what is missing while something else is wrong, so what is
+// wrong is taken out of the values and it is asked again, until every finding is told.
+func Findings(schema, definition string, values map[string]any, known []string) []string {
+	context := cuecontext.New()
+	compiled := context.CompileString(schema).LookupPath(cue.ParsePath(definition))
+	findings := slices.Clone(known)
+	wrong := map[string]bool{}
+	for _, finding := range findings {
+		where, _, _ := strings.Cut(finding, ":")
+		wrong[where] = true
+	}
+	for again := true; again; {
+		again = false
+		problem := compiled.Unify(context.Encode(values)).Validate(cue.Concrete(true))
+		found := map[string]bool{}
+		for _, each := range errors.Errors(problem) {
+			where := field(each.Path())
+			if wrong[where] {
+				continue
+			}
+			format, arguments := each.Msg()
+			finding := where + ": " + plain(fmt.Sprintf(format, arguments...))
+			if !slices.Contains(findings, finding) {
+				findings = append(findings, finding)
+			}
+			found[where] = true
+			again = takeOut(values, each.Path()) || again
+		}
+		for where := range found {
+			wrong[where] = true
+		}
+	}
+	slices.Sort(findings)
+	return findings
+}
+
+// plain shortens what CUE says: of a wrong type it quotes the whole schema.
+func plain(message string) string {
+	if _, types, cut := strings.Cut(message, "(mismatched types "); cut {
+		return "wrong type (mismatched types " + types
+	}
+	return strings.ReplaceAll(message, "\n", " ")
+}
+
+// takeOut removes the field at a path; it tells whether there was one.
+func takeOut(values any, path []string) bool {
+	if len(path) > 0 && strings.HasPrefix(path[0], "#") {
+		path = path[1:]
+	}
+	if len(path) == 0 {
+		return false
+	}
+	key := strings.Trim(path[0], `"`)
+	switch holder := values.(type) {
+	case map[string]any:
+		inner, there := holder[key]
+		_, list := inner.([]any)
+		if there && (len(path) == 1 || list) {
+			delete(holder, key)
+		} else if there {
+			return takeOut(inner, path[1:])
+		}
+		return there
+	case []map[string]any:
+		if place, err := strconv.Atoi(key); err == nil && place < len(holder) && len(path) > 1 {
+			return takeOut(holder[place], path[1:])
+		}
+	}
+	return false
+}
+
+// field writes a path as an operator would: rules[2].kind.
+func field(path []string) string {
+	text := ""
+	for _, part := range path {
+		part = strings.Trim(part, `"`)
+		if _, err := strconv.Atoi(part); err == nil {
+			text += "[" + part + "]"
+			continue
+		}
+		if strings.HasPrefix(part, "#") {
+			continue
+		}
+		if text != "" {
+			text += "."
+		}
+		text += part
+	}
+	return text
+}
--- a/internal/platform/constants/pace.go
+++ b/internal/platform/constants/pace.go
@@ -30,4 +30,19 @@
 	// YieldTime is how long a slow process leaves the leadership to others (ours); after
 	// that a slow holder is better than none.
 	YieldTime = 2 * time.Second
+	// ForwardMembers is how many other members a set has at least for records to be passed on
+	// (ours): of fewer, the loss of the one that passes them on would leave too few copies until
+	// ForwardTimeout.
+	ForwardMembers = 4
+	// ForwardTimeout is how long records that a store passes on to another may go without a
+	// confirmation before the leader sends them itself (ours): several times what a sync and
+	// two hops take on a busy store.
+	ForwardTimeout = 400 * time.Millisecond
+	// ForwardBackoff is for how long a store is then fed directly, doubled with each failure in
+	// a row, ForwardBackoffSteps times at most (ours).
+	ForwardBackoff      = 2 * time.Second
+	ForwardBackoffSteps = 4
+	// ForwardQueue is how many orders wait at a store to be passed on to another (ours); what
+	// finds it full is dropped, and the leader sends it itself.
+	ForwardQueue = 8
 )
--- a/internal/platform/messages/golden_test.go
+++ b/internal/platform/messages/golden_test.go
@@ -169,7 +169,7 @@
 		KindRegisterRead, KindRegisterChange, KindPressure, KindPrefill, KindControllerHeartbeat, KindDirectoryPull, KindRelay,
 		KindRelayWait, KindAcquire, KindAcknowledge, KindStopJob, KindNamedPrepare, KindNamedAccept, KindNamedRead,
 		KindPlanPull, KindPlanApply, KindCopy, KindContact, KindWorkersPersist, KindWorkersRecover,
-		KindTrafficSummary, KindZoneTraffic}
+		KindTrafficSummary, KindZoneTraffic, KindAppendForwarded}
 	checkNumbers(t, kinds)
 	checkNumbers(t, []Phase{PhaseSteady, PhaseDraining, PhaseDeparted})
 	checkNumbers(t, []RecordKind{RecordNoop, RecordJob, RecordOutput, RecordJobEnd, RecordForget, RecordItemError, RecordExecutor, RecordAcquisitionsKnown})
--- a/internal/platform/messages/jobs.go
+++ b/internal/platform/messages/jobs.go
@@ -89,6 +89,25 @@
 	// compacted up to there: those up to Base are not consecutive.
 	Base      int64  `msg:"b"`
 	BaseEpoch uint64 `msg:"z"`
+	// Forward names a further store to which the receiver passes the records on.
+	Forward *AppendForward `msg:"w,omitempty"`
+}
+
+// AppendForward names a store to which an append is passed on: its address and its disk. The
+// store that passes it on tells the leader, at ReportTo, how it came out.
+type AppendForward struct {
+	Address  string `msg:"a"`
+	Disk     string `msg:"d"`
+	ReportTo string `msg:"t"`
+}
+
+// AppendForwarded tells a leader of an epoch what a store answered to an append that was
+// passed on to it.
+type AppendForwarded struct {
+	Epoch    uint64         `msg:"e"`
+	Address  string         `msg:"a"`
+	Disk     string         `msg:"d"`
+	Response AppendResponse `msg:"r"`
 }
 
 // AppendResponse answers once the records are synced.
--- a/internal/platform/messages/jobs_gen.go
+++ b/internal/platform/messages/jobs_gen.go
@@ -7,40 +7,224 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z *AppendRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z AppendForward) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Disk)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.ReportTo)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AppendForward) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "d":
+			z.Disk, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Disk")
+				return
+			}
+		case "t":
+			z.ReportTo, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReportTo")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AppendForward) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Disk) + 2 + msgp.StringPrefixSize + len(z.ReportTo)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AppendForwarded) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
 	// string "e"
-	o = append(o, 0x88, 0xa1, 0x65)
+	o = append(o, 0x84, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.Epoch)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Disk)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendInt64(o, z.PreviousIndex)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendUint64(o, z.PreviousEpoch)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
-	for za0001 := range z.Records {
-		o, err = z.Records[za0001].MarshalMsg(o)
+	o, err = z.Response.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Response")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AppendForwarded) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "d":
+			z.Disk, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Disk")
+				return
+			}
+		case "r":
+			bts, err = z.Response.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Response")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *AppendForwarded) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Disk) + 2 + z.Response.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *AppendRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Forward == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendUint64(o, z.Epoch)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendString(o, z.Disk)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendInt64(o, z.PreviousIndex)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendUint64(o, z.PreviousEpoch)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+		for za0001 := range z.Records {
+			o, err = z.Records[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Records", za0001)
+				return
+			}
+		}
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendInt64(o, z.CommitIndex)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendInt64(o, z.Base)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendUint64(o, z.BaseEpoch)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			if z.Forward == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 3
+				// string "a"
+				o = append(o, 0x83, 0xa1, 0x61)
+				o = msgp.AppendString(o, z.Forward.Address)
+				// string "d"
+				o = append(o, 0xa1, 0x64)
+				o = msgp.AppendString(o, z.Forward.Disk)
+				// string "t"
+				o = append(o, 0xa1, 0x74)
+				o = msgp.AppendString(o, z.Forward.ReportTo)
+			}
+		}
 	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendInt64(o, z.CommitIndex)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt64(o, z.Base)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendUint64(o, z.BaseEpoch)
 	return
 }
 
@@ -123,6 +307,58 @@
 				err = msgp.WrapError(err, "BaseEpoch")
 				return
 			}
+		case "w":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Forward = nil
+			} else {
+				if z.Forward == nil {
+					z.Forward = new(AppendForward)
+				}
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Forward")
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Forward")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Forward.Address, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Forward", "Address")
+							return
+						}
+					case "d":
+						z.Forward.Disk, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Forward", "Disk")
+							return
+						}
+					case "t":
+						z.Forward.ReportTo, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Forward", "ReportTo")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Forward")
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -141,7 +377,12 @@
 	for za0001 := range z.Records {
 		s += z.Records[za0001].Msgsize()
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2
+	if z.Forward == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Forward.Address) + 2 + msgp.StringPrefixSize + len(z.Forward.Disk) + 2 + msgp.StringPrefixSize + len(z.Forward.ReportTo)
+	}
 	return
 }
 
--- a/internal/platform/messages/kinds.go
+++ b/internal/platform/messages/kinds.go
@@ -54,6 +54,7 @@
 	KindWorkersRecover
 	KindTrafficSummary
 	KindZoneTraffic
+	KindAppendForwarded
 )
 
 // Phase is a worker's phase.
--- a/internal/platform/messages/kinds_string.go
+++ b/internal/platform/messages/kinds_string.go
@@ -46,11 +46,12 @@
 	_ = x[KindWorkersRecover-35]
 	_ = x[KindTrafficSummary-36]
 	_ = x[KindZoneTraffic-37]
+	_ = x[KindAppendForwarded-38]
 }
 
-const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindLeaseKindConfigPushKindConfigPullKindWorkersUpdateKindWorkersPullKindGossipKindJobCallKindFenceKindAppendKindFetchKindLeaderAnnouncementKindStatusKindRegisterReadKindRegisterChangeKindPressureKindPrefillKindControllerHeartbeatKindDirectoryPullKindRelayKindRelayWaitKindAcquireKindAcknowledgeKindStopJobKindNamedPrepareKindNamedAcceptKindNamedReadKindPlanPullKindPlanApplyKindCopyKindContactKindWorkersPersistKindWorkersRecoverKindTrafficSummaryKindZoneTraffic"
+const _Kind_name = "KindNoneKindShuffleKindPrepareKindAcceptKindLeaseKindConfigPushKindConfigPullKindWorkersUpdateKindWorkersPullKindGossipKindJobCallKindFenceKindAppendKindFetchKindLeaderAnnouncementKindStatusKindRegisterReadKindRegisterChangeKindPressureKindPrefillKindControllerHeartbeatKindDirectoryPullKindRelayKindRelayWaitKindAcquireKindAcknowledgeKindStopJobKindNamedPrepareKindNamedAcceptKindNamedReadKindPlanPullKindPlanApplyKindCopyKindContactKindWorkersPersistKindWorkersRecoverKindTrafficSummaryKindZoneTrafficKindAppendForwarded"
 
-var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 49, 63, 77, 94, 109, 119, 130, 139, 149, 158, 180, 190, 206, 224, 236, 247, 270, 287, 296, 309, 320, 335, 346, 362, 377, 390, 402, 415, 423, 434, 452, 470, 488, 503}
+var _Kind_index = [...]uint16{0, 8, 19, 30, 40, 49, 63, 77, 94, 109, 119, 130, 139, 149, 158, 180, 190, 206, 224, 236, 247, 270, 287, 296, 309, 320, 335, 346, 362, 377, 390, 402, 415, 423, 434, 452, 470, 488, 503, 522}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
