--- a/internal/batch/leadership/campaign.go
+++ b/internal/batch/leadership/campaign.go
@@ -88,7 +88,7 @@
 	value := c.Register()
 	backoff := constants.TickPeriod*3 + clock.Duration(rand.Int63n(int64(constants.LeaseRenewPeriod)))
 	sentAt, self := clock.Now(), c.node.Self
-	granted, _ := c.requestLease(messages.LeaseRequest{Candidate: self.Name, Incarnation: self.Incarnation, Epoch: value.Leadership.Epoch})
+	granted, _ := c.requestLease(messages.LeaseRequest{Candidate: self.Name, Incarnation: self.Incarnation, Epoch: value.Leadership.Epoch}, constants.LeaseRenewPeriod)
 	if !granted {
 		// Two candidates must not keep each other out by halves.
 		c.ReleaseLease()
@@ -124,22 +124,35 @@
 	go next.TakeOver()
 }
 
-// renew extends the lease of the current term, which is closed when that can't be done.
+// renew begins a round of renewal, and ends a term whose lease has expired. Rounds overlap:
+// while this machine's link is full, an answer takes longer than the time between two rounds,
+// and counts from its request all the same.
 func (c *Campaign) renew(current Term) clock.Duration {
-	sentAt := clock.Now()
-	granted, latest := c.requestLease(messages.LeaseRequest{Candidate: c.node.Self.Name, Incarnation: c.node.Self.Incarnation, Epoch: current.Epoch()})
-	if granted && latest <= current.Epoch() {
-		c.lock.Lock()
-		c.lease.Renewed(sentAt)
-		c.lock.Unlock()
+	if !c.HoldsLease() {
+		current.Close("the lease expired")
+		return constants.TickPeriod
 	}
-	switch {
-	case latest > current.Epoch():
+	go c.renewRound(current)
+	return constants.LeaseRenewPeriod
+}
+
+// renewRound asks the acceptors once to extend the lease of a term.
+func (c *Campaign) renewRound(current Term) {
+	sentAt := clock.Now()
+	req := messages.LeaseRequest{Candidate: c.node.Self.Name, Incarnation: c.node.Self.Incarnation, Epoch: current.Epoch()}
+	granted, latest := c.requestLease(req, constants.LeaseDuration-constants.LeaseSafetyMargin)
+	if latest > current.Epoch() {
 		current.Close("the register names a later epoch")
-	case !c.HoldsLease():
-		current.Close("the lease expired")
+		return
+	}
+	if !granted || current.Closed() {
+		return
+	}
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	if c.term == current {
+		c.lease.Renewed(sentAt)
 	}
-	return max(constants.LeaseRenewPeriod-clock.Now().Sub(sentAt), constants.TickPeriod)
 }
 
 // ReleaseLease gives the lease back to the acceptors, so that another candidate need not
@@ -149,13 +162,13 @@
 	c.lease.Revoke()
 	epoch := c.register.value.Leadership.Epoch
 	c.lock.Unlock()
-	c.requestLease(messages.LeaseRequest{Candidate: c.node.Self.Name, Incarnation: c.node.Self.Incarnation, Epoch: epoch, Release: true})
+	c.requestLease(messages.LeaseRequest{Candidate: c.node.Self.Name, Incarnation: c.node.Self.Incarnation, Epoch: epoch, Release: true}, constants.LeaseRenewPeriod)
 }
 
 // requestLease sends a request to every acceptor and tells whether a majority granted it,
 // and the latest epoch that any of them knows. It does not wait for those that stay silent
-// once the others have decided.
-func (c *Campaign) requestLease(req messages.LeaseRequest) (granted bool, latest uint64) {
+// once the others have decided, nor for any longer than timeout.
+func (c *Campaign) requestLease(req messages.LeaseRequest, timeout clock.Duration) (granted bool, latest uint64) {
 	c.lock.Lock()
 	acceptors := c.register.value.Acceptors
 	c.sequence++
@@ -170,7 +183,7 @@
 	for _, member := range acceptors {
 		go func() {
 			r := result{identity: register.Identity(member)}
-			r.err = transport.Call(c.node.Transport, member.Address, messages.KindLease, &req, &r.resp, constants.LeaseRenewPeriod)
+			r.err = transport.Call(c.node.Transport, member.Address, messages.KindLease, &req, &r.resp, timeout)
 			results <- r
 		}()
 	}
