--- /dev/null
+++ b/cmd/lemonarch/forecast.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/forecast"
+)
+
+// exitLate is the exit code of a forecast in which something turns late.
+const exitLate = 3
+
+// forecastOptions are the flags of forecast.
+type forecastOptions struct {
+	seed, format, plot, keep string
+	random                   uint64
+}
+
+func forecastCommand() *cobra.Command {
+	options := forecastOptions{}
+	command := &cobra.Command{Use: "forecast FILE", Args: cobra.ExactArgs(1),
+		Short: "Tell how much room each model family has in a surge that is foreseen, and what would turn late",
+		Long: "FILE describes the surges (docs/forecast.md). Exit code 0: nothing turns late; 1: the fleet can't be reached;\n" +
+			"2: the file is not valid; 3: something turns late."}
+	command.Flags().StringVar(&options.seed, "seed", "", "internal address of any process, host:port")
+	command.Flags().StringVar(&options.format, "output", "table", "table or json")
+	command.Flags().StringVar(&options.plot, "plot", "", "file for a plot of the waits over time (svg or png)")
+	command.Flags().StringVar(&options.keep, "keep", "", "file in which the forecast is kept for a review")
+	command.Flags().Uint64Var(&options.random, "random-seed", 1, "seed of the simulation's draws")
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		return runForecast(command.OutOrStdout(), command.ErrOrStderr(), arguments[0], options)
+	}
+	command.AddCommand(reviewCommand())
+	return command
+}
+
+// readQuestion gives the question of a file; findings go to the writer, one a line.
+func readQuestion(path string, complaints io.Writer) (*forecast.Question, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, exitError{exitUnusable, err.Error()}
+	}
+	question, findings := forecast.Read(text)
+	return question, complain(path, findings, complaints)
+}
+
+// complain writes findings, and gives the error that ends the command where there are any.
+func complain(path string, findings []string, complaints io.Writer) error {
+	for _, finding := range findings {
+		fmt.Fprintln(complaints, path+": "+finding)
+	}
+	if len(findings) > 0 {
+		return exitError{exitUnusable, fmt.Sprintf("%s is not valid, findings=%d", path, len(findings))}
+	}
+	return nil
+}
+
+func runForecast(writer, complaints io.Writer, path string, options forecastOptions) error {
+	if options.format != "table" && options.format != "json" {
+		return exitError{exitUnusable, "--output must be table or json"}
+	}
+	// Nothing is asked of the fleet before the file is known to be sound.
+	question, err := readQuestion(path, complaints)
+	if err != nil {
+		return err
+	}
+	known, err := collectKnown(options.seed)
+	if err != nil {
+		return err
+	}
+	answer, findings := forecast.Forecast(question, known, options.random)
+	if err = complain(path, findings, complaints); err != nil {
+		return err
+	}
+	if err = printAnswer(writer, answer, options); err != nil {
+		return err
+	}
+	if options.keep != "" {
+		kept := &forecast.Kept{Asked: question, Known: known, Told: answer}
+		if err = kept.Write(options.keep); err != nil {
+			return exitError{exitUnusable, "--keep: " + err.Error()}
+		}
+	}
+	if answer.AnyLate() {
+		return exitError{exitLate, "something turns late"}
+	}
+	return nil
+}
+
+// collectKnown asks the fleet.
+func collectKnown(seed string) (*forecast.Known, error) {
+	if seed == "" {
+		return nil, exitError{exitUnusable, "--seed is wanted: the internal address of any process"}
+	}
+	wire := transport.NewTCP("")
+	defer wire.Close()
+	collector := &forecast.Collector{Transport: wire, Seed: seed, Timeout: constants.StatusTimeout}
+	known, err := collector.Collect()
+	if err != nil {
+		return nil, exitError{exitInvalid, err.Error()}
+	}
+	return known, nil
+}
+
+func printAnswer(writer io.Writer, answer *forecast.Answer, options forecastOptions) error {
+	if options.plot != "" {
+		if err := answer.Plot(options.plot); err != nil {
+			return exitError{exitUnusable, "--plot: " + err.Error()}
+		}
+	}
+	if options.format == "json" {
+		return answer.JSON(writer)
+	}
+	return answer.Table(writer)
+}
+
+func reviewCommand() *cobra.Command {
+	seed, format := "", "table"
+	command := &cobra.Command{Use: "review KEPT", Args: cobra.ExactArgs(1),
+		Short: "Compare a forecast that was kept with what the fleet saw in the last minutes"}
+	command.Flags().StringVar(&seed, "seed", "", "internal address of any process, host:port")
+	command.Flags().StringVar(&format, "output", format, "table or json")
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		if format != "table" && format != "json" {
+			return exitError{exitUnusable, "--output must be table or json"}
+		}
+		kept, err := forecast.ReadKept(arguments[0])
+		if err != nil {
+			return exitError{exitUnusable, err.Error()}
+		}
+		known, err := collectKnown(seed)
+		if err != nil {
+			return err
+		}
+		review := forecast.NewReview(kept, known)
+		if format == "json" {
+			return review.JSON(command.OutOrStdout())
+		}
+		return review.Table(command.OutOrStdout())
+	}
+	return command
+}
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -28,10 +28,10 @@
 
 // rootCommand gathers all subcommands.
 func rootCommand() *cobra.Command {
-	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle lots, place adapters, try it all in a lab",
+	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle jobs, place adapters, forecast surges, try it all in a lab",
 		SilenceUsage: true, SilenceErrors: true}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand(), jobsCommand(), assignCommand())
+	root.AddCommand(checkCommand(), shellCommand(), importCommand(), labCommand(), jobsCommand(), assignCommand(), forecastCommand())
 	info, known := debug.ReadBuildInfo()
 	root.Version = version(info, known)
 	root.SetVersionTemplate("{{.Name}} {{.Version}}\n")
--- /dev/null
+++ b/internal/tooling/forecast/plot.go
@@ -0,0 +1,32 @@
+package forecast
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Plot writes the mean wait of each family over time, of the first run, to a file whose ending
+// names the format.
+func (a *Answer) Plot(path string) error {
+	canvas := plot.New()
+	canvas.Title.Text = "Forecast: mean wait by family"
+	canvas.X.Label.Text, canvas.Y.Label.Text = "seconds from now", "wait, ms"
+	var lines []any
+	for _, room := range a.Families {
+		var points plotter.XYs
+		for second, wait := range room.waits {
+			if wait >= 0 {
+				points = append(points, plotter.XY{X: float64(second), Y: wait})
+			}
+		}
+		if len(points) > 0 {
+			lines = append(lines, room.Family, points)
+		}
+	}
+	if err := plotutil.AddLinePoints(canvas, lines...); err != nil {
+		return ErrKept.Wrap(err, path)
+	}
+	return ErrKept.Wrap(canvas.Save(20*vg.Centimeter, 10*vg.Centimeter, path), path)
+}
--- /dev/null
+++ b/internal/tooling/forecast/review.go
@@ -0,0 +1,212 @@
+package forecast
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/trafficstats"
+)
+
+// ErrKept is the error of a file of a forecast that can't be written or read.
+var ErrKept = errs.Define("kept forecast")
+
+// Kept is a forecast with what it stands on, for a later review.
+type Kept struct {
+	Asked *Question `json:"asked"`
+	Known *Known    `json:"known"`
+	Told  *Answer   `json:"told"`
+}
+
+// keptFile is Kept as it is written: the configuration as its own JSON.
+type keptFile struct {
+	Asked     *Question                 `json:"asked"`
+	Config    json.RawMessage           `json:"configuration"`
+	ObservedS float64                   `json:"observed-s"`
+	Summaries []messages.TrafficSummary `json:"summaries"`
+	Workers   []messages.WorkerGroup    `json:"workers"`
+	Answered  int                       `json:"answered"`
+	Missing   []string                  `json:"missing"`
+	Told      *Answer                   `json:"told"`
+}
+
+// Write writes the forecast to a file: the whole of it, or nothing.
+func (k *Kept) Write(path string) error {
+	known := k.Known
+	body, err := json.MarshalIndent(keptFile{Asked: k.Asked, Config: known.Config.Encode(), ObservedS: known.ObservedS,
+		Summaries: known.Summaries, Workers: known.Workers, Answered: known.Answered, Missing: known.Missing, Told: k.Told}, "", "  ")
+	if err != nil {
+		return ErrKept.Wrap(err, path)
+	}
+	temporary := path + ".new"
+	if err = os.WriteFile(temporary, append(body, '\n'), 0o644); err != nil {
+		return ErrKept.Wrap(err, path)
+	}
+	return ErrKept.Wrap(os.Rename(temporary, path), path)
+}
+
+// ReadKept reads a forecast that was kept.
+func ReadKept(path string) (*Kept, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, ErrKept.Wrap(err, path)
+	}
+	file := keptFile{}
+	if err = json.Unmarshal(body, &file); err != nil {
+		return nil, ErrKept.Wrap(err, path)
+	}
+	if file.Asked == nil || file.Told == nil {
+		return nil, ErrKept.New(path + ": asked or told is missing")
+	}
+	config, err := routeconfig.Parse(file.Config)
+	if err != nil {
+		return nil, ErrKept.Wrap(err, path+": configuration")
+	}
+	known := &Known{Config: config, ObservedS: file.ObservedS, Summaries: file.Summaries, Workers: file.Workers, Answered: file.Answered, Missing: file.Missing}
+	return &Kept{Asked: file.Asked, Known: known, Told: file.Told}, nil
+}
+
+// Review compares a forecast with what came.
+type Review struct {
+	// Told is the family that was to run short first, Tightened the one that did; nil for none.
+	Told      *string       `json:"told-first-short"`
+	Tightened *string       `json:"tightened"`
+	Agrees    bool          `json:"agrees"`
+	Classes   []ClassReview `json:"classes"`
+}
+
+// ClassReview compares a class. Came is the share that was late or refused; nil where too few
+// requests were seen.
+type ClassReview struct {
+	Class    string   `json:"class"`
+	Family   string   `json:"family"`
+	ToldLate *bool    `json:"told-late"`
+	Told     *float64 `json:"told-late-share"`
+	Came     *float64 `json:"came-late-share"`
+	// WaitMs is the mean wait in the queue.
+	WaitMs float64 `json:"wait-ms"`
+	Agrees *bool   `json:"agrees"`
+}
+
+// NewReview compares a forecast with what the fleet has seen since. Which family tightened is
+// measured: the one whose requests waited longest over the bound, or of which more than the
+// bound were refused (constants shortWaitMs and shortRefusals).
+func NewReview(kept *Kept, came *Known) *Review {
+	review := &Review{Told: kept.Told.FirstShort, Classes: []ClassReview{}}
+	worst := 1.0
+	for i := range came.Summaries {
+		summary := &came.Summaries[i]
+		told := kept.toldOf(summary)
+		if told == nil {
+			continue
+		}
+		class := ClassReview{Class: told.Class, Family: told.Family, ToldLate: told.Late, Told: told.LateShare}
+		all := summary.Served + summary.Rejected + summary.Failed
+		class.WaitMs = rounded(trafficstats.Decode(&summary.QueueWait).Mean() / 10)
+		if route := came.routeNamed(summary.Route); all >= observedMin && route != nil {
+			share := rounded(lateShareOf(summary, route))
+			class.Came = &share
+			if class.ToldLate != nil {
+				agrees := *class.ToldLate == (share > lateShare)
+				class.Agrees = &agrees
+			}
+		}
+		if all > 0 && !summary.Bulk {
+			tightness := max(class.WaitMs/shortWaitMs, float64(summary.Rejected)/float64(all)/shortRefusals)
+			if tightness > worst {
+				name := told.Family
+				worst, review.Tightened = tightness, &name
+			}
+		}
+		review.Classes = append(review.Classes, class)
+	}
+	slices.SortStableFunc(review.Classes, func(left, right ClassReview) int { return strings.Compare(left.Class, right.Class) })
+	review.Agrees = (review.Told == nil) == (review.Tightened == nil) && (review.Told == nil || *review.Told == *review.Tightened)
+	return review
+}
+
+// toldOf finds what was told of a summary's class.
+func (k *Kept) toldOf(summary *messages.TrafficSummary) *ClassLate {
+	family := summary.Service
+	if summary.Model != "" {
+		family += "/" + summary.Model
+	}
+	for i := range k.Asked.Families {
+		if k.Asked.Families[i].has(summary.Service, summary.Model) {
+			family = k.Asked.Families[i].Name
+		}
+	}
+	for i := range k.Told.Classes {
+		if told := &k.Told.Classes[i]; told.Class == summary.Route && told.Family == family {
+			return told
+		}
+	}
+	return nil
+}
+
+// lateShareOf is the share of a class's requests that were refused, failed, or late by their
+// time to the first event or between events.
+func lateShareOf(summary *messages.TrafficSummary, route *routeconfig.Route) float64 {
+	all := float64(summary.Served + summary.Rejected + summary.Failed)
+	late := float64(summary.Rejected + summary.Failed)
+	first, target := &summary.FirstEvent, float64(route.Setpoint().Milliseconds())
+	if len(summary.EventGap.Counts) == 0 {
+		first = &summary.Duration
+	}
+	overFirst := over(first, target)
+	overGap := 0.0
+	if route.GapMs > 0 {
+		overGap = over(&summary.EventGap, route.GapMs)
+	}
+	return min((late+max(overFirst, overGap)*float64(summary.Served))/all, 1)
+}
+
+// over is the share of a histogram's values above a bound in ms.
+func over(encoded *messages.Histogram, boundMs float64) float64 {
+	histogram := trafficstats.Decode(encoded)
+	if histogram.TotalCount() == 0 {
+		return 0
+	}
+	above := int64(0)
+	for _, bar := range histogram.Distribution() {
+		if float64(bar.From)/10 > boundMs {
+			above += bar.Count
+		}
+	}
+	return float64(above) / float64(histogram.TotalCount())
+}
+
+// JSON writes the review.
+func (r *Review) JSON(writer io.Writer) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
+}
+
+// Table writes the review for people.
+func (r *Review) Table(writer io.Writer) error {
+	name := func(family *string) string {
+		if family == nil {
+			return "none"
+		}
+		return *family
+	}
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "told first short: %s\ntightened: %s\nagrees: %v\n\n", name(r.Told), name(r.Tightened), r.Agrees)
+	fmt.Fprintln(table, "class\tfamily\ttold\tcame\twait ms\tagrees")
+	for _, class := range r.Classes {
+		agrees := "-"
+		if class.Agrees != nil {
+			agrees = fmt.Sprint(*class.Agrees)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f\t%s\n", class.Class, class.Family, percent(class.Told), percent(class.Came), class.WaitMs, agrees)
+	}
+	return table.Flush()
+}
