Gateways offer long jobs first; the leader lets in what the stores make durable

Change: a job of 4 KB or more is offered by its length, waits at the leader by age without its body, and is sent when asked for; 2 MB at most are on their way to the leader or to the stores. A job that was never asked for was never sent: 503 holds for it.

--- a/internal/batch/leader/jobcalls.go
+++ b/internal/batch/leader/jobcalls.go
@@ -43,6 +43,8 @@
 		return t.endJob(call)
 	case methodItem:
 		return t.itemBody(call)
+	case messages.MethodOffer:
+		return t.offerJob(call)
 	}
 	return t.readJob(call)
 }
--- a/internal/batch/leader/records.go
+++ b/internal/batch/leader/records.go
@@ -92,6 +92,7 @@
 func (t *Term) jobCommittedLocked(jobID string) {
 	delete(t.submissions.submitting, jobID)
 	delete(t.submissions.quota.pending, jobID)
+	t.submissions.intake.release(jobID)
 	if job := t.jobs.Job(jobID); job != nil {
 		job.KnownSince = clock.Now()
 	}
--- a/internal/batch/leader/submit.go
+++ b/internal/batch/leader/submit.go
@@ -58,6 +58,17 @@
 
 // submitJob takes a job: checked, within the quota, and durable before it is acknowledged.
 func (t *Term) submitJob(call *messages.JobCallRequest) *messages.JobCallResponse {
+	resp := t.takeJob(call)
+	if resp.Status != http.StatusAccepted && resp.Status != http.StatusGatewayTimeout {
+		// Nothing of it is on its way to the stores.
+		t.lock.Lock()
+		t.submissions.intake.release(call.Job)
+		t.lock.Unlock()
+	}
+	return resp
+}
+
+func (t *Term) takeJob(call *messages.JobCallRequest) *messages.JobCallResponse {
 	accepted := &messages.JobCallResponse{Status: http.StatusAccepted, Body: []byte("{}")}
 	t.lock.Lock()
 	known, submitting := t.jobs.Job(call.Job) != nil, t.submissions.submitting[call.Job]
@@ -95,7 +106,7 @@
 	}
 	if route.BacklogCap > 0 && t.waitingTokens(config, route)+tokens > route.BacklogCap {
 		t.lock.Unlock()
-		return &messages.JobCallResponse{Status: http.StatusTooManyRequests, Body: reason("backlog is full"), RetryAfterMs: int(constants.GossipPeriod.Milliseconds())}
+		return backlogFull()
 	}
 	index := t.appendRecord(messages.Record{Kind: messages.RecordJob, Job: call.Job, Host: call.Host, Route: route.Name,
 		AtMs: clock.WallNanos() / 1_000_000, Body: packed})
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -90,6 +90,8 @@
 	ending     map[string]bool
 	forgetting map[string]bool
 	quota      quota
+	// intake paces the jobs that come.
+	intake intake
 }
 
 // feeds are the stores that records are sent to.
@@ -122,7 +124,7 @@
 		life:        lifecycle{startedAt: clock.Now(), stop: make(chan struct{})},
 		jobs:        dispatch.NewJobTable(),
 		records:     records{replicator: replication.NewReplicator(elected.Epoch, stores, process.budget(), 1), changed: make(chan struct{})},
-		submissions: submissions{submitting: map[string]int64{}, ending: map[string]bool{}, forgetting: map[string]bool{}, quota: newQuota()},
+		submissions: submissions{submitting: map[string]int64{}, ending: map[string]bool{}, forgetting: map[string]bool{}, quota: newQuota(), intake: newIntake()},
 		feeds:       feeds{feeders: map[string]*feeder{}, copied: map[string]int64{}},
 		items:       items{available: make(chan struct{})},
 		health:      health{appendLatency: newAppendLatency()},
--- a/internal/platform/constants/replicas.go
+++ b/internal/platform/constants/replicas.go
@@ -16,4 +16,14 @@
 	// JoinerWait is how much longer than the first joiner of a change the others
 	// may take, beside as long again (ours).
 	JoinerWait = time.Second
+	// IntakeBytes is how many bytes of jobs are on their way to the leader or to the stores at
+	// once (ours): a fifth of a second of the slowest links, and enough to keep them busy.
+	IntakeBytes = 2 << 20
+	// IntakeTime is for how long a job that was asked for counts without having come (ours).
+	IntakeTime = 2 * time.Second
+	// OfferMinBytes is the least length of a job that is offered first (ours): a shorter one is
+	// sent at once.
+	OfferMinBytes = 4 << 10
+	// OfferWait is how long an offer waits at the leader (ours).
+	OfferWait = 700 * time.Millisecond
 )
--- a/internal/platform/messages/jobs.go
+++ b/internal/platform/messages/jobs.go
@@ -20,8 +20,17 @@
 	// ExpiresAt is the instant on the receiver's own steady clock that follows from it,
 	// in ns; zero sets no bound.
 	ExpiresAt int64 `msg:"-"`
+	// BodyBytes is the length of the body that an offer is about.
+	BodyBytes int `msg:"z,omitempty"`
 }
 
+// MethodOffer is the method of a call that asks whether a job may be sent now, without its
+// body. It has no effect; StatusSendNow answers that the body is to come.
+const (
+	MethodOffer   = "OFFER"
+	StatusSendNow = 100
+)
+
 // JobCallResponse is what the holder says to it.
 type JobCallResponse struct {
 	Status       int    `msg:"s"`
--- a/internal/platform/messages/jobs_gen.go
+++ b/internal/platform/messages/jobs_gen.go
@@ -1152,40 +1152,58 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JobCallRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
-	// string "m"
-	o = append(o, 0x8b, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Method)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Host)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, z.Path)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.Job)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Item)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt(o, z.Cursor)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt(o, z.WaitMs)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendBool(o, z.Forwarded)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.RequestID)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.TTLMs)
+	// check for omitted fields
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
+	_ = zb0001Mask
+	if z.BodyBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.Method)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Host)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.Path)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendString(o, z.Job)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Item)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendInt(o, z.Cursor)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt(o, z.WaitMs)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendBool(o, z.Forwarded)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendString(o, z.RequestID)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt64(o, z.TTLMs)
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendInt(o, z.BodyBytes)
+		}
+	}
 	return
 }
 
@@ -1273,6 +1291,12 @@
 				err = msgp.WrapError(err, "TTLMs")
 				return
 			}
+		case "z":
+			z.BodyBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BodyBytes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1287,7 +1311,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JobCallRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.StringPrefixSize + len(z.Item) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.RequestID) + 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
 
--- a/internal/tooling/forecast/forecast_test.go
+++ b/internal/tooling/forecast/forecast_test.go
@@ -46,7 +46,9 @@
 		t.Fatal(err)
 	}
 	random, recorder := rand.New(rand.NewPCG(1, 2)), trafficstats.New(0)
-	class := func(route, service, model string) trafficstats.Class { return trafficstats.Class{Route: route, Service: service, Model: model} }
+	class := func(route, service, model string) trafficstats.Class {
+		return trafficstats.Class{Route: route, Service: service, Model: model}
+	}
 	seen(recorder, 3000, trafficstats.Observation{Class: class("kiosk", "llm", "m"), PromptTokens: 700, FreshTokens: 500, Events: 10}, random)
 	seen(recorder, 600, trafficstats.Observation{Class: class("draft", "llm", "m"), PromptTokens: 17000, FreshTokens: 4000, Events: 6}, random)
 	seen(recorder, 600, trafficstats.Observation{Class: class("batch", "llm", "m"), Bulk: true, PromptTokens: 1200, FreshTokens: 800, Events: 20}, random)
--- a/internal/traffic/gateway/jobforwarder.go
+++ b/internal/traffic/gateway/jobforwarder.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -92,8 +93,36 @@
 }
 
 // Forward makes the call at the leader. The second result says whether the call may have had an
-// effect although no response came.
+// effect although no response came. A long job is offered first, and sent when the leader asks
+// for it.
 func (g *jobForwarder) Forward(call *messages.JobCallRequest, timeout clock.Duration) (*messages.JobCallResponse, bool) {
+	if call.Method != http.MethodPost || call.Forwarded || len(call.Body) < constants.OfferMinBytes {
+		return g.forward(call, timeout)
+	}
+	end := g.now().Add(timeout)
+	for left := timeout; left > constants.TickPeriod; left = end.Sub(g.now()) {
+		offer := &messages.JobCallRequest{Method: messages.MethodOffer, Host: call.Host, Path: call.Path, Job: call.Job, BodyBytes: len(call.Body),
+			WaitMs: int(min(left/2, constants.OfferWait).Milliseconds())}
+		resp, _ := g.forward(offer, left)
+		switch {
+		case resp == nil:
+			// Nobody was sent the job, so nothing of it can run.
+			return nil, false
+		case resp.Status == http.StatusServiceUnavailable:
+			// The leader has too much to take; while there is time, it is asked again.
+			g.sleep(constants.TickPeriod)
+			continue
+		case resp.Status == messages.StatusSendNow, resp.Status == http.StatusNotFound:
+			// A leader of an earlier version knows no offers and finds no such job.
+			return g.forward(call, end.Sub(g.now()))
+		}
+		return resp, true
+	}
+	return nil, false
+}
+
+// forward makes a call as it is.
+func (g *jobForwarder) forward(call *messages.JobCallRequest, timeout clock.Duration) (*messages.JobCallResponse, bool) {
 	end := g.now().Add(timeout)
 	outcome, failures, relays := outcomeTracker{}, 0, map[string]bool{}
 	tried := map[string]bool{}
