--- a/cmd/lemonarch/lab.go
+++ b/cmd/lemonarch/lab.go
@@ -6,6 +6,6 @@
 // the serving tier, and the daemons import none of its packages.
 func labCommand() *cobra.Command {
 	group := &cobra.Command{Use: "lab", Short: "Try the system on one machine: a fleet on loopback, load for it"}
-	group.AddCommand(newLabUp(), newLabLoad(), hollowCommand())
+	group.AddCommand(newLabUp(), newLabLoad(), labForecastCommand(), hollowCommand())
 	return group
 }
--- a/internal/tooling/forecast/known.go
+++ b/internal/tooling/forecast/known.go
@@ -33,7 +33,8 @@
 	// promptTokens, freshTokens and events are means by request; durationMs is the mean time
 	// from the sending to the end.
 	promptTokens, freshTokens, events float64
-	durationMs                        float64
+	// outTokens is the mean of the most that may go out.
+	outTokens, durationMs float64
 	// targetMs is the time to the first event, or for a plain request to the answer, that is
 	// still in time; gapMs the same between two events, 0 for none; dueMs that of an item.
 	targetMs, gapMs, dueMs float64
@@ -72,6 +73,7 @@
 		if summary.Placed > 0 {
 			entry.promptTokens = float64(summary.PromptTokens) / float64(summary.Placed)
 			entry.freshTokens = float64(summary.FreshTokens) / float64(summary.Placed)
+			entry.outTokens = float64(summary.OutTokens) / float64(summary.Placed)
 		}
 		if summary.Served > 0 {
 			entry.events = float64(summary.Events) / float64(summary.Served)
--- a/internal/tooling/forecast/room.go
+++ b/internal/tooling/forecast/room.go
@@ -105,7 +105,7 @@
 	if s.pace.prefillKnown && s.pace.tokenMs > 0 {
 		have.prefill = workers / s.pace.tokenMs
 	}
-	if s.pace.decodeKnown && s.pace.eventMs > 0 {
+	if s.pace.decodeKnown && s.pace.prefillKnown && s.pace.eventMs > 0 {
 		// A full worker makes its events one for each slot in the time between two.
 		have.decode = workers * s.slots / s.pace.gapAt(s.slots)
 	}
@@ -124,10 +124,30 @@
 	return usage{slots: perMs * stay, memory: perMs * stay * promptTokens, prefill: perMs * freshTokens, decode: perMs * events, connections: perMs * stay}
 }
 
+// plainMs is the time of plain work alone at a worker: by the learnt pace, or as observed
+// where there is none.
+func (s *service) plainMs(durationMs float64) float64 {
+	if s.pace.decodeKnown && !s.pace.prefillKnown {
+		return s.pace.gapAt(1)
+	}
+	return durationMs
+}
+
+// slowdown is how many times longer work takes where so many requests run.
+func (p *pace) slowdown(running float64) float64 {
+	if p.gapAt(1) <= 0 {
+		return 1
+	}
+	return p.gapAt(running) / p.gapAt(1)
+}
+
 // stayMs is how long a request stays at a worker that is neither idle nor full: by the learnt
 // pace, or as observed where there is none.
 func (s *service) stayMs(freshTokens, events, durationMs float64) float64 {
-	if !s.pace.prefillKnown || !s.pace.decodeKnown || events <= 1 {
+	if events <= 1 {
+		return s.plainMs(durationMs) * s.pace.slowdown(s.slots)
+	}
+	if !s.pace.prefillKnown || !s.pace.decodeKnown {
 		return durationMs
 	}
 	return s.pace.firstMs + s.pace.tokenMs*freshTokens + (events-1)*s.pace.gapAt(s.slots/2)
--- a/internal/tooling/forecast/simulate.go
+++ b/internal/tooling/forecast/simulate.go
@@ -170,8 +170,9 @@
 	if of := w.family.service(s.demand.service); s.demand.events > 1 || s.added.events > 1 || of.pace.decodeKnown && s.demand.bulk {
 		r.fresh, r.events = w.size(s.added.freshTokens), max(w.size(s.added.events), 1)
 		r.prompt = r.fresh + max(s.added.promptTokens-s.added.freshTokens, 0)
+		r.out = s.demand.outTokens * r.events / max(s.demand.events, 1)
 	} else {
-		r.plainMs = max(w.size(s.demand.durationMs), 0.1)
+		r.plainMs = max(w.size(of.plainMs(s.demand.durationMs)), 0.1)
 	}
 	if r.bulk {
 		w.batch = append(w.batch, r)
@@ -212,7 +213,7 @@
 // freest gives the worker of the request's service on which fewest run.
 func (w *world) freest(r *request) (chosen *worker) {
 	for _, each := range w.workers {
-		if each.of.name == r.demand.service && each.fits(r) && (chosen == nil || len(each.running) < len(chosen.running)) {
+		if each.of.name == r.demand.service && each.fits(r) && (chosen == nil || each.given() < chosen.given()) {
 			chosen = each
 		}
 	}
--- a/internal/tooling/forecast/worker.go
+++ b/internal/tooling/forecast/worker.go
@@ -9,6 +9,7 @@
 	fresh     float64
 	prompt    float64
 	events    float64
+	out       float64
 	plainMs   float64
 	dueMs     float64
 	placedMs  float64
@@ -26,6 +27,8 @@
 type worker struct {
 	of      *service
 	running []*request
+	// pending have a slot and wait for memory, in their order: gateways count slots only.
+	pending []*request
 	bulk    int
 	held    float64
 	atMs    float64
@@ -35,38 +38,60 @@
 
 func newWorker(of *service) *worker { return &worker{of: of, nextMs: math.Inf(1)} }
 
-// fits tells whether a request gets a slot and memory.
+// given is how many requests have a slot.
+func (w *worker) given() int { return len(w.running) + len(w.pending) }
+
+// fits tells whether a request gets a slot.
 func (w *worker) fits(r *request) bool {
-	if float64(len(w.running)) >= w.of.slots {
-		return false
-	}
 	if r.bulk && float64(w.bulk) >= bulkShare*w.of.slots {
 		return false
 	}
-	return w.of.cacheTokens <= 0 || len(w.running) == 0 || w.held+r.prompt+r.events <= w.of.cacheTokens
+	return float64(w.given()) < w.of.slots
 }
 
-// start lets a request run.
+// hasMemory tells whether a request may run beside those that do.
+func (w *worker) hasMemory(r *request) bool {
+	return w.of.cacheTokens <= 0 || len(w.running) == 0 || w.held+r.tokens() <= w.of.cacheTokens
+}
+
+// tokens is the memory that a request holds, half of what goes out on the mean.
+func (r *request) tokens() float64 { return r.prompt + r.out/2 }
+
+// start gives a request a slot.
 func (w *worker) start(r *request, nowMs float64) {
 	w.advance(nowMs)
 	r.placedMs = nowMs
+	if r.bulk {
+		w.bulk++
+	}
+	w.pending = append(w.pending, r)
+	w.admit()
+	w.schedule()
+}
+
+// admit lets those run that have waited longest for memory.
+func (w *worker) admit() {
+	for len(w.pending) > 0 && w.hasMemory(w.pending[0]) {
+		w.run(w.pending[0])
+		w.pending = w.pending[1:]
+	}
+}
+
+// run begins the first phase of a request.
+func (w *worker) run(r *request) {
 	if r.plainMs > 0 {
-		// Plain work takes up to twice as long on a full worker.
 		r.left = r.plainMs
 	} else {
 		r.reading, r.left = true, r.fresh*w.of.pace.tokenMs+w.of.pace.firstMs
 	}
 	w.running = append(w.running, r)
-	w.held += r.prompt + r.events
-	if r.bulk {
-		w.bulk++
-	}
-	w.schedule()
+	w.held += r.tokens()
 }
 
-// pace gives how fast the phases go on: ms of reading, events, and ms of plain work in a ms.
-func (w *worker) rates() (event float64) {
-	return 1 / max(w.of.pace.gapAt(float64(len(w.running))), 1e-6)
+// rates gives how fast the phases go on: events a ms, and ms of plain work a ms.
+func (w *worker) rates() (event, plain float64) {
+	gap := max(w.of.pace.gapAt(float64(len(w.running))), 1e-6)
+	return 1 / gap, w.of.pace.gapAt(1) / gap
 }
 
 // advance moves all phases on to a time before the next end of one.
@@ -76,11 +101,12 @@
 	if elapsed <= 0 {
 		return
 	}
-	event, readingSeen := w.rates(), false
+	event, plain := w.rates()
+	readingSeen := false
 	for _, r := range w.running {
 		switch {
 		case r.plainMs > 0:
-			r.left -= elapsed
+			r.left -= elapsed * plain
 		case r.reading:
 			if !readingSeen {
 				r.left -= elapsed
@@ -95,11 +121,13 @@
 // schedule finds the next end of a phase.
 func (w *worker) schedule() {
 	w.nextMs = math.Inf(1)
-	event, readingSeen := w.rates(), false
+	event, plain := w.rates()
+	readingSeen := false
 	for _, r := range w.running {
 		left := r.left
 		switch {
 		case r.plainMs > 0:
+			left /= plain
 		case r.reading:
 			if readingSeen {
 				continue
@@ -137,13 +165,14 @@
 		if r.firstMs == 0 {
 			r.firstMs = nowMs
 		}
-		w.held -= r.prompt + r.events
+		w.held -= r.tokens()
 		if r.bulk {
 			w.bulk--
 		}
 		done = append(done, r)
 	}
 	w.running = kept
+	w.admit()
 	w.schedule()
 	return done
 }
--- /dev/null
+++ b/internal/tooling/forecastcases/compare.go
@@ -0,0 +1,204 @@
+package forecastcases
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/forecast"
+)
+
+// ErrCase is the error of a case that can't be asked about.
+var ErrCase = errs.Define("case")
+
+// Before the surge a case is observed for observedS seconds; the surge lasts surgeS, and
+// afterS more are played so that what it left is done.
+const (
+	observedS = 30.0
+	surgeS    = 15.0
+	afterS    = 5.0
+	// lateBound is the share from which on a class counts as late, as in docs/forecast.md.
+	lateBound = 0.05
+)
+
+// Result is a case, what was forecast, and what came.
+type Result struct {
+	Case  int    `json:"case"`
+	Meant string `json:"meant"`
+	// Named and Tightened are the family that was forecast to run short first and the one that
+	// did, empty for none; ShortOf is of what.
+	Named     string `json:"named"`
+	ShortOf   string `json:"short-of"`
+	Tightened string `json:"tightened"`
+	// NamedAtS and TightenedAtS are seconds from the surge's beginning, -1 for never.
+	NamedAtS     float64       `json:"named-at-s"`
+	TightenedAtS float64       `json:"tightened-at-s"`
+	Classes      []ClassResult `json:"classes"`
+}
+
+// ClassResult is the late share of a class as it was forecast and as it came.
+type ClassResult struct {
+	Class string  `json:"class"`
+	Told  float64 `json:"told"`
+	Came  float64 `json:"came"`
+}
+
+// RightFamily tells whether the family that was named is the one that tightened.
+func (r *Result) RightFamily() bool { return r.Named == r.Tightened }
+
+// Right tells whether the class was called late as it came.
+func (c *ClassResult) Right() bool { return (c.Told > lateBound) == (c.Came > lateBound) }
+
+// Play forecasts a case, brings its surge about, and compares.
+func Play(c *Case, seed uint64) (*Result, error) {
+	from := clock.Instant(0).Add(clock.Milliseconds(observedS * 1000))
+	until := from.Add(clock.Milliseconds(surgeS * 1000))
+	var fleets []*fleet
+	for i, plan := range c.families {
+		f := newFleet(plan, seed*100+uint64(i), from, until)
+		f.runUntil(from - 1)
+		fleets = append(fleets, f)
+	}
+	answer, err := ask(c, fleets, seed)
+	if err != nil {
+		return nil, err
+	}
+	result := &Result{Case: c.Number, Meant: c.Short, NamedAtS: -1, TightenedAtS: -1}
+	for _, room := range answer.Families {
+		if answer.FirstShort != nil && room.Family == *answer.FirstShort {
+			result.Named, result.ShortOf, result.NamedAtS = c.nameOf(room.Family), *room.ShortOf, *room.ShortAtS
+		}
+	}
+	for i, f := range fleets {
+		f.runUntil(until.Add(clock.Milliseconds(afterS * 1000)))
+		if at := f.tightenedAtS(); at >= 0 && (result.TightenedAtS < 0 || at < result.TightenedAtS) {
+			result.Tightened, result.TightenedAtS = c.families[i].name, at
+		}
+		result.Classes = append(result.Classes, classResult(c.families[i].name, f, answer))
+	}
+	return result, nil
+}
+
+// nameOf gives the plan's name of a family that the forecast names by service and model.
+func (c *Case) nameOf(family string) string {
+	for _, plan := range c.families {
+		if family == plan.name || family == plan.name+"/"+plan.name {
+			return plan.name
+		}
+	}
+	return family
+}
+
+func classResult(name string, f *fleet, answer *forecast.Answer) ClassResult {
+	result := ClassResult{Class: name}
+	if f.all > 0 {
+		result.Came = float64(f.late) / float64(f.all)
+	}
+	for _, told := range answer.Classes {
+		if told.Class == name && told.LateShare != nil {
+			result.Told = *told.LateShare
+		}
+	}
+	return result
+}
+
+// ask asks for the forecast with what the fleets have seen.
+func ask(c *Case, fleets []*fleet, seed uint64) (*forecast.Answer, error) {
+	config := routeconfig.Config{Generation: 1}
+	known := &forecast.Known{ObservedS: observedS, Answered: 1}
+	question := &forecast.Question{HorizonS: surgeS + afterS}
+	surge := forecast.Surge{Name: "surge", DurationS: surgeS}
+	for i, plan := range c.families {
+		route := routeconfig.Route{Name: plan.name, Host: "h", Prefix: "/" + plan.name + "/", KindName: "idempotent", Backend: plan.name, SetpointMs: plan.class.targetMs, CutoffMs: 10_000}
+		if plan.class.work == 0 {
+			route.KindName, route.Affine, route.GapMs = "streaming", true, plan.class.gapMs
+		}
+		config.Routes = append(config.Routes, route)
+		config.Services = append(config.Services, routeconfig.Service{Name: plan.name, ConnLimit: 1000,
+			Engine: &routeconfig.Engine{Capacity: plan.shape.Capacity, CacheTokens: plan.shape.CacheTokens}})
+		known.Workers = append(known.Workers, messages.WorkerGroup{Service: plan.name, Zone: "z", Workers: plan.engines, Slots: plan.engines * plan.shape.Capacity})
+		summaries, _ := fleets[i].recorder.Summaries(fleets[i].now)
+		known.Summaries = append(known.Summaries, summaries...)
+		rate := plan.surge
+		surge.Traffic = append(surge.Traffic, forecast.Traffic{Route: plan.name, Rate: &rate})
+	}
+	var err error
+	if known.Config, err = routeconfig.Parse(config.Encode()); err != nil {
+		return nil, ErrCase.Wrap(err, "configuration")
+	}
+	question.Surges = []forecast.Surge{surge}
+	answer, findings := forecast.Forecast(question, known, seed)
+	if len(findings) > 0 {
+		return nil, ErrCase.New(findings[0])
+	}
+	return answer, nil
+}
+
+// Summary counts how many of the results came out as they were forecast.
+type Summary struct {
+	Cases        int `json:"cases"`
+	RightFamily  int `json:"right-family"`
+	Classes      int `json:"classes"`
+	RightClasses int `json:"right-classes"`
+}
+
+// Summarize counts.
+func Summarize(results []*Result) Summary {
+	summary := Summary{}
+	for _, result := range results {
+		summary.Cases++
+		if result.RightFamily() {
+			summary.RightFamily++
+		}
+		for i := range result.Classes {
+			summary.Classes++
+			if result.Classes[i].Right() {
+				summary.RightClasses++
+			}
+		}
+	}
+	return summary
+}
+
+// JSON writes results and their summary.
+func JSON(writer io.Writer, results []*Result) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(struct {
+		Summary Summary   `json:"summary"`
+		Results []*Result `json:"results"`
+	}{Summarize(results), results})
+}
+
+// Table writes them for people.
+func Table(writer io.Writer, results []*Result) error {
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "case\tmeant\tnamed\tof\tat s\ttightened\tat s\tright\tclasses told, came")
+	none := func(name string) string {
+		if name == "" {
+			return "none"
+		}
+		return name
+	}
+	for _, result := range results {
+		classes := ""
+		for i := range result.Classes {
+			class := &result.Classes[i]
+			mark := ""
+			if !class.Right() {
+				mark = "!"
+			}
+			classes += fmt.Sprintf("%.2f,%.2f%s ", class.Told, class.Came, mark)
+		}
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%.0f\t%s\t%.0f\t%v\t%s\n", result.Case, result.Meant, none(result.Named), none(result.ShortOf), result.NamedAtS,
+			none(result.Tightened), result.TightenedAtS, result.RightFamily(), classes)
+	}
+	summary := Summarize(results)
+	fmt.Fprintf(table, "\nright family: %d of %d; right classes: %d of %d\n", summary.RightFamily, summary.Cases, summary.RightClasses, summary.Classes)
+	return table.Flush()
+}
--- a/internal/traffic/trafficstats/recorder.go
+++ b/internal/traffic/trafficstats/recorder.go
@@ -145,10 +145,13 @@
 	observe(s.whole, o.Duration)
 	if o.FirstEvent > 0 {
 		observe(s.firstEvent, o.FirstEvent)
-		if o.LoadKnown && o.Waiting == 0 {
+		if o.LoadKnown && o.Waiting == 0 && o.Events > 0 {
 			addPoint(&summary.Prefill, float64(o.FreshTokens), clock.ToMilliseconds(o.FirstEvent))
 		}
 	}
+	if o.Events == 0 && o.LoadKnown {
+		addPoint(&summary.Decode, float64(o.Running), clock.ToMilliseconds(o.Duration))
+	}
 	if o.EventGap > 0 {
 		observe(s.eventGap, o.EventGap)
 		if o.LoadKnown {
