--- /dev/null
+++ b/internal/tooling/forecast/helpers_test.go
@@ -0,0 +1,83 @@
+package forecast
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/trafficstats"
+)
+
+const testConfig = `{"generation":1,"channels":[
+{"name":"kiosk","host":"h","path-prefix":"/k/","route-kind":"streaming","cutoff-ms":6000,"setpoint-ms":200,"priority":0,"backend":"llm","affine":true,"gap-setpoint-ms":250},
+{"name":"draft","host":"h","path-prefix":"/d/","route-kind":"streaming","cutoff-ms":4000,"setpoint-ms":400,"priority":0,"backend":"llm","affine":true,"gap-setpoint-ms":250},
+{"name":"batch","host":"h","path-prefix":"/b/","route-kind":"bulk","cutoff-ms":4000,"setpoint-ms":400,"result-setpoint-ms":10000,"priority":2,"backend":"llm"},
+{"name":"status","host":"h","path-prefix":"/s/","route-kind":"idempotent","cutoff-ms":4000,"setpoint-ms":300,"priority":0,"backend":"app"}],
+"backends":[{"name":"llm","conn-limit":200,"engine":{"capacity":12,"cache-tokens":300000}},{"name":"app","conn-limit":100}],"limits":{}}`
+
+// seen adds requests to a recorder, as gateways see them.
+func seen(recorder *trafficstats.Recorder, count int, o trafficstats.Observation, random *rand.Rand) {
+	for range count {
+		each := o
+		each.Outcome, each.Placed = trafficstats.OutcomeServed, true
+		each.Running = 1 + random.IntN(8)
+		each.LoadKnown = true
+		if o.Events > 1 {
+			each.FreshTokens = int(float64(o.FreshTokens) * (0.5 + random.Float64()))
+			// 2 ms and a token in 100 to the first event; 20 ms and 1 ms for each that runs between two.
+			each.FirstEvent = clock.Milliseconds(2 + float64(each.FreshTokens)/100)
+			each.EventGap = clock.Milliseconds(20 + float64(each.Running))
+			each.Duration = each.FirstEvent + each.EventGap*clock.Duration(o.Events-1)
+		}
+		recorder.Record(&each, 1)
+	}
+}
+
+// testKnown is a fleet of 10 model workers and 2 plain ones, seen for 60 s.
+func testKnown(t *testing.T) *Known {
+	t.Helper()
+	config, err := routeconfig.Parse([]byte(testConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	random, recorder := rand.New(rand.NewPCG(1, 2)), trafficstats.New(0)
+	class := func(route, service, model string) trafficstats.Class {
+		return trafficstats.Class{Route: route, Service: service, Model: model}
+	}
+	seen(recorder, 3000, trafficstats.Observation{Class: class("kiosk", "llm", "m"), PromptTokens: 700, FreshTokens: 500, Events: 10}, random)
+	seen(recorder, 600, trafficstats.Observation{Class: class("draft", "llm", "m"), PromptTokens: 17000, FreshTokens: 4000, Events: 6}, random)
+	seen(recorder, 600, trafficstats.Observation{Class: class("batch", "llm", "m"), Bulk: true, PromptTokens: 1200, FreshTokens: 800, Events: 20}, random)
+	seen(recorder, 1200, trafficstats.Observation{Class: class("status", "app", ""), Duration: clock.Milliseconds(30)}, random)
+	summaries, _ := recorder.Summaries(2)
+	return &Known{Config: config, ObservedS: 60, Summaries: summaries, Answered: 4,
+		Workers: []messages.WorkerGroup{{Service: "app", Zone: "a", Workers: 2, Slots: 12}, {Service: "llm", Zone: "a", Workers: 5, Slots: 60}, {Service: "llm", Zone: "b", Workers: 5, Slots: 60}}}
+}
+
+func ask(t *testing.T, text string) *Question {
+	t.Helper()
+	question, findings := Read([]byte(text))
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	return question
+}
+
+func answer(t *testing.T, known *Known, text string) *Answer {
+	t.Helper()
+	told, findings := Forecast(ask(t, text), known, 1)
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	return told
+}
+
+func surge(lines string) string {
+	return "[[surges]]\nname = \"s\"\nstart-s = 5\nduration-s = 15\n" + lines
+}
+
+func traffic(route, amount string) string {
+	return fmt.Sprintf("[[surges.traffic]]\nroute = %q\n%s\n", route, amount)
+}
