An output that was sent is asked about before it is sent again

Change: the repeat is a question without the output (three times at most); a leader that knows nothing of it says so, and it is sent again. TestAcknowledgementsAreRepeated asserted that a repeat carries the output: it now asserts the question, and the output after the leader asked for it.

--- a/internal/batch/dispatch/acknowledge.go
+++ b/internal/batch/dispatch/acknowledge.go
@@ -38,6 +38,8 @@
 		return d.release(item, entry, now)
 	case messages.AckRenew:
 		return d.renew(executor, item, entry, now)
+	case messages.AckConfirm:
+		return AckOutcome{Verdict: messages.AckOutputNeeded}
 	}
 	return AckOutcome{Verdict: messages.AckUnknown}
 }
--- a/internal/batch/executor/ackqueue.go
+++ b/internal/batch/executor/ackqueue.go
@@ -8,24 +8,56 @@
 // queue holds acknowledgements until they are answered.
 type queue struct {
 	entries []messages.Acknowledgement
+	// confirms counts, by acquisition, how often a complete output was asked about since it
+	// was sent last.
+	confirms map[uint64]int
 }
 
 func (q *queue) add(entry messages.Acknowledgement) { q.entries = append(q.entries, entry) }
 
-// batch gives the oldest ones that fit into a message.
+// batch gives the oldest ones that fit into a message. An output that was sent and not
+// answered is asked about before it is sent once more: an answer is late where the leader's
+// link is full, and outputs that are sent again would keep it so.
 func (q *queue) batch() []messages.Acknowledgement {
 	size := 0
+	var batch []messages.Acknowledgement
 	for i := range q.entries {
-		entry := &q.entries[i]
+		entry := q.next(&q.entries[i])
 		size += len(entry.Output)
 		for _, piece := range entry.Events {
 			size += len(piece)
 		}
 		if i > 0 && (i >= constants.AckEntries || size > constants.AckBytes) {
-			return append([]messages.Acknowledgement(nil), q.entries[:i]...)
+			break
 		}
+		batch = append(batch, entry)
+	}
+	for i := range batch {
+		q.noteSent(&batch[i])
+	}
+	return batch
+}
+
+// next gives the form in which an entry is sent next.
+func (q *queue) next(entry *messages.Acknowledgement) messages.Acknowledgement {
+	count, sent := q.confirms[entry.Number]
+	if entry.Kind != messages.AckAccept || !sent || count >= constants.AckConfirms {
+		return *entry
+	}
+	return messages.Acknowledgement{Number: entry.Number, Kind: messages.AckConfirm, Job: entry.Job, Item: entry.Item}
+}
+
+// noteSent notes that an entry is sent in some form.
+func (q *queue) noteSent(entry *messages.Acknowledgement) {
+	if q.confirms == nil {
+		q.confirms = map[uint64]int{}
+	}
+	switch entry.Kind {
+	case messages.AckAccept:
+		q.confirms[entry.Number] = 0
+	case messages.AckConfirm:
+		q.confirms[entry.Number]++
 	}
-	return append([]messages.Acknowledgement(nil), q.entries...)
 }
 
 // answered takes the verdicts on a batch: what is still unknown is repeated, under
@@ -33,7 +65,12 @@
 func (q *queue) answered(batch []messages.Acknowledgement, verdicts []messages.AckVerdict) {
 	known := map[uint64]bool{}
 	for i := range batch {
-		if i < len(verdicts) && verdicts[i] != messages.AckUnknown {
+		if i >= len(verdicts) || verdicts[i] == messages.AckUnknown {
+			continue
+		}
+		// Whatever was said of it, an output is sent in full if it is sent again.
+		delete(q.confirms, batch[i].Number)
+		if verdicts[i] != messages.AckOutputNeeded {
 			known[batch[i].Number] = true
 		}
 	}
--- /dev/null
+++ b/internal/batch/executor/ackqueue_test.go
@@ -0,0 +1,46 @@
+package executor
+
+import (
+	"testing"
+
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+)
+
+// An output that was sent is asked about until that is answered, sent again where nothing is
+// known of it, and now and then all the same; what has no output is repeated as it is.
+func TestOutputsAreAskedAboutBeforeTheyAreSentAgain(t *testing.T) {
+	q := &queue{}
+	q.add(messages.Acknowledgement{Number: 1, Kind: messages.AckAccept, Job: "j", Item: "i", Output: []byte("text")})
+	q.add(messages.Acknowledgement{Number: 2, Kind: messages.AckReject, Job: "j", Item: "k"})
+	expect := func(what string, kind messages.AckKind) []messages.Acknowledgement {
+		t.Helper()
+		batch := q.batch()
+		if len(batch) == 0 || batch[0].Kind != kind || batch[0].Number != 1 || batch[0].Job != "j" || batch[0].Item != "i" || (len(batch[0].Output) > 0) != (kind == messages.AckAccept) {
+			t.Fatalf("%s: %+v", what, batch)
+		}
+		return batch
+	}
+	batch := expect("first", messages.AckAccept)
+	if len(batch) != 2 || batch[1].Kind != messages.AckReject {
+		t.Fatal(batch)
+	}
+	q.answered(batch, nil)
+	batch = expect("unanswered", messages.AckConfirm)
+	if batch[1].Kind != messages.AckReject {
+		t.Fatal(batch)
+	}
+	q.answered(batch, []messages.AckVerdict{messages.AckUnknown, messages.AckRecorded})
+	batch = expect("not durable yet", messages.AckConfirm)
+	q.answered(batch, []messages.AckVerdict{messages.AckOutputNeeded})
+	batch = expect("nothing known", messages.AckAccept)
+	for range constants.AckConfirms {
+		q.answered(batch, nil)
+		batch = expect("silence", messages.AckConfirm)
+	}
+	batch = expect("silence for long", messages.AckAccept)
+	q.answered(batch, []messages.AckVerdict{messages.AckRecorded})
+	if len(q.batch()) != 0 || len(q.confirms) != 0 {
+		t.Fatal(q.entries, q.confirms)
+	}
+}
--- a/internal/batch/executor/runner_test.go
+++ b/internal/batch/executor/runner_test.go
@@ -70,6 +70,10 @@
 	}
 	runner.HandleVerdicts(batch, nil)
 	runner.HandleVerdicts(batch, []messages.AckVerdict{messages.AckUnknown, messages.AckTerminal})
+	if batch = runner.Results(); len(batch) != 1 || batch[0].Number != 1 || batch[0].Kind != messages.AckConfirm {
+		t.Fatal(batch)
+	}
+	runner.HandleVerdicts(batch, []messages.AckVerdict{messages.AckOutputNeeded})
 	if batch = runner.Results(); len(batch) != 1 || batch[0].Number != 1 || batch[0].Kind != messages.AckAccept {
 		t.Fatal(batch)
 	}
--- a/internal/platform/constants/dispatch.go
+++ b/internal/platform/constants/dispatch.go
@@ -41,6 +41,9 @@
 	// AckEntries and AckBytes bound one message of acknowledgements.
 	AckEntries = 64
 	AckBytes   = 512 << 10
+	// AckConfirms is how often an output that was sent is asked about before it is sent once more
+	// (ours).
+	AckConfirms = 3
 	// AckBackoff is the pause before an unanswered acknowledgement is repeated (ours).
 	AckBackoff = 60 * time.Millisecond
 	// AckBatchWindow is how long acknowledgements gather before they are sent (ours): a
--- a/internal/platform/messages/kinds.go
+++ b/internal/platform/messages/kinds.go
@@ -105,6 +105,8 @@
 	AckRelease
 	AckReject
 	AckRenew
+	// AckConfirm asks whether an ACCEPT that was sent before is recorded, without its output.
+	AckConfirm
 )
 
 // AckVerdict is what the dispatcher says to one.
@@ -122,4 +124,6 @@
 	AckStopped
 	// AckTerminal: the item ended otherwise, or its job did.
 	AckTerminal
+	// AckOutputNeeded: nothing is known of an ACCEPT that is asked about; it is to be sent again.
+	AckOutputNeeded
 )
--- a/internal/platform/messages/kinds_string.go
+++ b/internal/platform/messages/kinds_string.go
@@ -134,11 +134,12 @@
 	_ = x[AckRelease-1]
 	_ = x[AckReject-2]
 	_ = x[AckRenew-3]
+	_ = x[AckConfirm-4]
 }
 
-const _AckKind_name = "AckAcceptAckReleaseAckRejectAckRenew"
+const _AckKind_name = "AckAcceptAckReleaseAckRejectAckRenewAckConfirm"
 
-var _AckKind_index = [...]uint8{0, 9, 19, 28, 36}
+var _AckKind_index = [...]uint8{0, 9, 19, 28, 36, 46}
 
 func (i AckKind) String() string {
 	idx := int(i) - 0
@@ -156,11 +157,12 @@
 	_ = x[AckRenewed-2]
 	_ = x[AckStopped-3]
 	_ = x[AckTerminal-4]
+	_ = x[AckOutputNeeded-5]
 }
 
-const _AckVerdict_name = "AckUnknownAckRecordedAckRenewedAckStoppedAckTerminal"
+const _AckVerdict_name = "AckUnknownAckRecordedAckRenewedAckStoppedAckTerminalAckOutputNeeded"
 
-var _AckVerdict_index = [...]uint8{0, 10, 21, 31, 41, 52}
+var _AckVerdict_index = [...]uint8{0, 10, 21, 31, 41, 52, 67}
 
 func (i AckVerdict) String() string {
 	idx := int(i) - 0
