A full link is no reason to feed stores directly; fewer and larger messages at the leader of jobs

Change: passing on is given up only where a store lacks for 400 ms what its upstream has, or the upstream confirms nothing for 2 s; orders to a store begin 8 ms apart at least, results gather for 60 ms, and the leader's collector runs less often.

--- a/internal/batch/executorserver/acknowledge.go
+++ b/internal/batch/executorserver/acknowledge.go
@@ -44,13 +44,15 @@
 }
 
 // acknowledgeLoop repeats acknowledgements until they are answered.
-func (s *Server) acknowledgeLoop(changed chan struct{}, gather func() []messages.Acknowledgement) {
+// gatherTime is how long it waits for more after the first.
+func (s *Server) acknowledgeLoop(changed chan struct{}, gatherTime clock.Duration, gather func() []messages.Acknowledgement) {
 	stop := s.node.Stop
 	for {
 		select {
 		case <-stop:
 			return
 		case <-changed:
+			clock.Sleep(gatherTime)
 		case <-clock.After(constants.AcquireWait):
 		}
 		for {
--- a/internal/batch/executorserver/executorserver.go
+++ b/internal/batch/executorserver/executorserver.go
@@ -97,8 +97,8 @@
 // Start begins the loops, which end with the process's Stop.
 func (s *Server) Start() {
 	go s.acquireLoop()
-	go s.acknowledgeLoop(s.signals.results, s.runner.Results)
-	go s.acknowledgeLoop(s.signals.releases, s.runner.Releases)
+	go s.acknowledgeLoop(s.signals.results, constants.ResultGatherTime, s.runner.Results)
+	go s.acknowledgeLoop(s.signals.releases, 0, s.runner.Releases)
 	go clock.Every(constants.TickPeriod, s.node.Stop, s.maintain)
 }
 
--- a/internal/batch/leader/delegate.go
+++ b/internal/batch/leader/delegate.go
@@ -13,7 +13,7 @@
 // A leader's link carries every record to every other store, and bounds what it can take: so
 // half of the stores get the records from the other half. A store that is sent records
 // directly passes them on to one other and tells the leader what that one answered. Where
-// that takes too long, the leader sends to it directly again. How many copies a record needs,
+// that one falls behind, the leader sends to it directly again. How many copies a record needs,
 // and which answers count for it, is the same either way.
 
 // delegation is how a store gets its records while another one passes them on. It is guarded
@@ -23,7 +23,7 @@
 	// is sent directly meanwhile.
 	active bool
 	upTo   int64
-	// progressAt is when records were last given to be passed on, or confirmed.
+	// progressAt is when the delegation began, or records were last confirmed.
 	progressAt clock.Instant
 	// directUntil keeps the store from being delegated after it failed, for failures in a row.
 	directUntil clock.Instant
@@ -81,45 +81,26 @@
 	if req.Records[0].Index-1 > d.upTo || last <= d.upTo {
 		return
 	}
-	d.upTo, d.progressAt = last, clock.Now()
+	d.upTo = last
 	req.Forward = &messages.AppendForward{Address: target.member.Address, Disk: target.member.Disk, ReportTo: t.process.Node.Self.Address}
 }
 
 // awaitDelegated returns once records have to be sent directly; false when the feeder has to
 // end.
 func (f *feeder) awaitDelegated() bool {
-	overdueSince := clock.Instant(0)
+	watch := delegationWatch{}
 	for {
-		t, now := f.term, clock.Now()
+		t := f.term
 		t.lock.Lock()
-		upstream, d := f.upstream(), &f.delegation
-		if !d.active && upstream != nil && now >= d.directUntil && f.next >= upstream.next {
-			d.active, d.upTo, d.progressAt = true, f.next-1, now
-		}
-		if !d.active || upstream == nil {
-			d.active = false
-			t.lock.Unlock()
-			return true
-		}
-		if f.next > t.records.replicator.Last() {
-			overdueSince = 0
-		} else if overdueSince == 0 {
-			overdueSince = now
-		}
-		wait := constants.ForwardTimeout
-		if overdueSince > 0 {
-			wait -= now.Sub(max(d.progressAt, overdueSince))
-		}
-		if wait <= 0 {
-			d.fail(now)
-			t.lock.Unlock()
-			return true
-		}
+		active := f.delegatedLocked(&watch, clock.Now())
 		changed := t.records.changed
 		t.lock.Unlock()
+		if !active {
+			return true
+		}
 		select {
 		case <-changed:
-		case <-clock.After(wait):
+		case <-clock.After(constants.ForwardTimeout / 4):
 		case <-f.quit:
 			return false
 		case <-t.life.stop:
@@ -128,6 +109,58 @@
 	}
 }
 
+// delegationWatch is since when a store lacks records, and since when its upstream has
+// confirmed records that it has not; zero for neither.
+type delegationWatch struct{ lacking, behind clock.Instant }
+
+// delegatedLocked tells whether another store passes records on to this one now. It begins a
+// delegation where that can be, and ends one that does not get on: behind a store that has
+// confirmed the records for ForwardTimeout, or with one that confirms none for
+// ForwardUpstreamTimeout. That both take long since the leader's own link is full is no reason.
+// The lock is held.
+func (f *feeder) delegatedLocked(watch *delegationWatch, now clock.Instant) bool {
+	upstream, d := f.upstream(), &f.delegation
+	if upstream == nil {
+		d.active = false
+		return false
+	}
+	if !d.active {
+		if now < d.directUntil || f.next < upstream.next {
+			return false
+		}
+		d.active, d.upTo, d.progressAt = true, f.next-1, now
+	}
+	since := func(instant *clock.Instant, holds bool) clock.Duration {
+		if !holds {
+			*instant = 0
+		} else if *instant == 0 {
+			*instant = now
+		}
+		if *instant == 0 {
+			return 0
+		}
+		return now.Sub(max(*instant, d.progressAt))
+	}
+	lacking := since(&watch.lacking, f.next <= f.term.records.replicator.Last())
+	behind := since(&watch.behind, f.next < upstream.next)
+	if behind >= constants.ForwardTimeout || (lacking >= constants.ForwardUpstreamTimeout && now.Sub(upstream.progressAt) >= constants.ForwardUpstreamTimeout) {
+		d.fail(now)
+		return false
+	}
+	return true
+}
+
+// failDownstream has the next store fed directly at once: this one's can't be reached.
+func (f *feeder) failDownstream() {
+	t := f.term
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if target := f.downstream(); target != nil && target.delegation.active {
+		target.delegation.fail(clock.Now())
+		t.notifyLocked()
+	}
+}
+
 // fail ends a delegation that did not get on; each further time the store is fed directly for
 // longer. The lock is held.
 func (d *delegation) fail(now clock.Instant) {
--- a/internal/batch/leader/feed.go
+++ b/internal/batch/leader/feed.go
@@ -21,6 +21,8 @@
 	// delegation.
 	next       int64
 	delegation delegation
+	// progressAt is when the store last confirmed records. It is guarded by Term.lock.
+	progressAt clock.Instant
 	quit       chan struct{}
 }
 
@@ -30,7 +32,7 @@
 	if t.feeds.feeders[identity] != nil {
 		return
 	}
-	f := &feeder{term: t, member: member, next: common + 1, quit: make(chan struct{})}
+	f := &feeder{term: t, member: member, next: common + 1, progressAt: clock.Now(), quit: make(chan struct{})}
 	t.feeds.feeders[identity] = f
 	go f.run()
 }
@@ -62,6 +64,7 @@
 		resp, err := f.send(batch)
 		if err != nil {
 			// Out of reach, or its disk is full: the others go on without it.
+			f.failDownstream()
 			if !f.pause(constants.TickPeriod * 2) {
 				return
 			}
@@ -70,6 +73,11 @@
 		if !f.handle(resp, clock.Now().Sub(start)) {
 			return
 		}
+		// What comes meanwhile goes together: each order costs this process and three others
+		// their wake-ups, whatever its length.
+		if left := constants.AppendSpacing - clock.Now().Sub(start); left > 0 && !f.pause(left) {
+			return
+		}
 	}
 }
 
@@ -133,7 +141,7 @@
 func (f *feeder) setNext(next int64) {
 	f.term.lock.Lock()
 	defer f.term.lock.Unlock()
-	f.next = next
+	f.next, f.progressAt = next, clock.Now()
 }
 
 // nextBatch gathers the next records for the store; nil where there are none, with a
--- a/internal/batch/leader/takeover.go
+++ b/internal/batch/leader/takeover.go
@@ -192,6 +192,7 @@
 	go clock.Every(constants.GossipPeriod, t.life.stop, t.forget)
 	go t.expireItems()
 	go t.watchOwnLag()
+	relaxCollector()
 	t.announce()
 }
 
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -139,6 +139,7 @@
 	t.life.closeOnce.Do(func() {
 		t.process.Node.Log.Info("leadership lost", "epoch", t.leadership.Epoch, "reason", reason)
 		close(t.life.stop)
+		restoreCollector()
 		t.lock.Lock()
 		defer t.lock.Unlock()
 		t.serving = false
--- a/internal/platform/constants/constants.go
+++ b/internal/platform/constants/constants.go
@@ -212,4 +212,6 @@
 	// CollectPercent is the collector's target growth (ours): memory is dear, and
 	// the live heap is small.
 	CollectPercent = 60
+	// LeaderCollectPercent is that of the store that leads (ours).
+	LeaderCollectPercent = 200
 )
--- a/internal/platform/constants/dispatch.go
+++ b/internal/platform/constants/dispatch.go
@@ -49,6 +49,10 @@
 	// AckBatchWindow is how long acknowledgements gather before they are sent (ours): a
 	// batch costs one sync.
 	AckBatchWindow = 4 * time.Millisecond
+	// ResultGatherTime is how long the results of an executor gather before they are sent
+	// (ours): at the leader of dozens of executors each message costs about as much as an
+	// item, and results are due in seconds.
+	ResultGatherTime = 60 * time.Millisecond
 	// ExecutorTimeout is the silence after which a driver's workers are shared among the
 	// others (ours): it asks or renews at least every half second.
 	ExecutorTimeout = 1100 * time.Millisecond
--- a/internal/platform/constants/pace.go
+++ b/internal/platform/constants/pace.go
@@ -30,14 +30,20 @@
 	// YieldTime is how long a slow process leaves the leadership to others (ours); after
 	// that a slow holder is better than none.
 	YieldTime = 2 * time.Second
+	// AppendSpacing is the least time from the beginning of one order to a store to the next
+	// (ours): a small part of what callers wait for anyway.
+	AppendSpacing = 8 * time.Millisecond
 	// ForwardMembers is how many other members a set has at least for records to be passed on
 	// (ours): of fewer, the loss of the one that passes them on would leave too few copies until
 	// ForwardTimeout.
 	ForwardMembers = 4
-	// ForwardTimeout is how long records that a store passes on to another may go without a
-	// confirmation before the leader sends them itself (ours): several times what a sync and
-	// two hops take on a busy store.
-	ForwardTimeout = 400 * time.Millisecond
+	// ForwardTimeout is how long a store that gets its records passed on may lack what the one
+	// that passes them on has confirmed, before the leader sends to it directly (ours): several
+	// times what a sync and two hops take on a busy store. ForwardUpstreamTimeout is the same
+	// for a store that passes records on and confirms none itself (ours): orders of a megabyte
+	// take a second on a full link.
+	ForwardTimeout         = 400 * time.Millisecond
+	ForwardUpstreamTimeout = 2 * time.Second
 	// ForwardBackoff is for how long a store is then fed directly, doubled with each failure in
 	// a row, ForwardBackoffSteps times at most (ours).
 	ForwardBackoff      = 2 * time.Second
