--- a/internal/platform/messages/traffic.go
+++ b/internal/platform/messages/traffic.go
@@ -45,9 +45,9 @@
 	FirstEvent Histogram `msg:"t"`
 	EventGap   Histogram `msg:"g"`
 	Duration   Histogram `msg:"d"`
-	// Prefill is the time to the first event, in ms, over the fresh tokens, at workers where
-	// nothing waited; Decode the time between two events, in ms, over the requests that ran
-	// at the worker. For requests that are no streams it is the time to the answer.
+	// Prefill is the time to the first event, in tenths of a millisecond, over the fresh tokens,
+	// at workers where nothing waited; Decode the time between two events, in the same unit, over
+	// the requests that ran at the worker. For requests that are no streams it is the time to the answer.
 	Prefill Regression `msg:"pr"`
 	Decode  Regression `msg:"dr"`
 }
--- a/internal/traffic/trafficstats/recorder.go
+++ b/internal/traffic/trafficstats/recorder.go
@@ -4,6 +4,7 @@
 package trafficstats
 
 import (
+	"math"
 	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -146,21 +147,24 @@
 	if o.FirstEvent > 0 {
 		observe(s.firstEvent, o.FirstEvent)
 		if o.LoadKnown && o.Waiting == 0 && o.Events > 0 {
-			addPoint(&summary.Prefill, float64(o.FreshTokens), clock.ToMilliseconds(o.FirstEvent))
+			addPoint(&summary.Prefill, o.FreshTokens, o.FirstEvent)
 		}
 	}
 	if o.Events == 0 && o.LoadKnown {
-		addPoint(&summary.Decode, float64(o.Running), clock.ToMilliseconds(o.Duration))
+		addPoint(&summary.Decode, o.Running, o.Duration)
 	}
 	if o.EventGap > 0 {
 		observe(s.eventGap, o.EventGap)
 		if o.LoadKnown {
-			addPoint(&summary.Decode, float64(o.Running), clock.ToMilliseconds(o.EventGap))
+			addPoint(&summary.Decode, o.Running, o.EventGap)
 		}
 	}
 }
 
-func addPoint(sums *messages.Regression, x, y float64) {
+// addPoint adds a point. Sums of whole numbers are exact, so that summaries can be merged in
+// any order.
+func addPoint(sums *messages.Regression, count int, time clock.Duration) {
+	x, y := float64(count), math.Round(clock.ToMilliseconds(time)*10)
 	sums.Count++
 	sums.X += x
 	sums.Y += y
