Jobs that would outgrow the stores' disks are refused

Change: a job is refused with 429 where the file, what is on its way, and the outputs of all items that are not listed yet would pass 0.85 of disk-mb. Their length is learnt.

--- a/internal/batch/dispatch/acknowledge.go
+++ b/internal/batch/dispatch/acknowledge.go
@@ -68,8 +68,9 @@
 // output counts: also after a lapse the first one to be durable is the item's.
 func (d *Dispatcher) accept(item *Item, entry *messages.Acknowledgement, now clock.Instant) AckOutcome {
 	acquisition := item.acquisition
+	const share = 0.05
+	d.MeanOutputBytes += share * (float64(len(entry.Output)) - d.MeanOutputBytes)
 	if acquisition != nil && acquisition.Number == entry.Number && acquisition.fromStart {
-		const share = 0.05
 		d.MeanRunMs += share * (clock.ToMilliseconds(now.Sub(acquisition.startedAt)) - d.MeanRunMs)
 	}
 	d.endAcquisition(acquisition)
--- a/internal/batch/dispatch/dispatcher.go
+++ b/internal/batch/dispatch/dispatcher.go
@@ -32,7 +32,9 @@
 	Attempts func(item *Item) int
 	// MeanRunMs is the usual time of a whole run.
 	MeanRunMs float64
-	Counts    Counts
+	// MeanOutputBytes is the usual length of an output as it is kept.
+	MeanOutputBytes float64
+	Counts          Counts
 
 	epoch    uint64
 	serial   uint64
@@ -74,7 +76,7 @@
 func NewDispatcher(jobs *JobTable, epoch uint64, before int64, lock clock.Duration, taken clock.Instant) *Dispatcher {
 	dispatcher := &Dispatcher{Jobs: jobs, Lock: lock, epoch: epoch, firstIndex: before, uncertainUntil: taken.Add(lock), startedAt: taken,
 		inFlight: map[uint64]*Acquisition{}, prefixOwners: map[string]prefixOwner{}, executors: map[string]*executorState{},
-		registering: map[executorID]int64{}, unaccounted: map[executorID]bool{},
+		registering: map[executorID]int64{}, unaccounted: map[executorID]bool{}, MeanOutputBytes: constants.OutputBytesGuess,
 		Ending: func(*Job) bool { return false }, Attempts: func(*Item) int { return 1 }}
 	for each := range jobs.executors {
 		dispatcher.unaccounted[each] = true
--- a/internal/batch/leader/intake.go
+++ b/internal/batch/leader/intake.go
@@ -113,7 +113,11 @@
 	}
 	if route.BacklogCap > 0 && t.waitingTokens(config, route) >= route.BacklogCap {
 		t.lock.Unlock()
-		return backlogFull()
+		return tooMany("backlog is full")
+	}
+	if t.outgrowsDiskLocked(call.BodyBytes, 0) {
+		t.lock.Unlock()
+		return tooMany("the disks are nearly full")
 	}
 	queued := t.submissions.intake.offer(call.Job, call.BodyBytes, clock.Now())
 	t.lock.Unlock()
@@ -145,7 +149,7 @@
 	}
 }
 
-// backlogFull refuses a job that does not fit the route's cap.
-func backlogFull() *messages.JobCallResponse {
-	return &messages.JobCallResponse{Status: http.StatusTooManyRequests, Body: reason("backlog is full"), RetryAfterMs: int(constants.GossipPeriod.Milliseconds())}
+// tooMany refuses a job that does not fit now.
+func tooMany(why string) *messages.JobCallResponse {
+	return &messages.JobCallResponse{Status: http.StatusTooManyRequests, Body: reason(why), RetryAfterMs: int(constants.GossipPeriod.Milliseconds())}
 }
--- a/internal/batch/leader/submit.go
+++ b/internal/batch/leader/submit.go
@@ -106,7 +106,11 @@
 	}
 	if route.BacklogCap > 0 && t.waitingTokens(config, route)+tokens > route.BacklogCap {
 		t.lock.Unlock()
-		return backlogFull()
+		return tooMany("backlog is full")
+	}
+	if t.outgrowsDiskLocked(len(packed), len(body.Items)) {
+		t.lock.Unlock()
+		return tooMany("the disks are nearly full")
 	}
 	index := t.appendRecord(messages.Record{Kind: messages.RecordJob, Job: call.Job, Host: call.Host, Route: route.Name,
 		AtMs: clock.WallNanos() / 1_000_000, Body: packed})
--- a/internal/batch/replicalog/compact.go
+++ b/internal/batch/replicalog/compact.go
@@ -118,6 +118,7 @@
 	}
 	l.replica.Compact(base, stay)
 	l.base.Store(base.Index)
+	l.bytes.Store(l.file.Size())
 	return nil
 }
 
--- a/internal/batch/replicalog/log.go
+++ b/internal/batch/replicalog/log.go
@@ -30,6 +30,9 @@
 	compaction  compactionState
 	// base is the replica's, for those who must not wait for a sync.
 	base atomic.Int64
+	// bytes is the length of the file, readable without the lock, which is held while the disk
+	// is waited for.
+	bytes atomic.Int64
 }
 
 // Open reads the disk; an empty one gets the new identity.
@@ -59,6 +62,7 @@
 		return nil, ErrCorrupt.Wrap(err, "open")
 	}
 	log.file = file
+	log.bytes.Store(file.Size())
 	log.base.Store(log.replica.Base().Index)
 	if log.replica.Disk == "" {
 		log.replica.Disk = identity
@@ -69,6 +73,9 @@
 	return log, nil
 }
 
+// Bytes is the length of the file. It never waits.
+func (l *Log) Bytes() int64 { return l.bytes.Load() }
+
 // Disk is the identity of the disk.
 func (l *Log) Disk() string { return l.replica.Disk }
 
@@ -90,6 +97,7 @@
 	if err == nil {
 		err = l.file.Sync()
 	}
+	l.bytes.Store(l.file.Size())
 	return offsets, ErrCorrupt.Wrap(err, "append")
 }
 
--- a/internal/platform/constants/replicas.go
+++ b/internal/platform/constants/replicas.go
@@ -26,4 +26,9 @@
 	OfferMinBytes = 4 << 10
 	// OfferWait is how long an offer waits at the leader (ours).
 	OfferWait = 700 * time.Millisecond
+	// DiskShare is the part of a store's disk that jobs may come to fill, with the outputs that
+	// are still to come (ours): the rest is for what the estimate misses.
+	DiskShare = 0.85
+	// OutputBytesGuess is the mean length of an output before any was seen (ours).
+	OutputBytesGuess = 1024
 )
