--- a/cmd/lemonarch/lab_forecast.go
+++ b/cmd/lemonarch/lab_forecast.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"lemonarch/internal/platform/contexts"
 	"lemonarch/internal/tooling/forecastcases"
+	"lemonarch/internal/tooling/forecastlab"
+	"lemonarch/internal/tooling/lab"
 )
 
 // forecastCasesMax bounds the cases of one call.
@@ -13,12 +18,18 @@
 
 // labForecastCommand tries the forecast on drawn cases with emulated engines in simulated time.
 func labForecastCommand() *cobra.Command {
-	cases, seed, format := 30, uint64(1), "table"
+	cases, first, seed, format, real := 30, 0, uint64(1), "table", false
+	plan := lab.NewPlan()
 	command := &cobra.Command{Use: "forecast", Args: cobra.NoArgs,
-		Short: "Forecast drawn surges on emulated engines in simulated time, bring them about, and compare"}
+		Short: "Forecast drawn surges on emulated engines, bring them about, and compare",
+		Long:  "In simulated time, or with --real on gateways, controllers and stores of a lab, one fleet a case."}
 	command.Flags().IntVar(&cases, "cases", cases, "how many cases")
 	command.Flags().Uint64Var(&seed, "random-seed", seed, "seed of the draws")
 	command.Flags().StringVar(&format, "output", format, "table or json")
+	command.Flags().IntVar(&first, "first", first, "number of the first case")
+	command.Flags().BoolVar(&real, "real", real, "play the cases on the real programs in real time, 50 s each")
+	command.Flags().StringVar(&plan.Network, "network", plan.Network, "first three bytes of the loopback addresses, with --real")
+	plan.Programs = besides()
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		if cases < 1 || cases > forecastCasesMax {
 			return exitError{exitUnusable, fmt.Sprintf("--cases must lie between 1 and %d", forecastCasesMax)}
@@ -26,11 +37,14 @@
 		if format != "table" && format != "json" {
 			return exitError{exitUnusable, "--output must be table or json"}
 		}
+		until, halt := signal.NotifyContext(contexts.Background(), syscall.SIGINT, syscall.SIGTERM)
+		defer halt()
 		var results []*forecastcases.Result
-		for number := range cases {
-			result, err := forecastcases.Play(forecastcases.Draw(number, seed), seed)
+		for number := first; number < first+cases && until.Err() == nil; number++ {
+			drawn := forecastcases.Draw(number, seed)
+			result, err := playForecastCase(until, drawn, plan, seed, real)
 			if err != nil {
-				return exitError{exitInvalid, err.Error()}
+				return exitError{exitInvalid, oneLine(err)}
 			}
 			results = append(results, result)
 		}
@@ -41,3 +55,11 @@
 	}
 	return command
 }
+
+// playForecastCase plays a case in simulated time, or on the real programs.
+func playForecastCase(until contexts.Context, drawn *forecastcases.Case, plan lab.Plan, seed uint64, real bool) (*forecastcases.Result, error) {
+	if real {
+		return forecastlab.Play(until, drawn, plan, seed)
+	}
+	return forecastcases.Play(drawn, seed)
+}
--- a/cmd/lemonarch/lab_up.go
+++ b/cmd/lemonarch/lab_up.go
@@ -18,7 +18,7 @@
 
 // newLabUp is the command that starts a fleet and serves until it is stopped.
 func newLabUp() *cobra.Command {
-	plan, folder := lab.NewPlan(), ""
+	plan, folder, families := lab.NewPlan(), "", ""
 	command := &cobra.Command{Use: "up", Args: cobra.NoArgs,
 		Short: "Start a small fleet on loopback with emulated workers, and serve until stopped",
 		Long: "Starts gateways, controllers and stores found beside this program, and emulated workers,\n" +
@@ -26,6 +26,12 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			until, halt := signal.NotifyContext(contexts.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer halt()
+			var err error
+			if families != "" {
+				if plan.Families, err = lab.ReadFamilies(families); err != nil {
+					return exitError{exitUnusable, oneLine(err)}
+				}
+			}
 			fleet, err := lab.Start(until, plan, folder)
 			if err != nil {
 				return exitError{exitInvalid, oneLine(err)}
@@ -41,6 +47,7 @@
 			}
 		}}
 	planFlags(command, &plan)
+	command.Flags().StringVar(&families, "fleet", "", "file of families with workers of their own (docs/lab.md)")
 	command.Flags().StringVar(&folder, "folder", "", "keep settings, logs and data in this folder (default: a temporary one that goes away)")
 	return command
 }
--- a/internal/tooling/forecastcases/compare.go
+++ b/internal/tooling/forecastcases/compare.go
@@ -68,20 +68,48 @@
 	if err != nil {
 		return nil, err
 	}
+	result := NewResult(c, answer)
+	for i, f := range fleets {
+		f.runUntil(until.Add(clock.Milliseconds(afterS * 1000)))
+		if at := f.tightenedAtS(); at >= 0 {
+			result.Tighten(c.families[i].name, at)
+		}
+		came := 0.0
+		if f.all > 0 {
+			came = float64(f.late) / float64(f.all)
+		}
+		result.AddClass(c.families[i].name, came, answer)
+	}
+	return result, nil
+}
+
+// NewResult begins the result of a case with what was forecast.
+func NewResult(c *Case, answer *forecast.Answer) *Result {
 	result := &Result{Case: c.Number, Meant: c.Short, NamedAtS: -1, TightenedAtS: -1}
 	for _, room := range answer.Families {
 		if answer.FirstShort != nil && room.Family == *answer.FirstShort {
 			result.Named, result.ShortOf, result.NamedAtS = c.nameOf(room.Family), *room.ShortOf, *room.ShortAtS
 		}
 	}
-	for i, f := range fleets {
-		f.runUntil(until.Add(clock.Milliseconds(afterS * 1000)))
-		if at := f.tightenedAtS(); at >= 0 && (result.TightenedAtS < 0 || at < result.TightenedAtS) {
-			result.Tightened, result.TightenedAtS = c.families[i].name, at
+	return result
+}
+
+// Tighten notes that a family was short so many seconds after the surge began; the first counts.
+func (r *Result) Tighten(family string, atS float64) {
+	if r.TightenedAtS < 0 || atS < r.TightenedAtS {
+		r.Tightened, r.TightenedAtS = family, atS
+	}
+}
+
+// AddClass adds the late share of a class as it came, beside what was told.
+func (r *Result) AddClass(name string, came float64, answer *forecast.Answer) {
+	class := ClassResult{Class: name, Came: came}
+	for _, told := range answer.Classes {
+		if told.Class == name && told.LateShare != nil {
+			class.Told = *told.LateShare
 		}
-		result.Classes = append(result.Classes, classResult(c.families[i].name, f, answer))
 	}
-	return result, nil
+	r.Classes = append(r.Classes, class)
 }
 
 // nameOf gives the plan's name of a family that the forecast names by service and model.
@@ -94,19 +122,6 @@
 	return family
 }
 
-func classResult(name string, f *fleet, answer *forecast.Answer) ClassResult {
-	result := ClassResult{Class: name}
-	if f.all > 0 {
-		result.Came = float64(f.late) / float64(f.all)
-	}
-	for _, told := range answer.Classes {
-		if told.Class == name && told.LateShare != nil {
-			result.Told = *told.LateShare
-		}
-	}
-	return result
-}
-
 // ask asks for the forecast with what the fleets have seen.
 func ask(c *Case, fleets []*fleet, seed uint64) (*forecast.Answer, error) {
 	config := routeconfig.Config{Generation: 1}
--- /dev/null
+++ b/internal/tooling/forecastlab/watch.go
@@ -0,0 +1,68 @@
+package forecastlab
+
+import (
+	"context"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/tooling/forecast"
+	"lemonarch/internal/traffic/trafficstats"
+)
+
+// waitBoundMs and refusalBound are what a family bears in a second (docs/forecast.md).
+const (
+	waitBoundMs  = 50.0
+	refusalBound = 0.02
+)
+
+// seen is what the fleet has seen of a family so far.
+type seen struct {
+	requests, rejected int64
+	waitMs             float64
+}
+
+func seenOf(summary *messages.TrafficSummary) seen {
+	histogram := trafficstats.Decode(&summary.QueueWait)
+	return seen{requests: histogram.TotalCount(), rejected: summary.Rejected, waitMs: histogram.Mean() / 10 * float64(histogram.TotalCount())}
+}
+
+// watch asks the fleet once a second, and notes when each family was first short.
+type watch struct {
+	collector *forecast.Collector
+	before    map[string]seen
+	// shortAt is, by family, when its waits or refusals passed a bound.
+	shortAt map[string]clock.Instant
+}
+
+func newWatch(collector *forecast.Collector) *watch {
+	return &watch{collector: collector, before: map[string]seen{}, shortAt: map[string]clock.Instant{}}
+}
+
+// run looks until the context ends.
+func (w *watch) run(until context.Context) {
+	for until.Err() == nil {
+		start := clock.Now()
+		if known, err := w.collector.Collect(); err == nil {
+			w.look(known, start)
+		}
+		clock.Sleep(max(start.Add(clock.Milliseconds(1000)).Sub(clock.Now()), 0))
+	}
+}
+
+// look compares with the look before.
+func (w *watch) look(known *forecast.Known, now clock.Instant) {
+	for i := range known.Summaries {
+		summary := &known.Summaries[i]
+		current, before := seenOf(summary), w.before[summary.Service]
+		w.before[summary.Service] = current
+		requests := current.requests - before.requests
+		if requests <= 0 || before.requests == 0 {
+			continue
+		}
+		wait := (current.waitMs - before.waitMs) / float64(requests)
+		refused := float64(current.rejected-before.rejected) / float64(requests)
+		if _, noted := w.shortAt[summary.Service]; !noted && (wait > waitBoundMs || refused > refusalBound) {
+			w.shortAt[summary.Service] = now
+		}
+	}
+}
--- a/internal/tooling/lab/configuration.go
+++ b/internal/tooling/lab/configuration.go
@@ -9,6 +9,9 @@
 
 // firstConfiguration is the lab's own: one route of each kind.
 func (p *Plan) firstConfiguration() []byte {
+	if len(p.Families) > 0 {
+		return p.familyConfiguration()
+	}
 	shape := p.shape()
 	config := routeconfig.Config{
 		Generation: 1,
--- /dev/null
+++ b/internal/tooling/lab/families.go
@@ -0,0 +1,142 @@
+package lab
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/BurntSushi/toml"
+
+	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/tooling/workeremulator"
+)
+
+// Family is one service of a lab's fleet with its own workers, and one route to it of the same
+// name.
+type Family struct {
+	Name string `toml:"name"`
+	// Model is what its workers run; without one they take plain requests of WorkMs each.
+	Model  string  `toml:"model"`
+	WorkMs float64 `toml:"work-ms"`
+	// Workers is their number, Capacity the requests that each runs at once.
+	Workers  int `toml:"workers"`
+	Capacity int `toml:"capacity"`
+	// CacheTokens is a worker's memory, ReadPerMs the prompt tokens that it reads in a ms, StepMs
+	// and StepEachMs the time of a token and what each running request adds, Stride the tokens
+	// of an event.
+	CacheTokens int64   `toml:"cache-tokens"`
+	ReadPerMs   float64 `toml:"read-per-ms"`
+	StepMs      float64 `toml:"step-ms"`
+	StepEachMs  float64 `toml:"step-each-ms"`
+	Stride      int     `toml:"stride"`
+	// TargetMs is the route's setpoint-ms, GapMs its gap-setpoint-ms.
+	TargetMs float64 `toml:"target-ms"`
+	GapMs    float64 `toml:"gap-ms"`
+}
+
+// familiesMax and familyWorkersMax bound a lab's families and all their workers (ours).
+const (
+	familiesMax      = 12
+	familyWorkersMax = 60
+)
+
+// ReadFamilies reads the families of a TOML file.
+func ReadFamilies(path string) ([]Family, error) {
+	file := struct {
+		Families []Family `toml:"families"`
+	}{}
+	decoded, err := toml.DecodeFile(path, &file)
+	if err != nil {
+		return nil, ErrInvalidLab.Wrap(err, path)
+	}
+	if unknown := decoded.Undecoded(); len(unknown) > 0 {
+		return nil, ErrInvalidLab.New(path + ": unknown field " + unknown[0].String())
+	}
+	if err = checkFamilies(file.Families); err != nil {
+		return nil, ErrInvalidLab.Wrap(err, path)
+	}
+	return file.Families, nil
+}
+
+// checkFamilies gives the first thing that stands in the way, naming the field.
+func checkFamilies(families []Family) error {
+	if len(families) == 0 || len(families) > familiesMax {
+		return ErrInvalidLab.New(fmt.Sprintf("families: between 1 and %d are wanted, not %d", familiesMax, len(families)))
+	}
+	names, workers := map[string]bool{}, 0
+	for i := range families {
+		family := &families[i]
+		if names[family.Name] {
+			return ErrInvalidLab.New(fmt.Sprintf("families[%d].name: %q stands twice", i, family.Name))
+		}
+		names[family.Name] = true
+		workers += family.Workers
+		if field, sound := family.soundness(); !sound {
+			return ErrInvalidLab.New(fmt.Sprintf("families[%d].%s: missing or senseless", i, field))
+		}
+	}
+	if workers > familyWorkersMax {
+		return ErrInvalidLab.New(fmt.Sprintf("families: %d workers in all; at most %d", workers, familyWorkersMax))
+	}
+	return nil
+}
+
+// soundness names the first field that makes no sense.
+func (f *Family) soundness() (field string, sound bool) {
+	checks := []struct {
+		field string
+		sound bool
+	}{
+		{"name", f.Name != ""}, {"workers", f.Workers > 0}, {"capacity", f.Capacity > 0}, {"target-ms", f.TargetMs > 0},
+		{"work-ms", f.Model != "" || f.WorkMs > 0}, {"cache-tokens", f.Model == "" || f.CacheTokens >= 1000},
+		{"read-per-ms", f.Model == "" || f.ReadPerMs > 0}, {"step-ms", f.Model == "" || f.StepMs > 0},
+		{"step-each-ms", f.StepEachMs >= 0}, {"stride", f.Model == "" || f.Stride > 0}, {"gap-ms", f.GapMs >= 0},
+	}
+	for _, check := range checks {
+		if !check.sound {
+			return check.field, false
+		}
+	}
+	return "", true
+}
+
+// settings are those of one of the family's workers.
+func (f *Family) settings() workeremulator.Settings {
+	shape := workeremulator.Shape{Capacity: f.Capacity, Queue: f.Capacity / 2, CacheTokens: f.CacheTokens, ReadPerMs: f.ReadPerMs,
+		Step: clock.Milliseconds(f.StepMs), StepEach: clock.Milliseconds(f.StepEachMs), Stride: f.Stride}
+	return workeremulator.Settings{Service: f.Name, Model: f.Model, Work: clock.Milliseconds(f.WorkMs), Shape: shape,
+		ConnLimit: constants.LabConnLimit, Probe: ProbePath, Revision: 1}
+}
+
+// familyPlaces are the places of the families' workers.
+func (p *Plan) familyPlaces() []*place {
+	var all []*place
+	for i := range p.Families {
+		for number := range p.Families[i].Workers {
+			nodeSettings := p.Families[i].settings()
+			nodeSettings.Zone = p.zone(number)
+			all = append(all, &place{name: p.Families[i].Name + "-" + strconv.Itoa(number+1), nodeSettings: nodeSettings, seed: p.Seed*1000 + int64(len(all)),
+				address: p.host(constants.LabWorkerHost, len(all), constants.LabWorkerPort)})
+		}
+	}
+	return all
+}
+
+// familyConfiguration has a route and a service for each family.
+func (p *Plan) familyConfiguration() []byte {
+	config := routeconfig.Config{Generation: 1,
+		Limits: routeconfig.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderWaitMs: 3000, IdleMs: 15000}}
+	for i := range p.Families {
+		family := &p.Families[i]
+		route := routeconfig.Route{KindName: "idempotent", Backend: family.Name, SetpointMs: family.TargetMs, CutoffMs: 10_000, Tries: 1}
+		service := routeconfig.Service{Name: family.Name, Probe: ProbePath, ConnLimit: constants.LabConnLimit}
+		if family.Model != "" {
+			route.KindName, route.Affine, route.GapMs = "streaming", true, family.GapMs
+			service.Engine = &routeconfig.Engine{Capacity: family.Capacity, CacheTokens: family.CacheTokens}
+		}
+		config.Routes = append(config.Routes, labRoute(family.Name, route))
+		config.Services = append(config.Services, service)
+	}
+	return config.Encode()
+}
--- a/internal/tooling/lab/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -38,6 +38,8 @@
 	Seed        int64 `toml:"seed"`
 	// Configuration is the file of the first configuration; empty for the lab's own.
 	Configuration string `toml:"configuration"`
+	// Families, where there are any, take the place of the lab's own workers and routes.
+	Families []Family `toml:"families"`
 }
 
 // NewPlan gives what is used where nothing else is said.
@@ -72,6 +74,11 @@
 	if p.CacheTokens < 1000 {
 		return ErrInvalidLab.New("cache-tokens must be 1000 or more")
 	}
+	if len(p.Families) > 0 {
+		if err := checkFamilies(p.Families); err != nil {
+			return err
+		}
+	}
 	address := net.ParseIP(p.Network + ".1")
 	if address == nil || address.To4() == nil || !address.IsLoopback() {
 		return ErrInvalidLab.New("network must be three bytes of a loopback address, such as " + constants.LabNetwork + ", not " + strconv.Quote(p.Network))
@@ -140,8 +147,8 @@
 func (p *Plan) free() error {
 	addresses := append(append(p.Ingress(), p.Readiness()...), p.Controls()...)
 	addresses = append(addresses, p.Endpoint())
-	for i := 0; i < p.Workers+p.Plain; i++ {
-		addresses = append(addresses, p.host(constants.LabWorkerHost, i, constants.LabWorkerPort))
+	for _, entry := range p.places() {
+		addresses = append(addresses, entry.address)
 	}
 	for _, entry := range p.nodes() {
 		offset := map[string]int{"controller": constants.PortController, "gateway": constants.PortGateway, "store": constants.PortStore}[entry.role]
--- a/internal/tooling/lab/workers.go
+++ b/internal/tooling/lab/workers.go
@@ -35,6 +35,9 @@
 }
 
 func (p *Plan) places() []*place {
+	if len(p.Families) > 0 {
+		return p.familyPlaces()
+	}
 	var all []*place
 	add := func(kind string, count int, nodeSettings workeremulator.Settings) {
 		for number := 0; number < count; number++ {
