--- a/cmd/lemonarch/forecast.go
+++ b/cmd/lemonarch/forecast.go
@@ -24,7 +24,7 @@
 func forecastCommand() *cobra.Command {
 	options := forecastOptions{}
 	command := &cobra.Command{Use: "forecast FILE", Args: cobra.ExactArgs(1),
-		Short: "Tell how much room each model family has in a surge that is foreseen, and what would turn late",
+		Short: "Tell how much capacity each model family has in a surge that is foreseen, and what would turn late",
 		Long: "FILE describes the surges (docs/forecast.md). Exit code 0: nothing turns late; 1: the fleet can't be reached;\n" +
 			"2: the file is not valid; 3: something turns late."}
 	command.Flags().StringVar(&options.seed, "seed", "", "internal address of any process, host:port")
@@ -39,14 +39,14 @@
 	return command
 }
 
-// readQuestion gives the question of a file; findings go to the writer, one a line.
-func readQuestion(path string, complaints io.Writer) (*forecast.Question, error) {
+// readScenario gives the scenario of a file; findings go to the writer, one a line.
+func readScenario(path string, complaints io.Writer) (*forecast.Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, exitError{exitUnusable, err.Error()}
 	}
-	question, findings := forecast.Read(text)
-	return question, complain(path, findings, complaints)
+	scenario, findings := forecast.Read(text)
+	return scenario, complain(path, findings, complaints)
 }
 
 // complain writes findings, and gives the error that ends the command where there are any.
@@ -65,7 +65,7 @@
 		return exitError{exitUnusable, "--output must be table or json"}
 	}
 	// Nothing is asked of the fleet before the file is known to be sound.
-	question, err := readQuestion(path, complaints)
+	scenario, err := readScenario(path, complaints)
 	if err != nil {
 		return err
 	}
@@ -73,20 +73,20 @@
 	if err != nil {
 		return err
 	}
-	answer, findings := forecast.Forecast(question, known, options.random)
+	report, findings := forecast.Forecast(scenario, known, options.random)
 	if err = complain(path, findings, complaints); err != nil {
 		return err
 	}
-	if err = printAnswer(writer, answer, options); err != nil {
+	if err = printReport(writer, report, options); err != nil {
 		return err
 	}
 	if options.keep != "" {
-		kept := &forecast.Kept{Asked: question, Known: known, Told: answer}
+		kept := &forecast.Record{Asked: scenario, Known: known, Predicted: report}
 		if err = kept.Write(options.keep); err != nil {
 			return exitError{exitUnusable, "--keep: " + err.Error()}
 		}
 	}
-	if answer.AnyLate() {
+	if report.AnyLate() {
 		return exitError{exitLate, "something turns late"}
 	}
 	return nil
@@ -107,16 +107,16 @@
 	return known, nil
 }
 
-func printAnswer(writer io.Writer, answer *forecast.Answer, options forecastOptions) error {
+func printReport(writer io.Writer, report *forecast.Report, options forecastOptions) error {
 	if options.plot != "" {
-		if err := answer.Plot(options.plot); err != nil {
+		if err := report.Plot(options.plot); err != nil {
 			return exitError{exitUnusable, "--plot: " + err.Error()}
 		}
 	}
 	if options.format == "json" {
-		return answer.JSON(writer)
+		return report.JSON(writer)
 	}
-	return answer.Table(writer)
+	return report.Table(writer)
 }
 
 func reviewCommand() *cobra.Command {
@@ -129,7 +129,7 @@
 		if format != "table" && format != "json" {
 			return exitError{exitUnusable, "--output must be table or json"}
 		}
-		kept, err := forecast.ReadKept(arguments[0])
+		kept, err := forecast.ReadRecord(arguments[0])
 		if err != nil {
 			return exitError{exitUnusable, err.Error()}
 		}
--- a/cmd/lemonarch/lab_forecast.go
+++ b/cmd/lemonarch/lab_forecast.go
@@ -16,12 +16,12 @@
 // forecastCasesMax bounds the cases of one call.
 const forecastCasesMax = 10_000
 
-// labForecastCommand tries the forecast on drawn cases with emulated engines in simulated time.
+// labForecastCommand tries the forecast on generated cases with emulated engines in simulated time.
 func labForecastCommand() *cobra.Command {
 	cases, first, seed, format, real := 30, 0, uint64(1), "table", false
 	plan := lab.NewPlan()
 	command := &cobra.Command{Use: "forecast", Args: cobra.NoArgs,
-		Short: "Forecast drawn surges on emulated engines, bring them about, and compare",
+		Short: "Forecast generated surges on emulated engines, bring them about, and compare",
 		Long:  "In simulated time, or with --real on gateways, controllers and stores of a lab, one fleet a case."}
 	command.Flags().IntVar(&cases, "cases", cases, "how many cases")
 	command.Flags().Uint64Var(&seed, "random-seed", seed, "seed of the draws")
@@ -41,8 +41,8 @@
 		defer halt()
 		var results []*forecastcases.Result
 		for number := first; number < first+cases && until.Err() == nil; number++ {
-			drawn := forecastcases.Draw(number, seed)
-			result, err := playForecastCase(until, drawn, plan, seed, real)
+			generated := forecastcases.Generate(number, seed)
+			result, err := playForecastCase(until, generated, plan, seed, real)
 			if err != nil {
 				return exitError{exitInvalid, oneLine(err)}
 			}
@@ -57,9 +57,9 @@
 }
 
 // playForecastCase plays a case in simulated time, or on the real programs.
-func playForecastCase(until contexts.Context, drawn *forecastcases.Case, plan lab.Plan, seed uint64, real bool) (*forecastcases.Result, error) {
+func playForecastCase(until contexts.Context, generated *forecastcases.Case, plan lab.Plan, seed uint64, real bool) (*forecastcases.Result, error) {
 	if real {
-		return forecastlab.Play(until, drawn, plan, seed)
+		return forecastlab.Play(until, generated, plan, seed)
 	}
-	return forecastcases.Play(drawn, seed)
+	return forecastcases.Play(generated, seed)
 }
--- a/internal/tooling/forecast/room.go
+++ b/internal/tooling/forecast/capacity.go
@@ -28,8 +28,8 @@
 	return usage{u.slots + other.slots, u.memory + other.memory, u.prefill + other.prefill, u.decode + other.decode, u.connections + other.connections}
 }
 
-// rooms gives the resources of a family, summed over its services.
-func (f *family) rooms() []Resource {
+// resources gives the resources of a family, summed over its services.
+func (f *family) resources() []Resource {
 	var now, have usage
 	for _, of := range f.services {
 		have = have.plus(of.capacity())
--- a/internal/tooling/forecast/collect.go
+++ b/internal/tooling/forecast/collect.go
@@ -135,7 +135,7 @@
 		return near(left) - near(right)
 	})
 	for i, each := range order {
-		if i >= controllersAsked {
+		if i >= controllersTried {
 			break
 		}
 		resp := &messages.ZoneTrafficResponse{}
@@ -146,5 +146,5 @@
 	return nil
 }
 
-// controllersAsked bounds how many controllers are asked for one zone.
-const controllersAsked = 3
+// controllersTried bounds how many controllers are asked for one zone.
+const controllersTried = 3
--- a/internal/tooling/forecast/constants.go
+++ b/internal/tooling/forecast/constants.go
@@ -31,6 +31,6 @@
 	sizeShape = 2.0
 	// bulkShare of a worker's slots is the most that items of batch jobs take (ours).
 	bulkShare = 0.8
-	// shortOfNothing is told where no resource is used up.
+	// shortOfNothing is predicted where no resource is used up.
 	shortOfNothing = ""
 )
--- a/internal/tooling/forecast/demand.go
+++ b/internal/tooling/forecast/demand.go
@@ -19,16 +19,16 @@
 type demand struct {
 	*class
 	additions []addition
-	// unknown says why nothing can be told of it; empty where it can.
+	// unknown says why nothing can be predicted of it; empty where it can.
 	unknown string
 }
 
 // demands joins the present classes and the surges; findings name routes that nobody knows.
-func demands(question *Question, known *Known) (joined []*demand, findings []string) {
+func demands(scenario *Scenario, known *Known) (joined []*demand, findings []string) {
 	for _, entry := range known.classes() {
 		joined = append(joined, &demand{class: entry})
 	}
-	for i, surge := range question.Surges {
+	for i, surge := range scenario.Surges {
 		for j := range surge.Traffic {
 			traffic := &surge.Traffic[j]
 			where := fmt.Sprintf("surges[%d].traffic[%d]", i, j)
@@ -44,7 +44,7 @@
 			joined = addTraffic(joined, known, &surge, traffic)
 		}
 	}
-	for _, family := range question.Families {
+	for _, family := range scenario.Families {
 		if !slices.ContainsFunc(joined, func(d *demand) bool { return family.has(d.service, d.model) }) {
 			findings = append(findings, fmt.Sprintf("families: nothing that is known belongs to %q", family.Name))
 		}
@@ -63,7 +63,7 @@
 		}
 	}
 	if len(of) == 0 {
-		// Nothing was seen of the route: it is known by the configuration alone.
+		// Nothing was observed of the route: it is known by the configuration alone.
 		route := known.routeNamed(traffic.Route)
 		entry := &demand{class: newClass(route, route.Services()[0], "")}
 		joined, of = append(joined, entry), []*demand{entry}
@@ -108,25 +108,25 @@
 	return added
 }
 
-// family is the demands on some services whose room is told together.
+// family is the demands on some services whose capacity is predicted together.
 type family struct {
 	name     string
 	demands  []*demand
 	services []*service
 }
 
-// families sorts the demands into the families of the question; what belongs to none is a
+// families sorts the demands into the families of the scenario; what belongs to none is a
 // family of its own, by service and model.
-func families(question *Question, joined []*demand, services map[string]*service) []*family {
+func families(scenario *Scenario, joined []*demand, services map[string]*service) []*family {
 	byName := map[string]*family{}
 	for _, entry := range joined {
 		name := entry.service
 		if entry.model != "" {
 			name += "/" + entry.model
 		}
-		for i := range question.Families {
-			if question.Families[i].has(entry.service, entry.model) {
-				name = question.Families[i].Name
+		for i := range scenario.Families {
+			if scenario.Families[i].has(entry.service, entry.model) {
+				name = scenario.Families[i].Name
 			}
 		}
 		if byName[name] == nil {
@@ -152,10 +152,10 @@
 		case of == nil || of.workers == 0:
 			entry.unknown = "service " + entry.service + " has no workers"
 			continue
-		case entry.seen < observedMin && !entry.stated():
-			entry.unknown = fmt.Sprintf("%d requests were seen, %d are wanted", entry.seen, observedMin)
+		case entry.observed < observedMin && !entry.stated():
+			entry.unknown = fmt.Sprintf("%d requests were observed, %d are wanted", entry.observed, observedMin)
 		case entry.events > 1 && (!of.pace.prefillKnown || !of.pace.decodeKnown):
-			entry.unknown = "the pace of service " + entry.service + " was not seen"
+			entry.unknown = "the pace of service " + entry.service + " was not observed"
 		}
 		if !added[entry.service] {
 			added[entry.service] = true
@@ -165,7 +165,7 @@
 	slices.SortFunc(f.services, func(left, right *service) int { return strings.Compare(left.name, right.name) })
 }
 
-// stated tells whether the question says all of a class that was not seen.
+// stated tells whether the scenario says all of a class that was not observed.
 func (d *demand) stated() bool {
 	if len(d.additions) == 0 || d.rate > 0 {
 		return false
@@ -178,7 +178,7 @@
 	return true
 }
 
-// known tells whether anything can be told of the family.
+// known tells whether anything can be predicted of the family.
 func (f *family) known() bool {
 	return !slices.ContainsFunc(f.demands, func(d *demand) bool { return d.unknown != "" })
 }
--- a/internal/tooling/forecast/forecast_test.go
+++ b/internal/tooling/forecast/forecast_test.go
@@ -19,46 +19,46 @@
 		{"long answers", surge(traffic("kiosk", "rate = 90.0\nfresh-tokens = 10\nprompt-tokens = 20\nevents = 200")), "llm/m", ResourceDecode},
 		{"large prompts that are cached", surge(traffic("draft", "rate = 150.0\nprompt-tokens = 90000\nfresh-tokens = 100\nevents = 12")), "llm/m", ResourceMemory},
 	} {
-		told := answer(t, known, found.text)
+		predicted := report(t, known, found.text)
 		first, of := "", ""
-		if told.FirstShort != nil {
-			first = *told.FirstShort
-			for _, room := range told.Families {
-				if room.Family == first {
-					of = *room.ShortOf
+		if predicted.FirstShort != nil {
+			first = *predicted.FirstShort
+			for _, capacity := range predicted.Families {
+				if capacity.Family == first {
+					of = *capacity.ShortOf
 				}
 			}
 		}
 		if first != found.first || of != found.of {
 			var text bytes.Buffer
-			_ = told.Table(&text)
+			_ = predicted.Table(&text)
 			t.Errorf("%s: %q of %q, want %q of %q\n%s", found.what, first, of, found.first, found.of, text.String())
 		}
-		if told.AnyLate() != (found.first != "") {
-			t.Errorf("%s: late %v", found.what, told.AnyLate())
+		if predicted.AnyLate() != (found.first != "") {
+			t.Errorf("%s: late %v", found.what, predicted.AnyLate())
 		}
 	}
 }
 
-// The same question and seed give the same bytes, whatever the order of the summaries.
-func TestSameQuestionSameBytes(t *testing.T) {
+// The same scenario and seed give the same bytes, whatever the order of the summaries.
+func TestSameScenarioSameBytes(t *testing.T) {
 	text := surge(traffic("kiosk", "factor = 4.0")+traffic("batch", "items = 4000\ndue-s = 8")) + "[[families]]\nname = \"both\"\nservices = [\"llm\", \"app\"]\n"
 	var first bytes.Buffer
 	known := testKnown(t)
-	_ = answer(t, known, text).JSON(&first)
+	_ = report(t, known, text).JSON(&first)
 	for range 3 {
 		rand.Shuffle(len(known.Summaries), func(i, j int) { known.Summaries[i], known.Summaries[j] = known.Summaries[j], known.Summaries[i] })
 		var again bytes.Buffer
-		if _ = answer(t, known, text).JSON(&again); again.String() != first.String() {
+		if _ = report(t, known, text).JSON(&again); again.String() != first.String() {
 			t.Fatal("differs:\n", again.String(), first.String())
 		}
 	}
 }
 
-// room gives the use of each resource in the surge and the factors left, by family.
-func room(told *Answer) map[string][2]float64 {
-	rooms := map[string][2]float64{}
-	for _, family := range told.Families {
+// capacity gives the use of each resource in the surge and the factors left, by family.
+func capacity(predicted *Report) map[string][2]float64 {
+	resources := map[string][2]float64{}
+	for _, family := range predicted.Families {
 		for _, resource := range family.Resources {
 			if resource.UsedSurge == nil {
 				continue
@@ -67,21 +67,21 @@
 			if resource.FactorLeft != nil {
 				left = *resource.FactorLeft
 			}
-			rooms[family.Family+"/"+resource.Resource] = [2]float64{*resource.UsedSurge, left}
+			resources[family.Family+"/"+resource.Resource] = [2]float64{*resource.UsedSurge, left}
 		}
 	}
-	return rooms
+	return resources
 }
 
-// More traffic never gives more room.
-func TestMoreTrafficNeverGivesMoreRoom(t *testing.T) {
+// More traffic never gives more capacity.
+func TestMoreTrafficNeverGivesMoreCapacity(t *testing.T) {
 	known, random := testKnown(t), rand.New(rand.NewPCG(4, 4))
 	for range 30 {
 		route := []string{"kiosk", "draft", "status"}[random.IntN(3)]
 		rate := random.Float64() * 200
 		more := rate * (1 + random.Float64())
-		less := room(answer(t, known, surge(traffic(route, fmt.Sprintf("rate = %f", rate)))))
-		for name, with := range room(answer(t, known, surge(traffic(route, fmt.Sprintf("rate = %f", more))))) {
+		less := capacity(report(t, known, surge(traffic(route, fmt.Sprintf("rate = %f", rate)))))
+		for name, with := range capacity(report(t, known, surge(traffic(route, fmt.Sprintf("rate = %f", more))))) {
 			if with[0] < less[name][0] || with[1] > less[name][1] {
 				t.Fatalf("%s at %s %.1f: %v, at %.1f: %v", name, route, rate, less[name], more, with)
 			}
@@ -89,11 +89,11 @@
 	}
 }
 
-// Splitting a surge in two halves at the same time changes no room.
-func TestHalvesAreTheWhole(t *testing.T) {
+// Splitting a surge in two halves at the same time changes no capacity.
+func TestHalvesEqualTheSum(t *testing.T) {
 	known := testKnown(t)
-	whole := room(answer(t, known, surge(traffic("draft", "rate = 80.0"))))
-	halves := room(answer(t, known, surge(traffic("draft", "rate = 40.0")+traffic("draft", "rate = 40.0"))))
+	whole := capacity(report(t, known, surge(traffic("draft", "rate = 80.0"))))
+	halves := capacity(report(t, known, surge(traffic("draft", "rate = 40.0")+traffic("draft", "rate = 40.0"))))
 	for name := range whole {
 		if whole[name] != halves[name] {
 			t.Error(name, whole[name], halves[name])
@@ -101,13 +101,13 @@
 	}
 }
 
-// A family without traffic never runs short, and what was hardly seen is unknown, not a number.
+// A family without traffic never runs short, and what was hardly observed is unknown, not a number.
 func TestNothingIsMadeUp(t *testing.T) {
 	known := testKnown(t)
-	told := answer(t, known, surge(traffic("draft", "rate = 900.0")))
-	for _, room := range told.Families {
-		if room.Family == "app" && room.ShortAtS != nil {
-			t.Error("short without a surge: ", *room.ShortAtS)
+	predicted := report(t, known, surge(traffic("draft", "rate = 900.0")))
+	for _, capacity := range predicted.Families {
+		if capacity.Family == "app" && capacity.ShortAtS != nil {
+			t.Error("short without a surge: ", *capacity.ShortAtS)
 		}
 	}
 	for i := range known.Summaries {
@@ -115,14 +115,14 @@
 			known.Summaries[i].Placed = observedMin - 1
 		}
 	}
-	told = answer(t, known, surge(traffic("status", "rate = 900.0")))
-	for _, class := range told.Classes {
+	predicted = report(t, known, surge(traffic("status", "rate = 900.0")))
+	for _, class := range predicted.Classes {
 		if class.Class == "status" && (class.Unknown == "" || class.Late != nil || class.LateShare != nil) {
 			t.Errorf("%+v", class)
 		}
 	}
-	if told.FirstShort != nil {
-		t.Error("named although unknown: ", *told.FirstShort)
+	if predicted.FirstShort != nil {
+		t.Error("named although unknown: ", *predicted.FirstShort)
 	}
 }
 
@@ -130,7 +130,7 @@
 func TestMissingNodesWidenTheIntervals(t *testing.T) {
 	text := surge(traffic("kiosk", "factor = 7.0"))
 	width := func(known *Known) float64 {
-		for _, class := range answer(t, known, text).Classes {
+		for _, class := range report(t, known, text).Classes {
 			if class.Class == "kiosk" && class.Low != nil {
 				return *class.High - *class.Low
 			}
@@ -141,21 +141,21 @@
 	known := testKnown(t)
 	full := width(known)
 	known.Missing = []string{"gateway/a", "gateway/b", "gateway/c", "gateway/d"}
-	// What the missing ones saw is taken to be as much: half as much was seen of the same traffic.
+	// What the missing ones saw is taken to be as much: half as much was observed of the same traffic.
 	known.ObservedS *= 2
 	if half := width(known); half <= full && full < 1 {
 		t.Fatal(half, full)
 	}
-	if told := answer(t, known, text); len(told.NodesMissing) != 4 || told.NodesAnswered != 4 {
-		t.Fatal(told.NodesMissing, told.NodesAnswered)
+	if predicted := report(t, known, text); len(predicted.NodesMissing) != 4 || predicted.NodesAnswered != 4 {
+		t.Fatal(predicted.NodesMissing, predicted.NodesAnswered)
 	}
 }
 
-// Workers that are thought away leave less room.
+// Workers that are thought away leave less capacity.
 func TestWithoutAZone(t *testing.T) {
 	known := testKnown(t)
 	text := surge(traffic("kiosk", "factor = 2.0"))
-	all, less := room(answer(t, known, text)), room(answer(t, known, text+"[[without]]\nzone = \"a\"\n"))
+	all, less := capacity(report(t, known, text)), capacity(report(t, known, text+"[[without]]\nzone = \"a\"\n"))
 	if most, half := all["llm/m/slots"][0], less["llm/m/slots"][0]; half < 1.9*most || half > 2.1*most {
 		t.Fatal(most, half)
 	}
@@ -179,9 +179,9 @@
 		{surge(traffic("batch", "rate = 1.0")), "items go with batch routes"},
 		{surge(traffic("kiosk", "rate = 1.0")) + "[[families]]\nname = \"a\"\nmodels = [\"other\"]\n", `nothing that is known belongs to "a"`},
 	} {
-		question, findings := Read([]byte(found.text))
+		scenario, findings := Read([]byte(found.text))
 		if len(findings) == 0 {
-			_, findings = Forecast(question, testKnown(t), 1)
+			_, findings = Forecast(scenario, testKnown(t), 1)
 		}
 		if !strings.Contains(strings.Join(findings, "\n"), found.want) {
 			t.Errorf("%q: %v, want %s", found.text, findings, found.want)
@@ -190,31 +190,31 @@
 }
 
 // A kept forecast is read back as it was, and a review names the family that tightened.
-func TestKeptAndReviewed(t *testing.T) {
+func TestRecordAndReview(t *testing.T) {
 	known, path := testKnown(t), t.TempDir()+"/kept.json"
 	text := surge(traffic("status", "rate = 900.0"))
-	kept := &Kept{Asked: ask(t, text), Known: known, Told: answer(t, known, text)}
+	kept := &Record{Asked: ask(t, text), Known: known, Predicted: report(t, known, text)}
 	if err := kept.Write(path); err != nil {
 		t.Fatal(err)
 	}
-	again, err := ReadKept(path)
+	again, err := ReadRecord(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	came := testKnown(t)
-	for i := range came.Summaries {
-		if came.Summaries[i].Route == "status" {
-			came.Summaries[i].Rejected = came.Summaries[i].Served
+	observedShare := testKnown(t)
+	for i := range observedShare.Summaries {
+		if observedShare.Summaries[i].Route == "status" {
+			observedShare.Summaries[i].Rejected = observedShare.Summaries[i].Served
 		}
 	}
-	review := NewReview(again, came)
+	review := NewReview(again, observedShare)
 	if !review.Agrees || review.Tightened == nil || *review.Tightened != "app" {
 		t.Fatalf("%+v", review)
 	}
 	if calm := NewReview(again, testKnown(t)); calm.Agrees || calm.Tightened != nil {
 		t.Fatalf("%+v", calm)
 	}
-	if _, err = ReadKept(path + ".none"); err == nil {
+	if _, err = ReadRecord(path + ".none"); err == nil {
 		t.Fatal("read what is not there")
 	}
 }
--- a/internal/tooling/forecast/helpers_test.go
+++ b/internal/tooling/forecast/helpers_test.go
@@ -18,8 +18,8 @@
 {"name":"status","host":"h","path-prefix":"/s/","route-kind":"idempotent","cutoff-ms":4000,"setpoint-ms":300,"priority":0,"backend":"app"}],
 "backends":[{"name":"llm","conn-limit":200,"engine":{"capacity":12,"cache-tokens":300000}},{"name":"app","conn-limit":100}],"limits":{}}`
 
-// seen adds requests to a recorder, as gateways see them.
-func seen(recorder *trafficstats.Recorder, count int, o trafficstats.Observation, random *rand.Rand) {
+// observed adds requests to a recorder, as gateways see them.
+func observed(recorder *trafficstats.Recorder, count int, o trafficstats.Observation, random *rand.Rand) {
 	for range count {
 		each := o
 		each.Outcome, each.Placed = trafficstats.OutcomeServed, true
@@ -36,7 +36,7 @@
 	}
 }
 
-// testKnown is a fleet of 10 model workers and 2 plain ones, seen for 60 s.
+// testKnown is a fleet of 10 model workers and 2 plain ones, observed for 60 s.
 func testKnown(t *testing.T) *Known {
 	t.Helper()
 	config, err := routeconfig.Parse([]byte(testConfig))
@@ -47,31 +47,31 @@
 	class := func(route, service, model string) trafficstats.Class {
 		return trafficstats.Class{Route: route, Service: service, Model: model}
 	}
-	seen(recorder, 3000, trafficstats.Observation{Class: class("kiosk", "llm", "m"), PromptTokens: 700, FreshTokens: 500, Events: 10}, random)
-	seen(recorder, 600, trafficstats.Observation{Class: class("draft", "llm", "m"), PromptTokens: 17000, FreshTokens: 4000, Events: 6}, random)
-	seen(recorder, 600, trafficstats.Observation{Class: class("batch", "llm", "m"), Bulk: true, PromptTokens: 1200, FreshTokens: 800, Events: 20}, random)
-	seen(recorder, 1200, trafficstats.Observation{Class: class("status", "app", ""), Duration: clock.Milliseconds(30)}, random)
+	observed(recorder, 3000, trafficstats.Observation{Class: class("kiosk", "llm", "m"), PromptTokens: 700, FreshTokens: 500, Events: 10}, random)
+	observed(recorder, 600, trafficstats.Observation{Class: class("draft", "llm", "m"), PromptTokens: 17000, FreshTokens: 4000, Events: 6}, random)
+	observed(recorder, 600, trafficstats.Observation{Class: class("batch", "llm", "m"), Bulk: true, PromptTokens: 1200, FreshTokens: 800, Events: 20}, random)
+	observed(recorder, 1200, trafficstats.Observation{Class: class("status", "app", ""), Duration: clock.Milliseconds(30)}, random)
 	summaries, _ := recorder.Summaries(2)
 	return &Known{Config: config, ObservedS: 60, Summaries: summaries, Answered: 4,
 		Workers: []messages.WorkerGroup{{Service: "app", Zone: "a", Workers: 2, Slots: 12}, {Service: "llm", Zone: "a", Workers: 5, Slots: 60}, {Service: "llm", Zone: "b", Workers: 5, Slots: 60}}}
 }
 
-func ask(t *testing.T, text string) *Question {
+func ask(t *testing.T, text string) *Scenario {
 	t.Helper()
-	question, findings := Read([]byte(text))
+	scenario, findings := Read([]byte(text))
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
-	return question
+	return scenario
 }
 
-func answer(t *testing.T, known *Known, text string) *Answer {
+func report(t *testing.T, known *Known, text string) *Report {
 	t.Helper()
-	told, findings := Forecast(ask(t, text), known, 1)
+	predicted, findings := Forecast(ask(t, text), known, 1)
 	if len(findings) > 0 {
 		t.Fatal(findings)
 	}
-	return told
+	return predicted
 }
 
 func surge(lines string) string {
--- a/internal/tooling/forecast/known.go
+++ b/internal/tooling/forecast/known.go
@@ -27,9 +27,9 @@
 	route          *routeconfig.Route
 	service, model string
 	bulk           bool
-	// rate is the present traffic, in requests a second; seen counts what it stands on.
-	rate float64
-	seen int64
+	// rate is the present traffic, in requests a second; observed counts what it stands on.
+	rate     float64
+	observed int64
 	// promptTokens, freshTokens and events are means by request; durationMs is the mean time
 	// from the sending to the end.
 	promptTokens, freshTokens, events float64
@@ -41,7 +41,7 @@
 	priority               int
 }
 
-// name is what the class is told as.
+// name is what the class is named as.
 func (c *class) name() string { return c.route.Name }
 
 // service is the workers of one service, and what was learnt of their pace.
@@ -68,7 +68,7 @@
 		}
 		entry := newClass(route, summary.Service, summary.Model)
 		entry.bulk = entry.bulk || summary.Bulk
-		entry.seen = summary.Placed
+		entry.observed = summary.Placed
 		entry.rate = float64(summary.Served+summary.Rejected+summary.Failed) / covered / share
 		if summary.Placed > 0 {
 			entry.promptTokens = float64(summary.PromptTokens) / float64(summary.Placed)
@@ -93,7 +93,7 @@
 		gapMs: route.GapMs, dueMs: route.ResultMs}
 }
 
-// answeredShare is the part of the fleet that told what it saw; the rest is taken to have seen
+// answeredShare is the part of the fleet that told what it saw; the rest is taken to have observed
 // as much on the mean.
 func (k *Known) answeredShare() float64 {
 	if k.Answered == 0 {
--- a/internal/tooling/forecast/pace.go
+++ b/internal/tooling/forecast/pace.go
@@ -27,8 +27,8 @@
 		add(&decode, &k.Summaries[i].Decode)
 	}
 	learnt := pace{}
-	learnt.firstMs, learnt.tokenMs, learnt.prefillKnown = lineInMs(&prefill)
-	base, slope, known := lineInMs(&decode)
+	learnt.firstMs, learnt.tokenMs, learnt.prefillKnown = fitLineMs(&prefill)
+	base, slope, known := fitLineMs(&decode)
 	// The line is over all requests that run, the request itself among them.
 	learnt.eventMs, learnt.eachMs, learnt.decodeKnown = base+slope, slope, known
 	return learnt
@@ -42,15 +42,15 @@
 	total.XY += more.XY
 }
 
-// lineInMs is line for sums whose y are tenths of a millisecond.
-func lineInMs(sums *messages.Regression) (base, slope float64, known bool) {
-	base, slope, known = line(sums)
+// fitLineMs is fitLine for sums whose y are tenths of a millisecond.
+func fitLineMs(sums *messages.Regression) (base, slope float64, known bool) {
+	base, slope, known = fitLine(sums)
 	return base / 10, slope / 10, known
 }
 
-// line fits y = base + slope x, neither below zero: where the points do not spread, or fall,
+// fitLine fits y = base + slope x, neither below zero: where the points do not spread, or fall,
 // the mean stands for all x. known is false where there are too few points.
-func line(sums *messages.Regression) (base, slope float64, known bool) {
+func fitLine(sums *messages.Regression) (base, slope float64, known bool) {
 	if sums.Count < pointsMin {
 		return 0, 0, false
 	}
--- a/internal/tooling/forecast/plot.go
+++ b/internal/tooling/forecast/plot.go
@@ -9,24 +9,24 @@
 
 // Plot writes the mean wait of each family over time, of the first run, to a file whose ending
 // names the format.
-func (a *Answer) Plot(path string) error {
+func (a *Report) Plot(path string) error {
 	canvas := plot.New()
 	canvas.Title.Text = "Forecast: mean wait by family"
 	canvas.X.Label.Text, canvas.Y.Label.Text = "seconds from now", "wait, ms"
 	var lines []any
-	for _, room := range a.Families {
+	for _, capacity := range a.Families {
 		var points plotter.XYs
-		for second, wait := range room.waits {
+		for second, wait := range capacity.waits {
 			if wait >= 0 {
 				points = append(points, plotter.XY{X: float64(second), Y: wait})
 			}
 		}
 		if len(points) > 0 {
-			lines = append(lines, room.Family, points)
+			lines = append(lines, capacity.Family, points)
 		}
 	}
 	if err := plotutil.AddLinePoints(canvas, lines...); err != nil {
-		return ErrKept.Wrap(err, path)
+		return ErrRecord.Wrap(err, path)
 	}
-	return ErrKept.Wrap(canvas.Save(20*vg.Centimeter, 10*vg.Centimeter, path), path)
+	return ErrRecord.Wrap(canvas.Save(20*vg.Centimeter, 10*vg.Centimeter, path), path)
 }
--- a/internal/tooling/forecast/answer.go
+++ b/internal/tooling/forecast/report.go
@@ -12,9 +12,9 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// Answer is a forecast. Its members and their order are stable.
-type Answer struct {
-	Families []FamilyRoom `json:"families"`
+// Report is a forecast. Its members and their order are stable.
+type Report struct {
+	Families []FamilyCapacity `json:"families"`
 	// FirstShort is the family that runs short first; nil where none does.
 	FirstShort *string     `json:"first-short"`
 	Classes    []ClassLate `json:"classes"`
@@ -25,12 +25,12 @@
 	ObservedS     float64  `json:"observed-s"`
 }
 
-// FamilyRoom is the room of a family.
-type FamilyRoom struct {
+// FamilyCapacity is the capacity of a family.
+type FamilyCapacity struct {
 	Family    string     `json:"family"`
 	Resources []Resource `json:"resources"`
 	// ShortAtS is when it runs short, in seconds from now, and ShortOf of what; nil where it
-	// does not in most of the runs, or where Unknown says why nothing is told.
+	// does not in most of the runs, or where Unknown says why nothing is predicted.
 	ShortAtS *float64 `json:"short-at-s"`
 	ShortOf  *string  `json:"short-of"`
 	Unknown  string   `json:"unknown,omitempty"`
@@ -39,7 +39,7 @@
 }
 
 // ClassLate tells whether a class turns late in the surge. Late is nil, as are the shares,
-// where Unknown says why nothing is told.
+// where Unknown says why nothing is predicted.
 type ClassLate struct {
 	Class  string `json:"class"`
 	Family string `json:"family"`
@@ -51,39 +51,39 @@
 	Unknown   string   `json:"unknown,omitempty"`
 }
 
-// Forecast answers a question from what is known. Findings say what of the question the fleet
-// does not know; there is no answer then.
-func Forecast(question *Question, known *Known, seed uint64) (*Answer, []string) {
-	joined, findings := demands(question, known)
+// Forecast answers a scenario from what is known. Findings say what of the scenario the fleet
+// does not know; there is no report then.
+func Forecast(scenario *Scenario, known *Known, seed uint64) (*Report, []string) {
+	joined, findings := demands(scenario, known)
 	if len(findings) > 0 {
 		return nil, findings
 	}
-	answer := &Answer{Families: []FamilyRoom{}, Classes: []ClassLate{}, NodesAnswered: known.Answered,
+	report := &Report{Families: []FamilyCapacity{}, Classes: []ClassLate{}, NodesAnswered: known.Answered,
 		NodesMissing: append([]string{}, known.Missing...), ObservedS: rounded(known.ObservedS)}
-	slices.Sort(answer.NodesMissing)
+	slices.Sort(report.NodesMissing)
 	earliest := math.Inf(1)
-	for _, each := range families(question, joined, known.services(question.Without)) {
-		room, classes := each.forecast(question.HorizonS*1000, seed, known.answeredShare())
-		answer.Families = append(answer.Families, room)
-		answer.Classes = append(answer.Classes, classes...)
-		if room.ShortAtS != nil && *room.ShortAtS < earliest {
-			earliest, answer.FirstShort = *room.ShortAtS, &answer.Families[len(answer.Families)-1].Family
+	for _, each := range families(scenario, joined, known.services(scenario.Without)) {
+		capacity, classes := each.forecast(scenario.HorizonS*1000, seed, known.answeredShare())
+		report.Families = append(report.Families, capacity)
+		report.Classes = append(report.Classes, classes...)
+		if capacity.ShortAtS != nil && *capacity.ShortAtS < earliest {
+			earliest, report.FirstShort = *capacity.ShortAtS, &report.Families[len(report.Families)-1].Family
 		}
 	}
-	if answer.FirstShort != nil {
+	if report.FirstShort != nil {
 		// A copy: the list may have moved as it grew.
-		name := *answer.FirstShort
-		answer.FirstShort = &name
+		name := *report.FirstShort
+		report.FirstShort = &name
 	}
-	slices.SortStableFunc(answer.Classes, func(left, right ClassLate) int { return strings.Compare(left.Class, right.Class) })
-	return answer, nil
+	slices.SortStableFunc(report.Classes, func(left, right ClassLate) int { return strings.Compare(left.Class, right.Class) })
+	return report, nil
 }
 
 // forecast tells of one family.
-func (f *family) forecast(horizonMs float64, seed uint64, answered float64) (FamilyRoom, []ClassLate) {
-	room := FamilyRoom{Family: f.name, Resources: f.rooms()}
+func (f *family) forecast(horizonMs float64, seed uint64, answered float64) (FamilyCapacity, []ClassLate) {
+	capacity := FamilyCapacity{Family: f.name, Resources: f.resources()}
 	if !f.known() {
-		return f.unknownRoom(room)
+		return f.unknownCapacity(capacity)
 	}
 	var shortAt []float64
 	shares := map[*demand][]float64{}
@@ -98,30 +98,30 @@
 			}
 		}
 		if repetition == 0 {
-			room.waits = w.waits()
+			capacity.waits = w.waits()
 		}
 	}
 	if len(shortAt) > repetitions/2 {
 		slices.Sort(shortAt)
-		at, of := rounded(shortAt[len(shortAt)/2]), shortOf(room.Resources)
-		room.ShortAtS, room.ShortOf = &at, &of
+		at, of := rounded(shortAt[len(shortAt)/2]), shortOf(capacity.Resources)
+		capacity.ShortAtS, capacity.ShortOf = &at, &of
 	}
-	return room, f.lateClasses(shares, answered)
+	return capacity, f.lateClasses(shares, answered)
 }
 
-// unknownRoom tells of a family of which too little is known.
-func (f *family) unknownRoom(room FamilyRoom) (FamilyRoom, []ClassLate) {
+// unknownCapacity tells of a family of which too little is known.
+func (f *family) unknownCapacity(capacity FamilyCapacity) (FamilyCapacity, []ClassLate) {
 	var classes []ClassLate
 	for _, entry := range f.demands {
 		why := entry.unknown
 		if why == "" {
 			why = "another class of its family is not known"
 		} else {
-			room.Unknown = entry.name() + ": " + why
+			capacity.Unknown = entry.name() + ": " + why
 		}
 		classes = append(classes, ClassLate{Class: entry.name(), Family: f.name, Unknown: why})
 	}
-	return room, classes
+	return capacity, classes
 }
 
 // lateClasses gives the classes of the family with their intervals, the wider, the fewer of
@@ -129,9 +129,9 @@
 func (f *family) lateClasses(shares map[*demand][]float64, answered float64) []ClassLate {
 	var classes []ClassLate
 	for _, entry := range f.demands {
-		told := ClassLate{Class: entry.name(), Family: f.name}
+		predicted := ClassLate{Class: entry.name(), Family: f.name}
 		if of := shares[entry]; len(of) == 0 {
-			told.Unknown = "no surge on its family"
+			predicted.Unknown = "no surge on its family"
 		} else {
 			mean, deviation := stat.MeanStdDev(of, nil)
 			if len(of) < 2 {
@@ -140,9 +140,9 @@
 			width := 2 * deviation / math.Sqrt(max(answered, 0.01))
 			share, low, high := rounded(mean), rounded(max(mean-width, 0)), rounded(min(mean+width, 1))
 			late := mean > lateShare
-			told.Late, told.LateShare, told.Low, told.High = &late, &share, &low, &high
+			predicted.Late, predicted.LateShare, predicted.Low, predicted.High = &late, &share, &low, &high
 		}
-		classes = append(classes, told)
+		classes = append(classes, predicted)
 	}
 	return classes
 }
@@ -160,19 +160,19 @@
 }
 
 // AnyLate tells whether any class turns late.
-func (a *Answer) AnyLate() bool {
+func (a *Report) AnyLate() bool {
 	return slices.ContainsFunc(a.Classes, func(c ClassLate) bool { return c.Late != nil && *c.Late })
 }
 
-// JSON writes the answer, its members in their order.
-func (a *Answer) JSON(writer io.Writer) error {
+// JSON writes the report, its members in their order.
+func (a *Report) JSON(writer io.Writer) error {
 	encoder := json.NewEncoder(writer)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(a)
 }
 
-// Table writes the answer for people.
-func (a *Answer) Table(writer io.Writer) error {
+// Table writes the report for people.
+func (a *Report) Table(writer io.Writer) error {
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
 	first := "none runs short"
 	if a.FirstShort != nil {
@@ -180,16 +180,16 @@
 	}
 	fmt.Fprintf(table, "%s\nobserved for %.0f s by %d nodes, %d missing\n\n", first, a.ObservedS, a.NodesAnswered, len(a.NodesMissing))
 	fmt.Fprintln(table, "family\tresource\tnow\tsurge\tfits\tshort")
-	for _, room := range a.Families {
-		for _, resource := range room.Resources {
+	for _, capacity := range a.Families {
+		for _, resource := range capacity.Resources {
 			short := ""
-			if room.ShortOf != nil && *room.ShortOf == resource.Resource {
-				short = fmt.Sprintf("at %.0f s", *room.ShortAtS)
+			if capacity.ShortOf != nil && *capacity.ShortOf == resource.Resource {
+				short = fmt.Sprintf("at %.0f s", *capacity.ShortAtS)
 			}
-			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", room.Family, resource.Resource, percent(resource.UsedNow), percent(resource.UsedSurge), times(resource.FactorLeft), short)
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", capacity.Family, resource.Resource, percent(resource.UsedNow), percent(resource.UsedSurge), times(resource.FactorLeft), short)
 		}
-		if room.Unknown != "" {
-			fmt.Fprintf(table, "%s\tunknown: %s\n", room.Family, room.Unknown)
+		if capacity.Unknown != "" {
+			fmt.Fprintf(table, "%s\tunknown: %s\n", capacity.Family, capacity.Unknown)
 		}
 	}
 	fmt.Fprintln(table, "\nclass\tfamily\tlate\tshare\tinterval")
--- a/internal/tooling/forecast/review.go
+++ b/internal/tooling/forecast/review.go
@@ -15,125 +15,125 @@
 	"lemonarch/internal/traffic/trafficstats"
 )
 
-// ErrKept is the error of a file of a forecast that can't be written or read.
-var ErrKept = errs.Define("kept forecast")
+// ErrRecord is the error of a file of a forecast that can't be written or read.
+var ErrRecord = errs.Define("forecast record")
 
-// Kept is a forecast with what it stands on, for a later review.
-type Kept struct {
-	Asked *Question `json:"asked"`
-	Known *Known    `json:"known"`
-	Told  *Answer   `json:"told"`
+// Record is a forecast with what it stands on, for a later review.
+type Record struct {
+	Asked     *Scenario `json:"asked"`
+	Known     *Known    `json:"known"`
+	Predicted *Report   `json:"predicted"`
 }
 
-// keptFile is Kept as it is written: the configuration as its own JSON.
-type keptFile struct {
-	Asked     *Question                 `json:"asked"`
+// recordFile is Record as it is written: the configuration as its own JSON.
+type recordFile struct {
+	Asked     *Scenario                 `json:"asked"`
 	Config    json.RawMessage           `json:"configuration"`
 	ObservedS float64                   `json:"observed-s"`
 	Summaries []messages.TrafficSummary `json:"summaries"`
 	Workers   []messages.WorkerGroup    `json:"workers"`
 	Answered  int                       `json:"answered"`
 	Missing   []string                  `json:"missing"`
-	Told      *Answer                   `json:"told"`
+	Predicted *Report                   `json:"predicted"`
 }
 
 // Write writes the forecast to a file: the whole of it, or nothing.
-func (k *Kept) Write(path string) error {
+func (k *Record) Write(path string) error {
 	known := k.Known
-	body, err := json.MarshalIndent(keptFile{Asked: k.Asked, Config: known.Config.Encode(), ObservedS: known.ObservedS,
-		Summaries: known.Summaries, Workers: known.Workers, Answered: known.Answered, Missing: known.Missing, Told: k.Told}, "", "  ")
+	body, err := json.MarshalIndent(recordFile{Asked: k.Asked, Config: known.Config.Encode(), ObservedS: known.ObservedS,
+		Summaries: known.Summaries, Workers: known.Workers, Answered: known.Answered, Missing: known.Missing, Predicted: k.Predicted}, "", "  ")
 	if err != nil {
-		return ErrKept.Wrap(err, path)
+		return ErrRecord.Wrap(err, path)
 	}
 	temporary := path + ".new"
 	if err = os.WriteFile(temporary, append(body, '\n'), 0o644); err != nil {
-		return ErrKept.Wrap(err, path)
+		return ErrRecord.Wrap(err, path)
 	}
-	return ErrKept.Wrap(os.Rename(temporary, path), path)
+	return ErrRecord.Wrap(os.Rename(temporary, path), path)
 }
 
-// ReadKept reads a forecast that was kept.
-func ReadKept(path string) (*Kept, error) {
+// ReadRecord reads a forecast that was kept.
+func ReadRecord(path string) (*Record, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
-		return nil, ErrKept.Wrap(err, path)
+		return nil, ErrRecord.Wrap(err, path)
 	}
-	file := keptFile{}
+	file := recordFile{}
 	if err = json.Unmarshal(body, &file); err != nil {
-		return nil, ErrKept.Wrap(err, path)
+		return nil, ErrRecord.Wrap(err, path)
 	}
-	if file.Asked == nil || file.Told == nil {
-		return nil, ErrKept.New(path + ": asked or told is missing")
+	if file.Asked == nil || file.Predicted == nil {
+		return nil, ErrRecord.New(path + ": asked or predicted is missing")
 	}
 	config, err := routeconfig.Parse(file.Config)
 	if err != nil {
-		return nil, ErrKept.Wrap(err, path+": configuration")
+		return nil, ErrRecord.Wrap(err, path+": configuration")
 	}
 	known := &Known{Config: config, ObservedS: file.ObservedS, Summaries: file.Summaries, Workers: file.Workers, Answered: file.Answered, Missing: file.Missing}
-	return &Kept{Asked: file.Asked, Known: known, Told: file.Told}, nil
+	return &Record{Asked: file.Asked, Known: known, Predicted: file.Predicted}, nil
 }
 
 // Review compares a forecast with what came.
 type Review struct {
-	// Told is the family that was to run short first, Tightened the one that did; nil for none.
-	Told      *string       `json:"told-first-short"`
+	// Predicted is the family that was to run short first, Tightened the one that did; nil for none.
+	Predicted *string       `json:"predicted-first-short"`
 	Tightened *string       `json:"tightened"`
 	Agrees    bool          `json:"agrees"`
 	Classes   []ClassReview `json:"classes"`
 }
 
-// ClassReview compares a class. Came is the share that was late or refused; nil where too few
-// requests were seen.
+// ClassReview compares a class. Observed is the share that was late or refused; nil where too few
+// requests were observed.
 type ClassReview struct {
-	Class    string   `json:"class"`
-	Family   string   `json:"family"`
-	ToldLate *bool    `json:"told-late"`
-	Told     *float64 `json:"told-late-share"`
-	Came     *float64 `json:"came-late-share"`
+	Class         string   `json:"class"`
+	Family        string   `json:"family"`
+	PredictedLate *bool    `json:"predicted-late"`
+	Predicted     *float64 `json:"predicted-late-share"`
+	Observed      *float64 `json:"observed-late-share"`
 	// WaitMs is the mean wait in the queue.
 	WaitMs float64 `json:"wait-ms"`
 	Agrees *bool   `json:"agrees"`
 }
 
-// NewReview compares a forecast with what the fleet has seen since. Which family tightened is
+// NewReview compares a forecast with what the fleet has observed since. Which family tightened is
 // measured: the one whose requests waited longest over the bound, or of which more than the
 // bound were refused (constants shortWaitMs and shortRefusals).
-func NewReview(kept *Kept, came *Known) *Review {
-	review := &Review{Told: kept.Told.FirstShort, Classes: []ClassReview{}}
+func NewReview(kept *Record, observedShare *Known) *Review {
+	review := &Review{Predicted: kept.Predicted.FirstShort, Classes: []ClassReview{}}
 	worst := 1.0
-	for i := range came.Summaries {
-		summary := &came.Summaries[i]
-		told := kept.toldOf(summary)
-		if told == nil {
+	for i := range observedShare.Summaries {
+		summary := &observedShare.Summaries[i]
+		predicted := kept.predictionOf(summary)
+		if predicted == nil {
 			continue
 		}
-		class := ClassReview{Class: told.Class, Family: told.Family, ToldLate: told.Late, Told: told.LateShare}
+		class := ClassReview{Class: predicted.Class, Family: predicted.Family, PredictedLate: predicted.Late, Predicted: predicted.LateShare}
 		all := summary.Served + summary.Rejected + summary.Failed
 		class.WaitMs = rounded(trafficstats.Decode(&summary.QueueWait).Mean() / 10)
-		if route := came.routeNamed(summary.Route); all >= observedMin && route != nil {
+		if route := observedShare.routeNamed(summary.Route); all >= observedMin && route != nil {
 			share := rounded(lateShareOf(summary, route))
-			class.Came = &share
-			if class.ToldLate != nil {
-				agrees := *class.ToldLate == (share > lateShare)
+			class.Observed = &share
+			if class.PredictedLate != nil {
+				agrees := *class.PredictedLate == (share > lateShare)
 				class.Agrees = &agrees
 			}
 		}
 		if all > 0 && !summary.Bulk {
 			tightness := max(class.WaitMs/shortWaitMs, float64(summary.Rejected)/float64(all)/shortRefusals)
 			if tightness > worst {
-				name := told.Family
+				name := predicted.Family
 				worst, review.Tightened = tightness, &name
 			}
 		}
 		review.Classes = append(review.Classes, class)
 	}
 	slices.SortStableFunc(review.Classes, func(left, right ClassReview) int { return strings.Compare(left.Class, right.Class) })
-	review.Agrees = (review.Told == nil) == (review.Tightened == nil) && (review.Told == nil || *review.Told == *review.Tightened)
+	review.Agrees = (review.Predicted == nil) == (review.Tightened == nil) && (review.Predicted == nil || *review.Predicted == *review.Tightened)
 	return review
 }
 
-// toldOf finds what was told of a summary's class.
-func (k *Kept) toldOf(summary *messages.TrafficSummary) *ClassLate {
+// predictionOf finds what was predicted of a summary's class.
+func (k *Record) predictionOf(summary *messages.TrafficSummary) *ClassLate {
 	family := summary.Service
 	if summary.Model != "" {
 		family += "/" + summary.Model
@@ -143,9 +143,9 @@
 			family = k.Asked.Families[i].Name
 		}
 	}
-	for i := range k.Told.Classes {
-		if told := &k.Told.Classes[i]; told.Class == summary.Route && told.Family == family {
-			return told
+	for i := range k.Predicted.Classes {
+		if predicted := &k.Predicted.Classes[i]; predicted.Class == summary.Route && predicted.Family == family {
+			return predicted
 		}
 	}
 	return nil
@@ -199,14 +199,14 @@
 		return *family
 	}
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "told first short: %s\ntightened: %s\nagrees: %v\n\n", name(r.Told), name(r.Tightened), r.Agrees)
+	fmt.Fprintf(table, "predicted first short: %s\ntightened: %s\nagrees: %v\n\n", name(r.Predicted), name(r.Tightened), r.Agrees)
 	fmt.Fprintln(table, "class\tfamily\ttold\tcame\twait ms\tagrees")
 	for _, class := range r.Classes {
 		agrees := "-"
 		if class.Agrees != nil {
 			agrees = fmt.Sprint(*class.Agrees)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f\t%s\n", class.Class, class.Family, percent(class.Told), percent(class.Came), class.WaitMs, agrees)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.1f\t%s\n", class.Class, class.Family, percent(class.Predicted), percent(class.Observed), class.WaitMs, agrees)
 	}
 	return table.Flush()
 }
--- a/internal/tooling/forecast/question.go
+++ b/internal/tooling/forecast/scenario.go
@@ -1,7 +1,7 @@
-// Package forecast tells, before a surge that is foreseen, how much room each model family has
+// Package forecast tells, before a surge that is foreseen, how much capacity each model family has
 // if that traffic lands on top of present work, which family runs short first, and which kinds
-// of request would turn late. It has no I/O: the same question, the same known state and the
-// same seed give the same answer, byte for byte.
+// of request would turn late. It has no I/O: the same scenario, the same known state and the
+// same seed give the same report, byte for byte.
 package forecast
 
 import (
@@ -19,8 +19,8 @@
 //go:embed schema.cue
 var schemaText string
 
-// Question is what an operator asks: surges, families, and what is to be thought away.
-type Question struct {
+// Scenario is what an operator asks: surges, families, and what is to be thought away.
+type Scenario struct {
 	// HorizonS is how far the forecast looks, in seconds; 0 is to 10 s after the last surge.
 	HorizonS float64   `json:"horizon-s"`
 	Surges   []Surge   `json:"surges"`
@@ -55,7 +55,7 @@
 	Events       *float64 `json:"events"`
 }
 
-// Family is models or services whose room is told together.
+// Family is models or services whose capacity is predicted together.
 type Family struct {
 	Name     string   `json:"name"`
 	Models   []string `json:"models"`
@@ -69,8 +69,8 @@
 	Workers int    `json:"workers"`
 }
 
-// Read gives the question of a TOML file, or every finding against it, each with its field.
-func Read(text []byte) (*Question, []string) {
+// Read gives the scenario of a TOML file, or every finding against it, each with its field.
+func Read(text []byte) (*Scenario, []string) {
 	values := map[string]any{}
 	if _, err := toml.Decode(string(text), &values); err != nil {
 		return nil, []string{"not readable as TOML: " + strings.ReplaceAll(err.Error(), "\n", " ")}
@@ -80,22 +80,22 @@
 	if err != nil {
 		return nil, []string{"not readable as values: " + err.Error()}
 	}
-	if findings := cueshape.Findings(schemaText, "#Question", values, missing(values)); len(findings) > 0 {
+	if findings := cueshape.Findings(schemaText, "#Scenario", values, missing(values)); len(findings) > 0 {
 		return nil, findings
 	}
-	question := &Question{}
-	if err = json.Unmarshal(encoded, question); err != nil {
+	scenario := &Scenario{}
+	if err = json.Unmarshal(encoded, scenario); err != nil {
 		return nil, []string{"not readable as values: " + err.Error()}
 	}
-	if findings := question.crossing(); len(findings) > 0 {
+	if findings := scenario.crossing(); len(findings) > 0 {
 		return nil, findings
 	}
-	if question.HorizonS == 0 {
-		for _, surge := range question.Surges {
-			question.HorizonS = max(question.HorizonS, surge.StartS+surge.DurationS+horizonAfterSurgeS)
+	if scenario.HorizonS == 0 {
+		for _, surge := range scenario.Surges {
+			scenario.HorizonS = max(scenario.HorizonS, surge.StartS+surge.DurationS+horizonAfterSurgeS)
 		}
 	}
-	return question, nil
+	return scenario, nil
 }
 
 // missing finds tables that lack what they must have: CUE tells only one of several.
@@ -128,7 +128,7 @@
 }
 
 // crossing checks what no single field shows.
-func (q *Question) crossing() []string {
+func (q *Scenario) crossing() []string {
 	findings := q.crossingSurges()
 	findings = append(findings, q.crossingFamilies()...)
 	for i, away := range q.Without {
@@ -142,7 +142,7 @@
 	return findings
 }
 
-func (q *Question) crossingSurges() (findings []string) {
+func (q *Scenario) crossingSurges() (findings []string) {
 	names := map[string]bool{}
 	for i, surge := range q.Surges {
 		if names[surge.Name] {
@@ -173,7 +173,7 @@
 	return findings
 }
 
-func (q *Question) crossingFamilies() (findings []string) {
+func (q *Scenario) crossingFamilies() (findings []string) {
 	names := map[string]bool{}
 	for i, family := range q.Families {
 		if names[family.Name] {
--- a/internal/tooling/forecast/schema.cue
+++ b/internal/tooling/forecast/schema.cue
@@ -1,6 +1,6 @@
 // The shape of a file that asks for a forecast. It is closed: an unknown field may be a wish
 // that the operator believes to be answered.
-#Question: {
+#Scenario: {
 	"horizon-s"?: >0 & <=86400
 	surges: [#Surge, ...#Surge]
 	families?: [...#Family]
--- a/internal/tooling/forecast/simulate.go
+++ b/internal/tooling/forecast/simulate.go
@@ -74,12 +74,12 @@
 		return
 	}
 	s := &stream{demand: entry, added: added, fromMs: fromMs, untilMs: untilMs}
-	s.nextMs = fromMs + w.pause(added.rate)
+	s.nextMs = fromMs + w.interArrival(added.rate)
 	w.streams = append(w.streams, s)
 }
 
-// pause draws the time to the next arrival of a Poisson stream, in ms.
-func (w *world) pause(rate float64) float64 {
+// interArrival draws the time to the next arrival of a Poisson stream, in ms.
+func (w *world) interArrival(rate float64) float64 {
 	return distuv.Exponential{Rate: rate * w.scale / 1000, Src: w.random}.Rand()
 }
 
@@ -165,7 +165,7 @@
 
 // arrive takes the next request of a stream.
 func (w *world) arrive(s *stream, nowMs float64) {
-	s.nextMs = nowMs + w.pause(s.added.rate)
+	s.nextMs = nowMs + w.interArrival(s.added.rate)
 	r := &request{demand: s.demand, arrivedMs: nowMs, bulk: s.demand.bulk, dueMs: s.added.dueMs}
 	if of := w.family.service(s.demand.service); s.demand.events > 1 || s.added.events > 1 || of.pace.decodeKnown && s.demand.bulk {
 		r.fresh, r.events = w.size(s.added.freshTokens), max(w.size(s.added.events), 1)
--- a/internal/tooling/forecast/worker.go
+++ b/internal/tooling/forecast/worker.go
@@ -102,16 +102,16 @@
 		return
 	}
 	event, plain := w.rates()
-	readingSeen := false
+	prefillActive := false
 	for _, r := range w.running {
 		switch {
 		case r.plainMs > 0:
 			r.left -= elapsed * plain
 		case r.reading:
-			if !readingSeen {
+			if !prefillActive {
 				r.left -= elapsed
 			}
-			readingSeen = true
+			prefillActive = true
 		default:
 			r.left -= elapsed * event
 		}
@@ -122,17 +122,17 @@
 func (w *worker) schedule() {
 	w.nextMs = math.Inf(1)
 	event, plain := w.rates()
-	readingSeen := false
+	prefillActive := false
 	for _, r := range w.running {
 		left := r.left
 		switch {
 		case r.plainMs > 0:
 			left /= plain
 		case r.reading:
-			if readingSeen {
+			if prefillActive {
 				continue
 			}
-			readingSeen = true
+			prefillActive = true
 		default:
 			r.gapMs = max(r.gapMs, 1/event)
 			left /= event
@@ -146,10 +146,10 @@
 	const over = 1e-6
 	w.advance(nowMs)
 	kept := w.running[:0]
-	readingSeen := false
+	prefillActive := false
 	for _, r := range w.running {
-		first := r.reading && !readingSeen
-		readingSeen = readingSeen || r.reading
+		first := r.reading && !prefillActive
+		prefillActive = prefillActive || r.reading
 		if r.left > over || (r.reading && !first) {
 			kept = append(kept, r)
 			continue
--- a/internal/tooling/forecastcases/cases.go
+++ b/internal/tooling/forecastcases/cases.go
@@ -53,37 +53,37 @@
 	capacityPerEngine float64
 }
 
-// Draw draws a case: three to five families, of which one is meant to run short of what the
+// Generate draws a case: three to five families, of which one is meant to run short of what the
 // number says.
-func Draw(number int, seed uint64) *Case {
+func Generate(number int, seed uint64) *Case {
 	random := rand.New(rand.NewPCG(seed, uint64(number)))
-	drawn := &Case{Number: number, Short: Shortages[number%len(Shortages)]}
+	generated := &Case{Number: number, Short: Shortages[number%len(Shortages)]}
 	count := 3 + random.IntN(3)
 	target := random.IntN(count)
 	for i := range count {
 		kind := []string{ShortSlots, ShortMemory, ShortPrefill, ShortDecode}[random.IntN(4)]
-		if i == target && drawn.Short != ShortNone {
-			kind = drawn.Short
+		if i == target && generated.Short != ShortNone {
+			kind = generated.Short
 		}
-		family := drawFamily(fmt.Sprintf("family-%d", i+1), kind, random)
+		family := generateFamily(fmt.Sprintf("family-%d", i+1), kind, random)
 		full := family.class.capacityPerEngine * float64(family.engines)
 		family.rate = full * (0.25 + 0.2*random.Float64())
 		// The others stay well below what they carry.
 		family.surge = full * 0.15 * random.Float64()
-		if i == target && drawn.Short != ShortNone {
-			drawn.Family = family.name
+		if i == target && generated.Short != ShortNone {
+			generated.Family = family.name
 			family.surge = full * (0.9 + random.Float64())
 		}
-		drawn.families = append(drawn.families, family)
+		generated.families = append(generated.families, family)
 	}
-	return drawn
+	return generated
 }
 
 // between draws a number between two.
 func between(random *rand.Rand, low, high float64) float64 { return low + (high-low)*random.Float64() }
 
-// drawFamily draws a family whose bottleneck is of a kind, with what one engine then carries.
-func drawFamily(name, kind string, random *rand.Rand) *familyPlan {
+// generateFamily draws a family whose bottleneck is of a kind, with what one engine then carries.
+func generateFamily(name, kind string, random *rand.Rand) *familyPlan {
 	family := &familyPlan{name: name, engines: 3 + random.IntN(4)}
 	family.shape = workeremulator.Shape{Capacity: 8 + random.IntN(5), Queue: 4, CacheTokens: 200_000, ReadPerMs: 200,
 		Step: clock.Milliseconds(between(random, 2, 4)), StepEach: clock.Milliseconds(between(random, 0.1, 0.3)), Stride: 8}
--- a/internal/tooling/forecastcases/cases_test.go
+++ b/internal/tooling/forecastcases/cases_test.go
@@ -5,12 +5,12 @@
 	"testing"
 )
 
-// Of 30 drawn cases the family that tightened is the one that was named in at least 27, and of
+// Of 30 generated cases the family that tightened is the one that was named in at least 27, and of
 // the classes called late or not late nine in ten come out so.
-func TestForecastsComeTrue(t *testing.T) {
+func TestForecastsMatchOutcomes(t *testing.T) {
 	var results []*Result
 	for number := range 30 {
-		result, err := Play(Draw(number, 1), 1)
+		result, err := Play(Generate(number, 1), 1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/tooling/forecastcases/compare.go
+++ b/internal/tooling/forecastcases/compare.go
@@ -43,16 +43,16 @@
 
 // ClassResult is the late share of a class as it was forecast and as it came.
 type ClassResult struct {
-	Class string  `json:"class"`
-	Told  float64 `json:"told"`
-	Came  float64 `json:"came"`
+	Class     string  `json:"class"`
+	Predicted float64 `json:"predicted"`
+	Observed  float64 `json:"observed"`
 }
 
 // RightFamily tells whether the family that was named is the one that tightened.
 func (r *Result) RightFamily() bool { return r.Named == r.Tightened }
 
 // Right tells whether the class was called late as it came.
-func (c *ClassResult) Right() bool { return (c.Told > lateBound) == (c.Came > lateBound) }
+func (c *ClassResult) Right() bool { return (c.Predicted > lateBound) == (c.Observed > lateBound) }
 
 // Play forecasts a case, brings its surge about, and compares.
 func Play(c *Case, seed uint64) (*Result, error) {
@@ -64,31 +64,31 @@
 		f.runUntil(from - 1)
 		fleets = append(fleets, f)
 	}
-	answer, err := ask(c, fleets, seed)
+	report, err := ask(c, fleets, seed)
 	if err != nil {
 		return nil, err
 	}
-	result := NewResult(c, answer)
+	result := NewResult(c, report)
 	for i, f := range fleets {
 		f.runUntil(until.Add(clock.Milliseconds(afterS * 1000)))
 		if at := f.tightenedAtS(); at >= 0 {
 			result.Tighten(c.families[i].name, at)
 		}
-		came := 0.0
+		observedShare := 0.0
 		if f.all > 0 {
-			came = float64(f.late) / float64(f.all)
+			observedShare = float64(f.late) / float64(f.all)
 		}
-		result.AddClass(c.families[i].name, came, answer)
+		result.AddClass(c.families[i].name, observedShare, report)
 	}
 	return result, nil
 }
 
 // NewResult begins the result of a case with what was forecast.
-func NewResult(c *Case, answer *forecast.Answer) *Result {
+func NewResult(c *Case, report *forecast.Report) *Result {
 	result := &Result{Case: c.Number, Meant: c.Short, NamedAtS: -1, TightenedAtS: -1}
-	for _, room := range answer.Families {
-		if answer.FirstShort != nil && room.Family == *answer.FirstShort {
-			result.Named, result.ShortOf, result.NamedAtS = c.nameOf(room.Family), *room.ShortOf, *room.ShortAtS
+	for _, capacity := range report.Families {
+		if report.FirstShort != nil && capacity.Family == *report.FirstShort {
+			result.Named, result.ShortOf, result.NamedAtS = c.nameOf(capacity.Family), *capacity.ShortOf, *capacity.ShortAtS
 		}
 	}
 	return result
@@ -101,12 +101,12 @@
 	}
 }
 
-// AddClass adds the late share of a class as it came, beside what was told.
-func (r *Result) AddClass(name string, came float64, answer *forecast.Answer) {
-	class := ClassResult{Class: name, Came: came}
-	for _, told := range answer.Classes {
-		if told.Class == name && told.LateShare != nil {
-			class.Told = *told.LateShare
+// AddClass adds the late share of a class as it came, beside what was predicted.
+func (r *Result) AddClass(name string, observedShare float64, report *forecast.Report) {
+	class := ClassResult{Class: name, Observed: observedShare}
+	for _, predicted := range report.Classes {
+		if predicted.Class == name && predicted.LateShare != nil {
+			class.Predicted = *predicted.LateShare
 		}
 	}
 	r.Classes = append(r.Classes, class)
@@ -122,11 +122,11 @@
 	return family
 }
 
-// ask asks for the forecast with what the fleets have seen.
-func ask(c *Case, fleets []*fleet, seed uint64) (*forecast.Answer, error) {
+// ask asks for the forecast with what the fleets have observed.
+func ask(c *Case, fleets []*fleet, seed uint64) (*forecast.Report, error) {
 	config := routeconfig.Config{Generation: 1}
 	known := &forecast.Known{ObservedS: observedS, Answered: 1}
-	question := &forecast.Question{HorizonS: surgeS + afterS}
+	scenario := &forecast.Scenario{HorizonS: surgeS + afterS}
 	surge := forecast.Surge{Name: "surge", DurationS: surgeS}
 	for i, plan := range c.families {
 		route := routeconfig.Route{Name: plan.name, Host: "h", Prefix: "/" + plan.name + "/", KindName: "idempotent", Backend: plan.name, SetpointMs: plan.class.targetMs, CutoffMs: 10_000}
@@ -146,12 +146,12 @@
 	if known.Config, err = routeconfig.Parse(config.Encode()); err != nil {
 		return nil, ErrCase.Wrap(err, "configuration")
 	}
-	question.Surges = []forecast.Surge{surge}
-	answer, findings := forecast.Forecast(question, known, seed)
+	scenario.Surges = []forecast.Surge{surge}
+	report, findings := forecast.Forecast(scenario, known, seed)
 	if len(findings) > 0 {
 		return nil, ErrCase.New(findings[0])
 	}
-	return answer, nil
+	return report, nil
 }
 
 // Summary counts how many of the results came out as they were forecast.
@@ -193,7 +193,7 @@
 // Table writes them for people.
 func Table(writer io.Writer, results []*Result) error {
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "case\tmeant\tnamed\tof\tat s\ttightened\tat s\tright\tclasses told, came")
+	fmt.Fprintln(table, "case\tmeant\tnamed\tof\tat s\ttightened\tat s\tright\tclasses predicted, observed")
 	none := func(name string) string {
 		if name == "" {
 			return "none"
@@ -208,7 +208,7 @@
 			if !class.Right() {
 				mark = "!"
 			}
-			classes += fmt.Sprintf("%.2f,%.2f%s ", class.Told, class.Came, mark)
+			classes += fmt.Sprintf("%.2f,%.2f%s ", class.Predicted, class.Observed, mark)
 		}
 		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%.0f\t%s\t%.0f\t%v\t%s\n", result.Case, result.Meant, none(result.Named), none(result.ShortOf), result.NamedAtS,
 			none(result.Tightened), result.TightenedAtS, result.RightFamily(), classes)
--- a/internal/tooling/forecastcases/fleet.go
+++ b/internal/tooling/forecastcases/fleet.go
@@ -72,12 +72,12 @@
 	for range plan.engines {
 		f.engines = append(f.engines, &engineState{engine: workeremulator.NewEngine(plan.shape)})
 	}
-	f.nextAt = f.pause()
+	f.nextAt = f.interArrival()
 	return f
 }
 
-// pause draws when the next request comes.
-func (f *fleet) pause() clock.Instant {
+// interArrival draws when the next request comes.
+func (f *fleet) interArrival() clock.Instant {
 	rate := f.plan.rate
 	if f.now >= f.surgeFrom && f.now < f.surgeUntil {
 		rate += f.plan.surge
@@ -86,7 +86,7 @@
 	if f.now < f.surgeFrom && at > f.surgeFrom {
 		// The surge begins before: drawn anew from there, which a Poisson stream allows.
 		f.now = f.surgeFrom
-		return f.pause()
+		return f.interArrival()
 	}
 	return at
 }
@@ -123,7 +123,7 @@
 	c := &call{ticket: f.tickets, arrivedAt: f.now}
 	f.calls[c.ticket] = c
 	f.queue = append(f.queue, c)
-	f.nextAt = f.pause()
+	f.nextAt = f.interArrival()
 }
 
 // place gives waiting requests to engines with a slot left.
--- a/internal/tooling/forecastlab/drive.go
+++ b/internal/tooling/forecastlab/drive.go
@@ -1,5 +1,5 @@
 // Package forecastlab tries the forecast on the real programs: it starts a lab's fleet for a
-// drawn case, loads it, forecasts, brings the surge about in real time, and compares. Figures
+// generated case, loads it, forecasts, brings the surge about in real time, and compares. Figures
 // are of loopback and emulated workers.
 package forecastlab
 
@@ -139,12 +139,12 @@
 func (d *driver) readEvents(body io.Reader) (first clock.Instant, longest clock.Duration, err error) {
 	reader, last := bufio.NewReader(body), clock.Instant(0)
 	for {
-		line, cause := reader.ReadString('\n')
+		text, cause := reader.ReadString('\n')
 		now := clock.Now()
-		if first == 0 && len(line) > 0 {
+		if first == 0 && len(text) > 0 {
 			first = now
 		}
-		if strings.HasPrefix(line, "id:") {
+		if strings.HasPrefix(text, "id:") {
 			if last > 0 {
 				longest = max(longest, now.Sub(last))
 			}
--- a/internal/tooling/forecastlab/play.go
+++ b/internal/tooling/forecastlab/play.go
@@ -56,9 +56,9 @@
 	}
 	clock.Sleep(clock.Milliseconds(forecastcases.ObservedS * 1000))
 	known, err := p.watch.collector.Collect()
-	var answer *forecast.Answer
+	var report *forecast.Report
 	if err == nil {
-		answer, err = p.ask(known, seed)
+		report, err = p.ask(known, seed)
 	}
 	if err != nil {
 		end()
@@ -74,7 +74,7 @@
 	clock.Sleep(clock.Milliseconds(forecastcases.AfterS * 1000))
 	end()
 	group.Wait()
-	return p.result(c, answer, surgeAt), nil
+	return p.result(c, report, surgeAt), nil
 }
 
 func (p *play) setSurging(on bool) {
@@ -84,32 +84,32 @@
 }
 
 // ask asks for the forecast of the surge.
-func (p *play) ask(known *forecast.Known, seed uint64) (*forecast.Answer, error) {
+func (p *play) ask(known *forecast.Known, seed uint64) (*forecast.Report, error) {
 	surge := forecast.Surge{Name: "surge", DurationS: forecastcases.SurgeS}
 	for _, d := range p.drivers {
 		rate := d.load.Surge
 		surge.Traffic = append(surge.Traffic, forecast.Traffic{Route: d.load.Family, Rate: &rate})
 	}
-	question := &forecast.Question{HorizonS: forecastcases.SurgeS + forecastcases.AfterS, Surges: []forecast.Surge{surge}}
-	answer, findings := forecast.Forecast(question, known, seed)
+	scenario := &forecast.Scenario{HorizonS: forecastcases.SurgeS + forecastcases.AfterS, Surges: []forecast.Surge{surge}}
+	report, findings := forecast.Forecast(scenario, known, seed)
 	if len(findings) > 0 {
 		return nil, ErrCase.New(findings[0])
 	}
-	return answer, nil
+	return report, nil
 }
 
-// result compares what was told with what came.
-func (p *play) result(c *forecastcases.Case, answer *forecast.Answer, surgeAt clock.Instant) *forecastcases.Result {
-	result := forecastcases.NewResult(c, answer)
+// result compares what was predicted with what came.
+func (p *play) result(c *forecastcases.Case, report *forecast.Report, surgeAt clock.Instant) *forecastcases.Result {
+	result := forecastcases.NewResult(c, report)
 	for _, d := range p.drivers {
 		if at, short := p.watch.shortAt[d.load.Family]; short {
 			result.Tighten(d.load.Family, at.Sub(surgeAt).Seconds())
 		}
-		came := 0.0
+		observedShare := 0.0
 		if d.all > 0 {
-			came = float64(d.late) / float64(d.all)
+			observedShare = float64(d.late) / float64(d.all)
 		}
-		result.AddClass(d.load.Family, came, answer)
+		result.AddClass(d.load.Family, observedShare, report)
 	}
 	return result
 }
--- a/internal/tooling/forecastlab/watch.go
+++ b/internal/tooling/forecastlab/watch.go
@@ -15,27 +15,27 @@
 	refusalBound = 0.02
 )
 
-// seen is what the fleet has seen of a family so far.
-type seen struct {
+// observed is what the fleet has observed of a family so far.
+type observed struct {
 	requests, rejected int64
 	waitMs             float64
 }
 
-func seenOf(summary *messages.TrafficSummary) seen {
+func observationOf(summary *messages.TrafficSummary) observed {
 	histogram := trafficstats.Decode(&summary.QueueWait)
-	return seen{requests: histogram.TotalCount(), rejected: summary.Rejected, waitMs: histogram.Mean() / 10 * float64(histogram.TotalCount())}
+	return observed{requests: histogram.TotalCount(), rejected: summary.Rejected, waitMs: histogram.Mean() / 10 * float64(histogram.TotalCount())}
 }
 
 // watch asks the fleet once a second, and notes when each family was first short.
 type watch struct {
 	collector *forecast.Collector
-	before    map[string]seen
+	before    map[string]observed
 	// shortAt is, by family, when its waits or refusals passed a bound.
 	shortAt map[string]clock.Instant
 }
 
 func newWatch(collector *forecast.Collector) *watch {
-	return &watch{collector: collector, before: map[string]seen{}, shortAt: map[string]clock.Instant{}}
+	return &watch{collector: collector, before: map[string]observed{}, shortAt: map[string]clock.Instant{}}
 }
 
 // run looks until the context ends.
@@ -53,7 +53,7 @@
 func (w *watch) look(known *forecast.Known, now clock.Instant) {
 	for i := range known.Summaries {
 		summary := &known.Summaries[i]
-		current, before := seenOf(summary), w.before[summary.Service]
+		current, before := observationOf(summary), w.before[summary.Service]
 		w.before[summary.Service] = current
 		requests := current.requests - before.requests
 		if requests <= 0 || before.requests == 0 {
