--- /dev/null
+++ b/internal/batch/leader/memberdeparted_test.go
@@ -0,0 +1,35 @@
+package leader
+
+import (
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// grantingElection is an election whose register grants each change of the store set.
+type grantingElection struct{ won }
+
+func (e grantingElection) ChangeRegister(req *messages.RegisterChangeRequest) (*messages.RegisterResponse, bool) {
+	return &messages.RegisterResponse{Applied: true, Value: messages.RegisterValue{Leadership: req.Holder, Stores: req.Stores}}, true
+}
+
+// Two of five disks were lost and their members removed; of the three that are left one is gone
+// for good before the copies are complete. Both others hold every record: a leader among them
+// has the register name the set without it, and serves.
+func TestTakeoverWhereAThirdMemberIsGone(t *testing.T) {
+	process, network := soleStore(t, simulation.NewDisk(23)), transport.NewMemoryNetwork()
+	process.Node.Transport = network.Transport("m")
+	process.Node.Settings.FaultBudget.Machines = 2
+	process.Election = grantingElection{won: process.Election.(won)}
+	serveReplica(t, process, network, "a", "a-disk")
+	members := []messages.Member{process.Election.Member(), {Name: "a", Address: "a", Disk: "a-disk"}, {Name: "gone", Address: "gone", Disk: "gone-disk"}}
+	term := NewTerm(process, messages.Leadership{Holder: "m", Incarnation: process.Node.Self.Incarnation, Epoch: 3}, members)
+	t.Cleanup(func() { term.Close("test is over") })
+	go term.TakeOver()
+	if !term.waitServing(clock.Milliseconds(8000)) {
+		t.Fatal("does not serve")
+	}
+}
