--- a/cmd/lemonarch/assign.go
+++ b/cmd/lemonarch/assign.go
@@ -57,8 +57,8 @@
 }
 
 func assign(writer, complaints io.Writer, path string, only *string, options assignOptions) error {
-	if options.format != "table" && options.format != "json" {
-		return exitError{exitUnusable, "--output must be table or json"}
+	if err := checkFormat(options.format); err != nil {
+		return err
 	}
 	var earlier *adapterplan.Answer
 	if options.keep != "" {
--- a/cmd/lemonarch/assign_apply.go
+++ b/cmd/lemonarch/assign_apply.go
@@ -19,8 +19,8 @@
 	command := &cobra.Command{Use: "apply FILE", Args: cobra.ExactArgs(1),
 		Short: "Plan the rules on top of what is in force, and put rules and answer in force in the fleet",
 		RunE: func(command *cobra.Command, arguments []string) error {
-			if format != "table" && format != "json" {
-				return exitError{exitUnusable, "--output must be table or json"}
+			if err := checkFormat(format); err != nil {
+				return err
 			}
 			wire := transport.NewTCP("")
 			defer wire.Close()
--- a/cmd/lemonarch/forecast.go
+++ b/cmd/lemonarch/forecast.go
@@ -61,8 +61,8 @@
 }
 
 func runForecast(writer, complaints io.Writer, path string, options forecastOptions) error {
-	if options.format != "table" && options.format != "json" {
-		return exitError{exitUnusable, "--output must be table or json"}
+	if err := checkFormat(options.format); err != nil {
+		return err
 	}
 	// Nothing is asked of the fleet before the file is known to be sound.
 	scenario, err := readScenario(path, complaints)
@@ -126,8 +126,8 @@
 	command.Flags().StringVar(&seed, "seed", "", "internal address of any process, host:port")
 	command.Flags().StringVar(&format, "output", format, "table or json")
 	command.RunE = func(command *cobra.Command, arguments []string) error {
-		if format != "table" && format != "json" {
-			return exitError{exitUnusable, "--output must be table or json"}
+		if err := checkFormat(format); err != nil {
+			return err
 		}
 		kept, err := forecast.ReadRecord(arguments[0])
 		if err != nil {
--- a/cmd/lemonarch/lab_forecast.go
+++ b/cmd/lemonarch/lab_forecast.go
@@ -34,8 +34,8 @@
 		if cases < 1 || cases > forecastCasesMax {
 			return exitError{exitUnusable, fmt.Sprintf("--cases must lie between 1 and %d", forecastCasesMax)}
 		}
-		if format != "table" && format != "json" {
-			return exitError{exitUnusable, "--output must be table or json"}
+		if err := checkFormat(format); err != nil {
+			return err
 		}
 		until, halt := signal.NotifyContext(contexts.Background(), syscall.SIGINT, syscall.SIGTERM)
 		defer halt()
--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -57,8 +57,8 @@
 }
 
 func (l *labLoad) run(command *cobra.Command) error {
-	if l.format != "table" && l.format != "json" {
-		return exitError{exitUnusable, "--output must be table or json"}
+	if err := checkFormat(l.format); err != nil {
+		return err
 	}
 	if l.picture != "" {
 		if err := loadgen.CheckPlot(l.picture); err != nil {
--- a/cmd/lemonarch/main.go
+++ b/cmd/lemonarch/main.go
@@ -26,6 +26,14 @@
 // Error is the line that is printed.
 func (c exitError) Error() string { return c.text }
 
+// checkFormat tells whether a value of --output names a format.
+func checkFormat(format string) error {
+	if format != "table" && format != "json" {
+		return exitError{exitUnusable, "--output must be table or json"}
+	}
+	return nil
+}
+
 // rootCommand gathers all subcommands.
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{Use: "lemonarch", Short: "Check files, ask a fleet for its state, import routes, handle jobs, place adapters, forecast surges, try it all in a lab",
--- a/cmd/lemonarch/shell.go
+++ b/cmd/lemonarch/shell.go
@@ -24,8 +24,8 @@
 	command.Flags().StringVar(&format, "output", format, "table or json")
 	command.Flags().DurationVar(&limit, "limit", limit, "how long to wait for each process")
 	command.RunE = func(command *cobra.Command, arguments []string) error {
-		if format != "table" && format != "json" {
-			return exitError{exitUnusable, "--output must be table or json"}
+		if err := checkFormat(format); err != nil {
+			return err
 		}
 		if limit <= 0 {
 			return exitError{exitUnusable, "--limit must be above 0"}
--- a/internal/batch/leader/disklost.go
+++ b/internal/batch/leader/disklost.go
@@ -2,11 +2,8 @@
 
 import (
 	"lemonarch/internal/batch/replication"
-	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/register"
-	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
-	"lemonarch/internal/platform/transport"
 )
 
 // A member whose machine came back with an empty disk is removed from the set at once, and
@@ -46,10 +43,7 @@
 // markLostDisks notes the members whose disks are lost, and gives them by identity. It asks
 // each such machine itself, since what others say of it may be old.
 func (t *Term) markLostDisks() (lost map[string]bool) {
-	entries := map[string]messages.NodeInfo{}
-	for _, entry := range t.process.Node.All(membership.RoleStore) {
-		entries[entry.Name] = entry
-	}
+	entries := t.process.storeEntries()
 	t.lock.Lock()
 	members := t.records.replicator.Members
 	t.lock.Unlock()
@@ -75,10 +69,7 @@
 	if member.Name == t.process.Node.Self.Name {
 		return false
 	}
-	req := &messages.FenceRequest{Epoch: t.leadership.Epoch, Disk: member.Disk}
-	resp := messages.FenceResponse{}
-	if transport.Call(t.process.Node.Transport, address, messages.KindFence, req, &resp, constants.RoundTimeout) != nil {
-		return false
-	}
-	return replication.RefusedForDisk(req, &resp)
+	member.Address = address
+	resp, err := t.fence(member)
+	return err == nil && replication.RefusedForDisk(t.leadership.Epoch, &resp)
 }
--- a/internal/batch/leader/intake.go
+++ b/internal/batch/leader/intake.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"lemonarch/internal/batch/jobroute"
+	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
@@ -111,13 +112,10 @@
 		t.lock.Unlock()
 		return t.awaitSubmitted(submitting, accepted)
 	}
-	if route.BacklogCap > 0 && t.waitingTokens(config, route) >= route.BacklogCap {
+	// How many tokens it has is not known yet: there must be room for one.
+	if refusal := t.refuseForRoomLocked(config, route, 1, call.BodyBytes, 0); refusal != nil {
 		t.lock.Unlock()
-		return tooMany("backlog is full")
-	}
-	if t.outgrowsDiskLocked(call.BodyBytes, 0) {
-		t.lock.Unlock()
-		return tooMany("the disks are nearly full")
+		return refusal
 	}
 	queued := t.submissions.intake.offer(call.Job, call.BodyBytes, clock.Now())
 	t.lock.Unlock()
@@ -149,6 +147,18 @@
 	}
 }
 
+// refuseForRoomLocked refuses a job that the backlog of its route or the disks have no room for;
+// nil where both have. The lock is held.
+func (t *Term) refuseForRoomLocked(config *routeconfig.Config, route *routeconfig.Route, tokens int64, bytes, items int) *messages.JobCallResponse {
+	if route.BacklogCap > 0 && t.waitingTokens(config, route)+tokens > route.BacklogCap {
+		return tooMany("backlog is full")
+	}
+	if t.outgrowsDiskLocked(bytes, items) {
+		return tooMany("the disks are nearly full")
+	}
+	return nil
+}
+
 // tooMany refuses a job that does not fit now.
 func tooMany(why string) *messages.JobCallResponse {
 	return &messages.JobCallResponse{Status: http.StatusTooManyRequests, Body: reason(why), RetryAfterMs: int(constants.GossipPeriod.Milliseconds())}
--- a/internal/batch/leader/reconcile.go
+++ b/internal/batch/leader/reconcile.go
@@ -42,10 +42,7 @@
 		t.Resign()
 		return
 	}
-	entries := map[string]messages.NodeInfo{}
-	for _, entry := range process.Node.All(membership.RoleStore) {
-		entries[entry.Name] = entry
-	}
+	entries := process.storeEntries()
 	out, joiner := process.nextResponsiveChange(members, entries, retired)
 	if joiner == nil {
 		return
@@ -67,6 +64,15 @@
 	t.changeSet(replacements)
 }
 
+// storeEntries gives the stores that are known, by name.
+func (p *Process) storeEntries() map[string]messages.NodeInfo {
+	entries := map[string]messages.NodeInfo{}
+	for _, entry := range p.Node.All(membership.RoleStore) {
+		entries[entry.Name] = entry
+	}
+	return entries
+}
+
 // fillers gives the stores that make a set complete which is too small, the best first. Slow
 // ones are left out.
 func (p *Process) fillers(members []messages.Member, entries map[string]messages.NodeInfo, retired map[string]bool) []replacement {
--- a/internal/batch/leader/submit.go
+++ b/internal/batch/leader/submit.go
@@ -104,13 +104,9 @@
 		t.lock.Unlock()
 		return &messages.JobCallResponse{NotLeader: true}
 	}
-	if route.BacklogCap > 0 && t.waitingTokens(config, route)+tokens > route.BacklogCap {
+	if refusal := t.refuseForRoomLocked(config, route, tokens, len(packed), len(body.Items)); refusal != nil {
 		t.lock.Unlock()
-		return tooMany("backlog is full")
-	}
-	if t.outgrowsDiskLocked(len(packed), len(body.Items)) {
-		t.lock.Unlock()
-		return tooMany("the disks are nearly full")
+		return refusal
 	}
 	index := t.appendRecord(messages.Record{Kind: messages.RecordJob, Job: call.Job, Host: call.Host, Route: route.Name,
 		AtMs: clock.WallNanos() / 1_000_000, Body: packed})
--- a/internal/batch/replication/takeover.go
+++ b/internal/batch/replication/takeover.go
@@ -45,6 +45,6 @@
 
 // RefusedForDisk tells whether a store refused an epoch since the disk that was asked for is
 // not there, and not since a later epoch is fenced there.
-func RefusedForDisk(req *messages.FenceRequest, resp *messages.FenceResponse) bool {
-	return !resp.Granted && resp.Epoch <= req.Epoch
+func RefusedForDisk(epoch uint64, resp *messages.FenceResponse) bool {
+	return !resp.Granted && resp.Epoch <= epoch
 }
--- a/internal/tooling/forecast/constants.go
+++ b/internal/tooling/forecast/constants.go
@@ -4,14 +4,14 @@
 	// horizonAfterSurgeS is how long after the last surge a forecast looks, in seconds (ours):
 	// what has queued up is served or refused by then.
 	horizonAfterSurgeS = 10.0
-	// shortWaitMs and shortRefusals bound what a family bears: it is short from the first
-	// window of a second in which its requests wait longer than that on the mean, or in which
-	// a larger share of them is refused (ours). docs/forecast.md states both.
-	shortWaitMs   = 50.0
-	shortRefusals = 0.02
-	// lateShare is the share of late or refused requests from which on a class is called late
+	// ShortWaitMs is the mean wait that a family bears: it is short from the first window of a
+	// second in which its requests wait longer (ours). docs/forecast.md states it.
+	ShortWaitMs = 50.0
+	// ShortRefusals is the share of refused requests that a family bears in the same way (ours).
+	ShortRefusals = 0.02
+	// LateShare is the share of late or refused requests from which on a class is called late
 	// (ours).
-	lateShare = 0.05
+	LateShare = 0.05
 	// windowMs is the length of the windows in which shortages are looked for.
 	windowMs = 1000.0
 	// queueShare of the latency target is how long gateways let a request wait before they
--- a/internal/tooling/forecast/demand.go
+++ b/internal/tooling/forecast/demand.go
@@ -120,15 +120,7 @@
 func families(scenario *Scenario, joined []*demand, services map[string]*service) []*family {
 	byName := map[string]*family{}
 	for _, entry := range joined {
-		name := entry.service
-		if entry.model != "" {
-			name += "/" + entry.model
-		}
-		for i := range scenario.Families {
-			if scenario.Families[i].has(entry.service, entry.model) {
-				name = scenario.Families[i].Name
-			}
-		}
+		name := scenario.familyOf(entry.service, entry.model)
 		if byName[name] == nil {
 			byName[name] = &family{name: name}
 		}
--- a/internal/tooling/forecast/forecast_test.go
+++ b/internal/tooling/forecast/forecast_test.go
@@ -201,13 +201,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	observedShare := testKnown(t)
-	for i := range observedShare.Summaries {
-		if observedShare.Summaries[i].Route == "status" {
-			observedShare.Summaries[i].Rejected = observedShare.Summaries[i].Served
+	seen := testKnown(t)
+	for i := range seen.Summaries {
+		if seen.Summaries[i].Route == "status" {
+			seen.Summaries[i].Rejected = seen.Summaries[i].Served
 		}
 	}
-	review := NewReview(again, observedShare)
+	review := NewReview(again, seen)
 	if !review.Agrees || review.Tightened == nil || *review.Tightened != "app" {
 		t.Fatalf("%+v", review)
 	}
--- a/internal/tooling/forecast/pace.go
+++ b/internal/tooling/forecast/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/traffic/trafficstats"
 )
 
 // pace is how fast the workers of a service are, as a gateway sees them.
@@ -23,8 +24,8 @@
 		if k.Summaries[i].Service != name {
 			continue
 		}
-		add(&prefill, &k.Summaries[i].Prefill)
-		add(&decode, &k.Summaries[i].Decode)
+		trafficstats.AddRegression(&prefill, &k.Summaries[i].Prefill)
+		trafficstats.AddRegression(&decode, &k.Summaries[i].Decode)
 	}
 	learnt := pace{}
 	learnt.firstMs, learnt.tokenMs, learnt.prefillKnown = fitLineMs(&prefill)
@@ -34,14 +35,6 @@
 	return learnt
 }
 
-func add(total, more *messages.Regression) {
-	total.Count += more.Count
-	total.X += more.X
-	total.Y += more.Y
-	total.XX += more.XX
-	total.XY += more.XY
-}
-
 // fitLineMs is fitLine for sums whose y are tenths of a millisecond.
 func fitLineMs(sums *messages.Regression) (base, slope float64, known bool) {
 	base, slope, known = fitLine(sums)
--- a/internal/tooling/forecast/queue.go
+++ b/internal/tooling/forecast/queue.go
@@ -98,7 +98,7 @@
 		if all == 0 {
 			continue
 		}
-		if at.waitMs/float64(all) > shortWaitMs || float64(at.refused) > shortRefusals*float64(all) {
+		if at.waitMs/float64(all) > ShortWaitMs || float64(at.refused) > ShortRefusals*float64(all) {
 			return float64(i) * windowMs
 		}
 	}
--- a/internal/tooling/forecast/report.go
+++ b/internal/tooling/forecast/report.go
@@ -67,14 +67,9 @@
 		report.Families = append(report.Families, capacity)
 		report.Classes = append(report.Classes, classes...)
 		if capacity.ShortAtS != nil && *capacity.ShortAtS < earliest {
-			earliest, report.FirstShort = *capacity.ShortAtS, &report.Families[len(report.Families)-1].Family
+			earliest, report.FirstShort = *capacity.ShortAtS, &capacity.Family
 		}
 	}
-	if report.FirstShort != nil {
-		// A copy: the list may have moved as it grew.
-		name := *report.FirstShort
-		report.FirstShort = &name
-	}
 	slices.SortStableFunc(report.Classes, func(left, right ClassLate) int { return strings.Compare(left.Class, right.Class) })
 	return report, nil
 }
@@ -139,7 +134,7 @@
 			}
 			width := 2 * deviation / math.Sqrt(max(answered, 0.01))
 			share, low, high := rounded(mean), rounded(max(mean-width, 0)), rounded(min(mean+width, 1))
-			late := mean > lateShare
+			late := mean > LateShare
 			predicted.Late, predicted.LateShare, predicted.Low, predicted.High = &late, &share, &low, &high
 		}
 		classes = append(classes, predicted)
@@ -166,9 +161,14 @@
 
 // JSON writes the report, its members in their order.
 func (a *Report) JSON(writer io.Writer) error {
+	return WriteJSON(writer, a)
+}
+
+// WriteJSON writes a value, indented.
+func WriteJSON(writer io.Writer, value any) error {
 	encoder := json.NewEncoder(writer)
 	encoder.SetIndent("", "  ")
-	return encoder.Encode(a)
+	return encoder.Encode(value)
 }
 
 // Table writes the report for people.
--- a/internal/tooling/forecast/review.go
+++ b/internal/tooling/forecast/review.go
@@ -97,12 +97,12 @@
 
 // NewReview compares a forecast with what the fleet has observed since. Which family tightened is
 // measured: the one whose requests waited longest over the bound, or of which more than the
-// bound were refused (constants shortWaitMs and shortRefusals).
-func NewReview(kept *Record, observedShare *Known) *Review {
+// bound were refused (constants ShortWaitMs and ShortRefusals).
+func NewReview(kept *Record, seen *Known) *Review {
 	review := &Review{Predicted: kept.Predicted.FirstShort, Classes: []ClassReview{}}
 	worst := 1.0
-	for i := range observedShare.Summaries {
-		summary := &observedShare.Summaries[i]
+	for i := range seen.Summaries {
+		summary := &seen.Summaries[i]
 		predicted := kept.predictionOf(summary)
 		if predicted == nil {
 			continue
@@ -110,16 +110,16 @@
 		class := ClassReview{Class: predicted.Class, Family: predicted.Family, PredictedLate: predicted.Late, Predicted: predicted.LateShare}
 		all := summary.Served + summary.Rejected + summary.Failed
 		class.WaitMs = rounded(trafficstats.Decode(&summary.QueueWait).Mean() / 10)
-		if route := observedShare.routeNamed(summary.Route); all >= observedMin && route != nil {
+		if route := seen.routeNamed(summary.Route); all >= observedMin && route != nil {
 			share := rounded(lateShareOf(summary, route))
 			class.Observed = &share
 			if class.PredictedLate != nil {
-				agrees := *class.PredictedLate == (share > lateShare)
+				agrees := *class.PredictedLate == (share > LateShare)
 				class.Agrees = &agrees
 			}
 		}
 		if all > 0 && !summary.Bulk {
-			tightness := max(class.WaitMs/shortWaitMs, float64(summary.Rejected)/float64(all)/shortRefusals)
+			tightness := max(class.WaitMs/ShortWaitMs, float64(summary.Rejected)/float64(all)/ShortRefusals)
 			if tightness > worst {
 				name := predicted.Family
 				worst, review.Tightened = tightness, &name
@@ -134,15 +134,7 @@
 
 // predictionOf finds what was predicted of a summary's class.
 func (k *Record) predictionOf(summary *messages.TrafficSummary) *ClassLate {
-	family := summary.Service
-	if summary.Model != "" {
-		family += "/" + summary.Model
-	}
-	for i := range k.Asked.Families {
-		if k.Asked.Families[i].has(summary.Service, summary.Model) {
-			family = k.Asked.Families[i].Name
-		}
-	}
+	family := k.Asked.familyOf(summary.Service, summary.Model)
 	for i := range k.Predicted.Classes {
 		if predicted := &k.Predicted.Classes[i]; predicted.Class == summary.Route && predicted.Family == family {
 			return predicted
@@ -185,9 +177,7 @@
 
 // JSON writes the review.
 func (r *Review) JSON(writer io.Writer) error {
-	encoder := json.NewEncoder(writer)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(r)
+	return WriteJSON(writer, r)
 }
 
 // Table writes the review for people.
--- a/internal/tooling/forecast/scenario.go
+++ b/internal/tooling/forecast/scenario.go
@@ -201,6 +201,20 @@
 	return share(f.Models, other.Models) && share(f.Services, other.Services)
 }
 
+// familyOf names the family of a service and model: one of the scenario's, or one of its own.
+func (q *Scenario) familyOf(service, model string) string {
+	name := service
+	if model != "" {
+		name += "/" + model
+	}
+	for i := range q.Families {
+		if q.Families[i].has(service, model) {
+			name = q.Families[i].Name
+		}
+	}
+	return name
+}
+
 // has tells whether a service and model belong to the family.
 func (f *Family) has(service, model string) bool {
 	return (len(f.Models) == 0 || slices.Contains(f.Models, model)) && (len(f.Services) == 0 || slices.Contains(f.Services, service))
--- a/internal/tooling/forecastcases/compare.go
+++ b/internal/tooling/forecastcases/compare.go
@@ -1,7 +1,6 @@
 package forecastcases
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -16,14 +15,12 @@
 // ErrCase is the error of a case that can't be asked about.
 var ErrCase = errs.Define("case")
 
-// Before the surge a case is observed for observedS seconds; the surge lasts surgeS, and
-// afterS more are played so that what it left is done.
+// Before the surge a case is observed for ObservedS seconds; the surge lasts SurgeS, and
+// AfterS more are played so that what it left is done.
 const (
-	observedS = 30.0
-	surgeS    = 15.0
-	afterS    = 5.0
-	// lateBound is the share from which on a class counts as late, as in docs/forecast.md.
-	lateBound = 0.05
+	ObservedS = 30.0
+	SurgeS    = 15.0
+	AfterS    = 5.0
 )
 
 // Result is a case, what was forecast, and what came.
@@ -52,12 +49,14 @@
 func (r *Result) RightFamily() bool { return r.Named == r.Tightened }
 
 // Right tells whether the class was called late as it came.
-func (c *ClassResult) Right() bool { return (c.Predicted > lateBound) == (c.Observed > lateBound) }
+func (c *ClassResult) Right() bool {
+	return (c.Predicted > forecast.LateShare) == (c.Observed > forecast.LateShare)
+}
 
 // Play forecasts a case, brings its surge about, and compares.
 func Play(c *Case, seed uint64) (*Result, error) {
-	from := clock.Instant(0).Add(clock.Milliseconds(observedS * 1000))
-	until := from.Add(clock.Milliseconds(surgeS * 1000))
+	from := clock.Instant(0).Add(clock.Milliseconds(ObservedS * 1000))
+	until := from.Add(clock.Milliseconds(SurgeS * 1000))
 	var fleets []*fleet
 	for i, plan := range c.families {
 		f := newFleet(plan, seed*100+uint64(i), from, until)
@@ -70,15 +69,11 @@
 	}
 	result := NewResult(c, report)
 	for i, f := range fleets {
-		f.runUntil(until.Add(clock.Milliseconds(afterS * 1000)))
+		f.runUntil(until.Add(clock.Milliseconds(AfterS * 1000)))
 		if at := f.tightenedAtS(); at >= 0 {
 			result.Tighten(c.families[i].name, at)
 		}
-		observedShare := 0.0
-		if f.all > 0 {
-			observedShare = float64(f.late) / float64(f.all)
-		}
-		result.AddClass(c.families[i].name, observedShare, report)
+		result.AddClass(c.families[i].name, f.late, f.all, report)
 	}
 	return result, nil
 }
@@ -102,8 +97,11 @@
 }
 
 // AddClass adds the late share of a class as it came, beside what was predicted.
-func (r *Result) AddClass(name string, observedShare float64, report *forecast.Report) {
-	class := ClassResult{Class: name, Observed: observedShare}
+func (r *Result) AddClass(name string, late, all int, report *forecast.Report) {
+	class := ClassResult{Class: name}
+	if all > 0 {
+		class.Observed = float64(late) / float64(all)
+	}
 	for _, predicted := range report.Classes {
 		if predicted.Class == name && predicted.LateShare != nil {
 			class.Predicted = *predicted.LateShare
@@ -125,9 +123,7 @@
 // ask asks for the forecast with what the fleets have observed.
 func ask(c *Case, fleets []*fleet, seed uint64) (*forecast.Report, error) {
 	config := routeconfig.Config{Generation: 1}
-	known := &forecast.Known{ObservedS: observedS, Answered: 1}
-	scenario := &forecast.Scenario{HorizonS: surgeS + afterS}
-	surge := forecast.Surge{Name: "surge", DurationS: surgeS}
+	known := &forecast.Known{ObservedS: ObservedS, Answered: 1}
 	for i, plan := range c.families {
 		route := routeconfig.Route{Name: plan.name, Host: "h", Prefix: "/" + plan.name + "/", KindName: "idempotent", Backend: plan.name, SetpointMs: plan.class.targetMs, CutoffMs: 10_000}
 		if plan.class.work == 0 {
@@ -139,14 +135,21 @@
 		known.Workers = append(known.Workers, messages.WorkerGroup{Service: plan.name, Zone: "z", Workers: plan.engines, Slots: plan.engines * plan.shape.Capacity})
 		summaries, _ := fleets[i].recorder.Summaries(fleets[i].now)
 		known.Summaries = append(known.Summaries, summaries...)
-		rate := plan.surge
-		surge.Traffic = append(surge.Traffic, forecast.Traffic{Route: plan.name, Rate: &rate})
 	}
 	var err error
 	if known.Config, err = routeconfig.Parse(config.Encode()); err != nil {
 		return nil, ErrCase.Wrap(err, "configuration")
 	}
-	scenario.Surges = []forecast.Surge{surge}
+	return c.Forecast(known, seed)
+}
+
+// Forecast forecasts the surge of the case from what is known of its fleet.
+func (c *Case) Forecast(known *forecast.Known, seed uint64) (*forecast.Report, error) {
+	surge := forecast.Surge{Name: "surge", DurationS: SurgeS}
+	for _, plan := range c.families {
+		surge.Traffic = append(surge.Traffic, forecast.Traffic{Route: plan.name, Rate: &plan.surge})
+	}
+	scenario := &forecast.Scenario{HorizonS: SurgeS + AfterS, Surges: []forecast.Surge{surge}}
 	report, findings := forecast.Forecast(scenario, known, seed)
 	if len(findings) > 0 {
 		return nil, ErrCase.New(findings[0])
@@ -182,9 +185,7 @@
 
 // JSON writes results and their summary.
 func JSON(writer io.Writer, results []*Result) error {
-	encoder := json.NewEncoder(writer)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(struct {
+	return forecast.WriteJSON(writer, struct {
 		Summary Summary   `json:"summary"`
 		Results []*Result `json:"results"`
 	}{Summarize(results), results})
--- a/internal/tooling/forecastcases/fleet.go
+++ b/internal/tooling/forecastcases/fleet.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/tooling/forecast"
 	"lemonarch/internal/tooling/workeremulator"
 	"lemonarch/internal/traffic/trafficstats"
 )
@@ -13,13 +14,9 @@
 // refused, as at a gateway.
 const queueShare = 0.25
 
-// windowMs is the length of the windows in which a family's tightening is looked for, and
-// waitBoundMs and refusalBound what it bears there; they are those that docs/forecast.md states.
-const (
-	windowMs     = 1000.0
-	waitBoundMs  = 50.0
-	refusalBound = 0.02
-)
+// windowMs is the length of the windows in which a family's tightening is looked for, by the
+// forecast's own bounds.
+const windowMs = 1000.0
 
 // fleet plays a family in simulated time, with a gateway's stand-in that gives each request to
 // the engine with the fewest.
@@ -200,7 +197,7 @@
 	from := int(clock.ToMilliseconds(f.surgeFrom.Sub(0)) / windowMs)
 	for i := from; i < len(f.windows); i++ {
 		w := f.windows[i]
-		if w.all > 0 && (w.waitMs/float64(w.all) > waitBoundMs || float64(w.refuse) > refusalBound*float64(w.all)) {
+		if w.all > 0 && (w.waitMs/float64(w.all) > forecast.ShortWaitMs || float64(w.refuse) > forecast.ShortRefusals*float64(w.all)) {
 			return float64(i - from)
 		}
 	}
--- a/internal/tooling/forecastcases/lab.go
+++ b/internal/tooling/forecastcases/lab.go
@@ -5,14 +5,6 @@
 	"lemonarch/internal/tooling/lab"
 )
 
-// ObservedS, SurgeS and AfterS are the times of a case, in seconds: before the surge, of the
-// surge, and after it.
-const (
-	ObservedS = observedS
-	SurgeS    = surgeS
-	AfterS    = afterS
-)
-
 // Load is the traffic of one family of a case.
 type Load struct {
 	Family string
--- a/internal/tooling/forecastlab/play.go
+++ b/internal/tooling/forecastlab/play.go
@@ -6,16 +6,12 @@
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
-	"lemonarch/internal/platform/errs"
 	"lemonarch/internal/platform/transport"
 	"lemonarch/internal/tooling/forecast"
 	"lemonarch/internal/tooling/forecastcases"
 	"lemonarch/internal/tooling/lab"
 )
 
-// ErrCase is the error of a case that can't be played.
-var ErrCase = errs.Define("case on the lab")
-
 // Play plays a case on a fleet of its own: plan says everything but the families.
 func Play(until context.Context, c *forecastcases.Case, plan lab.Plan, seed uint64) (*forecastcases.Result, error) {
 	families, loads := c.Lab()
@@ -58,7 +54,7 @@
 	known, err := p.watch.collector.Collect()
 	var report *forecast.Report
 	if err == nil {
-		report, err = p.ask(known, seed)
+		report, err = c.Forecast(known, seed)
 	}
 	if err != nil {
 		end()
@@ -83,21 +79,6 @@
 	}
 }
 
-// ask asks for the forecast of the surge.
-func (p *play) ask(known *forecast.Known, seed uint64) (*forecast.Report, error) {
-	surge := forecast.Surge{Name: "surge", DurationS: forecastcases.SurgeS}
-	for _, d := range p.drivers {
-		rate := d.load.Surge
-		surge.Traffic = append(surge.Traffic, forecast.Traffic{Route: d.load.Family, Rate: &rate})
-	}
-	scenario := &forecast.Scenario{HorizonS: forecastcases.SurgeS + forecastcases.AfterS, Surges: []forecast.Surge{surge}}
-	report, findings := forecast.Forecast(scenario, known, seed)
-	if len(findings) > 0 {
-		return nil, ErrCase.New(findings[0])
-	}
-	return report, nil
-}
-
 // result compares what was predicted with what came.
 func (p *play) result(c *forecastcases.Case, report *forecast.Report, surgeAt clock.Instant) *forecastcases.Result {
 	result := forecastcases.NewResult(c, report)
@@ -105,11 +86,7 @@
 		if at, short := p.watch.shortAt[d.load.Family]; short {
 			result.Tighten(d.load.Family, at.Sub(surgeAt).Seconds())
 		}
-		observedShare := 0.0
-		if d.all > 0 {
-			observedShare = float64(d.late) / float64(d.all)
-		}
-		result.AddClass(d.load.Family, observedShare, report)
+		result.AddClass(d.load.Family, d.late, d.all, report)
 	}
 	return result
 }
--- a/internal/tooling/forecastlab/watch.go
+++ b/internal/tooling/forecastlab/watch.go
@@ -9,12 +9,6 @@
 	"lemonarch/internal/traffic/trafficstats"
 )
 
-// waitBoundMs and refusalBound are what a family bears in a second (docs/forecast.md).
-const (
-	waitBoundMs  = 50.0
-	refusalBound = 0.02
-)
-
 // observed is what the fleet has observed of a family so far.
 type observed struct {
 	requests, rejected int64
@@ -61,7 +55,7 @@
 		}
 		wait := (current.waitMs - before.waitMs) / float64(requests)
 		refused := float64(current.rejected-before.rejected) / float64(requests)
-		if _, noted := w.shortAt[summary.Service]; !noted && (wait > waitBoundMs || refused > refusalBound) {
+		if _, noted := w.shortAt[summary.Service]; !noted && (wait > forecast.ShortWaitMs || refused > forecast.ShortRefusals) {
 			w.shortAt[summary.Service] = now
 		}
 	}
--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -161,8 +161,9 @@
 		}
 		return e.handleWorkerFailure(grant, response)
 	}
-	grant.FirstEvent(response.Load, clock.Now())
-	e.traffic.firstEvent(response.Load, clock.Now())
+	now := clock.Now()
+	grant.FirstEvent(response.Load, now)
+	e.traffic.firstEvent(response.Load, now)
 	if e.kind() == messages.RouteStreaming {
 		return e.relayStream(grant, response)
 	}
--- a/internal/traffic/trafficstats/merge.go
+++ b/internal/traffic/trafficstats/merge.go
@@ -43,8 +43,8 @@
 	total.OutTokens += s.OutTokens
 	total.Placed += s.Placed
 	total.Events += s.Events
-	addRegression(&total.Prefill, &s.Prefill)
-	addRegression(&total.Decode, &s.Decode)
+	AddRegression(&total.Prefill, &s.Prefill)
+	AddRegression(&total.Decode, &s.Decode)
 	for i, histogram := range histograms(s) {
 		for j, bucket := range histogram.Buckets {
 			if j < len(histogram.Counts) {
@@ -54,7 +54,8 @@
 	}
 }
 
-func addRegression(total, more *messages.Regression) {
+// AddRegression adds sums to a total.
+func AddRegression(total, more *messages.Regression) {
 	total.Count += more.Count
 	total.X += more.X
 	total.Y += more.Y
