--- a/internal/batch/leader/addmember.go
+++ b/internal/batch/leader/addmember.go
@@ -127,6 +127,7 @@
 		changed, known := t.process.Election.ChangeRegister(&messages.RegisterChangeRequest{Holder: t.leadership, Stores: next})
 		if !known {
 			// It may be in force: both sets count until that is known.
+			t.process.Node.Log.Warn("store set change unconfirmed", "epoch", t.leadership.Epoch, "stores", len(next))
 			clock.Sleep(constants.TickPeriod * 2)
 			continue
 		}
--- a/internal/batch/leader/reconcile.go
+++ b/internal/batch/leader/reconcile.go
@@ -32,6 +32,7 @@
 	if process.Election.RegisterAge() > constants.GossipPeriod && !process.Election.ReadRegister() {
 		return
 	}
+	t.checkRegisterSet(members)
 	retired := map[string]bool{}
 	for _, name := range process.Election.Register().Retired {
 		retired[name] = true
@@ -64,6 +65,16 @@
 	t.changeSet(replacements)
 }
 
+// checkRegisterSet writes a line where the register names another store set for this term than
+// the one by which it counts copies.
+func (t *Term) checkRegisterSet(members []messages.Member) {
+	value := t.process.Election.Register()
+	if value.Leadership.Epoch != t.leadership.Epoch || register.SameMembers(value.Stores, members) {
+		return
+	}
+	t.process.Node.Log.Error("store set differs from the register's", "epoch", t.leadership.Epoch, "counted", len(members), "named", len(value.Stores))
+}
+
 // storeEntries gives the stores that are known, by name.
 func (p *Process) storeEntries() map[string]messages.NodeInfo {
 	entries := map[string]messages.NodeInfo{}
--- a/internal/batch/leader/report.go
+++ b/internal/batch/leader/report.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"strconv"
 
 	"lemonarch/internal/batch/dispatch"
@@ -16,6 +17,13 @@
 // Leadership is the leadership of this term.
 func (t *Term) Leadership() messages.Leadership { return t.leadership }
 
+// Members gives the store set by which this term counts copies.
+func (t *Term) Members() []messages.Member {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return slices.Clone(t.records.replicator.Members)
+}
+
 // Serving tells whether the takeover is complete.
 func (t *Term) Serving() bool {
 	t.lock.Lock()
--- a/internal/batch/leader/takeover.go
+++ b/internal/batch/leader/takeover.go
@@ -33,12 +33,14 @@
 		t.Close("records can't be read")
 		return
 	}
+	waiting := t.newWaitLog("takeover waits for copies")
 	for !t.awaitCommit(index, constants.LeaseDuration) {
 		if t.Closed() {
 			return
 		}
 		// Too few may be left for as many copies as usual.
 		t.markLostDisks()
+		waiting.report(t.membersWith(index))
 	}
 	t.beginServing(index - 1)
 }
@@ -46,10 +48,12 @@
 // fenceQuorum has enough stores refuse earlier epochs, and gives what each of them has,
 // this process's own copy among them. It is false where the term ended before.
 func (t *Term) fenceQuorum() (copies map[string]messages.FenceResponse, fenced bool) {
+	waiting := t.newWaitLog("takeover waits for stores")
 	for !t.Closed() {
 		if copies = t.fenceMembers(); t.enoughFenced(copies) {
 			return copies, true
 		}
+		waiting.report(func(identity string) bool { return copies[identity].Granted })
 		clock.Sleep(constants.TickPeriod * 2)
 	}
 	return nil, false
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -100,8 +100,9 @@
 	feeders map[string]*feeder
 	// copied is how far joiners have copied from other members.
 	copied map[string]int64
-	// setChange is held while the set in force is changed. It is taken before Term.lock.
-	setChange sync.Mutex
+	// setChange is taken while the set in force is changed, for as long as stores and the register
+	// take to agree to it. It is taken before Term.lock.
+	setChange turnstile
 }
 
 // items is the dispatching of items.
@@ -125,7 +126,7 @@
 		jobs:        dispatch.NewJobTable(),
 		records:     records{replicator: replication.NewReplicator(elected.Epoch, stores, process.budget(), 1), changed: make(chan struct{})},
 		submissions: submissions{submitting: map[string]int64{}, ending: map[string]bool{}, forgetting: map[string]bool{}, quota: newQuota(), intake: newIntake()},
-		feeds:       feeds{feeders: map[string]*feeder{}, copied: map[string]int64{}},
+		feeds:       feeds{feeders: map[string]*feeder{}, copied: map[string]int64{}, setChange: newTurnstile()},
 		items:       items{available: make(chan struct{})},
 		health:      health{appendLatency: newAppendLatency()},
 	}
--- a/internal/batch/store/fleet_test.go
+++ b/internal/batch/store/fleet_test.go
@@ -12,7 +12,6 @@
 	"lemonarch/internal/control/agent"
 	"lemonarch/internal/control/lease"
 	"lemonarch/internal/control/membership"
-	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/messages"
@@ -21,50 +20,6 @@
 	"lemonarch/internal/tooling/simulation"
 )
 
-// fakeRegister stands for the controllers: one acceptor, whose agreement with others is
-// tested elsewhere.
-type fakeRegister struct {
-	lock   sync.Mutex
-	value  messages.RegisterValue
-	grants *lease.Grantor
-}
-
-const fakeRegisterAddress = "10.0.0.99:7000"
-
-func (r *fakeRegister) change(change register.Change) {
-	if next, verdict := change(r.value); verdict == register.VerdictWrite {
-		r.value = next
-	}
-}
-
-func (r *fakeRegister) answer(kind messages.Kind, body []byte) ([]byte, error) {
-	r.lock.Lock()
-	defer r.lock.Unlock()
-	switch kind {
-	case messages.KindRegisterRead:
-		return transport.Encode(&messages.RegisterResponse{Applied: true, Known: true, Value: r.value})
-	case messages.KindLease:
-		req := &messages.LeaseRequest{}
-		if err := transport.Decode(body, req); err != nil {
-			return nil, err
-		}
-		resp := r.grants.Grant(*req, r.value.Leadership, clock.Now())
-		return transport.Encode(&resp)
-	case messages.KindRegisterChange:
-		req, done := &messages.RegisterChangeRequest{}, false
-		if err := transport.Decode(body, req); err != nil {
-			return nil, err
-		}
-		change := register.SetStores(req.Holder, req.Stores, &done)
-		if req.Campaign {
-			change = register.Campaign(req.Holder, req.ExpectEpoch, req.Stores, &done)
-		}
-		r.change(change)
-		return transport.Encode(&messages.RegisterResponse{Applied: done, Known: true, Value: r.value})
-	}
-	return nil, nil
-}
-
 // storeFleet is real stores on fake disks: the first set is drawn from them, three of five for
 // a budget of one, and they take the leadership from each other.
 type storeFleet struct {
--- /dev/null
+++ b/internal/batch/store/poweredparts_test.go
@@ -0,0 +1,115 @@
+package store
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/recordlog"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// power is whether a process still runs: without it, it reaches neither disk nor network, and
+// what it had under way has no effect any more.
+type power struct{ lost atomic.Bool }
+
+// poweredDisk is a machine's disk as one process on it sees it.
+type poweredDisk struct {
+	*simulation.Disk
+	power *power
+}
+
+func (d poweredDisk) Open(name string) (recordlog.File, error) {
+	if d.power.lost.Load() {
+		return nil, simulation.ErrDown
+	}
+	file, err := d.Disk.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	return poweredFile{file, d.power}, nil
+}
+
+// poweredFile is an open file of a poweredDisk.
+type poweredFile struct {
+	recordlog.File
+	power *power
+}
+
+func (f poweredFile) Write(text []byte) (int, error) {
+	if f.power.lost.Load() {
+		return 0, simulation.ErrDown
+	}
+	return f.File.Write(text)
+}
+
+func (f poweredFile) Sync() error {
+	if f.power.lost.Load() {
+		return simulation.ErrDown
+	}
+	return f.File.Sync()
+}
+
+func (f poweredFile) Truncate(size int64) error {
+	if f.power.lost.Load() {
+		return simulation.ErrDown
+	}
+	return f.File.Truncate(size)
+}
+
+// linkDelay is the time that a message takes on an empty link.
+const linkDelay = clock.Duration(500_000)
+
+// link is a machine's way into the network: bytes go through it one after the other.
+type link struct {
+	lock           sync.Mutex
+	freeAt         clock.Instant
+	bytesPerSecond float64
+}
+
+// carry waits until so many bytes are through.
+func (l *link) carry(bytes int) {
+	l.lock.Lock()
+	now := clock.Now()
+	l.freeAt = max(l.freeAt, now).Add(clock.Milliseconds(float64(bytes) / l.bytesPerSecond * 1000))
+	left := l.freeAt.Sub(now)
+	l.lock.Unlock()
+	clock.Sleep(left + linkDelay)
+}
+
+// poweredTransport is the transport of one process of a recoveryFleet: bytes take time on its
+// machine's link, machines without power are silent, and so is a process after it.
+type poweredTransport struct {
+	*transport.Memory
+	fleet *recoveryFleet
+	power *power
+	own   string
+}
+
+func (t poweredTransport) Serve(handler transport.Handler) error {
+	return t.Memory.Serve(func(kind messages.Kind, body []byte) ([]byte, error) {
+		resp, err := handler(kind, body)
+		if t.power.lost.Load() {
+			return nil, simulation.ErrDown
+		}
+		t.fleet.links[t.own].carry(len(resp))
+		return resp, err
+	})
+}
+
+func (t poweredTransport) Call(address string, kind messages.Kind, body []byte, timeout clock.Duration) ([]byte, error) {
+	sentAt := clock.Now()
+	t.fleet.links[t.own].carry(len(body))
+	left := timeout - clock.Now().Sub(sentAt)
+	if left <= 0 || t.power.lost.Load() || t.fleet.isDark(address) {
+		clock.Sleep(max(left, 0))
+		return nil, transport.ErrTimeout.New(address)
+	}
+	resp, err := t.Memory.Call(address, kind, body, left)
+	if t.power.lost.Load() {
+		return nil, transport.ErrTimeout.New(address)
+	}
+	return resp, err
+}
--- /dev/null
+++ b/internal/batch/store/recovery_test.go
@@ -0,0 +1,176 @@
+package store
+
+import (
+	"fmt"
+	"math/rand"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+
+	"lemonarch/internal/control/register"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
+)
+
+// sleepMs waits a number of ms of simulated time.
+func sleepMs(count float64) { clock.Sleep(clock.Milliseconds(count)) }
+
+// call makes a call at whoever leads, and gives the status; zero where nobody answered.
+func (f *recoveryFleet) call(client *transport.Memory, call *messages.JobCallRequest) int {
+	status := 0
+	for _, server := range f.all() {
+		if server.current() == nil {
+			continue
+		}
+		resp := &messages.JobCallResponse{}
+		if transport.Call(client, server.Node.Self.Address, messages.KindJobCall, call, resp, clock.Milliseconds(1500)) != nil || resp.NotLeader {
+			continue
+		}
+		if status = resp.Status; status < http.StatusInternalServerError {
+			return status
+		}
+	}
+	return status
+}
+
+// submitJobs submits jobs until the fleet ends, and notes those that were accepted.
+func (f *recoveryFleet) submitJobs(name string, seed int64) {
+	random, client := rand.New(rand.NewSource(seed)), f.network.Transport("client-"+name)
+	for number := 0; ; number++ {
+		select {
+		case <-f.stop:
+			return
+		case <-clock.After(clock.Milliseconds(random.Float64() * 300)):
+		}
+		job := fmt.Sprint("job-", name, "-", number)
+		if f.call(client, jobCallOf(job, 1+random.Intn(60))) == http.StatusAccepted {
+			f.lock.Lock()
+			f.accepted = append(f.accepted, job)
+			f.lock.Unlock()
+		}
+	}
+}
+
+// acceptedJobs gives the jobs that were accepted so far.
+func (f *recoveryFleet) acceptedJobs() []string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return slices.Clone(f.accepted)
+}
+
+// checkReadable reads jobs until each was answered, for as long as the operators try.
+func (f *recoveryFleet) checkReadable(jobs []string) {
+	client, end := f.network.Transport("reader"), clock.Now().Add(clock.Milliseconds(20_000))
+	for _, job := range jobs {
+		for {
+			status := f.call(client, &messages.JobCallRequest{Method: http.MethodGet, Job: job})
+			if status == http.StatusOK {
+				break
+			}
+			if status == http.StatusNotFound || clock.Now() > end {
+				f.t.Errorf("%s was accepted and can't be read (last status %d); the register names %d stores", job, status, len(f.storeSet()))
+				return
+			}
+			sleepMs(100)
+		}
+	}
+}
+
+// delayChanges has some changes of the set be on their way to the register for longer than
+// their senders wait, up to 12 s: those of which late says so by their number.
+func (f *recoveryFleet) delayChanges(seed int64, late func(number int, random *rand.Rand) bool) {
+	const patience, longest = 2500, 12_000
+	random, number := rand.New(rand.NewSource(seed)), 0
+	f.register.delay = func(req *messages.RegisterChangeRequest) clock.Duration {
+		if req.Campaign {
+			return 0
+		}
+		f.lock.Lock()
+		number++
+		delayed, part := late(number, random), random.Float64()
+		f.lock.Unlock()
+		if !delayed {
+			return 0
+		}
+		delay := clock.Milliseconds(patience + part*(longest-patience))
+		f.note("a change of the set is on its way for %v: %d stores", delay, len(req.Stores))
+		return delay
+	}
+}
+
+// checkSetOfLeader compares the set by which the leader counts with the one that the register
+// names for the next leader.
+func (f *recoveryFleet) checkSetOfLeader() {
+	leading := f.leading()
+	if leading == nil {
+		f.t.Error("nobody leads")
+		return
+	}
+	counted, named := leading.current().Members(), f.storeSet()
+	same := len(counted) == len(named)
+	for _, member := range counted {
+		same = same && slices.ContainsFunc(named, func(other messages.Member) bool { return register.Identity(other) == register.Identity(member) })
+	}
+	if !same {
+		f.t.Errorf("the leader counts copies on %v, the register names %v", counted, named)
+	}
+}
+
+// A change of the store set that is late, since the controller that it was sent to was cut off,
+// must not put an older set in force after a newer one: the next leader would ask stores that
+// lack what was acknowledged, or none that answers.
+func TestLateChangeOfTheSetIsNotPutBackInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRecoveryFleet(t, 1, 7, 2)
+		defer f.end()
+		f.delayChanges(1, func(number int, _ *rand.Rand) bool { return number == 1 })
+		go f.submitJobs("a", 1)
+		sleepMs(5000)
+		lost := f.memberBesidesLeader()
+		f.powerOff(lost, true)
+		sleepMs(1000)
+		f.start(lost)
+		sleepMs(20_000)
+		f.checkSetOfLeader()
+		jobs := f.acceptedJobs()
+		f.loseDisks(f.leadingNumber(), lost)
+		f.checkReadable(jobs)
+	})
+}
+
+// Disks are lost two at a time, each time once the ones before have had their time to be
+// copied to, at times while all others lose power.
+// Whatever was accepted can be read soon after.
+func TestAcceptedJobsOutlastLossesOfDisks(t *testing.T) {
+	for seed := int64(1); seed <= int64(simulation.Seeds(3)); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLossesOfDisks(t, seed) })
+		})
+	}
+}
+
+func playLossesOfDisks(t *testing.T, seed int64) {
+	t.Helper()
+	f := newRecoveryFleet(t, seed, 9, 2)
+	defer f.end()
+	for client := int64(0); client < 4; client++ {
+		go f.submitJobs(fmt.Sprint(client), seed*7+client)
+	}
+	sleepMs(6000 + f.random.Float64()*4000)
+	for round := 0; round < 2 && !t.Failed(); round++ {
+		f.loseDisksOneAfterTheOther(f.pairOfStores())
+		// sync-s has passed since they came back.
+		sleepMs(12_000 + f.random.Float64()*3000)
+		jobs, pair := f.acceptedJobs(), f.pairOfStores()
+		if f.random.Intn(2) == 0 {
+			f.loseDisks(pair[0], pair[1])
+		} else {
+			f.loseDisksOneAfterTheOther(pair)
+		}
+		f.checkReadable(jobs)
+		sleepMs(13_000)
+	}
+}
--- /dev/null
+++ b/internal/batch/store/recoveryfleet_test.go
@@ -0,0 +1,206 @@
+package store
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lemonarch/internal/batch/replicalog"
+	"lemonarch/internal/control/agent"
+	"lemonarch/internal/control/lease"
+	"lemonarch/internal/control/membership"
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/messages"
+	"lemonarch/internal/platform/settings"
+	"lemonarch/internal/platform/transport"
+	"lemonarch/internal/tooling/simulation"
+)
+
+const roomyConfig = `{"generation":1,"channels":[{"name":"b","host":"h","path-prefix":"/b/","route-kind":"bulk","backend":"s","tries":2,"retain-s":600,"result-setpoint-ms":9000,"backlog-cap":0}],"backends":[{"name":"s"}],"limits":{}}`
+
+// recoveryFleet is real store processes in simulated time: machines lose their power and their
+// disks and come back, links carry so many bytes a second, and changes of the store set may
+// reach the register late. It is played in a bubble of testing/synctest, so nothing in it may
+// hold a lock while it waits.
+type recoveryFleet struct {
+	t        *testing.T
+	random   *rand.Rand
+	budget   int
+	network  *transport.MemoryNetwork
+	register *fakeRegister
+	// links are by address, disks by name. Neither map changes once the fleet has started.
+	links map[string]*link
+	disks map[string]*simulation.Disk
+	stop  chan struct{}
+
+	lock     sync.Mutex
+	dark     map[string]bool
+	running  map[string]*poweredServer
+	accepted []string
+	lines    []string
+	starts   int
+}
+
+// poweredServer is one incarnation of a store process.
+type poweredServer struct {
+	*Server
+	power *power
+}
+
+func newRecoveryFleet(t *testing.T, seed int64, stores, budget int) *recoveryFleet {
+	t.Helper()
+	// A bubble begins in the year 2000, long before the steady clock of this process.
+	clock.Sleep(clock.Milliseconds(1000) - clock.Now().Sub(0))
+	f := &recoveryFleet{t: t, random: rand.New(rand.NewSource(seed)), budget: budget, network: transport.NewMemoryNetwork(),
+		links: map[string]*link{}, disks: map[string]*simulation.Disk{}, stop: make(chan struct{}),
+		dark: map[string]bool{}, running: map[string]*poweredServer{}}
+	f.register = &fakeRegister{grants: lease.NewGrantor(clock.Now(), true),
+		value: messages.RegisterValue{Acceptors: []messages.Member{{Address: fakeRegisterAddress, Disk: "r"}}}}
+	_ = f.network.Transport(fakeRegisterAddress).Serve(f.register.answer)
+	const linkBytes = 7.5e6
+	for number := 1; number <= stores; number++ {
+		f.links[storeAddress(number)] = &link{bytesPerSecond: linkBytes * (0.3 + f.random.Float64())}
+		f.disks[storeName(number)] = simulation.NewDisk(seed*100 + int64(number))
+	}
+	for number := 1; number <= stores; number++ {
+		f.start(number)
+	}
+	f.meet()
+	go clock.Every(constants.TickPeriod*4, f.stop, f.meet)
+	return f
+}
+
+func storeName(number int) string    { return fmt.Sprint("s", number) }
+func storeAddress(number int) string { return fmt.Sprint("10.0.0.", number, ":7002") }
+
+// note writes a line into the fleet's one log.
+func (f *recoveryFleet) note(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(f, format, arguments...)
+}
+
+// Write takes a log line of a process.
+func (f *recoveryFleet) Write(line []byte) (int, error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.lines = append(f.lines, fmt.Sprintf("%8.3f %s", float64(clock.Now())/1e9, strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
+func (f *recoveryFleet) isDark(address string) bool {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.dark[address]
+}
+
+// start opens a process on the disk of its machine.
+func (f *recoveryFleet) start(number int) {
+	name, current := storeName(number), &power{}
+	f.lock.Lock()
+	f.starts++
+	identity := fmt.Sprint(name, "-", f.starts)
+	f.lock.Unlock()
+	store, err := replicalog.Open(poweredDisk{f.disks[name], current}, identity)
+	if err != nil {
+		f.t.Error(name, err)
+		return
+	}
+	nodeSettings := &settings.Settings{NodeName: name, Address: fmt.Sprint("10.0.0.", number), Zone: fmt.Sprint("h", number%4), InternalPorts: []int{7000, 7010},
+		Seeds: []string{"10.0.0.99:80"}, HeartbeatMs: 1200, FaultBudget: settings.FaultBudget{Machines: f.budget}, Tolerances: settings.Tolerances{StatusS: 120, CancelMs: 3000}}
+	log := hclog.New(&hclog.LoggerOptions{Output: f, DisableTime: true, Name: name, Level: hclog.Info})
+	runtime := agent.New(nodeSettings, membership.RoleStore, constants.PortStore, store.Disk(), log)
+	runtime.Transport = poweredTransport{f.network.Transport(runtime.Self.Address), f, current, runtime.Self.Address}
+	server := wire(runtime, store)
+	server.registerHandlers()
+	server.registerReports()
+	runtime.ApplyConfig([]byte(roomyConfig))
+	if err = runtime.Transport.Serve(runtime.Dispatch); err != nil {
+		f.t.Error(name, err)
+		return
+	}
+	f.lock.Lock()
+	delete(f.dark, runtime.Self.Address)
+	f.running[name] = &poweredServer{server, current}
+	f.lock.Unlock()
+	go server.election.Run()
+}
+
+// powerOff ends the process of a machine in the middle of whatever it does.
+func (f *recoveryFleet) powerOff(number int, diskLost bool) {
+	name := storeName(number)
+	f.lock.Lock()
+	server := f.running[name]
+	delete(f.running, name)
+	f.dark[storeAddress(number)] = true
+	f.lock.Unlock()
+	if server != nil {
+		server.power.lost.Store(true)
+		if current := server.current(); current != nil {
+			current.Close("power is lost")
+		}
+		server.Node.Shutdown()
+		server.Node.Transport.Close()
+	}
+	f.disks[name].PowerLoss()
+	if diskLost {
+		f.disks[name].Wipe()
+	}
+}
+
+func (f *recoveryFleet) all() []*poweredServer {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	var all []*poweredServer
+	for _, name := range simulation.Keys(f.running) {
+		all = append(all, f.running[name])
+	}
+	return all
+}
+
+// meet keeps the processes known to each other, as reports do.
+func (f *recoveryFleet) meet() {
+	all := f.all()
+	for _, server := range all {
+		for _, other := range all {
+			if server != other {
+				server.Node.Observe([]messages.NodeInfo{other.Node.Self})
+			}
+		}
+	}
+}
+
+// storeSet gives the set that the register names.
+func (f *recoveryFleet) storeSet() []messages.Member {
+	f.register.lock.Lock()
+	defer f.register.lock.Unlock()
+	return slices.Clone(f.register.value.Stores)
+}
+
+// leading gives the process that serves as the leader, or nil.
+func (f *recoveryFleet) leading() *poweredServer {
+	for _, server := range f.all() {
+		if current := server.current(); current != nil && server.election.HoldsLease() && current.Serving() {
+			return server
+		}
+	}
+	return nil
+}
+
+// end takes the power from all, and waits until nothing is under way.
+func (f *recoveryFleet) end() {
+	close(f.stop)
+	for number := 1; number <= len(f.disks); number++ {
+		f.powerOff(number, false)
+	}
+	clock.Sleep(2 * constants.SetChangeTimeout)
+	if f.t.Failed() {
+		f.lock.Lock()
+		defer f.lock.Unlock()
+		f.t.Log("\n" + strings.Join(f.lines, "\n"))
+	}
+}
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -108,7 +108,7 @@
 			return current, VerdictUnchanged
 		}
 		*done = true
-		if sameMembers(current.Stores, stores) {
+		if SameMembers(current.Stores, stores) {
 			return current, VerdictUnchanged
 		}
 		next := current
@@ -128,7 +128,8 @@
 	})
 }
 
-func sameMembers(left, right []messages.Member) bool {
+// SameMembers tells whether two sets name the same disks in the same order.
+func SameMembers(left, right []messages.Member) bool {
 	if len(left) != len(right) {
 		return false
 	}
