--- a/internal/batch/leader/copy.go
+++ b/internal/batch/leader/copy.go
@@ -92,7 +92,9 @@
 		if member.Address == own || member.Address == joiner.Address {
 			return 0
 		}
-		return min(t.records.replicator.MatchIndex(register.Identity(member)), t.records.replicator.CommitIndex())
+		replicator := t.records.replicator
+		// While nothing of this epoch is committed yet, what it began with is worth copying.
+		return min(replicator.MatchIndex(register.Identity(member)), max(replicator.CommitIndex(), replicator.Inherited()))
 	}
 	for _, member := range t.records.replicator.Members {
 		best = max(best, has(member))
--- a/internal/batch/leader/takeover.go
+++ b/internal/batch/leader/takeover.go
@@ -38,8 +38,9 @@
 		if t.Closed() {
 			return
 		}
-		// Too few may be left for as many copies as usual.
+		// Too few may be left for as many copies as usual: the set has to change first.
 		t.markLostDisks()
+		t.maintainSet()
 		waiting.report(t.membersWith(index))
 	}
 	t.beginServing(index - 1)
@@ -191,8 +192,7 @@
 	t.lock.Unlock()
 	t.process.Node.Log.Info("leadership serving", "epoch", t.leadership.Epoch, "records", last, "jobs", jobs)
 	go clock.Every(constants.LeaseRenewPeriod, t.life.stop, t.announce)
-	go clock.Every(constants.GossipPeriod/2, t.life.stop, t.reconcileSet)
-	go clock.Every(constants.GossipPeriod/4, t.life.stop, t.removeLostDisks)
+	t.maintainSet()
 	go clock.Every(constants.GossipPeriod, t.life.stop, t.forget)
 	go t.expireItems()
 	go t.watchOwnLag()
@@ -200,6 +200,16 @@
 	t.announce()
 }
 
+// maintainSet begins, once in a term, the loops that keep the store set complete. They begin
+// before the term serves where the set as it is lets nothing be committed.
+func (t *Term) maintainSet() {
+	t.feeds.maintained.Do(func() {
+		go clock.Every(constants.GossipPeriod/2, t.life.stop, t.reconcileSet)
+		go clock.Every(constants.GossipPeriod/4, t.life.stop, t.removeLostDisks)
+		go clock.Every(constants.GossipPeriod, t.life.stop, t.removeDeparted)
+	})
+}
+
 // Resign gives the lease back and notifies the other stores, so that one of them campaigns
 // at once.
 func (t *Term) Resign() {
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -103,6 +103,10 @@
 	// setChange is taken while the set in force is changed, for as long as stores and the register
 	// take to agree to it. It is taken before Term.lock.
 	setChange turnstile
+	// maintained is done once the loops that keep the set complete have begun.
+	maintained sync.Once
+	// changes numbers the changes of the set under this epoch. It is guarded by Term.lock.
+	changes uint64
 }
 
 // items is the dispatching of items.
--- a/internal/batch/leadership/campaign.go
+++ b/internal/batch/leadership/campaign.go
@@ -4,7 +4,6 @@
 	"math/rand"
 	"strings"
 
-	"lemonarch/internal/control/membership"
 	"lemonarch/internal/control/register"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -58,30 +57,6 @@
 	return false
 }
 
-// firstStores proposes the set of the first start: one store in each zone as far as that
-// goes, as many as tolerate the fault budget. It is empty while others may still come.
-func (c *Campaign) firstStores() []messages.Member {
-	size := 2*c.node.Settings.Budget() + 1
-	known := []messages.Member{c.Member()}
-	for _, entry := range c.node.Live(membership.RoleStore) {
-		known = append(known, messages.Member{Name: entry.Name, Disk: entry.Disk, Address: entry.Address, Zone: entry.Zone})
-	}
-	if len(known) < size && clock.Now().Sub(c.node.StartedAt) < constants.BootstrapWait {
-		return nil
-	}
-	var chosen []messages.Member
-	taken, zones := map[string]bool{}, map[string]bool{}
-	for _, newZonesOnly := range []bool{true, false} {
-		for _, member := range known {
-			if len(chosen) < size && !taken[member.Name] && (!newZonesOnly || !zones[member.Zone]) {
-				taken[member.Name], zones[member.Zone] = true, true
-				chosen = append(chosen, member)
-			}
-		}
-	}
-	return chosen
-}
-
 // campaign asks for the lease, and takes the leadership in the register once a majority
 // grants it. It gives the time until the next step.
 func (c *Campaign) campaign() clock.Duration {
--- a/internal/batch/replication/replicator.go
+++ b/internal/batch/replication/replicator.go
@@ -74,6 +74,12 @@
 	return true
 }
 
+// InNextSet tells whether enough members of the set to come have synced all up to an index.
+func (p *Replicator) InNextSet(index int64) bool { return p.replicatedIn(p.Next) >= index }
+
+// Inherited is the index of the last record of earlier epochs, with which this one began.
+func (p *Replicator) Inherited() int64 { return p.first - 1 }
+
 // CommitIndex is the index up to which all is durable.
 func (p *Replicator) CommitIndex() int64 { return p.commitIndex }
 
--- a/internal/batch/store/fakeregister_test.go
+++ b/internal/batch/store/fakeregister_test.go
@@ -54,7 +54,7 @@
 		if err := transport.Decode(body, req); err != nil {
 			return nil, err
 		}
-		change := register.SetStores(req.Holder, req.Stores, &done)
+		change := register.SetStores(req.Holder, req.Sequence, req.Stores, &done)
 		if req.Campaign {
 			change = register.Campaign(req.Holder, req.ExpectEpoch, req.Stores, &done)
 		}
--- a/internal/batch/store/recovery_test.go
+++ b/internal/batch/store/recovery_test.go
@@ -142,7 +142,7 @@
 }
 
 // Disks are lost two at a time, each time once the ones before have had their time to be
-// copied to, at times while all others lose power.
+// copied to, at times while all others lose power; changes of the set are late now and then.
 // Whatever was accepted can be read soon after.
 func TestAcceptedJobsOutlastLossesOfDisks(t *testing.T) {
 	for seed := int64(1); seed <= int64(simulation.Seeds(3)); seed++ {
@@ -156,6 +156,7 @@
 	t.Helper()
 	f := newRecoveryFleet(t, seed, 9, 2)
 	defer f.end()
+	f.delayChanges(seed, func(_ int, random *rand.Rand) bool { return random.Intn(3) == 0 })
 	for client := int64(0); client < 4; client++ {
 		go f.submitJobs(fmt.Sprint(client), seed*7+client)
 	}
--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -34,6 +34,9 @@
 
 	// onConfig are notified of each newer configuration. Set before Start.
 	onConfig []func(*routeconfig.Config)
+	// notifying is held while they are; it guards notifiedGeneration, and is taken before lock.
+	notifying          sync.Mutex
+	notifiedGeneration int64
 }
 
 // New makes the agent of a process of a role on a runtime of its own; see process.New.
--- a/internal/control/agent/config.go
+++ b/internal/control/agent/config.go
@@ -50,6 +50,19 @@
 	a.view.SetGeneration(config.Generation)
 	a.lock.Unlock()
 	a.Log.Info("configuration applied", "generation", config.Generation, "routes", len(config.Routes))
+	a.notifyConfig()
+}
+
+// notifyConfig notifies the parts of this process of the newest configuration. Two that are
+// applied at one time reach every part in their order: none is left with the older one.
+func (a *Agent) notifyConfig() {
+	a.notifying.Lock()
+	defer a.notifying.Unlock()
+	config := a.Config()
+	if config.Generation <= a.notifiedGeneration {
+		return
+	}
+	a.notifiedGeneration = config.Generation
 	for _, function := range a.onConfig {
 		function(config)
 	}
--- a/internal/control/configserver/handlers.go
+++ b/internal/control/configserver/handlers.go
@@ -39,7 +39,7 @@
 // handleRegisterChange changes the leadership or the store set on behalf of a store.
 func (s *Server) handleRegisterChange(req *messages.RegisterChangeRequest) (*messages.RegisterResponse, error) {
 	applied := false
-	change := register.SetStores(req.Holder, req.Stores, &applied)
+	change := register.SetStores(req.Holder, req.Sequence, req.Stores, &applied)
 	if req.Campaign {
 		change = register.Campaign(req.Holder, req.ExpectEpoch, req.Stores, &applied)
 	}
--- a/internal/control/register/replace.go
+++ b/internal/control/register/replace.go
@@ -87,6 +87,7 @@
 		next := current
 		next.Leadership = leader
 		next.Leadership.Epoch = expected + 1
+		next.StoresSequence = 0
 		if len(next.Stores) == 0 {
 			next.Stores = first
 		}
@@ -95,24 +96,32 @@
 	}
 }
 
-// SetStores gives the change of the store set. Only the leader of the epoch may
-// make it.
-func SetStores(leader messages.Leadership, stores []messages.Member, done *bool) Change {
+// SetStores gives the change of the store set. Only the leader of the epoch may make it. The
+// leader numbers its changes, and one that was overtaken by a later one, on its way or in a
+// controller that stood still, has no effect: a set that was replaced never comes back in force.
+// done tells whether the set is the one that this change asks for.
+func SetStores(leader messages.Leadership, sequence uint64, stores []messages.Member, done *bool) Change {
 	return func(current messages.RegisterValue) (messages.RegisterValue, Verdict) {
 		*done = false
 		if current.Leadership.Epoch != leader.Epoch || current.Leadership.Holder != leader.Holder || current.Leadership.Incarnation != leader.Incarnation {
 			return current, VerdictUnchanged
 		}
+		if sequence == current.StoresSequence && SameMembers(current.Stores, stores) {
+			// The response to an earlier attempt was lost.
+			*done = true
+			return current, VerdictUnchanged
+		}
+		// A sender that does not number its changes is bound by its epoch alone.
+		if unnumbered := sequence == 0 && current.StoresSequence == 0; sequence <= current.StoresSequence && !unnumbered {
+			return current, VerdictUnchanged
+		}
 		if addsRetired(&current, stores) {
 			// Retired while it was brought in: nothing may be kept there alone.
 			return current, VerdictUnchanged
 		}
 		*done = true
-		if SameMembers(current.Stores, stores) {
-			return current, VerdictUnchanged
-		}
 		next := current
-		next.Stores = stores
+		next.Stores, next.StoresSequence = stores, sequence
 		return next, VerdictWrite
 	}
 }
--- a/internal/control/register/stores_test.go
+++ b/internal/control/register/stores_test.go
@@ -25,14 +25,14 @@
 				value = next
 			}
 		}
-		for range rapid.IntRange(1, 30).Draw(rt, "orders") {
+		for order := range rapid.IntRange(1, 30).Draw(rt, "orders") {
 			if rapid.Bool().Draw(rt, "set") {
 				var stores []messages.Member
 				for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 6, rapid.ID[string]).Draw(rt, "stores") {
 					stores = append(stores, messages.Member{Name: name})
 				}
 				before, done := value, false
-				take(register.SetStores(lease, stores, &done))
+				take(register.SetStores(lease, uint64(order+1), stores, &done))
 				for _, store := range value.Stores {
 					old := slices.ContainsFunc(before.Stores, func(member messages.Member) bool { return member.Name == store.Name })
 					if !old && slices.Contains(before.Retired, store.Name) {
--- a/internal/platform/constants/replicas.go
+++ b/internal/platform/constants/replicas.go
@@ -13,6 +13,10 @@
 	// RewriteLag is for how long records have been durable before a rewrite drops any of
 	// them (ours): a member that is further behind has to be copied anew.
 	RewriteLag = 20 * time.Second
+	// SetAgreementTimeout is how long a change of the store set may wait for the set to come to
+	// hold everything (ours): as long as a member may be silent before it counts as such. It is
+	// then given up, since a member that is silent for longer may need another change.
+	SetAgreementTimeout = SuspectAfter
 	// JoinerWait is how much longer than the first joiner of a change the others
 	// may take, beside as long again (ours).
 	JoinerWait = time.Second
--- a/internal/platform/messages/members.go
+++ b/internal/platform/messages/members.go
@@ -53,6 +53,9 @@
 	Stores     []Member   `msg:"s"`
 	Retired    []string   `msg:"r"`
 	Leadership Leadership `msg:"d"`
+	// StoresSequence numbers the newest change of Stores in the present epoch; zero before the
+	// first. Each epoch counts anew.
+	StoresSequence uint64 `msg:"z,omitempty"`
 	// Archive names what was taken before the history begins.
 	Archive ArchiveHead `msg:"x"`
 }
@@ -116,6 +119,9 @@
 	Holder      Leadership `msg:"h"`
 	ExpectEpoch uint64     `msg:"x"`
 	Stores      []Member   `msg:"s"`
+	// Sequence numbers the leader's changes of the store set, from 1 in each epoch: one that
+	// arrives after a later one has no effect. Zero is that of a sender that does not number them.
+	Sequence uint64 `msg:"q,omitempty"`
 }
 
 // RegisterResponse answers with the register as it then stood, without the body.
--- a/internal/platform/messages/members_gen.go
+++ b/internal/platform/messages/members_gen.go
@@ -1928,29 +1928,47 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegisterChangeRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "t"
-	o = append(o, 0x84, 0xa1, 0x74)
-	o = msgp.AppendBool(o, z.Campaign)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o, err = z.Holder.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Holder")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Sequence == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendUint64(o, z.ExpectEpoch)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
-	for za0001 := range z.Stores {
-		o, err = z.Stores[za0001].MarshalMsg(o)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendBool(o, z.Campaign)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o, err = z.Holder.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Stores", za0001)
+			err = msgp.WrapError(err, "Holder")
 			return
 		}
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendUint64(o, z.ExpectEpoch)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
+		for za0001 := range z.Stores {
+			o, err = z.Stores[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stores", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendUint64(o, z.Sequence)
+		}
 	}
 	return
 }
@@ -2010,6 +2028,12 @@
 					return
 				}
 			}
+		case "q":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2028,6 +2052,7 @@
 	for za0001 := range z.Stores {
 		s += z.Stores[za0001].Msgsize()
 	}
+	s += 2 + msgp.Uint64Size
 	return
 }
 
@@ -2108,90 +2133,108 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegisterValue) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "c"
-	o = append(o, 0x8a, 0xa1, 0x63)
-	// map header, size 3
-	// string "g"
-	o = append(o, 0x83, 0xa1, 0x67)
-	o = msgp.AppendInt64(o, z.Current.Generation)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt64(o, z.Current.Base)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Current.Hash)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
-	for za0001 := range z.History {
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.StoresSequence == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "c"
+		o = append(o, 0xa1, 0x63)
 		// map header, size 3
 		// string "g"
 		o = append(o, 0x83, 0xa1, 0x67)
-		o = msgp.AppendInt64(o, z.History[za0001].Generation)
+		o = msgp.AppendInt64(o, z.Current.Generation)
 		// string "b"
 		o = append(o, 0xa1, 0x62)
-		o = msgp.AppendInt64(o, z.History[za0001].Base)
+		o = msgp.AppendInt64(o, z.Current.Base)
 		// string "h"
 		o = append(o, 0xa1, 0x68)
-		o = msgp.AppendString(o, z.History[za0001].Hash)
-	}
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Acceptors)))
-	for za0002 := range z.Acceptors {
-		o, err = z.Acceptors[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Acceptors", za0002)
-			return
+		o = msgp.AppendString(o, z.Current.Hash)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
+		for za0001 := range z.History {
+			// map header, size 3
+			// string "g"
+			o = append(o, 0x83, 0xa1, 0x67)
+			o = msgp.AppendInt64(o, z.History[za0001].Generation)
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendInt64(o, z.History[za0001].Base)
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendString(o, z.History[za0001].Hash)
 		}
-	}
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Previous)))
-	for za0003 := range z.Previous {
-		o, err = z.Previous[za0003].MarshalMsg(o)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Acceptors)))
+		for za0002 := range z.Acceptors {
+			o, err = z.Acceptors[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Acceptors", za0002)
+				return
+			}
+		}
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Previous)))
+		for za0003 := range z.Previous {
+			o, err = z.Previous[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Previous", za0003)
+				return
+			}
+		}
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendUint64(o, z.SetEpoch)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
+		for za0004 := range z.Stores {
+			o, err = z.Stores[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stores", za0004)
+				return
+			}
+		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
+		for za0005 := range z.Retired {
+			o = msgp.AppendString(o, z.Retired[za0005])
+		}
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o, err = z.Leadership.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Previous", za0003)
+			err = msgp.WrapError(err, "Leadership")
 			return
 		}
-	}
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendUint64(o, z.SetEpoch)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stores)))
-	for za0004 := range z.Stores {
-		o, err = z.Stores[za0004].MarshalMsg(o)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendUint64(o, z.StoresSequence)
+		}
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o, err = z.Archive.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Stores", za0004)
+			err = msgp.WrapError(err, "Archive")
 			return
 		}
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
-	for za0005 := range z.Retired {
-		o = msgp.AppendString(o, z.Retired[za0005])
-	}
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o, err = z.Leadership.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Leadership")
-		return
-	}
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o, err = z.Archive.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Archive")
-		return
-	}
 	return
 }
 
@@ -2402,6 +2445,12 @@
 				err = msgp.WrapError(err, "Leadership")
 				return
 			}
+		case "z":
+			z.StoresSequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoresSequence")
+				return
+			}
 		case "x":
 			bts, err = z.Archive.UnmarshalMsg(bts)
 			if err != nil {
@@ -2442,7 +2491,7 @@
 	for za0005 := range z.Retired {
 		s += msgp.StringPrefixSize + len(z.Retired[za0005])
 	}
-	s += 2 + z.Leadership.Msgsize() + 2 + z.Archive.Msgsize()
+	s += 2 + z.Leadership.Msgsize() + 2 + msgp.Uint64Size + 2 + z.Archive.Msgsize()
 	return
 }
 
