--- a/internal/platform/constants/lab.go
+++ b/internal/platform/constants/lab.go
@@ -113,3 +113,17 @@
 	// LoadPollBackoff: between two reads of a job (protocol: about twice a second).
 	LoadPollBackoff = 500 * time.Millisecond
 )
+
+// Bounds of a soak (tooling/soak; ours).
+const (
+	// SoakMinDuration holds one trouble of a process with a disk, and its repair.
+	SoakMinDuration = 15 * time.Second
+	// SoakMinProcesses are three controllers, three stores and two gateways.
+	SoakMinProcesses = 8
+	// SoakQuietEnd is how long nothing more befalls the fleet at the end: a stop in order takes
+	// LabGrace at most.
+	SoakQuietEnd = LabGrace + time.Second
+	// SoakRepairTime is the time between two losses among the processes with a disk: sync-s of the
+	// lab's settings, and the restart before it.
+	SoakRepairTime = 8 * time.Second
+)
--- a/internal/tooling/lab/process.go
+++ b/internal/tooling/lab/process.go
@@ -46,6 +46,9 @@
 	path    string
 	log     string
 
+	// restarting is held while a trouble ends the process and starts it again.
+	restarting sync.Mutex
+
 	lock    sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
--- a/internal/tooling/lab/reload.go
+++ b/internal/tooling/lab/reload.go
@@ -8,6 +8,15 @@
 // unreadable stands in the settings file of a process that is to meet an invalid one.
 const unreadable = "seeds = ["
 
+// wipe empties the disk of a process that does not run.
+func (f *Fleet) wipe(entry node) error {
+	folder := f.Plan.nodeSettings(entry, f.Folder, false).DataDir
+	if folder == "" {
+		return nil
+	}
+	return ErrInvalidLab.Wrap(os.RemoveAll(folder), "disk of "+entry.name)
+}
+
 // reload changes the settings file of a process, as of a later start, and sends SIGHUP.
 func (f *Fleet) reload(entry *process, valid bool) error {
 	path, err := f.Plan.write(entry.node, f.Folder, false)
--- a/internal/tooling/lab/trouble.go
+++ b/internal/tooling/lab/trouble.go
@@ -38,11 +38,13 @@
 	kindConfigure = "configure"
 	kindReload    = "reload"
 	kindReloadBad = "reload-invalid"
+	kindWipe      = "wipe"
 )
 
 // Kinds tells what each kind of trouble does.
 var Kinds = map[string]string{
 	kindKill:      "a process is killed, and started again after back-s",
+	kindWipe:      "a process is killed and its disk emptied, and started again after back-s",
 	kindStop:      "a process is stopped in order, and started again after back-s",
 	kindFreeze:    "a process stands still for for-s",
 	kindCrash:     "a worker resets every connection, and returns as a new life after back-s",
@@ -58,7 +60,7 @@
 func (t *Trouble) Check() error {
 	onProcess, onWorker := false, false
 	switch t.Kind {
-	case kindKill, kindStop, kindFreeze, kindReload, kindReloadBad:
+	case kindKill, kindStop, kindWipe, kindFreeze, kindReload, kindReloadBad:
 		onProcess = true
 	case kindCrash, kindReplace, kindFlap, kindFaults:
 		onWorker = true
@@ -150,10 +152,21 @@
 		f.pause(seconds(fault.ForS))
 		entry.signal(syscall.SIGCONT, false)
 		return
+	}
+	// Of two that end a process the second has to wait for its restart.
+	entry.restarting.Lock()
+	defer entry.restarting.Unlock()
+	switch fault.Kind {
 	case kindKill:
 		entry.kill()
 	case kindStop:
 		entry.stop()
+	case kindWipe:
+		entry.kill()
+		if err := f.wipe(entry.node); err != nil {
+			f.died(err)
+			return
+		}
 	}
 	if !f.pause(max(seconds(fault.BackS), constants.LabRestart)) {
 		return
@@ -176,6 +189,10 @@
 			f.died(err)
 		}
 	}
+	if fault.Kind != kindFaults {
+		entry.restarting.Lock()
+		defer entry.restarting.Unlock()
+	}
 	switch fault.Kind {
 	case kindCrash:
 		entry.crash()
--- a/internal/tooling/lab/workers.go
+++ b/internal/tooling/lab/workers.go
@@ -20,6 +20,9 @@
 
 // place is where one emulated worker stands; its lives follow each other there.
 type place struct {
+	// restarting is held while a trouble ends the worker and begins its next life.
+	restarting sync.Mutex
+
 	name, address string
 	nodeSettings  workeremulator.Settings
 	seed          int64
--- a/internal/tooling/loadgen/check.go
+++ b/internal/tooling/loadgen/check.go
@@ -15,6 +15,8 @@
 	services   []string
 	// once: may not run twice. promised: it was answered that it has not run.
 	once, promised, succeeded, item bool
+	// cut: its connection ended without an answer.
+	cut bool
 }
 
 // checkPlain holds a plain success against what the worker must have said.
@@ -115,6 +117,21 @@
 	return findings
 }
 
+// checkCuts finds the attempts that were passed on to a worker and whose connection ended without
+// an answer all the same, which planned work may not bring about. An attempt that crossed the
+// close of its connection was not passed on.
+func checkCuts(all map[string]*sent, runs []workeremulator.Run) []Finding {
+	var findings []Finding
+	reported := map[string]bool{}
+	for _, run := range runs {
+		if entry := all[run.Attempt]; entry != nil && entry.cut && !reported[run.Attempt] {
+			reported[run.Attempt] = true
+			findings = append(findings, Finding{"LOST", run.Attempt, "ran at " + run.Worker + ", and its connection ended without an answer"})
+		}
+	}
+	return findings
+}
+
 // jobCheck follows one lot through its reads.
 type jobCheck struct {
 	id string
--- a/internal/tooling/loadgen/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -104,7 +104,11 @@
 func (r *run) compare(runs []workeremulator.Run) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	for _, finding := range checkRuns(r.sent, runs) {
+	findings := checkRuns(r.sent, runs)
+	if r.options.PlannedOnly {
+		findings = append(findings, checkCuts(r.sent, runs)...)
+	}
+	for _, finding := range findings {
 		r.result.find(finding)
 	}
 	r.result.Runs = len(runs)
@@ -166,6 +170,13 @@
 	return made
 }
 
+// noteCut notes an attempt whose connection ended without an answer.
+func (r *run) noteCut(made *sent) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	made.cut = true
+}
+
 // settle notes what became of an attempt.
 func (r *run) settle(made *sent, promised, succeeded bool) {
 	r.lock.Lock()
--- a/internal/tooling/loadgen/experiment.go
+++ b/internal/tooling/loadgen/experiment.go
@@ -47,6 +47,7 @@
 	}
 	options := usual
 	options.Rate, options.LotRate, options.Items, options.Count, options.Tries, options.Seed = entry.Rate, entry.LotRate, entry.Items, entry.Count, entry.Tries, entry.Seed
+	options.PlannedOnly = entry.PlannedOnly
 	options.For = clock.Milliseconds(entry.ForS * 1000)
 	if entry.Mix != "" {
 		if options.Mix, err = ParseMix(entry.Mix); err != nil {
--- a/internal/tooling/loadgen/lots.go
+++ b/internal/tooling/loadgen/lots.go
@@ -78,7 +78,7 @@
 		return
 	}
 	r.result.handIn(clock.Now().Sub(started))
-	result, reads := clock.Milliseconds(route.ResultMs), 0
+	result, reads, answered := clock.Milliseconds(route.ResultMs), 0, false
 	for len(check.listed) < len(job.Requests) && limited.Err() == nil {
 		reads++
 		cursor := len(check.listed)
@@ -89,6 +89,7 @@
 		before := len(check.listed)
 		page, err := client.Read(limited, check.id, cursor, 0)
 		r.judgeRead(check, cursor, page, err)
+		answered = answered || err == nil
 		if err == nil {
 			took := clock.Now().Sub(started)
 			for _, output := range check.listed[before:] {
@@ -97,6 +98,9 @@
 		}
 		clock.Sleep(constants.LoadPollBackoff)
 	}
+	if !answered {
+		r.result.find(Finding{"LOST", check.id, "it was accepted, and no read of it was answered to the end"})
+	}
 	if missing := len(job.Requests) - len(check.listed); missing > 0 {
 		r.result.failItems(missing, "item not listed")
 	}
--- a/internal/tooling/loadgen/options.go
+++ b/internal/tooling/loadgen/options.go
@@ -23,6 +23,9 @@
 	// Tries is how often a client tries in all.
 	Tries int
 	Seed  int64
+	// PlannedOnly says that nothing but planned work befalls the fleet: a request that a worker
+	// ran must then be answered, and a connection that ends without an answer is a finding.
+	PlannedOnly bool
 	// Progress, where set, is told now and then how far the load is.
 	Progress func(text string)
 }
@@ -76,16 +79,18 @@
 // Experiment is what a TOML file says: the load, the fleets side by side, and what
 // breaks when.
 type Experiment struct {
-	Rate    float64       `toml:"rate"`
-	LotRate float64       `toml:"lots"`
-	Items   int           `toml:"items"`
-	Mix     string        `toml:"mix"`
-	ForS    float64       `toml:"for-s"`
-	Count   int           `toml:"count"`
-	Tries   int           `toml:"tries"`
-	Seed    int64         `toml:"seed"`
-	Fleets  []lab.Plan    `toml:"fleet"`
-	Trouble []lab.Trouble `toml:"trouble"`
+	Rate    float64 `toml:"rate"`
+	LotRate float64 `toml:"lots"`
+	Items   int     `toml:"items"`
+	Mix     string  `toml:"mix"`
+	ForS    float64 `toml:"for-s"`
+	Count   int     `toml:"count"`
+	Tries   int     `toml:"tries"`
+	Seed    int64   `toml:"seed"`
+	// PlannedOnly is Options.PlannedOnly.
+	PlannedOnly bool          `toml:"planned-only"`
+	Fleets      []lab.Plan    `toml:"fleet"`
+	Trouble     []lab.Trouble `toml:"trouble"`
 }
 
 // Finding is one broken promise.
--- a/internal/tooling/loadgen/send.go
+++ b/internal/tooling/loadgen/send.go
@@ -92,6 +92,9 @@
 	resp, err := r.client.RoundTrip(request)
 	if err != nil {
 		cause := causeOf(err, limited)
+		if cause == causeCut {
+			r.noteCut(made)
+		}
 		return result{cause: cause, unread: cause == causeRefused}
 	}
 	defer resp.Body.Close()
@@ -126,6 +129,9 @@
 // causeRefused: nobody listened.
 const causeRefused = "connection refused"
 
+// causeCut is the cause of a connection that ended without an answer.
+const causeCut = "connection cut"
+
 func causeOf(err error, limited contexts.Context) string {
 	text := err.Error()
 	switch {
@@ -134,7 +140,7 @@
 	case strings.Contains(text, "refused"):
 		return causeRefused
 	case strings.Contains(text, "reset"), strings.Contains(text, "EOF"), strings.Contains(text, "closed"):
-		return "connection cut"
+		return causeCut
 	}
 	return "no answer"
 }
