--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -66,6 +66,9 @@
 	for {
 		resp := e.admit()
 		if resp.Verdict != admission.VerdictGranted {
+			if e.awaitCapacity() {
+				continue
+			}
 			e.giveUp(resp)
 			return
 		}
@@ -118,6 +121,23 @@
 	return resp
 }
 
+// awaitCapacity waits a little where a response that has begun finds no worker to go on at, and
+// tells whether to look once more. Its client has a part of it, so it is not refused any more:
+// only its deadline ends it, or its client. Workers that were tried before may be asked again.
+func (e *exchange) awaitCapacity() bool {
+	left := e.deadline.Sub(clock.Now())
+	if !e.headSent || left <= 0 {
+		return false
+	}
+	e.admission.Excluded = nil
+	select {
+	case <-e.request.Context().Done():
+		return false
+	case <-clock.After(min(constants.TickPeriod, left)):
+		return true
+	}
+}
+
 // outgoing writes the request for a worker.
 func (e *exchange) outgoing(grant *admission.Grant) *Request {
 	own := map[string]string{headerTarget: grant.Worker.ID}
