--- a/internal/batch/leader/disklost.go
+++ b/internal/batch/leader/disklost.go
@@ -40,27 +40,40 @@
 	t.process.Node.Log.Info("stores that lost their disks removed", "lost", len(lost), "stores", len(next), "epoch", t.leadership.Epoch)
 }
 
-// markLostDisks notes the members whose disks are lost, and gives them by identity. It asks
-// each such machine itself, since what others say of it may be old.
+// markLostDisks finds the members whose disks are lost, leaves them out of the count of copies,
+// and gives them by identity.
 func (t *Term) markLostDisks() (lost map[string]bool) {
+	lost = t.findLostDisks()
+	t.noteLostDisks(lost)
+	return lost
+}
+
+// findLostDisks gives the members whose machines answer with another disk, by identity. It asks
+// each such machine itself, since what others say of it may be old.
+func (t *Term) findLostDisks() (lost map[string]bool) {
 	entries := t.process.storeEntries()
 	t.lock.Lock()
 	members := t.records.replicator.Members
 	t.lock.Unlock()
 	lost = map[string]bool{}
 	for _, member := range members {
-		if diskLost(member, entries, nil) == nil || !t.confirmDiskLost(member, entries[member.Name].Address) {
-			continue
+		if diskLost(member, entries, nil) != nil && t.confirmDiskLost(member, entries[member.Name].Address) {
+			lost[register.Identity(member)] = true
 		}
-		lost[register.Identity(member)] = true
-		t.lock.Lock()
-		if t.records.replicator.MarkLost(register.Identity(member)) {
+	}
+	return lost
+}
+
+// noteLostDisks leaves lost disks out of the count of copies, and applies what is committed by that.
+func (t *Term) noteLostDisks(lost map[string]bool) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	for identity := range lost {
+		if t.records.replicator.MarkLost(identity) {
 			t.applyCommittedLocked()
 			t.notifyLocked()
 		}
-		t.lock.Unlock()
 	}
-	return lost
 }
 
 // confirmDiskLost asks a member's machine, at its present address, whether it still has the
--- a/internal/batch/leader/disklost_test.go
+++ b/internal/batch/leader/disklost_test.go
@@ -65,6 +65,28 @@
 	}
 }
 
+// The register names three of five members whose disks are lost, more than the fault budget, as
+// the removal of the first had not reached it when the others were lost. All that is left has been
+// read, so the takeover waits for none of them.
+func TestTakeoverWhereTheRegisterNamesMoreLostDisksThanTheBudget(t *testing.T) {
+	process, network := soleStore(t, simulation.NewDisk(24)), transport.NewMemoryNetwork()
+	process.Node.Transport = network.Transport("m")
+	process.Node.Settings.FaultBudget.Machines = 2
+	process.Election = grantingElection{won: process.Election.(won)}
+	members := []messages.Member{process.Election.Member(), {Name: "whole", Address: "whole", Disk: "whole-disk"}}
+	serveReplica(t, process, network, "whole", "whole-disk")
+	for _, name := range []string{"a", "b", "c"} {
+		serveReplica(t, process, network, name, name+"-new")
+		members = append(members, messages.Member{Name: name, Address: name, Disk: name + "-old"})
+	}
+	term := NewTerm(process, messages.Leadership{Holder: "m", Incarnation: process.Node.Self.Incarnation, Epoch: 3}, members)
+	t.Cleanup(func() { term.Close("test is over") })
+	go term.TakeOver()
+	if !term.waitServing(clock.Milliseconds(4000)) {
+		t.Fatal("does not serve")
+	}
+}
+
 // A member that refuses for another reason than its disk still counts: silence or a later
 // epoch does not show that a record is nowhere else.
 func TestOnlyAnsweredLossesOfDisksCount(t *testing.T) {
--- a/internal/batch/leader/takeover.go
+++ b/internal/batch/leader/takeover.go
@@ -18,7 +18,7 @@
 // the best copy of the records, and has a record of its own epoch committed, which commits
 // those before it. Only then the term serves.
 func (t *Term) TakeOver() {
-	copies, fenced := t.fenceQuorum()
+	copies, lost, fenced := t.fenceQuorum()
 	if !fenced {
 		return
 	}
@@ -33,6 +33,7 @@
 		t.Close("records can't be read")
 		return
 	}
+	t.noteLostDisks(lost)
 	waiting := t.newWaitLog("takeover waits for copies")
 	for !t.awaitCommit(index, constants.LeaseDuration) {
 		if t.Closed() {
@@ -46,25 +47,39 @@
 	t.beginServing(index - 1)
 }
 
-// fenceQuorum has enough stores refuse earlier epochs, and gives what each of them has,
-// this process's own copy among them. It is false where the term ended before.
-func (t *Term) fenceQuorum() (copies map[string]messages.FenceResponse, fenced bool) {
+// fenceQuorum has enough stores refuse earlier epochs, and gives what each of them has, this
+// process's own copy among them, and the members whose disks were found to be lost. It is false
+// where the term ended before.
+func (t *Term) fenceQuorum() (copies map[string]messages.FenceResponse, lost map[string]bool, fenced bool) {
 	waiting := t.newWaitLog("takeover waits for stores")
 	for !t.Closed() {
-		if copies = t.fenceMembers(); t.enoughFenced(copies) {
-			return copies, true
+		if copies = t.fenceMembers(); t.enoughFenced(copies, nil) {
+			return copies, nil, true
 		}
-		waiting.report(func(identity string) bool { return copies[identity].Granted })
+		// The register may name more lost disks than the fault budget, since their removal takes
+		// a change of its own.
+		if lost = t.findLostDisks(); t.enoughFenced(copies, lost) {
+			return copies, lost, true
+		}
+		waiting.report(func(identity string) bool { return copies[identity].Granted || lost[identity] })
 		clock.Sleep(constants.TickPeriod * 2)
 	}
-	return nil, false
+	return nil, nil, false
 }
 
-// enoughFenced tells whether all stores but the fault budget are fenced, this process's own
-// among them.
-func (t *Term) enoughFenced(copies map[string]messages.FenceResponse) bool {
+// enoughFenced tells whether every committed record is among the copies, and the old leader
+// can commit nothing more: all stores but the fault budget are fenced, this process's own among
+// them; or all are but those whose disks are lost, which hold nothing and never grant anything.
+func (t *Term) enoughFenced(copies map[string]messages.FenceResponse, lost map[string]bool) bool {
+	members := t.records.replicator.Members
 	own := register.Identity(t.process.Election.Member())
-	return copies[own].Granted && replication.EnoughFenced(len(t.records.replicator.Members), len(copies), t.process.budget())
+	accounted := 0
+	for _, member := range members {
+		if identity := register.Identity(member); copies[identity].Granted || lost[identity] {
+			accounted++
+		}
+	}
+	return copies[own].Granted && (replication.EnoughFenced(len(members), len(copies), t.process.budget()) || accounted == len(members))
 }
 
 // fenceMembers asks every store of the set to take orders of this epoch only. It returns
@@ -89,7 +104,7 @@
 		if r.err == nil && r.resp.Granted {
 			copies[r.identity] = r.resp
 		}
-		if t.enoughFenced(copies) {
+		if t.enoughFenced(copies, nil) {
 			break
 		}
 	}
