--- a/internal/tooling/loadgen/check.go
+++ b/internal/tooling/loadgen/check.go
@@ -15,7 +15,7 @@
 	services   []string
 	// once: may not run twice. promised: it was answered that it has not run.
 	once, promised, succeeded, item bool
-	// cut: its connection ended without an answer.
+	// cut: its connection ended without a whole answer.
 	cut bool
 }
 
@@ -118,7 +118,7 @@
 }
 
 // checkCuts finds the attempts that were passed on to a worker and whose connection ended without
-// an answer all the same, which planned work may not bring about. An attempt that crossed the
+// a whole answer all the same, which planned work may not bring about. An attempt that crossed the
 // close of its connection was not passed on.
 func checkCuts(all map[string]*sent, runs []workeremulator.Run) []Finding {
 	var findings []Finding
@@ -126,7 +126,7 @@
 	for _, run := range runs {
 		if entry := all[run.Attempt]; entry != nil && entry.cut && !reported[run.Attempt] {
 			reported[run.Attempt] = true
-			findings = append(findings, Finding{"LOST", run.Attempt, "ran at " + run.Worker + ", and its connection ended without an answer"})
+			findings = append(findings, Finding{"LOST", run.Attempt, "ran at " + run.Worker + ", and its connection ended without a whole answer"})
 		}
 	}
 	return findings
--- a/internal/tooling/loadgen/check_test.go
+++ b/internal/tooling/loadgen/check_test.go
@@ -157,3 +157,14 @@
 		}
 	}
 }
+
+// Around planned work a request that a worker ran may not lose its connection without a whole
+// answer; one that was never passed on may.
+func TestCutRequestsThatRanAreFound(t *testing.T) {
+	all := map[string]*sent{"ran": {attempt: "ran", cut: true}, "crossed": {attempt: "crossed", cut: true}, "answered": {attempt: "answered"}}
+	runs := []workeremulator.Run{{Attempt: "ran", Worker: "w1"}, {Attempt: "ran", Worker: "w2"}, {Attempt: "answered", Worker: "w1"}}
+	findings := checkCuts(all, runs)
+	if len(findings) != 1 || findings[0].Rule != "LOST" || findings[0].Attempt != "ran" {
+		t.Error(findings)
+	}
+}
--- a/internal/tooling/loadgen/send.go
+++ b/internal/tooling/loadgen/send.go
@@ -107,6 +107,9 @@
 	default:
 		got = refusal(resp)
 	}
+	if got.cause == causeAnswerCut || got.cause == causeStreamCut {
+		r.noteCut(made)
+	}
 	r.settle(made, got.promise, got.cause == "")
 	return got
 }
@@ -129,8 +132,12 @@
 // causeRefused: nobody listened.
 const causeRefused = "connection refused"
 
-// causeCut is the cause of a connection that ended without an answer.
-const causeCut = "connection cut"
+// The causes of a connection that ended without an answer, or within one.
+const (
+	causeCut       = "connection cut"
+	causeAnswerCut = "answer cut"
+	causeStreamCut = "stream cut"
+)
 
 func causeOf(err error, limited contexts.Context) string {
 	text := err.Error()
@@ -149,7 +156,7 @@
 func plain(order *order, state *served, attempt string, resp *http.Response) result {
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return result{cause: "answer cut"}
+		return result{cause: causeAnswerCut}
 	}
 	state.first = clock.Now()
 	if finding := checkPlain(attempt, order.body, resp.Header.Get("Lemonarch-Server-Seal"), resp.Header.Get("Lemonarch-Attempt-Id"), body); finding != nil {
@@ -176,7 +183,7 @@
 				if timedOut.Load() {
 					return result{cause: "silence"}
 				}
-				return result{cause: "stream cut"}
+				return result{cause: causeStreamCut}
 			}
 			if finding := follower.end(); finding != nil {
 				return result{cause: "not the answer", final: true, finding: finding}
--- a/internal/tooling/soak/schedule.go
+++ b/internal/tooling/soak/schedule.go
@@ -55,7 +55,7 @@
 	plan := lab.NewPlan()
 	plan.Label, plan.Programs, plan.Seed = "soak-"+strconv.FormatInt(options.Seed, 10), options.Programs, options.Seed
 	d.sizes(&plan, options.Processes)
-	schedule.Experiment = loadgen.Experiment{Rate: 40, LotRate: 0.5, Items: 10, ForS: options.Duration.Seconds(), Tries: 2, Seed: options.Seed,
+	schedule.Experiment = loadgen.Experiment{Rate: 80, LotRate: 0.5, Items: 10, ForS: options.Duration.Seconds(), Tries: 2, Seed: options.Seed,
 		PlannedOnly: schedule.Planned, Fleets: []lab.Plan{plan}}
 	d.gateways(plan.Gateways, schedule.Planned)
 	d.counted(&plan, schedule.Planned)
