--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 type play func(called context.Context, f *fleet, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
+	"framing": playFraming,
 	"headers": playHeaders,
 	"stop":    playStop,
 }
