--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -113,6 +113,7 @@
 	alive := e.stream(w, connection, gone, id, stated, run)
 	e.lock.Lock()
 	own.running--
+	run.complete, run.closedByCaller = alive, !alive
 	e.lock.Unlock()
 	own.free <- struct{}{}
 	if !alive {
@@ -148,7 +149,6 @@
 		select {
 		case <-time.After(wait):
 		case <-gone:
-			run.closedByCaller = true
 			return false
 		}
 		text := eventText(id, number)
@@ -159,8 +159,6 @@
 	if err == nil {
 		_, err = fmt.Fprint(connection, "0\r\n\r\n")
 	}
-	run.complete = err == nil
-	run.closedByCaller = err != nil
 	return err == nil
 }
 
