--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -20,7 +20,7 @@
 	// events is the length of a stream, step the time between two events.
 	events int
 	step   time.Duration
-	// pauseAt is the event behind which a request is put back, for pause; none where it is 0.
+	// pauseAt is the event behind which a run is silent, for pause; none where it is 0.
 	pauseAt int
 	pause   time.Duration
 
@@ -143,7 +143,7 @@
 	for number := run.from + 1; err == nil && number <= e.events; number++ {
 		wait := e.step
 		if e.pauseAt > 0 && run.from == 0 && number == e.pauseAt+1 {
-			e.fleet.record.note("worker %s puts %s back behind event %d, for %v", w.id, id, e.pauseAt, e.pause)
+			e.fleet.record.note("worker %s is silent on %s behind event %d, for %v", w.id, id, e.pauseAt, e.pause)
 			wait = e.pause
 		}
 		select {
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -57,8 +57,8 @@
 	return result
 }
 
-// playStop stops each gateway in order while it passes streams on. Its workers are sound: one puts a
-// stream back for a moment, and others are full for as long.
+// playStop stops each gateway in order while it passes streams on. The workers break nothing off:
+// they are silent for a moment in the middle of a stream, and then full.
 func playStop(called context.Context, f *fleet, trouble bool) (bool, error) {
 	if err := f.start(); err != nil {
 		return false, err
