--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -126,11 +126,11 @@
 		if result.status == http.StatusOK && result.complete && result.text != e.whole(result.id) {
 			f.record.note("client: %s is not whole", result.id)
 		}
-		if !trouble || result.complete || result.took >= 5*time.Second {
+		if result.complete || result.took >= 5*time.Second {
 			continue
 		}
 		// The connection ended without a complete answer, before the deadline and the route's
-		// timeout: it counts where no worker broke it off.
+		// timeout: it counts where no worker broke it off. The check is the same without trouble.
 		broke := false
 		e.lock.Lock()
 		for _, run := range e.runs[result.id] {
