Crowds of clients that don't behave: tests on the code as it stands, red

Checked: the processes live, peak resident memory, resident memory with the bytes that arrived and are not read (/proc/net/tcp), and descriptors stay under the settings; one ordinary request a listener is answered while the crowd is still there. No times, no share of served requests. The lab's plan takes memory-mb and file-handles.

--- a/internal/platform/constants/lab.go
+++ b/internal/platform/constants/lab.go
@@ -55,9 +55,14 @@
 	LabRestart = 500 * time.Millisecond
 	// LabProcesses: most real processes in one fleet.
 	LabProcesses = 40
-	// LabMemoryMB and LabDiskMB: what the settings files grant each process.
-	LabMemoryMB = 256
-	LabDiskMB   = 256
+	// LabMemoryMB, LabDiskMB and LabFileHandles: what the settings files grant each process
+	// where the plan says nothing else.
+	LabMemoryMB    = 256
+	LabDiskMB      = 256
+	LabFileHandles = 4000
+	// LabMemoryMBMax and LabFileHandlesMax: the most that a plan may grant.
+	LabMemoryMBMax    = 4096
+	LabFileHandlesMax = 65536
 	// LabHeartbeat: pause between two heartbeats of an emulated worker.
 	LabHeartbeat = time.Second
 	// LabConnLimit: connections to one emulated worker.
--- /dev/null
+++ b/internal/tooling/crowd/ingress_test.go
@@ -0,0 +1,154 @@
+//go:build crowd
+
+package crowd
+
+import (
+	"bytes"
+	"encoding/base64"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lemonarch/internal/tooling/lab"
+)
+
+// Each test plays one kind of client that doesn't behave against the ingress (issue 33).
+
+// crowdMembers is the crowd of a test: its bodies come to four times what the settings grant.
+const crowdMembers = 400
+
+// smallChunksBytes is how much of a body is sent in chunks of one byte, each of which takes six
+// bytes on the wire.
+const smallChunksBytes = 320 << 10
+
+// post is a request on a route, with a body of the largest allowed length.
+func post(route string, framing Framing) Request {
+	return Request{Method: http.MethodPost, Path: "/" + route + "/1", Host: lab.Host, Framing: framing, Announced: bodyBytes, Bytes: bodyBytes,
+		Headers: []string{"Lemonarch-Attempt-Id: crowd-{attempt}", "Lemonarch-Model: " + lab.ModelName, "Lemonarch-Token-Count: 500,20"}}
+}
+
+// stopShort makes a request end just short of its body's end and stay open.
+func stopShort(request Request) Request {
+	request.Bytes, request.StayOpen = bodyBytes-10, true
+	return request
+}
+
+func TestIngressOutlastsWholeBodies(t *testing.T) {
+	f := startFleet(t)
+	f.outlasts(t, f.ingress(), crowdMembers, post("status", FramingLength))
+}
+
+func TestIngressOutlastsWholePrompts(t *testing.T) {
+	f := startFleet(t)
+	f.outlasts(t, f.ingress(), crowdMembers, post("query", FramingLength))
+}
+
+func TestIngressOutlastsBodiesThatStopShort(t *testing.T) {
+	f := startFleet(t)
+	f.outlasts(t, f.ingress(), crowdMembers, stopShort(post("status", FramingLength)))
+}
+
+func TestIngressOutlastsJobsThatStopShort(t *testing.T) {
+	f := startFleet(t)
+	f.outlasts(t, f.ingress(), crowdMembers, stopShort(post("batch", FramingLength)))
+}
+
+func TestIngressOutlastsBodiesInPieces(t *testing.T) {
+	f := startFleet(t)
+	request := stopShort(post("status", FramingLength))
+	request.PieceBytes, request.PauseMs = 32<<10, 20
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+// A body that still grows, by a byte now and then, has not stopped.
+func TestIngressOutlastsBodiesThatCreep(t *testing.T) {
+	f := startFleet(t)
+	request := post("status", FramingLength)
+	request.Bytes, request.StayOpen, request.CreepBytes, request.CreepMs = bodyBytes-2000, true, 1000, 50
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+func TestIngressOutlastsAnnouncedBodiesOverTheLimit(t *testing.T) {
+	f := startFleet(t)
+	request := post("status", FramingLength)
+	request.Announced, request.Bytes, request.StayOpen = 1<<40, 4*bodyBytes, true
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+func TestIngressOutlastsSentBodiesOverTheLimit(t *testing.T) {
+	f := startFleet(t)
+	request := post("status", FramingChunked)
+	request.ChunkBytes, request.Bytes, request.StayOpen = 64<<10, 4*bodyBytes, true
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+func TestIngressOutlastsLargeChunks(t *testing.T) {
+	f := startFleet(t)
+	request := stopShort(post("status", FramingChunked))
+	request.ChunkBytes, request.Bytes = 256<<10, bodyBytes-256<<10
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+func TestIngressOutlastsSmallChunks(t *testing.T) {
+	f := startFleet(t)
+	request := stopShort(post("status", FramingChunked))
+	request.ChunkBytes, request.Bytes = 1, smallChunksBytes
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+// A body where nobody reads it: there is no route, or the call has none.
+func TestIngressOutlastsBodiesWithoutARoute(t *testing.T) {
+	f := startFleet(t)
+	f.outlasts(t, f.ingress(), crowdMembers, stopShort(post("nowhere", FramingLength)))
+}
+
+// manyHeaders is a head of many short lines, nearly as long as is allowed.
+func manyHeaders(limit int) []string {
+	var lines []string
+	for number, length := 0, 0; length < limit-512; number++ {
+		line := fmt.Sprintf("h%x: ", number)
+		lines, length = append(lines, line), length+len(line)+2
+	}
+	return lines
+}
+
+func TestIngressOutlastsHeadsThatStopShort(t *testing.T) {
+	f := startFleet(t)
+	request := post("status", FramingNone)
+	request.Headers, request.HeadOnly, request.StayOpen = manyHeaders(headerBytes), true, true
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+func TestIngressOutlastsSilentConnections(t *testing.T) {
+	f := startFleet(t)
+	f.outlasts(t, f.ingress(), 2*fileHandles, Request{Silent: true, StayOpen: true})
+}
+
+// job is a job whose items fill a body of the largest allowed length.
+func job(items int) []byte {
+	body := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte("p"), (bodyBytes/items-200)*3/4))
+	lines := make([]string, 0, items)
+	for number := range items {
+		lines = append(lines, fmt.Sprintf(`{"id":"i%d","path":"/batch/%d","headers":{"Lemonarch-Model":"lab-model","Lemonarch-Token-Count":"9000,9000"},"body":%q,"tokens":1}`, number, number, body))
+	}
+	return []byte(`{"requests":[` + strings.Join(lines, ",") + `]}`)
+}
+
+// Whole jobs that are all taken: what they hold must fit where jobs are kept.
+func TestStoreOutlastsWholeJobs(t *testing.T) {
+	f := startFleet(t)
+	request := post("batch", FramingLength)
+	request.Content = job(8)
+	request.Announced, request.Bytes = int64(len(request.Content)), int64(len(request.Content))
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
+
+// A job of allowed length that names far more items than a job may have.
+func TestStoreOutlastsJobsOfTooManyItems(t *testing.T) {
+	f := startFleet(t)
+	request := post("batch", FramingLength)
+	request.Content = []byte(`{"requests":[` + strings.Repeat("{},", (bodyBytes-20)/3) + `{}]}`)
+	request.Announced, request.Bytes = int64(len(request.Content)), int64(len(request.Content))
+	f.outlasts(t, f.ingress(), crowdMembers/4, request)
+}
--- a/internal/tooling/lab/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -36,6 +36,9 @@
 	Capacity    int   `toml:"capacity"`
 	CacheTokens int64 `toml:"cache-tokens"`
 	Seed        int64 `toml:"seed"`
+	// MemoryMB and FileHandles are what the settings grant each process; 0 for the lab's own.
+	MemoryMB    int `toml:"memory-mb"`
+	FileHandles int `toml:"file-handles"`
 	// Configuration is the file of the first configuration; empty for the lab's own.
 	Configuration string `toml:"configuration"`
 	// Families, where there are any, take the place of the lab's own workers and routes.
@@ -62,6 +65,8 @@
 		{"plain-workers", p.Plain, 1, 40},
 		{"zones", p.Zones, 1, 9},
 		{"capacity", p.Capacity, 1, 1000},
+		{"memory-mb", p.MemoryMB, 0, constants.LabMemoryMBMax},
+		{"file-handles", p.FileHandles, 0, constants.LabFileHandlesMax},
 	}
 	for _, entry := range bounds {
 		if entry.value < entry.low || entry.value > entry.high {
--- a/internal/tooling/lab/settings.go
+++ b/internal/tooling/lab/settings.go
@@ -27,7 +27,7 @@
 	nodeSettings := &settings.Settings{NodeName: entry.machine, Role: entry.role, MachineClass: "edge", Address: entry.address, Zone: entry.zone, Region: "lab",
 		InternalPorts: []int{constants.LabInternalPort, constants.LabInternalPort + 15}, Bootstrap: first, InQuorum: entry.disk,
 		HeartbeatMs: clock.ToMilliseconds(constants.LabHeartbeat), Zones: map[string]string{},
-		Limits: settings.Limits{MemoryMB: constants.LabMemoryMB, FileHandles: 4000, DiskMB: constants.LabDiskMB},
+		Limits: p.limits(),
 		Tolerances: settings.Tolerances{DrainMs: constants.LabDrainMs, GraceS: constants.LabGrace.Seconds(), ConvergeMs: 2000, AckMs: 4000, SyncS: 5,
 			StatusS: 300, CancelMs: 3000, SettlingMs: 1000, AddressReuseS: 2, QuotaOvershoot: 0.1}}
 	// What may be lost is less than half of the smaller of the two sets.
@@ -53,6 +53,18 @@
 	return nodeSettings
 }
 
+// limits are what the settings grant each process.
+func (p *Plan) limits() settings.Limits {
+	limits := settings.Limits{MemoryMB: constants.LabMemoryMB, FileHandles: constants.LabFileHandles, DiskMB: constants.LabDiskMB}
+	if p.MemoryMB > 0 {
+		limits.MemoryMB = p.MemoryMB
+	}
+	if p.FileHandles > 0 {
+		limits.FileHandles = p.FileHandles
+	}
+	return limits
+}
+
 // write puts the settings file of a process in place.
 func (p *Plan) write(entry node, folder string, first bool) (string, error) {
 	nodeSettings := p.nodeSettings(entry, folder, first)
