Ingress: connections, heads and bodies are bounded by what the machine gives

What callers saw: a gateway that many clients send large bodies to, whole or stopping short, runs out of memory and ends; silent connections use up its descriptors.

Cause: a body was read whole with io.ReadAll, whatever others held, for as long as its client liked; heads and connections had no bound at all; what had arrived and was not yet read was bounded by the system's windows alone.

Change: package platform/inbound. A listener has so many connections (by memory-mb and file-handles); for a new one the longest idle, else the slowest sender, else one that does not read its answer is closed. Heads and bodies of all listeners share a part of memory-mb: a request holds 16 KiB uncounted, so an ordinary one always finds room; for more, the slowest of those that have been coming for a second gives way, else one that holds twice what the newcomer wants in all. Who finds no room gets 503 with Retry-After: it has not run. A single request inside the limits is served whatever it holds. A body is whole by its route's cutoff-ms and the client's time left, else 408; one over the limit gets 413 as it is announced; one that nobody reads is waited for a second. The receive buffer is set, so that unread bytes are bounded too.

Why it works: what a connection may hold without being counted, times their number, and what is counted, are fixed parts of memory-mb; nobody's stopping short can keep room from others for longer than a second.

--- a/internal/control/operatorapi/configuration.go
+++ b/internal/control/operatorapi/configuration.go
@@ -18,9 +18,13 @@
 // bodyLimitFactor is how much larger a configuration may be than a request body (ours).
 const bodyLimitFactor = 4
 
+// configurationCopies is how often a configuration is held while it is committed: as it came, in a
+// message of the register, and in the frame of that message.
+const configurationCopies = 3
+
 // handleReplace puts a configuration in force on top of its base.
 func (a *API) handleReplace(writer http.ResponseWriter, request *http.Request) {
-	body, complete := httpreply.ReadBody(writer, request, bodyLimitFactor*constants.RequestLimit)
+	body, complete := httpreply.ReadBody(writer, request, bodyLimitFactor*constants.RequestLimit, configurationCopies)
 	if !complete {
 		return
 	}
--- a/internal/control/workerserver/calls.go
+++ b/internal/control/workerserver/calls.go
@@ -24,12 +24,15 @@
 	Count      int64   `json:"call-count"`
 }
 
+// heartbeatCopies is how often a worker's call is held: as it came, and decoded.
+const heartbeatCopies = 2
+
 // HandleHeartbeat takes a worker's heartbeat, which may say that it drains.
 func (s *Server) HandleHeartbeat(writer http.ResponseWriter, request *http.Request) {
 	if !s.acceptsWorkerCalls(writer) {
 		return
 	}
-	body, complete := httpreply.ReadBody(writer, request, constants.HeadLimit)
+	body, complete := httpreply.ReadBody(writer, request, constants.HeadLimit, heartbeatCopies)
 	if !complete {
 		return
 	}
@@ -65,7 +68,7 @@
 	if !s.acceptsWorkerCalls(writer) {
 		return
 	}
-	body, complete := httpreply.ReadBody(writer, request, constants.HeadLimit)
+	body, complete := httpreply.ReadBody(writer, request, constants.HeadLimit, heartbeatCopies)
 	if !complete {
 		return
 	}
--- /dev/null
+++ b/internal/platform/constants/inbound.go
@@ -0,0 +1,54 @@
+package constants
+
+import "time"
+
+// What clients may make a process hold. None of these is met by a client inside the limits of the
+// configuration while the process has room.
+const (
+	// ClientConnectionsShare is the part of memory-mb that connections may take, and
+	// ClientConnectionBytes what one is reckoned at: stacks and buffers, what its request holds
+	// uncounted, and what has arrived and is not yet read.
+	ClientConnectionsShare = 0.3
+	ClientConnectionBytes  = 24<<10 + ClientUnmeteredBytes + 2*ClientReceiveBuffer
+	// ClientConnectionsMin is the least number of connections of a listener.
+	ClientConnectionsMin = 16
+	// ClientBytesShare is the part of memory-mb that heads and bodies may take beyond that.
+	ClientBytesShare = 0.2
+	// ClientUnmeteredBytes is what a request may hold without being counted, in bytes: an ordinary
+	// one finds room whatever others hold.
+	ClientUnmeteredBytes = 16 << 10
+	// ClientReceiveBuffer is SO_RCVBUF of a client's connection, in bytes; the system doubles it.
+	ClientReceiveBuffer = 32 << 10
+	// HeaderLineBytes is what a line of a head holds beside its text, in bytes.
+	HeaderLineBytes = 160
+	// BodyFirstBytes is the first buffer of a body, in bytes, whatever length is announced.
+	BodyFirstBytes = 16 << 10
+	// FileHandlesReserved are the descriptors that the machine keeps for files, and
+	// ClientHandlesShare the part of the others that a listener's connections may take.
+	FileHandlesReserved = 200
+	ClientHandlesShare  = 0.5
+	// ClientGrace is how long a request may be coming before it has to give way as a slow one.
+	ClientGrace = time.Second
+	// ClientRateWindow is the time over which the bytes of a client are counted, to find the slowest.
+	ClientRateWindow = time.Second
+	// ClientDeafTime is how long an answer may find no reader before its connection may be closed
+	// for a new one.
+	ClientDeafTime = 3 * time.Second
+	// ClientRoomTimeout is how long a request waits for the room that others are giving back.
+	ClientRoomTimeout = 250 * time.Millisecond
+	// ClientRetryAfter is when a request that found no room may come back.
+	ClientRetryAfter = 250 * time.Millisecond
+	// ClientRefusalTimeout bounds the writing of a refusal.
+	ClientRefusalTimeout = 100 * time.Millisecond
+	// ClientDrainTimeout is how long the rest of a body is read that nobody wants.
+	ClientDrainTimeout = time.Second
+	// ClientBodyMin is the least time that a body may take, whatever time its client has left.
+	ClientBodyMin = 100 * time.Millisecond
+	// ControlBodyTimeout is how long a body on the control port may take, and ControlIdle how long
+	// a connection may lie idle there.
+	ControlBodyTimeout = 30 * time.Second
+	ControlIdle        = 60 * time.Second
+	// ReadinessConnections is how many connections the readiness port may have: the platform asks
+	// once a second.
+	ReadinessConnections = 64
+)
--- a/internal/platform/contexts/contexts.go
+++ b/internal/platform/contexts/contexts.go
@@ -25,3 +25,6 @@
 
 // WithCancel gives a context that its maker may cancel.
 func WithCancel(parent Context) (Context, func()) { return context.WithCancel(parent) }
+
+// WithValue gives a context that carries a value.
+func WithValue(parent Context, key, value any) Context { return context.WithValue(parent, key, value) }
--- a/internal/platform/httpreply/httpreply.go
+++ b/internal/platform/httpreply/httpreply.go
@@ -4,12 +4,13 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
+	"lemonarch/internal/platform/inbound"
 )
 
 // Writer is where an answer is written.
@@ -57,18 +58,29 @@
 	_, _ = writer.Write(body)
 }
 
-// ReadBody reads a request's body of up to limit bytes. Where that fails it answers with 413
-// or 400, and gives false.
-func ReadBody(writer Writer, request *http.Request, limit int64) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
-	if err == nil {
-		return body, true
+// ReadBody reads a request's body of up to limit bytes, of which the handler makes a number of
+// copies, its own included. Where that fails it answers with 413, 408, 503 or 400, and gives false.
+func ReadBody(writer Writer, request *http.Request, limit, copies int64) ([]byte, bool) {
+	body, err := inbound.Body{Limit: limit, Copies: copies, Timeout: constants.ControlBodyTimeout}.Read(writer, request)
+	if err != nil {
+		RefuseBody(writer, err)
+		return nil, false
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	return body, true
+}
+
+// RefuseBody answers a request whose body was not read whole, by the error of inbound.Body, and
+// ends its connection: what follows on it is no request. Nothing ran and nothing will.
+func RefuseBody(writer Writer, err error) {
+	writer.Header().Set("Connection", "close")
+	switch {
+	case errs.Is(err, inbound.ErrTooLarge):
 		Error(writer, http.StatusRequestEntityTooLarge, "body too large")
-	} else {
-		Error(writer, http.StatusBadRequest, "body cut short")
+	case errs.Is(err, inbound.ErrNoRoom):
+		RetryAfter(writer, http.StatusServiceUnavailable, constants.ClientRetryAfter)
+	case errs.Is(err, inbound.ErrTooSlow):
+		Error(writer, http.StatusRequestTimeout, "body not whole in time")
+	default:
+		Error(writer, http.StatusBadRequest, "body can't be read")
 	}
-	return nil, false
 }
--- /dev/null
+++ b/internal/platform/inbound/conn.go
@@ -0,0 +1,206 @@
+package inbound
+
+import (
+	"bytes"
+	"net"
+	"sync"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+)
+
+// phase is how far the present request of a connection has come.
+type phase int
+
+// The phases, in the order in which a request goes through them.
+const (
+	// phaseIdle: no byte of a request has come.
+	phaseIdle phase = iota
+	// phaseHead and phaseBody: a part of the request has come.
+	phaseHead
+	phaseBody
+	// phaseServing: the request is whole, or its handler wants no more of it.
+	phaseServing
+	// phaseDraining: the request is answered, and what is left of its body is thrown away.
+	phaseDraining
+)
+
+// refusal is what a client gets whose request could not be read for want of room. Nothing of it
+// has run, and nothing will.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n\r\n"
+
+// Conn is one connection of a client. It knows how far its request has come and how fast it comes.
+type Conn struct {
+	net.Conn
+	listener *Listener
+
+	lock  sync.Mutex
+	phase phase
+	// since is when the present phase of waiting for the client began: the first byte of the
+	// request, or the end of the one before.
+	since clock.Instant
+	// headBytes and headLines are what came of the head.
+	headBytes, headLines int64
+	// unmetered is what the present request may still hold without being counted.
+	unmetered int64
+	rate      rate
+	// evicted is set once the connection had to give way to others.
+	evicted bool
+	// deadline is the server's, bodyDeadline ours; the earlier one counts. Zero for none.
+	deadline, bodyDeadline clock.Time
+	// writingSince is when the write under way began, 0 where there is none.
+	writingSince clock.Instant
+
+	// charged is how many bytes the request holds by the memory's count; Memory.lock guards it.
+	charged int64
+}
+
+func newConn(raw net.Conn, listener *Listener) *Conn {
+	return &Conn{Conn: raw, listener: listener, since: clock.Now(), unmetered: constants.ClientUnmeteredBytes}
+}
+
+// Read reads, counts what comes, and refuses a head that there is no room for.
+func (c *Conn) Read(into []byte) (int, error) {
+	if c.wasEvicted() {
+		return 0, ErrNoRoom.New("connection had to give way")
+	}
+	count, err := c.Conn.Read(into)
+	if count > 0 {
+		if needed := c.received(into[:count]); needed > 0 && !c.listener.memory.reserve(c, needed, needed) {
+			c.refuse()
+			return 0, ErrNoRoom.New("head")
+		}
+	}
+	return count, err
+}
+
+// received notes bytes that came, and tells how many bytes more the head of the request holds.
+func (c *Conn) received(text []byte) int64 {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	now := clock.Now()
+	c.rate.add(len(text), now)
+	if c.phase == phaseIdle {
+		c.phase, c.since = phaseHead, now
+	}
+	if c.phase != phaseHead {
+		return 0
+	}
+	before := c.headCost()
+	c.headBytes += int64(len(text))
+	c.headLines += int64(bytes.Count(text, []byte{'\n'}))
+	return c.meterLocked(c.headCost() - before)
+}
+
+// headCost is what the head holds once it is parsed: its text twice, and an entry for each line.
+func (c *Conn) headCost() int64 {
+	return 2*c.headBytes + constants.HeaderLineBytes*c.headLines
+}
+
+// meterLocked takes bytes out of what the request may hold uncounted, and gives the rest. The
+// lock is held.
+func (c *Conn) meterLocked(count int64) int64 {
+	free := min(count, c.unmetered)
+	c.unmetered -= free
+	return count - free
+}
+
+// meter does the same.
+func (c *Conn) meter(count int64) int64 {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.meterLocked(count)
+}
+
+// Write passes an answer on and notes how long the client takes to read it.
+func (c *Conn) Write(text []byte) (int, error) {
+	c.setWriting(clock.Now())
+	defer c.setWriting(0)
+	return c.Conn.Write(text)
+}
+
+func (c *Conn) setWriting(since clock.Instant) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.writingSince = since
+}
+
+// SetReadDeadline sets the server's deadline; an earlier one of ours for the body stays.
+func (c *Conn) SetReadDeadline(at clock.Time) error {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.deadline = at
+	return c.applyDeadlineLocked()
+}
+
+func (c *Conn) applyDeadlineLocked() error {
+	at := c.deadline
+	if !c.bodyDeadline.IsZero() && (at.IsZero() || c.bodyDeadline.Before(at)) {
+		at = c.bodyDeadline
+	}
+	if c.evicted {
+		at = clock.Deadline(0)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetDeadline sets the deadline of reads and writes.
+func (c *Conn) SetDeadline(at clock.Time) error {
+	if err := c.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(at)
+}
+
+// CloseWrite ends our side, where the connection can.
+func (c *Conn) CloseWrite() error {
+	half, can := c.Conn.(interface{ CloseWrite() error })
+	if !can {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
+// Close ends the connection and gives back what its request held.
+func (c *Conn) Close() error {
+	c.listener.forget(c)
+	c.listener.memory.release(c)
+	return c.Conn.Close()
+}
+
+// refuse answers with 503 and ends the connection.
+func (c *Conn) refuse() {
+	c.listener.refused.Add(1)
+	_ = c.SetWriteDeadline(clock.Deadline(constants.ClientRefusalTimeout))
+	_, _ = c.Conn.Write([]byte(refusal))
+	_ = c.Close()
+}
+
+func (c *Conn) wasEvicted() bool {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.evicted
+}
+
+// evict makes the connection give way. One whose handler reads its body is woken up and answers
+// itself; any other one is closed. False where it has done so already.
+func (c *Conn) evict() bool {
+	c.lock.Lock()
+	if c.evicted {
+		c.lock.Unlock()
+		return false
+	}
+	c.evicted = true
+	reading, head := c.phase == phaseBody, c.phase == phaseHead
+	_ = c.applyDeadlineLocked()
+	c.lock.Unlock()
+	c.listener.evicted.Add(1)
+	switch {
+	case reading:
+	case head:
+		c.refuse()
+	default:
+		_ = c.Close()
+	}
+	return true
+}
--- /dev/null
+++ b/internal/platform/inbound/listener.go
@@ -0,0 +1,127 @@
+package inbound
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/contexts"
+)
+
+// Listener takes the connections of clients, up to a number.
+type Listener struct {
+	net.Listener
+	memory *Memory
+	// connections is the most that may be open; 0 for no limit.
+	connections int
+
+	lock sync.Mutex
+	open map[*Conn]struct{}
+	// evicted and refused count what had to give way and what found no room.
+	evicted, refused atomic.Int64
+}
+
+// Listen listens at an address. The requests of its connections share memory with those of other
+// listeners of the process.
+func Listen(address string, connections int, memory *Memory) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			// What has arrived and is not yet read counts as well. A system that can't bound it
+			// is no reason not to serve.
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, constants.ClientReceiveBuffer)
+		})
+	}}
+	listener, err := config.Listen(contexts.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return NewListener(listener, connections, memory), nil
+}
+
+// NewListener counts the connections of a listener.
+func NewListener(listener net.Listener, connections int, memory *Memory) *Listener {
+	l := &Listener{Listener: listener, memory: memory, connections: connections, open: map[*Conn]struct{}{}}
+	memory.lock.Lock()
+	defer memory.lock.Unlock()
+	memory.listeners = append(memory.listeners, l)
+	return l
+}
+
+// Accept gives the next connection. Where there are too many, another one is closed for it, or it
+// is refused.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		connection := newConn(raw, l)
+		if l.admit(connection) {
+			return connection, nil
+		}
+		connection.refuse()
+	}
+}
+
+// admit notes a connection; false where there are too many and none can be closed.
+func (l *Listener) admit(connection *Conn) bool {
+	for {
+		l.lock.Lock()
+		if l.connections <= 0 || len(l.open) < l.connections {
+			l.open[connection] = struct{}{}
+			l.lock.Unlock()
+			return true
+		}
+		l.lock.Unlock()
+		now := clock.Now()
+		chosen := chooseConnection(l.candidates(now), now)
+		if chosen == nil {
+			return false
+		}
+		chosen.connection.evict()
+		// Its handler may still be under way; the descriptor is free at once.
+		_ = chosen.connection.Close()
+	}
+}
+
+func (l *Listener) forget(connection *Conn) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	delete(l.open, connection)
+}
+
+// candidates lists the connections that are open, except those that give way already.
+func (l *Listener) candidates(now clock.Instant) []candidate {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	list := make([]candidate, 0, len(l.open))
+	for connection := range l.open {
+		if entry, available := connection.candidate(now); available {
+			list = append(list, entry)
+		}
+	}
+	return list
+}
+
+func (c *Conn) candidate(now clock.Instant) (entry candidate, available bool) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	entry = candidate{connection: c, phase: c.phase, since: c.since, recent: c.rate.recent(now), writingSince: c.writingSince}
+	return entry, !c.evicted
+}
+
+// Open is how many connections are open.
+func (l *Listener) Open() int {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return len(l.open)
+}
+
+// Evicted is how many connections had to give way.
+func (l *Listener) Evicted() int64 { return l.evicted.Load() }
+
+// Refused is how many requests and connections found no room.
+func (l *Listener) Refused() int64 { return l.refused.Load() }
--- a/internal/traffic/gateway/clientconn.go
+++ b/internal/traffic/gateway/clientconn.go
@@ -10,6 +10,7 @@
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/inbound"
 )
 
 // requestTimeoutResponse answers a client that takes too long over its header. The server itself
@@ -132,8 +133,12 @@
 	return p.Conn.Close()
 }
 
+// NetConn gives the connection inside.
+func (p *clientConn) NetConn() net.Conn { return p.Conn }
+
 // trackState follows a connection through its requests.
 func trackState(raw net.Conn, state http.ConnState) {
+	inbound.ConnState(raw, state)
 	if connection, is := raw.(*clientConn); is && state == http.StateIdle {
 		connection.setIdle(clock.Now())
 	}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/httpreply"
+	"lemonarch/internal/platform/inbound"
 	"lemonarch/internal/platform/process"
 	"lemonarch/internal/platform/settings"
 	"lemonarch/internal/traffic/loadgossip"
@@ -63,13 +64,15 @@
 	calls := chi.NewRouter()
 	calls.Get("/-/readiness", g.readiness)
 	ready := &http.Server{Addr: runtime.Settings.Bind.Readiness, Handler: calls, ReadHeaderTimeout: constants.BulkCallTimeout}
+	limits := inbound.LimitsOf(runtime.Settings.Limits)
+	memory := inbound.NewMemory(limits.Memory)
 	readied, err := net.Listen("tcp4", runtime.Settings.Bind.Readiness)
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "readiness")
 	}
 	g.ready.Store(ready)
 	go func() { _ = ready.Serve(readied) }()
-	listener, err := net.Listen("tcp4", runtime.Settings.Bind.Ingress)
+	listener, err := inbound.Listen(runtime.Settings.Bind.Ingress, limits.Connections, memory)
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "ingress")
 	}
@@ -92,8 +95,8 @@
 	g.clients.Store(clients)
 	// One that came since is taken by whoever of us is later.
 	clients.setLimits(g.Node.Config().Limits)
-	ingress := &http.Server{Handler: g.Proxy, MaxHeaderBytes: max(limits.HeaderBytes, constants.HeadLimit),
-		ReadHeaderTimeout: constants.BulkCallTimeout, IdleTimeout: constants.BulkCallTimeout, ConnState: trackState}
+	ingress := &http.Server{Handler: inbound.Handler(g.Proxy), MaxHeaderBytes: max(limits.HeaderBytes, constants.HeadLimit),
+		ReadHeaderTimeout: constants.BulkCallTimeout, IdleTimeout: constants.BulkCallTimeout, ConnContext: inbound.ConnContext, ConnState: trackState}
 	g.Node.Log.Info("serving", "ingress", g.Node.Settings.Bind.Ingress)
 	g.ingress.Store(ingress)
 	return ingress.Serve(clients)
--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -52,8 +51,6 @@
 // undeliveredLimit bounds how many workers are attempted that can't even be reached.
 const undeliveredLimit = 4
 
-func asTooLarge(err error, target **http.MaxBytesError) bool { return errors.As(err, target) }
-
 func (e *exchange) kind() messages.RouteKind { return e.route.Kind() }
 
 func (e *exchange) retryable() bool {
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -3,7 +3,6 @@
 package proxy
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -14,7 +13,9 @@
 	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
 	"lemonarch/internal/platform/httpreply"
+	"lemonarch/internal/platform/inbound"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/traffic/admission"
 	"lemonarch/internal/traffic/prefixindex"
@@ -100,11 +101,7 @@
 		httpreply.Text(writer, http.StatusNotFound, "no route")
 		return
 	}
-	limit := config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = constants.RequestLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
+	body, err := bodyOf(config, route, request.Header).Read(writer, request)
 	if err != nil {
 		p.refuseBody(writer, err)
 		return
@@ -119,14 +116,35 @@
 	exchange.serve()
 }
 
+// Copies of a body, its own included: a request is written out once for its worker, a job is put
+// into a message and that into a frame.
+const (
+	requestCopies = 2
+	jobCopies     = 3
+)
+
+// bodyOf says how the body of a request on a route is read. What is not whole when the client's
+// time is over could not be answered any more.
+func bodyOf(config *routeconfig.Config, route *routeconfig.Route, header http.Header) inbound.Body {
+	body := inbound.Body{Limit: config.Limits.BodyBytes, Copies: requestCopies, Timeout: route.Cutoff()}
+	if body.Limit <= 0 {
+		body.Limit = constants.RequestLimit
+	}
+	if route.Kind() == messages.RouteBulk {
+		body.Copies = jobCopies
+	}
+	if left, stated := timeLeft(header); stated {
+		body.Timeout = min(body.Timeout, left)
+	}
+	body.Timeout = max(body.Timeout, constants.ClientBodyMin)
+	return body
+}
+
 func (p *Proxy) refuseBody(writer http.ResponseWriter, err error) {
-	var tooLarge *http.MaxBytesError
-	if asTooLarge(err, &tooLarge) {
-		httpreply.Text(writer, http.StatusRequestEntityTooLarge, "body too large")
-		return
+	if errs.Is(err, inbound.ErrNoRoom) {
+		p.Counts.Rejected.Add(1)
 	}
-	writer.Header().Set("Connection", "close")
-	httpreply.Text(writer, http.StatusBadRequest, "body can't be read")
+	httpreply.RefuseBody(writer, err)
 }
 
 func (p *Proxy) newExchange(writer http.ResponseWriter, request *http.Request, route *routeconfig.Route, body []byte, arrived clock.Instant) *exchange {
