Readiness port: connections, heads and bodies are bounded

What callers saw: heads without an end on the readiness port took 559 MB of a gateway that has 96; silent connections 1221 descriptors of 600. Whoever reaches that port could end the gateway.

Cause: its server took heads of a megabyte (the default of net/http), idle connections for ever, and any number of them.

Change: it listens by platform/inbound: 64 connections, heads of 64 KiB, which count in the same memory as those of the ingress, idle ones closed after a minute.

--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -63,10 +63,10 @@
 	go runtime.PullFirst(func() { g.settled.Store(true) })
 	calls := chi.NewRouter()
 	calls.Get("/-/readiness", g.readiness)
-	ready := &http.Server{Addr: runtime.Settings.Bind.Readiness, Handler: calls, ReadHeaderTimeout: constants.BulkCallTimeout}
+	ready := inbound.NewServer(calls)
 	limits := inbound.LimitsOf(runtime.Settings.Limits)
 	memory := inbound.NewMemory(limits.Memory)
-	readied, err := net.Listen("tcp4", runtime.Settings.Bind.Readiness)
+	readied, err := inbound.Listen(runtime.Settings.Bind.Readiness, min(limits.Connections, constants.ReadinessConnections), memory)
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "readiness")
 	}
