Control port: connections, heads and bodies are bounded

What callers saw: a controller that many clients send bodies to ran out of memory: 468 MB of 96 with bodies that stop short, 698 MB with bodies over the limit, 462 MB with whole configurations, 235 MB with heads.

Cause: the control port read bodies of up to 16 MiB each, any number at once, without an end to waiting; heads of a megabyte; idle connections for ever.

Change: it listens by platform/inbound, with the bounds of the ingress; a body is whole within 30 s, else 408; without room 503 with Retry-After, after which callers go on to another node.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -25,6 +25,7 @@
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/inbound"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/process"
 	"lemonarch/internal/platform/recordlog"
@@ -48,6 +49,7 @@
 	operator    *operatorapi.API
 	peers       peers
 	server      *http.Server
+	clients     inbound.Limits
 }
 
 // New opens the disk and prepares the process.
@@ -142,7 +144,7 @@
 	node.OnReportResponse(c.completeReportResponse)
 	node.Report(messages.QueryLeadership, c.reportRegister)
 	node.Report("workers", c.reportWorkers)
-	c.server = &http.Server{Addr: node.Settings.Bind.Control, Handler: c.calls(), ReadHeaderTimeout: constants.BulkCallTimeout}
+	c.server, c.clients = inbound.NewServer(c.calls()), inbound.LimitsOf(node.Settings.Limits)
 	// The file of workers is written from the beginning: calls may come before Run.
 	go c.workers.Run(node.Stop, node.Log)
 	return c
@@ -173,8 +175,12 @@
 	go clock.Every(constants.ReconcilePeriod, node.Stop, c.sets.Reconcile)
 	go clock.Every(constants.ReconcilePeriod, node.Stop, c.assignments.ReconcileSet)
 	go clock.Every(constants.PlanPeriod, node.Stop, c.assignments.Reconcile)
-	node.Log.Info("serving", "control", node.Settings.Bind.Control, "disk", node.Self.Disk)
-	err := c.server.ListenAndServe()
+	listener, err := inbound.Listen(node.Settings.Bind.Control, c.clients.Connections, inbound.NewMemory(c.clients.Memory))
+	if err != nil {
+		return process.ErrUnavailable.Wrap(err, "control")
+	}
+	node.Log.Info("serving", "control", node.Settings.Bind.Control, "disk", node.Self.Disk, "connections", c.clients.Connections)
+	err = c.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
