Configurations are checked in pieces, so that one can't take the controller's memory

What callers saw: eight bodies of 1 MiB that name many faulty routes took 222 MB of a controller that has 96.

Cause: CUE holds some two hundred times the length of a text, the checker kept 64 of them in one context, and every finding was kept. The body was parsed into routes before its shape was known, at eighty times its length for empty objects.

A shorter one is checked as before. A member that stands twice is refused in a long one.

--- a/internal/configuration/configcheck/configcheck_test.go
+++ b/internal/configuration/configcheck/configcheck_test.go
@@ -1,6 +1,7 @@
 package configcheck
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -59,3 +60,54 @@
 		t.Error(counts)
 	}
 }
+
+// long is a sound configuration of some length, with many routes.
+func long(routes int) string {
+	text := &strings.Builder{}
+	text.WriteString(`{"generation":7,"later":{"a":[1]},"backends":[{"name":"s","probe":"/health"}],"limits":{"idle-ms":15000},"channels":[`)
+	for number := range routes {
+		if number > 0 {
+			text.WriteString(",")
+		}
+		fmt.Fprintf(text, `{"name":"r%d","host":"h.example","path-prefix":"/r%d/","route-kind":"streaming","cutoff-ms":6000,"backend":"s","tries":2}`, number, number)
+	}
+	text.WriteString(`]}`)
+	return text.String()
+}
+
+// A configuration that is checked in pieces is held to the same shape as one that is checked whole.
+func TestLongConfigurations(t *testing.T) {
+	checker, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, findings := checker.Check([]byte(long(600)))
+	if len(findings) != 0 || len(config.Routes) != 600 || config.Limits.IdleMs != 15000 {
+		t.Fatal(findings)
+	}
+	for name, change := range map[string][2]string{
+		"cut short":       {`]}`, `]`},
+		"more behind":     {`]}`, `]} {}`},
+		"no generation":   {`"generation":7`, `"generation":0`},
+		"missing":         {`"generation":7,`, ``},
+		"no list":         {`"backends":[{"name":"s","probe":"/health"}]`, `"backends":7`},
+		"null list":       {`"backends":[{"name":"s","probe":"/health"}]`, `"backends":null`},
+		"limits":          {`"idle-ms":15000`, `"idle-ms":0`},
+		"stands twice":    {`"generation":7`, `"generation":7,"generation":8`},
+		"unknown service": {`{"name":"s","probe"`, `{"name":"t","probe"`},
+		"a late kind":     {`"name":"r599","host":"h.example","path-prefix":"/r599/","route-kind":"streaming"`, `"name":"r599","host":"h.example","path-prefix":"/r599/","route-kind":"maybe"`},
+		"a late place":    {`"path-prefix":"/r599/"`, `"path-prefix":"/r0/"`},
+		"a long route":    {`"name":"r599"`, `"name":"r599` + strings.Repeat("x", elementBytes) + `"`},
+	} {
+		changed := strings.Replace(long(600), change[0], change[1], 1)
+		if changed == long(600) {
+			t.Fatal(name, "changes nothing")
+		}
+		if _, findings := checker.Check([]byte(changed)); len(findings) == 0 {
+			t.Error(name, "is let through")
+		}
+	}
+	if _, findings := checker.Check([]byte(strings.ReplaceAll(long(600), "streaming", "maybe"))); len(findings) > findingsMax {
+		t.Error(len(findings), "findings are kept")
+	}
+}
--- /dev/null
+++ b/internal/configuration/configcheck/pieces.go
@@ -0,0 +1,202 @@
+package configcheck
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+)
+
+// A CUE value takes some two hundred times the length of its text, so a long configuration is checked
+// in pieces: each some of its routes or services, together with everything else that has a shape.
+
+const (
+	// pieceBytes is the length of a piece, in bytes; a shorter configuration is checked whole.
+	pieceBytes = 32 << 10
+	// elementBytes is the longest route or service, and the most that all other members with a shape
+	// may take, in bytes.
+	elementBytes = 128 << 10
+	// findingsMax is how many findings are enough.
+	findingsMax = 20
+)
+
+// The members of a configuration that have a shape.
+const (
+	memberGeneration = "generation"
+	memberRoutes     = "channels"
+	memberServices   = "backends"
+	memberLimits     = "limits"
+)
+
+// pieces is a configuration that is being read piece by piece.
+type pieces struct {
+	checker  *Checker
+	findings []string
+	// seen are the names of the members that were read.
+	seen map[string]bool
+	// generation and limits are the members that are no lists.
+	generation, limits json.RawMessage
+}
+
+// shapeInPieces gives the findings against the shape of a long configuration, some twenty at most.
+func (c *Checker) shapeInPieces(body []byte) []string {
+	p := &pieces{checker: c, seen: map[string]bool{}}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := p.read(decoder); err != nil {
+		return append(p.findings, "can't be read: "+err.Error())
+	}
+	if len(p.findings) == 0 {
+		p.checkRest()
+	}
+	// What was gathered for one long configuration is not kept for the next.
+	if err := c.renew(); err != nil {
+		return []string{err.Error()}
+	}
+	return p.findings
+}
+
+// read goes through the members in the order in which they come.
+func (p *pieces) read(decoder *json.Decoder) error {
+	if err := expect(decoder, '{'); err != nil {
+		return err
+	}
+	for decoder.More() && len(p.findings) < findingsMax {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		name, _ := token.(string)
+		if err := p.member(decoder, name); err != nil {
+			return err
+		}
+	}
+	if len(p.findings) >= findingsMax {
+		return nil
+	}
+	if err := expect(decoder, '}'); err != nil {
+		return err
+	}
+	if decoder.More() {
+		return fmt.Errorf("something follows the configuration")
+	}
+	return nil
+}
+
+// member reads the value of one member. Those that this program does not know are let through.
+func (p *pieces) member(decoder *json.Decoder, name string) error {
+	if p.seen[name] {
+		p.add(name + " stands twice")
+	}
+	switch name {
+	case memberRoutes, memberServices, memberGeneration, memberLimits:
+		p.seen[name] = true
+	}
+	switch name {
+	case memberRoutes, memberServices:
+		return p.list(decoder, name)
+	case memberGeneration:
+		return p.value(decoder, name, &p.generation)
+	case memberLimits:
+		return p.value(decoder, name, &p.limits)
+	}
+	var unknown json.RawMessage
+	return decoder.Decode(&unknown)
+}
+
+// value reads a member that is no list.
+func (p *pieces) value(decoder *json.Decoder, name string, into *json.RawMessage) error {
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if len(*into) > elementBytes {
+		p.add(fmt.Sprintf("%s is longer than %d bytes", name, elementBytes))
+		*into = nil
+	}
+	return nil
+}
+
+// list reads a list and checks it piece by piece.
+func (p *pieces) list(decoder *json.Decoder, name string) error {
+	if err := expect(decoder, '['); err != nil {
+		return err
+	}
+	var piece []json.RawMessage
+	length, first := 0, 0
+	for index := 0; decoder.More() && len(p.findings) < findingsMax; index++ {
+		var element json.RawMessage
+		if err := decoder.Decode(&element); err != nil {
+			return err
+		}
+		if len(element) > elementBytes {
+			p.add(fmt.Sprintf("%s.%d is longer than %d bytes", name, index, elementBytes))
+			continue
+		}
+		if length > 0 && length+len(element) > pieceBytes {
+			p.check(name, first, piece)
+			piece, length, first = piece[:0], 0, index
+		}
+		piece = append(piece, element)
+		length += len(element)
+	}
+	p.check(name, first, piece)
+	if len(p.findings) >= findingsMax {
+		return nil
+	}
+	return expect(decoder, ']')
+}
+
+// check checks some elements of a list, as a configuration that holds nothing else.
+func (p *pieces) check(name string, first int, piece []json.RawMessage) {
+	if len(piece) == 0 || len(p.findings) >= findingsMax {
+		return
+	}
+	whole := map[string]any{memberGeneration: 1, memberRoutes: []json.RawMessage{}, memberServices: []json.RawMessage{}, memberLimits: struct{}{}}
+	whole[name] = piece
+	p.shape(whole, name+" from "+strconv.Itoa(first)+" on: ")
+}
+
+// checkRest checks what is no list; a member that is missing is missing here as well.
+func (p *pieces) checkRest() {
+	whole := map[string]any{}
+	for _, name := range []string{memberRoutes, memberServices} {
+		if p.seen[name] {
+			whole[name] = []json.RawMessage{}
+		}
+	}
+	if p.generation != nil {
+		whole[memberGeneration] = p.generation
+	}
+	if p.limits != nil {
+		whole[memberLimits] = p.limits
+	}
+	p.shape(whole, "")
+}
+
+func (p *pieces) shape(whole map[string]any, where string) {
+	text, err := json.Marshal(whole)
+	if err != nil {
+		p.add("can't be read: " + err.Error())
+		return
+	}
+	for _, finding := range p.checker.shape(text) {
+		p.add(where + finding)
+	}
+}
+
+func (p *pieces) add(finding string) {
+	if len(p.findings) < findingsMax {
+		p.findings = append(p.findings, finding)
+	}
+}
+
+// expect reads one delimiter.
+func expect(decoder *json.Decoder, delimiter json.Delim) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	if token != delimiter {
+		return fmt.Errorf("%v stands where %v is wanted", token, delimiter)
+	}
+	return nil
+}
