Stores: the inputs of items that wait and run are bounded by memory

What callers saw: whole jobs of legal size, all accepted, took 163 MB of a store that has 96; disks are larger than memory, and only the disk was looked at.

Cause: the leader keeps the body and headers of every item that may still be run in memory, and an executor as many as it has places for, whatever their length.

Change: the job table counts what inputs take; a job that would bring them over a part of memory-mb is refused with 429 and Retry-After, a single one never. An executor is handed a megabyte of inputs at a time (one item at least) and asks for none while those that it runs take their part.

--- a/internal/batch/dispatch/acquire.go
+++ b/internal/batch/dispatch/acquire.go
@@ -51,13 +51,14 @@
 		freeCapacity += count
 	}
 	var taken []*Acquisition
+	bytes := int64(0)
 	order := d.rank(options.Terms, now)
 	for _, part := range [][]dueJob{order.inTime, order.overdue} {
 		if freeCapacity == 0 {
 			break
 		}
 		for _, item := range d.candidates(part, options, freeCapacity*candidatesPerSlot, now) {
-			if freeCapacity == 0 {
+			if freeCapacity == 0 || bytes >= constants.AcquireBytes {
 				return taken
 			}
 			service := options.Service(item)
@@ -70,6 +71,7 @@
 			}
 			options.Capacity[service]--
 			freeCapacity--
+			bytes += item.InputBytes()
 			d.Counts.Deliveries++
 			d.assignPrefix(item, options.Executor.Name, now)
 			taken = append(taken, acquisition)
--- a/internal/batch/dispatch/acquire_test.go
+++ b/internal/batch/dispatch/acquire_test.go
@@ -130,3 +130,23 @@
 		})
 	}
 }
+
+// An executor is handed so many bytes of inputs at a time, one item at least.
+func TestInputsAreHandedOutByBytes(t *testing.T) {
+	endpoint := newEndpoint(t, 1, nil, 0)
+	body := &messages.JobBody{Path: "/p/"}
+	for _, length := range []int{2 * constants.AcquireBytes, constants.AcquireBytes / 2, constants.AcquireBytes / 2, 10} {
+		body.Items = append(body.Items, messages.JobItem{ID: fmt.Sprint(len(body.Items)), Body: make([]byte, length)})
+	}
+	packed, err := body.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoint.Append(messages.Record{Kind: messages.RecordJob, Job: "a", Body: packed, AtMs: 1})
+	endpoint.settle()
+	for _, want := range []string{"0 ", "1 2 ", "3 "} {
+		if given := names(endpoint.take("x", 4, ms(1))); given != want {
+			t.Fatalf("%q was handed out, not %q", given, want)
+		}
+	}
+}
--- a/internal/batch/dispatch/item.go
+++ b/internal/batch/dispatch/item.go
@@ -52,6 +52,18 @@
 	availableAt, skippedSince clock.Instant
 }
 
+// headerEntryBytes is what a header of an item takes in memory beside its text, in bytes.
+const headerEntryBytes = 64
+
+// InputBytes is how many bytes of memory the item's body and headers take.
+func (i *Item) InputBytes() int64 {
+	bytes := len(i.Body)
+	for name, value := range i.Headers {
+		bytes += headerEntryBytes + len(name) + len(value)
+	}
+	return int64(bytes)
+}
+
 // StartRun starts a run and names it; zero when there is nothing to run.
 func (i *Item) StartRun() int {
 	if i.State != ItemAvailable || i.Job.Ended {
--- a/internal/batch/dispatch/jobtable.go
+++ b/internal/batch/dispatch/jobtable.go
@@ -67,6 +67,8 @@
 	opened []*Job
 	// unranked are the jobs that came since the dispatcher ranked them last.
 	unranked []*Job
+	// inputBytes is what the inputs of items that are not listed yet take in memory.
+	inputBytes int64
 	// executors are the executors that may hold acquisitions, with their epoch.
 	executors map[executorID]uint64
 }
@@ -79,6 +81,9 @@
 // Job finds a job, or nil.
 func (b *JobTable) Job(id string) *Job { return b.jobs[id] }
 
+// InputBytes is how many bytes of memory the inputs of items that may still be run take.
+func (b *JobTable) InputBytes() int64 { return b.inputBytes }
+
 // Jobs gives all jobs, the oldest first.
 func (b *JobTable) Jobs() []*Job { return b.order }
 
@@ -101,8 +106,7 @@
 			}
 			item.setState(state)
 			item.closedBy = record.Acquisition
-			// What is listed is read from disk: the rest is given back.
-			item.Body, item.Events, item.Headers = nil, nil, nil
+			b.dropInput(item)
 			job.open--
 		}
 	case messages.RecordExecutor:
@@ -118,11 +122,12 @@
 	case messages.RecordJobEnd:
 		if job := b.jobs[record.Job]; job != nil {
 			job.Ended = true
-			for _, item := range job.Items {
-				item.Body, item.Events, item.Headers = nil, nil, nil
-			}
+			b.dropInputs(job)
 		}
 	case messages.RecordForget:
+		if job := b.jobs[record.Job]; job != nil {
+			b.dropInputs(job)
+		}
 		delete(b.jobs, record.Job)
 		retained := b.order[:0]
 		for _, job := range b.order {
@@ -135,6 +140,18 @@
 	return nil
 }
 
+// dropInput gives back what an item holds to be run: what is listed is read from disk.
+func (b *JobTable) dropInput(item *Item) {
+	b.inputBytes -= item.InputBytes()
+	item.Body, item.Events, item.Headers = nil, nil, nil
+}
+
+func (b *JobTable) dropInputs(job *Job) {
+	for _, item := range job.Items {
+		b.dropInput(item)
+	}
+}
+
 func (b *JobTable) addJob(record *messages.Record) error {
 	if b.jobs[record.Job] != nil {
 		return nil
@@ -151,6 +168,7 @@
 		job.itemByID[item.ID] = item
 		job.available.set(i, true)
 		job.waitingTokens += item.Tokens
+		b.inputBytes += item.InputBytes()
 	}
 	b.jobs[job.ID] = job
 	b.order = append(b.order, job)
--- a/internal/batch/dispatch/jobtable_test.go
+++ b/internal/batch/dispatch/jobtable_test.go
@@ -31,3 +31,39 @@
 		t.Fatal(got)
 	}
 }
+
+// What the inputs of items take is counted until they are listed, ended or forgotten.
+func TestInputsAreCounted(t *testing.T) {
+	jobs := NewJobTable()
+	apply := func(record messages.Record) {
+		t.Helper()
+
+		if err := jobs.Apply(&record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		body := &messages.JobBody{Items: []messages.JobItem{{ID: id + "1", Body: make([]byte, 100)}, {ID: id + "2", Body: make([]byte, 50), Headers: map[string]string{"name": "value"}}}}
+		encoded, err := body.MarshalMsg(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		apply(messages.Record{Kind: messages.RecordJob, Job: id, Body: encoded})
+	}
+	whole := int64(150 + headerEntryBytes + len("name") + len("value"))
+	steps := []struct {
+		record messages.Record
+		want   int64
+	}{
+		{messages.Record{Kind: messages.RecordOutput, Job: "a", Item: "a1"}, 3*whole - 100},
+		{messages.Record{Kind: messages.RecordJobEnd, Job: "a"}, 2 * whole},
+		{messages.Record{Kind: messages.RecordForget, Job: "a"}, 2 * whole},
+		{messages.Record{Kind: messages.RecordForget, Job: "b"}, whole},
+		{messages.Record{Kind: messages.RecordJobEnd, Job: "c"}, 0},
+	}
+	for number, step := range steps {
+		if apply(step.record); jobs.InputBytes() != step.want {
+			t.Fatal("step", number, jobs.InputBytes(), "bytes, not", step.want)
+		}
+	}
+}
--- a/internal/batch/executor/runner.go
+++ b/internal/batch/executor/runner.go
@@ -25,6 +25,8 @@
 	stopped     bool
 	// lastProgress is when it was acquired or last brought events.
 	lastProgress clock.Instant
+	// inputBytes is what its item's input takes.
+	inputBytes int64
 }
 
 // NoteProgress notes that a task's stream brought events.
@@ -35,9 +37,11 @@
 
 // Runner keeps the tasks of one process.
 type Runner struct {
-	tasks    map[uint64]*Task
-	results  queue
-	releases queue
+	tasks map[uint64]*Task
+	// inputBytes is what the inputs of all tasks take.
+	inputBytes int64
+	results    queue
+	releases   queue
 	// fencedEpoch is the epoch below which nothing handed out is taken any more.
 	fencedEpoch uint64
 }
@@ -55,6 +59,9 @@
 	return len(r.tasks), waiting
 }
 
+// InputBytes is how many bytes of memory the inputs of all tasks take.
+func (r *Runner) InputBytes() int64 { return r.inputBytes }
+
 // Add adds what the dispatcher handed out to a request asked at an instant. The
 // lock is reckoned from the asking and the time that the request was held, so it
 // ends here no later than at the dispatcher, however late the answer came.
@@ -68,7 +75,8 @@
 		}
 		job := &dispatch.Job{ID: acquiredItem.Job, Host: acquiredItem.Host, Path: acquiredItem.Path, SubmittedMs: acquiredItem.SubmittedMs}
 		item := &dispatch.Item{JobItem: acquiredItem.Item, Job: job, Events: acquiredItem.Events, LastID: acquiredItem.LastID, Preempted: acquiredItem.Preempted, OwedResume: acquiredItem.Owed}
-		task := &Task{Number: acquiredItem.Number, Item: item, Run: item.StartRun(), Since: now, lockedUntil: until, lastProgress: now}
+		task := &Task{Number: acquiredItem.Number, Item: item, Run: item.StartRun(), Since: now, lockedUntil: until, lastProgress: now, inputBytes: item.InputBytes()}
+		r.inputBytes += task.inputBytes
 		r.tasks[task.Number] = task
 		taken = append(taken, task)
 	}
@@ -161,6 +169,7 @@
 		return
 	}
 	delete(r.tasks, task.Number)
+	r.inputBytes -= task.inputBytes
 	entry.Number, entry.Job, entry.Item = task.Number, task.Item.Job.ID, task.Item.ID
 	if entry.Kind == messages.AckRelease {
 		entry.Events, entry.LastID = task.Item.Events, task.Item.LastID
--- a/internal/batch/executor/runner_test.go
+++ b/internal/batch/executor/runner_test.go
@@ -137,3 +137,20 @@
 		t.Fatal("not stopped")
 	}
 }
+
+// What the inputs take is given back once a task is done, and once only.
+func TestInputsOfTasksAreCounted(t *testing.T) {
+	runner := New()
+	resp := given(1, 2)
+	resp.Items[0].Item.Body, resp.Items[1].Item.Body = make([]byte, 100), make([]byte, 10)
+	tasks := runner.Add(resp, ms(0), ms(500))
+	if runner.InputBytes() != 110 {
+		t.Fatal(runner.InputBytes())
+	}
+	for range 2 {
+		runner.Done(tasks[0], messages.Acknowledgement{Kind: messages.AckReject})
+	}
+	if runner.InputBytes() != 10 {
+		t.Fatal(runner.InputBytes())
+	}
+}
--- a/internal/batch/executorserver/place.go
+++ b/internal/batch/executorserver/place.go
@@ -116,9 +116,9 @@
 	owned := s.ownedWorkers(now)
 	s.lock.Lock()
 	all, waiting := s.runner.Count()
-	draining := s.draining
+	draining, bytes := s.draining, s.runner.InputBytes()
 	s.lock.Unlock()
-	if draining || all >= constants.RunningItemsMax {
+	if draining || all >= constants.RunningItemsMax || s.outgrowsMemory(bytes) {
 		return nil
 	}
 	counts := map[string]int{}
@@ -208,3 +208,10 @@
 	s.lock.Unlock()
 	s.done(task, messages.Acknowledgement{Kind: messages.AckRelease, NotStarted: true})
 }
+
+// outgrowsMemory tells whether the inputs of the items that run here take all the memory that they
+// may: each is held as it came and as it is written to its worker.
+func (s *Server) outgrowsMemory(inputBytes int64) bool {
+	limit := float64(s.node.Settings.Limits.MemoryMB) * (1 << 20) * constants.RunningInputShare
+	return limit > 0 && float64(inputBytes) > limit
+}
--- a/internal/batch/leader/intake.go
+++ b/internal/batch/leader/intake.go
@@ -156,6 +156,9 @@
 	if t.outgrowsDiskLocked(bytes, items) {
 		return tooMany("the disks are nearly full")
 	}
+	if t.outgrowsMemoryLocked(bytes) {
+		return tooMany("too much waits to be run")
+	}
 	return nil
 }
 
--- a/internal/platform/constants/replicas.go
+++ b/internal/platform/constants/replicas.go
@@ -30,6 +30,12 @@
 	OfferMinBytes = 4 << 10
 	// OfferWait is how long an offer waits at the leader (ours).
 	OfferWait = 700 * time.Millisecond
+	// JobInputShare is the part of a store's memory that the inputs of items that wait may take
+	// where it leads, RunningInputShare that of the items that it runs.
+	JobInputShare     = 0.15
+	RunningInputShare = 0.05
+	// AcquireBytes is how many bytes of inputs an executor is handed at a time, in whole items.
+	AcquireBytes = 1 << 20
 	// DiskShare is the part of a store's disk that jobs may come to fill, with the outputs that
 	// are still to come (ours): the rest is for what the estimate misses.
 	DiskShare = 0.85
