Stores: a job's items are counted before they are held

What callers saw: a body of 1 MiB that names 350,000 empty items took 136 MB of a store that has 96, and 413 came only after that.

Cause: the whole list was decoded before its length was looked at; several at once.

Change: a job with more braces than 200 items need has its elements counted one by one, up to 201, before it is parsed; jobs are parsed one at a time. Ordinary jobs pay one search for a byte.

--- a/internal/batch/leader/submit.go
+++ b/internal/batch/leader/submit.go
@@ -27,6 +27,9 @@
 
 // parseJob checks a job; the reason says what is wrong with it.
 func parseJob(call *messages.JobCallRequest) (body *messages.JobBody, tokens int64, status int, reason string) {
+	if namesTooMany(call.Body) {
+		return nil, 0, http.StatusRequestEntityTooLarge, "too many items"
+	}
 	job := jobJSON{}
 	if err := json.Unmarshal(call.Body, &job); err != nil {
 		return nil, 0, http.StatusBadRequest, "lot can't be read: " + err.Error()
@@ -79,7 +82,9 @@
 	if submitting > 0 {
 		return t.awaitSubmitted(submitting, accepted)
 	}
+	t.submissions.parsing.Lock()
 	body, tokens, status, cause := parseJob(call)
+	t.submissions.parsing.Unlock()
 	if body == nil {
 		return refuse(status, cause)
 	}
--- a/internal/batch/leader/term.go
+++ b/internal/batch/leader/term.go
@@ -84,6 +84,9 @@
 
 // submissions are changes of jobs that are on their way to the stores.
 type submissions struct {
+	// parsing is held while a job is parsed: what that takes is a multiple of the job, so it is one
+	// at a time.
+	parsing sync.Mutex
 	// submitting holds the index of the record of each job that is not committed yet.
 	submitting map[string]int64
 	// ending holds the jobs whose end was decided, and forgetting those that are dropped.
