Unread bytes are bounded where a large crowd connects at once

What a trial saw (a scratch copy, memory-mb 284, 2,500 clients with bodies of 4 MiB): 149 MB resident, and with the bytes that had arrived and were not yet read 255 MB of 284: connections that wait to be accepted take bytes too, and up to 4,096 may wait.

Change: as many connections wait as may be open; the receive buffer is 16 KiB (the system doubles it), and a connection is reckoned with what arrives on it and on one that waits.

--- a/internal/platform/constants/inbound.go
+++ b/internal/platform/constants/inbound.go
@@ -7,9 +7,9 @@
 const (
 	// ClientConnectionsShare is the part of memory-mb that connections may take, and
 	// ClientConnectionBytes what one is reckoned at: stacks and buffers, what its request holds
-	// uncounted, and what has arrived and is not yet read.
+	// uncounted, and what has arrived and is not yet read, on it and on one that waits to be accepted.
 	ClientConnectionsShare = 0.3
-	ClientConnectionBytes  = 24<<10 + ClientUnmeteredBytes + 2*ClientReceiveBuffer
+	ClientConnectionBytes  = 24<<10 + ClientUnmeteredBytes + 4*ClientReceiveBuffer
 	// ClientConnectionsMin is the least number of connections of a listener.
 	ClientConnectionsMin = 16
 	// ClientBytesShare is the part of memory-mb that heads and bodies may take beyond that.
@@ -18,7 +18,7 @@
 	// one finds room whatever others hold.
 	ClientUnmeteredBytes = 16 << 10
 	// ClientReceiveBuffer is SO_RCVBUF of a client's connection, in bytes; the system doubles it.
-	ClientReceiveBuffer = 32 << 10
+	ClientReceiveBuffer = 16 << 10
 	// HeaderLineBytes is what a line of a head holds beside its text, in bytes.
 	HeaderLineBytes = 160
 	// BodyFirstBytes is the first buffer of a body, in bytes, whatever length is announced.
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -40,9 +40,26 @@
 	}
 	return NewListener(listener, connections, memory), nil
 }
+	if connections > 0 {
+		boundBacklog(listener, connections)
+	}
 
 // NewListener counts the connections of a listener.
 func NewListener(listener net.Listener, connections int, memory *Memory) *Listener {
+// boundBacklog lets as many connections wait to be accepted as may be open: what arrives on them
+// counts too. A system that can't bound them is no reason not to serve.
+func boundBacklog(listener net.Listener, connections int) {
+	socket, can := listener.(syscall.Conn)
+	if !can {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), connections) })
+}
+
 	l := &Listener{Listener: listener, memory: memory, connections: connections, open: map[*Conn]struct{}{}}
 	memory.lock.Lock()
 	defer memory.lock.Unlock()
