--- a/internal/platform/constants/inbound.go
+++ b/internal/platform/constants/inbound.go
@@ -21,6 +21,15 @@
 	ClientReceiveBuffer = 16 << 10
 	// HeaderLineBytes is what a line of a head holds beside its text, in bytes.
 	HeaderLineBytes = 160
+	// HeadSlack is how much longer than stated a head may be, in bytes: the limit is that of the
+	// headers, and the request line comes before them.
+	HeadSlack = 4 << 10
+	// ServerHeadMax is what the server itself takes of a head where the listener bounds it, in bytes.
+	ServerHeadMax = 1 << 30
+	// LingerBytes and LingerTimeout are what is read and thrown away before a connection ends on
+	// which the client still sends.
+	LingerBytes   = 1 << 20
+	LingerTimeout = 300 * time.Millisecond
 	// BodyFirstBytes is the first buffer of a body, in bytes, whatever length is announced.
 	BodyFirstBytes = 16 << 10
 	// FileHandlesReserved are the descriptors that the machine keeps for files, and
--- a/internal/platform/inbound/conn.go
+++ b/internal/platform/inbound/conn.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"bytes"
 	"net"
 	"sync"
 
@@ -25,9 +24,12 @@
 	phaseDraining
 )
 
-// refusal is what a client gets whose request could not be read for want of room. Nothing of it
-// has run, and nothing will.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n\r\n"
+// What a client gets whose head could not be read: for want of room, or since it is too long.
+// Nothing of the request has run, and nothing will.
+const (
+	noRoomAnswer   = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n\r\n"
+	tooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 // Conn is one connection of a client. It knows how far its request has come and how fast it comes.
 type Conn struct {
@@ -39,8 +41,10 @@
 	// since is when the present phase of waiting for the client began: the first byte of the
 	// request, or the end of the one before.
 	since clock.Instant
-	// headBytes and headLines are what came of the head.
-	headBytes, headLines int64
+	// head is what came of the head, early what came of the next request before the present one was
+	// answered.
+	head  headScan
+	early []byte
 	// unmetered is what the present request may still hold without being counted.
 	unmetered int64
 	rate      rate
@@ -65,36 +69,45 @@
 		return 0, ErrNoRoom.New("connection had to give way")
 	}
 	count, err := c.Conn.Read(into)
-	if count > 0 {
-		if needed := c.received(into[:count]); needed > 0 && !c.listener.memory.reserve(c, needed, needed) {
-			c.refuse()
-			return 0, ErrNoRoom.New("head")
-		}
+	if count == 0 {
+		return count, err
+	}
+	needed, tooLarge := c.received(into[:count])
+	if tooLarge {
+		c.answer(tooLargeAnswer)
+		return 0, ErrTooLarge.New("head")
+	}
+	if needed > 0 && !c.listener.memory.reserve(c, needed, needed) {
+		c.refuse()
+		return 0, ErrNoRoom.New("head")
 	}
 	return count, err
 }
 
-// received notes bytes that came, and tells how many bytes more the head of the request holds.
-func (c *Conn) received(text []byte) int64 {
+// received notes bytes that came, and tells how many bytes more the head of the request holds, or
+// that it is longer than it may be.
+func (c *Conn) received(text []byte) (needed int64, tooLarge bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	now := clock.Now()
 	c.rate.add(len(text), now)
-	if c.phase == phaseIdle {
+	switch c.phase {
+	case phaseIdle:
 		c.phase, c.since = phaseHead, now
-	}
-	if c.phase != phaseHead {
-		return 0
+	case phaseServing:
+		c.early = append(c.early, text...)
+		return 0, false
+	case phaseBody, phaseDraining:
+		return 0, false
 	}
 	before := c.headCost()
-	c.headBytes += int64(len(text))
-	c.headLines += int64(bytes.Count(text, []byte{'\n'}))
-	return c.meterLocked(c.headCost() - before)
+	c.head.feed(text)
+	return c.meterLocked(c.headCost() - before), c.listener.outgrowsHead(c.head.bytes)
 }
 
 // headCost is what the head holds once it is parsed: its text twice, and an entry for each line.
 func (c *Conn) headCost() int64 {
-	return 2*c.headBytes + constants.HeaderLineBytes*c.headLines
+	return 2*c.head.bytes + constants.HeaderLineBytes*c.head.lines
 }
 
 // meterLocked takes bytes out of what the request may hold uncounted, and gives the rest. The
@@ -152,15 +165,6 @@
 	return c.SetWriteDeadline(at)
 }
 
-// CloseWrite ends our side, where the connection can.
-func (c *Conn) CloseWrite() error {
-	half, can := c.Conn.(interface{ CloseWrite() error })
-	if !can {
-		return nil
-	}
-	return half.CloseWrite()
-}
-
 // Close ends the connection and gives back what its request held.
 func (c *Conn) Close() error {
 	c.listener.forget(c)
@@ -171,8 +175,23 @@
 // refuse answers with 503 and ends the connection.
 func (c *Conn) refuse() {
 	c.listener.refused.Add(1)
+	c.answer(noRoomAnswer)
+}
+
+// answer writes an answer of its own and ends the connection once the client has read it.
+func (c *Conn) answer(text string) {
 	_ = c.SetWriteDeadline(clock.Deadline(constants.ClientRefusalTimeout))
-	_, _ = c.Conn.Write([]byte(refusal))
+	if _, err := c.Conn.Write([]byte(text)); err == nil {
+		_ = CloseWrite(c)
+	}
+	_ = c.Close()
+}
+
+// turnAway refuses a connection that there is no room for, without waiting for its client.
+func (c *Conn) turnAway() {
+	c.listener.refused.Add(1)
+	_ = c.SetWriteDeadline(clock.Deadline(constants.ClientRefusalTimeout))
+	_, _ = c.Conn.Write([]byte(noRoomAnswer))
 	_ = c.Close()
 }
 
@@ -198,7 +217,7 @@
 	switch {
 	case reading:
 	case head:
-		c.refuse()
+		c.turnAway()
 	default:
 		_ = c.Close()
 	}
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -20,6 +20,8 @@
 
 	lock sync.Mutex
 	open map[*Conn]struct{}
+	// headLimit is how long a head may be, in bytes; 0 leaves it to the server.
+	headLimit atomic.Int64
 	// evicted and refused count what had to give way and what found no room.
 	evicted, refused atomic.Int64
 }
@@ -38,14 +40,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewListener(listener, connections, memory), nil
-}
 	if connections > 0 {
 		boundBacklog(listener, connections)
 	}
+	return NewListener(listener, connections, memory), nil
+}
 
-// NewListener counts the connections of a listener.
-func NewListener(listener net.Listener, connections int, memory *Memory) *Listener {
 // boundBacklog lets as many connections wait to be accepted as may be open: what arrives on them
 // counts too. A system that can't bound them is no reason not to serve.
 func boundBacklog(listener net.Listener, connections int) {
@@ -60,6 +60,8 @@
 	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), connections) })
 }
 
+// NewListener counts the connections of a listener.
+func NewListener(listener net.Listener, connections int, memory *Memory) *Listener {
 	l := &Listener{Listener: listener, memory: memory, connections: connections, open: map[*Conn]struct{}{}}
 	memory.lock.Lock()
 	defer memory.lock.Unlock()
@@ -67,6 +69,14 @@
 	return l
 }
 
+// SetHeadLimit bounds heads, in bytes, from the next bytes on that come; 0 leaves them to the server.
+func (l *Listener) SetHeadLimit(limit int) { l.headLimit.Store(int64(limit)) }
+
+func (l *Listener) outgrowsHead(length int64) bool {
+	limit := l.headLimit.Load()
+	return limit > 0 && length > limit+constants.HeadSlack
+}
+
 // Accept gives the next connection. Where there are too many, another one is closed for it, or it
 // is refused.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -79,7 +89,7 @@
 		if l.admit(connection) {
 			return connection, nil
 		}
-		connection.refuse()
+		connection.turnAway()
 	}
 }
 
--- a/internal/platform/inbound/request.go
+++ b/internal/platform/inbound/request.go
@@ -120,7 +120,13 @@
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.phase, c.since = phaseIdle, clock.Now()
-	c.headBytes, c.headLines, c.unmetered, c.rate = 0, 0, constants.ClientUnmeteredBytes, rate{}
+	c.head, c.unmetered, c.rate = headScan{}, constants.ClientUnmeteredBytes, rate{}
+	if len(c.early) > 0 {
+		// The next request has begun.
+		c.phase = phaseHead
+		c.head.feed(c.early)
+		c.early = nil
+	}
 	if !c.bodyDeadline.IsZero() {
 		c.bodyDeadline = clock.Time{}
 		_ = c.applyDeadlineLocked()
--- a/internal/traffic/gateway/clientconn.go
+++ b/internal/traffic/gateway/clientconn.go
@@ -133,6 +133,10 @@
 	return p.Conn.Close()
 }
 
+// CloseWrite ends our side and lets the client come to its end. The standard server asks for it
+// where it answers a head or body that is too large.
+func (p *clientConn) CloseWrite() error { return inbound.CloseWrite(p.Conn) }
+
 // NetConn gives the connection inside.
 func (p *clientConn) NetConn() net.Conn { return p.Conn }
 
--- a/internal/traffic/gateway/connections.go
+++ b/internal/traffic/gateway/connections.go
@@ -6,6 +6,7 @@
 
 	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // clientConns are the ingress and its clients' connections. They follow the limits of
@@ -18,8 +19,13 @@
 	idleTimeout, headerTimeout clock.Duration
 	// newestIdleTimeout is the idle time of the newest configuration.
 	newestIdleTimeout clock.Duration
+	// newestHeadBytes is the length of heads by the newest configuration.
+	newestHeadBytes int
 }
 
+// headLimiter is a listener that bounds heads, in bytes.
+type headLimiter interface{ SetHeadLimit(limit int) }
+
 func newClientConns(listener net.Listener, limits routeconfig.Limits) *clientConns {
 	entry := &clientConns{Listener: listener, open: map[*clientConn]struct{}{}}
 	entry.setLimits(limits)
@@ -65,6 +71,7 @@
 	c.idleTimeout, c.newestIdleTimeout = max(stated, c.newestIdleTimeout), stated
 	c.headerTimeout = clock.Milliseconds(limits.HeaderWaitMs)
 	idle := c.idleTimeout
+	c.setHeadLimitLocked(limits.HeaderBytes)
 	c.lock.Unlock()
 	now := clock.Now()
 	for _, connection := range c.list() {
@@ -72,6 +79,19 @@
 	}
 }
 
+// setHeadLimitLocked takes the length of heads of a newer configuration: the longer of the two, for
+// the same reason. The lock is held.
+func (c *clientConns) setHeadLimitLocked(stated int) {
+	if stated <= 0 {
+		stated = constants.HeadLimit
+	}
+	limit := max(stated, c.newestHeadBytes)
+	c.newestHeadBytes = stated
+	if limiter, can := c.Listener.(headLimiter); can {
+		limiter.SetHeadLimit(limit)
+	}
+}
+
 // readTimeout is how long to wait for a client's next bytes.
 func (c *clientConns) readTimeout(resting bool) clock.Duration {
 	c.lock.Lock()
--- a/internal/traffic/gateway/connections_test.go
+++ b/internal/traffic/gateway/connections_test.go
@@ -13,6 +13,7 @@
 
 	"lemonarch/internal/configuration/routeconfig"
 	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
 )
 
 // scripted is a client's connection whose reads are given, and whose deadline is seen.
@@ -168,3 +169,23 @@
 		t.Fatal(order, len(started))
 	}
 }
+
+// headLimits notes the limits of heads that it is given.
+type headLimits struct {
+	net.Listener
+	given []int
+}
+
+func (h *headLimits) SetHeadLimit(limit int) { h.given = append(h.given, limit) }
+
+// Heads are bounded by the newest configuration, or the one before where that allows more.
+func TestHeadsFollowTheConfiguration(t *testing.T) {
+	listener := &headLimits{}
+	owner := newClientConns(listener, routeconfig.Limits{HeaderBytes: 16_000})
+	for _, bytes := range []int{100_000, 8_000, 8_000, 0} {
+		owner.setLimits(routeconfig.Limits{HeaderBytes: bytes})
+	}
+	if got := fmt.Sprint(listener.given); got != fmt.Sprint([]int{16_000, 100_000, 100_000, 8_000, constants.HeadLimit}) {
+		t.Error(got)
+	}
+}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -86,16 +86,15 @@
 	return process.ErrUnavailable.Wrap(err, "ingress")
 }
 
-// serve takes requests by the limits in force. The server's own limits only tell that
-// there are some; a larger header than the first configuration's is not rejected, as a later
-// one may allow it.
+// serve takes requests by the limits in force, which the connections follow; the server's own only
+// tell that there are some.
 func (g *Gateway) serve(listener net.Listener) error {
 	limits := g.Node.Config().Limits
 	clients := newClientConns(listener, limits)
 	g.clients.Store(clients)
 	// One that came since is taken by whoever of us is later.
 	clients.setLimits(g.Node.Config().Limits)
-	ingress := &http.Server{Handler: inbound.Handler(g.Proxy), MaxHeaderBytes: max(limits.HeaderBytes, constants.HeadLimit),
+	ingress := &http.Server{Handler: inbound.Handler(g.Proxy), MaxHeaderBytes: constants.ServerHeadMax,
 		ReadHeaderTimeout: constants.BulkCallTimeout, IdleTimeout: constants.BulkCallTimeout, ConnContext: inbound.ConnContext, ConnState: trackState}
 	g.Node.Log.Info("serving", "ingress", g.Node.Settings.Bind.Ingress)
 	g.ingress.Store(ingress)
