--- a/internal/platform/inbound/request.go
+++ b/internal/platform/inbound/request.go
@@ -59,20 +59,49 @@
 			next.ServeHTTP(writer, request)
 			return
 		}
-		connection.begin(request.ContentLength != 0)
 		defer connection.end()
+		framing := connection.begin(request)
+		if framing != framingSound {
+			writer.Header().Set("Connection", "close")
+		}
+		if framing == framingAmbiguous {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
 		next.ServeHTTP(writer, request)
 	})
 }
 
+// framing says whether it is certain where a request ends.
+type framing int
+
+// The framings.
+const (
+	// framingSound: there is one reading.
+	framingSound framing = iota
+	// framingUnseen: the head's bytes were not all seen, so nothing may follow on the connection.
+	framingUnseen
+	// framingAmbiguous: the head has both Content-Length and Transfer-Encoding.
+	framingAmbiguous
+)
+
 // begin notes that the head is whole. A body counts as one that nobody wants until it is asked for.
-func (c *Conn) begin(hasBody bool) {
+func (c *Conn) begin(request *http.Request) framing {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.phase = phaseServing
-	if hasBody {
+	if request.ContentLength != 0 {
 		c.drainLocked()
 	}
+	switch {
+	case len(request.TransferEncoding) == 0:
+		return framingSound
+	case !c.head.covers(request):
+		return framingUnseen
+	case c.head.ambiguous():
+		return framingAmbiguous
+	}
+	return framingSound
 }
 
 // drainLocked bounds how long the rest of the body is waited for. The lock is held.
