--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -73,8 +73,7 @@
 		if over {
 			return
 		}
-		if retry == RetryNever || e.attempts >= e.route.Tries || e.undelivered >= undeliveredLimit ||
-			clock.Now() >= e.deadline || e.request.Context().Err() != nil {
+		if retry == RetryNever || e.exhausted() {
 			e.giveUp(admission.Decision{Verdict: admission.VerdictNoCapacity, Retry: e.admission.Setpoint / 2})
 			return
 		}
@@ -88,6 +87,15 @@
 	}
 }
 
+// exhausted tells whether no further worker may be attempted. A response that has begun is given up
+// only where its tries have run or its time is over: its client can't be told to come back.
+func (e *exchange) exhausted() bool {
+	if clock.Now() >= e.deadline || e.request.Context().Err() != nil || e.attempts >= e.route.Tries {
+		return true
+	}
+	return e.undelivered >= undeliveredLimit && !e.headSent
+}
+
 // outgoing writes the request for a worker.
 func (e *exchange) outgoing(grant *admission.Grant) *Request {
 	own := map[string]string{headerTarget: grant.Worker.ID}
@@ -143,13 +151,17 @@
 // decideRetry turns evidence into a decision and counts the attempts.
 func (e *exchange) decideRetry(evidence Evidence) Retry {
 	evidence.Events, evidence.Head = e.hasEvent && e.headSent, e.headSent
-	if evidence.Sent {
-		e.attempts++
-		if !evidence.NotRun {
-			e.mayHaveRun = true
-		}
-	} else {
+	switch {
+	case !evidence.Sent:
 		e.undelivered++
+	case evidence.NotRun && e.headSent:
+		// The client has a part of a run, which nobody but a further worker can complete: one that
+		// turned the request away has not used up a try.
+	default:
+		e.attempts++
+	}
+	if evidence.Sent && !evidence.NotRun {
+		e.mayHaveRun = true
 	}
 	return DecideRetry(e.kind(), e.route.Resumable, evidence)
 }
