Clients that are turned away are told of in the log

Cause: that connections had to give way, or found no room, was seen by nobody.

Change: each listener writes one line in ten seconds in which that happened, with counts, open connections and held bytes. Tests of inbound by what they show.

Measured: nothing; the line has no part in serving. Unit tests and linters green.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -179,6 +179,7 @@
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "control")
 	}
+	go listener.LogPressure(node.Log, "control", node.Stop)
 	node.Log.Info("serving", "control", node.Settings.Bind.Control, "disk", node.Self.Disk, "connections", c.clients.Connections)
 	err = c.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/internal/platform/constants/inbound.go
+++ b/internal/platform/constants/inbound.go
@@ -53,6 +53,8 @@
 	ClientDrainTimeout = time.Second
 	// ClientBodyMin is the least time that a body may take, whatever time its client has left.
 	ClientBodyMin = 100 * time.Millisecond
+	// ClientLogPeriod is the time between two lines of the log about clients that were turned away.
+	ClientLogPeriod = 10 * time.Second
 	// ControlBodyTimeout is how long a body on the control port may take, and ControlIdle how long
 	// a connection may lie idle there.
 	ControlBodyTimeout = 30 * time.Second
--- /dev/null
+++ b/internal/platform/inbound/helpers_test.go
@@ -0,0 +1,98 @@
+package inbound
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/errs"
+)
+
+// bodyLimit is the longest body that the test's handler takes.
+const bodyLimit = 256 << 10
+
+// serve starts a server whose handler reads the body and says how many bytes it had, or why it had
+// none. Paths below /unread don't read it.
+func serve(t *testing.T, connections int, memory int64) (*Listener, *Memory) {
+	t.Helper()
+
+	budget := NewMemory(memory)
+	listener, err := Listen("127.0.0.1:0", connections, budget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if strings.HasPrefix(request.URL.Path, "/unread") {
+			return
+		}
+		body, err := Body{Limit: bodyLimit, Copies: 1, Timeout: constants.ControlBodyTimeout}.Read(writer, request)
+		switch {
+		case err == nil:
+			fmt.Fprint(writer, len(body))
+		case errs.Is(err, ErrNoRoom):
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		case errs.Is(err, ErrTooLarge):
+			writer.WriteHeader(http.StatusRequestEntityTooLarge)
+		default:
+			writer.WriteHeader(http.StatusBadRequest)
+		}
+	}))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener, budget
+}
+
+// client is one raw connection.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, listener *Listener) *client {
+	t.Helper()
+
+	raw, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { raw.Close() })
+	return &client{Conn: raw, reader: bufio.NewReader(raw)}
+}
+
+// send writes what it can: the other side may have closed.
+func (c *client) send(format string, args ...any) { fmt.Fprintf(c.Conn, format, args...) }
+
+// status reads one answer; 0 where the connection ended without one.
+func (c *client) status() int {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// begin sends a part of a body that is announced as longer.
+func (c *client) begin(announced, sent int) {
+	c.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", announced, strings.Repeat("x", sent))
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+
+	for range 2000 {
+		if holds() {
+			return
+		}
+		<-clock.After(clock.Milliseconds(5))
+	}
+	t.Fatal("never: " + what)
+}
--- a/internal/platform/inbound/inbound_test.go
+++ b/internal/platform/inbound/inbound_test.go
@@ -1,104 +1,17 @@
 package inbound
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
-	"lemonarch/internal/platform/errs"
-	"lemonarch/internal/platform/settings"
 )
 
-// bodyLimit is the longest body that the test's handler takes.
-const bodyLimit = 256 << 10
-
-// serve starts a server whose handler reads the body and says how many bytes it had, or why it had
-// none. Paths below /unread don't read it.
-func serve(t *testing.T, connections int, memory int64) (*Listener, *Memory) {
-	t.Helper()
-
-	budget := NewMemory(memory)
-	listener, err := Listen("127.0.0.1:0", connections, budget)
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if strings.HasPrefix(request.URL.Path, "/unread") {
-			return
-		}
-		body, err := Body{Limit: bodyLimit, Copies: 1, Timeout: constants.ControlBodyTimeout}.Read(writer, request)
-		switch {
-		case err == nil:
-			fmt.Fprint(writer, len(body))
-		case errs.Is(err, ErrNoRoom):
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		case errs.Is(err, ErrTooLarge):
-			writer.WriteHeader(http.StatusRequestEntityTooLarge)
-		default:
-			writer.WriteHeader(http.StatusBadRequest)
-		}
-	}))
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return listener, budget
-}
-
-// client is one raw connection.
-type client struct {
-	net.Conn
-	reader *bufio.Reader
-}
-
-func dial(t *testing.T, listener *Listener) *client {
-	t.Helper()
-
-	raw, err := net.Dial("tcp4", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { raw.Close() })
-	return &client{Conn: raw, reader: bufio.NewReader(raw)}
-}
-
-// send writes what it can: the other side may have closed.
-func (c *client) send(format string, args ...any) { fmt.Fprintf(c.Conn, format, args...) }
-
-// status reads one answer; 0 where the connection ended without one.
-func (c *client) status() int {
-	resp, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
-}
-
-// begin sends a part of a body that is announced as longer.
-func (c *client) begin(announced, sent int) {
-	c.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", announced, strings.Repeat("x", sent))
-}
-
-// await waits until a condition holds.
-func await(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-
-	for range 2000 {
-		if holds() {
-			return
-		}
-		<-clock.After(clock.Milliseconds(5))
-	}
-	t.Fatal("never: " + what)
-}
-
 // A body comes back as it was sent, whatever its framing and length, and what it held is given back.
 func TestBodiesAreReadWhole(t *testing.T) {
 	listener, memory := serve(t, 0, 1<<20)
@@ -254,72 +167,3 @@
 	}
 	await(t, "the connection is gone", func() bool { return listener.Open() == 0 })
 }
-
-func TestChoices(t *testing.T) {
-	second := clock.Instant(clock.Milliseconds(1000))
-	now := 100 * second
-	connections := make([]Conn, 8)
-	list := []candidate{
-		{connection: &connections[0], phase: phaseServing, since: 1, charged: 900},
-		{connection: &connections[1], phase: phaseBody, since: now - 5*second, recent: 500, charged: 50},
-		{connection: &connections[2], phase: phaseHead, since: now - 3*second, recent: 20, charged: 10},
-		{connection: &connections[3], phase: phaseBody, since: now, recent: 0, charged: 800},
-		{connection: &connections[4], phase: phaseServing, since: 1, writingSince: now - 4*second},
-		{connection: &connections[5], phase: phaseServing, since: 1, writingSince: now},
-		{connection: &connections[6], phase: phaseIdle, since: now - 2*second},
-		{connection: &connections[7], phase: phaseIdle, since: now - 1*second},
-	}
-	holders, closed := []int{}, []int{}
-	remaining := append([]candidate{}, list...)
-	for chosen := chooseHolder(remaining, 100, now); chosen != nil; chosen = chooseHolder(remaining, 100, now) {
-		holders = append(holders, indexOf(connections, chosen.connection))
-		chosen.charged = 0
-	}
-	remaining = append([]candidate{}, list...)
-	for chosen := chooseConnection(remaining, now); chosen != nil; chosen = chooseConnection(remaining, now) {
-		closed = append(closed, indexOf(connections, chosen.connection))
-		*chosen = candidate{phase: phaseServing}
-	}
-	if fmt.Sprint(holders) != "[2 1 3]" {
-		t.Error("memory is given back by", holders)
-	}
-	if fmt.Sprint(closed) != "[6 7 2 1 4]" {
-		t.Error("connections are closed in the order", closed)
-	}
-	if chooseHolder(list[3:4], 500, now) != nil {
-		t.Error("a request gives way to one that holds nearly as much")
-	}
-}
-
-func indexOf(connections []Conn, wanted *Conn) int {
-	for i := range connections {
-		if &connections[i] == wanted {
-			return i
-		}
-	}
-	return -1
-}
-
-func TestRateForgets(t *testing.T) {
-	window := clock.Instant(constants.ClientRateWindow)
-	r := rate{}
-	r.add(100, window)
-	r.add(50, window+window/2)
-	if got := r.recent(2*window + 1); got != 150 {
-		t.Error(got)
-	}
-	if got := r.recent(5 * window); got != 0 {
-		t.Error(got)
-	}
-}
-
-func TestLimitsFollowTheMachine(t *testing.T) {
-	small := LimitsOf(settings.Limits{MemoryMB: 96, FileHandles: 600})
-	large := LimitsOf(settings.Limits{MemoryMB: 284, FileHandles: 4100})
-	if small.Connections > 200 || small.Connections < 100 || large.Connections < 500 || large.Connections > 1950 || small.Memory >= large.Memory {
-		t.Error(small, large)
-	}
-	if none := LimitsOf(settings.Limits{MemoryMB: 17}); none.Connections < constants.ClientConnectionsMin {
-		t.Error(none)
-	}
-}
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/hashicorp/go-hclog"
+
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/contexts"
@@ -140,6 +142,21 @@
 	return entry, !c.evicted
 }
 
+// LogPressure writes a line each period in which connections had to give way or found no room, until
+// stop closes. listener names the port.
+func (l *Listener) LogPressure(log hclog.Logger, listener string, stop <-chan struct{}) {
+	evicted, refused := int64(0), int64(0)
+	clock.Every(constants.ClientLogPeriod, stop, func() {
+		nowEvicted, nowRefused := l.Evicted(), l.Refused()
+		if nowEvicted == evicted && nowRefused == refused {
+			return
+		}
+		log.Warn("clients turned away", "listener", listener, "evicted", nowEvicted-evicted, "refused", nowRefused-refused,
+			"open", l.Open(), "held-bytes", l.memory.Used())
+		evicted, refused = nowEvicted, nowRefused
+	})
+}
+
 // Open is how many connections are open.
 func (l *Listener) Open() int {
 	l.lock.Lock()
--- /dev/null
+++ b/internal/platform/inbound/victim_test.go
@@ -0,0 +1,81 @@
+package inbound
+
+import (
+	"fmt"
+	"testing"
+
+	"lemonarch/internal/platform/clock"
+	"lemonarch/internal/platform/constants"
+	"lemonarch/internal/platform/settings"
+)
+
+// Memory is given back by the slowest first, connections by the longest idle; what is whole keeps
+// both.
+func TestChoices(t *testing.T) {
+	second := clock.Instant(clock.Milliseconds(1000))
+	now := 100 * second
+	connections := make([]Conn, 8)
+	list := []candidate{
+		{connection: &connections[0], phase: phaseServing, since: 1, charged: 900},
+		{connection: &connections[1], phase: phaseBody, since: now - 5*second, recent: 500, charged: 50},
+		{connection: &connections[2], phase: phaseHead, since: now - 3*second, recent: 20, charged: 10},
+		{connection: &connections[3], phase: phaseBody, since: now, recent: 0, charged: 800},
+		{connection: &connections[4], phase: phaseServing, since: 1, writingSince: now - 4*second},
+		{connection: &connections[5], phase: phaseServing, since: 1, writingSince: now},
+		{connection: &connections[6], phase: phaseIdle, since: now - 2*second},
+		{connection: &connections[7], phase: phaseIdle, since: now - 1*second},
+	}
+	holders, closed := []int{}, []int{}
+	remaining := append([]candidate{}, list...)
+	for chosen := chooseHolder(remaining, 100, now); chosen != nil; chosen = chooseHolder(remaining, 100, now) {
+		holders = append(holders, indexOf(connections, chosen.connection))
+		chosen.charged = 0
+	}
+	remaining = append([]candidate{}, list...)
+	for chosen := chooseConnection(remaining, now); chosen != nil; chosen = chooseConnection(remaining, now) {
+		closed = append(closed, indexOf(connections, chosen.connection))
+		*chosen = candidate{phase: phaseServing}
+	}
+	if fmt.Sprint(holders) != "[2 1 3]" {
+		t.Error("memory is given back by", holders)
+	}
+	if fmt.Sprint(closed) != "[6 7 2 1 4]" {
+		t.Error("connections are closed in the order", closed)
+	}
+	if chooseHolder(list[3:4], 500, now) != nil {
+		t.Error("a request gives way to one that holds nearly as much")
+	}
+}
+
+func indexOf(connections []Conn, wanted *Conn) int {
+	for i := range connections {
+		if &connections[i] == wanted {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestRateForgets(t *testing.T) {
+	window := clock.Instant(constants.ClientRateWindow)
+	r := rate{}
+	r.add(100, window)
+	r.add(50, window+window/2)
+	if got := r.recent(2*window + 1); got != 150 {
+		t.Error(got)
+	}
+	if got := r.recent(5 * window); got != 0 {
+		t.Error(got)
+	}
+}
+
+func TestLimitsFollowTheMachine(t *testing.T) {
+	small := LimitsOf(settings.Limits{MemoryMB: 96, FileHandles: 600})
+	large := LimitsOf(settings.Limits{MemoryMB: 284, FileHandles: 4100})
+	if small.Connections > 200 || small.Connections < 100 || large.Connections < 500 || large.Connections > 1950 || small.Memory >= large.Memory {
+		t.Error(small, large)
+	}
+	if none := LimitsOf(settings.Limits{MemoryMB: 17}); none.Connections < constants.ClientConnectionsMin {
+		t.Error(none)
+	}
+}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -76,6 +76,8 @@
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "ingress")
 	}
+	go readied.LogPressure(runtime.Log, "readiness", runtime.Stop)
+	go listener.LogPressure(runtime.Log, "ingress", runtime.Stop)
 	for runtime.Config() == nil {
 		clock.Sleep(constants.PumpPeriod)
 	}
