A request that has come whole is not made to give way for another's room

Found by reading: between the choice of a connection and its closing its request may have come whole; it was then closed while it was served. What such a request was to give back stayed counted as awaited for ever, so that later requests waited for room that nobody gave back.

Change: a connection gives way only as what it was chosen for, by its phase and write; what it is to give back is kept with it and cleared with what it holds. A request without a body takes no buffer, one of unknown length 4 KiB at first.

--- a/internal/platform/constants/inbound.go
+++ b/internal/platform/constants/inbound.go
@@ -30,8 +30,10 @@
 	// which the client still sends.
 	LingerBytes   = 1 << 20
 	LingerTimeout = 300 * time.Millisecond
-	// BodyFirstBytes is the first buffer of a body, in bytes, whatever length is announced.
-	BodyFirstBytes = 16 << 10
+	// BodyFirstBytes is the first buffer of a body whose length is not announced, in bytes, and
+	// BodyAnnouncedBytes that of one whose length is, where it is longer.
+	BodyFirstBytes     = 4 << 10
+	BodyAnnouncedBytes = 16 << 10
 	// FileHandlesReserved are the descriptors that the machine keeps for files, and
 	// ClientHandlesShare the part of the others that a listener's connections may take.
 	FileHandlesReserved = 200
--- a/internal/platform/inbound/body.go
+++ b/internal/platform/inbound/body.go
@@ -27,8 +27,11 @@
 	if request.ContentLength > b.Limit {
 		return nil, ErrTooLarge.New("as announced")
 	}
+	if request.ContentLength == 0 {
+		return nil, nil
+	}
 	connection := ofRequest(request)
-	if connection == nil || request.ContentLength == 0 {
+	if connection == nil {
 		return b.read(writer, request, nil)
 	}
 	connection.beginBody(b.Timeout)
@@ -41,12 +44,13 @@
 
 func (b Body) read(writer http.ResponseWriter, request *http.Request, connection *Conn) ([]byte, error) {
 	source := http.MaxBytesReader(writer, request.Body, b.Limit)
-	expected := b.Limit
+	expected, first := b.Limit, int64(constants.BodyFirstBytes)
 	if request.ContentLength > 0 {
+		// One byte more than is announced, to see the end.
 		expected = request.ContentLength
+		first = min(expected+1, constants.BodyAnnouncedBytes)
 	}
-	// One byte more than is expected, to see the end.
-	body := make([]byte, 0, min(expected+1, constants.BodyFirstBytes))
+	body := make([]byte, 0, first)
 	counted := int64(0)
 	for {
 		if len(body) == cap(body) {
--- a/internal/platform/inbound/conn.go
+++ b/internal/platform/inbound/conn.go
@@ -55,8 +55,9 @@
 	// writingSince is when the write under way began, 0 where there is none.
 	writingSince clock.Instant
 
-	// charged is how many bytes the request holds by the memory's count; Memory.lock guards it.
-	charged int64
+	// charged is how many bytes the request holds by the memory's count, leaving how many of them it
+	// was made to give back and has not yet; Memory.lock guards both.
+	charged, leaving int64
 }
 
 func newConn(raw net.Conn, listener *Listener) *Conn {
@@ -202,23 +203,23 @@
 }
 
 // evict makes the connection give way. One whose handler reads its body is woken up and answers
-// itself; any other one is closed. False where it has done so already.
-func (c *Conn) evict() bool {
+// itself; any other one is closed. False where it is no longer what it was chosen for: a request that
+// has come whole meanwhile is served.
+func (c *Conn) evict(chosen *candidate) bool {
 	c.lock.Lock()
-	if c.evicted {
+	if c.evicted || c.phase != chosen.phase || c.writingSince != chosen.writingSince {
 		c.lock.Unlock()
 		return false
 	}
 	c.evicted = true
-	reading, head := c.phase == phaseBody, c.phase == phaseHead
 	_ = c.applyDeadlineLocked()
 	c.lock.Unlock()
 	c.listener.evicted.Add(1)
-	switch {
-	case reading:
-	case head:
+	switch chosen.phase {
+	case phaseBody:
+	case phaseHead:
 		c.turnAway()
-	default:
+	case phaseIdle, phaseServing, phaseDraining:
 		_ = c.Close()
 	}
 	return true
--- a/internal/platform/inbound/inbound_test.go
+++ b/internal/platform/inbound/inbound_test.go
@@ -118,7 +118,10 @@
 	listener, _ := serve(t, most, 1<<20)
 	working := dial(t, listener)
 	working.begin(10, 5)
-	await(t, "the request has begun", func() bool { return listener.Open() == 1 })
+	await(t, "the request has begun", func() bool {
+		list := listener.candidates(clock.Now())
+		return len(list) == 1 && list[0].phase == phaseBody
+	})
 	for range 3 * most {
 		dial(t, listener)
 	}
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -110,9 +110,10 @@
 		if chosen == nil {
 			return false
 		}
-		chosen.connection.evict()
-		// Its handler may still be under way; the descriptor is free at once.
-		_ = chosen.connection.Close()
+		if chosen.connection.evict(chosen) {
+			// Its handler may still be under way; the descriptor is free at once.
+			_ = chosen.connection.Close()
+		}
 	}
 }
 
--- a/internal/platform/inbound/memory.go
+++ b/internal/platform/inbound/memory.go
@@ -70,17 +70,14 @@
 
 // release gives back all that a connection's request holds.
 func (m *Memory) release(c *Conn) {
-	evicted := c.wasEvicted()
 	m.lock.Lock()
 	defer m.lock.Unlock()
 	if c.charged == 0 {
 		return
 	}
 	m.used -= c.charged
-	if evicted {
-		m.leaving = max(m.leaving-c.charged, 0)
-	}
-	c.charged = 0
+	m.leaving -= c.leaving
+	c.charged, c.leaving = 0, 0
 	close(m.released)
 	m.released = make(chan struct{})
 }
@@ -109,22 +106,21 @@
 		if chosen == nil {
 			break
 		}
-		m.markLeaving(chosen)
-		missing -= chosen.charged
+		if chosen.connection.evict(chosen) {
+			missing -= m.markLeaving(chosen.connection)
+			freed = true
+		}
 		chosen.charged = 0
-		freed = true
 	}
 	return freed
 }
 
-// markLeaving makes a request give way and notes that its bytes will be given back.
-func (m *Memory) markLeaving(chosen *candidate) {
+// markLeaving notes that a request will give back what it holds, and tells how much that is; one that
+// has ended since has given it back.
+func (m *Memory) markLeaving(c *Conn) int64 {
 	m.lock.Lock()
-	m.leaving += chosen.connection.charged
-	m.lock.Unlock()
-	if !chosen.connection.evict() {
-		m.lock.Lock()
-		m.leaving = max(m.leaving-chosen.connection.charged, 0)
-		m.lock.Unlock()
-	}
+	defer m.lock.Unlock()
+	m.leaving += c.charged - c.leaving
+	c.leaving = c.charged
+	return c.leaving
 }
--- a/internal/platform/inbound/victim_test.go
+++ b/internal/platform/inbound/victim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 
 	"lemonarch/internal/platform/clock"
@@ -79,3 +80,37 @@
 		t.Error(none)
 	}
 }
+
+// A request that has come whole since it was chosen is not made to give way, and nothing that was to
+// be given back is counted twice.
+func TestWholeRequestsAreServed(t *testing.T) {
+	memory := NewMemory(1000)
+	listener := NewListener(nil, 0, memory)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	connection := newConn(ours, listener)
+	listener.open[connection] = struct{}{}
+	connection.phase = phaseBody
+	if done, _, _ := memory.take(connection, 600); !done {
+		t.Fatal("no room in calm")
+	}
+	chosen := listener.candidates(clock.Now())[0]
+	if !connection.endBody(true) || connection.evict(&chosen) {
+		t.Fatal("a whole request had to give way")
+	}
+	connection.phase = phaseBody
+	if !connection.evict(&chosen) || connection.evict(&chosen) {
+		t.Fatal("a request gives way once")
+	}
+	for range 2 {
+		memory.markLeaving(connection)
+	}
+	if memory.leaving != 600 {
+		t.Error(memory.leaving, "bytes are awaited")
+	}
+	connection.end()
+	memory.markLeaving(connection)
+	if memory.leaving != 0 || memory.used != 0 {
+		t.Error(memory.leaving, memory.used)
+	}
+}
