Prompts of very many parts don't fill the index

What callers saw: requests whose head names some 4,000 parts of a prompt, inside max-header-bytes, took 595.5 MB of a gateway that has 96, and ordinary requests got no answer in 40 tries.

Cause: the index keeps a leaf for each prefix of a prompt with its whole key, the square of the number of parts: 64 MB a request; an eighth of the leaves was dropped at a time, however many one prompt had brought.

Change: the index looks at the first 32 parts (the header is passed on unchanged), and drops as many leaves as it takes to keep its bound.

--- a/internal/platform/constants/constants.go
+++ b/internal/platform/constants/constants.go
@@ -86,6 +86,8 @@
 	DowngradeAlert = 0.02
 	// IndexNodes bounds the prefix index in leaves (ours, memory is priced).
 	IndexNodes = 4000
+	// PromptPartsMax is how many parts of a prompt the index looks at.
+	PromptPartsMax = 32
 	// ReadRate is the first guess of prompt tokens read in a ms, until streams
 	// teach better.
 	ReadRate = 120.0
--- a/internal/tooling/crowd/ingress_test.go
+++ b/internal/tooling/crowd/ingress_test.go
@@ -152,3 +152,13 @@
 	request.Announced, request.Bytes = int64(len(request.Content)), int64(len(request.Content))
 	f.outlasts(t, f.ingress(), crowdMembers/4, request)
 }
+
+// A prompt of as many parts as a head has room for, unlike any other from its first part on.
+func TestIngressOutlastsPromptsOfManyParts(t *testing.T) {
+	f := startFleet(t)
+	request := post("query", FramingLength)
+	request.Announced, request.Bytes = 0, 0
+	parts := strings.Repeat(",a:1", (headerBytes-512)/len(",a:1"))
+	request.Headers = append(request.Headers, "Lemonarch-Prompt-Prefix: {attempt}:1"+parts)
+	f.outlasts(t, f.ingress(), crowdMembers, request)
+}
--- a/internal/traffic/prefixindex/index.go
+++ b/internal/traffic/prefixindex/index.go
@@ -40,7 +40,8 @@
 	return &Index{turnovers: map[string]*turnover{}, prefillRate: constants.ReadRate, firstEventMs: constants.FirstGuess}
 }
 
-// ParsePrompt reads the headers that describe a prompt.
+// ParsePrompt reads the headers that describe a prompt. Of one of very many parts the first ones
+// count: an index of all the others would take memory by the square of their number.
 func ParsePrompt(model, counts, prefix string) Prompt {
 	prompt := Prompt{}
 	fields := strings.Split(counts, ",")
@@ -51,7 +52,9 @@
 	if prefix == "" {
 		return prompt
 	}
-	for _, piece := range strings.Split(prefix, ",") {
+	for more := true; more && len(prompt.Parts) < constants.PromptPartsMax; {
+		var piece string
+		piece, prefix, more = strings.Cut(prefix, ",")
 		name, count, _ := strings.Cut(strings.TrimSpace(piece), ":")
 		tokens, _ := strconv.Atoi(count)
 		// Weights of one model are of no use to another, so the model is in the name.
@@ -136,12 +139,12 @@
 	}
 }
 
-// shrink drops the eighth of the leaves that were unused for longest.
+// shrink drops the eighth of the leaves that were unused for longest, and more where it takes more.
 func (i *Index) shrink() {
 	var leaves []*Leaf
 	i.tree.Each(func(leaf *Leaf) { leaves = append(leaves, leaf) })
 	sort.Slice(leaves, func(left, right int) bool { return leaves[left].used < leaves[right].used })
-	for _, leaf := range leaves[:len(leaves)/8] {
+	for _, leaf := range leaves[:max(len(leaves)/8, len(leaves)-constants.IndexNodes)] {
 		i.tree.Remove(leaf.key)
 	}
 }
--- a/internal/traffic/prefixindex/prefixindex_test.go
+++ b/internal/traffic/prefixindex/prefixindex_test.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -196,3 +198,22 @@
 		t.Fatalf("trust %v then %v", before, after)
 	}
 }
+
+// A prompt of very many parts is known by its first ones, and the index keeps its bound however
+// many leaves one prompt brings.
+func TestPromptsOfManyPartsAreBounded(t *testing.T) {
+	index := NewIndex()
+	for number := range constants.IndexNodes / 8 {
+		prompt := ParsePrompt("m", "500,20", strconv.Itoa(number)+":1"+strings.Repeat(",a:1", 4000))
+		if len(prompt.Parts) != constants.PromptPartsMax || prompt.Tokens != 500 {
+			t.Fatal(len(prompt.Parts), prompt.Tokens)
+		}
+		index.RecordPlacement(&prompt, "w", 1)
+		if size := index.tree.Size(); size > constants.IndexNodes {
+			t.Fatal(size, "leaves")
+		}
+	}
+	if few := ParsePrompt("m", "5", " a:1, b:2"); len(few.Parts) != 2 || few.Parts[1].Tokens != 2 {
+		t.Error(few)
+	}
+}
