A worker's names are bounded

Cause, found by reading: id, backend, address and zone of a heartbeat may be as long as a head or body allows, and every process keeps those of each worker.

Change: over 1,024 bytes each a worker's call gets 400.

Measured: two rows in the table of workers' calls; no crowd was played on it.

--- a/internal/control/controller/calls_test.go
+++ b/internal/control/controller/calls_test.go
@@ -164,6 +164,8 @@
 		{"Workers.Heartbeat/w", fmt.Sprintf(heartbeat, "draining", 5), 200, messages.PhaseDraining},
 		{"Workers.Heartbeat/w", fmt.Sprintf(heartbeat, "steady", 4), 200, messages.PhaseDraining},
 		{"Workers.Heartbeat/w", "{", 400, messages.PhaseDraining},
+		{"Workers.Heartbeat/" + strings.Repeat("w", constants.WorkerNameBytes+1), fmt.Sprintf(heartbeat, "steady", 3), 400, messages.PhaseDraining},
+		{"Workers.Depart/" + strings.Repeat("w", constants.WorkerNameBytes+1), "{}", 400, messages.PhaseDraining},
 		{"Workers.Heartbeat/w", `{"call-count":9}`, 400, messages.PhaseDraining},
 		{"Workers.Depart/w", `{"call-count":6}`, 200, messages.PhaseDeparted},
 		{"Workers.Heartbeat/w", fmt.Sprintf(heartbeat, "steady", 7), 200, messages.PhaseDeparted},
--- a/internal/control/workerserver/calls.go
+++ b/internal/control/workerserver/calls.go
@@ -47,12 +47,27 @@
 		httpreply.Error(writer, http.StatusBadRequest, "backend, address or capacity is missing")
 		return
 	}
+	if namesTooLong(&worker) {
+		httpreply.Error(writer, http.StatusBadRequest, "id, backend, address or zone is too long")
+		return
+	}
 	if call.Phase == "draining" {
 		worker.Phase = messages.PhaseDraining
 	}
 	s.acknowledge(writer, worker)
 }
 
+// namesTooLong tells whether a worker's names are longer than anybody would choose: every process
+// keeps them.
+func namesTooLong(worker *messages.Worker) bool {
+	for _, name := range []string{worker.ID, worker.Backend, worker.Address, worker.Zone} {
+		if len(name) > constants.WorkerNameBytes {
+			return true
+		}
+	}
+	return false
+}
+
 // acceptsWorkerCalls tells whether this process can commit what a worker says. Where it
 // can't, it answers with 503, and the caller goes on to another controller.
 func (s *Server) acceptsWorkerCalls(writer http.ResponseWriter) bool {
@@ -79,6 +94,10 @@
 	if !known {
 		worker = messages.Worker{ID: chi.URLParam(request, "id"), Backend: call.Backend, Address: call.Address, Zone: call.Zone}
 	}
+	if namesTooLong(&worker) {
+		httpreply.Error(writer, http.StatusBadRequest, "id, backend, address or zone is too long")
+		return
+	}
 	worker.Phase = messages.PhaseDeparted
 	worker.CallCount = max(worker.CallCount+1, call.Count)
 	s.acknowledge(writer, worker)
--- a/internal/platform/constants/constants.go
+++ b/internal/platform/constants/constants.go
@@ -75,6 +75,8 @@
 	HeartbeatsSuspect = 3
 	// HeartbeatsDeparted is how many make it count as departed.
 	HeartbeatsDeparted = 10
+	// WorkerNameBytes is the longest id, backend, address or zone of a worker, in bytes.
+	WorkerNameBytes = 1024
 	// ControllerHeartbeatPeriod is the time between two heartbeats to each peer.
 	ControllerHeartbeatPeriod = 700 * time.Millisecond
 )
