Parts of the machine's memory are reckoned in one place

Cause: memory-mb times a share, in bytes, stood four times (collector, clients, jobs that wait, items that run); a task kept the length of its input, which its item tells.

Change: settings.Limits.MemoryShare serves all four; the runner asks the item.

Measured: the packages' tests pass.

--- a/internal/batch/executor/runner.go
+++ b/internal/batch/executor/runner.go
@@ -25,8 +25,6 @@
 	stopped     bool
 	// lastProgress is when it was acquired or last brought events.
 	lastProgress clock.Instant
-	// inputBytes is what its item's input takes.
-	inputBytes int64
 }
 
 // NoteProgress notes that a task's stream brought events.
@@ -75,8 +73,8 @@
 		}
 		job := &dispatch.Job{ID: acquiredItem.Job, Host: acquiredItem.Host, Path: acquiredItem.Path, SubmittedMs: acquiredItem.SubmittedMs}
 		item := &dispatch.Item{JobItem: acquiredItem.Item, Job: job, Events: acquiredItem.Events, LastID: acquiredItem.LastID, Preempted: acquiredItem.Preempted, OwedResume: acquiredItem.Owed}
-		task := &Task{Number: acquiredItem.Number, Item: item, Run: item.StartRun(), Since: now, lockedUntil: until, lastProgress: now, inputBytes: item.InputBytes()}
-		r.inputBytes += task.inputBytes
+		task := &Task{Number: acquiredItem.Number, Item: item, Run: item.StartRun(), Since: now, lockedUntil: until, lastProgress: now}
+		r.inputBytes += item.InputBytes()
 		r.tasks[task.Number] = task
 		taken = append(taken, task)
 	}
@@ -169,7 +167,7 @@
 		return
 	}
 	delete(r.tasks, task.Number)
-	r.inputBytes -= task.inputBytes
+	r.inputBytes -= task.Item.InputBytes()
 	entry.Number, entry.Job, entry.Item = task.Number, task.Item.Job.ID, task.Item.ID
 	if entry.Kind == messages.AckRelease {
 		entry.Events, entry.LastID = task.Item.Events, task.Item.LastID
--- a/internal/batch/executorserver/place.go
+++ b/internal/batch/executorserver/place.go
@@ -212,6 +212,6 @@
 // outgrowsMemory tells whether the inputs of the items that run here take all the memory that they
 // may: each is held as it came and as it is written to its worker.
 func (s *Server) outgrowsMemory(inputBytes int64) bool {
-	limit := float64(s.node.Settings.Limits.MemoryMB) * (1 << 20) * constants.RunningInputShare
-	return limit > 0 && float64(inputBytes) > limit
+	limit := s.node.Settings.Limits.MemoryShare(constants.RunningInputShare)
+	return limit > 0 && inputBytes > limit
 }
--- a/internal/platform/inbound/limits.go
+++ b/internal/platform/inbound/limits.go
@@ -34,10 +34,9 @@
 
 // LimitsOf derives the limits from what the machine gives the process: memory-mb, and file-handles.
 func LimitsOf(machine settings.Limits) Limits {
-	memory := float64(machine.MemoryMB) * (1 << 20)
 	limits := Limits{
-		Connections: int(memory * constants.ClientConnectionsShare / constants.ClientConnectionBytes),
-		Memory:      int64(memory * constants.ClientBytesShare),
+		Connections: int(machine.MemoryShare(constants.ClientConnectionsShare) / constants.ClientConnectionBytes),
+		Memory:      machine.MemoryShare(constants.ClientBytesShare),
 	}
 	if machine.FileHandles > 0 {
 		usable := max(machine.FileHandles-constants.FileHandlesReserved, machine.FileHandles/2)
--- a/internal/platform/process/runtime.go
+++ b/internal/platform/process/runtime.go
@@ -51,7 +51,7 @@
 func Prepare(nodeSettings *settings.Settings) {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(constants.CollectPercent)
-	debug.SetMemoryLimit(int64(constants.MemoryShare * float64(nodeSettings.Limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(nodeSettings.Limits.MemoryShare(constants.MemoryShare))
 }
 
 // NewLog makes the log: one line of key=value pairs for each event.
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -170,6 +170,11 @@
 	return addresses
 }
 
+// MemoryShare is a part of the memory that the machine gives, in bytes.
+func (l Limits) MemoryShare(share float64) int64 {
+	return int64(share * float64(l.MemoryMB) * (1 << 20))
+}
+
 // Budget gives how many members of a set may be lost at once.
 func (s *Settings) Budget() int {
 	budget := s.FaultBudget
