Heads are bounded by the listener on every port, and one maker serves all servers

Cause: the ingress bounded heads by its listener and the other two ports by the server; the ingress's server was put together beside inbound.NewServer; two answers were written by twin functions, one of them with a figure that is a constant elsewhere; the start of a write took the connection's lock twice an event, and each head an allocation.

Change: a listener starts with constants.HeadLimit, SetHeadLimit only changes it; the ingress uses NewServer; one function writes an answer; the instant of a write is an atomic, the request line's beginning an array. The answers of the two other ports to a longer head have no text any more, the same status and slack.

--- a/internal/platform/constants/inbound.go
+++ b/internal/platform/constants/inbound.go
@@ -24,7 +24,7 @@
 	// HeadSlack is how much longer than stated a head may be, in bytes: the limit is that of the
 	// headers, and the request line comes before them.
 	HeadSlack = 4 << 10
-	// ServerHeadMax is what the server itself takes of a head where the listener bounds it, in bytes.
+	// ServerHeadMax is what the server itself takes of a head, in bytes: the listener bounds it.
 	ServerHeadMax = 1 << 30
 	// LingerBytes and LingerTimeout are what is read and thrown away before a connection ends on
 	// which the client still sends.
--- a/internal/platform/inbound/body.go
+++ b/internal/platform/inbound/body.go
@@ -57,14 +57,11 @@
 			body = append(make([]byte, 0, min(2*int64(cap(body)), expected+1)), body...)
 		}
 		if connection != nil && int64(cap(body)) > counted {
-			wanted := int64(cap(body))
-			if request.ContentLength > 0 {
-				wanted = expected
-			}
-			if !connection.hold((int64(cap(body))-counted)*b.Copies, wanted*b.Copies) {
+			grown := int64(cap(body))
+			if !connection.hold((grown-counted)*b.Copies, max(grown, request.ContentLength)*b.Copies) {
 				return nil, ErrNoRoom.New("body")
 			}
-			counted = int64(cap(body))
+			counted = grown
 		}
 		count, err := source.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
--- a/internal/platform/inbound/conn.go
+++ b/internal/platform/inbound/conn.go
@@ -1,8 +1,10 @@
 package inbound
 
 import (
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -26,8 +28,8 @@
 
 // What a client gets whose head could not be read: for want of room, or since it is too long.
 // Nothing of the request has run, and nothing will.
-const (
-	noRoomAnswer   = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n\r\n"
+var (
+	noRoomAnswer   = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", constants.ClientRetryAfter.Seconds())
 	tooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -52,8 +54,8 @@
 	evicted bool
 	// deadline is the server's, bodyDeadline ours; the earlier one counts. Zero for none.
 	deadline, bodyDeadline clock.Time
-	// writingSince is when the write under way began, 0 where there is none.
-	writingSince clock.Instant
+	// writingSince is the clock.Instant at which the write under way began, 0 where there is none.
+	writingSince atomic.Int64
 
 	// charged is how many bytes the request holds by the memory's count, leaving how many of them it
 	// was made to give back and has not yet; Memory.lock guards both.
@@ -75,11 +77,12 @@
 	}
 	needed, tooLarge := c.received(into[:count])
 	if tooLarge {
-		c.answer(tooLargeAnswer)
+		c.endWith(tooLargeAnswer)
 		return 0, ErrTooLarge.New("head")
 	}
 	if needed > 0 && !c.listener.memory.reserve(c, needed, needed) {
-		c.refuse()
+		c.listener.refused.Add(1)
+		c.endWith(noRoomAnswer)
 		return 0, ErrNoRoom.New("head")
 	}
 	return count, err
@@ -128,17 +131,11 @@
 
 // Write passes an answer on and notes how long the client takes to read it.
 func (c *Conn) Write(text []byte) (int, error) {
-	c.setWriting(clock.Now())
-	defer c.setWriting(0)
+	c.writingSince.Store(int64(clock.Now()))
+	defer c.writingSince.Store(0)
 	return c.Conn.Write(text)
 }
 
-func (c *Conn) setWriting(since clock.Instant) {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	c.writingSince = since
-}
-
 // SetReadDeadline sets the server's deadline; an earlier one of ours for the body stays.
 func (c *Conn) SetReadDeadline(at clock.Time) error {
 	c.lock.Lock()
@@ -173,16 +170,16 @@
 	return c.Conn.Close()
 }
 
-// refuse answers with 503 and ends the connection.
-func (c *Conn) refuse() {
-	c.listener.refused.Add(1)
-	c.answer(noRoomAnswer)
+// answer writes an answer of its own, behind which the connection ends.
+func (c *Conn) answer(text string) error {
+	_ = c.SetWriteDeadline(clock.Deadline(constants.ClientRefusalTimeout))
+	_, err := c.Conn.Write([]byte(text))
+	return err
 }
 
-// answer writes an answer of its own and ends the connection once the client has read it.
-func (c *Conn) answer(text string) {
-	_ = c.SetWriteDeadline(clock.Deadline(constants.ClientRefusalTimeout))
-	if _, err := c.Conn.Write([]byte(text)); err == nil {
+// endWith answers and ends the connection once the client has come to its end.
+func (c *Conn) endWith(text string) {
+	if c.answer(text) == nil {
 		_ = CloseWrite(c)
 	}
 	_ = c.Close()
@@ -191,11 +188,13 @@
 // turnAway refuses a connection that there is no room for, without waiting for its client.
 func (c *Conn) turnAway() {
 	c.listener.refused.Add(1)
-	_ = c.SetWriteDeadline(clock.Deadline(constants.ClientRefusalTimeout))
-	_, _ = c.Conn.Write([]byte(noRoomAnswer))
+	_ = c.answer(noRoomAnswer)
 	_ = c.Close()
 }
 
+// answerSince is when the write under way began, 0 where there is none.
+func (c *Conn) answerSince() clock.Instant { return clock.Instant(c.writingSince.Load()) }
+
 func (c *Conn) wasEvicted() bool {
 	c.lock.Lock()
 	defer c.lock.Unlock()
@@ -207,7 +206,7 @@
 // has come whole meanwhile is served.
 func (c *Conn) evict(chosen *candidate) bool {
 	c.lock.Lock()
-	if c.evicted || c.phase != chosen.phase || c.writingSince != chosen.writingSince {
+	if c.evicted || c.phase != chosen.phase || c.answerSince() != chosen.writingSince {
 		c.lock.Unlock()
 		return false
 	}
--- a/internal/platform/inbound/headscan.go
+++ b/internal/platform/inbound/headscan.go
@@ -23,8 +23,9 @@
 	// prefix is the beginning of the present line, lineBytes its length so far.
 	prefix    [linePrefixBytes]byte
 	lineBytes int
-	// first is the beginning of the request line.
-	first []byte
+	// first is the beginning of the request line, firstBytes its length.
+	first      [linePrefixBytes]byte
+	firstBytes int
 	// hasLength and hasCoding tell which of the headers came.
 	hasLength, hasCoding bool
 }
@@ -63,7 +64,7 @@
 	}
 	h.lines++
 	if h.lines == 1 {
-		h.first = bytes.Clone(line)
+		h.first, h.firstBytes = h.prefix, len(line)
 		return
 	}
 	h.hasLength = h.hasLength || hasName(line, lengthHeader)
@@ -78,7 +79,7 @@
 // may send the next request before the present one is answered.
 func (h *headScan) covers(request *http.Request) bool {
 	line := request.Method + " " + request.RequestURI
-	length := min(len(line), len(h.first))
+	length := min(len(line), h.firstBytes)
 	return h.whole && length > 0 && line[:length] == string(h.first[:length])
 }
 
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -22,7 +22,7 @@
 
 	lock sync.Mutex
 	open map[*Conn]struct{}
-	// headLimit is how long a head may be, in bytes; 0 leaves it to the server.
+	// headLimit is how long a head may be, in bytes.
 	headLimit atomic.Int64
 	// evicted and refused count what had to give way and what found no room.
 	evicted, refused atomic.Int64
@@ -62,21 +62,22 @@
 	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), connections) })
 }
 
-// NewListener counts the connections of a listener.
+// NewListener counts the connections of a listener. Heads are bounded by constants.HeadLimit until
+// SetHeadLimit says otherwise.
 func NewListener(listener net.Listener, connections int, memory *Memory) *Listener {
 	l := &Listener{Listener: listener, memory: memory, connections: connections, open: map[*Conn]struct{}{}}
+	l.SetHeadLimit(constants.HeadLimit)
 	memory.lock.Lock()
 	defer memory.lock.Unlock()
 	memory.listeners = append(memory.listeners, l)
 	return l
 }
 
-// SetHeadLimit bounds heads, in bytes, from the next bytes on that come; 0 leaves them to the server.
+// SetHeadLimit bounds heads, in bytes, from the next bytes on that come.
 func (l *Listener) SetHeadLimit(limit int) { l.headLimit.Store(int64(limit)) }
 
 func (l *Listener) outgrowsHead(length int64) bool {
-	limit := l.headLimit.Load()
-	return limit > 0 && length > limit+constants.HeadSlack
+	return length > l.headLimit.Load()+constants.HeadSlack
 }
 
 // Accept gives the next connection. Where there are too many, another one is closed for it, or it
@@ -139,7 +140,7 @@
 func (c *Conn) candidate(now clock.Instant) (entry candidate, available bool) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	entry = candidate{connection: c, phase: c.phase, since: c.since, recent: c.rate.recent(now), writingSince: c.writingSince}
+	entry = candidate{connection: c, phase: c.phase, since: c.since, recent: c.rate.recent(now), writingSince: c.answerSince()}
 	return entry, !c.evicted
 }
 
--- a/internal/platform/inbound/server.go
+++ b/internal/platform/inbound/server.go
@@ -6,14 +6,14 @@
 	"lemonarch/internal/platform/constants"
 )
 
-// NewServer makes the server of a listener whose callers are workers, the operator or the platform:
-// heads and idle connections are bounded, and bodies by those who read them.
+// NewServer makes the server of a Listener, which bounds connections and heads; bodies are bounded by
+// those who read them. Idle connections end by constants.ControlIdle.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           Handler(handler),
 		ReadHeaderTimeout: constants.BulkCallTimeout,
 		IdleTimeout:       constants.ControlIdle,
-		MaxHeaderBytes:    constants.HeadLimit,
+		MaxHeaderBytes:    constants.ServerHeadMax,
 		ConnContext:       ConnContext,
 		ConnState:         ConnState,
 	}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -96,8 +96,8 @@
 	g.clients.Store(clients)
 	// One that came since is taken by whoever of us is later.
 	clients.setLimits(g.Node.Config().Limits)
-	ingress := &http.Server{Handler: inbound.Handler(g.Proxy), MaxHeaderBytes: constants.ServerHeadMax,
-		ReadHeaderTimeout: constants.BulkCallTimeout, IdleTimeout: constants.BulkCallTimeout, ConnContext: inbound.ConnContext, ConnState: trackState}
+	ingress := inbound.NewServer(g.Proxy)
+	ingress.ConnState = trackState
 	g.Node.Log.Info("serving", "ingress", g.Node.Settings.Bind.Ingress)
 	g.ingress.Store(ingress)
 	return ingress.Serve(clients)
