Workers' calls, configurations and attempts: checks that stood twice stand once

Cause: the length of a worker's names was checked and answered in both handlers; a configuration was parsed in two branches; whether an attempt may have run was noted beside the switch that knows it.

Change: acknowledge checks the names of both calls; Check parses once; the switch notes it. Behaviour is the same.

Measured: the packages' tests pass.

--- a/internal/configuration/configcheck/configcheck.go
+++ b/internal/configuration/configcheck/configcheck.go
@@ -53,24 +53,22 @@
 // Check gives the configuration or the findings against it. What it holds meanwhile is a small
 // multiple of the body's length, whatever the body holds.
 func (c *Checker) Check(body []byte) (*routeconfig.Config, []string) {
-	if len(body) > pieceBytes {
+	long := len(body) > pieceBytes
+	if long {
 		// Its shape first: only of a body of sound routes is the parsed form not much longer.
 		if findings := c.shapeInPieces(body); len(findings) > 0 {
 			return nil, findings
 		}
-		config, err := routeconfig.Parse(body)
-		if err != nil {
-			return nil, []string{err.Error()}
-		}
-		return config, crossing(config)
 	}
 	config, err := routeconfig.Parse(body)
 	if err != nil {
 		return nil, []string{err.Error()}
 	}
-	findings := c.shape(body)
-	findings = append(findings, crossing(config)...)
-	return config, findings
+	var findings []string
+	if !long {
+		findings = c.shape(body)
+	}
+	return config, append(findings, crossing(config)...)
 }
 
 func (c *Checker) shape(body []byte) []string {
--- a/internal/control/workerserver/calls.go
+++ b/internal/control/workerserver/calls.go
@@ -47,27 +47,12 @@
 		httpreply.Error(writer, http.StatusBadRequest, "backend, address or capacity is missing")
 		return
 	}
-	if namesTooLong(&worker) {
-		httpreply.Error(writer, http.StatusBadRequest, "id, backend, address or zone is too long")
-		return
-	}
 	if call.Phase == "draining" {
 		worker.Phase = messages.PhaseDraining
 	}
 	s.acknowledge(writer, worker)
 }
 
-// namesTooLong tells whether a worker's names are longer than anybody would choose: every process
-// keeps them.
-func namesTooLong(worker *messages.Worker) bool {
-	for _, name := range []string{worker.ID, worker.Backend, worker.Address, worker.Zone} {
-		if len(name) > constants.WorkerNameBytes {
-			return true
-		}
-	}
-	return false
-}
-
 // acceptsWorkerCalls tells whether this process can commit what a worker says. Where it
 // can't, it answers with 503, and the caller goes on to another controller.
 func (s *Server) acceptsWorkerCalls(writer http.ResponseWriter) bool {
@@ -94,10 +79,6 @@
 	if !known {
 		worker = messages.Worker{ID: chi.URLParam(request, "id"), Backend: call.Backend, Address: call.Address, Zone: call.Zone}
 	}
-	if namesTooLong(&worker) {
-		httpreply.Error(writer, http.StatusBadRequest, "id, backend, address or zone is too long")
-		return
-	}
 	worker.Phase = messages.PhaseDeparted
 	worker.CallCount = max(worker.CallCount+1, call.Count)
 	s.acknowledge(writer, worker)
@@ -107,6 +88,10 @@
 // acknowledged once a majority of the acceptors has it on disk and the processes in
 // contact were notified; where that fails the caller asks another controller.
 func (s *Server) acknowledge(writer http.ResponseWriter, worker messages.Worker) {
+	if namesTooLong(&worker) {
+		httpreply.Error(writer, http.StatusBadRequest, "id, backend, address or zone is too long")
+		return
+	}
 	worker, changed := s.heartbeat(worker)
 	if changed {
 		s.node.Log.Info("worker registered", "worker", worker.ID, "service", worker.Backend, "phase", worker.Phase.String(), "address", worker.Address)
@@ -128,6 +113,17 @@
 	httpreply.JSON(writer, http.StatusOK, struct{}{})
 }
 
+// namesTooLong tells whether a worker's names are longer than anybody would choose: every process
+// keeps them.
+func namesTooLong(worker *messages.Worker) bool {
+	for _, name := range []string{worker.ID, worker.Backend, worker.Address, worker.Zone} {
+		if len(name) > constants.WorkerNameBytes {
+			return true
+		}
+	}
+	return false
+}
+
 // commitWorkerChange notifies all in contact of a drain or a departure and has it persisted
 // by a majority, at the same time. What this process knew before is not announced once
 // more, at each controller that a draining worker calls: the reports bring it to everybody
--- a/internal/traffic/proxy/exchange.go
+++ b/internal/traffic/proxy/exchange.go
@@ -159,9 +159,7 @@
 		// turned the request away has not used up a try.
 	default:
 		e.attempts++
-	}
-	if evidence.Sent && !evidence.NotRun {
-		e.mayHaveRun = true
+		e.mayHaveRun = e.mayHaveRun || !evidence.NotRun
 	}
 	return DecideRetry(e.kind(), e.route.Resumable, evidence)
 }
