Crowd and streams' tests: what nobody used is gone, what stood twice stands once

Cause: members that read nothing and chunked bodies that end in order were written and never played; the watch had a lock that one goroutine took; durations were bare nanoseconds; two tests of begun responses held the same check.

Crowd, bounds and assertions are the same.

--- a/internal/tooling/crowd/crowd.go
+++ b/internal/tooling/crowd/crowd.go
@@ -6,11 +6,13 @@
 import (
 	"bufio"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/errs"
@@ -21,9 +23,9 @@
 
 const (
 	// dialTimeout bounds one connection attempt of a member.
-	dialTimeout = 2_000_000_000
+	dialTimeout = 2 * time.Second
 	// settleTimeout is how long a member goes on trying to send, however slowly it is read.
-	settleTimeout = 8_000_000_000
+	settleTimeout = 8 * time.Second
 	// statusNone is recorded where a connection ended without a status line.
 	statusNone = 0
 )
@@ -96,11 +98,7 @@
 func (c *Crowd) Statuses() map[int]int {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	counts := make(map[int]int, len(c.statuses))
-	for status, count := range c.statuses {
-		counts[status] = count
-	}
-	return counts
+	return maps.Clone(c.statuses)
 }
 
 // play is one member's life: a connection, and further ones where it is refused.
@@ -140,13 +138,8 @@
 	<-over
 }
 
-// readAnswers counts the answers of a connection until it ends. A member that reads nothing waits
-// for the end alone.
+// readAnswers counts the answers of a connection until it ends.
 func (c *Crowd) readAnswers(connection net.Conn) {
-	if c.Request.Deaf {
-		c.awaitClose(connection)
-		return
-	}
 	reader := bufio.NewReader(connection)
 	status := statusNone
 	for {
@@ -168,20 +161,6 @@
 	}
 }
 
-// awaitClose waits until the crowd ends, without reading.
-func (c *Crowd) awaitClose(connection net.Conn) {
-	for {
-		c.lock.Lock()
-		_, open := c.open[connection]
-		closed := c.closed
-		c.lock.Unlock()
-		if !open || closed {
-			return
-		}
-		clock.Sleep(clock.Milliseconds(50))
-	}
-}
-
 func (c *Crowd) count(status int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
--- a/internal/tooling/crowd/harness_test.go
+++ b/internal/tooling/crowd/harness_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
@@ -36,7 +37,7 @@
 const (
 	callerTries   = 40
 	callerPauseMs = 250
-	callerTimeout = 5_000_000_000
+	callerTimeout = 5 * time.Second
 )
 
 // programs is the folder of the programs under test, built by TestMain.
@@ -63,10 +64,7 @@
 }
 
 // fleet is a small fleet under lowered limits.
-type fleet struct {
-	*lab.Fleet
-	died error
-}
+type fleet struct{ *lab.Fleet }
 
 func startFleet(t *testing.T) *fleet {
 	t.Helper()
@@ -84,7 +82,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(started.Stop)
-	return &fleet{Fleet: started}
+	return &fleet{started}
 }
 
 // configuration has a route of each kind that the tests call.
@@ -147,8 +145,8 @@
 	f.answersOrdinaryRequests(t)
 	crowd.Close()
 	select {
-	case f.died = <-f.Died:
-		t.Errorf("a process ended: %v", f.died)
+	case died := <-f.Died:
+		t.Errorf("a process ended: %v", died)
 	default:
 	}
 	for program, watch := range watches {
--- a/internal/tooling/crowd/request.go
+++ b/internal/tooling/crowd/request.go
@@ -50,12 +50,8 @@
 	CreepMs    float64
 	// HeadOnly leaves out the empty line that ends the head; no body follows.
 	HeadOnly bool
-	// Finished ends a chunked body in order.
-	Finished bool
 	// StayOpen keeps the connection until the other side ends it.
 	StayOpen bool
-	// Deaf never reads an answer.
-	Deaf bool
 	// Silent sends nothing at all.
 	Silent bool
 }
@@ -87,10 +83,6 @@
 			clock.Sleep(clock.Milliseconds(r.PauseMs))
 		}
 	}
-	if r.Framing == FramingChunked && r.Finished {
-		_, err := connection.Write([]byte("0\r\n\r\n"))
-		return err
-	}
 	return nil
 }
 
--- a/internal/tooling/crowd/watch.go
+++ b/internal/tooling/crowd/watch.go
@@ -6,7 +6,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 
 	"lemonarch/internal/platform/clock"
 )
@@ -34,7 +33,6 @@
 	ports   map[string]bool
 	stop    chan struct{}
 	done    chan struct{}
-	lock    sync.Mutex
 	cost    Cost
 }
 
@@ -80,8 +78,6 @@
 
 // look takes one sample; a process that is gone gives none.
 func (w *Watch) look() {
-	w.lock.Lock()
-	defer w.lock.Unlock()
 	resident, err := w.status("VmRSS:")
 	if err != nil {
 		return
--- a/internal/traffic/proxy/begunresponse_test.go
+++ b/internal/traffic/proxy/begunresponse_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -28,14 +29,7 @@
 		write(connection, "0\r\n\r\n")
 	})
 	server, proxy := edge(t, worker)
-	resp, body, err := ask(t, server, "/stream/x", nil)
-	want := ""
-	for id := 1; id <= 5; id++ {
-		want += event(id)
-	}
-	if err != nil || resp.StatusCode != http.StatusOK || body != want {
-		t.Fatal("cut off behind a part: ", resp, body, err)
-	}
+	askWholeStream(t, server)
 	if cut := proxy.Counts.CutOff.Load(); cut != 0 || worker.seen() != 2 {
 		t.Error(cut, worker.seen())
 	}
@@ -70,6 +64,16 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go clock.Every(constants.PumpPeriod, stop, proxy.Sweep)
+	askWholeStream(t, server)
+	if cut := proxy.Counts.CutOff.Load(); cut != 0 || turnedAway.Load() != refusals+1 {
+		t.Error(cut, turnedAway.Load())
+	}
+}
+
+// askWholeStream asks for a stream of five events, which must come whole within one response.
+func askWholeStream(t *testing.T, server *httptest.Server) {
+	t.Helper()
+
 	resp, body, err := ask(t, server, "/stream/x", nil)
 	want := ""
 	for id := 1; id <= 5; id++ {
@@ -78,7 +82,4 @@
 	if err != nil || resp.StatusCode != http.StatusOK || body != want {
 		t.Fatal("cut off behind a part: ", resp, body, err)
 	}
-	if cut := proxy.Counts.CutOff.Load(); cut != 0 || turnedAway.Load() != refusals+1 {
-		t.Error(cut, turnedAway.Load())
-	}
 }
