What a request holds counts until the server has let go of it

What was seen: TestControlOutlastsHeadsThatStopShort failed once beside load (load average 20) on: 139.9 MB resident of 96.

Cause: a connection that had to give way, or was answered with 431 or 503, gave its bytes back when it was cut. Its server's goroutine still held what it had parsed of the head until it ran again, which takes long beside load, and others took the room meanwhile.

Change: cutting a connection frees its descriptor and place; the bytes are given back by Close, which the server calls once it has let go of the request, or by the end of the handler. Nothing else waits longer than before: room that is on its way is waited for as long as it was.

The new unit test fails on the code before.

--- a/internal/platform/inbound/conn.go
+++ b/internal/platform/inbound/conn.go
@@ -163,10 +163,16 @@
 	return c.SetWriteDeadline(at)
 }
 
-// Close ends the connection and gives back what its request held.
+// Close ends the connection and gives back what its request held: the server calls it once it has
+// let go of the request.
 func (c *Conn) Close() error {
-	c.listener.forget(c)
 	c.listener.memory.release(c)
+	return c.cut()
+}
+
+// cut ends the connection while the server may still hold a part of the request, which counts on.
+func (c *Conn) cut() error {
+	c.listener.forget(c)
 	return c.Conn.Close()
 }
 
@@ -182,14 +188,14 @@
 	if c.answer(text) == nil {
 		_ = CloseWrite(c)
 	}
-	_ = c.Close()
+	_ = c.cut()
 }
 
 // turnAway refuses a connection that there is no room for, without waiting for its client.
 func (c *Conn) turnAway() {
 	c.listener.refused.Add(1)
 	_ = c.answer(noRoomAnswer)
-	_ = c.Close()
+	_ = c.cut()
 }
 
 // answerSince is when the write under way began, 0 where there is none.
@@ -219,7 +225,7 @@
 	case phaseHead:
 		c.turnAway()
 	case phaseIdle, phaseServing, phaseDraining:
-		_ = c.Close()
+		_ = c.cut()
 	}
 	return true
 }
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -113,7 +113,7 @@
 		}
 		if chosen.connection.evict(chosen) {
 			// Its handler may still be under way; the descriptor is free at once.
-			_ = chosen.connection.Close()
+			_ = chosen.connection.cut()
 		}
 	}
 }
--- a/internal/platform/inbound/victim_test.go
+++ b/internal/platform/inbound/victim_test.go
@@ -114,3 +114,28 @@
 		t.Error(memory.leaving, memory.used)
 	}
 }
+
+// What a request holds counts until the server has let go of it, also where its connection was cut.
+func TestHeldBytesCountUntilTheyAreGivenBack(t *testing.T) {
+	for _, at := range []phase{phaseHead, phaseBody, phaseDraining} {
+		memory := NewMemory(1000)
+		listener := NewListener(nil, 0, memory)
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		connection := newConn(ours, listener)
+		listener.open[connection] = struct{}{}
+		connection.phase = at
+		memory.take(connection, 600)
+		chosen := listener.candidates(clock.Now())[0]
+		if !connection.evict(&chosen) {
+			t.Fatal(at, "does not give way")
+		}
+		_ = connection.cut()
+		if memory.Used() != 600 || listener.Open() != 0 {
+			t.Error(at, memory.Used(), listener.Open())
+		}
+		if err := connection.Close(); memory.Used() != 0 {
+			t.Error(at, memory.Used(), err)
+		}
+	}
+}
