Gateway: no request begins after the drain, on kept connections either

Cause: Connection: close was set when a request arrived, so a response that began before the SIGTERM left its connection usable, and the poll each 15 ms that closes connections between two requests never met one whose client sends the next request at once.

Change: inbound.Listener.Drain. A request begins when its handler is called or its body is complete; both points ask the listener and answer 503 with Retry-After after Drain. A waiting connection is closed only by the goroutine that reads it, by its deadline. Each head sent from the signal on carries Connection: close. This works whatever the connection carried before, since no request reaches a worker but through these points. Log: draining, accepting ended, and what the exit breaks off.

Related: pipelined requests, uploads and heads completed late, plain responses and reads of jobs that came before the signal had the same cause.

--- a/internal/platform/constants/inbound.go
+++ b/internal/platform/constants/inbound.go
@@ -29,7 +29,8 @@
 	// listener enforces the limit.
 	ServerHeadMax = 1 << 30
 	// LingerBytes and LingerTimeout bound what is read and discarded before a connection is
-	// closed on which the client is still sending.
+	// closed on which the client is still sending. LingerTimeout is also how long a draining
+	// listener leaves a connection open after a response.
 	LingerBytes   = 1 << 20
 	LingerTimeout = 300 * time.Millisecond
 	// BodyFirstBytes is the size in bytes of the first buffer of a body of unknown length, and
@@ -53,6 +54,9 @@
 	ClientMemoryTimeout = 250 * time.Millisecond
 	// ClientRetryAfter is the Retry-After of a request that was rejected for lack of memory.
 	ClientRetryAfter = 250 * time.Millisecond
+	// DrainRetryAfter is the Retry-After of a request that was rejected because the process drains.
+	// Another process can serve it at once.
+	DrainRetryAfter = 20 * time.Millisecond
 	// ClientRejectionTimeout bounds the writing of a rejection.
 	ClientRejectionTimeout = 100 * time.Millisecond
 	// ClientDrainTimeout is how long the rest of a body that is not needed is read and discarded.
--- a/internal/platform/httpreply/httpreply.go
+++ b/internal/platform/httpreply/httpreply.go
@@ -80,6 +80,8 @@
 		Error(writer, http.StatusRequestEntityTooLarge, "body too large")
 	case errs.Is(err, inbound.ErrMemoryLimit):
 		RetryAfter(writer, http.StatusServiceUnavailable, constants.ClientRetryAfter)
+	case errs.Is(err, inbound.ErrDraining):
+		RetryAfter(writer, http.StatusServiceUnavailable, constants.DrainRetryAfter)
 	case errs.Is(err, inbound.ErrTooSlow):
 		Error(writer, http.StatusRequestTimeout, "body not whole in time")
 	default:
--- a/internal/platform/inbound/body.go
+++ b/internal/platform/inbound/body.go
@@ -22,8 +22,8 @@
 }
 
 // Read reads the whole body of a request. The memory of the body is charged to the request until
-// the request's handler returns. The errors are ErrTooLarge, ErrMemoryLimit, ErrTooSlow and
-// ErrMalformedBody; after any of them no part of the request has been executed.
+// the request's handler returns. The errors are ErrTooLarge, ErrMemoryLimit, ErrTooSlow,
+// ErrMalformedBody and ErrDraining; after any of them no part of the request has been executed.
 func (b Body) Read(writer http.ResponseWriter, request *http.Request) ([]byte, error) {
 	if request.ContentLength > b.Limit {
 		return nil, ErrTooLarge.New("content length exceeds the limit")
@@ -37,14 +37,14 @@
 	}
 	connection.beginBody(b.Timeout)
 	body, err := b.read(writer, request, connection)
-	if !connection.endBody(err == nil) {
-		return nil, ErrMemoryLimit.New("connection was evicted to free memory")
+	if refusal := connection.endBody(err == nil); refusal != nil {
+		return nil, refusal
 	}
 	return body, err
 }
 
 func (b Body) read(writer http.ResponseWriter, request *http.Request, connection *Conn) ([]byte, error) {
-	source := http.MaxBytesReader(writer, request.Body, b.Limit)
+	source := http.MaxBytesReader(serverWriter(writer), request.Body, b.Limit)
 	expected, first := b.Limit, int64(constants.BodyFirstBytes)
 	if request.ContentLength > 0 {
 		// One byte more than the content length, so that the read that reaches the end of the body
--- a/internal/platform/inbound/conn.go
+++ b/internal/platform/inbound/conn.go
@@ -53,9 +53,10 @@
 	rate      rate
 	// evicted is set once the connection was chosen to free resources for others.
 	evicted bool
-	// deadline is set by the HTTP server, bodyDeadline by this package; the earlier one applies.
-	// Zero means no deadline.
-	deadline, bodyDeadline clock.Time
+	// deadline is set by the HTTP server, bodyDeadline while a body is read, and lingerDeadline while
+	// a draining listener's connection waits for a request; the earliest one applies. Zero means no
+	// deadline.
+	deadline, bodyDeadline, lingerDeadline clock.Time
 	// writingSince is the clock.Instant at which the write in progress began, 0 if there is none.
 	writingSince atomic.Int64
 
@@ -101,6 +102,10 @@
 	switch c.phase {
 	case phaseIdle:
 		c.phase, c.waitingSince = phaseHead, now
+		if !c.lingerDeadline.IsZero() {
+			c.lingerDeadline = clock.Time{}
+			_ = c.applyDeadlineLocked()
+		}
 	case phaseServing:
 		c.pipelined = append(c.pipelined, data...)
 		return 0, false
@@ -140,33 +145,6 @@
 	return c.Conn.Write(data)
 }
 
-// SetReadDeadline sets the HTTP server's deadline; an earlier body deadline remains in effect.
-func (c *Conn) SetReadDeadline(at clock.Time) error {
-	c.lock.Lock()
-	defer c.lock.Unlock()
-	c.deadline = at
-	return c.applyDeadlineLocked()
-}
-
-func (c *Conn) applyDeadlineLocked() error {
-	at := c.deadline
-	if !c.bodyDeadline.IsZero() && (at.IsZero() || c.bodyDeadline.Before(at)) {
-		at = c.bodyDeadline
-	}
-	if c.evicted {
-		at = clock.Deadline(0)
-	}
-	return c.Conn.SetReadDeadline(at)
-}
-
-// SetDeadline sets the deadline of reads and writes.
-func (c *Conn) SetDeadline(at clock.Time) error {
-	if err := c.SetReadDeadline(at); err != nil {
-		return err
-	}
-	return c.SetWriteDeadline(at)
-}
-
 // Close closes the connection and releases the memory charged to its request. The server calls it
 // once it no longer references the request.
 func (c *Conn) Close() error {
--- a/internal/platform/inbound/limits.go
+++ b/internal/platform/inbound/limits.go
@@ -22,6 +22,8 @@
 	ErrTooSlow = errs.Define("body not received in time")
 	// ErrMalformedBody means that the body ended early or has invalid HTTP framing.
 	ErrMalformedBody = errs.Define("malformed body")
+	// ErrDraining means that the process is shutting down and begins no further request.
+	ErrDraining = errs.Define("listener drains")
 )
 
 // Limits bounds the resources that the clients of one process may use.
--- a/internal/platform/inbound/listener.go
+++ b/internal/platform/inbound/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,8 +26,11 @@
 	// headLimit is the header limit of the configuration, in bytes. A head may be longer by
 	// constants.HeadSlack.
 	headLimit atomic.Int64
-	// evicted counts the evicted connections, rejected the requests and connections that were rejected.
-	evicted, rejected atomic.Int64
+	// evicted counts the evicted connections, rejected the requests and connections that were rejected
+	// because a limit was reached, and rejectedDraining the requests that came after Drain.
+	evicted, rejected, rejectedDraining atomic.Int64
+	// announcing is set by AnnounceClose, draining by Drain.
+	announcing, draining atomic.Bool
 }
 
 // Listen listens on an address for at most the given number of open connections, 0 for no limit. The
@@ -84,15 +88,22 @@
 }
 
 // Accept returns the next connection. At the limit it evicts another connection, or rejects the new
-// one if none can be evicted.
+// one if none can be evicted. After Drain it returns http.ErrServerClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
+		if err != nil && l.draining.Load() {
+			return nil, http.ErrServerClosed
+		}
 		if err != nil {
 			return nil, err
 		}
 		connection := newConn(raw, l)
 		if l.admit(connection) {
+			if l.draining.Load() {
+				// Drain may have listed the connections before this one was among them.
+				connection.lingerIfIdle()
+			}
 			return connection, nil
 		}
 		connection.reject()
--- a/internal/platform/inbound/request.go
+++ b/internal/platform/inbound/request.go
@@ -53,7 +53,8 @@
 }
 
 // Handler wraps a handler so that each request releases its memory when the handler returns, bounds
-// the wait for a body that the handler doesn't read, and rejects requests with ambiguous framing.
+// the wait for a body that the handler doesn't read, rejects requests with ambiguous framing, and
+// rejects every request once the listener drains.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		connection := connOfRequest(request)
@@ -63,6 +64,10 @@
 		}
 		defer connection.end()
 		framing := connection.begin(request)
+		if connection.listener.draining.Load() {
+			connection.listener.rejectDraining(writer)
+			return
+		}
 		if framing != framingUnambiguous {
 			writer.Header().Set("Connection", "close")
 		}
@@ -70,7 +75,7 @@
 			writer.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		next.ServeHTTP(writer, request)
+		next.ServeHTTP(&closeAnnouncer{ResponseWriter: writer, listener: connection.listener}, request)
 	})
 }
 
@@ -124,18 +129,25 @@
 	_ = c.applyDeadlineLocked()
 }
 
-// endBody records that the handler has read the complete body, or reads no more of it. It reports
-// whether the request may be served: not if it was evicted in the meantime.
-func (c *Conn) endBody(complete bool) bool {
+// endBody records that the handler has read the complete body, or reads no more of it. It returns an
+// error if the request may not be served: it was evicted in the meantime, or the listener drains.
+func (c *Conn) endBody(complete bool) error {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if !complete {
+	if complete {
+		c.phase, c.bodyDeadline = phaseServing, clock.Time{}
+		_ = c.applyDeadlineLocked()
+	} else {
 		c.drainLocked()
-		return !c.evicted
 	}
-	c.phase, c.bodyDeadline = phaseServing, clock.Time{}
-	_ = c.applyDeadlineLocked()
-	return !c.evicted
+	switch {
+	case c.evicted:
+		return ErrMemoryLimit.New("connection was evicted to free memory")
+	case complete && c.listener.draining.Load():
+		c.listener.rejectedDraining.Add(1)
+		return ErrDraining.New("body was completed after the listener began to drain")
+	}
+	return nil
 }
 
 // end releases the memory charged to the request. If the rest of the body is still to be discarded, its
@@ -165,4 +177,7 @@
 		c.bodyDeadline = clock.Time{}
 		_ = c.applyDeadlineLocked()
 	}
+	if c.phase == phaseIdle && c.listener.draining.Load() {
+		c.lingerLocked()
+	}
 }
--- a/internal/traffic/gateway/clientconn.go
+++ b/internal/traffic/gateway/clientconn.go
@@ -31,8 +31,6 @@
 	// when an idle connection times out.
 	reading, idle        bool
 	idleSince, idleUntil clock.Instant
-	// closed is set once closeIdle has closed the connection between two requests.
-	closed bool
 }
 
 // SetReadDeadline sets the read deadline. A deadline in the future is replaced by the idle or header
@@ -74,8 +72,8 @@
 		_ = p.Conn.SetReadDeadline(clock.Deadline(constants.PollPeriod))
 		count, err = p.Conn.Read(buffer)
 	}
-	if count > 0 && !p.startRequest() {
-		return 0, net.ErrClosed
+	if count > 0 {
+		p.startRequest()
 	}
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && p.busy() && p.hasFutureDeadline.Load() {
 		_, _ = p.Conn.Write([]byte(requestTimeoutResponse))
@@ -83,20 +81,18 @@
 	return count, err
 }
 
-// startRequest records that bytes of a request have arrived. It returns false if the connection had
-// already been closed, in which case the request must not be handled.
-func (p *clientConn) startRequest() bool {
+// startRequest records that bytes of a request have arrived.
+func (p *clientConn) startRequest() {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	p.reading = true
-	return !p.closed
 }
 
 // busy reports whether a request is being received or served.
 func (p *clientConn) busy() bool {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	return p.reading && !p.closed
+	return p.reading
 }
 
 func (p *clientConn) isIdleWithDeadline() bool {
@@ -123,16 +119,6 @@
 	}
 }
 
-// closeIdle closes the connection unless bytes of a request have arrived.
-func (p *clientConn) closeIdle() {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if !p.reading && !p.closed {
-		p.closed = true
-		p.Conn.Close()
-	}
-}
-
 // Close closes the connection.
 func (p *clientConn) Close() error {
 	p.owner.remove(p)
--- a/internal/traffic/gateway/connections.go
+++ b/internal/traffic/gateway/connections.go
@@ -10,7 +10,7 @@
 )
 
 // clientConns is the ingress listener with its open client connections. It applies the limits of the
-// current configuration to them, and closes connections only between requests.
+// current configuration to them.
 type clientConns struct {
 	net.Listener
 	lock sync.Mutex
@@ -105,24 +105,3 @@
 	}
 	return c.headerTimeout
 }
-
-// busy returns the number of connections on which a request is being received or served.
-func (c *clientConns) busy() int {
-	count := 0
-	for _, connection := range c.connections() {
-		if connection.busy() {
-			count++
-		}
-	}
-	return count
-}
-
-// closeIdle closes the listener and the connections on which no request has begun, and reports whether
-// no request is left on the others.
-func (c *clientConns) closeIdle() bool {
-	c.Listener.Close()
-	for _, connection := range c.connections() {
-		connection.closeIdle()
-	}
-	return c.busy() == 0
-}
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -34,6 +34,7 @@
 	// acceptors or, after constants.FirstConfigTimeout, any configuration.
 	configConfirmed atomic.Bool
 	// The following are set by Run and read by Shutdown.
+	ingressListener atomic.Pointer[inbound.Listener]
 	ingressServer   atomic.Pointer[http.Server]
 	readinessServer atomic.Pointer[http.Server]
 	clients         atomic.Pointer[clientConns]
@@ -80,6 +81,7 @@
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "listen on ingress")
 	}
+	g.ingressListener.Store(ingressListener)
 	go readinessListener.LogPressure(runtime.Log, "readiness", runtime.Stop)
 	go ingressListener.LogPressure(runtime.Log, "ingress", runtime.Stop)
 	for runtime.Config() == nil {
@@ -120,23 +122,29 @@
 	httpreply.Text(writer, http.StatusOK, "ready")
 }
 
-// Shutdown drains and stops the process. It reports not ready, accepts connections for DrainAcceptTime,
-// so that the platform can see the readiness change, then waits until the requests in flight
-// have ended or the grace period is nearly over.
+// Shutdown drains and stops the process. It reports not ready and accepts connections and requests for
+// DrainAcceptTime, so that the platform can see the readiness change. Then it begins no more requests, and
+// waits until those in flight have ended or the grace period is nearly over.
 func (g *Gateway) Shutdown() {
-	g.Proxy.Draining.Store(true)
-	g.Node.Drain()
 	started := clock.Now()
 	end := started.Add(g.Node.Settings.Grace() - constants.ShutdownMargin)
-	for clock.Now() < end {
-		if clock.Now().Sub(started) > constants.DrainAcceptTime && g.idle() {
-			break
-		}
+	g.Proxy.Draining.Store(true)
+	if listener := g.ingressListener.Load(); listener != nil {
+		listener.AnnounceClose()
+		g.Node.Log.Info("draining", "connections", listener.Open(), "in-flight", g.Proxy.Active())
+	}
+	g.Node.Drain()
+	clock.Sleep(min(constants.DrainAcceptTime, end.Sub(started)))
+	// The listener may have been created in the meantime.
+	listener := g.ingressListener.Load()
+	if listener != nil {
+		g.Node.Log.Info("accepting ended", "connections", listener.Open(), "in-flight", g.Proxy.Active())
+		listener.DrainWithin(end.Sub(clock.Now()))
+	}
+	for g.Proxy.Active() > 0 && clock.Now() < end {
 		clock.Sleep(constants.PollPeriod)
 	}
-	counts := &g.Proxy.Counts
-	g.Node.Log.Info("drained", "served", counts.Served.Load(), "refused", counts.Rejected.Load(), "failed", counts.Failed.Load(),
-		"resumed", counts.Resumed.Load(), "cut", counts.Aborted.Load())
+	g.logDrained(listener)
 	g.Node.Shutdown()
 	for _, server := range []*http.Server{g.ingressServer.Load(), g.readinessServer.Load()} {
 		if server != nil {
@@ -145,14 +153,13 @@
 	}
 }
 
-// idle stops accepting connections, closes the idle ones, and reports whether no request is being
-// received or served.
-func (g *Gateway) idle() bool {
-	clients := g.clients.Load()
-	if clients == nil {
-		return true
+// logDrained logs the counters of this incarnation, and what the end of the process cuts off.
+func (g *Gateway) logDrained(listener *inbound.Listener) {
+	rejectedLate := int64(0)
+	if listener != nil {
+		rejectedLate = listener.RejectedDraining()
 	}
-	// Accepting stops by time alone, whether or not requests are in flight: otherwise steady traffic
-	// would keep the listener open until the process is killed, which would truncate the last responses.
-	return clients.closeIdle() && g.Proxy.Active() == 0
+	counts := &g.Proxy.Counts
+	g.Node.Log.Info("drained", "served", counts.Served.Load(), "refused", counts.Rejected.Load(), "failed", counts.Failed.Load(),
+		"resumed", counts.Resumed.Load(), "cut", counts.Aborted.Load(), "refused-late", rejectedLate, "in-flight", g.Proxy.Active())
 }
