Controller: a call that is being read at the shutdown gets its response

Callers would see: a call on a kept connection, sent at the moment of the controller's SIGTERM, takes effect and its connection ends without a response.

Cause: http.Server.Shutdown closes connections in StateIdle, and net/http leaves a kept connection in that state until the head of the next request is parsed.

Change: Shutdown uses inbound.Listener.Drain, as gateways do: no goroutine but the one that reads a connection closes it, and a call begun after the drain is refused with 503, after which callers go on to the next controller.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"sync/atomic"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/hashicorp/go-hclog"
@@ -24,7 +25,6 @@
 	"lemonarch/internal/control/workerserver"
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
-	"lemonarch/internal/platform/contexts"
 	"lemonarch/internal/platform/inbound"
 	"lemonarch/internal/platform/messages"
 	"lemonarch/internal/platform/process"
@@ -50,6 +50,8 @@
 	peers       peers
 	server      *http.Server
 	clients     inbound.Limits
+	// listener is set by Run and read by Shutdown.
+	listener atomic.Pointer[inbound.Listener]
 }
 
 // New opens the data directory and builds the process. Run starts it.
@@ -179,6 +181,7 @@
 	if err != nil {
 		return process.ErrUnavailable.Wrap(err, "control")
 	}
+	c.listener.Store(listener)
 	go listener.LogPressure(node.Log, "control", node.Stop)
 	node.Log.Info("serving", "control", node.Settings.Bind.Control, "disk", node.Self.Disk, "connections", c.clients.Connections)
 	err = c.server.Serve(listener)
@@ -210,14 +213,15 @@
 	}
 }
 
-// Shutdown drains the node, waits for HTTP requests in flight for at most
+// Shutdown drains the node, begins no more HTTP requests, waits for those in flight for at most
 // constants.BulkCallTimeout, and then stops the node.
 func (c *Controller) Shutdown() {
 	c.Node.Drain()
-	ctx, cancel := contexts.WithTimeout(contexts.Background(), constants.BulkCallTimeout)
-	defer cancel()
-	if err := c.server.Shutdown(ctx); err != nil {
-		c.Node.Log.Warn("HTTP requests aborted at shutdown", "err", err.Error())
+	if listener := c.listener.Load(); listener != nil {
+		if open := listener.DrainWithin(constants.BulkCallTimeout); open > 0 {
+			c.Node.Log.Warn("HTTP requests aborted at shutdown", "connections", open)
+		}
 	}
+	c.server.Close()
 	c.Node.Shutdown()
 }
