Inbound: a request read while its connection is evicted is not begun

Callers would see, at the limit of connections: a request passed on to a worker whose connection the process closes without a response.

Cause: an idle connection was evicted under its lock, but the bytes of a request may have been read from it already and not yet been noted; the request was then begun on the closed connection.

Change: begin and endBody ask one function, under the connection's lock, whether the request may begin: not on an evicted connection, not in a drain. Eviction refuses a request that has begun, by its phase, under the same lock.

--- a/internal/platform/inbound/body.go
+++ b/internal/platform/inbound/body.go
@@ -37,10 +37,13 @@
 	}
 	connection.beginBody(b.Timeout)
 	body, err := b.read(writer, request, connection)
-	if refusal := connection.endBody(err == nil); refusal != nil {
-		return nil, refusal
+	if err != nil {
+		return nil, connection.abandonBody(err)
 	}
-	return body, err
+	if err = connection.endBody(); err != nil {
+		return nil, err
+	}
+	return body, nil
 }
 
 func (b Body) read(writer http.ResponseWriter, request *http.Request, connection *Conn) ([]byte, error) {
--- a/internal/platform/inbound/drain.go
+++ b/internal/platform/inbound/drain.go
@@ -78,8 +78,7 @@
 }
 
 // rejectDraining responds to a request that is not begun because the listener drains.
-func (l *Listener) rejectDraining(writer http.ResponseWriter) {
-	l.rejectedDraining.Add(1)
+func rejectDraining(writer http.ResponseWriter) {
 	writer.Header().Set("Connection", "close")
 	writer.Header().Set("Retry-After", strconv.FormatFloat(constants.DrainRetryAfter.Seconds(), 'f', 3, 64))
 	writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/platform/inbound/drain_test.go
+++ b/internal/platform/inbound/drain_test.go
@@ -19,21 +19,35 @@
 	listener *Listener
 	began    chan string
 	release  chan struct{}
+	// closed receives a value for each connection that the server has closed.
+	closed chan struct{}
 }
 
-func newHeldServer(t *testing.T) *heldServer {
+func newHeldServer(t *testing.T, listener *Listener) *heldServer {
 	t.Helper()
-	listener, err := Listen("127.0.0.1:0", 0, NewMemory(0))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &heldServer{listener: listener, began: make(chan string, 1<<14), release: make(chan struct{})}
+	s := &heldServer{listener: listener, began: make(chan string, 1<<14), release: make(chan struct{}), closed: make(chan struct{}, 64)}
 	server := NewServer(s)
+	server.ConnState = func(raw net.Conn, state http.ConnState) {
+		ConnState(raw, state)
+		if state == http.StateClosed {
+			s.closed <- struct{}{}
+		}
+	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
 
+// listen returns a listener without limits.
+func listen(t *testing.T) *Listener {
+	t.Helper()
+	listener, err := Listen("127.0.0.1:0", 0, NewMemory(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
 func (s *heldServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	_, err := Body{Limit: bodyLimit, Copies: 1, Timeout: constants.ControlBodyTimeout}.Read(writer, request)
 	if errs.Is(err, ErrDraining) {
@@ -76,7 +90,7 @@
 // progress, a part of a head or of a body, a pipelined request. A request that had begun must get its
 // complete response.
 func TestNoRequestBeginsAfterDrain(t *testing.T) {
-	s := newHeldServer(t)
+	s := newHeldServer(t, listen(t))
 	pipelined, head, body, idle := dial(t, s.listener), dial(t, s.listener), dial(t, s.listener), dial(t, s.listener)
 	pipelined.send("GET /begun HTTP/1.1\r\nHost: h\r\n\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n")
 	s.awaitBegin(t, "/begun")
@@ -120,7 +134,7 @@
 // A response whose head is sent after the close was announced must say so, also if its request came
 // before; otherwise its client goes on using the connection. Requests are still served.
 func TestHeadSentAfterAnnouncementCarriesClose(t *testing.T) {
-	s := newHeldServer(t)
+	s := newHeldServer(t, listen(t))
 	before, begun := dial(t, s.listener), dial(t, s.listener)
 	before.send("GET /before HTTP/1.1\r\nHost: h\r\n\r\n")
 	s.awaitBegin(t, "/before")
@@ -152,7 +166,7 @@
 // draining, and no request that was handled may lose its response, at whatever point the drain meets it.
 func TestDrainEndsUnderClientsThatNeverPause(t *testing.T) {
 	for round := range 20 {
-		s := newHeldServer(t)
+		s := newHeldServer(t, listen(t))
 		close(s.release)
 		var group sync.WaitGroup
 		var lock sync.Mutex
--- a/internal/platform/inbound/request.go
+++ b/internal/platform/inbound/request.go
@@ -7,6 +7,7 @@
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/contexts"
+	"lemonarch/internal/platform/errs"
 )
 
 // connKey is the context key of a request's connection.
@@ -63,11 +64,15 @@
 			return
 		}
 		defer connection.end()
-		framing := connection.begin(request)
-		if connection.listener.draining.Load() {
-			connection.listener.rejectDraining(writer)
+		framing, refusal := connection.begin(request)
+		if errs.Is(refusal, ErrDraining) {
+			rejectDraining(writer)
 			return
 		}
+		if refusal != nil {
+			// The connection is closed, so the request gets no response.
+			panic(http.ErrAbortHandler)
+		}
 		if framing != framingUnambiguous {
 			writer.Header().Set("Connection", "close")
 		}
@@ -94,14 +99,18 @@
 )
 
 // begin records that the head is complete, and classifies its framing. Until the handler reads the
-// body, the body is treated as one to discard.
-func (c *Conn) begin(request *http.Request) framing {
+// body, the body is treated as one to discard. The error is that of refusalLocked.
+func (c *Conn) begin(request *http.Request) (framing, error) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 	c.phase = phaseServing
 	if request.ContentLength != 0 {
 		c.drainLocked()
 	}
+	return c.framingLocked(request), c.refusalLocked()
+}
+
+func (c *Conn) framingLocked(request *http.Request) framing {
 	switch {
 	case len(request.TransferEncoding) == 0:
 		return framingUnambiguous
@@ -113,6 +122,21 @@
 	return framingUnambiguous
 }
 
+// refusalLocked returns the error why a request must not be begun, or nil: ErrMemoryLimit if its
+// connection was evicted, also while its bytes were being read, and ErrDraining if the listener drains.
+// After nil, the connection is neither evicted nor closed by a drain before the response is complete,
+// unless its client doesn't read it. The caller holds the lock.
+func (c *Conn) refusalLocked() error {
+	switch {
+	case c.evicted:
+		return ErrMemoryLimit.New("connection was evicted to free memory")
+	case c.listener.draining.Load():
+		c.listener.rejectedDraining.Add(1)
+		return ErrDraining.New("listener drains")
+	}
+	return nil
+}
+
 // drainLocked bounds the wait for the rest of the body. The caller holds the lock.
 func (c *Conn) drainLocked() {
 	c.phase = phaseDraining
@@ -129,25 +153,25 @@
 	_ = c.applyDeadlineLocked()
 }
 
-// endBody records that the handler has read the complete body, or reads no more of it. It returns an
-// error if the request may not be served: it was evicted in the meantime, or the listener drains.
-func (c *Conn) endBody(complete bool) error {
+// endBody records that the handler has read the complete body. The error is that of refusalLocked.
+func (c *Conn) endBody() error {
 	c.lock.Lock()
 	defer c.lock.Unlock()
-	if complete {
-		c.phase, c.bodyDeadline = phaseServing, clock.Time{}
-		_ = c.applyDeadlineLocked()
-	} else {
-		c.drainLocked()
-	}
-	switch {
-	case c.evicted:
+	c.phase, c.bodyDeadline = phaseServing, clock.Time{}
+	_ = c.applyDeadlineLocked()
+	return c.refusalLocked()
+}
+
+// abandonBody records that the handler reads no more of the body, because of a failure. It returns the
+// failure, or ErrMemoryLimit if the connection was evicted.
+func (c *Conn) abandonBody(failure error) error {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.drainLocked()
+	if c.evicted {
 		return ErrMemoryLimit.New("connection was evicted to free memory")
-	case complete && c.listener.draining.Load():
-		c.listener.rejectedDraining.Add(1)
-		return ErrDraining.New("body was completed after the listener began to drain")
 	}
-	return nil
+	return failure
 }
 
 // end releases the memory charged to the request. If the rest of the body is still to be discarded, its
--- a/internal/platform/inbound/victim_test.go
+++ b/internal/platform/inbound/victim_test.go
@@ -97,7 +97,7 @@
 		t.Fatal("could not reserve memory below the limit")
 	}
 	chosen := listener.candidates(clock.Now())[0]
-	if connection.endBody(true) != nil || connection.evict(&chosen) {
+	if connection.endBody() != nil || connection.evict(&chosen) {
 		t.Fatal("a complete request was evicted")
 	}
 	connection.phase = phaseBody
