Gateway: calls on batch jobs end before a draining gateway exits

Callers would see: a read of a job that is held for longer than the grace time leaves (Lemonarch-Hold-Ms above 3.2 s on a grace-s of 8) ends without a response.

Cause: the gateway held a read for as long as its client allowed, whatever its own end.

Change: a call on a job takes grace-s less the time of accepting and the margin before the exit at most, so that a call begun before the end of accepting ends before the exit. Reads held for the usual second are unchanged on a grace-s of 8.

Test: TestJobCallsEndBeforeTheExit, red before (a hold of 60 s was passed on), green now, one run each.

--- a/internal/traffic/gateway/draininggateway_test.go
+++ b/internal/traffic/gateway/draininggateway_test.go
@@ -22,7 +22,8 @@
 
 const drainConfig = `{"generation":1,"channels":[
 {"name":"s","host":"h","path-prefix":"/stream/","route-kind":"streaming","cutoff-ms":60000,"setpoint-ms":20000,"gap-setpoint-ms":20000,"tries":1,"resumable":false,"backend":"b"},
-{"name":"p","host":"h","path-prefix":"/plain/","route-kind":"effectful","cutoff-ms":60000,"setpoint-ms":20000,"tries":1,"backend":"b"}],
+{"name":"p","host":"h","path-prefix":"/plain/","route-kind":"effectful","cutoff-ms":60000,"setpoint-ms":20000,"tries":1,"backend":"b"},
+{"name":"j","host":"h","path-prefix":"/jobs/","route-kind":"bulk","cutoff-ms":60000,"setpoint-ms":1000,"result-setpoint-ms":60000,"tries":3,"backend":"b"}],
 "backends":[{"name":"b","probe":"/health","conn-limit":100}],
 "limits":{"max-header-bytes":8192,"max-body-bytes":100000,"header-wait-ms":30000,"idle-ms":30000}}`
 
--- a/internal/traffic/gateway/gateway.go
+++ b/internal/traffic/gateway/gateway.go
@@ -47,10 +47,16 @@
 	gateway := &Gateway{Node: runtime, Gossip: gossip}
 	gateway.Proxy = proxy.New(gossip.Sender, newJobForwarder(runtime), log)
 	gateway.Proxy.Traffic = gossip.Traffic
+	gateway.Proxy.JobCallMax = jobCallMax(nodeSettings.Grace())
 	runtime.OnConfig(gateway.configure)
 	return gateway
 }
 
+// jobCallMax returns the time from the end of accepting to the exit, which bounds calls on batch jobs.
+func jobCallMax(grace clock.Duration) clock.Duration {
+	return max(grace-constants.ShutdownMargin-constants.DrainAcceptTime, constants.CallTimeout)
+}
+
 // configure applies a newer configuration.
 func (g *Gateway) configure(config *routeconfig.Config) {
 	if clients := g.clients.Load(); g.Proxy.SetConfig(config) && clients != nil {
--- a/internal/traffic/proxy/jobs.go
+++ b/internal/traffic/proxy/jobs.go
@@ -44,8 +44,13 @@
 
 // forwardJobCall forwards a call on a batch job to the leading store and writes its response.
 func (p *Proxy) forwardJobCall(writer http.ResponseWriter, call *messages.JobCallRequest) {
-	timeout := constants.CallTimeout*2 + clock.Milliseconds(float64(call.WaitMs))
-	resp, _ := p.Jobs.Forward(call, timeout)
+	wait := clock.Milliseconds(float64(call.WaitMs))
+	if p.JobCallMax > 0 {
+		// A read may be held for less than the client allows (PROTOCOL, lots).
+		wait = min(wait, max(p.JobCallMax-2*constants.CallTimeout, 0))
+		call.WaitMs = int(wait.Milliseconds())
+	}
+	resp, _ := p.Jobs.Forward(call, 2*constants.CallTimeout+wait)
 	if resp == nil {
 		// The leading store can't be reached, so the state of the job is not known.
 		httpreply.RetryAfter(writer, http.StatusServiceUnavailable, constants.LeaseRenewPeriod)
@@ -66,7 +71,11 @@
 		return
 	}
 	call := &messages.JobCallRequest{Method: http.MethodPost, Host: request.Host, Path: path, Job: attempt, Body: body}
-	resp, mayHaveRun := p.Jobs.Forward(call, min(constants.BulkCallTimeout, route.Cutoff()))
+	timeout := min(constants.BulkCallTimeout, route.Cutoff())
+	if p.JobCallMax > 0 {
+		timeout = min(timeout, p.JobCallMax)
+	}
+	resp, mayHaveRun := p.Jobs.Forward(call, timeout)
 	switch {
 	case resp != nil:
 		if resp.Status == http.StatusAccepted {
--- a/internal/traffic/proxy/proxy.go
+++ b/internal/traffic/proxy/proxy.go
@@ -36,7 +36,10 @@
 	Sender    Sender
 	Scheduler *admission.Scheduler
 	Jobs      JobForwarder
-	Log       hclog.Logger
+	// JobCallMax is the maximum duration of a call on a batch job; 0 means no limit. It is set so that a
+	// call that begins before a drain ends before the process exits.
+	JobCallMax clock.Duration
+	Log        hclog.Logger
 	// Traffic records an observation of each request. It may be nil.
 	Traffic   *trafficstats.Recorder
 	draws     weightedDraws
