Soak: clients that never pause on kept connections, rolling restarts

Its requests lasted 0.4 s at most and came when they were due, so no response spanned the end of accepting with a next request right behind it.

Change: 16 sessions keep one connection each and send the next request the moment the previous response is complete; streams and bodies of up to about 2 s. A rolling restart of gateways whose drains overlap, with SIGHUP and a second SIGTERM in between; two operators at a time on one base. Up to 240 processes, and no more than half of the memory bears. The report counts the requests sent to gateways that were stopping, and after they ended accepting.

--- a/cmd/lemonarch/lab_load.go
+++ b/cmd/lemonarch/lab_load.go
@@ -48,6 +48,7 @@
 	flags.StringVar(&l.plotPath, "plot", "", "file for a plot of latency by percentile (.svg, .png or .pdf)")
 	flags.Float64Var(&l.options.Rate, "rate", l.options.Rate, "requests per second")
 	flags.Float64Var(&l.options.JobRate, "lots", l.options.JobRate, "batch jobs per second; 0 for none")
+	flags.IntVar(&l.options.Sessions, "sessions", l.options.Sessions, "clients that send their next request the moment the previous response is complete")
 	flags.IntVar(&l.options.Items, "items", l.options.Items, "items per batch job")
 	flags.StringVar(&l.mix, "mix", "query=6,review=1,confirm=2,status=3", "relative share of each kind of request")
 	flags.DurationVar(&l.options.For, "for", l.options.For, "how long to send load")
--- a/cmd/lemonarch/lab_soak.go
+++ b/cmd/lemonarch/lab_soak.go
@@ -37,6 +37,7 @@
 	flags.Int64Var(&soakCommand.options.Seed, "seed", 1, "seed from which the schedule is generated")
 	flags.DurationVar(&soakCommand.options.Duration, "duration", 30_000_000_000, "how long to send load")
 	flags.IntVar(&soakCommand.options.Processes, "processes", 16, "maximum number of gateways, controllers and stores together")
+	flags.StringVar(&soakCommand.options.Network, "network", "", "first three bytes of the fleet's addresses, for several fleets at a time")
 	flags.StringVar(&soakCommand.format, "output", soakCommand.format, "table or json")
 	flags.BoolVar(&soakCommand.schedule, "schedule", false, "print the schedule as an experiment file and exit")
 	return command
--- a/internal/platform/constants/lab.go
+++ b/internal/platform/constants/lab.go
@@ -45,6 +45,8 @@
 	LabEdgeHost     = 11
 	LabStoreHost    = 61
 	LabWorkerHost   = 101
+	// LabNetworkHosts is how many edge machines each of the networks behind the first one has.
+	LabNetworkHosts = 200
 
 	// LabStartLimit is the time after which a fleet that does not serve has failed to start.
 	LabStartLimit = 30 * time.Second
@@ -54,8 +56,12 @@
 	LabGrace = 5 * time.Second
 	// LabRestart is the minimum pause before a killed process is restarted.
 	LabRestart = 500 * time.Millisecond
-	// LabProcesses is the maximum number of real processes in one fleet.
-	LabProcesses = 40
+	// LabProcesses is the maximum number of real processes in one fleet, LabProcessMemory the memory
+	// that each is expected to use, and LabMemoryShare the share of the machine's memory that all
+	// together may use.
+	LabProcesses     = 240
+	LabProcessMemory = 48 << 20
+	LabMemoryShare   = 0.5
 	// LabMemoryMB, LabDiskMB and LabFileHandles are the limits in the settings file of each
 	// process if the plan contains none.
 	LabMemoryMB    = 256
@@ -110,6 +116,16 @@
 	// LoadJobSeed is added to the seed for jobs, so that their random sequence differs from that
 	// of the requests.
 	LoadJobSeed = 7919
+	// LoadSessionSeed is added to the seed for the sessions.
+	LoadSessionSeed = 15485863
+	// SessionOutputTokens is the maximum number of output tokens of a session's streams, and
+	// SessionUploadTime the maximum time that its bodies take: up to about 2 s each, in a grace time
+	// of LabGrace.
+	SessionOutputTokens = 320
+	SessionUploadTime   = 2 * time.Second
+	// CutSentLimit is how long after the SIGTERM a request may be sent that the end of the grace time
+	// may cut (NEWS-22, LOST).
+	CutSentLimit = 3 * time.Second
 	// LoadPlotSteps is the number of points of a line in a plot, each for half of what the
 	// previous one left. LoadLegendWidth is the factor by which the axis is widened for the legend.
 	LoadPlotSteps   = 12
@@ -134,6 +150,10 @@
 	// SoakQuietEnd is the time at the end of a run without faults. An orderly stop takes LabGrace
 	// at most.
 	SoakQuietEnd = LabGrace + time.Second
+	// SoakSessions is the number of clients that never pause.
+	SoakSessions = 16
+	// SoakRolling is the maximum number of gateways that a rolling restart stops.
+	SoakRolling = 12
 	// SoakRepairTime is the time between two losses of processes with a disk: sync-s of the lab's
 	// settings, and the restart before it.
 	SoakRepairTime = 8 * time.Second
--- a/internal/tooling/lab/endpoint.go
+++ b/internal/tooling/lab/endpoint.go
@@ -30,6 +30,8 @@
 	Runs []workeremulator.Run `json:"runs"`
 	// Dropped is the number of runs that did not fit into the record any more.
 	Dropped int `json:"dropped"`
+	// Stops are the graceful stops of gateways so far.
+	Stops []GatewayStop `json:"stops"`
 }
 
 // Info returns the description of the fleet.
@@ -56,7 +58,7 @@
 	router.Get("/fleet", func(writer http.ResponseWriter, _ *http.Request) { httpreply.JSON(writer, http.StatusOK, f.Info()) })
 	router.Get("/runs", func(writer http.ResponseWriter, request *http.Request) {
 		runs, dropped := f.record.WithPrefix(request.URL.Query().Get("prefix"))
-		httpreply.JSON(writer, http.StatusOK, Runs{runs, dropped})
+		httpreply.JSON(writer, http.StatusOK, Runs{runs, dropped, f.gatewayStops()})
 	})
 	router.Post("/trouble", func(writer http.ResponseWriter, request *http.Request) {
 		var trouble Trouble
--- a/internal/tooling/lab/fleet.go
+++ b/internal/tooling/lab/fleet.go
@@ -32,6 +32,9 @@
 	stopOnce        sync.Once
 	ownsFolder      bool
 	runningTroubles sync.WaitGroup
+	// lock guards stops.
+	lock  sync.Mutex
+	stops []GatewayStop
 }
 
 // Start starts the fleet of a plan and returns once every gateway is ready and the stores accept batch
--- a/internal/tooling/lab/plan.go
+++ b/internal/tooling/lab/plan.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/errs"
@@ -57,7 +58,7 @@
 		value     int
 		low, high int
 	}{
-		{"gateways", p.Gateways, 1, constants.LabStoreHost - constants.LabEdgeHost},
+		{"gateways", p.Gateways, 1, constants.LabProcesses},
 		{"controllers", p.Controllers, 1, 9},
 		{"stores", p.Stores, 1, constants.LabWorkerHost - constants.LabStoreHost},
 		{"workers", p.Workers, 1, 100},
@@ -83,10 +84,13 @@
 			return err
 		}
 	}
-	address := net.ParseIP(p.Network + ".1")
+	address := net.ParseIP(p.edgeHost(p.Gateways - 1))
 	if address == nil || address.To4() == nil || !address.IsLoopback() {
 		return ErrInvalidLab.New("network must be three bytes of a loopback address, such as " + constants.LabNetwork + ", got " + strconv.Quote(p.Network))
 	}
+	if err := checkMemory(p.Gateways + p.Controllers + p.Stores); err != nil {
+		return err
+	}
 	for _, role := range []string{"gateway", "controller", "store"} {
 		path := filepath.Join(p.Programs, role)
 		if state, err := os.Stat(path); err != nil || state.IsDir() || state.Mode()&0o111 == 0 {
@@ -112,18 +116,31 @@
 // nodes lists the processes. Controllers come first, since the others send requests to them.
 func (p *Plan) nodes() []node {
 	var all []node
-	add := func(role string, count, firstHost int, machine string, disk bool) {
+	add := func(role string, count int, host func(i int) string, machine string, disk bool) {
 		for i := 0; i < count; i++ {
 			number := strconv.Itoa(i + 1)
-			all = append(all, node{role + "-" + number, role, machine + "-" + number, p.Network + "." + strconv.Itoa(firstHost+i), p.zone(i), disk})
+			all = append(all, node{role + "-" + number, role, machine + "-" + number, host(i), p.zone(i), disk})
 		}
 	}
-	add("controller", p.Controllers, constants.LabEdgeHost, "edge", true)
-	add("store", p.Stores, constants.LabStoreHost, "store", true)
-	add("gateway", p.Gateways, constants.LabEdgeHost, "edge", false)
+	storeHost := func(i int) string { return p.Network + "." + strconv.Itoa(constants.LabStoreHost+i) }
+	add("controller", p.Controllers, p.edgeHost, "edge", true)
+	add("store", p.Stores, storeHost, "store", true)
+	add("gateway", p.Gateways, p.edgeHost, "edge", false)
 	return all
 }
 
+// edgeHost returns the IP address of an edge machine. Those that find no place before the stores are on the
+// networks behind Network.
+func (p *Plan) edgeHost(i int) string {
+	if i < constants.LabStoreHost-constants.LabEdgeHost {
+		return p.Network + "." + strconv.Itoa(constants.LabEdgeHost+i)
+	}
+	i -= constants.LabStoreHost - constants.LabEdgeHost
+	dot := strings.LastIndexByte(p.Network, '.') + 1
+	third, _ := strconv.Atoi(p.Network[dot:])
+	return p.Network[:dot] + strconv.Itoa(third+1+i/constants.LabNetworkHosts) + "." + strconv.Itoa(1+i%constants.LabNetworkHosts)
+}
+
 // Ingress returns the addresses for requests of clients.
 func (p *Plan) Ingress() []string { return p.edgeAddresses(p.Gateways, constants.LabIngressPort) }
 
@@ -141,7 +158,7 @@
 func (p *Plan) edgeAddresses(count, port int) []string {
 	var all []string
 	for i := 0; i < count; i++ {
-		all = append(all, p.host(constants.LabEdgeHost, i, port))
+		all = append(all, net.JoinHostPort(p.edgeHost(i), strconv.Itoa(port)))
 	}
 	return all
 }
--- a/internal/tooling/loadgen/check.go
+++ b/internal/tooling/loadgen/check.go
@@ -18,8 +18,11 @@
 	// atMostOnce is set if the attempt must not run twice, notExecuted if the response promised
 	// that it has not run and will not run, batchItem if it is an item of a batch job.
 	atMostOnce, notExecuted, succeeded, batchItem bool
-	// cut is set if its connection ended before a complete response.
-	cut bool
+	// cut is set if its connection ended before a complete response, at cutNanos. node is the address that
+	// it was sent to, sentNanos when its last byte was sent (0 if it was not). Both are Unix times in ns.
+	cut                 bool
+	node                string
+	sentNanos, cutNanos int64
 }
 
 // checkPlain compares a successful plain response with the one that the worker must have sent.
@@ -121,21 +124,6 @@
 	return findings
 }
 
-// checkCuts finds the attempts that ran at a worker although their connection ended before a
-// complete response. Planned work must not cause this. An attempt that was sent while the other
-// side closed its connection was not forwarded to a worker, and is no finding.
-func checkCuts(attempts map[string]*sentAttempt, runs []workeremulator.Run) []Finding {
-	var findings []Finding
-	reported := map[string]bool{}
-	for _, run := range runs {
-		if sent := attempts[run.Attempt]; sent != nil && sent.cut && !reported[run.Attempt] {
-			reported[run.Attempt] = true
-			findings = append(findings, Finding{"LOST", run.Attempt, "ran at " + run.Worker + ", but its connection ended before a complete response"})
-		}
-	}
-	return findings
-}
-
 // jobCheck checks the reads of one batch job against each other.
 type jobCheck struct {
 	id string
--- a/internal/tooling/loadgen/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -65,6 +65,9 @@
 	if r.options.JobRate > 0 {
 		group.Go(func() { r.sendJobs(ctx, started) })
 	}
+	for i := range r.options.Sessions {
+		group.Go(func() { r.runSession(ctx, started, i) })
+	}
 	done := make(chan struct{})
 	if progress := r.options.Progress; progress != nil {
 		go clock.Every(constants.LoadProgress, done, func() { progress(r.result.progressLine(clock.Now().Sub(started))) })
@@ -94,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	r.compareRuns(runs.Runs)
+	r.compareRuns(runs.Runs, runs.Stops)
 	if runs.Dropped > 0 {
 		r.result.addNote(strconv.Itoa(runs.Dropped) + " runs did not fit into the workers' record; the check is partial")
 	}
@@ -108,13 +111,14 @@
 }
 
 // compareRuns adds a finding for each difference between the attempts and the workers' runs.
-func (r *run) compareRuns(runs []workeremulator.Run) {
+func (r *run) compareRuns(runs []workeremulator.Run, stops []lab.GatewayStop) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	findings := checkRuns(r.attempts, runs)
 	if r.options.PlannedOnly {
-		findings = append(findings, checkCuts(r.attempts, runs)...)
+		findings = append(findings, checkCuts(r.attempts, runs, stops)...)
 	}
+	r.result.countDraining(r.attempts, stops)
 	for _, finding := range findings {
 		r.result.addFinding(finding)
 	}
@@ -177,11 +181,18 @@
 	return sent
 }
 
+// recordSent records that the last byte of an attempt is being sent.
+func (r *run) recordSent(sent *sentAttempt) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	sent.sentNanos = clock.WallNanos()
+}
+
 // recordCut records that an attempt's connection ended before a complete response.
 func (r *run) recordCut(sent *sentAttempt) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	sent.cut = true
+	sent.cut, sent.cutNanos = true, clock.WallNanos()
 }
 
 // recordOutcome records the outcome of an attempt that received a response, complete or not.
--- a/internal/tooling/loadgen/experiment.go
+++ b/internal/tooling/loadgen/experiment.go
@@ -47,6 +47,7 @@
 		return nil, defaults, ErrInvalidLoad.New("experiment has unknown field " + extra[0].String())
 	}
 	options := defaults
+	options.Sessions = experiment.Sessions
 	options.Rate, options.JobRate, options.Items, options.Count, options.MaxAttempts, options.Seed = experiment.Rate, experiment.JobRate, experiment.Items, experiment.Count, experiment.MaxAttempts, experiment.Seed
 	options.PlannedOnly = experiment.PlannedOnly
 	options.For = clock.Milliseconds(experiment.ForS * 1000)
--- a/internal/tooling/loadgen/mix.go
+++ b/internal/tooling/loadgen/mix.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"net/http"
 	"sort"
 	"strconv"
 	"strings"
@@ -113,6 +114,11 @@
 	prompt prompt
 	node   int
 	body   []byte
+	// client is the client of a session, which sends the first attempt; nil for the shared one.
+	client http.RoundTripper
+	// uploadTime is how long the body takes to be sent, chunked whether it is sent in chunks.
+	uploadTime clock.Duration
+	chunked    bool
 }
 
 // isPlain reports whether the request has no prompt.
--- a/internal/tooling/loadgen/options.go
+++ b/internal/tooling/loadgen/options.go
@@ -17,6 +17,9 @@
 	// the number of items of each job.
 	Rate, JobRate float64
 	Items         int
+	// Sessions is the number of clients that send their next request the moment the previous response
+	// is complete, each on a connection that it keeps for as long as its gateway lets it.
+	Sessions int
 	// Mix is the mix of the kinds of requests.
 	Mix []Share
 	// For is how long requests are sent.
@@ -54,6 +57,8 @@
 		return ErrInvalidLoad.New(fmt.Sprintf("for must be above 0 and at most %s", constants.LoadTime))
 	case o.Count < 0 || o.Count > constants.LoadCount:
 		return ErrInvalidLoad.New(fmt.Sprintf("count must be between 0 and %d", constants.LoadCount))
+	case o.Sessions < 0 || o.Sessions > constants.LoadInFlightMax:
+		return ErrInvalidLoad.New(fmt.Sprintf("sessions must be between 0 and %d", constants.LoadInFlightMax))
 	case o.MaxAttempts < 1 || o.MaxAttempts > 5:
 		return ErrInvalidLoad.New("tries must be between 1 and 5")
 	}
@@ -88,6 +93,7 @@
 	Rate        float64 `toml:"rate"`
 	JobRate     float64 `toml:"lots"`
 	Items       int     `toml:"items"`
+	Sessions    int     `toml:"sessions"`
 	Mix         string  `toml:"mix"`
 	ForS        float64 `toml:"for-s"`
 	Count       int     `toml:"count"`
--- a/internal/tooling/loadgen/report.go
+++ b/internal/tooling/loadgen/report.go
@@ -31,6 +31,10 @@
 	_ = table.Flush()
 	writeCounts(writer, "failures", result.Causes)
 	writeCounts(writer, "retried after", result.Retried)
+	if result.GatewayStops > 0 {
+		fmt.Fprintf(writer, "graceful stops of gateways: %d; attempts sent to gateways that were stopping: %d, after they ended accepting: %d, refused with a promise: %d\n",
+			result.GatewayStops, result.Draining.Sent, result.Draining.Late, result.Draining.Refused)
+	}
 	if result.NotSent > 0 {
 		fmt.Fprintf(writer, "not sent because too many requests were in flight: %d\n", result.NotSent)
 	}
--- a/internal/tooling/loadgen/result.go
+++ b/internal/tooling/loadgen/result.go
@@ -34,6 +34,14 @@
 	times *hdrhistogram.Histogram
 }
 
+// DrainCounts counts the attempts sent to gateways between their SIGTERM and their exit: all of them, those
+// sent after DrainAcceptTime, and those whose response promised that they have not run.
+type DrainCounts struct {
+	Sent    int `json:"sent"`
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+}
+
 // Result is the result of one load run against one fleet.
 type Result struct {
 	Label string `json:"label"`
@@ -51,9 +59,13 @@
 	Notes    []string  `json:"notes"`
 	// NotSent is the number of requests not sent because too many were in flight, Runs the number of
 	// runs that the workers recorded, Took the duration of the load in seconds.
-	NotSent int     `json:"not-sent"`
-	Runs    int     `json:"runs-at-workers"`
-	Took    float64 `json:"took-s"`
+	NotSent int `json:"not-sent"`
+	// GatewayStops is the number of graceful stops of gateways, Draining counts the attempts sent to a
+	// gateway that had got SIGTERM.
+	GatewayStops int         `json:"gateway-stops"`
+	Draining     DrainCounts `json:"draining"`
+	Runs         int         `json:"runs-at-workers"`
+	Took         float64     `json:"took-s"`
 
 	// lock guards the results of the kinds, the causes, findings and notes, and NotSent.
 	lock  sync.Mutex
--- a/internal/tooling/loadgen/send.go
+++ b/internal/tooling/loadgen/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,7 +29,9 @@
 	// permanent is set if the request must not be retried. retryAfter is the value of Retry-After.
 	permanent  bool
 	retryAfter clock.Duration
-	finding    *Finding
+	// closes is set if the response announced that its connection is closed.
+	closes  bool
+	finding *Finding
 }
 
 // requestState is the state of a request over all its attempts. maxGap is the longest time between
@@ -44,8 +45,9 @@
 }
 
 // sendWithRetries sends a request until it is served, must not be retried, has been sent
-// Options.MaxAttempts times or has reached its deadline.
-func (r *run) sendWithRetries(spec *requestSpec) {
+// Options.MaxAttempts times or has reached its deadline. It reports whether the connection of the first
+// attempt can be used for the next request.
+func (r *run) sendWithRetries(spec *requestSpec) (usable bool) {
 	now := clock.Now()
 	state := &requestState{started: now, deadline: now.Add(spec.route.Cutoff())}
 	for attempt := 1; ; attempt++ {
@@ -55,13 +57,13 @@
 		}
 		if outcome.cause == "" {
 			r.result.countServed(spec, state, clock.Now())
-			return
+			return attempt == 1 && !outcome.closes
 		}
 		wait := min(max(outcome.retryAfter, constants.LabRetry/4), state.deadline.Sub(clock.Now())/3)
 		mayRetry := !outcome.permanent && (repeatable(spec.route) || outcome.notExecuted || outcome.unread)
 		if !mayRetry || attempt >= r.options.MaxAttempts || wait <= 0 {
 			r.result.countFailed(spec, outcome.cause)
-			return
+			return false
 		}
 		r.result.countRetry(outcome.cause)
 		r.pause(wait)
@@ -78,10 +80,16 @@
 	ctx, cancel := contexts.WithTimeout(contexts.Background(), remaining)
 	defer cancel()
 	node := r.info.Ingress[(spec.node+attemptNumber-1)%len(r.info.Ingress)]
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+path, bytes.NewReader(spec.body))
+	sent.node = node
+	body := &requestBody{rest: spec.body, pause: spec.uploadTime / clock.Duration(len(spec.body)), sleep: r.pause, ended: func() { r.recordSent(sent) }}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+path, body)
 	if err != nil {
 		return attemptResult{cause: "unsendable", permanent: true}
 	}
+	request.ContentLength = int64(len(spec.body))
+	if spec.chunked {
+		request.ContentLength = -1
+	}
 	// With GetBody net/http may send the request a second time without the caller's knowledge.
 	// Every send must be recorded as an attempt.
 	request.GetBody = nil
@@ -97,7 +105,11 @@
 	if state.lastID > 0 {
 		header.Set("Last-Event-Id", strconv.FormatInt(state.lastID, 10))
 	}
-	resp, err := r.client.RoundTrip(request)
+	client := r.client
+	if spec.client != nil && attemptNumber == 1 {
+		client = spec.client
+	}
+	resp, err := client.RoundTrip(request)
 	if err != nil {
 		cause := causeOf(err, ctx)
 		if cause == causeCut {
@@ -115,6 +127,7 @@
 	default:
 		outcome = readErrorResponse(resp)
 	}
+	outcome.closes = resp.Close
 	if outcome.cause == causeResponseCut || outcome.cause == causeStreamCut {
 		r.recordCut(sent)
 	}
--- a/internal/tooling/soak/schedule.go
+++ b/internal/tooling/soak/schedule.go
@@ -32,6 +32,9 @@
 	Processes int
 	// Programs is the folder with the gateway, controller and store programs.
 	Programs string
+	// Network is the first three bytes of the fleet's addresses; empty for the default. Fleets on
+	// different networks can run at the same time.
+	Network string
 }
 
 // Schedule is the fleet, load and troubles generated from one seed.
@@ -56,8 +59,11 @@
 	schedule := &Schedule{Options: options, PlannedOnly: g.random.Intn(2) == 0}
 	plan := lab.NewPlan()
 	plan.Label, plan.Programs, plan.Seed = "soak-"+strconv.FormatInt(options.Seed, 10), options.Programs, options.Seed
+	if options.Network != "" {
+		plan.Network = options.Network
+	}
 	g.fleetSizes(&plan, options.Processes)
-	schedule.Experiment = loadgen.Experiment{Rate: 80, JobRate: 0.5, Items: 10, ForS: options.Duration.Seconds(), MaxAttempts: 2, Seed: options.Seed,
+	schedule.Experiment = loadgen.Experiment{Rate: 80, JobRate: 0.5, Items: 10, Sessions: constants.SoakSessions, ForS: options.Duration.Seconds(), MaxAttempts: 2, Seed: options.Seed,
 		PlannedOnly: schedule.PlannedOnly, Fleets: []lab.Plan{plan}}
 	g.gatewayTroubles(plan.Gateways, schedule.PlannedOnly)
 	g.diskProcessTroubles(&plan, schedule.PlannedOnly)
@@ -124,6 +130,29 @@
 		g.add(lab.Trouble{AtS: atS, Kind: kinds[g.random.Intn(len(kinds))], Target: "gateway-" + strconv.Itoa(1+g.random.Intn(count)),
 			ForS: 0.2 + g.random.Float64()*2, BackS: g.random.Float64() * 2})
 	})
+	g.rollingRestart(count)
+}
+
+// rollingRestart generates the stops of up to SoakRolling gateways, one after the other. Each of them drains
+// while the next ones are stopped, and a part of them gets SIGHUP and SIGTERM once more in the meantime.
+func (g *generator) rollingRestart(count int) {
+	gapS := 0.3 + g.random.Float64()*2
+	atS := 1 + g.random.Float64()*2
+	for _, i := range g.random.Perm(count)[:min(count, constants.SoakRolling)] {
+		if atS >= g.lastStartS {
+			return
+		}
+		target := "gateway-" + strconv.Itoa(1+i)
+		stop := lab.Trouble{AtS: atS, Kind: "stop", Target: target, BackS: g.random.Float64() * 2}
+		if g.random.Intn(3) == 0 {
+			stop.ForS = 0.2 + g.random.Float64()*3
+		}
+		g.add(stop)
+		if g.random.Intn(3) == 0 {
+			g.add(lab.Trouble{AtS: atS + g.random.Float64()*3, Kind: "reload", Target: target})
+		}
+		atS += gapS
+	}
 }
 
 // diskProcessTroubles generates the troubles of the processes with a disk, one after the other. Each
@@ -143,9 +172,14 @@
 	}
 }
 
-// configurationChanges generates changes of the configuration.
+// configurationChanges generates changes of the configuration. A third of them are sent by two operators at a
+// time, on the same base.
 func (g *generator) configurationChanges() {
-	g.series(3, func(atS float64) { g.add(lab.Trouble{AtS: atS, Kind: "configure"}) })
+	g.series(3, func(atS float64) {
+		for range 1 + max(g.random.Intn(3)-1, 0) {
+			g.add(lab.Trouble{AtS: atS, Kind: "configure"})
+		}
+	})
 }
 
 // workerTroubles generates the troubles of workers.
