Soak: reads of the configuration, operators that differ, loss of power of all

Change: a reader a controller holds each answered read against what had been acknowledged 2 s before (CONFIG), and each generation is acknowledged once. Two configurations of a moment differ. One in five troubles of processes with a disk kills all processes.

--- a/internal/platform/constants/lab.go
+++ b/internal/platform/constants/lab.go
@@ -123,6 +123,9 @@
 	// of LabGrace.
 	SessionOutputTokens = 320
 	SessionUploadTime   = 2 * time.Second
+	// ConfigConverge is converge-ms in a fleet's settings: how long after the acknowledgement of a
+	// configuration a read may return an older one.
+	ConfigConverge = 2 * time.Second
 	// CutSentLimit is how long after the SIGTERM a request may be sent that the end of the grace time
 	// may cut (NEWS-22, LOST).
 	CutSentLimit = 3 * time.Second
@@ -154,6 +157,8 @@
 	SoakSessions = 16
 	// SoakRolling is the maximum number of gateways that a rolling restart stops.
 	SoakRolling = 12
+	// SoakPowerLossOdds: one in so many troubles of processes with a disk is the kill of all processes.
+	SoakPowerLossOdds = 5
 	// SoakRepairTime is the time between two losses of processes with a disk: sync-s of the lab's
 	// settings, and the restart before it.
 	SoakRepairTime = 8 * time.Second
--- a/internal/tooling/lab/endpoint.go
+++ b/internal/tooling/lab/endpoint.go
@@ -32,6 +32,8 @@
 	Dropped int `json:"dropped"`
 	// Stops are the graceful stops of gateways so far.
 	Stops []GatewayStop `json:"stops"`
+	// Generations are the configurations that were acknowledged so far.
+	Generations []AcknowledgedGeneration `json:"generations"`
 }
 
 // Info returns the description of the fleet.
@@ -58,7 +60,7 @@
 	router.Get("/fleet", func(writer http.ResponseWriter, _ *http.Request) { httpreply.JSON(writer, http.StatusOK, f.Info()) })
 	router.Get("/runs", func(writer http.ResponseWriter, request *http.Request) {
 		runs, dropped := f.record.WithPrefix(request.URL.Query().Get("prefix"))
-		httpreply.JSON(writer, http.StatusOK, Runs{runs, dropped, f.gatewayStops()})
+		httpreply.JSON(writer, http.StatusOK, Runs{runs, dropped, f.gatewayStops(), f.operator.generations()})
 	})
 	router.Post("/trouble", func(writer http.ResponseWriter, request *http.Request) {
 		var trouble Trouble
--- a/internal/tooling/lab/operator.go
+++ b/internal/tooling/lab/operator.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"lemonarch/internal/configuration/routeconfig"
+	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 )
 
@@ -25,6 +26,17 @@
 	// lock guards config, which is the last configuration accepted; nil if there is none.
 	lock   sync.Mutex
 	config *routeconfig.Config
+	// acknowledged lists the generations that a controller accepted; the lock guards it too.
+	acknowledged []AcknowledgedGeneration
+	// added counts the routes sent; the lock guards it too.
+	added int
+}
+
+// AcknowledgedGeneration is a generation of the configuration that a controller accepted.
+type AcknowledgedGeneration struct {
+	Generation int64 `json:"generation"`
+	// AtNanos is when the operator got the response, as a Unix time in ns.
+	AtNanos int64 `json:"at-ns"`
 }
 
 type httpResponse struct {
@@ -55,17 +67,20 @@
 // sendFirst sends the first configuration.
 func (o *operator) sendFirst(body []byte) error { return o.send(body, 0) }
 
-// addRoute sends the next generation: the current configuration with one more route. Fields that
-// this program does not know are left unchanged.
+// addRoute sends the next generation: the current configuration with one more route, which no other call
+// sends. Of two calls at a time on the same base one is rejected. Fields that this program does not know
+// are left unchanged.
 func (o *operator) addRoute() (generation int64, err error) {
 	o.lock.Lock()
 	current := o.config
+	o.added++
+	number := o.added
 	o.lock.Unlock()
 	if current == nil {
 		return 0, ErrInvalidLab.New("there is no configuration yet")
 	}
 	generation = current.Generation + 1
-	body, err := withRoute(current.Body, generation, addedRoute(generation))
+	body, err := withRoute(current.Body, generation, addedRoute(number))
 	if err != nil {
 		return 0, ErrInvalidLab.Wrap(err, "configuration")
 	}
@@ -107,7 +122,10 @@
 				return parseErr
 			}
 			o.lock.Lock()
-			o.config = config
+			if o.config == nil || o.config.Generation < config.Generation {
+				o.config = config
+			}
+			o.acknowledged = append(o.acknowledged, AcknowledgedGeneration{config.Generation, clock.WallNanos()})
 			o.lock.Unlock()
 			return nil
 		case resp.status >= 400 && resp.status < 500 && resp.status != http.StatusTooManyRequests && resp.status != http.StatusRequestTimeout:
@@ -119,6 +137,13 @@
 	return err
 }
 
+// generations returns the generations that were acknowledged so far.
+func (o *operator) generations() []AcknowledgedGeneration {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	return append([]AcknowledgedGeneration(nil), o.acknowledged...)
+}
+
 func (o *operator) routes() []routeconfig.Route {
 	o.lock.Lock()
 	defer o.lock.Unlock()
--- a/internal/tooling/loadgen/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -31,6 +31,9 @@
 	// attempts are all attempts sent, by id; inFlight is the number of requests in flight.
 	attempts map[string]*sentAttempt
 	inFlight int
+	// configReads are the answered reads of the configuration, failedReads counts those without a response.
+	configReads []configRead
+	failedReads int
 }
 
 // Drive sends a whole load to the fleet of an endpoint, checks the responses and returns the result.
@@ -65,6 +68,11 @@
 	if r.options.JobRate > 0 {
 		group.Go(func() { r.sendJobs(ctx, started) })
 	}
+	if r.options.ReadsConfig {
+		for _, node := range r.info.Controls {
+			group.Go(func() { r.readConfigurations(ctx, started, node) })
+		}
+	}
 	for i := range r.options.Sessions {
 		group.Go(func() { r.runSession(ctx, started, i) })
 	}
@@ -98,6 +106,10 @@
 		return err
 	}
 	r.compareRuns(runs.Runs, runs.Stops)
+	for _, finding := range checkConfigReads(r.configReads, runs.Generations) {
+		r.result.addFinding(finding)
+	}
+	r.result.ConfigReads, r.result.FailedConfigReads, r.result.Generations = len(r.configReads), r.failedReads, len(runs.Generations)
 	if runs.Dropped > 0 {
 		r.result.addNote(strconv.Itoa(runs.Dropped) + " runs did not fit into the workers' record; the check is partial")
 	}
--- a/internal/tooling/loadgen/options.go
+++ b/internal/tooling/loadgen/options.go
@@ -20,6 +20,8 @@
 	// Sessions is the number of clients that send their next request the moment the previous response
 	// is complete, each on a connection that it keeps for as long as its gateway lets it.
 	Sessions int
+	// ReadsConfig is set to read the configuration from every controller again and again.
+	ReadsConfig bool
 	// Mix is the mix of the kinds of requests.
 	Mix []Share
 	// For is how long requests are sent.
--- a/internal/tooling/loadgen/report.go
+++ b/internal/tooling/loadgen/report.go
@@ -35,6 +35,9 @@
 		fmt.Fprintf(writer, "graceful stops of gateways: %d; attempts sent to gateways that were stopping: %d, after they ended accepting: %d, refused with a promise: %d\n",
 			result.GatewayStops, result.Draining.Sent, result.Draining.Late, result.Draining.Refused)
 	}
+	if result.ConfigReads > 0 {
+		fmt.Fprintf(writer, "configurations acknowledged: %d; reads answered: %d, without a response: %d\n", result.Generations, result.ConfigReads, result.FailedConfigReads)
+	}
 	if result.NotSent > 0 {
 		fmt.Fprintf(writer, "not sent because too many requests were in flight: %d\n", result.NotSent)
 	}
--- a/internal/tooling/loadgen/result.go
+++ b/internal/tooling/loadgen/result.go
@@ -60,6 +60,11 @@
 	// NotSent is the number of requests not sent because too many were in flight, Runs the number of
 	// runs that the workers recorded, Took the duration of the load in seconds.
 	NotSent int `json:"not-sent"`
+	// ConfigReads counts the reads of the configuration that were answered with 200, FailedConfigReads
+	// those without a response, and Generations the acknowledged configurations.
+	ConfigReads       int `json:"config-reads"`
+	FailedConfigReads int `json:"config-reads-failed"`
+	Generations       int `json:"generations"`
 	// GatewayStops is the number of graceful stops of gateways, Draining counts the attempts sent to a
 	// gateway that had got SIGTERM.
 	GatewayStops int         `json:"gateway-stops"`
--- a/internal/tooling/soak/run.go
+++ b/internal/tooling/soak/run.go
@@ -78,7 +78,7 @@
 	}
 	options := loadgen.NewOptions()
 	options.Rate, options.JobRate, options.Items, options.MaxAttempts = schedule.Experiment.Rate, schedule.Experiment.JobRate, schedule.Experiment.Items, schedule.Experiment.MaxAttempts
-	options.Sessions = schedule.Experiment.Sessions
+	options.Sessions, options.ReadsConfig = schedule.Experiment.Sessions, true
 	options.For, options.Seed, options.PlannedOnly, options.Progress = schedule.Duration, schedule.Seed, schedule.PlannedOnly, progress
 	return loadgen.Drive(ctx, options, endpoint, schedule.Experiment.Trouble)
 }
--- a/internal/tooling/soak/schedule.go
+++ b/internal/tooling/soak/schedule.go
@@ -164,6 +164,10 @@
 		kinds = append(kinds, "kill", "freeze", "wipe", "wipe")
 	}
 	for atS := 2 + g.random.Float64()*2; atS < g.lastStartS; atS += constants.SoakRepairTime.Seconds() + g.random.Float64()*2 {
+		if !planned && g.random.Intn(constants.SoakPowerLossOdds) == 0 {
+			g.powerLoss(atS)
+			continue
+		}
 		target := "store-" + strconv.Itoa(1+g.random.Intn(plan.Stores))
 		if g.random.Intn(2) == 0 {
 			target = "controller-" + strconv.Itoa(1+g.random.Intn(plan.Controllers))
@@ -172,6 +176,14 @@
 	}
 }
 
+// powerLoss generates the kill of all processes at one moment. Their disks are kept.
+func (g *generator) powerLoss(atS float64) {
+	backS := g.random.Float64()
+	for _, role := range []string{"gateway", "controller", "store"} {
+		g.add(lab.Trouble{AtS: atS, Kind: "kill", Target: role, BackS: backS})
+	}
+}
+
 // configurationChanges generates changes of the configuration. A third of them are sent by two operators at a
 // time, on the same base.
 func (g *generator) configurationChanges() {
