--- a/internal/control/controller/drain_test.go
+++ b/internal/control/controller/drain_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,38 +12,9 @@
 	"lemonarch/internal/platform/clock"
 	"lemonarch/internal/platform/constants"
 	"lemonarch/internal/platform/inbound"
+	"lemonarch/internal/tooling/fixture"
 )
 
-// heldListener accepts connections whose reads are held once they have received held.
-type heldListener struct {
-	net.Listener
-	held     []byte
-	received chan struct{}
-	proceed  chan struct{}
-}
-
-// Accept returns the next connection.
-func (l *heldListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	return &heldConn{Conn: raw, listener: l}, err
-}
-
-type heldConn struct {
-	net.Conn
-	listener *heldListener
-	once     sync.Once
-}
-
-// Read returns the bytes that were received, those with held only after proceed is closed.
-func (c *heldConn) Read(into []byte) (int, error) {
-	count, err := c.Conn.Read(into)
-	if bytes.Contains(into[:count], c.listener.held) {
-		c.once.Do(func() { close(c.listener.received) })
-		<-c.listener.proceed
-	}
-	return count, err
-}
-
 // A call that was read on a kept connection at the moment of the shutdown must get a response: the
 // operator can't tell otherwise whether it took effect. net/http counts the connection as idle until it
 // has parsed the head, and http.Server.Shutdown closes it under the call.
@@ -58,7 +27,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	held := &heldListener{Listener: raw, held: []byte("/second"), received: make(chan struct{}), proceed: make(chan struct{})}
+	held := fixture.NewHeldListener(raw, "/second")
 	listener := inbound.NewListener(held, 0, inbound.NewMemory(0))
 	controller.listener.Store(listener)
 	go func() { _ = controller.server.Serve(listener) }()
@@ -75,7 +44,7 @@
 		t.Fatalf("first call: got status %d, error %v, want 404", status, err)
 	}
 	call("/second")
-	<-held.received
+	<-held.Received
 	stopped := make(chan struct{})
 	go func() {
 		controller.Shutdown()
@@ -86,7 +55,7 @@
 		<-clock.After(constants.PollPeriod)
 	}
 	<-clock.After(constants.PollPeriod)
-	close(held.proceed)
+	close(held.Proceed)
 	if status, err := readStatus(reader); err != nil || status != http.StatusServiceUnavailable {
 		t.Errorf("call that was read during the shutdown: got status %d, error %v, want 503", status, err)
 	}
