--- a/internal/platform/inbound/request.go
+++ b/internal/platform/inbound/request.go
@@ -124,8 +124,9 @@
 
 // refusalLocked returns the error why a request must not be begun, or nil: ErrMemoryLimit if its
 // connection was evicted, also while its bytes were being read, and ErrDraining if the listener drains.
-// After nil, the connection is neither evicted nor closed by a drain before the response is complete,
-// unless its client doesn't read it. The caller holds the lock.
+// Once the request has been received completely, nil means that the connection is neither evicted nor
+// closed by a drain before the response is complete, unless its client doesn't read it. The caller holds
+// the lock.
 func (c *Conn) refusalLocked() error {
 	switch {
 	case c.evicted:
