--- a/internal/platform/constants/lab.go
+++ b/internal/platform/constants/lab.go
@@ -153,9 +153,11 @@
 	// SoakQuietEnd is the time at the end of a run without faults. An orderly stop takes LabGrace
 	// at most.
 	SoakQuietEnd = LabGrace + time.Second
-	// SoakSessions is the number of clients that never pause.
+	// SoakSessions is the minimum number of clients that never pause; a large fleet has one for two
+	// gateways.
 	SoakSessions = 16
-	// SoakRolling is the maximum number of gateways that a rolling restart stops.
+	// SoakRolling is the number of gateways that a rolling restart stops in a fleet of up to three times
+	// as many.
 	SoakRolling = 12
 	// SoakPowerLossOdds: one in so many troubles of processes with a disk is the kill of all processes.
 	SoakPowerLossOdds = 5
--- a/internal/tooling/soak/schedule.go
+++ b/internal/tooling/soak/schedule.go
@@ -63,7 +63,7 @@
 		plan.Network = options.Network
 	}
 	g.fleetSizes(&plan, options.Processes)
-	schedule.Experiment = loadgen.Experiment{Rate: 80, JobRate: 0.5, Items: 10, Sessions: constants.SoakSessions, ForS: options.Duration.Seconds(), MaxAttempts: 2, Seed: options.Seed,
+	schedule.Experiment = loadgen.Experiment{Rate: 80, JobRate: 0.5, Items: 10, Sessions: max(constants.SoakSessions, plan.Gateways/2), ForS: options.Duration.Seconds(), MaxAttempts: 2, Seed: options.Seed,
 		PlannedOnly: schedule.PlannedOnly, Fleets: []lab.Plan{plan}}
 	g.gatewayTroubles(plan.Gateways, schedule.PlannedOnly)
 	g.diskProcessTroubles(&plan, schedule.PlannedOnly)
@@ -133,15 +133,14 @@
 	g.rollingRestart(count)
 }
 
-// rollingRestart generates the stops of up to SoakRolling gateways, one after the other. Each of them drains
-// while the next ones are stopped, and a part of them gets SIGHUP and SIGTERM once more in the meantime.
+// rollingRestart generates the stops of gateways one after the other: up to SoakRolling of them, or a third
+// if that is more. Each of them drains while the next ones are stopped, and a part of them gets SIGHUP and
+// SIGTERM once more in the meantime.
 func (g *generator) rollingRestart(count int) {
-	gapS := 0.3 + g.random.Float64()*2
+	stops := min(count, max(constants.SoakRolling, count/3))
 	atS := 1 + g.random.Float64()*2
-	for _, i := range g.random.Perm(count)[:min(count, constants.SoakRolling)] {
-		if atS >= g.lastStartS {
-			return
-		}
+	gapS := min(0.3+g.random.Float64()*2, (g.lastStartS-atS)/float64(stops))
+	for _, i := range g.random.Perm(count)[:stops] {
 		target := "gateway-" + strconv.Itoa(1+i)
 		stop := lab.Trouble{AtS: atS, Kind: "stop", Target: target, BackS: g.random.Float64() * 2}
 		if g.random.Intn(3) == 0 {
