Soak: a request that is begun too late is a finding, and stops end at the exit

Change: the lab records when a stopped gateway has exited. A request that ran at a worker though it was sent later than 3 s after the SIGTERM, and before the exit, is LATE. It is no rule of the operators; it is what the gateway keeps by construction, so the check needs no luck with a cut.

--- a/internal/tooling/loadgen/cuts.go
+++ b/internal/tooling/loadgen/cuts.go
@@ -45,17 +45,38 @@
 	return clock.Duration(s.sentNanos - stop.AtNanos), clock.Duration(s.cutNanos - stop.AtNanos)
 }
 
-// stopOf returns the stop of its gateway during whose grace time an attempt was sent, or nil.
+// stopOf returns the stop of its gateway during which an attempt was sent, or nil.
 func stopOf(sent *sentAttempt, stops []lab.GatewayStop) *lab.GatewayStop {
 	for i := range stops {
-		sentAfter, _ := sent.after(stops[i])
-		if stops[i].Ingress == sent.node && sentAfter > 0 && sentAfter < clock.Milliseconds(stops[i].GraceS*1000) {
+		exited := stops[i].ExitNanos > 0 && sent.sentNanos >= stops[i].ExitNanos
+		if sentAfter, _ := sent.after(stops[i]); stops[i].Ingress == sent.node && sentAfter > 0 && !exited {
 			return &stops[i]
 		}
 	}
 	return nil
 }
 
+// checkLateRuns finds the attempts that ran at a worker although they were sent later than CutSentLimit after
+// the SIGTERM of their gateway. A gateway begins no request that late: from then on it has to complete
+// whatever it has begun, and its own end is too near.
+func checkLateRuns(attempts map[string]*sentAttempt, runs []workeremulator.Run, stops []lab.GatewayStop) []Finding {
+	var findings []Finding
+	for _, run := range runs {
+		sent := attempts[run.Attempt]
+		if sent == nil {
+			continue
+		}
+		stop := stopOf(sent, stops)
+		if stop == nil {
+			continue
+		}
+		if sentAfter, _ := sent.after(*stop); sentAfter > constants.CutSentLimit {
+			findings = append(findings, Finding{"LATE", run.Attempt, "ran at " + run.Worker + ", but was sent " + sentAfter.Round(time.Millisecond).String() + " after the SIGTERM of its gateway"})
+		}
+	}
+	return findings
+}
+
 // sinceStop says when an attempt was sent and cut, if that was during a stop of its gateway.
 func sinceStop(sent *sentAttempt, stops []lab.GatewayStop) string {
 	stop := stopOf(sent, stops)
--- a/internal/tooling/loadgen/cuts_test.go
+++ b/internal/tooling/loadgen/cuts_test.go
@@ -36,7 +36,7 @@
 // TestAttemptsAtDrainingGatewaysAreCounted checks that the report tells how often the state was reached that
 // the soak is meant to test.
 func TestAttemptsAtDrainingGatewaysAreCounted(t *testing.T) {
-	stops := []lab.GatewayStop{{Ingress: "g", AtNanos: int64(time.Hour), GraceS: 5}}
+	stops := []lab.GatewayStop{{Ingress: "g", AtNanos: int64(time.Hour), ExitNanos: int64(time.Hour + 5*time.Second), GraceS: 5}}
 	at := func(node string, after time.Duration, refused bool) *sentAttempt {
 		return &sentAttempt{node: node, sentNanos: int64(time.Hour + after), notExecuted: refused}
 	}
@@ -47,3 +47,25 @@
 		t.Errorf("got %+v at %d stops, want %+v at 1", result.Draining, result.GatewayStops, want)
 	}
 }
+
+// TestLateRunsAreFound checks that a run of a request is found which was sent later than CutSentLimit after the
+// SIGTERM of its gateway, and before its exit; after the exit another process has the address.
+func TestLateRunsAreFound(t *testing.T) {
+	stops := []lab.GatewayStop{{Ingress: "g", AtNanos: int64(time.Hour), ExitNanos: int64(time.Hour + 5*time.Second), GraceS: 5}}
+	for name, test := range map[string]struct {
+		node  string
+		after time.Duration
+		want  string
+	}{
+		"before":             {"g", -time.Second, ""},
+		"in time":            {"g", constants.CutSentLimit, ""},
+		"late":               {"g", constants.CutSentLimit + 1, "LATE "},
+		"after the exit":     {"g", 5 * time.Second, ""},
+		"at another gateway": {"h", constants.CutSentLimit + 1, ""},
+	} {
+		sent := &sentAttempt{attempt: "a", node: test.node, sentNanos: int64(time.Hour + test.after)}
+		if got := rules(checkLateRuns(map[string]*sentAttempt{"a": sent}, []workeremulator.Run{{Attempt: "a", Worker: "w"}}, stops)); got != test.want {
+			t.Errorf("%s: got rules %q, want %q", name, got, test.want)
+		}
+	}
+}
--- a/internal/tooling/loadgen/drive.go
+++ b/internal/tooling/loadgen/drive.go
@@ -126,7 +126,7 @@
 func (r *run) compareRuns(runs []workeremulator.Run, stops []lab.GatewayStop) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	findings := checkRuns(r.attempts, runs)
+	findings := append(checkRuns(r.attempts, runs), checkLateRuns(r.attempts, runs, stops)...)
 	if r.options.PlannedOnly {
 		findings = append(findings, checkCuts(r.attempts, runs, stops)...)
 	}
